--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# The two commands of the README are `make demo` and `make test`; both install what they need.
+BUILD ?= build
+JOBS ?= 8
+SOURCES = $(shell git ls-files '*.cpp' '*.h')
+
+.PHONY: packages build demo test sanitize format format-check tidy bench
+
+packages:
+	bash scripts/packages.sh
+
+build: packages
+	cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	cmake --build $(BUILD) -j $(JOBS)
+
+demo: build
+	BUILD=$(BUILD) bash scripts/demo.sh
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+# The same tests with the address and undefined-behaviour sanitizers.
+sanitize: packages
+	cmake -S . -B build-sanitize -G Ninja -DSANITIZE=ON >/dev/null
+	cmake --build build-sanitize -j $(JOBS)
+	ctest --test-dir build-sanitize --output-on-failure -j 4
+
+format:
+	clang-format -i $(SOURCES)
+
+format-check:
+	clang-format --dry-run -Werror $(SOURCES)
+
+# Analyses every source file; warnings are errors.
+tidy: build
+	git ls-files 'src/*.cpp' 'standins/*.cpp' 'bench/*.cpp' | xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD)
--- /dev/null
+++ b/src/configuration/deployment.cpp
@@ -0,0 +1,67 @@
+#include <indigoway/deployment.h>
+
+namespace indigoway {
+
+namespace {
+
+template <typename Map, typename Key>
+const typename Map::mapped_type *find(const Map &map, const Key &key)
+{
+    const auto it = map.find(key);
+    return it == map.end() ? nullptr : &it->second;
+}
+
+} // namespace
+
+const Target *Deployment::target(const TargetName &name) const
+{
+    return find(targets, name);
+}
+
+const Pool *Deployment::pool(const PoolName &name) const
+{
+    return find(pools, name);
+}
+
+const Server *Deployment::server(const ServerName &name) const
+{
+    return find(servers, name);
+}
+
+const Target *Deployment::serviceFor(const std::string &path) const
+{
+    const Target *best = nullptr;
+    for (const auto &[name, target] : targets) {
+        if (!target.isService || target.prefix.empty() || !path.starts_with(target.prefix)) {
+            continue;
+        }
+        if (!best || target.prefix.size() > best->prefix.size()) {
+            best = &target;
+        }
+    }
+    return best;
+}
+
+std::vector<const Server *> Deployment::serversOf(const TargetName &target, Role role) const
+{
+    std::vector<const Server *> found;
+    for (const auto &[name, server] : servers) {
+        const Pool *itsPool = pool(server.pool);
+        if (itsPool && itsPool->role == role && itsPool->target == target) {
+            found.push_back(&server);
+        }
+    }
+    return found;
+}
+
+std::optional<Role> Deployment::roleOf(const ServerName &server) const
+{
+    const Server *declared = this->server(server);
+    const Pool *itsPool = declared ? pool(declared->pool) : nullptr;
+    if (!itsPool) {
+        return std::nullopt;
+    }
+    return itsPool->role;
+}
+
+} // namespace indigoway
--- /dev/null
+++ b/src/core/deadlines.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <indigoway/ids.h>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace indigoway {
+
+/** One pending deadline per key; the caller's "now" decides which are due. */
+template <typename Key>
+class Deadlines
+{
+public:
+    /** Replaces the key's earlier deadline. */
+    void set(const Key &key, TimePoint at)
+    {
+        clear(key);
+        m_times.emplace(key, at);
+        m_order.emplace(at, key);
+    }
+
+    void clear(const Key &key)
+    {
+        const auto it = m_times.find(key);
+        if (it == m_times.end()) {
+            return;
+        }
+        m_order.erase({it->second, key});
+        m_times.erase(it);
+    }
+
+    bool contains(const Key &key) const { return m_times.contains(key); }
+
+    std::optional<TimePoint> next() const
+    {
+        if (m_order.empty()) {
+            return std::nullopt;
+        }
+        return m_order.begin()->first;
+    }
+
+    /** Removes and returns the keys due at @p now, earliest first. */
+    std::vector<Key> takeDue(TimePoint now)
+    {
+        std::vector<Key> due;
+        while (!m_order.empty() && m_order.begin()->first <= now) {
+            due.push_back(m_order.begin()->second);
+            m_times.erase(due.back());
+            m_order.erase(m_order.begin());
+        }
+        return due;
+    }
+
+private:
+    std::map<Key, TimePoint> m_times;
+    std::set<std::pair<TimePoint, Key>> m_order;
+};
+
+/** The earlier of two optional times. */
+inline std::optional<TimePoint> earlier(std::optional<TimePoint> a, std::optional<TimePoint> b)
+{
+    if (!a || !b) {
+        return a ? a : b;
+    }
+    return std::min(*a, *b);
+}
+
+} // namespace indigoway
--- /dev/null
+++ b/src/core/node.cpp
@@ -0,0 +1,470 @@
+#include "node.h"
+
+#include "configuration/schema.h"
+
+#include <algorithm>
+#include <random>
+
+namespace indigoway {
+
+namespace {
+
+/** Marks a peer request that a node made to itself; the rest is the call's number. */
+constexpr std::uint64_t ToSelf = std::uint64_t {1} << 63U;
+/** A node that has seen neither the store nor a peer for this long cannot know that its
+ * configuration is still in force. */
+constexpr Duration CutOffAfter = std::chrono::seconds(10);
+/** Waits no longer for its last cancels and records when it leaves. */
+constexpr Duration LongestLeave = std::chrono::minutes(10);
+constexpr Duration LeaveCheckInterval = std::chrono::milliseconds(200);
+
+std::string milliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+std::string stateName(MemberState state)
+{
+    switch (state) {
+    case MemberState::Alive:
+        return "alive";
+    case MemberState::Leaving:
+        return "leaving";
+    case MemberState::Suspect:
+        return "suspect";
+    case MemberState::Dead:
+        return "dead";
+    }
+    return {};
+}
+
+MemberUpdate memberOf(const NodeSettings &settings)
+{
+    MemberUpdate member;
+    member.life = settings.life;
+    member.callerAddress = settings.callerAddress;
+    member.peerAddress = settings.peerAddress;
+    member.domain = settings.domain;
+    return member;
+}
+
+} // namespace
+
+Node::Node(NodeSettings settings)
+    : m_settings(std::move(settings))
+    , m_membership(memberOf(m_settings))
+    , m_requests(m_settings.mode, m_settings.policy, m_settings.limits)
+{
+    addQueries();
+}
+
+void Node::setAddresses(const std::string &callers, const std::string &peers)
+{
+    m_settings.callerAddress = callers;
+    m_settings.peerAddress = peers;
+    m_membership.setAddresses(callers, peers);
+}
+
+Effects Node::start(TimePoint now, std::uint64_t entropy)
+{
+    m_now = now;
+    m_peerSeen = now;
+    Effects effects;
+    {
+        Turn turn(now, entropy, m_configuration.deployment(), m_configuration.cells(), m_membership,
+                  m_numbers, effects);
+        m_membership.start(turn);
+        m_registry.start(turn);
+        m_configuration.start(turn);
+        for (const MemberUpdate &peer : m_settings.peers) {
+            m_membership.meet(turn, peer);
+        }
+    }
+    deliverToSelf(effects);
+    return effects;
+}
+
+Effects Node::reduce(TimePoint now, std::uint64_t entropy, const Event &event)
+{
+    m_now = now;
+    Effects effects;
+    std::mt19937_64 random(entropy);
+    m_pending.push_back(event);
+    while (!m_pending.empty()) {
+        const Event next = std::move(m_pending.front());
+        m_pending.pop_front();
+        Turn turn(now, random(), m_configuration.deployment(), m_configuration.cells(),
+                  m_membership, m_numbers, effects);
+        dispatch(turn, next);
+        settle(turn);
+        deliverToSelf(effects);
+    }
+    return effects;
+}
+
+std::optional<TimePoint> Node::nextDeadline() const
+{
+    auto next = earlier(earlier(m_configuration.nextDeadline(), m_membership.nextDeadline()),
+                        earlier(m_registry.nextDeadline(), m_scheduler.nextDeadline()));
+    next = earlier(next, m_requests.nextDeadline());
+    if (m_isLeaving && !m_isFinished) {
+        next = earlier(next, m_now + LeaveCheckInterval);
+    }
+    return next;
+}
+
+std::vector<CallerAddress> Node::callerAddresses(const DomainName &callerDomain,
+                                                 std::uint64_t entropy) const
+{
+    std::vector<const MemberUpdate *> members = m_membership.present();
+    const auto isPreferred = [](const MemberUpdate *member) {
+        return member->state == MemberState::Alive;
+    };
+    if (std::any_of(members.begin(), members.end(), isPreferred)) {
+        std::erase_if(members, [&](const auto *member) { return !isPreferred(member); });
+    }
+    std::shuffle(members.begin(), members.end(), std::mt19937_64(entropy));
+    std::stable_partition(members.begin(), members.end(), [&](const MemberUpdate *member) {
+        return member->domain == callerDomain;
+    });
+    std::vector<CallerAddress> addresses;
+    addresses.reserve(members.size());
+    for (const MemberUpdate *member : members) {
+        addresses.push_back({member->life.node, member->callerAddress, member->domain});
+    }
+    return addresses;
+}
+
+void Node::dispatch(Turn &turn, const Event &event)
+{
+    std::visit([&](const auto &one) { handle(turn, one); }, event);
+}
+
+void Node::handle(Turn &turn, const RequestArrived &event)
+{
+    if (!m_configuration.isKnown() || isCutOff(turn.now)) {
+        turn.count(Counter::RequestsArrived);
+        turn.count(Counter::RequestsRefused);
+        turn.add(RefuseRequest {event.request, RefusalReason::ConfigurationUnknown,
+                                Execution::NotExecuted, std::chrono::seconds(1)});
+        return;
+    }
+    m_requests.arrived(turn, event);
+}
+
+void Node::handle(Turn &turn, const CallerGone &event)
+{
+    m_requests.callerGone(turn, event);
+}
+
+void Node::handle(Turn &turn, const PrefillFinished &event)
+{
+    m_requests.prefillFinished(turn, event);
+}
+
+void Node::handle(Turn &turn, const TokensArrived &event)
+{
+    m_requests.tokensArrived(turn, event);
+}
+
+void Node::handle(Turn &turn, const DecodeFinished &event)
+{
+    m_requests.decodeFinished(turn, event);
+}
+
+void Node::handle(Turn &turn, const ServiceFinished &event)
+{
+    m_requests.serviceFinished(turn, event);
+}
+
+void Node::handle(Turn &turn, const CancelFinished &event)
+{
+    m_requests.cancelFinished(turn, event);
+}
+
+void Node::handle(Turn &turn, const ReportArrived &event)
+{
+    m_scheduler.handleReport(turn, event);
+    m_requests.report(event);
+    if (event.isOk && !event.requests.empty()) {
+        m_reclaimer.report(turn, event, m_requests, m_registry);
+    }
+}
+
+void Node::handle(Turn &turn, const CacheEventsArrived &event)
+{
+    m_scheduler.handleCacheEvents(turn, event);
+}
+
+void Node::handle(Turn &turn, const PeerRequestArrived &event)
+{
+    handlePeerRequest(turn, event.number, event.request);
+}
+
+void Node::handlePeerRequest(Turn &turn, PeerRequestNumber number, const PeerRequest &request)
+{
+    if (const auto *ping = std::get_if<Ping>(&request)) {
+        m_peerSeen = turn.now;
+        m_membership.handlePing(turn, number, *ping);
+    } else if (const auto *onBehalf = std::get_if<PingOnBehalf>(&request)) {
+        m_membership.handlePingOnBehalf(turn, number, *onBehalf);
+    } else if (std::holds_alternative<FetchConfiguration>(request)) {
+        m_configuration.handleFetch(turn, number);
+    } else if (const auto *claim = std::get_if<ClaimCapacity>(&request)) {
+        m_scheduler.handleClaim(turn, number, *claim);
+    } else if (const auto *ended = std::get_if<PrefillEnded>(&request)) {
+        m_scheduler.handlePrefillEnded(turn, number, *ended);
+    } else if (const auto *release = std::get_if<ReleaseClaim>(&request)) {
+        m_scheduler.handleRelease(turn, number, *release);
+    } else if (const auto *adopt = std::get_if<AdoptClaim>(&request)) {
+        m_scheduler.handleAdopt(turn, number, *adopt);
+    } else if (const auto *fetch = std::get_if<FetchRows>(&request)) {
+        m_queries.handleFetch(turn, number, *fetch);
+    } else if (const auto *which = std::get_if<WhichAreYours>(&request)) {
+        TheseAreMine mine;
+        for (const EngineRequestName &name : which->requests) {
+            if (m_requests.owns(name)) {
+                mine.requests.push_back(name);
+            }
+        }
+        turn.reply(number, std::move(mine));
+    }
+}
+
+void Node::handle(Turn &turn, const PeerAnswered &event)
+{
+    if (std::holds_alternative<PeerReply>(event.outcome)) {
+        m_peerSeen = turn.now;
+    }
+    m_membership.handleAnswer(turn, event.call, event.outcome)
+        || m_configuration.handleAnswer(turn, event.call, event.outcome)
+        || m_scheduler.handleAnswer(turn, event.call, event.outcome)
+        || m_reclaimer.handleAnswer(turn, event.call, event.outcome, m_requests)
+        || m_queries.handleAnswer(turn, event.call, event.outcome)
+        || m_requests.handleAnswer(turn, event.call, event.outcome);
+}
+
+void Node::handle(Turn &turn, const StoreAnswered &event)
+{
+    if (m_configuration.storeAnswered(turn, event) || m_queries.storeAnswered(turn, event)) {
+        return;
+    }
+    if (!m_registry.storeAnswered(turn, event)) {
+        m_requests.storeAnswered(turn, event);
+        return;
+    }
+    for (const MemberUpdate &listed : m_registry.takeListed()) {
+        m_membership.meet(turn, listed);
+    }
+}
+
+void Node::handle(Turn &turn, const CommandArrived &event)
+{
+    m_configuration.command(turn, event);
+}
+
+void Node::handle(Turn &turn, const QueryArrived &event)
+{
+    m_queries.query(turn, event);
+}
+
+void Node::handle(Turn &turn, const ShutdownRequested & /*event*/)
+{
+    if (m_isLeaving) {
+        return;
+    }
+    m_isLeaving = true;
+    m_leavingSince = turn.now;
+    turn.log("leaving");
+    m_membership.leave(turn);
+    m_registry.leave(turn);
+}
+
+void Node::handle(Turn &turn, const Tick & /*event*/)
+{
+    m_membership.runDue(turn);
+    m_registry.runDue(turn);
+    m_configuration.runDue(turn);
+    m_scheduler.runDue(turn);
+    m_requests.runDue(turn);
+}
+
+/** Follows up what one subsystem's change means for the others. */
+void Node::settle(Turn &turn)
+{
+    m_configuration.setPolling(m_registry.holdsPlace());
+    m_configuration.heard(turn, m_membership.heardRevision(), m_membership.heardRevisionFrom());
+    const bool hasConfigurationChanged = m_configuration.takeChanged();
+    if (hasConfigurationChanged) {
+        m_membership.setRevision(m_configuration.revision());
+    }
+    if (hasConfigurationChanged || m_membersSeen != m_membership.changes()) {
+        m_membersSeen = m_membership.changes();
+        m_scheduler.reassign(turn);
+        m_requests.membersChanged(turn);
+    }
+    if (hasConfigurationChanged) {
+        m_requests.configurationChanged(turn);
+    }
+    for (const NodeName &doubted : m_requests.takeDoubted()) {
+        m_membership.probe(turn, doubted);
+    }
+    checkShutdown(turn);
+}
+
+void Node::checkShutdown(Turn &turn)
+{
+    if (!m_isLeaving || m_isFinished) {
+        return;
+    }
+    const Duration leaving = turn.now - m_leavingSince;
+    // Callers use their list of nodes for as long as they were told: until then requests come,
+    // and are served. Refusing them would make the leave visible.
+    if (leaving >= m_settings.callersKeepList) {
+        m_requests.leave();
+    }
+    const bool isDone = leaving >= m_settings.callersKeepList && m_requests.unfinished() == 0;
+    if (isDone || leaving >= LongestLeave) {
+        m_isFinished = true;
+        turn.add(ShutdownFinished {});
+    }
+}
+
+void Node::deliverToSelf(Effects &effects)
+{
+    Effects kept;
+    kept.reserve(effects.size());
+    for (Effect &effect : effects) {
+        if (auto *send = std::get_if<SendToPeer>(&effect);
+            send && send->to == m_settings.life.node) {
+            m_pending.emplace_back(PeerRequestArrived {
+                PeerRequestNumber(send->call.value() | ToSelf), std::move(send->request)});
+        } else if (auto *reply = std::get_if<ReplyToPeer>(&effect);
+                   reply && (reply->number.value() & ToSelf) != 0) {
+            m_pending.emplace_back(PeerAnswered {PeerCallNumber(reply->number.value() & ~ToSelf),
+                                                 PeerOutcome {std::move(reply->reply)}});
+        } else {
+            kept.push_back(std::move(effect));
+        }
+    }
+    effects = std::move(kept);
+}
+
+bool Node::isCutOff(TimePoint now) const
+{
+    if (!m_registry.hasSeenOthers() && m_membership.presentCount() == 1) {
+        // Nobody else is there through whom operators could have changed anything.
+        return false;
+    }
+    const TimePoint storeSeen = m_configuration.storeSeen().value_or(TimePoint {});
+    return now - std::max(storeSeen, m_peerSeen) > CutOffAfter;
+}
+
+void Node::addQueries()
+{
+    m_queries.add(
+        "models", {[](const Turn &turn) {
+            Table table {{"name", "version", "priority", "first-token", "between-tokens", "late"},
+                         {}};
+            for (const auto &[name, target] : turn.deployment.targets) {
+                if (!target.isService) {
+                    table.rows.push_back(
+                        {name.text(), target.version, std::to_string(target.priority),
+                         durationText(target.firstToken), durationText(target.betweenTokens),
+                         target.late == LatePolicy::Refuse ? "refuse" : "finish"});
+                }
+            }
+            return table;
+        }});
+    m_queries.add("services", {[](const Turn &turn) {
+                      Table table {{"name", "prefix", "priority", "repeatable"}, {}};
+                      for (const auto &[name, target] : turn.deployment.targets) {
+                          if (target.isService) {
+                              table.rows.push_back({name.text(), target.prefix,
+                                                    std::to_string(target.priority),
+                                                    target.repeatable ? "yes" : "no"});
+                          }
+                      }
+                      return table;
+                  }});
+    m_queries.add("pools", {[](const Turn &turn) {
+                      Table table {{"name", "role", "target", "servers"}, {}};
+                      std::map<PoolName, std::size_t> sizes;
+                      for (const auto &[name, server] : turn.deployment.servers) {
+                          ++sizes[server.pool];
+                      }
+                      for (const auto &[name, pool] : turn.deployment.pools) {
+                          const char *role = pool.role == Role::Prefill ? "prefill"
+                              : pool.role == Role::Decode               ? "decode"
+                                                                        : "service";
+                          table.rows.push_back(
+                              {name.text(), role, pool.target.text(), std::to_string(sizes[name])});
+                      }
+                      return table;
+                  }});
+    m_queries.add("servers", {[](const Turn &turn) {
+                      Table table {
+                          {"name", "pool", "address", "domain", "slots", "state", "checks-fencing"},
+                          {}};
+                      for (const auto &[name, server] : turn.deployment.servers) {
+                          const char *state = server.state == ServerState::Active ? "active"
+                              : server.state == ServerState::Draining             ? "draining"
+                                                                                  : "stopped";
+                          table.rows.push_back({name.text(), server.pool.text(), server.address,
+                                                server.domain.text(), std::to_string(server.slots),
+                                                state, server.checksFencing ? "yes" : "no"});
+                      }
+                      return table;
+                  }});
+    m_queries.add(
+        "nodes",
+        {[this](const Turn &turn) {
+             const MemberUpdate &self = m_membership.self();
+             return Table {
+                 {"name", "state", "callers", "domain", "revision", "open", "cells", "sees"},
+                 {{self.life.node.text(), stateName(self.state), self.callerAddress,
+                   self.domain.text(), std::to_string(m_configuration.revision().value()),
+                   std::to_string(m_requests.open()), std::to_string(m_scheduler.cells().size()),
+                   std::to_string(turn.members.presentCount())}}};
+         },
+         true});
+    m_queries.add("requests",
+                  {[this](const Turn &turn) {
+                       Table table {{"node", "request", "target", "organisation", "stage", "age-ms",
+                                     "tokens", "server"},
+                                    {}};
+                       for (const RequestView &view : m_requests.views(turn.now)) {
+                           table.rows.push_back({m_settings.life.node.text(),
+                                                 std::to_string(view.request.value()),
+                                                 view.target.text(), view.organisation,
+                                                 stageName(view.stage), milliseconds(view.age),
+                                                 std::to_string(view.tokens), view.server.text()});
+                       }
+                       return table;
+                   },
+                   true});
+    m_queries.add(
+        "slots",
+        {[this](const Turn &turn) {
+             Table table {{"server", "stage", "owner", "request", "age-ms", "scheduler"}, {}};
+             for (const GrantView &grant : m_scheduler.grants(turn.now)) {
+                 table.rows.push_back({grant.server.text(), grant.stage, grant.owner.node.text(),
+                                       std::to_string(grant.request.value()),
+                                       milliseconds(grant.age), m_settings.life.node.text()});
+             }
+             return table;
+         },
+         true});
+    m_queries.add("cells",
+                  {[this](const Turn & /*turn*/) {
+                       Table table {{"target", "cell", "scheduler"}, {}};
+                       for (const Cell &cell : m_scheduler.cells()) {
+                           table.rows.push_back({cell.target.text(), std::to_string(cell.number),
+                                                 m_settings.life.node.text()});
+                       }
+                       return table;
+                   },
+                   true});
+}
+
+} // namespace indigoway
--- /dev/null
+++ b/src/core/turn.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <indigoway/deployment.h>
+#include <indigoway/effects.h>
+#include <indigoway/ids.h>
+
+#include <random>
+#include <string>
+#include <utility>
+
+namespace indigoway {
+
+class CellMap;
+class Membership;
+
+/** Numbers for the calls that one node makes; unique within its life. */
+class CallNumbers
+{
+public:
+    template <typename Kind>
+    Kind next()
+    {
+        return Kind(++m_last);
+    }
+
+private:
+    std::uint64_t m_last = 0;
+};
+
+/**
+ * What a subsystem may use while it handles one event: the time, the event's randomness, the
+ * configuration and the member view in force, and the list of effects it adds to.
+ */
+class Turn
+{
+public:
+    Turn(TimePoint present, std::uint64_t entropy, const Deployment &currentDeployment,
+         const CellMap &currentCells, const Membership &currentMembers, CallNumbers &callNumbers,
+         Effects &effects)
+        : now(present)
+        , deployment(currentDeployment)
+        , cells(currentCells)
+        , members(currentMembers)
+        , numbers(callNumbers)
+        , m_random(entropy)
+        , m_effects(effects)
+    { }
+
+    const TimePoint now;
+    const Deployment &deployment;
+    const CellMap &cells;
+    const Membership &members;
+    CallNumbers &numbers;
+
+    void add(Effect effect) { m_effects.push_back(std::move(effect)); }
+    void count(Counter counter, std::uint64_t by = 1) { add(CountUp {counter, by}); }
+    void log(std::string what) { add(LogChange {std::move(what)}); }
+
+    /** Calls a peer; PeerAnswered with the returned number follows, once. */
+    PeerCallNumber ask(const NodeName &to, PeerRequest request, Duration timeout);
+    /** Calls a peer at @p address that need not be a member yet. */
+    PeerCallNumber askAt(const NodeName &to, const std::string &address, PeerRequest request,
+                         Duration timeout);
+    void reply(PeerRequestNumber number, PeerReply reply)
+    {
+        add(ReplyToPeer {number, std::move(reply)});
+    }
+    /** Calls the store; StoreAnswered with the returned number follows, once. */
+    StoreCallNumber callStore(StoreRequest request);
+
+    std::uint64_t below(std::uint64_t bound)
+    {
+        return bound < 2 ? 0 : std::uniform_int_distribution<std::uint64_t>(0, bound - 1)(m_random);
+    }
+    /** Between half of @p duration and one and a half, so that nodes do not act in step. */
+    Duration jittered(Duration duration)
+    {
+        return duration / 2 + Duration(below(static_cast<std::uint64_t>(duration.count()) + 1));
+    }
+    std::mt19937_64 &random() { return m_random; }
+
+private:
+    std::mt19937_64 m_random;
+    Effects &m_effects;
+};
+
+} // namespace indigoway
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "daemon/daemonsettings.h"
+#include "http/backendcalls.h"
+#include "http/callergateway.h"
+#include "http/httpclient.h"
+#include "http/innergateway.h"
+#include "metrics/metrics.h"
+#include "peers/peerlink.h"
+#include "platform/storeclient.h"
+
+#include <memory>
+#include <random>
+
+struct event;
+struct event_base;
+
+namespace indigoway {
+
+/** Wires one node's reducer to sockets and time: events in, effects carried out. */
+class Daemon
+{
+public:
+    explicit Daemon(DaemonSettings settings);
+    ~Daemon();
+    Daemon(const Daemon &) = delete;
+    Daemon &operator=(const Daemon &) = delete;
+
+    /** Serves until the node has left; the process's exit code. */
+    int run();
+
+private:
+    static void handleTimer(int socket, short what, void *daemon);
+    static void handleSignal(int signal, short what, void *daemon);
+    bool listen();
+    void post(const Event &event);
+    void carryOut(const Effects &effects);
+    void run(const Effect &effect);
+    void armTimer();
+    std::string metricsText() const;
+
+    DaemonSettings m_settings;
+    event_base *m_base;
+    event *m_timer;
+    event *m_terminate;
+    event *m_interrupt;
+    std::mt19937_64 m_random;
+    Metrics m_metrics;
+    std::unique_ptr<Node> m_node;
+    HttpClient m_client;
+    std::unique_ptr<CallerGateway> m_callers;
+    std::unique_ptr<InnerGateway> m_inner;
+    std::unique_ptr<BackendCalls> m_backends;
+    std::unique_ptr<StoreClient> m_store;
+    std::unique_ptr<PeerLink> m_peers;
+};
+
+} // namespace indigoway
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,32 @@
+#include "daemon/daemon.h"
+#include "daemon/daemonsettings.h"
+
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+#include <cstdio>
+
+int main(int argc, char **argv)
+{
+    using namespace indigoway;
+    constexpr int UsageError = 2;
+    parseOrExit(daemonFlags(), argc, argv);
+    // A later life has a later wall clock; VMs keep nothing else that could tell.
+    const auto wallClock = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    auto settings = checkedDaemonSettings(static_cast<std::uint64_t>(wallClock.count()));
+    if (const auto *wrong = std::get_if<CommandLineFaults>(&settings)) {
+        for (const std::string &fault : wrong->faults) {
+            std::fprintf(stderr, "%s\n", fault.c_str());
+        }
+        return UsageError;
+    }
+    auto &checked = std::get<DaemonSettings>(settings);
+    if (checked.logsJson) {
+        spdlog::set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","node":")"
+                            + checked.node.life.node.text() + R"(","message":"%v"})");
+    } else {
+        spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l " + checked.node.life.node.text() + " %v");
+    }
+    return Daemon(std::move(checked)).run();
+}
--- /dev/null
+++ b/src/http/httpclient.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "http/httpserver.h"
+
+#include <indigoway/ids.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+struct event;
+struct event_base;
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace indigoway {
+
+/** One request of this process to a server. */
+using HttpCallNumber = Number<struct HttpCallTag>;
+
+struct HttpCall
+{
+    std::string address; ///< "IP:port"
+    std::string method = "GET";
+    std::string path = "/";
+    HttpHeaders headers;
+    std::string body;
+    /** Longest time to the end of the answer; zero: no limit of the client's own. */
+    Duration timeout {};
+    bool isFreshConnection = false;
+};
+
+struct HttpAnswer
+{
+    enum class End {
+        Complete,
+        NotConnected, ///< Nothing of the request was sent.
+        Broken, ///< The connection ended before the answer did: the request may have been run.
+        TimedOut,
+    };
+    End end = End::Broken;
+    int status = 0;
+    HttpHeaders headers;
+    std::string body; ///< Empty if the chunks were delivered one by one.
+
+    std::string header(const std::string &name) const;
+};
+
+/**
+ * HTTP client on evhttp with connections kept per address. A connection whose call did not end
+ * well is closed: its late answer would be taken for the next call's.
+ */
+class HttpClient
+{
+public:
+    using ChunkHandler = std::function<void(int status, const std::string &data)>;
+    using DoneHandler = std::function<void(const HttpAnswer &)>;
+
+    explicit HttpClient(event_base *base);
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    /** @p done is called once, never from inside start(), unless the call is abandoned. */
+    HttpCallNumber start(HttpCall wanted, DoneHandler done, ChunkHandler chunk = {});
+    /** Closes the call's connection; its handlers are not called any more. */
+    void abandon(HttpCallNumber number);
+    std::size_t open() const { return m_calls.size(); }
+
+private:
+    struct Call;
+
+    static void handleDone(evhttp_request *request, void *call);
+    static void handleChunk(evhttp_request *request, void *call);
+    static void handleTimeout(int socket, short what, void *call);
+    evhttp_connection *connectionTo(const std::string &address, bool isFresh);
+    void done(Call &call, evhttp_request *request);
+    void finish(HttpCallNumber number, const HttpAnswer &answer, bool mayReuse);
+    void closeLater(evhttp_connection *connection);
+
+    event_base *m_base;
+    std::map<HttpCallNumber, std::unique_ptr<Call>> m_calls;
+    std::map<std::string, std::vector<evhttp_connection *>> m_idle;
+    std::uint64_t m_lastCall = 0;
+};
+
+} // namespace indigoway
--- /dev/null
+++ b/src/http/jsontext.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <json/json.h>
+
+#include <memory>
+#include <string>
+
+namespace indigoway {
+
+/** @p value on one line. */
+inline std::string jsonText(const Json::Value &value)
+{
+    static const Json::StreamWriterBuilder Builder = [] {
+        Json::StreamWriterBuilder builder;
+        builder["indentation"] = "";
+        builder["emitUTF8"] = true;
+        return builder;
+    }();
+    return Json::writeString(Builder, value);
+}
+
+/** Parses @p text; a null value if it is not JSON or nested too deeply. */
+inline Json::Value parseJson(const std::string &text)
+{
+    static const std::unique_ptr<Json::CharReader> Reader = [] {
+        Json::CharReaderBuilder builder;
+        Json::CharReaderBuilder::strictMode(&builder.settings_);
+        builder["stackLimit"] = 200;
+        return std::unique_ptr<Json::CharReader>(builder.newCharReader());
+    }();
+    Json::Value value;
+    try {
+        if (!Reader->parse(text.data(), text.data() + text.size(), &value, nullptr)) {
+            return {};
+        }
+    } catch (const Json::Exception &) {
+        // jsoncpp throws when the nesting goes past its limit.
+        return {};
+    }
+    return value;
+}
+
+/** A string member of an object, or empty. */
+inline std::string stringMember(const Json::Value &object, const char *name)
+{
+    return object.isObject() && object[name].isString() ? object[name].asString() : std::string();
+}
+
+} // namespace indigoway
--- /dev/null
+++ b/src/placement/cellscheduler.cpp
@@ -0,0 +1,799 @@
+#include "cellscheduler.h"
+
+#include "core/turn.h"
+#include "membership/membership.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace indigoway {
+
+namespace {
+
+/** Assumed before a pool's first observation. */
+constexpr double AssumedPrefillSpeed = 10'000;
+constexpr double AssumedTokenTime = 0.02;
+/** Short prompts that an engine takes into one batch; more would queue in the engine, where
+ * neither deadline nor priority orders them. */
+constexpr std::uint64_t PrefillBatchTokens = 2048;
+/** Work left on a server when the next may be sent, so that it does not idle for a round trip. */
+constexpr double PrefillOverlapSeconds = 0.02;
+/** A new scheduler waits this long for reports before it believes slots to be free. */
+constexpr Duration SettlingTime = std::chrono::milliseconds(600);
+/** One grant in so many goes to the oldest late claim. */
+constexpr std::uint64_t LateShare = 8;
+/** One slot in so many is kept for claims with short targets while there are such. */
+constexpr std::int64_t ShortReserve = 16;
+constexpr Duration ShortWindow = std::chrono::seconds(30);
+constexpr int ShortFactor = 2;
+constexpr Duration LeastComeBack = std::chrono::seconds(1);
+constexpr Duration MostComeBack = std::chrono::minutes(5);
+/** Moves a claim by so much in the queue per step of priority. */
+constexpr Duration PriorityStep = std::chrono::milliseconds(250);
+constexpr double ReleaseSmoothing = 0.05;
+constexpr std::size_t MostPrefixes = 200'000;
+constexpr std::uint32_t FirstPrefixTokens = 256;
+/** A token time above the target by this factor makes a server slow. */
+constexpr double SlowFactor = 1.0;
+constexpr double StragglerWeight = 2;
+
+Duration duration(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+bool contains(const std::vector<ServerName> &names, const ServerName &name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+double medianOf(std::vector<double> values, double otherwise)
+{
+    if (values.empty()) {
+        return otherwise;
+    }
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+std::string stageWord(bool isPrefill)
+{
+    return isPrefill ? "prefill" : "serving";
+}
+
+} // namespace
+
+CellScheduler::CellScheduler(Cell cell, const Turn &turn)
+    : m_cell(std::move(cell))
+    , m_since(turn.now)
+{ }
+
+void CellScheduler::claim(Turn &turn, PeerRequestNumber number, const ClaimCapacity &claim)
+{
+    const Target *declared = target(turn);
+    if (!declared) {
+        refuse(turn, number, NotGranted::Why::NoServer, LeastComeBack);
+        return;
+    }
+    Waiting waiting {number, claim};
+    waiting.arrived = turn.now;
+    waiting.deadline = turn.now + claim.untilDeadline;
+    waiting.giveUpAt = turn.now + claim.patience;
+    waiting.order = waiting.deadline + PriorityStep * (static_cast<int>(claim.priority) - 4);
+    if (!claim.isContinuation) {
+        noteTarget(turn.now, claim.untilDeadline);
+    } else {
+        // Somebody is reading this answer: the gap grows with each moment of waiting.
+        waiting.order = turn.now;
+    }
+    waiting.isShort = claim.untilDeadline <= shortTarget() * ShortFactor;
+    const Duration wait = waitBehind(backlogBefore(turn, waiting));
+    const bool isTooMany = m_waiting.size() >= declared->maxQueued;
+    if (isTooMany || turn.now + wait > waiting.giveUpAt) {
+        refuse(turn, number, NotGranted::Why::Overload, wait);
+        return;
+    }
+    enqueue(std::move(waiting));
+    pump(turn);
+}
+
+void CellScheduler::prefillEnded(Turn &turn, PeerRequestNumber number, const PrefillEnded &ended)
+{
+    const auto it = m_grants.find(ended.claim);
+    if (it == m_grants.end() || it->second.stage != Stage::Prefill) {
+        refuse(turn, number, NotGranted::Why::UnknownClaim, Duration::zero());
+        return;
+    }
+    Grant &grant = it->second;
+    const ServerName from = grant.server;
+    unassign(ended.claim, grant);
+    --m_prefillInFlight;
+    if (!ended.isOk) {
+        m_servers[from].failed(turn.now);
+        m_grants.erase(it);
+        turn.reply(number, Acknowledged {});
+        pump(turn);
+        return;
+    }
+    ServerLoad &prefill = m_servers[from];
+    prefill.succeeded();
+    // Only a prefill that had the server to itself tells the server's speed.
+    if (prefill.assigned() == 0) {
+        const std::uint32_t cached = cachedTokens(from, grant.claim);
+        const std::uint32_t computed = grant.claim.promptTokens - cached;
+        prefill.observePrefill(turn.now, computed, ended.elapsed);
+    }
+    rememberPrefix(from, grant.claim);
+    const auto server = chooseDecode(turn, grant.claim, from, ended.avoid);
+    if (!server) {
+        m_grants.erase(it);
+        refuse(turn, number, NotGranted::Why::NoServer, LeastComeBack);
+        pump(turn);
+        return;
+    }
+    grant.stage = Stage::Decode;
+    grant.server = *server;
+    grant.since = turn.now;
+    ServerLoad &load = m_servers[*server];
+    load.assign(ended.claim, 0);
+    const Target *declared = target(turn);
+    const Pool *itsPool = turn.deployment.pool(turn.deployment.server(*server)->pool);
+    if (declared && itsPool && itsPool->linkRate > 0 && declared->kvBytes > 0) {
+        const double bytes = static_cast<double>(declared->kvBytes) * grant.claim.promptTokens;
+        load.takeLink(turn.now, duration(bytes / static_cast<double>(itsPool->linkRate)));
+    }
+    turn.reply(number, DecodeAssigned {*server});
+    pump(turn);
+}
+
+void CellScheduler::release(Turn &turn, PeerRequestNumber number, const ReleaseClaim &release)
+{
+    const auto it = m_grants.find(release.claim);
+    if (it != m_grants.end()) {
+        const Grant grant = it->second;
+        unassign(release.claim, grant);
+        m_grants.erase(it);
+        ServerLoad &load = m_servers[grant.server];
+        if (grant.stage == Stage::Prefill) {
+            --m_prefillInFlight;
+        } else {
+            noteRelease(turn.now);
+            load.observeDecode(turn.now, release.tokens, release.decodeTime);
+        }
+        if (release.serverFailed) {
+            load.failed(turn.now);
+        } else if (grant.stage != Stage::Prefill) {
+            load.succeeded();
+        }
+    }
+    turn.reply(number, Acknowledged {});
+    pump(turn);
+}
+
+void CellScheduler::adopt(Turn &turn, PeerRequestNumber number, ClaimNumber claim,
+                          const AdoptClaim &adopted)
+{
+    const Server *server = turn.deployment.server(adopted.server);
+    if (!server) {
+        refuse(turn, number, NotGranted::Why::NoServer, Duration::zero());
+        return;
+    }
+    Grant grant;
+    grant.claim.owner = adopted.owner;
+    grant.claim.request = adopted.request;
+    grant.claim.target = adopted.target;
+    grant.claim.outputTokens = adopted.outputTokens;
+    grant.server = adopted.server;
+    grant.since = turn.now;
+    const auto role = turn.deployment.roleOf(adopted.server);
+    grant.stage = role == Role::Prefill ? Stage::Prefill
+        : role == Role::Decode          ? Stage::Decode
+                                        : Stage::Service;
+    if (grant.stage == Stage::Prefill) {
+        ++m_prefillInFlight;
+    }
+    m_servers[adopted.server].adopt(claim);
+    m_grants[claim] = grant;
+    turn.reply(number, Granted {claim, adopted.server});
+}
+
+void CellScheduler::report(Turn &turn, const ReportArrived &report)
+{
+    ServerLoad &load = m_servers[report.server];
+    if (!report.isOk) {
+        load.reportFailed();
+        return;
+    }
+    load.report(turn.now, report.running + report.waiting);
+    pump(turn);
+}
+
+void CellScheduler::cacheEvents(const CacheEventsArrived &events)
+{
+    for (const std::uint64_t hash : events.stored) {
+        m_prefixes[hash].insert(events.server);
+    }
+    for (const std::uint64_t hash : events.removed) {
+        const auto it = m_prefixes.find(hash);
+        if (it != m_prefixes.end()) {
+            it->second.erase(events.server);
+        }
+    }
+}
+
+void CellScheduler::dropDeadOwners(Turn &turn)
+{
+    std::vector<ClaimNumber> lost;
+    for (const auto &[number, grant] : m_grants) {
+        if (turn.members.deadSince(grant.claim.owner)) {
+            lost.push_back(number);
+        }
+    }
+    for (const ClaimNumber number : lost) {
+        releaseLost(turn, number);
+    }
+    std::erase_if(m_waiting, [&](const Waiting &waiting) {
+        return turn.members.deadSince(waiting.claim.owner).has_value();
+    });
+    pump(turn);
+}
+
+void CellScheduler::configurationChanged(Turn &turn)
+{
+    std::erase_if(m_servers, [&](const auto &entry) {
+        return !turn.deployment.server(entry.first) && entry.second.assigned() == 0;
+    });
+    pump(turn);
+}
+
+void CellScheduler::pump(Turn &turn)
+{
+    if (!isSettled(turn.now)) {
+        return;
+    }
+    markLate(turn);
+    while (!m_waiting.empty() && grantNext(turn)) { }
+}
+
+void CellScheduler::handOver(Turn &turn)
+{
+    for (const Waiting &waiting : m_waiting) {
+        refuse(turn, waiting.number, NotGranted::Why::NotScheduler, Duration::zero());
+    }
+    m_waiting.clear();
+}
+
+std::optional<TimePoint> CellScheduler::nextDeadline() const
+{
+    if (m_waiting.empty()) {
+        return std::nullopt;
+    }
+    std::optional<TimePoint> next;
+    for (const Waiting &waiting : m_waiting) {
+        next = earlier(next, waiting.giveUpAt);
+        if (!waiting.isLate && !waiting.claim.isContinuation) {
+            next = earlier(next, waiting.deadline);
+        }
+    }
+    return std::max(*next, m_since + SettlingTime);
+}
+
+std::vector<GrantView> CellScheduler::grants(TimePoint now) const
+{
+    std::vector<GrantView> views;
+    for (const auto &[number, grant] : m_grants) {
+        views.push_back({number, grant.claim.owner, grant.claim.request,
+                         stageWord(grant.stage == Stage::Prefill), grant.server,
+                         now - grant.since});
+    }
+    return views;
+}
+
+std::vector<std::pair<ClaimNumber, EngineRequestName>> CellScheduler::olderThan(TimePoint now,
+                                                                                Duration age) const
+{
+    std::vector<std::pair<ClaimNumber, EngineRequestName>> found;
+    for (const auto &[number, grant] : m_grants) {
+        if (now - grant.since >= age) {
+            found.emplace_back(
+                number,
+                engineRequestName(grant.claim.owner, grant.claim.request, grant.claim.attempt));
+        }
+    }
+    return found;
+}
+
+NodeLife CellScheduler::ownerOfClaim(ClaimNumber claim) const
+{
+    const auto it = m_grants.find(claim);
+    return it == m_grants.end() ? NodeLife {} : it->second.claim.owner;
+}
+
+void CellScheduler::releaseLost(Turn &turn, ClaimNumber claim)
+{
+    const auto it = m_grants.find(claim);
+    if (it == m_grants.end()) {
+        return;
+    }
+    if (it->second.stage == Stage::Prefill) {
+        --m_prefillInFlight;
+    }
+    unassign(claim, it->second);
+    m_grants.erase(it);
+    turn.count(Counter::Reclaimed);
+}
+
+const Target *CellScheduler::target(const Turn &turn) const
+{
+    return turn.deployment.target(m_cell.target);
+}
+
+bool CellScheduler::isSettled(TimePoint now) const
+{
+    if (now - m_since >= SettlingTime) {
+        return true;
+    }
+    return !m_servers.empty()
+        && std::all_of(m_servers.begin(), m_servers.end(),
+                       [](const auto &entry) { return entry.second.hasReported(); });
+}
+
+std::vector<ServerName> CellScheduler::usable(const Turn &turn, Role role,
+                                              const std::vector<ServerName> &avoid) const
+{
+    std::vector<ServerName> found;
+    for (const ServerName &name : turn.cells.servers(m_cell, role)) {
+        const Server *server = turn.deployment.server(name);
+        if (!server || server->state != ServerState::Active || contains(avoid, name)) {
+            continue;
+        }
+        const auto it = m_servers.find(name);
+        if (it == m_servers.end() || it->second.isUsable(turn.now)) {
+            found.push_back(name);
+        }
+    }
+    return found;
+}
+
+double CellScheduler::medianPrefillSpeed() const
+{
+    std::vector<double> speeds;
+    for (const auto &[name, load] : m_servers) {
+        if (load.prefillSpeed() > 0) {
+            speeds.push_back(load.prefillSpeed());
+        }
+    }
+    return medianOf(std::move(speeds), AssumedPrefillSpeed);
+}
+
+double CellScheduler::medianTokenTime() const
+{
+    std::vector<double> times;
+    for (const auto &[name, load] : m_servers) {
+        if (load.tokenTime() > 0) {
+            times.push_back(load.tokenTime());
+        }
+    }
+    return medianOf(std::move(times), AssumedTokenTime);
+}
+
+double CellScheduler::prefillSeconds(const Turn &turn, const ServerName &server,
+                                     std::uint32_t tokens) const
+{
+    const double median = medianPrefillSpeed();
+    const auto it = m_servers.find(server);
+    double speed = median;
+    if (it != m_servers.end() && it->second.prefillSpeed() > 0) {
+        const double confidence = it->second.confidence(turn.now);
+        speed = confidence * it->second.prefillSpeed() + (1 - confidence) * median;
+    }
+    return tokens / speed;
+}
+
+double CellScheduler::expectedTokenTime(const Turn &turn, const ServerName &server) const
+{
+    const double median = medianTokenTime();
+    const auto it = m_servers.find(server);
+    if (it == m_servers.end() || it->second.tokenTime() == 0) {
+        return median;
+    }
+    const double confidence = it->second.confidence(turn.now);
+    return confidence * it->second.tokenTime() + (1 - confidence) * median;
+}
+
+std::uint32_t CellScheduler::freeSlots(const Turn &turn, const Server &server) const
+{
+    const auto it = m_servers.find(server.name);
+    if (it == m_servers.end()) {
+        return server.slots;
+    }
+    const ServerLoad &load = it->second;
+    std::uint32_t slots = server.slots;
+    const Target *declared = target(turn);
+    const double most = std::chrono::duration<double>(declared->betweenTokens).count() * SlowFactor;
+    if (declared->isService || load.tokenTime() <= most) {
+        return load.used() < slots ? slots - load.used() : 0;
+    }
+    // Seen slow: nothing while that is fresh, then one request that tells how it is now.
+    slots = expectedTokenTime(turn, server.name) > most ? 0 : 1;
+    return load.used() < slots ? slots - load.used() : 0;
+}
+
+std::int64_t CellScheduler::freeInCell(const Turn &turn, Role role) const
+{
+    std::int64_t free = 0;
+    for (const ServerName &name : usable(turn, role, {})) {
+        free += freeSlots(turn, *turn.deployment.server(name));
+    }
+    return free;
+}
+
+std::int64_t CellScheduler::totalSlots(const Turn &turn, Role role) const
+{
+    std::int64_t total = 0;
+    for (const ServerName &name : usable(turn, role, {})) {
+        total += turn.deployment.server(name)->slots;
+    }
+    return total;
+}
+
+std::uint32_t CellScheduler::cachedTokens(const ServerName &server,
+                                          const ClaimCapacity &claim) const
+{
+    std::uint32_t cached = 0;
+    std::uint32_t length = FirstPrefixTokens;
+    for (const std::uint64_t hash : claim.prefixHashes) {
+        const auto it = m_prefixes.find(hash);
+        if (it != m_prefixes.end() && it->second.contains(server)) {
+            cached = length;
+        }
+        length *= 2;
+    }
+    return std::min(cached, claim.promptTokens);
+}
+
+void CellScheduler::rememberPrefix(const ServerName &server, const ClaimCapacity &claim)
+{
+    if (m_prefixes.size() > MostPrefixes) {
+        m_prefixes.clear();
+    }
+    for (const std::uint64_t hash : claim.prefixHashes) {
+        m_prefixes[hash].insert(server);
+    }
+}
+
+bool CellScheduler::hasPrefillRoom(const Turn &turn, const ServerName &server,
+                                   std::uint32_t tokens) const
+{
+    const auto it = m_servers.find(server);
+    if (it == m_servers.end() || it->second.assigned() == 0) {
+        return true;
+    }
+    const std::uint64_t outstanding = it->second.prefillTokens();
+    if (outstanding + tokens <= PrefillBatchTokens) {
+        return true;
+    }
+    if (it->second.assigned() > 1) {
+        return false;
+    }
+    const auto grant = std::find_if(m_grants.begin(), m_grants.end(), [&](const auto &entry) {
+        return entry.second.stage == Stage::Prefill && entry.second.server == server;
+    });
+    if (grant == m_grants.end()) {
+        return true;
+    }
+    const double expected = prefillSeconds(turn, server, static_cast<std::uint32_t>(outstanding));
+    const double elapsed = std::chrono::duration<double>(turn.now - grant->second.since).count();
+    return std::abs(expected - elapsed) < PrefillOverlapSeconds;
+}
+
+std::optional<ServerName> CellScheduler::choosePrefill(const Turn &turn, const Waiting &waiting,
+                                                       bool &isLong) const
+{
+    const ClaimCapacity &claim = waiting.claim;
+    const std::vector<ServerName> servers = usable(turn, Role::Prefill, claim.avoid);
+    const double shortSeconds = std::chrono::duration<double>(shortTarget()).count();
+    std::size_t longRunning = 0;
+    for (const auto &[number, grant] : m_grants) {
+        longRunning += grant.stage == Stage::Prefill && grant.isLong ? 1 : 0;
+    }
+    std::optional<ServerName> best;
+    double bestSeconds = 0;
+    for (const ServerName &server : servers) {
+        const std::uint32_t tokens = claim.promptTokens - cachedTokens(server, claim);
+        const auto it = m_servers.find(server);
+        const std::uint64_t queued = it == m_servers.end() ? 0 : it->second.prefillTokens();
+        const double alone = prefillSeconds(turn, server, tokens);
+        const bool wouldBeLong = !waiting.isShort && alone > shortSeconds / 2;
+        // One server is kept from long prompts: a lookup that comes while all of them prefill a
+        // chapter would miss its target, whatever the queue's order.
+        if (wouldBeLong && servers.size() > 1 && longRunning + 1 >= servers.size()) {
+            continue;
+        }
+        if (!hasPrefillRoom(turn, server, tokens)) {
+            continue;
+        }
+        const double total =
+            alone + prefillSeconds(turn, server, static_cast<std::uint32_t>(queued));
+        if (!best || total < bestSeconds) {
+            best = server;
+            bestSeconds = total;
+            isLong = wouldBeLong;
+        }
+    }
+    return best;
+}
+
+std::optional<ServerName> CellScheduler::chooseDecode(Turn &turn, const ClaimCapacity &claim,
+                                                      const ServerName & /*from*/,
+                                                      const std::vector<ServerName> &avoid) const
+{
+    std::vector<ServerName> servers = usable(turn, Role::Decode, avoid);
+    if (servers.empty()) {
+        servers = usable(turn, Role::Decode, {});
+    }
+    const double median = medianTokenTime();
+    std::optional<ServerName> best;
+    double bestScore = 0;
+    for (const ServerName &name : servers) {
+        const Server &server = *turn.deployment.server(name);
+        const auto it = m_servers.find(name);
+        const std::uint32_t used = it == m_servers.end() ? 0 : it->second.used();
+        const Duration linkWait = it == m_servers.end()
+            ? Duration::zero()
+            : std::max(Duration::zero(),
+                       std::chrono::duration_cast<Duration>(it->second.linkFreeAt() - turn.now));
+        const double slowness = std::max(0.0, expectedTokenTime(turn, name) / median - 1);
+        // A full server is the last resort: its engine would queue what it cannot hold.
+        const double full = freeSlots(turn, server) > 0 ? 0 : 100;
+        const double score = full + static_cast<double>(used) / server.slots
+            + slowness * StragglerWeight + std::chrono::duration<double>(linkWait).count() * 10;
+        if (!best || score < bestScore) {
+            best = name;
+            bestScore = score;
+        }
+    }
+    (void)claim;
+    return best;
+}
+
+std::optional<ServerName> CellScheduler::chooseService(Turn &turn, const ClaimCapacity &claim) const
+{
+    std::optional<ServerName> best;
+    double bestScore = 0;
+    for (const ServerName &name : usable(turn, Role::Service, claim.avoid)) {
+        const Server &server = *turn.deployment.server(name);
+        if (freeSlots(turn, server) == 0) {
+            continue;
+        }
+        const auto it = m_servers.find(name);
+        const double used = it == m_servers.end() ? 0 : it->second.used();
+        const double slowness = it == m_servers.end() ? 0 : it->second.tokenTime();
+        const double score = (used + 1) / server.slots * (1 + slowness);
+        if (!best || score < bestScore) {
+            best = name;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+std::int64_t CellScheduler::reserveForShort(const Turn &turn) const
+{
+    if (shortTarget() == Duration::max()) {
+        return 0;
+    }
+    const std::int64_t total = totalSlots(turn, Role::Decode);
+    return total < ShortReserve ? 0 : total / ShortReserve;
+}
+
+void CellScheduler::noteTarget(TimePoint now, Duration untilDeadline)
+{
+    if (now >= m_shortWindowEnd) {
+        m_shortTargets[1] = m_shortTargets[0];
+        m_shortTargets[0] = Duration::max();
+        m_shortWindowEnd = now + ShortWindow;
+    }
+    if (untilDeadline > Duration::zero()) {
+        m_shortTargets[0] = std::min(m_shortTargets[0], untilDeadline);
+    }
+}
+
+Duration CellScheduler::shortTarget() const
+{
+    const Duration shortest = std::min(m_shortTargets[0], m_shortTargets[1]);
+    return shortest == Duration::max() ? Duration::max() / ShortFactor : shortest;
+}
+
+CellScheduler::Backlog CellScheduler::backlog(const Turn &turn) const
+{
+    Backlog backlog;
+    const Target *declared = target(turn);
+    if (!declared) {
+        return backlog;
+    }
+    backlog.freeSlots = freeInCell(turn, declared->isService ? Role::Service : Role::Decode)
+        - static_cast<std::int64_t>(m_prefillInFlight);
+    for (const ServerName &server : usable(turn, Role::Prefill, {})) {
+        const double speed = 1 / prefillSeconds(turn, server, 1);
+        backlog.bestSpeed = std::max(backlog.bestSpeed, speed);
+        backlog.totalSpeed += speed;
+    }
+    return backlog;
+}
+
+CellScheduler::Backlog CellScheduler::backlogBefore(const Turn &turn, const Waiting &waiting) const
+{
+    Backlog before = backlog(turn);
+    for (const Waiting &other : m_waiting) {
+        if (std::tie(other.isLate, other.order) <= std::tie(waiting.isLate, waiting.order)) {
+            ++before.claims;
+            before.tokens += other.claim.promptTokens;
+        }
+    }
+    return before;
+}
+
+Duration CellScheduler::waitBehind(const Backlog &backlog) const
+{
+    const double prefill =
+        backlog.totalSpeed > 0 ? static_cast<double>(backlog.tokens) / backlog.totalSpeed : 0;
+    const auto unserved = static_cast<double>(backlog.claims)
+        - static_cast<double>(std::max<std::int64_t>(backlog.freeSlots, 0));
+    const double decode = std::max(0.0, unserved) * m_releaseInterval;
+    return duration(std::max(prefill, decode));
+}
+
+TimePoint CellScheduler::expectedFirstToken(TimePoint now, const ClaimCapacity &claim,
+                                            const Backlog &ahead) const
+{
+    const std::uint32_t tokens = claim.promptTokens - mostCachedTokens(claim);
+    const double prefill = ahead.bestSpeed > 0 ? tokens / ahead.bestSpeed : 0;
+    return now + waitBehind(ahead) + duration(prefill);
+}
+
+std::uint32_t CellScheduler::mostCachedTokens(const ClaimCapacity &claim) const
+{
+    std::uint32_t cached = 0;
+    std::uint32_t length = FirstPrefixTokens;
+    for (const std::uint64_t hash : claim.prefixHashes) {
+        const auto it = m_prefixes.find(hash);
+        if (it != m_prefixes.end() && !it->second.empty()) {
+            cached = length;
+        }
+        length *= 2;
+    }
+    return std::min(cached, claim.promptTokens);
+}
+
+void CellScheduler::markLate(Turn &turn)
+{
+    const Target *declared = target(turn);
+    const bool refusesLate = declared && declared->late == LatePolicy::Refuse;
+    Backlog ahead = backlog(turn);
+    std::vector<Waiting> kept;
+    std::vector<Waiting> late;
+    std::vector<Waiting> waitingBefore = std::move(m_waiting);
+    for (Waiting &waiting : waitingBefore) {
+        const bool isHopeless = !waiting.claim.isContinuation
+            && expectedFirstToken(turn.now, waiting.claim, ahead) > waiting.deadline;
+        if (turn.now >= waiting.giveUpAt || (isHopeless && refusesLate)) {
+            refuse(turn, waiting.number, NotGranted::Why::Overload, waitBehind(ahead));
+            continue;
+        }
+        waiting.isLate = waiting.isLate || isHopeless;
+        if (!waiting.isLate) {
+            ++ahead.claims;
+            ahead.tokens += waiting.claim.promptTokens;
+        }
+        (waiting.isLate ? late : kept).push_back(std::move(waiting));
+    }
+    std::stable_sort(late.begin(), late.end(),
+                     [](const Waiting &a, const Waiting &b) { return a.arrived < b.arrived; });
+    std::move(late.begin(), late.end(), std::back_inserter(kept));
+    m_waiting = std::move(kept);
+}
+
+bool CellScheduler::grantNext(Turn &turn)
+{
+    const Target *declared = target(turn);
+    if (!declared || freeInCell(turn, declared->isService ? Role::Service : Role::Decode) <= 0) {
+        return false;
+    }
+    const auto firstLate = std::find_if(m_waiting.begin(), m_waiting.end(),
+                                        [](const Waiting &waiting) { return waiting.isLate; });
+    if (m_grantCount % LateShare == LateShare - 1 && firstLate != m_waiting.end()
+        && firstLate != m_waiting.begin()) {
+        const Waiting waiting = *firstLate;
+        if (tryGrant(turn, waiting)) {
+            m_waiting.erase(firstLate);
+            return true;
+        }
+    }
+    for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it) {
+        const Waiting waiting = *it;
+        if (tryGrant(turn, waiting)) {
+            m_waiting.erase(it);
+            return true;
+        }
+    }
+    return false;
+}
+
+bool CellScheduler::tryGrant(Turn &turn, const Waiting &waiting)
+{
+    const Target *declared = target(turn);
+    const ClaimNumber number = turn.numbers.next<ClaimNumber>();
+    Grant grant {waiting.claim, Stage::Prefill, {}, turn.now, false};
+    if (declared->isService) {
+        const auto server = chooseService(turn, waiting.claim);
+        if (!server) {
+            return false;
+        }
+        grant.stage = Stage::Service;
+        grant.server = *server;
+        m_servers[*server].assign(number, 0);
+    } else {
+        const std::int64_t reserve =
+            waiting.isShort || waiting.claim.isContinuation ? 0 : reserveForShort(turn);
+        const std::int64_t free =
+            freeInCell(turn, Role::Decode) - static_cast<std::int64_t>(m_prefillInFlight) - reserve;
+        if (free <= 0) {
+            return false;
+        }
+        const auto server = choosePrefill(turn, waiting, grant.isLong);
+        if (!server) {
+            return false;
+        }
+        grant.server = *server;
+        m_servers[*server].assign(number, waiting.claim.promptTokens);
+        ++m_prefillInFlight;
+    }
+    m_grants[number] = grant;
+    ++m_grantCount;
+    turn.count(Counter::ClaimsGranted);
+    turn.add(Observe {Histogram::QueueWait, turn.now - waiting.arrived});
+    turn.reply(waiting.number, Granted {number, grant.server});
+    return true;
+}
+
+void CellScheduler::enqueue(Waiting waiting)
+{
+    const auto at = std::upper_bound(
+        m_waiting.begin(), m_waiting.end(), waiting, [](const Waiting &a, const Waiting &b) {
+            return std::tie(a.isLate, a.order) < std::tie(b.isLate, b.order);
+        });
+    m_waiting.insert(at, std::move(waiting));
+}
+
+void CellScheduler::refuse(Turn &turn, PeerRequestNumber number, NotGranted::Why why,
+                           Duration comeBackAfter)
+{
+    turn.count(Counter::ClaimsRefused);
+    turn.reply(number, NotGranted {why, std::clamp(comeBackAfter, LeastComeBack, MostComeBack)});
+}
+
+void CellScheduler::noteRelease(TimePoint now)
+{
+    if (m_waiting.empty()) {
+        m_lastRelease = {};
+        return;
+    }
+    if (m_lastRelease != TimePoint {}) {
+        const double interval =
+            std::min(std::chrono::duration<double>(now - m_lastRelease).count(), 10.0);
+        m_releaseInterval = m_releaseInterval == 0
+            ? interval
+            : m_releaseInterval + ReleaseSmoothing * (interval - m_releaseInterval);
+    }
+    m_lastRelease = now;
+}
+
+void CellScheduler::unassign(ClaimNumber number, const Grant &grant)
+{
+    const std::uint32_t tokens = grant.stage == Stage::Prefill ? grant.claim.promptTokens : 0;
+    m_servers[grant.server].unassign(number, tokens);
+}
+
+} // namespace indigoway
--- /dev/null
+++ b/src/requests/reservations.cpp
@@ -0,0 +1,216 @@
+#include "reservations.h"
+
+#include "core/turn.h"
+#include "membership/membership.h"
+
+#include <json/json.h>
+
+#include <memory>
+
+namespace indigoway {
+
+namespace {
+
+const std::string Prefix = "/indigoway/once/";
+/** How long a key is remembered: longer than any caller is told to keep asking. */
+constexpr Duration KeyLifetime = std::chrono::hours(24);
+/** Keys of one hour share a lease, so that leases cost a call an hour and not one a request. */
+constexpr Duration LeaseSharedFor = std::chrono::hours(1);
+constexpr int MostTries = 3;
+constexpr Duration RetryAfter = std::chrono::milliseconds(300);
+constexpr Duration EndRetryAfter = std::chrono::seconds(1);
+constexpr int MostEndTries = 600;
+
+Json::Value parsed(const std::string &text)
+{
+    Json::Value value;
+    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
+    if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr)
+        || !value.isObject()) {
+        return {Json::objectValue};
+    }
+    return value;
+}
+
+std::string stringOf(const Json::Value &record, const char *name)
+{
+    return record[name].isString() ? record[name].asString() : std::string();
+}
+
+} // namespace
+
+void Reservations::reserve(Turn &turn, RequestNumber request, const std::string &key)
+{
+    Entry &entry = m_entries[request];
+    entry.storeKey = Prefix + key;
+    sendReserve(turn, request, entry);
+}
+
+void Reservations::end(Turn &turn, RequestNumber request, ReservationEnd how)
+{
+    const auto it = m_entries.find(request);
+    if (it == m_entries.end() || it->second.state == State::Ending) {
+        return;
+    }
+    if (it->second.state == State::NeedsLease) {
+        m_timers.clear(request);
+        m_entries.erase(it);
+        return;
+    }
+    m_calls.erase(it->second.call);
+    it->second.state = State::Ending;
+    it->second.tries = 0;
+    it->second.how = how;
+    sendEnd(turn, request, it->second);
+}
+
+std::optional<ReservationResult> Reservations::handleAnswer(Turn &turn, const StoreAnswered &answer)
+{
+    if (answer.call == m_leaseCall) {
+        m_leaseCall = {};
+        const auto *result = std::get_if<StoreResult>(&answer.outcome);
+        if (result) {
+            m_lease = result->lease;
+            m_leaseSince = turn.now;
+        }
+        for (auto &[request, entry] : m_entries) {
+            if (entry.state == State::NeedsLease) {
+                m_timers.set(request, turn.now + (result ? Duration::zero() : RetryAfter));
+            }
+        }
+        return std::nullopt;
+    }
+    const auto call = m_calls.find(answer.call);
+    if (call == m_calls.end()) {
+        return std::nullopt;
+    }
+    const RequestNumber request = call->second;
+    m_calls.erase(call);
+    const auto it = m_entries.find(request);
+    if (it == m_entries.end()) {
+        return std::nullopt;
+    }
+    if (it->second.state == State::Ending) {
+        endAnswered(turn, request, it->second, answer);
+        return std::nullopt;
+    }
+    return reserveAnswered(turn, request, it->second, answer);
+}
+
+std::vector<ReservationResult> Reservations::runDue(Turn &turn)
+{
+    std::vector<ReservationResult> results;
+    for (const RequestNumber request : m_timers.takeDue(turn.now)) {
+        const auto it = m_entries.find(request);
+        if (it == m_entries.end()) {
+            continue;
+        }
+        Entry &entry = it->second;
+        if (entry.state == State::Ending) {
+            sendEnd(turn, request, entry);
+        } else if (++entry.tries > MostTries) {
+            results.emplace_back(ReservationUnavailable {request});
+        } else {
+            sendReserve(turn, request, entry);
+        }
+    }
+    return results;
+}
+
+void Reservations::sendReserve(Turn &turn, RequestNumber request, Entry &entry)
+{
+    if (m_lease == 0 || turn.now - m_leaseSince > LeaseSharedFor) {
+        askForLease(turn);
+        m_timers.set(request, turn.now + RetryAfter);
+        return;
+    }
+    entry.state = State::Reserving;
+    StoreTransaction create;
+    create.conditions = {{entry.storeKey, 0, std::nullopt}};
+    create.puts = {{entry.storeKey, record(turn, request, "running"), m_lease}};
+    create.elseGet = {entry.storeKey};
+    entry.call = turn.callStore(create);
+    m_calls[entry.call] = request;
+}
+
+void Reservations::sendEnd(Turn &turn, RequestNumber request, Entry &entry)
+{
+    // Only over this request's own record: the creation may not have been answered, and then the
+    // key can be another's. If it does not apply, an earlier try has, or the key is not ours.
+    StoreTransaction transaction;
+    transaction.conditions = {{entry.storeKey, 0, record(turn, request, "running")}};
+    if (entry.how == ReservationEnd::NotExecuted) {
+        transaction.deletes = {entry.storeKey};
+    } else {
+        const char *state = entry.how == ReservationEnd::Done ? "done" : "in doubt";
+        transaction.puts = {{entry.storeKey, record(turn, request, state), m_lease}};
+    }
+    entry.call = turn.callStore(transaction);
+    m_calls[entry.call] = request;
+}
+
+void Reservations::askForLease(Turn &turn)
+{
+    if (m_leaseCall.isNone()) {
+        m_leaseCall = turn.callStore(StoreGrantLease {KeyLifetime});
+    }
+}
+
+std::string Reservations::record(const Turn &turn, RequestNumber request, const char *state) const
+{
+    Json::Value value;
+    value["node"] = turn.members.life().node.text();
+    value["incarnation"] = Json::UInt64(turn.members.life().incarnation.value());
+    value["request"] = Json::UInt64(request.value());
+    value["state"] = state;
+    Json::StreamWriterBuilder writer;
+    writer["indentation"] = "";
+    return Json::writeString(writer, value);
+}
+
+std::optional<ReservationResult> Reservations::reserveAnswered(Turn &turn, RequestNumber request,
+                                                               Entry &entry,
+                                                               const StoreAnswered &answer)
+{
+    const auto *result = std::get_if<StoreResult>(&answer.outcome);
+    if (!result) {
+        // It may have taken effect: the same transaction again settles it, since a key that
+        // carries this request's own record is this request's reservation.
+        m_timers.set(request, turn.now + turn.jittered(RetryAfter));
+        return std::nullopt;
+    }
+    if (result->isApplied) {
+        entry.state = State::Held;
+        return Reserved {request};
+    }
+    if (result->entries.empty()) {
+        m_timers.set(request, turn.now);
+        return std::nullopt;
+    }
+    const Json::Value found = parsed(result->entries.front().value);
+    const NodeLife owner {
+        NodeName(stringOf(found, "node")),
+        Incarnation(found["incarnation"].isUInt64() ? found["incarnation"].asUInt64() : 0)};
+    const bool isMine = owner == turn.members.life() && found["request"].isUInt64()
+        && found["request"].asUInt64() == request.value();
+    if (isMine) {
+        entry.state = State::Held;
+        return Reserved {request};
+    }
+    const std::string state = stringOf(found, "state");
+    m_entries.erase(request);
+    return ReservedByOther {request, state == "done",
+                            state == "running" && turn.members.mayLive(owner)};
+}
+
+void Reservations::endAnswered(Turn &turn, RequestNumber request, Entry &entry,
+                               const StoreAnswered &answer)
+{
+    if (std::holds_alternative<StoreResult>(answer.outcome) || ++entry.tries > MostEndTries) {
+        m_entries.erase(request);
+        return;
+    }
+    m_timers.set(request, turn.now + turn.jittered(EndRetryAfter));
+}
+
+} // namespace indigoway
--- /dev/null
+++ b/standins/eventloop.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+
+struct event_base;
+
+namespace indigoway::standins {
+
+/** A process's loop with one-shot timers; ends on SIGTERM. */
+class EventLoop
+{
+public:
+    EventLoop();
+    ~EventLoop();
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
+    event_base *base() { return m_base; }
+    /** Calls @p action once, after @p delay. */
+    void after(std::chrono::microseconds delay, std::function<void()> action);
+    void run();
+
+private:
+    event_base *m_base;
+};
+
+} // namespace indigoway::standins
