--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -88,7 +88,7 @@
 {
     m_now = now;
     Effects effects;
-    std::mt19937_64 random(entropy);
+    TurnRandom random(entropy);
     m_pending.push_back(event);
     while (!m_pending.empty()) {
         const Event next = std::move(m_pending.front());
--- a/src/core/turn.h
+++ b/src/core/turn.h
@@ -13,6 +13,13 @@
 class CellMap;
 class Membership;
 
+/**
+ * Expands one event's entropy. Cheap to seed, since each event seeds one: Knuth's MMIX linear
+ * congruential generator, of which the standard distributions use the high bits.
+ */
+using TurnRandom = std::linear_congruential_engine<std::uint64_t, 6364136223846793005U,
+                                                   1442695040888963407U, 0U>;
+
 /** Numbers for the calls that one node makes; unique within its life. */
 class CallNumbers
 {
@@ -77,10 +84,10 @@
     {
         return duration / 2 + Duration(below(static_cast<std::uint64_t>(duration.count()) + 1));
     }
-    std::mt19937_64 &random() { return m_random; }
+    TurnRandom &random() { return m_random; }
 
 private:
-    std::mt19937_64 m_random;
+    TurnRandom m_random;
     Effects &m_effects;
 };
 
--- a/src/requests/capacityclaims.cpp
+++ b/src/requests/capacityclaims.cpp
@@ -29,22 +29,24 @@
     sendClaim(turn, claim);
 }
 
-void CapacityClaims::prefillSucceeded(Turn &turn, RequestNumber request, Duration elapsed,
-                                      const std::vector<ServerName> &avoid)
+std::optional<ClaimResult>
+CapacityClaims::prefillSucceeded(Turn &turn, RequestNumber request, Duration elapsed,
+                                 const std::vector<ServerName> &avoid)
 {
     const auto it = m_claims.find(request);
     if (it == m_claims.end()) {
-        return;
+        return SchedulerUnreachable {request};
     }
     Claim &claim = it->second;
     PrefillEnded message {claim.number, true, elapsed, avoid};
     if (claim.state == State::Adopting) {
         claim.afterAdoption = message;
-        return;
+        return std::nullopt;
     }
     claim.state = State::Assigning;
     claim.call = turn.ask(claim.scheduler.node, std::move(message), AssignTimeout);
     m_calls[claim.call] = request;
+    return std::nullopt;
 }
 
 void CapacityClaims::prefillFailed(Turn &turn, RequestNumber request)
@@ -265,8 +267,7 @@
     const PrefillEnded ended = *claim.afterAdoption;
     claim.afterAdoption.reset();
     if (granted) {
-        prefillSucceeded(turn, request, ended.elapsed, ended.avoid);
-        return std::nullopt;
+        return prefillSucceeded(turn, request, ended.elapsed, ended.avoid);
     }
     m_claims.erase(request);
     return SchedulerUnreachable {request};
--- a/src/requests/capacityclaims.h
+++ b/src/requests/capacityclaims.h
@@ -54,8 +54,11 @@
 {
 public:
     void claim(Turn &turn, const ClaimCapacity &wanted);
-    /** Tells the scheduler that the prefill is done; a ClaimResult with the server follows. */
-    void prefillSucceeded(Turn &turn, RequestNumber request, Duration elapsed,
+    /**
+     * Tells the scheduler that the prefill is done; a ClaimResult with the server follows. It is
+     * returned at once if the claim was lost with its scheduler.
+     */
+    std::optional<ClaimResult> prefillSucceeded(Turn &turn, RequestNumber request, Duration elapsed,
                           const std::vector<ServerName> &avoid);
     /** Tells the scheduler that the prefill failed, which ends the claim. */
     void prefillFailed(Turn &turn, RequestNumber request);
--- a/src/requests/requests.cpp
+++ b/src/requests/requests.cpp
@@ -130,7 +130,11 @@
     turn.add(Observe {Histogram::PrefillTime, elapsed});
     request->stage = RequestStage::Assigning;
     if (!request->isAlone) {
-        m_claims.prefillSucceeded(turn, number, elapsed, request->avoid);
+        const auto result
+            = m_claims.prefillSucceeded(turn, number, elapsed, request->avoid);
+        if (result) {
+            handleResult(turn, *result);
+        }
         return;
     }
     if (m_mode == PlacementMode::Alone || request->decode.isEmpty()) {
