--- a/src/http/callergateway.cpp
+++ b/src/http/callergateway.cpp
@@ -46,6 +46,15 @@
     {RefusalReason::ConfigurationUnknown, 503, "This node does not know its configuration"},
 };
 
+/** A leaving node lets go of its connections: a caller's next request on one would be cut. */
+HttpHeaders withConnection(HttpHeaders headers, bool isLeaving)
+{
+    if (isLeaving) {
+        headers.emplace_back("Connection", "close");
+    }
+    return headers;
+}
+
 const char *executionText(Execution execution)
 {
     switch (execution) {
@@ -200,7 +209,8 @@
     m_open.erase(it);
     const ExchangeNumber exchange = request.original.exchange;
     if (request.spec.isService) {
-        m_server.reply(exchange, request.serviceStatus, request.serviceHeaders,
+        m_server.reply(exchange, request.serviceStatus,
+                       withConnection(request.serviceHeaders, m_node.isLeaving()),
                        request.serviceBody);
         return;
     }
@@ -234,7 +244,9 @@
     }
     answer["choices"].append(choice);
     answer["usage"] = usage;
-    m_server.reply(exchange, 200, {{"Content-Type", "application/json"}}, jsonText(answer));
+    m_server.reply(exchange, 200,
+                   withConnection({{"Content-Type", "application/json"}}, m_node.isLeaving()),
+                   jsonText(answer));
 }
 
 void CallerGateway::refuse(const RefuseRequest &effect)
@@ -413,8 +425,10 @@
         return;
     }
     request.hasStarted = true;
-    m_server.startStream(request.original.exchange, 200,
-                         {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}});
+    m_server.startStream(
+        request.original.exchange, 200,
+        withConnection({{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}},
+                       m_node.isLeaving()));
 }
 
 void CallerGateway::answerNodes(const HttpRequest &request)
@@ -489,7 +503,7 @@
     if (m_node.isLeaving()) {
         body["nodes"] = nodeList(m_node.membership().self().domain);
     }
-    m_server.reply(exchange, status, headers, jsonText(body));
+    m_server.reply(exchange, status, withConnection(headers, m_node.isLeaving()), jsonText(body));
 }
 
 } // namespace indigoway
--- a/src/requests/requests.cpp
+++ b/src/requests/requests.cpp
@@ -24,6 +24,7 @@
 constexpr Duration PrefillStall = std::chrono::seconds(5);
 constexpr Duration PrefillStallPerToken = std::chrono::microseconds(500);
 constexpr Duration DecodeStall = std::chrono::seconds(4);
+constexpr Duration AloneStall = std::chrono::seconds(60);
 constexpr Duration ServiceStall = std::chrono::minutes(2);
 
 bool isCertainlyNotRun(CallOutcome outcome)
@@ -847,6 +848,10 @@
 
 Duration Requests::stallLimit(const Request &request) const
 {
+    if (m_mode == PlacementMode::Alone) {
+        // Without admission calls wait in the engines' own queues, which is no fault of theirs.
+        return AloneStall;
+    }
     switch (request.stage) {
     case RequestStage::Prefilling:
         return PrefillStall + PrefillStallPerToken * (request.spec.promptTokens + request.answered);
