Give orders to engines under a lease with fencing numbers

Cause: engines take orders to load versions; some refuse an old fencing number, others ignore it, and a paused holder wakes believing that it holds.

Change: the node that schedules a cell takes a key under a lease; the key's modification revision is the fencing number. Orders are given only within half of the lease after its extension was last asked for, name the time after which they must not be sent, and go one server of a pool at a time.

Found by random stories on the way: the fake key-value service and the stand-in took puts under ended leases, which real ones refuse; an entry that never expired then kept a dead node's requests from being reclaimed.

--- a/bench/fakes/fakestore.cpp
+++ b/bench/fakes/fakestore.cpp
@@ -4,7 +4,7 @@
 
 namespace indigoway::fakes {
 
-StoreResult FakeStore::call(const StoreRequest &request)
+std::optional<StoreResult> FakeStore::call(const StoreRequest &request)
 {
     ++m_calls;
     expire();
@@ -57,8 +57,15 @@
     return condition.modRevision == (it == m_entries.end() ? 0 : it->second.modRevision);
 }
 
-StoreResult FakeStore::transact(const StoreTransaction &transaction)
+std::optional<StoreResult> FakeStore::transact(const StoreTransaction &transaction)
 {
+    const bool hasEndedLease
+        = std::any_of(transaction.puts.begin(), transaction.puts.end(), [this](const auto &put) {
+              return put.lease != 0 && !m_leases.contains(put.lease);
+          });
+    if (hasEndedLease) {
+        return std::nullopt;
+    }
     StoreResult result;
     result.isApplied
         = std::all_of(transaction.conditions.begin(), transaction.conditions.end(),
--- a/bench/fakes/fakestore.h
+++ b/bench/fakes/fakestore.h
@@ -6,6 +6,7 @@
 #include <indigoway/events.h>
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace indigoway::fakes {
@@ -16,14 +17,14 @@
 public:
     explicit FakeStore(Timeline &timeline) : m_timeline(timeline) { }
 
-    /** Carries out @p request now. */
-    StoreResult call(const StoreRequest &request);
+    /** Carries out @p request now; nothing if it is refused, as a put under an ended lease is. */
+    std::optional<StoreResult> call(const StoreRequest &request);
     const std::map<std::string, StoreEntry> &entries() const { return m_entries; }
     std::uint64_t calls() const { return m_calls; }
 
 private:
     StoreResult get(const StoreGet &get) const;
-    StoreResult transact(const StoreTransaction &transaction);
+    std::optional<StoreResult> transact(const StoreTransaction &transaction);
     bool holds(const StoreCompare &condition) const;
     void expire();
 
--- a/bench/fakes/world.cpp
+++ b/bench/fakes/world.cpp
@@ -401,6 +401,7 @@
     ReportArrived fresh = reportOf(effect.server.text());
     if (fresh.isOk && effect.withRequests) {
         fresh.requests = m_engines.at(effect.server.text())->held();
+        fresh.version = m_versions[effect.server.text()];
     }
     m_timeline.after(m_settings.reportLag + m_settings.backendDelay * 2, [=, this] {
         ReportArrived report = fresh;
@@ -409,6 +410,28 @@
     });
 }
 
+void World::run(std::size_t index, const IssueOrder &effect)
+{
+    const std::uint64_t life = m_slots[index].life;
+    m_timeline.after(jittered(m_settings.backendDelay), [=, this] {
+        const std::string &server = effect.server.text();
+        std::vector<std::uint64_t> &taken = m_orders[server];
+        const bool isOld = !taken.empty() && effect.fence < taken.back();
+        const bool isReachable = reportOf(server).isOk;
+        const bool isTaken = isReachable && (!isOld || m_ignoresFencing[server]);
+        if (isTaken && isOld) {
+            breach(server + ", which ignores fencing numbers, took an old order");
+        }
+        if (isTaken) {
+            taken.push_back(effect.fence);
+            m_versions[server] = effect.version;
+        }
+        m_timeline.after(m_settings.backendDelay, [=, this] {
+            post(index, life, OrderFinished {effect.server, effect.fence, isTaken});
+        });
+    });
+}
+
 void World::broadcastReports()
 {
     m_timeline.after(BroadcastInterval, [this] { broadcastReports(); });
@@ -548,14 +571,18 @@
             fail();
             return;
         }
-        const StoreResult result = m_store.call(effect.request);
+        const std::optional<StoreResult> result = m_store.call(effect.request);
+        if (!result) {
+            post(index, life, StoreAnswered {effect.call, StoreFailed {"refused"}});
+            return;
+        }
         if (isWrite && m_dropStoreAnswers > 0) {
             --m_dropStoreAnswers;
             fail();
             return;
         }
         m_timeline.after(jittered(m_settings.storeDelay), [=, this] {
-            post(index, life, StoreAnswered {effect.call, result});
+            post(index, life, StoreAnswered {effect.call, *result});
         });
     });
 }
@@ -588,13 +615,17 @@
 
 void World::run(std::size_t /*index*/, const LogChange & /*effect*/) { }
 
-void World::run(std::size_t index, const ShutdownFinished & /*effect*/)
+void World::run(std::size_t index, const ShutdownFinished &effect)
 {
-    m_timeline.after(ExitAfter, [this, index, life = m_slots[index].life] {
+    m_timeline.after(ExitAfter, [this, index, effect, life = m_slots[index].life] {
         Slot &slot = m_slots[index];
         if (!slot.isUp || slot.life != life) {
             return;
         }
+        if (slot.isFrozen) {
+            run(index, effect); // It exits when it wakes, after what waits for it.
+            return;
+        }
         slot.hasLeft = true;
         for (const auto &[number, request] : slot.requests) {
             if (m_callers[request].ends == 0 && !m_callers[request].isGone) {
--- a/bench/fakes/world.h
+++ b/bench/fakes/world.h
@@ -95,6 +95,13 @@
     std::size_t query(std::size_t node, const std::string &text);
     const CommandView &commandView(std::size_t command) const { return m_commands.at(command); }
 
+    /** Orders that a server took, by their fencing numbers. */
+    const std::vector<std::uint64_t> &ordersOf(const std::string &server) { return m_orders[server]; }
+    /** Whether the server refuses an old fencing number; it does unless told so. */
+    void setChecksFencing(const std::string &server, bool checks) { m_ignoresFencing[server] = !checks; }
+    void setVersion(const std::string &server, const std::string &version) { m_versions[server] = version; }
+    std::string version(const std::string &server) { return m_versions[server]; }
+
     void setStoreAway(bool isAway) { m_isStoreAway = isAway; }
     /** The next writes take effect, but their answers are lost. */
     void dropStoreAnswers(int count) { m_dropStoreAnswers = count; }
@@ -143,6 +150,7 @@
     void run(std::size_t index, const AbandonCall &effect);
     void run(std::size_t index, const CancelOnEngine &effect);
     void run(std::size_t index, const FetchReport &effect);
+    void run(std::size_t index, const IssueOrder &effect);
     void run(std::size_t index, const RelayTokens &effect);
     void run(std::size_t index, const FinishAnswer &effect);
     void run(std::size_t index, const RefuseRequest &effect);
@@ -183,6 +191,9 @@
     std::map<std::string, int> m_runs;
     std::map<std::size_t, std::set<std::string>> m_startedOn;
     std::map<std::string, TimePoint> m_lastStart;
+    std::map<std::string, std::vector<std::uint64_t>> m_orders;
+    std::map<std::string, bool> m_ignoresFencing;
+    std::map<std::string, std::string> m_versions;
     std::uint64_t m_lastNumber = 0;
     std::uint64_t m_peerCalls = 0;
     int m_dropStoreAnswers = 0;
--- a/include/indigoway/effects.h
+++ b/include/indigoway/effects.h
@@ -80,6 +80,17 @@
     bool withRequests = false;
 };
 
+/** Orders an engine to serve @p version; not to be sent after @p notAfter. */
+struct IssueOrder
+{
+    ServerName server;
+    std::string address;
+    std::uint64_t fence = 0;
+    std::string model;
+    std::string version;
+    TimePoint notAfter {};
+};
+
 /** Passes the tokens of the event, all of them, to the caller. */
 struct RelayTokens
 {
@@ -281,7 +292,7 @@
 };
 
 using Effect = std::variant<StartPrefill, StartDecode, ResumeDecode, CallService, AbandonCall,
-                            CancelOnEngine, FetchReport, RelayTokens, FinishAnswer, RefuseRequest,
+                            CancelOnEngine, FetchReport, IssueOrder, RelayTokens, FinishAnswer, RefuseRequest,
                             SendToPeer, ReplyToPeer, CallStore, AnswerCommand, AnswerQuery, CountUp,
                             Observe, LogChange, ShutdownFinished>;
 using Effects = std::vector<Effect>;
--- a/include/indigoway/events.h
+++ b/include/indigoway/events.h
@@ -93,6 +93,15 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::vector<EngineRequestName> requests;
+    std::string version; ///< Of the model it serves; empty if it did not say.
+};
+
+/** Answer to IssueOrder. */
+struct OrderFinished
+{
+    ServerName server;
+    std::uint64_t fence = 0;
+    bool isAccepted = false;
 };
 
 /** Prefixes that a server's cache took in or dropped. Late, and some are missing. */
@@ -172,7 +181,7 @@
 };
 
 using Event = std::variant<RequestArrived, CallerGone, PrefillFinished, TokensArrived,
-                           DecodeFinished, ServiceFinished, CancelFinished, ReportArrived,
+                           DecodeFinished, ServiceFinished, CancelFinished, ReportArrived, OrderFinished,
                            CacheEventsArrived, PeerRequestArrived, PeerAnswered, StoreAnswered,
                            CommandArrived, QueryArrived, ShutdownRequested, Tick>;
 
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -76,6 +76,7 @@
         m_membership.start(turn);
         m_registry.start(turn);
         m_configuration.start(turn);
+        m_orders.start(turn);
         for (const MemberUpdate &peer : m_settings.peers) {
             m_membership.meet(turn, peer);
         }
@@ -106,7 +107,7 @@
 {
     auto next = earlier(earlier(m_configuration.nextDeadline(), m_membership.nextDeadline()),
                         earlier(m_registry.nextDeadline(), m_scheduler.nextDeadline()));
-    next = earlier(next, m_requests.nextDeadline());
+    next = earlier(next, earlier(m_requests.nextDeadline(), m_orders.nextDeadline()));
     if (m_isLeaving && !m_isFinished) {
         next = earlier(next, m_now + LeaveCheckInterval);
     }
@@ -186,6 +187,7 @@
 {
     m_scheduler.handleReport(turn, event);
     m_requests.report(event);
+    m_orders.report(event);
     if (event.isOk && !event.requests.empty()) {
         m_reclaimer.report(turn, event, m_requests, m_registry);
     }
@@ -196,6 +198,11 @@
     m_scheduler.handleCacheEvents(turn, event);
 }
 
+void Node::handle(Turn &turn, const OrderFinished &event)
+{
+    m_orders.finished(turn, event);
+}
+
 void Node::handle(Turn &turn, const PeerRequestArrived &event)
 {
     handlePeerRequest(turn, event.number, event.request);
@@ -246,7 +253,8 @@
 
 void Node::handle(Turn &turn, const StoreAnswered &event)
 {
-    if (m_configuration.storeAnswered(turn, event) || m_queries.storeAnswered(turn, event)) {
+    if (m_configuration.storeAnswered(turn, event) || m_queries.storeAnswered(turn, event)
+        || m_orders.storeAnswered(turn, event)) {
         return;
     }
     if (!m_registry.storeAnswered(turn, event)) {
@@ -286,6 +294,7 @@
     m_registry.runDue(turn);
     m_configuration.runDue(turn);
     m_scheduler.runDue(turn);
+    m_orders.runDue(turn, m_scheduler);
     m_requests.runDue(turn);
 }
 
@@ -455,6 +464,19 @@
              return table;
          },
          true});
+    m_queries.add("orders",
+                  {[this](const Turn &turn) {
+                       Table table {{"target", "cell", "holder", "fence", "safe-for-ms"}, {}};
+                       for (const OrderHoldView &hold : m_orders.holds(turn.now)) {
+                           table.rows.push_back({hold.cell.target.text(),
+                                                 std::to_string(hold.cell.number),
+                                                 m_settings.life.node.text(),
+                                                 std::to_string(hold.fence),
+                                                 milliseconds(hold.safeFor)});
+                       }
+                       return table;
+                   },
+                   true});
     m_queries.add("cells",
                   {[this](const Turn & /*turn*/) {
                        Table table {{"target", "cell", "scheduler"}, {}};
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -5,6 +5,7 @@
 #include "core/turn.h"
 #include "membership/membership.h"
 #include "membership/registry.h"
+#include "orders/orders.h"
 #include "placement/scheduler.h"
 #include "requests/reclaimer.h"
 #include "requests/requests.h"
@@ -70,6 +71,7 @@
     const Membership &membership() const { return m_membership; }
     const Requests &requests() const { return m_requests; }
     const Scheduler &scheduler() const { return m_scheduler; }
+    const Orders &orders() const { return m_orders; }
     /** Whether callers should be sent here: configuration known and not leaving. */
     bool isReady() const { return m_configuration.isKnown() && !m_isLeaving; }
     bool isLeaving() const { return m_isLeaving; }
@@ -93,6 +95,7 @@
     void handle(Turn &turn, const CancelFinished &event);
     void handle(Turn &turn, const ReportArrived &event);
     void handle(Turn &turn, const CacheEventsArrived &event);
+    void handle(Turn &turn, const OrderFinished &event);
     void handle(Turn &turn, const PeerRequestArrived &event);
     void handle(Turn &turn, const PeerAnswered &event);
     void handle(Turn &turn, const StoreAnswered &event);
@@ -115,6 +118,7 @@
     Scheduler m_scheduler;
     Requests m_requests;
     Reclaimer m_reclaimer;
+    Orders m_orders;
     Queries m_queries;
     std::deque<Event> m_pending; ///< Messages of this node to itself.
     std::uint64_t m_membersSeen = 0;
--- a/src/http/backendcalls.cpp
+++ b/src/http/backendcalls.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Duration CancelTimeout = std::chrono::seconds(2);
+constexpr Duration OrderTimeout = std::chrono::seconds(2);
 constexpr Duration ReportTimeout = std::chrono::seconds(2);
 const std::string RequestNameHeader = "X-Request-Id";
 const std::string DataField = "data: ";
@@ -365,6 +366,31 @@
     });
 }
 
+void BackendCalls::run(const IssueOrder &effect, TimePoint now)
+{
+    if (now >= effect.notAfter) {
+        m_post(OrderFinished {effect.server, effect.fence, false});
+        return;
+    }
+    Json::Value body;
+    body["fence"] = Json::UInt64(effect.fence);
+    body["model"] = effect.model;
+    body["version"] = effect.version;
+    HttpCall http;
+    http.address = effect.address;
+    http.method = "POST";
+    http.path = "/v1/orders";
+    http.headers = {{"Content-Type", "application/json"}};
+    http.body = jsonText(body);
+    http.timeout = OrderTimeout;
+    // A connection kept from before a pause may be half dead: the order could arrive much later.
+    http.isFreshConnection = true;
+    m_client.start(std::move(http), [this, effect](const HttpAnswer &answer) {
+        const bool isAccepted = answer.end == HttpAnswer::End::Complete && answer.status == 200;
+        m_post(OrderFinished {effect.server, effect.fence, isAccepted});
+    });
+}
+
 void BackendCalls::fetchRequests(const FetchReport &effect, const ReportArrived &report)
 {
     HttpCall http;
@@ -374,6 +400,7 @@
     m_client.start(std::move(http), [this, report](const HttpAnswer &answer) {
         ReportArrived whole = report;
         const Json::Value body = parseJson(answer.body);
+        whole.version = stringMember(body, "version");
         if (answer.status == 200 && body.isObject() && body["requests"].isArray()) {
             for (const Json::Value &request : body["requests"]) {
                 whole.requests.emplace_back(stringMember(request, "id"));
--- a/src/http/backendcalls.h
+++ b/src/http/backendcalls.h
@@ -33,6 +33,8 @@
     void run(const AbandonCall &effect);
     void run(const CancelOnEngine &effect);
     void run(const FetchReport &effect);
+    /** Drops the order if @p now is past its time: the process may have been paused meanwhile. */
+    void run(const IssueOrder &effect, TimePoint now);
 
 private:
     struct Stream
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -439,6 +439,7 @@
         one["stage"] = Names[static_cast<std::size_t>(held.stage)];
         answer["requests"].append(one);
     }
+    answer["version"] = m_settings.version;
     json(request.exchange, answer);
 }
 
@@ -503,6 +504,9 @@
     }
     m_lastFence = std::max(m_lastFence, fence);
     m_orders.append(body);
+    m_loop.after(m_settings.loadTime, [this, version = stringMember(body, "version")] {
+        m_settings.version = version;
+    });
     json(request.exchange, Json::objectValue);
 }
 
--- a/standins/engine.h
+++ b/standins/engine.h
@@ -34,6 +34,8 @@
     std::uint32_t kvBytes = 0;          ///< Per prompt token.
     std::uint32_t cachedPrefixes = 256;
     bool checksFencing = true;
+    std::string version = "1";
+    std::chrono::milliseconds loadTime {300}; ///< Of another model version.
 };
 
 /**
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -80,7 +80,7 @@
         return;
     }
     if (reply.isNull()) {
-        m_server.reply(request.exchange, 400, JsonType, "{\"error\":\"request is too large\"}");
+        m_server.reply(request.exchange, 400, JsonType, "{\"error\":\"request is too large or its lease has ended\"}");
         return;
     }
     if (m_dropNextAnswers > 0 && request.path == "/v3/kv/txn") {
@@ -139,6 +139,10 @@
         if (decodedMember(operation["request_put"], "value").size() > MostValueBytes) {
             return {};
         }
+        const std::int64_t lease = int64Member(operation["request_put"], "lease");
+        if (lease != 0 && !m_leases.contains(lease)) {
+            return {};
+        }
     }
     Json::Value reply;
     reply["succeeded"] = isHeld;
--- a/tests/core/promisestest.cpp
+++ b/tests/core/promisestest.cpp
@@ -223,7 +223,8 @@
         }
         for (const std::string &name : m_world.engineNames()) {
             if (!m_world.engine(name).held().empty()) {
-                RC_FAIL(name + " still holds " + m_world.engine(name).held().front().text());
+                RC_FAIL(name + " still holds " + m_world.engine(name).held().front().text()
+                        + "; " + describe());
             }
         }
         for (std::size_t i = 0; i < Nodes; ++i) {
@@ -234,6 +235,35 @@
         }
     }
 
+    /** The nodes' states, for a failure's message. */
+    std::string describe()
+    {
+        std::string text;
+        for (std::size_t i = 0; i < Nodes; ++i) {
+            Node &node = m_world.node(i);
+            text += "n" + std::to_string(i) + " life "
+                + std::to_string(node.membership().life().incarnation.value()) + " sees "
+                + std::to_string(node.membership().presentCount()) + " revision "
+                + std::to_string(node.configuration().revision().value()) + " cells "
+                + std::to_string(node.scheduler().cells().size()) + " unfinished "
+                + std::to_string(node.requests().unfinished());
+            for (const RequestView &view : node.requests().views(m_world.now())) {
+                text += " [" + stageName(view.stage) + " on " + view.server.text() + "]";
+            }
+            for (std::size_t j = 0; j < Nodes; ++j) {
+                const MemberUpdate *other
+                    = node.membership().member(NodeName("n" + std::to_string(j)));
+                text += other ? " n" + std::to_string(j) + "="
+                        + std::to_string(static_cast<int>(other->state)) + "/"
+                        + std::to_string(other->life.incarnation.value()) + "/"
+                        + std::to_string(other->version)
+                              : " n" + std::to_string(j) + "=?";
+            }
+            text += "; ";
+        }
+        return text;
+    }
+
 private:
     static WorldSettings settings(std::uint64_t seed)
     {
