--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -75,7 +75,8 @@
     const double rate = deployment.capacity() * load;
     double seconds = 0;
     for (;;) {
-        const auto at = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+        const auto at =
+            std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
         if (at > WarmUp + Measured) {
             break;
         }
@@ -85,8 +86,11 @@
     }
     if (scenario == Scenario::Backlog) {
         // What gathered overnight comes at once.
-        const auto isLong = [](const RequestClass &kind) { return kind.isLong; };
-        const auto &longs = *std::find_if(deployment.classes.begin(), deployment.classes.end(), isLong);
+        const auto isLong = [](const RequestClass &kind) {
+            return kind.isLong;
+        };
+        const auto &longs =
+            *std::find_if(deployment.classes.begin(), deployment.classes.end(), isLong);
         for (std::size_t i = 0; i < BacklogSize; ++i) {
             Arrival arrival = drawArrival(random, deployment, WarmUp);
             arrival.kind = &longs;
@@ -107,7 +111,8 @@
         longest = std::max(longest, kind.firstToken);
     }
     const auto milliseconds = [](Duration duration) {
-        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count())
+        return std::to_string(
+                   std::chrono::duration_cast<std::chrono::milliseconds>(duration).count())
             + "ms";
     };
     std::string text = "model m first-token " + milliseconds(longest) + " between-tokens "
@@ -132,7 +137,9 @@
 public:
     Run(const ExperimentDeployment &deployment, Scenario scenario, const Policy &policy,
         std::uint64_t seed)
-        : m_deployment(deployment), m_scenario(scenario), m_world(settings(policy, seed))
+        : m_deployment(deployment)
+        , m_scenario(scenario)
+        , m_world(settings(policy, scenario, seed))
     {
         for (int i = 0; i < deployment.prefills; ++i) {
             m_world.addEngine("p" + std::to_string(i), deployment.engine);
@@ -144,7 +151,6 @@
         m_world.startAll();
         m_world.run(8s);
         m_start = m_world.now();
-        m_seesAll = policy.seesAll;
     }
 
     RunResult play(const std::vector<Arrival> &arrivals)
@@ -164,7 +170,8 @@
         std::size_t caller = 0;
     };
 
-    static fakes::WorldSettings settings(const Policy &policy, std::uint64_t seed)
+    static fakes::WorldSettings settings(const Policy &policy, Scenario scenario,
+                                         std::uint64_t seed)
     {
         fakes::WorldSettings settings;
         settings.seed = seed;
@@ -172,6 +179,10 @@
         settings.mode = policy.mode;
         settings.policy = policy.local;
         settings.reportsToAll = policy.mode == PlacementMode::Alone;
+        if (scenario == Scenario::LostMessages) {
+            settings.loseMessages = 0.01;
+            settings.doubleMessages = 0.01;
+        }
         if (policy.seesAll) {
             settings.nodeDelay = Duration(0);
             settings.reportLag = Duration(0);
@@ -231,13 +242,24 @@
                     [this] { m_world.engine("d0").restart(); });
             break;
         case Scenario::NodeDeath:
-            if (!m_seesAll && m_world.nodeCount() > 1) {
+            if (m_world.nodeCount() > 1) {
                 between(
                     [this] {
-                        m_world.killNode(0);
+                        m_victim = schedulingNode();
+                        m_world.killNode(m_victim);
                         sendLostAgain();
                     },
-                    [this] { m_world.startNode(0); });
+                    [this] { m_world.startNode(m_victim); });
+            }
+            break;
+        case Scenario::NodeFreeze:
+            if (m_world.nodeCount() > 1) {
+                between(
+                    [this] {
+                        m_victim = schedulingNode();
+                        m_world.freezeNode(m_victim);
+                    },
+                    [this] { m_world.thawNode(m_victim); });
             }
             break;
         case Scenario::StoreAway:
@@ -249,6 +271,16 @@
         }
     }
 
+    std::size_t schedulingNode()
+    {
+        for (std::size_t i = 0; i < m_world.nodeCount(); ++i) {
+            if (!m_world.node(i).scheduler().cells().empty()) {
+                return i;
+            }
+        }
+        return 0;
+    }
+
     bool isOnTime(const Sent &sent) const
     {
         const fakes::CallerView &view = m_world.callers()[sent.caller];
@@ -303,7 +335,7 @@
     Scenario m_scenario;
     fakes::World m_world;
     TimePoint m_start {};
-    bool m_seesAll = false;
+    std::size_t m_victim = 0;
     std::vector<Sent> m_sent;
     std::set<std::size_t> m_resent;
     std::vector<std::ptrdiff_t> m_lost;
@@ -349,15 +381,16 @@
     deployment.engine.prefillSpeed = 15'000;
     deployment.engine.tokenTime = 40ms;
     deployment.betweenTokens = 52ms;
-    deployment.classes
-        = {{"summary", 0.2, 6000, 300, 5s, true}, {"lookup", 0.8, 400, 40, 680ms, false}};
+    deployment.classes = {{"summary", 0.2, 6000, 300, 5s, true},
+                          {"lookup", 0.8, 400, 40, 680ms, false}};
     return deployment;
 }
 
 const char *scenarioName(Scenario scenario)
 {
-    static const char *const Names[] = {"steady",     "burst",      "straggler", "decode-death",
-                                        "node-death", "store-away", "backlog"};
+    static const char *const Names[] = {"steady",        "burst",      "straggler",
+                                        "decode-death",  "node-death", "node-freeze",
+                                        "lost-messages", "store-away", "backlog"};
     return Names[static_cast<std::size_t>(scenario)];
 }
 
--- a/bench/experiment.h
+++ b/bench/experiment.h
@@ -42,7 +42,9 @@
     Burst,
     Straggler,
     DecodeDeath,
-    NodeDeath,
+    NodeDeath,    ///< Of the node that schedules the model's cell.
+    NodeFreeze,   ///< The same, which then wakes.
+    LostMessages, ///< One call in a hundred between nodes, and one in a hundred doubled.
     StoreAway,
     Backlog,
 };
@@ -63,10 +65,10 @@
 /** What one run gave. */
 struct RunResult
 {
-    double goodput = 0; ///< Share of the cohort that met both targets.
-    double wasted = 0; ///< Share of prefilled tokens that were never decoded.
+    double goodput = 0;                      ///< Share of the cohort that met both targets.
+    double wasted = 0;                       ///< Share of prefilled tokens that were never decoded.
     std::map<std::string, double> goodputOf; ///< Per class.
-    double finished = 0; ///< Share that got its whole answer, late or not.
+    double finished = 0;                     ///< Share that got its whole answer, late or not.
     std::uint64_t requests = 0;
 };
 
--- a/bench/fakes/fakeengine.cpp
+++ b/bench/fakes/fakeengine.cpp
@@ -15,9 +15,10 @@
 } // namespace
 
 FakeEngine::FakeEngine(Timeline &timeline, FakeEngineSettings settings)
-    : m_timeline(timeline), m_settings(settings), m_advancedTo(timeline.now())
-{
-}
+    : m_timeline(timeline)
+    , m_settings(settings)
+    , m_advancedTo(timeline.now())
+{ }
 
 void FakeEngine::prefill(const EngineRequestName &name, std::uint32_t tokens, const Done &done)
 {
@@ -50,7 +51,8 @@
         }
         it->second.stage = Stage::Prefilling;
         const double time = it->second.promptTokens / m_settings.prefillSpeed * m_slowness;
-        later(seconds(time), [this, name, serial = it->second.serial] { prefillDone(name, serial); });
+        later(seconds(time),
+              [this, name, serial = it->second.serial] { prefillDone(name, serial); });
     }
 }
 
@@ -94,7 +96,8 @@
         return;
     }
     if (m_isFrozen) {
-        m_frozen.emplace_back([=, this] { decode(name, promptTokens, wanted, fetch, tokens, done); });
+        m_frozen.emplace_back(
+            [=, this] { decode(name, promptTokens, wanted, fetch, tokens, done); });
         return;
     }
     if (running() + waiting() >= m_settings.slots + m_settings.queue) {
@@ -176,12 +179,13 @@
         if (work.stage != Stage::Decoding) {
             continue;
         }
-        const double missing = work.sent == 0 && work.progress < 1 ? 1 - work.progress
-                                                                   : work.wanted - work.progress;
+        const double missing =
+            work.sent == 0 && work.progress < 1 ? 1 - work.progress : work.wanted - work.progress;
         Duration next = seconds(missing / rate) + Duration(1);
         if (work.sent > 0) {
-            next = std::min(next, std::max(Duration(1), Duration(work.lastSent + m_settings.lump
-                                                                 - m_timeline.now())));
+            next = std::min(next,
+                            std::max(Duration(1),
+                                     Duration(work.lastSent + m_settings.lump - m_timeline.now())));
         }
         soonest = soonest ? std::min(*soonest, next) : next;
     }
@@ -218,8 +222,8 @@
     constexpr double Nearly = 1e-6;
     const auto ready = static_cast<std::uint32_t>(work.progress + Nearly);
     const bool isLast = ready >= work.wanted;
-    const bool isDue = work.sent == 0 || isLast
-        || m_timeline.now() - work.lastSent >= m_settings.lump;
+    const bool isDue =
+        work.sent == 0 || isLast || m_timeline.now() - work.lastSent >= m_settings.lump;
     if (ready > work.sent && isDue) {
         const FakeTokens news {work.sent, ready - work.sent, isLast};
         work.sent = ready;
@@ -427,8 +431,9 @@
 
 std::uint32_t FakeEngine::count(Stage stage) const
 {
-    return static_cast<std::uint32_t>(std::count_if(
-        m_work.begin(), m_work.end(), [&](const auto &entry) { return entry.second.stage == stage; }));
+    return static_cast<std::uint32_t>(
+        std::count_if(m_work.begin(), m_work.end(),
+                      [&](const auto &entry) { return entry.second.stage == stage; }));
 }
 
 void FakeEngine::finish(Work &work, CallOutcome outcome)
--- a/bench/fakes/fakeengine.h
+++ b/bench/fakes/fakeengine.h
@@ -17,13 +17,13 @@
 struct FakeEngineSettings
 {
     std::uint32_t slots = 20;
-    std::uint32_t queue = 1000; ///< Decodes waiting beyond the slots; more are rejected.
+    std::uint32_t queue = 1000;   ///< Decodes waiting beyond the slots; more are rejected.
     double prefillSpeed = 20'000; ///< Tokens a second.
     Duration tokenTime = std::chrono::milliseconds(40); ///< Of a full batch.
     Duration keepsResult = std::chrono::milliseconds(800);
     Duration keepsFinished = std::chrono::seconds(5);
     Duration lump = std::chrono::milliseconds(500); ///< Tokens after the first come together.
-    double kvSecondsPerToken = 0; ///< Transfer time of the KV cache.
+    double kvSecondsPerToken = 0;                   ///< Transfer time of the KV cache.
 };
 
 /** What an engine tells about a decode. */
--- a/bench/fakes/fakestore.cpp
+++ b/bench/fakes/fakestore.cpp
@@ -59,17 +59,17 @@
 
 std::optional<StoreResult> FakeStore::transact(const StoreTransaction &transaction)
 {
-    const bool hasEndedLease
-        = std::any_of(transaction.puts.begin(), transaction.puts.end(), [this](const auto &put) {
-              return put.lease != 0 && !m_leases.contains(put.lease);
-          });
+    const bool hasEndedLease =
+        std::any_of(transaction.puts.begin(), transaction.puts.end(), [this](const auto &put) {
+            return put.lease != 0 && !m_leases.contains(put.lease);
+        });
     if (hasEndedLease) {
         return std::nullopt;
     }
     StoreResult result;
-    result.isApplied
-        = std::all_of(transaction.conditions.begin(), transaction.conditions.end(),
-                      [this](const StoreCompare &condition) { return holds(condition); });
+    result.isApplied =
+        std::all_of(transaction.conditions.begin(), transaction.conditions.end(),
+                    [this](const StoreCompare &condition) { return holds(condition); });
     if (!result.isApplied) {
         for (const std::string &key : transaction.elseGet) {
             const auto it = m_entries.find(key);
@@ -97,9 +97,8 @@
             ++lease;
             continue;
         }
-        std::erase_if(m_entries, [&](const auto &entry) {
-            return m_leaseOf[entry.first] == lease->first;
-        });
+        std::erase_if(m_entries,
+                      [&](const auto &entry) { return m_leaseOf[entry.first] == lease->first; });
         lease = m_leases.erase(lease);
     }
 }
--- a/bench/fakes/fakestore.h
+++ b/bench/fakes/fakestore.h
@@ -15,7 +15,9 @@
 class FakeStore
 {
 public:
-    explicit FakeStore(Timeline &timeline) : m_timeline(timeline) { }
+    explicit FakeStore(Timeline &timeline)
+        : m_timeline(timeline)
+    { }
 
     /** Carries out @p request now; nothing if it is refused, as a put under an ended lease is. */
     std::optional<StoreResult> call(const StoreRequest &request);
--- a/bench/fakes/world.cpp
+++ b/bench/fakes/world.cpp
@@ -21,9 +21,11 @@
 } // namespace
 
 World::World(WorldSettings settings)
-    : m_settings(settings), m_random(settings.seed), m_store(m_timeline), m_slots(settings.nodes)
-{
-}
+    : m_settings(settings)
+    , m_random(settings.seed)
+    , m_store(m_timeline)
+    , m_slots(settings.nodes)
+{ }
 
 void World::addEngine(const std::string &name, FakeEngineSettings settings)
 {
@@ -47,8 +49,7 @@
 void World::preload(const std::string &declarations)
 {
     StoreTransaction transaction;
-    transaction.puts
-        = {{storekeys::Text, "1\n" + declarations, 0}, {storekeys::Head, "1", 0}};
+    transaction.puts = {{storekeys::Text, "1\n" + declarations, 0}, {storekeys::Head, "1", 0}};
     m_store.call(transaction);
 }
 
@@ -511,7 +512,7 @@
             post(index, life, PeerAnswered {call, std::move(outcome)});
         }
     };
-    m_timeline.after(effect.timeout, [answer] { answer(PeerFailed {"timeout"}); });
+    m_timeline.after(effect.timeout, [answer] { answer(PeerFailed {"timeout", true}); });
     if (happens(m_settings.loseMessages)) {
         return;
     }
--- a/bench/fakes/world.h
+++ b/bench/fakes/world.h
@@ -20,11 +20,11 @@
 {
     std::uint64_t seed = 1;
     std::size_t nodes = 4;
-    Duration nodeDelay = std::chrono::microseconds(1500); ///< One way, between nodes.
+    Duration nodeDelay = std::chrono::microseconds(1500);    ///< One way, between nodes.
     Duration backendDelay = std::chrono::microseconds(1000); ///< One way.
     Duration storeDelay = std::chrono::milliseconds(2);
     Duration reportLag = std::chrono::milliseconds(500);
-    double loseMessages = 0; ///< Share of calls between nodes that are lost.
+    double loseMessages = 0;   ///< Share of calls between nodes that are lost.
     double doubleMessages = 0; ///< Share of calls between nodes that arrive twice.
     PlacementMode mode = PlacementMode::Granted;
     LocalPolicy policy = LocalPolicy::PowerOfTwo;
@@ -96,10 +96,19 @@
     const CommandView &commandView(std::size_t command) const { return m_commands.at(command); }
 
     /** Orders that a server took, by their fencing numbers. */
-    const std::vector<std::uint64_t> &ordersOf(const std::string &server) { return m_orders[server]; }
+    const std::vector<std::uint64_t> &ordersOf(const std::string &server)
+    {
+        return m_orders[server];
+    }
     /** Whether the server refuses an old fencing number; it does unless told so. */
-    void setChecksFencing(const std::string &server, bool checks) { m_ignoresFencing[server] = !checks; }
-    void setVersion(const std::string &server, const std::string &version) { m_versions[server] = version; }
+    void setChecksFencing(const std::string &server, bool checks)
+    {
+        m_ignoresFencing[server] = !checks;
+    }
+    void setVersion(const std::string &server, const std::string &version)
+    {
+        m_versions[server] = version;
+    }
     std::string version(const std::string &server) { return m_versions[server]; }
 
     void setStoreAway(bool isAway) { m_isStoreAway = isAway; }
--- a/bench/policy_main.cpp
+++ b/bench/policy_main.cpp
@@ -11,6 +11,7 @@
 #include <thread>
 
 ABSL_FLAG(std::uint32_t, seeds, 10, "Seeds per row.");
+ABSL_FLAG(std::uint32_t, first_seed, 1, "The first of the seeds.");
 ABSL_FLAG(std::uint32_t, threads, 8, "Runs at a time.");
 ABSL_FLAG(std::string, csv, "", "File that the rows are also written to.");
 ABSL_FLAG(std::string, only, "", "Only rows whose name contains this.");
@@ -76,6 +77,10 @@
     bound.nodes = 1;
     bound.seesAll = true;
     all.push_back(bound);
+    Policy refusingBound = bound;
+    refusingBound.name = "bound-refuse";
+    refusingBound.late = LatePolicy::Refuse;
+    all.push_back(refusingBound);
     Policy granted;
     granted.name = "indigoway";
     all.push_back(granted);
@@ -119,7 +124,8 @@
         }
         for (const Scenario scenario :
              {Scenario::Burst, Scenario::Straggler, Scenario::DecodeDeath, Scenario::NodeDeath,
-              Scenario::StoreAway, Scenario::Backlog}) {
+              Scenario::NodeFreeze, Scenario::LostMessages, Scenario::StoreAway,
+              Scenario::Backlog}) {
             add(deployment, scenario, 0.7);
         }
     }
@@ -135,8 +141,9 @@
         threads.emplace_back([&] {
             for (std::size_t job = next++; job < rows.size() * seeds; job = next++) {
                 Row &row = rows[job / seeds];
-                row.results[job % seeds] = runExperiment(row.deployment, row.scenario, row.load,
-                                                         row.policy, job % seeds + 1);
+                row.results[job % seeds] =
+                    runExperiment(row.deployment, row.scenario, row.load, row.policy,
+                                  job % seeds + absl::GetFlag(FLAGS_first_seed));
             }
         });
     }
@@ -148,8 +155,9 @@
 const Row *boundOf(const std::vector<Row> &rows, const Row &row)
 {
     const auto it = std::find_if(rows.begin(), rows.end(), [&](const Row &other) {
-        return other.policy.seesAll && other.deployment.name == row.deployment.name
-            && other.scenario == row.scenario && other.load == row.load;
+        return other.policy.seesAll && other.policy.late == row.policy.late
+            && other.deployment.name == row.deployment.name && other.scenario == row.scenario
+            && other.load == row.load;
     });
     return it == rows.end() ? nullptr : &*it;
 }
@@ -162,17 +170,17 @@
 
 void print(const std::vector<Row> &rows, std::FILE *out, bool isCsv)
 {
-    std::fprintf(out, isCsv
-                     ? "deployment,scenario,load,policy,goodput,goodput_least,goodput_most,"
-                       "of_bound,wasted,wasted_least,wasted_most,finished,short,long\n"
-                     : "%-11s%-13s%-5s%-19s%-22s%-9s%-23s%-9s%s\n",
+    std::fprintf(out,
+                 isCsv ? "deployment,scenario,load,policy,goodput,goodput_least,goodput_most,"
+                         "of_bound,wasted,wasted_least,wasted_most,finished,short,long\n"
+                       : "%-11s%-13s%-5s%-19s%-22s%-9s%-23s%-9s%s\n",
                  "deployment", "scenario", "load", "policy", "goodput", "of bound", "wasted %",
                  "finished", "goodput per class");
     for (const Row &row : rows) {
         const Spread goodput = goodputOf(row);
         const Spread wasted = wastedOf(row);
-        const double finished
-            = spreadOf(row.results, [](const RunResult &result) { return result.finished; }).median;
+        const double finished =
+            spreadOf(row.results, [](const RunResult &result) { return result.finished; }).median;
         std::vector<double> ofClass;
         std::string classes;
         for (const RequestClass &kind : row.deployment.classes) {
@@ -191,8 +199,8 @@
                              "   %-9.3f",
                      row.deployment.name.c_str(), scenarioName(row.scenario), row.load,
                      row.policy.name.c_str(), goodput.median, goodput.least, goodput.most,
-                     ofBound(rows, row), wasted.median * 100, wasted.least * 100,
-                     wasted.most * 100, finished, ofClass.back(), ofClass.front());
+                     ofBound(rows, row), wasted.median * 100, wasted.least * 100, wasted.most * 100,
+                     finished, ofClass.back(), ofClass.front());
         if (!isCsv) {
             std::fprintf(out, "%s\n", classes.c_str());
         }
@@ -217,7 +225,7 @@
     }
     std::string best;
     for (const auto &[name, one] : worst) {
-        const bool isBaseline = name != "bound" && !name.starts_with("indigoway");
+        const bool isBaseline = !name.starts_with("bound") && !name.starts_with("indigoway");
         if (isBaseline && (best.empty() || one.ofBound > worst[best].ofBound)) {
             best = name;
         }
@@ -237,7 +245,7 @@
 {
     parseOrExit({"indigoway-policy: goodput and wasted prefill of placement policies, the real "
                  "reducers over fakes in virtual time.",
-                 {"seeds", "threads", "csv", "only", "baselines"}},
+                 {"seeds", "first_seed", "threads", "csv", "only", "baselines"}},
                 argc, argv);
     std::vector<Row> rows = allRows();
     runAll(rows);
--- a/include/indigoway/effects.h
+++ b/include/indigoway/effects.h
@@ -292,9 +292,9 @@
 };
 
 using Effect = std::variant<StartPrefill, StartDecode, ResumeDecode, CallService, AbandonCall,
-                            CancelOnEngine, FetchReport, IssueOrder, RelayTokens, FinishAnswer, RefuseRequest,
-                            SendToPeer, ReplyToPeer, CallStore, AnswerCommand, AnswerQuery, CountUp,
-                            Observe, LogChange, ShutdownFinished>;
+                            CancelOnEngine, FetchReport, IssueOrder, RelayTokens, FinishAnswer,
+                            RefuseRequest, SendToPeer, ReplyToPeer, CallStore, AnswerCommand,
+                            AnswerQuery, CountUp, Observe, LogChange, ShutdownFinished>;
 using Effects = std::vector<Effect>;
 
 } // namespace indigoway
--- a/include/indigoway/events.h
+++ b/include/indigoway/events.h
@@ -181,8 +181,8 @@
 };
 
 using Event = std::variant<RequestArrived, CallerGone, PrefillFinished, TokensArrived,
-                           DecodeFinished, ServiceFinished, CancelFinished, ReportArrived, OrderFinished,
-                           CacheEventsArrived, PeerRequestArrived, PeerAnswered, StoreAnswered,
-                           CommandArrived, QueryArrived, ShutdownRequested, Tick>;
+                           DecodeFinished, ServiceFinished, CancelFinished, ReportArrived,
+                           OrderFinished, CacheEventsArrived, PeerRequestArrived, PeerAnswered,
+                           StoreAnswered, CommandArrived, QueryArrived, ShutdownRequested, Tick>;
 
 } // namespace indigoway
--- a/include/indigoway/messages.h
+++ b/include/indigoway/messages.h
@@ -54,6 +54,15 @@
 {
 };
 
+/** Names a claim by who made it, which both sides know also when its grant was lost. */
+struct ClaimIdentity
+{
+    NodeLife owner;
+    RequestNumber request;
+    std::uint32_t attempt = 0;
+    auto operator<=>(const ClaimIdentity &) const = default;
+};
+
 /** Asks a cell's scheduler for capacity. Answered when it is granted or refused. */
 struct ClaimCapacity
 {
@@ -70,6 +79,8 @@
     bool isContinuation = false;             ///< Resumes an answer already partly delivered.
     std::vector<std::uint64_t> prefixHashes; ///< Of growing prefixes, shortest first.
     std::vector<ServerName> avoid;           ///< Servers that failed this request.
+
+    ClaimIdentity identity() const { return {owner, request, attempt}; }
 };
 
 /** The prefill of a claim has ended; asks for the decode server. */
@@ -81,10 +92,16 @@
     std::vector<ServerName> avoid;
 };
 
-/** The claim is given back, with what was seen of the servers. */
+/**
+ * The claim is given back, with what was seen of the servers; or withdrawn before its grant was
+ * heard of, and then @p claim is none.
+ */
 struct ReleaseClaim
 {
     ClaimNumber claim;
+    ClaimIdentity identity;
+    TargetName target;
+    std::uint32_t cell = 0;
     std::uint32_t tokens = 0; ///< Output tokens of this attempt.
     Duration decodeTime {};   ///< From first to last token.
     bool serverFailed = false;
@@ -95,6 +112,7 @@
 {
     NodeLife owner;
     RequestNumber request;
+    std::uint32_t attempt = 0;
     TargetName target;
     std::uint32_t cell = 0;
     ServerName server;
@@ -187,6 +205,7 @@
 struct PeerFailed
 {
     std::string reason;
+    bool isTimeout = false; ///< No answer within the time; the call may have been taken.
 };
 
 using PeerOutcome = std::variant<PeerReply, PeerFailed>;
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -240,7 +240,9 @@
 
 void Node::handle(Turn &turn, const PeerAnswered &event)
 {
-    if (std::holds_alternative<PeerReply>(event.outcome)) {
+    // Only a probe's answer is another node's: all other calls may be to this node itself.
+    const auto *reply = std::get_if<PeerReply>(&event.outcome);
+    if (reply && std::holds_alternative<Pong>(*reply)) {
         m_peerSeen = turn.now;
     }
     m_membership.handleAnswer(turn, event.call, event.outcome)
@@ -315,6 +317,9 @@
     if (hasConfigurationChanged) {
         m_requests.configurationChanged(turn);
     }
+    for (const NodeName &silent : m_membership.takeSilent()) {
+        m_requests.schedulerSilent(turn, silent);
+    }
     for (const NodeName &doubted : m_requests.takeDoubted()) {
         m_membership.probe(turn, doubted);
     }
@@ -468,11 +473,10 @@
                   {[this](const Turn &turn) {
                        Table table {{"target", "cell", "holder", "fence", "safe-for-ms"}, {}};
                        for (const OrderHoldView &hold : m_orders.holds(turn.now)) {
-                           table.rows.push_back({hold.cell.target.text(),
-                                                 std::to_string(hold.cell.number),
-                                                 m_settings.life.node.text(),
-                                                 std::to_string(hold.fence),
-                                                 milliseconds(hold.safeFor)});
+                           table.rows.push_back(
+                               {hold.cell.target.text(), std::to_string(hold.cell.number),
+                                m_settings.life.node.text(), std::to_string(hold.fence),
+                                milliseconds(hold.safeFor)});
                        }
                        return table;
                    },
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -128,7 +128,7 @@
                    [this](const AbandonCall &one) { m_backends->run(one); },
                    [this](const CancelOnEngine &one) { m_backends->run(one); },
                    [this](const FetchReport &one) { m_backends->run(one); },
-            [this](const IssueOrder &one) { m_backends->run(one, now()); },
+                   [this](const IssueOrder &one) { m_backends->run(one, now()); },
                    [this](const RelayTokens &one) { m_callers->relay(one); },
                    [this](const FinishAnswer &one) { m_callers->finish(one); },
                    [this](const RefuseRequest &one) { m_callers->refuse(one); },
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr Duration ProbeInterval = std::chrono::seconds(1);
-constexpr Duration ProbeTimeout = std::chrono::milliseconds(400);
-constexpr Duration IndirectTimeout = std::chrono::milliseconds(900);
+constexpr Duration ProbeTimeout = std::chrono::milliseconds(250);
+constexpr Duration IndirectTimeout = std::chrono::milliseconds(700);
 /** Long enough for a suspected node to hear of it through any peer and to refute it. */
 constexpr Duration SuspicionTime = std::chrono::seconds(3);
 /** Kept so that old gossip cannot bring a dead node back. */
@@ -194,6 +194,7 @@
         if (probe.onBehalfOf) {
             turn.reply(*probe.onBehalfOf, ProbeResult {isAlive});
         } else if (!isAlive && !wanted.isEmpty()) {
+            m_silent.push_back(wanted);
             askOthersToProbe(turn, probe.target);
         }
         return true;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -69,6 +69,8 @@
     /** The largest revision heard of, with a node that has it. */
     Revision heardRevision() const { return m_heardRevision; }
     const NodeName &heardRevisionFrom() const { return m_heardRevisionFrom; }
+    /** Nodes that have just let a direct probe go unanswered; taken once. */
+    std::vector<NodeName> takeSilent() { return std::exchange(m_silent, {}); }
     /** What this node tells others of its configuration. */
     void setRevision(Revision revision) { m_revision = revision; }
 
@@ -122,6 +124,7 @@
     std::map<NodeName, Probe> m_indirectProbes;
     std::map<PeerCallNumber, NodeName> m_indirectCalls;
     std::vector<News> m_news;
+    std::vector<NodeName> m_silent;
     Deadlines<TimerKey> m_timers;
     std::uint64_t m_changes = 0;
 };
--- a/src/orders/orders.cpp
+++ b/src/orders/orders.cpp
@@ -197,8 +197,8 @@
             continue;
         }
         m_underway[name] = turn.now;
-        turn.add(IssueOrder {name, turn.deployment.server(name)->address, fence,
-                             target.name.text(), target.version, notAfter});
+        turn.add(IssueOrder {name, turn.deployment.server(name)->address, fence, target.name.text(),
+                             target.version, notAfter});
         turn.log("orders version " + target.version + " on " + name.text());
     }
 }
--- a/src/peers/messagecodec.cpp
+++ b/src/peers/messagecodec.cpp
@@ -68,9 +68,19 @@
     v("not", m.avoid);
 }
 template <typename V>
+void fields(V &v, ClaimIdentity &m)
+{
+    v("o", m.owner);
+    v("r", m.request);
+    v("a", m.attempt);
+}
+template <typename V>
 void fields(V &v, ReleaseClaim &m)
 {
     v("c", m.claim);
+    v("id", m.identity);
+    v("target", m.target);
+    v("cell", m.cell);
     v("t", m.tokens);
     v("e", m.decodeTime);
     v("f", m.serverFailed);
@@ -80,6 +90,7 @@
 {
     v("o", m.owner);
     v("r", m.request);
+    v("a", m.attempt);
     v("t", m.target);
     v("cell", m.cell);
     v("s", m.server);
--- a/src/peers/peerlink.cpp
+++ b/src/peers/peerlink.cpp
@@ -102,7 +102,9 @@
     m_client.start(std::move(http), [this, call = effect.call](const HttpAnswer &answer) {
         constexpr int Ok = 200;
         if (answer.end != HttpAnswer::End::Complete || answer.status != Ok) {
-            m_post(PeerAnswered {call, PeerFailed {"status " + std::to_string(answer.status)}});
+            m_post(PeerAnswered {call,
+                                 PeerFailed {"status " + std::to_string(answer.status),
+                                             answer.end == HttpAnswer::End::TimedOut}});
             return;
         }
         const auto reply = decodeReply(envelopeOf(answer.body)["result"]);
--- a/src/placement/cellscheduler.cpp
+++ b/src/placement/cellscheduler.cpp
@@ -76,7 +76,10 @@
         refuse(turn, number, NotGranted::Why::NoServer, LeastComeBack);
         return;
     }
-    Waiting waiting {number, claim};
+    if (isRepetition(turn, number, claim)) {
+        return;
+    }
+    Waiting waiting {{number}, claim};
     waiting.arrived = turn.now;
     waiting.deadline = turn.now + claim.untilDeadline;
     waiting.giveUpAt = turn.now + claim.patience;
@@ -88,8 +91,9 @@
         waiting.order = turn.now;
     }
     waiting.isShort = claim.untilDeadline <= shortTarget() * ShortFactor;
+    waiting.cachedTokens = mostCachedTokens(claim);
     const Duration wait = waitBehind(backlogBefore(turn, waiting));
-    const bool isTooMany = m_waiting.size() >= declared->maxQueued;
+    const bool isTooMany = this->waiting() >= declared->maxQueued;
     if (isTooMany || turn.now + wait > waiting.giveUpAt) {
         refuse(turn, number, NotGranted::Why::Overload, wait);
         return;
@@ -98,6 +102,41 @@
     pump(turn);
 }
 
+bool CellScheduler::isRepetition(Turn &turn, PeerRequestNumber number, const ClaimCapacity &claim)
+{
+    for (const auto &[granted, grant] : m_grants) {
+        if (grant.claim.identity() == claim.identity()) {
+            // The grant's answer was lost. Granting anew would hold the capacity twice.
+            turn.reply(number, Granted {granted, grant.server});
+            return true;
+        }
+    }
+    for (Queue *queue : {&m_onTime, &m_late}) {
+        for (Waiting &waiting : *queue) {
+            if (waiting.claim.identity() == claim.identity()) {
+                waiting.numbers.push_back(number);
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+void CellScheduler::withdraw(Turn &turn, const ClaimIdentity &identity)
+{
+    for (Queue *queue : {&m_onTime, &m_late}) {
+        std::erase_if(*queue,
+                      [&](const Waiting &waiting) { return waiting.claim.identity() == identity; });
+    }
+    const auto granted = std::find_if(m_grants.begin(), m_grants.end(), [&](const auto &entry) {
+        return entry.second.claim.identity() == identity;
+    });
+    if (granted != m_grants.end()) {
+        releaseLost(turn, granted->first);
+    }
+    pump(turn);
+}
+
 void CellScheduler::prefillEnded(Turn &turn, PeerRequestNumber number, const PrefillEnded &ended)
 {
     const auto it = m_grants.find(ended.claim);
@@ -123,6 +162,7 @@
         const std::uint32_t cached = cachedTokens(from, grant.claim);
         const std::uint32_t computed = grant.claim.promptTokens - cached;
         prefill.observePrefill(turn.now, computed, ended.elapsed);
+        refreshMedians();
     }
     rememberPrefix(from, grant.claim);
     const auto server = chooseDecode(turn, grant.claim, from, ended.avoid);
@@ -160,6 +200,7 @@
         } else {
             noteRelease(turn.now);
             load.observeDecode(turn.now, release.tokens, release.decodeTime);
+            refreshMedians();
         }
         if (release.serverFailed) {
             load.failed(turn.now);
@@ -182,6 +223,7 @@
     Grant grant;
     grant.claim.owner = adopted.owner;
     grant.claim.request = adopted.request;
+    grant.claim.attempt = adopted.attempt;
     grant.claim.target = adopted.target;
     grant.claim.outputTokens = adopted.outputTokens;
     grant.server = adopted.server;
@@ -233,9 +275,11 @@
     for (const ClaimNumber number : lost) {
         releaseLost(turn, number);
     }
-    std::erase_if(m_waiting, [&](const Waiting &waiting) {
-        return turn.members.deadSince(waiting.claim.owner).has_value();
-    });
+    for (Queue *queue : {&m_onTime, &m_late}) {
+        std::erase_if(*queue, [&](const Waiting &waiting) {
+            return turn.members.deadSince(waiting.claim.owner).has_value();
+        });
+    }
     pump(turn);
 }
 
@@ -253,30 +297,32 @@
         return;
     }
     markLate(turn);
-    while (!m_waiting.empty() && grantNext(turn)) { }
+    while (waiting() > 0 && grantNext(turn)) { }
 }
 
 void CellScheduler::handOver(Turn &turn)
 {
-    for (const Waiting &waiting : m_waiting) {
-        refuse(turn, waiting.number, NotGranted::Why::NotScheduler, Duration::zero());
+    for (Queue *queue : {&m_onTime, &m_late}) {
+        for (const Waiting &waiting : *queue) {
+            refuse(turn, waiting, NotGranted::Why::NotScheduler, Duration::zero());
+        }
+        queue->clear();
     }
-    m_waiting.clear();
 }
 
 std::optional<TimePoint> CellScheduler::nextDeadline() const
 {
-    if (m_waiting.empty()) {
-        return std::nullopt;
-    }
     std::optional<TimePoint> next;
-    for (const Waiting &waiting : m_waiting) {
+    for (const Waiting &waiting : m_onTime) {
         next = earlier(next, waiting.giveUpAt);
-        if (!waiting.isLate && !waiting.claim.isContinuation) {
+        if (!waiting.claim.isContinuation) {
             next = earlier(next, waiting.deadline);
         }
     }
-    return std::max(*next, m_since + SettlingTime);
+    for (const Waiting &waiting : m_late) {
+        next = earlier(next, waiting.giveUpAt);
+    }
+    return next ? std::optional(std::max(*next, m_since + SettlingTime)) : std::nullopt;
 }
 
 std::vector<GrantView> CellScheduler::grants(TimePoint now) const
@@ -290,12 +336,12 @@
     return views;
 }
 
-std::vector<std::pair<ClaimNumber, EngineRequestName>> CellScheduler::olderThan(TimePoint now,
-                                                                                Duration age) const
+std::vector<std::pair<ClaimNumber, EngineRequestName>>
+CellScheduler::olderThan(TimePoint now, Duration prefillAge, Duration servingAge) const
 {
     std::vector<std::pair<ClaimNumber, EngineRequestName>> found;
     for (const auto &[number, grant] : m_grants) {
-        if (now - grant.since >= age) {
+        if (now - grant.since >= (grant.stage == Stage::Prefill ? prefillAge : servingAge)) {
             found.emplace_back(
                 number,
                 engineRequestName(grant.claim.owner, grant.claim.request, grant.claim.attempt));
@@ -339,49 +385,53 @@
                        [](const auto &entry) { return entry.second.hasReported(); });
 }
 
+bool CellScheduler::isUsable(const Turn &turn, const ServerName &name,
+                             const std::vector<ServerName> &avoid) const
+{
+    const Server *server = turn.deployment.server(name);
+    if (!server || server->state != ServerState::Active || contains(avoid, name)) {
+        return false;
+    }
+    const auto it = m_servers.find(name);
+    return it == m_servers.end() || it->second.isUsable(turn.now);
+}
+
 std::vector<ServerName> CellScheduler::usable(const Turn &turn, Role role,
                                               const std::vector<ServerName> &avoid) const
 {
     std::vector<ServerName> found;
     for (const ServerName &name : turn.cells.servers(m_cell, role)) {
-        const Server *server = turn.deployment.server(name);
-        if (!server || server->state != ServerState::Active || contains(avoid, name)) {
-            continue;
-        }
-        const auto it = m_servers.find(name);
-        if (it == m_servers.end() || it->second.isUsable(turn.now)) {
+        if (isUsable(turn, name, avoid)) {
             found.push_back(name);
         }
     }
+    if (found.empty() && !avoid.empty()) {
+        // Servers that failed this request before are better than none: they may be well again.
+        return usable(turn, role, {});
+    }
     return found;
 }
 
-double CellScheduler::medianPrefillSpeed() const
+void CellScheduler::refreshMedians()
 {
     std::vector<double> speeds;
+    std::vector<double> times;
     for (const auto &[name, load] : m_servers) {
         if (load.prefillSpeed() > 0) {
             speeds.push_back(load.prefillSpeed());
         }
-    }
-    return medianOf(std::move(speeds), AssumedPrefillSpeed);
-}
-
-double CellScheduler::medianTokenTime() const
-{
-    std::vector<double> times;
-    for (const auto &[name, load] : m_servers) {
         if (load.tokenTime() > 0) {
             times.push_back(load.tokenTime());
         }
     }
-    return medianOf(std::move(times), AssumedTokenTime);
+    m_medianPrefillSpeed = medianOf(std::move(speeds), AssumedPrefillSpeed);
+    m_medianTokenTime = medianOf(std::move(times), AssumedTokenTime);
 }
 
 double CellScheduler::prefillSeconds(const Turn &turn, const ServerName &server,
                                      std::uint32_t tokens) const
 {
-    const double median = medianPrefillSpeed();
+    const double median = m_medianPrefillSpeed;
     const auto it = m_servers.find(server);
     double speed = median;
     if (it != m_servers.end() && it->second.prefillSpeed() > 0) {
@@ -393,7 +443,7 @@
 
 double CellScheduler::expectedTokenTime(const Turn &turn, const ServerName &server) const
 {
-    const double median = medianTokenTime();
+    const double median = m_medianTokenTime;
     const auto it = m_servers.find(server);
     if (it == m_servers.end() || it->second.tokenTime() == 0) {
         return median;
@@ -423,8 +473,10 @@
 std::int64_t CellScheduler::freeInCell(const Turn &turn, Role role) const
 {
     std::int64_t free = 0;
-    for (const ServerName &name : usable(turn, role, {})) {
-        free += freeSlots(turn, *turn.deployment.server(name));
+    for (const ServerName &name : turn.cells.servers(m_cell, role)) {
+        if (isUsable(turn, name, {})) {
+            free += freeSlots(turn, *turn.deployment.server(name));
+        }
     }
     return free;
 }
@@ -432,8 +484,8 @@
 std::int64_t CellScheduler::totalSlots(const Turn &turn, Role role) const
 {
     std::int64_t total = 0;
-    for (const ServerName &name : usable(turn, role, {})) {
-        total += turn.deployment.server(name)->slots;
+    for (const ServerName &name : turn.cells.servers(m_cell, role)) {
+        total += isUsable(turn, name, {}) ? turn.deployment.server(name)->slots : 0;
     }
     return total;
 }
@@ -529,11 +581,8 @@
                                                       const ServerName & /*from*/,
                                                       const std::vector<ServerName> &avoid) const
 {
-    std::vector<ServerName> servers = usable(turn, Role::Decode, avoid);
-    if (servers.empty()) {
-        servers = usable(turn, Role::Decode, {});
-    }
-    const double median = medianTokenTime();
+    const std::vector<ServerName> servers = usable(turn, Role::Decode, avoid);
+    const double median = m_medianTokenTime;
     std::optional<ServerName> best;
     double bestScore = 0;
     for (const ServerName &name : servers) {
@@ -626,15 +675,21 @@
 CellScheduler::Backlog CellScheduler::backlogBefore(const Turn &turn, const Waiting &waiting) const
 {
     Backlog before = backlog(turn);
-    for (const Waiting &other : m_waiting) {
-        if (std::tie(other.isLate, other.order) <= std::tie(waiting.isLate, waiting.order)) {
-            ++before.claims;
-            before.tokens += other.claim.promptTokens;
+    for (const Waiting &other : m_onTime) {
+        if (other.order > waiting.order) {
+            break;
         }
+        addTo(before, other);
     }
     return before;
 }
 
+void CellScheduler::addTo(Backlog &backlog, const Waiting &waiting)
+{
+    ++backlog.claims;
+    backlog.tokens += waiting.tokensToPrefill();
+}
+
 Duration CellScheduler::waitBehind(const Backlog &backlog) const
 {
     const double prefill =
@@ -645,11 +700,10 @@
     return duration(std::max(prefill, decode));
 }
 
-TimePoint CellScheduler::expectedFirstToken(TimePoint now, const ClaimCapacity &claim,
+TimePoint CellScheduler::expectedFirstToken(TimePoint now, const Waiting &waiting,
                                             const Backlog &ahead) const
 {
-    const std::uint32_t tokens = claim.promptTokens - mostCachedTokens(claim);
-    const double prefill = ahead.bestSpeed > 0 ? tokens / ahead.bestSpeed : 0;
+    const double prefill = ahead.bestSpeed > 0 ? waiting.tokensToPrefill() / ahead.bestSpeed : 0;
     return now + waitBehind(ahead) + duration(prefill);
 }
 
@@ -667,56 +721,86 @@
     return std::min(cached, claim.promptTokens);
 }
 
+void CellScheduler::giveUp(Turn &turn, Queue &queue, const Backlog &ahead)
+{
+    for (auto it = queue.begin(); it != queue.end();) {
+        if (turn.now < it->giveUpAt) {
+            ++it;
+            continue;
+        }
+        refuse(turn, *it, NotGranted::Why::Overload, waitBehind(ahead));
+        it = queue.erase(it);
+    }
+}
+
 void CellScheduler::markLate(Turn &turn)
 {
+    if (waiting() == 0) {
+        return;
+    }
     const Target *declared = target(turn);
     const bool refusesLate = declared && declared->late == LatePolicy::Refuse;
     Backlog ahead = backlog(turn);
-    std::vector<Waiting> kept;
-    std::vector<Waiting> late;
-    std::vector<Waiting> waitingBefore = std::move(m_waiting);
-    for (Waiting &waiting : waitingBefore) {
-        const bool isHopeless = !waiting.claim.isContinuation
-            && expectedFirstToken(turn.now, waiting.claim, ahead) > waiting.deadline;
-        if (turn.now >= waiting.giveUpAt || (isHopeless && refusesLate)) {
-            refuse(turn, waiting.number, NotGranted::Why::Overload, waitBehind(ahead));
-            continue;
-        }
-        waiting.isLate = waiting.isLate || isHopeless;
-        if (!waiting.isLate) {
-            ++ahead.claims;
-            ahead.tokens += waiting.claim.promptTokens;
+    giveUp(turn, m_onTime, ahead);
+    for (auto it = m_onTime.begin(); it != m_onTime.end();) {
+        const auto present = it++;
+        const bool isHopeless = !present->claim.isContinuation
+            && expectedFirstToken(turn.now, *present, ahead) > present->deadline;
+        if (!isHopeless) {
+            addTo(ahead, *present);
+        } else if (refusesLate) {
+            refuse(turn, *present, NotGranted::Why::Overload, waitBehind(ahead));
+            m_onTime.erase(present);
+        } else {
+            const auto place =
+                std::find_if(m_late.rbegin(), m_late.rend(), [&](const Waiting &late) {
+                    return late.arrived <= present->arrived;
+                }).base();
+            m_late.splice(place, m_onTime, present);
         }
-        (waiting.isLate ? late : kept).push_back(std::move(waiting));
     }
-    std::stable_sort(late.begin(), late.end(),
-                     [](const Waiting &a, const Waiting &b) { return a.arrived < b.arrived; });
-    std::move(late.begin(), late.end(), std::back_inserter(kept));
-    m_waiting = std::move(kept);
+    giveUp(turn, m_late, ahead);
+}
+
+bool CellScheduler::Blocked::covers(const Waiting &waiting) const
+{
+    const auto &from = waiting.isShort ? shortTokens : longTokens;
+    return from && waiting.tokensToPrefill() >= *from;
+}
+
+void CellScheduler::Blocked::add(const Waiting &waiting)
+{
+    auto &from = waiting.isShort ? shortTokens : longTokens;
+    from = std::min(from.value_or(waiting.tokensToPrefill()), waiting.tokensToPrefill());
 }
 
 bool CellScheduler::grantNext(Turn &turn)
 {
     const Target *declared = target(turn);
-    if (!declared || freeInCell(turn, declared->isService ? Role::Service : Role::Decode) <= 0) {
+    const Role role = declared && declared->isService ? Role::Service : Role::Decode;
+    if (!declared || freeInCell(turn, role) - static_cast<std::int64_t>(m_prefillInFlight) <= 0) {
         return false;
     }
-    const auto firstLate = std::find_if(m_waiting.begin(), m_waiting.end(),
-                                        [](const Waiting &waiting) { return waiting.isLate; });
-    if (m_grantCount % LateShare == LateShare - 1 && firstLate != m_waiting.end()
-        && firstLate != m_waiting.begin()) {
-        const Waiting waiting = *firstLate;
-        if (tryGrant(turn, waiting)) {
-            m_waiting.erase(firstLate);
-            return true;
-        }
+    Blocked blocked;
+    const bool isTurnOfLate = m_grantCount % LateShare == LateShare - 1;
+    if (isTurnOfLate && !m_onTime.empty() && grantFirstFrom(turn, m_late, blocked)) {
+        return true;
     }
-    for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it) {
-        const Waiting waiting = *it;
-        if (tryGrant(turn, waiting)) {
-            m_waiting.erase(it);
+    return grantFirstFrom(turn, m_onTime, blocked) || grantFirstFrom(turn, m_late, blocked);
+}
+
+bool CellScheduler::grantFirstFrom(Turn &turn, Queue &queue, Blocked &blocked)
+{
+    for (auto it = queue.begin(); it != queue.end(); ++it) {
+        // With a long queue most claims are like one that was just tried in vain.
+        if (blocked.covers(*it)) {
+            continue;
+        }
+        if (tryGrant(turn, *it)) {
+            queue.erase(it);
             return true;
         }
+        blocked.add(*it);
     }
     return false;
 }
@@ -754,17 +838,18 @@
     ++m_grantCount;
     turn.count(Counter::ClaimsGranted);
     turn.add(Observe {Histogram::QueueWait, turn.now - waiting.arrived});
-    turn.reply(waiting.number, Granted {number, grant.server});
+    for (const PeerRequestNumber asked : waiting.numbers) {
+        turn.reply(asked, Granted {number, grant.server});
+    }
     return true;
 }
 
 void CellScheduler::enqueue(Waiting waiting)
 {
-    const auto at = std::upper_bound(
-        m_waiting.begin(), m_waiting.end(), waiting, [](const Waiting &a, const Waiting &b) {
-            return std::tie(a.isLate, a.order) < std::tie(b.isLate, b.order);
-        });
-    m_waiting.insert(at, std::move(waiting));
+    const auto after = std::find_if(m_onTime.rbegin(), m_onTime.rend(), [&](const Waiting &other) {
+        return other.order <= waiting.order;
+    });
+    m_onTime.insert(after.base(), std::move(waiting));
 }
 
 void CellScheduler::refuse(Turn &turn, PeerRequestNumber number, NotGranted::Why why,
@@ -774,9 +859,17 @@
     turn.reply(number, NotGranted {why, std::clamp(comeBackAfter, LeastComeBack, MostComeBack)});
 }
 
+void CellScheduler::refuse(Turn &turn, const Waiting &waiting, NotGranted::Why why,
+                           Duration comeBackAfter)
+{
+    for (const PeerRequestNumber number : waiting.numbers) {
+        refuse(turn, number, why, comeBackAfter);
+    }
+}
+
 void CellScheduler::noteRelease(TimePoint now)
 {
-    if (m_waiting.empty()) {
+    if (waiting() == 0) {
         m_lastRelease = {};
         return;
     }
--- a/src/placement/cellscheduler.h
+++ b/src/placement/cellscheduler.h
@@ -6,6 +6,7 @@
 #include <indigoway/events.h>
 #include <indigoway/messages.h>
 
+#include <list>
 #include <map>
 #include <optional>
 #include <set>
@@ -46,6 +47,8 @@
     void release(Turn &turn, PeerRequestNumber number, const ReleaseClaim &release);
     void adopt(Turn &turn, PeerRequestNumber number, ClaimNumber claim, const AdoptClaim &adopted);
     bool holds(ClaimNumber claim) const { return m_grants.contains(claim); }
+    /** Drops a claim whose owner has not heard of its grant, granted or not. */
+    void withdraw(Turn &turn, const ClaimIdentity &identity);
 
     void report(Turn &turn, const ReportArrived &report);
     void cacheEvents(const CacheEventsArrived &events);
@@ -60,10 +63,10 @@
 
     std::optional<TimePoint> nextDeadline() const;
     std::vector<GrantView> grants(TimePoint now) const;
-    std::size_t waiting() const { return m_waiting.size(); }
+    std::size_t waiting() const { return m_onTime.size() + m_late.size(); }
     /** Claims older than @p age, for the check whether their owners still know them. */
-    std::vector<std::pair<ClaimNumber, EngineRequestName>> olderThan(TimePoint now,
-                                                                     Duration age) const;
+    std::vector<std::pair<ClaimNumber, EngineRequestName>>
+    olderThan(TimePoint now, Duration prefillAge, Duration servingAge) const;
     NodeLife ownerOfClaim(ClaimNumber claim) const;
     void releaseLost(Turn &turn, ClaimNumber claim);
 
@@ -83,23 +86,29 @@
     };
     struct Waiting
     {
-        PeerRequestNumber number;
+        std::vector<PeerRequestNumber> numbers; ///< Of the call, and of its repetitions.
         ClaimCapacity claim;
         TimePoint arrived {};
         TimePoint deadline {};
         TimePoint giveUpAt {};
         TimePoint order {};
         bool isShort = false;
-        bool isLate = false;
+        std::uint32_t cachedTokens = 0; ///< On the best server, when it came.
+
+        std::uint32_t tokensToPrefill() const { return claim.promptTokens - cachedTokens; }
     };
+    using Queue = std::list<Waiting>;
     using Servers = std::map<ServerName, ServerLoad>;
 
+    /** Answers a claim that was made before; false if this one is new. */
+    bool isRepetition(Turn &turn, PeerRequestNumber number, const ClaimCapacity &claim);
     const Target *target(const Turn &turn) const;
     bool isSettled(TimePoint now) const;
+    bool isUsable(const Turn &turn, const ServerName &name,
+                  const std::vector<ServerName> &avoid) const;
     std::vector<ServerName> usable(const Turn &turn, Role role,
                                    const std::vector<ServerName> &avoid) const;
-    double medianPrefillSpeed() const;
-    double medianTokenTime() const;
+    void refreshMedians();
     double prefillSeconds(const Turn &turn, const ServerName &server, std::uint32_t tokens) const;
     double expectedTokenTime(const Turn &turn, const ServerName &server) const;
     /** Slots of @p server that may be filled now; a server seen slow gets one request to try. */
@@ -129,16 +138,28 @@
     };
     Backlog backlog(const Turn &turn) const;
     Backlog backlogBefore(const Turn &turn, const Waiting &waiting) const;
+    static void addTo(Backlog &backlog, const Waiting &waiting);
     /** How long a claim behind @p backlog is expected to wait for its grant. */
     Duration waitBehind(const Backlog &backlog) const;
-    TimePoint expectedFirstToken(TimePoint now, const ClaimCapacity &claim,
-                                 const Backlog &ahead) const;
+    TimePoint expectedFirstToken(TimePoint now, const Waiting &waiting, const Backlog &ahead) const;
     std::uint32_t mostCachedTokens(const ClaimCapacity &claim) const;
+    void giveUp(Turn &turn, Queue &queue, const Backlog &ahead);
     void markLate(Turn &turn);
+    /** What one pass over the queues found that cannot be granted now. */
+    struct Blocked
+    {
+        std::optional<std::uint32_t> shortTokens; ///< Short claims from this many tokens on.
+        std::optional<std::uint32_t> longTokens;
+
+        bool covers(const Waiting &waiting) const;
+        void add(const Waiting &waiting);
+    };
     bool grantNext(Turn &turn);
+    bool grantFirstFrom(Turn &turn, Queue &queue, Blocked &blocked);
     bool tryGrant(Turn &turn, const Waiting &waiting);
     void enqueue(Waiting waiting);
     void refuse(Turn &turn, PeerRequestNumber number, NotGranted::Why why, Duration comeBackAfter);
+    void refuse(Turn &turn, const Waiting &waiting, NotGranted::Why why, Duration comeBackAfter);
     void noteRelease(TimePoint now);
     void unassign(ClaimNumber number, const Grant &grant);
 
@@ -146,9 +167,12 @@
     TimePoint m_since;
     Servers m_servers;
     std::map<ClaimNumber, Grant> m_grants;
-    std::vector<Waiting> m_waiting; ///< In the order they are to be served.
+    Queue m_onTime; ///< By deadline and priority.
+    Queue m_late;   ///< Cannot meet their target any more; by arrival.
     std::map<std::uint64_t, std::set<ServerName>> m_prefixes;
     std::uint64_t m_grantCount = 0;
+    double m_medianPrefillSpeed = 0; ///< Tokens a second.
+    double m_medianTokenTime = 0;    ///< Seconds.
     /** Between releases while claims wait, smoothed, in seconds; 0 before two such. Taken only
      * then: the pace of an idle cell says nothing of its capacity. */
     double m_releaseInterval = 0;
--- a/src/placement/scheduler.cpp
+++ b/src/placement/scheduler.cpp
@@ -12,9 +12,11 @@
 constexpr Duration ReportInterval = std::chrono::milliseconds(500);
 /** One report in so many also lists the requests held; see Reclaimer. */
 constexpr std::uint64_t RoundsPerRequestList = 4;
-constexpr Duration ClaimCheckInterval = std::chrono::seconds(5);
-/** A claim this old is asked about: its release may have been lost. */
-constexpr Duration ClaimAge = std::chrono::seconds(10);
+constexpr Duration ClaimCheckInterval = std::chrono::seconds(2);
+/** Claims this old are asked about: their release may have been lost. A prefill is over sooner
+ * than a decode, and one that is not over keeps its server from the next. */
+constexpr Duration PrefillClaimAge = std::chrono::seconds(2);
+constexpr Duration ServingClaimAge = std::chrono::seconds(10);
 constexpr Duration CheckTimeout = std::chrono::seconds(1);
 
 } // namespace
@@ -75,12 +77,17 @@
 
 void Scheduler::handleRelease(Turn &turn, PeerRequestNumber number, const ReleaseClaim &release)
 {
-    CellScheduler *cell = cellWith(release.claim);
-    if (!cell) {
-        turn.reply(number, Acknowledged {});
+    if (CellScheduler *cell = cellWith(release.claim)) {
+        cell->release(turn, number, release);
         return;
     }
-    cell->release(turn, number, release);
+    const Cell cell {release.target, release.cell};
+    for (auto *cells : {&m_cells, &m_former}) {
+        if (const auto it = cells->find(cell); it != cells->end()) {
+            it->second.withdraw(turn, release.identity);
+        }
+    }
+    turn.reply(number, Acknowledged {});
 }
 
 void Scheduler::handleAdopt(Turn &turn, PeerRequestNumber number, const AdoptClaim &adopt)
@@ -229,7 +236,8 @@
 {
     for (auto &[cell, scheduler] : m_cells) {
         std::map<NodeLife, ClaimCheck> byOwner;
-        for (auto &[claim, name] : scheduler.olderThan(turn.now, ClaimAge)) {
+        for (auto &[claim, name] :
+             scheduler.olderThan(turn.now, PrefillClaimAge, ServingClaimAge)) {
             ClaimCheck &check = byOwner[scheduler.ownerOfClaim(claim)];
             check.cell = cell;
             check.claims.emplace_back(claim, name);
--- a/src/requests/capacityclaims.cpp
+++ b/src/requests/capacityclaims.cpp
@@ -8,10 +8,16 @@
 namespace {
 
 /** A claim may wait in the scheduler's queue; past this its scheduler is probed, since a frozen
- * one would leave the caller waiting for its whole patience. */
-constexpr Duration DoubtAfter = std::chrono::milliseconds(300);
-/** Added to a claim's patience, so that the scheduler's own refusal comes first. */
-constexpr Duration ClaimSlack = std::chrono::seconds(2);
+ * one would leave the caller waiting for its whole patience. With the probe's own time limit this
+ * leaves a lookup with a target of 680 ms time to be placed without the scheduler. */
+constexpr Duration DoubtAfter = std::chrono::milliseconds(150);
+constexpr Duration DoubtAgainAfter = std::chrono::seconds(1);
+/** A claim that was lost on its way would wait for its whole patience; so it is made again, which
+ * the scheduler knows for the same claim. */
+constexpr Duration FirstClaimTimeout = std::chrono::seconds(1);
+constexpr int MostClaimDoublings = 4;
+/** A scheduler that was silent is not asked for so long, unless it is heard of before. */
+constexpr Duration SilenceKept = std::chrono::seconds(1);
 constexpr Duration AssignTimeout = std::chrono::milliseconds(300);
 constexpr Duration AdoptTimeout = std::chrono::milliseconds(500);
 constexpr Duration ReleaseTimeout = std::chrono::seconds(1);
@@ -21,17 +27,45 @@
 
 } // namespace
 
-void CapacityClaims::claim(Turn &turn, const ClaimCapacity &wanted)
+std::optional<ClaimResult> CapacityClaims::claim(Turn &turn, const ClaimCapacity &wanted)
 {
     Claim &claim = m_claims[wanted.request];
     claim = {};
     claim.wanted = wanted;
-    sendClaim(turn, claim);
+    if (sendClaim(turn, claim)) {
+        return std::nullopt;
+    }
+    m_claims.erase(wanted.request);
+    return SchedulerUnreachable {wanted.request};
+}
+
+std::vector<ClaimResult> CapacityClaims::schedulerSilent(Turn &turn, const NodeName &node)
+{
+    m_silentUntil[node] = turn.now + SilenceKept;
+    std::vector<ClaimResult> results;
+    for (auto it = m_claims.begin(); it != m_claims.end();) {
+        if (it->second.state != State::Waiting || it->second.scheduler.node != node) {
+            ++it;
+            continue;
+        }
+        results.emplace_back(SchedulerUnreachable {it->first});
+        withdraw(turn, it->second);
+        it = m_claims.erase(it);
+    }
+    return results;
+}
+
+bool CapacityClaims::isAnswering(const Turn &turn, const NodeName &node) const
+{
+    const MemberUpdate *member = turn.members.member(node);
+    const auto silent = m_silentUntil.find(node);
+    return member && member->state != MemberState::Suspect
+        && (silent == m_silentUntil.end() || turn.now >= silent->second);
 }
 
-std::optional<ClaimResult>
-CapacityClaims::prefillSucceeded(Turn &turn, RequestNumber request, Duration elapsed,
-                                 const std::vector<ServerName> &avoid)
+std::optional<ClaimResult> CapacityClaims::prefillSucceeded(Turn &turn, RequestNumber request,
+                                                            Duration elapsed,
+                                                            const std::vector<ServerName> &avoid)
 {
     const auto it = m_claims.find(request);
     if (it == m_claims.end()) {
@@ -75,11 +109,11 @@
     m_claims.erase(it);
     m_timers.clear({Timer::Doubt, request.value()});
     m_calls.erase(claim.call);
-    if (claim.state == State::Waiting || claim.state == State::Adopting) {
-        m_abandoned[claim.call] = claim.scheduler;
-        return;
-    }
-    sendRelease(turn, {claim.scheduler, {claim.number, tokens, decodeTime, serverFailed}, 0});
+    ReleaseClaim message = releaseOf(claim);
+    message.tokens = tokens;
+    message.decodeTime = decodeTime;
+    message.serverFailed = serverFailed;
+    sendRelease(turn, {claim.scheduler, message, 0});
 }
 
 std::optional<ClaimResult> CapacityClaims::handleAnswer(Turn &turn, PeerCallNumber call,
@@ -94,14 +128,6 @@
         }
         return answered(turn, claim->second, outcome);
     }
-    if (const auto it = m_abandoned.find(call); it != m_abandoned.end()) {
-        const auto *granted = reply ? std::get_if<Granted>(reply) : nullptr;
-        if (granted) {
-            sendRelease(turn, {it->second, {granted->claim, 0, {}, false}, 0});
-        }
-        m_abandoned.erase(it);
-        return std::nullopt;
-    }
     if (const auto it = m_releases.find(call); it != m_releases.end()) {
         Release release = std::move(it->second);
         m_releases.erase(it);
@@ -127,8 +153,11 @@
             if (next == claim.scheduler && isDoubtful) {
                 unreachable.push_back(request);
             } else if (next != claim.scheduler) {
-                forgetCall(claim);
-                sendClaim(turn, claim);
+                withdraw(turn, claim);
+                claim.asks = 0;
+                if (!sendClaim(turn, claim)) {
+                    unreachable.push_back(request);
+                }
             }
             continue;
         }
@@ -137,7 +166,7 @@
         }
     }
     for (const RequestNumber request : unreachable) {
-        forgetCall(m_claims.at(request));
+        withdraw(turn, m_claims.at(request));
         m_claims.erase(request);
         results.emplace_back(SchedulerUnreachable {request});
     }
@@ -151,7 +180,7 @@
             const auto it = m_claims.find(RequestNumber(number));
             if (it != m_claims.end() && it->second.state == State::Waiting) {
                 m_doubted.insert(it->second.scheduler.node);
-                m_timers.set({Timer::Doubt, number}, turn.now + DoubtAfter * 4);
+                m_timers.set({Timer::Doubt, number}, turn.now + DoubtAgainAfter);
             }
             continue;
         }
@@ -168,14 +197,20 @@
     return it != m_claims.end() && it->second.state == State::Waiting;
 }
 
-void CapacityClaims::sendClaim(Turn &turn, Claim &claim)
+bool CapacityClaims::sendClaim(Turn &turn, Claim &claim)
 {
     claim.state = State::Waiting;
     claim.scheduler = schedulerFor(turn, claim.wanted);
-    const Duration timeout = claim.wanted.patience + ClaimSlack;
+    if (!isAnswering(turn, claim.scheduler.node)) {
+        return false;
+    }
+    const Duration timeout = FirstClaimTimeout * (1 << std::min(claim.asks++, MostClaimDoublings));
     claim.call = turn.ask(claim.scheduler.node, claim.wanted, timeout);
     m_calls[claim.call] = claim.wanted.request;
-    m_timers.set({Timer::Doubt, claim.wanted.request.value()}, turn.now + DoubtAfter);
+    if (claim.asks == 1) {
+        m_timers.set({Timer::Doubt, claim.wanted.request.value()}, turn.now + DoubtAfter);
+    }
+    return true;
 }
 
 void CapacityClaims::sendRelease(Turn &turn, Release release)
@@ -184,11 +219,23 @@
     m_releases[call] = std::move(release);
 }
 
-void CapacityClaims::forgetCall(const Claim &claim)
+void CapacityClaims::withdraw(Turn &turn, const Claim &claim)
 {
     m_calls.erase(claim.call);
-    m_abandoned[claim.call] = claim.scheduler;
     m_timers.clear({Timer::Doubt, claim.wanted.request.value()});
+    if (turn.members.mayLive(claim.scheduler)) {
+        sendRelease(turn, {claim.scheduler, releaseOf(claim), 0});
+    }
+}
+
+ReleaseClaim CapacityClaims::releaseOf(const Claim &claim) const
+{
+    ReleaseClaim message;
+    message.claim = claim.number;
+    message.identity = claim.wanted.identity();
+    message.target = claim.wanted.target;
+    message.cell = claim.wanted.cell;
+    return message;
 }
 
 std::optional<ClaimResult> CapacityClaims::answered(Turn &turn, Claim &claim,
@@ -197,7 +244,7 @@
     const auto *reply = std::get_if<PeerReply>(&outcome);
     switch (claim.state) {
     case State::Waiting:
-        return claimAnswered(turn, claim, reply);
+        return claimAnswered(turn, claim, outcome);
     case State::Assigning:
         return assignAnswered(turn, claim, reply);
     case State::Adopting:
@@ -208,10 +255,15 @@
     return std::nullopt;
 }
 
-std::optional<ClaimResult> CapacityClaims::claimAnswered(Turn & /*turn*/, Claim &claim,
-                                                         const PeerReply *reply)
+std::optional<ClaimResult> CapacityClaims::claimAnswered(Turn &turn, Claim &claim,
+                                                         const PeerOutcome &outcome)
 {
     const RequestNumber request = claim.wanted.request;
+    const auto *reply = std::get_if<PeerReply>(&outcome);
+    const auto *failed = std::get_if<PeerFailed>(&outcome);
+    if (failed && failed->isTimeout && sendClaim(turn, claim)) {
+        return std::nullopt;
+    }
     m_timers.clear({Timer::Doubt, request.value()});
     if (const auto *granted = reply ? std::get_if<Granted>(reply) : nullptr) {
         claim.state = State::Held;
@@ -243,7 +295,7 @@
     }
     // The scheduler is gone or has forgotten the claim. The prefill's result lives for less than
     // a second: choosing alone now wastes nothing, asking around would.
-    const Release release {claim.scheduler, {claim.number, 0, {}, false}, 0};
+    const Release release {claim.scheduler, releaseOf(claim), 0};
     m_claims.erase(request);
     sendRelease(turn, release);
     return SchedulerUnreachable {request};
@@ -279,18 +331,14 @@
     if (claim.state == State::Assigning) {
         m_calls.erase(claim.call);
         ended = PrefillEnded {claim.number, true, Duration::zero(), {}};
-    } else if (claim.state == State::Adopting) {
-        m_calls.erase(claim.call);
-        m_abandoned[claim.call] = claim.scheduler;
-    }
-    if (claim.state != State::Adopting && turn.members.mayLive(claim.scheduler)) {
-        sendRelease(turn, {claim.scheduler, {claim.number, 0, {}, false}, 0});
     }
+    withdraw(turn, claim);
     claim.state = State::Adopting;
     claim.scheduler = next;
     claim.afterAdoption = ended;
-    const AdoptClaim message {claim.wanted.owner, claim.wanted.request, claim.wanted.target,
-                              claim.wanted.cell,  claim.server,         claim.wanted.outputTokens};
+    const AdoptClaim message {claim.wanted.owner,       claim.wanted.request, claim.wanted.attempt,
+                              claim.wanted.target,      claim.wanted.cell,    claim.server,
+                              claim.wanted.outputTokens};
     claim.call = turn.ask(next.node, message, AdoptTimeout);
     m_calls[claim.call] = claim.wanted.request;
 }
--- a/src/requests/capacityclaims.h
+++ b/src/requests/capacityclaims.h
@@ -53,13 +53,14 @@
 class CapacityClaims
 {
 public:
-    void claim(Turn &turn, const ClaimCapacity &wanted);
+    /** Asks for capacity; a ClaimResult follows, or is returned if no scheduler can be asked. */
+    std::optional<ClaimResult> claim(Turn &turn, const ClaimCapacity &wanted);
     /**
      * Tells the scheduler that the prefill is done; a ClaimResult with the server follows. It is
      * returned at once if the claim was lost with its scheduler.
      */
     std::optional<ClaimResult> prefillSucceeded(Turn &turn, RequestNumber request, Duration elapsed,
-                          const std::vector<ServerName> &avoid);
+                                                const std::vector<ServerName> &avoid);
     /** Tells the scheduler that the prefill failed, which ends the claim. */
     void prefillFailed(Turn &turn, RequestNumber request);
     /** Ends the claim whatever its state; nothing if there is none. */
@@ -68,6 +69,8 @@
 
     std::optional<ClaimResult> handleAnswer(Turn &turn, PeerCallNumber call,
                                             const PeerOutcome &outcome);
+    /** @p node let a probe go unanswered: claims that wait for it are given up for now. */
+    std::vector<ClaimResult> schedulerSilent(Turn &turn, const NodeName &node);
     /** Moves claims whose scheduler has changed or died. */
     std::vector<ClaimResult> membersChanged(Turn &turn);
     void runDue(Turn &turn);
@@ -93,6 +96,7 @@
         ClaimNumber number;
         ServerName server;
         std::optional<PrefillEnded> afterAdoption; ///< The prefill ended meanwhile.
+        int asks = 0;
     };
     struct Release
     {
@@ -106,11 +110,15 @@
     };
     using TimerKey = std::pair<Timer, std::uint64_t>;
 
-    void sendClaim(Turn &turn, Claim &claim);
+    /** False if the scheduler is known not to answer. */
+    bool sendClaim(Turn &turn, Claim &claim);
+    bool isAnswering(const Turn &turn, const NodeName &node) const;
     void sendRelease(Turn &turn, Release release);
-    void forgetCall(const Claim &claim);
+    /** Takes back a claim that was not answered; the scheduler may or may not have granted it. */
+    void withdraw(Turn &turn, const Claim &claim);
+    ReleaseClaim releaseOf(const Claim &claim) const;
     std::optional<ClaimResult> answered(Turn &turn, Claim &claim, const PeerOutcome &outcome);
-    std::optional<ClaimResult> claimAnswered(Turn &turn, Claim &claim, const PeerReply *reply);
+    std::optional<ClaimResult> claimAnswered(Turn &turn, Claim &claim, const PeerOutcome &outcome);
     std::optional<ClaimResult> assignAnswered(Turn &turn, Claim &claim, const PeerReply *reply);
     std::optional<ClaimResult> adoptAnswered(Turn &turn, Claim &claim, const PeerReply *reply);
     void adoptElsewhere(Turn &turn, Claim &claim, const NodeLife &next);
@@ -118,13 +126,12 @@
 
     std::map<RequestNumber, Claim> m_claims;
     std::map<PeerCallNumber, RequestNumber> m_calls;
-    /** Claims given up before they were answered: a grant that comes late is given back. */
-    std::map<PeerCallNumber, NodeLife> m_abandoned;
     std::map<PeerCallNumber, Release> m_releases;
     std::map<std::uint64_t, Release> m_releasesToRetry;
     std::uint64_t m_lastRetry = 0;
     Deadlines<TimerKey> m_timers;
     std::set<NodeName> m_doubted;
+    std::map<NodeName, TimePoint> m_silentUntil;
 };
 
 } // namespace indigoway
--- a/src/requests/requests.cpp
+++ b/src/requests/requests.cpp
@@ -131,8 +131,7 @@
     turn.add(Observe {Histogram::PrefillTime, elapsed});
     request->stage = RequestStage::Assigning;
     if (!request->isAlone) {
-        const auto result
-            = m_claims.prefillSucceeded(turn, number, elapsed, request->avoid);
+        const auto result = m_claims.prefillSucceeded(turn, number, elapsed, request->avoid);
         if (result) {
             handleResult(turn, *result);
         }
@@ -251,6 +250,13 @@
     }
 }
 
+void Requests::schedulerSilent(Turn &turn, const NodeName &node)
+{
+    for (const ClaimResult &result : m_claims.schedulerSilent(turn, node)) {
+        handleResult(turn, result);
+    }
+}
+
 void Requests::configurationChanged(Turn &turn)
 {
     std::vector<RequestNumber> stopped;
@@ -388,7 +394,9 @@
     wanted.isContinuation = request.answered > 0;
     wanted.prefixHashes = request.spec.prefixHashes;
     wanted.avoid = request.avoid;
-    m_claims.claim(turn, wanted);
+    if (const auto result = m_claims.claim(turn, wanted)) {
+        handleResult(turn, *result);
+    }
 }
 
 void Requests::handleResult(Turn &turn, const ClaimResult &result)
@@ -536,6 +544,7 @@
 std::optional<ServerName> Requests::chooseAlone(Turn &turn, const Request &request, Role role)
 {
     std::vector<ServerName> candidates;
+    std::vector<ServerName> avoided;
     std::uint32_t slots = 0;
     const std::uint32_t cells = turn.cells.count(request.spec.target);
     for (std::uint32_t cell = 0; cell < cells; ++cell) {
@@ -543,12 +552,15 @@
             const Server *server = turn.deployment.server(name);
             const bool isAvoided =
                 std::find(request.avoid.begin(), request.avoid.end(), name) != request.avoid.end();
-            if (server->state == ServerState::Active && !isAvoided) {
-                candidates.push_back(name);
+            if (server->state == ServerState::Active) {
+                (isAvoided ? avoided : candidates).push_back(name);
                 slots = std::max(slots, server->slots);
             }
         }
     }
+    if (candidates.empty()) {
+        candidates = std::move(avoided);
+    }
     if (m_mode == PlacementMode::Alone) {
         return m_local.choose(turn, candidates, 0);
     }
--- a/src/requests/requests.h
+++ b/src/requests/requests.h
@@ -79,6 +79,7 @@
     bool handleAnswer(Turn &turn, PeerCallNumber call, const PeerOutcome &outcome);
     void storeAnswered(Turn &turn, const StoreAnswered &answer);
     void membersChanged(Turn &turn);
+    void schedulerSilent(Turn &turn, const NodeName &node);
     /** Cancels what runs on servers that operators have stopped or removed. */
     void configurationChanged(Turn &turn);
     void runDue(Turn &turn);
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -504,9 +504,8 @@
     }
     m_lastFence = std::max(m_lastFence, fence);
     m_orders.append(body);
-    m_loop.after(m_settings.loadTime, [this, version = stringMember(body, "version")] {
-        m_settings.version = version;
-    });
+    m_loop.after(m_settings.loadTime,
+                 [this, version = stringMember(body, "version")] { m_settings.version = version; });
     json(request.exchange, Json::objectValue);
 }
 
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -80,7 +80,8 @@
         return;
     }
     if (reply.isNull()) {
-        m_server.reply(request.exchange, 400, JsonType, "{\"error\":\"request is too large or its lease has ended\"}");
+        m_server.reply(request.exchange, 400, JsonType,
+                       "{\"error\":\"request is too large or its lease has ended\"}");
         return;
     }
     if (m_dropNextAnswers > 0 && request.path == "/v3/kv/txn") {
--- a/tests/core/promisestest.cpp
+++ b/tests/core/promisestest.cpp
@@ -84,7 +84,8 @@
 class Story
 {
 public:
-    explicit Story(std::uint64_t seed) : m_world(settings(seed))
+    explicit Story(std::uint64_t seed)
+        : m_world(settings(seed))
     {
         addSmallDeployment(m_world, {});
         m_world.startAll();
@@ -223,8 +224,8 @@
         }
         for (const std::string &name : m_world.engineNames()) {
             if (!m_world.engine(name).held().empty()) {
-                RC_FAIL(name + " still holds " + m_world.engine(name).held().front().text()
-                        + "; " + describe());
+                RC_FAIL(name + " still holds " + m_world.engine(name).held().front().text() + "; "
+                        + describe());
             }
         }
         for (std::size_t i = 0; i < Nodes; ++i) {
@@ -251,8 +252,8 @@
                 text += " [" + stageName(view.stage) + " on " + view.server.text() + "]";
             }
             for (std::size_t j = 0; j < Nodes; ++j) {
-                const MemberUpdate *other
-                    = node.membership().member(NodeName("n" + std::to_string(j)));
+                const MemberUpdate *other =
+                    node.membership().member(NodeName("n" + std::to_string(j)));
                 text += other ? " n" + std::to_string(j) + "="
                         + std::to_string(static_cast<int>(other->state)) + "/"
                         + std::to_string(other->life.incarnation.value()) + "/"
@@ -294,16 +295,16 @@
     // the faults are over: every request has ended, and no engine or scheduler holds anything.
     void holdInRandomStories()
     {
-        const bool isOk = rc::check("promises", [](std::uint16_t seed,
-                                                   const std::vector<Happening> &happenings) {
-            Story story(seed);
-            for (const Happening &one : happenings) {
-                story.play(one);
-                story.check();
-            }
-            story.settle();
-            story.checkSettled();
-        });
+        const bool isOk =
+            rc::check("promises", [](std::uint16_t seed, const std::vector<Happening> &happenings) {
+                Story story(seed);
+                for (const Happening &one : happenings) {
+                    story.play(one);
+                    story.check();
+                }
+                story.settle();
+                story.checkSettled();
+            });
         CPPUNIT_ASSERT(isOk);
     }
 };
