--- a/src/settings/flagset.cpp
+++ b/src/settings/flagset.cpp
@@ -60,6 +60,10 @@
         const std::size_t equals = word.find('=');
         std::string name = word.substr(2, equals == std::string::npos ? equals : equals - 2);
         std::replace(name.begin(), name.end(), '-', '_');
+        if (name == "help_markdown") {
+            line.wantsMarkdown = true;
+            continue;
+        }
         if (name == "help") {
             line.wantsHelp = true;
             continue;
@@ -117,6 +121,10 @@
         std::exit(UsageError);
     }
     const auto &line = std::get<CommandLine>(parsed);
+    if (line.wantsMarkdown) {
+        std::printf("%s", flags.markdown().c_str());
+        std::exit(0);
+    }
     if (line.wantsHelp) {
         std::printf("%s", flags.help().c_str());
         std::exit(0);
--- a/src/settings/flagset.h
+++ b/src/settings/flagset.h
@@ -11,6 +11,7 @@
 {
     std::vector<std::string> words;
     bool wantsHelp = false;
+    bool wantsMarkdown = false; ///< The settings as rows for docs/SETTINGS.md.
 };
 
 /** All that is wrong with a command line and its environment. */
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -119,25 +119,25 @@
         const std::vector<std::string> &words = step.words;
         static const std::map<std::string, void (Player::*)(const std::vector<std::string> &)>
             Steps {
-                {"nodes", &Player::setNodes},       {"model", &Player::setModel},
-                {"slots", &Player::setSlots},       {"send", &Player::send},
-                {"wait", &Player::wait},            {"expect", &Player::expect},
-                {"kill", &Player::kill},            {"restart", &Player::restart},
-                {"start", &Player::start},          {"leave", &Player::leave},
-                {"freeze", &Player::freeze},        {"thaw", &Player::thaw},
-                {"break", &Player::breakStreams},   {"stall", &Player::stall},
-                {"unstall", &Player::unstall},      {"slow", &Player::slow},
-                {"store", &Player::store},          {"cut", &Player::cut},
-                {"heal", &Player::heal},            {"caller", &Player::caller},
-                {"command", &Player::command},      {"ignores-fencing", &Player::ignoresFencing},
+                {"nodes", &Player::setNodes},     {"model", &Player::setModel},
+                {"slots", &Player::setSlots},     {"send", &Player::send},
+                {"wait", &Player::wait},          {"expect", &Player::expect},
+                {"kill", &Player::kill},          {"restart", &Player::restart},
+                {"start", &Player::start},        {"leave", &Player::leave},
+                {"freeze", &Player::freeze},      {"thaw", &Player::thaw},
+                {"break", &Player::breakStreams}, {"stall", &Player::stall},
+                {"unstall", &Player::unstall},    {"slow", &Player::slow},
+                {"store", &Player::store},        {"cut", &Player::cut},
+                {"heal", &Player::heal},          {"caller", &Player::caller},
+                {"command", &Player::command},    {"ignores-fencing", &Player::ignoresFencing},
                 {"version", &Player::setVersion},
             };
         const auto it = Steps.find(words.front());
         if (it == Steps.end()) {
             throw Failure("no such step: " + words.front());
         }
-        const bool isSetting
-            = words.front() == "nodes" || words.front() == "model" || words.front() == "slots";
+        const bool isSetting =
+            words.front() == "nodes" || words.front() == "model" || words.front() == "slots";
         if (!isSetting) {
             begin();
         }
@@ -434,9 +434,8 @@
     {
         const auto addresses = m_world->node(node).callerAddresses(DomainName("hall-a"), 1);
         const std::string wanted = "n" + std::to_string(nodeOf(name));
-        return std::any_of(addresses.begin(), addresses.end(), [&](const CallerAddress &one) {
-            return one.node.text() == wanted;
-        });
+        return std::any_of(addresses.begin(), addresses.end(),
+                           [&](const CallerAddress &one) { return one.node.text() == wanted; });
     }
 
     bool commandIs(const std::string &name, const std::string &state) const
--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -9,8 +9,8 @@
  * Returns what went wrong with its line, or nothing.
  *
  *   nodes 4                          the world; before the first step
- *   send model A to n0 prompt 500 output 20      (service, once KEY; "refuse" late policy in `model`)
- *   wait 500ms | wait until A is whole|refused|decoding|prefilling|queued within 10s
+ *   send model A to n0 prompt 500 output 20      (service, once KEY; "refuse" late policy in
+ * `model`) wait 500ms | wait until A is whole|refused|decoding|prefilling|queued within 10s
  *   kill|freeze|thaw|start|leave node n1 | scheduler          the node that schedules the model
  *   kill|restart|freeze|thaw|break|stall|unstall|slow engine d0 [4]
  *   store away|back|drops 2          cut n0 n1, cut n0 store, heal
--- a/tests/scenarios/scenariotest.cpp
+++ b/tests/scenarios/scenariotest.cpp
@@ -1,8 +1,8 @@
 #include "scenarios/scenario.h"
 
+#include <cppunit/TestCaller.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <cppunit/extensions/TestFactoryRegistry.h>
-#include <cppunit/TestCaller.h>
 
 #include <algorithm>
 #include <filesystem>
@@ -53,9 +53,9 @@
     {
     public:
         explicit FileCase(const std::filesystem::path &path)
-            : TestCase(path.stem().string()), m_path(path)
-        {
-        }
+            : TestCase(path.stem().string())
+            , m_path(path)
+        { }
         void runTest() override
         {
             const std::string text = textOf(m_path);
--- /dev/null
+++ b/tests/settings/flagsettest.cpp
@@ -0,0 +1,66 @@
+#include "settings/flagset.h"
+
+#include "daemon/daemonsettings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+using namespace indigoway;
+
+class FlagSetTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FlagSetTest);
+    CPPUNIT_TEST(listsAllFaultsAtOnce);
+    CPPUNIT_TEST(theCommandLineWinsOverTheEnvironment);
+    CPPUNIT_TEST(thePageOfSettingsIsThePrograms);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::variant<CommandLine, CommandLineFaults> parse(std::vector<std::string> words)
+    {
+        words.insert(words.begin(), "indigowayd");
+        std::vector<char *> arguments;
+        for (std::string &word : words) {
+            arguments.push_back(word.data());
+        }
+        return daemonFlags().parse(static_cast<int>(arguments.size()), arguments.data());
+    }
+
+    void listsAllFaultsAtOnce()
+    {
+        const auto parsed = parse({"--most-open=many", "--nonsense=1", "--node"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t {3}, std::get<CommandLineFaults>(parsed).faults.size());
+        CPPUNIT_ASSERT(std::holds_alternative<CommandLine>(
+            parse({"--node=a.b", "--domain=", "--callers=x", "--token=short", "--most-open=1"})));
+        const auto settings = checkedDaemonSettings(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {4}, std::get<CommandLineFaults>(settings).faults.size());
+    }
+
+    void theCommandLineWinsOverTheEnvironment()
+    {
+        setenv("INDIGOWAY_NODE", "from-environment", 1);
+        parse({"--domain=hall-a", "--callers=127.0.0.1:0", "--token=0123456789abcdef"});
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("from-environment"),
+            std::get<DaemonSettings>(checkedDaemonSettings(1)).node.life.node.text());
+        parse({"--node=from-line"});
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("from-line"),
+            std::get<DaemonSettings>(checkedDaemonSettings(1)).node.life.node.text());
+        unsetenv("INDIGOWAY_NODE");
+    }
+
+    void thePageOfSettingsIsThePrograms()
+    {
+        std::ifstream file("docs/SETTINGS.md");
+        std::ostringstream text;
+        text << file.rdbuf();
+        CPPUNIT_ASSERT_MESSAGE("docs/SETTINGS.md must hold these rows:\n"
+                                   + daemonFlags().markdown(),
+                               text.str().find(daemonFlags().markdown()) != std::string::npos);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FlagSetTest);
