Measure what a node adds, and count control traffic

Cause: no figure for the node's own cost, nor for control per node.

Linter's findings in the fakes mended. A test that mends nothing is not among the changes.

--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,8 @@
 # Analyses every source file; warnings are errors.
 tidy: build
 	git ls-files 'src/*.cpp' 'standins/*.cpp' 'bench/*.cpp' | xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD)
+
+# make bench, or one part: make bench PART=policy
+PART ?= relay policy capacity
+bench: build
+	for part in $(PART); do BUILD=$(BUILD) bash bench/$$part.sh || exit 1; done
--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <random>
+#include <sstream>
 
 namespace indigoway::bench {
 
@@ -104,6 +105,15 @@
     return arrivals;
 }
 
+std::string serverLine(const std::string &name, const std::string &pool, int host,
+                       std::uint32_t slots)
+{
+    std::ostringstream line;
+    line << "server " << name << " pool " << pool << " address 10.1.0." << host
+         << ":8000 domain hall-a slots " << slots << '\n';
+    return line.str();
+}
+
 std::string declarations(const ExperimentDeployment &deployment, LatePolicy late)
 {
     Duration longest = 0s;
@@ -122,9 +132,7 @@
     int host = 1;
     const auto add = [&](const std::string &prefix, const std::string &pool, int count) {
         for (int i = 0; i < count; ++i) {
-            text += "server " + prefix + std::to_string(i) + " pool " + pool + " address 10.1.0."
-                + std::to_string(host++) + ":8000 domain hall-a slots "
-                + std::to_string(deployment.engine.slots) + "\n";
+            text += serverLine(prefix + std::to_string(i), pool, host++, deployment.engine.slots);
         }
     };
     add("p", "prefill", deployment.prefills);
--- a/bench/fakes/deployments.cpp
+++ b/bench/fakes/deployments.cpp
@@ -1,5 +1,7 @@
 #include "deployments.h"
 
+#include <sstream>
+
 namespace indigoway::fakes {
 
 void addSmallDeployment(World &world, const SmallDeployment &deployment)
@@ -13,8 +15,10 @@
                          std::uint32_t slots) {
         for (int i = 0; i < count; ++i) {
             const std::string name = prefix + std::to_string(i);
-            text += "server " + name + " pool " + pool + " address 10.1.0." + std::to_string(host++)
-                + ":8000 domain hall-a slots " + std::to_string(slots) + "\n";
+            std::ostringstream line;
+            line << "server " << name << " pool " << pool << " address 10.1.0." << host++
+                 << ":8000 domain hall-a slots " << slots << '\n';
+            text += line.str();
             world.addEngine(name, deployment.engine);
         }
     };
--- a/bench/fakes/world.cpp
+++ b/bench/fakes/world.cpp
@@ -527,7 +527,7 @@
                 }
                 return;
             }
-            deliver(to, effect.request, [=, this](PeerReply reply) {
+            deliver(to, effect.request, [=, this](const PeerReply &reply) {
                 m_timeline.after(jittered(m_settings.nodeDelay), [=, this] {
                     if (!m_cuts.contains(std::minmax(index, to))) {
                         answer(PeerOutcome {reply});
@@ -538,7 +538,8 @@
     }
 }
 
-void World::deliver(std::size_t to, PeerRequest request, std::function<void(PeerReply)> reply)
+void World::deliver(std::size_t to, PeerRequest request,
+                    std::function<void(const PeerReply &)> reply)
 {
     Slot &slot = m_slots[to];
     const PeerRequestNumber number(++m_lastNumber);
--- a/bench/fakes/world.h
+++ b/bench/fakes/world.h
@@ -142,7 +142,7 @@
         std::uint64_t wakePlan = 0;
         std::map<RequestNumber, std::size_t> requests;
         std::map<CommandNumber, std::size_t> commands;
-        std::map<PeerRequestNumber, std::function<void(PeerReply)>> peerRequests;
+        std::map<PeerRequestNumber, std::function<void(const PeerReply &)>> peerRequests;
         std::set<CallNumber> calls; ///< To backend servers, not abandoned.
         std::map<CallNumber, std::pair<ServerName, EngineRequestName>> streams;
         std::map<ServerName, ReportArrived> lagging;
@@ -177,7 +177,7 @@
                      bool isLast);
     CallerView *caller(std::size_t index, RequestNumber request);
     void noteStart(std::size_t index, RequestNumber request, const ServerName &server);
-    void deliver(std::size_t to, PeerRequest request, std::function<void(PeerReply)> reply);
+    void deliver(std::size_t to, PeerRequest request, std::function<void(const PeerReply &)> reply);
     std::size_t findNode(const NodeName &name, const std::string &address) const;
     void breach(const std::string &what);
     void broadcastReports();
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -173,7 +173,17 @@
 
 std::string Daemon::metricsText() const
 {
+    const TrafficCount &peers = m_client.traffic(Traffic::Peers);
+    const TrafficCount &store = m_client.traffic(Traffic::Store);
+    const TrafficCount &reports = m_client.traffic(Traffic::Reports);
     return m_metrics.text({
+        {"peer_calls_made", static_cast<double>(peers.calls)},
+        {"peer_bytes_sent", static_cast<double>(peers.bytesSent)},
+        {"peer_bytes_received", static_cast<double>(peers.bytesReceived)},
+        {"store_calls_made", static_cast<double>(store.calls)},
+        {"store_bytes", static_cast<double>(store.bytesSent + store.bytesReceived)},
+        {"report_calls_made", static_cast<double>(reports.calls)},
+        {"report_bytes", static_cast<double>(reports.bytesSent + reports.bytesReceived)},
         {"requests_open", static_cast<double>(m_node->requests().open())},
         {"requests_unfinished", static_cast<double>(m_node->requests().unfinished())},
         {"claims_waiting", static_cast<double>(m_node->scheduler().waiting())},
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -3,9 +3,25 @@
 
 #include <spdlog/spdlog.h>
 
+#include <sys/resource.h>
+
 #include <chrono>
 #include <cstdio>
 
+namespace {
+
+/** Each open request takes two connections; the usual soft limit is 1024. */
+void raiseFileLimit()
+{
+    rlimit limit {};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = limit.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
+} // namespace
+
 int main(int argc, char **argv)
 {
     using namespace indigoway;
@@ -22,6 +38,7 @@
         return UsageError;
     }
     auto &checked = std::get<DaemonSettings>(settings);
+    raiseFileLimit();
     if (checked.logsJson) {
         spdlog::set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","node":")"
                             + checked.node.life.node.text() + R"(","message":"%v"})");
--- a/src/http/backendcalls.cpp
+++ b/src/http/backendcalls.cpp
@@ -337,6 +337,7 @@
     http.method = "DELETE";
     http.path = "/v1/requests/" + effect.request.text();
     http.timeout = CancelTimeout;
+    http.traffic = Traffic::Reports;
     m_client.start(std::move(http), [this, effect](const HttpAnswer &answer) {
         const bool isComplete = answer.end == HttpAnswer::End::Complete;
         const bool isConfirmed =
@@ -351,6 +352,7 @@
     http.address = effect.address;
     http.path = "/metrics";
     http.timeout = ReportTimeout;
+    http.traffic = Traffic::Reports;
     m_client.start(std::move(http), [this, effect](const HttpAnswer &answer) {
         ReportArrived report;
         report.server = effect.server;
@@ -383,6 +385,7 @@
     http.headers = {{"Content-Type", "application/json"}};
     http.body = jsonText(body);
     http.timeout = OrderTimeout;
+    http.traffic = Traffic::Reports;
     // A connection kept from before a pause may be half dead: the order could arrive much later.
     http.isFreshConnection = true;
     m_client.start(std::move(http), [this, effect](const HttpAnswer &answer) {
@@ -397,6 +400,7 @@
     http.address = effect.address;
     http.path = "/v1/requests";
     http.timeout = ReportTimeout;
+    http.traffic = Traffic::Reports;
     m_client.start(std::move(http), [this, report](const HttpAnswer &answer) {
         ReportArrived whole = report;
         const Json::Value body = parseJson(answer.body);
@@ -416,6 +420,7 @@
     http.address = effect.address;
     http.path = "/v1/cache_events?since=" + std::to_string(m_cacheCursors[effect.server]);
     http.timeout = ReportTimeout;
+    http.traffic = Traffic::Reports;
     m_client.start(std::move(http),
                    [this, effect](const HttpAnswer &answer) { cacheEvents(effect, answer); });
 }
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -34,6 +34,19 @@
     return it == Commands.end() ? EVHTTP_REQ_GET : it->second;
 }
 
+/** Of a request or status line with what ends the head. */
+constexpr std::size_t LineOverhead = 20;
+constexpr std::size_t HeaderOverhead = 4;
+
+std::size_t headBytes(const HttpHeaders &headers)
+{
+    std::size_t bytes = LineOverhead;
+    for (const auto &[name, value] : headers) {
+        bytes += name.size() + value.size() + HeaderOverhead;
+    }
+    return bytes;
+}
+
 std::string takeInput(evhttp_request *request)
 {
     evbuffer *input = evhttp_request_get_input_buffer(request);
@@ -56,6 +69,7 @@
     event *timer = nullptr;
     DoneHandler done;
     ChunkHandler chunk;
+    Traffic traffic = Traffic::Requests;
 
     Call() = default;
     Call(const Call &) = delete;
@@ -105,6 +119,11 @@
     call->isFresh = wanted.isFreshConnection;
     call->done = std::move(done);
     call->chunk = std::move(chunk);
+    call->traffic = wanted.traffic;
+    TrafficCount &count = m_traffic[static_cast<std::size_t>(wanted.traffic)];
+    ++count.calls;
+    count.bytesSent +=
+        headBytes(wanted.headers) + wanted.path.size() + wanted.address.size() + wanted.body.size();
     call->connection = connectionTo(wanted.address, wanted.isFreshConnection);
     call->timer = event_new(m_base, -1, 0, &HttpClient::handleTimeout, call.get());
     const HttpCallNumber number = call->number;
@@ -223,6 +242,8 @@
         answer.headers.emplace_back(header->key, header->value);
     }
     answer.body = takeInput(request);
+    m_traffic[static_cast<std::size_t>(call.traffic)].bytesReceived +=
+        headBytes(answer.headers) + answer.body.size();
     finish(call.number, answer, true);
 }
 
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -4,6 +4,7 @@
 
 #include <indigoway/ids.h>
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -20,6 +21,23 @@
 /** One request of this process to a server. */
 using HttpCallNumber = Number<struct HttpCallTag>;
 
+/** What a call is for; counted apart, since control traffic is bounded per node. */
+enum class Traffic {
+    Requests, ///< Callers' work.
+    Peers,
+    Store,
+    Reports, ///< Load, lists and cache events of backend servers, cancels and orders.
+    Size,
+};
+
+/** Calls and bytes, headers included, as this process sent and received them. */
+struct TrafficCount
+{
+    std::uint64_t calls = 0;
+    std::uint64_t bytesSent = 0;
+    std::uint64_t bytesReceived = 0;
+};
+
 struct HttpCall
 {
     std::string address; ///< "IP:port"
@@ -30,6 +48,7 @@
     /** Longest time to the end of the answer; zero: no limit of the client's own. */
     Duration timeout {};
     bool isFreshConnection = false;
+    Traffic traffic = Traffic::Requests;
 };
 
 struct HttpAnswer
@@ -68,6 +87,10 @@
     /** Closes the call's connection; its handlers are not called any more. */
     void abandon(HttpCallNumber number);
     std::size_t open() const { return m_calls.size(); }
+    const TrafficCount &traffic(Traffic kind) const
+    {
+        return m_traffic[static_cast<std::size_t>(kind)];
+    }
 
 private:
     struct Call;
@@ -84,6 +107,7 @@
     std::map<HttpCallNumber, std::unique_ptr<Call>> m_calls;
     std::map<std::string, std::vector<evhttp_connection *>> m_idle;
     std::uint64_t m_lastCall = 0;
+    std::array<TrafficCount, static_cast<std::size_t>(Traffic::Size)> m_traffic;
 };
 
 } // namespace indigoway
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -91,7 +91,7 @@
                             CounterNames[i], m_counters[i]);
     }
     for (const auto &[name, value] : gauges) {
-        text += fmt::format("# TYPE indigoway_{0} gauge\nindigoway_{0} {1}\n", name, value);
+        text += fmt::format("# TYPE indigoway_{0} gauge\nindigoway_{0} {1:.0f}\n", name, value);
     }
     for (std::size_t i = 0; i < m_histograms->all.size(); ++i) {
         const auto &histogram = m_histograms->all[i];
--- a/src/peers/peerlink.cpp
+++ b/src/peers/peerlink.cpp
@@ -99,6 +99,7 @@
     http.headers = {{"Content-Type", "application/json"}, {"Authorization", "Bearer " + m_token}};
     http.body = batch.toString();
     http.timeout = effect.timeout;
+    http.traffic = Traffic::Peers;
     m_client.start(std::move(http), [this, call = effect.call](const HttpAnswer &answer) {
         constexpr int Ok = 200;
         if (answer.end != HttpAnswer::End::Complete || answer.status != Ok) {
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -198,6 +198,7 @@
     http.headers = {{"Content-Type", "application/json"}};
     http.body = body;
     http.timeout = CallTimeout;
+    http.traffic = Traffic::Store;
     m_client.start(
         std::move(http), [this, call, parse = std::move(parse)](const HttpAnswer &answer) {
             constexpr int Ok = 200;
