--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The two commands of the README are `make demo` and `make test`; both install what they need.
 BUILD ?= build
 JOBS ?= 8
-SOURCES = $(shell git ls-files '*.cpp' '*.h')
+SOURCES = $(shell git ls-files -co --exclude-standard '*.cpp' '*.h')
 
 .PHONY: packages build demo test sanitize format format-check tidy bench
 
--- a/bench/relay_main.cpp
+++ b/bench/relay_main.cpp
@@ -37,7 +37,10 @@
 class Probe
 {
 public:
-    explicit Probe(event_base *base) : m_base(base), m_client(base) { }
+    explicit Probe(event_base *base)
+        : m_base(base)
+        , m_client(base)
+    { }
 
     double throughNodeMs(std::uint32_t number)
     {
@@ -103,8 +106,7 @@
     {
         m_first = {};
         m_client.start(
-            http(address, name, body),
-            [&](const HttpAnswer &) { event_base_loopbreak(m_base); },
+            http(address, name, body), [&](const HttpAnswer &) { event_base_loopbreak(m_base); },
             [&](int, const std::string &) {
                 if (m_first == Clock::time_point {}) {
                     m_first = Clock::now();
