--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -58,10 +58,9 @@
     }
     carryOut(m_node->start(now(), m_random()));
     armTimer();
-    spdlog::info("node {} serves callers on {} and peers on {}", m_settings.node.life.node.text(),
-                 m_settings.callers, m_settings.inner);
+    log("serves callers on " + m_settings.callers + " and peers on " + m_settings.inner);
     event_base_dispatch(m_base);
-    spdlog::info("node {} has left", m_settings.node.life.node.text());
+    log("has left");
     return 0;
 }
 
@@ -83,7 +82,7 @@
         const auto bound =
             server ? m_inner->server().listenOn(*address) : m_callers->listenOn(*address);
         if (!bound) {
-            spdlog::error("cannot listen on {}", *address);
+            log("cannot listen on " + *address);
             return false;
         }
         *address = *bound;
@@ -139,7 +138,7 @@
                    [this](const AnswerQuery &one) { m_inner->answer(one); },
                    [this](const CountUp &one) { m_metrics.add(one); },
                    [this](const Observe &one) { m_metrics.add(one); },
-                   [](const LogChange &one) { spdlog::info("{}", one.what); },
+                   [this](const LogChange &one) { log(one.what); },
                    [this](const ShutdownFinished &) {
                        // A moment for the last bytes to be written.
                        const timeval moment {0, 200'000};
@@ -161,6 +160,11 @@
     event_add(m_timer, &delay);
 }
 
+void Daemon::log(const std::string &what) const
+{
+    spdlog::info("{}", m_settings.logsJson ? Json::valueToQuotedString(what.c_str()) : what);
+}
+
 void Daemon::handleTimer(int /*socket*/, short /*what*/, void *daemon)
 {
     static_cast<Daemon *>(daemon)->post(Tick {});
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -37,6 +37,8 @@
     void carryOut(const Effects &effects);
     void run(const Effect &effect);
     void armTimer();
+    /** One line in the log; a JSON string where the log is JSON. */
+    void log(const std::string &what) const;
     std::string metricsText() const;
 
     DaemonSettings m_settings;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -41,7 +41,7 @@
     raiseFileLimit();
     if (checked.logsJson) {
         spdlog::set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","node":")"
-                            + checked.node.life.node.text() + R"(","message":"%v"})");
+                            + checked.node.life.node.text() + R"(","message":%v})");
     } else {
         spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l " + checked.node.life.node.text() + " %v");
     }
--- a/src/placement/cellscheduler.cpp
+++ b/src/placement/cellscheduler.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/** Assumed before a pool's first observation. */
-constexpr double AssumedPrefillSpeed = 10'000;
-constexpr double AssumedTokenTime = 0.02;
 /** Short prompts that an engine takes into one batch; more would queue in the engine, where
  * neither deadline nor priority orders them. */
 constexpr std::uint64_t PrefillBatchTokens = 2048;
@@ -31,32 +28,12 @@
 /** Moves a claim by so much in the queue per step of priority. */
 constexpr Duration PriorityStep = std::chrono::milliseconds(250);
 constexpr double ReleaseSmoothing = 0.05;
-constexpr std::size_t MostPrefixes = 200'000;
-constexpr std::uint32_t FirstPrefixTokens = 256;
-/** A token time above the target by this factor makes a server slow. */
-constexpr double SlowFactor = 1.0;
-constexpr double StragglerWeight = 2;
 
 Duration duration(double seconds)
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
-bool contains(const std::vector<ServerName> &names, const ServerName &name)
-{
-    return std::find(names.begin(), names.end(), name) != names.end();
-}
-
-double medianOf(std::vector<double> values, double otherwise)
-{
-    if (values.empty()) {
-        return otherwise;
-    }
-    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
-    std::nth_element(values.begin(), middle, values.end());
-    return *middle;
-}
-
 std::string stageWord(bool isPrefill)
 {
     return isPrefill ? "prefill" : "serving";
@@ -67,11 +44,12 @@
 CellScheduler::CellScheduler(Cell cell, const Turn &turn)
     : m_cell(std::move(cell))
     , m_since(turn.now)
+    , m_servers(m_cell)
 { }
 
 void CellScheduler::claim(Turn &turn, PeerRequestNumber number, const ClaimCapacity &claim)
 {
-    const Target *declared = target(turn);
+    const Target *declared = m_servers.target(turn);
     if (!declared) {
         refuse(turn, number, NotGranted::Why::NoServer, LeastComeBack);
         return;
@@ -91,7 +69,7 @@
         waiting.order = turn.now;
     }
     waiting.isShort = claim.untilDeadline <= shortTarget() * ShortFactor;
-    waiting.cachedTokens = mostCachedTokens(claim);
+    waiting.cachedTokens = m_servers.mostCachedTokens(claim);
     const Duration wait = waitBehind(backlogBefore(turn, waiting));
     const bool isTooMany = this->waiting() >= declared->maxQueued;
     if (isTooMany || turn.now + wait > waiting.giveUpAt) {
@@ -149,23 +127,23 @@
     unassign(ended.claim, grant);
     --m_prefillInFlight;
     if (!ended.isOk) {
-        m_servers[from].failed(turn.now);
+        m_servers.load(from).failed(turn.now);
         m_grants.erase(it);
         turn.reply(number, Acknowledged {});
         pump(turn);
         return;
     }
-    ServerLoad &prefill = m_servers[from];
+    ServerLoad &prefill = m_servers.load(from);
     prefill.succeeded();
     // Only a prefill that had the server to itself tells the server's speed.
     if (prefill.assigned() == 0) {
-        const std::uint32_t cached = cachedTokens(from, grant.claim);
+        const std::uint32_t cached = m_servers.cachedTokens(from, grant.claim);
         const std::uint32_t computed = grant.claim.promptTokens - cached;
         prefill.observePrefill(turn.now, computed, ended.elapsed);
-        refreshMedians();
+        m_servers.refreshMedians();
     }
-    rememberPrefix(from, grant.claim);
-    const auto server = chooseDecode(turn, grant.claim, from, ended.avoid);
+    m_servers.rememberPrefix(from, grant.claim);
+    const auto server = m_servers.chooseDecode(turn, ended.avoid);
     if (!server) {
         m_grants.erase(it);
         refuse(turn, number, NotGranted::Why::NoServer, LeastComeBack);
@@ -175,9 +153,9 @@
     grant.stage = Stage::Decode;
     grant.server = *server;
     grant.since = turn.now;
-    ServerLoad &load = m_servers[*server];
+    ServerLoad &load = m_servers.load(*server);
     load.assign(ended.claim, 0);
-    const Target *declared = target(turn);
+    const Target *declared = m_servers.target(turn);
     const Pool *itsPool = turn.deployment.pool(turn.deployment.server(*server)->pool);
     if (declared && itsPool && itsPool->linkRate > 0 && declared->kvBytes > 0) {
         const double bytes = static_cast<double>(declared->kvBytes) * grant.claim.promptTokens;
@@ -194,13 +172,13 @@
         const Grant grant = it->second;
         unassign(release.claim, grant);
         m_grants.erase(it);
-        ServerLoad &load = m_servers[grant.server];
+        ServerLoad &load = m_servers.load(grant.server);
         if (grant.stage == Stage::Prefill) {
             --m_prefillInFlight;
         } else {
             noteRelease(turn.now);
             load.observeDecode(turn.now, release.tokens, release.decodeTime);
-            refreshMedians();
+            m_servers.refreshMedians();
         }
         if (release.serverFailed) {
             load.failed(turn.now);
@@ -235,14 +213,14 @@
     if (grant.stage == Stage::Prefill) {
         ++m_prefillInFlight;
     }
-    m_servers[adopted.server].adopt(claim);
+    m_servers.load(adopted.server).adopt(claim);
     m_grants[claim] = grant;
     turn.reply(number, Granted {claim, adopted.server});
 }
 
 void CellScheduler::report(Turn &turn, const ReportArrived &report)
 {
-    ServerLoad &load = m_servers[report.server];
+    ServerLoad &load = m_servers.load(report.server);
     if (!report.isOk) {
         load.reportFailed();
         return;
@@ -251,19 +229,6 @@
     pump(turn);
 }
 
-void CellScheduler::cacheEvents(const CacheEventsArrived &events)
-{
-    for (const std::uint64_t hash : events.stored) {
-        m_prefixes[hash].insert(events.server);
-    }
-    for (const std::uint64_t hash : events.removed) {
-        const auto it = m_prefixes.find(hash);
-        if (it != m_prefixes.end()) {
-            it->second.erase(events.server);
-        }
-    }
-}
-
 void CellScheduler::dropDeadOwners(Turn &turn)
 {
     std::vector<ClaimNumber> lost;
@@ -285,9 +250,7 @@
 
 void CellScheduler::configurationChanged(Turn &turn)
 {
-    std::erase_if(m_servers, [&](const auto &entry) {
-        return !turn.deployment.server(entry.first) && entry.second.assigned() == 0;
-    });
+    m_servers.forgetRemoved(turn.deployment);
     pump(turn);
 }
 
@@ -370,163 +333,26 @@
     turn.count(Counter::Reclaimed);
 }
 
-const Target *CellScheduler::target(const Turn &turn) const
-{
-    return turn.deployment.target(m_cell.target);
-}
-
 bool CellScheduler::isSettled(TimePoint now) const
 {
     if (now - m_since >= SettlingTime) {
         return true;
     }
-    return !m_servers.empty()
-        && std::all_of(m_servers.begin(), m_servers.end(),
-                       [](const auto &entry) { return entry.second.hasReported(); });
-}
-
-bool CellScheduler::isUsable(const Turn &turn, const ServerName &name,
-                             const std::vector<ServerName> &avoid) const
-{
-    const Server *server = turn.deployment.server(name);
-    if (!server || server->state != ServerState::Active || contains(avoid, name)) {
-        return false;
-    }
-    const auto it = m_servers.find(name);
-    return it == m_servers.end() || it->second.isUsable(turn.now);
-}
-
-std::vector<ServerName> CellScheduler::usable(const Turn &turn, Role role,
-                                              const std::vector<ServerName> &avoid) const
-{
-    std::vector<ServerName> found;
-    for (const ServerName &name : turn.cells.servers(m_cell, role)) {
-        if (isUsable(turn, name, avoid)) {
-            found.push_back(name);
-        }
-    }
-    if (found.empty() && !avoid.empty()) {
-        // Servers that failed this request before are better than none: they may be well again.
-        return usable(turn, role, {});
-    }
-    return found;
-}
-
-void CellScheduler::refreshMedians()
-{
-    std::vector<double> speeds;
-    std::vector<double> times;
-    for (const auto &[name, load] : m_servers) {
-        if (load.prefillSpeed() > 0) {
-            speeds.push_back(load.prefillSpeed());
-        }
-        if (load.tokenTime() > 0) {
-            times.push_back(load.tokenTime());
-        }
-    }
-    m_medianPrefillSpeed = medianOf(std::move(speeds), AssumedPrefillSpeed);
-    m_medianTokenTime = medianOf(std::move(times), AssumedTokenTime);
-}
-
-double CellScheduler::prefillSeconds(const Turn &turn, const ServerName &server,
-                                     std::uint32_t tokens) const
-{
-    const double median = m_medianPrefillSpeed;
-    const auto it = m_servers.find(server);
-    double speed = median;
-    if (it != m_servers.end() && it->second.prefillSpeed() > 0) {
-        const double confidence = it->second.confidence(turn.now);
-        speed = confidence * it->second.prefillSpeed() + (1 - confidence) * median;
-    }
-    return tokens / speed;
-}
-
-double CellScheduler::expectedTokenTime(const Turn &turn, const ServerName &server) const
-{
-    const double median = m_medianTokenTime;
-    const auto it = m_servers.find(server);
-    if (it == m_servers.end() || it->second.tokenTime() == 0) {
-        return median;
-    }
-    const double confidence = it->second.confidence(turn.now);
-    return confidence * it->second.tokenTime() + (1 - confidence) * median;
-}
-
-std::uint32_t CellScheduler::freeSlots(const Turn &turn, const Server &server) const
-{
-    const auto it = m_servers.find(server.name);
-    if (it == m_servers.end()) {
-        return server.slots;
-    }
-    const ServerLoad &load = it->second;
-    std::uint32_t slots = server.slots;
-    const Target *declared = target(turn);
-    const double most = std::chrono::duration<double>(declared->betweenTokens).count() * SlowFactor;
-    if (declared->isService || load.tokenTime() <= most) {
-        return load.used() < slots ? slots - load.used() : 0;
-    }
-    // Seen slow: nothing while that is fresh, then one request that tells how it is now.
-    slots = expectedTokenTime(turn, server.name) > most ? 0 : 1;
-    return load.used() < slots ? slots - load.used() : 0;
-}
-
-std::int64_t CellScheduler::freeInCell(const Turn &turn, Role role) const
-{
-    std::int64_t free = 0;
-    for (const ServerName &name : turn.cells.servers(m_cell, role)) {
-        if (isUsable(turn, name, {})) {
-            free += freeSlots(turn, *turn.deployment.server(name));
-        }
-    }
-    return free;
-}
-
-std::int64_t CellScheduler::totalSlots(const Turn &turn, Role role) const
-{
-    std::int64_t total = 0;
-    for (const ServerName &name : turn.cells.servers(m_cell, role)) {
-        total += isUsable(turn, name, {}) ? turn.deployment.server(name)->slots : 0;
-    }
-    return total;
-}
-
-std::uint32_t CellScheduler::cachedTokens(const ServerName &server,
-                                          const ClaimCapacity &claim) const
-{
-    std::uint32_t cached = 0;
-    std::uint32_t length = FirstPrefixTokens;
-    for (const std::uint64_t hash : claim.prefixHashes) {
-        const auto it = m_prefixes.find(hash);
-        if (it != m_prefixes.end() && it->second.contains(server)) {
-            cached = length;
-        }
-        length *= 2;
-    }
-    return std::min(cached, claim.promptTokens);
-}
-
-void CellScheduler::rememberPrefix(const ServerName &server, const ClaimCapacity &claim)
-{
-    if (m_prefixes.size() > MostPrefixes) {
-        m_prefixes.clear();
-    }
-    for (const std::uint64_t hash : claim.prefixHashes) {
-        m_prefixes[hash].insert(server);
-    }
+    return m_servers.haveAllReported();
 }
 
 bool CellScheduler::hasPrefillRoom(const Turn &turn, const ServerName &server,
                                    std::uint32_t tokens) const
 {
-    const auto it = m_servers.find(server);
-    if (it == m_servers.end() || it->second.assigned() == 0) {
+    const ServerLoad *load = m_servers.find(server);
+    if (!load || load->assigned() == 0) {
         return true;
     }
-    const std::uint64_t outstanding = it->second.prefillTokens();
+    const std::uint64_t outstanding = load->prefillTokens();
     if (outstanding + tokens <= PrefillBatchTokens) {
         return true;
     }
-    if (it->second.assigned() > 1) {
+    if (load->assigned() > 1) {
         return false;
     }
     const auto grant = std::find_if(m_grants.begin(), m_grants.end(), [&](const auto &entry) {
@@ -535,7 +361,8 @@
     if (grant == m_grants.end()) {
         return true;
     }
-    const double expected = prefillSeconds(turn, server, static_cast<std::uint32_t>(outstanding));
+    const double expected =
+        m_servers.prefillSeconds(turn, server, static_cast<std::uint32_t>(outstanding));
     const double elapsed = std::chrono::duration<double>(turn.now - grant->second.since).count();
     return std::abs(expected - elapsed) < PrefillOverlapSeconds;
 }
@@ -544,7 +371,7 @@
                                                        bool &isLong) const
 {
     const ClaimCapacity &claim = waiting.claim;
-    const std::vector<ServerName> servers = usable(turn, Role::Prefill, claim.avoid);
+    const std::vector<ServerName> servers = m_servers.usable(turn, Role::Prefill, claim.avoid);
     const double shortSeconds = std::chrono::duration<double>(shortTarget()).count();
     std::size_t longRunning = 0;
     for (const auto &[number, grant] : m_grants) {
@@ -553,10 +380,10 @@
     std::optional<ServerName> best;
     double bestSeconds = 0;
     for (const ServerName &server : servers) {
-        const std::uint32_t tokens = claim.promptTokens - cachedTokens(server, claim);
-        const auto it = m_servers.find(server);
-        const std::uint64_t queued = it == m_servers.end() ? 0 : it->second.prefillTokens();
-        const double alone = prefillSeconds(turn, server, tokens);
+        const std::uint32_t tokens = claim.promptTokens - m_servers.cachedTokens(server, claim);
+        const ServerLoad *load = m_servers.find(server);
+        const std::uint64_t queued = load ? load->prefillTokens() : 0;
+        const double alone = m_servers.prefillSeconds(turn, server, tokens);
         const bool wouldBeLong = !waiting.isShort && alone > shortSeconds / 2;
         // One server is kept from long prompts: a lookup that comes while all of them prefill a
         // chapter would miss its target, whatever the queue's order.
@@ -567,7 +394,7 @@
             continue;
         }
         const double total =
-            alone + prefillSeconds(turn, server, static_cast<std::uint32_t>(queued));
+            alone + m_servers.prefillSeconds(turn, server, static_cast<std::uint32_t>(queued));
         if (!best || total < bestSeconds) {
             best = server;
             bestSeconds = total;
@@ -577,63 +404,12 @@
     return best;
 }
 
-std::optional<ServerName> CellScheduler::chooseDecode(Turn &turn, const ClaimCapacity &claim,
-                                                      const ServerName & /*from*/,
-                                                      const std::vector<ServerName> &avoid) const
-{
-    const std::vector<ServerName> servers = usable(turn, Role::Decode, avoid);
-    const double median = m_medianTokenTime;
-    std::optional<ServerName> best;
-    double bestScore = 0;
-    for (const ServerName &name : servers) {
-        const Server &server = *turn.deployment.server(name);
-        const auto it = m_servers.find(name);
-        const std::uint32_t used = it == m_servers.end() ? 0 : it->second.used();
-        const Duration linkWait = it == m_servers.end()
-            ? Duration::zero()
-            : std::max(Duration::zero(),
-                       std::chrono::duration_cast<Duration>(it->second.linkFreeAt() - turn.now));
-        const double slowness = std::max(0.0, expectedTokenTime(turn, name) / median - 1);
-        // A full server is the last resort: its engine would queue what it cannot hold.
-        const double full = freeSlots(turn, server) > 0 ? 0 : 100;
-        const double score = full + static_cast<double>(used) / server.slots
-            + slowness * StragglerWeight + std::chrono::duration<double>(linkWait).count() * 10;
-        if (!best || score < bestScore) {
-            best = name;
-            bestScore = score;
-        }
-    }
-    (void)claim;
-    return best;
-}
-
-std::optional<ServerName> CellScheduler::chooseService(Turn &turn, const ClaimCapacity &claim) const
-{
-    std::optional<ServerName> best;
-    double bestScore = 0;
-    for (const ServerName &name : usable(turn, Role::Service, claim.avoid)) {
-        const Server &server = *turn.deployment.server(name);
-        if (freeSlots(turn, server) == 0) {
-            continue;
-        }
-        const auto it = m_servers.find(name);
-        const double used = it == m_servers.end() ? 0 : it->second.used();
-        const double slowness = it == m_servers.end() ? 0 : it->second.tokenTime();
-        const double score = (used + 1) / server.slots * (1 + slowness);
-        if (!best || score < bestScore) {
-            best = name;
-            bestScore = score;
-        }
-    }
-    return best;
-}
-
 std::int64_t CellScheduler::reserveForShort(const Turn &turn) const
 {
     if (shortTarget() == Duration::max()) {
         return 0;
     }
-    const std::int64_t total = totalSlots(turn, Role::Decode);
+    const std::int64_t total = m_servers.totalSlots(turn, Role::Decode);
     return total < ShortReserve ? 0 : total / ShortReserve;
 }
 
@@ -658,14 +434,15 @@
 CellScheduler::Backlog CellScheduler::backlog(const Turn &turn) const
 {
     Backlog backlog;
-    const Target *declared = target(turn);
+    const Target *declared = m_servers.target(turn);
     if (!declared) {
         return backlog;
     }
-    backlog.freeSlots = freeInCell(turn, declared->isService ? Role::Service : Role::Decode)
+    backlog.freeSlots =
+        m_servers.freeInCell(turn, declared->isService ? Role::Service : Role::Decode)
         - static_cast<std::int64_t>(m_prefillInFlight);
-    for (const ServerName &server : usable(turn, Role::Prefill, {})) {
-        const double speed = 1 / prefillSeconds(turn, server, 1);
+    for (const ServerName &server : m_servers.usable(turn, Role::Prefill, {})) {
+        const double speed = 1 / m_servers.prefillSeconds(turn, server, 1);
         backlog.bestSpeed = std::max(backlog.bestSpeed, speed);
         backlog.totalSpeed += speed;
     }
@@ -707,20 +484,6 @@
     return now + waitBehind(ahead) + duration(prefill);
 }
 
-std::uint32_t CellScheduler::mostCachedTokens(const ClaimCapacity &claim) const
-{
-    std::uint32_t cached = 0;
-    std::uint32_t length = FirstPrefixTokens;
-    for (const std::uint64_t hash : claim.prefixHashes) {
-        const auto it = m_prefixes.find(hash);
-        if (it != m_prefixes.end() && !it->second.empty()) {
-            cached = length;
-        }
-        length *= 2;
-    }
-    return std::min(cached, claim.promptTokens);
-}
-
 void CellScheduler::giveUp(Turn &turn, Queue &queue, const Backlog &ahead)
 {
     for (auto it = queue.begin(); it != queue.end();) {
@@ -738,7 +501,7 @@
     if (waiting() == 0) {
         return;
     }
-    const Target *declared = target(turn);
+    const Target *declared = m_servers.target(turn);
     const bool refusesLate = declared && declared->late == LatePolicy::Refuse;
     Backlog ahead = backlog(turn);
     giveUp(turn, m_onTime, ahead);
@@ -776,9 +539,10 @@
 
 bool CellScheduler::grantNext(Turn &turn)
 {
-    const Target *declared = target(turn);
+    const Target *declared = m_servers.target(turn);
     const Role role = declared && declared->isService ? Role::Service : Role::Decode;
-    if (!declared || freeInCell(turn, role) - static_cast<std::int64_t>(m_prefillInFlight) <= 0) {
+    if (!declared
+        || m_servers.freeInCell(turn, role) - static_cast<std::int64_t>(m_prefillInFlight) <= 0) {
         return false;
     }
     Blocked blocked;
@@ -807,22 +571,22 @@
 
 bool CellScheduler::tryGrant(Turn &turn, const Waiting &waiting)
 {
-    const Target *declared = target(turn);
+    const Target *declared = m_servers.target(turn);
     const ClaimNumber number = turn.numbers.next<ClaimNumber>();
     Grant grant {waiting.claim, Stage::Prefill, {}, turn.now, false};
     if (declared->isService) {
-        const auto server = chooseService(turn, waiting.claim);
+        const auto server = m_servers.chooseService(turn, waiting.claim);
         if (!server) {
             return false;
         }
         grant.stage = Stage::Service;
         grant.server = *server;
-        m_servers[*server].assign(number, 0);
+        m_servers.load(*server).assign(number, 0);
     } else {
         const std::int64_t reserve =
             waiting.isShort || waiting.claim.isContinuation ? 0 : reserveForShort(turn);
-        const std::int64_t free =
-            freeInCell(turn, Role::Decode) - static_cast<std::int64_t>(m_prefillInFlight) - reserve;
+        const std::int64_t free = m_servers.freeInCell(turn, Role::Decode)
+            - static_cast<std::int64_t>(m_prefillInFlight) - reserve;
         if (free <= 0) {
             return false;
         }
@@ -831,7 +595,7 @@
             return false;
         }
         grant.server = *server;
-        m_servers[*server].assign(number, waiting.claim.promptTokens);
+        m_servers.load(*server).assign(number, waiting.claim.promptTokens);
         ++m_prefillInFlight;
     }
     m_grants[number] = grant;
@@ -886,7 +650,7 @@
 void CellScheduler::unassign(ClaimNumber number, const Grant &grant)
 {
     const std::uint32_t tokens = grant.stage == Stage::Prefill ? grant.claim.promptTokens : 0;
-    m_servers[grant.server].unassign(number, tokens);
+    m_servers.load(grant.server).unassign(number, tokens);
 }
 
 } // namespace indigoway
--- a/src/placement/cellscheduler.h
+++ b/src/placement/cellscheduler.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "placement/cells.h"
-#include "placement/serverload.h"
+#include "placement/cellservers.h"
 
 #include <indigoway/events.h>
 #include <indigoway/messages.h>
@@ -51,7 +51,7 @@
     void withdraw(Turn &turn, const ClaimIdentity &identity);
 
     void report(Turn &turn, const ReportArrived &report);
-    void cacheEvents(const CacheEventsArrived &events);
+    void cacheEvents(const CacheEventsArrived &events) { m_servers.cacheEvents(events); }
     /** Releases what dead nodes held and refuses what they waited for. */
     void dropDeadOwners(Turn &turn);
     /** Takes in servers added and removed. */
@@ -98,32 +98,13 @@
         std::uint32_t tokensToPrefill() const { return claim.promptTokens - cachedTokens; }
     };
     using Queue = std::list<Waiting>;
-    using Servers = std::map<ServerName, ServerLoad>;
 
     /** Answers a claim that was made before; false if this one is new. */
     bool isRepetition(Turn &turn, PeerRequestNumber number, const ClaimCapacity &claim);
-    const Target *target(const Turn &turn) const;
     bool isSettled(TimePoint now) const;
-    bool isUsable(const Turn &turn, const ServerName &name,
-                  const std::vector<ServerName> &avoid) const;
-    std::vector<ServerName> usable(const Turn &turn, Role role,
-                                   const std::vector<ServerName> &avoid) const;
-    void refreshMedians();
-    double prefillSeconds(const Turn &turn, const ServerName &server, std::uint32_t tokens) const;
-    double expectedTokenTime(const Turn &turn, const ServerName &server) const;
-    /** Slots of @p server that may be filled now; a server seen slow gets one request to try. */
-    std::uint32_t freeSlots(const Turn &turn, const Server &server) const;
-    std::int64_t freeInCell(const Turn &turn, Role role) const;
-    std::int64_t totalSlots(const Turn &turn, Role role) const;
-    std::uint32_t cachedTokens(const ServerName &server, const ClaimCapacity &claim) const;
-    void rememberPrefix(const ServerName &server, const ClaimCapacity &claim);
     std::optional<ServerName> choosePrefill(const Turn &turn, const Waiting &waiting,
                                             bool &isLong) const;
     bool hasPrefillRoom(const Turn &turn, const ServerName &server, std::uint32_t tokens) const;
-    std::optional<ServerName> chooseDecode(Turn &turn, const ClaimCapacity &claim,
-                                           const ServerName &from,
-                                           const std::vector<ServerName> &avoid) const;
-    std::optional<ServerName> chooseService(Turn &turn, const ClaimCapacity &claim) const;
     std::int64_t reserveForShort(const Turn &turn) const;
     void noteTarget(TimePoint now, Duration untilDeadline);
     Duration shortTarget() const;
@@ -142,7 +123,6 @@
     /** How long a claim behind @p backlog is expected to wait for its grant. */
     Duration waitBehind(const Backlog &backlog) const;
     TimePoint expectedFirstToken(TimePoint now, const Waiting &waiting, const Backlog &ahead) const;
-    std::uint32_t mostCachedTokens(const ClaimCapacity &claim) const;
     void giveUp(Turn &turn, Queue &queue, const Backlog &ahead);
     void markLate(Turn &turn);
     /** What one pass over the queues found that cannot be granted now. */
@@ -165,14 +145,11 @@
 
     Cell m_cell;
     TimePoint m_since;
-    Servers m_servers;
+    CellServers m_servers;
     std::map<ClaimNumber, Grant> m_grants;
     Queue m_onTime; ///< By deadline and priority.
     Queue m_late;   ///< Cannot meet their target any more; by arrival.
-    std::map<std::uint64_t, std::set<ServerName>> m_prefixes;
     std::uint64_t m_grantCount = 0;
-    double m_medianPrefillSpeed = 0; ///< Tokens a second.
-    double m_medianTokenTime = 0;    ///< Seconds.
     /** Between releases while claims wait, smoothed, in seconds; 0 before two such. Taken only
      * then: the pace of an idle cell says nothing of its capacity. */
     double m_releaseInterval = 0;
