Free what the event loop holds when a process ends

Cause: under the address sanitizer the command-line tool and a leaving node ended with a leak's exit code (event bases, and connections whose closing was due), so that the process tests failed there.

Change: the event base and events are owned by handles; connections and requests that must not be freed inside their own callbacks are freed by an event of their owner, and by its destructor.

Ruled out: leaving the leak check off, which would hide real ones.

--- a/bench/load_main.cpp
+++ b/bench/load_main.cpp
@@ -78,7 +78,8 @@
     add("lookup", 60, 12, false, true, false, absl::GetFlag(FLAGS_lookups));
     add("blurb", 400, 40, true, false, false, absl::GetFlag(FLAGS_blurbs));
     add("page", 10, 0, false, true, true, absl::GetFlag(FLAGS_pages));
-    event_base *base = event_base_new();
+    const EventBase loop {event_base_new()};
+    event_base *base = loop.get();
     bench::Callers callers(base, plan);
     callers.run();
     std::printf("%-8s %7s %7s %6s %8s %8s %7s  %s\n", "kind", "sent", "right", "wrong", "in-doubt",
--- a/bench/relay_main.cpp
+++ b/bench/relay_main.cpp
@@ -236,7 +236,8 @@
     getrlimit(RLIMIT_NOFILE, &limit);
     limit.rlim_cur = limit.rlim_max;
     setrlimit(RLIMIT_NOFILE, &limit);
-    event_base *base = event_base_new();
+    const EventBase loop {event_base_new()};
+    event_base *base = loop.get();
     const std::string part = absl::GetFlag(FLAGS_part);
     if (part == "latency") {
         measureLatency(base);
--- a/src/cli/operatorclient.cpp
+++ b/src/cli/operatorclient.cpp
@@ -18,8 +18,8 @@
 
 struct OperatorClient::Loop
 {
-    event_base *base = event_base_new();
-    HttpClient client {base};
+    EventBase base {event_base_new()};
+    HttpClient client {base.get()};
 };
 
 OperatorClient::OperatorClient(std::vector<std::string> addresses, std::string token)
@@ -63,9 +63,9 @@
             end = answer.end;
             result.status = answer.status;
             result.body = parseJson(answer.body);
-            event_base_loopbreak(m_loop->base);
+            event_base_loopbreak(m_loop->base.get());
         });
-        event_base_dispatch(m_loop->base);
+        event_base_dispatch(m_loop->base.get());
         if (end == HttpAnswer::End::Complete) {
             return result;
         }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -33,22 +33,15 @@
 Daemon::Daemon(DaemonSettings settings)
     : m_settings(std::move(settings))
     , m_base(event_base_new())
-    , m_timer(event_new(m_base, -1, 0, &Daemon::handleTimer, this))
-    , m_terminate(evsignal_new(m_base, SIGTERM, &Daemon::handleSignal, this))
-    , m_interrupt(evsignal_new(m_base, SIGINT, &Daemon::handleSignal, this))
+    , m_timer(event_new(m_base.get(), -1, 0, &Daemon::handleTimer, this))
+    , m_terminate(evsignal_new(m_base.get(), SIGTERM, &Daemon::handleSignal, this))
+    , m_interrupt(evsignal_new(m_base.get(), SIGINT, &Daemon::handleSignal, this))
     , m_random(std::random_device {}())
-    , m_client(m_base)
+    , m_client(m_base.get())
 {
     std::signal(SIGPIPE, SIG_IGN);
-    event_add(m_terminate, nullptr);
-    event_add(m_interrupt, nullptr);
-}
-
-Daemon::~Daemon()
-{
-    event_free(m_timer);
-    event_free(m_terminate);
-    event_free(m_interrupt);
+    event_add(m_terminate.get(), nullptr);
+    event_add(m_interrupt.get(), nullptr);
 }
 
 int Daemon::run()
@@ -59,7 +52,7 @@
     carryOut(m_node->start(now(), m_random()));
     armTimer();
     log("serves callers on " + m_settings.callers + " and peers on " + m_settings.inner);
-    event_base_dispatch(m_base);
+    event_base_dispatch(m_base.get());
     log("has left");
     return 0;
 }
@@ -71,9 +64,10 @@
     const auto postEvent = [this](const Event &event) {
         post(event);
     };
-    m_callers = std::make_unique<CallerGateway>(m_base, m_settings.limits, *m_node, postEvent);
+    m_callers =
+        std::make_unique<CallerGateway>(m_base.get(), m_settings.limits, *m_node, postEvent);
     m_inner = std::make_unique<InnerGateway>(
-        m_base, m_settings.limits, *m_node,
+        m_base.get(), m_settings.limits, *m_node,
         InnerGateway::Tokens {m_settings.peerToken, m_settings.operatorTokens}, postEvent,
         [this] { return metricsText(); });
     for (const auto &[server, address, advertised] :
@@ -142,7 +136,7 @@
                    [this](const ShutdownFinished &) {
                        // A moment for the last bytes to be written.
                        const timeval moment {0, 200'000};
-                       event_base_loopexit(m_base, &moment);
+                       event_base_loopexit(m_base.get(), &moment);
                    },
                },
                effect);
@@ -157,7 +151,7 @@
     const auto wait = std::max(Duration(1), Duration(*next - now()));
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(wait);
     const timeval delay {seconds.count(), (wait - seconds).count()};
-    event_add(m_timer, &delay);
+    event_add(m_timer.get(), &delay);
 }
 
 void Daemon::log(const std::string &what) const
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -12,9 +12,6 @@
 #include <memory>
 #include <random>
 
-struct event;
-struct event_base;
-
 namespace indigoway {
 
 /** Wires one node's reducer to sockets and time: events in, effects carried out. */
@@ -22,7 +19,6 @@
 {
 public:
     explicit Daemon(DaemonSettings settings);
-    ~Daemon();
     Daemon(const Daemon &) = delete;
     Daemon &operator=(const Daemon &) = delete;
 
@@ -42,10 +38,10 @@
     std::string metricsText() const;
 
     DaemonSettings m_settings;
-    event_base *m_base;
-    event *m_timer;
-    event *m_terminate;
-    event *m_interrupt;
+    EventBase m_base;
+    EventHandle m_timer;
+    EventHandle m_terminate;
+    EventHandle m_interrupt;
     std::mt19937_64 m_random;
     Metrics m_metrics;
     std::unique_ptr<Node> m_node;
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -94,10 +94,17 @@
 
 HttpClient::HttpClient(event_base *base)
     : m_base(base)
+    , m_closer(event_new(
+          base, -1, 0,
+          [](evutil_socket_t, short, void *client) {
+              static_cast<HttpClient *>(client)->closeNow();
+          },
+          this))
 { }
 
 HttpClient::~HttpClient()
 {
+    closeNow();
     for (auto &[number, call] : m_calls) {
         if (call->connection) {
             evhttp_connection_free(call->connection);
@@ -270,12 +277,15 @@
         return;
     }
     // Not at once: this may run inside one of the connection's own callbacks.
-    event_base_once(
-        m_base, -1, EV_TIMEOUT,
-        [](evutil_socket_t, short, void *closed) {
-            evhttp_connection_free(static_cast<evhttp_connection *>(closed));
-        },
-        connection, nullptr);
+    m_closing.push_back(connection);
+    event_active(m_closer.get(), EV_TIMEOUT, 0);
+}
+
+void HttpClient::closeNow()
+{
+    for (evhttp_connection *connection : std::exchange(m_closing, {})) {
+        evhttp_connection_free(connection);
+    }
 }
 
 } // namespace indigoway
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/eventbase.h"
 #include "http/httpserver.h"
 
 #include <indigoway/ids.h>
@@ -11,8 +12,6 @@
 #include <string>
 #include <vector>
 
-struct event;
-struct event_base;
 struct evhttp_connection;
 struct evhttp_request;
 
@@ -102,8 +101,11 @@
     void done(Call &call, evhttp_request *request);
     void finish(HttpCallNumber number, const HttpAnswer &answer, bool mayReuse);
     void closeLater(evhttp_connection *connection);
+    void closeNow();
 
     event_base *m_base;
+    EventHandle m_closer;
+    std::vector<evhttp_connection *> m_closing; ///< Closed by m_closer.
     std::map<HttpCallNumber, std::unique_ptr<Call>> m_calls;
     std::map<std::string, std::vector<evhttp_connection *>> m_idle;
     std::uint64_t m_lastCall = 0;
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -126,6 +126,12 @@
                        GoneHandler goneHandler)
     : m_base(base)
     , m_http(evhttp_new(base))
+    , m_reaper(event_new(
+          base, -1, 0,
+          [](evutil_socket_t, short, void *server) {
+              static_cast<HttpServer *>(server)->freeOrphans();
+          },
+          this))
     , m_limits(limits)
     , m_handler(std::move(handler))
     , m_goneHandler(std::move(goneHandler))
@@ -146,6 +152,7 @@
         }
     }
     evhttp_free(m_http);
+    freeOrphans();
 }
 
 std::optional<std::string> HttpServer::listenOn(const std::string &address)
@@ -298,16 +305,19 @@
     m_exchanges.erase(it);
     // evhttp has let go of a request whose reply was still due. It frees one that was under way.
     if (!evhttp_request_get_connection(request)) {
-        event_base_once(
-            m_base, -1, EV_TIMEOUT,
-            [](evutil_socket_t, short, void *orphan) {
-                evhttp_request_free(static_cast<evhttp_request *>(orphan));
-            },
-            request, nullptr);
+        m_orphans.push_back(request);
+        event_active(m_reaper.get(), EV_TIMEOUT, 0);
     }
     m_goneHandler(number);
 }
 
+void HttpServer::freeOrphans()
+{
+    for (evhttp_request *request : std::exchange(m_orphans, {})) {
+        evhttp_request_free(request);
+    }
+}
+
 std::unique_ptr<HttpServer::Exchange> HttpServer::finish(ExchangeNumber number)
 {
     const auto it = m_exchanges.find(number);
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "http/eventbase.h"
+
 #include <indigoway/ids.h>
 
 #include <cstdint>
@@ -12,7 +14,6 @@
 #include <variant>
 #include <vector>
 
-struct event_base;
 struct evhttp;
 struct evhttp_connection;
 struct evhttp_request;
@@ -85,10 +86,13 @@
     static void handleClose(evhttp_connection *connection, void *exchange);
     void take(evhttp_request *request);
     void gone(ExchangeNumber number);
+    void freeOrphans();
     std::unique_ptr<Exchange> finish(ExchangeNumber number);
 
     event_base *m_base;
     evhttp *m_http;
+    EventHandle m_reaper;
+    std::vector<evhttp_request *> m_orphans; ///< Freed by m_reaper.
     HttpLimits m_limits;
     Handler m_handler;
     GoneHandler m_goneHandler;
