--- a/bench/fakes/world.cpp
+++ b/bench/fakes/world.cpp
@@ -294,6 +294,20 @@
     });
 }
 
+FakeEngine::Tokens World::onTokens(std::size_t index, std::uint64_t life, CallNumber call)
+{
+    return [=, this](const FakeTokens &tokens) {
+        fromBackend(index, life, call, TokensArrived {call, tokens.offset, tokens.count}, false);
+    };
+}
+
+FakeEngine::Done World::onDecoded(std::size_t index, std::uint64_t life, CallNumber call)
+{
+    return [=, this](CallOutcome outcome) {
+        fromBackend(index, life, call, DecodeFinished {call, outcome}, true);
+    };
+}
+
 void World::run(std::size_t index, const StartDecode &effect)
 {
     Slot &slot = m_slots[index];
@@ -312,16 +326,8 @@
     };
     m_timeline.after(jittered(m_settings.backendDelay), [=, this, life = slot.life] {
         m_engines.at(effect.server.text())
-            ->decode(
-                effect.name, prompt, wanted, fetch,
-                [=, this](const FakeTokens &tokens) {
-                    fromBackend(index, life, effect.call,
-                                TokensArrived {effect.call, tokens.offset, tokens.count}, false);
-                },
-                [=, this](CallOutcome outcome) {
-                    fromBackend(index, life, effect.call, DecodeFinished {effect.call, outcome},
-                                true);
-                });
+            ->decode(effect.name, prompt, wanted, fetch, onTokens(index, life, effect.call),
+                     onDecoded(index, life, effect.call));
     });
 }
 
@@ -332,16 +338,8 @@
     slot.streams[effect.call] = {effect.server, effect.name};
     m_timeline.after(jittered(m_settings.backendDelay), [=, this, life = slot.life] {
         m_engines.at(effect.server.text())
-            ->resume(
-                effect.name, effect.offset,
-                [=, this](const FakeTokens &tokens) {
-                    fromBackend(index, life, effect.call,
-                                TokensArrived {effect.call, tokens.offset, tokens.count}, false);
-                },
-                [=, this](CallOutcome outcome) {
-                    fromBackend(index, life, effect.call, DecodeFinished {effect.call, outcome},
-                                true);
-                });
+            ->resume(effect.name, effect.offset, onTokens(index, life, effect.call),
+                     onDecoded(index, life, effect.call));
     });
 }
 
--- a/bench/fakes/world.h
+++ b/bench/fakes/world.h
@@ -175,6 +175,8 @@
     /** Delivers a backend server's news unless the call was abandoned or its node died. */
     void fromBackend(std::size_t index, std::uint64_t life, CallNumber call, const Event &event,
                      bool isLast);
+    FakeEngine::Tokens onTokens(std::size_t index, std::uint64_t life, CallNumber call);
+    FakeEngine::Done onDecoded(std::size_t index, std::uint64_t life, CallNumber call);
     CallerView *caller(std::size_t index, RequestNumber request);
     void noteStart(std::size_t index, RequestNumber request, const ServerName &server);
     void deliver(std::size_t to, PeerRequest request, std::function<void(const PeerReply &)> reply);
--- a/bench/relay_main.cpp
+++ b/bench/relay_main.cpp
@@ -2,8 +2,8 @@
 
 #include "enginemodel.h"
 
+#include "core/jsontext.h"
 #include "http/httpclient.h"
-#include "http/jsontext.h"
 #include "settings/flagset.h"
 
 #include <absl/flags/flag.h>
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,7 +1,7 @@
 #include "commands.h"
 
 #include "configuration/schema.h"
-#include "http/jsontext.h"
+#include "core/jsontext.h"
 
 #include <algorithm>
 #include <cstdio>
--- a/src/cli/operatorclient.cpp
+++ b/src/cli/operatorclient.cpp
@@ -1,7 +1,7 @@
 #include "operatorclient.h"
 
+#include "core/jsontext.h"
 #include "http/httpclient.h"
-#include "http/jsontext.h"
 
 #include <event2/event.h>
 
--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -1,13 +1,11 @@
 #include "configuration.h"
 
 #include "configuration/schema.h"
+#include "core/jsontext.h"
 #include "core/turn.h"
 #include "membership/membership.h"
 
-#include <json/json.h>
-
 #include <charconv>
-#include <memory>
 
 namespace indigoway {
 
@@ -92,29 +90,19 @@
     value["command"] = record.command;
     value["changes"] = record.changes;
     value["id"] = record.id;
-    Json::StreamWriterBuilder writer;
-    writer["indentation"] = "";
-    return Json::writeString(writer, value);
+    return jsonText(value);
 }
 
 ChangeRecord parseChangeRecord(const std::string &text)
 {
-    Json::Value value;
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr) || !value.isObject()
-        || !value["revision"].isUInt64() || !value["from"].isUInt64()) {
-        return {};
-    }
-    const auto word = [&](const char *name) {
-        return value[name].isString() ? value[name].asString() : std::string();
-    };
-    return {Revision(value["revision"].asUInt64()),
-            Revision(value["from"].asUInt64()),
-            word("who"),
-            word("when"),
-            word("command"),
-            word("changes"),
-            word("id")};
+    const Json::Value value = parseJson(text);
+    return {Revision(numberMember(value, "revision")),
+            Revision(numberMember(value, "from")),
+            stringMember(value, "who"),
+            stringMember(value, "when"),
+            stringMember(value, "command"),
+            stringMember(value, "changes"),
+            stringMember(value, "id")};
 }
 
 void Configuration::start(Turn &turn)
--- a/src/http/jsontext.h
+++ b/src/core/jsontext.h
@@ -2,6 +2,7 @@
 
 #include <json/json.h>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -22,7 +23,8 @@
 /** Parses @p text; a null value if it is not JSON or nested too deeply. */
 inline Json::Value parseJson(const std::string &text)
 {
-    static const std::unique_ptr<Json::CharReader> Reader = [] {
+    // One per thread: a reader keeps state while it parses, and experiments run in threads.
+    thread_local const std::unique_ptr<Json::CharReader> reader = [] {
         Json::CharReaderBuilder builder;
         Json::CharReaderBuilder::strictMode(&builder.settings_);
         builder["stackLimit"] = 200;
@@ -30,7 +32,7 @@
     }();
     Json::Value value;
     try {
-        if (!Reader->parse(text.data(), text.data() + text.size(), &value, nullptr)) {
+        if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr)) {
             return {};
         }
     } catch (const Json::Exception &) {
@@ -40,6 +42,12 @@
     return value;
 }
 
+/** An unsigned number member of an object, or 0. */
+inline std::uint64_t numberMember(const Json::Value &object, const char *name)
+{
+    return object.isObject() && object[name].isUInt64() ? object[name].asUInt64() : 0;
+}
+
 /** A string member of an object, or empty. */
 inline std::string stringMember(const Json::Value &object, const char *name)
 {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,6 +1,6 @@
 #include "daemon.h"
 
-#include "http/jsontext.h"
+#include "core/jsontext.h"
 
 #include <spdlog/spdlog.h>
 
--- a/src/http/backendcalls.cpp
+++ b/src/http/backendcalls.cpp
@@ -1,6 +1,6 @@
 #include "backendcalls.h"
 
-#include "http/jsontext.h"
+#include "core/jsontext.h"
 
 #include <strings.h>
 
--- a/src/http/callergateway.cpp
+++ b/src/http/callergateway.cpp
@@ -1,7 +1,7 @@
 #include "callergateway.h"
 
+#include "core/jsontext.h"
 #include "core/node.h"
-#include "http/jsontext.h"
 
 #include <xxhash.h>
 
--- a/src/http/innergateway.cpp
+++ b/src/http/innergateway.cpp
@@ -1,7 +1,7 @@
 #include "innergateway.h"
 
+#include "core/jsontext.h"
 #include "core/node.h"
-#include "http/jsontext.h"
 
 #include <openssl/crypto.h>
 
--- a/src/membership/registry.cpp
+++ b/src/membership/registry.cpp
@@ -1,12 +1,10 @@
 #include "registry.h"
 
+#include "core/jsontext.h"
 #include "core/turn.h"
 #include "membership/membership.h"
 
-#include <json/json.h>
-
 #include <algorithm>
-#include <memory>
 
 namespace indigoway {
 
@@ -33,27 +31,22 @@
     value["callers"] = member.callerAddress;
     value["peers"] = member.peerAddress;
     value["domain"] = member.domain.text();
-    Json::StreamWriterBuilder writer;
-    writer["indentation"] = "";
-    return Json::writeString(writer, value);
+    return jsonText(value);
 }
 
 std::optional<MemberUpdate> parseMember(const std::string &text)
 {
-    Json::Value value;
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr) || !value.isObject()
-        || !value["node"].isString() || !value["incarnation"].isUInt64()
-        || !value["callers"].isString() || !value["peers"].isString()
-        || !value["domain"].isString()) {
+    const Json::Value value = parseJson(text);
+    MemberUpdate member;
+    member.life = {NodeName(stringMember(value, "node")),
+                   Incarnation(numberMember(value, "incarnation"))};
+    member.callerAddress = stringMember(value, "callers");
+    member.peerAddress = stringMember(value, "peers");
+    member.domain = DomainName(stringMember(value, "domain"));
+    if (member.life.node.isEmpty() || member.life.incarnation.isNone()
+        || member.peerAddress.empty()) {
         return std::nullopt;
     }
-    MemberUpdate member;
-    member.life = {NodeName(value["node"].asString()),
-                   Incarnation(value["incarnation"].asUInt64())};
-    member.callerAddress = value["callers"].asString();
-    member.peerAddress = value["peers"].asString();
-    member.domain = DomainName(value["domain"].asString());
     return member;
 }
 
--- a/src/peers/peerlink.cpp
+++ b/src/peers/peerlink.cpp
@@ -1,6 +1,6 @@
 #include "peerlink.h"
 
-#include "http/jsontext.h"
+#include "core/jsontext.h"
 #include "peers/messagecodec.h"
 
 #include <jsonrpccpp/client/batchcall.h>
--- a/src/requests/reservations.cpp
+++ b/src/requests/reservations.cpp
@@ -1,12 +1,9 @@
 #include "reservations.h"
 
+#include "core/jsontext.h"
 #include "core/turn.h"
 #include "membership/membership.h"
 
-#include <json/json.h>
-
-#include <memory>
-
 namespace indigoway {
 
 namespace {
@@ -21,22 +18,6 @@
 constexpr Duration EndRetryAfter = std::chrono::seconds(1);
 constexpr int MostEndTries = 600;
 
-Json::Value parsed(const std::string &text)
-{
-    Json::Value value;
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr)
-        || !value.isObject()) {
-        return {Json::objectValue};
-    }
-    return value;
-}
-
-std::string stringOf(const Json::Value &record, const char *name)
-{
-    return record[name].isString() ? record[name].asString() : std::string();
-}
-
 } // namespace
 
 void Reservations::reserve(Turn &turn, RequestNumber request, const std::string &key)
@@ -163,9 +144,7 @@
     value["incarnation"] = Json::UInt64(turn.members.life().incarnation.value());
     value["request"] = Json::UInt64(request.value());
     value["state"] = state;
-    Json::StreamWriterBuilder writer;
-    writer["indentation"] = "";
-    return Json::writeString(writer, value);
+    return jsonText(value);
 }
 
 std::optional<ReservationResult> Reservations::reserveAnswered(Turn &turn, RequestNumber request,
@@ -187,17 +166,16 @@
         m_timers.set(request, turn.now);
         return std::nullopt;
     }
-    const Json::Value found = parsed(result->entries.front().value);
-    const NodeLife owner {
-        NodeName(stringOf(found, "node")),
-        Incarnation(found["incarnation"].isUInt64() ? found["incarnation"].asUInt64() : 0)};
-    const bool isMine = owner == turn.members.life() && found["request"].isUInt64()
-        && found["request"].asUInt64() == request.value();
+    const Json::Value found = parseJson(result->entries.front().value);
+    const NodeLife owner {NodeName(stringMember(found, "node")),
+                          Incarnation(numberMember(found, "incarnation"))};
+    const bool isMine =
+        owner == turn.members.life() && numberMember(found, "request") == request.value();
     if (isMine) {
         entry.state = State::Held;
         return Reserved {request};
     }
-    const std::string state = stringOf(found, "state");
+    const std::string state = stringMember(found, "state");
     m_entries.erase(request);
     return ReservedByOther {request, state == "done",
                             state == "running" && turn.members.mayLive(owner)};
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -2,8 +2,8 @@
 
 #include "enginemodel.h"
 
+#include "core/jsontext.h"
 #include "http/callergateway.h"
-#include "http/jsontext.h"
 
 #include <algorithm>
 
--- a/standins/engine_main.cpp
+++ b/standins/engine_main.cpp
@@ -4,8 +4,6 @@
 
 #include <absl/flags/flag.h>
 
-#include <cstdio>
-
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "Address (IP:port) to listen on.");
 ABSL_FLAG(std::string, name, "engine", "Name of this engine.");
 ABSL_FLAG(std::uint32_t, slots, 20, "Requests decoded at a time.");
@@ -38,13 +36,5 @@
     settings.checksFencing = absl::GetFlag(FLAGS_checks_fencing);
     standins::EventLoop loop;
     standins::Engine engine(loop, settings);
-    const auto bound = engine.listenOn(absl::GetFlag(FLAGS_listen));
-    if (!bound) {
-        std::fprintf(stderr, "cannot listen on %s\n", absl::GetFlag(FLAGS_listen).c_str());
-        return 1;
-    }
-    std::printf("%s\n", bound->c_str());
-    std::fflush(stdout);
-    loop.run();
-    return 0;
+    return standins::announceAndRun(loop, engine.listenOn(absl::GetFlag(FLAGS_listen)));
 }
--- a/standins/eventloop.cpp
+++ b/standins/eventloop.cpp
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 
 #include <csignal>
+#include <cstdio>
 #include <memory>
 
 namespace indigoway::standins {
@@ -46,4 +47,16 @@
     event_free(terminate);
 }
 
+int announceAndRun(EventLoop &loop, const std::optional<std::string> &bound)
+{
+    if (!bound) {
+        std::fprintf(stderr, "cannot listen on the address given\n");
+        return 1;
+    }
+    std::printf("%s\n", bound->c_str());
+    std::fflush(stdout);
+    loop.run();
+    return 0;
+}
+
 } // namespace indigoway::standins
--- a/standins/eventloop.h
+++ b/standins/eventloop.h
@@ -2,6 +2,8 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
+#include <string>
 
 struct event_base;
 
@@ -25,4 +27,10 @@
     event_base *m_base;
 };
 
+/**
+ * Prints the address that a stand-in listens on, so that whoever started it can read it, and runs
+ * the loop; the process's exit code.
+ */
+int announceAndRun(EventLoop &loop, const std::optional<std::string> &bound);
+
 } // namespace indigoway::standins
--- a/standins/service_main.cpp
+++ b/standins/service_main.cpp
@@ -1,12 +1,11 @@
 #include "eventloop.h"
 
+#include "core/jsontext.h"
 #include "http/httpserver.h"
-#include "http/jsontext.h"
 #include "settings/flagset.h"
 
 #include <absl/flags/flag.h>
 
-#include <cstdio>
 #include <map>
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "Address (IP:port) to listen on.");
@@ -121,13 +120,5 @@
                 argv);
     standins::EventLoop loop;
     standins::Service service(loop);
-    const auto bound = service.listenOn(absl::GetFlag(FLAGS_listen));
-    if (!bound) {
-        std::fprintf(stderr, "cannot listen on %s\n", absl::GetFlag(FLAGS_listen).c_str());
-        return 1;
-    }
-    std::printf("%s\n", bound->c_str());
-    std::fflush(stdout);
-    loop.run();
-    return 0;
+    return standins::announceAndRun(loop, service.listenOn(absl::GetFlag(FLAGS_listen)));
 }
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -1,6 +1,6 @@
 #include "store.h"
 
-#include "http/jsontext.h"
+#include "core/jsontext.h"
 
 #include <absl/strings/escaping.h>
 
--- a/tests/peers/messagecodectest.cpp
+++ b/tests/peers/messagecodectest.cpp
@@ -1,6 +1,6 @@
 #include "peers/messagecodec.h"
 
-#include "http/jsontext.h"
+#include "core/jsontext.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
