--- a/src/requests/requests.cpp
+++ b/src/requests/requests.cpp
@@ -275,6 +275,8 @@
         Request &request = m_requests.at(number);
         const RequestStage stage = request.stage;
         dropCall(turn, request);
+        // The server lives and goes on unless it is told; what follows takes it for gone.
+        cancelAttempt(turn, number, request);
         if (stage == RequestStage::Prefilling) {
             prefillFailed(turn, number, CallOutcome::NotFound);
         } else if (stage == RequestStage::Decoding) {
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -332,6 +332,9 @@
         if (subject == "engines") {
             return enginesAre(at(words, 1));
         }
+        if (subject == "idle") {
+            return m_world->engine(at(words, 1)).held().empty();
+        }
         if (subject == "runs") {
             return m_world->runsOf(at(words, 1)) == std::stoi(at(words, 2));
         }
