Find a slow server again in a pool of two

Cause: of two servers the median token time was the slower one's. What is expected of a slow server falls back to the median with time, so in a pool of two it stayed slow for good and was never tried again. Found by a test written for placement's claims, which failed first (leavesASlowServerAndTriesItAgain).

Change: of two middle values the faster server's counts. Tests of the cached prefix, of a busy link and of a slow server at a cell's scheduler.

--- a/src/http/callergateway.cpp
+++ b/src/http/callergateway.cpp
@@ -186,7 +186,7 @@
     if (!request->isStreamed) {
         return;
     }
-    startStream(effect.request, *request);
+    startStream(*request);
     const std::string chunk = request->chunkHead
         + Json::valueToQuotedString(request->arriving.c_str())
         + (request->isChat ? "},\"finish_reason\":null}]}\n\n" : ",\"finish_reason\":null}]}\n\n");
@@ -220,7 +220,7 @@
     usage["completion_tokens"] = request.answeredTokens;
     usage["total_tokens"] = request.spec.promptTokens + request.answeredTokens;
     if (request.isStreamed) {
-        startStream(effect.request, request);
+        startStream(request);
         const std::string end = request.chunkHead + "\"\"" + (request.isChat ? "}" : "")
             + ",\"finish_reason\":" + Json::valueToQuotedString(finishReason.c_str())
             + "}],\"usage\":" + jsonText(usage) + "}\n\ndata: [DONE]\n\n";
@@ -419,7 +419,7 @@
     m_post(RequestArrived {number, spec});
 }
 
-void CallerGateway::startStream(RequestNumber /*number*/, OpenRequest &request)
+void CallerGateway::startStream(OpenRequest &request)
 {
     if (request.hasStarted) {
         return;
--- a/src/http/callergateway.h
+++ b/src/http/callergateway.h
@@ -50,7 +50,7 @@
                  const std::string &detail, Execution execution, Duration comeBackAfter);
     void arrived(OpenRequest open);
     bool takeHeaders(OpenRequest &open);
-    void startStream(RequestNumber number, OpenRequest &request);
+    void startStream(OpenRequest &request);
     Json::Value nodeList(const DomainName &domain) const;
 
     const Node &m_node;
--- a/src/placement/cellservers.cpp
+++ b/src/placement/cellservers.cpp
@@ -22,12 +22,21 @@
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-double medianOf(std::vector<double> values, double otherwise)
+/** Which of an even number's two middle values counts: always the faster server's. In a pool of two
+ * a slow server's own figure would else be what is expected of it, and it would never be tried
+ * again. */
+enum class Middle {
+    Smaller,
+    Larger,
+};
+
+double medianOf(std::vector<double> values, Middle which, double otherwise)
 {
     if (values.empty()) {
         return otherwise;
     }
-    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    const std::size_t index = (values.size() - (which == Middle::Smaller ? 1 : 0)) / 2;
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(index);
     std::nth_element(values.begin(), middle, values.end());
     return *middle;
 }
@@ -104,8 +113,8 @@
             times.push_back(load.tokenTime());
         }
     }
-    m_medianPrefillSpeed = medianOf(std::move(speeds), AssumedPrefillSpeed);
-    m_medianTokenTime = medianOf(std::move(times), AssumedTokenTime);
+    m_medianPrefillSpeed = medianOf(std::move(speeds), Middle::Larger, AssumedPrefillSpeed);
+    m_medianTokenTime = medianOf(std::move(times), Middle::Smaller, AssumedTokenTime);
 }
 
 double CellServers::prefillSeconds(const Turn &turn, const ServerName &server,
--- a/tests/placement/cellschedulertest.cpp
+++ b/tests/placement/cellschedulertest.cpp
@@ -14,19 +14,21 @@
 
 namespace {
 
-/** A cell of two prefill and one decode server of 4 slots, and a hand on its scheduler. */
+/** A cell of two prefill and one decode server of 4 slots, or more, and a hand on its scheduler. */
 class Bench
 {
 public:
-    Bench()
-    {
-        m_deployment = std::get<Deployment>(
-            applyText({},
-                      "model m first-token 5s between-tokens 200ms late finish patience 1min\n"
-                      "pool prefill role prefill target m\npool decode role decode target m\n"
-                      "server p0 pool prefill address 10.0.0.1:1\n"
-                      "server p1 pool prefill address 10.0.0.1:2\n"
-                      "server d0 pool decode address 10.0.0.1:3 slots 4\n"));
+    explicit Bench(const std::string &more = "")
+    {
+        m_deployment = std::get<Deployment>(applyText(
+            {},
+            "model m first-token 5s between-tokens 200ms late finish patience 1min kv-bytes 1000\n"
+            "pool prefill role prefill target m\n"
+            "pool decode role decode target m link-rate 1000000\n"
+            "server p0 pool prefill address 10.0.0.1:1\n"
+            "server p1 pool prefill address 10.0.0.1:2\n"
+            "server d0 pool decode address 10.0.0.1:3 slots 4\n"
+                + more));
         m_cells = CellMap(m_deployment);
         MemberUpdate self;
         self.life = {NodeName("n"), Incarnation(1)};
@@ -50,7 +52,8 @@
         }
     }
 
-    PeerRequestNumber claim(std::uint64_t request, std::uint32_t tokens, Duration untilDeadline)
+    PeerRequestNumber claim(std::uint64_t request, std::uint32_t tokens, Duration untilDeadline,
+                            const std::vector<std::uint64_t> &prefix = {})
     {
         const PeerRequestNumber number(++m_lastNumber);
         ClaimCapacity wanted;
@@ -61,6 +64,7 @@
         wanted.promptTokens = tokens;
         wanted.untilDeadline = untilDeadline;
         wanted.patience = 1min;
+        wanted.prefixHashes = prefix;
         act([&](Turn &turn) { m_scheduler->claim(turn, number, wanted); });
         return number;
     }
@@ -71,19 +75,24 @@
         return it == m_replies.end() ? nullptr : std::get_if<Granted>(&it->second);
     }
 
-    void prefillEnded(PeerRequestNumber claimed, Duration elapsed)
+    /** The decode server that was chosen. */
+    std::string prefillEnded(PeerRequestNumber claimed, Duration elapsed)
     {
         const PeerRequestNumber number(++m_lastNumber);
         act([&](Turn &turn) {
             m_scheduler->prefillEnded(turn, number, {granted(claimed)->claim, true, elapsed, {}});
         });
+        const auto *assigned = std::get_if<DecodeAssigned>(&m_replies.at(number));
+        return assigned ? assigned->server.text() : "";
     }
 
-    void release(PeerRequestNumber claimed)
+    void release(PeerRequestNumber claimed, std::uint32_t tokens = 0, Duration decodeTime = {})
     {
         const PeerRequestNumber number(++m_lastNumber);
         ReleaseClaim message;
         message.claim = granted(claimed)->claim;
+        message.tokens = tokens;
+        message.decodeTime = decodeTime;
         act([&](Turn &turn) { m_scheduler->release(turn, number, message); });
     }
 
@@ -119,6 +128,9 @@
     CPPUNIT_TEST(servesTheEarlierDeadlineFirst);
     CPPUNIT_TEST(lateClaimsAreNotStarved);
     CPPUNIT_TEST(withdrawnClaimsLeaveNothing);
+    CPPUNIT_TEST(prefersTheServerThatHasThePrefix);
+    CPPUNIT_TEST(leavesABusyLinkAlone);
+    CPPUNIT_TEST(leavesASlowServerAndTriesItAgain);
     CPPUNIT_TEST_SUITE_END();
 
     // Five claims for four slots. A fifth prefill would have nowhere to go within the second that
@@ -214,6 +226,65 @@
             CPPUNIT_ASSERT(bench.granted(bench.claim(i, 10, 5s)));
         }
     }
+
+    // Two chapters of one book have their first pages in common. The second goes to the engine that
+    // has them cached, until a cache event, however late, says that they were dropped.
+    void prefersTheServerThatHasThePrefix()
+    {
+        Bench bench;
+        const std::vector<std::uint64_t> book {11, 12, 13};
+        bench.scheduler().cacheEvents({ServerName("p1"), book, {}});
+        const PeerRequestNumber first = bench.claim(1, 1500, 5s, book);
+        CPPUNIT_ASSERT_EQUAL(std::string("p1"), bench.granted(first)->server.text());
+        bench.prefillEnded(first, 50ms);
+        const PeerRequestNumber second = bench.claim(2, 1500, 5s, book);
+        CPPUNIT_ASSERT_EQUAL(std::string("p1"), bench.granted(second)->server.text());
+        bench.prefillEnded(second, 50ms);
+        bench.scheduler().cacheEvents({ServerName("p1"), {}, book});
+        const PeerRequestNumber third = bench.claim(3, 1500, 5s, book);
+        CPPUNIT_ASSERT_EQUAL(std::string("p0"), bench.granted(third)->server.text());
+    }
+
+    // A chapter's KV cache takes ten seconds of an engine's link. A lookup sent there would wait
+    // for it, although the engine has nothing else to do.
+    void leavesABusyLinkAlone()
+    {
+        Bench bench("server d1 pool decode address 10.0.0.1:4 slots 4\n");
+        const PeerRequestNumber chapter = bench.claim(1, 10'000, 20s);
+        const std::string busy = bench.prefillEnded(chapter, 1s);
+        bench.release(chapter);
+        const PeerRequestNumber lookup = bench.claim(2, 10, 5s);
+        CPPUNIT_ASSERT(bench.prefillEnded(lookup, 1ms) != busy);
+        bench.release(lookup);
+        bench.pass(20s);
+        const PeerRequestNumber later = bench.claim(3, 10, 5s);
+        CPPUNIT_ASSERT_EQUAL(busy, bench.prefillEnded(later, 1ms));
+    }
+
+    // An engine takes a second for a token where 200 ms are the target. It gets nothing more while
+    // that is fresh; later it gets one request, which tells how it is now.
+    void leavesASlowServerAndTriesItAgain()
+    {
+        Bench bench("server d1 pool decode address 10.0.0.1:4 slots 4\n");
+        const PeerRequestNumber healthy = bench.claim(1, 10, 5s);
+        const std::string well = bench.prefillEnded(healthy, 1ms);
+        const PeerRequestNumber other = bench.claim(2, 10, 5s);
+        const std::string slow = bench.prefillEnded(other, 1ms);
+        CPPUNIT_ASSERT(well != slow);
+        bench.release(healthy, 101, 2s);
+        bench.release(other, 11, 10s);
+        std::vector<PeerRequestNumber> claims;
+        for (std::uint64_t i = 3; i <= 6; ++i) {
+            claims.push_back(bench.claim(i, 10, 5s));
+            CPPUNIT_ASSERT_EQUAL(well, bench.prefillEnded(claims.back(), 1ms));
+        }
+        const PeerRequestNumber fifth = bench.claim(7, 10, 60s);
+        CPPUNIT_ASSERT(!bench.granted(fifth));
+        bench.pass(40s);
+        CPPUNIT_ASSERT(bench.granted(fifth));
+        CPPUNIT_ASSERT_EQUAL(slow, bench.prefillEnded(fifth, 1ms));
+        CPPUNIT_ASSERT(!bench.granted(bench.claim(8, 10, 60s)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CellSchedulerTest);
