--- a/src/core/jsontext.h
+++ b/src/core/jsontext.h
@@ -24,7 +24,7 @@
 inline Json::Value parseJson(const std::string &text)
 {
     // One per thread: a reader keeps state while it parses, and experiments run in threads.
-    thread_local const std::unique_ptr<Json::CharReader> reader = [] {
+    thread_local const std::unique_ptr<Json::CharReader> Reader = [] {
         Json::CharReaderBuilder builder;
         Json::CharReaderBuilder::strictMode(&builder.settings_);
         builder["stackLimit"] = 200;
@@ -32,7 +32,7 @@
     }();
     Json::Value value;
     try {
-        if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr)) {
+        if (!Reader->parse(text.data(), text.data() + text.size(), &value, nullptr)) {
             return {};
         }
     } catch (const Json::Exception &) {
