--- a/src/core/turn.h
+++ b/src/core/turn.h
@@ -1,10 +1,11 @@
 #pragma once
 
+#include "core/turnrandom.h"
+
 #include <indigoway/deployment.h>
 #include <indigoway/effects.h>
 #include <indigoway/ids.h>
 
-#include <random>
 #include <string>
 #include <utility>
 
@@ -13,13 +14,6 @@
 class CellMap;
 class Membership;
 
-/**
- * Expands one event's entropy. Cheap to seed, since each event seeds one: Knuth's MMIX linear
- * congruential generator, of which the standard distributions use the high bits.
- */
-using TurnRandom =
-    std::linear_congruential_engine<std::uint64_t, 6364136223846793005U, 1442695040888963407U, 0U>;
-
 /** Numbers for the calls that one node makes; unique within its life. */
 class CallNumbers
 {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -7,7 +7,7 @@
 #include "http/innergateway.h"
 #include "metrics/metrics.h"
 #include "peers/peerlink.h"
-#include "platform/storeclient.h"
+#include "etcd/storeclient.h"
 
 #include <memory>
 #include <random>
--- /dev/null
+++ b/src/dispatch/dispatcher.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "dispatch/dispatchstate.h"
+#include "dispatch/generationflow.h"
+#include "dispatch/plainflow.h"
+
+#include "core/deadlines.h"
+
+#include <memory>
+#include <optional>
+
+namespace indigoway::dispatch {
+
+/**
+ * The reducer over callers' requests: which backend server gets each, when, and how it ends. It
+ * neither waits, reads a clock nor opens a socket; calls and answers are effects.
+ */
+class Dispatcher
+{
+public:
+    explicit Dispatcher(DispatchSettings settings);
+
+    /** Open requests keep the table that was in force when they arrived. */
+    void setRoutes(std::shared_ptr<const RouteTable> table) { m_table = std::move(table); }
+    const RouteTable *routes() const { return m_table.get(); }
+    /** Nodes that serve callers, this one included; they share the bounds on retries. */
+    void setNodes(std::uint32_t nodes);
+    void announce(AnnouncedServer server) { m_state.servers.announce(std::move(server)); }
+    void withdraw(const ServerName &name, TimePoint now) { m_state.servers.withdraw(name, now); }
+    const ServerDirectory &servers() const { return m_state.servers; }
+    /** This node is asked to end by @p endsAt; what cannot be done by then is turned away. */
+    void leave(TimePoint now, TimePoint endsAt);
+
+    DispatchEffects reduce(TimePoint now, std::uint64_t entropy, const DispatchEvent &event);
+    /** When TimePassed is wanted at the latest. */
+    std::optional<TimePoint> nextDeadline() const;
+
+    std::size_t open() const { return m_state.requests.size(); }
+    std::size_t waiting() const { return m_generations.waiting(); }
+
+private:
+    void handle(Step &step, const ArrivedRequest &event);
+    void handle(Step &step, const CallerLeft &event);
+    void handle(Step &step, const StreamBegan &event);
+    void handle(Step &step, const CallEnded &event);
+    void handle(Step &step, const TimePassed &event);
+    bool isTooLateForLeaving(TimePoint now, bool isStream) const;
+    void timeOut(Step &step, OpenRequest &request);
+    void rejectUnserved(Step &step, const ArrivedRequest &event, int status,
+                        std::optional<Duration> retryAfter, const std::string &why);
+    RequestFlow &flowOf(const OpenRequest &request);
+
+    DispatchState m_state;
+    PlainFlow m_plain;
+    GenerationFlow m_generations;
+    std::shared_ptr<const RouteTable> m_table;
+    Deadlines<RequestNumber> m_timeouts;
+    std::optional<TimePoint> m_nextTick;
+    std::optional<TimePoint> m_leavingSince;
+    TimePoint m_endsAt {};
+};
+
+} // namespace indigoway::dispatch
--- /dev/null
+++ b/src/dispatch/dispatchevents.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <indigoway/ids.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace indigoway::dispatch {
+
+/** What a caller asks for, as far as it matters for where and when it is served. */
+struct ArrivedRequest
+{
+    RequestNumber request;
+    std::string callerId; ///< The caller's own name for this attempt; for logs.
+    std::string host;
+    std::string path;                  ///< With its query.
+    std::optional<Duration> patience;  ///< How long the caller waits at the most.
+    std::uint32_t promptTokens = 0;    ///< 0 if it is not a generation.
+    std::uint32_t mostOutputTokens = 0;
+    std::optional<std::uint32_t> likelyOutputTokens; ///< The caller's own estimate.
+    bool isContinuation = false;       ///< Goes on after an event that the caller has already.
+    bool isLastOnConnection = false;
+};
+
+/** The caller has closed its connection; nobody waits for the answer any more. */
+struct CallerLeft
+{
+    RequestNumber request;
+};
+
+/** How a call to a backend server ended. */
+enum class CallEnd {
+    NotConnected, ///< Nothing of it was sent.
+    NotExecuted,  ///< The server says that it did not and will not run it.
+    Complete,     ///< The server's whole answer is there.
+    Broken,       ///< Ended early, or with bytes that are no answer: it may have been run.
+};
+
+/** Requests at a server, as it tells with an answer. */
+struct ServerLoad
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+};
+
+/** A stream's first event is there; the call goes on. */
+struct StreamBegan
+{
+    CallNumber call;
+    int status = 0;
+    std::optional<ServerLoad> load;
+};
+
+struct CallEnded
+{
+    CallNumber call;
+    CallEnd end = CallEnd::Broken;
+    int status = 0; ///< 0 if there was no answer.
+    std::optional<ServerLoad> load;
+    std::string reservation;   ///< Of a Reserve that was granted.
+    std::string handle;        ///< Of a Prefill that was done.
+    std::uint32_t events = 0;  ///< Whole events of the stream that were passed on.
+    std::string why;           ///< For logs, where it did not end well.
+};
+
+/** Time has passed. */
+struct TimePassed
+{ };
+
+using DispatchEvent =
+    std::variant<ArrivedRequest, CallerLeft, StreamBegan, CallEnded, TimePassed>;
+
+} // namespace indigoway::dispatch
--- /dev/null
+++ b/src/dispatch/dispatchstate.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "dispatch/openrequests.h"
+#include "dispatch/retryallowance.h"
+#include "dispatch/servercalls.h"
+#include "dispatch/servertracker.h"
+#include "fleet/serverdirectory.h"
+
+#include <map>
+
+namespace indigoway::dispatch {
+
+/** What a node is told about its place and its bounds. */
+struct DispatchSettings
+{
+    DomainName domain;
+    RetryBounds retries;
+};
+
+/** What the flows share: the open requests, the servers, and what is known of them. */
+struct DispatchState
+{
+    explicit DispatchState(DispatchSettings initial)
+        : settings(std::move(initial))
+        , calls(tracker)
+    { }
+
+    DispatchSettings settings;
+    std::uint32_t nodes = 1; ///< That share the bounds on retries.
+    OpenRequests requests;
+    ServerDirectory servers;
+    ServerTracker tracker;
+    ServerCalls calls;
+    std::map<ServiceName, RetryAllowance> allowances;
+
+    RetryAllowance &allowance(const ServiceName &service)
+    {
+        auto [it, isNew] = allowances.try_emplace(service, settings.retries);
+        if (isNew) {
+            it->second.setNodes(nodes);
+        }
+        return it->second;
+    }
+};
+
+/** How one sort of request is served. One object per sort serves all its requests. */
+class RequestFlow
+{
+public:
+    RequestFlow() = default;
+    RequestFlow(const RequestFlow &) = delete;
+    RequestFlow &operator=(const RequestFlow &) = delete;
+    virtual ~RequestFlow() = default;
+
+    virtual void begin(Step &step, OpenRequest &request) = 0;
+    virtual void streamBegan(Step &step, OpenRequest &request, const StreamBegan &event) = 0;
+    virtual void callEnded(Step &step, OpenRequest &request, const OpenCall &call,
+                           const CallEnded &event) = 0;
+    /** A call ended whose request was gone before. */
+    virtual void orphanEnded(Step &step, const OpenCall &call, const CallEnded &event) = 0;
+    /** Gives up all that the request holds; it is ended by the caller of this. */
+    virtual void release(Step &step, OpenRequest &request) = 0;
+    /** Time has passed; the time at which to be called again. */
+    virtual std::optional<TimePoint> tick(Step &step) = 0;
+};
+
+} // namespace indigoway::dispatch
--- /dev/null
+++ b/src/dispatch/engineplacement.cpp
@@ -0,0 +1,122 @@
+#include "engineplacement.h"
+
+namespace indigoway::dispatch {
+
+namespace {
+
+/**
+ * How long an engine that had no room is not asked again. Its requests run for seconds, so room
+ * comes some times a second; asking more often only takes the engines' and the nodes' time.
+ */
+constexpr Duration RefusalPause = std::chrono::milliseconds(60);
+/** A request counts as at least so much smaller that a refusal for a larger one says nothing. */
+constexpr std::uint64_t SmallerByParts = 4;
+/**
+ * Tokens of prompt that a prefill engine reads in the time that moving a KV cache to another
+ * failure domain takes longer, with the price of the bytes between domains.
+ */
+constexpr double OtherDomainTokens = 3000;
+constexpr double TokensPerWaiting = 5000;
+
+} // namespace
+
+void EnginePlacement::charge(const ServerName &server, std::uint64_t tokens)
+{
+    m_engines[server].tokens += tokens;
+}
+
+void EnginePlacement::discharge(const ServerName &server, std::uint64_t tokens)
+{
+    Engine &engine = m_engines[server];
+    engine.tokens -= std::min(engine.tokens, tokens);
+    // Room has come free: a refusal from before does not hold any more.
+    engine.refusedAt = {};
+    engine.refusedTokens = 0;
+}
+
+void EnginePlacement::asking(const ServerName &server)
+{
+    ++m_engines[server].asked;
+}
+
+void EnginePlacement::granted(const ServerName &server)
+{
+    Engine &engine = m_engines[server];
+    engine.asked -= engine.asked > 0 ? 1 : 0;
+    engine.refusedTokens = 0;
+}
+
+void EnginePlacement::refused(const ServerName &server, std::uint64_t tokens, TimePoint now)
+{
+    Engine &engine = m_engines[server];
+    engine.asked -= engine.asked > 0 ? 1 : 0;
+    engine.refusedTokens = tokens;
+    engine.refusedAt = now;
+}
+
+const AnnouncedServer *
+EnginePlacement::pickDecode(const std::vector<const AnnouncedServer *> &candidates,
+                            std::uint64_t tokens, const std::set<ServerName> &without,
+                            TimePoint now) const
+{
+    const AnnouncedServer *best = nullptr;
+    double bestScore = 0;
+    for (const AnnouncedServer *server : candidates) {
+        if (without.contains(server->name)) {
+            continue;
+        }
+        double score = 0;
+        const auto it = m_engines.find(server->name);
+        if (it != m_engines.end()) {
+            if (!isWorthAsking(it->second, tokens, now)) {
+                continue;
+            }
+            score = static_cast<double>(it->second.tokens)
+                + it->second.asked * static_cast<double>(tokens);
+        }
+        if (const auto load = m_tracker.freshLoad(server->name, now)) {
+            score += (load->running + load->waiting) * TokensPerWaiting;
+        }
+        if (!best || score < bestScore) {
+            best = server;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+const AnnouncedServer *
+EnginePlacement::pickPrefill(const std::vector<const AnnouncedServer *> &candidates,
+                             const DomainName &domain, const std::set<ServerName> &without,
+                             TimePoint now) const
+{
+    const AnnouncedServer *best = nullptr;
+    double bestScore = 0;
+    for (const AnnouncedServer *server : candidates) {
+        if (without.contains(server->name)) {
+            continue;
+        }
+        const auto it = m_engines.find(server->name);
+        double waiting = it == m_engines.end() ? 0 : static_cast<double>(it->second.tokens);
+        if (const auto load = m_tracker.freshLoad(server->name, now)) {
+            waiting = std::max(waiting, (load->running + load->waiting) * TokensPerWaiting);
+        }
+        const double score = waiting + (server->domain == domain ? 0 : OtherDomainTokens);
+        if (!best || score < bestScore) {
+            best = server;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+bool EnginePlacement::isWorthAsking(const Engine &engine, std::uint64_t tokens,
+                                    TimePoint now) const
+{
+    if (engine.refusedTokens == 0 || now >= engine.refusedAt + RefusalPause) {
+        return true;
+    }
+    return tokens + tokens / SmallerByParts < engine.refusedTokens;
+}
+
+} // namespace indigoway::dispatch
--- /dev/null
+++ b/src/dispatch/openrequests.cpp
@@ -0,0 +1,175 @@
+#include "openrequests.h"
+
+namespace indigoway::dispatch {
+
+OpenRequest &OpenRequests::add(OpenRequest request)
+{
+    const RequestNumber number = request.facts.request;
+    return m_requests.insert_or_assign(number, std::move(request)).first->second;
+}
+
+OpenRequest *OpenRequests::find(RequestNumber number)
+{
+    const auto it = m_requests.find(number);
+    return it == m_requests.end() ? nullptr : &it->second;
+}
+
+void OpenRequests::deliver(Step &step, OpenRequest &request, CallNumber call, int status)
+{
+    if (request.firstAnswer == TimePoint {}) {
+        request.firstAnswer = step.now;
+    }
+    step.add(DeliverAnswer {request.facts.request, call});
+    constexpr int FirstFailure = 500;
+    const auto outcome =
+        status < FirstFailure ? RequestOutcome::Served : RequestOutcome::ServerFailed;
+    record(step, request, outcome, "status=" + std::to_string(status));
+    erase(step, request, outcome);
+}
+
+void OpenRequests::endStream(Step &step, OpenRequest &request)
+{
+    step.add(EndStream {request.facts.request});
+    record(step, request, RequestOutcome::Served, {});
+    erase(step, request, RequestOutcome::Served);
+}
+
+void OpenRequests::breakStream(Step &step, OpenRequest &request, const std::string &why)
+{
+    step.add(BreakStream {request.facts.request});
+    record(step, request, RequestOutcome::Failed, "stream cut: " + why);
+    erase(step, request, RequestOutcome::Failed);
+}
+
+void OpenRequests::reject(Step &step, OpenRequest &request, Duration retryAfter,
+                          const std::string &why)
+{
+    constexpr int ServiceUnavailable = 503;
+    step.add(RejectRequest {request.facts.request, ServiceUnavailable, retryAfter, why});
+    record(step, request, RequestOutcome::Rejected,
+           why + " retry_after_ms=" + millisecondsText(retryAfter));
+    erase(step, request, RequestOutcome::Rejected);
+}
+
+void OpenRequests::failInDoubt(Step &step, OpenRequest &request, int status,
+                               const std::string &why)
+{
+    step.add(RejectRequest {request.facts.request, status, std::nullopt, why});
+    record(step, request, RequestOutcome::Failed, "status=" + std::to_string(status) + " " + why);
+    erase(step, request, RequestOutcome::Failed);
+}
+
+void OpenRequests::dropLeft(Step &step, OpenRequest &request)
+{
+    record(step, request, RequestOutcome::CallerLeft, {});
+    erase(step, request, RequestOutcome::CallerLeft);
+}
+
+void OpenRequests::record(Step &step, const OpenRequest &request, RequestOutcome outcome,
+                          const std::string &detail)
+{
+    std::string text = std::string("outcome=") + nameOf(outcome) + " route="
+        + request.route->name.text() + " routes_version="
+        + std::to_string(request.table->version()) + " stage=" + nameOf(request.stage)
+        + " age_ms=" + millisecondsText(step.now - request.arrived)
+        + " runs=" + std::to_string(request.runs) + " server=" + request.server.text();
+    if (request.isGeneration()) {
+        text += " prompt=" + std::to_string(request.facts.promptTokens)
+            + " prefill_server=" + request.prefillServer.text()
+            + " decode_server=" + request.decodeServer.text();
+    }
+    if (!detail.empty()) {
+        text += " " + detail;
+    }
+    step.add(RecordDecision {"request_end", request.facts.callerId, std::move(text)});
+}
+
+void OpenRequests::erase(Step &step, const OpenRequest &request, RequestOutcome outcome)
+{
+    RequestEnded ended;
+    ended.outcome = outcome;
+    ended.isGeneration = request.isGeneration();
+    ended.whole = step.now - request.arrived;
+    if (request.firstAnswer != TimePoint {}) {
+        ended.untilFirst = request.firstAnswer - request.arrived;
+    }
+    step.add(ended);
+    m_requests.erase(request.facts.request);
+}
+
+const char *nameOf(Stage stage)
+{
+    switch (stage) {
+    case Stage::Calling:
+        return "calling";
+    case Stage::Waiting:
+        return "waiting";
+    case Stage::Reserving:
+        return "reserving";
+    case Stage::Prefilling:
+        return "prefilling";
+    case Stage::Decoding:
+        return "decoding";
+    }
+    return "";
+}
+
+const char *nameOf(RequestOutcome outcome)
+{
+    switch (outcome) {
+    case RequestOutcome::Served:
+        return "served";
+    case RequestOutcome::ServerFailed:
+        return "server_failed";
+    case RequestOutcome::Rejected:
+        return "rejected";
+    case RequestOutcome::Failed:
+        return "failed";
+    case RequestOutcome::CallerLeft:
+        return "caller_left";
+    }
+    return "";
+}
+
+const char *nameOf(CallKind kind)
+{
+    switch (kind) {
+    case CallKind::Plain:
+        return "plain";
+    case CallKind::Reserve:
+        return "reserve";
+    case CallKind::Unreserve:
+        return "unreserve";
+    case CallKind::Prefill:
+        return "prefill";
+    case CallKind::FreeHandle:
+        return "free_handle";
+    case CallKind::Decode:
+        return "decode";
+    case CallKind::Whole:
+        return "whole";
+    }
+    return "";
+}
+
+const char *nameOf(CallEnd end)
+{
+    switch (end) {
+    case CallEnd::NotConnected:
+        return "not_connected";
+    case CallEnd::NotExecuted:
+        return "not_executed";
+    case CallEnd::Complete:
+        return "complete";
+    case CallEnd::Broken:
+        return "broken";
+    }
+    return "";
+}
+
+std::string millisecondsText(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+} // namespace indigoway::dispatch
--- /dev/null
+++ b/src/dispatch/plainflow.cpp
@@ -0,0 +1,195 @@
+#include "plainflow.h"
+
+namespace indigoway::dispatch {
+
+namespace {
+
+constexpr int FirstServerFailure = 500;
+constexpr int BadGateway = 502;
+/**
+ * Of an idempotent request's target: a server that is silent for longer is given up and another
+ * one asked. Healthy answers take a fifth of the target at the median; at twice the target the
+ * caller's second half of patience is still there for the other server.
+ */
+constexpr int SilenceInTargets = 2;
+/** Calls that were never sent or turned away, before the request is rejected. */
+constexpr std::size_t MostServersTried = 4;
+/** A plain service that turns work away has a full queue of some hundred milliseconds. */
+constexpr Duration ComeBackAfter = std::chrono::milliseconds(250);
+/** Preference for the own failure domain, in the score's milliseconds: the way there and back. */
+constexpr double OtherDomainMilliseconds = 3;
+
+} // namespace
+
+void PlainFlow::begin(Step &step, OpenRequest &request)
+{
+    m_state.allowance(request.service->name).requestSent(step.now);
+    send(step, request);
+}
+
+void PlainFlow::streamBegan(Step &step, OpenRequest &request, const StreamBegan &event)
+{
+    // A plain service may stream, too; it is passed on as it comes.
+    request.isForwarding = true;
+    request.firstAnswer = step.now;
+    step.add(ForwardStream {request.facts.request, event.call});
+}
+
+void PlainFlow::callEnded(Step &step, OpenRequest &request, const OpenCall &call,
+                          const CallEnded &event)
+{
+    const ServerName server = call.server.name;
+    request.call = {};
+    if (event.load) {
+        m_state.tracker.loadTold(server, *event.load, step.now);
+    }
+    switch (event.end) {
+    case CallEnd::Complete:
+        answered(step, request, call, event);
+        return;
+    case CallEnd::NotExecuted:
+        m_state.tracker.turnedAway(server);
+        --request.runs;
+        turnedAway(step, request, event.why);
+        return;
+    case CallEnd::NotConnected:
+        m_state.tracker.failed(server, step.now);
+        --request.runs;
+        --request.arrivals;
+        turnedAway(step, request, event.why);
+        return;
+    case CallEnd::Broken:
+        m_state.tracker.failed(server, step.now);
+        broken(step, request, event);
+        return;
+    }
+}
+
+void PlainFlow::orphanEnded(Step & /*step*/, const OpenCall &call, const CallEnded & /*event*/)
+{
+    m_state.tracker.callDropped(call.server.name);
+}
+
+void PlainFlow::release(Step &step, OpenRequest &request)
+{
+    if (!request.call.isNone()) {
+        m_state.calls.abandon(step, request.call);
+        request.call = {};
+    }
+}
+
+std::optional<TimePoint> PlainFlow::tick(Step & /*step*/)
+{
+    return std::nullopt;
+}
+
+void PlainFlow::send(Step &step, OpenRequest &request)
+{
+    const AnnouncedServer *server = pick(step, request);
+    if (!server) {
+        m_state.requests.reject(step, request, step.spread(ComeBackAfter), "no server");
+        return;
+    }
+    StartCall call;
+    call.request = request.facts.request;
+    call.kind = CallKind::Plain;
+    call.patience = request.answerBy - step.now;
+    const bool isIdempotent = request.route->repetition == Repetition::Idempotent;
+    if (isIdempotent && mayRunAgain(request)) {
+        call.silentFor = request.route->target * SilenceInTargets;
+    }
+    // A kept connection can die as the request is written; whether it was read is not known then,
+    // and what must not run twice could not be sent again. A new one costs a round trip.
+    call.needsNewConnection = !isIdempotent;
+    request.tried.insert(server->name);
+    request.server = server->name;
+    request.callKind = CallKind::Plain;
+    request.callStarted = step.now;
+    ++request.runs;
+    ++request.arrivals;
+    request.call = m_state.calls.start(step, *server, std::move(call));
+}
+
+const AnnouncedServer *PlainFlow::pick(Step &step, const OpenRequest &request) const
+{
+    const auto all =
+        m_state.servers.candidates(request.service->name, EnginePhase::None, step.now);
+    std::vector<const AnnouncedServer *> fresh;
+    for (const AnnouncedServer *server : all) {
+        if (!request.tried.contains(server->name)) {
+            fresh.push_back(server);
+        }
+    }
+    const AnnouncedServer *best = nullptr;
+    double bestScore = 0;
+    for (const AnnouncedServer *server : m_state.tracker.preferred(fresh, step.now)) {
+        double score = m_state.tracker.expectedMilliseconds(server->name, step.now);
+        score += server->domain == m_state.settings.domain ? 0 : OtherDomainMilliseconds;
+        if (!best || score < bestScore) {
+            best = server;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+bool PlainFlow::mayRunAgain(const OpenRequest &request) const
+{
+    return request.route->repetition == Repetition::Idempotent
+        && request.runs < request.route->maxAttempts
+        && request.tried.size() < MostServersTried;
+}
+
+void PlainFlow::answered(Step &step, OpenRequest &request, const OpenCall &call,
+                         const CallEnded &event)
+{
+    const bool isWell = event.status < FirstServerFailure;
+    m_state.tracker.answered(call.server.name, step.now - call.started, isWell, step.now);
+    if (request.isForwarding) {
+        m_state.requests.endStream(step, request);
+        return;
+    }
+    if (!isWell && mayRunAgain(request) && pick(step, request)
+        && m_state.allowance(request.service->name).take(step.now)) {
+        step.add(RecordDecision {"retry", request.facts.callerId,
+                                 "after status " + std::to_string(event.status) + " of "
+                                     + call.server.name.text()});
+        send(step, request);
+        return;
+    }
+    m_state.requests.deliver(step, request, event.call, event.status);
+}
+
+void PlainFlow::turnedAway(Step &step, OpenRequest &request, const std::string &why)
+{
+    if (request.runs > 0) {
+        // An earlier call of this idempotent request may have run.
+        m_state.requests.failInDoubt(step, request, BadGateway, why);
+        return;
+    }
+    const bool isCounted = request.arrivals > 0;
+    if (request.tried.size() < MostServersTried && pick(step, request)
+        && (!isCounted || m_state.allowance(request.service->name).take(step.now))) {
+        step.add(RecordDecision {"retry", request.facts.callerId, "not run: " + why});
+        send(step, request);
+        return;
+    }
+    m_state.requests.reject(step, request, step.spread(ComeBackAfter), why);
+}
+
+void PlainFlow::broken(Step &step, OpenRequest &request, const CallEnded &event)
+{
+    if (request.isForwarding) {
+        m_state.requests.breakStream(step, request, event.why);
+        return;
+    }
+    if (mayRunAgain(request) && pick(step, request)
+        && m_state.allowance(request.service->name).take(step.now)) {
+        step.add(RecordDecision {"retry", request.facts.callerId, "in doubt: " + event.why});
+        send(step, request);
+        return;
+    }
+    m_state.requests.failInDoubt(step, request, BadGateway, event.why);
+}
+
+} // namespace indigoway::dispatch
--- /dev/null
+++ b/src/dispatch/plainflow.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "dispatch/dispatchstate.h"
+
+namespace indigoway::dispatch {
+
+/**
+ * Requests to plain services: one call, and for idempotent requests another one at another
+ * server if the first fails.
+ */
+class PlainFlow : public RequestFlow
+{
+public:
+    explicit PlainFlow(DispatchState &state)
+        : m_state(state)
+    { }
+
+    void begin(Step &step, OpenRequest &request) override;
+    void streamBegan(Step &step, OpenRequest &request, const StreamBegan &event) override;
+    void callEnded(Step &step, OpenRequest &request, const OpenCall &call,
+                   const CallEnded &event) override;
+    void orphanEnded(Step &step, const OpenCall &call, const CallEnded &event) override;
+    void release(Step &step, OpenRequest &request) override;
+    std::optional<TimePoint> tick(Step &step) override;
+
+private:
+    void send(Step &step, OpenRequest &request);
+    const AnnouncedServer *pick(Step &step, const OpenRequest &request) const;
+    bool mayRunAgain(const OpenRequest &request) const;
+    void answered(Step &step, OpenRequest &request, const OpenCall &call, const CallEnded &event);
+    void turnedAway(Step &step, OpenRequest &request, const std::string &why);
+    void broken(Step &step, OpenRequest &request, const CallEnded &event);
+
+    DispatchState &m_state;
+};
+
+} // namespace indigoway::dispatch
--- /dev/null
+++ b/src/edge/edgenode.cpp
@@ -0,0 +1,302 @@
+#include "edgenode.h"
+
+#include <event2/event.h>
+
+#include <ctime>
+
+namespace indigoway {
+
+namespace {
+
+using dispatch::DispatchSettings;
+
+constexpr timeval TickEvery {0, 250'000};
+/** A jump of the clocks against each other beyond what reading both one after the other makes. */
+constexpr Duration FreezeNoticed = std::chrono::milliseconds(300);
+/** Left of the time to end for the last bytes and for the process's own end. */
+constexpr Duration EndMargin = std::chrono::milliseconds(600);
+/** Callers who learnt of this node a moment ago still come; they are served before it ends. */
+constexpr Duration LeaveAtLeast = std::chrono::milliseconds(1500);
+
+TimePoint present()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+Duration clockTime(clockid_t clock)
+{
+    timespec time {};
+    clock_gettime(clock, &time);
+    return std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
+                                                + std::chrono::nanoseconds(time.tv_nsec));
+}
+
+/** Time for which the machine stood still since it started. */
+Duration frozenTime()
+{
+    return clockTime(CLOCK_BOOTTIME) - clockTime(CLOCK_MONOTONIC);
+}
+
+NodeEntry entryOf(const EdgeSettings &settings)
+{
+    return {settings.node, settings.domain, settings.callers, settings.control};
+}
+
+dispatch::RetryBounds retryBoundsOf(const EdgeSettings &settings)
+{
+    return {settings.retryRatio, settings.retryWindow, settings.retrySlack};
+}
+
+} // namespace
+
+EdgeNode::EdgeNode(event_base *base, EdgeSettings settings, HttpClient &client, EdgePorts ports)
+    : m_base(base)
+    , m_settings(std::move(settings))
+    , m_ports(std::move(ports))
+    , m_log(m_settings.node)
+    , m_roster(entryOf(m_settings))
+    , m_dispatcher(DispatchSettings {m_settings.domain, retryBoundsOf(m_settings)})
+    , m_relay(base, m_dispatcher, *m_ports.dialect, std::random_device {}())
+    , m_sync(base, *m_ports.store, client, wiringOf(*this, m_ports.layout))
+    , m_control(
+          base, HttpLimits {}, [this](const HttpRequest &request) { handleControl(request); },
+          [](ExchangeNumber) {})
+    , m_timer(event_new(
+          base, -1, EV_PERSIST,
+          [](evutil_socket_t, short, void *self) { static_cast<EdgeNode *>(self)->tick(); }, this))
+    , m_random(std::random_device {}())
+    , m_frozen(frozenTime())
+{
+    m_relay.setRecordHandler([this](const dispatch::RecordDecision &decision) {
+        record(decision.kind, {{"request", decision.callerId}, {"detail", decision.detail}});
+    });
+}
+
+bool EdgeNode::start()
+{
+    if (!m_control.listenOn(m_settings.control)) {
+        record("cannot_listen", {{"address", m_settings.control}});
+        return false;
+    }
+    if (!m_relay.listenOn(m_settings.callers)) {
+        record("cannot_listen", {{"address", m_settings.callers}});
+        return false;
+    }
+    record("start", {{"callers", m_settings.callers}, {"domain", m_settings.domain.text()}});
+    event_add(m_timer.get(), &TickEvery);
+    m_sync.start();
+    return true;
+}
+
+void EdgeNode::leave()
+{
+    if (m_leavingSince) {
+        return;
+    }
+    const TimePoint now = present();
+    m_leavingSince = now;
+    m_roster.setLeaving();
+    m_relay.beginLeaving();
+    m_dispatcher.leave(now, now + m_settings.endsWithin - EndMargin);
+    m_sync.leave();
+    record("leave", {{"open_requests", std::to_string(m_dispatcher.open())}});
+}
+
+void EdgeNode::reload(const EdgeSettings &settings)
+{
+    m_settings.peers = settings.peers;
+    m_settings.listKept = settings.listKept;
+    record("reload", {{"peers", std::to_string(settings.peers.size())}});
+}
+
+bool EdgeNode::isReady() const
+{
+    return !m_leavingSince && m_dispatcher.routes()
+        && m_sync.mirror(MirrorKind::Servers).isKnown();
+}
+
+std::vector<std::string> EdgeNode::callerAddresses(std::size_t most)
+{
+    return m_roster.callerAddresses(present(), most, m_random());
+}
+
+StateSync::Wiring EdgeNode::wiringOf(EdgeNode &node, const StoreLayout &layout)
+{
+    StateSync::Wiring wiring;
+    wiring.prefixes = {layout.routingKey, layout.serversPrefix, layout.nodesPrefix};
+    wiring.ownKey = layout.nodesPrefix + node.m_settings.node.text();
+    wiring.ownValue = encodeNodeEntry(entryOf(node.m_settings));
+    wiring.changed = [&node](MirrorKind kind, const std::string &key, const std::string *value) {
+        node.storeChanged(kind, key, value);
+    };
+    wiring.record = [&node](const std::string &kind, const std::string &detail) {
+        node.record(kind, {{"detail", detail}});
+    };
+    wiring.peers = [&node] {
+        return node.peerAddresses();
+    };
+    return wiring;
+}
+
+void EdgeNode::storeChanged(MirrorKind kind, const std::string &key, const std::string *value)
+{
+    switch (kind) {
+    case MirrorKind::Routing:
+        if (value && key == m_ports.layout.routingKey) {
+            routingChanged(*value);
+        }
+        break;
+    case MirrorKind::Servers:
+        serverChanged(key, value);
+        break;
+    case MirrorKind::Nodes:
+        nodeChanged(key, value);
+        break;
+    case MirrorKind::Size:
+        break;
+    }
+}
+
+void EdgeNode::routingChanged(const std::string &value)
+{
+    auto decoded = m_ports.codec->decodeRouting(value);
+    if (const auto *fault = std::get_if<DecodeFault>(&decoded)) {
+        record("routing_unreadable", {{"fault", fault->what}});
+        return;
+    }
+    auto &state = std::get<RoutingState>(decoded);
+    const RouteTable *old = m_dispatcher.routes();
+    record("routing",
+           {{"version", std::to_string(state.version)},
+            {"before", old ? std::to_string(old->version()) : "none"},
+            {"routes", std::to_string(state.routes.size())}});
+    m_relay.setLimits(state.limits);
+    m_dispatcher.setRoutes(std::make_shared<const RouteTable>(std::move(state)));
+}
+
+void EdgeNode::serverChanged(const std::string &key, const std::string *value)
+{
+    const std::string name = key.substr(m_ports.layout.serversPrefix.size());
+    if (!value) {
+        m_dispatcher.withdraw(ServerName(name), present());
+        record("server_vanished", {{"server", name}});
+        return;
+    }
+    auto decoded = m_ports.codec->decodeServer(name, *value);
+    if (const auto *fault = std::get_if<DecodeFault>(&decoded)) {
+        record("server_unreadable", {{"server", name}, {"fault", fault->what}});
+        return;
+    }
+    auto &server = std::get<AnnouncedServer>(decoded);
+    const AnnouncedServer *before = m_dispatcher.servers().find(server.name);
+    if (!before || !(*before == server)) {
+        record("server",
+               {{"server", name},
+                {"service", server.service.text()},
+                {"address", server.address},
+                {"draining", server.isDraining ? "yes" : "no"}});
+    }
+    m_dispatcher.announce(std::move(server));
+}
+
+void EdgeNode::nodeChanged(const std::string &key, const std::string *value)
+{
+    if (!value) {
+        m_roster.withdraw(key, present());
+        record("node_vanished", {{"key", key}});
+        return;
+    }
+    auto entry = decodeNodeEntry(*value);
+    if (!entry) {
+        record("node_unreadable", {{"key", key}});
+        return;
+    }
+    record("node", {{"key", key}, {"callers", entry->callers}});
+    m_roster.announce(key, std::move(*entry));
+}
+
+std::vector<std::string> EdgeNode::peerAddresses() const
+{
+    std::vector<std::string> addresses = m_roster.peers(present());
+    for (const std::string &peer : m_settings.peers) {
+        if (peer != m_settings.control) {
+            addresses.push_back(peer);
+        }
+    }
+    return addresses;
+}
+
+void EdgeNode::handleControl(const HttpRequest &request)
+{
+    constexpr int Ok = 200;
+    constexpr int NoContent = 204;
+    constexpr int NotFound = 404;
+    if (request.path == "/v1/mirror") {
+        const std::uint64_t after =
+            std::strtoull(request.parameter("after").c_str(), nullptr, 10);
+        const std::string answer = m_sync.answerPeer(request.parameter("of"), after);
+        m_control.reply(request.exchange, answer.empty() ? NoContent : Ok,
+                        {{"Content-Type", "application/json"}}, answer);
+    } else if (request.path == "/metrics") {
+        m_control.reply(request.exchange, Ok, {{"Content-Type", "text/plain"}}, metricsText());
+    } else {
+        m_control.reply(request.exchange, NotFound, {}, "");
+    }
+}
+
+std::string EdgeNode::metricsText() const
+{
+    std::string text;
+    const auto add = [&text](const char *name, std::uint64_t value) {
+        text += std::string("indigoway_") + name + " " + std::to_string(value) + "\n";
+    };
+    add("requests_open", m_dispatcher.open());
+    add("requests_waiting", m_dispatcher.waiting());
+    add("caller_connections", m_relay.callers().connections());
+    add("server_connections_made", m_relay.serverConnections().connectionsMade());
+    add("log_lines_dropped", m_log.dropped());
+    add("routing_version", m_dispatcher.routes() ? m_dispatcher.routes()->version() : 0);
+    add("servers_known", m_dispatcher.servers().size());
+    add("leaving", m_leavingSince ? 1 : 0);
+    return text;
+}
+
+void EdgeNode::tick()
+{
+    const TimePoint now = present();
+    noticeFreeze(now);
+    m_dispatcher.setNodes(m_roster.count(now));
+    m_relay.wake();
+    endIfDone(now);
+}
+
+void EdgeNode::noticeFreeze(TimePoint /*now*/)
+{
+    const Duration frozen = frozenTime();
+    if (frozen > m_frozen + FreezeNoticed) {
+        record("woke", {{"stood_still_ms",
+                         dispatch::millisecondsText(frozen - m_frozen)}});
+        m_sync.refresh();
+    }
+    m_frozen = frozen;
+}
+
+void EdgeNode::endIfDone(TimePoint now)
+{
+    if (!m_leavingSince) {
+        return;
+    }
+    const bool isDone = m_relay.callers().openRequests() == 0;
+    const bool isTimeUp = now > *m_leavingSince + m_settings.endsWithin - EndMargin;
+    if ((isDone && now > *m_leavingSince + LeaveAtLeast) || isTimeUp) {
+        record("stop", {{"open_requests", std::to_string(m_dispatcher.open())}});
+        event_base_loopbreak(m_base);
+    }
+}
+
+void EdgeNode::record(const std::string &kind, std::vector<LogField> fields)
+{
+    m_log.write(present(), kind, fields);
+}
+
+} // namespace indigoway
--- /dev/null
+++ b/src/edge/edgenode.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "dispatch/dispatcher.h"
+#include "edge/decisionlog.h"
+#include "edge/edgesettings.h"
+#include "edge/statecodec.h"
+#include "edge/statesync.h"
+#include "fleet/noderoster.h"
+#include "http/eventbase.h"
+#include "http/httpclient.h"
+#include "http/httpserver.h"
+#include "relay/dialect.h"
+#include "relay/requestrelay.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace indigoway {
+
+/** What binds a node to the platform it runs on. */
+struct EdgePorts
+{
+    const Dialect *dialect = nullptr;
+    const StateCodec *codec = nullptr;
+    KeyValueStore *store = nullptr;
+    StoreLayout layout;
+};
+
+/** One entry VM's process: wires the dispatcher, the sockets, the store and the other nodes. */
+class EdgeNode
+{
+public:
+    EdgeNode(event_base *base, EdgeSettings settings, HttpClient &client, EdgePorts ports);
+    EdgeNode(const EdgeNode &) = delete;
+    EdgeNode &operator=(const EdgeNode &) = delete;
+
+    /** False if an address cannot be listened on. */
+    bool start();
+    /** SIGTERM: no new callers; ends the loop when all is answered or time is up. */
+    void leave();
+    /** Settings that may change while the node runs are taken over. */
+    void reload(const EdgeSettings &settings);
+
+    void recordFault(const std::string &kind, const std::string &what)
+    {
+        record(kind, {{"fault", what}});
+    }
+
+    /** Whether new callers should be sent here. */
+    bool isReady() const;
+    std::vector<std::string> callerAddresses(std::size_t most);
+    Duration listKept() const { return m_settings.listKept; }
+
+private:
+    static StateSync::Wiring wiringOf(EdgeNode &node, const StoreLayout &layout);
+    void storeChanged(MirrorKind kind, const std::string &key, const std::string *value);
+    void routingChanged(const std::string &value);
+    void serverChanged(const std::string &key, const std::string *value);
+    void nodeChanged(const std::string &key, const std::string *value);
+    std::vector<std::string> peerAddresses() const;
+    void handleControl(const HttpRequest &request);
+    std::string metricsText() const;
+    void tick();
+    void noticeFreeze(TimePoint now);
+    void endIfDone(TimePoint now);
+    void record(const std::string &kind, std::vector<LogField> fields);
+
+    event_base *m_base;
+    EdgeSettings m_settings;
+    EdgePorts m_ports;
+    DecisionLog m_log;
+    NodeRoster m_roster;
+    dispatch::Dispatcher m_dispatcher;
+    RequestRelay m_relay;
+    StateSync m_sync;
+    HttpServer m_control;
+    EventHandle m_timer;
+    std::mt19937_64 m_random;
+    std::optional<TimePoint> m_leavingSince;
+    Duration m_frozen {}; ///< Time that the steady clock did not count, as last seen.
+};
+
+} // namespace indigoway
--- /dev/null
+++ b/src/fleet/nodeannouncer.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "store/keyvaluestore.h"
+
+#include <optional>
+#include <variant>
+
+namespace indigoway {
+
+struct GrantLeaseCall
+{ };
+struct PutEntryCall
+{
+    StoreLease lease;
+};
+struct RenewLeaseCall
+{
+    StoreLease lease;
+};
+using AnnouncerCall = std::variant<GrantLeaseCall, PutEntryCall, RenewLeaseCall>;
+
+/**
+ * Keeps this node's entry in the store: under a lease, so that the entry of a node that dies
+ * vanishes, and written again whenever the lease or the entry was lost while the node is well.
+ */
+class NodeAnnouncer
+{
+public:
+    /** Three renewals may fail before the entry vanishes. */
+    static constexpr Duration LeaseLifetime = std::chrono::milliseconds(3000);
+
+    /** What to ask the store now; nothing while a call is under way or nothing is due. */
+    std::optional<AnnouncerCall> nextCall(TimePoint now);
+
+    void leaseGranted(TimePoint now, StoreLease lease);
+    void entryWritten(TimePoint now);
+    void leaseRenewed(TimePoint now);
+    void failed(TimePoint now, StoreFault fault);
+    /** The entry was seen to vanish, though this node has not ended its lease. */
+    void entryVanished();
+    /** The node leaves: nothing is written any more. The lease to end, if there is one. */
+    StoreLease leave();
+
+    bool isAnnounced() const { return m_isWritten; }
+
+private:
+    bool m_isCalling = false;
+    bool m_isLeaving = false;
+    StoreLease m_lease;
+    bool m_isWritten = false;
+    TimePoint m_nextAt {};
+};
+
+} // namespace indigoway
--- /dev/null
+++ b/src/fleet/noderoster.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <indigoway/ids.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace indigoway {
+
+/** A node as it announced itself. */
+struct NodeEntry
+{
+    NodeName name;
+    DomainName domain;
+    std::string callers; ///< "IP:port" for callers.
+    std::string control; ///< "IP:port" for the other nodes.
+    bool operator==(const NodeEntry &) const = default;
+};
+
+std::string encodeNodeEntry(const NodeEntry &entry);
+/** Nothing if @p text is no entry. */
+std::optional<NodeEntry> decodeNodeEntry(std::string_view text);
+
+/**
+ * The nodes that serve callers. An entry that vanishes is kept for a moment: when the store has
+ * been away, leases of healthy nodes lapse, and an empty list would send callers nowhere.
+ */
+class NodeRoster
+{
+public:
+    static constexpr Duration VanishedKept = std::chrono::milliseconds(1200);
+
+    explicit NodeRoster(NodeEntry self);
+
+    void announce(const std::string &key, NodeEntry entry);
+    void withdraw(const std::string &key, TimePoint now);
+    /** This node asks callers to go elsewhere. */
+    void setLeaving() { m_isLeaving = true; }
+    /** Addresses for callers, at most @p most; this node's own unless it leaves. */
+    std::vector<std::string> callerAddresses(TimePoint now, std::size_t most,
+                                             std::uint64_t entropy) const;
+    /** Addresses of the other nodes' control sides. */
+    std::vector<std::string> peers(TimePoint now) const;
+    /** Nodes that serve callers, this one included. */
+    std::uint32_t count(TimePoint now) const;
+
+private:
+    struct Known
+    {
+        NodeEntry entry;
+        std::optional<TimePoint> vanishedAt;
+    };
+
+    static bool isPresent(const Known &known, TimePoint now);
+
+    NodeEntry m_self;
+    bool m_isLeaving = false;
+    std::map<std::string, Known> m_nodes; ///< By key.
+};
+
+} // namespace indigoway
--- /dev/null
+++ b/src/relay/callerlistener.cpp
@@ -0,0 +1,468 @@
+#include "callerlistener.h"
+
+#include "relay/sockets.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+namespace indigoway {
+
+namespace {
+
+constexpr int BadRequest = 400;
+constexpr int RequestTimeout = 408;
+constexpr int PayloadTooLarge = 413;
+constexpr int ExpectationFailed = 417;
+constexpr int HeadersTooLarge = 431;
+/** A caller who takes no byte of an answer for so long is gone. */
+constexpr auto LongestUnacknowledged = std::chrono::milliseconds(5000);
+/** After a refusal the rest of the request is read for a moment, so that no reset overtakes it. */
+constexpr Duration LingerTime = std::chrono::seconds(1);
+/** Callers may use a connection up to the idle limit; the close comes surely later. */
+constexpr Duration IdleSlack = std::chrono::seconds(1);
+/** Unsent bytes of a stream whose caller does not read; no answer is larger. */
+constexpr std::size_t MostUnsent = std::size_t {4} * 1024 * 1024;
+constexpr int ListenBacklog = 512;
+
+timeval timevalOf(Duration duration)
+{
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(duration);
+    return {seconds.count(), (duration - seconds).count()};
+}
+
+const char *reasonOf(int status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case BadRequest:
+        return "Bad Request";
+    case 404:
+        return "Not Found";
+    case RequestTimeout:
+        return "Request Timeout";
+    case PayloadTooLarge:
+        return "Payload Too Large";
+    case ExpectationFailed:
+        return "Expectation Failed";
+    case HeadersTooLarge:
+        return "Request Header Fields Too Large";
+    case 500:
+        return "Internal Server Error";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
+} // namespace
+
+struct CallerListener::Connection
+{
+    enum class State {
+        Reading,   ///< Between requests, or in the middle of one.
+        Answering, ///< A request is open; what arrives meanwhile waits.
+        Closing,   ///< Closed when all is written.
+        Lingering,
+    };
+
+    CallerListener *listener = nullptr;
+    ConnectionNumber number;
+    bufferevent *bev = nullptr;
+    event *timer = nullptr;
+    MessageParser parser;
+    State state = State::Reading;
+    RequestNumber request;
+    CallerRequest incoming;
+    CallerLimits limits;
+    bool isChunking = false;
+    bool keeps = true;        ///< The caller's request allows another one after it.
+    bool isHeadRequest = false;
+    bool isRefused = false;   ///< The parser's callback found it; answered after the parser.
+    int refusal = 0;
+
+    explicit Connection(MessageParser::Handler handler)
+        : parser(MessageParser::Kind::Request, std::move(handler))
+    { }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+    ~Connection()
+    {
+        event_free(timer);
+        bufferevent_free(bev);
+    }
+};
+
+CallerListener::CallerListener(event_base *base, RequestHandler requestHandler,
+                               GoneHandler goneHandler)
+    : m_base(base)
+    , m_requestHandler(std::move(requestHandler))
+    , m_goneHandler(std::move(goneHandler))
+{ }
+
+CallerListener::~CallerListener()
+{
+    if (m_listener) {
+        evconnlistener_free(m_listener);
+    }
+}
+
+std::optional<std::string> CallerListener::listenOn(const std::string &address)
+{
+    const auto parts = splitAddress(address);
+    if (!parts) {
+        return std::nullopt;
+    }
+    sockaddr_in at {};
+    at.sin_family = AF_INET;
+    at.sin_port = htons(parts->second);
+    if (inet_pton(AF_INET, parts->first.c_str(), &at.sin_addr) != 1) {
+        return std::nullopt;
+    }
+    m_listener = evconnlistener_new_bind(
+        m_base, &CallerListener::handleAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+        ListenBacklog, reinterpret_cast<sockaddr *>(&at), sizeof at);
+    if (!m_listener) {
+        return std::nullopt;
+    }
+    socklen_t length = sizeof at;
+    getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr *>(&at), &length);
+    return parts->first + ":" + std::to_string(ntohs(at.sin_port));
+}
+
+void CallerListener::respond(RequestNumber request, int status, const HttpHeaders &headers,
+                             std::string_view body)
+{
+    Connection *connection = connectionOf(request);
+    if (!connection) {
+        return;
+    }
+    writeHead(*connection, status, headers, body.size());
+    if (!connection->isHeadRequest) {
+        bufferevent_write(connection->bev, body.data(), body.size());
+    }
+    answerFinished(*connection);
+}
+
+void CallerListener::beginStream(RequestNumber request, int status, const HttpHeaders &headers)
+{
+    if (Connection *connection = connectionOf(request)) {
+        connection->isChunking = true;
+        writeHead(*connection, status, headers, std::nullopt);
+    }
+}
+
+void CallerListener::sendPiece(RequestNumber request, std::string_view data)
+{
+    Connection *connection = connectionOf(request);
+    if (!connection || data.empty() || connection->isHeadRequest) {
+        return;
+    }
+    evbuffer *output = bufferevent_get_output(connection->bev);
+    evbuffer_add_printf(output, "%zx\r\n", data.size());
+    evbuffer_add(output, data.data(), data.size());
+    evbuffer_add(output, "\r\n", 2);
+    if (evbuffer_get_length(output) > MostUnsent) {
+        const ConnectionNumber number = connection->number;
+        close(number);
+        m_goneHandler(request);
+    }
+}
+
+void CallerListener::endStream(RequestNumber request)
+{
+    Connection *connection = connectionOf(request);
+    if (!connection) {
+        return;
+    }
+    if (!connection->isHeadRequest) {
+        bufferevent_write(connection->bev, "0\r\n\r\n", 5);
+    }
+    answerFinished(*connection);
+}
+
+void CallerListener::breakAnswer(RequestNumber request)
+{
+    Connection *connection = connectionOf(request);
+    if (!connection) {
+        return;
+    }
+    m_requests.erase(request);
+    connection->request = {};
+    // What was written so far still goes out; the missing last chunk shows that it is not whole.
+    closeWhenWritten(*connection);
+}
+
+void CallerListener::handleAccept(evconnlistener * /*listener*/, int socket, sockaddr * /*from*/,
+                                  int /*length*/, void *self)
+{
+    static_cast<CallerListener *>(self)->accept(socket);
+}
+
+void CallerListener::accept(int socket)
+{
+    setNoDelay(socket);
+    setUserTimeout(socket, LongestUnacknowledged);
+    const ConnectionNumber number(++m_lastConnection);
+    MessageParser::Handler handler;
+    handler.head = [this, number](const MessageHead &head) {
+        takeHead(*m_connections.at(number), head);
+    };
+    handler.body = [this, number](std::string_view data) {
+        Connection &connection = *m_connections.at(number);
+        if (connection.incoming.body.size() + data.size() <= connection.limits.bodyBytes) {
+            connection.incoming.body.append(data);
+        } else {
+            connection.isRefused = true;
+            connection.refusal = PayloadTooLarge;
+        }
+    };
+    auto connection = std::make_unique<Connection>(std::move(handler));
+    connection->listener = this;
+    connection->number = number;
+    connection->limits = m_limits;
+    connection->bev = bufferevent_socket_new(m_base, socket, BEV_OPT_CLOSE_ON_FREE);
+    connection->timer = event_new(m_base, -1, 0, &CallerListener::handleTimer, connection.get());
+    bufferevent_setcb(connection->bev, &CallerListener::handleRead,
+                      &CallerListener::handleWritten, &CallerListener::handleEvent,
+                      connection.get());
+    bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
+    armIdleTimer(*connection);
+    m_connections.emplace(number, std::move(connection));
+}
+
+void CallerListener::handleRead(bufferevent * /*bev*/, void *connection)
+{
+    auto &one = *static_cast<Connection *>(connection);
+    one.listener->readMore(one);
+}
+
+void CallerListener::readMore(Connection &connection)
+{
+    evbuffer *input = bufferevent_get_input(connection.bev);
+    if (connection.state == Connection::State::Lingering
+        || connection.state == Connection::State::Closing) {
+        evbuffer_drain(input, evbuffer_get_length(input));
+        return;
+    }
+    while (connection.state == Connection::State::Reading && evbuffer_get_length(input) > 0) {
+        if (!connection.parser.hasStarted()) {
+            connection.limits = m_limits;
+            connection.incoming = {};
+            const timeval limit = timevalOf(connection.limits.headerTimeout);
+            event_add(connection.timer, &limit);
+        }
+        const std::size_t size = evbuffer_get_length(input);
+        const auto *bytes = reinterpret_cast<const char *>(
+            evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
+        const std::size_t used = connection.parser.feed({bytes, size});
+        evbuffer_drain(input, used);
+        if (!isWithinLimits(connection)) {
+            return;
+        }
+        if (connection.parser.isComplete()) {
+            requestComplete(connection);
+            return;
+        }
+    }
+}
+
+bool CallerListener::isWithinLimits(Connection &connection)
+{
+    const MessageParser &parser = connection.parser;
+    if (parser.headBytes() > connection.limits.headerBytes && !parser.isHeadComplete()) {
+        refuse(connection, HeadersTooLarge, "headers too large");
+        return false;
+    }
+    if (parser.hasFailed()) {
+        refuse(connection, BadRequest, "not a proper request");
+        return false;
+    }
+    if (connection.isRefused) {
+        refuse(connection, connection.refusal, "not acceptable");
+        return false;
+    }
+    return true;
+}
+
+void CallerListener::takeHead(Connection &connection, const MessageHead &head)
+{
+    connection.incoming.head = head;
+    connection.keeps = head.keepsConnection;
+    connection.isHeadRequest = head.method == "HEAD";
+    std::size_t bytes = 0;
+    for (const auto &[name, value] : head.headers) {
+        bytes += name.size() + value.size() + 4;
+    }
+    if (bytes + head.target.size() > connection.limits.headerBytes) {
+        connection.isRefused = true;
+        connection.refusal = HeadersTooLarge;
+        return;
+    }
+    if (head.method == "CONNECT") {
+        connection.isRefused = true;
+        connection.refusal = BadRequest;
+        return;
+    }
+    const std::string_view length = head.header("Content-Length");
+    if (!length.empty()
+        && std::strtoull(std::string(length).c_str(), nullptr, 10) > connection.limits.bodyBytes) {
+        connection.isRefused = true;
+        connection.refusal = PayloadTooLarge;
+        return;
+    }
+    if (head.hasHeader("Expect")) {
+        if (!sameHeaderName(head.header("Expect"), "100-continue")) {
+            connection.isRefused = true;
+            connection.refusal = ExpectationFailed;
+            return;
+        }
+        constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+        bufferevent_write(connection.bev, Continue.data(), Continue.size());
+    }
+    // The body may take as long as an idle connection; slow heads are what exhausts servers.
+    const timeval limit = timevalOf(connection.limits.idleTimeout);
+    event_add(connection.timer, &limit);
+}
+
+void CallerListener::requestComplete(Connection &connection)
+{
+    event_del(connection.timer);
+    connection.state = Connection::State::Answering;
+    connection.isChunking = false;
+    connection.request = RequestNumber(++m_lastRequest);
+    m_requests.emplace(connection.request, connection.number);
+    m_requestHandler(connection.request, std::move(connection.incoming));
+}
+
+void CallerListener::refuse(Connection &connection, int status, const char *why)
+{
+    connection.keeps = false;
+    connection.isHeadRequest = false;
+    const std::string body = std::string("{\"error\":\"") + why + "\"}";
+    writeHead(connection, status, {{"Content-Type", "application/json"}}, body.size());
+    bufferevent_write(connection.bev, body.data(), body.size());
+    startLingering(connection);
+}
+
+void CallerListener::answerFinished(Connection &connection)
+{
+    m_requests.erase(connection.request);
+    connection.request = {};
+    if (!connection.keeps || m_isLeaving) {
+        closeWhenWritten(connection);
+        return;
+    }
+    connection.state = Connection::State::Reading;
+    connection.parser.reset();
+    armIdleTimer(connection);
+    // A next request may be here already; it is read from the loop, not from inside its caller.
+    if (evbuffer_get_length(bufferevent_get_input(connection.bev)) > 0) {
+        bufferevent_trigger(connection.bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+    }
+}
+
+void CallerListener::closeWhenWritten(Connection &connection)
+{
+    connection.state = Connection::State::Closing;
+    if (evbuffer_get_length(bufferevent_get_output(connection.bev)) == 0) {
+        startLingering(connection);
+    }
+}
+
+void CallerListener::startLingering(Connection &connection)
+{
+    connection.state = Connection::State::Lingering;
+    if (evbuffer_get_length(bufferevent_get_output(connection.bev)) == 0) {
+        shutdown(bufferevent_getfd(connection.bev), SHUT_WR);
+    }
+    const timeval limit = timevalOf(LingerTime);
+    event_add(connection.timer, &limit);
+}
+
+void CallerListener::armIdleTimer(Connection &connection)
+{
+    const timeval limit = timevalOf(m_limits.idleTimeout + IdleSlack);
+    event_add(connection.timer, &limit);
+}
+
+void CallerListener::handleWritten(bufferevent * /*bev*/, void *connection)
+{
+    auto &one = *static_cast<Connection *>(connection);
+    if (one.state == Connection::State::Closing || one.state == Connection::State::Lingering) {
+        one.listener->startLingering(one);
+    }
+}
+
+void CallerListener::handleEvent(bufferevent * /*bev*/, short what, void *connection)
+{
+    auto &one = *static_cast<Connection *>(connection);
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) {
+        return;
+    }
+    CallerListener &listener = *one.listener;
+    const RequestNumber request = one.request;
+    listener.close(one.number);
+    if (!request.isNone()) {
+        listener.m_goneHandler(request);
+    }
+}
+
+void CallerListener::handleTimer(int /*socket*/, short /*what*/, void *connection)
+{
+    auto &one = *static_cast<Connection *>(connection);
+    CallerListener &listener = *one.listener;
+    if (one.state == Connection::State::Reading && one.parser.hasStarted()) {
+        listener.refuse(one, RequestTimeout, "request took too long to arrive");
+        return;
+    }
+    listener.close(one.number);
+}
+
+void CallerListener::close(ConnectionNumber number)
+{
+    const auto it = m_connections.find(number);
+    if (it == m_connections.end()) {
+        return;
+    }
+    m_requests.erase(it->second->request);
+    m_connections.erase(it);
+}
+
+CallerListener::Connection *CallerListener::connectionOf(RequestNumber request)
+{
+    const auto it = m_requests.find(request);
+    return it == m_requests.end() ? nullptr : m_connections.at(it->second).get();
+}
+
+void CallerListener::writeHead(Connection &connection, int status, const HttpHeaders &headers,
+                               std::optional<std::size_t> length)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " " + reasonOf(status) + "\r\n";
+    for (const auto &[name, value] : headers) {
+        text += name + ": " + value + "\r\n";
+    }
+    text += length ? "Content-Length: " + std::to_string(*length) + "\r\n"
+                   : std::string("Transfer-Encoding: chunked\r\n");
+    if (!connection.keeps || m_isLeaving) {
+        text += "Connection: close\r\n";
+        connection.keeps = false;
+    }
+    text += "\r\n";
+    bufferevent_write(connection.bev, text.data(), text.size());
+}
+
+} // namespace indigoway
--- /dev/null
+++ b/src/relay/requestrelay.cpp
@@ -0,0 +1,318 @@
+#include "requestrelay.h"
+
+namespace indigoway {
+
+namespace {
+
+using namespace dispatch;
+
+/** An answer that is passed on whole is held in memory; none of a plain service is so large. */
+constexpr std::size_t MostHeldBytes = std::size_t {8} * 1024 * 1024;
+
+TimePoint present()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+bool carriesRequest(CallKind kind)
+{
+    return kind == CallKind::Plain || kind == CallKind::Prefill || kind == CallKind::Decode
+        || kind == CallKind::Whole;
+}
+
+bool isEventStream(const MessageHead &head)
+{
+    return head.header("Content-Type").starts_with("text/event-stream");
+}
+
+} // namespace
+
+RequestRelay::RequestRelay(event_base *base, Dispatcher &dispatcher, const Dialect &dialect,
+                           std::uint64_t seed)
+    : m_base(base)
+    , m_dispatcher(dispatcher)
+    , m_dialect(dialect)
+    , m_random(seed)
+    , m_timer(event_new(base, -1, 0, &RequestRelay::handleTimer, this))
+    , m_callers(
+          base,
+          [this](RequestNumber number, CallerRequest request) {
+              requestArrived(number, std::move(request));
+          },
+          [this](RequestNumber number) { callerGone(number); })
+    , m_servers(base, *this)
+{ }
+
+std::optional<std::string> RequestRelay::listenOn(const std::string &address)
+{
+    return m_callers.listenOn(address);
+}
+
+void RequestRelay::requestArrived(RequestNumber number, CallerRequest request)
+{
+    ArrivedRequest arrived = m_dialect.readRequest(request.head);
+    arrived.request = number;
+    OpenExchange exchange;
+    exchange.callerId = arrived.callerId;
+    exchange.request = std::move(request);
+    m_exchanges.emplace(number, std::move(exchange));
+    post(arrived);
+}
+
+void RequestRelay::callerGone(RequestNumber number)
+{
+    m_exchanges.erase(number);
+    post(CallerLeft {number});
+}
+
+void RequestRelay::post(const DispatchEvent &event)
+{
+    const DispatchEffects effects = m_dispatcher.reduce(present(), m_random(), event);
+    for (const DispatchEffect &effect : effects) {
+        std::visit([this](const auto &one) { run(one); }, effect);
+    }
+    armTimer();
+}
+
+bool RequestRelay::isAnswerTo(CallNumber call, const MessageHead &head)
+{
+    const auto it = m_calls.find(call);
+    if (it == m_calls.end()) {
+        return false;
+    }
+    const OpenCall &open = it->second;
+    return !carriesRequest(open.call.kind) || m_dialect.isAnswerTo(open.callerId, head);
+}
+
+void RequestRelay::answerBegan(CallNumber call, const MessageHead &head)
+{
+    const auto it = m_calls.find(call);
+    if (it == m_calls.end()) {
+        return;
+    }
+    OpenCall &open = it->second;
+    open.head = head;
+    open.facts = m_dialect.readAnswer(head);
+    open.isStream = isSuccess(head.status) && open.facts.isGenuine && isEventStream(head)
+        && open.call.kind != CallKind::Prefill;
+}
+
+void RequestRelay::answerData(CallNumber call, std::string_view data)
+{
+    const auto it = m_calls.find(call);
+    if (it == m_calls.end()) {
+        return;
+    }
+    OpenCall &open = it->second;
+    const auto exchange = m_exchanges.find(open.call.request);
+    if (!open.isStream) {
+        open.body.append(data);
+        if (open.body.size() > MostHeldBytes) {
+            m_servers.abandon(call);
+            callEnded(call, TransferEnd::Broken, "answer too large");
+        }
+        return;
+    }
+    if (exchange == m_exchanges.end()) {
+        return;
+    }
+    const std::string whole = exchange->second.events.take(data);
+    if (whole.empty()) {
+        return;
+    }
+    if (open.isForwarded) {
+        m_callers.sendPiece(open.call.request, whole);
+        return;
+    }
+    open.ready += whole;
+    if (!open.hasBegun) {
+        open.hasBegun = true;
+        post(StreamBegan {call, open.head.status, open.facts.load});
+    }
+}
+
+void RequestRelay::callEnded(CallNumber call, TransferEnd end, const std::string &why)
+{
+    auto node = m_calls.extract(call);
+    if (node.empty()) {
+        return;
+    }
+    const CallEnded ended = outcomeOf(node.mapped(), end, why);
+    m_answered.insert(std::move(node));
+    post(ended);
+    m_answered.erase(call);
+}
+
+CallEnded RequestRelay::outcomeOf(const OpenCall &open, TransferEnd end,
+                                  const std::string &why) const
+{
+    CallEnded ended;
+    ended.call = open.call.call;
+    ended.status = open.head.status;
+    ended.load = open.facts.load;
+    ended.why = why;
+    if (open.isStream) {
+        const auto exchange = m_exchanges.find(open.call.request);
+        const bool isBetween =
+            exchange == m_exchanges.end() || exchange->second.events.isBetweenEvents();
+        ended.events = exchange == m_exchanges.end() ? 0 : exchange->second.events.events();
+        ended.end = end == TransferEnd::Complete && isBetween && open.hasBegun
+            ? CallEnd::Complete
+            : CallEnd::Broken;
+        return ended;
+    }
+    if (end != TransferEnd::Complete) {
+        ended.end = end == TransferEnd::NotConnected ? CallEnd::NotConnected : CallEnd::Broken;
+        return ended;
+    }
+    if (open.facts.isNotExecuted) {
+        ended.end = CallEnd::NotExecuted;
+        ended.why = "turned away with " + std::to_string(open.head.status);
+        return ended;
+    }
+    ended.end = CallEnd::Complete;
+    if (!carriesRequest(open.call.kind) || open.call.kind == CallKind::Prefill) {
+        if (isSuccess(open.head.status)) {
+            const GrantFacts grant = m_dialect.readGrant(open.call.kind, open.body);
+            ended.reservation = grant.reservation;
+            ended.handle = grant.handle;
+        }
+        ended.why = "status " + std::to_string(open.head.status);
+        return ended;
+    }
+    if (!open.facts.isGenuine) {
+        // No server's mark: these bytes are nobody's answer, and whether it ran is not known.
+        ended.end = CallEnd::Broken;
+        ended.why = "answer without the server's mark, status " + std::to_string(open.head.status);
+    }
+    return ended;
+}
+
+void RequestRelay::run(const StartCall &effect)
+{
+    OpenCall open;
+    open.call = effect;
+    const CallerRequest *origin = nullptr;
+    std::string lastEventId;
+    const auto exchange = m_exchanges.find(effect.request);
+    if (carriesRequest(effect.kind)) {
+        if (exchange == m_exchanges.end()) {
+            return;
+        }
+        origin = &exchange->second.request;
+        open.callerId = exchange->second.callerId;
+        exchange->second.events.dropPartial();
+        if (effect.goesOn) {
+            lastEventId = exchange->second.events.lastId();
+        }
+    }
+    ServerRequest request = m_dialect.writeCall(effect, origin, lastEventId);
+    request.call = effect.call;
+    request.server = effect.server;
+    request.address = effect.address;
+    request.silentFor = effect.silentFor;
+    request.needsNewConnection = effect.needsNewConnection;
+    m_calls.emplace(effect.call, std::move(open));
+    m_servers.start(std::move(request));
+}
+
+void RequestRelay::run(const AbandonCall &effect)
+{
+    m_calls.erase(effect.call);
+    m_servers.abandon(effect.call);
+}
+
+void RequestRelay::run(const DeliverAnswer &effect)
+{
+    const auto answer = m_answered.find(effect.call);
+    if (answer != m_answered.end()) {
+        const OpenCall &open = answer->second;
+        m_callers.respond(effect.request, open.head.status, m_dialect.answerHeaders(open.head),
+                          open.body);
+    }
+    m_exchanges.erase(effect.request);
+}
+
+void RequestRelay::run(const ForwardStream &effect)
+{
+    const auto it = m_calls.find(effect.call);
+    const auto exchange = m_exchanges.find(effect.request);
+    if (it == m_calls.end() || exchange == m_exchanges.end()) {
+        return;
+    }
+    OpenCall &open = it->second;
+    open.isForwarded = true;
+    if (!exchange->second.isStreaming) {
+        exchange->second.isStreaming = true;
+        m_callers.beginStream(effect.request, open.head.status,
+                              m_dialect.answerHeaders(open.head));
+    }
+    m_callers.sendPiece(effect.request, open.ready);
+    open.ready.clear();
+}
+
+void RequestRelay::run(const EndStream &effect)
+{
+    m_callers.endStream(effect.request);
+    m_exchanges.erase(effect.request);
+}
+
+void RequestRelay::run(const BreakStream &effect)
+{
+    m_callers.breakAnswer(effect.request);
+    m_exchanges.erase(effect.request);
+}
+
+void RequestRelay::run(const RejectRequest &effect)
+{
+    HttpHeaders headers = m_dialect.rejectionHeaders(effect.retryAfter);
+    headers.emplace_back("Content-Type", "application/json");
+    m_callers.respond(effect.request, effect.status, headers,
+                      "{\"error\":\"" + effect.reason + "\"}");
+    m_exchanges.erase(effect.request);
+}
+
+void RequestRelay::run(const RecordDecision &effect)
+{
+    if (m_recordHandler) {
+        m_recordHandler(effect);
+    }
+}
+
+void RequestRelay::run(const RequestEnded &effect)
+{
+    if (m_endedHandler) {
+        m_endedHandler(effect);
+    }
+}
+
+void RequestRelay::armTimer()
+{
+    const auto next = m_dispatcher.nextDeadline();
+    if (next == m_timerAt) {
+        return;
+    }
+    m_timerAt = next;
+    if (!next) {
+        event_del(m_timer.get());
+        return;
+    }
+    const auto wait = std::max(Duration(1), Duration(*next - present()));
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(wait);
+    const timeval delay {seconds.count(), (wait - seconds).count()};
+    event_add(m_timer.get(), &delay);
+}
+
+void RequestRelay::handleTimer(int /*socket*/, short /*what*/, void *self)
+{
+    auto &relay = *static_cast<RequestRelay *>(self);
+    relay.m_timerAt.reset();
+    relay.post(TimePassed {});
+}
+
+} // namespace indigoway
--- /dev/null
+++ b/src/routing/routetable.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <indigoway/routing.h>
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace indigoway {
+
+/** One version of the desired state, indexed for lookups. Immutable: open requests share it. */
+class RouteTable
+{
+public:
+    explicit RouteTable(RoutingState state);
+
+    std::uint64_t version() const { return m_state.version; }
+    const CallerLimits &limits() const { return m_state.limits; }
+    const std::vector<Route> &routes() const { return m_state.routes; }
+    /** The route of @p host with the longest prefix that begins @p path, or null. */
+    const Route *find(std::string_view host, std::string_view path) const;
+    /** Null if the service is not declared. */
+    const Service *service(const ServiceName &name) const;
+
+private:
+    struct HostRoutes
+    {
+        std::unordered_map<std::string, std::size_t> byPrefix; ///< Index into the routes.
+    };
+
+    RoutingState m_state;
+    std::unordered_map<std::string, HostRoutes> m_hosts;
+};
+
+/**
+ * Picks one of @p route's services by weight. @p entropy is the request's own randomness; null
+ * if no share has a weight.
+ */
+const ServiceName *pickService(const Route &route, std::uint64_t entropy);
+
+/** @p host in lower case and without a port, as routes name it. */
+std::string canonicalHost(std::string_view host);
+
+} // namespace indigoway
--- a/src/settings/flagset.cpp
+++ b/src/settings/flagset.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <sstream>
 
 namespace indigoway {
 
@@ -88,6 +89,35 @@
     return line;
 }
 
+CommandLineFaults FlagSet::parseFile(const std::string &text, const std::string &path) const
+{
+    CommandLineFaults wrong;
+    std::istringstream lines(text);
+    std::string line;
+    for (int number = 1; std::getline(lines, line); ++number) {
+        const std::size_t equals = line.find('=');
+        if (line.empty() || line.front() == '#') {
+            continue;
+        }
+        const std::string place = path + ":" + std::to_string(number);
+        const std::string name = line.substr(0, equals);
+        if (equals == std::string::npos
+            || std::find(m_flags.begin(), m_flags.end(), name) == m_flags.end()) {
+            wrong.faults.push_back(place + ": there is no setting \"" + name + "\"");
+            continue;
+        }
+        const std::string value = line.substr(equals + 1);
+        if (value.empty()) {
+            continue;
+        }
+        const std::string fault = assign(name, value, place);
+        if (!fault.empty()) {
+            wrong.faults.push_back(fault);
+        }
+    }
+    return wrong;
+}
+
 std::string FlagSet::help() const
 {
     std::string text = m_usage + "\n\nSettings (flag, environment variable, default):\n";
--- a/src/settings/flagset.h
+++ b/src/settings/flagset.h
@@ -33,6 +33,11 @@
 
     /** Environment first, then the command line, which wins. */
     std::variant<CommandLine, CommandLineFaults> parse(int argc, char **argv) const;
+    /**
+     * Settings from a file: one NAME=VALUE a line, # begins a comment, an empty value keeps the
+     * default. For settings that may change while the program runs.
+     */
+    CommandLineFaults parseFile(const std::string &text, const std::string &path) const;
     std::string help() const;
     /** One row per flag for docs/SETTINGS.md. */
     std::string markdown() const;
