Hand the slack for retries out once, whatever dies

Eight nodes were killed and started 17 times; each new process took its whole share of the slack at once, as one of one until it knew the others, and survivors divided by the smaller number. Ruled out: the ratio's part, which counts requests of the same window. Change: no slack before half a window of a node's life, all of it after one and a half; a smaller number of nodes counts only after a whole window; none while the number is not known.

--- a/include/indigoway/routing.h
+++ b/include/indigoway/routing.h
@@ -36,12 +36,12 @@
     std::string prefix; ///< Begins and ends with a slash.
     std::vector<ServiceShare> shares;
     Repetition repetition = Repetition::AtMostOnce;
-    bool isStream = false;          ///< The answer is a series of events.
-    bool isResumable = false;       ///< A stream may go on at another server after an event id.
-    std::uint32_t maxAttempts = 1;  ///< Servers that may run one request.
-    std::uint32_t priority = 0;     ///< 0 is the most urgent.
-    Duration timeout {};            ///< Longest time to the final answer.
-    Duration target {};             ///< Time to the (first piece of the) answer that is aimed at.
+    bool isStream = false;         ///< The answer is a series of events.
+    bool isResumable = false;      ///< A stream may go on at another server after an event id.
+    std::uint32_t maxAttempts = 1; ///< Servers that may run one request.
+    std::uint32_t priority = 0;    ///< 0 is the most urgent.
+    Duration timeout {};           ///< Longest time to the final answer.
+    Duration target {};            ///< Time to the (first piece of the) answer that is aimed at.
     bool operator==(const Route &) const = default;
 };
 
@@ -58,7 +58,7 @@
 struct Service
 {
     ServiceName name;
-    std::uint32_t maxConnections = 0; ///< To one server, from all nodes together.
+    std::uint32_t maxConnections = 0;   ///< To one server, from all nodes together.
     std::optional<EngineTraits> engine; ///< Only for services of model engines.
     bool operator==(const Service &) const = default;
 };
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "daemon/daemonsettings.h"
+#include "etcd/storeclient.h"
 #include "http/backendcalls.h"
 #include "http/callergateway.h"
 #include "http/httpclient.h"
 #include "http/innergateway.h"
 #include "metrics/metrics.h"
 #include "peers/peerlink.h"
-#include "etcd/storeclient.h"
 
 #include <memory>
 #include <random>
--- a/src/dispatch/dispatcheffects.h
+++ b/src/dispatch/dispatcheffects.h
@@ -28,8 +28,8 @@
     CallKind kind = CallKind::Plain;
     ServerName server;
     std::string address;
-    Duration patience {};      ///< Handed on: how long the answer is waited for.
-    Duration silentFor {};     ///< Broken if the server sends nothing for so long; 0: no bound.
+    Duration patience {};  ///< Handed on: how long the answer is waited for.
+    Duration silentFor {}; ///< Broken if the server sends nothing for so long; 0: no bound.
     bool needsNewConnection = false; ///< A kept one may die as the request is written.
     std::uint64_t reserveTokens = 0;
     Duration reserveFor {};
@@ -105,9 +105,8 @@
     Duration whole {};
 };
 
-using DispatchEffect =
-    std::variant<StartCall, AbandonCall, DeliverAnswer, ForwardStream, EndStream, BreakStream,
-                 RejectRequest, RecordDecision, RequestEnded>;
+using DispatchEffect = std::variant<StartCall, AbandonCall, DeliverAnswer, ForwardStream, EndStream,
+                                    BreakStream, RejectRequest, RecordDecision, RequestEnded>;
 using DispatchEffects = std::vector<DispatchEffect>;
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -26,17 +26,18 @@
 
 } // namespace
 
-Dispatcher::Dispatcher(DispatchSettings settings)
-    : m_state(std::move(settings))
+Dispatcher::Dispatcher(DispatchSettings settings, TimePoint startedAt)
+    : m_state(std::move(settings), startedAt)
     , m_plain(m_state)
     , m_generations(m_state)
 { }
 
-void Dispatcher::setNodes(std::uint32_t nodes)
+void Dispatcher::setNodes(std::uint32_t nodes, TimePoint now)
 {
     m_state.nodes = nodes;
+    m_state.nodesAt = now;
     for (auto &[service, allowance] : m_state.allowances) {
-        allowance.setNodes(nodes);
+        allowance.setNodes(nodes, now);
     }
 }
 
@@ -46,8 +47,7 @@
     m_endsAt = endsAt;
 }
 
-DispatchEffects Dispatcher::reduce(TimePoint now, std::uint64_t entropy,
-                                   const DispatchEvent &event)
+DispatchEffects Dispatcher::reduce(TimePoint now, std::uint64_t entropy, const DispatchEvent &event)
 {
     DispatchEffects effects;
     Step step(now, entropy, effects);
@@ -135,8 +135,8 @@
     }
     OpenRequest *request = m_state.requests.find(call->request);
     if (!request || request->call != event.call) {
-        RequestFlow &flow = call->kind == CallKind::Plain ? static_cast<RequestFlow &>(m_plain)
-                                                          : m_generations;
+        RequestFlow &flow =
+            call->kind == CallKind::Plain ? static_cast<RequestFlow &>(m_plain) : m_generations;
         flow.orphanEnded(step, *call, event);
         return;
     }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -18,13 +18,13 @@
 class Dispatcher
 {
 public:
-    explicit Dispatcher(DispatchSettings settings);
+    Dispatcher(DispatchSettings settings, TimePoint startedAt);
 
     /** Open requests keep the table that was in force when they arrived. */
     void setRoutes(std::shared_ptr<const RouteTable> table) { m_table = std::move(table); }
     const RouteTable *routes() const { return m_table.get(); }
     /** Nodes that serve callers, this one included; they share the bounds on retries. */
-    void setNodes(std::uint32_t nodes);
+    void setNodes(std::uint32_t nodes, TimePoint now);
     void announce(AnnouncedServer server) { m_state.servers.announce(std::move(server)); }
     void withdraw(const ServerName &name, TimePoint now) { m_state.servers.withdraw(name, now); }
     const ServerDirectory &servers() const { return m_state.servers; }
--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -15,12 +15,12 @@
     RequestNumber request;
     std::string callerId; ///< The caller's own name for this attempt; for logs.
     std::string host;
-    std::string path;                  ///< With its query.
-    std::optional<Duration> patience;  ///< How long the caller waits at the most.
-    std::uint32_t promptTokens = 0;    ///< 0 if it is not a generation.
+    std::string path;                 ///< With its query.
+    std::optional<Duration> patience; ///< How long the caller waits at the most.
+    std::uint32_t promptTokens = 0;   ///< 0 if it is not a generation.
     std::uint32_t mostOutputTokens = 0;
     std::optional<std::uint32_t> likelyOutputTokens; ///< The caller's own estimate.
-    bool isContinuation = false;       ///< Goes on after an event that the caller has already.
+    bool isContinuation = false; ///< Goes on after an event that the caller has already.
     bool isLastOnConnection = false;
 };
 
@@ -60,17 +60,17 @@
     CallEnd end = CallEnd::Broken;
     int status = 0; ///< 0 if there was no answer.
     std::optional<ServerLoad> load;
-    std::string reservation;   ///< Of a Reserve that was granted.
-    std::string handle;        ///< Of a Prefill that was done.
-    std::uint32_t events = 0;  ///< Whole events of the stream that were passed on.
-    std::string why;           ///< For logs, where it did not end well.
+    std::string reservation;  ///< Of a Reserve that was granted.
+    std::string handle;       ///< Of a Prefill that was done.
+    std::uint32_t events = 0; ///< Whole events of the stream that were passed on.
+    std::string why;          ///< For logs, where it did not end well.
 };
 
 /** Time has passed. */
 struct TimePassed
-{ };
+{
+};
 
-using DispatchEvent =
-    std::variant<ArrivedRequest, CallerLeft, StreamBegan, CallEnded, TimePassed>;
+using DispatchEvent = std::variant<ArrivedRequest, CallerLeft, StreamBegan, CallEnded, TimePassed>;
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/dispatchstate.h
+++ b/src/dispatch/dispatchstate.h
@@ -20,13 +20,16 @@
 /** What the flows share: the open requests, the servers, and what is known of them. */
 struct DispatchState
 {
-    explicit DispatchState(DispatchSettings initial)
+    DispatchState(DispatchSettings initial, TimePoint now)
         : settings(std::move(initial))
+        , startedAt(now)
         , calls(tracker)
     { }
 
     DispatchSettings settings;
-    std::uint32_t nodes = 1; ///< That share the bounds on retries.
+    TimePoint startedAt {};
+    std::uint32_t nodes = 0; ///< That share the bounds on retries; 0: not known yet.
+    TimePoint nodesAt {};
     OpenRequests requests;
     ServerDirectory servers;
     ServerTracker tracker;
@@ -35,9 +38,9 @@
 
     RetryAllowance &allowance(const ServiceName &service)
     {
-        auto [it, isNew] = allowances.try_emplace(service, settings.retries);
+        auto [it, isNew] = allowances.try_emplace(service, settings.retries, startedAt);
         if (isNew) {
-            it->second.setNodes(nodes);
+            it->second.setNodes(nodes, nodesAt);
         }
         return it->second;
     }
--- a/src/dispatch/engineplacement.cpp
+++ b/src/dispatch/engineplacement.cpp
@@ -110,8 +110,7 @@
     return best;
 }
 
-bool EnginePlacement::isWorthAsking(const Engine &engine, std::uint64_t tokens,
-                                    TimePoint now) const
+bool EnginePlacement::isWorthAsking(const Engine &engine, std::uint64_t tokens, TimePoint now) const
 {
     if (engine.refusedTokens == 0 || now >= engine.refusedAt + RefusalPause) {
         return true;
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -229,9 +229,8 @@
 {
     const AnnouncedServer *decodeServer = m_state.servers.find(request.decodeServer);
     const DomainName domain = decodeServer ? decodeServer->domain : m_state.settings.domain;
-    const AnnouncedServer *server =
-        m_placement.pickPrefill(engines(step, request, EnginePhase::Prefill), domain,
-                                request.tried, step.now);
+    const AnnouncedServer *server = m_placement.pickPrefill(
+        engines(step, request, EnginePhase::Prefill), domain, request.tried, step.now);
     if (!server || request.prefillTries >= MostPrefills) {
         decode(step, request, true);
         return;
@@ -446,8 +445,8 @@
     request.handle.clear();
 }
 
-std::vector<const AnnouncedServer *>
-GenerationFlow::engines(Step &step, const OpenRequest &request, EnginePhase phase) const
+std::vector<const AnnouncedServer *> GenerationFlow::engines(Step &step, const OpenRequest &request,
+                                                             EnginePhase phase) const
 {
     return m_state.tracker.preferred(
         m_state.servers.candidates(request.service->name, phase, step.now), step.now);
--- a/src/dispatch/generationflow.h
+++ b/src/dispatch/generationflow.h
@@ -50,8 +50,7 @@
     void decodeBroken(Step &step, OpenRequest &request, const CallEnded &event);
     bool takeExtra(Step &step, OpenRequest &request, std::uint32_t sentBefore);
     void giveUpNotRun(Step &step, OpenRequest &request, const std::string &why);
-    void startCall(Step &step, OpenRequest &request, const AnnouncedServer &server,
-                   StartCall call);
+    void startCall(Step &step, OpenRequest &request, const AnnouncedServer &server, StartCall call);
     /** Gives back memory charged, reservation and handle. */
     void giveBack(Step &step, OpenRequest &request);
     std::vector<const AnnouncedServer *> engines(Step &step, const OpenRequest &request,
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -51,8 +51,7 @@
     erase(step, request, RequestOutcome::Rejected);
 }
 
-void OpenRequests::failInDoubt(Step &step, OpenRequest &request, int status,
-                               const std::string &why)
+void OpenRequests::failInDoubt(Step &step, OpenRequest &request, int status, const std::string &why)
 {
     step.add(RejectRequest {request.facts.request, status, std::nullopt, why});
     record(step, request, RequestOutcome::Failed, "status=" + std::to_string(status) + " " + why);
@@ -69,14 +68,13 @@
                           const std::string &detail)
 {
     std::string text = std::string("outcome=") + nameOf(outcome) + " route="
-        + request.route->name.text() + " routes_version="
-        + std::to_string(request.table->version()) + " stage=" + nameOf(request.stage)
+        + request.route->name.text() + " routes_version=" + std::to_string(request.table->version())
+        + " stage=" + nameOf(request.stage)
         + " age_ms=" + millisecondsText(step.now - request.arrived)
         + " runs=" + std::to_string(request.runs) + " server=" + request.server.text();
     if (request.isGeneration()) {
-        text += " prompt=" + std::to_string(request.facts.promptTokens)
-            + " prefill_server=" + request.prefillServer.text()
-            + " decode_server=" + request.decodeServer.text();
+        text += " prompt=" + std::to_string(request.facts.promptTokens) + " prefill_server="
+            + request.prefillServer.text() + " decode_server=" + request.decodeServer.text();
     }
     if (!detail.empty()) {
         text += " " + detail;
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -50,7 +50,7 @@
 /** Where a generation stands. Plain requests stay Calling. */
 enum class Stage {
     Calling,
-    Waiting,    ///< For a decode engine with room.
+    Waiting, ///< For a decode engine with room.
     Reserving,
     Prefilling,
     Decoding,
@@ -64,15 +64,15 @@
     const Route *route = nullptr;            ///< In table.
     const Service *service = nullptr;        ///< In table.
     TimePoint arrived {};
-    TimePoint answerBy {};    ///< Its route's timeout or the caller's patience, what ends first.
+    TimePoint answerBy {}; ///< Its route's timeout or the caller's patience, what ends first.
 
     Stage stage = Stage::Calling;
-    CallNumber call;          ///< The one it waits for; none while it waits for room.
+    CallNumber call; ///< The one it waits for; none while it waits for room.
     CallKind callKind = CallKind::Plain;
-    ServerName server;        ///< Of the call.
+    ServerName server; ///< Of the call.
     TimePoint callStarted {};
     std::set<ServerName> tried;
-    std::uint32_t runs = 0;   ///< Calls that a server may have begun to run.
+    std::uint32_t runs = 0;     ///< Calls that a server may have begun to run.
     std::uint32_t arrivals = 0; ///< Calls that count as sent to the service.
     bool isForwarding = false;
     TimePoint firstAnswer {};
--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -112,8 +112,7 @@
 
 const AnnouncedServer *PlainFlow::pick(Step &step, const OpenRequest &request) const
 {
-    const auto all =
-        m_state.servers.candidates(request.service->name, EnginePhase::None, step.now);
+    const auto all = m_state.servers.candidates(request.service->name, EnginePhase::None, step.now);
     std::vector<const AnnouncedServer *> fresh;
     for (const AnnouncedServer *server : all) {
         if (!request.tried.contains(server->name)) {
@@ -136,8 +135,7 @@
 bool PlainFlow::mayRunAgain(const OpenRequest &request) const
 {
     return request.route->repetition == Repetition::Idempotent
-        && request.runs < request.route->maxAttempts
-        && request.tried.size() < MostServersTried;
+        && request.runs < request.route->maxAttempts && request.tried.size() < MostServersTried;
 }
 
 void PlainFlow::answered(Step &step, OpenRequest &request, const OpenCall &call,
--- a/src/dispatch/retryallowance.cpp
+++ b/src/dispatch/retryallowance.cpp
@@ -1,11 +1,22 @@
 #include "retryallowance.h"
 
+#include <algorithm>
+
 namespace indigoway::dispatch {
 
-RetryAllowance::RetryAllowance(RetryBounds bounds)
+RetryAllowance::RetryAllowance(RetryBounds bounds, TimePoint startedAt)
     : m_bounds(bounds)
+    , m_startedAt(startedAt)
 { }
 
+void RetryAllowance::setNodes(std::uint32_t nodes, TimePoint now)
+{
+    if (nodes >= m_nodes || now > m_mostNodesAt + m_bounds.window) {
+        m_nodes = nodes;
+        m_mostNodesAt = now;
+    }
+}
+
 void RetryAllowance::requestSent(TimePoint now)
 {
     forget(now);
@@ -15,9 +26,8 @@
 bool RetryAllowance::take(TimePoint now)
 {
     forget(now);
-    const double most = UsedPart
-        * (m_bounds.ratio * static_cast<double>(m_requests.size())
-           + static_cast<double>(m_bounds.slack) / m_nodes);
+    const double most =
+        UsedPart * (m_bounds.ratio * static_cast<double>(m_requests.size()) + slackShare(now));
     if (static_cast<double>(m_retries.size() + 1) > most) {
         return false;
     }
@@ -25,6 +35,18 @@
     return true;
 }
 
+double RetryAllowance::slackShare(TimePoint now) const
+{
+    if (m_nodes == 0) {
+        return 0;
+    }
+    const double age = static_cast<double>((now - m_startedAt).count())
+        / static_cast<double>(m_bounds.window.count());
+    // Nothing in the first half of a window, all of it after one and a half.
+    const double part = std::clamp(age - 0.5, 0.0, 1.0);
+    return part * static_cast<double>(m_bounds.slack) / m_nodes;
+}
+
 void RetryAllowance::forget(TimePoint now)
 {
     const TimePoint oldest = now - m_bounds.window;
--- a/src/dispatch/servertracker.cpp
+++ b/src/dispatch/servertracker.cpp
@@ -23,8 +23,8 @@
 
 double fading(TimePoint since, TimePoint now)
 {
-    const double halfLives = static_cast<double>((now - since).count())
-        / static_cast<double>(HalfLife.count());
+    const double halfLives =
+        static_cast<double>((now - since).count()) / static_cast<double>(HalfLife.count());
     return halfLives > 8 ? 0 : 1.0 / static_cast<double>(1U << static_cast<unsigned>(halfLives));
 }
 
--- a/src/edge/decisionlog.cpp
+++ b/src/edge/decisionlog.cpp
@@ -60,8 +60,7 @@
 
 DecisionLog::~DecisionLog() = default;
 
-void DecisionLog::write(TimePoint now, const std::string &kind,
-                        const std::vector<LogField> &fields)
+void DecisionLog::write(TimePoint now, const std::string &kind, const std::vector<LogField> &fields)
 {
     Bucket &bucket = m_buckets[kind];
     if (!mayWrite(bucket, now)) {
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -55,7 +55,7 @@
     , m_ports(std::move(ports))
     , m_log(m_settings.node)
     , m_roster(entryOf(m_settings))
-    , m_dispatcher(DispatchSettings {m_settings.domain, retryBoundsOf(m_settings)})
+    , m_dispatcher(DispatchSettings {m_settings.domain, retryBoundsOf(m_settings)}, present())
     , m_relay(base, m_dispatcher, *m_ports.dialect, std::random_device {}())
     , m_sync(base, *m_ports.store, client, wiringOf(*this, m_ports.layout))
     , m_control(
@@ -111,8 +111,7 @@
 
 bool EdgeNode::isReady() const
 {
-    return !m_leavingSince && m_dispatcher.routes()
-        && m_sync.mirror(MirrorKind::Servers).isKnown();
+    return !m_leavingSince && m_dispatcher.routes() && m_sync.mirror(MirrorKind::Servers).isKnown();
 }
 
 std::vector<std::string> EdgeNode::callerAddresses(std::size_t most)
@@ -232,8 +231,7 @@
     constexpr int NoContent = 204;
     constexpr int NotFound = 404;
     if (request.path == "/v1/mirror") {
-        const std::uint64_t after =
-            std::strtoull(request.parameter("after").c_str(), nullptr, 10);
+        const std::uint64_t after = std::strtoull(request.parameter("after").c_str(), nullptr, 10);
         const std::string answer = m_sync.answerPeer(request.parameter("of"), after);
         m_control.reply(request.exchange, answer.empty() ? NoContent : Ok,
                         {{"Content-Type", "application/json"}}, answer);
@@ -265,7 +263,9 @@
 {
     const TimePoint now = present();
     noticeFreeze(now);
-    m_dispatcher.setNodes(m_roster.count(now));
+    if (m_sync.mirror(MirrorKind::Nodes).isKnown()) {
+        m_dispatcher.setNodes(m_roster.count(now), now);
+    }
     m_relay.wake();
     endIfDone(now);
 }
@@ -274,8 +274,7 @@
 {
     const Duration frozen = frozenTime();
     if (frozen > m_frozen + FreezeNoticed) {
-        record("woke", {{"stood_still_ms",
-                         dispatch::millisecondsText(frozen - m_frozen)}});
+        record("woke", {{"stood_still_ms", dispatch::millisecondsText(frozen - m_frozen)}});
         m_sync.refresh();
     }
     m_frozen = frozen;
--- a/src/edge/edgesettings.h
+++ b/src/edge/edgesettings.h
@@ -26,7 +26,7 @@
     double retryRatio = 0;
     Duration retryWindow {};
     std::uint32_t retrySlack = 0;
-    Duration listKept {};           ///< How long callers may keep a list of nodes.
+    Duration listKept {}; ///< How long callers may keep a list of nodes.
     bool operator==(const EdgeSettings &) const = default;
 };
 
--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -46,8 +46,7 @@
     , m_wiring(std::move(wiring))
     , m_timer(event_new(
           base, -1, EV_PERSIST,
-          [](evutil_socket_t, short, void *self) { static_cast<StateSync *>(self)->pump(); },
-          this))
+          [](evutil_socket_t, short, void *self) { static_cast<StateSync *>(self)->pump(); }, this))
 {
     for (const MirrorKind kind : AllMirrors) {
         m_mirrors[static_cast<std::size_t>(kind)] = std::make_unique<Mirror>(
@@ -82,7 +81,7 @@
 void StateSync::refresh()
 {
     for (const MirrorKind kind : AllMirrors) {
-        mirror(kind).refresh();
+        own(kind).refresh();
     }
     pump();
 }
@@ -108,7 +107,7 @@
 
 void StateSync::pumpMirror(MirrorKind kind)
 {
-    Mirror &one = mirror(kind);
+    Mirror &one = own(kind);
     const auto call = one.nextCall(present());
     if (!call) {
         return;
@@ -116,10 +115,10 @@
     if (const auto *list = std::get_if<ListCall>(&*call)) {
         m_store.list(one.prefix(), list->after, [this, kind](const auto &result) {
             if (const auto *fault = std::get_if<StoreFault>(&result)) {
-                mirror(kind).failed(present(), *fault);
+                own(kind).failed(present(), *fault);
                 noteStore(false, nameOf(*fault));
             } else {
-                mirror(kind).listed(present(), std::get<StoredPage>(result));
+                own(kind).listed(present(), std::get<StoredPage>(result));
                 noteStore(true, {});
             }
             pumpMirror(kind);
@@ -129,10 +128,10 @@
     const std::uint64_t revision = std::get<WatchCall>(*call).revision;
     m_store.watch(one.prefix(), revision, WatchWait, [this, kind](const auto &result) {
         if (const auto *fault = std::get_if<StoreFault>(&result)) {
-            mirror(kind).failed(present(), *fault);
+            own(kind).failed(present(), *fault);
             noteStore(*fault == StoreFault::HistoryGone, nameOf(*fault));
         } else {
-            mirror(kind).watched(present(), std::get<StoredChanges>(result));
+            own(kind).watched(present(), std::get<StoredChanges>(result));
             noteStore(true, {});
         }
         pumpMirror(kind);
@@ -171,13 +170,12 @@
                         pumpAnnouncer();
                     });
     } else {
-        m_store.renewLease(std::get<RenewLeaseCall>(*call).lease,
-                           [this, done](const auto &result) {
-                               if (done(result)) {
-                                   m_announcer.leaseRenewed(present());
-                               }
-                               pumpAnnouncer();
-                           });
+        m_store.renewLease(std::get<RenewLeaseCall>(*call).lease, [this, done](const auto &result) {
+            if (done(result)) {
+                m_announcer.leaseRenewed(present());
+            }
+            pumpAnnouncer();
+        });
     }
 }
 
@@ -221,9 +219,10 @@
             m_wiring.record("peer_unreadable", address);
             return;
         }
-        if (mirror(kind).takeSnapshot(*snapshot)) {
-            m_wiring.record("news_from_peer", std::string("of=") + nameOf(kind) + " from="
-                                + address + " as_of=" + std::to_string(snapshot->asOf));
+        if (own(kind).takeSnapshot(*snapshot)) {
+            m_wiring.record("news_from_peer",
+                            std::string("of=") + nameOf(kind) + " from=" + address
+                                + " as_of=" + std::to_string(snapshot->asOf));
         }
     });
 }
--- a/src/edge/statesync.h
+++ b/src/edge/statesync.h
@@ -53,7 +53,10 @@
     void leave();
     /** Asks the store anew at once; for a process that stood still for some time. */
     void refresh();
-    const Mirror &mirror(MirrorKind kind) const { return *m_mirrors[static_cast<std::size_t>(kind)]; }
+    const Mirror &mirror(MirrorKind kind) const
+    {
+        return *m_mirrors[static_cast<std::size_t>(kind)];
+    }
     bool isAnnounced() const { return m_announcer.isAnnounced(); }
     /** The answer to another node's question for copy @p of newer than @p after; may be empty. */
     std::string answerPeer(const std::string &of, std::uint64_t after) const;
@@ -65,7 +68,7 @@
     void askPeers(TimePoint now);
     void askPeer(MirrorKind kind, const std::string &address);
     void noteStore(bool isReachable, const std::string &why);
-    Mirror &mirror(MirrorKind kind) { return *m_mirrors[static_cast<std::size_t>(kind)]; }
+    Mirror &own(MirrorKind kind) { return *m_mirrors[static_cast<std::size_t>(kind)]; }
 
     event_base *m_base;
     KeyValueStore &m_store;
--- a/src/fleet/nodeannouncer.h
+++ b/src/fleet/nodeannouncer.h
@@ -8,7 +8,8 @@
 namespace indigoway {
 
 struct GrantLeaseCall
-{ };
+{
+};
 struct PutEntryCall
 {
     StoreLease lease;
--- a/src/fleet/serverdirectory.cpp
+++ b/src/fleet/serverdirectory.cpp
@@ -50,9 +50,8 @@
     return it == m_entries.end() ? Standing::Leaving : standingOf(it->second, now);
 }
 
-std::vector<const AnnouncedServer *> ServerDirectory::candidates(const ServiceName &service,
-                                                                 EnginePhase phase,
-                                                                 TimePoint now) const
+std::vector<const AnnouncedServer *>
+ServerDirectory::candidates(const ServiceName &service, EnginePhase phase, TimePoint now) const
 {
     std::vector<const AnnouncedServer *> usable;
     std::vector<const AnnouncedServer *> lastResorts;
--- a/src/relay/callerlistener.cpp
+++ b/src/relay/callerlistener.cpp
@@ -89,9 +89,9 @@
     CallerRequest incoming;
     CallerLimits limits;
     bool isChunking = false;
-    bool keeps = true;        ///< The caller's request allows another one after it.
+    bool keeps = true; ///< The caller's request allows another one after it.
     bool isHeadRequest = false;
-    bool isRefused = false;   ///< The parser's callback found it; answered after the parser.
+    bool isRefused = false; ///< The parser's callback found it; answered after the parser.
     int refusal = 0;
 
     explicit Connection(MessageParser::Handler handler)
@@ -132,9 +132,9 @@
     if (inet_pton(AF_INET, parts->first.c_str(), &at.sin_addr) != 1) {
         return std::nullopt;
     }
-    m_listener = evconnlistener_new_bind(
-        m_base, &CallerListener::handleAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-        ListenBacklog, reinterpret_cast<sockaddr *>(&at), sizeof at);
+    m_listener = evconnlistener_new_bind(m_base, &CallerListener::handleAccept, this,
+                                         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, ListenBacklog,
+                                         reinterpret_cast<sockaddr *>(&at), sizeof at);
     if (!m_listener) {
         return std::nullopt;
     }
@@ -236,9 +236,8 @@
     connection->limits = m_limits;
     connection->bev = bufferevent_socket_new(m_base, socket, BEV_OPT_CLOSE_ON_FREE);
     connection->timer = event_new(m_base, -1, 0, &CallerListener::handleTimer, connection.get());
-    bufferevent_setcb(connection->bev, &CallerListener::handleRead,
-                      &CallerListener::handleWritten, &CallerListener::handleEvent,
-                      connection.get());
+    bufferevent_setcb(connection->bev, &CallerListener::handleRead, &CallerListener::handleWritten,
+                      &CallerListener::handleEvent, connection.get());
     bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
     armIdleTimer(*connection);
     m_connections.emplace(number, std::move(connection));
@@ -266,8 +265,8 @@
             event_add(connection.timer, &limit);
         }
         const std::size_t size = evbuffer_get_length(input);
-        const auto *bytes = reinterpret_cast<const char *>(
-            evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
+        const auto *bytes =
+            reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
         const std::size_t used = connection.parser.feed({bytes, size});
         evbuffer_drain(input, used);
         if (!isWithinLimits(connection)) {
--- a/src/relay/dialect.cpp
+++ b/src/relay/dialect.cpp
@@ -11,8 +11,16 @@
 namespace {
 
 constexpr std::array<std::string_view, 10> ConnectionHeaders {
-    "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate", "Proxy-Authorization",
-    "TE",         "Trailer",    "Transfer-Encoding", "Upgrade",            "Content-Length",
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+    "Content-Length",
 };
 
 } // namespace
--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -15,8 +15,8 @@
 /** What the head of a server's answer says, apart from its bytes. */
 struct AnswerFacts
 {
-    bool isGenuine = false;      ///< Bears the server's mark: it ran the request.
-    bool isNotExecuted = false;  ///< The server says that it did not run it.
+    bool isGenuine = false;     ///< Bears the server's mark: it ran the request.
+    bool isNotExecuted = false; ///< The server says that it did not run it.
     std::optional<dispatch::ServerLoad> load;
 };
 
--- a/src/relay/messageparser.cpp
+++ b/src/relay/messageparser.cpp
@@ -134,7 +134,8 @@
     if (one.m_kind == Kind::Request) {
         one.m_head.method = http_method_str(static_cast<http_method>(parser->method));
         if (parser->method != HTTP_CONNECT) {
-            parser->upgrade = 0; // Protocol changes are not offered; the request is an ordinary one.
+            parser->upgrade =
+                0; // Protocol changes are not offered; the request is an ordinary one.
         }
     } else {
         one.m_head.status = static_cast<int>(parser->status_code);
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -161,9 +161,8 @@
         const bool isBetween =
             exchange == m_exchanges.end() || exchange->second.events.isBetweenEvents();
         ended.events = exchange == m_exchanges.end() ? 0 : exchange->second.events.events();
-        ended.end = end == TransferEnd::Complete && isBetween && open.hasBegun
-            ? CallEnd::Complete
-            : CallEnd::Broken;
+        ended.end = end == TransferEnd::Complete && isBetween && open.hasBegun ? CallEnd::Complete
+                                                                               : CallEnd::Broken;
         return ended;
     }
     if (end != TransferEnd::Complete) {
@@ -249,8 +248,7 @@
     open.isForwarded = true;
     if (!exchange->second.isStreaming) {
         exchange->second.isStreaming = true;
-        m_callers.beginStream(effect.request, open.head.status,
-                              m_dialect.answerHeaders(open.head));
+        m_callers.beginStream(effect.request, open.head.status, m_dialect.answerHeaders(open.head));
     }
     m_callers.sendPiece(effect.request, open.ready);
     open.ready.clear();
--- a/src/relay/requestrelay.h
+++ b/src/relay/requestrelay.h
@@ -57,8 +57,8 @@
         std::string callerId;
         MessageHead head;
         AnswerFacts facts;
-        std::string body;        ///< Of answers that are passed on whole.
-        std::string ready;       ///< Whole events that the dispatcher has not let pass yet.
+        std::string body;  ///< Of answers that are passed on whole.
+        std::string ready; ///< Whole events that the dispatcher has not let pass yet.
         bool isStream = false;
         bool isForwarded = false;
         bool hasBegun = false;
--- a/src/relay/serverconnections.cpp
+++ b/src/relay/serverconnections.cpp
@@ -43,7 +43,8 @@
         return KeptUntold;
     }
     constexpr std::size_t NameLength = 8;
-    const long seconds = std::strtol(std::string(told.substr(at + NameLength)).c_str(), nullptr, 10);
+    const long seconds =
+        std::strtol(std::string(told.substr(at + NameLength)).c_str(), nullptr, 10);
     const Duration time = std::chrono::seconds(std::clamp(seconds, 0L, 3600L));
     return std::clamp(time - KeptMargin, Duration(0), LongestKept);
 }
@@ -59,11 +60,11 @@
     bufferevent *bev = nullptr;
     event *timer = nullptr;
     MessageParser parser;
-    CallNumber call;         ///< None while it is kept idle.
+    CallNumber call; ///< None while it is kept idle.
     Duration silentFor {};
     bool isConnected = false;
     bool isClosing = false;
-    bool isForeign = false;  ///< The message being read answers another request.
+    bool isForeign = false; ///< The message being read answers another request.
     bool isHeadRequest = false;
 
     explicit Connection(MessageParser::Handler handler)
@@ -155,7 +156,8 @@
     connection.number = number;
     connection.server = request.server;
     connection.address = request.address;
-    connection.bev = bufferevent_socket_new(m_base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    connection.bev =
+        bufferevent_socket_new(m_base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     connection.timer = event_new(m_base, -1, 0, &ServerConnections::handleTimer, &connection);
     connection.parser.reset(request.method == "HEAD");
     m_connections.emplace(number, std::move(made));
@@ -188,7 +190,8 @@
     for (const auto &[name, value] : request.headers) {
         text += name + ": " + value + "\r\n";
     }
-    const bool hasBody = !request.body.empty() || (request.method != "GET" && request.method != "HEAD");
+    const bool hasBody =
+        !request.body.empty() || (request.method != "GET" && request.method != "HEAD");
     if (hasBody) {
         text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
     }
@@ -216,11 +219,10 @@
         return;
     }
     armSilence(connection);
-    while (!connection.call.isNone() && !connection.isClosing
-           && evbuffer_get_length(input) > 0) {
+    while (!connection.call.isNone() && !connection.isClosing && evbuffer_get_length(input) > 0) {
         const std::size_t size = evbuffer_get_length(input);
-        const auto *bytes = reinterpret_cast<const char *>(
-            evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
+        const auto *bytes =
+            reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
         const std::size_t used = connection.parser.feed({bytes, size});
         evbuffer_drain(input, used);
         if (connection.isClosing) {
--- a/src/store/keyvaluestore.h
+++ b/src/store/keyvaluestore.h
@@ -69,7 +69,8 @@
 using StoreHandler = std::function<void(const std::variant<Result, StoreFault> &)>;
 
 struct StoreDone
-{ };
+{
+};
 
 /**
  * The key-value service that holds all that must last: linearizable, with leases and watches.
