--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -95,7 +95,9 @@
     call.kind = CallKind::Plain;
     call.patience = request.answerBy - step.now;
     const bool isIdempotent = request.route->repetition == Repetition::Idempotent;
-    if (isIdempotent && mayRunAgain(request)) {
+    ++request.runs;
+    ++request.arrivals;
+    if (mayRunAgain(request)) {
         call.silentFor = request.route->target * SilenceInTargets;
     }
     // A kept connection can die as the request is written; whether it was read is not known then,
@@ -105,8 +107,6 @@
     request.server = server->name;
     request.callKind = CallKind::Plain;
     request.callStarted = step.now;
-    ++request.runs;
-    ++request.arrivals;
     request.call = m_state.calls.start(step, *server, std::move(call));
 }
 
@@ -121,8 +121,9 @@
     }
     const AnnouncedServer *best = nullptr;
     double bestScore = 0;
+    const double typical = m_state.tracker.typicalMilliseconds(all);
     for (const AnnouncedServer *server : m_state.tracker.preferred(fresh, step.now)) {
-        double score = m_state.tracker.expectedMilliseconds(server->name, step.now);
+        double score = m_state.tracker.expectedMilliseconds(server->name, typical, step.now);
         score += server->domain == m_state.settings.domain ? 0 : OtherDomainMilliseconds;
         if (!best || score < bestScore) {
             best = server;
--- a/src/dispatch/servertracker.cpp
+++ b/src/dispatch/servertracker.cpp
@@ -8,8 +8,10 @@
 
 /** Weight of one sample in the moving averages: some ten samples make up the average. */
 constexpr double SampleWeight = 0.2;
-/** Assumed of a server that has not answered yet. */
+/** Assumed where no server of a service has answered yet; only the comparison matters. */
 constexpr double UnknownMilliseconds = 30;
+/** Of the typical time, for a server that was not seen of late: it must look worth a try. */
+constexpr double UnseenPart = 0.5;
 /** What was seen loses half its weight in this time, so that a server that was slow is tried. */
 constexpr Duration HalfLife = std::chrono::seconds(3);
 /** How long a load that a server told is taken for its present one. */
@@ -124,17 +126,32 @@
     return good.size() * 2 < servers.size() ? servers : good;
 }
 
-double ServerTracker::expectedMilliseconds(const ServerName &server, TimePoint now) const
+double ServerTracker::typicalMilliseconds(const std::vector<const AnnouncedServer *> &servers) const
 {
+    double sum = 0;
+    int known = 0;
+    for (const AnnouncedServer *server : servers) {
+        const auto it = m_seen.find(server->name);
+        if (it != m_seen.end() && it->second.milliseconds > 0) {
+            sum += it->second.milliseconds;
+            ++known;
+        }
+    }
+    return known == 0 ? UnknownMilliseconds : sum / known;
+}
+
+double ServerTracker::expectedMilliseconds(const ServerName &server, double typical,
+                                           TimePoint now) const
+{
+    const double unseen = UnseenPart * typical;
     const auto it = m_seen.find(server);
     if (it == m_seen.end()) {
-        return UnknownMilliseconds;
+        return unseen;
     }
     const Seen &seen = it->second;
     const double weight = fading(seen.lastSample, now);
-    const double base = seen.milliseconds == 0
-        ? UnknownMilliseconds
-        : weight * seen.milliseconds + (1 - weight) * UnknownMilliseconds;
+    const double base =
+        seen.milliseconds == 0 ? unseen : weight * seen.milliseconds + (1 - weight) * unseen;
     double others = seen.open;
     if (const auto load = freshLoad(server, now)) {
         const std::uint32_t all = load->running + load->waiting;
--- a/src/dispatch/servertracker.h
+++ b/src/dispatch/servertracker.h
@@ -36,11 +36,14 @@
     /** @p servers without the avoided ones; all of them if that leaves less than half. */
     std::vector<const AnnouncedServer *>
     preferred(const std::vector<const AnnouncedServer *> &servers, TimePoint now) const;
+    /** Mean time of an answer over those of @p servers that have given one. */
+    double typicalMilliseconds(const std::vector<const AnnouncedServer *> &servers) const;
     /**
      * Expected time to a good answer of a new call, in milliseconds, from the times, failures
-     * and calls seen. For comparing servers of one service.
+     * and calls seen. For comparing servers of one service, whose @p typical time it takes for
+     * one that was not seen, or not for long: as half, so that it is tried.
      */
-    double expectedMilliseconds(const ServerName &server, TimePoint now) const;
+    double expectedMilliseconds(const ServerName &server, double typical, TimePoint now) const;
 
 private:
     struct Seen
--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -112,11 +112,14 @@
     if (!call) {
         return;
     }
+    const std::uint64_t generation = one.generation();
     if (const auto *list = std::get_if<ListCall>(&*call)) {
-        m_store.list(one.prefix(), list->after, [this, kind](const auto &result) {
+        m_store.list(one.prefix(), list->after, [this, kind, generation](const auto &result) {
+            if (generation != own(kind).generation()) {
+                return;
+            }
             if (const auto *fault = std::get_if<StoreFault>(&result)) {
-                own(kind).failed(present(), *fault);
-                noteStore(false, nameOf(*fault));
+                callFailed(kind, *fault);
             } else {
                 own(kind).listed(present(), std::get<StoredPage>(result));
                 noteStore(true, {});
@@ -126,10 +129,12 @@
         return;
     }
     const std::uint64_t revision = std::get<WatchCall>(*call).revision;
-    m_store.watch(one.prefix(), revision, WatchWait, [this, kind](const auto &result) {
+    m_store.watch(one.prefix(), revision, WatchWait, [this, kind, generation](const auto &result) {
+        if (generation != own(kind).generation()) {
+            return;
+        }
         if (const auto *fault = std::get_if<StoreFault>(&result)) {
-            own(kind).failed(present(), *fault);
-            noteStore(*fault == StoreFault::HistoryGone, nameOf(*fault));
+            callFailed(kind, *fault);
         } else {
             own(kind).watched(present(), std::get<StoredChanges>(result));
             noteStore(true, {});
@@ -138,6 +143,12 @@
     });
 }
 
+void StateSync::callFailed(MirrorKind kind, StoreFault fault)
+{
+    own(kind).failed(present(), fault);
+    noteStore(fault == StoreFault::HistoryGone, nameOf(fault));
+}
+
 void StateSync::pumpAnnouncer()
 {
     const auto call = m_announcer.nextCall(present());
--- a/src/edge/statesync.h
+++ b/src/edge/statesync.h
@@ -64,6 +64,7 @@
 private:
     void pump();
     void pumpMirror(MirrorKind kind);
+    void callFailed(MirrorKind kind, StoreFault fault);
     void pumpAnnouncer();
     void askPeers(TimePoint now);
     void askPeer(MirrorKind kind, const std::string &address);
--- a/src/relay/messageparser.cpp
+++ b/src/relay/messageparser.cpp
@@ -2,6 +2,8 @@
 
 #include <strings.h>
 
+#include <algorithm>
+#include <cctype>
 #include <cstdint>
 #include <limits>
 
@@ -12,6 +14,24 @@
 /** How the library says that a message names no length. */
 constexpr auto NoContentLength = std::numeric_limits<std::uint64_t>::max();
 
+/**
+ * The library lets spaces in header names pass. A server that does not would read "Length : 3"
+ * as another header than this node does, and cut the request elsewhere.
+ */
+bool isToken(std::string_view name)
+{
+    constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+    return !name.empty() && std::all_of(name.begin(), name.end(), [](unsigned char c) {
+        return std::isalnum(c) != 0 || Marks.find(static_cast<char>(c)) != std::string_view::npos;
+    });
+}
+
+bool hasControlCharacters(std::string_view value)
+{
+    return std::any_of(value.begin(), value.end(),
+                       [](unsigned char c) { return (c < ' ' && c != '\t') || c == 0x7f; });
+}
+
 bool mayHaveBody(int status)
 {
     constexpr int NoContent = 204;
@@ -129,7 +149,13 @@
 int MessageParser::takeHead(http_parser *parser)
 {
     constexpr int NoBody = 1;
+    constexpr int Fault = -1;
     MessageParser &one = self(parser);
+    for (const auto &[name, value] : one.m_head.headers) {
+        if (!isToken(name) || hasControlCharacters(value)) {
+            return Fault;
+        }
+    }
     one.m_isHeadComplete = true;
     if (one.m_kind == Kind::Request) {
         one.m_head.method = http_method_str(static_cast<http_method>(parser->method));
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -89,6 +89,8 @@
 
 void Mirror::refresh()
 {
+    ++m_generation;
+    m_isCalling = false;
     m_mustList = true;
     m_listAfter.clear();
     m_pausedUntil.reset();
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -52,6 +52,8 @@
     void failed(TimePoint now, StoreFault fault);
     /** Lists anew, whatever is under way: this process stood still and may have missed changes. */
     void refresh();
+    /** Changes with refresh(): results of calls from before it are not to be handed in. */
+    std::uint64_t generation() const { return m_generation; }
     /** News from another node; ignored unless newer. True if it was taken. */
     bool takeSnapshot(const MirrorSnapshot &snapshot);
 
@@ -79,6 +81,7 @@
     std::map<std::string, Item> m_items;
     std::uint64_t m_asOf = 0;
     bool m_isCalling = false;
+    std::uint64_t m_generation = 0;
     bool m_mustList = true;
     std::string m_listAfter;
     std::uint64_t m_listedFrom = 0; ///< Revision of the first page; changes after it are watched.
--- /dev/null
+++ b/tests/dispatch/dispatchplay.h
@@ -0,0 +1,199 @@
+#pragma once
+
+#include "dispatch/dispatcher.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace indigoway::dispatch {
+
+/**
+ * A dispatcher in virtual time, with what a test wants to ask of it. The test plays the backend
+ * servers and the callers.
+ */
+class DispatchPlay
+{
+public:
+    DispatchPlay()
+        : m_dispatcher({DomainName("d1"), RetryBounds {}}, at(-60'000))
+    {
+        m_dispatcher.setNodes(4, at(-30'000));
+    }
+
+    static TimePoint at(int milliseconds)
+    {
+        return TimePoint {} + std::chrono::hours(1) + std::chrono::milliseconds(milliseconds);
+    }
+
+    static Route plainRoute(Repetition repetition)
+    {
+        Route route;
+        route.name = RouteName("plain");
+        route.host = "plain";
+        route.prefix = "/";
+        route.shares = {{ServiceName("web"), 1}};
+        route.repetition = repetition;
+        route.maxAttempts = repetition == Repetition::Idempotent ? 2 : 1;
+        route.target = std::chrono::milliseconds(150);
+        route.timeout = std::chrono::milliseconds(1000);
+        return route;
+    }
+
+    static Route streamRoute(bool isResumable)
+    {
+        Route route;
+        route.name = RouteName("stream");
+        route.host = isResumable ? "resumable" : "stream";
+        route.prefix = "/";
+        route.shares = {{ServiceName("llm"), 1}};
+        route.isStream = true;
+        route.isResumable = isResumable;
+        route.maxAttempts = isResumable ? 2 : 1;
+        route.target = std::chrono::milliseconds(900);
+        route.timeout = std::chrono::seconds(14);
+        return route;
+    }
+
+    /** Routes "plain" (of @p repetition), "stream" and "resumable"; services web and llm. */
+    void useRoutes(Repetition repetition = Repetition::AtMostOnce)
+    {
+        RoutingState state;
+        state.version = 1;
+        state.routes = {plainRoute(repetition), streamRoute(false), streamRoute(true)};
+        Service web;
+        web.name = ServiceName("web");
+        state.services[web.name] = web;
+        Service llm;
+        llm.name = ServiceName("llm");
+        llm.engine = EngineTraits {64, 50'000, std::chrono::milliseconds(500),
+                                   std::chrono::milliseconds(2000)};
+        state.services[llm.name] = llm;
+        m_dispatcher.setRoutes(std::make_shared<const RouteTable>(std::move(state)));
+    }
+
+    void addServer(const std::string &name, EnginePhase phase = EnginePhase::None,
+                   bool isDraining = false)
+    {
+        AnnouncedServer server;
+        server.name = ServerName(name);
+        server.service = ServiceName(phase == EnginePhase::None ? "web" : "llm");
+        server.address = name + ":80";
+        server.domain = DomainName("d1");
+        server.slots = 6;
+        server.phase = phase;
+        server.isDraining = isDraining;
+        m_dispatcher.announce(std::move(server));
+    }
+
+    RequestNumber arrive(int milliseconds, const std::string &host, std::uint32_t tokens = 0)
+    {
+        ArrivedRequest request;
+        request.request = RequestNumber(++m_lastRequest);
+        request.callerId = "c" + std::to_string(m_lastRequest);
+        request.host = host;
+        request.path = "/x";
+        request.patience = std::chrono::milliseconds(host == "plain" ? 1000 : 14'000);
+        request.promptTokens = tokens;
+        request.mostOutputTokens = tokens == 0 ? 0 : 500;
+        reduce(milliseconds, request);
+        return request.request;
+    }
+
+    void reduce(int milliseconds, const DispatchEvent &event)
+    {
+        for (DispatchEffect &effect : m_dispatcher.reduce(at(milliseconds), ++m_entropy, event)) {
+            if (const auto *call = std::get_if<StartCall>(&effect)) {
+                m_calls.push_back(*call);
+            } else if (const auto *abandoned = std::get_if<AbandonCall>(&effect)) {
+                m_abandoned.push_back(abandoned->call);
+            } else if (const auto *rejected = std::get_if<RejectRequest>(&effect)) {
+                m_ends[rejected->request] = rejected->retryAfter
+                    ? "rejected"
+                    : "failed " + std::to_string(rejected->status);
+            } else if (const auto *delivered = std::get_if<DeliverAnswer>(&effect)) {
+                m_ends[delivered->request] = "delivered";
+            } else if (const auto *ended = std::get_if<EndStream>(&effect)) {
+                m_ends[ended->request] = "streamed";
+            } else if (const auto *broken = std::get_if<BreakStream>(&effect)) {
+                m_ends[broken->request] = "cut";
+            }
+        }
+    }
+
+    /** Lets time pass to @p milliseconds, ticking where the dispatcher wants it. */
+    void wait(int from, int to)
+    {
+        for (int time = from; time <= to; time += 10) {
+            reduce(time, TimePassed {});
+        }
+    }
+
+    /** The next call that was started and not yet looked at. */
+    StartCall nextCall()
+    {
+        CPPUNIT_ASSERT_MESSAGE("a call was expected", !m_calls.empty());
+        StartCall call = m_calls.front();
+        m_calls.pop_front();
+        return call;
+    }
+
+    StartCall nextCall(CallKind kind)
+    {
+        StartCall call = nextCall();
+        CPPUNIT_ASSERT_EQUAL(std::string(nameOf(kind)), std::string(nameOf(call.kind)));
+        return call;
+    }
+
+    bool hasCalls() const { return !m_calls.empty(); }
+
+    void end(int milliseconds, const StartCall &call, CallEnd how, int status = 0)
+    {
+        CallEnded ended;
+        ended.call = call.call;
+        ended.end = how;
+        ended.status = status;
+        reduce(milliseconds, ended);
+    }
+
+    void grant(int milliseconds, const StartCall &call)
+    {
+        CallEnded ended;
+        ended.call = call.call;
+        ended.end = CallEnd::Complete;
+        ended.status = 200;
+        if (call.kind == CallKind::Reserve) {
+            ended.reservation = "r" + std::to_string(call.call.value());
+        } else {
+            ended.handle = "h" + std::to_string(call.call.value());
+        }
+        reduce(milliseconds, ended);
+    }
+
+    /** "open", or how the request ended. */
+    std::string outcome(RequestNumber request) const
+    {
+        const auto it = m_ends.find(request);
+        return it == m_ends.end() ? "open" : it->second;
+    }
+
+    bool wasAbandoned(const StartCall &call) const
+    {
+        return std::find(m_abandoned.begin(), m_abandoned.end(), call.call) != m_abandoned.end();
+    }
+
+    Dispatcher &dispatcher() { return m_dispatcher; }
+
+private:
+    Dispatcher m_dispatcher;
+    std::uint64_t m_entropy = 0;
+    std::uint64_t m_lastRequest = 0;
+    std::deque<StartCall> m_calls;
+    std::vector<CallNumber> m_abandoned;
+    std::map<RequestNumber, std::string> m_ends;
+};
+
+} // namespace indigoway::dispatch
--- /dev/null
+++ b/tests/fleet/noderostertest.cpp
@@ -0,0 +1,116 @@
+#include "fleet/noderoster.h"
+
+#include "fleet/nodeannouncer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace indigoway;
+
+namespace {
+
+TimePoint at(int milliseconds)
+{
+    return TimePoint {} + std::chrono::hours(1) + std::chrono::milliseconds(milliseconds);
+}
+
+NodeEntry node(const std::string &name)
+{
+    return {NodeName(name), DomainName("d"), name + ":1", name + ":2"};
+}
+
+bool contains(const std::vector<std::string> &list, const std::string &one)
+{
+    return std::find(list.begin(), list.end(), one) != list.end();
+}
+
+} // namespace
+
+class NodeRosterTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(NodeRosterTest);
+    CPPUNIT_TEST(entriesSurviveTheirEncoding);
+    CPPUNIT_TEST(aLeavingNodeNamesTheOthersOnly);
+    CPPUNIT_TEST(aVanishedNodeIsKeptForAMoment);
+    CPPUNIT_TEST(answersNoMoreThanAsked);
+    CPPUNIT_TEST(anEntryIsWrittenAgainWhenItIsLost);
+    CPPUNIT_TEST(aNodeThatLeavesWritesNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void entriesSurviveTheirEncoding()
+    {
+        const auto decoded = decodeNodeEntry(encodeNodeEntry(node("n1")));
+        CPPUNIT_ASSERT(decoded.has_value());
+        CPPUNIT_ASSERT(*decoded == node("n1"));
+        CPPUNIT_ASSERT(!decodeNodeEntry("{}").has_value());
+        CPPUNIT_ASSERT(!decodeNodeEntry("no json").has_value());
+    }
+
+    void aLeavingNodeNamesTheOthersOnly()
+    {
+        NodeRoster roster(node("self"));
+        roster.announce("k/self", node("self"));
+        CPPUNIT_ASSERT(contains(roster.callerAddresses(at(0), 64, 1), "self:1"));
+        roster.announce("k/b", node("b"));
+        roster.setLeaving();
+        const auto addresses = roster.callerAddresses(at(0), 64, 1);
+        CPPUNIT_ASSERT(!contains(addresses, "self:1"));
+        CPPUNIT_ASSERT(contains(addresses, "b:1"));
+    }
+
+    // The store was away, its leases ran out, and all nodes' entries vanish at its return. An
+    // answer without them would send every caller to the one node that answers.
+    void aVanishedNodeIsKeptForAMoment()
+    {
+        NodeRoster roster(node("self"));
+        roster.announce("k/b", node("b"));
+        roster.withdraw("k/b", at(0));
+        CPPUNIT_ASSERT(contains(roster.callerAddresses(at(500), 64, 1), "b:1"));
+        CPPUNIT_ASSERT(!contains(roster.callerAddresses(at(3'000), 64, 1), "b:1"));
+        CPPUNIT_ASSERT_EQUAL(1U, roster.count(at(3'000)));
+    }
+
+    void answersNoMoreThanAsked()
+    {
+        NodeRoster roster(node("self"));
+        for (int i = 0; i < 100; ++i) {
+            const std::string name = "n" + std::to_string(i);
+            roster.announce(name, node(name));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t {64}, roster.callerAddresses(at(0), 64, 9).size());
+    }
+
+    // The lease of a healthy node ends while the store is away, or someone removes its entry.
+    // Callers are not sent to it any more, and it would idle for good.
+    void anEntryIsWrittenAgainWhenItIsLost()
+    {
+        NodeAnnouncer announcer;
+        CPPUNIT_ASSERT(std::holds_alternative<GrantLeaseCall>(*announcer.nextCall(at(0))));
+        CPPUNIT_ASSERT(!announcer.nextCall(at(0)).has_value());
+        announcer.leaseGranted(at(1), StoreLease(5));
+        CPPUNIT_ASSERT(std::holds_alternative<PutEntryCall>(*announcer.nextCall(at(1))));
+        announcer.entryWritten(at(2));
+        CPPUNIT_ASSERT(!announcer.nextCall(at(3)).has_value());
+        CPPUNIT_ASSERT(std::holds_alternative<RenewLeaseCall>(*announcer.nextCall(at(1'000))));
+        announcer.failed(at(1'001), StoreFault::NoLease);
+        CPPUNIT_ASSERT(std::holds_alternative<GrantLeaseCall>(*announcer.nextCall(at(1'001))));
+        announcer.leaseGranted(at(1'002), StoreLease(6));
+        CPPUNIT_ASSERT(std::holds_alternative<PutEntryCall>(*announcer.nextCall(at(1'002))));
+        announcer.entryWritten(at(1'003));
+        announcer.entryVanished();
+        CPPUNIT_ASSERT(std::holds_alternative<PutEntryCall>(*announcer.nextCall(at(1'004))));
+    }
+
+    void aNodeThatLeavesWritesNothing()
+    {
+        NodeAnnouncer announcer;
+        announcer.nextCall(at(0));
+        announcer.leaseGranted(at(1), StoreLease(5));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {5}, announcer.leave().value());
+        CPPUNIT_ASSERT(!announcer.nextCall(at(9'000)).has_value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NodeRosterTest);
--- /dev/null
+++ b/tests/fleet/serverdirectorytest.cpp
@@ -0,0 +1,92 @@
+#include "fleet/serverdirectory.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace indigoway;
+
+namespace {
+
+TimePoint at(int milliseconds)
+{
+    return TimePoint {} + std::chrono::hours(1) + std::chrono::milliseconds(milliseconds);
+}
+
+AnnouncedServer server(const std::string &name, const std::string &service = "web")
+{
+    AnnouncedServer one;
+    one.name = ServerName(name);
+    one.service = ServiceName(service);
+    one.address = "10.0.0.1:80";
+    return one;
+}
+
+std::string candidates(const ServerDirectory &directory, TimePoint now)
+{
+    std::string names;
+    for (const AnnouncedServer *one :
+         directory.candidates(ServiceName("web"), EnginePhase::None, now)) {
+        names += one->name.text();
+    }
+    return names;
+}
+
+} // namespace
+
+class ServerDirectoryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ServerDirectoryTest);
+    CPPUNIT_TEST(aDrainingServerGetsNoNewWork);
+    CPPUNIT_TEST(aVanishedServerIsALastResort);
+    CPPUNIT_TEST(lapsedEntriesComeBack);
+    CPPUNIT_TEST(aServerMayChangeItsService);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void aDrainingServerGetsNoNewWork()
+    {
+        ServerDirectory directory;
+        directory.announce(server("a"));
+        AnnouncedServer leaving = server("b");
+        leaving.isDraining = true;
+        directory.announce(leaving);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), candidates(directory, at(0)));
+        CPPUNIT_ASSERT(directory.standing(ServerName("b"), at(0)) == Standing::Leaving);
+    }
+
+    void aVanishedServerIsALastResort()
+    {
+        ServerDirectory directory;
+        directory.announce(server("a"));
+        directory.announce(server("b"));
+        directory.withdraw(ServerName("b"), at(0));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), candidates(directory, at(10)));
+    }
+
+    // The store was away and its leases ran out: on its return all servers' entries vanish in one
+    // moment and are back within two seconds. Callers of that moment would all be refused, though
+    // every server is well.
+    void lapsedEntriesComeBack()
+    {
+        ServerDirectory directory;
+        directory.announce(server("a"));
+        directory.announce(server("b"));
+        directory.withdraw(ServerName("a"), at(0));
+        directory.withdraw(ServerName("b"), at(0));
+        CPPUNIT_ASSERT_EQUAL(std::string("ab"), candidates(directory, at(100)));
+        directory.announce(server("a"));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), candidates(directory, at(200)));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), candidates(directory, at(5'000)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, directory.forgetVanished(at(5'000)).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, directory.size());
+    }
+
+    void aServerMayChangeItsService()
+    {
+        ServerDirectory directory;
+        directory.announce(server("a"));
+        directory.announce(server("a", "other"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), candidates(directory, at(0)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerDirectoryTest);
--- /dev/null
+++ b/tests/platform/platformdialecttest.cpp
@@ -0,0 +1,238 @@
+#include "platform/platformdialect.h"
+#include "platform/platformcodec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace indigoway;
+using namespace indigoway::platform;
+using dispatch::CallKind;
+using dispatch::StartCall;
+
+namespace {
+
+CallerRequest callerRequest()
+{
+    CallerRequest request;
+    request.head.method = "POST";
+    request.head.target = "/a/b?c=%2F";
+    request.head.headers = {{"Host", "h.example"},
+                            {"Indigoway-Request-Id", "id1"},
+                            {"Indigoway-Request-Deadline", "14000"},
+                            {"Indigoway-Token-Count", "1460,80"},
+                            {"Indigoway-Length-Hint", "60"},
+                            {"Connection", "keep-alive"},
+                            {"Content-Length", "4"},
+                            {"X-Other", "kept"}};
+    request.body = "body";
+    return request;
+}
+
+StartCall callOf(CallKind kind)
+{
+    StartCall call;
+    call.kind = kind;
+    call.server = ServerName("i-1");
+    call.address = "10.0.0.1:80";
+    call.patience = std::chrono::milliseconds(1234);
+    return call;
+}
+
+std::string headerOf(const ServerRequest &request, const std::string &name)
+{
+    std::string found = "none";
+    int count = 0;
+    for (const auto &[key, value] : request.headers) {
+        if (sameHeaderName(key, name)) {
+            found = value;
+            ++count;
+        }
+    }
+    CPPUNIT_ASSERT(count <= 1);
+    return found;
+}
+
+} // namespace
+
+class PlatformDialectTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlatformDialectTest);
+    CPPUNIT_TEST(readsWhatACallerAsksFor);
+    CPPUNIT_TEST(passesARequestOnUnchanged);
+    CPPUNIT_TEST(callersCannotSetTheSystemsHeaders);
+    CPPUNIT_TEST(spellsTheCallsOfAGeneration);
+    CPPUNIT_TEST(goesOnAfterTheLastEvent);
+    CPPUNIT_TEST(tellsAnAnswerFromAnother);
+    CPPUNIT_TEST(readsGrants);
+    CPPUNIT_TEST(readsTheDesiredState);
+    CPPUNIT_TEST(readsAServer);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void readsWhatACallerAsksFor()
+    {
+        const auto request = m_dialect.readRequest(callerRequest().head);
+        CPPUNIT_ASSERT_EQUAL(std::string("id1"), request.callerId);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/b?c=%2F"), request.path);
+        CPPUNIT_ASSERT(*request.patience == std::chrono::milliseconds(14'000));
+        CPPUNIT_ASSERT_EQUAL(1460U, request.promptTokens);
+        CPPUNIT_ASSERT_EQUAL(80U, request.mostOutputTokens);
+        CPPUNIT_ASSERT_EQUAL(60U, *request.likelyOutputTokens);
+        MessageHead bare;
+        bare.headers = {{"Indigoway-Request-Deadline", "soon"}, {"Indigoway-Token-Count", "1,x"}};
+        CPPUNIT_ASSERT(!m_dialect.readRequest(bare).patience);
+        CPPUNIT_ASSERT_EQUAL(0U, m_dialect.readRequest(bare).promptTokens);
+    }
+
+    void passesARequestOnUnchanged()
+    {
+        const CallerRequest origin = callerRequest();
+        const ServerRequest request = m_dialect.writeCall(callOf(CallKind::Plain), &origin, {});
+        CPPUNIT_ASSERT_EQUAL(origin.head.method, request.method);
+        CPPUNIT_ASSERT_EQUAL(origin.head.target, request.target);
+        CPPUNIT_ASSERT_EQUAL(origin.body, request.body);
+        CPPUNIT_ASSERT_EQUAL(std::string("kept"), headerOf(request, "X-Other"));
+        CPPUNIT_ASSERT_EQUAL(std::string("id1"), headerOf(request, "Indigoway-Request-Id"));
+        CPPUNIT_ASSERT_EQUAL(std::string("1234"), headerOf(request, "Indigoway-Request-Deadline"));
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), headerOf(request, "Indigoway-Expect-Instance"));
+        CPPUNIT_ASSERT_EQUAL(std::string("none"), headerOf(request, "Connection"));
+        CPPUNIT_ASSERT_EQUAL(std::string("none"), headerOf(request, "Content-Length"));
+    }
+
+    // A caller sends the headers with which nodes take over another run, or reserve memory. If
+    // they went through, it could go on from somebody else's memory, or hold an engine's.
+    void callersCannotSetTheSystemsHeaders()
+    {
+        CallerRequest origin = callerRequest();
+        for (const char *name :
+             {"Indigoway-Serving-Phase", "indigoway-kv-source", "Indigoway-Kv-Hold",
+              "Indigoway-Kv-Backup", "Indigoway-Pin-Duration", "Indigoway-Expect-Version",
+              "Indigoway-Request-Priority", "Kv-Fetch"}) {
+            origin.head.headers.emplace_back(name, "forged");
+        }
+        origin.head.headers.emplace_back("Indigoway-Expect-Instance", "forged");
+        const ServerRequest request = m_dialect.writeCall(callOf(CallKind::Whole), &origin, {});
+        for (const auto &[name, value] : request.headers) {
+            CPPUNIT_ASSERT(value != "forged");
+        }
+    }
+
+    void spellsTheCallsOfAGeneration()
+    {
+        const CallerRequest origin = callerRequest();
+        StartCall reserve = callOf(CallKind::Reserve);
+        reserve.reserveTokens = 5000;
+        reserve.reserveFor = std::chrono::milliseconds(2000);
+        const ServerRequest reserveRequest = m_dialect.writeCall(reserve, nullptr, {});
+        CPPUNIT_ASSERT_EQUAL(std::string("/hold-take"), reserveRequest.target);
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"tokens":5000,"ttl_ms":2000})"), reserveRequest.body);
+        const ServerRequest prefill = m_dialect.writeCall(callOf(CallKind::Prefill), &origin, {});
+        CPPUNIT_ASSERT_EQUAL(std::string("prefill"), headerOf(prefill, "Indigoway-Serving-Phase"));
+        StartCall decode = callOf(CallKind::Decode);
+        decode.handle = "h1";
+        decode.handleAddress = "10.0.0.9:81";
+        decode.reservation = "r1";
+        const ServerRequest decodeRequest = m_dialect.writeCall(decode, &origin, {});
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.9:81/h1"),
+                             headerOf(decodeRequest, "Indigoway-Kv-Source"));
+        CPPUNIT_ASSERT_EQUAL(std::string("r1"), headerOf(decodeRequest, "Indigoway-Kv-Hold"));
+        StartCall free = callOf(CallKind::FreeHandle);
+        free.handle = "h1";
+        CPPUNIT_ASSERT_EQUAL(std::string("/kv-handle/h1"),
+                             m_dialect.writeCall(free, nullptr, {}).target);
+        StartCall drop = callOf(CallKind::Unreserve);
+        drop.reservation = "r1";
+        CPPUNIT_ASSERT_EQUAL(std::string("/hold-drop/r1"),
+                             m_dialect.writeCall(drop, nullptr, {}).target);
+    }
+
+    void goesOnAfterTheLastEvent()
+    {
+        CallerRequest origin = callerRequest();
+        origin.head.headers.emplace_back("Last-Event-Id", "3");
+        const ServerRequest own = m_dialect.writeCall(callOf(CallKind::Whole), &origin, "17");
+        CPPUNIT_ASSERT_EQUAL(std::string("17"), headerOf(own, "Last-Event-Id"));
+        const ServerRequest callers = m_dialect.writeCall(callOf(CallKind::Whole), &origin, {});
+        CPPUNIT_ASSERT_EQUAL(std::string("3"), headerOf(callers, "Last-Event-Id"));
+    }
+
+    void tellsAnAnswerFromAnother()
+    {
+        MessageHead head;
+        head.status = 200;
+        head.headers = {{"Indigoway-Request-Id", "id1"},
+                        {"Indigoway-Server-Stamp", "s"},
+                        {"Indigoway-Server-Load", "3,1,8"}};
+        CPPUNIT_ASSERT(m_dialect.isAnswerTo("id1", head));
+        CPPUNIT_ASSERT(!m_dialect.isAnswerTo("id2", head));
+        const AnswerFacts facts = m_dialect.readAnswer(head);
+        CPPUNIT_ASSERT(facts.isGenuine);
+        CPPUNIT_ASSERT(!facts.isNotExecuted);
+        CPPUNIT_ASSERT_EQUAL(8U, facts.load->slots);
+        head.headers = {{"Indigoway-Not-Executed", "1"}};
+        head.status = 503;
+        CPPUNIT_ASSERT(m_dialect.readAnswer(head).isNotExecuted);
+        head.headers.clear();
+        CPPUNIT_ASSERT(!m_dialect.readAnswer(head).isNotExecuted);
+        head.status = 421;
+        CPPUNIT_ASSERT(m_dialect.readAnswer(head).isNotExecuted);
+    }
+
+    void readsGrants()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("r"),
+                             m_dialect.readGrant(CallKind::Reserve, R"({"hold":"r"})").reservation);
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("h"),
+            m_dialect.readGrant(CallKind::Prefill, R"({"kv_handle":"h","tokens":3})").handle);
+        CPPUNIT_ASSERT(m_dialect.readGrant(CallKind::Reserve, "{\"hold\":").reservation.empty());
+    }
+
+    void readsTheDesiredState()
+    {
+        const auto decoded = m_codec.decodeRouting(R"({"version":7,"routes":[
+            {"name":"r1","host":"F.example","prefix":"/p/","kind":"streaming","timeout_ms":14000,
+             "slo_ms":900,"priority":1,"service":"a","max_attempts":2,"resumable":true},
+            {"name":"r2","host":"f.example","prefix":"/q/","kind":"idempotent","timeout_ms":800,
+             "slo_ms":150,"traffic_split":[{"service":"a","weight":90},{"service":"b","weight":10}]}],
+            "services":[{"name":"a","max_conns":360,"engine":{"capacity":64,"kv_capacity":51867,
+             "kv_hold_s":0.5,"hold_ms":2000.0}},{"name":"b","max_conns":100}],
+            "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
+             "idle_timeout_ms":15000}})");
+        const auto &state = std::get<RoutingState>(decoded);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {7}, state.version);
+        const Route &stream = state.routes.at(0);
+        CPPUNIT_ASSERT(stream.isStream && stream.isResumable);
+        CPPUNIT_ASSERT(stream.repetition == Repetition::AtMostOnce);
+        CPPUNIT_ASSERT_EQUAL(std::string("f.example"), stream.host);
+        CPPUNIT_ASSERT(stream.target == std::chrono::milliseconds(900));
+        const Route &split = state.routes.at(1);
+        CPPUNIT_ASSERT(split.repetition == Repetition::Idempotent);
+        CPPUNIT_ASSERT_EQUAL(1U, split.maxAttempts);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, split.shares.size());
+        const EngineTraits &engine = *state.services.at(ServiceName("a")).engine;
+        CPPUNIT_ASSERT(engine.handleKept == std::chrono::milliseconds(500));
+        CPPUNIT_ASSERT(engine.longestReservation == std::chrono::milliseconds(2000));
+        CPPUNIT_ASSERT(!state.services.at(ServiceName("b")).engine);
+        CPPUNIT_ASSERT(state.limits.idleTimeout == std::chrono::seconds(15));
+        CPPUNIT_ASSERT(std::holds_alternative<DecodeFault>(m_codec.decodeRouting("{}")));
+        CPPUNIT_ASSERT(std::holds_alternative<DecodeFault>(m_codec.decodeRouting("nonsense")));
+    }
+
+    void readsAServer()
+    {
+        const auto decoded = m_codec.decodeServer(
+            "i-1", R"({"service":"a","address":"10.1.1.1:80","zone":"z","capacity":64,
+                       "state":"draining","phase":"decode","sequence":4})");
+        const auto &server = std::get<AnnouncedServer>(decoded);
+        CPPUNIT_ASSERT(server.isDraining);
+        CPPUNIT_ASSERT(server.phase == EnginePhase::Decode);
+        CPPUNIT_ASSERT_EQUAL(64U, server.slots);
+        CPPUNIT_ASSERT(std::holds_alternative<DecodeFault>(m_codec.decodeServer("i-2", "{}")));
+    }
+
+private:
+    PlatformDialect m_dialect;
+    PlatformCodec m_codec;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformDialectTest);
