--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 
 # Analyses every source file; warnings are errors.
 tidy: build
-	git ls-files 'src/*.cpp' 'standins/*.cpp' 'bench/*.cpp' | xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD)
+	git ls-files 'src/*.cpp' 'platform/*.cpp' 'standins/*.cpp' 'bench/*.cpp' | xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD)
 
 # make bench, or one part: make bench PART=policy
 PART ?= relay policy capacity
--- a/src/dispatch/engineplacement.cpp
+++ b/src/dispatch/engineplacement.cpp
@@ -17,6 +17,8 @@
  */
 constexpr double OtherDomainTokens = 3000;
 constexpr double TokensPerWaiting = 5000;
+/** Between engines that look nearly alike the nearer one is asked first. */
+constexpr double OtherDomainDecodeTokens = 1000;
 
 } // namespace
 
@@ -56,58 +58,56 @@
 
 const AnnouncedServer *
 EnginePlacement::pickDecode(const std::vector<const AnnouncedServer *> &candidates,
-                            std::uint64_t tokens, const std::set<ServerName> &without,
-                            TimePoint now) const
+                            const Need &need, TimePoint now) const
 {
-    const AnnouncedServer *best = nullptr;
-    double bestScore = 0;
-    for (const AnnouncedServer *server : candidates) {
-        if (without.contains(server->name)) {
-            continue;
-        }
-        double score = 0;
-        const auto it = m_engines.find(server->name);
+    return best(candidates, need, [&](const AnnouncedServer &server) -> std::optional<double> {
+        double score = server.domain == need.domain ? 0 : OtherDomainDecodeTokens;
+        const auto it = m_engines.find(server.name);
         if (it != m_engines.end()) {
-            if (!isWorthAsking(it->second, tokens, now)) {
-                continue;
+            if (!isWorthAsking(it->second, need.tokens, now)) {
+                return std::nullopt;
             }
-            score = static_cast<double>(it->second.tokens)
-                + it->second.asked * static_cast<double>(tokens);
+            score += static_cast<double>(it->second.tokens)
+                + it->second.asked * static_cast<double>(need.tokens);
         }
-        if (const auto load = m_tracker.freshLoad(server->name, now)) {
+        if (const auto load = m_tracker.freshLoad(server.name, now)) {
             score += (load->running + load->waiting) * TokensPerWaiting;
         }
-        if (!best || score < bestScore) {
-            best = server;
-            bestScore = score;
-        }
-    }
-    return best;
+        return score;
+    });
 }
 
 const AnnouncedServer *
 EnginePlacement::pickPrefill(const std::vector<const AnnouncedServer *> &candidates,
-                             const DomainName &domain, const std::set<ServerName> &without,
-                             TimePoint now) const
+                             const Need &need, TimePoint now) const
 {
-    const AnnouncedServer *best = nullptr;
-    double bestScore = 0;
-    for (const AnnouncedServer *server : candidates) {
-        if (without.contains(server->name)) {
-            continue;
-        }
-        const auto it = m_engines.find(server->name);
+    return best(candidates, need, [&](const AnnouncedServer &server) -> std::optional<double> {
+        const auto it = m_engines.find(server.name);
         double waiting = it == m_engines.end() ? 0 : static_cast<double>(it->second.tokens);
-        if (const auto load = m_tracker.freshLoad(server->name, now)) {
+        if (const auto load = m_tracker.freshLoad(server.name, now)) {
             waiting = std::max(waiting, (load->running + load->waiting) * TokensPerWaiting);
         }
-        const double score = waiting + (server->domain == domain ? 0 : OtherDomainTokens);
-        if (!best || score < bestScore) {
-            best = server;
-            bestScore = score;
+        return waiting + (server.domain == need.domain ? 0 : OtherDomainTokens);
+    });
+}
+
+const AnnouncedServer *EnginePlacement::best(const std::vector<const AnnouncedServer *> &candidates,
+                                             const Need &need, const Score &scoreOf)
+{
+    const AnnouncedServer *chosen = nullptr;
+    double bestScore = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const AnnouncedServer *server = candidates[(i + need.entropy) % candidates.size()];
+        if (need.without->contains(server->name)) {
+            continue;
+        }
+        const std::optional<double> score = scoreOf(*server);
+        if (score && (!chosen || *score < bestScore)) {
+            chosen = server;
+            bestScore = *score;
         }
     }
-    return best;
+    return chosen;
 }
 
 bool EnginePlacement::isWorthAsking(const Engine &engine, std::uint64_t tokens, TimePoint now) const
--- a/src/dispatch/engineplacement.h
+++ b/src/dispatch/engineplacement.h
@@ -5,7 +5,9 @@
 #include <indigoway/announcedserver.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -29,14 +31,25 @@
     void granted(const ServerName &server);
     void refused(const ServerName &server, std::uint64_t tokens, TimePoint now);
 
-    /** The engine of @p candidates that likeliest has room for @p tokens; null: ask later. */
+    /** What a request needs of an engine. */
+    struct Need
+    {
+        std::uint64_t tokens = 0;
+        DomainName domain; ///< Where the engine is best.
+        const std::set<ServerName> *without = nullptr;
+        /**
+         * Decides between engines that look alike. Nodes that all took the first of them would
+         * send it all their work: with 65 nodes one engine of 30 got six times the mean.
+         */
+        std::uint64_t entropy = 0;
+    };
+
+    /** The engine of @p candidates that likeliest has room for @p need; null: ask later. */
     const AnnouncedServer *pickDecode(const std::vector<const AnnouncedServer *> &candidates,
-                                      std::uint64_t tokens, const std::set<ServerName> &without,
-                                      TimePoint now) const;
-    /** The engine that likeliest is done first with @p tokens for decode in @p domain. */
+                                      const Need &need, TimePoint now) const;
+    /** The engine that likeliest is done first with a prompt for decode in the need's domain. */
     const AnnouncedServer *pickPrefill(const std::vector<const AnnouncedServer *> &candidates,
-                                       const DomainName &domain,
-                                       const std::set<ServerName> &without, TimePoint now) const;
+                                       const Need &need, TimePoint now) const;
 
 private:
     struct Engine
@@ -47,6 +60,11 @@
         TimePoint refusedAt {};
     };
 
+    /** Nothing: not to be used now. The lowest is the best. */
+    using Score = std::function<std::optional<double>(const AnnouncedServer &)>;
+
+    static const AnnouncedServer *best(const std::vector<const AnnouncedServer *> &candidates,
+                                       const Need &need, const Score &scoreOf);
     bool isWorthAsking(const Engine &engine, std::uint64_t tokens, TimePoint now) const;
 
     const ServerTracker &m_tracker;
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -35,6 +35,11 @@
     return facts.promptTokens + output + BlockTokens;
 }
 
+EnginePlacement::Need needOf(Step &step, const OpenRequest &request, const DomainName &domain)
+{
+    return {request.tokens, domain, &request.tried, step.random()};
+}
+
 } // namespace
 
 void GenerationFlow::begin(Step &step, OpenRequest &request)
@@ -177,8 +182,8 @@
 bool GenerationFlow::reserve(Step &step, OpenRequest &request)
 {
     const auto candidates = engines(step, request, EnginePhase::Decode);
-    const AnnouncedServer *server =
-        m_placement.pickDecode(candidates, request.tokens, request.tried, step.now);
+    const AnnouncedServer *server = m_placement.pickDecode(
+        candidates, needOf(step, request, m_state.settings.domain), step.now);
     if (!server) {
         return false;
     }
@@ -230,7 +235,7 @@
     const AnnouncedServer *decodeServer = m_state.servers.find(request.decodeServer);
     const DomainName domain = decodeServer ? decodeServer->domain : m_state.settings.domain;
     const AnnouncedServer *server = m_placement.pickPrefill(
-        engines(step, request, EnginePhase::Prefill), domain, request.tried, step.now);
+        engines(step, request, EnginePhase::Prefill), needOf(step, request, domain), step.now);
     if (!server || request.prefillTries >= MostPrefills) {
         decode(step, request, true);
         return;
--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -1,5 +1,7 @@
 #include "plainflow.h"
 
+#include <algorithm>
+
 namespace indigoway::dispatch {
 
 namespace {
@@ -122,7 +124,10 @@
     const AnnouncedServer *best = nullptr;
     double bestScore = 0;
     const double typical = m_state.tracker.typicalMilliseconds(all);
-    for (const AnnouncedServer *server : m_state.tracker.preferred(fresh, step.now)) {
+    auto preferred = m_state.tracker.preferred(fresh, step.now);
+    // Between servers that look alike each node must not take the same one.
+    std::shuffle(preferred.begin(), preferred.end(), step.random);
+    for (const AnnouncedServer *server : preferred) {
         double score = m_state.tracker.expectedMilliseconds(server->name, typical, step.now);
         score += server->domain == m_state.settings.domain ? 0 : OtherDomainMilliseconds;
         if (!best || score < bestScore) {
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -60,7 +60,7 @@
     , m_sync(base, *m_ports.store, client, wiringOf(*this, m_ports.layout))
     , m_control(
           base, HttpLimits {}, [this](const HttpRequest &request) { handleControl(request); },
-          [](ExchangeNumber) {})
+          [this](ExchangeNumber exchange) { m_sync.peerGone(exchange); })
     , m_timer(event_new(
           base, -1, EV_PERSIST,
           [](evutil_socket_t, short, void *self) { static_cast<EdgeNode *>(self)->tick(); }, this))
@@ -111,7 +111,7 @@
 
 bool EdgeNode::isReady() const
 {
-    return !m_leavingSince && m_dispatcher.routes() && m_sync.mirror(MirrorKind::Servers).isKnown();
+    return !m_leavingSince && m_dispatcher.routes() && m_sync.isKnown();
 }
 
 std::vector<std::string> EdgeNode::callerAddresses(std::size_t most)
@@ -122,37 +122,39 @@
 StateSync::Wiring EdgeNode::wiringOf(EdgeNode &node, const StoreLayout &layout)
 {
     StateSync::Wiring wiring;
-    wiring.prefixes = {layout.routingKey, layout.serversPrefix, layout.nodesPrefix};
+    wiring.self = entryOf(node.m_settings);
     wiring.ownKey = layout.nodesPrefix + node.m_settings.node.text();
-    wiring.ownValue = encodeNodeEntry(entryOf(node.m_settings));
-    wiring.changed = [&node](MirrorKind kind, const std::string &key, const std::string *value) {
-        node.storeChanged(kind, key, value);
+    wiring.changed = [&node](const std::string &key, const std::string *value) {
+        node.storeChanged(key, value);
     };
     wiring.record = [&node](const std::string &kind, const std::string &detail) {
         node.record(kind, {{"detail", detail}});
     };
-    wiring.peers = [&node] {
-        return node.peerAddresses();
+    wiring.members = [&node] {
+        return node.m_roster.members(present());
+    };
+    wiring.seeds = [&node] {
+        return node.seeds();
+    };
+    wiring.answerPeer = [&node](ExchangeNumber exchange, const std::string &body) {
+        constexpr int Ok = 200;
+        constexpr int ServiceUnavailable = 503;
+        node.m_control.reply(exchange, body.empty() ? ServiceUnavailable : Ok,
+                             {{"Content-Type", "application/json"}}, body);
     };
     return wiring;
 }
 
-void EdgeNode::storeChanged(MirrorKind kind, const std::string &key, const std::string *value)
+void EdgeNode::storeChanged(const std::string &key, const std::string *value)
 {
-    switch (kind) {
-    case MirrorKind::Routing:
-        if (value && key == m_ports.layout.routingKey) {
+    if (key == m_ports.layout.routingKey) {
+        if (value) {
             routingChanged(*value);
         }
-        break;
-    case MirrorKind::Servers:
+    } else if (key.starts_with(m_ports.layout.serversPrefix)) {
         serverChanged(key, value);
-        break;
-    case MirrorKind::Nodes:
+    } else if (key.starts_with(m_ports.layout.nodesPrefix)) {
         nodeChanged(key, value);
-        break;
-    case MirrorKind::Size:
-        break;
     }
 }
 
@@ -214,9 +216,9 @@
     m_roster.announce(key, std::move(*entry));
 }
 
-std::vector<std::string> EdgeNode::peerAddresses() const
+std::vector<std::string> EdgeNode::seeds() const
 {
-    std::vector<std::string> addresses = m_roster.peers(present());
+    std::vector<std::string> addresses;
     for (const std::string &peer : m_settings.peers) {
         if (peer != m_settings.control) {
             addresses.push_back(peer);
@@ -228,13 +230,10 @@
 void EdgeNode::handleControl(const HttpRequest &request)
 {
     constexpr int Ok = 200;
-    constexpr int NoContent = 204;
     constexpr int NotFound = 404;
     if (request.path == "/v1/mirror") {
-        const std::uint64_t after = std::strtoull(request.parameter("after").c_str(), nullptr, 10);
-        const std::string answer = m_sync.answerPeer(request.parameter("of"), after);
-        m_control.reply(request.exchange, answer.empty() ? NoContent : Ok,
-                        {{"Content-Type", "application/json"}}, answer);
+        m_sync.takePeerQuestion(request.exchange,
+                                std::strtoull(request.parameter("after").c_str(), nullptr, 10));
     } else if (request.path == "/metrics") {
         m_control.reply(request.exchange, Ok, {{"Content-Type", "text/plain"}}, metricsText());
     } else {
@@ -263,7 +262,7 @@
 {
     const TimePoint now = present();
     noticeFreeze(now);
-    if (m_sync.mirror(MirrorKind::Nodes).isKnown()) {
+    if (m_sync.isKnown()) {
         m_dispatcher.setNodes(m_roster.count(now), now);
     }
     m_relay.wake();
@@ -293,7 +292,7 @@
     }
 }
 
-void EdgeNode::record(const std::string &kind, std::vector<LogField> fields)
+void EdgeNode::record(const std::string &kind, const std::vector<LogField> &fields)
 {
     m_log.write(present(), kind, fields);
 }
--- a/src/edge/edgenode.h
+++ b/src/edge/edgenode.h
@@ -56,17 +56,17 @@
 
 private:
     static StateSync::Wiring wiringOf(EdgeNode &node, const StoreLayout &layout);
-    void storeChanged(MirrorKind kind, const std::string &key, const std::string *value);
+    void storeChanged(const std::string &key, const std::string *value);
     void routingChanged(const std::string &value);
     void serverChanged(const std::string &key, const std::string *value);
     void nodeChanged(const std::string &key, const std::string *value);
-    std::vector<std::string> peerAddresses() const;
+    std::vector<std::string> seeds() const;
     void handleControl(const HttpRequest &request);
     std::string metricsText() const;
     void tick();
     void noticeFreeze(TimePoint now);
     void endIfDone(TimePoint now);
-    void record(const std::string &kind, std::vector<LogField> fields);
+    void record(const std::string &kind, const std::vector<LogField> &fields);
 
     event_base *m_base;
     EdgeSettings m_settings;
--- a/src/edge/mirrorexchange.cpp
+++ b/src/edge/mirrorexchange.cpp
@@ -6,39 +6,49 @@
 
 namespace indigoway {
 
-std::string encodeSnapshot(const MirrorSnapshot &snapshot)
+std::string encodeNews(const MirrorNews &news)
 {
     Json::Value value;
-    value["as_of"] = Json::UInt64(snapshot.asOf);
-    Json::Value &items = value["items"] = Json::arrayValue;
-    for (const StoredItem &item : snapshot.items) {
+    value["as_of"] = Json::UInt64(news.asOf);
+    value["whole"] = news.isWhole;
+    Json::Value &changes = value["changes"] = Json::arrayValue;
+    for (const StoredChange &change : news.changes) {
         Json::Value one;
-        one["key"] = item.key;
-        one["value"] = absl::Base64Escape(item.value);
-        one["revision"] = Json::UInt64(item.revision);
-        items.append(std::move(one));
+        one["key"] = change.key;
+        one["revision"] = Json::UInt64(change.revision);
+        if (change.value) {
+            one["value"] = absl::Base64Escape(*change.value);
+        }
+        changes.append(std::move(one));
     }
     return jsonText(value);
 }
 
-std::optional<MirrorSnapshot> decodeSnapshot(const std::string &text)
+std::optional<MirrorNews> decodeNews(const std::string &text)
 {
     const Json::Value value = parseJson(text);
-    if (!value.isObject() || !value["items"].isArray()) {
+    if (!value.isObject() || !value["changes"].isArray() || !value["whole"].isBool()) {
         return std::nullopt;
     }
-    MirrorSnapshot snapshot;
-    snapshot.asOf = numberMember(value, "as_of");
-    for (const Json::Value &one : value["items"]) {
-        StoredItem item;
-        item.key = stringMember(one, "key");
-        item.revision = numberMember(one, "revision");
-        if (item.key.empty() || !absl::Base64Unescape(stringMember(one, "value"), &item.value)) {
+    MirrorNews news;
+    news.asOf = numberMember(value, "as_of");
+    news.isWhole = value["whole"].asBool();
+    for (const Json::Value &one : value["changes"]) {
+        StoredChange change;
+        change.key = stringMember(one, "key");
+        change.revision = numberMember(one, "revision");
+        if (one.isObject() && one.isMember("value")) {
+            change.value.emplace();
+            if (!absl::Base64Unescape(stringMember(one, "value"), &*change.value)) {
+                return std::nullopt;
+            }
+        }
+        if (change.key.empty() || (news.isWhole && !change.value)) {
             return std::nullopt;
         }
-        snapshot.items.push_back(std::move(item));
+        news.changes.push_back(std::move(change));
     }
-    return snapshot;
+    return news;
 }
 
 } // namespace indigoway
--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -8,14 +8,11 @@
 
 namespace {
 
-constexpr std::array<MirrorKind, 3> AllMirrors {MirrorKind::Routing, MirrorKind::Servers,
-                                                MirrorKind::Nodes};
-/** How long the store holds a watch. Bounds for how long a connection that fell silent is used. */
-constexpr Duration WatchWait = std::chrono::milliseconds(1000);
-constexpr timeval TickEvery {0, 100'000};
-/** While the store does not answer: a change elsewhere reaches this node so much later. */
-constexpr Duration AskPeersEvery = std::chrono::milliseconds(300);
-constexpr Duration PeerTimeout = std::chrono::milliseconds(400);
+/** How long a question is held. Bounds for how long a connection that fell silent is relied on. */
+constexpr Duration QuestionWait = std::chrono::milliseconds(1000);
+constexpr Duration ProbeWait = std::chrono::milliseconds(50);
+constexpr Duration PeerTimeout = QuestionWait + std::chrono::milliseconds(300);
+constexpr timeval TickEvery {0, 50'000};
 
 TimePoint present()
 {
@@ -24,41 +21,22 @@
 
 } // namespace
 
-const char *nameOf(MirrorKind kind)
-{
-    switch (kind) {
-    case MirrorKind::Routing:
-        return "routing";
-    case MirrorKind::Servers:
-        return "servers";
-    case MirrorKind::Nodes:
-        return "nodes";
-    case MirrorKind::Size:
-        break;
-    }
-    return "";
-}
-
 StateSync::StateSync(event_base *base, KeyValueStore &store, HttpClient &client, Wiring wiring)
-    : m_base(base)
-    , m_store(store)
+    : m_store(store)
     , m_client(client)
     , m_wiring(std::move(wiring))
     , m_timer(event_new(
           base, -1, EV_PERSIST,
           [](evutil_socket_t, short, void *self) { static_cast<StateSync *>(self)->pump(); }, this))
-{
-    for (const MirrorKind kind : AllMirrors) {
-        m_mirrors[static_cast<std::size_t>(kind)] = std::make_unique<Mirror>(
-            m_wiring.prefixes[static_cast<std::size_t>(kind)],
-            [this, kind](const std::string &key, const std::string *value) {
-                if (kind == MirrorKind::Nodes && !value && key == m_wiring.ownKey) {
-                    m_announcer.entryVanished();
-                }
-                m_wiring.changed(kind, key, value);
-            });
-    }
-}
+    , m_mirror({},
+               [this](const std::string &key, const std::string *value) {
+                   if (!value && key == m_wiring.ownKey) {
+                       m_announcer.entryVanished();
+                   }
+                   m_wiring.changed(key, value);
+               })
+    , m_choice(m_wiring.self.name, m_wiring.self.domain)
+{ }
 
 void StateSync::start()
 {
@@ -69,84 +47,136 @@
 void StateSync::leave()
 {
     const StoreLease lease = m_announcer.leave();
-    if (!lease.isNone()) {
-        m_store.endLease(lease, [this](const std::variant<StoreDone, StoreFault> &result) {
-            if (const auto *fault = std::get_if<StoreFault>(&result)) {
-                m_wiring.record("entry_not_ended", nameOf(*fault));
-            }
-        });
+    if (lease.isNone()) {
+        return;
     }
+    m_store.endLease(lease, [this](const std::variant<StoreDone, StoreFault> &result) {
+        if (const auto *fault = std::get_if<StoreFault>(&result)) {
+            m_wiring.record("entry_not_ended", nameOf(*fault));
+        }
+    });
 }
 
 void StateSync::refresh()
 {
-    for (const MirrorKind kind : AllMirrors) {
-        own(kind).refresh();
-    }
+    m_mirror.refresh();
     pump();
 }
 
-std::string StateSync::answerPeer(const std::string &of, std::uint64_t after) const
+void StateSync::takePeerQuestion(ExchangeNumber exchange, std::uint64_t revision)
 {
-    for (const MirrorKind kind : AllMirrors) {
-        if (of == nameOf(kind) && mirror(kind).asOf() > after) {
-            return encodeSnapshot(mirror(kind).snapshot());
-        }
-    }
-    return {};
+    m_questions[exchange] = {revision, present() + QuestionWait};
+    answerQuestions();
 }
 
 void StateSync::pump()
 {
-    for (const MirrorKind kind : AllMirrors) {
-        pumpMirror(kind);
-    }
+    pumpMirror();
     pumpAnnouncer();
-    askPeers(present());
+    answerQuestions();
 }
 
-void StateSync::pumpMirror(MirrorKind kind)
+void StateSync::pumpMirror()
 {
-    Mirror &one = own(kind);
-    const auto call = one.nextCall(present());
-    if (!call) {
+    const TimePoint now = present();
+    if (m_mirror.isBusy(now)) {
         return;
     }
-    const std::uint64_t generation = one.generation();
-    if (const auto *list = std::get_if<ListCall>(&*call)) {
-        m_store.list(one.prefix(), list->after, [this, kind, generation](const auto &result) {
-            if (generation != own(kind).generation()) {
-                return;
-            }
-            if (const auto *fault = std::get_if<StoreFault>(&result)) {
-                callFailed(kind, *fault);
-            } else {
-                own(kind).listed(present(), std::get<StoredPage>(result));
-                noteStore(true, {});
-            }
-            pumpMirror(kind);
-        });
+    const Upstream upstream = m_choice.choose(now, m_wiring.members(), m_wiring.seeds());
+    noteUpstream(upstream);
+    if (upstream.peer) {
+        askPeer(upstream);
+    } else {
+        askStore(upstream);
+    }
+}
+
+void StateSync::askStore(const Upstream &upstream)
+{
+    const std::uint64_t generation = m_mirror.generation();
+    const MirrorCall call = m_mirror.beginStoreCall();
+    if (const auto *list = std::get_if<ListCall>(&call)) {
+        m_store.list(m_mirror.prefix(), list->after,
+                     [this, upstream, generation](const auto &result) {
+                         if (generation != m_mirror.generation()) {
+                             return;
+                         }
+                         if (const auto *fault = std::get_if<StoreFault>(&result)) {
+                             failed(upstream, *fault);
+                             return;
+                         }
+                         m_mirror.listed(std::get<StoredPage>(result));
+                         succeeded(upstream);
+                     });
         return;
     }
-    const std::uint64_t revision = std::get<WatchCall>(*call).revision;
-    m_store.watch(one.prefix(), revision, WatchWait, [this, kind, generation](const auto &result) {
-        if (generation != own(kind).generation()) {
+    m_store.watch(m_mirror.prefix(), std::get<WatchCall>(call).revision,
+                  upstream.isProbe ? ProbeWait : QuestionWait,
+                  [this, upstream, generation](const auto &result) {
+                      if (generation != m_mirror.generation()) {
+                          return;
+                      }
+                      if (const auto *fault = std::get_if<StoreFault>(&result)) {
+                          failed(upstream, *fault);
+                          return;
+                      }
+                      m_mirror.watched(std::get<StoredChanges>(result));
+                      succeeded(upstream);
+                  });
+}
+
+void StateSync::askPeer(const Upstream &upstream)
+{
+    const std::uint64_t generation = m_mirror.generation();
+    HttpCall call;
+    call.address = *upstream.peer;
+    call.path = "/v1/mirror?after=" + std::to_string(m_mirror.beginPeerCall());
+    call.timeout = PeerTimeout;
+    call.traffic = Traffic::Peers;
+    m_client.start(std::move(call), [this, upstream, generation](const HttpAnswer &answer) {
+        if (generation != m_mirror.generation()) {
             return;
         }
-        if (const auto *fault = std::get_if<StoreFault>(&result)) {
-            callFailed(kind, *fault);
-        } else {
-            own(kind).watched(present(), std::get<StoredChanges>(result));
-            noteStore(true, {});
+        constexpr int Ok = 200;
+        if (answer.end != HttpAnswer::End::Complete || answer.status != Ok) {
+            failed(upstream, StoreFault::Unanswered);
+            return;
         }
-        pumpMirror(kind);
+        const auto news = decodeNews(answer.body);
+        if (!news) {
+            failed(upstream, StoreFault::Refused);
+            return;
+        }
+        m_mirror.told(*news);
+        succeeded(upstream);
     });
 }
 
-void StateSync::callFailed(MirrorKind kind, StoreFault fault)
+void StateSync::succeeded(const Upstream &upstream)
+{
+    m_choice.succeeded(upstream);
+    if (!m_isCurrent) {
+        m_isCurrent = true;
+        m_wiring.record("store_copy_current",
+                        "from=" + m_upstream + " as_of=" + std::to_string(m_mirror.asOf()));
+    }
+    answerQuestions();
+    pumpMirror();
+}
+
+void StateSync::failed(const Upstream &upstream, StoreFault fault)
 {
-    own(kind).failed(present(), fault);
-    noteStore(fault == StoreFault::HistoryGone, nameOf(fault));
+    m_mirror.failed(present(), fault);
+    if (fault == StoreFault::HistoryGone) {
+        m_choice.succeeded(upstream);
+    } else {
+        m_choice.failed(present(), upstream);
+        m_isCurrent = false;
+    }
+    m_wiring.record("store_copy_call_failed",
+                    "from=" + m_upstream + " fault=" + nameOf(fault)
+                        + " as_of=" + std::to_string(m_mirror.asOf()));
+    pumpMirror();
 }
 
 void StateSync::pumpAnnouncer()
@@ -155,14 +185,6 @@
     if (!call) {
         return;
     }
-    const auto done = [this](const std::variant<StoreDone, StoreFault> &result) {
-        if (const auto *fault = std::get_if<StoreFault>(&result)) {
-            m_announcer.failed(present(), *fault);
-            m_wiring.record("entry_not_kept", nameOf(*fault));
-            return false;
-        }
-        return true;
-    };
     if (std::holds_alternative<GrantLeaseCall>(*call)) {
         m_store.grantLease(NodeAnnouncer::LeaseLifetime, [this](const auto &result) {
             if (const auto *fault = std::get_if<StoreFault>(&result)) {
@@ -173,16 +195,16 @@
             pumpAnnouncer();
         });
     } else if (const auto *put = std::get_if<PutEntryCall>(&*call)) {
-        m_store.put({m_wiring.ownKey, m_wiring.ownValue, put->lease},
-                    [this, done](const auto &result) {
-                        if (done(result)) {
+        m_store.put({m_wiring.ownKey, encodeNodeEntry(m_wiring.self), put->lease},
+                    [this](const auto &result) {
+                        if (noteAnnouncement(result)) {
                             m_announcer.entryWritten(present());
                         }
                         pumpAnnouncer();
                     });
     } else {
-        m_store.renewLease(std::get<RenewLeaseCall>(*call).lease, [this, done](const auto &result) {
-            if (done(result)) {
+        m_store.renewLease(std::get<RenewLeaseCall>(*call).lease, [this](const auto &result) {
+            if (noteAnnouncement(result)) {
                 m_announcer.leaseRenewed(present());
             }
             pumpAnnouncer();
@@ -190,61 +212,43 @@
     }
 }
 
-void StateSync::askPeers(TimePoint now)
+bool StateSync::noteAnnouncement(const std::variant<StoreDone, StoreFault> &result)
 {
-    if (now < m_peersAskedAt + AskPeersEvery) {
-        return;
-    }
-    std::vector<std::string> peers;
-    for (const MirrorKind kind : AllMirrors) {
-        if (!mirror(kind).isStale(now)) {
-            continue;
-        }
-        if (peers.empty()) {
-            m_peersAskedAt = now;
-            peers = m_wiring.peers();
-            ++m_nextPeer;
-        }
-        if (peers.empty()) {
-            return;
-        }
-        askPeer(kind, peers[m_nextPeer % peers.size()]);
+    const auto *fault = std::get_if<StoreFault>(&result);
+    if (!fault) {
+        return true;
     }
+    m_announcer.failed(present(), *fault);
+    m_wiring.record("entry_not_kept", nameOf(*fault));
+    return false;
 }
 
-void StateSync::askPeer(MirrorKind kind, const std::string &address)
+void StateSync::answerQuestions()
 {
-    HttpCall call;
-    call.address = address;
-    call.path = std::string("/v1/mirror?of=") + nameOf(kind)
-        + "&after=" + std::to_string(mirror(kind).asOf());
-    call.timeout = PeerTimeout;
-    call.traffic = Traffic::Peers;
-    m_client.start(std::move(call), [this, kind, address](const HttpAnswer &answer) {
-        constexpr int Ok = 200;
-        if (answer.end != HttpAnswer::End::Complete || answer.status != Ok) {
-            return; // Another peer is asked next time.
-        }
-        const auto snapshot = decodeSnapshot(answer.body);
-        if (!snapshot) {
-            m_wiring.record("peer_unreadable", address);
-            return;
-        }
-        if (own(kind).takeSnapshot(*snapshot)) {
-            m_wiring.record("news_from_peer",
-                            std::string("of=") + nameOf(kind) + " from=" + address
-                                + " as_of=" + std::to_string(snapshot->asOf));
+    const TimePoint now = present();
+    for (auto it = m_questions.begin(); it != m_questions.end();) {
+        const bool hasNews = m_mirror.asOf() > it->second.revision;
+        if (!hasNews && now < it->second.answerBy) {
+            ++it;
+            continue;
         }
-    });
+        const ExchangeNumber exchange = it->first;
+        const std::uint64_t revision = it->second.revision;
+        it = m_questions.erase(it);
+        // A node that does not hear the store itself says nothing of use; the asker goes elsewhere.
+        m_wiring.answerPeer(exchange,
+                            hasNews || m_isCurrent ? encodeNews(m_mirror.newsSince(revision))
+                                                   : std::string());
+    }
 }
 
-void StateSync::noteStore(bool isReachable, const std::string &why)
+void StateSync::noteUpstream(const Upstream &upstream)
 {
-    if (isReachable == m_isStoreReachable) {
-        return;
+    const std::string name = upstream.peer.value_or("store");
+    if (name != m_upstream) {
+        m_wiring.record("upstream", "from=" + name + " before=" + m_upstream);
+        m_upstream = name;
     }
-    m_isStoreReachable = isReachable;
-    m_wiring.record(isReachable ? "store_reached" : "store_lost", why);
 }
 
 } // namespace indigoway
--- a/src/edge/statesync.h
+++ b/src/edge/statesync.h
@@ -1,49 +1,37 @@
 #pragma once
 
 #include "fleet/nodeannouncer.h"
-#include "fleet/noderoster.h"
+#include "fleet/upstreamchoice.h"
 #include "http/eventbase.h"
 #include "http/httpclient.h"
+#include "http/httpserver.h"
 #include "store/mirror.h"
 
-#include <array>
 #include <functional>
-#include <random>
+#include <map>
 #include <string>
 #include <vector>
 
 namespace indigoway {
 
-/** Which part of the store a mirror copies. */
-enum class MirrorKind {
-    Routing,
-    Servers,
-    Nodes,
-    Size,
-};
-
-const char *nameOf(MirrorKind kind);
-
 /**
- * Keeps this node's copies of the store up to date: by watches, and by asking other nodes for
- * theirs while the store does not answer this one. Also keeps the node's own entry there.
+ * Keeps this node's copy of the store up to date, from the store or from another node, and tells
+ * other nodes of it. Also keeps the node's own entry in the store.
  */
 class StateSync
 {
 public:
-    using ChangeHandler =
-        std::function<void(MirrorKind, const std::string &key, const std::string *value)>;
     using RecordHandler = std::function<void(const std::string &kind, const std::string &detail)>;
-    using PeersHandler = std::function<std::vector<std::string>()>;
 
     struct Wiring
     {
-        std::array<std::string, static_cast<std::size_t>(MirrorKind::Size)> prefixes;
+        NodeEntry self;
         std::string ownKey;
-        std::string ownValue;
-        ChangeHandler changed;
+        Mirror::ChangeHandler changed;
         RecordHandler record;
-        PeersHandler peers; ///< Control addresses of other nodes, seeds included.
+        std::function<std::vector<NodeEntry>()> members;
+        std::function<std::vector<std::string>()> seeds; ///< Further control addresses.
+        std::function<void(ExchangeNumber, const std::string &)> answerPeer;
     };
 
     StateSync(event_base *base, KeyValueStore &store, HttpClient &client, Wiring wiring);
@@ -51,36 +39,44 @@
     void start();
     /** Ends this node's entry; nothing is announced any more. */
     void leave();
-    /** Asks the store anew at once; for a process that stood still for some time. */
+    /** Asks anew at once; for a process that stood still for some time. */
     void refresh();
-    const Mirror &mirror(MirrorKind kind) const
-    {
-        return *m_mirrors[static_cast<std::size_t>(kind)];
-    }
+    bool isKnown() const { return m_mirror.isKnown(); }
+    std::uint64_t asOf() const { return m_mirror.asOf(); }
     bool isAnnounced() const { return m_announcer.isAnnounced(); }
-    /** The answer to another node's question for copy @p of newer than @p after; may be empty. */
-    std::string answerPeer(const std::string &of, std::uint64_t after) const;
+    /** Another node asks for what came after @p revision; it is answered when there is something.
+     */
+    void takePeerQuestion(ExchangeNumber exchange, std::uint64_t revision);
+    void peerGone(ExchangeNumber exchange) { m_questions.erase(exchange); }
 
 private:
+    struct Question
+    {
+        std::uint64_t revision = 0;
+        TimePoint answerBy {};
+    };
+
     void pump();
-    void pumpMirror(MirrorKind kind);
-    void callFailed(MirrorKind kind, StoreFault fault);
+    void pumpMirror();
+    void askStore(const Upstream &upstream);
+    void askPeer(const Upstream &upstream);
+    void succeeded(const Upstream &upstream);
+    void failed(const Upstream &upstream, StoreFault fault);
     void pumpAnnouncer();
-    void askPeers(TimePoint now);
-    void askPeer(MirrorKind kind, const std::string &address);
-    void noteStore(bool isReachable, const std::string &why);
-    Mirror &own(MirrorKind kind) { return *m_mirrors[static_cast<std::size_t>(kind)]; }
+    bool noteAnnouncement(const std::variant<StoreDone, StoreFault> &result);
+    void answerQuestions();
+    void noteUpstream(const Upstream &upstream);
 
-    event_base *m_base;
     KeyValueStore &m_store;
     HttpClient &m_client;
     Wiring m_wiring;
     EventHandle m_timer;
-    std::array<std::unique_ptr<Mirror>, static_cast<std::size_t>(MirrorKind::Size)> m_mirrors;
+    Mirror m_mirror;
+    UpstreamChoice m_choice;
     NodeAnnouncer m_announcer;
-    bool m_isStoreReachable = false;
-    TimePoint m_peersAskedAt {};
-    std::size_t m_nextPeer = 0;
+    std::map<ExchangeNumber, Question> m_questions;
+    bool m_isCurrent = false; ///< The last call succeeded.
+    std::string m_upstream;   ///< Whom it was made to; for logs.
 };
 
 } // namespace indigoway
--- a/src/fleet/noderoster.cpp
+++ b/src/fleet/noderoster.cpp
@@ -68,20 +68,24 @@
     return addresses;
 }
 
-std::vector<std::string> NodeRoster::peers(TimePoint now) const
+std::vector<NodeEntry> NodeRoster::members(TimePoint now) const
 {
-    std::vector<std::string> peers;
+    std::vector<NodeEntry> members;
     for (const auto &[key, known] : m_nodes) {
-        if (known.entry.name != m_self.name && isPresent(known, now)) {
-            peers.push_back(known.entry.control);
+        if (isPresent(known, now)) {
+            members.push_back(known.entry);
         }
     }
-    return peers;
+    return members;
 }
 
 std::uint32_t NodeRoster::count(TimePoint now) const
 {
-    return static_cast<std::uint32_t>(peers(now).size()) + 1;
+    std::uint32_t others = 0;
+    for (const auto &[key, known] : m_nodes) {
+        others += known.entry.name != m_self.name && isPresent(known, now) ? 1 : 0;
+    }
+    return others + 1;
 }
 
 bool NodeRoster::isPresent(const Known &known, TimePoint now)
--- a/src/fleet/noderoster.h
+++ b/src/fleet/noderoster.h
@@ -43,8 +43,8 @@
     /** Addresses for callers, at most @p most; this node's own unless it leaves. */
     std::vector<std::string> callerAddresses(TimePoint now, std::size_t most,
                                              std::uint64_t entropy) const;
-    /** Addresses of the other nodes' control sides. */
-    std::vector<std::string> peers(TimePoint now) const;
+    /** The nodes that have announced themselves, this one included if it has. */
+    std::vector<NodeEntry> members(TimePoint now) const;
     /** Nodes that serve callers, this one included. */
     std::uint32_t count(TimePoint now) const;
 
--- /dev/null
+++ b/src/fleet/upstreamchoice.cpp
@@ -0,0 +1,108 @@
+#include "upstreamchoice.h"
+
+#include <algorithm>
+
+namespace indigoway {
+
+namespace {
+
+/** A node that failed as an upstream is left for so long; a killed one is back after seconds. */
+constexpr Duration AvoidPeerFor = std::chrono::milliseconds(2000);
+/** A store that did not answer is tried again after this; meanwhile other nodes are asked. */
+constexpr Duration ProbeStoreEvery = std::chrono::milliseconds(1500);
+
+} // namespace
+
+UpstreamChoice::UpstreamChoice(NodeName self, DomainName domain)
+    : m_self(std::move(self))
+    , m_domain(std::move(domain))
+{ }
+
+Upstream UpstreamChoice::choose(TimePoint now, const std::vector<NodeEntry> &members,
+                                const std::vector<std::string> &seeds)
+{
+    const bool mayTryStore = !m_storeFailed || now >= m_storeTriedAt + ProbeStoreEvery;
+    const auto watching = watchers(members);
+    const bool isWatcher = watching.empty() || watching.front().name == m_self;
+    if (!isWatcher) {
+        for (const NodeEntry &watcher : watching) {
+            if (watcher.name != m_self && !isAvoided(watcher.control, now)) {
+                return {watcher.control, false};
+            }
+        }
+    }
+    if (!mayTryStore) {
+        if (const auto peer = anyPeer(now, members, seeds)) {
+            return *peer;
+        }
+    }
+    m_storeTriedAt = now;
+    return {std::nullopt, m_storeFailed};
+}
+
+void UpstreamChoice::succeeded(const Upstream &upstream)
+{
+    if (!upstream.peer) {
+        m_storeFailed = false;
+    }
+}
+
+void UpstreamChoice::failed(TimePoint now, const Upstream &upstream)
+{
+    if (upstream.peer) {
+        m_avoidedUntil[*upstream.peer] = now + AvoidPeerFor;
+    } else {
+        m_storeFailed = true;
+    }
+}
+
+std::vector<NodeEntry> UpstreamChoice::watchers(const std::vector<NodeEntry> &members) const
+{
+    std::map<DomainName, NodeEntry> first;
+    for (const NodeEntry &member : members) {
+        const auto [it, isNew] = first.try_emplace(member.domain, member);
+        if (!isNew && member.name < it->second.name) {
+            it->second = member;
+        }
+    }
+    std::vector<NodeEntry> list;
+    for (const auto &[domain, member] : first) {
+        list.push_back(member);
+    }
+    std::stable_partition(list.begin(), list.end(),
+                          [this](const NodeEntry &member) { return member.domain == m_domain; });
+    // Without a member of its own domain, itself included, nothing is known yet.
+    if (!list.empty() && list.front().domain != m_domain) {
+        return {};
+    }
+    return list;
+}
+
+bool UpstreamChoice::isAvoided(const std::string &address, TimePoint now) const
+{
+    const auto it = m_avoidedUntil.find(address);
+    return it != m_avoidedUntil.end() && now < it->second;
+}
+
+std::optional<Upstream> UpstreamChoice::anyPeer(TimePoint now,
+                                                const std::vector<NodeEntry> &members,
+                                                const std::vector<std::string> &seeds)
+{
+    std::vector<std::string> addresses;
+    for (const NodeEntry &member : members) {
+        if (member.name != m_self && !isAvoided(member.control, now)) {
+            addresses.push_back(member.control);
+        }
+    }
+    for (const std::string &seed : seeds) {
+        if (!isAvoided(seed, now)) {
+            addresses.push_back(seed);
+        }
+    }
+    if (addresses.empty()) {
+        return std::nullopt;
+    }
+    return Upstream {addresses[++m_turn % addresses.size()], false};
+}
+
+} // namespace indigoway
--- /dev/null
+++ b/src/fleet/upstreamchoice.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "fleet/noderoster.h"
+
+#include <indigoway/ids.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace indigoway {
+
+/** Whom a node asks for the store's changes. */
+struct Upstream
+{
+    std::optional<std::string> peer; ///< A node's control address; nothing: the store itself.
+    bool isProbe = false; ///< The store failed before: it is asked with a short wait only.
+};
+
+/**
+ * Which node asks the store itself, and which one asks another node. Every waiting watch is a
+ * call that costs money and counts against the store's limit; with 65 nodes the watches alone
+ * were four fifths of all costs. So one node of each failure domain watches the store, and the
+ * others wait for what it tells. A node whose watcher is gone, silent or itself cut off from the
+ * store takes another domain's, then the store; one that the store turns away takes any node.
+ */
+class UpstreamChoice
+{
+public:
+    explicit UpstreamChoice(NodeName self, DomainName domain);
+
+    /** @p members: the nodes known, possibly with this one; @p seeds: further addresses. */
+    Upstream choose(TimePoint now, const std::vector<NodeEntry> &members,
+                    const std::vector<std::string> &seeds);
+    void succeeded(const Upstream &upstream);
+    void failed(TimePoint now, const Upstream &upstream);
+
+private:
+    /** The first node of each domain by name, this node's own domain first. */
+    std::vector<NodeEntry> watchers(const std::vector<NodeEntry> &members) const;
+    bool isAvoided(const std::string &address, TimePoint now) const;
+    std::optional<Upstream> anyPeer(TimePoint now, const std::vector<NodeEntry> &members,
+                                    const std::vector<std::string> &seeds);
+
+    NodeName m_self;
+    DomainName m_domain;
+    std::map<std::string, TimePoint> m_avoidedUntil; ///< By control address.
+    bool m_storeFailed = false;
+    TimePoint m_storeTriedAt {};
+    std::size_t m_turn = 0;
+};
+
+} // namespace indigoway
--- a/src/relay/callerlistener.cpp
+++ b/src/relay/callerlistener.cpp
@@ -452,7 +452,7 @@
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " " + reasonOf(status) + "\r\n";
     for (const auto &[name, value] : headers) {
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     }
     text += length ? "Content-Length: " + std::to_string(*length) + "\r\n"
                    : std::string("Transfer-Encoding: chunked\r\n");
--- a/src/relay/messageparser.cpp
+++ b/src/relay/messageparser.cpp
@@ -20,7 +20,7 @@
  */
 bool isToken(std::string_view name)
 {
-    constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+    static constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
     return !name.empty() && std::all_of(name.begin(), name.end(), [](unsigned char c) {
         return std::isalnum(c) != 0 || Marks.find(static_cast<char>(c)) != std::string_view::npos;
     });
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -34,8 +34,7 @@
 
 RequestRelay::RequestRelay(event_base *base, Dispatcher &dispatcher, const Dialect &dialect,
                            std::uint64_t seed)
-    : m_base(base)
-    , m_dispatcher(dispatcher)
+    : m_dispatcher(dispatcher)
     , m_dialect(dialect)
     , m_random(seed)
     , m_timer(event_new(base, -1, 0, &RequestRelay::handleTimer, this))
@@ -217,7 +216,7 @@
     request.silentFor = effect.silentFor;
     request.needsNewConnection = effect.needsNewConnection;
     m_calls.emplace(effect.call, std::move(open));
-    m_servers.start(std::move(request));
+    m_servers.start(request);
 }
 
 void RequestRelay::run(const AbandonCall &effect)
--- a/src/relay/requestrelay.h
+++ b/src/relay/requestrelay.h
@@ -81,7 +81,6 @@
                                   const std::string &why) const;
     static void handleTimer(int socket, short what, void *self);
 
-    event_base *m_base;
     dispatch::Dispatcher &m_dispatcher;
     const Dialect &m_dialect;
     std::mt19937_64 m_random;
--- a/src/relay/serverconnections.cpp
+++ b/src/relay/serverconnections.cpp
@@ -92,7 +92,7 @@
 
 ServerConnections::~ServerConnections() = default;
 
-void ServerConnections::start(ServerRequest request)
+void ServerConnections::start(const ServerRequest &request)
 {
     Connection *kept = request.needsNewConnection ? nullptr : keptConnection(request);
     Connection &connection = kept ? *kept : connect(request);
@@ -188,7 +188,7 @@
 {
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
     for (const auto &[name, value] : request.headers) {
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     }
     const bool hasBody =
         !request.body.empty() || (request.method != "GET" && request.method != "HEAD");
--- a/src/relay/serverconnections.h
+++ b/src/relay/serverconnections.h
@@ -71,7 +71,7 @@
     ServerConnections &operator=(const ServerConnections &) = delete;
 
     /** The observer is never called from inside start(). */
-    void start(ServerRequest request);
+    void start(const ServerRequest &request);
     /** Closes the call's connection; the observer is not told of it any more. */
     void abandon(CallNumber call);
     std::size_t open() const { return m_calls.size(); }
--- a/src/settings/flagset.cpp
+++ b/src/settings/flagset.cpp
@@ -103,7 +103,8 @@
         const std::string name = line.substr(0, equals);
         if (equals == std::string::npos
             || std::find(m_flags.begin(), m_flags.end(), name) == m_flags.end()) {
-            wrong.faults.push_back(place + ": there is no setting \"" + name + "\"");
+            wrong.faults.push_back(
+                std::string(place).append(": there is no setting \"").append(name).append("\""));
             continue;
         }
         const std::string value = line.substr(equals + 1);
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -11,8 +11,8 @@
 /** Bounds the load on a store that is down to a few calls a second and node. */
 constexpr Duration LongestPause = std::chrono::milliseconds(400);
 constexpr std::uint32_t MostDoublings = 3;
-/** A watch answers once a second even if nothing has changed. */
-constexpr Duration StaleAfter = std::chrono::milliseconds(1500);
+/** Removals that other nodes can be told of one by one; later askers get the whole. */
+constexpr std::size_t MostRemovals = 500;
 
 } // namespace
 
@@ -21,12 +21,13 @@
     , m_handler(std::move(handler))
 { }
 
-std::optional<MirrorCall> Mirror::nextCall(TimePoint now)
+bool Mirror::isBusy(TimePoint now) const
+{
+    return m_isCalling || (m_pausedUntil && now < *m_pausedUntil);
+}
+
+MirrorCall Mirror::beginStoreCall()
 {
-    if (m_isCalling || (m_pausedUntil && now < *m_pausedUntil)) {
-        return std::nullopt;
-    }
-    m_pausedUntil.reset();
     m_isCalling = true;
     if (m_mustList) {
         return ListCall {m_listAfter};
@@ -34,11 +35,15 @@
     return WatchCall {m_asOf};
 }
 
-void Mirror::listed(TimePoint now, const StoredPage &page)
+std::uint64_t Mirror::beginPeerCall()
 {
-    m_isCalling = false;
-    m_failures = 0;
-    m_lastHeard = now;
+    m_isCalling = true;
+    return m_asOf;
+}
+
+void Mirror::listed(const StoredPage &page)
+{
+    callSucceeded();
     if (m_listAfter.empty()) {
         m_listed.clear();
         m_listedFrom = page.asOf;
@@ -57,11 +62,9 @@
     m_asOf = std::max(m_asOf, m_listedFrom);
 }
 
-void Mirror::watched(TimePoint now, const StoredChanges &changes)
+void Mirror::watched(const StoredChanges &changes)
 {
-    m_isCalling = false;
-    m_failures = 0;
-    m_lastHeard = now;
+    callSucceeded();
     for (const StoredChange &change : changes.changes) {
         if (change.value) {
             put(change.key, change.revision, *change.value);
@@ -72,6 +75,28 @@
     m_asOf = std::max(m_asOf, changes.asOf);
 }
 
+void Mirror::told(const MirrorNews &news)
+{
+    callSucceeded();
+    if (news.asOf <= m_asOf) {
+        return;
+    }
+    if (!news.isWhole) {
+        watched({news.changes, news.asOf});
+        return;
+    }
+    m_listed.clear();
+    m_listedFrom = news.asOf;
+    for (const StoredChange &change : news.changes) {
+        m_listed[change.key] = change.revision;
+        put(change.key, change.revision, *change.value);
+    }
+    removeUnlisted();
+    m_asOf = news.asOf;
+    m_mustList = false;
+    m_listAfter.clear();
+}
+
 void Mirror::failed(TimePoint now, StoreFault fault)
 {
     m_isCalling = false;
@@ -96,37 +121,24 @@
     m_pausedUntil.reset();
 }
 
-bool Mirror::takeSnapshot(const MirrorSnapshot &snapshot)
+MirrorNews Mirror::newsSince(std::uint64_t revision) const
 {
-    if (snapshot.asOf <= m_asOf) {
-        return false;
-    }
-    m_listed.clear();
-    m_listedFrom = snapshot.asOf;
-    for (const StoredItem &item : snapshot.items) {
-        m_listed[item.key] = item.revision;
-        put(item.key, item.revision, item.value);
-    }
-    removeUnlisted();
-    m_asOf = snapshot.asOf;
-    m_mustList = false;
-    m_listAfter.clear();
-    return true;
-}
-
-bool Mirror::isStale(TimePoint now) const
-{
-    return m_failures > 1 || now > m_lastHeard + StaleAfter;
-}
-
-MirrorSnapshot Mirror::snapshot() const
-{
-    MirrorSnapshot snapshot;
-    snapshot.asOf = m_asOf;
+    MirrorNews news;
+    news.asOf = m_asOf;
+    news.isWhole = revision < m_removalsFrom || revision == 0;
     for (const auto &[key, item] : m_items) {
-        snapshot.items.push_back({key, item.value, item.revision});
+        if (news.isWhole || item.revision > revision) {
+            news.changes.push_back({key, item.revision, item.value});
+        }
     }
-    return snapshot;
+    if (!news.isWhole) {
+        for (const Removal &removal : m_removals) {
+            if (removal.revision > revision) {
+                news.changes.push_back({removal.key, removal.revision, std::nullopt});
+            }
+        }
+    }
+    return news;
 }
 
 void Mirror::put(const std::string &key, std::uint64_t revision, const std::string &value)
@@ -147,6 +159,11 @@
         return;
     }
     m_items.erase(it);
+    m_removals.push_back({key, revision});
+    if (m_removals.size() > MostRemovals) {
+        m_removalsFrom = std::max(m_removalsFrom, m_removals.front().revision);
+        m_removals.pop_front();
+    }
     m_handler(key, nullptr);
 }
 
@@ -158,6 +175,9 @@
             gone.push_back(key);
         }
     }
+    // When each of them went is not known: whoever is behind this listing must get the whole.
+    m_removals.clear();
+    m_removalsFrom = std::max(m_removalsFrom, m_listedFrom);
     for (const std::string &key : gone) {
         m_items.erase(key);
         m_handler(key, nullptr);
@@ -165,4 +185,11 @@
     m_listed.clear();
 }
 
+void Mirror::callSucceeded()
+{
+    m_isCalling = false;
+    m_failures = 0;
+    m_pausedUntil.reset();
+}
+
 } // namespace indigoway
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -2,6 +2,7 @@
 
 #include "store/keyvaluestore.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -22,11 +23,12 @@
 };
 using MirrorCall = std::variant<ListCall, WatchCall>;
 
-/** All items of a prefix at one revision or later; how nodes tell each other. */
-struct MirrorSnapshot
+/** What one node tells another of its copy. */
+struct MirrorNews
 {
     std::uint64_t asOf = 0;
-    std::vector<StoredItem> items;
+    bool isWhole = false; ///< All items there are; else only what has changed.
+    std::vector<StoredChange> changes;
 };
 
 /**
@@ -43,27 +45,28 @@
     Mirror(std::string prefix, ChangeHandler handler);
 
     const std::string &prefix() const { return m_prefix; }
-    /** What to ask now; nothing while a call is under way or a pause lasts. */
-    std::optional<MirrorCall> nextCall(TimePoint now);
-    std::optional<TimePoint> pausedUntil() const { return m_pausedUntil; }
+    /** Whether a call is under way, or a pause lasts after one that failed. */
+    bool isBusy(TimePoint now) const;
+    /** What to ask the store; a call is under way from now on. */
+    MirrorCall beginStoreCall();
+    /** A call to another node is under way from now on; the revision to ask from. */
+    std::uint64_t beginPeerCall();
 
-    void listed(TimePoint now, const StoredPage &page);
-    void watched(TimePoint now, const StoredChanges &changes);
+    void listed(const StoredPage &page);
+    void watched(const StoredChanges &changes);
+    /** A node has told; false if it has nothing to go on from. */
+    void told(const MirrorNews &news);
     void failed(TimePoint now, StoreFault fault);
     /** Lists anew, whatever is under way: this process stood still and may have missed changes. */
     void refresh();
     /** Changes with refresh(): results of calls from before it are not to be handed in. */
     std::uint64_t generation() const { return m_generation; }
-    /** News from another node; ignored unless newer. True if it was taken. */
-    bool takeSnapshot(const MirrorSnapshot &snapshot);
 
     /** Whether all items are known as of some revision. */
     bool isKnown() const { return m_asOf > 0; }
     std::uint64_t asOf() const { return m_asOf; }
-    /** Whether the store has been silent towards this node for longer than it should be. */
-    bool isStale(TimePoint now) const;
-    std::uint32_t failuresInRow() const { return m_failures; }
-    MirrorSnapshot snapshot() const;
+    /** What has changed after @p revision; the whole where that is not known any more. */
+    MirrorNews newsSince(std::uint64_t revision) const;
 
 private:
     struct Item
@@ -71,10 +74,16 @@
         std::string value;
         std::uint64_t revision = 0;
     };
+    struct Removal
+    {
+        std::string key;
+        std::uint64_t revision = 0;
+    };
 
     void put(const std::string &key, std::uint64_t revision, const std::string &value);
     void remove(const std::string &key, std::uint64_t revision);
     void removeUnlisted();
+    void callSucceeded();
 
     std::string m_prefix;
     ChangeHandler m_handler;
@@ -88,7 +97,8 @@
     std::map<std::string, std::uint64_t> m_listed;
     std::optional<TimePoint> m_pausedUntil;
     std::uint32_t m_failures = 0;
-    TimePoint m_lastHeard {};
+    std::deque<Removal> m_removals;   ///< The latest, oldest first.
+    std::uint64_t m_removalsFrom = 0; ///< Removals after this revision are all there.
 };
 
 } // namespace indigoway
--- /dev/null
+++ b/tests/fleet/upstreamchoicetest.cpp
@@ -0,0 +1,119 @@
+#include "fleet/upstreamchoice.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+using namespace indigoway;
+
+namespace {
+
+TimePoint at(int milliseconds)
+{
+    return TimePoint {} + std::chrono::hours(1) + std::chrono::milliseconds(milliseconds);
+}
+
+NodeEntry node(const std::string &name, const std::string &domain)
+{
+    return {NodeName(name), DomainName(domain), name + ":1", name + ":2"};
+}
+
+/** Three domains with @p each nodes, named by domain and number. */
+std::vector<NodeEntry> fleet(int each)
+{
+    std::vector<NodeEntry> nodes;
+    for (const std::string domain : {"a", "b", "c"}) {
+        for (int i = 1; i <= each; ++i) {
+            nodes.push_back(node(domain + std::to_string(i), domain));
+        }
+    }
+    return nodes;
+}
+
+UpstreamChoice choiceOf(const std::string &name)
+{
+    return UpstreamChoice(NodeName(name), DomainName(name.substr(0, 1)));
+}
+
+std::string chosen(UpstreamChoice &choice, int milliseconds,
+                   const std::vector<NodeEntry> &members = fleet(3),
+                   const std::vector<std::string> &seeds = {})
+{
+    return choice.choose(at(milliseconds), members, seeds).peer.value_or("store");
+}
+
+} // namespace
+
+class UpstreamChoiceTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(UpstreamChoiceTest);
+    CPPUNIT_TEST(oneNodeOfEachDomainAsksTheStore);
+    CPPUNIT_TEST(aNewNodeAsksTheStore);
+    CPPUNIT_TEST(aDeadWatcherIsLeft);
+    CPPUNIT_TEST(withoutWatchersTheStoreIsAsked);
+    CPPUNIT_TEST(aNodeTurnedAwayAsksOthersAndTriesAgain);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Sixty-six nodes that each watched the store would make sixty-six calls a second for
+    // nothing; the store's rate is for all nodes together.
+    void oneNodeOfEachDomainAsksTheStore()
+    {
+        const auto members = fleet(22);
+        std::set<std::string> watchers;
+        for (const NodeEntry &member : members) {
+            UpstreamChoice choice(member.name, member.domain);
+            if (chosen(choice, 0, members) == "store") {
+                watchers.insert(member.name.text());
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t {3}, watchers.size());
+        UpstreamChoice choice = choiceOf("b2");
+        CPPUNIT_ASSERT_EQUAL(std::string("b1:2"), chosen(choice, 0, members));
+    }
+
+    void aNewNodeAsksTheStore()
+    {
+        UpstreamChoice choice = choiceOf("b2");
+        CPPUNIT_ASSERT_EQUAL(std::string("store"), chosen(choice, 0, {}));
+        CPPUNIT_ASSERT_EQUAL(std::string("store"), chosen(choice, 0, {node("a1", "a")}));
+    }
+
+    // The watcher of a domain is killed. The others of its domain must not wait until its entry
+    // lapses: changes of that time would come too late.
+    void aDeadWatcherIsLeft()
+    {
+        UpstreamChoice choice = choiceOf("b2");
+        choice.failed(at(0), {"b1:2", false});
+        CPPUNIT_ASSERT_EQUAL(std::string("a1:2"), chosen(choice, 10));
+        CPPUNIT_ASSERT_EQUAL(std::string("b1:2"), chosen(choice, 5'000));
+    }
+
+    void withoutWatchersTheStoreIsAsked()
+    {
+        UpstreamChoice choice = choiceOf("b2");
+        for (const char *watcher : {"a1:2", "b1:2", "c1:2"}) {
+            choice.failed(at(0), {watcher, false});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("store"), chosen(choice, 10));
+    }
+
+    // The store turns a watcher away and serves all others. It asks them, so that its routes and
+    // servers stay current, and the store now and then with a short wait.
+    void aNodeTurnedAwayAsksOthersAndTriesAgain()
+    {
+        UpstreamChoice choice = choiceOf("a1");
+        const Upstream first = choice.choose(at(0), fleet(3), {});
+        CPPUNIT_ASSERT(!first.peer && !first.isProbe);
+        choice.failed(at(10), first);
+        CPPUNIT_ASSERT(chosen(choice, 20) != "store");
+        CPPUNIT_ASSERT_EQUAL(std::string("seed:2"), chosen(choice, 30, {}, {"seed:2"}));
+        const Upstream probe = choice.choose(at(2'000), fleet(3), {});
+        CPPUNIT_ASSERT(!probe.peer && probe.isProbe);
+        choice.succeeded(probe);
+        const Upstream again = choice.choose(at(2'010), fleet(3), {});
+        CPPUNIT_ASSERT(!again.peer && !again.isProbe);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamChoiceTest);
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -432,7 +432,7 @@
         request.method = "GET";
         request.target = "/";
         request.silentFor = silentFor;
-        m_servers->start(std::move(request));
+        m_servers->start(request);
         run();
     }
 
--- a/tests/store/mirrortest.cpp
+++ b/tests/store/mirrortest.cpp
@@ -38,16 +38,20 @@
     Mirror mirror;
 };
 
-bool isList(const std::optional<MirrorCall> &call)
+bool isList(const MirrorCall &call)
 {
-    return call && std::holds_alternative<ListCall>(*call);
+    return std::holds_alternative<ListCall>(call);
 }
 
-std::uint64_t watchedFrom(const std::optional<MirrorCall> &call)
+std::uint64_t watchedFrom(const MirrorCall &call)
 {
-    CPPUNIT_ASSERT(call.has_value());
-    CPPUNIT_ASSERT(std::holds_alternative<WatchCall>(*call));
-    return std::get<WatchCall>(*call).revision;
+    CPPUNIT_ASSERT(std::holds_alternative<WatchCall>(call));
+    return std::get<WatchCall>(call).revision;
+}
+
+MirrorNews whole(std::uint64_t asOf, std::vector<StoredChange> items)
+{
+    return {asOf, true, std::move(items)};
 }
 
 } // namespace
@@ -62,7 +66,8 @@
     CPPUNIT_TEST(newsOfAPeerBridgeAnOutage);
     CPPUNIT_TEST(asksAtOnceAfterStandingStill);
     CPPUNIT_TEST(pausesWhileTheStoreIsAway);
-    CPPUNIT_TEST(snapshotsSurviveTheirEncoding);
+    CPPUNIT_TEST(removalsAreToldToOthers);
+    CPPUNIT_TEST(newsSurviveTheirEncoding);
     CPPUNIT_TEST(anyOrderOfNewsEndsAtTheNewest);
     CPPUNIT_TEST_SUITE_END();
 
@@ -70,15 +75,15 @@
     void listsAllPagesThenWatches()
     {
         Watched one;
-        CPPUNIT_ASSERT(isList(one.mirror.nextCall(at(0))));
-        CPPUNIT_ASSERT(!one.mirror.nextCall(at(0)).has_value());
-        one.mirror.listed(at(1), {{item("p/a", 3), item("p/b", 4)}, true, 10});
-        const auto next = one.mirror.nextCall(at(1));
+        CPPUNIT_ASSERT(isList(one.mirror.beginStoreCall()));
+        CPPUNIT_ASSERT(one.mirror.isBusy(at(0)));
+        one.mirror.listed({{item("p/a", 3), item("p/b", 4)}, true, 10});
+        const MirrorCall next = one.mirror.beginStoreCall();
         CPPUNIT_ASSERT(isList(next));
-        CPPUNIT_ASSERT_EQUAL(std::string("p/b"), std::get<ListCall>(*next).after);
-        one.mirror.listed(at(2), {{item("p/c", 5)}, false, 12});
+        CPPUNIT_ASSERT_EQUAL(std::string("p/b"), std::get<ListCall>(next).after);
+        one.mirror.listed({{item("p/c", 5)}, false, 12});
         CPPUNIT_ASSERT_EQUAL(std::size_t {3}, one.seen.size());
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t {10}, watchedFrom(one.mirror.nextCall(at(2))));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {10}, watchedFrom(one.mirror.beginStoreCall()));
     }
 
     // Pages are no snapshot. An item is removed after the first page and before the second: the
@@ -87,12 +92,12 @@
     void changesBetweenPagesAreSeen()
     {
         Watched one;
-        one.mirror.nextCall(at(0));
-        one.mirror.listed(at(1), {{item("p/a", 3)}, true, 10});
-        one.mirror.nextCall(at(1));
-        one.mirror.listed(at(2), {{item("p/b", 12)}, false, 13});
-        one.mirror.nextCall(at(2));
-        one.mirror.watched(at(3), {{{"p/a", 11, std::nullopt}, {"p/b", 12, "v"}}, 13});
+        one.mirror.beginStoreCall();
+        one.mirror.listed({{item("p/a", 3)}, true, 10});
+        one.mirror.beginStoreCall();
+        one.mirror.listed({{item("p/b", 12)}, false, 13});
+        one.mirror.beginStoreCall();
+        one.mirror.watched({{{"p/a", 11, std::nullopt}, {"p/b", 12, "v"}}, 13});
         CPPUNIT_ASSERT(!one.seen.contains("p/a"));
         CPPUNIT_ASSERT(one.seen.contains("p/b"));
     }
@@ -102,29 +107,31 @@
     void listsAgainWhenHistoryIsGone()
     {
         Watched one;
-        one.mirror.nextCall(at(0));
-        one.mirror.listed(at(1), {{item("p/a", 3), item("p/b", 4)}, false, 10});
-        one.mirror.nextCall(at(1));
+        one.mirror.beginStoreCall();
+        one.mirror.listed({{item("p/a", 3), item("p/b", 4)}, false, 10});
+        one.mirror.beginStoreCall();
         one.mirror.failed(at(2), StoreFault::HistoryGone);
-        CPPUNIT_ASSERT(isList(one.mirror.nextCall(at(2))));
-        one.mirror.listed(at(3), {{item("p/b", 4)}, false, 30});
+        CPPUNIT_ASSERT(!one.mirror.isBusy(at(2)));
+        CPPUNIT_ASSERT(isList(one.mirror.beginStoreCall()));
+        one.mirror.listed({{item("p/b", 4)}, false, 30});
         CPPUNIT_ASSERT(!one.seen.contains("p/a"));
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t {30}, watchedFrom(one.mirror.nextCall(at(3))));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {30}, watchedFrom(one.mirror.beginStoreCall()));
     }
 
-    // A node that was cut off hears a newer state from a peer; then its own watch, asked for
+    // A node that was cut off hears a newer state from another one; then its own watch, asked for
     // before, is answered with older changes. What was in force must not come back.
     void neverGoesBack()
     {
         Watched one;
-        one.mirror.nextCall(at(0));
-        one.mirror.listed(at(1), {{item("p/a", 3, "old")}, false, 10});
-        one.mirror.nextCall(at(1));
-        CPPUNIT_ASSERT(one.mirror.takeSnapshot({20, {item("p/a", 18, "new")}}));
-        one.mirror.watched(at(2), {{{"p/a", 12, "between"}}, 12});
+        one.mirror.beginStoreCall();
+        one.mirror.listed({{item("p/a", 3, "old")}, false, 10});
+        one.mirror.beginPeerCall();
+        one.mirror.told(whole(20, {{"p/a", 18, "new"}}));
+        one.mirror.watched({{{"p/a", 12, "between"}}, 12});
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), one.seen["p/a"]);
+        one.mirror.told(whole(15, {{"p/a", 12, "between"}}));
         CPPUNIT_ASSERT_EQUAL(std::string("new"), one.seen["p/a"]);
-        CPPUNIT_ASSERT(!one.mirror.takeSnapshot({15, {item("p/a", 12, "between")}}));
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t {20}, watchedFrom(one.mirror.nextCall(at(2))));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {20}, watchedFrom(one.mirror.beginStoreCall()));
     }
 
     // The store turns this node away from its start and serves the others. Without their copies
@@ -132,25 +139,52 @@
     void newsOfAPeerBridgeAnOutage()
     {
         Watched one;
-        one.mirror.nextCall(at(0));
+        one.mirror.beginStoreCall();
         one.mirror.failed(at(1), StoreFault::Refused);
         CPPUNIT_ASSERT(!one.mirror.isKnown());
-        CPPUNIT_ASSERT(one.mirror.isStale(at(2'000)));
-        CPPUNIT_ASSERT(one.mirror.takeSnapshot({20, {item("p/a", 18)}}));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {0}, one.mirror.beginPeerCall());
+        one.mirror.told(whole(20, {{"p/a", 18, "v"}}));
         CPPUNIT_ASSERT(one.mirror.isKnown());
         CPPUNIT_ASSERT(one.seen.contains("p/a"));
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t {20}, watchedFrom(one.mirror.nextCall(at(2'000))));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {20}, watchedFrom(one.mirror.beginStoreCall()));
+    }
+
+    // A removal reaches a node over another one that watches the store. It is told as a change
+    // where the asker is not far behind, and by its absence from the whole where it is.
+    void removalsAreToldToOthers()
+    {
+        Watched watcher;
+        watcher.mirror.beginStoreCall();
+        watcher.mirror.listed({{item("p/a", 3), item("p/b", 4)}, false, 10});
+        Watched asker;
+        asker.mirror.told(watcher.mirror.newsSince(asker.mirror.beginPeerCall()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, asker.seen.size());
+        watcher.mirror.watched({{{"p/a", 11, std::nullopt}, {"p/c", 12, "v"}}, 12});
+        const MirrorNews news = watcher.mirror.newsSince(asker.mirror.asOf());
+        CPPUNIT_ASSERT(!news.isWhole);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, news.changes.size());
+        asker.mirror.told(news);
+        CPPUNIT_ASSERT(asker.seen == watcher.seen);
+        watcher.mirror.failed(at(1), StoreFault::HistoryGone);
+        watcher.mirror.beginStoreCall();
+        watcher.mirror.listed({{item("p/c", 12)}, false, 40});
+        CPPUNIT_ASSERT(watcher.mirror.newsSince(12).isWhole);
+        asker.mirror.told(watcher.mirror.newsSince(12));
+        CPPUNIT_ASSERT(asker.seen == watcher.seen);
     }
 
     void asksAtOnceAfterStandingStill()
     {
         Watched one;
-        one.mirror.nextCall(at(0));
-        one.mirror.listed(at(1), {{item("p/a", 3)}, false, 10});
-        one.mirror.nextCall(at(1));
+        one.mirror.beginStoreCall();
+        one.mirror.listed({{item("p/a", 3)}, false, 10});
+        one.mirror.beginStoreCall();
+        const std::uint64_t before = one.mirror.generation();
         one.mirror.refresh();
-        CPPUNIT_ASSERT(isList(one.mirror.nextCall(at(2))));
-        one.mirror.listed(at(3), {{}, false, 11});
+        CPPUNIT_ASSERT(before != one.mirror.generation());
+        CPPUNIT_ASSERT(!one.mirror.isBusy(at(2)));
+        CPPUNIT_ASSERT(isList(one.mirror.beginStoreCall()));
+        one.mirror.listed({{}, false, 11});
         CPPUNIT_ASSERT(one.seen.empty());
     }
 
@@ -159,8 +193,9 @@
         Watched one;
         int calls = 0;
         for (int time = 0; time < 10'000; time += 10) {
-            if (one.mirror.nextCall(at(time))) {
+            if (!one.mirror.isBusy(at(time))) {
                 ++calls;
+                one.mirror.beginStoreCall();
                 one.mirror.failed(at(time), StoreFault::Unanswered);
             }
         }
@@ -168,15 +203,19 @@
         CPPUNIT_ASSERT(calls < 40);
     }
 
-    void snapshotsSurviveTheirEncoding()
+    void newsSurviveTheirEncoding()
     {
         const std::string bytes("\0\xff{\"}", 5);
-        const auto decoded = decodeSnapshot(encodeSnapshot({9, {item("k", 4, bytes)}}));
+        const auto decoded =
+            decodeNews(encodeNews({9, false, {{"k", 4, bytes}, {"gone", 5, std::nullopt}}}));
         CPPUNIT_ASSERT(decoded.has_value());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t {9}, decoded->asOf);
-        CPPUNIT_ASSERT_EQUAL(bytes, decoded->items.at(0).value);
-        CPPUNIT_ASSERT(!decodeSnapshot("[]").has_value());
-        CPPUNIT_ASSERT(!decodeSnapshot(R"({"as_of":1,"items":[{"key":"a","value":"*"}]})"));
+        CPPUNIT_ASSERT_EQUAL(bytes, *decoded->changes.at(0).value);
+        CPPUNIT_ASSERT(!decoded->changes.at(1).value);
+        CPPUNIT_ASSERT(!decodeNews("[]").has_value());
+        CPPUNIT_ASSERT(!decodeNews(R"({"as_of":1,"whole":true,"changes":[{"key":"a"}]})"));
+        CPPUNIT_ASSERT(
+            !decodeNews(R"({"as_of":1,"whole":true,"changes":[{"key":"a","value":"*"}]})"));
     }
 
     void anyOrderOfNewsEndsAtTheNewest()
@@ -188,8 +227,7 @@
             std::uint64_t newest = 0;
             for (const std::uint64_t revision : revisions) {
                 newest = std::max(newest, revision);
-                one.mirror.takeSnapshot(
-                    {revision, {item("p/a", revision, std::to_string(revision))}});
+                one.mirror.told(whole(revision, {{"p/a", revision, std::to_string(revision)}}));
                 RC_ASSERT(one.mirror.asOf() == newest);
                 RC_ASSERT(one.seen["p/a"] == std::to_string(newest));
             }
