Give engines phase orders, wait shorter, send callers back later, and leave what fails sooner

Changes: a right to give orders (lease, token, a wait between holders); waits of 0.8 s, returns after 3.5 s; calls beyond the first counted alike; reservation anew after a lost cache; new connections for prefill; the store is asked next when a watcher fails.

--- a/include/indigoway/routing.h
+++ b/include/indigoway/routing.h
@@ -52,6 +52,7 @@
     std::uint64_t memoryTokens = 0; ///< KV cache of one engine.
     Duration handleKept {};         ///< How long a prefill's result waits for its decode.
     Duration longestReservation {}; ///< Longest time that capacity can be reserved for.
+    Duration phaseChange {};        ///< How long an engine is away when its phase changes.
     bool operator==(const EngineTraits &) const = default;
 };
 
--- a/src/dispatch/dispatcheffects.h
+++ b/src/dispatch/dispatcheffects.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <indigoway/announcedserver.h>
 #include <indigoway/ids.h>
 
 #include <cstdint>
@@ -18,6 +19,8 @@
     FreeHandle, ///< Gives a prefill's KV cache back.
     Decode,     ///< Streams, from a prefill's KV cache.
     Whole,      ///< Prefill and decode on one decode engine.
+    Report,     ///< Asks an engine how many orders it has taken.
+    Order,      ///< Has an engine change its phase.
 };
 
 /** A call to one backend server. CallEnded follows, once, unless it is abandoned. */
@@ -37,6 +40,9 @@
     std::string handle;        ///< Prefill's result: for Decode and FreeHandle.
     std::string handleAddress; ///< Where the handle is.
     bool goesOn = false;       ///< After the last event that the caller was passed.
+    EnginePhase orderedPhase = EnginePhase::None;
+    std::uint64_t fencingToken = 0; ///< Of an Order: rises with each holder of the right.
+    std::uint64_t ordersTaken = 0;  ///< Of an Order: it is void if the engine took another one.
 };
 
 /** Closes the call's connection; what still comes of it is dropped. */
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -133,6 +133,14 @@
     if (!call) {
         return;
     }
+    if (call->kind == CallKind::Report) {
+        m_generations.reportEnded(step, *call, event);
+        return;
+    }
+    if (call->kind == CallKind::Order) {
+        m_generations.orderEnded(step, *call, event);
+        return;
+    }
     OpenRequest *request = m_state.requests.find(call->request);
     if (!request || request->call != event.call) {
         RequestFlow &flow =
@@ -153,6 +161,11 @@
     for (const ServerName &name : m_state.servers.forgetVanished(step.now)) {
         m_state.tracker.forget(name);
     }
+    if (m_orderToken && m_table && !m_leavingSince) {
+        m_generations.orderPhases(step, *m_table, *m_orderToken);
+    }
+    // It is given anew for each look at the time; the right may end in between.
+    m_orderToken.reset();
 }
 
 bool Dispatcher::isTooLateForLeaving(TimePoint now, bool isStream) const
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -28,6 +28,8 @@
     void announce(AnnouncedServer server) { m_state.servers.announce(std::move(server)); }
     void withdraw(const ServerName &name, TimePoint now) { m_state.servers.withdraw(name, now); }
     const ServerDirectory &servers() const { return m_state.servers; }
+    /** The token with which this node may give orders to engines now; nothing if it may not. */
+    void setOrderToken(std::optional<std::uint64_t> token) { m_orderToken = token; }
     /** This node is asked to end by @p endsAt; what cannot be done by then is turned away. */
     void leave(TimePoint now, TimePoint endsAt);
 
@@ -56,6 +58,7 @@
     std::shared_ptr<const RouteTable> m_table;
     Deadlines<RequestNumber> m_timeouts;
     std::optional<TimePoint> m_nextTick;
+    std::optional<std::uint64_t> m_orderToken;
     std::optional<TimePoint> m_leavingSince;
     TimePoint m_endsAt {};
 };
--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -54,16 +54,24 @@
     std::optional<ServerLoad> load;
 };
 
+/** What an engine says of itself; some hundred milliseconds old. */
+struct EngineReport
+{
+    bool isCarryingOutOrder = false;
+    std::uint64_t ordersTaken = 0; ///< By this life of it.
+};
+
 struct CallEnded
 {
     CallNumber call;
     CallEnd end = CallEnd::Broken;
     int status = 0; ///< 0 if there was no answer.
     std::optional<ServerLoad> load;
-    std::string reservation;  ///< Of a Reserve that was granted.
-    std::string handle;       ///< Of a Prefill that was done.
-    std::uint32_t events = 0; ///< Whole events of the stream that were passed on.
-    std::string why;          ///< For logs, where it did not end well.
+    std::string reservation;            ///< Of a Reserve that was granted.
+    std::string handle;                 ///< Of a Prefill that was done.
+    std::optional<EngineReport> report; ///< Of a Report that was answered.
+    std::uint32_t events = 0;           ///< Whole events of the stream that were passed on.
+    std::string why;                    ///< For logs, where it did not end well.
 };
 
 /** Time has passed. */
--- a/src/dispatch/engineplacement.cpp
+++ b/src/dispatch/engineplacement.cpp
@@ -16,6 +16,8 @@
  * failure domain takes longer, with the price of the bytes between domains.
  */
 constexpr double OtherDomainTokens = 3000;
+/** After a lost handle; such engines are back after some seconds, and one prompt tells. */
+constexpr Duration HandlesAvoided = std::chrono::milliseconds(2500);
 constexpr double TokensPerWaiting = 5000;
 /** Between engines that look nearly alike the nearer one is asked first. */
 constexpr double OtherDomainDecodeTokens = 1000;
@@ -56,6 +58,11 @@
     engine.refusedAt = now;
 }
 
+void EnginePlacement::handleLost(const ServerName &server, TimePoint now)
+{
+    m_engines[server].noHandlesUntil = now + HandlesAvoided;
+}
+
 const AnnouncedServer *
 EnginePlacement::pickDecode(const std::vector<const AnnouncedServer *> &candidates,
                             const Need &need, TimePoint now) const
@@ -83,6 +90,9 @@
 {
     return best(candidates, need, [&](const AnnouncedServer &server) -> std::optional<double> {
         const auto it = m_engines.find(server.name);
+        if (it != m_engines.end() && now < it->second.noHandlesUntil) {
+            return std::nullopt;
+        }
         double waiting = it == m_engines.end() ? 0 : static_cast<double>(it->second.tokens);
         if (const auto load = m_tracker.freshLoad(server.name, now)) {
             waiting = std::max(waiting, (load->running + load->waiting) * TokensPerWaiting);
--- a/src/dispatch/engineplacement.h
+++ b/src/dispatch/engineplacement.h
@@ -30,6 +30,11 @@
     void asking(const ServerName &server);
     void granted(const ServerName &server);
     void refused(const ServerName &server, std::uint64_t tokens, TimePoint now);
+    /**
+     * The KV cache that @p server kept could not be had for decode. Its next ones likely cannot
+     * either, and each costs a prompt read in vain; its own answers all look well.
+     */
+    void handleLost(const ServerName &server, TimePoint now);
 
     /** What a request needs of an engine. */
     struct Need
@@ -58,6 +63,7 @@
         std::uint32_t asked = 0;  ///< Reservations under way.
         std::uint64_t refusedTokens = 0;
         TimePoint refusedAt {};
+        TimePoint noHandlesUntil {};
     };
 
     /** Nothing: not to be used now. The lowest is the best. */
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -16,14 +16,26 @@
 constexpr Duration PrefillSilence = std::chrono::milliseconds(1200);
 /** Of a stream that can be taken over: the longest pauses of a healthy engine are a third. */
 constexpr Duration StreamSilence = std::chrono::milliseconds(1500);
-/** A request that found no room for so long is rejected: what comes first now comes sooner. */
-constexpr Duration LongestWait = std::chrono::milliseconds(2000);
+/**
+ * A request that found no room for so long is rejected: it can hardly meet its target any more,
+ * and what comes after it can. Of 0.7, 1 and 2 s the shorter two gave the same worth and the
+ * longest less.
+ */
+constexpr Duration LongestWait = std::chrono::milliseconds(800);
 /** From a reservation to the first event, at the median: prompt read, moved, first token. */
 constexpr Duration FirstEventAfter = std::chrono::milliseconds(250);
-/** A decode engine's requests take some seconds; a fraction of them are done after one. */
-constexpr Duration ComeBackAfter = std::chrono::milliseconds(1200);
+/**
+ * Callers come back once. They are late then anyway, and a second rejection is worse than a wait:
+ * bursts last some seconds, and those who came back within them were rejected again. 3.5 s in
+ * place of 1.2 s raised the worth of the worst days' windows by a tenth.
+ */
+constexpr Duration ComeBackAfter = std::chrono::milliseconds(3500);
 /** A reservation is not relied on so shortly before its end. */
 constexpr Duration ReservationMargin = std::chrono::milliseconds(100);
+/** An engine takes an order at once; carrying it out is seen in its entry. */
+constexpr Duration OrderSilence = std::chrono::milliseconds(1000);
+/** After the token was last known to hold: until an engine's report has come back. */
+constexpr Duration TokenHolds = std::chrono::milliseconds(300);
 constexpr std::uint32_t MostPrefills = 2;
 /** Memory is given out by blocks of so many tokens. */
 constexpr std::uint64_t BlockTokens = 16;
@@ -130,9 +142,75 @@
     return step.now + AskAgainAfter;
 }
 
+void GenerationFlow::orderPhases(Step &step, const RouteTable &table, std::uint64_t token)
+{
+    for (const auto &[name, service] : table.services()) {
+        for (const PhaseOrder &order :
+             m_orders.decide(step.now, service, m_state.servers, m_balance)) {
+            StartCall call;
+            call.kind = CallKind::Report;
+            call.orderedPhase = order.phase;
+            call.silentFor = OrderSilence;
+            m_state.calls.start(step, *order.server, std::move(call));
+        }
+    }
+    m_orderToken = token;
+    m_orderTokenAt = step.now;
+}
+
+void GenerationFlow::reportEnded(Step &step, const OpenCall &call, const CallEnded &event)
+{
+    m_state.tracker.callDropped(call.server.name);
+    const bool mayOrder = event.report && !event.report->isCarryingOutOrder
+        && step.now <= m_orderTokenAt + TokenHolds;
+    if (!mayOrder) {
+        m_orders.refused(call.server.name);
+        step.add(RecordDecision {
+            "order_not_given", {}, "server=" + call.server.name.text() + " " + event.why});
+        return;
+    }
+    const EnginePhase phase = m_orders.orderedPhase(call.server.name);
+    StartCall order;
+    order.kind = CallKind::Order;
+    order.orderedPhase = phase;
+    order.fencingToken = m_orderToken;
+    order.ordersTaken = event.report->ordersTaken;
+    order.silentFor = OrderSilence;
+    m_state.calls.start(step, call.server, std::move(order));
+    step.add(RecordDecision {
+        "order",
+        {},
+        "server=" + call.server.name.text()
+            + " phase=" + (phase == EnginePhase::Prefill ? "prefill" : "decode")
+            + " token=" + std::to_string(m_orderToken)
+            + " orders_taken=" + std::to_string(event.report->ordersTaken)
+            + " prefill_s=" + std::to_string(m_balance.work().prefillSeconds)
+            + " decode_token_s=" + std::to_string(m_balance.work().decodeTokenSeconds)});
+}
+
+void GenerationFlow::orderEnded(Step &step, const OpenCall &call, const CallEnded &event)
+{
+    m_state.tracker.callDropped(call.server.name);
+    constexpr int Ok = 200;
+    constexpr int Accepted = 202;
+    const bool isTaken =
+        event.end == CallEnd::Complete && (event.status == Ok || event.status == Accepted);
+    const bool isRefused = event.end == CallEnd::NotExecuted || event.end == CallEnd::NotConnected
+        || (event.end == CallEnd::Complete && !isTaken);
+    if (isRefused) {
+        m_orders.refused(call.server.name);
+    }
+    // An order without an answer may be carried out yet: the engine counts as changing.
+    step.add(RecordDecision {"order_ended",
+                             {},
+                             "server=" + call.server.name.text() + " end=" + nameOf(event.end)
+                                 + " status=" + std::to_string(event.status)});
+}
+
 void GenerationFlow::enqueue(Step &step, OpenRequest &request)
 {
     request.stage = Stage::Waiting;
+    request.waitingSince = step.now;
     m_waiting.insert(request.facts.request);
     pump(step);
 }
@@ -170,7 +248,7 @@
     std::vector<RequestNumber> hopeless;
     for (const RequestNumber number : m_waiting) {
         const OpenRequest *request = m_state.requests.find(number);
-        if (step.now > request->arrived + LongestWait) {
+        if (step.now > request->waitingSince + LongestWait) {
             hopeless.push_back(number);
         }
     }
@@ -212,7 +290,7 @@
         request.decodeServer = server;
         request.reservation = event.reservation;
         request.reservedUntil = step.now + request.service->engine->longestReservation;
-        if (request.facts.isContinuation || request.eventsPassed > 0) {
+        if (request.facts.isContinuation || request.eventsPassed > 0 || request.readsWhole) {
             decode(step, request, true);
         } else {
             prefill(step, request);
@@ -220,11 +298,7 @@
         return;
     }
     m_placement.refused(server, request.tokens, step.now);
-    if (event.end == CallEnd::NotConnected || event.end == CallEnd::Broken) {
-        m_state.tracker.failed(server, step.now);
-    } else {
-        m_state.tracker.turnedAway(server);
-    }
+    noteFailure(step, server, event.end);
     ++request.refusals;
     request.stage = Stage::Waiting;
     m_waiting.insert(request.facts.request);
@@ -240,9 +314,10 @@
         decode(step, request, true);
         return;
     }
-    if (!takeExtra(step, request, request.prefillTries)) {
+    if (!takeExtra(step, request)) {
         return;
     }
+    request.arrivals += request.arrivals > 0 ? 1 : 0;
     ++request.prefillTries;
     request.stage = Stage::Prefilling;
     request.prefillServer = server->name;
@@ -250,6 +325,9 @@
     StartCall call;
     call.kind = CallKind::Prefill;
     call.silentFor = PrefillSilence;
+    // An engine that fell silent takes no new connection, which shows five times sooner than its
+    // silence on a kept one, and without the request having been sent.
+    call.needsNewConnection = true;
     startCall(step, request, *server, std::move(call));
 }
 
@@ -264,13 +342,11 @@
         decode(step, request, false);
         return;
     }
-    if (event.end == CallEnd::NotExecuted) {
-        m_state.tracker.turnedAway(server);
-    } else {
-        m_state.tracker.failed(server, step.now);
-    }
+    noteFailure(step, server, event.end);
     if (event.end == CallEnd::NotConnected) {
         --request.prefillTries;
+    } else if (request.arrivals == 0) {
+        request.arrivals = 1; // Only a prefill that was done does not count as one.
     }
     step.add(RecordDecision {"prefill_failed", request.facts.callerId,
                              "server=" + server.text() + " " + event.why});
@@ -287,7 +363,7 @@
         enqueue(step, request);
         return;
     }
-    if (!takeExtra(step, request, request.arrivals)) {
+    if (!takeExtra(step, request)) {
         return;
     }
     request.stage = Stage::Decoding;
@@ -326,6 +402,7 @@
         }
         giveBack(step, request);
         if (request.isForwarding) {
+            m_balance.decodeSeen(request.tokens, step.now - call.started);
             m_state.requests.endStream(step, request);
         } else {
             m_state.requests.deliver(step, request, event.call, event.status);
@@ -350,25 +427,36 @@
     step.add(RecordDecision {"decode_not_run", request.facts.callerId,
                              "kind=" + std::string(nameOf(call.kind))
                                  + " server=" + call.server.name.text() + " " + event.why});
+    noteFailure(step, call.server.name, event.end);
     if (event.end == CallEnd::NotConnected) {
         --request.arrivals;
-        m_state.tracker.failed(call.server.name, step.now);
         request.tried.insert(call.server.name);
-    } else {
-        m_state.tracker.turnedAway(call.server.name);
-        if (call.kind == CallKind::Decode) {
-            // Room was reserved, so it is the KV cache that could not be had: it lapsed, or the
-            // engine that keeps it cannot be reached. The decode engine reads the prompt itself.
-            m_state.tracker.failed(request.prefillServer, step.now);
-            request.handle.clear();
-            decode(step, request, true);
-            return;
-        }
+    } else if (call.kind == CallKind::Decode) {
+        // Room was reserved, so it is the KV cache that could not be had.
+        m_placement.handleLost(request.prefillServer, step.now);
+        request.handle.clear();
+        request.readsWhole = true;
     }
     giveBack(step, request);
     enqueue(step, request);
 }
 
+void GenerationFlow::noteFailure(Step &step, const ServerName &server, CallEnd end)
+{
+    switch (end) {
+    case CallEnd::NotExecuted:
+    case CallEnd::Complete:
+        m_state.tracker.turnedAway(server);
+        return;
+    case CallEnd::NotConnected:
+        m_state.tracker.unreachable(server, step.now);
+        return;
+    case CallEnd::Broken:
+        m_state.tracker.failed(server, step.now);
+        return;
+    }
+}
+
 void GenerationFlow::decodeBroken(Step &step, OpenRequest &request, const CallEnded &event)
 {
     request.handle.clear();
@@ -391,9 +479,9 @@
     }
 }
 
-bool GenerationFlow::takeExtra(Step &step, OpenRequest &request, std::uint32_t sentBefore)
+bool GenerationFlow::takeExtra(Step &step, OpenRequest &request)
 {
-    if (sentBefore == 0 || m_state.allowance(request.service->name).take(step.now)) {
+    if (request.arrivals == 0 || m_state.allowance(request.service->name).take(step.now)) {
         return true;
     }
     giveUpNotRun(step, request, "no retries left");
@@ -453,8 +541,11 @@
 std::vector<const AnnouncedServer *> GenerationFlow::engines(Step &step, const OpenRequest &request,
                                                              EnginePhase phase) const
 {
-    return m_state.tracker.preferred(
-        m_state.servers.candidates(request.service->name, phase, step.now), step.now);
+    auto servers = m_state.servers.candidates(request.service->name, phase, step.now);
+    std::erase_if(servers, [&](const AnnouncedServer *server) {
+        return m_orders.isChanging(server->name, step.now);
+    });
+    return m_state.tracker.preferred(servers, step.now);
 }
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/generationflow.h
+++ b/src/dispatch/generationflow.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/dispatchstate.h"
 #include "dispatch/engineplacement.h"
+#include "dispatch/phasebalance.h"
 
 #include <set>
 #include <vector>
@@ -22,6 +23,14 @@
         , m_placement(state.tracker)
     { }
 
+    /**
+     * Has engines change their phase where one phase binds and the other idles. Only the node
+     * that holds the right to give orders may; @p token proves it.
+     */
+    void orderPhases(Step &step, const RouteTable &table, std::uint64_t token);
+    void reportEnded(Step &step, const OpenCall &call, const CallEnded &event);
+    void orderEnded(Step &step, const OpenCall &call, const CallEnded &event);
+
     void begin(Step &step, OpenRequest &request) override;
     void streamBegan(Step &step, OpenRequest &request, const StreamBegan &event) override;
     void callEnded(Step &step, OpenRequest &request, const OpenCall &call,
@@ -48,7 +57,9 @@
     void decodeNotRun(Step &step, OpenRequest &request, const OpenCall &call,
                       const CallEnded &event);
     void decodeBroken(Step &step, OpenRequest &request, const CallEnded &event);
-    bool takeExtra(Step &step, OpenRequest &request, std::uint32_t sentBefore);
+    /** Whether the next call may be sent: the first arrival is free, the others are retries. */
+    bool takeExtra(Step &step, OpenRequest &request);
+    void noteFailure(Step &step, const ServerName &server, CallEnd end);
     void giveUpNotRun(Step &step, OpenRequest &request, const std::string &why);
     void startCall(Step &step, OpenRequest &request, const AnnouncedServer &server, StartCall call);
     /** Gives back memory charged, reservation and handle. */
@@ -58,6 +69,10 @@
 
     DispatchState &m_state;
     EnginePlacement m_placement;
+    PhaseBalance m_balance;
+    PhaseOrders m_orders;
+    std::uint64_t m_orderToken = 0;
+    TimePoint m_orderTokenAt {}; ///< When the token was known to hold.
     std::set<RequestNumber> m_waiting;
     std::uint32_t m_reserving = 0;
 };
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -146,6 +146,10 @@
         return "decode";
     case CallKind::Whole:
         return "whole";
+    case CallKind::Report:
+        return "report";
+    case CallKind::Order:
+        return "order";
     }
     return "";
 }
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -86,6 +86,8 @@
     ServerName prefillServer;
     std::uint32_t prefillTries = 0;
     std::string handle;
+    bool readsWhole = false; ///< The decode engine is to read the prompt itself.
+    TimePoint waitingSince {};
     std::uint32_t refusals = 0; ///< Engines that had no room in this round of asking.
 
     bool isGeneration() const { return route->isStream && service && service->engine; }
--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -55,7 +55,7 @@
         turnedAway(step, request, event.why);
         return;
     case CallEnd::NotConnected:
-        m_state.tracker.failed(server, step.now);
+        m_state.tracker.unreachable(server, step.now);
         --request.runs;
         --request.arrivals;
         turnedAway(step, request, event.why);
--- a/src/dispatch/servertracker.cpp
+++ b/src/dispatch/servertracker.cpp
@@ -76,6 +76,13 @@
     seen.avoidedUntil = now + std::min(FirstAvoidance * (1 << doublings), LongestAvoidance);
 }
 
+void ServerTracker::unreachable(const ServerName &server, TimePoint now)
+{
+    Seen &seen = m_seen[server];
+    seen.failuresInRow = std::max(seen.failuresInRow, FailuresToAvoid - 1);
+    failed(server, now);
+}
+
 void ServerTracker::loadTold(const ServerName &server, const ServerLoad &load, TimePoint now)
 {
     Seen &seen = m_seen[server];
--- a/src/dispatch/servertracker.h
+++ b/src/dispatch/servertracker.h
@@ -24,8 +24,10 @@
     void answered(const ServerName &server, Duration took, bool wasWell, TimePoint now);
     /** Turned away, which says nothing of its health. */
     void turnedAway(const ServerName &server);
-    /** Not reached, broke off, or silent for too long. */
+    /** Broke off, or was silent for too long. */
     void failed(const ServerName &server, TimePoint now);
+    /** Took no connection: avoided at once, since no healthy server does so. */
+    void unreachable(const ServerName &server, TimePoint now);
     void loadTold(const ServerName &server, const ServerLoad &load, TimePoint now);
     void forget(const ServerName &server);
 
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -57,7 +57,8 @@
     , m_roster(entryOf(m_settings))
     , m_dispatcher(DispatchSettings {m_settings.domain, retryBoundsOf(m_settings)}, present())
     , m_relay(base, m_dispatcher, *m_ports.dialect, std::random_device {}())
-    , m_sync(base, *m_ports.store, client, wiringOf(*this, m_ports.layout))
+    , m_sync(base, *m_ports.store, client, wiringOf(*this, m_ports.layout),
+             m_settings.node.text() + "/" + std::to_string(std::random_device {}()))
     , m_control(
           base, HttpLimits {}, [this](const HttpRequest &request) { handleControl(request); },
           [this](ExchangeNumber exchange) { m_sync.peerGone(exchange); })
@@ -123,6 +124,8 @@
 {
     StateSync::Wiring wiring;
     wiring.self = entryOf(node.m_settings);
+    wiring.leaderKey = layout.leaderKey;
+    wiring.recordKey = layout.recordKey;
     wiring.ownKey = layout.nodesPrefix + node.m_settings.node.text();
     wiring.changed = [&node](const std::string &key, const std::string *value) {
         node.storeChanged(key, value);
@@ -262,6 +265,7 @@
 {
     const TimePoint now = present();
     noticeFreeze(now);
+    m_dispatcher.setOrderToken(m_sync.orderToken(now));
     if (m_sync.isKnown()) {
         m_dispatcher.setNodes(m_roster.count(now), now);
     }
@@ -269,12 +273,12 @@
     endIfDone(now);
 }
 
-void EdgeNode::noticeFreeze(TimePoint /*now*/)
+void EdgeNode::noticeFreeze(TimePoint now)
 {
     const Duration frozen = frozenTime();
     if (frozen > m_frozen + FreezeNoticed) {
         record("woke", {{"stood_still_ms", dispatch::millisecondsText(frozen - m_frozen)}});
-        m_sync.refresh();
+        m_sync.stoodStill(now);
     }
     m_frozen = frozen;
 }
--- a/src/edge/statecodec.h
+++ b/src/edge/statecodec.h
@@ -20,6 +20,8 @@
     std::string routingKey;    ///< The desired state of routing, whole, in one item.
     std::string serversPrefix; ///< One item per backend server.
     std::string nodesPrefix;   ///< One item per node of this system; its own to write.
+    std::string leaderKey;     ///< Names the node that may give orders to engines.
+    std::string recordKey;     ///< Exists since a node was first allowed to.
 };
 
 /** How operators and backend servers spell what they keep in the store. Only spelling. */
--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -21,7 +21,8 @@
 
 } // namespace
 
-StateSync::StateSync(event_base *base, KeyValueStore &store, HttpClient &client, Wiring wiring)
+StateSync::StateSync(event_base *base, KeyValueStore &store, HttpClient &client, Wiring wiring,
+                     std::string life)
     : m_store(store)
     , m_client(client)
     , m_wiring(std::move(wiring))
@@ -29,13 +30,11 @@
           base, -1, EV_PERSIST,
           [](evutil_socket_t, short, void *self) { static_cast<StateSync *>(self)->pump(); }, this))
     , m_mirror({},
-               [this](const std::string &key, const std::string *value) {
-                   if (!value && key == m_wiring.ownKey) {
-                       m_announcer.entryVanished();
-                   }
-                   m_wiring.changed(key, value);
+               [this](const std::string &key, const std::string *value, std::uint64_t revision) {
+                   changed(key, value, revision);
                })
     , m_choice(m_wiring.self.name, m_wiring.self.domain)
+    , m_leadership(std::move(life))
 { }
 
 void StateSync::start()
@@ -57,8 +56,14 @@
     });
 }
 
-void StateSync::refresh()
+std::optional<std::uint64_t> StateSync::orderToken(TimePoint now) const
 {
+    return m_isCurrent ? m_leadership.token(now, m_announcer.renewedAt()) : std::nullopt;
+}
+
+void StateSync::stoodStill(TimePoint now)
+{
+    m_leadership.stoodStill(now);
     m_mirror.refresh();
     pump();
 }
@@ -73,9 +78,27 @@
 {
     pumpMirror();
     pumpAnnouncer();
+    pumpLeadership();
     answerQuestions();
 }
 
+void StateSync::changed(const std::string &key, const std::string *value, std::uint64_t revision)
+{
+    if (!value && key == m_wiring.ownKey) {
+        m_announcer.entryVanished();
+    }
+    if (key == m_wiring.recordKey && value) {
+        m_leadership.recordSeen();
+    }
+    if (key == m_wiring.leaderKey) {
+        m_leadership.holderSeen(value, revision, present());
+        m_wiring.record("order_right",
+                        "holder=" + (value ? *value : std::string("none"))
+                            + " token=" + std::to_string(revision));
+    }
+    m_wiring.changed(key, value);
+}
+
 void StateSync::pumpMirror()
 {
     const TimePoint now = present();
@@ -172,6 +195,7 @@
     } else {
         m_choice.failed(present(), upstream);
         m_isCurrent = false;
+        answerQuestions();
     }
     m_wiring.record("store_copy_call_failed",
                     "from=" + m_upstream + " fault=" + nameOf(fault)
@@ -195,13 +219,14 @@
             pumpAnnouncer();
         });
     } else if (const auto *put = std::get_if<PutEntryCall>(&*call)) {
-        m_store.put({m_wiring.ownKey, encodeNodeEntry(m_wiring.self), put->lease},
-                    [this](const auto &result) {
-                        if (noteAnnouncement(result)) {
-                            m_announcer.entryWritten(present());
-                        }
-                        pumpAnnouncer();
-                    });
+        StoreCommit commit;
+        commit.writes.push_back({m_wiring.ownKey, encodeNodeEntry(m_wiring.self), put->lease});
+        m_store.commit(commit, [this](const auto &result) {
+            if (noteAnnouncement(result)) {
+                m_announcer.entryWritten(present());
+            }
+            pumpAnnouncer();
+        });
     } else {
         m_store.renewLease(std::get<RenewLeaseCall>(*call).lease, [this](const auto &result) {
             if (noteAnnouncement(result)) {
@@ -212,6 +237,27 @@
     }
 }
 
+void StateSync::pumpLeadership()
+{
+    const bool mayAsk = m_isCurrent && m_choice.isWatcher(m_wiring.members())
+        && m_announcer.isAnnounced() && !m_announcer.lease().isNone();
+    if (!mayAsk || !m_leadership.shouldAcquire(present())) {
+        return;
+    }
+    StoreCommit commit;
+    commit.conditions.push_back({m_wiring.leaderKey, 0});
+    commit.writes.push_back({m_wiring.leaderKey, m_leadership.life(), m_announcer.lease()});
+    if (!m_leadership.hasRecord()) {
+        commit.writes.push_back({m_wiring.recordKey, m_leadership.life(), StoreLease()});
+    }
+    // Whether it was done shows in the copy of the store, also where the answer is lost.
+    m_store.commit(commit, [this](const std::variant<StoreDone, StoreFault> &result) {
+        if (const auto *fault = std::get_if<StoreFault>(&result)) {
+            m_wiring.record("order_right_not_taken", nameOf(*fault));
+        }
+    });
+}
+
 bool StateSync::noteAnnouncement(const std::variant<StoreDone, StoreFault> &result)
 {
     const auto *fault = std::get_if<StoreFault>(&result);
@@ -228,7 +274,7 @@
     const TimePoint now = present();
     for (auto it = m_questions.begin(); it != m_questions.end();) {
         const bool hasNews = m_mirror.asOf() > it->second.revision;
-        if (!hasNews && now < it->second.answerBy) {
+        if (!hasNews && m_isCurrent && now < it->second.answerBy) {
             ++it;
             continue;
         }
--- a/src/edge/statesync.h
+++ b/src/edge/statesync.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/leadership.h"
 #include "fleet/nodeannouncer.h"
 #include "fleet/upstreamchoice.h"
 #include "http/eventbase.h"
@@ -27,23 +28,29 @@
     {
         NodeEntry self;
         std::string ownKey;
-        Mirror::ChangeHandler changed;
+        std::string leaderKey;
+        std::string recordKey;
+        std::function<void(const std::string &key, const std::string *value)> changed;
         RecordHandler record;
         std::function<std::vector<NodeEntry>()> members;
         std::function<std::vector<std::string>()> seeds; ///< Further control addresses.
         std::function<void(ExchangeNumber, const std::string &)> answerPeer;
     };
 
-    StateSync(event_base *base, KeyValueStore &store, HttpClient &client, Wiring wiring);
+    /** @p life: a name that no other life of any node has. */
+    StateSync(event_base *base, KeyValueStore &store, HttpClient &client, Wiring wiring,
+              std::string life);
 
     void start();
     /** Ends this node's entry; nothing is announced any more. */
     void leave();
-    /** Asks anew at once; for a process that stood still for some time. */
-    void refresh();
     bool isKnown() const { return m_mirror.isKnown(); }
     std::uint64_t asOf() const { return m_mirror.asOf(); }
     bool isAnnounced() const { return m_announcer.isAnnounced(); }
+    /** The token with which this node may give orders now; nothing if it may not. */
+    std::optional<std::uint64_t> orderToken(TimePoint now) const;
+    /** This process stood still: nothing it knew of its rights holds any more. */
+    void stoodStill(TimePoint now);
     /** Another node asks for what came after @p revision; it is answered when there is something.
      */
     void takePeerQuestion(ExchangeNumber exchange, std::uint64_t revision);
@@ -64,6 +71,8 @@
     void failed(const Upstream &upstream, StoreFault fault);
     void pumpAnnouncer();
     bool noteAnnouncement(const std::variant<StoreDone, StoreFault> &result);
+    void pumpLeadership();
+    void changed(const std::string &key, const std::string *value, std::uint64_t revision);
     void answerQuestions();
     void noteUpstream(const Upstream &upstream);
 
@@ -74,6 +83,7 @@
     Mirror m_mirror;
     UpstreamChoice m_choice;
     NodeAnnouncer m_announcer;
+    Leadership m_leadership;
     std::map<ExchangeNumber, Question> m_questions;
     bool m_isCurrent = false; ///< The last call succeeded.
     std::string m_upstream;   ///< Whom it was made to; for logs.
--- a/src/fleet/nodeannouncer.cpp
+++ b/src/fleet/nodeannouncer.cpp
@@ -15,6 +15,7 @@
         return std::nullopt;
     }
     m_isCalling = true;
+    m_askedAt = now;
     if (m_lease.isNone()) {
         return GrantLeaseCall {};
     }
@@ -28,6 +29,7 @@
 {
     m_isCalling = false;
     m_lease = lease;
+    m_renewedAt = m_askedAt;
     m_isWritten = false;
     m_nextAt = now;
 }
@@ -42,6 +44,7 @@
 void NodeAnnouncer::leaseRenewed(TimePoint now)
 {
     m_isCalling = false;
+    m_renewedAt = m_askedAt;
     m_nextAt = m_isWritten ? now + RenewEvery : now;
 }
 
--- a/src/fleet/nodeannouncer.h
+++ b/src/fleet/nodeannouncer.h
@@ -43,6 +43,10 @@
     StoreLease leave();
 
     bool isAnnounced() const { return m_isWritten; }
+    /** None while there is no lease, or the node leaves. */
+    StoreLease lease() const { return m_isLeaving ? StoreLease() : m_lease; }
+    /** When the last renewal was asked for that the store has answered. */
+    TimePoint renewedAt() const { return m_renewedAt; }
 
 private:
     bool m_isCalling = false;
@@ -50,6 +54,8 @@
     StoreLease m_lease;
     bool m_isWritten = false;
     TimePoint m_nextAt {};
+    TimePoint m_askedAt {};
+    TimePoint m_renewedAt {};
 };
 
 } // namespace indigoway
--- a/src/fleet/upstreamchoice.cpp
+++ b/src/fleet/upstreamchoice.cpp
@@ -21,16 +21,14 @@
 Upstream UpstreamChoice::choose(TimePoint now, const std::vector<NodeEntry> &members,
                                 const std::vector<std::string> &seeds)
 {
-    const bool mayTryStore = !m_storeFailed || now >= m_storeTriedAt + ProbeStoreEvery;
     const auto watching = watchers(members);
-    const bool isWatcher = watching.empty() || watching.front().name == m_self;
-    if (!isWatcher) {
-        for (const NodeEntry &watcher : watching) {
-            if (watcher.name != m_self && !isAvoided(watcher.control, now)) {
-                return {watcher.control, false};
-            }
-        }
+    const bool isOneself = watching.empty() || watching.front().name == m_self;
+    if (!isOneself && !isAvoided(watching.front().control, now)) {
+        return {watching.front().control, false};
     }
+    // A watcher that fails may be turned away by the store, and the other domains' as well; this
+    // node may not be. So the store comes next, and only then what other nodes know.
+    const bool mayTryStore = !m_storeFailed || now >= m_storeTriedAt + ProbeStoreEvery;
     if (!mayTryStore) {
         if (const auto peer = anyPeer(now, members, seeds)) {
             return *peer;
@@ -40,6 +38,12 @@
     return {std::nullopt, m_storeFailed};
 }
 
+bool UpstreamChoice::isWatcher(const std::vector<NodeEntry> &members) const
+{
+    const auto watching = watchers(members);
+    return !watching.empty() && watching.front().name == m_self;
+}
+
 void UpstreamChoice::succeeded(const Upstream &upstream)
 {
     if (!upstream.peer) {
@@ -66,6 +70,7 @@
         }
     }
     std::vector<NodeEntry> list;
+    list.reserve(first.size());
     for (const auto &[domain, member] : first) {
         list.push_back(member);
     }
--- a/src/fleet/upstreamchoice.h
+++ b/src/fleet/upstreamchoice.h
@@ -23,7 +23,7 @@
  * call that costs money and counts against the store's limit; with 65 nodes the watches alone
  * were four fifths of all costs. So one node of each failure domain watches the store, and the
  * others wait for what it tells. A node whose watcher is gone, silent or itself cut off from the
- * store takes another domain's, then the store; one that the store turns away takes any node.
+ * store asks the store; one that the store turns away asks any node.
  */
 class UpstreamChoice
 {
@@ -33,6 +33,8 @@
     /** @p members: the nodes known, possibly with this one; @p seeds: further addresses. */
     Upstream choose(TimePoint now, const std::vector<NodeEntry> &members,
                     const std::vector<std::string> &seeds);
+    /** Whether this node is its domain's watcher; false while it is no member itself. */
+    bool isWatcher(const std::vector<NodeEntry> &members) const;
     void succeeded(const Upstream &upstream);
     void failed(TimePoint now, const Upstream &upstream);
 
--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -25,6 +25,7 @@
 {
     std::string reservation;
     std::string handle;
+    std::optional<dispatch::EngineReport> report;
 };
 
 /**
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -179,6 +179,7 @@
             const GrantFacts grant = m_dialect.readGrant(open.call.kind, open.body);
             ended.reservation = grant.reservation;
             ended.handle = grant.handle;
+            ended.report = grant.report;
         }
         ended.why = "status " + std::to_string(open.head.status);
         return ended;
--- a/src/routing/routetable.h
+++ b/src/routing/routetable.h
@@ -18,6 +18,7 @@
     std::uint64_t version() const { return m_state.version; }
     const CallerLimits &limits() const { return m_state.limits; }
     const std::vector<Route> &routes() const { return m_state.routes; }
+    const std::map<ServiceName, Service> &services() const { return m_state.services; }
     /** The route of @p host with the longest prefix that begins @p path, or null. */
     const Route *find(std::string_view host, std::string_view path) const;
     /** Null if the service is not declared. */
--- a/src/store/keyvaluestore.cpp
+++ b/src/store/keyvaluestore.cpp
@@ -13,6 +13,8 @@
         return "history_gone";
     case StoreFault::NoLease:
         return "no_lease";
+    case StoreFault::Conflict:
+        return "conflict";
     case StoreFault::Malformed:
         return "malformed";
     }
--- a/src/store/keyvaluestore.h
+++ b/src/store/keyvaluestore.h
@@ -60,6 +60,7 @@
     Refused,     ///< Busy: nothing was done.
     HistoryGone, ///< The changes since the revision are no longer kept: list again.
     NoLease,     ///< The lease has ended.
+    Conflict,    ///< A condition does not hold: nothing was done.
     Malformed,   ///< An answer that cannot be read.
 };
 
@@ -72,6 +73,20 @@
 {
 };
 
+/** An item must have this revision; 0: must not exist. */
+struct StoreCondition
+{
+    std::string key;
+    std::uint64_t revision = 0;
+};
+
+/** All of it is done, or none. */
+struct StoreCommit
+{
+    std::vector<StoreCondition> conditions;
+    std::vector<StoreWrite> writes;
+};
+
 /**
  * The key-value service that holds all that must last: linearizable, with leases and watches.
  * Every call costs its operator money. Handlers are called once, never from inside the call.
@@ -90,7 +105,7 @@
     /** Changes under @p prefix after @p revision; answers empty if there is none for @p wait. */
     virtual void watch(const std::string &prefix, std::uint64_t revision, Duration wait,
                        StoreHandler<StoredChanges> handler) = 0;
-    virtual void put(const StoreWrite &write, StoreHandler<StoreDone> handler) = 0;
+    virtual void commit(const StoreCommit &commit, StoreHandler<StoreDone> handler) = 0;
     virtual void grantLease(Duration lifetime, StoreHandler<GrantedLease> handler) = 0;
     virtual void renewLease(StoreLease lease, StoreHandler<StoreDone> handler) = 0;
     virtual void endLease(StoreLease lease, StoreHandler<StoreDone> handler) = 0;
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -9,8 +9,8 @@
 /** After a failure; short, since a change must be in force everywhere within two seconds. */
 constexpr Duration FirstPause = std::chrono::milliseconds(60);
 /** Bounds the load on a store that is down to a few calls a second and node. */
-constexpr Duration LongestPause = std::chrono::milliseconds(400);
-constexpr std::uint32_t MostDoublings = 3;
+constexpr Duration LongestPause = std::chrono::milliseconds(240);
+constexpr std::uint32_t MostDoublings = 2;
 /** Removals that other nodes can be told of one by one; later askers get the whole. */
 constexpr std::size_t MostRemovals = 500;
 
@@ -149,7 +149,7 @@
     }
     item.revision = revision;
     item.value = value;
-    m_handler(key, &item.value);
+    m_handler(key, &item.value, revision);
 }
 
 void Mirror::remove(const std::string &key, std::uint64_t revision)
@@ -164,7 +164,7 @@
         m_removalsFrom = std::max(m_removalsFrom, m_removals.front().revision);
         m_removals.pop_front();
     }
-    m_handler(key, nullptr);
+    m_handler(key, nullptr, revision);
 }
 
 void Mirror::removeUnlisted()
@@ -180,7 +180,7 @@
     m_removalsFrom = std::max(m_removalsFrom, m_listedFrom);
     for (const std::string &key : gone) {
         m_items.erase(key);
-        m_handler(key, nullptr);
+        m_handler(key, nullptr, m_listedFrom);
     }
     m_listed.clear();
 }
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -39,8 +39,9 @@
 class Mirror
 {
 public:
-    /** @p value is null where the item is gone. */
-    using ChangeHandler = std::function<void(const std::string &key, const std::string *value)>;
+    /** @p value is null where the item is gone; @p revision is of the change. */
+    using ChangeHandler = std::function<void(const std::string &key, const std::string *value,
+                                             std::uint64_t revision)>;
 
     Mirror(std::string prefix, ChangeHandler handler);
 
