--- a/tests/processes/edge.sh
+++ b/tests/processes/edge.sh
@@ -95,4 +95,17 @@
 curl -s "http://${ADDRESSES[platform]}/control" | grep -Eq '"id-[0-9]+":[2-9]' && fail "a request ran twice"
 curl -s "http://${ADDRESSES[n1.metrics]}/metrics" | grep -q 'indigoway_requests_total{sort="plain",outcome="served"}' \
     || fail "no metrics"
+
+# docs/OPERATIONS.md: from a request's id to its cause. Each line it names is there, with its fields.
+line() { grep -h "\"kind\":\"$1\"" "$RUN"/n?.out | grep -E "$2" | grep -Eq "$3" || fail "no line $1 $2 $3"; }
+line request_end '"request":"id-1"' 'outcome=served route=plain routes_version=1 .* runs=1 server=w-'
+line request_end '"request":"id-2"' 'room_after_ms=[0-9]+ prefilled_after_ms=[0-9]+ first_after_ms=[0-9]+'
+line request_unserved '"request":"id-3"' 'status=404 .* no route version=1'
+line routing '"version":"2"' '"before":"1"'
+line store_copy_call_failed 'from=store' 'fault=refused as_of=[0-9]+'
+line leave '"node":"n2"' '"open_requests":"1"'
+for kind in start stop node node_vanished server upstream store_copy_current; do line $kind . .; done
+for kind in $(grep -oE '^\| `[a-z_`, ]+' docs/OPERATIONS.md | grep -oE '[a-z_]+'); do
+    grep -rqE "\"$kind\"" src || fail "docs/OPERATIONS.md names a kind of line that is never written: $kind"
+done
 echo "OK"
