--- a/src/core/jsontext.h
+++ b/src/core/jsontext.h
@@ -48,6 +48,12 @@
     return object.isObject() && object[name].isUInt64() ? object[name].asUInt64() : 0;
 }
 
+/** A number member of an object, or 0. */
+inline double realMember(const Json::Value &object, const char *name)
+{
+    return object.isObject() && object[name].isNumeric() ? object[name].asDouble() : 0;
+}
+
 /** A string member of an object, or empty. */
 inline std::string stringMember(const Json::Value &object, const char *name)
 {
--- a/src/dispatch/dispatcheffects.h
+++ b/src/dispatch/dispatcheffects.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "scheduling/schedulermessages.h"
+
 #include <indigoway/announcedserver.h>
 #include <indigoway/ids.h>
 
@@ -86,6 +88,12 @@
     std::string reason;
 };
 
+/** A datagram to the node that schedules the engines, if one is known; it may be lost. */
+struct TellScheduler
+{
+    scheduling::ToScheduler message;
+};
+
 /** A line for the log: a decision with what it rests on. */
 struct RecordDecision
 {
@@ -111,8 +119,9 @@
     Duration whole {};
 };
 
-using DispatchEffect = std::variant<StartCall, AbandonCall, DeliverAnswer, ForwardStream, EndStream,
-                                    BreakStream, RejectRequest, RecordDecision, RequestEnded>;
+using DispatchEffect =
+    std::variant<StartCall, AbandonCall, DeliverAnswer, ForwardStream, EndStream, BreakStream,
+                 RejectRequest, TellScheduler, RecordDecision, RequestEnded>;
 using DispatchEffects = std::vector<DispatchEffect>;
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -134,11 +134,11 @@
         return;
     }
     if (call->kind == CallKind::Report) {
-        m_generations.reportEnded(step, *call, event);
+        m_generations.phases().reportEnded(step, *call, event);
         return;
     }
     if (call->kind == CallKind::Order) {
-        m_generations.orderEnded(step, *call, event);
+        m_generations.phases().orderEnded(step, *call, event);
         return;
     }
     OpenRequest *request = m_state.requests.find(call->request);
@@ -151,6 +151,11 @@
     flowOf(*request).callEnded(step, *request, *call, event);
 }
 
+void Dispatcher::handle(Step &step, const SchedulerAnswered &event)
+{
+    m_generations.schedulerAnswered(step, event);
+}
+
 void Dispatcher::handle(Step &step, const TimePassed & /*event*/)
 {
     for (const RequestNumber number : m_timeouts.takeDue(step.now)) {
@@ -162,7 +167,7 @@
         m_state.tracker.forget(name);
     }
     if (m_orderToken && m_table && !m_leavingSince) {
-        m_generations.orderPhases(step, *m_table, *m_orderToken);
+        m_generations.phases().orderPhases(step, *m_table, *m_orderToken);
     }
     // It is given anew for each look at the time; the right may end in between.
     m_orderToken.reset();
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -30,6 +30,8 @@
     const ServerDirectory &servers() const { return m_state.servers; }
     /** The token with which this node may give orders to engines now; nothing if it may not. */
     void setOrderToken(std::optional<std::uint64_t> token) { m_orderToken = token; }
+    /** The node that schedules the engines; nothing if this node chooses by itself. */
+    void setScheduler(std::optional<NodeName> name) { m_generations.setScheduler(std::move(name)); }
     /** This node is asked to end by @p endsAt; what cannot be done by then is turned away. */
     void leave(TimePoint now, TimePoint endsAt);
 
@@ -45,6 +47,7 @@
     void handle(Step &step, const CallerLeft &event);
     void handle(Step &step, const StreamBegan &event);
     void handle(Step &step, const CallEnded &event);
+    void handle(Step &step, const SchedulerAnswered &event);
     void handle(Step &step, const TimePassed &event);
     bool isTooLateForLeaving(TimePoint now, bool isStream) const;
     void timeOut(Step &step, OpenRequest &request);
--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "scheduling/schedulermessages.h"
+
 #include <indigoway/ids.h>
 
 #include <cstdint>
@@ -74,11 +76,19 @@
     std::string why;                    ///< For logs, where it did not end well.
 };
 
+/** The node that schedules the engines has answered a claim. */
+struct SchedulerAnswered
+{
+    scheduling::FromScheduler message;
+    Incarnation life; ///< Of the scheduler.
+};
+
 /** Time has passed. */
 struct TimePassed
 {
 };
 
-using DispatchEvent = std::variant<ArrivedRequest, CallerLeft, StreamBegan, CallEnded, TimePassed>;
+using DispatchEvent =
+    std::variant<ArrivedRequest, CallerLeft, StreamBegan, CallEnded, SchedulerAnswered, TimePassed>;
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/engineplacement.cpp
+++ b/src/dispatch/engineplacement.cpp
@@ -63,6 +63,12 @@
     m_engines[server].noHandlesUntil = now + HandlesAvoided;
 }
 
+bool EnginePlacement::hasLostHandles(const ServerName &server, TimePoint now) const
+{
+    const auto it = m_engines.find(server);
+    return it != m_engines.end() && now < it->second.noHandlesUntil;
+}
+
 const AnnouncedServer *
 EnginePlacement::pickDecode(const std::vector<const AnnouncedServer *> &candidates,
                             const Need &need, TimePoint now) const
@@ -90,7 +96,7 @@
 {
     return best(candidates, need, [&](const AnnouncedServer &server) -> std::optional<double> {
         const auto it = m_engines.find(server.name);
-        if (it != m_engines.end() && now < it->second.noHandlesUntil) {
+        if (hasLostHandles(server.name, now)) {
             return std::nullopt;
         }
         double waiting = it == m_engines.end() ? 0 : static_cast<double>(it->second.tokens);
--- a/src/dispatch/engineplacement.h
+++ b/src/dispatch/engineplacement.h
@@ -35,6 +35,7 @@
      * either, and each costs a prompt read in vain; its own answers all look well.
      */
     void handleLost(const ServerName &server, TimePoint now);
+    bool hasLostHandles(const ServerName &server, TimePoint now) const;
 
     /** What a request needs of an engine. */
     struct Need
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -1,13 +1,19 @@
 #include "generationflow.h"
 
+#include "core/deadlines.h"
+
 namespace indigoway::dispatch {
 
 namespace {
 
+using scheduling::ClaimEnd;
+
 constexpr int FirstServerFailure = 500;
 constexpr int BadGateway = 502;
 /** How often engines are asked again while requests wait and nothing else has happened. */
 constexpr Duration AskAgainAfter = std::chrono::milliseconds(30);
+/** While the scheduler decides: only what has waited too long is looked for. */
+constexpr Duration LookAtClaimsAfter = std::chrono::milliseconds(100);
 /** Reservations that are asked for at a time; more would overtake each other's order. */
 constexpr std::uint32_t MostReserving = 4;
 /** An engine answers a reservation at once; a silent one is down. */
@@ -26,6 +32,9 @@
  * longest less.
  */
 constexpr Duration LongestWait = std::chrono::milliseconds(800);
+/** A stream that goes on: its caller has part of the answer and leaves after 3.6 s. */
+constexpr Duration LongestPause = std::chrono::milliseconds(2000);
+constexpr Duration SchedulerSlack = std::chrono::milliseconds(250);
 /** From a reservation to the first event, at the median: prompt read, moved, first token. */
 constexpr Duration FirstEventAfter = std::chrono::milliseconds(250);
 /**
@@ -36,10 +45,6 @@
 constexpr Duration ComeBackAfter = std::chrono::milliseconds(3500);
 /** A reservation is not relied on so shortly before its end. */
 constexpr Duration ReservationMargin = std::chrono::milliseconds(100);
-/** An engine takes an order at once; carrying it out is seen in its entry. */
-constexpr Duration OrderSilence = std::chrono::milliseconds(1000);
-/** After the token was last known to hold: until an engine's report has come back. */
-constexpr Duration TokenHolds = std::chrono::milliseconds(300);
 constexpr std::uint32_t MostPrefills = 2;
 /** Of the caller's estimate of the output, which is right at the median only. */
 constexpr double ReservedOfLikely = 1.5;
@@ -56,6 +61,19 @@
     return facts.promptTokens + output + BlockTokens;
 }
 
+Duration longestWait(const OpenRequest &request)
+{
+    switch (request.urgency()) {
+    case scheduling::Urgency::GoesOn:
+        return LongestPause;
+    case scheduling::Urgency::Fresh:
+        return LongestWait;
+    case scheduling::Urgency::ComingBack:
+        return LongestWait;
+    }
+    return LongestWait;
+}
+
 EnginePlacement::Need needOf(Step &step, const OpenRequest &request, const DomainName &domain)
 {
     return {request.tokens, domain, &request.tried, step.random()};
@@ -67,6 +85,7 @@
 {
     m_state.allowance(request.service->name).requestSent(step.now);
     request.tokens = expectedTokens(request.facts);
+    request.isComingBack = m_patience.isComingBack(request);
     enqueue(step, request);
 }
 
@@ -139,7 +158,7 @@
         }
         request.call = {};
     }
-    giveBack(step, request);
+    giveBack(step, request, ClaimEnd::Dropped);
 }
 
 std::optional<TimePoint> GenerationFlow::tick(Step &step)
@@ -148,72 +167,8 @@
     if (m_waiting.empty()) {
         return std::nullopt;
     }
-    return step.now + AskAgainAfter;
-}
-
-void GenerationFlow::orderPhases(Step &step, const RouteTable &table, std::uint64_t token)
-{
-    for (const auto &[name, service] : table.services()) {
-        for (const PhaseOrder &order :
-             m_orders.decide(step.now, service, m_state.servers, m_balance, m_state.nodes)) {
-            StartCall call;
-            call.kind = CallKind::Report;
-            call.orderedPhase = order.phase;
-            call.silentFor = OrderSilence;
-            m_state.calls.start(step, *order.server, std::move(call));
-        }
-    }
-    m_orderToken = token;
-    m_orderTokenAt = step.now;
-}
-
-void GenerationFlow::reportEnded(Step &step, const OpenCall &call, const CallEnded &event)
-{
-    m_state.tracker.callDropped(call.server.name);
-    const bool mayOrder = event.report && !event.report->isCarryingOutOrder
-        && step.now <= m_orderTokenAt + TokenHolds;
-    if (!mayOrder) {
-        m_orders.refused(call.server.name);
-        step.add(RecordDecision {
-            "order_not_given", {}, "server=" + call.server.name.text() + " " + event.why});
-        return;
-    }
-    const EnginePhase phase = m_orders.orderedPhase(call.server.name);
-    StartCall order;
-    order.kind = CallKind::Order;
-    order.orderedPhase = phase;
-    order.fencingToken = m_orderToken;
-    order.ordersTaken = event.report->ordersTaken;
-    order.silentFor = OrderSilence;
-    m_state.calls.start(step, call.server, std::move(order));
-    step.add(RecordDecision {
-        "order",
-        {},
-        "server=" + call.server.name.text()
-            + " phase=" + (phase == EnginePhase::Prefill ? "prefill" : "decode")
-            + " token=" + std::to_string(m_orderToken)
-            + " orders_taken=" + std::to_string(event.report->ordersTaken)
-            + " prefill_s=" + std::to_string(m_balance.work().prefillSeconds)
-            + " decode_token_s=" + std::to_string(m_balance.work().decodeTokenSeconds)});
-}
-
-void GenerationFlow::orderEnded(Step &step, const OpenCall &call, const CallEnded &event)
-{
-    m_state.tracker.callDropped(call.server.name);
-    constexpr int Ok = 200;
-    constexpr int Accepted = 202;
-    const bool isTaken =
-        event.end == CallEnd::Complete && (event.status == Ok || event.status == Accepted);
-    const bool isRefused = event.end == CallEnd::NotExecuted || event.end == CallEnd::NotConnected
-        || (event.end == CallEnd::Complete && !isTaken);
-    if (isRefused) {
-        m_orders.refused(call.server.name);
-    }
-    // An order without an answer may be carried out yet: the engine counts as changing.
-    step.add(RecordDecision {"order_ended",
-                             {},
-                             "server=" + call.server.name.text() + " end=" + nameOf(event.end)
-                                 + " status=" + std::to_string(event.status)});
+    const Duration after = m_claims.isUsable(step.now) ? LookAtClaimsAfter : AskAgainAfter;
+    return earlier(step.now + after, m_claims.nextTick());
 }
 
 void GenerationFlow::enqueue(Step &step, OpenRequest &request)
@@ -227,6 +182,13 @@
 void GenerationFlow::pump(Step &step)
 {
     rejectHopeless(step);
+    for (const RequestNumber number : m_claims.tick(step)) {
+        m_state.requests.find(number)->claim = {};
+    }
+    if (m_claims.isUsable(step.now)) {
+        claimForWaiting(step);
+        return;
+    }
     while (m_reserving < MostReserving) {
         OpenRequest *request = nextWaiting(step);
         if (!request || !reserve(step, *request)) {
@@ -257,7 +219,9 @@
     std::vector<RequestNumber> hopeless;
     for (const RequestNumber number : m_waiting) {
         const OpenRequest *request = m_state.requests.find(number);
-        if (step.now > request->waitingSince + LongestWait) {
+        // The scheduler answers in time; if it does not, this does.
+        const Duration slack = request->claim.isNone() ? Duration(0) : SchedulerSlack;
+        if (step.now > request->waitingSince + longestWait(*request) + slack) {
             hopeless.push_back(number);
         }
     }
@@ -266,6 +230,46 @@
     }
 }
 
+void GenerationFlow::claimForWaiting(Step &step)
+{
+    for (const RequestNumber number : m_waiting) {
+        OpenRequest &request = *m_state.requests.find(number);
+        if (request.claim.isNone()) {
+            m_claims.claim(step, request, m_state.settings.domain, longestWait(request));
+        }
+    }
+}
+
+void GenerationFlow::schedulerAnswered(Step &step, const SchedulerAnswered &event)
+{
+    const auto number = m_claims.answered(step, event.message, event.life, m_state.requests);
+    OpenRequest *request = number ? m_state.requests.find(*number) : nullptr;
+    if (!request) {
+        return;
+    }
+    if (const auto *refused = std::get_if<scheduling::ClaimRefused>(&event.message)) {
+        request->claim = {};
+        giveUpNotRun(step, *request,
+                     "no room, says the scheduler: claims_ahead=" + std::to_string(refused->ahead)
+                         + " wait_ms=" + millisecondsText(refused->expectedWait));
+        return;
+    }
+    const auto *granted = std::get_if<scheduling::ClaimGranted>(&event.message);
+    if (!granted) {
+        return;
+    }
+    const AnnouncedServer *server = m_state.servers.find(granted->decodeServer);
+    if (!server || m_state.servers.standing(server->name, step.now) == Standing::Leaving) {
+        // What this node knows of the servers is newer.
+        m_claims.end(step, *request, scheduling::ClaimEnd::Dropped);
+        request->tried.insert(granted->decodeServer);
+        pump(step);
+        return;
+    }
+    request->plannedPrefill = granted->prefillServer;
+    reserveAt(step, *request, *server);
+}
+
 bool GenerationFlow::reserve(Step &step, OpenRequest &request)
 {
     const auto candidates = engines(step, request, EnginePhase::Decode);
@@ -274,8 +278,14 @@
     if (!server) {
         return false;
     }
+    reserveAt(step, request, *server);
+    return true;
+}
+
+void GenerationFlow::reserveAt(Step &step, OpenRequest &request, const AnnouncedServer &server)
+{
     m_waiting.erase(request.facts.request);
-    m_placement.asking(server->name);
+    m_placement.asking(server.name);
     ++m_reserving;
     request.stage = Stage::Reserving;
     StartCall call;
@@ -283,8 +293,7 @@
     call.silentFor = ReserveSilence;
     call.reserveTokens = request.tokens;
     call.reserveFor = request.service->engine->longestReservation;
-    startCall(step, request, *server, std::move(call));
-    return true;
+    startCall(step, request, server, std::move(call));
 }
 
 void GenerationFlow::reserveEnded(Step &step, OpenRequest &request, const OpenCall &call,
@@ -300,6 +309,9 @@
         request.reservation = event.reservation;
         request.roomAt = step.now;
         request.reservedUntil = step.now + request.service->engine->longestReservation;
+        if (request.claim.isNone()) {
+            m_claims.tellHeld(step, request);
+        }
         if (request.facts.isContinuation || request.eventsPassed > 0 || request.readsWhole) {
             decode(step, request, true);
         } else {
@@ -309,6 +321,8 @@
     }
     m_placement.refused(server, request.tokens, step.now);
     noteFailure(step, server, event.end);
+    const bool isRefusal = event.end == CallEnd::NotExecuted || event.end == CallEnd::Complete;
+    m_claims.end(step, request, isRefusal ? ClaimEnd::HadNoRoom : ClaimEnd::Unreachable);
     ++request.refusals;
     request.stage = Stage::Waiting;
     m_waiting.insert(request.facts.request);
@@ -318,8 +332,11 @@
 {
     const AnnouncedServer *decodeServer = m_state.servers.find(request.decodeServer);
     const DomainName domain = decodeServer ? decodeServer->domain : m_state.settings.domain;
-    const AnnouncedServer *server = m_placement.pickPrefill(
-        engines(step, request, EnginePhase::Prefill), needOf(step, request, domain), step.now);
+    const AnnouncedServer *server = plannedPrefill(step, request);
+    if (!server) {
+        server = m_placement.pickPrefill(engines(step, request, EnginePhase::Prefill),
+                                         needOf(step, request, domain), step.now);
+    }
     if (!server || request.prefillTries >= MostPrefills) {
         decode(step, request, true);
         return;
@@ -341,12 +358,24 @@
     startCall(step, request, *server, std::move(call));
 }
 
+const AnnouncedServer *GenerationFlow::plannedPrefill(Step &step, OpenRequest &request)
+{
+    const ServerName planned = std::exchange(request.plannedPrefill, {});
+    const AnnouncedServer *server = m_state.servers.find(planned);
+    const bool isUsable = server && !request.tried.contains(planned)
+        && m_state.servers.standing(planned, step.now) != Standing::Leaving
+        && !m_placement.hasLostHandles(planned, step.now);
+    return isUsable ? server : nullptr;
+}
+
 void GenerationFlow::prefillEnded(Step &step, OpenRequest &request, const OpenCall &call,
                                   const CallEnded &event)
 {
     const ServerName &server = call.server.name;
     m_placement.discharge(server, request.facts.promptTokens);
-    if (event.end == CallEnd::Complete && !event.handle.empty()) {
+    const bool isDone = event.end == CallEnd::Complete && !event.handle.empty();
+    m_claims.prefillEnded(step, request, isDone, event.end != CallEnd::NotConnected);
+    if (isDone) {
         m_state.tracker.answered(server, step.now - call.started, true, step.now);
         request.handle = event.handle;
         request.prefilledAt = step.now;
@@ -369,8 +398,8 @@
 {
     const AnnouncedServer *server = m_state.servers.find(request.decodeServer);
     if (!server || m_state.servers.standing(server->name, step.now) == Standing::Leaving) {
-        giveBack(step, request);
         request.tried.insert(request.decodeServer);
+        giveBack(step, request, ClaimEnd::Dropped);
         enqueue(step, request);
         return;
     }
@@ -411,9 +440,9 @@
         if (isWell && !request.isForwarding) {
             request.handle.clear();
         }
-        giveBack(step, request);
+        giveBack(step, request, ClaimEnd::Served);
         if (request.isForwarding) {
-            m_balance.decodeSeen(request.tokens, step.now - call.started);
+            m_phases.decodeSeen(request.tokens, step.now - call.started);
             m_state.requests.endStream(step, request);
         } else {
             m_state.requests.deliver(step, request, event.call, event.status);
@@ -435,6 +464,7 @@
                                   const CallEnded &event)
 {
     --request.runs;
+    ClaimEnd how = ClaimEnd::Dropped;
     step.add(RecordDecision {"decode_not_run", request.facts.callerId,
                              "kind=" + std::string(nameOf(call.kind))
                                  + " server=" + call.server.name.text() + " " + event.why});
@@ -442,13 +472,15 @@
     if (event.end == CallEnd::NotConnected) {
         --request.arrivals;
         request.tried.insert(call.server.name);
+        how = ClaimEnd::Unreachable;
     } else if (call.kind == CallKind::Decode) {
         // Room was reserved, so it is the KV cache that could not be had.
         m_placement.handleLost(request.prefillServer, step.now);
         request.handle.clear();
         request.readsWhole = true;
+        how = ClaimEnd::HandleLost;
     }
-    giveBack(step, request);
+    giveBack(step, request, how);
     enqueue(step, request);
 }
 
@@ -472,7 +504,7 @@
 {
     request.handle.clear();
     request.tried.insert(request.decodeServer);
-    giveBack(step, request);
+    giveBack(step, request, ClaimEnd::EngineFailed);
     const bool mayGoOn = request.route->isResumable && request.runs < request.route->maxAttempts
         && m_state.allowance(request.service->name).take(step.now);
     if (mayGoOn) {
@@ -522,8 +554,9 @@
     request.call = m_state.calls.start(step, server, std::move(call));
 }
 
-void GenerationFlow::giveBack(Step &step, OpenRequest &request)
+void GenerationFlow::giveBack(Step &step, OpenRequest &request, ClaimEnd how)
 {
+    m_claims.end(step, request, how);
     if (!request.decodeServer.isEmpty()) {
         m_placement.discharge(request.decodeServer, request.tokens);
         const AnnouncedServer *server = m_state.servers.find(request.decodeServer);
@@ -554,7 +587,7 @@
 {
     auto servers = m_state.servers.candidates(request.service->name, phase, step.now);
     std::erase_if(servers, [&](const AnnouncedServer *server) {
-        return m_orders.isChanging(server->name, step.now);
+        return m_phases.isChanging(server->name, step.now);
     });
     return m_state.tracker.preferred(servers, step.now);
 }
--- a/src/dispatch/generationflow.h
+++ b/src/dispatch/generationflow.h
@@ -2,7 +2,9 @@
 
 #include "dispatch/dispatchstate.h"
 #include "dispatch/engineplacement.h"
-#include "dispatch/phasebalance.h"
+#include "dispatch/patienceseen.h"
+#include "dispatch/phasechanges.h"
+#include "dispatch/schedulerclaims.h"
 
 #include <set>
 #include <vector>
@@ -21,15 +23,13 @@
     explicit GenerationFlow(DispatchState &state)
         : m_state(state)
         , m_placement(state.tracker)
+        , m_phases(state)
     { }
 
-    /**
-     * Has engines change their phase where one phase binds and the other idles. Only the node
-     * that holds the right to give orders may; @p token proves it.
-     */
-    void orderPhases(Step &step, const RouteTable &table, std::uint64_t token);
-    void reportEnded(Step &step, const OpenCall &call, const CallEnded &event);
-    void orderEnded(Step &step, const OpenCall &call, const CallEnded &event);
+    PhaseChanges &phases() { return m_phases; }
+    /** The node that schedules the engines; nothing if this node chooses by itself. */
+    void setScheduler(std::optional<NodeName> name) { m_claims.setScheduler(std::move(name)); }
+    void schedulerAnswered(Step &step, const SchedulerAnswered &event);
 
     void begin(Step &step, OpenRequest &request) override;
     void streamBegan(Step &step, OpenRequest &request, const StreamBegan &event) override;
@@ -45,12 +45,14 @@
     void pump(Step &step);
     OpenRequest *nextWaiting(Step &step);
     void rejectHopeless(Step &step);
-    /** Whether a new request would wait in vain. */
-    bool isCrowded(TimePoint now) const;
+    void claimForWaiting(Step &step);
     bool reserve(Step &step, OpenRequest &request);
+    void reserveAt(Step &step, OpenRequest &request, const AnnouncedServer &server);
     void reserveEnded(Step &step, OpenRequest &request, const OpenCall &call,
                       const CallEnded &event);
     void prefill(Step &step, OpenRequest &request);
+    /** The scheduler's choice, once, if it may still be used; else null. */
+    const AnnouncedServer *plannedPrefill(Step &step, OpenRequest &request);
     void prefillEnded(Step &step, OpenRequest &request, const OpenCall &call,
                       const CallEnded &event);
     void decode(Step &step, OpenRequest &request, bool isWhole);
@@ -64,17 +66,16 @@
     void noteFailure(Step &step, const ServerName &server, CallEnd end);
     void giveUpNotRun(Step &step, OpenRequest &request, const std::string &why);
     void startCall(Step &step, OpenRequest &request, const AnnouncedServer &server, StartCall call);
-    /** Gives back memory charged, reservation and handle. */
-    void giveBack(Step &step, OpenRequest &request);
+    /** Gives back memory charged, reservation, handle and claim. */
+    void giveBack(Step &step, OpenRequest &request, scheduling::ClaimEnd how);
     std::vector<const AnnouncedServer *> engines(Step &step, const OpenRequest &request,
                                                  EnginePhase phase) const;
 
     DispatchState &m_state;
     EnginePlacement m_placement;
-    PhaseBalance m_balance;
-    PhaseOrders m_orders;
-    std::uint64_t m_orderToken = 0;
-    TimePoint m_orderTokenAt {}; ///< When the token was known to hold.
+    PhaseChanges m_phases;
+    SchedulerClaims m_claims;
+    PatienceSeen m_patience;
     std::set<RequestNumber> m_waiting;
     std::uint32_t m_reserving = 0;
 };
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -12,6 +12,14 @@
 
 } // namespace
 
+scheduling::Urgency OpenRequest::urgency() const
+{
+    if (isForwarding || facts.isContinuation) {
+        return scheduling::Urgency::GoesOn;
+    }
+    return isComingBack ? scheduling::Urgency::ComingBack : scheduling::Urgency::Fresh;
+}
+
 OpenRequest &OpenRequests::add(OpenRequest request)
 {
     const RequestNumber number = request.facts.request;
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -77,8 +77,11 @@
     bool isForwarding = false;
     TimePoint firstAnswer {};
     std::uint32_t eventsPassed = 0;
+    bool isComingBack = false; ///< Its caller was turned away before, here or elsewhere.
 
     // Of generations.
+    scheduling::ClaimId claim; ///< At the scheduler; none while this node chooses by itself.
+    ServerName plannedPrefill; ///< Chosen by the scheduler; empty: this node chooses.
     ServerName decodeServer;
     std::uint64_t tokens = 0; ///< Charged to decodeServer while it is set.
     std::string reservation;
@@ -92,6 +95,7 @@
     TimePoint prefilledAt {};
     std::uint32_t refusals = 0; ///< Engines that had no room in this round of asking.
 
+    scheduling::Urgency urgency() const;
     bool isGeneration() const { return route->isStream && service && service->engine; }
     bool mayHaveRun() const { return runs > 0; }
 };
@@ -103,7 +107,7 @@
     OpenRequest &add(OpenRequest request);
     /** Null once it has ended. */
     OpenRequest *find(RequestNumber number);
-    const std::map<RequestNumber, OpenRequest> &all() const { return m_requests; }
+    std::map<RequestNumber, OpenRequest> &all() { return m_requests; }
     std::size_t size() const { return m_requests.size(); }
 
     /** The server's whole answer goes to the caller. */
--- a/src/dispatch/phasebalance.cpp
+++ b/src/dispatch/phasebalance.cpp
@@ -8,19 +8,20 @@
 namespace {
 
 /**
- * Prefill engines beyond their mean load: prompts come in clumps, and nodes do not see each
- * other's. The more nodes choose, the less each of them knows. Mean worth of standard days: with 8
- * nodes 1.2 gave 0.72 and 1.5 gave 0.67; with 65 nodes 1.15 gave 0.54 and 1.5 gave 0.62 (one quiet
- * day).
+ * Prefill engines beyond their mean load. Where engines are few, the loss of one is a large part
+ * of them: with 18 engines 1.2 gave a mean worth of 0.83 of its mark and 1.0 gave 0.75. Where they
+ * are many, and one node sends each prompt where it is read next, decode memory is what binds:
+ * with 90 and 140 engines 1.5, 1.15 and 1.0 gave 0.588, 0.610, 0.632 and 0.448, 0.486, 0.497 of
+ * worth (one day of high load each).
  */
 constexpr double HeadroomOfFew = 1.2;
-constexpr double HeadroomOfMany = 1.5;
-constexpr double FewNodes = 8;
-constexpr double ManyNodes = 64;
+constexpr double HeadroomOfMany = 1.0;
+constexpr double FewEngines = 20;
+constexpr double ManyEngines = 80;
 
-double headroom(std::uint32_t nodes)
+double headroom(std::uint32_t engines)
 {
-    const double part = std::clamp((nodes - FewNodes) / (ManyNodes - FewNodes), 0.0, 1.0);
+    const double part = std::clamp((engines - FewEngines) / (ManyEngines - FewEngines), 0.0, 1.0);
     return HeadroomOfFew + part * (HeadroomOfMany - HeadroomOfFew);
 }
 
@@ -50,13 +51,12 @@
     m_work.decodeTokenSeconds += SampleWeight * (tokenSeconds - m_work.decodeTokenSeconds);
 }
 
-std::uint32_t PhaseBalance::prefillWanted(std::uint32_t all, const EngineTraits &traits,
-                                          std::uint32_t nodes) const
+std::uint32_t PhaseBalance::prefillWanted(std::uint32_t all, const EngineTraits &traits) const
 {
     if (all <= FewestPrefill || traits.memoryTokens == 0) {
         return all / 2;
     }
-    const double prefill = m_work.prefillSeconds * headroom(nodes);
+    const double prefill = m_work.prefillSeconds * headroom(all);
     const double decode = m_work.decodeTokenSeconds / static_cast<double>(traits.memoryTokens);
     const double wanted = std::round(all * prefill / (prefill + decode));
     return std::clamp(static_cast<std::uint32_t>(wanted), FewestPrefill, all - 1);
@@ -64,7 +64,7 @@
 
 std::vector<PhaseOrder> PhaseOrders::decide(TimePoint now, const Service &service,
                                             const ServerDirectory &servers,
-                                            const PhaseBalance &balance, std::uint32_t nodes)
+                                            const PhaseBalance &balance)
 {
     forget(now);
     std::vector<const AnnouncedServer *> prefill =
@@ -76,7 +76,7 @@
         return {};
     }
     const int difference = static_cast<int>(prefill.size())
-        - static_cast<int>(balance.prefillWanted(all, *service.engine, nodes));
+        - static_cast<int>(balance.prefillWanted(all, *service.engine));
     PerService &state = m_services[service.name];
     if (state.engines != all || (state.difference > 0) != (difference > 0)
         || (state.difference < 0) != (difference < 0)) {
--- a/src/dispatch/phasebalance.h
+++ b/src/dispatch/phasebalance.h
@@ -33,9 +33,8 @@
 public:
     void decodeSeen(std::uint64_t tokens, Duration took);
     const GenerationWork &work() const { return m_work; }
-    /** Engines of @p all that should prefill where @p nodes choose between them. */
-    std::uint32_t prefillWanted(std::uint32_t all, const EngineTraits &traits,
-                                std::uint32_t nodes) const;
+    /** Engines of @p all that should prefill. */
+    std::uint32_t prefillWanted(std::uint32_t all, const EngineTraits &traits) const;
 
 private:
     GenerationWork m_work;
@@ -56,8 +55,7 @@
 {
 public:
     std::vector<PhaseOrder> decide(TimePoint now, const Service &service,
-                                   const ServerDirectory &servers, const PhaseBalance &balance,
-                                   std::uint32_t nodes);
+                                   const ServerDirectory &servers, const PhaseBalance &balance);
     /** The engine has refused; it stays what it is for now. */
     void refused(const ServerName &server);
     /** The phase that it was last ordered to take. */
--- /dev/null
+++ b/src/dispatch/phasechanges.cpp
@@ -0,0 +1,79 @@
+#include "phasechanges.h"
+
+namespace indigoway::dispatch {
+
+namespace {
+
+/** An engine takes an order at once; carrying it out is seen in its entry. */
+constexpr Duration OrderSilence = std::chrono::milliseconds(1000);
+/** After the token was last known to hold: until an engine's report has come back. */
+constexpr Duration TokenHolds = std::chrono::milliseconds(300);
+
+} // namespace
+
+void PhaseChanges::orderPhases(Step &step, const RouteTable &table, std::uint64_t token)
+{
+    for (const auto &[name, service] : table.services()) {
+        for (const PhaseOrder &order :
+             m_orders.decide(step.now, service, m_state.servers, m_balance)) {
+            StartCall call;
+            call.kind = CallKind::Report;
+            call.orderedPhase = order.phase;
+            call.silentFor = OrderSilence;
+            m_state.calls.start(step, *order.server, std::move(call));
+        }
+    }
+    m_orderToken = token;
+    m_orderTokenAt = step.now;
+}
+
+void PhaseChanges::reportEnded(Step &step, const OpenCall &call, const CallEnded &event)
+{
+    m_state.tracker.callDropped(call.server.name);
+    const bool mayOrder = event.report && !event.report->isCarryingOutOrder
+        && step.now <= m_orderTokenAt + TokenHolds;
+    if (!mayOrder) {
+        m_orders.refused(call.server.name);
+        step.add(RecordDecision {
+            "order_not_given", {}, "server=" + call.server.name.text() + " " + event.why});
+        return;
+    }
+    const EnginePhase phase = m_orders.orderedPhase(call.server.name);
+    StartCall order;
+    order.kind = CallKind::Order;
+    order.orderedPhase = phase;
+    order.fencingToken = m_orderToken;
+    order.ordersTaken = event.report->ordersTaken;
+    order.silentFor = OrderSilence;
+    m_state.calls.start(step, call.server, std::move(order));
+    step.add(RecordDecision {
+        "order",
+        {},
+        "server=" + call.server.name.text()
+            + " phase=" + (phase == EnginePhase::Prefill ? "prefill" : "decode")
+            + " token=" + std::to_string(m_orderToken)
+            + " orders_taken=" + std::to_string(event.report->ordersTaken)
+            + " prefill_s=" + std::to_string(m_balance.work().prefillSeconds)
+            + " decode_token_s=" + std::to_string(m_balance.work().decodeTokenSeconds)});
+}
+
+void PhaseChanges::orderEnded(Step &step, const OpenCall &call, const CallEnded &event)
+{
+    m_state.tracker.callDropped(call.server.name);
+    constexpr int Ok = 200;
+    constexpr int Accepted = 202;
+    const bool isTaken =
+        event.end == CallEnd::Complete && (event.status == Ok || event.status == Accepted);
+    const bool isRefused = event.end == CallEnd::NotExecuted || event.end == CallEnd::NotConnected
+        || (event.end == CallEnd::Complete && !isTaken);
+    if (isRefused) {
+        m_orders.refused(call.server.name);
+    }
+    // An order without an answer may be carried out yet: the engine counts as changing.
+    step.add(RecordDecision {"order_ended",
+                             {},
+                             "server=" + call.server.name.text() + " end=" + nameOf(event.end)
+                                 + " status=" + std::to_string(event.status)});
+}
+
+} // namespace indigoway::dispatch
--- /dev/null
+++ b/src/dispatch/phasechanges.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "dispatch/dispatchstate.h"
+#include "dispatch/phasebalance.h"
+
+namespace indigoway::dispatch {
+
+/**
+ * Has engines change their phase where one phase binds and the other idles. An order is given in
+ * two calls: the engine's report tells how many orders it has taken, and the order is void if it
+ * has taken another one since. Only the node that holds the right to give orders may.
+ */
+class PhaseChanges
+{
+public:
+    explicit PhaseChanges(DispatchState &state)
+        : m_state(state)
+    { }
+
+    /** @p token proves the right to give orders, now. */
+    void orderPhases(Step &step, const RouteTable &table, std::uint64_t token);
+    void reportEnded(Step &step, const OpenCall &call, const CallEnded &event);
+    void orderEnded(Step &step, const OpenCall &call, const CallEnded &event);
+    /** The engine is changing, or perhaps so: it gets no new work. */
+    bool isChanging(const ServerName &server, TimePoint now) const
+    {
+        return m_orders.isChanging(server, now);
+    }
+    /** A generation that held @p tokens of a decode engine has ended well. */
+    void decodeSeen(std::uint64_t tokens, Duration took) { m_balance.decodeSeen(tokens, took); }
+
+private:
+    DispatchState &m_state;
+    PhaseBalance m_balance;
+    PhaseOrders m_orders;
+    std::uint64_t m_orderToken = 0;
+    TimePoint m_orderTokenAt {}; ///< When the token was known to hold.
+};
+
+} // namespace indigoway::dispatch
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -1,5 +1,7 @@
 #include "edgenode.h"
 
+#include "scheduling/schedulerchoice.h"
+
 #include <event2/event.h>
 
 #include <algorithm>
@@ -42,7 +44,8 @@
 
 NodeEntry entryOf(const EdgeSettings &settings)
 {
-    return {settings.node, settings.domain, settings.callers, settings.control};
+    return {settings.node,    settings.domain,     settings.callers,
+            settings.control, settings.scheduling, settings.processors};
 }
 
 dispatch::RetryBounds retryBoundsOf(const EdgeSettings &settings)
@@ -56,12 +59,14 @@
     : m_base(base)
     , m_settings(std::move(settings))
     , m_ports(std::move(ports))
+    , m_life(std::random_device {}())
     , m_log(m_settings.node)
     , m_roster(entryOf(m_settings))
     , m_dispatcher(DispatchSettings {m_settings.domain, retryBoundsOf(m_settings)}, present())
     , m_relay(base, m_dispatcher, *m_ports.dialect, std::random_device {}())
     , m_sync(base, *m_ports.store, client, wiringOf(*this, m_ports.layout),
-             m_settings.node.text() + "/" + std::to_string(std::random_device {}()))
+             m_settings.node.text() + "/" + std::to_string(m_life.value()))
+    , m_scheduling(base, {m_settings.node, m_life}, schedulingWiringOf(*this))
     , m_control(
           base, HttpLimits {}, [this](const HttpRequest &request) { handleControl(request); },
           [this](ExchangeNumber exchange) { m_sync.peerGone(exchange); })
@@ -79,6 +84,8 @@
         m_metrics.add(decision);
         record(decision.kind, {{"request", decision.callerId}, {"detail", decision.detail}});
     });
+    m_relay.setSchedulerHandler(
+        [this](const scheduling::ToScheduler &message) { m_scheduling.tell(message); });
 }
 
 bool EdgeNode::start()
@@ -88,6 +95,10 @@
                  [this](const std::string &address) { return m_control.listenOn(address); })
         && listenOn(m_settings.callers,
                     [this](const std::string &address) { return m_relay.listenOn(address); })
+        && (m_settings.scheduling.empty()
+            || listenOn(
+                m_settings.scheduling,
+                [this](const std::string &address) { return m_scheduling.listenOn(address); }))
         && (m_settings.metrics.empty()
             || listenOn(m_settings.metrics, [this](const std::string &address) {
                    return m_exposition.listenOn(address);
@@ -176,6 +187,42 @@
     return wiring;
 }
 
+SchedulingExchange::Wiring EdgeNode::schedulingWiringOf(EdgeNode &node)
+{
+    SchedulingExchange::Wiring wiring;
+    wiring.scheduler = [&node] {
+        return node.m_scheduler ? std::optional(node.m_scheduler->scheduling) : std::nullopt;
+    };
+    wiring.view = [&node]() -> std::optional<scheduling::EngineScheduler::View> {
+        const RouteTable *routes = node.m_dispatcher.routes();
+        if (!routes) {
+            return std::nullopt;
+        }
+        return scheduling::EngineScheduler::View {node.m_dispatcher.servers(), *routes};
+    };
+    wiring.answered = [&node](const dispatch::SchedulerAnswered &answer) {
+        node.m_relay.post(answer);
+    };
+    wiring.record = [&node](const std::string &kind, const std::string &detail) {
+        node.record(kind, {{"detail", detail}});
+    };
+    return wiring;
+}
+
+void EdgeNode::chooseScheduler(TimePoint now)
+{
+    auto chosen = m_settings.scheduling.empty() ? std::nullopt
+                                                : scheduling::schedulerOf(m_roster.members(now));
+    if (chosen == m_scheduler) {
+        return;
+    }
+    record("scheduler",
+           {{"node", chosen ? chosen->name.text() : "none"},
+            {"before", m_scheduler ? m_scheduler->name.text() : "none"}});
+    m_scheduler = std::move(chosen);
+    m_dispatcher.setScheduler(m_scheduler ? std::optional(m_scheduler->name) : std::nullopt);
+}
+
 void EdgeNode::storeChanged(const std::string &key, const std::string *value)
 {
     if (key == m_ports.layout.routingKey) {
@@ -293,6 +340,9 @@
         {"store_revision", m_sync.asOf()},
         {"servers_known", m_dispatcher.servers().size()},
         {"nodes_known", m_roster.count(present())},
+        {"scheduler_waiting", m_scheduling.scheduler().waiting()},
+        {"scheduler_granted", m_scheduling.scheduler().granted()},
+        {"scheduler_unsent", m_scheduling.unsent()},
         {"leaving", m_leavingSince ? 1U : 0U},
     });
 }
@@ -301,6 +351,7 @@
 {
     const TimePoint now = present();
     noticeFreeze(now);
+    chooseScheduler(now);
     m_dispatcher.setOrderToken(m_sync.orderToken(now));
     if (m_sync.isKnown()) {
         m_dispatcher.setNodes(m_roster.count(now), now);
--- a/src/edge/edgenode.h
+++ b/src/edge/edgenode.h
@@ -4,6 +4,7 @@
 #include "edge/decisionlog.h"
 #include "edge/edgemetrics.h"
 #include "edge/edgesettings.h"
+#include "edge/schedulingexchange.h"
 #include "edge/statecodec.h"
 #include "edge/statesync.h"
 #include "fleet/noderoster.h"
@@ -61,6 +62,8 @@
 
 private:
     static StateSync::Wiring wiringOf(EdgeNode &node, const StoreLayout &layout);
+    static SchedulingExchange::Wiring schedulingWiringOf(EdgeNode &node);
+    void chooseScheduler(TimePoint now);
     void storeChanged(const std::string &key, const std::string *value);
     void routingChanged(const std::string &value);
     void serverChanged(const std::string &key, const std::string *value);
@@ -81,16 +84,19 @@
     event_base *m_base;
     EdgeSettings m_settings;
     EdgePorts m_ports;
+    Incarnation m_life;
     DecisionLog m_log;
     EdgeMetrics m_metrics;
     NodeRoster m_roster;
     dispatch::Dispatcher m_dispatcher;
     RequestRelay m_relay;
     StateSync m_sync;
+    SchedulingExchange m_scheduling;
     HttpServer m_control;
     HttpServer m_exposition;
     EventHandle m_timer;
     std::mt19937_64 m_random;
+    std::optional<NodeEntry> m_scheduler; ///< The node that schedules the engines.
     std::optional<TimePoint> m_leavingSince;
     TimePoint m_lastTick {};
     Duration m_frozen {}; ///< Time that the steady clock did not count, as last seen.
--- a/src/edge/edgesettings.cpp
+++ b/src/edge/edgesettings.cpp
@@ -20,6 +20,13 @@
 ABSL_FLAG(std::string, control, "127.0.0.1:8083", "Address (IP:port) for the other nodes.");
 ABSL_FLAG(std::string, metrics, "",
           "Address (IP:port) on which metrics are served under /metrics; none if empty.");
+ABSL_FLAG(
+    std::string, scheduling, "",
+    "Address (IP:port, UDP) on which this node takes claims on engines, if it is the one that "
+    "schedules them; none if empty.");
+ABSL_FLAG(double, processors, 1,
+          "This VM's share of processor time, in processors; the node with the most schedules the "
+          "engines.");
 ABSL_FLAG(std::string, store, "127.0.0.1:2379", "Address (IP:port) of the key-value service.");
 ABSL_FLAG(std::string, peers, "",
           "Control addresses of some other nodes, separated by commas; of use when the key-value "
@@ -68,8 +75,8 @@
             "key-value service, by the desired state that operators keep there.\n"
             "Every entry VM runs one. SIGTERM makes it leave without cutting a request.",
             {"node_file", "node", "domain", "callers", "readiness", "directory", "control",
-             "metrics", "store", "peers", "ends_within_s", "retry_ratio", "retry_window_s",
-             "retry_slack", "list_kept_s"}};
+             "metrics", "scheduling", "processors", "store", "peers", "ends_within_s",
+             "retry_ratio", "retry_window_s", "retry_slack", "list_kept_s"}};
 }
 
 std::variant<EdgeSettings, CommandLineFaults> checkedEdgeSettings()
@@ -92,6 +99,11 @@
     if (!settings.metrics.empty()) {
         checkedAddress("metrics", settings.metrics, wrong);
     }
+    settings.scheduling = absl::GetFlag(FLAGS_scheduling);
+    if (!settings.scheduling.empty()) {
+        checkedAddress("scheduling", settings.scheduling, wrong);
+    }
+    settings.processors = checkedPositive("processors", absl::GetFlag(FLAGS_processors), wrong);
     settings.store = checkedAddress("store", absl::GetFlag(FLAGS_store), wrong);
     const std::string peers = absl::GetFlag(FLAGS_peers);
     for (const absl::string_view peer : absl::StrSplit(peers, ',', absl::SkipEmpty())) {
--- /dev/null
+++ b/src/edge/schedulingexchange.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "dispatch/dispatchevents.h"
+#include "edge/schedulerlink.h"
+#include "scheduling/enginescheduler.h"
+#include "scheduling/schedulercodec.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace indigoway {
+
+/**
+ * Both ends of the datagrams about engines: carries this node's claims to the scheduler, and runs
+ * the scheduler for nodes that take this one for it.
+ */
+class SchedulingExchange
+{
+public:
+    struct Wiring
+    {
+        /** Claims' address of the node that schedules; nothing if there is none. */
+        std::function<std::optional<DatagramAddress>()> scheduler;
+        /** Nothing while this node knows no routing. */
+        std::function<std::optional<scheduling::EngineScheduler::View>()> view;
+        std::function<void(const dispatch::SchedulerAnswered &)> answered;
+        std::function<void(const std::string &kind, const std::string &detail)> record;
+    };
+
+    SchedulingExchange(event_base *base, NodeLife self, Wiring wiring);
+
+    std::optional<DatagramAddress> listenOn(const DatagramAddress &address)
+    {
+        return m_link.listenOn(address);
+    }
+    void tell(const scheduling::ToScheduler &message);
+    const scheduling::EngineScheduler &scheduler() const { return m_scheduler; }
+    std::uint64_t unsent() const { return m_link.unsent(); }
+
+private:
+    void received(const DatagramAddress &from, const std::string &text);
+    void tick();
+    void reply(const scheduling::SchedulerReplies &replies);
+    void armTimer();
+
+    NodeLife m_self;
+    Wiring m_wiring;
+    scheduling::EngineScheduler m_scheduler;
+    SchedulerLink m_link;
+    EventHandle m_timer;
+    std::map<NodeName, DatagramAddress> m_addresses; ///< Of the nodes whose claims came here.
+};
+
+} // namespace indigoway
--- a/src/fleet/noderoster.cpp
+++ b/src/fleet/noderoster.cpp
@@ -14,6 +14,8 @@
     value["domain"] = entry.domain.text();
     value["callers"] = entry.callers;
     value["control"] = entry.control;
+    value["scheduling"] = entry.scheduling;
+    value["processors"] = entry.processors;
     return jsonText(value);
 }
 
@@ -25,6 +27,8 @@
     entry.domain = DomainName(stringMember(value, "domain"));
     entry.callers = stringMember(value, "callers");
     entry.control = stringMember(value, "control");
+    entry.scheduling = stringMember(value, "scheduling");
+    entry.processors = realMember(value, "processors");
     if (entry.name.isEmpty() || entry.callers.empty()) {
         return std::nullopt;
     }
--- a/src/fleet/noderoster.h
+++ b/src/fleet/noderoster.h
@@ -16,8 +16,10 @@
 {
     NodeName name;
     DomainName domain;
-    std::string callers; ///< "IP:port" for callers.
-    std::string control; ///< "IP:port" for the other nodes.
+    std::string callers;         ///< "IP:port" for callers.
+    std::string control;         ///< "IP:port" for the other nodes.
+    std::string scheduling = {}; ///< "IP:port" (UDP) for claims on engines; empty: none.
+    double processors = 0;       ///< Its VM's share; the node with the most schedules the engines.
     bool operator==(const NodeEntry &) const = default;
 };
 
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -275,6 +275,13 @@
     m_exchanges.erase(effect.request);
 }
 
+void RequestRelay::run(const TellScheduler &effect)
+{
+    if (m_schedulerHandler) {
+        m_schedulerHandler(effect.message);
+    }
+}
+
 void RequestRelay::run(const RecordDecision &effect)
 {
     if (m_recordHandler) {
--- a/src/relay/requestrelay.h
+++ b/src/relay/requestrelay.h
@@ -21,18 +21,22 @@
 {
 public:
     using RecordHandler = std::function<void(const dispatch::RecordDecision &)>;
+    using SchedulerHandler = std::function<void(const scheduling::ToScheduler &)>;
     using EndedHandler = std::function<void(const dispatch::RequestEnded &)>;
 
     RequestRelay(event_base *base, dispatch::Dispatcher &dispatcher, const Dialect &dialect,
                  std::uint64_t seed);
 
     void setRecordHandler(RecordHandler handler) { m_recordHandler = std::move(handler); }
+    void setSchedulerHandler(SchedulerHandler handler) { m_schedulerHandler = std::move(handler); }
     void setEndedHandler(EndedHandler handler) { m_endedHandler = std::move(handler); }
     std::optional<std::string> listenOn(const std::string &address);
     void setLimits(const CallerLimits &limits) { m_callers.setLimits(limits); }
     void beginLeaving() { m_callers.beginLeaving(); }
     /** Has the dispatcher look at the time; for what changed outside of a request. */
     void wake() { post(dispatch::TimePassed {}); }
+    /** An event from outside of the relay's own sockets. */
+    void post(const dispatch::DispatchEvent &event);
     const CallerListener &callers() const { return m_callers; }
     const ServerConnections &serverConnections() const { return m_servers; }
 
@@ -66,7 +70,6 @@
 
     void requestArrived(RequestNumber number, CallerRequest request);
     void callerGone(RequestNumber number);
-    void post(const dispatch::DispatchEvent &event);
     void run(const dispatch::StartCall &effect);
     void run(const dispatch::AbandonCall &effect);
     void run(const dispatch::DeliverAnswer &effect);
@@ -74,6 +77,7 @@
     void run(const dispatch::EndStream &effect);
     void run(const dispatch::BreakStream &effect);
     void run(const dispatch::RejectRequest &effect);
+    void run(const dispatch::TellScheduler &effect);
     void run(const dispatch::RecordDecision &effect);
     void run(const dispatch::RequestEnded &effect);
     void armTimer();
@@ -93,6 +97,7 @@
     /** Calls whose end was told; their answers may be delivered while the effects run. */
     std::map<CallNumber, OpenCall> m_answered;
     RecordHandler m_recordHandler;
+    SchedulerHandler m_schedulerHandler;
     EndedHandler m_endedHandler;
 };
 
--- /dev/null
+++ b/src/scheduling/engineledger.cpp
@@ -0,0 +1,170 @@
+#include "engineledger.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace indigoway::scheduling {
+
+namespace {
+
+/** A healthy engine's time for a prompt token, measured on idle engines; slower ones are learnt. */
+constexpr double MicrosecondsPerToken = 18;
+/** An engine reads prompts in pieces; each adds a step of its batch. */
+constexpr std::uint32_t PieceTokens = 2048;
+constexpr Duration StepTime = std::chrono::microseconds(5600);
+/** From the last piece to the answer; the next prompt is read meanwhile. */
+constexpr Duration AnswerTime = std::chrono::milliseconds(65);
+/** Of a sample: three of them tell a slow engine from one long wait. */
+constexpr double SlownessWeight = 0.4;
+constexpr double LeastSlowness = 0.7;
+constexpr double MostSlowness = 8;
+/** One sample changes the estimate by so much at the most: it may be the network's delay. */
+constexpr double MostSampleRatio = 4;
+/** An engine that was slow gets few prompts; so it is tried again as time passes. */
+constexpr Duration SlownessHalfLife = std::chrono::seconds(4);
+/** What one answer may correct the line by; the rest is the answer's own way. */
+constexpr Duration MostCorrection = std::chrono::milliseconds(500);
+/** Room comes free some times a second on a full engine. */
+constexpr Duration FullFor = std::chrono::milliseconds(80);
+/** Two failures in a row: one alone happens to healthy engines. */
+constexpr std::uint32_t FailuresToAvoid = 2;
+constexpr Duration FirstAvoidance = std::chrono::milliseconds(800);
+constexpr std::uint32_t MostDoublings = 2;
+/** Such engines are back after some seconds; each prompt until then would be read in vain. */
+constexpr Duration HandlesAvoided = std::chrono::milliseconds(2500);
+
+} // namespace
+
+void EngineLedger::charge(const ServerName &server, std::uint64_t tokens)
+{
+    m_engines[server].tokens += tokens;
+}
+
+void EngineLedger::discharge(const ServerName &server, std::uint64_t tokens)
+{
+    Engine &engine = m_engines[server];
+    engine.tokens -= std::min(engine.tokens, tokens);
+    engine.fullUntil = {};
+}
+
+std::uint64_t EngineLedger::chargedTokens(const ServerName &server) const
+{
+    const Engine *engine = find(server);
+    return engine ? engine->tokens : 0;
+}
+
+Duration EngineLedger::prefillWait(const ServerName &server, TimePoint now) const
+{
+    const Engine *engine = find(server);
+    return engine && engine->busyUntil > now ? engine->busyUntil - now : Duration(0);
+}
+
+Duration EngineLedger::prefillTime(const ServerName &server, std::uint32_t tokens,
+                                   TimePoint now) const
+{
+    return prefillWait(server, now) + workOf(find(server), tokens, now) + AnswerTime;
+}
+
+Duration EngineLedger::healthyWork(std::uint32_t tokens)
+{
+    const std::uint32_t pieces = (tokens + PieceTokens - 1) / PieceTokens;
+    return Duration(static_cast<Duration::rep>(tokens * MicrosecondsPerToken)) + pieces * StepTime;
+}
+
+PrefillTurn EngineLedger::beginPrefill(const ServerName &server, std::uint32_t tokens,
+                                       TimePoint now)
+{
+    Engine &engine = m_engines[server];
+    engine.busyUntil = std::max(engine.busyUntil, now) + workOf(&engine, tokens, now);
+    ++engine.prompts;
+    return {server, now, engine.busyUntil + AnswerTime};
+}
+
+void EngineLedger::endPrefill(const PrefillTurn &turn, TimePoint now)
+{
+    Engine &engine = m_engines[turn.server];
+    engine.prompts -= engine.prompts > 0 ? 1 : 0;
+    if (engine.prompts == 0) {
+        engine.busyUntil = now;
+    } else {
+        engine.busyUntil += std::clamp(now - turn.expectedEnd, -MostCorrection, MostCorrection);
+    }
+    const double expected = static_cast<double>((turn.expectedEnd - turn.granted).count());
+    const double took = static_cast<double>((now - turn.granted).count());
+    const double ratio = std::clamp(took / expected, 1 / MostSampleRatio, MostSampleRatio);
+    engine.slowness = std::clamp(slownessOf(engine, now) * std::pow(ratio, SlownessWeight),
+                                 LeastSlowness, MostSlowness);
+    engine.slownessAt = now;
+}
+
+void EngineLedger::refusedRoom(const ServerName &server, std::uint64_t memory, TimePoint now)
+{
+    Engine &engine = m_engines[server];
+    engine.fullUntil = now + FullFor;
+    if (engine.tokens < memory / 2) {
+        // It cannot be full. An engine that changes its phase, or has just begun to leave, looks
+        // like that: it would be the emptiest, and get every claim, for seconds.
+        failed(server, now);
+    }
+}
+
+void EngineLedger::failed(const ServerName &server, TimePoint now)
+{
+    Engine &engine = m_engines[server];
+    ++engine.failuresInRow;
+    if (engine.failuresInRow < FailuresToAvoid) {
+        return;
+    }
+    const std::uint32_t doublings = std::min(engine.failuresInRow - FailuresToAvoid, MostDoublings);
+    engine.avoidedUntil = now + FirstAvoidance * (1U << doublings);
+}
+
+void EngineLedger::unreachable(const ServerName &server, TimePoint now)
+{
+    Engine &engine = m_engines[server];
+    engine.failuresInRow = std::max(engine.failuresInRow, FailuresToAvoid - 1);
+    failed(server, now);
+}
+
+void EngineLedger::lostHandle(const ServerName &server, TimePoint now)
+{
+    m_engines[server].noHandlesUntil = now + HandlesAvoided;
+}
+
+void EngineLedger::workedWell(const ServerName &server)
+{
+    m_engines[server].failuresInRow = 0;
+}
+
+bool EngineLedger::isAvoided(const ServerName &server, TimePoint now) const
+{
+    const Engine *engine = find(server);
+    return engine && (now < engine->avoidedUntil || now < engine->fullUntil);
+}
+
+bool EngineLedger::hasLostHandles(const ServerName &server, TimePoint now) const
+{
+    const Engine *engine = find(server);
+    return engine && now < engine->noHandlesUntil;
+}
+
+const EngineLedger::Engine *EngineLedger::find(const ServerName &server) const
+{
+    const auto it = m_engines.find(server);
+    return it == m_engines.end() ? nullptr : &it->second;
+}
+
+Duration EngineLedger::workOf(const Engine *engine, std::uint32_t tokens, TimePoint now)
+{
+    const double healthy = static_cast<double>(healthyWork(tokens).count());
+    return Duration(static_cast<Duration::rep>(healthy * (engine ? slownessOf(*engine, now) : 1)));
+}
+
+double EngineLedger::slownessOf(const Engine &engine, TimePoint now)
+{
+    const double halfLives = static_cast<double>((now - engine.slownessAt).count())
+        / static_cast<double>(SlownessHalfLife.count());
+    return 1 + (engine.slowness - 1) * std::exp2(-std::min(halfLives, 20.0));
+}
+
+} // namespace indigoway::scheduling
--- /dev/null
+++ b/src/scheduling/engineledger.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <indigoway/ids.h>
+
+#include <cstdint>
+#include <map>
+
+namespace indigoway::scheduling {
+
+/** One prompt's turn on a prefill engine. */
+struct PrefillTurn
+{
+    ServerName server;
+    TimePoint granted {};
+    TimePoint expectedEnd {}; ///< Of the answer.
+};
+
+/** What is known of each engine: memory given out, prompts in line, how it has behaved. */
+class EngineLedger
+{
+public:
+    void charge(const ServerName &server, std::uint64_t tokens);
+    void discharge(const ServerName &server, std::uint64_t tokens);
+    std::uint64_t chargedTokens(const ServerName &server) const;
+
+    /** How long a prompt that is sent now waits before it is read. */
+    Duration prefillWait(const ServerName &server, TimePoint now) const;
+    /** From sending a prompt to its answer. */
+    Duration prefillTime(const ServerName &server, std::uint32_t tokens, TimePoint now) const;
+    /** A healthy engine's time for a prompt while which it reads no other. */
+    static Duration healthyWork(std::uint32_t tokens);
+    PrefillTurn beginPrefill(const ServerName &server, std::uint32_t tokens, TimePoint now);
+    /** Corrects what is thought of the engine's line and speed by what it took. */
+    void endPrefill(const PrefillTurn &turn, TimePoint now);
+
+    /** The engine refused room that it was thought to have, of @p memory tokens in all. */
+    void refusedRoom(const ServerName &server, std::uint64_t memory, TimePoint now);
+    void failed(const ServerName &server, TimePoint now);
+    /** It took no connection: that is no accident of one request. */
+    void unreachable(const ServerName &server, TimePoint now);
+    /** The KV cache that it kept could not be had for decode; its next ones likely neither. */
+    void lostHandle(const ServerName &server, TimePoint now);
+    void workedWell(const ServerName &server);
+    /** It has failed of late, or has just refused room. */
+    bool isAvoided(const ServerName &server, TimePoint now) const;
+    bool hasLostHandles(const ServerName &server, TimePoint now) const;
+
+private:
+    struct Engine
+    {
+        std::uint64_t tokens = 0;
+        std::uint32_t prompts = 0; ///< Being prefilled or in line.
+        TimePoint busyUntil {};
+        double slowness = 1; ///< Time that prompts take, against that of a healthy engine.
+        TimePoint slownessAt {};
+        std::uint32_t failuresInRow = 0;
+        TimePoint avoidedUntil {};
+        TimePoint fullUntil {};
+        TimePoint noHandlesUntil {};
+    };
+
+    const Engine *find(const ServerName &server) const;
+    static Duration workOf(const Engine *engine, std::uint32_t tokens, TimePoint now);
+    static double slownessOf(const Engine &engine, TimePoint now);
+
+    std::map<ServerName, Engine> m_engines;
+};
+
+} // namespace indigoway::scheduling
--- /dev/null
+++ b/src/scheduling/enginescheduler.cpp
@@ -0,0 +1,447 @@
+#include "enginescheduler.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace indigoway::scheduling {
+
+namespace {
+
+/** From the prompt's answer to the first event: the KV cache is moved, a token is made. */
+constexpr Duration FirstEventAfterPrefill = std::chrono::milliseconds(40);
+/** A prompt is not sent where it would wait longer: decode memory would lie reserved meanwhile. */
+constexpr Duration MostPrefillWait = std::chrono::milliseconds(250);
+/** Moving a KV cache to another failure domain takes longer, and its bytes cost more. */
+constexpr Duration OtherDomainTime = std::chrono::milliseconds(25);
+constexpr double OtherDomainTokens = 1500;
+/** A large claim at the head of the queue waits so long before room is kept for it. */
+constexpr Duration KeepRoomAfter = std::chrono::milliseconds(100);
+/** Beyond the target, where the first event is expected: estimates err, and refusals do not. */
+constexpr Duration HopelessBeyond = std::chrono::milliseconds(100);
+/** How long a grant is held before one has ended: a prompt read, some seventy events. */
+constexpr double SecondsHeldAtFirst = 3;
+/** Of a sample; some twenty make up the average. */
+constexpr double HeldWeight = 0.05;
+/** While claims wait and no message comes. */
+constexpr Duration TickEvery = std::chrono::milliseconds(25);
+/** A node that died tells nothing; its claims end with their requests' time, and a little later. */
+constexpr Duration ExpirySlack = std::chrono::milliseconds(500);
+
+} // namespace
+
+EngineScheduler::EngineScheduler()
+    : m_secondsHeld(SecondsHeldAtFirst)
+{ }
+
+SchedulerReplies EngineScheduler::handle(TimePoint now, const View &view, const NodeLife &from,
+                                         const ToScheduler &message)
+{
+    dropEarlierLives(from);
+    SchedulerReplies replies;
+    const Key key {from, std::visit([](const auto &one) { return one.claim; }, message)};
+    if (const auto *claim = std::get_if<Claim>(&message)) {
+        take(now, view, key, *claim, replies);
+    } else if (const auto *held = std::get_if<RoomHeld>(&message)) {
+        take(now, key, *held);
+    } else if (const auto *prefill = std::get_if<PrefillEnded>(&message)) {
+        take(now, key, *prefill);
+    } else {
+        take(now, view, key, std::get<ClaimEnded>(message));
+    }
+    grant(now, view, replies);
+    if (m_waiting.contains(key)) {
+        replies.push_back({from, ClaimQueued {key.claim}});
+    }
+    return replies;
+}
+
+SchedulerReplies EngineScheduler::tick(TimePoint now, const View &view)
+{
+    SchedulerReplies replies;
+    expire(now);
+    refuseLate(now, replies);
+    grant(now, view, replies);
+    return replies;
+}
+
+std::optional<TimePoint> EngineScheduler::nextTick(TimePoint now) const
+{
+    if (m_waiting.empty()) {
+        return std::nullopt;
+    }
+    return now + TickEvery;
+}
+
+void EngineScheduler::take(TimePoint now, const View &view, const Key &key, const Claim &claim,
+                           SchedulerReplies &replies)
+{
+    const auto granted = m_granted.find(key);
+    if (granted != m_granted.end()) {
+        // The answer was lost on its way.
+        replies.push_back({key.owner, granted->second.answer});
+        return;
+    }
+    if (m_waiting.contains(key)) {
+        return;
+    }
+    const Outlook expected = outlook(now, view, claim);
+    // A prompt so long that even idle engines would be late is no reason to refuse it for ever.
+    const bool couldBeInTime = claim.urgency == Urgency::Fresh
+        && m_ledger.prefillTime(ServerName(), claim.promptTokens, now) < claim.untilTarget;
+    const bool isHopeless = expected.forRoom > claim.waitsAtMost
+        || (couldBeInTime && expected.firstEvent > claim.untilTarget + HopelessBeyond);
+    if (isHopeless) {
+        // Known now: the caller learns at once when to come back, and waits for nothing.
+        replies.push_back({key.owner, ClaimRefused {key.claim, expected.ahead, expected.forRoom}});
+        return;
+    }
+    m_waiting.emplace(key, Waiting {claim, now, now + claim.untilTarget});
+}
+
+void EngineScheduler::take(TimePoint now, const Key &key, const RoomHeld &held)
+{
+    if (m_granted.contains(key)) {
+        return;
+    }
+    m_waiting.erase(key);
+    Granted granted;
+    granted.memoryTokens = held.memoryTokens;
+    granted.decodeServer = held.decodeServer;
+    granted.since = now;
+    granted.endsBy = now + held.lasts + ExpirySlack;
+    m_ledger.charge(held.decodeServer, held.memoryTokens);
+    m_granted.emplace(key, std::move(granted));
+}
+
+void EngineScheduler::take(TimePoint now, const Key &key, const PrefillEnded &ended)
+{
+    const auto it = m_granted.find(key);
+    if (it == m_granted.end() || !it->second.prefill) {
+        return;
+    }
+    const ServerName server = it->second.prefill->server;
+    if (ended.isDone) {
+        m_ledger.endPrefill(*it->second.prefill, now);
+        m_ledger.workedWell(server);
+    } else {
+        dropPrefill(it->second, now);
+        ended.isReachable ? m_ledger.failed(server, now) : m_ledger.unreachable(server, now);
+    }
+    it->second.prefill.reset();
+}
+
+void EngineScheduler::take(TimePoint now, const View &view, const Key &key, const ClaimEnded &ended)
+{
+    m_waiting.erase(key);
+    const auto it = m_granted.find(key);
+    if (it == m_granted.end()) {
+        return;
+    }
+    const ServerName server = it->second.decodeServer;
+    const ServerName prefillServer = it->second.answer.prefillServer;
+    const double held =
+        std::chrono::duration_cast<std::chrono::duration<double>>(now - it->second.since).count();
+    release(it, now);
+    if (ended.end == ClaimEnd::HadNoRoom) {
+        const AnnouncedServer *known = view.servers.find(server);
+        const Service *service = known ? view.routes.service(known->service) : nullptr;
+        m_ledger.refusedRoom(server, service && service->engine ? service->engine->memoryTokens : 0,
+                             now);
+    } else if (ended.end == ClaimEnd::EngineFailed) {
+        m_ledger.failed(server, now);
+    } else if (ended.end == ClaimEnd::Unreachable) {
+        m_ledger.unreachable(server, now);
+    } else if (ended.end == ClaimEnd::HandleLost) {
+        m_ledger.lostHandle(prefillServer, now);
+    } else if (ended.end == ClaimEnd::Served) {
+        m_ledger.workedWell(server);
+        m_secondsHeld += HeldWeight * (held - m_secondsHeld);
+    }
+}
+
+void EngineScheduler::dropEarlierLives(const NodeLife &owner)
+{
+    const auto isEarlier = [&owner](const Key &key) {
+        return key.owner.node == owner.node && key.owner.incarnation != owner.incarnation;
+    };
+    std::erase_if(m_waiting, [&](const auto &one) { return isEarlier(one.first); });
+    std::erase_if(m_granted, [&](const auto &one) {
+        if (isEarlier(one.first)) {
+            m_ledger.discharge(one.second.decodeServer, one.second.memoryTokens);
+            return true;
+        }
+        return false;
+    });
+}
+
+void EngineScheduler::release(std::map<Key, Granted>::iterator it, TimePoint now)
+{
+    const Granted &granted = it->second;
+    m_ledger.discharge(granted.decodeServer, granted.memoryTokens);
+    if (granted.prefill) {
+        dropPrefill(granted, now);
+    }
+    m_granted.erase(it);
+}
+
+void EngineScheduler::dropPrefill(const Granted &granted, TimePoint now)
+{
+    // It was given up or failed, which says nothing about the engine's speed.
+    PrefillTurn turn = *granted.prefill;
+    turn.expectedEnd = std::max(turn.granted + Duration(1), now);
+    m_ledger.endPrefill(turn, now);
+}
+
+void EngineScheduler::expire(TimePoint now)
+{
+    for (auto it = m_granted.begin(); it != m_granted.end();) {
+        const auto next = std::next(it);
+        if (now > it->second.endsBy) {
+            release(it, now);
+        }
+        it = next;
+    }
+}
+
+void EngineScheduler::refuseLate(TimePoint now, SchedulerReplies &replies)
+{
+    std::erase_if(m_waiting, [&](const auto &one) {
+        const Duration waited = now - one.second.since;
+        const bool isOver = waited > one.second.claim.waitsAtMost;
+        if (isOver) {
+            replies.push_back({one.first.owner, ClaimRefused {one.first.claim, 0, waited}});
+        }
+        return isOver;
+    });
+}
+
+bool EngineScheduler::goesBefore(const Claim &first, const Claim &second)
+{
+    return first.urgency <= second.urgency;
+}
+
+EngineScheduler::Outlook EngineScheduler::outlook(TimePoint now, const View &view,
+                                                  const Claim &claim) const
+{
+    Outlook result;
+    const Service *service = view.routes.service(claim.service);
+    if (!service || !service->engine) {
+        return result;
+    }
+    const std::uint64_t memory = service->engine->memoryTokens;
+    double free = 0;
+    double all = 0;
+    for (const auto *server : view.servers.candidates(claim.service, EnginePhase::Decode, now)) {
+        if (m_ledger.isAvoided(server->name, now)) {
+            continue;
+        }
+        all += static_cast<double>(memory);
+        const std::uint64_t charged = m_ledger.chargedTokens(server->name);
+        // What is too small for this claim is no room for it.
+        free += charged + claim.memoryTokens <= memory ? static_cast<double>(memory - charged) : 0;
+    }
+    double wanted = static_cast<double>(claim.memoryTokens);
+    Duration prompts {};
+    for (const auto &[key, waiting] : m_waiting) {
+        if (waiting.claim.service == claim.service && goesBefore(waiting.claim, claim)) {
+            ++result.ahead;
+            wanted += static_cast<double>(waiting.claim.memoryTokens);
+            prompts += EngineLedger::healthyWork(waiting.claim.promptTokens);
+        }
+    }
+    if (all > 0 && wanted > free) {
+        const double seconds = (wanted - free) / all * m_secondsHeld;
+        result.forRoom =
+            std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    }
+    const auto prefill =
+        usablePrefill(now, view.servers.candidates(claim.service, EnginePhase::Prefill, now));
+    Duration forPrefill = Duration::max();
+    for (const AnnouncedServer *server : prefill) {
+        forPrefill =
+            std::min(forPrefill, m_ledger.prefillTime(server->name, claim.promptTokens, now));
+    }
+    if (prefill.empty() || claim.promptTokens == 0) {
+        forPrefill = Duration(0);
+    } else {
+        forPrefill += prompts / static_cast<Duration::rep>(prefill.size());
+    }
+    // While it waits for room, the prompts before it are read.
+    const Duration least = m_ledger.prefillTime(ServerName(), claim.promptTokens, now);
+    result.firstEvent = std::max(forPrefill, result.forRoom + least) + FirstEventAfterPrefill;
+    return result;
+}
+
+std::vector<EngineScheduler::Key> EngineScheduler::order(TimePoint now,
+                                                         const ServiceName &service) const
+{
+    struct Place
+    {
+        int rank = 0;
+        TimePoint target {};
+        Key key;
+    };
+    constexpr int Late = 2;
+    std::vector<Place> places;
+    for (const auto &[key, waiting] : m_waiting) {
+        if (waiting.claim.service == service) {
+            const Duration least =
+                m_ledger.prefillTime(ServerName(), waiting.claim.promptTokens, now);
+            const bool isLate = waiting.claim.urgency == Urgency::Fresh
+                && now + least + FirstEventAfterPrefill > waiting.target;
+            const int rank = isLate ? Late : static_cast<int>(waiting.claim.urgency);
+            places.push_back({rank, waiting.target, key});
+        }
+    }
+    std::sort(places.begin(), places.end(), [](const Place &a, const Place &b) {
+        return std::tie(a.rank, a.target, a.key) < std::tie(b.rank, b.target, b.key);
+    });
+    std::vector<Key> keys;
+    keys.reserve(places.size());
+    for (Place &place : places) {
+        keys.push_back(std::move(place.key));
+    }
+    return keys;
+}
+
+void EngineScheduler::grant(TimePoint now, const View &view, SchedulerReplies &replies)
+{
+    std::set<ServiceName> services;
+    for (const auto &[key, waiting] : m_waiting) {
+        services.insert(waiting.claim.service);
+    }
+    for (const ServiceName &name : services) {
+        const Service *service = view.routes.service(name);
+        if (!service || !service->engine) {
+            continue;
+        }
+        Pass pass;
+        pass.decode = view.servers.candidates(name, EnginePhase::Decode, now);
+        pass.prefill = usablePrefill(now, view.servers.candidates(name, EnginePhase::Prefill, now));
+        pass.memoryTokens = service->engine->memoryTokens;
+        for (const Key &key : order(now, name)) {
+            const auto it = m_waiting.find(key);
+            if (tryGrant(now, pass, key, it->second, replies)) {
+                m_waiting.erase(it);
+            } else if (pass.isPrefillFull) {
+                break;
+            } else if (pass.keptForLarge.isEmpty() && now > it->second.since + KeepRoomAfter) {
+                pass.keptForLarge = emptiest(now, pass);
+            }
+        }
+    }
+}
+
+bool EngineScheduler::tryGrant(TimePoint now, Pass &pass, const Key &key, const Waiting &waiting,
+                               SchedulerReplies &replies)
+{
+    const Claim &claim = waiting.claim;
+    if (pass.tooLarge != 0 && claim.memoryTokens >= pass.tooLarge && claim.without.empty()) {
+        return false;
+    }
+    const AnnouncedServer *decode = chooseDecode(now, pass, claim);
+    if (!decode) {
+        if (claim.without.empty()) {
+            pass.tooLarge = claim.memoryTokens;
+        }
+        return false;
+    }
+    Granted granted;
+    granted.answer = {key.claim, decode->name, {}};
+    if (claim.promptTokens > 0 && !pass.prefill.empty()) {
+        const AnnouncedServer *prefill = choosePrefill(now, pass, claim, decode->domain);
+        if (!prefill) {
+            pass.isPrefillFull = claim.without.empty();
+            return false;
+        }
+        granted.prefill = m_ledger.beginPrefill(prefill->name, claim.promptTokens, now);
+        granted.answer.prefillServer = prefill->name;
+    }
+    granted.memoryTokens = claim.memoryTokens;
+    granted.decodeServer = decode->name;
+    granted.since = now;
+    granted.endsBy = now + claim.lasts + ExpirySlack;
+    m_ledger.charge(decode->name, claim.memoryTokens);
+    replies.push_back({key.owner, granted.answer});
+    m_granted.emplace(key, std::move(granted));
+    return true;
+}
+
+const AnnouncedServer *EngineScheduler::chooseDecode(TimePoint now, const Pass &pass,
+                                                     const Claim &claim) const
+{
+    const AnnouncedServer *best = nullptr;
+    double bestScore = 0;
+    for (const AnnouncedServer *server : pass.decode) {
+        const std::uint64_t charged = m_ledger.chargedTokens(server->name);
+        const bool fits = charged + claim.memoryTokens <= pass.memoryTokens;
+        if (!fits || server->name == pass.keptForLarge || m_ledger.isAvoided(server->name, now)
+            || std::ranges::find(claim.without, server->name) != claim.without.end()) {
+            continue;
+        }
+        const double score =
+            static_cast<double>(charged) + (server->domain == claim.domain ? 0 : OtherDomainTokens);
+        if (!best || score < bestScore) {
+            best = server;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+std::vector<const AnnouncedServer *>
+EngineScheduler::usablePrefill(TimePoint now, const std::vector<const AnnouncedServer *> &all) const
+{
+    std::vector<const AnnouncedServer *> sound;
+    std::vector<const AnnouncedServer *> reachable;
+    for (const AnnouncedServer *server : all) {
+        if (m_ledger.isAvoided(server->name, now)) {
+            continue;
+        }
+        reachable.push_back(server);
+        if (!m_ledger.hasLostHandles(server->name, now)) {
+            sound.push_back(server);
+        }
+    }
+    if (!sound.empty()) {
+        return sound;
+    }
+    return reachable.empty() ? all : reachable;
+}
+
+const AnnouncedServer *EngineScheduler::choosePrefill(TimePoint now, const Pass &pass,
+                                                      const Claim &claim,
+                                                      const DomainName &decodeDomain) const
+{
+    const AnnouncedServer *best = nullptr;
+    Duration bestTime {};
+    for (const AnnouncedServer *server : pass.prefill) {
+        if (m_ledger.prefillWait(server->name, now) > MostPrefillWait
+            || std::ranges::find(claim.without, server->name) != claim.without.end()) {
+            continue;
+        }
+        const Duration time = m_ledger.prefillTime(server->name, claim.promptTokens, now)
+            + (server->domain == decodeDomain ? Duration(0) : OtherDomainTime);
+        if (!best || time < bestTime) {
+            best = server;
+            bestTime = time;
+        }
+    }
+    return best;
+}
+
+ServerName EngineScheduler::emptiest(TimePoint now, const Pass &pass) const
+{
+    const AnnouncedServer *best = nullptr;
+    for (const AnnouncedServer *server : pass.decode) {
+        if (m_ledger.isAvoided(server->name, now)) {
+            continue;
+        }
+        if (!best || m_ledger.chargedTokens(server->name) < m_ledger.chargedTokens(best->name)) {
+            best = server;
+        }
+    }
+    return best ? best->name : ServerName();
+}
+
+} // namespace indigoway::scheduling
--- /dev/null
+++ b/src/scheduling/enginescheduler.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "fleet/serverdirectory.h"
+#include "routing/routetable.h"
+#include "scheduling/engineledger.h"
+#include "scheduling/schedulermessages.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace indigoway::scheduling {
+
+/** An answer to a node's claim. */
+struct SchedulerReply
+{
+    NodeLife to;
+    FromScheduler message;
+};
+using SchedulerReplies = std::vector<SchedulerReply>;
+
+/**
+ * Gives out the room of model engines to all nodes: one node runs it for the others.
+ *
+ * Nodes that choose alone cannot see each other's prompts: with 65 nodes a prompt took 0.3 s at the
+ * median and over 1 s for one in ten where an idle engine takes 0.14 s, and decode memory lay
+ * reserved meanwhile. Here all prompts of an engine are known, so that each is sent where it is
+ * read next, and none before it would be read soon.
+ *
+ * It is a help, not a guard: engines refuse what does not fit, so that two schedulers at a time,
+ * or one that knows too little, cost time and never correctness. It keeps nothing that must last;
+ * nodes tell a new one what they hold.
+ */
+class EngineScheduler
+{
+public:
+    EngineScheduler();
+
+    /** What the scheduling node knows of engines and services. */
+    struct View
+    {
+        const ServerDirectory &servers;
+        const RouteTable &routes;
+    };
+
+    SchedulerReplies handle(TimePoint now, const View &view, const NodeLife &from,
+                            const ToScheduler &message);
+    /** Grants what has come free and refuses what has waited too long. */
+    SchedulerReplies tick(TimePoint now, const View &view);
+    /** When tick() is wanted at the latest; nothing while no claim waits. */
+    std::optional<TimePoint> nextTick(TimePoint now) const;
+    std::size_t waiting() const { return m_waiting.size(); }
+    std::size_t granted() const { return m_granted.size(); }
+
+private:
+    struct Key
+    {
+        NodeLife owner;
+        ClaimId claim;
+        auto operator<=>(const Key &) const = default;
+    };
+    struct Waiting
+    {
+        Claim claim;
+        TimePoint since {};
+        TimePoint target {};
+    };
+    struct Granted
+    {
+        std::uint64_t memoryTokens = 0;
+        ServerName decodeServer;
+        TimePoint since {};
+        TimePoint endsBy {};
+        std::optional<PrefillTurn> prefill; ///< While it is under way.
+        ClaimGranted answer;                ///< For a claim that is sent again.
+    };
+    using WaitingMap = std::map<Key, Waiting>;
+
+    void take(TimePoint now, const View &view, const Key &key, const Claim &claim,
+              SchedulerReplies &replies);
+    void take(TimePoint now, const Key &key, const RoomHeld &held);
+    void take(TimePoint now, const Key &key, const PrefillEnded &ended);
+    void take(TimePoint now, const View &view, const Key &key, const ClaimEnded &ended);
+    void dropEarlierLives(const NodeLife &owner);
+    void release(std::map<Key, Granted>::iterator it, TimePoint now);
+    void dropPrefill(const Granted &granted, TimePoint now);
+    void expire(TimePoint now);
+    void refuseLate(TimePoint now, SchedulerReplies &replies);
+    /** What a claim that comes now would wait behind, and for how long. */
+    struct Outlook
+    {
+        std::uint32_t ahead = 0;
+        Duration forRoom {};    ///< On a decode engine.
+        Duration firstEvent {}; ///< From now; the wait included.
+    };
+    Outlook outlook(TimePoint now, const View &view, const Claim &claim) const;
+    static bool goesBefore(const Claim &first, const Claim &second);
+    void grant(TimePoint now, const View &view, SchedulerReplies &replies);
+    /** Keys of those that wait for @p service, in the order in which they are served. */
+    std::vector<Key> order(TimePoint now, const ServiceName &service) const;
+
+    /** Engines of one service, and what one pass over its claims found out. */
+    struct Pass
+    {
+        std::vector<const AnnouncedServer *> decode;
+        std::vector<const AnnouncedServer *> prefill;
+        std::uint64_t memoryTokens = 0;
+        std::uint64_t tooLarge = 0; ///< No engine has room for so many tokens; 0: not known.
+        bool isPrefillFull = false;
+        ServerName keptForLarge; ///< Whose room collects for a large claim at the head.
+    };
+    bool tryGrant(TimePoint now, Pass &pass, const Key &key, const Waiting &waiting,
+                  SchedulerReplies &replies);
+    const AnnouncedServer *chooseDecode(TimePoint now, const Pass &pass, const Claim &claim) const;
+    /**
+     * Prefill engines that may be used. Where all have lost their KV caches it is likelier the
+     * decode engine that could not take them, and where all have failed, the failing node's link.
+     */
+    std::vector<const AnnouncedServer *>
+    usablePrefill(TimePoint now, const std::vector<const AnnouncedServer *> &all) const;
+    const AnnouncedServer *choosePrefill(TimePoint now, const Pass &pass, const Claim &claim,
+                                         const DomainName &decodeDomain) const;
+    /** The engine that will have room for a large claim first. */
+    ServerName emptiest(TimePoint now, const Pass &pass) const;
+
+    EngineLedger m_ledger;
+    WaitingMap m_waiting;
+    std::map<Key, Granted> m_granted;
+    double m_secondsHeld; ///< Moving average of how long a grant is held.
+};
+
+} // namespace indigoway::scheduling
--- /dev/null
+++ b/src/scheduling/schedulerchoice.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "fleet/noderoster.h"
+
+#include <optional>
+#include <vector>
+
+namespace indigoway::scheduling {
+
+/**
+ * The node of @p members that schedules the engines: the one whose VM has most processor time, the
+ * first by name among equals. All nodes that know the same members agree; while they do not, there
+ * are two schedulers, which costs time only. Nothing if none takes claims.
+ */
+std::optional<NodeEntry> schedulerOf(const std::vector<NodeEntry> &members);
+
+} // namespace indigoway::scheduling
--- /dev/null
+++ b/src/scheduling/schedulercodec.cpp
@@ -0,0 +1,230 @@
+#include "schedulercodec.h"
+
+#include "core/jsontext.h"
+
+namespace indigoway::scheduling {
+
+namespace {
+
+/** Bounds what a stray or forged datagram can claim. */
+constexpr std::uint64_t MostTokens = 100'000'000;
+
+Json::Value head(const char *kind, const NodeLife &from, ClaimId claim)
+{
+    Json::Value value;
+    value["kind"] = kind;
+    value["node"] = from.node.text();
+    value["life"] = Json::UInt64(from.incarnation.value());
+    value["claim"] = Json::UInt64(claim.value());
+    return value;
+}
+
+Duration durationMember(const Json::Value &value, const char *name)
+{
+    return value[name].isInt64() ? Duration(value[name].asInt64()) : Duration(0);
+}
+
+Json::Value body(const NodeLife &from, const Claim &claim)
+{
+    Json::Value value = head("claim", from, claim.claim);
+    value["service"] = claim.service.text();
+    value["domain"] = claim.domain.text();
+    value["prompt"] = claim.promptTokens;
+    value["memory"] = Json::UInt64(claim.memoryTokens);
+    value["urgency"] = static_cast<unsigned>(claim.urgency);
+    value["waits_us"] = Json::Int64(claim.waitsAtMost.count());
+    value["until_target_us"] = Json::Int64(claim.untilTarget.count());
+    value["lasts_us"] = Json::Int64(claim.lasts.count());
+    for (const ServerName &server : claim.without) {
+        value["without"].append(server.text());
+    }
+    return value;
+}
+
+Json::Value body(const NodeLife &from, const RoomHeld &held)
+{
+    Json::Value value = head("held", from, held.claim);
+    value["service"] = held.service.text();
+    value["memory"] = Json::UInt64(held.memoryTokens);
+    value["decode"] = held.decodeServer.text();
+    value["lasts_us"] = Json::Int64(held.lasts.count());
+    return value;
+}
+
+Json::Value body(const NodeLife &from, const PrefillEnded &ended)
+{
+    Json::Value value = head("prefilled", from, ended.claim);
+    value["done"] = ended.isDone;
+    value["reachable"] = ended.isReachable;
+    return value;
+}
+
+Json::Value body(const NodeLife &from, const ClaimEnded &ended)
+{
+    Json::Value value = head("ended", from, ended.claim);
+    value["how"] = static_cast<unsigned>(ended.end);
+    return value;
+}
+
+Json::Value body(const NodeLife &from, const ClaimQueued &queued)
+{
+    return head("queued", from, queued.claim);
+}
+
+Json::Value body(const NodeLife &from, const ClaimGranted &granted)
+{
+    Json::Value value = head("granted", from, granted.claim);
+    value["decode"] = granted.decodeServer.text();
+    value["prefill"] = granted.prefillServer.text();
+    return value;
+}
+
+Json::Value body(const NodeLife &from, const ClaimRefused &refused)
+{
+    Json::Value value = head("refused", from, refused.claim);
+    value["ahead"] = refused.ahead;
+    value["wait_us"] = Json::Int64(refused.expectedWait.count());
+    return value;
+}
+
+/** Nothing if it has no sender or claim. */
+std::optional<NodeLife> senderOf(const Json::Value &value)
+{
+    NodeLife from {NodeName(stringMember(value, "node")), Incarnation(numberMember(value, "life"))};
+    if (from.node.isEmpty() || numberMember(value, "claim") == 0) {
+        return std::nullopt;
+    }
+    return from;
+}
+
+std::optional<ToScheduler> readClaim(const Json::Value &value, ClaimId id)
+{
+    Claim claim;
+    claim.claim = id;
+    claim.service = ServiceName(stringMember(value, "service"));
+    claim.domain = DomainName(stringMember(value, "domain"));
+    const std::uint64_t prompt = numberMember(value, "prompt");
+    claim.memoryTokens = numberMember(value, "memory");
+    if (prompt > MostTokens || claim.memoryTokens > MostTokens) {
+        return std::nullopt;
+    }
+    claim.promptTokens = static_cast<std::uint32_t>(prompt);
+    const std::uint64_t urgency = numberMember(value, "urgency");
+    if (urgency > static_cast<unsigned>(Urgency::ComingBack)) {
+        return std::nullopt;
+    }
+    claim.urgency = static_cast<Urgency>(urgency);
+    claim.waitsAtMost = durationMember(value, "waits_us");
+    claim.untilTarget = durationMember(value, "until_target_us");
+    claim.lasts = durationMember(value, "lasts_us");
+    if (value["without"].isArray()) {
+        for (const Json::Value &server : value["without"]) {
+            claim.without.emplace_back(server.isString() ? server.asString() : std::string());
+        }
+    }
+    return claim;
+}
+
+std::optional<ToScheduler> readHeld(const Json::Value &value, ClaimId id)
+{
+    RoomHeld held;
+    held.claim = id;
+    held.service = ServiceName(stringMember(value, "service"));
+    held.memoryTokens = numberMember(value, "memory");
+    held.decodeServer = ServerName(stringMember(value, "decode"));
+    held.lasts = durationMember(value, "lasts_us");
+    if (held.memoryTokens > MostTokens) {
+        return std::nullopt;
+    }
+    return held;
+}
+
+std::optional<ToScheduler> readEnded(const Json::Value &value, ClaimId id)
+{
+    const std::uint64_t how = numberMember(value, "how");
+    if (how > static_cast<unsigned>(ClaimEnd::HandleLost)) {
+        return std::nullopt;
+    }
+    return ClaimEnded {id, static_cast<ClaimEnd>(how)};
+}
+
+std::optional<ToScheduler> readToScheduler(const Json::Value &value)
+{
+    const std::string kind = stringMember(value, "kind");
+    const ClaimId id(numberMember(value, "claim"));
+    if (kind == "claim") {
+        return readClaim(value, id);
+    }
+    if (kind == "held") {
+        return readHeld(value, id);
+    }
+    if (kind == "prefilled" && value["done"].isBool() && value["reachable"].isBool()) {
+        return PrefillEnded {id, value["done"].asBool(), value["reachable"].asBool()};
+    }
+    if (kind == "ended") {
+        return readEnded(value, id);
+    }
+    return std::nullopt;
+}
+
+std::optional<FromScheduler> readFromScheduler(const Json::Value &value)
+{
+    const std::string kind = stringMember(value, "kind");
+    const ClaimId id(numberMember(value, "claim"));
+    if (kind == "queued") {
+        return ClaimQueued {id};
+    }
+    if (kind == "granted") {
+        return ClaimGranted {id, ServerName(stringMember(value, "decode")),
+                             ServerName(stringMember(value, "prefill"))};
+    }
+    if (kind == "refused") {
+        return ClaimRefused {id, static_cast<std::uint32_t>(numberMember(value, "ahead")),
+                             durationMember(value, "wait_us")};
+    }
+    return std::nullopt;
+}
+
+template <typename Message>
+std::string encodeAny(const Datagram<Message> &datagram)
+{
+    return jsonText(
+        std::visit([&](const auto &one) { return body(datagram.from, one); }, datagram.message));
+}
+
+template <typename Message>
+std::optional<Datagram<Message>> decodeAny(const std::string &text,
+                                           std::optional<Message> (*read)(const Json::Value &))
+{
+    const Json::Value value = parseJson(text);
+    const auto from = senderOf(value);
+    auto message = from ? read(value) : std::nullopt;
+    if (!message) {
+        return std::nullopt;
+    }
+    return Datagram<Message> {*from, std::move(*message)};
+}
+
+} // namespace
+
+std::string encode(const Datagram<ToScheduler> &datagram)
+{
+    return encodeAny(datagram);
+}
+
+std::string encode(const Datagram<FromScheduler> &datagram)
+{
+    return encodeAny(datagram);
+}
+
+std::optional<Datagram<ToScheduler>> decodeToScheduler(const std::string &text)
+{
+    return decodeAny<ToScheduler>(text, &readToScheduler);
+}
+
+std::optional<Datagram<FromScheduler>> decodeFromScheduler(const std::string &text)
+{
+    return decodeAny<FromScheduler>(text, &readFromScheduler);
+}
+
+} // namespace indigoway::scheduling
--- /dev/null
+++ b/src/scheduling/schedulermessages.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <indigoway/ids.h>
+#include <indigoway/routing.h>
+
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+/** @file What nodes and the scheduler of their engines tell each other, each in one datagram. */
+namespace indigoway::scheduling {
+
+/** A claim of one node; its next life starts anew. */
+using ClaimId = Number<struct SchedulerClaimTag>;
+
+/** Who goes first where engines are short. */
+enum class Urgency {
+    GoesOn,     ///< A stream that broke off in the middle: its caller is already being answered.
+    Fresh,      ///< Can meet its target.
+    ComingBack, ///< Was turned away before: late already, and served with the room others leave.
+};
+
+/** Asks for a decode engine with room and for a prefill engine. Sent again, it is the same. */
+struct Claim
+{
+    ClaimId claim;
+    ServiceName service;
+    DomainName domain;              ///< Where the caller is served.
+    std::uint32_t promptTokens = 0; ///< To be prefilled; 0: only a decode engine is wanted.
+    std::uint64_t memoryTokens = 0; ///< KV cache on the decode engine.
+    Urgency urgency = Urgency::Fresh;
+    Duration waitsAtMost {};         ///< It is refused rather than wait longer.
+    Duration untilTarget {};         ///< Left for the first event; negative if it is late already.
+    Duration lasts {};               ///< The request has ended by then, whatever happens.
+    std::vector<ServerName> without; ///< Engines that have failed this request.
+    bool operator==(const Claim &) const = default;
+};
+
+/** A node's request holds room that another scheduler, or the node itself, found. */
+struct RoomHeld
+{
+    ClaimId claim;
+    ServiceName service;
+    std::uint64_t memoryTokens = 0;
+    ServerName decodeServer;
+    Duration lasts {};
+    bool operator==(const RoomHeld &) const = default;
+};
+
+struct PrefillEnded
+{
+    ClaimId claim;
+    bool isDone = false;     ///< False: the engine failed.
+    bool isReachable = true; ///< False: it did not even take the connection.
+    bool operator==(const PrefillEnded &) const = default;
+};
+
+enum class ClaimEnd {
+    Served,       ///< The decode engine did its part.
+    Dropped,      ///< Nobody waits for it any more.
+    HadNoRoom,    ///< The decode engine refused, whatever the scheduler thought.
+    EngineFailed, ///< The decode engine broke off.
+    Unreachable,  ///< The decode engine did not take the connection.
+    HandleLost,   ///< The prefill engine's KV cache could not be had any more.
+};
+
+struct ClaimEnded
+{
+    ClaimId claim;
+    ClaimEnd end = ClaimEnd::Served;
+    bool operator==(const ClaimEnded &) const = default;
+};
+
+using ToScheduler = std::variant<Claim, RoomHeld, PrefillEnded, ClaimEnded>;
+
+/** The claim is known and waits. */
+struct ClaimQueued
+{
+    ClaimId claim;
+    bool operator==(const ClaimQueued &) const = default;
+};
+
+struct ClaimGranted
+{
+    ClaimId claim;
+    ServerName decodeServer;
+    ServerName prefillServer; ///< Empty: the decode engine is to read the prompt.
+    bool operator==(const ClaimGranted &) const = default;
+};
+
+/** No room will come free in time. */
+struct ClaimRefused
+{
+    ClaimId claim;
+    std::uint32_t ahead = 0; ///< Claims that waited before it.
+    Duration expectedWait {};
+    bool operator==(const ClaimRefused &) const = default;
+};
+
+using FromScheduler = std::variant<ClaimQueued, ClaimGranted, ClaimRefused>;
+
+} // namespace indigoway::scheduling
--- /dev/null
+++ b/tests/dispatch/schedulerclaimstest.cpp
@@ -0,0 +1,165 @@
+#include "dispatch/dispatchplay.h"
+
+using namespace indigoway;
+using namespace indigoway::dispatch;
+using namespace indigoway::scheduling;
+
+namespace {
+
+constexpr std::uint32_t Prompt = 5'000;
+const Incarnation Life(1);
+
+/** Two engines of each phase, and a node that schedules them. */
+void useScheduler(DispatchPlay &play)
+{
+    play.useRoutes();
+    for (const char *name : {"d1", "d2"}) {
+        play.addServer(name, EnginePhase::Decode);
+    }
+    for (const char *name : {"p1", "p2"}) {
+        play.addServer(name, EnginePhase::Prefill);
+    }
+    play.dispatcher().setScheduler(NodeName("scheduler"));
+}
+
+ClaimGranted grantOf(const Claim &claim, const char *decode, const char *prefill)
+{
+    return {claim.claim, ServerName(decode), ServerName(prefill)};
+}
+
+} // namespace
+
+class SchedulerClaimsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SchedulerClaimsTest);
+    CPPUNIT_TEST(usesTheEnginesThatAreGranted);
+    CPPUNIT_TEST(repeatsAClaimThatIsNotAnswered);
+    CPPUNIT_TEST(choosesByItselfWhenTheSchedulerIsSilent);
+    CPPUNIT_TEST(aRefusalIsPassedOnAtOnce);
+    CPPUNIT_TEST(tellsANewSchedulerWhatIsHeld);
+    CPPUNIT_TEST(givesBackAGrantThatComesTooLate);
+    CPPUNIT_TEST(claimsAgainWhenTheEngineRefuses);
+    CPPUNIT_TEST(callersWhoComeBackAreToldApart);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void usesTheEnginesThatAreGranted()
+    {
+        DispatchPlay play;
+        useScheduler(play);
+        const auto request = play.arrive(0, "stream", Prompt);
+        const auto claim = play.told<Claim>();
+        CPPUNIT_ASSERT(!play.hasCalls());
+        play.reduce(5, SchedulerAnswered {grantOf(claim, "d2", "p2"), Life});
+        const StartCall reserve = play.nextCall(CallKind::Reserve);
+        CPPUNIT_ASSERT(reserve.server == ServerName("d2"));
+        play.grant(8, reserve);
+        const StartCall prefill = play.nextCall(CallKind::Prefill);
+        CPPUNIT_ASSERT(prefill.server == ServerName("p2"));
+        play.grant(150, prefill);
+        CPPUNIT_ASSERT(play.told<PrefillEnded>().isDone);
+        const StartCall decode = play.nextCall(CallKind::Decode);
+        play.reduce(180, StreamBegan {decode.call, 200, {}});
+        play.end(3'000, decode, CallEnd::Complete, 200);
+        CPPUNIT_ASSERT(play.told<ClaimEnded>().end == ClaimEnd::Served);
+        CPPUNIT_ASSERT_EQUAL(std::string("streamed"), play.outcome(request));
+    }
+
+    void repeatsAClaimThatIsNotAnswered()
+    {
+        DispatchPlay play;
+        useScheduler(play);
+        play.arrive(0, "stream", Prompt);
+        const auto first = play.told<Claim>();
+        play.wait(10, 60);
+        const auto second = play.told<Claim>();
+        CPPUNIT_ASSERT(first.claim == second.claim);
+        CPPUNIT_ASSERT(second.untilTarget < first.untilTarget);
+    }
+
+    // The node that schedules is frozen, or the way to it is cut. Its callers' requests must not
+    // wait for it: within a fifth of a second this node reserves by itself.
+    void choosesByItselfWhenTheSchedulerIsSilent()
+    {
+        DispatchPlay play;
+        useScheduler(play);
+        play.arrive(0, "stream", Prompt);
+        play.wait(10, 200);
+        play.grant(200, play.nextCall(CallKind::Reserve));
+        CPPUNIT_ASSERT(play.nextCall(CallKind::Prefill).server.text().starts_with("p"));
+        play.arrive(300, "stream", Prompt);
+        CPPUNIT_ASSERT(play.hasCalls());
+    }
+
+    void aRefusalIsPassedOnAtOnce()
+    {
+        DispatchPlay play;
+        useScheduler(play);
+        const auto request = play.arrive(0, "stream", Prompt);
+        const auto claim = play.told<Claim>();
+        play.reduce(5, SchedulerAnswered {ClaimRefused {claim.claim, 40, {}}, Life});
+        CPPUNIT_ASSERT_EQUAL(std::string("rejected"), play.outcome(request));
+    }
+
+    // The scheduler dies while a stream runs, and another node takes over. It is told of the
+    // memory that the stream holds, or it would give it to somebody else.
+    void tellsANewSchedulerWhatIsHeld()
+    {
+        DispatchPlay play;
+        useScheduler(play);
+        play.arrive(0, "stream", Prompt);
+        const auto claim = play.told<Claim>();
+        play.reduce(5, SchedulerAnswered {grantOf(claim, "d1", "p1"), Life});
+        play.grant(8, play.nextCall(CallKind::Reserve));
+        play.dispatcher().setScheduler(NodeName("another"));
+        play.arrive(100, "stream", Prompt);
+        const auto second = play.told<Claim>();
+        play.reduce(105, SchedulerAnswered {ClaimQueued {second.claim}, Incarnation(2)});
+        const auto held = play.told<RoomHeld>();
+        CPPUNIT_ASSERT(held.claim == claim.claim);
+        CPPUNIT_ASSERT(held.decodeServer == ServerName("d1"));
+    }
+
+    // The caller leaves, and the grant crosses its withdrawal. Room that nobody uses must not
+    // stay granted.
+    void givesBackAGrantThatComesTooLate()
+    {
+        DispatchPlay play;
+        useScheduler(play);
+        const auto request = play.arrive(0, "stream", Prompt);
+        const auto claim = play.told<Claim>();
+        play.reduce(10, CallerLeft {request});
+        CPPUNIT_ASSERT(play.told<ClaimEnded>().end == ClaimEnd::Dropped);
+        play.reduce(12, SchedulerAnswered {grantOf(claim, "d1", "p1"), Life});
+        CPPUNIT_ASSERT(play.told<ClaimEnded>().claim == claim.claim);
+        CPPUNIT_ASSERT(!play.hasCalls());
+    }
+
+    void claimsAgainWhenTheEngineRefuses()
+    {
+        DispatchPlay play;
+        useScheduler(play);
+        play.arrive(0, "stream", Prompt);
+        const auto claim = play.told<Claim>();
+        play.reduce(5, SchedulerAnswered {grantOf(claim, "d1", "p1"), Life});
+        play.end(8, play.nextCall(CallKind::Reserve), CallEnd::NotExecuted, 503);
+        CPPUNIT_ASSERT(play.told<ClaimEnded>().end == ClaimEnd::HadNoRoom);
+        CPPUNIT_ASSERT(play.told<Claim>().claim != claim.claim);
+    }
+
+    // Callers hand on what is left of their patience. One who has clearly less than the others
+    // was turned away before, and those who can still be served in time go first.
+    void callersWhoComeBackAreToldApart()
+    {
+        DispatchPlay play;
+        useScheduler(play);
+        play.arrive(0, "stream", Prompt);
+        CPPUNIT_ASSERT(play.told<Claim>().urgency == Urgency::Fresh);
+        play.arrive(10, "stream", Prompt, std::chrono::seconds(10));
+        CPPUNIT_ASSERT(play.told<Claim>().urgency == Urgency::ComingBack);
+        play.arrive(20, "stream", Prompt, std::chrono::milliseconds(13'990));
+        CPPUNIT_ASSERT(play.told<Claim>().urgency == Urgency::Fresh);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerClaimsTest);
--- /dev/null
+++ b/tests/scheduling/engineschedulertest.cpp
@@ -0,0 +1,305 @@
+#include "scheduling/schedulingplay.h"
+
+using namespace indigoway;
+using namespace indigoway::scheduling;
+
+namespace {
+
+const NodeLife A = SchedulingPlay::node("a");
+const NodeLife B = SchedulingPlay::node("b");
+
+std::string text(const char *words)
+{
+    return words;
+}
+
+/** A claim that waits for room as long as it takes. */
+Claim patient(Claim claim)
+{
+    claim.waitsAtMost = std::chrono::seconds(9);
+    claim.untilTarget = std::chrono::seconds(9);
+    return claim;
+}
+
+Claim withUrgency(Claim claim, Urgency urgency)
+{
+    claim.urgency = urgency;
+    return claim;
+}
+
+} // namespace
+
+class EngineSchedulerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(EngineSchedulerTest);
+    CPPUNIT_TEST(givesRoomOutOnceToAllNodes);
+    CPPUNIT_TEST(sendsAPromptWhereItIsReadNext);
+    CPPUNIT_TEST(sendsNoPromptThatWouldWaitLong);
+    CPPUNIT_TEST(leavesASlowEngineOut);
+    CPPUNIT_TEST(refusesAtOnceWhatCannotBeInTime);
+    CPPUNIT_TEST(servesAPromptThatIsLateByItsLength);
+    CPPUNIT_TEST(streamsThatGoOnComeFirstAndThoseComingBackLast);
+    CPPUNIT_TEST(keepsRoomForALargeClaim);
+    CPPUNIT_TEST(answersARepeatedClaimTheSame);
+    CPPUNIT_TEST(leavesAnEngineThatRefusesThoughItIsEmpty);
+    CPPUNIT_TEST(leavesAnEngineThatCannotBeReached);
+    CPPUNIT_TEST(usesPrefillEnginesThatAllSeemBad);
+    CPPUNIT_TEST(theDecodeEngineReadsWithoutPrefillEngines);
+    CPPUNIT_TEST(freesWhatADeadNodeHeld);
+    CPPUNIT_TEST(freesWhatAnEarlierLifeHeld);
+    CPPUNIT_TEST(countsWhatNodesHoldAlready);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Two nodes want the last room of the only engine at the same moment. Nodes that choose alone
+    // would both ask the engine, and one would have made the way for nothing.
+    void givesRoomOutOnceToAllNodes()
+    {
+        SchedulingPlay play;
+        play.addEngine("d", EnginePhase::Decode);
+        play.addEngine("p", EnginePhase::Prefill);
+        play.tell(0, A, SchedulingPlay::claimOf(1, 30'000));
+        play.tell(0, B, patient(SchedulingPlay::claimOf(1, 30'000)));
+        CPPUNIT_ASSERT_EQUAL(text("d/p"), play.answer(A, 1));
+        CPPUNIT_ASSERT_EQUAL(text("queued"), play.answer(B, 1));
+        play.tell(300, A, PrefillEnded {ClaimId(1), true});
+        play.tell(400, A, ClaimEnded {ClaimId(1), ClaimEnd::Served});
+        CPPUNIT_ASSERT_EQUAL(text("d/p"), play.answer(B, 1));
+    }
+
+    void sendsAPromptWhereItIsReadNext()
+    {
+        SchedulingPlay play;
+        play.addEngine("d", EnginePhase::Decode);
+        play.addEngine("p1", EnginePhase::Prefill);
+        play.addEngine("p2", EnginePhase::Prefill);
+        play.tell(0, A, SchedulingPlay::claimOf(1, 9'000));
+        play.tell(1, B, SchedulingPlay::claimOf(1, 2'000));
+        play.tell(2, A, SchedulingPlay::claimOf(2, 2'000));
+        CPPUNIT_ASSERT_EQUAL(text("d/p1"), play.answer(A, 1));
+        CPPUNIT_ASSERT_EQUAL(text("d/p2"), play.answer(B, 1));
+        // The second engine has the shorter line, though both have one prompt.
+        CPPUNIT_ASSERT_EQUAL(text("d/p2"), play.answer(A, 2));
+    }
+
+    // Prompts come faster than they are read. One that is sent anyway lies in the engine's line
+    // while its decode memory is kept for it, and for nobody else.
+    void sendsNoPromptThatWouldWaitLong()
+    {
+        SchedulingPlay play;
+        play.addEngine("d", EnginePhase::Decode);
+        play.addEngine("p", EnginePhase::Prefill);
+        for (std::uint64_t i = 1; i <= 4; ++i) {
+            play.tell(0, A, SchedulingPlay::claimOf(i, 9'000));
+        }
+        CPPUNIT_ASSERT_EQUAL(text("d/p"), play.answer(A, 2));
+        CPPUNIT_ASSERT_EQUAL(text("queued"), play.answer(A, 3));
+        play.tick(150);
+        CPPUNIT_ASSERT_EQUAL(text("d/p"), play.answer(A, 3));
+    }
+
+    // One of two prefill engines takes five times as long. Its answers look well; its prompts are
+    // late, and it is seen by that only.
+    void leavesASlowEngineOut()
+    {
+        SchedulingPlay play;
+        play.addEngine("d", EnginePhase::Decode);
+        play.addEngine("slow", EnginePhase::Prefill);
+        play.addEngine("sound", EnginePhase::Prefill);
+        std::map<std::string, int> taken;
+        int time = 0;
+        for (std::uint64_t i = 1; i <= 40; ++i, time += 1'000) {
+            play.tell(time, A, SchedulingPlay::claimOf(i));
+            const std::string answer = play.answer(A, i);
+            ++taken[answer];
+            play.tell(time + (answer == "d/slow" ? 900 : 170), A, PrefillEnded {ClaimId(i), true});
+            play.tell(time + 950, A, ClaimEnded {ClaimId(i), ClaimEnd::Served});
+        }
+        CPPUNIT_ASSERT(taken["d/slow"] > 0);
+        CPPUNIT_ASSERT(taken["d/sound"] > 3 * taken["d/slow"]);
+    }
+
+    // A burst of twice what the engines can hold. A caller who is told now can come back in time;
+    // one who waits for a refusal has lost that time as well.
+    void refusesAtOnceWhatCannotBeInTime()
+    {
+        SchedulingPlay play;
+        play.addEngine("d", EnginePhase::Decode);
+        play.addEngine("p1", EnginePhase::Prefill);
+        play.addEngine("p2", EnginePhase::Prefill);
+        int refusedAtOnce = 0;
+        for (std::uint64_t i = 1; i <= 40; ++i) {
+            play.tell(0, A, SchedulingPlay::claimOf(i));
+            refusedAtOnce += play.answer(A, i) == "refused" ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(refusedAtOnce > 10);
+        CPPUNIT_ASSERT_EQUAL(text("queued"), play.answer(A, 11));
+    }
+
+    // The prompt alone takes longer than the target, on idle engines too. Refusing it because it
+    // will be late would refuse all such prompts for ever.
+    void servesAPromptThatIsLateByItsLength()
+    {
+        SchedulingPlay play;
+        play.addEngine("d", EnginePhase::Decode);
+        play.addEngine("p", EnginePhase::Prefill);
+        Claim claim = SchedulingPlay::claimOf(1, 48'000);
+        claim.promptTokens = 47'000;
+        claim.untilTarget = std::chrono::milliseconds(500);
+        play.tell(0, A, claim);
+        CPPUNIT_ASSERT_EQUAL(text("d/p"), play.answer(A, 1));
+    }
+
+    // The engine is full while three claims wait. Room comes free for one at a time: the stream
+    // that its caller is in the middle of, then the one that can be in time, then the one that is
+    // late already.
+    void streamsThatGoOnComeFirstAndThoseComingBackLast()
+    {
+        SchedulingPlay play;
+        play.addEngine("d", EnginePhase::Decode);
+        play.addEngine("p", EnginePhase::Prefill);
+        play.tell(0, A, SchedulingPlay::claimOf(1, 45'000));
+        const Claim any = patient(SchedulingPlay::claimOf(1, 20'000));
+        play.tell(1, B, withUrgency(any, Urgency::ComingBack));
+        play.tell(2, B, patient(SchedulingPlay::claimOf(2, 40'000)));
+        Claim goesOn = withUrgency(patient(SchedulingPlay::claimOf(3, 40'000)), Urgency::GoesOn);
+        goesOn.promptTokens = 0;
+        play.tell(3, B, goesOn);
+        play.tell(50, A, PrefillEnded {ClaimId(1), true});
+        CPPUNIT_ASSERT_EQUAL(text("queued"), play.answer(B, 3));
+        play.tell(60, A, ClaimEnded {ClaimId(1), ClaimEnd::Served});
+        CPPUNIT_ASSERT_EQUAL(text("d/"), play.answer(B, 3));
+        play.tell(100, B, ClaimEnded {ClaimId(3), ClaimEnd::Served});
+        CPPUNIT_ASSERT_EQUAL(text("d/p"), play.answer(B, 2));
+        CPPUNIT_ASSERT_EQUAL(text("queued"), play.answer(B, 1));
+    }
+
+    // Small requests come all the time, and take each piece of room that comes free. A large one
+    // would wait for ever.
+    void keepsRoomForALargeClaim()
+    {
+        SchedulingPlay play;
+        play.addEngine("d", EnginePhase::Decode);
+        for (std::uint64_t i = 1; i <= 10; ++i) {
+            play.tell(0, A, SchedulingPlay::claimOf(i));
+        }
+        Claim large = SchedulingPlay::claimOf(1, 11'000);
+        large.waitsAtMost = std::chrono::seconds(5);
+        play.tell(1, B, large);
+        int time = 200;
+        for (std::uint64_t i = 1; i <= 3; ++i, time += 10) {
+            play.tell(time, A, ClaimEnded {ClaimId(i), ClaimEnd::Served});
+            play.tell(time + 1, A, SchedulingPlay::claimOf(100 + i));
+        }
+        CPPUNIT_ASSERT_EQUAL(text("d/"), play.answer(B, 1));
+    }
+
+    // The grant's datagram is lost, and the node asks again.
+    void answersARepeatedClaimTheSame()
+    {
+        SchedulingPlay play;
+        play.addEngine("d", EnginePhase::Decode);
+        play.addEngine("p", EnginePhase::Prefill);
+        play.tell(0, A, SchedulingPlay::claimOf(1, 30'000));
+        play.forgetAnswers();
+        play.tell(60, A, SchedulingPlay::claimOf(1, 30'000));
+        CPPUNIT_ASSERT_EQUAL(text("d/p"), play.answer(A, 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, play.scheduler().granted());
+    }
+
+    // An engine changes its phase, which the scheduler does not know yet: it refuses all. Being
+    // the emptiest it would be chosen for each claim, and every request would fail for seconds.
+    void leavesAnEngineThatRefusesThoughItIsEmpty()
+    {
+        SchedulingPlay play;
+        play.addEngine("changing", EnginePhase::Decode);
+        play.addEngine("sound", EnginePhase::Decode);
+        int asked = 0;
+        for (int time = 0; time < 1'000; time += 20) {
+            const auto claim = static_cast<std::uint64_t>(time + 1);
+            play.tell(time, A, SchedulingPlay::claimOf(claim));
+            const bool isChanging = play.answer(A, claim) == "changing/";
+            asked += isChanging ? 1 : 0;
+            play.tell(
+                time + 10, A,
+                ClaimEnded {ClaimId(claim), isChanging ? ClaimEnd::HadNoRoom : ClaimEnd::Served});
+        }
+        CPPUNIT_ASSERT(asked <= 3);
+    }
+
+    // An engine has crashed; the platform tells after seconds. One node finds out, and all others
+    // need not.
+    void leavesAnEngineThatCannotBeReached()
+    {
+        SchedulingPlay play;
+        play.addEngine("crashed", EnginePhase::Decode);
+        play.addEngine("sound", EnginePhase::Decode);
+        play.tell(0, A, SchedulingPlay::claimOf(1));
+        CPPUNIT_ASSERT_EQUAL(text("crashed/"), play.answer(A, 1));
+        play.tell(5, A, ClaimEnded {ClaimId(1), ClaimEnd::Unreachable});
+        play.tell(10, B, SchedulingPlay::claimOf(1));
+        CPPUNIT_ASSERT_EQUAL(text("sound/"), play.answer(B, 1));
+    }
+
+    // A decode engine that changes its phase takes no KV cache over, whoever prefilled it. The
+    // prefill engines are all blamed; without them no request would be served.
+    void usesPrefillEnginesThatAllSeemBad()
+    {
+        SchedulingPlay play;
+        play.addEngine("d", EnginePhase::Decode);
+        play.addEngine("p", EnginePhase::Prefill);
+        play.tell(0, A, SchedulingPlay::claimOf(1));
+        play.tell(150, A, PrefillEnded {ClaimId(1), true});
+        play.tell(160, A, ClaimEnded {ClaimId(1), ClaimEnd::HandleLost});
+        play.tell(170, A, SchedulingPlay::claimOf(2));
+        CPPUNIT_ASSERT_EQUAL(text("d/p"), play.answer(A, 2));
+    }
+
+    void theDecodeEngineReadsWithoutPrefillEngines()
+    {
+        SchedulingPlay play;
+        play.addEngine("d", EnginePhase::Decode);
+        play.tell(0, A, SchedulingPlay::claimOf(1));
+        CPPUNIT_ASSERT_EQUAL(text("d/"), play.answer(A, 1));
+    }
+
+    // A node dies and tells nothing. What it held comes free when its requests have ended at the
+    // latest, or the engine would look full for ever.
+    void freesWhatADeadNodeHeld()
+    {
+        SchedulingPlay play;
+        play.addEngine("d", EnginePhase::Decode);
+        play.tell(0, A, SchedulingPlay::claimOf(1, 45'000));
+        play.tick(15'000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, play.scheduler().granted());
+        play.tell(15'001, B, SchedulingPlay::claimOf(1, 45'000));
+        CPPUNIT_ASSERT_EQUAL(text("d/"), play.answer(B, 1));
+    }
+
+    void freesWhatAnEarlierLifeHeld()
+    {
+        SchedulingPlay play;
+        play.addEngine("d", EnginePhase::Decode);
+        play.tell(0, A, SchedulingPlay::claimOf(1, 45'000));
+        const NodeLife reborn = SchedulingPlay::node("a", 2);
+        play.tell(1'000, reborn, SchedulingPlay::claimOf(1, 45'000));
+        CPPUNIT_ASSERT_EQUAL(text("d/"), play.answer(reborn, 1));
+    }
+
+    // The node that scheduled has died, and this one takes over. It knows nothing; the nodes tell
+    // it what their requests hold, or it would give the same room out again.
+    void countsWhatNodesHoldAlready()
+    {
+        SchedulingPlay play;
+        play.addEngine("d", EnginePhase::Decode);
+        play.tell(0, A,
+                  RoomHeld {ClaimId(7), ServiceName("llm"), 45'000, ServerName("d"),
+                            std::chrono::seconds(10)});
+        play.tell(1, B, patient(SchedulingPlay::claimOf(1, 20'000)));
+        CPPUNIT_ASSERT_EQUAL(text("queued"), play.answer(B, 1));
+        play.tell(50, A, ClaimEnded {ClaimId(7), ClaimEnd::Served});
+        CPPUNIT_ASSERT_EQUAL(text("d/"), play.answer(B, 1));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EngineSchedulerTest);
--- /dev/null
+++ b/tests/scheduling/schedulerchoicetest.cpp
@@ -0,0 +1,51 @@
+#include "scheduling/schedulerchoice.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace indigoway;
+using namespace indigoway::scheduling;
+
+namespace {
+
+NodeEntry node(const std::string &name, double processors, const std::string &address = "x:1")
+{
+    NodeEntry entry;
+    entry.name = NodeName(name);
+    entry.processors = processors;
+    entry.scheduling = address;
+    return entry;
+}
+
+} // namespace
+
+class SchedulerChoiceTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SchedulerChoiceTest);
+    CPPUNIT_TEST(theLargestVmSchedules);
+    CPPUNIT_TEST(amongEqualsTheFirstByName);
+    CPPUNIT_TEST(onlyNodesThatTakeClaims);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void theLargestVmSchedules()
+    {
+        const auto chosen = schedulerOf({node("a", 0.12), node("b", 0.5), node("c", 0.25)});
+        CPPUNIT_ASSERT(chosen->name == NodeName("b"));
+    }
+
+    // All nodes must agree, in whatever order they learnt of each other.
+    void amongEqualsTheFirstByName()
+    {
+        CPPUNIT_ASSERT(schedulerOf({node("b", 1), node("a", 1)})->name == NodeName("a"));
+        CPPUNIT_ASSERT(schedulerOf({node("a", 1), node("b", 1)})->name == NodeName("a"));
+    }
+
+    void onlyNodesThatTakeClaims()
+    {
+        CPPUNIT_ASSERT(schedulerOf({node("a", 1, ""), node("b", 0.1)})->name == NodeName("b"));
+        CPPUNIT_ASSERT(!schedulerOf({node("a", 1, "")}));
+        CPPUNIT_ASSERT(!schedulerOf({}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerChoiceTest);
--- /dev/null
+++ b/tests/scheduling/schedulingplay.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "scheduling/enginescheduler.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+namespace indigoway::scheduling {
+
+/** A scheduler in virtual time with its engines; a test plays the nodes that claim. */
+class SchedulingPlay
+{
+public:
+    static constexpr std::uint64_t Memory = 50'000;
+
+    SchedulingPlay()
+    {
+        RoutingState state;
+        state.version = 1;
+        Service llm;
+        llm.name = ServiceName("llm");
+        llm.engine = EngineTraits {64, Memory, std::chrono::milliseconds(500),
+                                   std::chrono::milliseconds(2000)};
+        state.services[llm.name] = llm;
+        m_routes.emplace(std::move(state));
+    }
+
+    static TimePoint at(int milliseconds)
+    {
+        return TimePoint {} + std::chrono::hours(1) + std::chrono::milliseconds(milliseconds);
+    }
+    static NodeLife node(const std::string &name, std::uint64_t life = 1)
+    {
+        return {NodeName(name), Incarnation(life)};
+    }
+
+    void addEngine(const std::string &name, EnginePhase phase, const std::string &domain = "a")
+    {
+        AnnouncedServer server;
+        server.name = ServerName(name);
+        server.service = ServiceName("llm");
+        server.address = name + ":80";
+        server.domain = DomainName(domain);
+        server.phase = phase;
+        m_servers.announce(std::move(server));
+    }
+
+    static Claim claimOf(std::uint64_t number, std::uint64_t tokens = 5'000)
+    {
+        Claim claim;
+        claim.claim = ClaimId(number);
+        claim.service = ServiceName("llm");
+        claim.domain = DomainName("a");
+        constexpr std::uint64_t LongestPrompt = 11'000;
+        claim.promptTokens = static_cast<std::uint32_t>(std::min(tokens, LongestPrompt));
+        claim.memoryTokens = tokens;
+        claim.waitsAtMost = std::chrono::milliseconds(700);
+        claim.untilTarget = std::chrono::milliseconds(900);
+        claim.lasts = std::chrono::seconds(14);
+        return claim;
+    }
+
+    void tell(int milliseconds, const NodeLife &from, const ToScheduler &message)
+    {
+        note(m_scheduler.handle(at(milliseconds), view(), from, message));
+    }
+    void tick(int milliseconds) { note(m_scheduler.tick(at(milliseconds), view())); }
+
+    /** "queued", "refused", "decode engine/prefill engine", or empty if there was no answer. */
+    std::string answer(const NodeLife &to, std::uint64_t claim) const
+    {
+        const auto it = m_answers.find({to, ClaimId(claim)});
+        return it == m_answers.end() ? std::string() : it->second;
+    }
+    void forgetAnswers() { m_answers.clear(); }
+
+    EngineScheduler &scheduler() { return m_scheduler; }
+
+private:
+    EngineScheduler::View view() const { return {m_servers, *m_routes}; }
+
+    void note(const SchedulerReplies &replies)
+    {
+        for (const SchedulerReply &reply : replies) {
+            const ClaimId claim =
+                std::visit([](const auto &one) { return one.claim; }, reply.message);
+            std::string text = "queued";
+            if (const auto *granted = std::get_if<ClaimGranted>(&reply.message)) {
+                text = granted->decodeServer.text() + "/" + granted->prefillServer.text();
+            } else if (std::holds_alternative<ClaimRefused>(reply.message)) {
+                text = "refused";
+            }
+            m_answers[{reply.to, claim}] = text;
+        }
+    }
+
+    EngineScheduler m_scheduler;
+    ServerDirectory m_servers;
+    std::optional<RouteTable> m_routes;
+    std::map<std::pair<NodeLife, ClaimId>, std::string> m_answers;
+};
+
+} // namespace indigoway::scheduling
