Learn how long claims wait, and tell callers who come back by their patience

Half of all callers were taken for coming back: callers of one route bring 11.9 to 14 s of patience from the start. And room that was kept for a large claim counted as free for all.

Change: who brings under five sixths of the longest patience comes back. Waits are compared with what was expected, and the ratio corrects the next ones. Free room counts only while nobody waits for room. request_end tells caller and patience.

--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -91,7 +91,10 @@
         + " age_ms=" + millisecondsText(step.now - request.arrived)
         + " runs=" + std::to_string(request.runs) + " server=" + request.server.text();
     if (request.isGeneration()) {
-        text += " prompt=" + std::to_string(request.facts.promptTokens) + " prefill_server="
+        text += std::string(request.isComingBack ? " caller=coming_back" : " caller=fresh")
+            + " patience_ms="
+            + (request.facts.patience ? millisecondsText(*request.facts.patience) : "-")
+            + " prompt=" + std::to_string(request.facts.promptTokens) + " prefill_server="
             + request.prefillServer.text() + " decode_server=" + request.decodeServer.text()
             + " room_after_ms=" + elapsedText(request.arrived, request.roomAt)
             + " prefilled_after_ms=" + elapsedText(request.arrived, request.prefilledAt)
--- a/src/dispatch/patienceseen.cpp
+++ b/src/dispatch/patienceseen.cpp
@@ -4,8 +4,11 @@
 
 namespace {
 
-/** Callers who are told to come back do so after a second at the least. */
-constexpr Duration ClearlyLess = std::chrono::milliseconds(700);
+/**
+ * Of the longest: callers of one route were seen to differ by a sixth from the start. Who comes
+ * back after some seconds of fourteen has less; who does so sooner passes for new.
+ */
+constexpr double ClearlyLess = 0.83;
 
 } // namespace
 
@@ -17,7 +20,7 @@
     const Duration patience = *request.facts.patience;
     Duration &most = m_most[request.route->name];
     most = std::max(most, patience);
-    return patience + ClearlyLess < most;
+    return static_cast<double>(patience.count()) < ClearlyLess * static_cast<double>(most.count());
 }
 
 } // namespace indigoway::dispatch
--- a/src/edge/schedulingexchange.cpp
+++ b/src/edge/schedulingexchange.cpp
@@ -22,8 +22,8 @@
              [this](const DatagramAddress &from, const std::string &text) { received(from, text); })
     , m_timer(event_new(
           base, -1, 0,
-          [](evutil_socket_t, short, void *self_) {
-              static_cast<SchedulingExchange *>(self_)->tick();
+          [](evutil_socket_t, short, void *exchange) {
+              static_cast<SchedulingExchange *>(exchange)->tick();
           },
           this))
 { }
--- a/src/scheduling/enginescheduler.cpp
+++ b/src/scheduling/enginescheduler.cpp
@@ -18,6 +18,12 @@
 constexpr Duration KeepRoomAfter = std::chrono::milliseconds(100);
 /** Beyond the target, where the first event is expected: estimates err, and refusals do not. */
 constexpr Duration HopelessBeyond = std::chrono::milliseconds(100);
+/** Shorter ones say more about messages on their way than about the engines. */
+constexpr Duration WaitWorthLearning = std::chrono::milliseconds(20);
+/** Room comes free in pieces that fit nobody, and later claims go first: by how much is learnt. */
+constexpr double WaitRatioWeight = 0.05;
+constexpr double LeastWaitRatio = 0.5;
+constexpr double MostWaitRatio = 6;
 /** How long a grant is held before one has ended: a prompt read, some seventy events. */
 constexpr double SecondsHeldAtFirst = 3;
 /** Of a sample; some twenty make up the average. */
@@ -95,7 +101,7 @@
         replies.push_back({key.owner, ClaimRefused {key.claim, expected.ahead, expected.forRoom}});
         return;
     }
-    m_waiting.emplace(key, Waiting {claim, now, now + claim.untilTarget});
+    m_waiting.emplace(key, Waiting {claim, now, now + claim.untilTarget, expected.forRoom});
 }
 
 void EngineScheduler::take(TimePoint now, const Key &key, const RoomHeld &held)
@@ -209,12 +215,24 @@
         const Duration waited = now - one.second.since;
         const bool isOver = waited > one.second.claim.waitsAtMost;
         if (isOver) {
+            learnWait(one.second, waited);
             replies.push_back({one.first.owner, ClaimRefused {one.first.claim, 0, waited}});
         }
         return isOver;
     });
 }
 
+void EngineScheduler::learnWait(const Waiting &waiting, Duration waited)
+{
+    if (waiting.expected < WaitWorthLearning) {
+        return;
+    }
+    const double sample =
+        static_cast<double>(waited.count()) / static_cast<double>(waiting.expected.count());
+    double &ratio = m_waitRatio.try_emplace(waiting.claim.urgency, 1).first->second;
+    ratio += WaitRatioWeight * (std::clamp(sample, LeastWaitRatio, MostWaitRatio) - ratio);
+}
+
 bool EngineScheduler::goesBefore(const Claim &first, const Claim &second)
 {
     return first.urgency <= second.urgency;
@@ -228,7 +246,50 @@
     if (!service || !service->engine) {
         return result;
     }
-    const std::uint64_t memory = service->engine->memoryTokens;
+    Ahead ahead;
+    for (const auto &[key, waiting] : m_waiting) {
+        if (waiting.claim.service == claim.service && goesBefore(waiting.claim, claim)) {
+            ++result.ahead;
+            ahead.memoryTokens += waiting.claim.memoryTokens;
+            ahead.prefillWork += EngineLedger::healthyWork(waiting.claim.promptTokens);
+        }
+    }
+    const PrefillOutlook prefill = prefillOutlook(now, view, claim, ahead);
+    // Those who wait though a prompt would be read at once wait for room: what is free is too
+    // small for them, or kept for one of them.
+    const bool isRoomShort = result.ahead > 0 && prefill.leastWait <= MostPrefillWait;
+    result.forRoom = waitForRoom(now, view, claim, ahead.memoryTokens,
+                                 service->engine->memoryTokens, isRoomShort);
+    // While it waits for room, the prompts before it are read.
+    const Duration least = m_ledger.prefillTime(ServerName(), claim.promptTokens, now);
+    result.firstEvent =
+        std::max(prefill.untilRead, result.forRoom + least) + FirstEventAfterPrefill;
+    return result;
+}
+
+EngineScheduler::PrefillOutlook EngineScheduler::prefillOutlook(TimePoint now, const View &view,
+                                                                const Claim &claim,
+                                                                const Ahead &ahead) const
+{
+    const auto engines =
+        usablePrefill(now, view.servers.candidates(claim.service, EnginePhase::Prefill, now));
+    if (engines.empty() || claim.promptTokens == 0) {
+        return {};
+    }
+    PrefillOutlook result {Duration::max(), Duration::max()};
+    for (const AnnouncedServer *server : engines) {
+        result.leastWait = std::min(result.leastWait, m_ledger.prefillWait(server->name, now));
+        result.untilRead =
+            std::min(result.untilRead, m_ledger.prefillTime(server->name, claim.promptTokens, now));
+    }
+    result.untilRead += ahead.prefillWork / static_cast<Duration::rep>(engines.size());
+    return result;
+}
+
+Duration EngineScheduler::waitForRoom(TimePoint now, const View &view, const Claim &claim,
+                                      std::uint64_t tokensAhead, std::uint64_t memory,
+                                      bool isRoomShort) const
+{
     double free = 0;
     double all = 0;
     for (const auto *server : view.servers.candidates(claim.service, EnginePhase::Decode, now)) {
@@ -240,36 +301,15 @@
         // What is too small for this claim is no room for it.
         free += charged + claim.memoryTokens <= memory ? static_cast<double>(memory - charged) : 0;
     }
-    double wanted = static_cast<double>(claim.memoryTokens);
-    Duration prompts {};
-    for (const auto &[key, waiting] : m_waiting) {
-        if (waiting.claim.service == claim.service && goesBefore(waiting.claim, claim)) {
-            ++result.ahead;
-            wanted += static_cast<double>(waiting.claim.memoryTokens);
-            prompts += EngineLedger::healthyWork(waiting.claim.promptTokens);
-        }
+    const double wanted =
+        static_cast<double>(tokensAhead + claim.memoryTokens) - (isRoomShort ? 0 : free);
+    if (all <= 0 || wanted <= 0) {
+        return Duration(0);
     }
-    if (all > 0 && wanted > free) {
-        const double seconds = (wanted - free) / all * m_secondsHeld;
-        result.forRoom =
-            std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-    }
-    const auto prefill =
-        usablePrefill(now, view.servers.candidates(claim.service, EnginePhase::Prefill, now));
-    Duration forPrefill = Duration::max();
-    for (const AnnouncedServer *server : prefill) {
-        forPrefill =
-            std::min(forPrefill, m_ledger.prefillTime(server->name, claim.promptTokens, now));
-    }
-    if (prefill.empty() || claim.promptTokens == 0) {
-        forPrefill = Duration(0);
-    } else {
-        forPrefill += prompts / static_cast<Duration::rep>(prefill.size());
-    }
-    // While it waits for room, the prompts before it are read.
-    const Duration least = m_ledger.prefillTime(ServerName(), claim.promptTokens, now);
-    result.firstEvent = std::max(forPrefill, result.forRoom + least) + FirstEventAfterPrefill;
-    return result;
+    const auto ratio = m_waitRatio.find(claim.urgency);
+    const double seconds =
+        wanted / all * m_secondsHeld * (ratio == m_waitRatio.end() ? 1 : ratio->second);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
 std::vector<EngineScheduler::Key> EngineScheduler::order(TimePoint now,
@@ -322,6 +362,7 @@
         for (const Key &key : order(now, name)) {
             const auto it = m_waiting.find(key);
             if (tryGrant(now, pass, key, it->second, replies)) {
+                learnWait(it->second, now - it->second.since);
                 m_waiting.erase(it);
             } else if (pass.isPrefillFull) {
                 break;
--- a/src/scheduling/enginescheduler.h
+++ b/src/scheduling/enginescheduler.h
@@ -65,6 +65,7 @@
         Claim claim;
         TimePoint since {};
         TimePoint target {};
+        Duration expected {}; ///< How long it was thought to wait for room when it came.
     };
     struct Granted
     {
@@ -95,7 +96,25 @@
         Duration firstEvent {}; ///< From now; the wait included.
     };
     Outlook outlook(TimePoint now, const View &view, const Claim &claim) const;
+    /** Of the claims that go before one. */
+    struct Ahead
+    {
+        std::uint64_t memoryTokens = 0;
+        Duration prefillWork {};
+    };
+    struct PrefillOutlook
+    {
+        Duration leastWait {}; ///< At the engine with the shortest line.
+        Duration untilRead {}; ///< Of the claim's prompt, if it is sent after those ahead.
+    };
+    PrefillOutlook prefillOutlook(TimePoint now, const View &view, const Claim &claim,
+                                  const Ahead &ahead) const;
+    /** @p isRoomShort: what is free now is not for this claim. */
+    Duration waitForRoom(TimePoint now, const View &view, const Claim &claim,
+                         std::uint64_t tokensAhead, std::uint64_t memory, bool isRoomShort) const;
     static bool goesBefore(const Claim &first, const Claim &second);
+    /** A claim that had to wait has been granted, or refused, after @p waited. */
+    void learnWait(const Waiting &waiting, Duration waited);
     void grant(TimePoint now, const View &view, SchedulerReplies &replies);
     /** Keys of those that wait for @p service, in the order in which they are served. */
     std::vector<Key> order(TimePoint now, const ServiceName &service) const;
@@ -128,6 +147,8 @@
     WaitingMap m_waiting;
     std::map<Key, Granted> m_granted;
     double m_secondsHeld; ///< Moving average of how long a grant is held.
+    /** Real waits for room against those expected, by urgency; moving averages. */
+    std::map<Urgency, double> m_waitRatio;
 };
 
 } // namespace indigoway::scheduling
