Soak the real nodes in faults from outside

Change: tests/soak starts a stand-in of the platform and three nodes, puts proxies before the store, the callers' side and each backend server, and delays, holds up one way, silences and resets connections; kills, stops and continues, ends and restarts nodes; takes the store away; changes the desired state. Callers keep connections and check each byte; the backend servers count runs. The stand-in's reservations and results lapse now, have ids of their own, and can be announced behind proxies.

Not covered: clocks (the nodes use steady clocks only), the way between nodes.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= 8
 SOURCES = $(shell git ls-files -co --exclude-standard '*.cpp' '*.h')
 
-.PHONY: packages build demo test sanitize format format-check tidy bench
+.PHONY: packages build demo test soak sanitize format format-check tidy bench
 
 packages:
 	bash scripts/packages.sh
@@ -24,6 +24,12 @@
 	cmake --build build-sanitize -j $(JOBS)
 	ctest --test-dir build-sanitize --output-on-failure -j 4
 
+# Fault soak of real processes: make soak SEEDS=50, or from another seed on: make soak FROM=100
+SEEDS ?= 10
+FROM ?= 1
+soak: build
+	python3 tests/soak/soak.py --build $(BUILD) --seed $(FROM) --runs $(SEEDS)
+
 format:
 	clang-format -i $(SOURCES)
 
--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs what the build needs, from Debian's packages. Does nothing where all is there.
 set -eu
-PACKAGES="build-essential cmake ninja-build pkg-config clang-format clang-tidy curl
+PACKAGES="build-essential cmake ninja-build pkg-config python3 clang-format clang-tidy curl
     libevent-dev libboost-dev libabsl-dev libspdlog-dev libfmt-dev libcppunit-dev librapidcheck-dev
     libjsoncpp-dev libjsonrpccpp-dev libxxhash-dev tao-pegtl-dev libssl-dev libhttp-parser-dev"
 missing=""
--- a/standins/sharedplatform.cpp
+++ b/standins/sharedplatform.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/escaping.h>
 
 #include <algorithm>
+#include <cstdio>
 
 namespace indigoway::standins {
 
@@ -18,6 +19,7 @@
 constexpr int StreamEvents = 6;
 constexpr std::chrono::milliseconds BetweenEvents {60};
 constexpr std::chrono::milliseconds PlainWork {10};
+constexpr std::chrono::milliseconds HandleKept {500};
 
 std::uint64_t numberParameter(const HttpRequest &request, const char *name)
 {
@@ -26,7 +28,7 @@
 
 } // namespace
 
-SharedPlatform::SharedPlatform(EventLoop &loop)
+SharedPlatform::SharedPlatform(EventLoop &loop, std::vector<std::string> announced)
     : m_loop(loop)
     , m_server(
           loop.base(), HttpLimits {.idle = std::chrono::seconds(60)},
@@ -34,6 +36,7 @@
           [this](ExchangeNumber exchange) {
               std::erase_if(m_watches, [&](const Watch &one) { return one.exchange == exchange; });
           })
+    , m_announced(std::move(announced))
 { }
 
 std::optional<std::string> SharedPlatform::listenOn(const std::string &address)
@@ -248,7 +251,7 @@
         put(key, jsonText(entry));
     }
     Json::Value answer;
-    answer["held"] = m_held;
+    answer["held"] = Json::UInt64(m_held.size());
     answer["runs"] = Json::objectValue;
     for (const auto &[id, runs] : m_runs) {
         answer["runs"][id] = runs;
@@ -269,7 +272,11 @@
     added.address = added.server->listenOn("127.0.0.1:0").value_or("");
     Json::Value entry;
     entry["service"] = phase.empty() ? "web" : "llm";
-    entry["address"] = added.address;
+    const std::size_t index = m_workers.size();
+    if (index < m_announced.size()) {
+        std::printf("worker%zu %s\n", index, added.address.c_str());
+    }
+    entry["address"] = index < m_announced.size() ? m_announced[index] : added.address;
     entry["zone"] = "hall-a";
     entry["capacity"] = 8;
     entry["state"] = "ready";
@@ -280,6 +287,14 @@
     m_workers.push_back(std::move(worker));
 }
 
+std::string SharedPlatform::hold(std::chrono::milliseconds lifetime)
+{
+    const std::string id = "h" + std::to_string(++m_lastHold);
+    m_held.insert(id);
+    m_loop.after(lifetime, [this, id] { unhold(id); });
+    return id;
+}
+
 void SharedPlatform::work(Worker &worker, const HttpRequest &request)
 {
     HttpServer &server = *worker.server;
@@ -288,19 +303,24 @@
     if (request.header("Indigoway-Expect-Instance") != worker.name) {
         reply(server, request, Misdirected, "{}", {{"Indigoway-Not-Executed", "1"}});
     } else if (request.path == "/hold-take") {
-        ++m_held;
-        reply(server, request, Ok, "{\"hold\":\"r\"}");
+        const std::uint64_t lifetime = numberMember(parseJson(request.body), "ttl_ms");
+        reply(server, request, Ok,
+              "{\"hold\":\"" + hold(std::chrono::milliseconds(lifetime)) + "\"}");
     } else if (request.path.starts_with("/hold-drop/") || request.path.starts_with("/kv-handle/")) {
-        --m_held;
-        reply(server, request, Ok, "{}");
+        const std::string held = request.path.substr(request.path.rfind('/') + 1);
+        reply(server, request, unhold(held) ? Ok : NotFound, "{}");
     } else if (request.path == "/report") {
         reply(server, request, Ok, "{\"busy\":false,\"sequence\":0}");
     } else if (request.header("Indigoway-Serving-Phase") == "prefill") {
-        ++m_held;
-        reply(server, request, Ok, "{\"kv_handle\":\"h\",\"tokens\":1,\"version\":1}", headers);
+        reply(server, request, Ok,
+              "{\"kv_handle\":\"" + hold(HandleKept) + "\",\"tokens\":1,\"version\":1}", headers);
     } else if (!worker.phase.empty()) {
-        m_held -= request.header("Indigoway-Kv-Hold").empty() ? 0 : 1;
-        m_held -= request.header("Indigoway-Kv-Source").empty() ? 0 : 1;
+        const std::string source = request.header("Indigoway-Kv-Source");
+        unhold(request.header("Indigoway-Kv-Hold"));
+        if (!source.empty() && !unhold(source.substr(source.rfind('/') + 1))) {
+            reply(server, request, ServiceUnavailable, "{}", {{"Indigoway-Not-Executed", "1"}});
+            return;
+        }
         ++m_runs[id];
         headers.emplace_back("Indigoway-Server-Stamp", "stamp-" + worker.name);
         headers.emplace_back("Content-Type", "text/event-stream");
--- a/standins/sharedplatform.h
+++ b/standins/sharedplatform.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,7 +25,8 @@
 class SharedPlatform
 {
 public:
-    explicit SharedPlatform(EventLoop &loop);
+    /** @p announced: addresses that the servers announce in place of their own, if any. */
+    SharedPlatform(EventLoop &loop, std::vector<std::string> announced);
 
     /** The service's address; nothing if it cannot be listened on. */
     std::optional<std::string> listenOn(const std::string &address);
@@ -71,6 +73,9 @@
     void put(const std::string &key, const std::string &text, std::uint64_t lease = 0);
     void remove(const std::string &key);
     void changed(const std::string &key, bool isRemoval);
+    /** A reservation or result under a new id, which lapses if it is not used. */
+    std::string hold(std::chrono::milliseconds lifetime);
+    bool unhold(const std::string &id) { return m_held.erase(id) > 0; }
     void control(const HttpRequest &request);
     void addWorker(const std::string &name, const std::string &phase);
     void work(Worker &worker, const HttpRequest &request);
@@ -90,7 +95,9 @@
     std::map<std::uint64_t, Lease> m_leases;
     std::vector<std::unique_ptr<Worker>> m_workers;
     std::map<std::string, std::uint32_t> m_runs; ///< By a caller's id.
-    std::uint32_t m_held = 0;                    ///< Reservations and handles not given back.
+    std::set<std::string> m_held;                ///< Reservations and handles not given back.
+    std::uint64_t m_lastHold = 0;
+    std::vector<std::string> m_announced;
 };
 
 } // namespace indigoway::standins
--- /dev/null
+++ b/tests/processes/soak.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Two short runs of the fault soak, and each seed that ever failed (tests/soak/failed-seeds).
+. "$(dirname "$0")/common.sh"
+SEEDS="1 2 $(grep -o '^[0-9]*' tests/soak/failed-seeds)"
+for seed in $SEEDS; do
+    python3 tests/soak/soak.py --build "$BUILD" --seed "$seed" --logs "$RUN" || fail "soak of seed $seed"
+done
+echo "OK"
--- /dev/null
+++ b/tests/soak/faultproxy.py
@@ -0,0 +1,83 @@
+"""A TCP proxy on loopback whose connections a soak can delay, hold up one way, silence and reset."""
+
+import asyncio
+import socket
+import struct
+
+CHUNK = 65536
+# Longest time that a held-up direction waits before it looks again.
+LOOK_EVERY_S = 0.02
+
+
+class FaultProxy:
+    """Forwards to `target`, which may be set after the proxy listens."""
+
+    def __init__(self):
+        self.target = None
+        self.delay_s = 0.0
+        self.holds_up = set()  # Directions whose bytes wait: "to_server", "to_client".
+        self._server = None
+        self._writers = set()
+
+    async def listen(self):
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        return self.address
+
+    def reset_all(self):
+        """Ends every connection with a reset, as a crashed peer does."""
+        for writer in list(self._writers):
+            abort(writer)
+
+    async def close(self):
+        self.holds_up.clear()
+        self._server.close()
+        self.reset_all()
+
+    async def _accept(self, reader, writer):
+        host, port = self.target.rsplit(":", 1)
+        try:
+            to_server = await asyncio.open_connection(host, int(port))
+        except OSError:
+            abort(writer)
+            return
+        writers = {writer, to_server[1]}
+        self._writers |= writers
+        try:
+            await asyncio.gather(
+                self._pump(reader, to_server[1], "to_server"),
+                self._pump(to_server[0], writer, "to_client"),
+            )
+        except asyncio.CancelledError:
+            abort(writer)  # The soak is over.
+        self._writers -= writers
+
+    async def _pump(self, reader, writer, direction):
+        try:
+            while True:
+                data = await reader.read(CHUNK)
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                # Bytes of a connection are never dropped: a network delivers them late or resets.
+                while direction in self.holds_up:
+                    await asyncio.sleep(LOOK_EVERY_S)
+                if not data:
+                    if writer.can_write_eof():
+                        writer.write_eof()
+                    return
+                writer.write(data)
+                await writer.drain()
+        except (OSError, RuntimeError):
+            abort(writer)
+
+
+def abort(writer):
+    """Closes with a reset."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        except OSError:
+            pass  # It is closed already, which is what is wanted.
+    writer.transport.abort()
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,120 @@
+"""Faults in series that overlap: each strikes, lasts and is undone, and is written down."""
+
+import asyncio
+import signal
+
+# A new process needs some time to be of use; faults in between would only keep it down.
+RESTART_PAUSE_S = 0.3
+
+
+class Faults:
+    """Strikes at random and remembers which nodes were touched, and when."""
+
+    def __init__(self, random, clock, platform, nodes, log):
+        self.random = random
+        self.clock = clock
+        self.platform = platform
+        self.nodes = nodes
+        self.log = log
+        self.touched = []  # (node or None for all, from, to)
+        self.problems = []
+        self._busy = set()  # Nodes whose process is being ended or started.
+        self._kinds = [
+            self.kill, self.kill, self.leave, self.pause, self.pause, self.herd_kill,
+            self.store_link, self.store_link, self.caller_link, self.worker_link, self.worker_link,
+            self.outage, self.change,
+        ]
+
+    async def run(self, until):
+        tasks = []
+        while self.clock() < until:
+            fault = self.random.choice(self._kinds)
+            tasks.append(asyncio.create_task(self._strike(fault)))
+            await asyncio.sleep(self.random.uniform(0.1, 0.9))
+        await asyncio.gather(*tasks)
+
+    async def _strike(self, fault):
+        node = self.random.choice(self.nodes)
+        start = self.clock()
+        record = [None if fault in (self.worker_link, self.outage, self.herd_kill) else node,
+                  start, float("inf")]
+        self.touched.append(record)
+        self.log.write(f"fault {start:.2f} {fault.__name__} {node.name}\n")
+        await fault(node)
+        record[2] = self.clock()
+
+    def was_touched(self, node, start, end):
+        """Whether a fault could have reached a request at this node in that time."""
+        return any(
+            one[0] in (None, node) and one[1] <= end and one[2] >= start for one in self.touched
+        )
+
+    async def kill(self, node):
+        if node in self._busy:
+            return
+        self._busy.add(node)
+        node.is_expected_to_end = True
+        await node.kill()
+        await asyncio.sleep(self.random.uniform(0.05, 1.5))
+        await node.start()
+        await asyncio.sleep(RESTART_PAUSE_S)
+        self._busy.discard(node)
+
+    async def herd_kill(self, _):
+        await asyncio.gather(*(self.kill(node) for node in self.nodes if self.random.random() < 0.7))
+
+    async def leave(self, node):
+        if node in self._busy:
+            return
+        self._busy.add(node)
+        status = await node.leave()
+        if status != 0 and not node.is_stopped:
+            self.problems.append(f"{node.name} left with {status}")
+        if status is None:
+            await node.kill()
+        await node.start()
+        await asyncio.sleep(RESTART_PAUSE_S)
+        self._busy.discard(node)
+
+    async def pause(self, node):
+        if node in self._busy:
+            return
+        self._busy.add(node)
+        node.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.2, 3.0))
+        node.signal(signal.SIGCONT)
+        self._busy.discard(node)
+
+    async def _link(self, proxy):
+        kind = self.random.choice(["delay", "reset", "to_server", "to_client", "silence"])
+        lasts = self.random.uniform(0.2, 2.5)
+        if kind == "reset":
+            proxy.reset_all()
+            return
+        if kind == "delay":
+            proxy.delay_s = self.random.uniform(0.02, 0.3)
+        else:
+            proxy.holds_up |= {"to_server", "to_client"} if kind == "silence" else {kind}
+        await asyncio.sleep(lasts)
+        proxy.delay_s = 0.0
+        proxy.holds_up.clear()
+        if self.random.random() < 0.5:
+            proxy.reset_all()
+
+    async def store_link(self, node):
+        await self._link(node.store)
+
+    async def caller_link(self, node):
+        await self._link(node.callers)
+
+    async def worker_link(self, _):
+        await self._link(self.random.choice(self.platform.workers))
+
+    async def outage(self, _):
+        await self.platform.control({"down": True})
+        await asyncio.sleep(self.random.uniform(0.3, 4.0))
+        await self.platform.control({"down": False})
+
+    async def change(self, _):
+        self.platform.version += self.random.randint(1, 3)
+        await self.platform.control({"version": self.platform.version, "prefix": "/extra/"})
--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,130 @@
+"""The real programs as separate processes: a stand-in of the platform and some nodes."""
+
+import asyncio
+import json
+import os
+import signal
+import urllib.request
+
+from faultproxy import FaultProxy
+
+WORKERS = 5  # Of the stand-in: two plain ones, one prefill and two decode engines.
+START_LIMIT_S = 20
+LEAVE_LIMIT_S = 9.5  # A node ends within 8 s of SIGTERM.
+
+
+class Process:
+    """One process; its lines are kept, its exit is expected or a finding."""
+
+    def __init__(self, name, words, log):
+        self.name = name
+        self.words = words
+        self.log = log
+        self.lines = []
+        self.process = None
+        self.is_stopped = False
+        self._reader = None
+
+    async def start(self):
+        self.lines = []
+        self.is_stopped = False
+        self.process = await asyncio.create_subprocess_exec(
+            *self.words, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT
+        )
+        self._reader = asyncio.create_task(self._read(self.process.stdout))
+
+    async def _read(self, stream):
+        while line := await stream.readline():
+            text = line.decode(errors="replace").rstrip()
+            self.lines.append(text)
+            self.log.write(f"{self.name} {text}\n")
+
+    def signal(self, number):
+        """By the id of a process that this soak started."""
+        if self.process.returncode is None:
+            os.kill(self.process.pid, number)
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                self.is_stopped = number == signal.SIGSTOP
+
+    async def kill(self):
+        if self.process is not None:
+            self.signal(signal.SIGKILL)
+            await self.process.wait()
+
+
+class Node(Process):
+    """An entry VM's process, with proxies on its way to the store and on its callers' way to it."""
+
+    def __init__(self, name, build, log):
+        super().__init__(name, [], log)
+        self.build = build
+        self.store = FaultProxy()
+        self.callers = FaultProxy()
+        self.lives = 0
+        self.is_expected_to_end = False
+
+    async def start(self):
+        self.words = [
+            f"{self.build}/indigoway-edge",
+            f"--node={self.name}",
+            "--domain=hall-a",
+            *(f"--{one}=127.0.0.1:0" for one in
+              ("callers", "readiness", "directory", "control", "metrics", "scheduling")),
+            f"--store={self.store.address}",
+        ]
+        self.is_expected_to_end = False
+        self.lives += 1
+        await super().start()
+        started = await self.wait_for_line('"kind":"start"')
+        self.callers.target = json.loads(started)["callers"]
+
+    async def wait_for_line(self, words):
+        for _ in range(START_LIMIT_S * 50):
+            for line in self.lines:
+                if words in line:
+                    return line
+            if self.process.returncode is not None:
+                break
+            await asyncio.sleep(0.02)
+        raise RuntimeError(f"{self.name} did not write {words}")
+
+    async def leave(self):
+        """SIGTERM; the exit status, or None if the process was still there at its limit."""
+        self.is_expected_to_end = True
+        self.signal(signal.SIGTERM)
+        try:
+            return await asyncio.wait_for(self.process.wait(), LEAVE_LIMIT_S)
+        except asyncio.TimeoutError:
+            return None
+
+
+class Platform(Process):
+    """The stand-in of the platform's store and backend servers, each behind a proxy."""
+
+    def __init__(self, build, log):
+        super().__init__("platform", [], log)
+        self.build = build
+        self.workers = [FaultProxy() for _ in range(WORKERS)]
+        self.address = None
+        self.version = 1
+
+    async def start(self):
+        announced = [await proxy.listen() for proxy in self.workers]
+        self.words = [f"{self.build}/indigoway-sharedplatform", f"--announce={','.join(announced)}"]
+        await super().start()
+        while len(self.lines) < 1 + WORKERS:
+            await asyncio.sleep(0.02)
+        for line in self.lines:
+            name, _, address = line.rpartition(" ")
+            if name:
+                self.workers[int(name.removeprefix("worker"))].target = address
+            else:
+                self.address = address
+
+    async def control(self, change):
+        """Sends a change to the stand-in; what it knows of runs and of what is held."""
+        request = urllib.request.Request(
+            f"http://{self.address}/control", data=json.dumps(change).encode()
+        )
+        answer = await asyncio.to_thread(urllib.request.urlopen, request, timeout=5)
+        return json.load(answer)
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,168 @@
+#!/usr/bin/env python3
+"""Fault soak: real processes, faults from outside, and the promises checked from what callers and
+backend servers see.
+
+    tests/soak/soak.py --build build --seed 7            one run; its log is kept if it fails
+    tests/soak/soak.py --build build --seed 1 --runs 50  seeds 1 to 50, some at a time
+
+A seed fixes which faults strike and when they are due; processes and their timing are real. What
+is checked: every answer is the caller's own, and whole or visibly cut; nothing runs twice; what
+was refused as not run never runs; nothing is silent beyond a caller's patience on a node that no
+fault touched; a node that leaves cuts no stream; no process ends by itself; and when the faults
+are over, all nodes serve and no engine memory is held.
+"""
+
+import argparse
+import asyncio
+import pathlib
+import random
+import sys
+import tempfile
+import time
+
+from callers import Caller, NOT_RUN
+from faults import Faults
+from fleet import Node, Platform
+
+FAULTS_S = 8.0
+# Leases of killed nodes end, and what they held at engines lapses.
+SETTLE_S = 4.5
+CALLERS_A_NODE = 3
+PROBES_A_NODE = 6
+
+
+async def wait_until_served(caller, clock, limit):
+    while clock() < limit:
+        outcome = await caller.request(False)
+        if outcome.status == 200:
+            return True
+        await asyncio.sleep(0.1)
+    return False
+
+
+def broken_promises(outcomes, runs, faults):
+    """What each request's caller and the backend servers saw, against the promises."""
+    for one in outcomes:
+        count = runs.get(one.id, 0)
+        if one.problem:
+            yield f"{one.id} on {one.node.name}: {one.problem}"
+        if count > 1:
+            yield f"{one.id} ran {count} times"
+        if one.status in NOT_RUN and count:
+            yield f"{one.id} was answered {one.status} and ran"
+        if one.status == 404:
+            yield f"{one.id} on {one.node.name}: a route that exists was not found"
+        calm = not faults.was_touched(one.node, one.started - 0.5, one.ended)
+        if calm and one.status == "silent":
+            yield f"{one.id} on {one.node.name}: no answer, and no fault there"
+        if calm and one.status == 200 and not one.is_whole:
+            yield f"{one.id} on {one.node.name}: cut after {one.events} events, and no fault there"
+
+
+async def settle(platform, nodes, chance, clock, problems):
+    """When the faults are over: all nodes serve, and nothing is held."""
+    outcomes = []
+    for node in nodes:
+        caller = Caller(f"after-{node.name}", node, chance, clock)
+        if not await wait_until_served(caller, clock, clock() + SETTLE_S):
+            problems.append(f"{node.name} does not serve {SETTLE_S} s after the last fault")
+    await asyncio.sleep(1.0)
+    for node in nodes:
+        caller = Caller(f"probe-{node.name}", node, chance, clock)
+        for i in range(PROBES_A_NODE):
+            outcome = await caller.request(i % 2 == 0)
+            outcomes.append(outcome)
+            if outcome.status != 200 or not outcome.is_whole:
+                problems.append(f"{outcome.id}: {outcome.status} after all faults were over")
+    for _ in range(60):
+        known = await platform.control({})
+        if known["held"] == 0:
+            return outcomes, known["runs"]
+        await asyncio.sleep(0.1)
+    problems.append(f"engines still hold {known['held']} reservations or results")
+    return outcomes, known["runs"]
+
+
+async def soak(build, seed, count, log):
+    chance = random.Random(seed)
+    begun = time.monotonic()
+
+    def clock():
+        return time.monotonic() - begun
+
+    platform = Platform(build, log)
+    nodes = [Node(f"n{i}", build, log) for i in range(1, count + 1)]
+    try:
+        return await play(platform, nodes, seed, chance, clock, log)
+    finally:
+        for process in [*nodes, platform]:
+            await process.kill()
+
+
+async def play(platform, nodes, seed, chance, clock, log):
+    await platform.start()
+    for node in nodes:
+        node.store.target = platform.address
+        await node.store.listen()
+        await node.callers.listen()
+        await node.start()
+    faults = Faults(chance, clock, platform, nodes, log)
+    problems = faults.problems
+    for node in nodes:
+        first = Caller(f"before-{node.name}", node, chance, clock)
+        if not await wait_until_served(first, clock, clock() + 10):
+            problems.append(f"{node.name} never served")
+    until = clock() + FAULTS_S
+    callers = [
+        Caller(f"c{i}-{node.name}", node, random.Random(f"{seed}/{node.name}/{i}"), clock)
+        for node in nodes for i in range(CALLERS_A_NODE)
+    ]
+    await asyncio.gather(faults.run(until), *(caller.run(until + 1.0) for caller in callers))
+    for node in nodes:
+        if node.process.returncode is not None:
+            problems.append(f"{node.name} ended by itself with {node.process.returncode}")
+    outcomes, runs = await settle(platform, nodes, chance, clock, problems)
+    outcomes += [one for caller in callers for one in caller.outcomes]
+    for one in outcomes:
+        log.write(f"request {one.id} {one.node.name} {one.started:.2f} {one.ended:.2f} {one.status} "
+                  f"events={one.events} whole={one.is_whole} runs={runs.get(one.id, 0)}\n")
+    problems += broken_promises(outcomes, runs, faults)
+    served = sum(one.status == 200 and one.is_whole for one in outcomes)
+    return problems, f"{served} of {len(outcomes)} served, {len(faults.touched)} faults"
+
+
+async def run_seed(options, seed, limit):
+    async with limit:
+        path = pathlib.Path(options.logs) / f"soak-{seed}.log"
+        with open(path, "w", encoding="utf-8") as log:
+            problems, summary = await soak(options.build, seed, options.nodes, log)
+            for problem in problems:
+                log.write(f"problem {problem}\n")
+        print(f"seed {seed}: {'FAILED' if problems else 'ok'}, {summary}", flush=True)
+        for problem in problems[:10]:
+            print(f"    {problem}")
+        if problems:
+            print(f"    log: {path}")
+        else:
+            path.unlink()
+        return not problems
+
+
+async def main():
+    parser = argparse.ArgumentParser(description="Fault soak of indigoway-edge.")
+    parser.add_argument("--build", default="build", help="folder with the programs")
+    parser.add_argument("--seed", type=int, default=1, help="the first seed")
+    parser.add_argument("--runs", type=int, default=1, help="how many seeds")
+    parser.add_argument("--nodes", type=int, default=3, help="nodes a run")
+    parser.add_argument("--at-once", type=int, default=4, help="runs at a time")
+    parser.add_argument("--logs", default=tempfile.gettempdir(), help="folder for logs of failed runs")
+    options = parser.parse_args()
+    limit = asyncio.Semaphore(options.at_once)
+    seeds = range(options.seed, options.seed + options.runs)
+    good = await asyncio.gather(*(run_seed(options, seed, limit) for seed in seeds))
+    print(f"{sum(good)} of {len(good)} runs kept all promises")
+    return 0 if all(good) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
