--- a/standins/sharedplatform.cpp
+++ b/standins/sharedplatform.cpp
@@ -289,7 +289,7 @@
 
 std::string SharedPlatform::hold(std::chrono::milliseconds lifetime)
 {
-    const std::string id = "h" + std::to_string(++m_lastHold);
+    std::string id = "h" + std::to_string(++m_lastHold);
     m_held.insert(id);
     m_loop.after(lifetime, [this, id] { unhold(id); });
     return id;
