End no resumed stream by a failure's end

The dispatcher took the whole answer for the end of the stream, and the caller saw a part framed as complete. Ruled out: the cutting of events (no byte of the 500 passed).

Change: an answer of a call whose events are not being forwarded ends no stream; the stream goes on elsewhere while attempts last, or is cut so that it shows. Test: aFailureInPlaceOfTheRestIsNoEnd, "streamed" before the change, "cut" after.

--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -91,6 +91,7 @@
 
 void GenerationFlow::streamBegan(Step &step, OpenRequest &request, const StreamBegan &event)
 {
+    request.streaming = event.call;
     if (request.isForwarding) {
         step.add(ForwardStream {request.facts.request, event.call});
         return;
@@ -435,6 +436,15 @@
     request.eventsPassed = std::max(request.eventsPassed, event.events);
     switch (event.end) {
     case CallEnd::Complete: {
+        if (request.isForwarding && request.streaming != event.call) {
+            // Whole, but a failure in place of the rest: passed for the stream's end, the caller
+            // would take the part that it has for all.
+            m_state.tracker.answered(server, step.now - call.started, false, step.now);
+            CallEnded failure = event;
+            failure.why = "answered " + std::to_string(event.status) + " in place of going on";
+            decodeBroken(step, request, failure);
+            return;
+        }
         const bool isWell = event.status < FirstServerFailure;
         m_state.tracker.answered(server, step.now - call.started, isWell, step.now);
         if (isWell && !request.isForwarding) {
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -75,6 +75,7 @@
     std::uint32_t runs = 0;     ///< Calls that a server may have begun to run.
     std::uint32_t arrivals = 0; ///< Calls that count as sent to the service.
     bool isForwarding = false;
+    CallNumber streaming; ///< The call whose events are being forwarded.
     TimePoint firstAnswer {};
     std::uint32_t eventsPassed = 0;
     bool isComingBack = false; ///< Its caller was turned away before, here or elsewhere.
--- a/tests/dispatch/generationflowtest.cpp
+++ b/tests/dispatch/generationflowtest.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(allCallsBeyondTheFirstAreRetries);
     CPPUNIT_TEST(aStreamThatMayNotRunAgainIsCut);
     CPPUNIT_TEST(aResumableStreamGoesOnElsewhere);
+    CPPUNIT_TEST(aFailureInPlaceOfTheRestIsNoEnd);
     CPPUNIT_TEST(nothingIsKeptForACallerWhoLeft);
     CPPUNIT_TEST(aReservationGrantedTooLateIsGivenBack);
     CPPUNIT_TEST(readsWholeWithoutPrefillEngines);
@@ -231,6 +232,25 @@
 
     // A caller leaves between prefill and decode, and while it waits. Nothing may stay held for
     // it: neither the KV cache, nor the reserved room, nor a running call.
+    // Half of a stream has been passed on when its engine crashes. The engine that is to go on
+    // answers with a failure, whole and in good order. The caller must not see the half as a whole.
+    void aFailureInPlaceOfTheRestIsNoEnd()
+    {
+        DispatchPlay play;
+        useEngines(play);
+        const auto request = play.arrive(0, "resumable", Prompt);
+        const StartCall decode = playToDecode(play, 2);
+        play.reduce(200, StreamBegan {decode.call, 200, {}});
+        CallEnded broken;
+        broken.call = decode.call;
+        broken.end = CallEnd::Broken;
+        broken.events = 3;
+        play.reduce(1'000, broken);
+        play.grant(1'005, play.nextCall(CallKind::Reserve));
+        play.end(1'020, play.nextCall(CallKind::Whole), CallEnd::Complete, 500);
+        CPPUNIT_ASSERT_EQUAL(text("cut"), play.outcome(request));
+    }
+
     void nothingIsKeptForACallerWhoLeft()
     {
         DispatchPlay play;
