--- a/src/scheduling/enginescheduler.cpp
+++ b/src/scheduling/enginescheduler.cpp
@@ -20,8 +20,6 @@
  * eight of the largest prompts was served, of all two in three.
  */
 constexpr Duration KeepRoomAfter = std::chrono::milliseconds(100);
-/** Estimates err: what is expected so shortly before its target is late more often than not. */
-constexpr Duration TargetMargin = std::chrono::milliseconds(0);
 /**
  * Where the wait settles at what small prompts can just bear, the largest are always hopeless: they
  * take longer to read. So all are held to a wait half way to what the longest prompt of late can
@@ -119,7 +117,7 @@
     // A prompt so long that even idle engines would be late is no reason to refuse it for ever.
     const bool couldBeInTime = claim.urgency == Urgency::Fresh
         && m_ledger.prefillTime(ServerName(), claim.promptTokens, now) < claim.untilTarget;
-    const Duration latest = claim.untilTarget - TargetMargin - allowanceForLarge(claim);
+    const Duration latest = claim.untilTarget - allowanceForLarge(claim);
     const bool isHopeless =
         expected.forRoom > claim.waitsAtMost || (couldBeInTime && expected.firstEvent > latest);
     if (isHopeless) {
