Give decode memory out by its course over time

Cause: the scheduler counted each run whole, prompt and one and a half times the guessed output, from its start to its end. Where answers are as long as prompts, a third of the engines' memory lay idle at the bursts while callers were turned away. Ruled out: rejections by engines (they are prefills).

The scheduler now learns the pace of a service's engines and how callers' guesses turn out, and lets a run in where the highest that the memory will come to still fits.

--- a/include/indigoway/announcedserver.h
+++ b/include/indigoway/announcedserver.h
@@ -23,7 +23,7 @@
 struct AnnouncedServer
 {
     ServerName name;
-    std::string instance; ///< What it calls itself, in each of its lives; calls name it.
+    std::string instance;        ///< What it calls itself, in each of its lives; calls name it.
     std::uint64_t startedAt = 0; ///< Marks its life; 0 if it does not tell.
     ServiceName service;
     std::string address; ///< "IP:port"; another server may have had it before.
--- a/include/indigoway/routing.h
+++ b/include/indigoway/routing.h
@@ -53,6 +53,7 @@
     Duration handleKept {};         ///< How long a prefill's result waits for its decode.
     Duration longestReservation {}; ///< Longest time that capacity can be reserved for.
     Duration phaseChange {};        ///< How long an engine is away when its phase changes.
+    std::uint32_t tokensPerEvent = 1;
     bool operator==(const EngineTraits &) const = default;
 };
 
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -48,17 +48,32 @@
 constexpr std::uint32_t MostPrefills = 2;
 /** Of the caller's estimate of the output, which is right at the median only. */
 constexpr double ReservedOfLikely = 1.5;
+/** The rest of the output finds room when it comes: the scheduler has looked ahead for it. */
+constexpr double ReservedOfPlanned = 0.25;
 /** Memory is given out by blocks of so many tokens. */
 constexpr std::uint64_t BlockTokens = 16;
 
-std::uint64_t expectedTokens(const ArrivedRequest &facts)
+scheduling::MemoryNeed memoryNeedOf(const ArrivedRequest &facts)
 {
-    std::uint64_t output = facts.mostOutputTokens;
-    if (facts.likelyOutputTokens) {
-        const double reserved = *facts.likelyOutputTokens * ReservedOfLikely;
-        output = std::min(output, static_cast<std::uint64_t>(reserved));
-    }
-    return facts.promptTokens + output + BlockTokens;
+    const std::uint64_t most = facts.mostOutputTokens;
+    return {facts.promptTokens + BlockTokens,
+            facts.likelyOutputTokens ? std::min<std::uint64_t>(*facts.likelyOutputTokens, most)
+                                     : most};
+}
+
+/** What is asked of an engine that is chosen without knowing what else it was asked for. */
+std::uint64_t mostTokens(const ArrivedRequest &facts, const scheduling::MemoryNeed &need)
+{
+    const double reserved = static_cast<double>(need.outputTokens) * ReservedOfLikely;
+    return need.contextTokens
+        + std::min<std::uint64_t>(facts.mostOutputTokens, static_cast<std::uint64_t>(reserved));
+}
+
+/** What is asked of an engine whose memory the scheduler has looked ahead for. */
+std::uint64_t tokensToBegin(const scheduling::MemoryNeed &need)
+{
+    const double first = static_cast<double>(need.outputTokens) * ReservedOfPlanned;
+    return need.contextTokens + static_cast<std::uint64_t>(first);
 }
 
 Duration longestWait(const OpenRequest &request)
@@ -84,7 +99,8 @@
 void GenerationFlow::begin(Step &step, OpenRequest &request)
 {
     m_state.allowance(request.service->name).requestSent(step.now);
-    request.tokens = expectedTokens(request.facts);
+    request.memory = memoryNeedOf(request.facts);
+    request.tokens = mostTokens(request.facts, request.memory);
     request.isComingBack = m_patience.isComingBack(request);
     enqueue(step, request);
 }
@@ -292,7 +308,7 @@
     StartCall call;
     call.kind = CallKind::Reserve;
     call.silentFor = ReserveSilence;
-    call.reserveTokens = request.tokens;
+    call.reserveTokens = request.claim.isNone() ? request.tokens : tokensToBegin(request.memory);
     call.reserveFor = request.service->engine->longestReservation;
     startCall(step, request, server, std::move(call));
 }
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -94,7 +94,9 @@
         text += std::string(request.isComingBack ? " caller=coming_back" : " caller=fresh")
             + " patience_ms="
             + (request.facts.patience ? millisecondsText(*request.facts.patience) : "-")
-            + " prompt=" + std::to_string(request.facts.promptTokens) + " prefill_server="
+            + " prompt=" + std::to_string(request.facts.promptTokens)
+            + " output_guessed=" + std::to_string(request.memory.outputTokens)
+            + " events=" + std::to_string(request.eventsPassed) + " prefill_server="
             + request.prefillServer.text() + " decode_server=" + request.decodeServer.text()
             + " room_after_ms=" + elapsedText(request.arrived, request.roomAt)
             + " prefilled_after_ms=" + elapsedText(request.arrived, request.prefilledAt)
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -84,7 +84,8 @@
     scheduling::ClaimId claim; ///< At the scheduler; none while this node chooses by itself.
     ServerName plannedPrefill; ///< Chosen by the scheduler; empty: this node chooses.
     ServerName decodeServer;
-    std::uint64_t tokens = 0; ///< Charged to decodeServer while it is set.
+    scheduling::MemoryNeed memory;
+    std::uint64_t tokens = 0; ///< The most of it; charged to decodeServer while it is set.
     std::string reservation;
     TimePoint reservedUntil {};
     ServerName prefillServer;
--- a/src/dispatch/phasechanges.cpp
+++ b/src/dispatch/phasechanges.cpp
@@ -34,8 +34,8 @@
     const bool isSameLife = event.report
         && (event.report->startedAt == 0 || call.server.startedAt == 0
             || event.report->startedAt == call.server.startedAt);
-    const bool mayOrder = isSameLife && !event.report->isCarryingOutOrder
-        && step.now <= m_orderTokenAt + TokenHolds;
+    const bool mayOrder =
+        isSameLife && !event.report->isCarryingOutOrder && step.now <= m_orderTokenAt + TokenHolds;
     if (!mayOrder) {
         m_orders.refused(call.server.name);
         step.add(RecordDecision {
--- a/src/dispatch/schedulerclaims.cpp
+++ b/src/dispatch/schedulerclaims.cpp
@@ -42,7 +42,7 @@
     message.service = request.service->name;
     message.domain = domain;
     message.promptTokens = readsWhole ? 0 : request.facts.promptTokens;
-    message.memoryTokens = request.tokens;
+    message.memory = request.memory;
     message.urgency = request.urgency();
     message.waitsAtMost = waitsAtMost;
     message.untilTarget = request.arrived + request.route->target - step.now;
@@ -61,7 +61,7 @@
         request.claim = ClaimId(++m_last);
     }
     send(step,
-         RoomHeld {request.claim, request.service->name, request.tokens, request.decodeServer,
+         RoomHeld {request.claim, request.service->name, request.memory, request.decodeServer,
                    request.answerBy - step.now});
 }
 
@@ -79,7 +79,10 @@
         return;
     }
     m_open.erase(request.claim);
-    send(step, ClaimEnded {request.claim, how});
+    const std::uint64_t made = how == ClaimEnd::Served
+        ? std::uint64_t {request.eventsPassed} * request.service->engine->tokensPerEvent
+        : 0;
+    send(step, ClaimEnded {request.claim, how, made});
     request.claim = {};
 }
 
--- a/src/scheduling/engineledger.cpp
+++ b/src/scheduling/engineledger.cpp
@@ -37,28 +37,37 @@
 
 } // namespace
 
-void EngineLedger::charge(const ServerName &server, std::uint64_t tokens, TimePoint now)
+void EngineLedger::charge(const ServerName &server, RunNumber run, const MemoryNeed &need,
+                          TimePoint now)
 {
     Engine &engine = m_engines[server];
-    engine.tokens += tokens;
+    engine.memory.add(run, need);
     engine.lastUsed = now;
 }
 
-void EngineLedger::discharge(const ServerName &server, std::uint64_t tokens)
+void EngineLedger::beginDecode(const ServerName &server, RunNumber run, TimePoint now)
+{
+    m_engines[server].memory.begin(run, now);
+}
+
+void EngineLedger::discharge(const ServerName &server, RunNumber run)
 {
     Engine &engine = m_engines[server];
-    engine.tokens -= std::min(engine.tokens, tokens);
-    engine.fullUntil = {};
+    if (engine.memory.remove(run)) {
+        engine.fullUntil = {};
+    }
 }
 
-std::optional<std::uint64_t> EngineLedger::chargedTokens(const ServerName &server,
+std::optional<MemoryOutlook> EngineLedger::memoryOutlook(const ServerName &server,
+                                                         const GenerationPace &pace,
                                                          TimePoint now) const
 {
     const Engine *engine = find(server);
     if (!engine) {
-        return 0;
+        return MemoryOutlook();
     }
-    return isAvoided(*engine, now) ? std::nullopt : std::optional(engine->tokens);
+    return isAvoided(*engine, now) ? std::nullopt
+                                   : std::optional(engine->memory.outlook(pace, now));
 }
 
 Duration EngineLedger::prefillWait(const ServerName &server, TimePoint now) const
@@ -128,7 +137,7 @@
 {
     Engine &engine = m_engines[server];
     engine.fullUntil = now + FullFor;
-    if (engine.tokens < memory / 2) {
+    if (engine.memory.wholeTokens() < memory / 2) {
         // It cannot be full. An engine that changes its phase, or has just begun to leave, looks
         // like that: it would be the emptiest, and get every claim, for seconds.
         failed(server, now);
@@ -167,7 +176,8 @@
 {
     std::erase_if(m_engines, [now](const auto &one) {
         const Engine &engine = one.second;
-        return engine.tokens == 0 && engine.prompts == 0 && now > engine.lastUsed + RememberedFor;
+        return engine.memory.runs() == 0 && engine.prompts == 0
+            && now > engine.lastUsed + RememberedFor;
     });
 }
 
--- a/src/scheduling/engineledger.h
+++ b/src/scheduling/engineledger.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "scheduling/memoryforecast.h"
+
 #include <indigoway/ids.h>
 
 #include <cstdint>
@@ -21,10 +23,13 @@
 class EngineLedger
 {
 public:
-    void charge(const ServerName &server, std::uint64_t tokens, TimePoint now);
-    void discharge(const ServerName &server, std::uint64_t tokens);
-    /** Memory given out; nothing while the engine is avoided. */
-    std::optional<std::uint64_t> chargedTokens(const ServerName &server, TimePoint now) const;
+    void charge(const ServerName &server, RunNumber run, const MemoryNeed &need, TimePoint now);
+    /** The run makes tokens from now on. */
+    void beginDecode(const ServerName &server, RunNumber run, TimePoint now);
+    void discharge(const ServerName &server, RunNumber run);
+    /** The course of the memory given out; nothing while the engine is avoided. */
+    std::optional<MemoryOutlook> memoryOutlook(const ServerName &server, const GenerationPace &pace,
+                                               TimePoint now) const;
 
     /** How long a prompt that is sent now waits before it is read. */
     Duration prefillWait(const ServerName &server, TimePoint now) const;
@@ -60,7 +65,7 @@
 private:
     struct Engine
     {
-        std::uint64_t tokens = 0;
+        MemoryForecast memory;
         std::uint32_t prompts = 0; ///< Being prefilled or in line.
         TimePoint busyUntil {};
         Duration shift {};   ///< All corrections of busyUntil so far.
--- a/src/scheduling/enginescheduler.cpp
+++ b/src/scheduling/enginescheduler.cpp
@@ -53,6 +53,12 @@
 /** A node that died tells nothing; its claims end with their requests' time, and a little later. */
 constexpr Duration ExpirySlack = std::chrono::milliseconds(500);
 
+/** Of a run's memory over its time: its output grows from nothing. */
+double meanTokens(const MemoryNeed &need)
+{
+    return static_cast<double>(need.contextTokens) + static_cast<double>(need.outputTokens) / 2;
+}
+
 } // namespace
 
 EngineScheduler::EngineScheduler()
@@ -135,11 +141,14 @@
     }
     m_waiting.erase(key);
     Granted granted;
-    granted.memoryTokens = held.memoryTokens;
+    granted.service = held.service;
+    granted.run = RunNumber(++m_lastRun);
+    granted.memory = held.memory;
     granted.decodeServer = held.decodeServer;
     granted.since = now;
     granted.endsBy = now + held.lasts + ExpirySlack;
-    m_ledger.charge(held.decodeServer, held.memoryTokens, now);
+    m_ledger.charge(held.decodeServer, granted.run, held.memory, now);
+    m_ledger.beginDecode(held.decodeServer, granted.run, now);
     m_granted.emplace(key, std::move(granted));
 }
 
@@ -152,6 +161,7 @@
     const ServerName server = it->second.prefill->server;
     if (ended.isDone) {
         m_ledger.endPrefill(*it->second.prefill, now);
+        beginDecode(it->second, now);
         m_ledger.workedWell(server);
     } else {
         m_ledger.dropPrefill(*it->second.prefill, now);
@@ -171,6 +181,10 @@
     const ServerName prefillServer = it->second.answer.prefillServer;
     const double held =
         std::chrono::duration_cast<std::chrono::duration<double>>(now - it->second.since).count();
+    if (ended.end == ClaimEnd::Served && it->second.decodesSince) {
+        m_paces[it->second.service].add(it->second.memory.outputTokens, ended.madeTokens,
+                                        now - *it->second.decodesSince);
+    }
     release(it, now);
     if (ended.end == ClaimEnd::HadNoRoom) {
         const AnnouncedServer *known = view.servers.find(server);
@@ -209,9 +223,15 @@
     });
 }
 
+void EngineScheduler::beginDecode(Granted &granted, TimePoint now)
+{
+    granted.decodesSince = now;
+    m_ledger.beginDecode(granted.decodeServer, granted.run, now);
+}
+
 void EngineScheduler::freeRoom(const Granted &granted, TimePoint now)
 {
-    m_ledger.discharge(granted.decodeServer, granted.memoryTokens);
+    m_ledger.discharge(granted.decodeServer, granted.run);
     if (granted.prefill) {
         m_ledger.dropPrefill(*granted.prefill, now);
     }
@@ -248,6 +268,13 @@
     });
 }
 
+const GenerationPace &EngineScheduler::paceOf(const ServiceName &service) const
+{
+    static const GenerationPace Unknown;
+    const auto it = m_paces.find(service);
+    return it == m_paces.end() ? Unknown : it->second;
+}
+
 void EngineScheduler::learnWait(const Waiting &waiting, Duration waited)
 {
     if (waiting.expected < WaitWorthLearning) {
@@ -289,7 +316,7 @@
             || (waiting.claim.urgency == claim.urgency && waiting.startBy <= latest);
         if (waiting.claim.service == claim.service && goesBefore) {
             ++result.ahead;
-            ahead.memoryTokens += waiting.claim.memoryTokens;
+            ahead.memoryTokens += meanTokens(waiting.claim.memory);
             ahead.prefillWork += EngineLedger::healthyWork(waiting.claim.promptTokens);
         }
     }
@@ -298,7 +325,7 @@
     // small for them, or kept for one of them.
     const bool isRoomShort = result.ahead > 0 && prefill.leastWait <= MostPrefillWait;
     result.forRoom = waitForRoom(now, view, claim, ahead.memoryTokens,
-                                 service->engine->memoryTokens, isRoomShort);
+                                 static_cast<double>(service->engine->memoryTokens), isRoomShort);
     // While it waits for room, the prompts before it are read.
     const Duration least = m_ledger.prefillTime(ServerName(), claim.promptTokens, now);
     result.firstEvent =
@@ -326,19 +353,18 @@
 }
 
 Duration EngineScheduler::waitForRoom(TimePoint now, const View &view, const Claim &claim,
-                                      std::uint64_t tokensAhead, std::uint64_t memory,
-                                      bool isRoomShort) const
+                                      double tokensAhead, double memory, bool isRoomShort) const
 {
     double free = 0;
     double all = 0;
+    const GenerationPace &pace = paceOf(claim.service);
     for (const DecodeRoom &room : decodeRooms(now, view, claim.service)) {
-        all += static_cast<double>(memory);
+        all += memory;
         // What is too small for this claim is no room for it.
-        const bool fits = room.charged + claim.memoryTokens <= memory;
-        free += fits ? static_cast<double>(memory - room.charged) : 0;
+        const bool fits = MemoryForecast::peakWith(room.memory, claim.memory, pace) <= memory;
+        free += fits ? memory - room.peak : 0;
     }
-    const double wanted =
-        static_cast<double>(tokensAhead + claim.memoryTokens) - (isRoomShort ? 0 : free);
+    const double wanted = tokensAhead + meanTokens(claim.memory) - (isRoomShort ? 0 : free);
     if (all <= 0 || wanted <= 0) {
         return Duration(0);
     }
@@ -408,7 +434,8 @@
     pass.decode = decodeRooms(now, view, service.name);
     pass.prefill =
         usablePrefill(now, view.servers.candidates(service.name, EnginePhase::Prefill, now));
-    pass.memoryTokens = service.engine->memoryTokens;
+    pass.memoryTokens = static_cast<double>(service.engine->memoryTokens);
+    pass.pace = &paceOf(service.name);
     for (const auto it : order(now, pass, service.name)) {
         if (tryGrant(now, pass, it->first, it->second, replies)) {
             learnWait(it->second, now - it->second.since);
@@ -426,8 +453,9 @@
 {
     std::vector<DecodeRoom> rooms;
     for (const auto *server : view.servers.candidates(service, EnginePhase::Decode, now)) {
-        if (const auto charged = m_ledger.chargedTokens(server->name, now)) {
-            rooms.push_back({server, *charged, false});
+        if (auto memory = m_ledger.memoryOutlook(server->name, paceOf(service), now)) {
+            const double peak = memory->peak();
+            rooms.push_back({server, std::move(*memory), peak, false});
         }
     }
     return rooms;
@@ -437,13 +465,13 @@
                                SchedulerReplies &replies)
 {
     const Claim &claim = waiting.claim;
-    if (pass.tooLarge != 0 && claim.memoryTokens >= pass.tooLarge && claim.without.empty()) {
+    if (pass.tooLarge != 0 && claim.memory.whole() >= pass.tooLarge && claim.without.empty()) {
         return false;
     }
     DecodeRoom *room = chooseDecode(pass, claim);
     if (!room) {
         if (claim.without.empty()) {
-            pass.tooLarge = claim.memoryTokens;
+            pass.tooLarge = claim.memory.whole();
         }
         return false;
     }
@@ -459,12 +487,18 @@
         granted.prefill = m_ledger.beginPrefill(prefill->name, claim.promptTokens, now);
         granted.answer.prefillServer = prefill->name;
     }
-    granted.memoryTokens = claim.memoryTokens;
+    granted.service = claim.service;
+    granted.run = RunNumber(++m_lastRun);
+    granted.memory = claim.memory;
     granted.decodeServer = decode->name;
     granted.since = now;
     granted.endsBy = now + claim.lasts + ExpirySlack;
-    m_ledger.charge(decode->name, claim.memoryTokens, now);
-    room->charged += claim.memoryTokens;
+    m_ledger.charge(decode->name, granted.run, claim.memory, now);
+    if (!granted.prefill) {
+        beginDecode(granted, now);
+    }
+    MemoryForecast::addTo(room->memory, claim.memory, *pass.pace);
+    room->peak = room->memory.peak();
     replies.push_back({key.owner, granted.answer});
     m_granted.emplace(key, std::move(granted));
     return true;
@@ -475,13 +509,13 @@
     DecodeRoom *best = nullptr;
     double bestScore = 0;
     for (DecodeRoom &room : pass.decode) {
-        const bool fits = room.charged + claim.memoryTokens <= pass.memoryTokens;
-        if (!fits || room.isKept
+        if (room.isKept
+            || MemoryForecast::peakWith(room.memory, claim.memory, *pass.pace) > pass.memoryTokens
             || std::ranges::find(claim.without, room.server->name) != claim.without.end()) {
             continue;
         }
-        const double score = static_cast<double>(room.charged)
-            + (room.server->domain == claim.domain ? 0 : OtherDomainTokens);
+        const double score =
+            room.peak + (room.server->domain == claim.domain ? 0 : OtherDomainTokens);
         if (!best || score < bestScore) {
             best = &room;
             bestScore = score;
@@ -538,7 +572,7 @@
     }
     DecodeRoom *emptiest = nullptr;
     for (DecodeRoom &room : pass.decode) {
-        if (!room.isKept && (!emptiest || room.charged < emptiest->charged)) {
+        if (!room.isKept && (!emptiest || room.peak < emptiest->peak)) {
             emptiest = &room;
         }
     }
--- a/src/scheduling/enginescheduler.h
+++ b/src/scheduling/enginescheduler.h
@@ -70,9 +70,12 @@
     };
     struct Granted
     {
-        std::uint64_t memoryTokens = 0;
+        ServiceName service;
+        RunNumber run;
+        MemoryNeed memory;
         ServerName decodeServer;
         TimePoint since {};
+        std::optional<TimePoint> decodesSince;
         TimePoint endsBy {};
         std::optional<PrefillTurn> prefill; ///< While it is under way.
         ClaimGranted answer;                ///< For a claim that is sent again.
@@ -85,6 +88,8 @@
     void take(TimePoint now, const Key &key, const PrefillEnded &ended);
     void take(TimePoint now, const View &view, const Key &key, const ClaimEnded &ended);
     void dropEarlierLives(const NodeLife &owner, TimePoint now);
+    /** The prompt has been read. */
+    void beginDecode(Granted &granted, TimePoint now);
     void freeRoom(const Granted &granted, TimePoint now);
     void release(std::map<Key, Granted>::iterator it, TimePoint now);
     void expire(TimePoint now);
@@ -100,7 +105,7 @@
     /** Of the claims that go before one. */
     struct Ahead
     {
-        std::uint64_t memoryTokens = 0;
+        double memoryTokens = 0;
         Duration prefillWork {};
     };
     struct PrefillOutlook
@@ -111,19 +116,21 @@
     PrefillOutlook prefillOutlook(TimePoint now, const View &view, const Claim &claim,
                                   const Ahead &ahead) const;
     /** @p isRoomShort: what is free now is not for this claim. */
-    Duration waitForRoom(TimePoint now, const View &view, const Claim &claim,
-                         std::uint64_t tokensAhead, std::uint64_t memory, bool isRoomShort) const;
+    Duration waitForRoom(TimePoint now, const View &view, const Claim &claim, double tokensAhead,
+                         double memory, bool isRoomShort) const;
     /** Time that a claim leaves so that others with longer prompts are not always the hopeless. */
     Duration allowanceForLarge(const Claim &claim);
     /** When @p claim has to be granted for its target, on engines that are idle. */
     TimePoint startBy(TimePoint now, const Claim &claim) const;
     /** A claim that had to wait has been granted, or refused, after @p waited. */
+    const GenerationPace &paceOf(const ServiceName &service) const;
     void learnWait(const Waiting &waiting, Duration waited);
     void grant(TimePoint now, const View &view, SchedulerReplies &replies);
     struct DecodeRoom
     {
         const AnnouncedServer *server = nullptr;
-        std::uint64_t charged = 0;
+        MemoryOutlook memory;
+        double peak = 0; ///< Of memory, if nothing is added.
         bool isKept = false;
     };
     /** Engines of one service, and what one pass over its claims found out. */
@@ -131,7 +138,8 @@
     {
         std::vector<DecodeRoom> decode;
         std::vector<const AnnouncedServer *> prefill;
-        std::uint64_t memoryTokens = 0;
+        const GenerationPace *pace = nullptr;
+        double memoryTokens = 0;
         std::uint64_t tooLarge = 0; ///< No engine has room for so many tokens; 0: not known.
         bool isPrefillFull = false;
         std::size_t kept = 0; ///< Engines whose room collects for claims that wait for long.
@@ -165,6 +173,8 @@
     std::map<NodeName, Incarnation> m_lives; ///< Of the nodes that claim.
     TimePoint m_nextPass {};                 ///< While many wait, not each message grants.
     double m_secondsHeld;                    ///< Moving average of how long a grant is held.
+    std::map<ServiceName, GenerationPace> m_paces;
+    std::uint64_t m_lastRun = 0;
     /** Real waits for room against those expected, by urgency; moving averages. */
     std::map<Urgency, double> m_waitRatio;
     /** In tokens, of late; fades with each claim. */
--- a/src/scheduling/schedulercodec.cpp
+++ b/src/scheduling/schedulercodec.cpp
@@ -24,13 +24,29 @@
     return value[name].isInt64() ? Duration(value[name].asInt64()) : Duration(0);
 }
 
+void write(Json::Value &value, const MemoryNeed &need)
+{
+    value["context"] = Json::UInt64(need.contextTokens);
+    value["output"] = Json::UInt64(need.outputTokens);
+}
+
+/** Nothing if no engine could hold so much. */
+std::optional<MemoryNeed> readNeed(const Json::Value &value)
+{
+    const MemoryNeed need {numberMember(value, "context"), numberMember(value, "output")};
+    if (need.contextTokens > MostTokens || need.outputTokens > MostTokens) {
+        return std::nullopt;
+    }
+    return need;
+}
+
 Json::Value body(const NodeLife &from, const Claim &claim)
 {
     Json::Value value = head("claim", from, claim.claim);
     value["service"] = claim.service.text();
     value["domain"] = claim.domain.text();
     value["prompt"] = claim.promptTokens;
-    value["memory"] = Json::UInt64(claim.memoryTokens);
+    write(value, claim.memory);
     value["urgency"] = static_cast<unsigned>(claim.urgency);
     value["waits_us"] = Json::Int64(claim.waitsAtMost.count());
     value["until_target_us"] = Json::Int64(claim.untilTarget.count());
@@ -45,7 +61,7 @@
 {
     Json::Value value = head("held", from, held.claim);
     value["service"] = held.service.text();
-    value["memory"] = Json::UInt64(held.memoryTokens);
+    write(value, held.memory);
     value["decode"] = held.decodeServer.text();
     value["lasts_us"] = Json::Int64(held.lasts.count());
     return value;
@@ -63,6 +79,7 @@
 {
     Json::Value value = head("ended", from, ended.claim);
     value["how"] = static_cast<unsigned>(ended.end);
+    value["made"] = Json::UInt64(ended.madeTokens);
     return value;
 }
 
@@ -104,10 +121,11 @@
     claim.service = ServiceName(stringMember(value, "service"));
     claim.domain = DomainName(stringMember(value, "domain"));
     const std::uint64_t prompt = numberMember(value, "prompt");
-    claim.memoryTokens = numberMember(value, "memory");
-    if (prompt > MostTokens || claim.memoryTokens > MostTokens) {
+    const auto memory = readNeed(value);
+    if (prompt > MostTokens || !memory) {
         return std::nullopt;
     }
+    claim.memory = *memory;
     claim.promptTokens = static_cast<std::uint32_t>(prompt);
     const std::uint64_t urgency = numberMember(value, "urgency");
     if (urgency > static_cast<unsigned>(Urgency::ComingBack)) {
@@ -130,22 +148,24 @@
     RoomHeld held;
     held.claim = id;
     held.service = ServiceName(stringMember(value, "service"));
-    held.memoryTokens = numberMember(value, "memory");
-    held.decodeServer = ServerName(stringMember(value, "decode"));
-    held.lasts = durationMember(value, "lasts_us");
-    if (held.memoryTokens > MostTokens) {
+    const auto memory = readNeed(value);
+    if (!memory) {
         return std::nullopt;
     }
+    held.memory = *memory;
+    held.decodeServer = ServerName(stringMember(value, "decode"));
+    held.lasts = durationMember(value, "lasts_us");
     return held;
 }
 
 std::optional<ToScheduler> readEnded(const Json::Value &value, ClaimId id)
 {
     const std::uint64_t how = numberMember(value, "how");
-    if (how > static_cast<unsigned>(ClaimEnd::HandleLost)) {
+    const std::uint64_t made = numberMember(value, "made");
+    if (how > static_cast<unsigned>(ClaimEnd::HandleLost) || made > MostTokens) {
         return std::nullopt;
     }
-    return ClaimEnded {id, static_cast<ClaimEnd>(how)};
+    return ClaimEnded {id, static_cast<ClaimEnd>(how), made};
 }
 
 std::optional<ToScheduler> readToScheduler(const Json::Value &value)
--- a/src/scheduling/schedulermessages.h
+++ b/src/scheduling/schedulermessages.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "scheduling/generationpace.h"
+
 #include <indigoway/ids.h>
 #include <indigoway/routing.h>
 
@@ -27,7 +29,7 @@
     ServiceName service;
     DomainName domain;              ///< Where the caller is served.
     std::uint32_t promptTokens = 0; ///< To be prefilled; 0: only a decode engine is wanted.
-    std::uint64_t memoryTokens = 0; ///< KV cache on the decode engine.
+    MemoryNeed memory;              ///< On the decode engine.
     Urgency urgency = Urgency::Fresh;
     Duration waitsAtMost {};         ///< It is refused rather than wait longer.
     Duration untilTarget {};         ///< Left for the first event; negative if it is late already.
@@ -41,7 +43,7 @@
 {
     ClaimId claim;
     ServiceName service;
-    std::uint64_t memoryTokens = 0;
+    MemoryNeed memory;
     ServerName decodeServer;
     Duration lasts {};
     bool operator==(const RoomHeld &) const = default;
@@ -68,6 +70,7 @@
 {
     ClaimId claim;
     ClaimEnd end = ClaimEnd::Served;
+    std::uint64_t madeTokens = 0; ///< Of what was served; 0 if it is not known.
     bool operator==(const ClaimEnded &) const = default;
 };
 
--- a/tests/platform/platformdialecttest.cpp
+++ b/tests/platform/platformdialecttest.cpp
@@ -267,8 +267,7 @@
         CPPUNIT_ASSERT_EQUAL(first.instance, second.instance);
         CPPUNIT_ASSERT_EQUAL(
             std::uint64_t {1'764'000'009'000},
-            m_dialect
-                .readGrant(CallKind::Report, R"({"sequence":0,"born":1764000009000})")
+            m_dialect.readGrant(CallKind::Report, R"({"sequence":0,"born":1764000009000})")
                 .report->startedAt);
     }
 
@@ -292,9 +291,15 @@
                 CPPUNIT_ASSERT_MESSAGE(name, isLongTime || !isReadable(entry));
             }
         }
-        for (const auto &[name, value] : std::vector<std::pair<const char *, Json::Value>> {
-                 {"state", "resting"}, {"phase", "both"}, {"phase", 3}, {"born", "today"},
-                 {"born", 1.5}, {"capacity", 0}, {"address", "nowhere"}, {"address", "h:99999"}}) {
+        for (const auto &[name, value] :
+             std::vector<std::pair<const char *, Json::Value>> {{"state", "resting"},
+                                                                {"phase", "both"},
+                                                                {"phase", 3},
+                                                                {"born", "today"},
+                                                                {"born", 1.5},
+                                                                {"capacity", 0},
+                                                                {"address", "nowhere"},
+                                                                {"address", "h:99999"}}) {
             Json::Value entry = validEntry();
             entry[name] = value;
             CPPUNIT_ASSERT_MESSAGE(name, !isReadable(entry));
--- a/tests/scheduling/engineschedulertest.cpp
+++ b/tests/scheduling/engineschedulertest.cpp
@@ -309,7 +309,10 @@
         SchedulingPlay play;
         play.addEngine("d", EnginePhase::Decode);
         play.tell(0, A,
-                  RoomHeld {ClaimId(7), ServiceName("llm"), 45'000, ServerName("d"),
+                  RoomHeld {ClaimId(7),
+                            ServiceName("llm"),
+                            {45'000, 0},
+                            ServerName("d"),
                             std::chrono::seconds(10)});
         play.tell(1, B, patient(SchedulingPlay::claimOf(1, 20'000)));
         CPPUNIT_ASSERT_EQUAL(text("queued"), play.answer(B, 1));
--- a/tests/scheduling/schedulercodectest.cpp
+++ b/tests/scheduling/schedulercodectest.cpp
@@ -30,7 +30,8 @@
     claim.service = ServiceName(name());
     claim.domain = DomainName(name());
     claim.promptTokens = *rc::gen::inRange<std::uint32_t>(0, 100'000);
-    claim.memoryTokens = *rc::gen::inRange<std::uint64_t>(0, 100'000);
+    claim.memory = {*rc::gen::inRange<std::uint64_t>(0, 100'000),
+                    *rc::gen::inRange<std::uint64_t>(0, 100'000)};
     claim.urgency = *rc::gen::element(Urgency::GoesOn, Urgency::Fresh, Urgency::ComingBack);
     claim.waitsAtMost = duration();
     claim.untilTarget = duration();
@@ -77,7 +78,7 @@
     void allOthersComeBackAsTheyWere()
     {
         const ClaimId id(9);
-        checkAsked(RoomHeld {id, ServiceName("s"), 5'000, ServerName("d"), Duration(77)});
+        checkAsked(RoomHeld {id, ServiceName("s"), {5'000, 70}, ServerName("d"), Duration(77)});
         checkAsked(PrefillEnded {id, false, false});
         checkAsked(ClaimEnded {id, ClaimEnd::HandleLost});
         checkAnswered(ClaimQueued {id});
@@ -95,7 +96,7 @@
         for (const char *text :
              {"", "{}", "[]", "7", R"({"kind":"claim"})",
               R"({"kind":"claim","node":"n","life":1,"claim":0})",
-              R"({"kind":"claim","node":"n","life":1,"claim":1,"memory":999999999999})",
+              R"({"kind":"claim","node":"n","life":1,"claim":1,"context":999999999999})",
               R"({"kind":"claim","node":"n","life":1,"claim":1,"urgency":9})",
               R"({"kind":"ended","node":"n","life":1,"claim":1,"how":77})",
               R"({"kind":"other","node":"n","life":1,"claim":1})"}) {
