Learn how long prompts take

The line of a prefill engine was reckoned with another fleet's figures (18 us a token, 5.6 ms a piece, 65 ms to the answer). They are replaced by a line fitted to prompts that found their engine idle, one a service, with the known factor an engine. prefillpacetest learns engines that differ tenfold, also with a tenth of them twenty times as slow.

Kept for engines that nobody has measured.

--- a/src/scheduling/engineledger.cpp
+++ b/src/scheduling/engineledger.cpp
@@ -7,13 +7,6 @@
 
 namespace {
 
-/** A healthy engine's time for a prompt token, measured on idle engines; slower ones are learnt. */
-constexpr double MicrosecondsPerToken = 18;
-/** An engine reads prompts in pieces; each adds a step of its batch. */
-constexpr std::uint32_t PieceTokens = 2048;
-constexpr Duration StepTime = std::chrono::microseconds(5600);
-/** From the last piece to the answer; the next prompt is read meanwhile. */
-constexpr Duration AnswerTime = std::chrono::milliseconds(65);
 /** Of a sample: three of them tell a slow engine from one long wait. */
 constexpr double SlownessWeight = 0.4;
 constexpr double LeastSlowness = 0.7;
@@ -77,25 +70,20 @@
 }
 
 Duration EngineLedger::prefillTime(const ServerName &server, std::uint32_t tokens,
-                                   TimePoint now) const
+                                   const PrefillPace &pace, TimePoint now) const
 {
-    return prefillWait(server, now) + workOf(find(server), tokens, now) + AnswerTime;
-}
-
-Duration EngineLedger::healthyWork(std::uint32_t tokens)
-{
-    const std::uint32_t pieces = (tokens + PieceTokens - 1) / PieceTokens;
-    return Duration(static_cast<Duration::rep>(tokens * MicrosecondsPerToken)) + pieces * StepTime;
+    return prefillWait(server, now) + workOf(find(server), tokens, pace, now) + pace.answerTime();
 }
 
 PrefillTurn EngineLedger::beginPrefill(const ServerName &server, std::uint32_t tokens,
-                                       TimePoint now)
+                                       const PrefillPace &pace, TimePoint now)
 {
     Engine &engine = m_engines[server];
     engine.lastUsed = now;
-    engine.busyUntil = std::max(engine.busyUntil, now) + workOf(&engine, tokens, now);
+    engine.busyUntil = std::max(engine.busyUntil, now) + workOf(&engine, tokens, pace, now);
+    const bool isAlone = engine.prompts == 0;
     ++engine.prompts;
-    return {server, now, engine.busyUntil + AnswerTime, engine.shift};
+    return {server, now, engine.busyUntil + pace.answerTime(), engine.shift, tokens, isAlone};
 }
 
 void EngineLedger::endPrefill(const PrefillTurn &turn, TimePoint now)
@@ -204,10 +192,11 @@
     return now < engine.avoidedUntil || now < engine.fullUntil;
 }
 
-Duration EngineLedger::workOf(const Engine *engine, std::uint32_t tokens, TimePoint now)
+Duration EngineLedger::workOf(const Engine *engine, std::uint32_t tokens, const PrefillPace &pace,
+                              TimePoint now)
 {
-    const double healthy = static_cast<double>(healthyWork(tokens).count());
-    return Duration(static_cast<Duration::rep>(healthy * (engine ? slownessOf(*engine, now) : 1)));
+    const double typical = static_cast<double>(pace.work(tokens).count());
+    return Duration(static_cast<Duration::rep>(typical * (engine ? slownessOf(*engine, now) : 1)));
 }
 
 double EngineLedger::slownessOf(const Engine &engine, TimePoint now)
--- a/src/scheduling/engineledger.h
+++ b/src/scheduling/engineledger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "scheduling/memoryforecast.h"
+#include "scheduling/prefillpace.h"
 
 #include <indigoway/ids.h>
 
@@ -17,6 +18,8 @@
     TimePoint granted {};
     TimePoint expectedEnd {}; ///< Of the answer, as thought when it was granted.
     Duration shift {};        ///< The engine's, at that time.
+    std::uint32_t tokens = 0;
+    bool isAlone = false; ///< It found the engine idle.
 };
 
 /** What is known of each engine: memory given out, prompts in line, how it has behaved. */
@@ -33,11 +36,11 @@
 
     /** How long a prompt that is sent now waits before it is read. */
     Duration prefillWait(const ServerName &server, TimePoint now) const;
-    /** From sending a prompt to its answer. */
-    Duration prefillTime(const ServerName &server, std::uint32_t tokens, TimePoint now) const;
-    /** A healthy engine's time for a prompt while which it reads no other. */
-    static Duration healthyWork(std::uint32_t tokens);
-    PrefillTurn beginPrefill(const ServerName &server, std::uint32_t tokens, TimePoint now);
+    /** From sending a prompt to its answer, if engines of its kind have @p pace. */
+    Duration prefillTime(const ServerName &server, std::uint32_t tokens, const PrefillPace &pace,
+                         TimePoint now) const;
+    PrefillTurn beginPrefill(const ServerName &server, std::uint32_t tokens,
+                             const PrefillPace &pace, TimePoint now);
     /** Corrects what is thought of the engine's line and speed by what it took. */
     void endPrefill(const PrefillTurn &turn, TimePoint now);
 
@@ -80,7 +83,8 @@
 
     const Engine *find(const ServerName &server) const;
     static bool isAvoided(const Engine &engine, TimePoint now);
-    static Duration workOf(const Engine *engine, std::uint32_t tokens, TimePoint now);
+    static Duration workOf(const Engine *engine, std::uint32_t tokens, const PrefillPace &pace,
+                           TimePoint now);
     static double slownessOf(const Engine &engine, TimePoint now);
 
     std::map<ServerName, Engine> m_engines;
--- a/src/scheduling/enginescheduler.cpp
+++ b/src/scheduling/enginescheduler.cpp
@@ -122,7 +122,9 @@
     const Outlook expected = outlook(now, view, claim);
     // A prompt so long that even idle engines would be late is no reason to refuse it for ever.
     const bool couldBeInTime = claim.urgency == Urgency::Fresh
-        && m_ledger.prefillTime(ServerName(), claim.promptTokens, now) < claim.untilTarget;
+        && m_ledger.prefillTime(ServerName(), claim.promptTokens, paceOf(claim.service).prefill,
+                                now)
+            < claim.untilTarget;
     const Duration latest = claim.untilTarget - allowanceForLarge(claim);
     const bool isHopeless =
         expected.forRoom > claim.waitsAtMost || (couldBeInTime && expected.firstEvent > latest);
@@ -161,6 +163,10 @@
     const ServerName server = it->second.prefill->server;
     if (ended.isDone) {
         m_ledger.endPrefill(*it->second.prefill, now);
+        if (it->second.prefill->isAlone) {
+            m_paces[it->second.service].prefill.add(it->second.prefill->tokens,
+                                                    now - it->second.prefill->granted);
+        }
         beginDecode(it->second, now);
         m_ledger.workedWell(server);
     } else {
@@ -182,8 +188,8 @@
     const double held =
         std::chrono::duration_cast<std::chrono::duration<double>>(now - it->second.since).count();
     if (ended.end == ClaimEnd::Served && it->second.decodesSince) {
-        m_paces[it->second.service].add(it->second.memory.outputTokens, ended.madeTokens,
-                                        now - *it->second.decodesSince);
+        m_paces[it->second.service].decode.add(it->second.memory.outputTokens, ended.madeTokens,
+                                               now - *it->second.decodesSince);
     }
     release(it, now);
     if (ended.end == ClaimEnd::HadNoRoom) {
@@ -268,9 +274,9 @@
     });
 }
 
-const GenerationPace &EngineScheduler::paceOf(const ServiceName &service) const
+const EngineScheduler::ServicePace &EngineScheduler::paceOf(const ServiceName &service) const
 {
-    static const GenerationPace Unknown;
+    static const ServicePace Unknown;
     const auto it = m_paces.find(service);
     return it == m_paces.end() ? Unknown : it->second;
 }
@@ -290,15 +296,17 @@
 {
     double &longest = m_longestPrompt[claim.service];
     longest = std::max(longest * LongestPromptFading, static_cast<double>(claim.promptTokens));
-    const Duration more = EngineLedger::healthyWork(static_cast<std::uint32_t>(longest))
-        - EngineLedger::healthyWork(claim.promptTokens);
+    const PrefillPace &pace = paceOf(claim.service).prefill;
+    const Duration more =
+        pace.work(static_cast<std::uint32_t>(longest)) - pace.work(claim.promptTokens);
     return std::min(more / 2, MostAllowance);
 }
 
 TimePoint EngineScheduler::startBy(TimePoint now, const Claim &claim) const
 {
     return now + claim.untilTarget - FirstEventAfterPrefill
-        - m_ledger.prefillTime(ServerName(), claim.promptTokens, now);
+        - m_ledger.prefillTime(ServerName(), claim.promptTokens, paceOf(claim.service).prefill,
+                               now);
 }
 
 EngineScheduler::Outlook EngineScheduler::outlook(TimePoint now, const View &view,
@@ -317,7 +325,7 @@
         if (waiting.claim.service == claim.service && goesBefore) {
             ++result.ahead;
             ahead.memoryTokens += meanTokens(waiting.claim.memory);
-            ahead.prefillWork += EngineLedger::healthyWork(waiting.claim.promptTokens);
+            ahead.prefillWork += paceOf(claim.service).prefill.work(waiting.claim.promptTokens);
         }
     }
     const PrefillOutlook prefill = prefillOutlook(now, view, claim, ahead);
@@ -327,7 +335,8 @@
     result.forRoom = waitForRoom(now, view, claim, ahead.memoryTokens,
                                  static_cast<double>(service->engine->memoryTokens), isRoomShort);
     // While it waits for room, the prompts before it are read.
-    const Duration least = m_ledger.prefillTime(ServerName(), claim.promptTokens, now);
+    const Duration least =
+        m_ledger.prefillTime(ServerName(), claim.promptTokens, paceOf(claim.service).prefill, now);
     result.firstEvent =
         std::max(prefill.untilRead, result.forRoom + least) + FirstEventAfterPrefill;
     return result;
@@ -345,8 +354,9 @@
     PrefillOutlook result {Duration::max(), Duration::max()};
     for (const AnnouncedServer *server : engines) {
         result.leastWait = std::min(result.leastWait, m_ledger.prefillWait(server->name, now));
-        result.untilRead =
-            std::min(result.untilRead, m_ledger.prefillTime(server->name, claim.promptTokens, now));
+        result.untilRead = std::min(result.untilRead,
+                                    m_ledger.prefillTime(server->name, claim.promptTokens,
+                                                         paceOf(claim.service).prefill, now));
     }
     result.untilRead += ahead.prefillWork / static_cast<Duration::rep>(engines.size());
     return result;
@@ -357,7 +367,7 @@
 {
     double free = 0;
     double all = 0;
-    const GenerationPace &pace = paceOf(claim.service);
+    const GenerationPace &pace = paceOf(claim.service).decode;
     for (const DecodeRoom &room : decodeRooms(now, view, claim.service)) {
         all += memory;
         // What is too small for this claim is no room for it.
@@ -453,7 +463,7 @@
 {
     std::vector<DecodeRoom> rooms;
     for (const auto *server : view.servers.candidates(service, EnginePhase::Decode, now)) {
-        if (auto memory = m_ledger.memoryOutlook(server->name, paceOf(service), now)) {
+        if (auto memory = m_ledger.memoryOutlook(server->name, paceOf(service).decode, now)) {
             const double peak = memory->peak();
             rooms.push_back({server, std::move(*memory), peak, false});
         }
@@ -484,7 +494,8 @@
             pass.isPrefillFull = claim.without.empty();
             return false;
         }
-        granted.prefill = m_ledger.beginPrefill(prefill->name, claim.promptTokens, now);
+        granted.prefill =
+            m_ledger.beginPrefill(prefill->name, claim.promptTokens, pass.pace->prefill, now);
         granted.answer.prefillServer = prefill->name;
     }
     granted.service = claim.service;
@@ -497,7 +508,7 @@
     if (!granted.prefill) {
         beginDecode(granted, now);
     }
-    MemoryForecast::addTo(room->memory, claim.memory, *pass.pace);
+    MemoryForecast::addTo(room->memory, claim.memory, pass.pace->decode);
     room->peak = room->memory.peak();
     replies.push_back({key.owner, granted.answer});
     m_granted.emplace(key, std::move(granted));
@@ -510,7 +521,8 @@
     double bestScore = 0;
     for (DecodeRoom &room : pass.decode) {
         if (room.isKept
-            || MemoryForecast::peakWith(room.memory, claim.memory, *pass.pace) > pass.memoryTokens
+            || MemoryForecast::peakWith(room.memory, claim.memory, pass.pace->decode)
+                > pass.memoryTokens
             || std::ranges::find(claim.without, room.server->name) != claim.without.end()) {
             continue;
         }
@@ -555,7 +567,8 @@
             || std::ranges::find(claim.without, server->name) != claim.without.end()) {
             continue;
         }
-        const Duration time = m_ledger.prefillTime(server->name, claim.promptTokens, now)
+        const Duration time = m_ledger.prefillTime(server->name, claim.promptTokens,
+                                                   paceOf(claim.service).prefill, now)
             + (server->domain == decodeDomain ? Duration(0) : OtherDomainTime);
         if (!best || time < bestTime) {
             best = server;
--- a/src/scheduling/enginescheduler.h
+++ b/src/scheduling/enginescheduler.h
@@ -80,6 +80,12 @@
         std::optional<PrefillTurn> prefill; ///< While it is under way.
         ClaimGranted answer;                ///< For a claim that is sent again.
     };
+    /** What is learnt of a service's engines. */
+    struct ServicePace
+    {
+        PrefillPace prefill;
+        GenerationPace decode;
+    };
     using WaitingMap = std::map<Key, Waiting>;
 
     void take(TimePoint now, const View &view, const Key &key, const Claim &claim,
@@ -123,7 +129,7 @@
     /** When @p claim has to be granted for its target, on engines that are idle. */
     TimePoint startBy(TimePoint now, const Claim &claim) const;
     /** A claim that had to wait has been granted, or refused, after @p waited. */
-    const GenerationPace &paceOf(const ServiceName &service) const;
+    const ServicePace &paceOf(const ServiceName &service) const;
     void learnWait(const Waiting &waiting, Duration waited);
     void grant(TimePoint now, const View &view, SchedulerReplies &replies);
     struct DecodeRoom
@@ -138,7 +144,7 @@
     {
         std::vector<DecodeRoom> decode;
         std::vector<const AnnouncedServer *> prefill;
-        const GenerationPace *pace = nullptr;
+        const ServicePace *pace = nullptr;
         double memoryTokens = 0;
         std::uint64_t tooLarge = 0; ///< No engine has room for so many tokens; 0: not known.
         bool isPrefillFull = false;
@@ -173,7 +179,7 @@
     std::map<NodeName, Incarnation> m_lives; ///< Of the nodes that claim.
     TimePoint m_nextPass {};                 ///< While many wait, not each message grants.
     double m_secondsHeld;                    ///< Moving average of how long a grant is held.
-    std::map<ServiceName, GenerationPace> m_paces;
+    std::map<ServiceName, ServicePace> m_paces;
     std::uint64_t m_lastRun = 0;
     /** Real waits for room against those expected, by urgency; moving averages. */
     std::map<Urgency, double> m_waitRatio;
