Split engines between the phases by the work that is seen

Cause: how many engines prefill was decided before the traffic by two figures of the first two customers' engines. Where outputs are long, decode is short of memory, and one of its engines was turned to prefill all the same. Figures learnt by one node (a seventh of the traffic) came too late.

The scheduler, which sees all claims, tells with each grant what a generation takes of the engines. No engine is turned before that is known; the split is the one that lets most generations through; a gain under a twentieth turns none. phasebalancetest: the tests that held the fixed figures now give them as learnt work, with the same splits but one (5 of 18 engines in place of 6: the spare share now grows with the root of the engines' number); two new ones failed before.

--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -275,6 +275,9 @@
     if (!granted) {
         return;
     }
+    if (granted->work) {
+        m_phases.learn(request->service->name, *granted->work);
+    }
     const AnnouncedServer *server = m_state.servers.find(granted->decodeServer);
     if (!server || m_state.servers.standing(server->name, step.now) == Standing::Leaving) {
         // What this node knows of the servers is newer.
@@ -468,7 +471,6 @@
         }
         giveBack(step, request, ClaimEnd::Served);
         if (request.isForwarding) {
-            m_phases.decodeSeen(request.tokens, step.now - call.started);
             m_state.requests.endStream(step, request);
         } else {
             m_state.requests.deliver(step, request, event.call, event.status);
--- a/src/dispatch/phasebalance.cpp
+++ b/src/dispatch/phasebalance.cpp
@@ -8,27 +8,31 @@
 namespace {
 
 /**
- * Prefill engines beyond their mean load. Where engines are few, the loss of one is a large part
- * of them: with 18 engines 1.2 gave a mean worth of 0.83 of its mark and 1.0 gave 0.75. Where they
- * are many, and one node sends each prompt where it is read next, decode memory is what binds:
- * with 90 and 140 engines 1.5, 1.15 and 1.0 gave 0.588, 0.610, 0.632 and 0.448, 0.486, 0.497 of
- * worth (one day of high load each).
+ * Of the square root of the prefill engines' number: prompts come unevenly, and what is kept free
+ * for that grows as the root of the load. Three engines are planned to be busy for 0.88 of the
+ * time and wait as long as one prompt takes (queue of fixed times, M/D/k); thirty for 0.96.
  */
-constexpr double HeadroomOfFew = 1.2;
-constexpr double HeadroomOfMany = 1.0;
-constexpr double FewEngines = 20;
-constexpr double ManyEngines = 80;
+constexpr double SpareOfRoot = 0.2;
+/** Of a decode engine's memory that is in use on average when it is full, as replayed. */
+constexpr double MemoryInUse = 0.85;
 
-double headroom(std::uint32_t engines)
+/**
+ * An engine is away for seconds, and what is known of the work wavers by some parts in a hundred:
+ * without a least gain engines were turned and turned back within a minute.
+ */
+constexpr double LeastGain = 1.05;
+
+/** Generations a second that go through both phases. */
+double generationsCarried(std::uint32_t prefill, std::uint32_t decode, const EngineTraits &traits,
+                          const scheduling::GenerationWork &work)
 {
-    const double part = std::clamp((engines - FewEngines) / (ManyEngines - FewEngines), 0.0, 1.0);
-    return HeadroomOfFew + part * (HeadroomOfMany - HeadroomOfFew);
+    const double usable = prefill - SpareOfRoot * std::sqrt(prefill);
+    const double memory = decode * static_cast<double>(traits.memoryTokens) * MemoryInUse;
+    return std::min(usable / work.prefillSeconds, memory / work.decodeTokenSeconds);
 }
 
 /** Loss of one must leave one; a prompt that a decode engine reads takes twice the time. */
 constexpr std::uint32_t FewestPrefill = 2;
-/** Of new samples; some fifty make up the average, since a lasting shift is looked for. */
-constexpr double SampleWeight = 0.02;
 /** Engines announce themselves one by one; the first decision waits until no more come. */
 constexpr Duration SettledAfter = std::chrono::milliseconds(1500);
 /**
@@ -44,22 +48,37 @@
 
 } // namespace
 
-void PhaseBalance::decodeSeen(std::uint64_t tokens, Duration took)
+void PhaseBalance::learn(const ServiceName &service, const scheduling::GenerationWork &work)
+{
+    m_work[service] = work;
+}
+
+const scheduling::GenerationWork *PhaseBalance::work(const ServiceName &service) const
 {
-    const double seconds = std::chrono::duration_cast<std::chrono::duration<double>>(took).count();
-    const double tokenSeconds = static_cast<double>(tokens) * seconds;
-    m_work.decodeTokenSeconds += SampleWeight * (tokenSeconds - m_work.decodeTokenSeconds);
+    const auto it = m_work.find(service);
+    return it == m_work.end() ? nullptr : &it->second;
 }
 
-std::uint32_t PhaseBalance::prefillWanted(std::uint32_t all, const EngineTraits &traits) const
+std::uint32_t PhaseBalance::prefillWanted(std::uint32_t all, std::uint32_t present,
+                                          const EngineTraits &traits,
+                                          const scheduling::GenerationWork &work)
 {
     if (all <= FewestPrefill || traits.memoryTokens == 0) {
         return all / 2;
     }
-    const double prefill = m_work.prefillSeconds * headroom(all);
-    const double decode = m_work.decodeTokenSeconds / static_cast<double>(traits.memoryTokens);
-    const double wanted = std::round(all * prefill / (prefill + decode));
-    return std::clamp(static_cast<std::uint32_t>(wanted), FewestPrefill, all - 1);
+    std::uint32_t best = FewestPrefill;
+    double most = 0;
+    for (std::uint32_t prefill = FewestPrefill; prefill < all; ++prefill) {
+        const double carried = generationsCarried(prefill, all - prefill, traits, work);
+        if (carried > most) {
+            most = carried;
+            best = prefill;
+        }
+    }
+    const bool isPossible = present >= FewestPrefill && present < all;
+    return isPossible && generationsCarried(present, all - present, traits, work) * LeastGain > most
+        ? present
+        : best;
 }
 
 std::vector<PhaseOrder> PhaseOrders::decide(TimePoint now, const Service &service,
@@ -72,14 +91,19 @@
     std::vector<const AnnouncedServer *> decode =
         servers.candidates(service.name, EnginePhase::Decode, now);
     const auto all = static_cast<std::uint32_t>(prefill.size() + decode.size());
-    if (all == 0 || !service.engine) {
+    const scheduling::GenerationWork *work = balance.work(service.name);
+    if (all == 0 || !service.engine || !work) {
         return {};
     }
-    const int difference = static_cast<int>(prefill.size())
-        - static_cast<int>(balance.prefillWanted(all, *service.engine));
+    const auto present = static_cast<std::uint32_t>(prefill.size());
+    const int difference = static_cast<int>(present)
+        - static_cast<int>(PhaseBalance::prefillWanted(all, present, *service.engine, *work));
     PerService &state = m_services[service.name];
-    if (state.engines != all || (state.difference > 0) != (difference > 0)
-        || (state.difference < 0) != (difference < 0)) {
+    // What the first decision goes by is being learnt; later ones look for a lasting direction.
+    const bool isSame = state.lastBatch
+        ? (state.difference > 0) == (difference > 0) && (state.difference < 0) == (difference < 0)
+        : state.difference == difference;
+    if (state.engines != all || !isSame) {
         state.since = now;
     }
     state.engines = all;
--- a/src/dispatch/phasebalance.h
+++ b/src/dispatch/phasebalance.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/dispatchstate.h"
+#include "scheduling/generationwork.h"
 
 #include <indigoway/routing.h>
 
@@ -10,34 +11,29 @@
 
 namespace indigoway::dispatch {
 
-/** What one generation takes of the engines, as seen by this node. */
-struct GenerationWork
-{
-    /**
-     * Of an engine's time, for a prompt of 5,200 tokens: 18 us a token and a step for each piece,
-     * measured on engines that were otherwise idle.
-     */
-    double prefillSeconds = 0.125;
-    /** Mean over the memory of a generation and the time that it decodes, measured likewise. */
-    double decodeTokenSeconds = 16'000;
-};
-
 /**
  * How many of a service's engines should prefill. Decode memory and prefill time are given out
  * from the same engines; where one phase has more than its part, the other one binds while the
- * first idles. At 90 engines of 38,223 tokens 31 prefill engines were a third busy at the burst
- * while requests waited for decode memory.
+ * first idles. It goes by the work that generations were seen to make. Until there is such work,
+ * the engines stay as their operators set them up: an estimate from another fleet turned engines
+ * before the traffic that had to be turned back in it.
  */
 class PhaseBalance
 {
 public:
-    void decodeSeen(std::uint64_t tokens, Duration took);
-    const GenerationWork &work() const { return m_work; }
-    /** Engines of @p all that should prefill. */
-    std::uint32_t prefillWanted(std::uint32_t all, const EngineTraits &traits) const;
+    void learn(const ServiceName &service, const scheduling::GenerationWork &work);
+    /** Null if nothing has been learnt. */
+    const scheduling::GenerationWork *work(const ServiceName &service) const;
+    /**
+     * Engines of @p all that should prefill for @p work: those that let most generations through.
+     * It stays @p present where a change would gain little.
+     */
+    static std::uint32_t prefillWanted(std::uint32_t all, std::uint32_t present,
+                                       const EngineTraits &traits,
+                                       const scheduling::GenerationWork &work);
 
 private:
-    GenerationWork m_work;
+    std::map<ServiceName, scheduling::GenerationWork> m_work;
 };
 
 /** An order to be given now. */
--- a/src/dispatch/phasechanges.cpp
+++ b/src/dispatch/phasechanges.cpp
@@ -50,15 +50,21 @@
     order.ordersTaken = event.report->ordersTaken;
     order.silentFor = OrderSilence;
     m_state.calls.start(step, call.server, std::move(order));
-    step.add(RecordDecision {
-        "order",
-        {},
-        "server=" + call.server.name.text()
-            + " phase=" + (phase == EnginePhase::Prefill ? "prefill" : "decode")
-            + " token=" + std::to_string(m_orderToken)
-            + " orders_taken=" + std::to_string(event.report->ordersTaken)
-            + " prefill_s=" + std::to_string(m_balance.work().prefillSeconds)
-            + " decode_token_s=" + std::to_string(m_balance.work().decodeTokenSeconds)});
+    step.add(RecordDecision {"order",
+                             {},
+                             "server=" + call.server.name.text() + " phase="
+                                 + (phase == EnginePhase::Prefill ? "prefill" : "decode")
+                                 + " token=" + std::to_string(m_orderToken)
+                                 + " orders_taken=" + std::to_string(event.report->ordersTaken)
+                                 + workText(call.server.service)});
+}
+
+std::string PhaseChanges::workText(const ServiceName &service) const
+{
+    const scheduling::GenerationWork *work = m_balance.work(service);
+    return work ? " prefill_s=" + std::to_string(work->prefillSeconds)
+            + " decode_token_s=" + std::to_string(work->decodeTokenSeconds)
+                : std::string();
 }
 
 void PhaseChanges::orderEnded(Step &step, const OpenCall &call, const CallEnded &event)
--- a/src/dispatch/phasechanges.h
+++ b/src/dispatch/phasechanges.h
@@ -26,10 +26,15 @@
     {
         return m_orders.isChanging(server, now);
     }
-    /** A generation that held @p tokens of a decode engine has ended well. */
-    void decodeSeen(std::uint64_t tokens, Duration took) { m_balance.decodeSeen(tokens, took); }
+    /** What the scheduler has learnt of the service's generations. */
+    void learn(const ServiceName &service, const scheduling::GenerationWork &work)
+    {
+        m_balance.learn(service, work);
+    }
 
 private:
+    std::string workText(const ServiceName &service) const;
+
     DispatchState &m_state;
     PhaseBalance m_balance;
     PhaseOrders m_orders;
--- a/src/scheduling/engineledger.cpp
+++ b/src/scheduling/engineledger.cpp
@@ -86,9 +86,16 @@
     return {server, now, engine.busyUntil + pace.answerTime(), engine.shift, tokens, isAlone};
 }
 
-void EngineLedger::endPrefill(const PrefillTurn &turn, TimePoint now)
+void EngineLedger::endPrefill(const PrefillTurn &turn, PrefillPace &pace, TimePoint now)
 {
     Engine &engine = m_engines[turn.server];
+    if (turn.isAlone) {
+        // Long prompts go to the fast engines: unless that is taken out, they seem to take hardly
+        // longer than short ones, and each engine's line seems shorter than it is.
+        const Duration own = now - turn.granted - pace.answerTime();
+        const double typical = static_cast<double>(own.count()) / slownessOf(engine, now);
+        pace.add(turn.tokens, pace.answerTime() + Duration(static_cast<Duration::rep>(typical)));
+    }
     engine.prompts -= engine.prompts > 0 ? 1 : 0;
     if (engine.prompts == 0) {
         engine.busyUntil = now;
--- a/src/scheduling/engineledger.h
+++ b/src/scheduling/engineledger.h
@@ -41,9 +41,11 @@
                          TimePoint now) const;
     PrefillTurn beginPrefill(const ServerName &server, std::uint32_t tokens,
                              const PrefillPace &pace, TimePoint now);
-    /** Corrects what is thought of the engine's line and speed by what it took. */
-    void endPrefill(const PrefillTurn &turn, TimePoint now);
-
+    /**
+     * Corrects what is thought of the engine's line and speed by what it took, and tells @p pace
+     * of it as a middling engine would have taken.
+     */
+    void endPrefill(const PrefillTurn &turn, PrefillPace &pace, TimePoint now);
     /** The prompt was given up, or its engine failed; that says nothing about the engine's speed.
      */
     void dropPrefill(const PrefillTurn &turn, TimePoint now);
--- a/src/scheduling/enginescheduler.cpp
+++ b/src/scheduling/enginescheduler.cpp
@@ -119,6 +119,9 @@
     if (m_waiting.contains(key)) {
         return;
     }
+    if (claim.urgency == Urgency::Fresh && claim.promptTokens > 0) {
+        m_paces[claim.service].generations.add(claim.promptTokens, claim.memory);
+    }
     const Outlook expected = outlook(now, view, claim);
     // A prompt so long that even idle engines would be late is no reason to refuse it for ever.
     const bool couldBeInTime = claim.urgency == Urgency::Fresh
@@ -162,11 +165,7 @@
     }
     const ServerName server = it->second.prefill->server;
     if (ended.isDone) {
-        m_ledger.endPrefill(*it->second.prefill, now);
-        if (it->second.prefill->isAlone) {
-            m_paces[it->second.service].prefill.add(it->second.prefill->tokens,
-                                                    now - it->second.prefill->granted);
-        }
+        m_ledger.endPrefill(*it->second.prefill, m_paces[it->second.service].prefill, now);
         beginDecode(it->second, now);
         m_ledger.workedWell(server);
     } else {
@@ -487,7 +486,7 @@
     }
     const AnnouncedServer *decode = room->server;
     Granted granted;
-    granted.answer = {key.claim, decode->name, {}};
+    granted.answer = {key.claim, decode->name, {}, pass.pace->work()};
     if (claim.promptTokens > 0 && !pass.prefill.empty()) {
         const AnnouncedServer *prefill = choosePrefill(now, pass, claim, decode->domain);
         if (!prefill) {
--- a/src/scheduling/enginescheduler.h
+++ b/src/scheduling/enginescheduler.h
@@ -85,6 +85,8 @@
     {
         PrefillPace prefill;
         GenerationPace decode;
+        GenerationsSeen generations;
+        std::optional<GenerationWork> work() const { return generations.work(prefill, decode); }
     };
     using WaitingMap = std::map<Key, Waiting>;
 
--- a/src/scheduling/prefillpace.cpp
+++ b/src/scheduling/prefillpace.cpp
@@ -19,6 +19,8 @@
 constexpr double WeightAtFirst = 1;
 /** A sample counts as at most so many times the estimate: one slow engine is not all of them. */
 constexpr double MostRatio = 3;
+/** Engines' speeds differ by a third; with so many prompts the slope is right to some 6 in 100. */
+constexpr std::uint32_t FewestSamples = 30;
 constexpr double LeastSecondsPerToken = 1e-8;
 
 Duration durationOf(double seconds)
@@ -48,10 +50,16 @@
     m_seconds *= Fading;
     m_squaredTokens *= Fading;
     m_products *= Fading;
+    ++m_samples;
     addSample(tokens, std::clamp(seconds, expected / MostRatio, expected * MostRatio), 1);
     m_line = fit();
 }
 
+bool PrefillPace::isKnown() const
+{
+    return m_samples >= FewestSamples;
+}
+
 Duration PrefillPace::work(std::uint32_t tokens) const
 {
     return durationOf(m_line.secondsPerToken * tokens);
--- a/src/scheduling/prefillpace.h
+++ b/src/scheduling/prefillpace.h
@@ -19,6 +19,8 @@
     /** A prompt that waited for no other was read in @p took. */
     void add(std::uint32_t tokens, Duration took);
 
+    /** Enough prompts were seen to tell the part that grows with them from the fixed one. */
+    bool isKnown() const;
     /** While which the engine reads no other prompt. */
     Duration work(std::uint32_t tokens) const;
     /** Beyond work(), from sending a prompt to its answer. */
@@ -35,6 +37,7 @@
 
     // Faded sums of a fit by least squares.
     double m_weight = 0;
+    std::uint32_t m_samples = 0; ///< Seen in all.
     double m_tokens = 0;
     double m_seconds = 0;
     double m_squaredTokens = 0;
--- a/src/scheduling/schedulercodec.cpp
+++ b/src/scheduling/schedulercodec.cpp
@@ -93,6 +93,10 @@
     Json::Value value = head("granted", from, granted.claim);
     value["decode"] = granted.decodeServer.text();
     value["prefill"] = granted.prefillServer.text();
+    if (granted.work) {
+        value["prefill_s"] = granted.work->prefillSeconds;
+        value["decode_token_s"] = granted.work->decodeTokenSeconds;
+    }
     return value;
 }
 
@@ -187,6 +191,13 @@
     return std::nullopt;
 }
 
+std::optional<GenerationWork> readWork(const Json::Value &value)
+{
+    const GenerationWork work {realMember(value, "prefill_s"), realMember(value, "decode_token_s")};
+    return work.prefillSeconds > 0 && work.decodeTokenSeconds > 0 ? std::optional(work)
+                                                                  : std::nullopt;
+}
+
 std::optional<FromScheduler> readFromScheduler(const Json::Value &value)
 {
     const std::string kind = stringMember(value, "kind");
@@ -196,7 +207,7 @@
     }
     if (kind == "granted") {
         return ClaimGranted {id, ServerName(stringMember(value, "decode")),
-                             ServerName(stringMember(value, "prefill"))};
+                             ServerName(stringMember(value, "prefill")), readWork(value)};
     }
     if (kind == "refused") {
         return ClaimRefused {id, static_cast<std::uint32_t>(numberMember(value, "ahead")),
--- a/src/scheduling/schedulermessages.h
+++ b/src/scheduling/schedulermessages.h
@@ -1,11 +1,12 @@
 #pragma once
 
-#include "scheduling/generationpace.h"
+#include "scheduling/generationwork.h"
 
 #include <indigoway/ids.h>
 #include <indigoway/routing.h>
 
 #include <cstdint>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -87,7 +88,8 @@
 {
     ClaimId claim;
     ServerName decodeServer;
-    ServerName prefillServer; ///< Empty: the decode engine is to read the prompt.
+    ServerName prefillServer;           ///< Empty: the decode engine is to read the prompt.
+    std::optional<GenerationWork> work; ///< Of the service, as the scheduler has learnt it.
     bool operator==(const ClaimGranted &) const = default;
 };
 
