Let a new scheduler know how far runs are

Runs on an engine that had gone silent grew without end.

Nodes now tell for how long a run has decoded; a run grows to its most output at most; and among equal VMs the node that announced itself first schedules, so that one that comes back takes nothing over. Tests: aNewSchedulerKnowsHowFarRunsAre and runsThatDoNotEndStopGrowing (memoryreplaytest), aNodeThatComesBackTakesNothingOver (schedulerchoicetest).

--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -58,7 +58,8 @@
     const std::uint64_t most = facts.mostOutputTokens;
     return {facts.promptTokens + BlockTokens,
             facts.likelyOutputTokens ? std::min<std::uint64_t>(*facts.likelyOutputTokens, most)
-                                     : most};
+                                     : most,
+            most};
 }
 
 /** What is asked of an engine that is chosen without knowing what else it was asked for. */
--- a/src/dispatch/schedulerclaims.cpp
+++ b/src/dispatch/schedulerclaims.cpp
@@ -60,9 +60,12 @@
     if (request.claim.isNone()) {
         request.claim = ClaimId(++m_last);
     }
-    send(step,
-         RoomHeld {request.claim, request.service->name, request.memory, request.decodeServer,
-                   request.answerBy - step.now});
+    RoomHeld held {request.claim,        request.service->name,       request.memory,
+                   request.decodeServer, request.answerBy - step.now, std::nullopt};
+    if (request.firstAnswer != TimePoint {}) {
+        held.decodingFor = step.now - request.firstAnswer;
+    }
+    send(step, std::move(held));
 }
 
 void SchedulerClaims::prefillEnded(Step &step, const OpenRequest &request, bool isDone,
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -166,8 +166,9 @@
     wiring.leaderKey = layout.leaderKey;
     wiring.recordKey = layout.recordKey;
     wiring.ownKey = layout.nodesPrefix + node.m_settings.node.text();
-    wiring.changed = [&node](const std::string &key, const std::string *value) {
-        node.storeChanged(key, value);
+    wiring.changed = [&node](const std::string &key, const std::string *value,
+                             std::uint64_t revision) {
+        node.storeChanged(key, value, revision);
     };
     wiring.record = [&node](const std::string &kind, const std::string &detail) {
         node.record(kind, {{"detail", detail}});
@@ -223,7 +224,8 @@
     m_dispatcher.setScheduler(m_scheduler ? std::optional(m_scheduler->name) : std::nullopt);
 }
 
-void EdgeNode::storeChanged(const std::string &key, const std::string *value)
+void EdgeNode::storeChanged(const std::string &key, const std::string *value,
+                            std::uint64_t revision)
 {
     if (key == m_ports.layout.routingKey) {
         if (value) {
@@ -232,7 +234,7 @@
     } else if (key.starts_with(m_ports.layout.serversPrefix)) {
         serverChanged(key, value);
     } else if (key.starts_with(m_ports.layout.nodesPrefix)) {
-        nodeChanged(key, value);
+        nodeChanged(key, value, revision);
     }
 }
 
@@ -283,7 +285,7 @@
     m_dispatcher.announce(std::move(server));
 }
 
-void EdgeNode::nodeChanged(const std::string &key, const std::string *value)
+void EdgeNode::nodeChanged(const std::string &key, const std::string *value, std::uint64_t revision)
 {
     if (!value) {
         m_roster.withdraw(key, present());
@@ -296,7 +298,7 @@
         return;
     }
     record("node", {{"key", key}, {"callers", entry->callers}});
-    m_roster.announce(key, std::move(*entry));
+    m_roster.announce(key, std::move(*entry), revision);
 }
 
 std::vector<std::string> EdgeNode::seeds() const
--- a/src/edge/edgenode.h
+++ b/src/edge/edgenode.h
@@ -64,10 +64,10 @@
     static StateSync::Wiring wiringOf(EdgeNode &node, const StoreLayout &layout);
     static SchedulingExchange::Wiring schedulingWiringOf(EdgeNode &node);
     void chooseScheduler(TimePoint now);
-    void storeChanged(const std::string &key, const std::string *value);
+    void storeChanged(const std::string &key, const std::string *value, std::uint64_t revision);
     void routingChanged(const std::string &value);
     void serverChanged(const std::string &key, const std::string *value);
-    void nodeChanged(const std::string &key, const std::string *value);
+    void nodeChanged(const std::string &key, const std::string *value, std::uint64_t revision);
     std::vector<std::string> seeds() const;
     void handleControl(const HttpRequest &request);
     /** Listens on an address; where that is, if it can. */
--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -97,7 +97,7 @@
                         "holder=" + (value ? *value : std::string("none"))
                             + " token=" + std::to_string(revision));
     }
-    m_wiring.changed(key, value);
+    m_wiring.changed(key, value, revision);
 }
 
 void StateSync::pumpMirror()
--- a/src/edge/statesync.h
+++ b/src/edge/statesync.h
@@ -30,7 +30,9 @@
         std::string ownKey;
         std::string leaderKey;
         std::string recordKey;
-        std::function<void(const std::string &key, const std::string *value)> changed;
+        std::function<void(const std::string &key, const std::string *value,
+                           std::uint64_t revision)>
+            changed;
         RecordHandler record;
         std::function<std::vector<NodeEntry>()> members;
         std::function<std::vector<std::string>()> seeds; ///< Further control addresses.
--- a/src/fleet/noderoster.cpp
+++ b/src/fleet/noderoster.cpp
@@ -39,8 +39,9 @@
     : m_self(std::move(self))
 { }
 
-void NodeRoster::announce(const std::string &key, NodeEntry entry)
+void NodeRoster::announce(const std::string &key, NodeEntry entry, std::uint64_t revision)
 {
+    entry.announcedAt = revision;
     m_nodes[key] = {std::move(entry), std::nullopt};
 }
 
--- a/src/fleet/noderoster.h
+++ b/src/fleet/noderoster.h
@@ -20,6 +20,7 @@
     std::string control;         ///< "IP:port" for the other nodes.
     std::string scheduling = {}; ///< "IP:port" (UDP) for claims on engines; empty: none.
     double processors = 0;       ///< Its VM's share; the node with the most schedules the engines.
+    std::uint64_t announcedAt = 0; ///< The store's revision then; not part of what is announced.
     bool operator==(const NodeEntry &) const = default;
 };
 
@@ -40,7 +41,8 @@
 
     /** This node's addresses are known once it listens. */
     void setSelf(NodeEntry self) { m_self = std::move(self); }
-    void announce(const std::string &key, NodeEntry entry);
+    /** @p revision: of the store, with this announcement. */
+    void announce(const std::string &key, NodeEntry entry, std::uint64_t revision = 0);
     void withdraw(const std::string &key, TimePoint now);
     /** This node asks callers to go elsewhere. */
     void setLeaving() { m_isLeaving = true; }
--- a/src/scheduling/enginescheduler.cpp
+++ b/src/scheduling/enginescheduler.cpp
@@ -153,7 +153,11 @@
     granted.since = now;
     granted.endsBy = now + held.lasts + ExpirySlack;
     m_ledger.charge(held.decodeServer, granted.run, held.memory, now);
-    m_ledger.beginDecode(held.decodeServer, granted.run, now);
+    if (held.decodingFor) {
+        // Counted from now, a run half done would seem to want its whole output once more: after
+        // a change of scheduler all engines looked full for as long as their runs went on.
+        m_ledger.beginDecode(held.decodeServer, granted.run, now - *held.decodingFor);
+    }
     m_granted.emplace(key, std::move(granted));
 }
 
--- a/src/scheduling/generationpace.h
+++ b/src/scheduling/generationpace.h
@@ -12,6 +12,7 @@
 {
     std::uint64_t contextTokens = 0; ///< Held from the start: the prompt, and what was made before.
     std::uint64_t outputTokens = 0;  ///< To be made, as the caller guesses.
+    std::uint64_t mostOutputTokens = 0; ///< It ends by then at the latest; 0: not known.
     std::uint64_t whole() const { return contextTokens + outputTokens; }
     bool operator==(const MemoryNeed &) const = default;
 };
--- a/src/scheduling/memoryforecast.cpp
+++ b/src/scheduling/memoryforecast.cpp
@@ -21,6 +21,9 @@
  */
 constexpr double RestOfOverdue = 0.6;
 
+/** Where the most is not known: hardly any run makes more than so much beyond its mean. */
+constexpr double MostDeviations = 3;
+
 struct Expectation
 {
     double held = 0;
@@ -33,9 +36,13 @@
 {
     const double output = static_cast<double>(need.outputTokens) * pace.madeOfGuessed();
     const auto context = static_cast<double>(need.contextTokens);
-    const double overdue = output * pace.spread() * RestOfOverdue;
-    const double remaining = std::max(output - made, overdue);
-    return {context + made, remaining, remaining * pace.spread()};
+    const double most = need.mostOutputTokens > 0 ? static_cast<double>(need.mostOutputTokens)
+                                                  : output * (1 + MostDeviations * pace.spread());
+    // The engine may have gone silent: its runs do not end, nor do they grow for ever.
+    const double held = std::min(made, most);
+    const double overdue = std::min(output * pace.spread() * RestOfOverdue, most - held);
+    const double remaining = std::max(output - held, overdue);
+    return {context + held, remaining, remaining * pace.spread()};
 }
 
 /** Until the pace is known: the whole of it at once, and until the run is told to have ended. */
--- a/src/scheduling/schedulerchoice.cpp
+++ b/src/scheduling/schedulerchoice.cpp
@@ -1,5 +1,7 @@
 #include "schedulerchoice.h"
 
+#include <tuple>
+
 namespace indigoway::scheduling {
 
 std::optional<NodeEntry> schedulerOf(const std::vector<NodeEntry> &members)
@@ -9,9 +11,10 @@
         if (member.scheduling.empty()) {
             continue;
         }
-        const bool isBetter = !chosen || member.processors > chosen->processors
-            || (member.processors == chosen->processors && member.name < chosen->name);
-        chosen = isBetter ? &member : chosen;
+        const auto rank = [](const NodeEntry &node) {
+            return std::tuple(-node.processors, node.announcedAt, node.name);
+        };
+        chosen = !chosen || rank(member) < rank(*chosen) ? &member : chosen;
     }
     return chosen ? std::optional(*chosen) : std::nullopt;
 }
--- a/src/scheduling/schedulercodec.cpp
+++ b/src/scheduling/schedulercodec.cpp
@@ -2,6 +2,8 @@
 
 #include "core/jsontext.h"
 
+#include <algorithm>
+
 namespace indigoway::scheduling {
 
 namespace {
@@ -28,13 +30,15 @@
 {
     value["context"] = Json::UInt64(need.contextTokens);
     value["output"] = Json::UInt64(need.outputTokens);
+    value["most_output"] = Json::UInt64(need.mostOutputTokens);
 }
 
 /** Nothing if no engine could hold so much. */
 std::optional<MemoryNeed> readNeed(const Json::Value &value)
 {
-    const MemoryNeed need {numberMember(value, "context"), numberMember(value, "output")};
-    if (need.contextTokens > MostTokens || need.outputTokens > MostTokens) {
+    const MemoryNeed need {numberMember(value, "context"), numberMember(value, "output"),
+                           numberMember(value, "most_output")};
+    if (std::max({need.contextTokens, need.outputTokens, need.mostOutputTokens}) > MostTokens) {
         return std::nullopt;
     }
     return need;
@@ -64,6 +68,9 @@
     write(value, held.memory);
     value["decode"] = held.decodeServer.text();
     value["lasts_us"] = Json::Int64(held.lasts.count());
+    if (held.decodingFor) {
+        value["decoding_us"] = Json::Int64(held.decodingFor->count());
+    }
     return value;
 }
 
@@ -159,6 +166,9 @@
     held.memory = *memory;
     held.decodeServer = ServerName(stringMember(value, "decode"));
     held.lasts = durationMember(value, "lasts_us");
+    if (value["decoding_us"].isInt64()) {
+        held.decodingFor = Duration(value["decoding_us"].asInt64());
+    }
     return held;
 }
 
--- a/src/scheduling/schedulermessages.h
+++ b/src/scheduling/schedulermessages.h
@@ -47,6 +47,7 @@
     MemoryNeed memory;
     ServerName decodeServer;
     Duration lasts {};
+    std::optional<Duration> decodingFor; ///< Since its first token; nothing if it has made none.
     bool operator==(const RoomHeld &) const = default;
 };
 
--- a/tests/scheduling/burstreplaytest.cpp
+++ b/tests/scheduling/burstreplaytest.cpp
@@ -126,7 +126,7 @@
         claim.service = ServiceName("llm");
         claim.domain = DomainName(std::to_string(number % 3));
         claim.promptTokens = prompt;
-        claim.memory = {prompt + 600, 0};
+        claim.memory = {prompt + 600, 0, 0};
         claim.waitsAtMost = std::chrono::milliseconds(800);
         claim.untilTarget = Target;
         claim.lasts = std::chrono::seconds(14);
--- a/tests/scheduling/engineschedulertest.cpp
+++ b/tests/scheduling/engineschedulertest.cpp
@@ -311,9 +311,10 @@
         play.tell(0, A,
                   RoomHeld {ClaimId(7),
                             ServiceName("llm"),
-                            {45'000, 0},
+                            {45'000, 0, 0},
                             ServerName("d"),
-                            std::chrono::seconds(10)});
+                            std::chrono::seconds(10),
+                            std::nullopt});
         play.tell(1, B, patient(SchedulingPlay::claimOf(1, 20'000)));
         CPPUNIT_ASSERT_EQUAL(text("queued"), play.answer(B, 1));
         play.tell(50, A, ClaimEnded {ClaimId(7), ClaimEnd::Served});
--- a/tests/scheduling/memoryreplaytest.cpp
+++ b/tests/scheduling/memoryreplaytest.cpp
@@ -105,7 +105,7 @@
         claim.claim = ClaimId(number);
         claim.service = ServiceName("llm");
         claim.memory = {static_cast<std::uint64_t>(m_waiting[number].prompt),
-                        static_cast<std::uint64_t>(output * around(1, 0.4))};
+                        static_cast<std::uint64_t>(output * around(1, 0.4)), 0};
         claim.waitsAtMost = m_gap * 10;
         claim.untilTarget = std::chrono::hours(1);
         claim.lasts = std::chrono::hours(100);
@@ -186,6 +186,8 @@
     CPPUNIT_TEST(longOutputsShareTheMemoryOverTime);
     CPPUNIT_TEST(enginesThatDifferTenfoldAreLearnt);
     CPPUNIT_TEST(atFirstEachRunCountsWhole);
+    CPPUNIT_TEST(runsThatDoNotEndStopGrowing);
+    CPPUNIT_TEST(aNewSchedulerKnowsHowFarRunsAre);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -207,13 +209,51 @@
     {
         MemoryForecast forecast;
         const GenerationPace unknown;
-        forecast.add(RunNumber(1), {5'000, 4'000});
+        forecast.add(RunNumber(1), {5'000, 4'000, 0});
         const MemoryOutlook outlook = forecast.outlook(unknown, TimePoint {});
         CPPUNIT_ASSERT(outlook.peak() >= 9'000);
-        CPPUNIT_ASSERT(MemoryForecast::peakWith(outlook, {5'000, 4'000}, unknown) >= 18'000);
+        CPPUNIT_ASSERT(MemoryForecast::peakWith(outlook, {5'000, 4'000, 0}, unknown) >= 18'000);
+    }
+
+    // An engine goes silent in the middle of its runs. They do not end, and their callers wait on;
+    // if they were thought to grow all that time, the room of others would be kept for nothing.
+    void runsThatDoNotEndStopGrowing()
+    {
+        MemoryForecast forecast;
+        forecast.add(RunNumber(1), {5'000, 4'000, 7'000});
+        forecast.begin(RunNumber(1), TimePoint {});
+        const GenerationPace pace = fourThousandInFourSeconds();
+        const auto peakAfter = [&](std::chrono::seconds time) {
+            return forecast.outlook(pace, TimePoint {} + time).peak();
+        };
+        CPPUNIT_ASSERT(peakAfter(std::chrono::seconds(60)) <= 12'001);
+        CPPUNIT_ASSERT_EQUAL(peakAfter(std::chrono::seconds(10)),
+                             peakAfter(std::chrono::seconds(60)));
+    }
+
+    // The scheduler has changed, and nodes tell the new one what they hold. Runs that are half
+    // done want half of their output only; counted whole, all engines seem full for seconds, and
+    // callers are turned away from idle ones.
+    void aNewSchedulerKnowsHowFarRunsAre()
+    {
+        MemoryForecast forecast;
+        forecast.add(RunNumber(1), {5'000, 4'000, 0});
+        forecast.begin(RunNumber(1), TimePoint {} - std::chrono::seconds(2));
+        const double peak = forecast.outlook(fourThousandInFourSeconds(), TimePoint {}).peak();
+        CPPUNIT_ASSERT(peak >= 9'000);
+        CPPUNIT_ASSERT(peak < 10'000);
     }
 
 private:
+    static GenerationPace fourThousandInFourSeconds()
+    {
+        GenerationPace pace;
+        for (int i = 0; i < 200; ++i) {
+            pace.add(4'000, 4'000, std::chrono::seconds(4));
+        }
+        return pace;
+    }
+
     static void check(const EngineKind &kind)
     {
         const MemoryUse use = MemoryReplay(kind).play(60);
--- a/tests/scheduling/schedulerchoicetest.cpp
+++ b/tests/scheduling/schedulerchoicetest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST_SUITE(SchedulerChoiceTest);
     CPPUNIT_TEST(theLargestVmSchedules);
     CPPUNIT_TEST(amongEqualsTheFirstByName);
+    CPPUNIT_TEST(aNodeThatComesBackTakesNothingOver);
     CPPUNIT_TEST(onlyNodesThatTakeClaims);
     CPPUNIT_TEST_SUITE_END();
 
@@ -40,6 +41,17 @@
         CPPUNIT_ASSERT(schedulerOf({node("a", 1), node("b", 1)})->name == NodeName("a"));
     }
 
+    // A node was cut off for a while and announces itself again. If it took over for its name, the
+    // one that knows what the engines hold would be replaced by one that knows nothing.
+    void aNodeThatComesBackTakesNothingOver()
+    {
+        NodeEntry back = node("a", 1);
+        back.announcedAt = 90;
+        NodeEntry present = node("b", 1);
+        present.announcedAt = 12;
+        CPPUNIT_ASSERT(schedulerOf({back, present})->name == NodeName("b"));
+    }
+
     void onlyNodesThatTakeClaims()
     {
         CPPUNIT_ASSERT(schedulerOf({node("a", 1, ""), node("b", 0.1)})->name == NodeName("b"));
--- a/tests/scheduling/schedulercodectest.cpp
+++ b/tests/scheduling/schedulercodectest.cpp
@@ -31,6 +31,7 @@
     claim.domain = DomainName(name());
     claim.promptTokens = *rc::gen::inRange<std::uint32_t>(0, 100'000);
     claim.memory = {*rc::gen::inRange<std::uint64_t>(0, 100'000),
+                    *rc::gen::inRange<std::uint64_t>(0, 100'000),
                     *rc::gen::inRange<std::uint64_t>(0, 100'000)};
     claim.urgency = *rc::gen::element(Urgency::GoesOn, Urgency::Fresh, Urgency::ComingBack);
     claim.waitsAtMost = duration();
@@ -78,7 +79,10 @@
     void allOthersComeBackAsTheyWere()
     {
         const ClaimId id(9);
-        checkAsked(RoomHeld {id, ServiceName("s"), {5'000, 70}, ServerName("d"), Duration(77)});
+        checkAsked(RoomHeld {
+            id, ServiceName("s"), {5'000, 70, 90}, ServerName("d"), Duration(77), Duration(8)});
+        checkAsked(RoomHeld {
+            id, ServiceName("s"), {5'000, 70, 0}, ServerName("d"), Duration(77), std::nullopt});
         checkAsked(PrefillEnded {id, false, false});
         checkAsked(ClaimEnded {id, ClaimEnd::HandleLost});
         checkAnswered(ClaimQueued {id});
--- a/tests/scheduling/schedulingplay.h
+++ b/tests/scheduling/schedulingplay.h
@@ -56,7 +56,7 @@
         claim.domain = DomainName("a");
         constexpr std::uint64_t LongestPrompt = 11'000;
         claim.promptTokens = static_cast<std::uint32_t>(std::min(tokens, LongestPrompt));
-        claim.memory = {tokens, 0};
+        claim.memory = {tokens, 0, 0};
         claim.waitsAtMost = std::chrono::milliseconds(700);
         claim.untilTarget = std::chrono::milliseconds(900);
         claim.lasts = std::chrono::seconds(14);
