Keep only a node's share of idle connections to a server

Cause: a server resets connections beyond its limit, which all nodes share. Each node kept up to eight idle ones; with 61 nodes that is 488 of 430, so that new connections were reset, often right after a request was written. The limit had been read and used nowhere.

All nodes together now keep a quarter of it, at least one each. Tests: keepsItsShareOfTheConnections (plainflowtest), keepsNoMoreIdleConnectionsThanAllowed (serverconnectionstest); neither compiled before.

--- a/src/dispatch/dispatcheffects.h
+++ b/src/dispatch/dispatcheffects.h
@@ -36,7 +36,8 @@
     std::string address;
     Duration patience {};  ///< Handed on: how long the answer is waited for.
     Duration silentFor {}; ///< Broken if the server sends nothing for so long; 0: no bound.
-    bool needsNewConnection = false; ///< A kept one may die as the request is written.
+    bool needsNewConnection = false;   ///< A kept one may die as the request is written.
+    std::uint32_t connectionsKept = 1; ///< To its server, by this node, at the most.
     std::uint64_t reserveTokens = 0;
     Duration reserveFor {};
     std::string reservation;   ///< Reserve's result: for Decode, Whole and Unreserve.
--- a/src/dispatch/dispatchstate.h
+++ b/src/dispatch/dispatchstate.h
@@ -6,6 +6,7 @@
 #include "dispatch/servertracker.h"
 #include "fleet/serverdirectory.h"
 
+#include <algorithm>
 #include <map>
 
 namespace indigoway::dispatch {
@@ -36,6 +37,23 @@
     ServerCalls calls;
     std::map<ServiceName, RetryAllowance> allowances;
 
+    /**
+     * Idle connections to each server of @p service that this node may keep. A server resets those
+     * beyond its limit, which all nodes share, also when a request has just been written: its
+     * caller gets a failure in doubt. With eight for each of 61 nodes, idle ones alone were more
+     * than the 430 allowed, and one in four calls that must not run twice failed so.
+     */
+    std::uint32_t connectionsKept(const Service &service) const
+    {
+        constexpr std::uint32_t KeptAtMost = 8;
+        /** The rest is for calls, which at the peak come all at once. */
+        constexpr std::uint32_t KeptPart = 4;
+        if (service.maxConnections == 0 || nodes == 0) {
+            return 1;
+        }
+        return std::clamp(service.maxConnections / (KeptPart * nodes), 1U, KeptAtMost);
+    }
+
     RetryAllowance &allowance(const ServiceName &service)
     {
         auto [it, isNew] = allowances.try_emplace(service, settings.retries, startedAt);
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -577,6 +577,7 @@
 {
     call.request = request.facts.request;
     call.patience = request.answerBy - step.now;
+    call.connectionsKept = m_state.connectionsKept(*request.service);
     request.server = server.name;
     request.callKind = call.kind;
     request.callStarted = step.now;
--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -96,6 +96,7 @@
     call.request = request.facts.request;
     call.kind = CallKind::Plain;
     call.patience = request.answerBy - step.now;
+    call.connectionsKept = m_state.connectionsKept(*request.service);
     const bool isIdempotent = request.route->repetition == Repetition::Idempotent;
     ++request.runs;
     ++request.arrivals;
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -216,6 +216,7 @@
     request.address = effect.address;
     request.silentFor = effect.silentFor;
     request.needsNewConnection = effect.needsNewConnection;
+    request.connectionsKept = effect.connectionsKept;
     m_calls.emplace(effect.call, std::move(open));
     m_servers.start(request);
 }
--- a/src/relay/serverconnections.cpp
+++ b/src/relay/serverconnections.cpp
@@ -26,7 +26,6 @@
 /** A server closes at the time it tells; this much earlier the connection is not used again. */
 constexpr Duration KeptMargin = std::chrono::milliseconds(600);
 constexpr Duration LongestKept = std::chrono::seconds(8);
-constexpr std::size_t MostKeptPerServer = 8;
 
 timeval timevalOf(Duration duration)
 {
@@ -62,6 +61,7 @@
     MessageParser parser;
     CallNumber call; ///< None while it is kept idle.
     Duration silentFor {};
+    std::uint32_t mostKept = 1; ///< Idle ones to its server, this one included.
     /**
      * The request, until the connection is known to be made. Written before that, it would go out
      * as soon as the connection is made, and a loop that finds the end of the time for connecting
@@ -104,6 +104,7 @@
     Connection &connection = kept ? *kept : connect(request);
     connection.call = request.call;
     connection.silentFor = request.silentFor;
+    connection.mostKept = request.connectionsKept;
     m_calls[request.call] = connection.number;
     send(connection, request);
     if (connection.isConnected) {
@@ -123,6 +124,15 @@
     closeSoon(connection);
 }
 
+std::size_t ServerConnections::kept() const
+{
+    std::size_t count = 0;
+    for (const auto &[server, connections] : m_kept) {
+        count += connections.size();
+    }
+    return count;
+}
+
 ServerConnections::Connection *ServerConnections::keptConnection(const ServerRequest &request)
 {
     const auto it = m_kept.find(request.server);
@@ -285,7 +295,7 @@
 {
     const Duration time = keptFor(connection.parser.head());
     auto &kept = m_kept[connection.server];
-    if (time.count() <= 0 || kept.size() >= MostKeptPerServer) {
+    if (time.count() <= 0 || kept.size() >= connection.mostKept) {
         closeSoon(connection);
         return;
     }
--- a/src/relay/serverconnections.h
+++ b/src/relay/serverconnections.h
@@ -29,6 +29,7 @@
     std::string body;
     Duration silentFor {}; ///< Longest time without a byte from the server; 0: no bound.
     bool needsNewConnection = false;
+    std::uint32_t connectionsKept = 1; ///< Idle ones to this server, at the most.
 };
 
 enum class TransferEnd {
@@ -75,6 +76,8 @@
     /** Closes the call's connection; the observer is not told of it any more. */
     void abandon(CallNumber call);
     std::size_t open() const { return m_calls.size(); }
+    /** Idle connections. */
+    std::size_t kept() const;
     std::uint64_t connectionsMade() const { return m_connectionsMade; }
 
 private:
--- a/tests/dispatch/plainflowtest.cpp
+++ b/tests/dispatch/plainflowtest.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(avoidsAServerThatFails);
     CPPUNIT_TEST(turnsLateWorkAwayWhileLeaving);
     CPPUNIT_TEST(anOpenRequestKeepsItsRoutes);
+    CPPUNIT_TEST(keepsItsShareOfTheConnections);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -48,6 +49,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {0}, play.dispatcher().open());
     }
 
+    // Sixty nodes and a server that takes 430 connections. If each node keeps eight idle ones, the
+    // server resets new ones, some with a request on them that must not be sent again: its caller
+    // gets a failure though nothing is wrong with the server.
+    void keepsItsShareOfTheConnections()
+    {
+        const auto kept = [](std::uint32_t nodes, std::uint32_t allowed) {
+            DispatchState state({DomainName("d1"), RetryBounds {}}, DispatchPlay::at(0));
+            state.nodes = nodes;
+            Service service;
+            service.maxConnections = allowed;
+            return state.connectionsKept(service);
+        };
+        for (const std::uint32_t nodes : {1U, 7U, 61U, 400U}) {
+            for (const std::uint32_t allowed : {100U, 430U, 2'000U}) {
+                const std::uint32_t all = nodes * kept(nodes, allowed);
+                CPPUNIT_ASSERT(all <= std::max(allowed / 2, nodes));
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(3U, kept(7, 100));
+        CPPUNIT_ASSERT_EQUAL(1U, kept(0, 100));
+        CPPUNIT_ASSERT_EQUAL(8U, kept(1, 100));
+    }
+
     void knowsNoRoutesYet()
     {
         DispatchPlay play;
--- a/tests/relay/serverconnectionstest.cpp
+++ b/tests/relay/serverconnectionstest.cpp
@@ -1,6 +1,7 @@
 #include "relay/serverconnections.h"
 
 #include "http/eventbase.h"
+#include "http/httpserver.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -87,6 +88,7 @@
 {
     CPPUNIT_TEST_SUITE(ServerConnectionsTest);
     CPPUNIT_TEST(whatIsToldAsNotConnectedWasNotSent);
+    CPPUNIT_TEST(keepsNoMoreIdleConnectionsThanAllowed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -120,6 +122,41 @@
         connections.reset();
         event_base_loop(base.get(), EVLOOP_NONBLOCK);
     }
+
+    // A server resets connections beyond its limit, also one on which a caller's request has just
+    // been written.
+    void keepsNoMoreIdleConnectionsThanAllowed()
+    {
+        const EventBase base(event_base_new());
+        HttpServer server(
+            base.get(), HttpLimits {},
+            [&server](const HttpRequest &request) {
+                server.reply(request.exchange, 200, {{"Keep-Alive", "timeout=5"}}, "whole");
+            },
+            [](ExchangeNumber) {});
+        const std::string address = server.listenOn("127.0.0.1:0").value();
+        Observer observer(base.get());
+        auto connections = std::make_unique<ServerConnections>(base.get(), observer);
+        for (std::uint64_t i = 1; i <= 6; ++i) {
+            ServerRequest request;
+            request.call = CallNumber(i);
+            request.server = ServerName("s");
+            request.address = address;
+            request.method = "GET";
+            request.target = "/x";
+            request.headers = {{"Host", address}};
+            request.needsNewConnection = true;
+            request.connectionsKept = 2;
+            connections->start(request);
+        }
+        while (connections->open() > 0) {
+            event_base_dispatch(base.get());
+        }
+        CPPUNIT_ASSERT(*observer.end() == TransferEnd::Complete);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, connections->kept());
+        connections.reset();
+        event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerConnectionsTest);
