--- a/scripts/make-days.py
+++ b/scripts/make-days.py
@@ -1,10 +1,10 @@
 #!/usr/bin/env python3
-"""Writes tests/days/*.toml: each kind of trouble with each variant, at the start, in the middle and
-at the end of a day, and pairs that meet. Names of services and failure domains are left out, so
-that a day fits any deployment."""
+"""Writes deploy/days/*.toml: each kind of trouble with each variant, at the start, in the middle and
+at the end of a day, and pairs that meet. @c0, @s0 and @z0 stand for a deployment's first kind of
+request, service and failure domain, so that a day fits any."""
 import pathlib
 
-OUT = pathlib.Path(__file__).parent.parent / "tests" / "days"
+OUT = pathlib.Path(__file__).parent.parent / "deploy" / "days"
 
 SINGLE = {
     "burst": ["x = 3.0, for_s = 4.0"],
@@ -76,6 +76,15 @@
     "crash-at-the-peak": ([("burst", "x = 2.5, for_s = 6.0", 8.0),
                            ("srv_crash", 'share = 0.33, for_s = 4.0, how = "dark"', 9.0),
                            ("retry_abuse", "share = 0.5, x = 4.0, for_s = 6.0", 8.0)], []),
+    "engines-go-silent-at-the-peak": ([("burst", 'class = "@c0", x = 3.0, for_s = 6.0', 8.0),
+                                       ("srv_crash", 'service = "@s0", share = 0.25, for_s = 5.0, '
+                                        'how = "dark"', 9.0)], []),
+    "engines-come-back-in-an-outage": ([("platform_down", 'for_s = 5.0, how = "silent"', 8.0),
+                                        ("srv_cut", 'service = "@s0", share = 0.3, for_s = 3.0, '
+                                         'how = "reborn"', 8.5)], []),
+    "scheduler-back-in-a-burst": ([("node_cut", "share = 0.35, for_s = 9.0", 1.0),
+                                   ("burst", 'class = "@c0", x = 2.5, for_s = 8.0', 7.0),
+                                   ("lossy", 'zone = "@z0", x = 0.05, for_s = 8.0', 7.0)], []),
     "grey-and-short-handles": ([("srv_grey", 'share = 0.3, for_s = 8.0, how = "hang"', 6.0),
                                 ("handle_short", "share = 0.4, for_s = 8.0", 6.0)], []),
 }
--- a/scripts/play-days.sh
+++ b/scripts/play-days.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the days of tests/days on a site and prints a line for each: day, worth, rules broken.
+# Plays the days of deploy/days on a site and prints a line for each: day, worth, rules broken.
 #   BENCH=path/to/bench scripts/play-days.sh SITE [jobs]
 set -u
 cd "$(dirname "$0")/.."
@@ -14,5 +14,5 @@
     printf '%-36s %s\n' "$name" "$(echo "$line" | awk '{print "worth", $4, "served", $5}') $(grep -E '^rules broken' "$out/$name.txt" | head -1)"
 }
 export -f play
-ls tests/days/*.toml | xargs -P "$jobs" -I{} bash -c 'play {}' | sort
+ls deploy/days/*.toml | xargs -P "$jobs" -I{} bash -c 'play {}' | sort
 echo "outputs: $out"
