--- /dev/null
+++ b/src/scheduling/enginechoice.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "fleet/serverdirectory.h"
+#include "scheduling/engineledger.h"
+#include "scheduling/schedulermessages.h"
+#include "scheduling/servicepace.h"
+
+#include <vector>
+
+namespace indigoway::scheduling {
+
+/**
+ * The engines of one service at a moment, for one pass over the claims on them: which decode
+ * engine has room for a claim, and which prefill engine reads its prompt next.
+ */
+class EngineChoice
+{
+public:
+    /** A decode engine that is not avoided. */
+    struct DecodeRoom
+    {
+        const AnnouncedServer *server = nullptr;
+        MemoryOutlook memory;
+        double peak = 0; ///< Of memory, if nothing is added.
+        bool isKept = false;
+    };
+
+    EngineChoice(const EngineLedger &ledger, const ServerDirectory &servers, const Service &service,
+                 const ServicePace &pace, TimePoint now);
+
+    /** Null if none has room. */
+    DecodeRoom *chooseDecode(const Claim &claim);
+    /** Counts a run in that was granted @p room. */
+    void fill(DecodeRoom &room, const MemoryNeed &need) const;
+    /** Keeps the engine that will have room for a large claim first from the other claims. */
+    void keepRoom();
+    /** All decode engines' memory. */
+    double memory() const { return m_memory * static_cast<double>(m_decode.size()); }
+    /** What of it is free where a run of @p need would fit; other room is none for it. */
+    double freeFor(const MemoryNeed &need) const;
+
+    bool hasPrefill() const { return !m_prefill.empty(); }
+    /** Null if a prompt would wait too long at each. */
+    const AnnouncedServer *choosePrefill(const Claim &claim, const DomainName &decodeDomain) const;
+    /** At the prefill engine with the shortest line; 0 if there is none. */
+    Duration leastPrefillWait() const;
+    /** Until a prompt that is sent now could be read; 0 if there is no prefill engine. */
+    Duration leastPrefillTime(std::uint32_t tokens) const;
+    std::size_t prefillEngines() const { return m_prefill.size(); }
+
+private:
+    std::vector<const AnnouncedServer *>
+    usablePrefill(const std::vector<const AnnouncedServer *> &all) const;
+
+    const EngineLedger &m_ledger;
+    const ServicePace &m_pace;
+    TimePoint m_now;
+    double m_memory = 0; ///< Of one engine, in tokens.
+    std::vector<DecodeRoom> m_decode;
+    std::vector<const AnnouncedServer *> m_prefill;
+    std::size_t m_kept = 0; ///< Engines whose room collects for claims that wait for long.
+};
+
+} // namespace indigoway::scheduling
--- a/src/scheduling/enginescheduler.cpp
+++ b/src/scheduling/enginescheduler.cpp
@@ -9,37 +9,14 @@
 
 /** From the prompt's answer to the first event: the KV cache is moved, a token is made. */
 constexpr Duration FirstEventAfterPrefill = std::chrono::milliseconds(40);
-/** A prompt is not sent where it would wait longer: decode memory would lie reserved meanwhile. */
-constexpr Duration MostPrefillWait = std::chrono::milliseconds(100);
-/** Moving a KV cache to another failure domain takes longer, and its bytes cost more. */
-constexpr Duration OtherDomainTime = std::chrono::milliseconds(25);
-constexpr double OtherDomainTokens = 1500;
+/** While a prompt would be read sooner, those that wait do so for decode memory. */
+constexpr Duration LongPrefillWait = std::chrono::milliseconds(100);
 /**
  * A claim waits so long before room is kept for it, on an engine of its own. Without that, each
  * piece of room that comes free goes to the small ones: in a burst of twice the capacity one in
  * eight of the largest prompts was served, of all two in three.
  */
 constexpr Duration KeepRoomAfter = std::chrono::milliseconds(100);
-/**
- * Where the wait settles at what small prompts can just bear, the largest are always hopeless: they
- * take longer to read. So all are held to a wait half way to what the longest prompt of late can
- * bear. In a replayed burst of twice the capacity 26 in 100 of the largest were served without it
- * where 61 of all were.
- */
-constexpr double LongestPromptFading = 0.998;
-constexpr Duration MostAllowance = std::chrono::milliseconds(150);
-/** Shorter ones say more about messages on their way than about the engines. */
-constexpr Duration WaitWorthLearning = std::chrono::milliseconds(20);
-/** Room comes free in pieces that fit nobody, and later claims go first: by how much is learnt. */
-constexpr double WaitRatioWeight = 0.05;
-constexpr double LeastWaitRatio = 0.5;
-constexpr double MostWaitRatio = 6;
-/** How long a grant is held before one has ended: a prompt read, some seventy events. */
-constexpr double SecondsHeldAtFirst = 3;
-/** Of a sample; some twenty make up the average. */
-constexpr double HeldWeight = 0.05;
-/** Of the engines; where room is kept on all of them, small claims wait for nothing. */
-constexpr std::size_t KeptPart = 2;
 /**
  * A pass over all that wait takes some 100 us. With hundreds waiting and a thousand messages a
  * second the scheduler would do nothing else, and nodes would take it for dead.
@@ -61,10 +38,6 @@
 
 } // namespace
 
-EngineScheduler::EngineScheduler()
-    : m_secondsHeld(SecondsHeldAtFirst)
-{ }
-
 SchedulerReplies EngineScheduler::handle(TimePoint now, const View &view, const NodeLife &from,
                                          const ToScheduler &message)
 {
@@ -128,7 +101,8 @@
         && m_ledger.prefillTime(ServerName(), claim.promptTokens, paceOf(claim.service).prefill,
                                 now)
             < claim.untilTarget;
-    const Duration latest = claim.untilTarget - allowanceForLarge(claim);
+    const Duration latest =
+        claim.untilTarget - m_waits.allowanceForLarge(claim, paceOf(claim.service).prefill);
     const bool isHopeless =
         expected.forRoom > claim.waitsAtMost || (couldBeInTime && expected.firstEvent > latest);
     if (isHopeless) {
@@ -188,8 +162,7 @@
     }
     const ServerName server = it->second.decodeServer;
     const ServerName prefillServer = it->second.answer.prefillServer;
-    const double held =
-        std::chrono::duration_cast<std::chrono::duration<double>>(now - it->second.since).count();
+    const Duration held = now - it->second.since;
     if (ended.end == ClaimEnd::Served && it->second.decodesSince) {
         m_paces[it->second.service].decode.add(it->second.memory.outputTokens, ended.madeTokens,
                                                now - *it->second.decodesSince);
@@ -208,7 +181,7 @@
         m_ledger.lostHandle(prefillServer, now);
     } else if (ended.end == ClaimEnd::Served) {
         m_ledger.workedWell(server);
-        m_secondsHeld += HeldWeight * (held - m_secondsHeld);
+        m_waits.addHeld(held);
     }
 }
 
@@ -270,41 +243,20 @@
         const Duration waited = now - one.second.since;
         const bool isOver = waited > one.second.claim.waitsAtMost;
         if (isOver) {
-            learnWait(one.second, waited);
+            m_waits.addWaited(one.second.claim.urgency, one.second.expected, waited);
             replies.push_back({one.first.owner, ClaimRefused {one.first.claim, 0, waited}});
         }
         return isOver;
     });
 }
 
-const EngineScheduler::ServicePace &EngineScheduler::paceOf(const ServiceName &service) const
+const ServicePace &EngineScheduler::paceOf(const ServiceName &service) const
 {
     static const ServicePace Unknown;
     const auto it = m_paces.find(service);
     return it == m_paces.end() ? Unknown : it->second;
 }
 
-void EngineScheduler::learnWait(const Waiting &waiting, Duration waited)
-{
-    if (waiting.expected < WaitWorthLearning) {
-        return;
-    }
-    const double sample =
-        static_cast<double>(waited.count()) / static_cast<double>(waiting.expected.count());
-    double &ratio = m_waitRatio.try_emplace(waiting.claim.urgency, 1).first->second;
-    ratio += WaitRatioWeight * (std::clamp(sample, LeastWaitRatio, MostWaitRatio) - ratio);
-}
-
-Duration EngineScheduler::allowanceForLarge(const Claim &claim)
-{
-    double &longest = m_longestPrompt[claim.service];
-    longest = std::max(longest * LongestPromptFading, static_cast<double>(claim.promptTokens));
-    const PrefillPace &pace = paceOf(claim.service).prefill;
-    const Duration more =
-        pace.work(static_cast<std::uint32_t>(longest)) - pace.work(claim.promptTokens);
-    return std::min(more / 2, MostAllowance);
-}
-
 TimePoint EngineScheduler::startBy(TimePoint now, const Claim &claim) const
 {
     return now + claim.untilTarget - FirstEventAfterPrefill
@@ -320,80 +272,42 @@
     if (!service || !service->engine) {
         return result;
     }
-    Ahead ahead;
+    const PrefillPace &prefillPace = paceOf(claim.service).prefill;
+    const EngineChoice engines(m_ledger, view.servers, *service, paceOf(claim.service), now);
+    double tokensAhead = 0;
+    Duration promptsAhead {};
     const TimePoint latest = startBy(now, claim);
     for (const auto &[key, waiting] : m_waiting) {
         const bool goesBefore = waiting.claim.urgency < claim.urgency
             || (waiting.claim.urgency == claim.urgency && waiting.startBy <= latest);
         if (waiting.claim.service == claim.service && goesBefore) {
             ++result.ahead;
-            ahead.memoryTokens += meanTokens(waiting.claim.memory);
-            ahead.prefillWork += paceOf(claim.service).prefill.work(waiting.claim.promptTokens);
+            tokensAhead += meanTokens(waiting.claim.memory);
+            promptsAhead += prefillPace.work(waiting.claim.promptTokens);
         }
     }
-    const PrefillOutlook prefill = prefillOutlook(now, view, claim, ahead);
     // Those who wait though a prompt would be read at once wait for room: what is free is too
     // small for them, or kept for one of them.
-    const bool isRoomShort = result.ahead > 0 && prefill.leastWait <= MostPrefillWait;
-    result.forRoom = waitForRoom(now, view, claim, ahead.memoryTokens,
-                                 static_cast<double>(service->engine->memoryTokens), isRoomShort);
+    const bool isRoomShort = result.ahead > 0 && engines.leastPrefillWait() <= LongPrefillWait;
+    const double free = isRoomShort ? 0 : engines.freeFor(claim.memory);
+    const double wanted = tokensAhead + meanTokens(claim.memory) - free;
+    if (engines.memory() > 0 && wanted > 0) {
+        result.forRoom = m_waits.untilFree(claim.urgency, wanted / engines.memory());
+    }
     // While it waits for room, the prompts before it are read.
-    const Duration least =
-        m_ledger.prefillTime(ServerName(), claim.promptTokens, paceOf(claim.service).prefill, now);
-    result.firstEvent =
-        std::max(prefill.untilRead, result.forRoom + least) + FirstEventAfterPrefill;
-    return result;
-}
-
-EngineScheduler::PrefillOutlook EngineScheduler::prefillOutlook(TimePoint now, const View &view,
-                                                                const Claim &claim,
-                                                                const Ahead &ahead) const
-{
-    const auto engines =
-        usablePrefill(now, view.servers.candidates(claim.service, EnginePhase::Prefill, now));
-    if (engines.empty() || claim.promptTokens == 0) {
-        return {};
-    }
-    PrefillOutlook result {Duration::max(), Duration::max()};
-    for (const AnnouncedServer *server : engines) {
-        result.leastWait = std::min(result.leastWait, m_ledger.prefillWait(server->name, now));
-        result.untilRead = std::min(result.untilRead,
-                                    m_ledger.prefillTime(server->name, claim.promptTokens,
-                                                         paceOf(claim.service).prefill, now));
-    }
-    result.untilRead += ahead.prefillWork / static_cast<Duration::rep>(engines.size());
+    const Duration least = m_ledger.prefillTime(ServerName(), claim.promptTokens, prefillPace, now);
+    Duration untilRead {};
+    if (claim.promptTokens > 0 && engines.hasPrefill()) {
+        untilRead = engines.leastPrefillTime(claim.promptTokens)
+            + promptsAhead / static_cast<Duration::rep>(engines.prefillEngines());
+    }
+    result.firstEvent = std::max(untilRead, result.forRoom + least) + FirstEventAfterPrefill;
     return result;
 }
 
-Duration EngineScheduler::waitForRoom(TimePoint now, const View &view, const Claim &claim,
-                                      double tokensAhead, double memory, bool isRoomShort) const
-{
-    double free = 0;
-    double all = 0;
-    const GenerationPace &pace = paceOf(claim.service).decode;
-    for (const DecodeRoom &room : decodeRooms(now, view, claim.service)) {
-        all += memory;
-        // What is too small for this claim is no room for it.
-        const bool fits = MemoryForecast::peakWith(room.memory, claim.memory, pace) <= memory;
-        free += fits ? memory - room.peak : 0;
-    }
-    const double wanted = tokensAhead + meanTokens(claim.memory) - (isRoomShort ? 0 : free);
-    if (all <= 0 || wanted <= 0) {
-        return Duration(0);
-    }
-    const auto ratio = m_waitRatio.find(claim.urgency);
-    const double seconds =
-        wanted / all * m_secondsHeld * (ratio == m_waitRatio.end() ? 1 : ratio->second);
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
-
 std::vector<EngineScheduler::WaitingMap::iterator>
-EngineScheduler::order(TimePoint now, const Pass &pass, const ServiceName &service)
+EngineScheduler::order(TimePoint now, Duration prefillWait, const ServiceName &service)
 {
-    Duration prefillWait = pass.prefill.empty() ? Duration(0) : Duration::max();
-    for (const AnnouncedServer *server : pass.prefill) {
-        prefillWait = std::min(prefillWait, m_ledger.prefillWait(server->name, now));
-    }
     struct Place
     {
         int rank = 0;
@@ -443,37 +357,20 @@
 void EngineScheduler::grantOne(TimePoint now, const View &view, const Service &service,
                                SchedulerReplies &replies)
 {
-    Pass pass;
-    pass.decode = decodeRooms(now, view, service.name);
-    pass.prefill =
-        usablePrefill(now, view.servers.candidates(service.name, EnginePhase::Prefill, now));
-    pass.memoryTokens = static_cast<double>(service.engine->memoryTokens);
-    pass.pace = &paceOf(service.name);
-    for (const auto it : order(now, pass, service.name)) {
+    Pass pass {EngineChoice(m_ledger, view.servers, service, paceOf(service.name), now)};
+    for (const auto it : order(now, pass.engines.leastPrefillWait(), service.name)) {
         if (tryGrant(now, pass, it->first, it->second, replies)) {
-            learnWait(it->second, now - it->second.since);
+            m_waits.addWaited(it->second.claim.urgency, it->second.expected,
+                              now - it->second.since);
             m_waiting.erase(it);
         } else if (pass.isPrefillFull) {
             break;
         } else if (now > it->second.since + KeepRoomAfter) {
-            keepRoom(pass);
+            pass.engines.keepRoom();
         }
     }
 }
 
-std::vector<EngineScheduler::DecodeRoom>
-EngineScheduler::decodeRooms(TimePoint now, const View &view, const ServiceName &service) const
-{
-    std::vector<DecodeRoom> rooms;
-    for (const auto *server : view.servers.candidates(service, EnginePhase::Decode, now)) {
-        if (auto memory = m_ledger.memoryOutlook(server->name, paceOf(service).decode, now)) {
-            const double peak = memory->peak();
-            rooms.push_back({server, std::move(*memory), peak, false});
-        }
-    }
-    return rooms;
-}
-
 bool EngineScheduler::tryGrant(TimePoint now, Pass &pass, const Key &key, const Waiting &waiting,
                                SchedulerReplies &replies)
 {
@@ -481,7 +378,7 @@
     if (pass.tooLarge != 0 && claim.memory.whole() >= pass.tooLarge && claim.without.empty()) {
         return false;
     }
-    DecodeRoom *room = chooseDecode(pass, claim);
+    EngineChoice::DecodeRoom *room = pass.engines.chooseDecode(claim);
     if (!room) {
         if (claim.without.empty()) {
             pass.tooLarge = claim.memory.whole();
@@ -490,15 +387,16 @@
     }
     const AnnouncedServer *decode = room->server;
     Granted granted;
-    granted.answer = {key.claim, decode->name, {}, pass.pace->work()};
-    if (claim.promptTokens > 0 && !pass.prefill.empty()) {
-        const AnnouncedServer *prefill = choosePrefill(now, pass, claim, decode->domain);
+    const ServicePace &pace = paceOf(claim.service);
+    granted.answer = {key.claim, decode->name, {}, pace.work()};
+    if (claim.promptTokens > 0 && pass.engines.hasPrefill()) {
+        const AnnouncedServer *prefill = pass.engines.choosePrefill(claim, decode->domain);
         if (!prefill) {
             pass.isPrefillFull = claim.without.empty();
             return false;
         }
         granted.prefill =
-            m_ledger.beginPrefill(prefill->name, claim.promptTokens, pass.pace->prefill, now);
+            m_ledger.beginPrefill(prefill->name, claim.promptTokens, pace.prefill, now);
         granted.answer.prefillServer = prefill->name;
     }
     granted.service = claim.service;
@@ -511,91 +409,10 @@
     if (!granted.prefill) {
         beginDecode(granted, now);
     }
-    MemoryForecast::addTo(room->memory, claim.memory, pass.pace->decode);
-    room->peak = room->memory.peak();
+    pass.engines.fill(*room, claim.memory);
     replies.push_back({key.owner, granted.answer});
     m_granted.emplace(key, std::move(granted));
     return true;
 }
 
-EngineScheduler::DecodeRoom *EngineScheduler::chooseDecode(Pass &pass, const Claim &claim)
-{
-    DecodeRoom *best = nullptr;
-    double bestScore = 0;
-    for (DecodeRoom &room : pass.decode) {
-        if (room.isKept
-            || MemoryForecast::peakWith(room.memory, claim.memory, pass.pace->decode)
-                > pass.memoryTokens
-            || std::ranges::find(claim.without, room.server->name) != claim.without.end()) {
-            continue;
-        }
-        const double score =
-            room.peak + (room.server->domain == claim.domain ? 0 : OtherDomainTokens);
-        if (!best || score < bestScore) {
-            best = &room;
-            bestScore = score;
-        }
-    }
-    return best;
-}
-
-std::vector<const AnnouncedServer *>
-EngineScheduler::usablePrefill(TimePoint now, const std::vector<const AnnouncedServer *> &all) const
-{
-    std::vector<const AnnouncedServer *> sound;
-    std::vector<const AnnouncedServer *> reachable;
-    for (const AnnouncedServer *server : all) {
-        if (m_ledger.isAvoided(server->name, now)) {
-            continue;
-        }
-        reachable.push_back(server);
-        if (!m_ledger.hasLostHandles(server->name, now)) {
-            sound.push_back(server);
-        }
-    }
-    if (!sound.empty()) {
-        return sound;
-    }
-    return reachable.empty() ? all : reachable;
-}
-
-const AnnouncedServer *EngineScheduler::choosePrefill(TimePoint now, const Pass &pass,
-                                                      const Claim &claim,
-                                                      const DomainName &decodeDomain) const
-{
-    const AnnouncedServer *best = nullptr;
-    Duration bestTime {};
-    for (const AnnouncedServer *server : pass.prefill) {
-        if (m_ledger.prefillWait(server->name, now) > MostPrefillWait
-            || std::ranges::find(claim.without, server->name) != claim.without.end()) {
-            continue;
-        }
-        const Duration time = m_ledger.prefillTime(server->name, claim.promptTokens,
-                                                   paceOf(claim.service).prefill, now)
-            + (server->domain == decodeDomain ? Duration(0) : OtherDomainTime);
-        if (!best || time < bestTime) {
-            best = server;
-            bestTime = time;
-        }
-    }
-    return best;
-}
-
-void EngineScheduler::keepRoom(Pass &pass)
-{
-    if (pass.kept >= pass.decode.size() / KeptPart) {
-        return;
-    }
-    DecodeRoom *emptiest = nullptr;
-    for (DecodeRoom &room : pass.decode) {
-        if (!room.isKept && (!emptiest || room.peak < emptiest->peak)) {
-            emptiest = &room;
-        }
-    }
-    if (emptiest) {
-        emptiest->isKept = true;
-        ++pass.kept;
-    }
-}
-
 } // namespace indigoway::scheduling
--- a/src/scheduling/enginescheduler.h
+++ b/src/scheduling/enginescheduler.h
@@ -2,8 +2,11 @@
 
 #include "fleet/serverdirectory.h"
 #include "routing/routetable.h"
+#include "scheduling/claimwaits.h"
+#include "scheduling/enginechoice.h"
 #include "scheduling/engineledger.h"
 #include "scheduling/schedulermessages.h"
+#include "scheduling/servicepace.h"
 
 #include <map>
 #include <optional>
@@ -35,8 +38,6 @@
 class EngineScheduler
 {
 public:
-    EngineScheduler();
-
     /** What the scheduling node knows of engines and services. */
     struct View
     {
@@ -80,14 +81,6 @@
         std::optional<PrefillTurn> prefill; ///< While it is under way.
         ClaimGranted answer;                ///< For a claim that is sent again.
     };
-    /** What is learnt of a service's engines. */
-    struct ServicePace
-    {
-        PrefillPace prefill;
-        GenerationPace decode;
-        GenerationsSeen generations;
-        std::optional<GenerationWork> work() const { return generations.work(prefill, decode); }
-    };
     using WaitingMap = std::map<Key, Waiting>;
 
     void take(TimePoint now, const View &view, const Key &key, const Claim &claim,
@@ -110,83 +103,33 @@
         Duration firstEvent {}; ///< From now; the wait included.
     };
     Outlook outlook(TimePoint now, const View &view, const Claim &claim) const;
-    /** Of the claims that go before one. */
-    struct Ahead
-    {
-        double memoryTokens = 0;
-        Duration prefillWork {};
-    };
-    struct PrefillOutlook
-    {
-        Duration leastWait {}; ///< At the engine with the shortest line.
-        Duration untilRead {}; ///< Of the claim's prompt, if it is sent after those ahead.
-    };
-    PrefillOutlook prefillOutlook(TimePoint now, const View &view, const Claim &claim,
-                                  const Ahead &ahead) const;
-    /** @p isRoomShort: what is free now is not for this claim. */
-    Duration waitForRoom(TimePoint now, const View &view, const Claim &claim, double tokensAhead,
-                         double memory, bool isRoomShort) const;
-    /** Time that a claim leaves so that others with longer prompts are not always the hopeless. */
-    Duration allowanceForLarge(const Claim &claim);
     /** When @p claim has to be granted for its target, on engines that are idle. */
     TimePoint startBy(TimePoint now, const Claim &claim) const;
-    /** A claim that had to wait has been granted, or refused, after @p waited. */
     const ServicePace &paceOf(const ServiceName &service) const;
-    void learnWait(const Waiting &waiting, Duration waited);
     void grant(TimePoint now, const View &view, SchedulerReplies &replies);
-    struct DecodeRoom
-    {
-        const AnnouncedServer *server = nullptr;
-        MemoryOutlook memory;
-        double peak = 0; ///< Of memory, if nothing is added.
-        bool isKept = false;
-    };
-    /** Engines of one service, and what one pass over its claims found out. */
+    /** Over the claims on one service. */
     struct Pass
     {
-        std::vector<DecodeRoom> decode;
-        std::vector<const AnnouncedServer *> prefill;
-        const ServicePace *pace = nullptr;
-        double memoryTokens = 0;
+        EngineChoice engines;
         std::uint64_t tooLarge = 0; ///< No engine has room for so many tokens; 0: not known.
         bool isPrefillFull = false;
-        std::size_t kept = 0; ///< Engines whose room collects for claims that wait for long.
     };
-    /** Decode engines of @p service that are not avoided. */
-    std::vector<DecodeRoom> decodeRooms(TimePoint now, const View &view,
-                                        const ServiceName &service) const;
     void grantOne(TimePoint now, const View &view, const Service &service,
                   SchedulerReplies &replies);
     /** Those that wait for @p service, in the order in which they are served. */
-    std::vector<WaitingMap::iterator> order(TimePoint now, const Pass &pass,
+    std::vector<WaitingMap::iterator> order(TimePoint now, Duration prefillWait,
                                             const ServiceName &service);
     bool tryGrant(TimePoint now, Pass &pass, const Key &key, const Waiting &waiting,
                   SchedulerReplies &replies);
-    /** Null if none has room. */
-    static DecodeRoom *chooseDecode(Pass &pass, const Claim &claim);
-    /**
-     * Prefill engines that may be used. Where all have lost their KV caches it is likelier the
-     * decode engine that could not take them, and where all have failed, the failing node's link.
-     */
-    std::vector<const AnnouncedServer *>
-    usablePrefill(TimePoint now, const std::vector<const AnnouncedServer *> &all) const;
-    const AnnouncedServer *choosePrefill(TimePoint now, const Pass &pass, const Claim &claim,
-                                         const DomainName &decodeDomain) const;
-    /** Keeps the engine that will have room for a large claim first. */
-    static void keepRoom(Pass &pass);
 
     EngineLedger m_ledger;
     WaitingMap m_waiting;
     std::map<Key, Granted> m_granted;
     std::map<NodeName, Incarnation> m_lives; ///< Of the nodes that claim.
     TimePoint m_nextPass {};                 ///< While many wait, not each message grants.
-    double m_secondsHeld;                    ///< Moving average of how long a grant is held.
+    ClaimWaits m_waits;
     std::map<ServiceName, ServicePace> m_paces;
     std::uint64_t m_lastRun = 0;
-    /** Real waits for room against those expected, by urgency; moving averages. */
-    std::map<Urgency, double> m_waitRatio;
-    /** In tokens, of late; fades with each claim. */
-    std::map<ServiceName, double> m_longestPrompt;
 };
 
 } // namespace indigoway::scheduling
