Let waits and come-back times follow routes' targets and callers' patience

A generation waited 0.8 s for room and its rejected caller came back after 3.5 s, at any target and patience: right for 0.9 s and 14 s, where they were measured, wrong elsewhere. They are now nine tenths of the route's target and a quarter of the caller's patience, which gives the same there (810 ms and 3.5 s).

--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -1,6 +1,7 @@
 #include "generationflow.h"
 
 #include "core/deadlines.h"
+#include "dispatch/generationlimits.h"
 
 namespace indigoway::dispatch {
 
@@ -26,69 +27,13 @@
 constexpr Duration PrefillSilence = std::chrono::milliseconds(2000);
 /** Of a stream that can be taken over: the longest pauses of a healthy engine are a third. */
 constexpr Duration StreamSilence = std::chrono::milliseconds(1500);
-/**
- * A request that found no room for so long is rejected: it can hardly meet its target any more,
- * and what comes after it can. Of 0.7, 1 and 2 s the shorter two gave the same worth and the
- * longest less.
- */
-constexpr Duration LongestWait = std::chrono::milliseconds(800);
-/** A stream that goes on: its caller has part of the answer and leaves after 3.6 s. */
-constexpr Duration LongestPause = std::chrono::milliseconds(2000);
+/** The scheduler refuses in time; if it does not, the node does so much later. */
 constexpr Duration SchedulerSlack = std::chrono::milliseconds(250);
 /** From a reservation to the first event, at the median: prompt read, moved, first token. */
 constexpr Duration FirstEventAfter = std::chrono::milliseconds(250);
-/**
- * Callers come back once. They are late then anyway, and a second rejection is worse than a wait:
- * bursts last some seconds, and those who came back within them were rejected again. 3.5 s in
- * place of 1.2 s raised the worth of the worst days' windows by a tenth.
- */
-constexpr Duration ComeBackAfter = std::chrono::milliseconds(3500);
 /** A reservation is not relied on so shortly before its end. */
 constexpr Duration ReservationMargin = std::chrono::milliseconds(100);
 constexpr std::uint32_t MostPrefills = 2;
-/** Of the caller's estimate of the output, which is right at the median only. */
-constexpr double ReservedOfLikely = 1.5;
-/** The rest of the output finds room when it comes: the scheduler has looked ahead for it. */
-constexpr double ReservedOfPlanned = 0.25;
-/** Memory is given out by blocks of so many tokens. */
-constexpr std::uint64_t BlockTokens = 16;
-
-scheduling::MemoryNeed memoryNeedOf(const ArrivedRequest &facts)
-{
-    const std::uint64_t most = facts.mostOutputTokens;
-    return {facts.promptTokens + BlockTokens,
-            facts.likelyOutputTokens ? std::min<std::uint64_t>(*facts.likelyOutputTokens, most)
-                                     : most,
-            most};
-}
-
-/** What is asked of an engine that is chosen without knowing what else it was asked for. */
-std::uint64_t mostTokens(const ArrivedRequest &facts, const scheduling::MemoryNeed &need)
-{
-    const double reserved = static_cast<double>(need.outputTokens) * ReservedOfLikely;
-    return need.contextTokens
-        + std::min<std::uint64_t>(facts.mostOutputTokens, static_cast<std::uint64_t>(reserved));
-}
-
-/** What is asked of an engine whose memory the scheduler has looked ahead for. */
-std::uint64_t tokensToBegin(const scheduling::MemoryNeed &need)
-{
-    const double first = static_cast<double>(need.outputTokens) * ReservedOfPlanned;
-    return need.contextTokens + static_cast<std::uint64_t>(first);
-}
-
-Duration longestWait(const OpenRequest &request)
-{
-    switch (request.urgency()) {
-    case scheduling::Urgency::GoesOn:
-        return LongestPause;
-    case scheduling::Urgency::Fresh:
-        return LongestWait;
-    case scheduling::Urgency::ComingBack:
-        return LongestWait;
-    }
-    return LongestWait;
-}
 
 EnginePlacement::Need needOf(Step &step, const OpenRequest &request, const DomainName &domain)
 {
@@ -101,7 +46,7 @@
 {
     m_state.allowance(request.service->name).requestSent(step.now);
     request.memory = memoryNeedOf(request.facts);
-    request.tokens = mostTokens(request.facts, request.memory);
+    request.tokens = tokensUnplanned(request.facts, request.memory);
     request.isComingBack = m_patience.isComingBack(request);
     enqueue(step, request);
 }
@@ -568,7 +513,7 @@
     } else if (request.mayHaveRun()) {
         m_state.requests.failInDoubt(step, request, BadGateway, why);
     } else {
-        m_state.requests.reject(step, request, step.spread(ComeBackAfter), why);
+        m_state.requests.reject(step, request, step.spread(comeBackAfter(request)), why);
     }
 }
 
