Ask a store that fails ever more rarely, and keep the scheduler through restarts

The scheduler changed hands five times in 1.2 s after all nodes were killed, since the oldest announcement counted and restarted nodes announce themselves anew.

Change: retries double up to 2 s (4 s for a node that does not watch) until a node hears that the store is back; changes are collected for 200 ms between watches; the scheduler is the node whose entry has been there longest without a gap (the store's revision of creation), so that restarts within the lease change nothing. Calls by cause are counted in metrics and in a line every 10 s.

Ruled out: listing the store at starts (195 calls of 2,800). Tests: noderostertest, upstreamchoicetest, mirrortest, schedulerchoicetest (asksAStoreThatIsAwayEverMoreRarely, onlyWatchersGoOnAskingAStoreThatIsAway, collectsChangesBetweenWatches, restartsOfAllChangeNothing).

--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -23,6 +23,9 @@
 /** Callers who learnt of this node a moment ago still come; they are served before it ends. */
 constexpr Duration LeaveAtLeast = std::chrono::milliseconds(1500);
 
+/** What this life has asked of the store so far; each call costs the operator money. */
+constexpr Duration RecordStoreCallsEvery = std::chrono::seconds(10);
+
 TimePoint present()
 {
     return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
@@ -166,9 +169,8 @@
     wiring.leaderKey = layout.leaderKey;
     wiring.recordKey = layout.recordKey;
     wiring.ownKey = layout.nodesPrefix + node.m_settings.node.text();
-    wiring.changed = [&node](const std::string &key, const std::string *value,
-                             std::uint64_t revision) {
-        node.storeChanged(key, value, revision);
+    wiring.changed = [&node](const std::string &key, const StoredItem *item) {
+        node.storeChanged(key, item);
     };
     wiring.record = [&node](const std::string &kind, const std::string &detail) {
         node.record(kind, {{"detail", detail}});
@@ -218,23 +220,22 @@
         return;
     }
     record("scheduler",
-           {{"node", chosen ? chosen->name.text() : "none"},
+           {{"scheduler", chosen ? chosen->name.text() : "none"},
             {"before", m_scheduler ? m_scheduler->name.text() : "none"}});
     m_scheduler = std::move(chosen);
     m_dispatcher.setScheduler(m_scheduler ? std::optional(m_scheduler->name) : std::nullopt);
 }
 
-void EdgeNode::storeChanged(const std::string &key, const std::string *value,
-                            std::uint64_t revision)
+void EdgeNode::storeChanged(const std::string &key, const StoredItem *item)
 {
     if (key == m_ports.layout.routingKey) {
-        if (value) {
-            routingChanged(*value);
+        if (item) {
+            routingChanged(item->value);
         }
     } else if (key.starts_with(m_ports.layout.serversPrefix)) {
-        serverChanged(key, value);
+        serverChanged(key, item ? &item->value : nullptr);
     } else if (key.starts_with(m_ports.layout.nodesPrefix)) {
-        nodeChanged(key, value, revision);
+        nodeChanged(key, item);
     }
 }
 
@@ -285,20 +286,22 @@
     m_dispatcher.announce(std::move(server));
 }
 
-void EdgeNode::nodeChanged(const std::string &key, const std::string *value, std::uint64_t revision)
+void EdgeNode::nodeChanged(const std::string &key, const StoredItem *item)
 {
-    if (!value) {
+    if (!item) {
         m_roster.withdraw(key, present());
         record("node_vanished", {{"key", key}});
         return;
     }
-    auto entry = decodeNodeEntry(*value);
+    auto entry = decodeNodeEntry(item->value);
     if (!entry) {
         record("node_unreadable", {{"key", key}});
         return;
     }
     record("node", {{"key", key}, {"callers", entry->callers}});
-    m_roster.announce(key, std::move(*entry), revision);
+    entry->announcedSince = item->created;
+    entry->announcedAt = item->revision;
+    m_roster.announce(key, std::move(*entry));
 }
 
 std::vector<std::string> EdgeNode::seeds() const
@@ -346,6 +349,11 @@
         {"log_lines_dropped", m_log.dropped()},
         {"routing_version", m_dispatcher.routes() ? m_dispatcher.routes()->version() : 0},
         {"store_revision", m_sync.asOf()},
+        {"store_lists", m_sync.storeCalls().lists},
+        {"store_watches", m_sync.storeCalls().watches},
+        {"store_leases", m_sync.storeCalls().leases},
+        {"store_renewals", m_sync.storeCalls().renewals},
+        {"store_writes", m_sync.storeCalls().writes},
         {"servers_known", m_dispatcher.servers().size()},
         {"nodes_known", m_roster.count(present())},
         {"scheduler_waiting", m_scheduling.scheduler().waiting()},
@@ -365,9 +373,25 @@
         m_dispatcher.setNodes(m_roster.count(now), now);
     }
     m_relay.wake();
+    recordStoreCalls(now);
     endIfDone(now);
 }
 
+void EdgeNode::recordStoreCalls(TimePoint now)
+{
+    if (now < m_storeCallsRecordedAt + RecordStoreCallsEvery) {
+        return;
+    }
+    m_storeCallsRecordedAt = now;
+    const StateSync::StoreCalls &calls = m_sync.storeCalls();
+    record("store_calls",
+           {{"lists", std::to_string(calls.lists)},
+            {"watches", std::to_string(calls.watches)},
+            {"leases", std::to_string(calls.leases)},
+            {"renewals", std::to_string(calls.renewals)},
+            {"writes", std::to_string(calls.writes)}});
+}
+
 void EdgeNode::noticeFreeze(TimePoint now)
 {
     // A suspended VM's steady clock stands still with it, a stopped process's goes on; the first
--- a/src/edge/edgenode.h
+++ b/src/edge/edgenode.h
@@ -64,10 +64,10 @@
     static StateSync::Wiring wiringOf(EdgeNode &node, const StoreLayout &layout);
     static SchedulingExchange::Wiring schedulingWiringOf(EdgeNode &node);
     void chooseScheduler(TimePoint now);
-    void storeChanged(const std::string &key, const std::string *value, std::uint64_t revision);
+    void storeChanged(const std::string &key, const StoredItem *item);
     void routingChanged(const std::string &value);
     void serverChanged(const std::string &key, const std::string *value);
-    void nodeChanged(const std::string &key, const std::string *value, std::uint64_t revision);
+    void nodeChanged(const std::string &key, const StoredItem *item);
     std::vector<std::string> seeds() const;
     void handleControl(const HttpRequest &request);
     /** Listens on an address; where that is, if it can. */
@@ -78,6 +78,7 @@
     std::string metricsText() const;
     void tick();
     void noticeFreeze(TimePoint now);
+    void recordStoreCalls(TimePoint now);
     void endIfDone(TimePoint now);
     void record(const std::string &kind, const std::vector<LogField> &fields);
 
@@ -98,6 +99,7 @@
     std::mt19937_64 m_random;
     std::optional<NodeEntry> m_scheduler; ///< The node that schedules the engines.
     std::optional<TimePoint> m_leavingSince;
+    TimePoint m_storeCallsRecordedAt {};
     TimePoint m_lastTick {};
     Duration m_frozen {}; ///< Time that the steady clock did not count, as last seen.
 };
--- a/src/edge/mirrorexchange.cpp
+++ b/src/edge/mirrorexchange.cpp
@@ -18,6 +18,7 @@
         one["revision"] = Json::UInt64(change.revision);
         if (change.value) {
             one["value"] = absl::Base64Escape(*change.value);
+            one["created"] = Json::UInt64(change.created);
         }
         changes.append(std::move(one));
     }
@@ -39,6 +40,7 @@
         change.revision = numberMember(one, "revision");
         if (one.isObject() && one.isMember("value")) {
             change.value.emplace();
+            change.created = numberMember(one, "created");
             if (!absl::Base64Unescape(stringMember(one, "value"), &*change.value)) {
                 return std::nullopt;
             }
--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -30,8 +30,8 @@
           base, -1, EV_PERSIST,
           [](evutil_socket_t, short, void *self) { static_cast<StateSync *>(self)->pump(); }, this))
     , m_mirror({},
-               [this](const std::string &key, const std::string *value, std::uint64_t revision) {
-                   changed(key, value, revision);
+               [this](const std::string &key, const StoredItem *item, std::uint64_t revision) {
+                   changed(key, item, revision);
                })
     , m_choice(m_wiring.self.name, m_wiring.self.domain)
     , m_leadership(std::move(life))
@@ -50,6 +50,7 @@
     if (lease.isNone()) {
         return;
     }
+    ++m_calls.leases;
     m_store.endLease(lease, [this](const std::variant<StoreDone, StoreFault> &result) {
         if (const auto *fault = std::get_if<StoreFault>(&result)) {
             m_wiring.record("entry_not_ended", nameOf(*fault));
@@ -83,8 +84,9 @@
     answerQuestions();
 }
 
-void StateSync::changed(const std::string &key, const std::string *value, std::uint64_t revision)
+void StateSync::changed(const std::string &key, const StoredItem *item, std::uint64_t revision)
 {
+    const std::string *value = item ? &item->value : nullptr;
     if (!value && key == m_wiring.ownKey) {
         m_announcer.entryVanished();
     }
@@ -97,7 +99,7 @@
                         "holder=" + (value ? *value : std::string("none"))
                             + " token=" + std::to_string(revision));
     }
-    m_wiring.changed(key, value, revision);
+    m_wiring.changed(key, item);
 }
 
 void StateSync::pumpMirror()
@@ -121,6 +123,7 @@
     const std::uint64_t generation = m_mirror.generation();
     const MirrorCall call = m_mirror.beginStoreCall();
     if (const auto *list = std::get_if<ListCall>(&call)) {
+        ++m_calls.lists;
         m_store.list(m_mirror.prefix(), list->after,
                      [this, upstream, generation](const auto &result) {
                          if (generation != m_mirror.generation()) {
@@ -135,6 +138,7 @@
                      });
         return;
     }
+    ++m_calls.watches;
     m_store.watch(m_mirror.prefix(), std::get<WatchCall>(call).revision,
                   upstream.isProbe ? ProbeWait : QuestionWait,
                   [this, upstream, generation](const auto &result) {
@@ -145,7 +149,7 @@
                           failed(upstream, *fault);
                           return;
                       }
-                      m_mirror.watched(std::get<StoredChanges>(result));
+                      m_mirror.watched(present(), std::get<StoredChanges>(result));
                       succeeded(upstream);
                   });
 }
@@ -182,6 +186,7 @@
     m_choice.succeeded(upstream);
     if (!m_isCurrent) {
         m_isCurrent = true;
+        m_announcer.storeIsBack(present());
         m_wiring.record("store_copy_current",
                         "from=" + m_upstream + " as_of=" + std::to_string(m_mirror.asOf()));
     }
@@ -212,6 +217,7 @@
         return;
     }
     if (std::holds_alternative<GrantLeaseCall>(*call)) {
+        ++m_calls.leases;
         m_store.grantLease(NodeAnnouncer::LeaseLifetime, [this](const auto &result) {
             if (const auto *fault = std::get_if<StoreFault>(&result)) {
                 m_announcer.failed(present(), *fault);
@@ -223,6 +229,7 @@
     } else if (const auto *put = std::get_if<PutEntryCall>(&*call)) {
         StoreCommit commit;
         commit.writes.push_back({m_wiring.ownKey, encodeNodeEntry(m_wiring.self), put->lease});
+        ++m_calls.writes;
         m_store.commit(commit, [this](const auto &result) {
             if (noteAnnouncement(result)) {
                 m_announcer.entryWritten(present());
@@ -230,6 +237,7 @@
             pumpAnnouncer();
         });
     } else {
+        ++m_calls.renewals;
         m_store.renewLease(std::get<RenewLeaseCall>(*call).lease, [this](const auto &result) {
             if (noteAnnouncement(result)) {
                 m_announcer.leaseRenewed(present());
@@ -253,6 +261,7 @@
         commit.writes.push_back({m_wiring.recordKey, m_leadership.life(), StoreLease()});
     }
     // Whether it was done shows in the copy of the store, also where the answer is lost.
+    ++m_calls.writes;
     m_store.commit(commit, [this](const std::variant<StoreDone, StoreFault> &result) {
         if (const auto *fault = std::get_if<StoreFault>(&result)) {
             m_wiring.record("order_right_not_taken", nameOf(*fault));
--- a/src/edge/statesync.h
+++ b/src/edge/statesync.h
@@ -30,9 +30,8 @@
         std::string ownKey;
         std::string leaderKey;
         std::string recordKey;
-        std::function<void(const std::string &key, const std::string *value,
-                           std::uint64_t revision)>
-            changed;
+        /** An item was written, or is gone if it is null. */
+        std::function<void(const std::string &key, const StoredItem *item)> changed;
         RecordHandler record;
         std::function<std::vector<NodeEntry>()> members;
         std::function<std::vector<std::string>()> seeds; ///< Further control addresses.
@@ -59,6 +58,17 @@
     void takePeerQuestion(ExchangeNumber exchange, std::uint64_t revision);
     void peerGone(ExchangeNumber exchange) { m_questions.erase(exchange); }
 
+    /** Calls to the store by this life of the node, each of which is paid for. */
+    struct StoreCalls
+    {
+        std::uint64_t lists = 0;
+        std::uint64_t watches = 0;
+        std::uint64_t leases = 0; ///< Granted and ended.
+        std::uint64_t renewals = 0;
+        std::uint64_t writes = 0;
+    };
+    const StoreCalls &storeCalls() const { return m_calls; }
+
 private:
     struct Question
     {
@@ -75,7 +85,7 @@
     void pumpAnnouncer();
     bool noteAnnouncement(const std::variant<StoreDone, StoreFault> &result);
     void pumpLeadership();
-    void changed(const std::string &key, const std::string *value, std::uint64_t revision);
+    void changed(const std::string &key, const StoredItem *item, std::uint64_t revision);
     void answerQuestions();
     void noteUpstream(const Upstream &upstream);
 
@@ -88,6 +98,7 @@
     NodeAnnouncer m_announcer;
     Leadership m_leadership;
     std::map<ExchangeNumber, Question> m_questions;
+    StoreCalls m_calls;
     bool m_isCurrent = false; ///< The last call succeeded.
     std::string m_upstream;   ///< Whom it was made to; for logs.
 };
--- a/src/fleet/nodeannouncer.cpp
+++ b/src/fleet/nodeannouncer.cpp
@@ -1,11 +1,19 @@
 #include "nodeannouncer.h"
 
+#include <algorithm>
+
 namespace indigoway {
 
 namespace {
 
 constexpr Duration RenewEvery = std::chrono::milliseconds(800);
 constexpr Duration RetryAfter = std::chrono::milliseconds(250);
+/**
+ * Doubled up to two seconds. A store that is away, or turns this node away, answers none of the
+ * calls, and each is paid for: hundreds of nodes that ask four times a second made two thirds of a
+ * day's calls within eight seconds.
+ */
+constexpr std::uint32_t MostDoublings = 3;
 
 } // namespace
 
@@ -28,6 +36,7 @@
 void NodeAnnouncer::leaseGranted(TimePoint now, StoreLease lease)
 {
     m_isCalling = false;
+    m_failures = 0;
     m_lease = lease;
     m_renewedAt = m_askedAt;
     m_isWritten = false;
@@ -37,6 +46,7 @@
 void NodeAnnouncer::entryWritten(TimePoint now)
 {
     m_isCalling = false;
+    m_failures = 0;
     m_isWritten = true;
     m_nextAt = now + RenewEvery;
 }
@@ -44,6 +54,7 @@
 void NodeAnnouncer::leaseRenewed(TimePoint now)
 {
     m_isCalling = false;
+    m_failures = 0;
     m_renewedAt = m_askedAt;
     m_nextAt = m_isWritten ? now + RenewEvery : now;
 }
@@ -51,11 +62,21 @@
 void NodeAnnouncer::failed(TimePoint now, StoreFault fault)
 {
     m_isCalling = false;
-    m_nextAt = now + RetryAfter;
+    m_nextAt = now + RetryAfter * (1 << std::min(m_failures, MostDoublings));
+    ++m_failures;
     if (fault == StoreFault::NoLease) {
         m_lease = {};
         m_isWritten = false;
         m_nextAt = now;
+        m_failures = 0; // It answers.
+    }
+}
+
+void NodeAnnouncer::storeIsBack(TimePoint now)
+{
+    if (m_failures > 0) {
+        m_failures = 0;
+        m_nextAt = std::min(m_nextAt, now);
     }
 }
 
--- a/src/fleet/nodeannouncer.h
+++ b/src/fleet/nodeannouncer.h
@@ -2,6 +2,7 @@
 
 #include "store/keyvaluestore.h"
 
+#include <cstdint>
 #include <optional>
 #include <variant>
 
@@ -37,6 +38,8 @@
     void entryWritten(TimePoint now);
     void leaseRenewed(TimePoint now);
     void failed(TimePoint now, StoreFault fault);
+    /** The store answers again, as this node or another one has seen: what failed is due now. */
+    void storeIsBack(TimePoint now);
     /** The entry was seen to vanish, though this node has not ended its lease. */
     void entryVanished();
     /** The node leaves: nothing is written any more. The lease to end, if there is one. */
@@ -54,6 +57,7 @@
     StoreLease m_lease;
     bool m_isWritten = false;
     TimePoint m_nextAt {};
+    std::uint32_t m_failures = 0; ///< In a row.
     TimePoint m_askedAt {};
     TimePoint m_renewedAt {};
 };
--- a/src/fleet/noderoster.cpp
+++ b/src/fleet/noderoster.cpp
@@ -39,9 +39,8 @@
     : m_self(std::move(self))
 { }
 
-void NodeRoster::announce(const std::string &key, NodeEntry entry, std::uint64_t revision)
+void NodeRoster::announce(const std::string &key, NodeEntry entry)
 {
-    entry.announcedAt = revision;
     m_nodes[key] = {std::move(entry), std::nullopt};
 }
 
--- a/src/fleet/noderoster.h
+++ b/src/fleet/noderoster.h
@@ -20,7 +20,9 @@
     std::string control;         ///< "IP:port" for the other nodes.
     std::string scheduling = {}; ///< "IP:port" (UDP) for claims on engines; empty: none.
     double processors = 0;       ///< Its VM's share; the node with the most schedules the engines.
-    std::uint64_t announcedAt = 0; ///< The store's revision then; not part of what is announced.
+    // Revisions of the store; not part of what is announced.
+    std::uint64_t announcedSince = 0; ///< There without a gap, also over restarts of its process.
+    std::uint64_t announcedAt = 0;    ///< Of the latest announcement: each life makes its own.
     bool operator==(const NodeEntry &) const = default;
 };
 
@@ -41,8 +43,7 @@
 
     /** This node's addresses are known once it listens. */
     void setSelf(NodeEntry self) { m_self = std::move(self); }
-    /** @p revision: of the store, with this announcement. */
-    void announce(const std::string &key, NodeEntry entry, std::uint64_t revision = 0);
+    void announce(const std::string &key, NodeEntry entry);
     void withdraw(const std::string &key, TimePoint now);
     /** This node asks callers to go elsewhere. */
     void setLeaving() { m_isLeaving = true; }
--- a/src/fleet/upstreamchoice.cpp
+++ b/src/fleet/upstreamchoice.cpp
@@ -10,6 +10,12 @@
 constexpr Duration AvoidPeerFor = std::chrono::milliseconds(2000);
 /** A store that did not answer is tried again after this; meanwhile other nodes are asked. */
 constexpr Duration ProbeStoreEvery = std::chrono::milliseconds(1500);
+/**
+ * By a node that does not watch for its domain. It hears from a watcher that the store is back;
+ * this is for one that reaches none. Each call is paid for, and hundreds of nodes ask in vain.
+ */
+constexpr Duration ProbeStoreAtLeastEvery = std::chrono::milliseconds(4000);
+constexpr std::uint32_t MostDoublings = 2;
 
 } // namespace
 
@@ -21,13 +27,14 @@
 Upstream UpstreamChoice::choose(TimePoint now, const std::vector<NodeEntry> &members,
                                 const std::vector<std::string> &seeds, bool needsAll)
 {
-    const bool mayTryStore = !m_storeFailed || now >= m_storeTriedAt + ProbeStoreEvery;
+    const auto watching = watchers(members);
+    const bool isOneself = watching.empty() || watching.front().name == m_self;
+    const bool mayTryStore =
+        m_storeFailures == 0 || now >= m_storeTriedAt + probeEvery(isOneself || needsAll);
     if (needsAll && mayTryStore) {
         m_storeTriedAt = now;
-        return {std::nullopt, m_storeFailed};
+        return {std::nullopt, m_storeFailures > 0};
     }
-    const auto watching = watchers(members);
-    const bool isOneself = watching.empty() || watching.front().name == m_self;
     if (!isOneself && !isAvoided(watching.front().control, now)) {
         return {watching.front().control, false};
     }
@@ -39,7 +46,7 @@
         }
     }
     m_storeTriedAt = now;
-    return {std::nullopt, m_storeFailed};
+    return {std::nullopt, m_storeFailures > 0};
 }
 
 bool UpstreamChoice::isWatcher(const std::vector<NodeEntry> &members) const
@@ -51,7 +58,7 @@
 void UpstreamChoice::succeeded(const Upstream &upstream)
 {
     if (!upstream.peer) {
-        m_storeFailed = false;
+        m_storeFailures = 0;
     }
 }
 
@@ -60,7 +67,7 @@
     if (upstream.peer) {
         m_avoidedUntil[*upstream.peer] = now + AvoidPeerFor;
     } else {
-        m_storeFailed = true;
+        ++m_storeFailures;
     }
 }
 
@@ -87,6 +94,13 @@
     return list;
 }
 
+Duration UpstreamChoice::probeEvery(bool isWatching) const
+{
+    const std::uint32_t doublings = std::min(m_storeFailures - 1, MostDoublings);
+    return isWatching ? ProbeStoreEvery
+                      : std::min(ProbeStoreEvery * (1 << doublings), ProbeStoreAtLeastEvery);
+}
+
 bool UpstreamChoice::isAvoided(const std::string &address, TimePoint now) const
 {
     const auto it = m_avoidedUntil.find(address);
--- a/src/fleet/upstreamchoice.h
+++ b/src/fleet/upstreamchoice.h
@@ -47,13 +47,15 @@
     /** The first node of each domain by name, this node's own domain first. */
     std::vector<NodeEntry> watchers(const std::vector<NodeEntry> &members) const;
     bool isAvoided(const std::string &address, TimePoint now) const;
+    /** How long a store that has failed is left alone. */
+    Duration probeEvery(bool isWatching) const;
     std::optional<Upstream> anyPeer(TimePoint now, const std::vector<NodeEntry> &members,
                                     const std::vector<std::string> &seeds);
 
     NodeName m_self;
     DomainName m_domain;
     std::map<std::string, TimePoint> m_avoidedUntil; ///< By control address.
-    bool m_storeFailed = false;
+    std::uint32_t m_storeFailures = 0;               ///< In a row.
     TimePoint m_storeTriedAt {};
     std::size_t m_turn = 0;
 };
--- a/src/scheduling/schedulerchoice.cpp
+++ b/src/scheduling/schedulerchoice.cpp
@@ -12,7 +12,7 @@
             continue;
         }
         const auto rank = [](const NodeEntry &node) {
-            return std::tuple(-node.processors, node.announcedAt, node.name);
+            return std::tuple(-node.processors, node.announcedSince, node.name);
         };
         chosen = !chosen || rank(member) < rank(*chosen) ? &member : chosen;
     }
--- a/src/store/keyvaluestore.h
+++ b/src/store/keyvaluestore.h
@@ -18,6 +18,7 @@
     std::string key;
     std::string value;
     std::uint64_t revision = 0; ///< Of its last change.
+    std::uint64_t created = 0;  ///< Revision since which it has been there all the time.
 };
 
 /** An item was written, or removed if it has no value. */
@@ -26,6 +27,7 @@
     std::string key;
     std::uint64_t revision = 0;
     std::optional<std::string> value;
+    std::uint64_t created = 0; ///< Of an item that was written.
 };
 
 /** Part of a listing. Pages are no snapshot: items may change between them. */
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -11,9 +11,22 @@
 /** Bounds the load on a store that is down to a few calls a second and node. */
 constexpr Duration LongestPause = std::chrono::milliseconds(240);
 constexpr std::uint32_t MostDoublings = 2;
+/**
+ * After a watch that brought changes; those of the meantime come with the next one. While servers
+ * of a large fleet are replaced, each change by itself would be a call to the store, and one to
+ * each node that asks this one: 180 a second and watcher in place of five. What changes must be in
+ * force within two seconds.
+ */
+constexpr Duration BetweenNews = std::chrono::milliseconds(200);
 /** Removals that other nodes can be told of one by one; later askers get the whole. */
 constexpr std::size_t MostRemovals = 500;
 
+/** Of a change that is no removal. */
+StoredItem itemOf(const StoredChange &change)
+{
+    return {change.key, *change.value, change.revision, change.created};
+}
+
 } // namespace
 
 Mirror::Mirror(std::string prefix, ChangeHandler handler)
@@ -50,7 +63,7 @@
     }
     for (const StoredItem &item : page.items) {
         m_listed[item.key] = item.revision;
-        put(item.key, item.revision, item.value);
+        put(item);
     }
     if (page.hasMore && !page.items.empty()) {
         m_listAfter = page.items.back().key;
@@ -62,12 +75,20 @@
     m_asOf = std::max(m_asOf, m_listedFrom);
 }
 
-void Mirror::watched(const StoredChanges &changes)
+void Mirror::watched(TimePoint now, const StoredChanges &changes)
 {
     callSucceeded();
+    take(changes);
+    if (!changes.changes.empty()) {
+        m_pausedUntil = now + BetweenNews;
+    }
+}
+
+void Mirror::take(const StoredChanges &changes)
+{
     for (const StoredChange &change : changes.changes) {
         if (change.value) {
-            put(change.key, change.revision, *change.value);
+            put(itemOf(change));
         } else {
             remove(change.key, change.revision);
         }
@@ -82,14 +103,14 @@
         return;
     }
     if (!news.isWhole) {
-        watched({news.changes, news.asOf});
+        take({news.changes, news.asOf});
         return;
     }
     m_listed.clear();
     m_listedFrom = news.asOf;
     for (const StoredChange &change : news.changes) {
         m_listed[change.key] = change.revision;
-        put(change.key, change.revision, *change.value);
+        put(itemOf(change));
     }
     removeUnlisted();
     m_asOf = news.asOf;
@@ -128,28 +149,27 @@
     news.isWhole = revision < m_removalsFrom || revision == 0;
     for (const auto &[key, item] : m_items) {
         if (news.isWhole || item.revision > revision) {
-            news.changes.push_back({key, item.revision, item.value});
+            news.changes.push_back({key, item.revision, item.value, item.created});
         }
     }
     if (!news.isWhole) {
         for (const Removal &removal : m_removals) {
             if (removal.revision > revision) {
-                news.changes.push_back({removal.key, removal.revision, std::nullopt});
+                news.changes.push_back({removal.key, removal.revision, std::nullopt, 0});
             }
         }
     }
     return news;
 }
 
-void Mirror::put(const std::string &key, std::uint64_t revision, const std::string &value)
+void Mirror::put(const StoredItem &item)
 {
-    Item &item = m_items[key];
-    if (revision <= item.revision) {
+    StoredItem &known = m_items[item.key];
+    if (item.revision <= known.revision) {
         return;
     }
-    item.revision = revision;
-    item.value = value;
-    m_handler(key, &item.value, revision);
+    known = item;
+    m_handler(known.key, &known, known.revision);
 }
 
 void Mirror::remove(const std::string &key, std::uint64_t revision)
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -39,9 +39,9 @@
 class Mirror
 {
 public:
-    /** @p value is null where the item is gone; @p revision is of the change. */
-    using ChangeHandler = std::function<void(const std::string &key, const std::string *value,
-                                             std::uint64_t revision)>;
+    /** @p item is null where it is gone; @p revision is of the change. */
+    using ChangeHandler =
+        std::function<void(const std::string &key, const StoredItem *item, std::uint64_t revision)>;
 
     Mirror(std::string prefix, ChangeHandler handler);
 
@@ -54,7 +54,8 @@
     std::uint64_t beginPeerCall();
 
     void listed(const StoredPage &page);
-    void watched(const StoredChanges &changes);
+    /** Changes that a watch of the store has brought. */
+    void watched(TimePoint now, const StoredChanges &changes);
     /** A node has told; false if it has nothing to go on from. */
     void told(const MirrorNews &news);
     void failed(TimePoint now, StoreFault fault);
@@ -70,25 +71,21 @@
     MirrorNews newsSince(std::uint64_t revision) const;
 
 private:
-    struct Item
-    {
-        std::string value;
-        std::uint64_t revision = 0;
-    };
     struct Removal
     {
         std::string key;
         std::uint64_t revision = 0;
     };
 
-    void put(const std::string &key, std::uint64_t revision, const std::string &value);
+    void take(const StoredChanges &changes);
+    void put(const StoredItem &item);
     void remove(const std::string &key, std::uint64_t revision);
     void removeUnlisted();
     void callSucceeded();
 
     std::string m_prefix;
     ChangeHandler m_handler;
-    std::map<std::string, Item> m_items;
+    std::map<std::string, StoredItem> m_items;
     std::uint64_t m_asOf = 0;
     bool m_isCalling = false;
     std::uint64_t m_generation = 0;
--- a/standins/sharedplatform.cpp
+++ b/standins/sharedplatform.cpp
@@ -100,6 +100,7 @@
         item["key"] = it->first;
         item["value"] = it->second.value;
         item["revision"] = Json::UInt64(it->second.revision);
+        item["created"] = Json::UInt64(it->second.created);
         body["items"].append(std::move(item));
     }
     reply(m_server, request, Ok, jsonText(body));
@@ -143,6 +144,7 @@
             event["removed"] = true;
         } else {
             event["value"] = item->second.value;
+            event["created"] = Json::UInt64(item->second.created);
         }
         body["events"].append(std::move(event));
     }
@@ -212,7 +214,9 @@
 
 void SharedPlatform::put(const std::string &key, const std::string &text, std::uint64_t lease)
 {
-    m_items[key] = {absl::Base64Escape(text), ++m_revision, lease};
+    Item &item = m_items[key];
+    const std::uint64_t created = item.revision == 0 ? m_revision + 1 : item.created;
+    item = {absl::Base64Escape(text), ++m_revision, created, lease};
     changed(key, false);
 }
 
--- a/standins/sharedplatform.h
+++ b/standins/sharedplatform.h
@@ -36,6 +36,7 @@
     {
         std::string value; ///< In base64, as it came.
         std::uint64_t revision = 0;
+        std::uint64_t created = 0;
         std::uint64_t lease = 0;
     };
     struct Change
--- a/tests/fleet/noderostertest.cpp
+++ b/tests/fleet/noderostertest.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(aVanishedNodeIsKeptForAMoment);
     CPPUNIT_TEST(answersNoMoreThanAsked);
     CPPUNIT_TEST(anEntryIsWrittenAgainWhenItIsLost);
+    CPPUNIT_TEST(asksAStoreThatIsAwayEverMoreRarely);
     CPPUNIT_TEST(aNodeThatLeavesWritesNothing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -103,6 +104,30 @@
         CPPUNIT_ASSERT(std::holds_alternative<PutEntryCall>(*announcer.nextCall(at(1'004))));
     }
 
+    // The store is busy for eight seconds and refuses every call; each is paid for all the same.
+    // Two hundred nodes that ask four times a second make six thousand calls for nothing. Once
+    // another node has heard that the store is back, this one asks at once.
+    void asksAStoreThatIsAwayEverMoreRarely()
+    {
+        NodeAnnouncer announcer;
+        announcer.nextCall(at(0));
+        announcer.leaseGranted(at(1), StoreLease(5));
+        announcer.nextCall(at(1));
+        announcer.entryWritten(at(2));
+        int calls = 0;
+        int time = 1'000;
+        for (; time < 9'000; time += 10) {
+            if (announcer.nextCall(at(time))) {
+                ++calls;
+                announcer.failed(at(time), StoreFault::Refused);
+            }
+        }
+        CPPUNIT_ASSERT(calls >= 4);
+        CPPUNIT_ASSERT(calls <= 7);
+        announcer.storeIsBack(at(time));
+        CPPUNIT_ASSERT(std::holds_alternative<RenewLeaseCall>(*announcer.nextCall(at(time))));
+    }
+
     void aNodeThatLeavesWritesNothing()
     {
         NodeAnnouncer announcer;
--- a/tests/fleet/upstreamchoicetest.cpp
+++ b/tests/fleet/upstreamchoicetest.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(aDeadWatcherIsLeft);
     CPPUNIT_TEST(otherWatchersMayBeTurnedAwayToo);
     CPPUNIT_TEST(aNodeTurnedAwayAsksOthersAndTriesAgain);
+    CPPUNIT_TEST(onlyWatchersGoOnAskingAStoreThatIsAway);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -132,6 +133,25 @@
         const Upstream again = choice.choose(at(2'010), fleet(3), {});
         CPPUNIT_ASSERT(!again.peer && !again.isProbe);
     }
+
+    // The store is away for twelve seconds. Each call in vain is paid for; the watchers find out
+    // that it is back, and the others hear it from them.
+    void onlyWatchersGoOnAskingAStoreThatIsAway()
+    {
+        const auto probes = [](const std::string &name) {
+            UpstreamChoice choice = choiceOf(name);
+            int asked = 0;
+            for (int time = 0; time < 12'000; time += 100) {
+                const Upstream upstream = choice.choose(at(time), fleet(30), {});
+                asked += upstream.peer ? 0 : 1;
+                choice.failed(at(time), upstream);
+            }
+            return asked;
+        };
+        CPPUNIT_ASSERT(probes("a1") >= 8);
+        CPPUNIT_ASSERT(probes("a2") <= 5);
+        CPPUNIT_ASSERT(probes("a2") >= 3);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamChoiceTest);
--- a/tests/scheduling/schedulerchoicetest.cpp
+++ b/tests/scheduling/schedulerchoicetest.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(theLargestVmSchedules);
     CPPUNIT_TEST(amongEqualsTheFirstByName);
     CPPUNIT_TEST(aNodeThatComesBackTakesNothingOver);
+    CPPUNIT_TEST(restartsOfAllChangeNothing);
     CPPUNIT_TEST(onlyNodesThatTakeClaims);
     CPPUNIT_TEST_SUITE_END();
 
@@ -46,12 +47,28 @@
     void aNodeThatComesBackTakesNothingOver()
     {
         NodeEntry back = node("a", 1);
-        back.announcedAt = 90;
+        back.announcedSince = 90;
         NodeEntry present = node("b", 1);
-        present.announcedAt = 12;
+        present.announcedSince = 12;
         CPPUNIT_ASSERT(schedulerOf({back, present})->name == NodeName("b"));
     }
 
+    // All processes are killed at once and start again one after the other, before their leases
+    // end. If the one that has not announced itself anew yet counted as the oldest, the scheduler
+    // would change hands with each of them, and each new one would know nothing.
+    void restartsOfAllChangeNothing()
+    {
+        NodeEntry first = node("a", 1);
+        first.announcedSince = 5;
+        NodeEntry second = node("b", 1);
+        second.announcedSince = 7;
+        first.announcedAt = 100;
+        second.announcedAt = 7;
+        CPPUNIT_ASSERT(schedulerOf({first, second})->name == NodeName("a"));
+        second.announcedAt = 101;
+        CPPUNIT_ASSERT(schedulerOf({first, second})->name == NodeName("a"));
+    }
+
     void onlyNodesThatTakeClaims()
     {
         CPPUNIT_ASSERT(schedulerOf({node("a", 1, ""), node("b", 0.1)})->name == NodeName("b"));
--- a/tests/store/mirrortest.cpp
+++ b/tests/store/mirrortest.cpp
@@ -18,16 +18,16 @@
 
 StoredItem item(const std::string &key, std::uint64_t revision, const std::string &value = "v")
 {
-    return {key, value, revision};
+    return {key, value, revision, 1};
 }
 
 /** A mirror whose changes are collected, as its owner sees them. */
 struct Watched
 {
     Watched()
-        : mirror("p/", [this](const std::string &key, const std::string *value, std::uint64_t) {
-            if (value) {
-                seen[key] = *value;
+        : mirror("p/", [this](const std::string &key, const StoredItem *item, std::uint64_t) {
+            if (item) {
+                seen[key] = item->value;
             } else {
                 seen.erase(key);
             }
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(asksAtOnceAfterStandingStill);
     CPPUNIT_TEST(pausesWhileTheStoreIsAway);
     CPPUNIT_TEST(removalsAreToldToOthers);
+    CPPUNIT_TEST(collectsChangesBetweenWatches);
     CPPUNIT_TEST(newsSurviveTheirEncoding);
     CPPUNIT_TEST(anyOrderOfNewsEndsAtTheNewest);
     CPPUNIT_TEST_SUITE_END();
@@ -97,7 +98,7 @@
         one.mirror.beginStoreCall();
         one.mirror.listed({{item("p/b", 12)}, false, 13});
         one.mirror.beginStoreCall();
-        one.mirror.watched({{{"p/a", 11, std::nullopt}, {"p/b", 12, "v"}}, 13});
+        one.mirror.watched(at(0), {{{"p/a", 11, std::nullopt}, {"p/b", 12, "v"}}, 13});
         CPPUNIT_ASSERT(!one.seen.contains("p/a"));
         CPPUNIT_ASSERT(one.seen.contains("p/b"));
     }
@@ -127,7 +128,7 @@
         one.mirror.listed({{item("p/a", 3, "old")}, false, 10});
         one.mirror.beginPeerCall();
         one.mirror.told(whole(20, {{"p/a", 18, "new"}}));
-        one.mirror.watched({{{"p/a", 12, "between"}}, 12});
+        one.mirror.watched(at(0), {{{"p/a", 12, "between"}}, 12});
         CPPUNIT_ASSERT_EQUAL(std::string("new"), one.seen["p/a"]);
         one.mirror.told(whole(15, {{"p/a", 12, "between"}}));
         CPPUNIT_ASSERT_EQUAL(std::string("new"), one.seen["p/a"]);
@@ -159,7 +160,7 @@
         Watched asker;
         asker.mirror.told(watcher.mirror.newsSince(asker.mirror.beginPeerCall()));
         CPPUNIT_ASSERT_EQUAL(std::size_t {2}, asker.seen.size());
-        watcher.mirror.watched({{{"p/a", 11, std::nullopt}, {"p/c", 12, "v"}}, 12});
+        watcher.mirror.watched(at(0), {{{"p/a", 11, std::nullopt}, {"p/c", 12, "v"}}, 12});
         const MirrorNews news = watcher.mirror.newsSince(asker.mirror.asOf());
         CPPUNIT_ASSERT(!news.isWhole);
         CPPUNIT_ASSERT_EQUAL(std::size_t {2}, news.changes.size());
@@ -203,6 +204,30 @@
         CPPUNIT_ASSERT(calls < 50);
     }
 
+    // A third of a fleet's servers are replaced, and each entry changes several times a second. If
+    // each change ended a watch that was begun again at once, one watcher alone would make some
+    // hundred and eighty paid calls a second.
+    void collectsChangesBetweenWatches()
+    {
+        Watched one;
+        one.mirror.told(whole(10, {{"p/a", 9, "v"}}));
+        int calls = 0;
+        std::uint64_t revision = 10;
+        for (int time = 0; time < 10'000; time += 5) {
+            ++revision;
+            if (!one.mirror.isBusy(at(time))) {
+                ++calls;
+                one.mirror.beginStoreCall();
+                one.mirror.watched(at(time), {{{"p/a", revision, "v"}}, revision});
+            }
+        }
+        CPPUNIT_ASSERT(calls <= 51);
+        // A watch that brought nothing is begun again at once: the next change must not wait.
+        one.mirror.beginStoreCall();
+        one.mirror.watched(at(20'000), {{}, revision});
+        CPPUNIT_ASSERT(!one.mirror.isBusy(at(20'000)));
+    }
+
     void newsSurviveTheirEncoding()
     {
         const std::string bytes("\0\xff{\"}", 5);
