Give back the time of prompts that never come, and take a lost reservation for what it is

Domains' watchers were the first by name, also on the smallest VM.

Change: only a connection that is not made speaks of a dead engine; a claim that ends before its prompt is read gives its time back, once; the VM with most processor time watches.

--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -40,6 +40,23 @@
     return {request.tokens, domain, &request.tried, step.random()};
 }
 
+/** What a reservation that was not granted says of its engine. */
+ClaimEnd endOfReservation(CallEnd end)
+{
+    switch (end) {
+    case CallEnd::NotExecuted:
+    case CallEnd::Complete:
+        return ClaimEnd::HadNoRoom;
+    case CallEnd::NotConnected:
+        return ClaimEnd::Unreachable;
+    case CallEnd::Broken:
+        break;
+    }
+    // Only its answer was lost. Taken for unreachable, each engine that loses some answers was out
+    // for a second and more: 24 of 61 at once, while callers were refused.
+    return ClaimEnd::EngineFailed;
+}
+
 } // namespace
 
 void GenerationFlow::begin(Step &step, OpenRequest &request)
@@ -287,8 +304,7 @@
     }
     m_placement.refused(server, request.tokens, step.now);
     noteFailure(step, server, event.end);
-    const bool isRefusal = event.end == CallEnd::NotExecuted || event.end == CallEnd::Complete;
-    m_claims.end(step, request, isRefusal ? ClaimEnd::HadNoRoom : ClaimEnd::Unreachable);
+    m_claims.end(step, request, endOfReservation(event.end));
     ++request.refusals;
     request.stage = Stage::Waiting;
     m_waiting.insert(request.facts.request);
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -1,6 +1,7 @@
 #include "edgenode.h"
 
 #include "scheduling/schedulerchoice.h"
+#include "settings/flagset.h"
 
 #include <event2/event.h>
 
@@ -110,7 +111,8 @@
         return false;
     }
     record("start",
-           {{"callers", m_settings.callers},
+           {{"version", programVersion()},
+            {"callers", m_settings.callers},
             {"control", m_settings.control},
             {"metrics", m_settings.metrics},
             {"domain", m_settings.domain.text()}});
@@ -275,7 +277,7 @@
     }
     auto &server = std::get<AnnouncedServer>(decoded);
     const AnnouncedServer *before = m_dispatcher.servers().find(server.name);
-    if (!before || !(*before == server)) {
+    if (m_sync.isKnown() && (!before || !(*before == server))) {
         record("server",
                {{"server", server.name.text()},
                 {"before", known.text()},
@@ -298,7 +300,9 @@
         record("node_unreadable", {{"key", key}});
         return;
     }
-    record("node", {{"key", key}, {"callers", entry->callers}});
+    if (m_sync.isKnown()) {
+        record("node", {{"key", key}, {"callers", entry->callers}});
+    }
     entry->announcedSince = item->created;
     entry->announcedAt = item->revision;
     m_roster.announce(key, std::move(*entry));
@@ -366,6 +370,7 @@
 void EdgeNode::tick()
 {
     const TimePoint now = present();
+    recordFirstCopy();
     noticeFreeze(now);
     chooseScheduler(now);
     m_dispatcher.setOrderToken(m_sync.orderToken(now));
@@ -377,6 +382,18 @@
     endIfDone(now);
 }
 
+void EdgeNode::recordFirstCopy()
+{
+    if (m_hasCopy || !m_sync.isKnown()) {
+        return;
+    }
+    m_hasCopy = true;
+    record("first_copy",
+           {{"as_of", std::to_string(m_sync.asOf())},
+            {"nodes", std::to_string(m_roster.members(present()).size())},
+            {"servers", std::to_string(m_dispatcher.servers().size())}});
+}
+
 void EdgeNode::recordStoreCalls(TimePoint now)
 {
     if (now < m_storeCallsRecordedAt + RecordStoreCallsEvery) {
--- a/src/edge/edgenode.h
+++ b/src/edge/edgenode.h
@@ -78,6 +78,8 @@
     std::string metricsText() const;
     void tick();
     void noticeFreeze(TimePoint now);
+    /** One line for all that a node learns at its start; a line for each change after it. */
+    void recordFirstCopy();
     void recordStoreCalls(TimePoint now);
     void endIfDone(TimePoint now);
     void record(const std::string &kind, const std::vector<LogField> &fields);
@@ -99,6 +101,7 @@
     std::mt19937_64 m_random;
     std::optional<NodeEntry> m_scheduler; ///< The node that schedules the engines.
     std::optional<TimePoint> m_leavingSince;
+    bool m_hasCopy = false; ///< Of the store; changes are told one by one from then on.
     TimePoint m_storeCallsRecordedAt {};
     TimePoint m_lastTick {};
     Duration m_frozen {}; ///< Time that the steady clock did not count, as last seen.
--- a/src/fleet/upstreamchoice.cpp
+++ b/src/fleet/upstreamchoice.cpp
@@ -1,6 +1,7 @@
 #include "upstreamchoice.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace indigoway {
 
@@ -17,6 +18,12 @@
 constexpr Duration ProbeStoreAtLeastEvery = std::chrono::milliseconds(4000);
 constexpr std::uint32_t MostDoublings = 2;
 
+/** A watcher tells its whole domain: the VM with most processor time, and so the widest link. */
+std::tuple<double, const NodeName &> rankOf(const NodeEntry &node)
+{
+    return {-node.processors, node.name};
+}
+
 } // namespace
 
 UpstreamChoice::UpstreamChoice(NodeName self, DomainName domain)
@@ -76,7 +83,7 @@
     std::map<DomainName, NodeEntry> first;
     for (const NodeEntry &member : members) {
         const auto [it, isNew] = first.try_emplace(member.domain, member);
-        if (!isNew && member.name < it->second.name) {
+        if (!isNew && rankOf(member) < rankOf(it->second)) {
             it->second = member;
         }
     }
--- a/src/fleet/upstreamchoice.h
+++ b/src/fleet/upstreamchoice.h
@@ -44,7 +44,7 @@
     void failed(TimePoint now, const Upstream &upstream);
 
 private:
-    /** The first node of each domain by name, this node's own domain first. */
+    /** One node of each domain, this node's own domain first. */
     std::vector<NodeEntry> watchers(const std::vector<NodeEntry> &members) const;
     bool isAvoided(const std::string &address, TimePoint now) const;
     /** How long a store that has failed is left alone. */
--- a/src/scheduling/engineledger.cpp
+++ b/src/scheduling/engineledger.cpp
@@ -80,18 +80,25 @@
 {
     Engine &engine = m_engines[server];
     engine.lastUsed = now;
-    const bool isNext = wouldFollow(server, now);
-    engine.busyUntil = std::max(engine.busyUntil, now) + workOf(&engine, tokens, pace, now);
-    const bool isAlone = engine.prompts == 0;
-    ++engine.prompts;
-    return {server,  now,   engine.busyUntil + pace.answerTime(), engine.shift, tokens,
-            isAlone, isNext};
+    PrefillTurn turn;
+    turn.server = server;
+    turn.granted = now;
+    turn.tokens = tokens;
+    turn.shift = engine.shift;
+    turn.isAlone = engine.line.empty();
+    turn.isNext = wouldFollow(server, now);
+    turn.work = workOf(&engine, tokens, pace, now);
+    turn.place = ++engine.lastPlace;
+    engine.busyUntil = std::max(engine.busyUntil, now) + turn.work;
+    turn.expectedEnd = engine.busyUntil + pace.answerTime();
+    engine.line.push_back({turn.place, Duration(0)});
+    return turn;
 }
 
 bool EngineLedger::wouldFollow(const ServerName &server, TimePoint now) const
 {
     const Engine *engine = find(server);
-    return engine && engine->prompts == 1 && engine->busyUntil > now + SentWithin;
+    return engine && engine->line.size() == 1 && engine->busyUntil > now + SentWithin;
 }
 
 void EngineLedger::endPrefill(const PrefillTurn &turn, PrefillPace &pace, TimePoint now)
@@ -108,15 +115,13 @@
         pace.addNext(turn.tokens, now - engine.lastAnswer);
     }
     engine.lastAnswer = now;
-    engine.prompts -= engine.prompts > 0 ? 1 : 0;
-    if (engine.prompts == 0) {
-        engine.busyUntil = now;
-    } else {
+    const Duration gained = leaveLine(engine, turn, now);
+    if (!engine.line.empty()) {
         // Time gained is in the estimate already where earlier prompts of the line have shown it;
         // counted again with each of them, an engine a little faster than thought looked idle and
         // was flooded. Time lost does count again: what makes one prompt late, a slow engine or
         // one that has just come back, makes the next one later than its work alone.
-        const TimePoint expected = turn.expectedEnd + (engine.shift - turn.shift);
+        const TimePoint expected = turn.expectedEnd + (engine.shift - turn.shift) - gained;
         const Duration correction =
             std::clamp(Duration(now - (now > turn.expectedEnd ? turn.expectedEnd : expected)),
                        -MostCorrection, MostCorrection);
@@ -136,10 +141,32 @@
     Engine &engine = m_engines[turn.server];
     // When the engine turned to the next one is not known.
     engine.lastAnswer = {};
-    engine.prompts -= engine.prompts > 0 ? 1 : 0;
-    if (engine.prompts == 0) {
+    leaveLine(engine, turn, now);
+}
+
+void EngineLedger::withdrawPrefill(const PrefillTurn &turn, TimePoint now)
+{
+    Engine &engine = m_engines[turn.server];
+    engine.lastAnswer = {};
+    leaveLine(engine, turn, now);
+    engine.busyUntil = std::max(engine.busyUntil - turn.work, now);
+    for (InLine &prompt : engine.line) {
+        prompt.gained += prompt.place > turn.place ? turn.work : Duration(0);
+    }
+}
+
+Duration EngineLedger::leaveLine(Engine &engine, const PrefillTurn &turn, TimePoint now)
+{
+    const auto it = std::ranges::find(engine.line, turn.place, &InLine::place);
+    if (it == engine.line.end()) {
+        return Duration(0);
+    }
+    const Duration gained = it->gained;
+    engine.line.erase(it);
+    if (engine.line.empty()) {
         engine.busyUntil = now;
     }
+    return gained;
 }
 
 void EngineLedger::refusedRoom(const ServerName &server, std::uint64_t memory, TimePoint now)
@@ -198,7 +225,7 @@
 {
     std::erase_if(m_engines, [now](const auto &one) {
         const Engine &engine = one.second;
-        return engine.memory.runs() == 0 && engine.prompts == 0
+        return engine.memory.runs() == 0 && engine.line.empty()
             && now > engine.lastUsed + RememberedFor;
     });
 }
--- a/src/scheduling/engineledger.h
+++ b/src/scheduling/engineledger.h
@@ -8,6 +8,7 @@
 #include <indigoway/ids.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -21,8 +22,10 @@
     TimePoint expectedEnd {}; ///< Of the answer, as thought when it was granted.
     Duration shift {};        ///< The engine's, at that time.
     std::uint32_t tokens = 0;
-    bool isAlone = false; ///< It found the engine idle.
-    bool isNext = false;  ///< It is there before the engine is done with the one ahead.
+    bool isAlone = false;    ///< It found the engine idle.
+    bool isNext = false;     ///< It is there before the engine is done with the one ahead.
+    Duration work {};        ///< For which the engine was thought to read it.
+    std::uint64_t place = 0; ///< In the engine's line.
 };
 
 /** What is known of each engine: memory given out, prompts in line, how it has behaved. */
@@ -51,9 +54,15 @@
      * of it as a middling engine would have taken.
      */
     void endPrefill(const PrefillTurn &turn, PrefillPace &pace, TimePoint now);
-    /** The prompt was given up, or its engine failed; that says nothing about the engine's speed.
-     */
+    /** The engine failed the prompt; that says nothing about its speed. */
     void dropPrefill(const PrefillTurn &turn, TimePoint now);
+    /**
+     * The engine does not read the prompt: no room was had for it, or its caller has left. Those
+     * behind it are read sooner. Unless its time is given back, engines look busy that are not:
+     * with a third of all reservations lost they stood idle for a quarter of the time, while
+     * claims were refused for them.
+     */
+    void withdrawPrefill(const PrefillTurn &turn, TimePoint now);
     /** The engine refused room that it was thought to have, of @p memory tokens in all. */
     void refusedRoom(const ServerName &server, std::uint64_t memory, TimePoint now);
     void failed(const ServerName &server, TimePoint now);
@@ -83,11 +92,17 @@
     const HandoverLosses &handovers() const { return m_handovers; }
 
 private:
+    struct InLine
+    {
+        std::uint64_t place = 0;
+        Duration gained {}; ///< Time of prompts before it that were withdrawn.
+    };
     struct Engine
     {
         MemoryForecast memory;
-        std::uint32_t prompts = 0; ///< Being prefilled or in line.
-        TimePoint lastAnswer {};   ///< Of a prompt; none if one was dropped after it.
+        std::deque<InLine> line; ///< Prompts being read or waiting for it; the first is read first.
+        std::uint64_t lastPlace = 0;
+        TimePoint lastAnswer {}; ///< Of a prompt; none if one was dropped after it.
         TimePoint busyUntil {};
         Duration shift {};   ///< All corrections of busyUntil so far.
         double slowness = 1; ///< Time that prompts take, against that of a healthy engine.
@@ -101,6 +116,8 @@
         TimePoint lastUsed {};
     };
 
+    /** Takes the prompt out of its engine's line; what it gained there. */
+    static Duration leaveLine(Engine &engine, const PrefillTurn &turn, TimePoint now);
     const Engine *find(const ServerName &server) const;
     static Duration workOf(const Engine *engine, std::uint32_t tokens, const PrefillPace &pace,
                            TimePoint now);
--- a/src/scheduling/enginescheduler.cpp
+++ b/src/scheduling/enginescheduler.cpp
@@ -265,7 +265,7 @@
 {
     m_ledger.discharge(granted.decodeServer, granted.run);
     if (granted.prefill) {
-        m_ledger.dropPrefill(*granted.prefill, now);
+        m_ledger.withdrawPrefill(*granted.prefill, now);
     }
 }
 
--- a/src/settings/flagset.cpp
+++ b/src/settings/flagset.cpp
@@ -24,6 +24,11 @@
 
 } // namespace
 
+std::string programVersion()
+{
+    return INDIGOWAY_VERSION;
+}
+
 std::string environmentName(const std::string &flag)
 {
     std::string name = "INDIGOWAY_" + flag;
@@ -65,6 +70,10 @@
             line.wantsMarkdown = true;
             continue;
         }
+        if (name == "version") {
+            line.wantsVersion = true;
+            continue;
+        }
         if (name == "help") {
             line.wantsHelp = true;
             continue;
@@ -152,6 +161,10 @@
         std::exit(UsageError);
     }
     const auto &line = std::get<CommandLine>(parsed);
+    if (line.wantsVersion) {
+        std::printf("indigoway %s\n", programVersion().c_str());
+        std::exit(0);
+    }
     if (line.wantsMarkdown) {
         std::printf("%s", flags.markdown().c_str());
         std::exit(0);
--- a/src/settings/flagset.h
+++ b/src/settings/flagset.h
@@ -11,6 +11,7 @@
 {
     std::vector<std::string> words;
     bool wantsHelp = false;
+    bool wantsVersion = false;
     bool wantsMarkdown = false; ///< The settings as rows for docs/SETTINGS.md.
 };
 
@@ -47,11 +48,14 @@
     std::vector<std::string> m_flags;
 };
 
+/** Of the programs of this build, as their start lines and --version tell it. */
+std::string programVersion();
+
 /** "INDIGOWAY_" and the flag's name in capitals. */
 std::string environmentName(const std::string &flag);
 
 /**
- * Parses or ends the process: help with 0, faults, listed all at once, with 2.
+ * Parses or ends the process: help or version with 0, faults, listed all at once, with 2.
  */
 std::vector<std::string> parseOrExit(const FlagSet &flags, int argc, char **argv);
 
--- a/tests/dispatch/schedulerclaimstest.cpp
+++ b/tests/dispatch/schedulerclaimstest.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(tellsANewSchedulerBeforeTheNextClaim);
     CPPUNIT_TEST(givesBackAGrantThatComesTooLate);
     CPPUNIT_TEST(claimsAgainWhenTheEngineRefuses);
+    CPPUNIT_TEST(aLostReservationIsNoDeadEngine);
     CPPUNIT_TEST(callersWhoComeBackAreToldApart);
     CPPUNIT_TEST_SUITE_END();
 
@@ -168,6 +169,24 @@
         CPPUNIT_ASSERT(play.told<Claim>().claim != claim.claim);
     }
 
+    // An engine promises room, and its answer is lost on the way. It is well: taken for dead at the
+    // first such loss, engines that lose a third of their answers are nearly all left out, and
+    // callers are refused while the engines' memory lies free.
+    void aLostReservationIsNoDeadEngine()
+    {
+        DispatchPlay play;
+        useScheduler(play);
+        play.arrive(0, "stream", Prompt);
+        const auto claim = play.told<Claim>();
+        play.reduce(5, SchedulerAnswered {grantOf(claim, "d1", "p1"), Life});
+        play.end(8, play.nextCall(CallKind::Reserve), CallEnd::Broken);
+        CPPUNIT_ASSERT(play.told<ClaimEnded>().end == ClaimEnd::EngineFailed);
+        const auto second = play.told<Claim>();
+        play.reduce(15, SchedulerAnswered {grantOf(second, "d2", "p1"), Life});
+        play.end(18, play.nextCall(CallKind::Reserve), CallEnd::NotConnected);
+        CPPUNIT_ASSERT(play.told<ClaimEnded>().end == ClaimEnd::Unreachable);
+    }
+
     // Callers hand on what is left of their patience. One who has clearly less than the others
     // was turned away before, and those who can still be served in time go first.
     void callersWhoComeBackAreToldApart()
--- a/tests/fleet/upstreamchoicetest.cpp
+++ b/tests/fleet/upstreamchoicetest.cpp
@@ -48,6 +48,7 @@
 {
     CPPUNIT_TEST_SUITE(UpstreamChoiceTest);
     CPPUNIT_TEST(oneNodeOfEachDomainAsksTheStore);
+    CPPUNIT_TEST(theLargestNodeOfADomainWatches);
     CPPUNIT_TEST(aNewNodeAsksTheStore);
     CPPUNIT_TEST(aNodeThatKnowsNothingAsksTheStore);
     CPPUNIT_TEST(aDeadWatcherIsLeft);
@@ -74,6 +75,20 @@
         CPPUNIT_ASSERT_EQUAL(std::string("b1:2"), chosen(choice, 0, members));
     }
 
+    // A watcher sends each change to all of its domain. On the link of the smallest VM, which was
+    // first by name, sixty copies of a change took seconds.
+    void theLargestNodeOfADomainWatches()
+    {
+        auto members = fleet(5);
+        for (NodeEntry &member : members) {
+            member.processors = member.name.text().ends_with("4") ? 0.5 : 0.12;
+        }
+        UpstreamChoice choice = choiceOf("b2");
+        CPPUNIT_ASSERT_EQUAL(std::string("b4:2"), chosen(choice, 0, members));
+        UpstreamChoice watcher = choiceOf("b4");
+        CPPUNIT_ASSERT_EQUAL(std::string("store"), chosen(watcher, 0, members));
+    }
+
     void aNewNodeAsksTheStore()
     {
         UpstreamChoice choice = choiceOf("b2");
--- a/tests/processes/edge.sh
+++ b/tests/processes/edge.sh
@@ -103,10 +103,23 @@
 line request_unserved '"request":"id-3"' 'status=404 .* no route version=1'
 line routing '"version":"2"' '"before":"1"'
 line store_copy_call_failed 'from=store' 'fault=refused as_of=[0-9]+'
-line scheduler '"before":"none"' '"node":"n1"'
+line scheduler '"before":"none"' '"scheduler":"n1"'
+line first_copy '"nodes":"[0-9]+"' '"servers":"[0-9]+"'
 line leave '"node":"n2"' '"open_requests":"1"'
 for kind in start stop node node_vanished server upstream store_copy_current; do line $kind . .; done
 for kind in $(grep -oE '^\| `[a-z_`, ]+' docs/OPERATIONS.md | grep -oE '[a-z_]+'); do
     grep -rqE "\"$kind\"" src || fail "docs/OPERATIONS.md names a kind of line that is never written: $kind"
 done
+# Each line is one JSON object, and no member stands in it twice: readers of JSON keep one of them.
+python3 - "$RUN"/n?.out <<'CHECK' || fail "a log line that cannot be read"
+import json, sys
+
+def once(pairs):
+    assert len({name for name, _ in pairs}) == len(pairs), pairs
+    return dict(pairs)
+
+for path in sys.argv[1:]:
+    for line in open(path, encoding="utf-8"):
+        json.loads(line, object_pairs_hook=once)
+CHECK
 echo "OK"
--- a/tests/scheduling/engineschedulertest.cpp
+++ b/tests/scheduling/engineschedulertest.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(oneDecodeEngineThatTakesNothingPutsNoPrefillEngineOut);
     CPPUNIT_TEST(givesNothingToAnEngineThatIsOrderedToChange);
     CPPUNIT_TEST(usesFailingEnginesOnlyForWhatNoOtherHasRoomFor);
+    CPPUNIT_TEST(givesBackThePlaceOfAPromptThatNeverCame);
     CPPUNIT_TEST(findsOutWhatPromptsTakeWhereEnginesAreIdle);
     CPPUNIT_TEST(theDecodeEngineReadsWithoutPrefillEngines);
     CPPUNIT_TEST(freesWhatADeadNodeHeld);
@@ -335,6 +336,26 @@
         CPPUNIT_ASSERT_EQUAL(text("queued"), play.answer(A, 14));
     }
 
+    // A caller leaves before its prompt is read, or no room is had for it. If its place in the line
+    // stayed, the next caller would wait for an engine that has nothing to read.
+    void givesBackThePlaceOfAPromptThatNeverCame()
+    {
+        SchedulingPlay play;
+        play.addEngine("d", EnginePhase::Decode);
+        play.addEngine("p", EnginePhase::Prefill);
+        for (std::uint64_t i = 1; i <= 4; ++i) {
+            play.tell(0, A, SchedulingPlay::claimOf(i, 4'000));
+        }
+        CPPUNIT_ASSERT_EQUAL(text("d/p"), play.answer(A, 2));
+        CPPUNIT_ASSERT_EQUAL(text("queued"), play.answer(A, 3));
+        play.tell(10, A, ClaimEnded {ClaimId(1), ClaimEnd::Dropped});
+        CPPUNIT_ASSERT_EQUAL(text("d/p"), play.answer(A, 3));
+        CPPUNIT_ASSERT_EQUAL(text("queued"), play.answer(A, 4));
+        // The second one is as early as it was to be without the first: nothing is gained twice.
+        play.tell(90, A, PrefillEnded {ClaimId(2), true});
+        CPPUNIT_ASSERT_EQUAL(text("d/p"), play.answer(A, 4));
+    }
+
     // Two prefill engines at light load: each prompt finds one that is idle, and how much of its
     // time the engine was kept does not show. Some prompts are put behind others, at most a tenth
     // of a second later; without them no engine could be told to change its phase for good reason.
--- a/tests/settings/flagsettest.cpp
+++ b/tests/settings/flagsettest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST_SUITE(FlagSetTest);
     CPPUNIT_TEST(listsAllFaultsAtOnce);
     CPPUNIT_TEST(theCommandLineWinsOverTheEnvironment);
+    CPPUNIT_TEST(theVersionIsAsked);
     CPPUNIT_TEST(thePageOfSettingsIsThePrograms);
     CPPUNIT_TEST_SUITE_END();
 
@@ -52,6 +53,12 @@
         unsetenv("INDIGOWAY_NODE");
     }
 
+    void theVersionIsAsked()
+    {
+        CPPUNIT_ASSERT(std::get<CommandLine>(parse({"--version"})).wantsVersion);
+        CPPUNIT_ASSERT(!programVersion().empty());
+    }
+
     void thePageOfSettingsIsThePrograms()
     {
         std::ifstream file("docs/SETTINGS.md");
