Tell servers that have crashed, and requests that ask for the same

Each request now bears an id of its content (request_end, content=); a connection that the server's side ended is followed by one attempt to connect, and a server that takes none is named in a server_crashed line with what it was working on.

TransferEnd::Lost parts lost connections from silence and from bytes that are no answer; two tests that expected Broken expect Lost, which says more.

--- a/include/indigoway/ids.h
+++ b/include/indigoway/ids.h
@@ -57,6 +57,8 @@
 using TargetName = Name<struct TargetTag>;
 /** A failure domain. */
 using DomainName = Name<struct DomainTag>;
+/** What a request asks for: the same in each of its attempts, whoever's node they reach. */
+using ContentId = Name<struct ContentTag>;
 /** A request as a backend server knows it; see engineRequestName(). */
 using EngineRequestName = Name<struct EngineRequestTag>;
 
--- a/src/dispatch/dispatcheffects.h
+++ b/src/dispatch/dispatcheffects.h
@@ -23,6 +23,7 @@
     Whole,      ///< Prefill and decode on one decode engine.
     Report,     ///< Asks an engine how many orders it has taken.
     Order,      ///< Has an engine change its phase.
+    Probe,      ///< Only a connection: a server that has ended takes none.
 };
 
 /** A call to one backend server. CallEnded follows, once, unless it is abandoned. */
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -30,6 +30,7 @@
     : m_state(std::move(settings), startedAt)
     , m_plain(m_state)
     , m_generations(m_state)
+    , m_crashes(m_state)
 { }
 
 void Dispatcher::setNodes(std::uint32_t nodes, TimePoint now)
@@ -160,7 +161,14 @@
         m_generations.phases().orderEnded(step, *call, event);
         return;
     }
+    if (call->kind == CallKind::Probe) {
+        m_crashes.probeEnded(step, *call, event);
+        return;
+    }
     OpenRequest *request = m_state.requests.find(call->request);
+    if (request && event.isConnectionLost) {
+        m_crashes.connectionLost(step, *call, request->facts.content);
+    }
     if (!request || request->call != event.call) {
         RequestFlow &flow =
             call->kind == CallKind::Plain ? static_cast<RequestFlow &>(m_plain) : m_generations;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/crashwatch.h"
 #include "dispatch/dispatchstate.h"
 #include "dispatch/generationflow.h"
 #include "dispatch/plainflow.h"
@@ -61,6 +62,7 @@
     DispatchState m_state;
     PlainFlow m_plain;
     GenerationFlow m_generations;
+    CrashWatch m_crashes;
     std::shared_ptr<const RouteTable> m_table;
     Deadlines<RequestNumber> m_timeouts;
     std::optional<TimePoint> m_nextTick;
--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -16,6 +16,7 @@
 {
     RequestNumber request;
     std::string callerId; ///< The caller's own name for this attempt; for logs.
+    ContentId content;
     std::string host;
     std::string path;                 ///< With its query.
     std::optional<Duration> patience; ///< How long the caller waits at the most.
@@ -74,6 +75,7 @@
     std::string handle;                 ///< Of a Prefill that was done.
     std::optional<EngineReport> report; ///< Of a Report that was answered.
     std::uint32_t events = 0;           ///< Whole events of the stream that were passed on.
+    bool isConnectionLost = false;      ///< Of a Broken call: closed or reset by the server's side.
     std::string why;                    ///< For logs, where it did not end well.
 };
 
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -87,9 +87,9 @@
 {
     std::string text = std::string("outcome=") + nameOf(outcome) + " route="
         + request.route->name.text() + " routes_version=" + std::to_string(request.table->version())
-        + " stage=" + nameOf(request.stage)
-        + " age_ms=" + millisecondsText(step.now - request.arrived)
-        + " runs=" + std::to_string(request.runs) + " server=" + request.server.text();
+        + " stage=" + nameOf(request.stage) + " age_ms="
+        + millisecondsText(step.now - request.arrived) + " runs=" + std::to_string(request.runs)
+        + " server=" + request.server.text() + " content=" + request.facts.content.text();
     if (request.isGeneration()) {
         text += std::string(request.isComingBack ? " caller=coming_back" : " caller=fresh")
             + " patience_ms="
@@ -176,6 +176,8 @@
         return "report";
     case CallKind::Order:
         return "order";
+    case CallKind::Probe:
+        return "probe";
     }
     return "";
 }
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -1,5 +1,7 @@
 #include "requestrelay.h"
 
+#include "relay/contentid.h"
+
 namespace indigoway {
 
 namespace {
@@ -56,6 +58,7 @@
 {
     ArrivedRequest arrived = m_dialect.readRequest(request.head);
     arrived.request = number;
+    arrived.content = contentOf(request);
     OpenExchange exchange;
     exchange.callerId = arrived.callerId;
     exchange.request = std::move(request);
@@ -155,13 +158,20 @@
     ended.status = open.head.status;
     ended.load = open.facts.load;
     ended.why = why;
+    ended.isConnectionLost = end == TransferEnd::Lost;
+    if (open.call.kind == CallKind::Probe) {
+        ended.end = end == TransferEnd::Complete ? CallEnd::Complete : CallEnd::NotConnected;
+        return ended;
+    }
     if (open.isStream) {
         const auto exchange = m_exchanges.find(open.call.request);
         const bool isBetween =
             exchange == m_exchanges.end() || exchange->second.events.isBetweenEvents();
         ended.events = exchange == m_exchanges.end() ? 0 : exchange->second.events.events();
-        ended.end = end == TransferEnd::Complete && isBetween && open.hasBegun ? CallEnd::Complete
-                                                                               : CallEnd::Broken;
+        const bool isWhole = isBetween && open.hasBegun;
+        ended.end = end == TransferEnd::Complete && isWhole ? CallEnd::Complete : CallEnd::Broken;
+        // A stream without a length ends with its connection: only its content shows a loss.
+        ended.isConnectionLost |= end == TransferEnd::Complete && !isWhole;
         return ended;
     }
     if (end != TransferEnd::Complete) {
@@ -210,7 +220,12 @@
             lastEventId = exchange->second.events.lastId();
         }
     }
-    ServerRequest request = m_dialect.writeCall(effect, origin, lastEventId);
+    ServerRequest request;
+    if (effect.kind == CallKind::Probe) {
+        request.isConnectOnly = true;
+    } else {
+        request = m_dialect.writeCall(effect, origin, lastEventId);
+    }
     request.call = effect.call;
     request.server = effect.server;
     request.address = effect.address;
--- a/src/relay/serverconnections.cpp
+++ b/src/relay/serverconnections.cpp
@@ -72,6 +72,7 @@
     bool isClosing = false;
     bool isForeign = false; ///< The message being read answers another request.
     bool isHeadRequest = false;
+    bool isConnectOnly = false;
 
     explicit Connection(MessageParser::Handler handler)
         : parser(MessageParser::Kind::Response, std::move(handler))
@@ -100,11 +101,13 @@
 
 void ServerConnections::start(const ServerRequest &request)
 {
-    Connection *kept = request.needsNewConnection ? nullptr : keptConnection(request);
+    const bool isNew = request.needsNewConnection || request.isConnectOnly;
+    Connection *kept = isNew ? nullptr : keptConnection(request);
     Connection &connection = kept ? *kept : connect(request);
     connection.call = request.call;
     connection.silentFor = request.silentFor;
     connection.mostKept = request.connectionsKept;
+    connection.isConnectOnly = request.isConnectOnly;
     m_calls[request.call] = connection.number;
     send(connection, request);
     if (connection.isConnected) {
@@ -314,6 +317,10 @@
     if ((what & BEV_EVENT_CONNECTED) != 0) {
         one.isConnected = true;
         event_del(one.timer);
+        if (one.isConnectOnly) {
+            owner.finish(one, TransferEnd::Complete, {}, false);
+            return;
+        }
         bufferevent_write(one.bev, one.unsent.data(), one.unsent.size());
         one.unsent.clear();
         owner.armSilence(one);
@@ -342,7 +349,7 @@
             return;
         }
     }
-    owner.finish(one, TransferEnd::Broken, isOrderly ? "closed early" : "connection reset", false);
+    owner.finish(one, TransferEnd::Lost, isOrderly ? "closed early" : "connection reset", false);
 }
 
 void ServerConnections::handleTimer(int /*socket*/, short /*what*/, void *connection)
--- a/src/relay/serverconnections.h
+++ b/src/relay/serverconnections.h
@@ -29,13 +29,15 @@
     std::string body;
     Duration silentFor {}; ///< Longest time without a byte from the server; 0: no bound.
     bool needsNewConnection = false;
+    bool isConnectOnly = false;        ///< Nothing is sent; complete once the connection is made.
     std::uint32_t connectionsKept = 1; ///< Idle ones to this server, at the most.
 };
 
 enum class TransferEnd {
     NotConnected, ///< Nothing was sent.
     Complete,
-    Broken, ///< Ended early, or with bytes that are no answer.
+    Lost,   ///< The connection ended before the answer did.
+    Broken, ///< Silent for too long, or bytes that are no answer.
 };
 
 /** What a call's owner is told. Every call ends by ended(), unless it is abandoned. */
--- a/tests/dispatch/dispatchplay.h
+++ b/tests/dispatch/dispatchplay.h
@@ -89,12 +89,14 @@
         m_dispatcher.announce(std::move(server));
     }
 
+    /** @p content: what it asks for; empty: something that no other request asks for. */
     RequestNumber arrive(int milliseconds, const std::string &host, std::uint32_t tokens = 0,
-                         std::optional<Duration> patience = {})
+                         std::optional<Duration> patience = {}, const std::string &content = {})
     {
         ArrivedRequest request;
         request.request = RequestNumber(++m_lastRequest);
         request.callerId = "c" + std::to_string(m_lastRequest);
+        request.content = ContentId(content.empty() ? request.callerId : content);
         request.host = host;
         request.path = "/x";
         request.patience =
@@ -114,6 +116,8 @@
                 m_abandoned.push_back(abandoned->call);
             } else if (const auto *told = std::get_if<TellScheduler>(&effect)) {
                 m_told.push_back(told->message);
+            } else if (const auto *recorded = std::get_if<RecordDecision>(&effect)) {
+                m_recorded[recorded->kind].push_back(recorded->detail);
             } else if (const auto *rejected = std::get_if<RejectRequest>(&effect)) {
                 m_ends[rejected->request] = rejected->retryAfter
                     ? "rejected"
@@ -175,6 +179,16 @@
         reduce(milliseconds, ended);
     }
 
+    /** The server's side ends the connection of @p call before it has answered. */
+    void lose(int milliseconds, const StartCall &call)
+    {
+        CallEnded ended;
+        ended.call = call.call;
+        ended.end = CallEnd::Broken;
+        ended.isConnectionLost = true;
+        reduce(milliseconds, ended);
+    }
+
     void grant(int milliseconds, const StartCall &call)
     {
         CallEnded ended;
@@ -196,6 +210,9 @@
         return it == m_ends.end() ? "open" : it->second;
     }
 
+    /** Details of the log lines of @p kind, so far. */
+    const std::vector<std::string> &recorded(const std::string &kind) { return m_recorded[kind]; }
+
     bool wasAbandoned(const StartCall &call) const
     {
         return std::find(m_abandoned.begin(), m_abandoned.end(), call.call) != m_abandoned.end();
@@ -211,6 +228,7 @@
     std::deque<scheduling::ToScheduler> m_told;
     std::vector<CallNumber> m_abandoned;
     std::map<RequestNumber, std::string> m_ends;
+    std::map<std::string, std::vector<std::string>> m_recorded;
 };
 
 } // namespace indigoway::dispatch
--- /dev/null
+++ b/tests/relay/contentidtest.cpp
@@ -0,0 +1,70 @@
+#include "relay/contentid.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace indigoway;
+
+namespace {
+
+CallerRequest requestOf(const std::string &body)
+{
+    CallerRequest request;
+    request.head.method = "POST";
+    request.head.target = "/summary/7?short";
+    request.head.headers = {{"Host", "a.example"}, {"X-Attempt", "1"}};
+    request.body = body;
+    return request;
+}
+
+} // namespace
+
+class ContentIdTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ContentIdTest);
+    CPPUNIT_TEST(attemptsAtTheSameAreTheSame);
+    CPPUNIT_TEST(whatAsksForSomethingElseDiffers);
+    CPPUNIT_TEST(partsDoNotRunIntoEachOther);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void attemptsAtTheSameAreTheSame()
+    {
+        const CallerRequest first = requestOf("text");
+        CallerRequest second = first;
+        second.head.headers = {{"Host", "a.example"}, {"X-Attempt", "2"}};
+        CPPUNIT_ASSERT(contentOf(first) == contentOf(second));
+        constexpr std::size_t HexDigits = 32;
+        CPPUNIT_ASSERT_EQUAL(HexDigits, contentOf(first).text().size());
+    }
+
+    void whatAsksForSomethingElseDiffers()
+    {
+        const CallerRequest first = requestOf("text");
+        CPPUNIT_ASSERT(contentOf(first) != contentOf(requestOf("tex")));
+        CallerRequest other = first;
+        other.head.method = "PUT";
+        CPPUNIT_ASSERT(contentOf(first) != contentOf(other));
+        other = first;
+        other.head.target = "/summary/7?long";
+        CPPUNIT_ASSERT(contentOf(first) != contentOf(other));
+        other = first;
+        other.head.headers.front().second = "b.example";
+        CPPUNIT_ASSERT(contentOf(first) != contentOf(other));
+        other = first;
+        other.head.headers.emplace_back("Authorization", "Bearer b");
+        CPPUNIT_ASSERT(contentOf(first) != contentOf(other));
+    }
+
+    void partsDoNotRunIntoEachOther()
+    {
+        CallerRequest first = requestOf("");
+        CallerRequest second = first;
+        first.head.method = "GET";
+        first.head.headers.front().second = "a";
+        second.head.method = "GETa";
+        second.head.headers.front().second = "";
+        CPPUNIT_ASSERT(contentOf(first) != contentOf(second));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ContentIdTest);
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -155,6 +155,7 @@
     CPPUNIT_TEST(anotherRequestsAnswerIsDropped);
     CPPUNIT_TEST(bytesAfterAnAnswerEndTheConnection);
     CPPUNIT_TEST(nothingSentIsToldApart);
+    CPPUNIT_TEST(aConnectionAloneSendsNothing);
     CPPUNIT_TEST(aSilentServerIsGivenUp);
     CPPUNIT_TEST(anAbandonedCallClosesItsConnection);
     CPPUNIT_TEST_SUITE_END();
@@ -325,7 +326,7 @@
         server.send("HTTP/1.1 200 OK\r\n\r\nhalf");
         runUntil([&] { return m_calls->body[CallNumber(1)] == "half"; });
         server.reset();
-        CPPUNIT_ASSERT(endOf(1) == TransferEnd::Broken);
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::Lost);
     }
 
     void anEndedAnswerWithoutLengthIsWhole()
@@ -346,7 +347,7 @@
         runUntil([&] { return !server.receive().empty(); });
         server.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
         server.close();
-        CPPUNIT_ASSERT(endOf(1) == TransferEnd::Broken);
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::Lost);
     }
 
     // A server's answer to an earlier request comes late, where the next answer is expected.
@@ -387,6 +388,23 @@
         CPPUNIT_ASSERT(endOf(1) == TransferEnd::NotConnected);
     }
 
+    // Whether a server still lives is asked by a connection and nothing more: bytes could be taken
+    // for a request.
+    void aConnectionAloneSendsNothing()
+    {
+        ServerRequest probe;
+        probe.call = CallNumber(1);
+        probe.server = ServerName("s");
+        probe.address = m_server.address();
+        probe.isConnectOnly = true;
+        m_servers->start(probe);
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::Complete);
+        RawSocket server(m_server.takeConnection());
+        runUntil([&] { return server.hasEnded() || !server.receive().empty(); });
+        CPPUNIT_ASSERT(server.hasEnded());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, m_servers->kept());
+    }
+
     void aSilentServerIsGivenUp()
     {
         startCall(1, m_server.address(), std::chrono::milliseconds(30));
