--- a/standins/sharedplatform.cpp
+++ b/standins/sharedplatform.cpp
@@ -20,6 +20,7 @@
 constexpr std::chrono::milliseconds BetweenEvents {60};
 constexpr std::chrono::milliseconds PlainWork {10};
 constexpr std::chrono::milliseconds HandleKept {500};
+constexpr std::chrono::milliseconds DownAfterCrash {300};
 
 std::uint64_t numberParameter(const HttpRequest &request, const char *name)
 {
@@ -256,6 +257,11 @@
     }
     Json::Value answer;
     answer["held"] = Json::UInt64(m_held.size());
+    answer["crashes"] = m_crashes;
+    answer["crashed_now"] = Json::UInt64(
+        std::count_if(m_workers.begin(), m_workers.end(),
+                      [](const std::unique_ptr<Worker> &worker) { return !worker->server; }));
+    answer["revision"] = Json::UInt64(m_revision);
     answer["runs"] = Json::objectValue;
     for (const auto &[id, runs] : m_runs) {
         answer["runs"][id] = runs;
@@ -269,30 +275,52 @@
     Worker &added = *worker;
     added.name = name;
     added.phase = phase;
-    added.server = std::make_unique<HttpServer>(
-        m_loop.base(), HttpLimits {.idle = std::chrono::seconds(60)},
-        [this, &added](const HttpRequest &request) { work(added, request); },
-        [](ExchangeNumber) {});
-    added.address = added.server->listenOn("127.0.0.1:0").value_or("");
-    Json::Value entry;
-    entry["service"] = phase.empty() ? "web" : "llm";
     const std::size_t index = m_workers.size();
     if (index < m_announced.size()) {
+        added.announced = m_announced[index];
+    }
+    start(added, "127.0.0.1:0");
+    if (!added.announced.empty()) {
         std::printf("worker%zu %s\n", index, added.address.c_str());
     }
-    entry["address"] = index < m_announced.size() ? m_announced[index] : added.address;
+    m_workers.push_back(std::move(worker));
+}
+
+void SharedPlatform::start(Worker &worker, const std::string &address)
+{
+    worker.server = std::make_unique<HttpServer>(
+        m_loop.base(), HttpLimits {.idle = std::chrono::seconds(60)},
+        [this, &worker](const HttpRequest &request) { work(worker, request); },
+        [](ExchangeNumber) {});
+    worker.address = worker.server->listenOn(address).value_or("");
+    Json::Value entry;
+    entry["service"] = worker.phase.empty() ? "web" : "llm";
+    entry["address"] = worker.announced.empty() ? worker.address : worker.announced;
     entry["zone"] = "hall-a";
     entry["version"] = "v1";
     entry["capacity"] = 8;
     entry["warmup_ms"] = 0;
     entry["sequence"] = 1;
-    entry["born"] = Json::UInt64(1'700'000'000'000);
+    entry["born"] = Json::UInt64(1'700'000'000'000 + worker.lives);
     entry["state"] = "ready";
-    if (!phase.empty()) {
-        entry["phase"] = phase;
+    if (!worker.phase.empty()) {
+        entry["phase"] = worker.phase;
     }
-    put("servers/" + name, jsonText(entry));
-    m_workers.push_back(std::move(worker));
+    put("servers/" + worker.name, jsonText(entry));
+}
+
+void SharedPlatform::crash(Worker &worker)
+{
+    ++m_crashes;
+    ++worker.lives;
+    // Its server may not end inside of its own handler.
+    m_loop.after(std::chrono::milliseconds(0), [&worker] { worker.server.reset(); });
+    m_loop.after(DownAfterCrash, [this, &worker] { start(worker, worker.address); });
+}
+
+bool SharedPlatform::crashes(const HttpRequest &request) const
+{
+    return request.body.starts_with("crash");
 }
 
 std::string SharedPlatform::hold(std::chrono::milliseconds lifetime)
@@ -330,31 +358,44 @@
             return;
         }
         ++m_runs[id];
+        if (crashes(request)) {
+            crash(worker);
+            return;
+        }
         headers.emplace_back("Indigoway-Server-Stamp", "stamp-" + worker.name);
         headers.emplace_back("Content-Type", "text/event-stream");
         server.startStream(request.exchange, Ok, headers);
-        stream(worker, request, headers, 1);
+        stream(worker, request, worker.lives, 1);
     } else {
         ++m_runs[id];
+        if (crashes(request)) {
+            crash(worker);
+            return;
+        }
         headers.emplace_back("Indigoway-Server-Stamp", "stamp-" + worker.name);
-        m_loop.after(PlainWork, [this, &server, request, headers] {
-            reply(server, request, Ok, request.method + " " + request.path + " " + request.body,
-                  headers);
+        m_loop.after(PlainWork, [this, &worker, life = worker.lives, request, headers] {
+            if (worker.lives == life) {
+                reply(*worker.server, request, Ok,
+                      request.method + " " + request.path + " " + request.body, headers);
+            }
         });
     }
 }
 
-void SharedPlatform::stream(Worker &worker, const HttpRequest &request, const HttpHeaders &headers,
+void SharedPlatform::stream(Worker &worker, const HttpRequest &request, std::uint64_t life,
                             int event)
 {
+    if (worker.lives != life) {
+        return;
+    }
     if (event > StreamEvents) {
         worker.server->endStream(request.exchange);
         return;
     }
     const std::string number = std::to_string(event);
     worker.server->send(request.exchange, "id: " + number + "\ndata: token" + number + "\n\n");
-    m_loop.after(BetweenEvents, [this, &worker, request, headers, event] {
-        stream(worker, request, headers, event + 1);
+    m_loop.after(BetweenEvents, [this, &worker, request, life, event] {
+        stream(worker, request, life, event + 1);
     });
 }
 
--- a/standins/sharedplatform.h
+++ b/standins/sharedplatform.h
@@ -20,7 +20,8 @@
 /**
  * Stand-in of the users' platform: its key-value service (lists, watches, conditions, leases that
  * end) and backend servers that have announced themselves there. As much as tests of whole
- * processes need. Faults and changes are at /control of the service's address.
+ * processes need. Faults and changes are at /control of the service's address; a request whose
+ * body begins with "crash" ends each server that runs it.
  */
 class SharedPlatform
 {
@@ -58,9 +59,11 @@
     struct Worker
     {
         std::string name;
-        std::string phase; ///< Empty for plain services.
-        std::unique_ptr<HttpServer> server;
+        std::string phase;                  ///< Empty for plain services.
+        std::unique_ptr<HttpServer> server; ///< Null from a crash to the next start.
         std::string address;
+        std::string announced; ///< What it announces in place of its address, if anything.
+        std::uint64_t lives = 0;
     };
 
     void take(const HttpRequest &request);
@@ -79,8 +82,14 @@
     bool unhold(const std::string &id) { return m_held.erase(id) > 0; }
     void control(const HttpRequest &request);
     void addWorker(const std::string &name, const std::string &phase);
+    /** Listens and announces itself, as another life of it. */
+    void start(Worker &worker, const std::string &address);
+    /** Closes all connections at once; starts again at its address after a while. */
+    void crash(Worker &worker);
+    /** Whether @p request, which is run now, is one that crashes whatever runs it. */
+    bool crashes(const HttpRequest &request) const;
     void work(Worker &worker, const HttpRequest &request);
-    void stream(Worker &worker, const HttpRequest &request, const HttpHeaders &headers, int event);
+    void stream(Worker &worker, const HttpRequest &request, std::uint64_t life, int event);
     void writeRouting(std::uint64_t version, const std::string &extraPrefix);
     void reply(HttpServer &server, const HttpRequest &request, int status, const std::string &body,
                HttpHeaders headers = {});
@@ -98,6 +107,7 @@
     std::map<std::string, std::uint32_t> m_runs; ///< By a caller's id.
     std::set<std::string> m_held;                ///< Reservations and handles not given back.
     std::uint64_t m_lastHold = 0;
+    std::uint32_t m_crashes = 0;
     std::vector<std::string> m_announced;
 };
 
--- /dev/null
+++ b/tests/processes/edgecommon.sh
@@ -0,0 +1,27 @@
+# Shared by the tests of indigoway-edge: nodes on a stand-in of the platform, which is started here.
+. "$(dirname "$0")/common.sh"
+
+start_standin platform indigoway-sharedplatform || fail "no platform"
+
+# listening NODE FIELD PATTERN: an address out of the node's log.
+listening() { grep -o "$2" "$RUN/$1.out" | head -1 | grep -o '127.0.0.1:[0-9]*'; }
+
+start_edge() {
+    "$BUILD/indigoway-edge" --node="$1" --domain=hall-a --callers=127.0.0.1:0 --readiness=127.0.0.1:0 \
+        --directory=127.0.0.1:0 --control=127.0.0.1:0 --metrics=127.0.0.1:0 --scheduling=127.0.0.1:0 \
+        --store="${ADDRESSES[platform]}" >"$RUN/$1.out" 2>&1 &
+    PIDS[$1]=$!
+    wait_for "$1 to start" grep -q '"kind":"start"' "$RUN/$1.out" || fail "$1 does not start"
+    ADDRESSES[$1.callers]=$(listening "$1" '"callers":"[^"]*"')
+    ADDRESSES[$1.metrics]=$(listening "$1" '"metrics":"[^"]*"')
+    ADDRESSES[$1.directory]=$(listening "$1" '"for":"directory","address":"[^"]*"')
+    ADDRESSES[$1.readiness]=$(listening "$1" '"for":"readiness","address":"[^"]*"')
+}
+ready() { [ "$(status_of "http://${ADDRESSES[$1.readiness]}/readiness")" = 200 ]; }
+call() { # NODE PATH ID [CURL-FLAGS]: the status; the body is in $RUN/body
+    local node=$1 path=$2 id=$3
+    shift 3
+    status_of -H 'Host: site.example' -H "Indigoway-Request-Id: $id" \
+        -H 'Indigoway-Request-Deadline: 9000' "$@" "http://${ADDRESSES[$node.callers]}$path"
+}
+named() { curl -s "http://${ADDRESSES[$1.directory]}/resolve?name=site.example" | grep -q "${ADDRESSES[$2.callers]}"; }
