Refuse what three servers in a row have crashed under, on all nodes

Cause: a request that crashes whatever runs it came again under new ids at any node. Each attempt was a new request to its node; no node connected a crash with what had been on the server, and none heard of what others saw. Class: a failure that travels with the work, while health was kept by server only.

A confirmed crash is now recorded under the contents that were on the server, as the n-th in a row, and shared through the store (notes under a lease of ten minutes, one key a count, no condition). At three a content is refused with 503 before anything is sent, also where it waits already; the refusal tells when it ends. Not taken for the culprit: what was running on several servers that failed at one time (a crash counts in a row only if the run was sent when the one before was known), what any server has answered whole since, what was cut where the server lives or was leaving. Bounded: 1,024 contents a node, 256 notes that wait, 32 a call.

The start of a call, which stood in both flows, is one function now.

--- a/src/dispatch/crashwatch.cpp
+++ b/src/dispatch/crashwatch.cpp
@@ -1,8 +1,10 @@
 #include "crashwatch.h"
 
+#include <algorithm>
+
 namespace indigoway::dispatch {
 
-void CrashWatch::connectionLost(Step &step, const OpenCall &call, const ContentId &content)
+void CrashWatch::connectionLost(Step &step, const OpenCall &call, const OpenRequest &request)
 {
     const ServerName &server = call.server.name;
     const bool isLeaving = m_state.servers.standing(server, step.now) == Standing::Leaving;
@@ -10,7 +12,8 @@
         return; // Its end was announced, and says nothing of its work.
     }
     auto [probed, isFirst] = m_probed.try_emplace(server);
-    probed->second.insert(content);
+    std::uint32_t &known = probed->second[request.facts.content];
+    known = std::max(known, request.crashesKnown);
     if (isFirst) {
         StartCall probe;
         probe.kind = CallKind::Probe;
@@ -28,8 +31,10 @@
     m_state.tracker.unreachable(call.server.name, step.now);
     std::string contents;
     if (!lost.empty()) {
-        for (const ContentId &content : lost.mapped()) {
-            contents += " content=" + content.text();
+        for (const auto &[content, known] : lost.mapped()) {
+            contents +=
+                " content=" + content.text() + " crashes_in_row=" + std::to_string(known + 1);
+            noteCrash(step, content, known + 1);
         }
     }
     step.add(RecordDecision {"server_crashed",
@@ -38,4 +43,20 @@
                                  + " why=" + event.why + contents});
 }
 
+void CrashWatch::noteCrash(Step &step, const ContentId &content, std::uint32_t count)
+{
+    const std::uint32_t bounded = std::min(count, CrashRecords::MostCrashes);
+    m_state.crashes.crashed(content, bounded, CrashRecords::NotStored, step.now);
+    step.add(ShareCrash {content, bounded});
+}
+
+void CrashWatch::answered(Step &step, const ContentId &content)
+{
+    if (m_state.crashes.crashes(content) == 0) {
+        return;
+    }
+    m_state.crashes.answered(content, CrashRecords::NotStored, step.now);
+    step.add(ShareCrash {content, 0});
+}
+
 } // namespace indigoway::dispatch
--- a/src/dispatch/crashwatch.h
+++ b/src/dispatch/crashwatch.h
@@ -3,7 +3,6 @@
 #include "dispatch/dispatchstate.h"
 
 #include <map>
-#include <set>
 
 namespace indigoway::dispatch {
 
@@ -20,15 +19,19 @@
         : m_state(state)
     { }
 
-    /** The connection of @p call was lost while its server worked on @p content. */
-    void connectionLost(Step &step, const OpenCall &call, const ContentId &content);
+    /** The connection of @p call was lost while its server worked on @p request. */
+    void connectionLost(Step &step, const OpenCall &call, const OpenRequest &request);
     /** The attempt to connect has ended. */
     void probeEnded(Step &step, const OpenCall &call, const CallEnded &event);
+    /** A server has answered @p content whole, well or not: it does not crash what runs it. */
+    void answered(Step &step, const ContentId &content);
 
 private:
+    void noteCrash(Step &step, const ContentId &content, std::uint32_t count);
+
     DispatchState &m_state;
-    /** Servers that are being probed, with what was lost there meanwhile. */
-    std::map<ServerName, std::set<ContentId>> m_probed;
+    /** Servers that are being probed: contents lost there, with their crashes known before. */
+    std::map<ServerName, std::map<ContentId, std::uint32_t>> m_probed;
 };
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/dispatcheffects.h
+++ b/src/dispatch/dispatcheffects.h
@@ -97,6 +97,13 @@
     scheduling::ToScheduler message;
 };
 
+/** All nodes are to know of it, also those that start later. */
+struct ShareCrash
+{
+    ContentId content;
+    std::uint32_t count = 0; ///< Of crashes in a row; 0: a server has answered it.
+};
+
 /** A line for the log: a decision with what it rests on. */
 struct RecordDecision
 {
@@ -124,7 +131,7 @@
 
 using DispatchEffect =
     std::variant<StartCall, AbandonCall, DeliverAnswer, ForwardStream, EndStream, BreakStream,
-                 RejectRequest, TellScheduler, RecordDecision, RequestEnded>;
+                 RejectRequest, TellScheduler, ShareCrash, RecordDecision, RequestEnded>;
 using DispatchEffects = std::vector<DispatchEffect>;
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -30,7 +30,7 @@
     : m_state(std::move(settings), startedAt)
     , m_plain(m_state)
     , m_generations(m_state)
-    , m_crashes(m_state)
+    , m_crashWatch(m_state)
 { }
 
 void Dispatcher::setNodes(std::uint32_t nodes, TimePoint now)
@@ -67,6 +67,18 @@
     m_endsAt = endsAt;
 }
 
+bool Dispatcher::crashRecorded(const ContentId &content, std::uint32_t count,
+                               std::uint64_t revision, TimePoint now)
+{
+    const bool wasRefused = m_state.refusedFor(content, now).has_value();
+    if (count == 0) {
+        m_state.crashes.answered(content, revision, now);
+    } else {
+        m_state.crashes.crashed(content, count, revision, now);
+    }
+    return m_state.refusedFor(content, now).has_value() != wasRefused;
+}
+
 DispatchEffects Dispatcher::reduce(TimePoint now, std::uint64_t entropy, const DispatchEvent &event)
 {
     DispatchEffects effects;
@@ -103,6 +115,11 @@
                        "route without a service");
         return;
     }
+    if (const auto refused = m_state.refusedFor(event.content, step.now)) {
+        rejectUnserved(step, event, ServiceUnavailable, refused,
+                       CrashesServers + (" content=" + event.content.text()));
+        return;
+    }
     if (isTooLateForLeaving(step.now, route->isStream)) {
         rejectUnserved(step, event, ServiceUnavailable, ElsewhereAfter, "leaving");
         return;
@@ -162,12 +179,12 @@
         return;
     }
     if (call->kind == CallKind::Probe) {
-        m_crashes.probeEnded(step, *call, event);
+        m_crashWatch.probeEnded(step, *call, event);
         return;
     }
     OpenRequest *request = m_state.requests.find(call->request);
-    if (request && event.isConnectionLost) {
-        m_crashes.connectionLost(step, *call, request->facts.content);
+    if (request && carriesRequest(call->kind)) {
+        noteCrashOrAnswer(step, *call, *request, event);
     }
     if (!request || request->call != event.call) {
         RequestFlow &flow =
@@ -178,6 +195,16 @@
     flowOf(*request).callEnded(step, *request, *call, event);
 }
 
+void Dispatcher::noteCrashOrAnswer(Step &step, const OpenCall &call, const OpenRequest &request,
+                                   const CallEnded &event)
+{
+    if (event.isConnectionLost) {
+        m_crashWatch.connectionLost(step, call, request);
+    } else if (event.end == CallEnd::Complete && call.kind != CallKind::Prefill) {
+        m_crashWatch.answered(step, request.facts.content);
+    }
+}
+
 void Dispatcher::handle(Step &step, const SchedulerAnswered &event)
 {
     m_generations.schedulerAnswered(step, event);
@@ -193,6 +220,7 @@
     for (const ServerName &name : m_state.servers.forgetVanished(step.now)) {
         forget(name);
     }
+    m_state.crashes.forgetOld(step.now);
     if (m_orderToken && m_table && !m_leavingSince) {
         m_generations.phases().orderPhases(step, *m_table, *m_orderToken);
     }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -38,6 +38,14 @@
     /** This node is asked to end by @p endsAt; what cannot be done by then is turned away. */
     void leave(TimePoint now, TimePoint endsAt);
 
+    /**
+     * What nodes have recorded of @p content in the store: the @p count th crash in a row of
+     * servers under it, or an answer to it if @p count is 0. Whether that changes if it is refused.
+     */
+    bool crashRecorded(const ContentId &content, std::uint32_t count, std::uint64_t revision,
+                       TimePoint now);
+    const CrashRecords &crashes() const { return m_state.crashes; }
+
     DispatchEffects reduce(TimePoint now, std::uint64_t entropy, const DispatchEvent &event);
     /** When TimePassed is wanted at the latest. */
     std::optional<TimePoint> nextDeadline() const;
@@ -52,6 +60,8 @@
     void handle(Step &step, const CallEnded &event);
     void handle(Step &step, const SchedulerAnswered &event);
     void handle(Step &step, const TimePassed &event);
+    void noteCrashOrAnswer(Step &step, const OpenCall &call, const OpenRequest &request,
+                           const CallEnded &event);
     bool isTooLateForLeaving(TimePoint now, bool isStream) const;
     void timeOut(Step &step, OpenRequest &request);
     void rejectUnserved(Step &step, const ArrivedRequest &event, int status,
@@ -62,7 +72,7 @@
     DispatchState m_state;
     PlainFlow m_plain;
     GenerationFlow m_generations;
-    CrashWatch m_crashes;
+    CrashWatch m_crashWatch;
     std::shared_ptr<const RouteTable> m_table;
     Deadlines<RequestNumber> m_timeouts;
     std::optional<TimePoint> m_nextTick;
--- a/src/dispatch/dispatchstate.h
+++ b/src/dispatch/dispatchstate.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "dispatch/crashrecords.h"
 #include "dispatch/openrequests.h"
 #include "dispatch/retryallowance.h"
 #include "dispatch/servercalls.h"
 #include "dispatch/servertracker.h"
 #include "fleet/serverdirectory.h"
 
-#include <algorithm>
 #include <map>
 
 namespace indigoway::dispatch {
@@ -35,6 +35,7 @@
     ServerDirectory servers;
     ServerTracker tracker;
     ServerCalls calls;
+    CrashRecords crashes;
     std::map<ServiceName, RetryAllowance> allowances;
 
     /**
@@ -43,25 +44,16 @@
      * caller gets a failure in doubt. With eight for each of 61 nodes, idle ones alone were more
      * than the 430 allowed, and one in four calls that must not run twice failed so.
      */
-    std::uint32_t connectionsKept(const Service &service) const
-    {
-        constexpr std::uint32_t KeptAtMost = 8;
-        /** The rest is for calls, which at the peak come all at once. */
-        constexpr std::uint32_t KeptPart = 4;
-        if (service.maxConnections == 0 || nodes == 0) {
-            return 1;
-        }
-        return std::clamp(service.maxConnections / (KeptPart * nodes), 1U, KeptAtMost);
-    }
+    std::uint32_t connectionsKept(const Service &service) const;
 
-    RetryAllowance &allowance(const ServiceName &service)
-    {
-        auto [it, isNew] = allowances.try_emplace(service, settings.retries, startedAt);
-        if (isNew) {
-            it->second.setNodes(nodes, nodesAt);
-        }
-        return it->second;
-    }
+    /** Starts @p call for @p request, which waits for its end from now on. */
+    void startFor(Step &step, OpenRequest &request, const AnnouncedServer &server, StartCall call);
+    /**
+     * For how long @p content is sent to no server any more, since servers crash under it; nothing
+     * if it may be sent.
+     */
+    std::optional<Duration> refusedFor(const ContentId &content, TimePoint now) const;
+    RetryAllowance &allowance(const ServiceName &service);
 };
 
 /** How one sort of request is served. One object per sort serves all its requests. */
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -276,7 +276,7 @@
     call.silentFor = ReserveSilence;
     call.reserveTokens = request.claim.isNone() ? request.tokens : tokensToBegin(request.memory);
     call.reserveFor = request.service->engine->longestReservation;
-    startCall(step, request, server, std::move(call));
+    m_state.startFor(step, request, server, std::move(call));
 }
 
 void GenerationFlow::reserveEnded(Step &step, OpenRequest &request, const OpenCall &call,
@@ -323,7 +323,7 @@
         decode(step, request, true);
         return;
     }
-    if (!takeExtra(step, request)) {
+    if (!maySend(step, request)) {
         return;
     }
     request.arrivals += request.arrivals > 0 ? 1 : 0;
@@ -337,7 +337,7 @@
     // An engine that fell silent takes no new connection, which shows five times sooner than its
     // silence on a kept one, and without the request having been sent.
     call.needsNewConnection = true;
-    startCall(step, request, *server, std::move(call));
+    m_state.startFor(step, request, *server, std::move(call));
 }
 
 const AnnouncedServer *GenerationFlow::plannedPrefill(Step &step, OpenRequest &request)
@@ -385,7 +385,7 @@
         enqueue(step, request);
         return;
     }
-    if (!takeExtra(step, request)) {
+    if (!maySend(step, request)) {
         return;
     }
     request.stage = Stage::Decoding;
@@ -407,7 +407,7 @@
     call.needsNewConnection = true;
     ++request.runs;
     ++request.arrivals;
-    startCall(step, request, *server, std::move(call));
+    m_state.startFor(step, request, *server, std::move(call));
 }
 
 void GenerationFlow::decodeEnded(Step &step, OpenRequest &request, const OpenCall &call,
@@ -512,8 +512,12 @@
     }
 }
 
-bool GenerationFlow::takeExtra(Step &step, OpenRequest &request)
+bool GenerationFlow::maySend(Step &step, OpenRequest &request)
 {
+    if (m_state.refusedFor(request.facts.content, step.now)) {
+        giveUpNotRun(step, request, CrashesServers);
+        return false;
+    }
     if (request.arrivals == 0 || m_state.allowance(request.service->name).take(step.now)) {
         return true;
     }
@@ -529,22 +533,12 @@
     } else if (request.mayHaveRun()) {
         m_state.requests.failInDoubt(step, request, BadGateway, why);
     } else {
-        m_state.requests.reject(step, request, step.spread(comeBackAfter(request)), why);
+        const auto refused = m_state.refusedFor(request.facts.content, step.now);
+        m_state.requests.reject(step, request,
+                                refused.value_or(step.spread(comeBackAfter(request))), why);
     }
 }
 
-void GenerationFlow::startCall(Step &step, OpenRequest &request, const AnnouncedServer &server,
-                               StartCall call)
-{
-    call.request = request.facts.request;
-    call.patience = request.answerBy - step.now;
-    call.connectionsKept = m_state.connectionsKept(*request.service);
-    request.server = server.name;
-    request.callKind = call.kind;
-    request.callStarted = step.now;
-    request.call = m_state.calls.start(step, server, std::move(call));
-}
-
 void GenerationFlow::giveBack(Step &step, OpenRequest &request, ClaimEnd how)
 {
     m_claims.end(step, request, how);
--- a/src/dispatch/generationflow.h
+++ b/src/dispatch/generationflow.h
@@ -63,11 +63,13 @@
     void decodeNotRun(Step &step, OpenRequest &request, const OpenCall &call,
                       const CallEnded &event);
     void decodeBroken(Step &step, OpenRequest &request, const CallEnded &event);
-    /** Whether the next call may be sent: the first arrival is free, the others are retries. */
-    bool takeExtra(Step &step, OpenRequest &request);
+    /**
+     * Whether the next call may be sent; else the request has ended. Others may have found out
+     * meanwhile that servers crash under it. The first arrival is free, later ones are retries.
+     */
+    bool maySend(Step &step, OpenRequest &request);
     void noteFailure(Step &step, const ServerName &server, CallEnd end);
     void giveUpNotRun(Step &step, OpenRequest &request, const std::string &why);
-    void startCall(Step &step, OpenRequest &request, const AnnouncedServer &server, StartCall call);
     /** Gives back memory charged, reservation, handle and claim. */
     void giveBack(Step &step, OpenRequest &request, scheduling::ClaimEnd how);
     std::vector<const AnnouncedServer *> engines(Step &step, const OpenRequest &request,
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -121,6 +121,12 @@
     m_requests.erase(request.facts.request);
 }
 
+bool carriesRequest(CallKind kind)
+{
+    return kind == CallKind::Plain || kind == CallKind::Prefill || kind == CallKind::Decode
+        || kind == CallKind::Whole;
+}
+
 const char *nameOf(Stage stage)
 {
     switch (stage) {
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -72,8 +72,9 @@
     ServerName server; ///< Of the call.
     TimePoint callStarted {};
     std::set<ServerName> tried;
-    std::uint32_t runs = 0;     ///< Calls that a server may have begun to run.
-    std::uint32_t arrivals = 0; ///< Calls that count as sent to the service.
+    std::uint32_t runs = 0;         ///< Calls that a server may have begun to run.
+    std::uint32_t arrivals = 0;     ///< Calls that count as sent to the service.
+    std::uint32_t crashesKnown = 0; ///< Of its content, in a row, when its call was started.
     bool isForwarding = false;
     CallNumber streaming; ///< The call whose events are being forwarded.
     TimePoint firstAnswer {};
@@ -133,11 +134,17 @@
     std::map<RequestNumber, OpenRequest> m_requests;
 };
 
+/** Whether the server gets the caller's bytes with it. */
+bool carriesRequest(CallKind kind);
+
 const char *nameOf(Stage stage);
 const char *nameOf(RequestOutcome outcome);
 const char *nameOf(CallKind kind);
 const char *nameOf(CallEnd end);
 
+/** Why a request is refused that CrashRecords keep from servers; for logs and callers. */
+constexpr char CrashesServers[] = "servers crash under it";
+
 /** Whole milliseconds of @p duration, for logs. */
 std::string millisecondsText(Duration duration);
 
--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -87,16 +87,21 @@
 
 void PlainFlow::send(Step &step, OpenRequest &request)
 {
+    if (const auto refused = m_state.refusedFor(request.facts.content, step.now)) {
+        if (request.mayHaveRun()) {
+            m_state.requests.failInDoubt(step, request, BadGateway, CrashesServers);
+        } else {
+            m_state.requests.reject(step, request, *refused, CrashesServers);
+        }
+        return;
+    }
     const AnnouncedServer *server = pick(step, request);
     if (!server) {
         m_state.requests.reject(step, request, step.spread(ComeBackAfter), "no server");
         return;
     }
     StartCall call;
-    call.request = request.facts.request;
     call.kind = CallKind::Plain;
-    call.patience = request.answerBy - step.now;
-    call.connectionsKept = m_state.connectionsKept(*request.service);
     const bool isIdempotent = request.route->repetition == Repetition::Idempotent;
     ++request.runs;
     ++request.arrivals;
@@ -107,10 +112,7 @@
     // and what must not run twice could not be sent again. A new one costs a round trip.
     call.needsNewConnection = !isIdempotent;
     request.tried.insert(server->name);
-    request.server = server->name;
-    request.callKind = CallKind::Plain;
-    request.callStarted = step.now;
-    request.call = m_state.calls.start(step, *server, std::move(call));
+    m_state.startFor(step, request, *server, std::move(call));
 }
 
 const AnnouncedServer *PlainFlow::pick(Step &step, const OpenRequest &request) const
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -88,6 +88,9 @@
         m_metrics.add(decision);
         record(decision.kind, {{"request", decision.callerId}, {"detail", decision.detail}});
     });
+    m_relay.setCrashHandler([this](const dispatch::ShareCrash &crash) {
+        m_sync.publish({crash.content, crash.count});
+    });
     m_relay.setSchedulerHandler(
         [this](const scheduling::ToScheduler &message) { m_scheduling.tell(message); });
 }
@@ -170,6 +173,7 @@
     wiring.self = entryOf(node.m_settings);
     wiring.leaderKey = layout.leaderKey;
     wiring.recordKey = layout.recordKey;
+    wiring.crashesPrefix = layout.crashesPrefix;
     wiring.ownKey = layout.nodesPrefix + node.m_settings.node.text();
     wiring.changed = [&node](const std::string &key, const StoredItem *item) {
         node.storeChanged(key, item);
@@ -238,7 +242,24 @@
         serverChanged(key, item ? &item->value : nullptr);
     } else if (key.starts_with(m_ports.layout.nodesPrefix)) {
         nodeChanged(key, item);
+    } else if (const auto note = crashNoteIn(m_ports.layout.crashesPrefix, key)) {
+        if (item) {
+            crashRecorded(*note, item->revision);
+        }
+        // An item that goes with its lease is as old as what this node forgets by itself.
+    }
+}
+
+void EdgeNode::crashRecorded(const CrashNote &note, std::uint64_t revision)
+{
+    if (!m_dispatcher.crashRecorded(note.content, note.count, revision, present())) {
+        return;
     }
+    record("content_refused",
+           {{"content", note.content.text()},
+            {"refused", note.count > 0 ? "yes" : "no"},
+            {"crashes", std::to_string(m_dispatcher.crashes().crashes(note.content))},
+            {"revision", std::to_string(revision)}});
 }
 
 void EdgeNode::routingChanged(const std::string &value)
@@ -363,6 +384,8 @@
         {"scheduler_waiting", m_scheduling.scheduler().waiting()},
         {"scheduler_granted", m_scheduling.scheduler().granted()},
         {"scheduler_unsent", m_scheduling.unsent()},
+        {"contents_crashed", m_dispatcher.crashes().size()},
+        {"contents_refused", m_dispatcher.crashes().refused()},
         {"leaving", m_leavingSince ? 1U : 0U},
     });
 }
--- a/src/edge/edgenode.h
+++ b/src/edge/edgenode.h
@@ -67,6 +67,7 @@
     void storeChanged(const std::string &key, const StoredItem *item);
     void routingChanged(const std::string &value);
     void serverChanged(const std::string &key, const std::string *value);
+    void crashRecorded(const CrashNote &note, std::uint64_t revision);
     void nodeChanged(const std::string &key, const StoredItem *item);
     std::vector<std::string> seeds() const;
     void handleControl(const HttpRequest &request);
--- a/src/edge/statecodec.h
+++ b/src/edge/statecodec.h
@@ -22,6 +22,7 @@
     std::string nodesPrefix;   ///< One item per node of this system; its own to write.
     std::string leaderKey;     ///< Names the node that may give orders to engines.
     std::string recordKey;     ///< Exists since a node was first allowed to.
+    std::string crashesPrefix; ///< What was at servers that crashed; see CrashNote.
 };
 
 /** How operators and backend servers spell what they keep in the store. Only spelling. */
--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -81,9 +81,16 @@
     pumpMirror();
     pumpAnnouncer();
     pumpLeadership();
+    pumpPublisher();
     answerQuestions();
 }
 
+void StateSync::publish(const CrashNote &note)
+{
+    m_publisher.add(note);
+    pumpPublisher();
+}
+
 void StateSync::changed(const std::string &key, const StoredItem *item, std::uint64_t revision)
 {
     const std::string *value = item ? &item->value : nullptr;
@@ -187,6 +194,7 @@
     if (!m_isCurrent) {
         m_isCurrent = true;
         m_announcer.storeIsBack(present());
+        m_publisher.storeIsBack(present());
         m_wiring.record("store_copy_current",
                         "from=" + m_upstream + " as_of=" + std::to_string(m_mirror.asOf()));
     }
@@ -269,6 +277,53 @@
     });
 }
 
+void StateSync::pumpPublisher()
+{
+    const auto call = m_publisher.nextCall(present());
+    if (!call) {
+        return;
+    }
+    if (const auto *write = std::get_if<WriteNotesCall>(&*call)) {
+        writeNotes(*write);
+        return;
+    }
+    ++m_calls.leases;
+    m_store.grantLease(CrashPublisher::LeaseLifetime, [this](const auto &result) {
+        if (const auto *fault = std::get_if<StoreFault>(&result)) {
+            notesFailed(*fault);
+        } else {
+            m_publisher.leaseGranted(present(), std::get<GrantedLease>(result).lease);
+        }
+        pumpPublisher();
+    });
+}
+
+void StateSync::writeNotes(const WriteNotesCall &call)
+{
+    StoreCommit commit;
+    for (const CrashNote &note : call.notes) {
+        commit.writes.push_back(
+            {crashKey(m_wiring.crashesPrefix, note), m_wiring.self.name.text(), call.lease});
+    }
+    ++m_calls.writes;
+    m_store.commit(commit, [this](const auto &result) {
+        if (const auto *fault = std::get_if<StoreFault>(&result)) {
+            notesFailed(*fault);
+        } else {
+            m_publisher.written(present());
+        }
+        pumpPublisher();
+    });
+}
+
+void StateSync::notesFailed(StoreFault fault)
+{
+    m_publisher.failed(present(), fault);
+    m_wiring.record("crash_not_shared",
+                    std::string(nameOf(fault))
+                        + " waiting=" + std::to_string(m_publisher.waiting()));
+}
+
 bool StateSync::noteAnnouncement(const std::variant<StoreDone, StoreFault> &result)
 {
     const auto *fault = std::get_if<StoreFault>(&result);
--- a/src/edge/statesync.h
+++ b/src/edge/statesync.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/crashpublisher.h"
 #include "fleet/leadership.h"
 #include "fleet/nodeannouncer.h"
 #include "fleet/upstreamchoice.h"
@@ -30,6 +31,7 @@
         std::string ownKey;
         std::string leaderKey;
         std::string recordKey;
+        std::string crashesPrefix;
         /** An item was written, or is gone if it is null. */
         std::function<void(const std::string &key, const StoredItem *item)> changed;
         RecordHandler record;
@@ -53,6 +55,8 @@
     std::optional<std::uint64_t> orderToken(TimePoint now) const;
     /** This process stood still: nothing it knew of its rights holds any more. */
     void stoodStill(TimePoint now);
+    /** Lets all nodes know, as soon as the store can be written to. */
+    void publish(const CrashNote &note);
     /** Another node asks for what came after @p revision; it is answered when there is something.
      */
     void takePeerQuestion(ExchangeNumber exchange, std::uint64_t revision);
@@ -85,6 +89,9 @@
     void pumpAnnouncer();
     bool noteAnnouncement(const std::variant<StoreDone, StoreFault> &result);
     void pumpLeadership();
+    void pumpPublisher();
+    void writeNotes(const WriteNotesCall &call);
+    void notesFailed(StoreFault fault);
     void changed(const std::string &key, const StoredItem *item, std::uint64_t revision);
     void answerQuestions();
     void noteUpstream(const Upstream &upstream);
@@ -97,6 +104,7 @@
     UpstreamChoice m_choice;
     NodeAnnouncer m_announcer;
     Leadership m_leadership;
+    CrashPublisher m_publisher;
     std::map<ExchangeNumber, Question> m_questions;
     StoreCalls m_calls;
     bool m_isCurrent = false; ///< The last call succeeded.
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -21,12 +21,6 @@
     return status >= 200 && status < 300;
 }
 
-bool carriesRequest(CallKind kind)
-{
-    return kind == CallKind::Plain || kind == CallKind::Prefill || kind == CallKind::Decode
-        || kind == CallKind::Whole;
-}
-
 bool isEventStream(const MessageHead &head)
 {
     return head.header("Content-Type").starts_with("text/event-stream");
@@ -298,6 +292,13 @@
     }
 }
 
+void RequestRelay::run(const ShareCrash &effect)
+{
+    if (m_crashHandler) {
+        m_crashHandler(effect);
+    }
+}
+
 void RequestRelay::run(const RecordDecision &effect)
 {
     if (m_recordHandler) {
--- a/src/relay/requestrelay.h
+++ b/src/relay/requestrelay.h
@@ -22,6 +22,7 @@
 public:
     using RecordHandler = std::function<void(const dispatch::RecordDecision &)>;
     using SchedulerHandler = std::function<void(const scheduling::ToScheduler &)>;
+    using CrashHandler = std::function<void(const dispatch::ShareCrash &)>;
     using EndedHandler = std::function<void(const dispatch::RequestEnded &)>;
 
     RequestRelay(event_base *base, dispatch::Dispatcher &dispatcher, const Dialect &dialect,
@@ -29,6 +30,7 @@
 
     void setRecordHandler(RecordHandler handler) { m_recordHandler = std::move(handler); }
     void setSchedulerHandler(SchedulerHandler handler) { m_schedulerHandler = std::move(handler); }
+    void setCrashHandler(CrashHandler handler) { m_crashHandler = std::move(handler); }
     void setEndedHandler(EndedHandler handler) { m_endedHandler = std::move(handler); }
     std::optional<std::string> listenOn(const std::string &address);
     void setLimits(const CallerLimits &limits) { m_callers.setLimits(limits); }
@@ -78,6 +80,7 @@
     void run(const dispatch::BreakStream &effect);
     void run(const dispatch::RejectRequest &effect);
     void run(const dispatch::TellScheduler &effect);
+    void run(const dispatch::ShareCrash &effect);
     void run(const dispatch::RecordDecision &effect);
     void run(const dispatch::RequestEnded &effect);
     void armTimer();
@@ -98,6 +101,7 @@
     std::map<CallNumber, OpenCall> m_answered;
     RecordHandler m_recordHandler;
     SchedulerHandler m_schedulerHandler;
+    CrashHandler m_crashHandler;
     EndedHandler m_endedHandler;
 };
 
--- /dev/null
+++ b/tests/dispatch/crashrecordstest.cpp
@@ -0,0 +1,93 @@
+#include "dispatch/crashrecords.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+using namespace indigoway;
+using namespace indigoway::dispatch;
+
+namespace {
+
+TimePoint at(int seconds)
+{
+    return TimePoint {} + std::chrono::hours(1) + std::chrono::seconds(seconds);
+}
+
+const ContentId Content("c");
+
+} // namespace
+
+class CrashRecordsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CrashRecordsTest);
+    CPPUNIT_TEST(theHighestCountHolds);
+    CPPUNIT_TEST(anAnswerCoversWhatCameBeforeIt);
+    CPPUNIT_TEST(theOrderOfAListDoesNotMatter);
+    CPPUNIT_TEST(whatIsOldIsForgotten);
+    CPPUNIT_TEST(remembersABoundedNumber);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void theHighestCountHolds()
+    {
+        CrashRecords records;
+        CPPUNIT_ASSERT_EQUAL(0U, records.crashes(Content));
+        records.crashed(Content, 2, 10, at(0));
+        records.crashed(Content, 1, 11, at(0));
+        CPPUNIT_ASSERT_EQUAL(2U, records.crashes(Content));
+        CPPUNIT_ASSERT(!records.refusedUntil(Content));
+        records.crashed(Content, 7, 12, at(1));
+        CPPUNIT_ASSERT_EQUAL(3U, records.crashes(Content));
+        CPPUNIT_ASSERT(*records.refusedUntil(Content) == at(1) + CrashRecords::KeptFor);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, records.refused());
+    }
+
+    void anAnswerCoversWhatCameBeforeIt()
+    {
+        CrashRecords records;
+        records.crashed(Content, 3, 10, at(0));
+        records.answered(Content, 11, at(0));
+        CPPUNIT_ASSERT_EQUAL(0U, records.crashes(Content));
+        records.crashed(Content, 1, 12, at(0));
+        CPPUNIT_ASSERT_EQUAL(1U, records.crashes(Content));
+        records.answered(Content, CrashRecords::NotStored, at(0));
+        CPPUNIT_ASSERT_EQUAL(0U, records.crashes(Content));
+    }
+
+    // A node that starts reads the notes in the order of their keys, and not of their writing.
+    void theOrderOfAListDoesNotMatter()
+    {
+        CrashRecords records;
+        records.answered(Content, 11, at(0));
+        records.crashed(Content, 1, 12, at(0));
+        records.crashed(Content, 3, 10, at(0));
+        CPPUNIT_ASSERT_EQUAL(1U, records.crashes(Content));
+    }
+
+    void whatIsOldIsForgotten()
+    {
+        CrashRecords records;
+        records.crashed(Content, 3, 10, at(0));
+        records.forgetOld(at(599));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, records.size());
+        records.forgetOld(at(601));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, records.size());
+    }
+
+    // Each crash takes other callers' requests along. They must neither fill the memory nor push
+    // out what is refused.
+    void remembersABoundedNumber()
+    {
+        CrashRecords records;
+        records.crashed(Content, 3, 1, at(0));
+        for (int i = 0; i < 5'000; ++i) {
+            records.crashed(ContentId("other " + std::to_string(i)), 1, 2, at(i / 100));
+        }
+        CPPUNIT_ASSERT_EQUAL(CrashRecords::MostContents, records.size());
+        CPPUNIT_ASSERT_EQUAL(3U, records.crashes(Content));
+        CPPUNIT_ASSERT_EQUAL(1U, records.crashes(ContentId("other 4999")));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashRecordsTest);
--- a/tests/dispatch/crashreplaytest.cpp
+++ b/tests/dispatch/crashreplaytest.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/dispatchplay.h"
 
+#include <memory>
+
 using namespace indigoway;
 using namespace indigoway::dispatch;
 
@@ -13,59 +15,144 @@
 constexpr std::uint32_t Prompt = 2'233;
 const std::string Crashing = "crashes what runs it";
 
-/** Engines that crash under one content, and serve all others. */
+/**
+ * Nodes before engines that crash under one content and serve all others. What a node shares, the
+ * others know a while later, as by their copies of the store.
+ */
 class CrashReplay
 {
 public:
-    CrashReplay()
+    explicit CrashReplay(std::size_t nodes = 1)
+    {
+        for (std::size_t i = 0; i < nodes; ++i) {
+            addNode();
+        }
+    }
+
+    /** A node that starts now, with what the store holds. */
+    void addNode()
     {
-        m_play.useRoutes();
+        m_nodes.push_back(std::make_unique<DispatchPlay>());
+        DispatchPlay &node = *m_nodes.back();
+        node.useRoutes();
         for (const char *name : {"d1", "d2", "d3", "d4"}) {
-            m_play.addServer(name, EnginePhase::Decode);
+            node.addServer(name, EnginePhase::Decode);
+        }
+        node.addServer("p1", EnginePhase::Prefill);
+        for (const Note &note : m_notes) {
+            tell(node, note);
         }
-        m_play.addServer("p1", EnginePhase::Prefill);
     }
 
     /** A request from its arrival to its end; how it ended. */
-    std::string request(int milliseconds, const std::string &content)
+    std::string request(int milliseconds, const std::string &content, std::size_t node = 0)
+    {
+        const auto number = arrive(milliseconds, content, node);
+        DispatchPlay &play = *m_nodes.at(node);
+        while (play.hasCalls()) {
+            serve(++milliseconds, play, play.nextCall(), content == Crashing);
+        }
+        collect(milliseconds, play);
+        return play.outcome(number);
+    }
+
+    /** Up to its decode call, which is left open. */
+    StartCall beginDecode(int milliseconds, const std::string &content, std::size_t node = 0)
     {
-        const auto number = m_play.arrive(milliseconds, "stream", Prompt, {}, content);
-        while (m_play.hasCalls()) {
-            serve(++milliseconds, m_play.nextCall(), content == Crashing);
+        arrive(milliseconds, content, node);
+        DispatchPlay &play = *m_nodes.at(node);
+        play.grant(milliseconds, play.nextCall(CallKind::Reserve));
+        play.grant(milliseconds, play.nextCall(CallKind::Prefill));
+        return play.nextCall(CallKind::Decode);
+    }
+
+    /** The server of @p call crashes. */
+    void crash(int milliseconds, const StartCall &call, std::size_t node = 0)
+    {
+        DispatchPlay &play = *m_nodes.at(node);
+        play.lose(milliseconds, call);
+        while (play.hasCalls()) {
+            serve(milliseconds, play, play.nextCall(), false);
         }
-        return m_play.outcome(number);
+        collect(milliseconds, play);
     }
+
     int crashes() const { return m_crashes; }
+    DispatchPlay &node(std::size_t index) { return *m_nodes.at(index); }
 
 private:
-    void serve(int milliseconds, const StartCall &call, bool isCrashing)
+    struct Note
+    {
+        ShareCrash crash;
+        std::uint64_t revision = 0;
+        int knownFrom = 0; ///< At the other nodes.
+        bool isSpread = false;
+    };
+
+    RequestNumber arrive(int milliseconds, const std::string &content, std::size_t node)
+    {
+        spread(milliseconds);
+        return m_nodes.at(node)->arrive(milliseconds, "stream", Prompt, {}, content);
+    }
+
+    void collect(int milliseconds, DispatchPlay &play)
+    {
+        /** From a write to the store to all copies of it. */
+        constexpr int UntilKnown = 300;
+        for (const ShareCrash &crash : play.takeShared()) {
+            m_notes.push_back({crash, ++m_revision, milliseconds + UntilKnown});
+        }
+    }
+
+    void spread(int milliseconds)
+    {
+        for (Note &note : m_notes) {
+            if (note.isSpread || milliseconds < note.knownFrom) {
+                continue;
+            }
+            note.isSpread = true;
+            for (const auto &node : m_nodes) {
+                tell(*node, note);
+            }
+        }
+    }
+
+    static void tell(DispatchPlay &node, const Note &note)
+    {
+        node.dispatcher().crashRecorded(note.crash.content, note.crash.count, note.revision,
+                                        DispatchPlay::at(note.knownFrom));
+    }
+
+    void serve(int milliseconds, DispatchPlay &play, const StartCall &call, bool isCrashing)
     {
         switch (call.kind) {
         case CallKind::Reserve:
         case CallKind::Prefill:
-            m_play.grant(milliseconds, call);
+            play.grant(milliseconds, call);
             return;
         case CallKind::Decode:
         case CallKind::Whole:
             if (isCrashing) {
                 ++m_crashes;
-                m_play.lose(milliseconds, call);
+                play.lose(milliseconds, call);
                 return;
             }
-            m_play.reduce(milliseconds, StreamBegan {call.call, 200, {}});
-            m_play.end(milliseconds, call, CallEnd::Complete, 200);
+            play.reduce(milliseconds, StreamBegan {call.call, 200, {}});
+            play.end(milliseconds, call, CallEnd::Complete, 200);
             return;
         case CallKind::Probe:
             // It is back long before the next request.
-            m_play.end(milliseconds, call, CallEnd::NotConnected);
+            play.end(milliseconds, call, CallEnd::NotConnected);
             return;
         default:
-            m_play.end(milliseconds, call, CallEnd::Complete, 200);
+            play.end(milliseconds, call, CallEnd::Complete, 200);
             return;
         }
     }
 
-    DispatchPlay m_play;
+    std::vector<std::unique_ptr<DispatchPlay>> m_nodes;
+    std::vector<Note> m_notes;
+    std::uint64_t m_revision = 0;
     int m_crashes = 0;
 };
 
@@ -75,6 +162,13 @@
 {
     CPPUNIT_TEST_SUITE(CrashReplayTest);
     CPPUNIT_TEST(noFourthServerEndsUnderOneRequest);
+    CPPUNIT_TEST(allNodesTogetherLoseThreeServers);
+    CPPUNIT_TEST(attemptsTooCloseToBeKnownAreFew);
+    CPPUNIT_TEST(aNodeThatStartsLaterRefusesItToo);
+    CPPUNIT_TEST(whatWaitsWhenTheVerdictComesIsNotSent);
+    CPPUNIT_TEST(aFailureOfManyServersIsOneCrashForAll);
+    CPPUNIT_TEST(anAnswerEndsTheRow);
+    CPPUNIT_TEST(aRefusalEndsByItself);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -97,6 +191,122 @@
         }
         CPPUNIT_ASSERT_EQUAL(3, replay.crashes());
     }
+
+    // As above, with the attempts at seven nodes by turns. No node sees three crashes by itself.
+    void allNodesTogetherLoseThreeServers()
+    {
+        constexpr std::size_t Nodes = 7;
+        CrashReplay replay(Nodes);
+        constexpr int Attempts = 21;
+        constexpr int Between = 4'000;
+        for (int i = 0; i < Attempts; ++i) {
+            const auto node = static_cast<std::size_t>(i) % Nodes;
+            const std::string end = replay.request(i * Between, Crashing, node);
+            CPPUNIT_ASSERT_EQUAL(text(i < 3 ? "failed 502" : "rejected"), end);
+            CPPUNIT_ASSERT_EQUAL(text("streamed"),
+                                 replay.request(i * Between + 2'000, "another", node));
+        }
+        CPPUNIT_ASSERT_EQUAL(3, replay.crashes());
+    }
+
+    // A burst of the same request, each at another node before that can know of the crash before.
+    // Some more servers end; three seconds after the third none does any more.
+    void attemptsTooCloseToBeKnownAreFew()
+    {
+        constexpr std::size_t Nodes = 7;
+        CrashReplay replay(Nodes);
+        constexpr int Between = 150;
+        constexpr int AllowedUntil = 3 * Between + 3'000;
+        int late = 0;
+        for (int i = 0; i < 60; ++i) {
+            const int before = replay.crashes();
+            replay.request(i * Between, Crashing, static_cast<std::size_t>(i) % Nodes);
+            late += i * Between > AllowedUntil ? replay.crashes() - before : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(0, late);
+        // A row of three, each with those that were sent before it was known.
+        CPPUNIT_ASSERT(replay.crashes() <= 9);
+    }
+
+    void aNodeThatStartsLaterRefusesItToo()
+    {
+        CrashReplay replay(2);
+        for (int i = 0; i < 4; ++i) {
+            replay.request(i * 4'000, Crashing, static_cast<std::size_t>(i) % 2);
+        }
+        replay.addNode();
+        CPPUNIT_ASSERT_EQUAL(text("rejected"), replay.request(20'000, Crashing, 2));
+        CPPUNIT_ASSERT_EQUAL(3, replay.crashes());
+    }
+
+    // The same content came three times at once. While the third waits for its prompt to be read,
+    // two others end their servers as the second and third in a row. It has not run, and its caller
+    // is told so.
+    void whatWaitsWhenTheVerdictComesIsNotSent()
+    {
+        CrashReplay replay;
+        replay.request(0, Crashing);
+        replay.request(1'000, Crashing);
+        DispatchPlay &node = replay.node(0);
+        const auto waiting = node.arrive(2'000, "stream", Prompt, {}, Crashing);
+        node.grant(2'001, node.nextCall(CallKind::Reserve));
+        const StartCall prefill = node.nextCall(CallKind::Prefill);
+        node.dispatcher().crashRecorded(ContentId(Crashing), 3, 90, DispatchPlay::at(2'010));
+        node.grant(2'100, prefill);
+        CPPUNIT_ASSERT_EQUAL(text("rejected"), node.outcome(waiting));
+        while (node.hasCalls()) {
+            const CallKind kind = node.nextCall().kind;
+            CPPUNIT_ASSERT(kind == CallKind::Unreserve || kind == CallKind::FreeHandle);
+        }
+        CPPUNIT_ASSERT_EQUAL(2, replay.crashes());
+    }
+
+    // A rack loses power with three engines on which the same popular content runs. It has been
+    // on three servers that crashed and is not to blame: all three had it before any crash was
+    // known. Its next caller must be served.
+    void aFailureOfManyServersIsOneCrashForAll()
+    {
+        CrashReplay replay(3);
+        std::vector<StartCall> runs;
+        for (std::size_t node = 0; node < 3; ++node) {
+            runs.push_back(replay.beginDecode(0, "popular", node));
+        }
+        for (std::size_t node = 0; node < 3; ++node) {
+            replay.crash(500, runs.at(node), node);
+        }
+        for (std::size_t node = 0; node < 3; ++node) {
+            CPPUNIT_ASSERT_EQUAL(text("streamed"), replay.request(2'000, "popular", node));
+        }
+    }
+
+    // A caller's report job repeats one content. By chance it shares servers with a request that
+    // ends them, twice; between and after it is answered. It never counts as the culprit.
+    void anAnswerEndsTheRow()
+    {
+        CrashReplay replay(2);
+        for (int round = 0; round < 6; ++round) {
+            const int time = round * 4'000;
+            const std::size_t node = static_cast<std::size_t>(round) % 2;
+            replay.crash(time + 300, replay.beginDecode(time, "job", node), node);
+            replay.crash(time + 1'000, replay.beginDecode(time + 700, "job", node), node);
+            CPPUNIT_ASSERT_EQUAL(text("streamed"), replay.request(time + 2'000, "job", node));
+        }
+    }
+
+    // The engines are mended meanwhile, or the verdict was wrong: it is not for ever.
+    void aRefusalEndsByItself()
+    {
+        CrashReplay replay;
+        for (int i = 0; i < 4; ++i) {
+            replay.request(i * 4'000, Crashing);
+        }
+        DispatchPlay &node = replay.node(0);
+        constexpr int Later = 11 * 60'000;
+        node.reduce(Later, TimePassed {});
+        const auto number = node.arrive(Later, "stream", Prompt, {}, Crashing);
+        CPPUNIT_ASSERT_EQUAL(text("open"), node.outcome(number));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, node.dispatcher().crashes().refused());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashReplayTest);
--- a/tests/dispatch/dispatchplay.h
+++ b/tests/dispatch/dispatchplay.h
@@ -116,6 +116,8 @@
                 m_abandoned.push_back(abandoned->call);
             } else if (const auto *told = std::get_if<TellScheduler>(&effect)) {
                 m_told.push_back(told->message);
+            } else if (const auto *shared = std::get_if<ShareCrash>(&effect)) {
+                m_shared.push_back(*shared);
             } else if (const auto *recorded = std::get_if<RecordDecision>(&effect)) {
                 m_recorded[recorded->kind].push_back(recorded->detail);
             } else if (const auto *rejected = std::get_if<RejectRequest>(&effect)) {
@@ -213,6 +215,9 @@
     /** Details of the log lines of @p kind, so far. */
     const std::vector<std::string> &recorded(const std::string &kind) { return m_recorded[kind]; }
 
+    /** What the other nodes were to know since this was asked last. */
+    std::vector<ShareCrash> takeShared() { return std::exchange(m_shared, {}); }
+
     bool wasAbandoned(const StartCall &call) const
     {
         return std::find(m_abandoned.begin(), m_abandoned.end(), call.call) != m_abandoned.end();
@@ -229,6 +234,7 @@
     std::vector<CallNumber> m_abandoned;
     std::map<RequestNumber, std::string> m_ends;
     std::map<std::string, std::vector<std::string>> m_recorded;
+    std::vector<ShareCrash> m_shared;
 };
 
 } // namespace indigoway::dispatch
--- /dev/null
+++ b/tests/fleet/crashpublishertest.cpp
@@ -0,0 +1,132 @@
+#include "fleet/crashpublisher.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace indigoway;
+
+namespace {
+
+TimePoint at(int milliseconds)
+{
+    return TimePoint {} + std::chrono::hours(1) + std::chrono::milliseconds(milliseconds);
+}
+
+CrashNote note(const std::string &content, std::uint32_t count)
+{
+    return {ContentId(content), count};
+}
+
+const std::string Prefix = "crashes/";
+
+} // namespace
+
+class CrashPublisherTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CrashPublisherTest);
+    CPPUNIT_TEST(writesUnderALeaseOfItsOwn);
+    CPPUNIT_TEST(takesAnotherLeaseInTime);
+    CPPUNIT_TEST(asksAStoreThatIsAwayEverMoreRarely);
+    CPPUNIT_TEST(anAnswerReplacesWhatWasNotWritten);
+    CPPUNIT_TEST(keepsABoundedNumber);
+    CPPUNIT_TEST(readsItsOwnKeysOnly);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void writesUnderALeaseOfItsOwn()
+    {
+        CrashPublisher publisher;
+        CPPUNIT_ASSERT(!publisher.nextCall(at(0)));
+        publisher.add(note("a", 1));
+        publisher.add(note("b", 2));
+        publisher.add(note("a", 1));
+        CPPUNIT_ASSERT(std::holds_alternative<GrantNoteLeaseCall>(*publisher.nextCall(at(0))));
+        CPPUNIT_ASSERT(!publisher.nextCall(at(1)));
+        publisher.leaseGranted(at(5), StoreLease(7));
+        const auto write = std::get<WriteNotesCall>(*publisher.nextCall(at(5)));
+        CPPUNIT_ASSERT(write.lease == StoreLease(7));
+        CPPUNIT_ASSERT(write.notes == (std::vector {note("a", 1), note("b", 2)}));
+        publisher.add(note("c", 1));
+        publisher.written(at(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1},
+                             std::get<WriteNotesCall>(*publisher.nextCall(at(10))).notes.size());
+    }
+
+    // A note that is written shortly before its lease ends would vanish while nodes still need it.
+    void takesAnotherLeaseInTime()
+    {
+        CrashPublisher publisher;
+        publisher.add(note("a", 1));
+        publisher.nextCall(at(0));
+        publisher.leaseGranted(at(5), StoreLease(7));
+        publisher.nextCall(at(5));
+        publisher.written(at(10));
+        publisher.add(note("b", 1));
+        CPPUNIT_ASSERT(
+            std::holds_alternative<GrantNoteLeaseCall>(*publisher.nextCall(at(121'000))));
+    }
+
+    void asksAStoreThatIsAwayEverMoreRarely()
+    {
+        CrashPublisher publisher;
+        publisher.add(note("a", 1));
+        int calls = 0;
+        for (int time = 0; time < 20'000; time += 50) {
+            if (publisher.nextCall(at(time))) {
+                ++calls;
+                publisher.failed(at(time), StoreFault::Unanswered);
+            }
+        }
+        CPPUNIT_ASSERT(calls >= 5);
+        CPPUNIT_ASSERT(calls <= 9);
+        publisher.storeIsBack(at(20'000));
+        CPPUNIT_ASSERT(publisher.nextCall(at(20'000)));
+        publisher.leaseGranted(at(20'004), StoreLease(7));
+        publisher.nextCall(at(20'004));
+        publisher.failed(at(20'008), StoreFault::NoLease);
+        CPPUNIT_ASSERT(std::holds_alternative<GrantNoteLeaseCall>(*publisher.nextCall(at(20'008))));
+    }
+
+    // The store is away while a content is lost in a crash and then answered. Written in that
+    // order later, with the crash as the newer one, it would stand accused.
+    void anAnswerReplacesWhatWasNotWritten()
+    {
+        CrashPublisher publisher;
+        publisher.add(note("a", 1));
+        publisher.add(note("b", 1));
+        publisher.nextCall(at(0));
+        publisher.failed(at(1), StoreFault::Unanswered);
+        publisher.add(note("a", 0));
+        publisher.nextCall(at(1'000));
+        publisher.leaseGranted(at(1'005), StoreLease(7));
+        const auto write = std::get<WriteNotesCall>(*publisher.nextCall(at(1'005)));
+        CPPUNIT_ASSERT(write.notes == (std::vector {note("b", 1), note("a", 0)}));
+    }
+
+    void keepsABoundedNumber()
+    {
+        CrashPublisher publisher;
+        for (int i = 0; i < 1'000; ++i) {
+            publisher.add(note("c" + std::to_string(i), 1));
+        }
+        CPPUNIT_ASSERT_EQUAL(CrashPublisher::MostWaiting, publisher.waiting());
+        publisher.nextCall(at(0));
+        publisher.leaseGranted(at(0), StoreLease(7));
+        CPPUNIT_ASSERT_EQUAL(CrashPublisher::MostAtOnce,
+                             std::get<WriteNotesCall>(*publisher.nextCall(at(0))).notes.size());
+    }
+
+    // Anything may stand in the store: what is none of these keys says nothing of any content.
+    void readsItsOwnKeysOnly()
+    {
+        const CrashNote one = note("0af3", 2);
+        CPPUNIT_ASSERT(crashNoteIn(Prefix, crashKey(Prefix, one)) == one);
+        for (const std::string &key :
+             {std::string("crashes/"), std::string("crashes/a"), std::string("crashes/a/"),
+              std::string("crashes//1"), std::string("crashes/a/x"), std::string("crashes/a/12"),
+              std::string("other/a/1"), "crashes/" + std::string(100, 'a') + "/1"}) {
+            CPPUNIT_ASSERT(!crashNoteIn(Prefix, key));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashPublisherTest);
