Believe an engine that has accepted an order, also while the store tells nothing

Change: the node that gives orders tells the scheduler that an engine has accepted; after the time for the change it counts as changed, announced or not, for half a minute at the most. Ruled out: the order itself (202 for all), the directory (it waits for news).

--- a/src/dispatch/phasechanges.cpp
+++ b/src/dispatch/phasechanges.cpp
@@ -21,7 +21,7 @@
             call.orderedPhase = order.phase;
             call.silentFor = OrderSilence;
             m_state.calls.start(step, *order.server, std::move(call));
-            tellChanging(step, order.server->name);
+            tellChanging(step, order.server->name, false);
         }
     }
     m_orderToken = token;
@@ -63,13 +63,13 @@
 void PhaseChanges::stays(Step &step, const ServerName &server)
 {
     m_orders.refused(server);
-    tellChanging(step, server);
+    tellChanging(step, server, false);
 }
 
-void PhaseChanges::tellChanging(Step &step, const ServerName &server) const
+void PhaseChanges::tellChanging(Step &step, const ServerName &server, bool isAccepted) const
 {
-    step.add(TellScheduler {scheduling::EngineChanging {server, m_orders.orderedPhase(server),
-                                                        m_orders.changesFor(server, step.now)}});
+    step.add(TellScheduler {scheduling::EngineChanging {
+        server, m_orders.orderedPhase(server), m_orders.changesFor(server, step.now), isAccepted}});
 }
 
 std::string PhaseChanges::workText(const ServiceName &service) const
@@ -92,7 +92,7 @@
     if (isRefused) {
         stays(step, call.server.name);
     } else {
-        tellChanging(step, call.server.name);
+        tellChanging(step, call.server.name, isTaken);
     }
     // An order without an answer may be carried out yet: the engine counts as changing.
     step.add(RecordDecision {"order_ended",
--- a/src/dispatch/phasechanges.h
+++ b/src/dispatch/phasechanges.h
@@ -40,7 +40,7 @@
      * looks empty for that, and draws claims: one engine lost the prompts of a whole prefill pool.
      * Told twice, before the order and after it, since a datagram may be lost.
      */
-    void tellChanging(Step &step, const ServerName &server) const;
+    void tellChanging(Step &step, const ServerName &server, bool isAccepted) const;
     std::string workText(const ServiceName &service) const;
 
     DispatchState &m_state;
--- a/src/scheduling/enginechoice.cpp
+++ b/src/scheduling/enginechoice.cpp
@@ -45,13 +45,25 @@
     , m_now(now)
     , m_memory(service.engine ? static_cast<double>(service.engine->memoryTokens) : 0)
 {
-    for (const auto *server :
-         usableDecode(servers.candidates(service.name, EnginePhase::Decode, now))) {
+    for (const auto *server : usableDecode(inPhase(servers, service, EnginePhase::Decode))) {
         MemoryOutlook memory = ledger.memoryOutlook(server->name, pace.decode, now);
         const double peak = memory.peak();
         m_decode.push_back({server, std::move(memory), peak, false});
     }
-    m_prefill = usablePrefill(servers.candidates(service.name, EnginePhase::Prefill, now));
+    m_prefill = usablePrefill(inPhase(servers, service, EnginePhase::Prefill));
+}
+
+EngineChoice::Engines EngineChoice::inPhase(const ServerDirectory &servers, const Service &service,
+                                            EnginePhase phase) const
+{
+    Engines engines;
+    for (const EnginePhase announced : {EnginePhase::Prefill, EnginePhase::Decode}) {
+        std::ranges::copy_if(servers.candidates(service.name, announced, m_now),
+                             std::back_inserter(engines), [&](const AnnouncedServer *server) {
+                                 return m_ledger.phaseOf(*server, m_now) == phase;
+                             });
+    }
+    return engines;
 }
 
 EngineChoice::DecodeRoom *EngineChoice::chooseDecode(const Claim &claim)
--- a/src/scheduling/enginechoice.h
+++ b/src/scheduling/enginechoice.h
@@ -52,6 +52,8 @@
 private:
     using Engines = std::vector<const AnnouncedServer *>;
 
+    Engines inPhase(const ServerDirectory &servers, const Service &service,
+                    EnginePhase phase) const;
     /** Time that the pair is ranked behind others for; negative: before them. */
     Duration detour(const AnnouncedServer &prefill, const AnnouncedServer &decode) const;
     Engines usableDecode(const Engines &all) const;
--- a/src/scheduling/engineledger.cpp
+++ b/src/scheduling/engineledger.cpp
@@ -23,6 +23,8 @@
 constexpr Duration FullFor = std::chrono::milliseconds(80);
 /** Longer than any avoidance, and than an engine of a busy fleet stays without work. */
 constexpr Duration RememberedFor = std::chrono::seconds(60);
+/** An engine that is announced otherwise for longer has not done what it had accepted. */
+constexpr Duration BelievedFor = std::chrono::seconds(30);
 /** Two failures in a row: one alone happens to healthy engines. */
 constexpr std::uint32_t FailuresToDoubt = 2;
 /**
@@ -207,15 +209,23 @@
     m_handovers.lost(prefill, decode, now);
 }
 
-void EngineLedger::changesPhase(const ServerName &server, EnginePhase to, Duration lasts,
-                                TimePoint now)
+void EngineLedger::changesPhase(const EngineChanging &change, TimePoint now)
 {
-    Engine &engine = m_engines[server];
-    engine.changesTo = to;
-    engine.changesUntil = now + lasts;
+    Engine &engine = m_engines[change.server];
+    engine.changesTo = change.to;
+    engine.changesUntil = now + change.lasts;
+    engine.hasAccepted = change.isAccepted;
     engine.lastUsed = now;
 }
 
+EnginePhase EngineLedger::phaseOf(const AnnouncedServer &server, TimePoint now) const
+{
+    const Engine *engine = find(server.name);
+    const bool isUnannounced = engine && engine->hasAccepted && now >= engine->changesUntil
+        && now < engine->changesUntil + BelievedFor;
+    return isUnannounced ? engine->changesTo : server.phase;
+}
+
 void EngineLedger::workedWell(const ServerName &server)
 {
     m_engines[server].failuresInRow = 0;
--- a/src/scheduling/engineledger.h
+++ b/src/scheduling/engineledger.h
@@ -3,6 +3,7 @@
 #include "scheduling/handoverlosses.h"
 #include "scheduling/memoryforecast.h"
 #include "scheduling/prefillpace.h"
+#include "scheduling/schedulermessages.h"
 
 #include <indigoway/announcedserver.h>
 #include <indigoway/ids.h>
@@ -72,9 +73,16 @@
     void lostHandover(const ServerName &prefill, const ServerName &decode, TimePoint now);
     /**
      * The engine has been ordered to change its phase, or is about to be: it turns new work away
-     * until it is announced in its new phase. @p lasts: at the most; 0 if it stays after all.
+     * until it is announced in its new phase.
      */
-    void changesPhase(const ServerName &server, EnginePhase to, Duration lasts, TimePoint now);
+    void changesPhase(const EngineChanging &change, TimePoint now);
+    /**
+     * The phase that @p server is in: as announced, but for an engine that has accepted an order
+     * and had the time for it. The news of it comes through the store; while that was away for
+     * eight seconds of a burst, thirteen engines that had changed stood idle, taken for what they
+     * had been.
+     */
+    EnginePhase phaseOf(const AnnouncedServer &server, TimePoint now) const;
     void workedWell(const ServerName &server);
     /**
      * Drops what is known of engines that hold nothing and were not heard of for a while: each
@@ -113,6 +121,7 @@
         TimePoint fullUntil {};
         TimePoint changesUntil {};
         EnginePhase changesTo = EnginePhase::None;
+        bool hasAccepted = false; ///< The change to changesTo.
         TimePoint lastUsed {};
     };
 
--- a/src/scheduling/enginescheduler.cpp
+++ b/src/scheduling/enginescheduler.cpp
@@ -58,7 +58,7 @@
     dropEarlierLives(from, now);
     SchedulerReplies replies;
     if (const auto *changing = std::get_if<EngineChanging>(&message)) {
-        m_ledger.changesPhase(changing->server, changing->to, changing->lasts, now);
+        m_ledger.changesPhase(*changing, now);
         return replies;
     }
     const Key key {from, claimOf(message)};
--- a/src/scheduling/schedulercodec.cpp
+++ b/src/scheduling/schedulercodec.cpp
@@ -103,6 +103,7 @@
     value["server"] = changing.server.text();
     value["to"] = changing.to == EnginePhase::Prefill ? "prefill" : "decode";
     value["lasts_us"] = Json::Int64(changing.lasts.count());
+    value["accepted"] = changing.isAccepted;
     return value;
 }
 
@@ -200,7 +201,8 @@
     const bool toPrefill = stringMember(value, "to") == "prefill";
     EngineChanging changing {ServerName(stringMember(value, "server")),
                              toPrefill ? EnginePhase::Prefill : EnginePhase::Decode,
-                             durationMember(value, "lasts_us")};
+                             durationMember(value, "lasts_us"),
+                             value["accepted"].isBool() && value["accepted"].asBool()};
     const bool isUsable = !changing.server.isEmpty() && changing.lasts >= Duration(0)
         && changing.lasts <= LongestChange;
     return isUsable ? std::optional<ToScheduler>(std::move(changing)) : std::nullopt;
--- a/src/scheduling/schedulermessages.h
+++ b/src/scheduling/schedulermessages.h
@@ -82,7 +82,8 @@
 {
     ServerName server;
     EnginePhase to = EnginePhase::None;
-    Duration lasts {}; ///< From now, at the most; 0: it stays in its phase after all.
+    Duration lasts {};       ///< From now, at the most; 0: it stays in its phase after all.
+    bool isAccepted = false; ///< The engine has said that it carries the order out.
     bool operator==(const EngineChanging &) const = default;
 };
 
--- a/tests/scheduling/engineschedulertest.cpp
+++ b/tests/scheduling/engineschedulertest.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(usesPrefillEnginesThatAllSeemBad);
     CPPUNIT_TEST(oneDecodeEngineThatTakesNothingPutsNoPrefillEngineOut);
     CPPUNIT_TEST(givesNothingToAnEngineThatIsOrderedToChange);
+    CPPUNIT_TEST(believesAnEngineThatAcceptedAnOrder);
     CPPUNIT_TEST(usesFailingEnginesOnlyForWhatNoOtherHasRoomFor);
     CPPUNIT_TEST(givesBackThePlaceOfAPromptThatNeverCame);
     CPPUNIT_TEST(findsOutWhatPromptsTakeWhereEnginesAreIdle);
@@ -312,6 +313,32 @@
         CPPUNIT_ASSERT_EQUAL(text("d1/"), play.answer(A, 2));
     }
 
+    // Engines have accepted orders and change, and the store is away: it tells nobody. Sent what
+    // they did before, they would turn it away; sent nothing, they would idle in the burst.
+    void believesAnEngineThatAcceptedAnOrder()
+    {
+        SchedulingPlay play;
+        play.addEngine("x", EnginePhase::Prefill);
+        play.addEngine("y", EnginePhase::Prefill);
+        play.addEngine("p", EnginePhase::Prefill);
+        play.addEngine("d", EnginePhase::Decode);
+        const auto seconds = [](int count) {
+            return std::chrono::seconds(count);
+        };
+        play.tell(0, B, EngineChanging {ServerName("x"), EnginePhase::Decode, seconds(8), true});
+        play.tell(0, B, EngineChanging {ServerName("y"), EnginePhase::Decode, seconds(8), false});
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, play.state(7'000).prefillUsable);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, play.state(7'000).decodeUsable);
+        // Only what was accepted is believed.
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, play.state(9'000).prefillUsable);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, play.state(9'000).decodeUsable);
+        // It is announced otherwise, for far longer than a store is away.
+        CPPUNIT_ASSERT_EQUAL(std::size_t {3}, play.state(40'000).prefillUsable);
+        // A new life of the engine has accepted nothing.
+        play.addEngine("x2", EnginePhase::Prefill);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {3}, play.state(9'000).prefillUsable);
+    }
+
     // One of two engines loses a third of its answers. Left out while the other is full, it would
     // cost its callers a refusal; used like the other, it would fail those that need not go there.
     void usesFailingEnginesOnlyForWhatNoOtherHasRoomFor()
--- a/tests/scheduling/schedulercodectest.cpp
+++ b/tests/scheduling/schedulercodectest.cpp
@@ -86,6 +86,8 @@
         checkAsked(PrefillEnded {id, false, false});
         checkAsked(ClaimEnded {id, ClaimEnd::HandleLost});
         checkAsked(EngineChanging {ServerName("d"), EnginePhase::Prefill, std::chrono::seconds(8)});
+        checkAsked(
+            EngineChanging {ServerName("d"), EnginePhase::Decode, std::chrono::seconds(8), true});
         checkAnswered(ClaimQueued {id});
         checkAnswered(ClaimGranted {id, ServerName("d"), ServerName("p"), std::nullopt});
         checkAnswered(
