--- a/src/dispatch/crashrecords.h
+++ b/src/dispatch/crashrecords.h
@@ -36,7 +36,7 @@
     /** Of what this node has seen itself and the store has not confirmed. */
     static constexpr std::uint64_t NotStored = std::numeric_limits<std::uint64_t>::max();
 
-    /** The @p count th crash in a row, 1 or more; @p revision: of the record in the store. */
+    /** The @p count-th crash in a row, 1 or more; @p revision: of the record in the store. */
     void crashed(const ContentId &content, std::uint32_t count, std::uint64_t revision,
                  TimePoint now);
     /** A server has given a whole answer: the crashes up to @p revision were not its doing. */
--- a/src/dispatch/crashwatch.cpp
+++ b/src/dispatch/crashwatch.cpp
@@ -47,7 +47,7 @@
 {
     const std::uint32_t bounded = std::min(count, CrashRecords::MostCrashes);
     m_state.crashes.crashed(content, bounded, CrashRecords::NotStored, step.now);
-    step.add(ShareCrash {content, bounded});
+    step.add(ShareCrash {{content, bounded}});
 }
 
 void CrashWatch::answered(Step &step, const ContentId &content)
@@ -56,7 +56,7 @@
         return;
     }
     m_state.crashes.answered(content, CrashRecords::NotStored, step.now);
-    step.add(ShareCrash {content, 0});
+    step.add(ShareCrash {{content, 0}});
 }
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/dispatcheffects.h
+++ b/src/dispatch/dispatcheffects.h
@@ -3,6 +3,7 @@
 #include "scheduling/schedulermessages.h"
 
 #include <indigoway/announcedserver.h>
+#include <indigoway/crashnote.h>
 #include <indigoway/ids.h>
 
 #include <cstdint>
@@ -100,8 +101,7 @@
 /** All nodes are to know of it, also those that start later. */
 struct ShareCrash
 {
-    ContentId content;
-    std::uint32_t count = 0; ///< Of crashes in a row; 0: a server has answered it.
+    CrashNote note;
 };
 
 /** A line for the log: a decision with what it rests on. */
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -67,16 +67,15 @@
     m_endsAt = endsAt;
 }
 
-bool Dispatcher::crashRecorded(const ContentId &content, std::uint32_t count,
-                               std::uint64_t revision, TimePoint now)
+bool Dispatcher::crashRecorded(const CrashNote &note, std::uint64_t revision, TimePoint now)
 {
-    const bool wasRefused = m_state.refusedFor(content, now).has_value();
-    if (count == 0) {
-        m_state.crashes.answered(content, revision, now);
+    const bool wasRefused = m_state.refusedFor(note.content, now).has_value();
+    if (note.count == 0) {
+        m_state.crashes.answered(note.content, revision, now);
     } else {
-        m_state.crashes.crashed(content, count, revision, now);
+        m_state.crashes.crashed(note.content, note.count, revision, now);
     }
-    return m_state.refusedFor(content, now).has_value() != wasRefused;
+    return m_state.refusedFor(note.content, now).has_value() != wasRefused;
 }
 
 DispatchEffects Dispatcher::reduce(TimePoint now, std::uint64_t entropy, const DispatchEvent &event)
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -39,11 +39,10 @@
     void leave(TimePoint now, TimePoint endsAt);
 
     /**
-     * What nodes have recorded of @p content in the store: the @p count th crash in a row of
-     * servers under it, or an answer to it if @p count is 0. Whether that changes if it is refused.
+     * A node has recorded @p note in the store, at @p revision. Whether its content is refused
+     * from now on, or no more.
      */
-    bool crashRecorded(const ContentId &content, std::uint32_t count, std::uint64_t revision,
-                       TimePoint now);
+    bool crashRecorded(const CrashNote &note, std::uint64_t revision, TimePoint now);
     const CrashRecords &crashes() const { return m_state.crashes; }
 
     DispatchEffects reduce(TimePoint now, std::uint64_t entropy, const DispatchEvent &event);
--- a/src/dispatch/phasechanges.h
+++ b/src/dispatch/phasechanges.h
@@ -38,7 +38,8 @@
     /**
      * The platform tells of a new phase seconds after the order. Until then the engine refuses,
      * looks empty for that, and draws claims: one engine lost the prompts of a whole prefill pool.
-     * Told twice, before the order and after it, since a datagram may be lost.
+     * Told twice, before the order and after it, since a datagram may be lost, and since only an
+     * engine that has accepted is believed to be in its new phase before it is announced there.
      */
     void tellChanging(Step &step, const ServerName &server, bool isAccepted) const;
     std::string workText(const ServiceName &service) const;
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -88,9 +88,8 @@
         m_metrics.add(decision);
         record(decision.kind, {{"request", decision.callerId}, {"detail", decision.detail}});
     });
-    m_relay.setCrashHandler([this](const dispatch::ShareCrash &crash) {
-        m_sync.publish({crash.content, crash.count});
-    });
+    m_relay.setCrashHandler(
+        [this](const dispatch::ShareCrash &crash) { m_sync.publish(crash.note); });
     m_relay.setSchedulerHandler(
         [this](const scheduling::ToScheduler &message) { m_scheduling.tell(message); });
 }
@@ -252,7 +251,7 @@
 
 void EdgeNode::crashRecorded(const CrashNote &note, std::uint64_t revision)
 {
-    if (!m_dispatcher.crashRecorded(note.content, note.count, revision, present())) {
+    if (!m_dispatcher.crashRecorded(note, revision, present())) {
         return;
     }
     record("content_refused",
--- a/src/fleet/crashpublisher.h
+++ b/src/fleet/crashpublisher.h
@@ -2,6 +2,8 @@
 
 #include "store/keyvaluestore.h"
 
+#include <indigoway/crashnote.h>
+
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -11,14 +13,6 @@
 
 namespace indigoway {
 
-/** What all nodes are to know of a content: the count th crash in a row under it; 0: an answer. */
-struct CrashNote
-{
-    ContentId content;
-    std::uint32_t count = 0;
-    bool operator==(const CrashNote &) const = default;
-};
-
 /** The store's key of @p note. One key for each count, so that nodes never overwrite each other. */
 std::string crashKey(const std::string &prefix, const CrashNote &note);
 /** Nothing if @p key is none of these. */
--- a/tests/dispatch/crashreplaytest.cpp
+++ b/tests/dispatch/crashreplaytest.cpp
@@ -119,7 +119,7 @@
 
     static void tell(DispatchPlay &node, const Note &note)
     {
-        node.dispatcher().crashRecorded(note.crash.content, note.crash.count, note.revision,
+        node.dispatcher().crashRecorded(note.crash.note, note.revision,
                                         DispatchPlay::at(note.knownFrom));
     }
 
@@ -251,7 +251,7 @@
         const auto waiting = node.arrive(2'000, "stream", Prompt, {}, Crashing);
         node.grant(2'001, node.nextCall(CallKind::Reserve));
         const StartCall prefill = node.nextCall(CallKind::Prefill);
-        node.dispatcher().crashRecorded(ContentId(Crashing), 3, 90, DispatchPlay::at(2'010));
+        node.dispatcher().crashRecorded({ContentId(Crashing), 3}, 90, DispatchPlay::at(2'010));
         node.grant(2'100, prefill);
         CPPUNIT_ASSERT_EQUAL(text("rejected"), node.outcome(waiting));
         while (node.hasCalls()) {
