Let no prompt count as free while its cost is being learnt

Cause: after a restart of all nodes the new scheduler fits what prompts take to a few that took long for other reasons. The slope came out at nothing, so that each prompt seemed to cost its engine no time: all went to the engine that looked best. Prompts without cost never seem to follow each other, so nothing better was learnt. Change: until prompts that follow each other have told, at least a quarter of a prompt's time counts as its work. Ruled out: two schedulers at a time (all 195 nodes followed one from 37 s on), silent nodes, and too few engines (idle for a fifth of the time).

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -8,10 +8,15 @@
 export INDIGOWAY_OPERATOR_TOKENS=ada:demo-token-of-operator-ada
 export INDIGOWAY_OPERATOR_TOKEN=demo-token-of-operator-ada
 
+# A process that is started again must not be looked for in the output of the one before: its shell
+# empties the file some time after the start, and the old address would be taken for the new one.
+empty_output() { : >"$RUN/$1.out"; }
+
 # start_standin NAME PROGRAM [FLAG...]: its address is then in ADDRESSES[NAME].
 start_standin() {
     local name=$1 program=$2
     shift 2
+    empty_output "$name"
     "$BUILD/$program" --listen=127.0.0.1:0 "$@" >"$RUN/$name.out" 2>&1 &
     PIDS[$name]=$!
     wait_for "$name to listen" test -s "$RUN/$name.out"
@@ -22,6 +27,7 @@
 start_node() {
     local name=$1 domain=$2
     shift 2
+    empty_output "$name"
     "$BUILD/indigowayd" --node="$name" --domain="$domain" --callers=127.0.0.1:0 \
         --inner=127.0.0.1:0 --store="${ADDRESSES[store]}" "$@" >"$RUN/$name.out" 2>&1 &
     PIDS[$name]=$!
--- a/src/scheduling/prefillpace.cpp
+++ b/src/scheduling/prefillpace.cpp
@@ -25,6 +25,14 @@
 /** Engines' speeds differ by a third; with so many prompts the slope is right to some 6 in 100. */
 constexpr std::uint32_t FewestSamples = 30;
 constexpr double LeastSecondsPerToken = 1e-8;
+/**
+ * Of a prompt's time, as work, until prompts that follow each other tell it. The first prompts that
+ * a new scheduler sees may be long for other reasons than their length. Taken for free, they all
+ * went to one engine, and since free prompts never seem to follow each other it stayed so for
+ * fifteen seconds. A quarter keeps lines short enough for that; no engine is known whose answer is
+ * three times as long on its way as in the making.
+ */
+constexpr double LeastWorkPart = 0.25;
 
 Duration durationOf(double seconds)
 {
@@ -110,9 +118,10 @@
     const double covariance = m_products / m_weight - meanTokens * meanSeconds;
     // Prompts that are all of one length tell nothing about the fixed part.
     const double slope = variance > 1 ? covariance / variance : meanSeconds / meanTokens;
-    const double perToken =
-        std::clamp(wantsNext() ? slope : m_busySeconds / m_busyTokens, LeastSecondsPerToken,
-                   std::max(meanSeconds / meanTokens, LeastSecondsPerToken));
+    const double most = std::max(meanSeconds / meanTokens, LeastSecondsPerToken);
+    const double perToken = wantsNext()
+        ? std::clamp(slope, LeastWorkPart * most, most)
+        : std::clamp(m_busySeconds / m_busyTokens, LeastSecondsPerToken, most);
     return {perToken, std::max(meanSeconds - perToken * meanTokens, 0.0)};
 }
 
--- a/tests/processes/edgecommon.sh
+++ b/tests/processes/edgecommon.sh
@@ -7,6 +7,7 @@
 listening() { grep -o "$2" "$RUN/$1.out" | head -1 | grep -o '127.0.0.1:[0-9]*'; }
 
 start_edge() {
+    empty_output "$1"
     "$BUILD/indigoway-edge" --node="$1" --domain=hall-a --callers=127.0.0.1:0 --readiness=127.0.0.1:0 \
         --directory=127.0.0.1:0 --control=127.0.0.1:0 --metrics=127.0.0.1:0 --scheduling=127.0.0.1:0 \
         --store="${ADDRESSES[platform]}" >"$RUN/$1.out" 2>&1 &
