Wait only for a holder of the order right that has given orders

Change: that orders are given is put on record just before the first of them, under the condition that the right is still held and no record is there; no token before that. A holder waits if the record is older than its own right, in whatever order it hears of the two. The holder asks the scheduler for the work of a generation (one datagram in half a second): after a change of holder the next grant of its own may be seconds away.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -220,8 +220,9 @@
         forget(name);
     }
     m_state.crashes.forgetOld(step.now);
-    if (m_orderToken && m_table && !m_leavingSince) {
-        m_generations.phases().orderPhases(step, *m_table, *m_orderToken);
+    if (m_holdsOrderRight && m_table && !m_leavingSince) {
+        m_generations.phases().askForWork(step, *m_table);
+        m_generations.phases().orderPhases(step, *m_table, m_orderToken);
     }
     // It is given anew for each look at the time; the right may end in between.
     m_orderToken.reset();
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -31,6 +31,10 @@
     /** That life of a server is over, or was never one to use: nothing is sent to it any more. */
     void remove(const ServerName &name);
     const ServerDirectory &servers() const { return m_state.servers; }
+    /** This node may give orders to engines, or will when it has a token. */
+    void setOrderRight(bool holds) { m_holdsOrderRight = holds; }
+    /** Orders are due, and this node has no token for them. */
+    bool wantsOrderToken() const { return m_generations.phases().wantsToken(); }
     /** The token with which this node may give orders to engines now; nothing if it may not. */
     void setOrderToken(std::optional<std::uint64_t> token) { m_orderToken = token; }
     /** The node that schedules the engines; nothing if this node chooses by itself. */
@@ -75,6 +79,7 @@
     std::shared_ptr<const RouteTable> m_table;
     Deadlines<RequestNumber> m_timeouts;
     std::optional<TimePoint> m_nextTick;
+    bool m_holdsOrderRight = false;
     std::optional<std::uint64_t> m_orderToken;
     std::optional<TimePoint> m_leavingSince;
     TimePoint m_endsAt {};
--- a/src/dispatch/generationflow.h
+++ b/src/dispatch/generationflow.h
@@ -29,6 +29,7 @@
     /** The engine has vanished for good. */
     void forget(const ServerName &server) { m_placement.forget(server); }
     PhaseChanges &phases() { return m_phases; }
+    const PhaseChanges &phases() const { return m_phases; }
     /** The node that schedules the engines; nothing if this node chooses by itself. */
     void setScheduler(std::optional<NodeName> name) { m_claims.setScheduler(std::move(name)); }
     void schedulerAnswered(Step &step, const SchedulerAnswered &event);
--- a/src/dispatch/phasebalance.cpp
+++ b/src/dispatch/phasebalance.cpp
@@ -83,7 +83,7 @@
 
 std::vector<PhaseOrder> PhaseOrders::decide(TimePoint now, const Service &service,
                                             const ServerDirectory &servers,
-                                            const PhaseBalance &balance)
+                                            const PhaseBalance &balance, bool mayGive)
 {
     forget(now);
     std::vector<const AnnouncedServer *> prefill =
@@ -127,13 +127,16 @@
         --left[(*one)->domain];
         if (!isChanging((*one)->name, now)) {
             orders.push_back({*one, to});
-            m_changing[(*one)->name] = {to, now + service.engine->phaseChange + ChangeSlack};
         }
         from.erase(one);
     }
-    if (!orders.empty()) {
-        state.lastBatch = now;
+    if (!mayGive || orders.empty()) {
+        return orders;
     }
+    for (const PhaseOrder &order : orders) {
+        m_changing[order.server->name] = {to, now + service.engine->phaseChange + ChangeSlack};
+    }
+    state.lastBatch = now;
     return orders;
 }
 
--- a/src/dispatch/phasebalance.h
+++ b/src/dispatch/phasebalance.h
@@ -50,8 +50,13 @@
 class PhaseOrders
 {
 public:
+    /**
+     * The orders that are due. They count as given only if @p mayGive: a node whose right to give
+     * them is not on record yet finds out so that it needs that.
+     */
     std::vector<PhaseOrder> decide(TimePoint now, const Service &service,
-                                   const ServerDirectory &servers, const PhaseBalance &balance);
+                                   const ServerDirectory &servers, const PhaseBalance &balance,
+                                   bool mayGive = true);
     /** The engine has refused; it stays what it is for now. */
     void refused(const ServerName &server);
     /** The phase that it was last ordered to take. */
--- a/src/dispatch/phasechanges.cpp
+++ b/src/dispatch/phasechanges.cpp
@@ -8,14 +8,23 @@
 constexpr Duration OrderSilence = std::chrono::milliseconds(1000);
 /** After the token was last known to hold: until an engine's report has come back. */
 constexpr Duration TokenHolds = std::chrono::milliseconds(300);
+/** One datagram; what engines are turned for changes over seconds. */
+constexpr Duration AskForWorkEvery = std::chrono::milliseconds(500);
 
 } // namespace
 
-void PhaseChanges::orderPhases(Step &step, const RouteTable &table, std::uint64_t token)
+void PhaseChanges::orderPhases(Step &step, const RouteTable &table,
+                               std::optional<std::uint64_t> token)
 {
+    m_wantsToken = false;
     for (const auto &[name, service] : table.services()) {
-        for (const PhaseOrder &order :
-             m_orders.decide(step.now, service, m_state.servers, m_balance)) {
+        const auto orders =
+            m_orders.decide(step.now, service, m_state.servers, m_balance, token.has_value());
+        if (!token) {
+            m_wantsToken |= !orders.empty();
+            continue;
+        }
+        for (const PhaseOrder &order : orders) {
             StartCall call;
             call.kind = CallKind::Report;
             call.orderedPhase = order.phase;
@@ -24,8 +33,23 @@
             tellChanging(step, order.server->name, false);
         }
     }
-    m_orderToken = token;
-    m_orderTokenAt = step.now;
+    if (token) {
+        m_orderToken = *token;
+        m_orderTokenAt = step.now;
+    }
+}
+
+void PhaseChanges::askForWork(Step &step, const RouteTable &table)
+{
+    if (step.now < m_workAskedAt + AskForWorkEvery) {
+        return;
+    }
+    m_workAskedAt = step.now;
+    for (const auto &[name, service] : table.services()) {
+        if (service.engine) {
+            step.add(TellScheduler {scheduling::WorkAsked {name}});
+        }
+    }
 }
 
 void PhaseChanges::reportEnded(Step &step, const OpenCall &call, const CallEnded &event)
--- a/src/dispatch/phasechanges.h
+++ b/src/dispatch/phasechanges.h
@@ -17,8 +17,15 @@
         : m_state(state)
     { }
 
-    /** @p token proves the right to give orders, now. */
-    void orderPhases(Step &step, const RouteTable &table, std::uint64_t token);
+    /**
+     * Asks the scheduler what generations take of the engines; for the node that is to give orders.
+     * Grants tell it too, but one of two hundred nodes gets a grant every few seconds.
+     */
+    void askForWork(Step &step, const RouteTable &table);
+    /** Gives the orders that are due if it has a token, which proves the right to, now. */
+    void orderPhases(Step &step, const RouteTable &table, std::optional<std::uint64_t> token);
+    /** Orders are due and there was no token for them. */
+    bool wantsToken() const { return m_wantsToken; }
     void reportEnded(Step &step, const OpenCall &call, const CallEnded &event);
     void orderEnded(Step &step, const OpenCall &call, const CallEnded &event);
     /** The engine is changing, or perhaps so: it gets no new work. */
@@ -47,8 +54,10 @@
     DispatchState &m_state;
     PhaseBalance m_balance;
     PhaseOrders m_orders;
+    bool m_wantsToken = false;
     std::uint64_t m_orderToken = 0;
     TimePoint m_orderTokenAt {}; ///< When the token was known to hold.
+    TimePoint m_workAskedAt {};
 };
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/schedulerclaims.cpp
+++ b/src/dispatch/schedulerclaims.cpp
@@ -96,7 +96,7 @@
     if (isNew) {
         tellAllHeld(step, requests);
     }
-    const ClaimId claim = std::visit([](const auto &one) { return one.claim; }, message);
+    const ClaimId claim = scheduling::claimOf(message);
     const auto it = m_open.find(claim);
     if (it == m_open.end()) {
         if (std::holds_alternative<ClaimGranted>(message)) {
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -395,6 +395,10 @@
     recordFirstCopy();
     noticeFreeze(now);
     chooseScheduler(now);
+    m_dispatcher.setOrderRight(m_sync.holdsOrderRight());
+    if (m_dispatcher.wantsOrderToken()) {
+        m_sync.prepareOrders();
+    }
     m_dispatcher.setOrderToken(m_sync.orderToken(now));
     if (m_sync.isKnown()) {
         m_dispatcher.setNodes(m_roster.count(now), now);
--- a/src/edge/statecodec.h
+++ b/src/edge/statecodec.h
@@ -21,7 +21,7 @@
     std::string serversPrefix; ///< One item per backend server.
     std::string nodesPrefix;   ///< One item per node of this system; its own to write.
     std::string leaderKey;     ///< Names the node that may give orders to engines.
-    std::string recordKey;     ///< Exists since a node was first allowed to.
+    std::string recordKey;     ///< Exists since a node was first about to.
     std::string crashesPrefix; ///< What was at servers that crashed; see CrashNote.
 };
 
--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -98,7 +98,7 @@
         m_announcer.entryVanished();
     }
     if (key == m_wiring.recordKey && value) {
-        m_leadership.recordSeen();
+        m_leadership.recordSeen(revision);
     }
     if (key == m_wiring.leaderKey) {
         m_leadership.holderSeen(value, revision, present());
@@ -265,9 +265,6 @@
     StoreCommit commit;
     commit.conditions.push_back({m_wiring.leaderKey, 0});
     commit.writes.push_back({m_wiring.leaderKey, m_leadership.life(), m_announcer.lease()});
-    if (!m_leadership.hasRecord()) {
-        commit.writes.push_back({m_wiring.recordKey, m_leadership.life(), StoreLease()});
-    }
     // Whether it was done shows in the copy of the store, also where the answer is lost.
     ++m_calls.writes;
     m_store.commit(commit, [this](const std::variant<StoreDone, StoreFault> &result) {
@@ -277,6 +274,23 @@
     });
 }
 
+void StateSync::prepareOrders()
+{
+    if (!m_isCurrent || !m_leadership.shouldRecord(present())) {
+        return;
+    }
+    StoreCommit commit;
+    commit.conditions.push_back({m_wiring.leaderKey, m_leadership.revision()});
+    commit.conditions.push_back({m_wiring.recordKey, 0});
+    commit.writes.push_back({m_wiring.recordKey, m_leadership.life(), StoreLease()});
+    ++m_calls.writes;
+    m_store.commit(commit, [this](const std::variant<StoreDone, StoreFault> &result) {
+        if (const auto *fault = std::get_if<StoreFault>(&result)) {
+            m_wiring.record("orders_not_prepared", nameOf(*fault));
+        }
+    });
+}
+
 void StateSync::pumpPublisher()
 {
     const auto call = m_publisher.nextCall(present());
--- a/src/edge/statesync.h
+++ b/src/edge/statesync.h
@@ -51,6 +51,9 @@
     bool isKnown() const { return m_mirror.isKnown(); }
     std::uint64_t asOf() const { return m_mirror.asOf(); }
     bool isAnnounced() const { return m_announcer.isAnnounced(); }
+    bool holdsOrderRight() const { return m_leadership.isHeldByThis(); }
+    /** This node has orders to give: its token holds once that is on record. */
+    void prepareOrders();
     /** The token with which this node may give orders now; nothing if it may not. */
     std::optional<std::uint64_t> orderToken(TimePoint now) const;
     /** This process stood still: nothing it knew of its rights holds any more. */
--- a/src/fleet/leadership.cpp
+++ b/src/fleet/leadership.cpp
@@ -21,7 +21,6 @@
     }
     m_revision = revision;
     m_mineSince = now;
-    m_hadRecordBefore = m_hasRecord;
 }
 
 bool Leadership::shouldAcquire(TimePoint now)
@@ -33,12 +32,23 @@
     return true;
 }
 
+bool Leadership::shouldRecord(TimePoint now)
+{
+    if (!m_isMine || m_recordAt != 0
+        || (m_recordAskedAt != TimePoint {} && now < m_recordAskedAt + AskAgainAfter)) {
+        return false;
+    }
+    m_recordAskedAt = now;
+    return true;
+}
+
 std::optional<std::uint64_t> Leadership::token(TimePoint now, TimePoint renewedAt) const
 {
-    if (!m_isMine || now > renewedAt + ActsAfterRenewal || renewedAt <= m_stoodStillAt) {
+    if (!m_isMine || m_recordAt == 0 || now > renewedAt + ActsAfterRenewal
+        || renewedAt <= m_stoodStillAt) {
         return std::nullopt;
     }
-    if (m_hadRecordBefore && now < m_mineSince + WaitBeforeActing) {
+    if (m_recordAt < m_revision && now < m_mineSince + WaitBeforeActing) {
         return std::nullopt;
     }
     return m_revision;
--- a/src/fleet/leadership.h
+++ b/src/fleet/leadership.h
@@ -33,9 +33,23 @@
     const std::string &life() const { return m_life; }
     /** The store's item as this node's copy has it; null: nobody holds the right. */
     void holderSeen(const std::string *life, std::uint64_t revision, TimePoint now);
-    /** Some node has held the right before, so that there may be one that still acts. */
-    void recordSeen() { m_hasRecord = true; }
-    bool hasRecord() const { return m_hasRecord; }
+    /**
+     * Some node has been about to give orders since @p revision: one that held the right then may
+     * still act. The order in which this and holderSeen() are told does not matter; news that come
+     * from another node are not in the order in which the store was written.
+     */
+    void recordSeen(std::uint64_t revision) { m_recordAt = revision; }
+    bool isHeldByThis() const { return m_isMine; }
+    /** Of the item that gives this node the right. */
+    std::uint64_t revision() const { return m_revision; }
+    /**
+     * Whether to write the record now, under the condition that the right is still this node's and
+     * there is no record: it is about to give the first order of all. A right that changes hands
+     * before that costs the next holder no wait; with the record written as the right was taken, a
+     * VM that was lost before the first order delayed it by six seconds, to after the second burst.
+     * At most once a second.
+     */
+    bool shouldRecord(TimePoint now);
     /** Whether to ask the store for the right now. At most once a second. */
     bool shouldAcquire(TimePoint now);
     /**
@@ -52,9 +66,9 @@
     bool m_isMine = false;
     std::uint64_t m_revision = 0;
     TimePoint m_mineSince {};
-    bool m_hadRecordBefore = false;
-    bool m_hasRecord = false;
+    std::uint64_t m_recordAt = 0; ///< It is written once; 0: not yet.
     TimePoint m_askedAt {};
+    TimePoint m_recordAskedAt {};
     TimePoint m_stoodStillAt {};
 };
 
--- a/src/scheduling/enginescheduler.cpp
+++ b/src/scheduling/enginescheduler.cpp
@@ -36,20 +36,6 @@
     return static_cast<double>(need.contextTokens) + static_cast<double>(need.outputTokens) / 2;
 }
 
-/** None if the message is not about a claim. */
-ClaimId claimOf(const ToScheduler &message)
-{
-    return std::visit(
-        [](const auto &one) {
-            if constexpr (requires { one.claim; }) {
-                return one.claim;
-            } else {
-                return ClaimId();
-            }
-        },
-        message);
-}
-
 } // namespace
 
 SchedulerReplies EngineScheduler::handle(TimePoint now, const View &view, const NodeLife &from,
@@ -61,6 +47,12 @@
         m_ledger.changesPhase(*changing, now);
         return replies;
     }
+    if (const auto *asked = std::get_if<WorkAsked>(&message)) {
+        if (const auto work = paceOf(asked->service).work()) {
+            replies.push_back({from, WorkTold {asked->service, *work}});
+        }
+        return replies;
+    }
     const Key key {from, claimOf(message)};
     if (const auto *claim = std::get_if<Claim>(&message)) {
         take(now, view, key, *claim, replies);
--- a/src/scheduling/schedulercodec.cpp
+++ b/src/scheduling/schedulercodec.cpp
@@ -107,6 +107,27 @@
     return value;
 }
 
+Json::Value body(const NodeLife &from, const WorkAsked &asked)
+{
+    Json::Value value = head("work_asked", from);
+    value["service"] = asked.service.text();
+    return value;
+}
+
+void write(Json::Value &value, const GenerationWork &work)
+{
+    value["prefill_s"] = work.prefillSeconds;
+    value["decode_token_s"] = work.decodeTokenSeconds;
+}
+
+Json::Value body(const NodeLife &from, const WorkTold &told)
+{
+    Json::Value value = head("work", from);
+    value["service"] = told.service.text();
+    write(value, told.work);
+    return value;
+}
+
 Json::Value body(const NodeLife &from, const ClaimQueued &queued)
 {
     return head("queued", from, queued.claim);
@@ -118,8 +139,7 @@
     value["decode"] = granted.decodeServer.text();
     value["prefill"] = granted.prefillServer.text();
     if (granted.work) {
-        value["prefill_s"] = granted.work->prefillSeconds;
-        value["decode_token_s"] = granted.work->decodeTokenSeconds;
+        write(value, *granted.work);
     }
     return value;
 }
@@ -214,6 +234,11 @@
     if (kind == "changing") {
         return readChanging(value);
     }
+    if (kind == "work_asked") {
+        WorkAsked asked {ServiceName(stringMember(value, "service"))};
+        return asked.service.isEmpty() ? std::nullopt
+                                       : std::optional<ToScheduler>(std::move(asked));
+    }
     const ClaimId id(numberMember(value, "claim"));
     if (id.isNone()) {
         return std::nullopt;
@@ -240,9 +265,22 @@
                                                                   : std::nullopt;
 }
 
+std::optional<FromScheduler> readTold(const Json::Value &value)
+{
+    const auto work = readWork(value);
+    ServiceName service(stringMember(value, "service"));
+    if (!work || service.isEmpty()) {
+        return std::nullopt;
+    }
+    return WorkTold {std::move(service), *work};
+}
+
 std::optional<FromScheduler> readFromScheduler(const Json::Value &value)
 {
     const std::string kind = stringMember(value, "kind");
+    if (kind == "work") {
+        return readTold(value);
+    }
     const ClaimId id(numberMember(value, "claim"));
     if (id.isNone()) {
         return std::nullopt;
--- a/src/scheduling/schedulermessages.h
+++ b/src/scheduling/schedulermessages.h
@@ -87,7 +87,15 @@
     bool operator==(const EngineChanging &) const = default;
 };
 
-using ToScheduler = std::variant<Claim, RoomHeld, PrefillEnded, ClaimEnded, EngineChanging>;
+/** The sender gives orders to engines and goes by what their work is. */
+struct WorkAsked
+{
+    ServiceName service;
+    bool operator==(const WorkAsked &) const = default;
+};
+
+using ToScheduler =
+    std::variant<Claim, RoomHeld, PrefillEnded, ClaimEnded, EngineChanging, WorkAsked>;
 
 /** The claim is known and waits. */
 struct ClaimQueued
@@ -114,6 +122,29 @@
     bool operator==(const ClaimRefused &) const = default;
 };
 
-using FromScheduler = std::variant<ClaimQueued, ClaimGranted, ClaimRefused>;
+/** Answers WorkAsked; nothing does until it is known. */
+struct WorkTold
+{
+    ServiceName service;
+    GenerationWork work;
+    bool operator==(const WorkTold &) const = default;
+};
+
+using FromScheduler = std::variant<ClaimQueued, ClaimGranted, ClaimRefused, WorkTold>;
+
+/** What ToScheduler or FromScheduler @p message is about; none if it is not about a claim. */
+template <typename Message>
+ClaimId claimOf(const Message &message)
+{
+    return std::visit(
+        [](const auto &one) {
+            if constexpr (requires { one.claim; }) {
+                return one.claim;
+            } else {
+                return ClaimId();
+            }
+        },
+        message);
+}
 
 } // namespace indigoway::scheduling
--- a/tests/dispatch/dispatchplay.h
+++ b/tests/dispatch/dispatchplay.h
@@ -170,6 +170,7 @@
         return call;
     }
 
+    bool hasTold() const { return !m_told.empty(); }
     bool hasCalls() const { return !m_calls.empty(); }
 
     void end(int milliseconds, const StartCall &call, CallEnd how, int status = 0)
--- a/tests/scheduling/engineschedulertest.cpp
+++ b/tests/scheduling/engineschedulertest.cpp
@@ -27,6 +27,40 @@
     return claim;
 }
 
+Claim claimWithOutput(std::uint64_t number, std::uint64_t tokens)
+{
+    Claim claim = SchedulingPlay::claimOf(number);
+    claim.memory.outputTokens = tokens;
+    return claim;
+}
+
+/**
+ * Two prompts a second at two prefill engines that take 0.12 s for each, and 100 tokens for each;
+ * how often the second was put behind the first.
+ */
+int playPairs(SchedulingPlay &play, int pairs)
+{
+    play.addEngine("d", EnginePhase::Decode);
+    play.addEngine("p1", EnginePhase::Prefill);
+    play.addEngine("p2", EnginePhase::Prefill);
+    constexpr std::uint64_t Made = 100;
+    int behind = 0;
+    for (int pair = 0; pair < pairs; ++pair) {
+        const int time = pair * 1'000;
+        const auto first = static_cast<std::uint64_t>(2 * pair + 1);
+        const std::uint64_t second = first + 1;
+        play.tell(time, A, claimWithOutput(first, Made));
+        play.tell(time + 60, A, claimWithOutput(second, Made));
+        const bool isBehind = play.answer(A, first) == play.answer(A, second);
+        behind += isBehind ? 1 : 0;
+        play.tell(time + 180, A, PrefillEnded {ClaimId(first), true});
+        play.tell(time + (isBehind ? 300 : 240), A, PrefillEnded {ClaimId(second), true});
+        play.tell(time + 400, A, ClaimEnded {ClaimId(first), ClaimEnd::Served, Made});
+        play.tell(time + 400, A, ClaimEnded {ClaimId(second), ClaimEnd::Served, Made});
+    }
+    return behind;
+}
+
 } // namespace
 
 class EngineSchedulerTest : public CppUnit::TestFixture
@@ -51,6 +85,7 @@
     CPPUNIT_TEST(givesBackThePlaceOfAPromptThatNeverCame);
     CPPUNIT_TEST(findsOutWhatPromptsTakeWhereEnginesAreIdle);
     CPPUNIT_TEST(floodsNoEngineAfterABadStart);
+    CPPUNIT_TEST(tellsTheWorkOnceItIsKnown);
     CPPUNIT_TEST(theDecodeEngineReadsWithoutPrefillEngines);
     CPPUNIT_TEST(freesWhatADeadNodeHeld);
     CPPUNIT_TEST(freesWhatAnEarlierLifeHeld);
@@ -390,21 +425,7 @@
     void findsOutWhatPromptsTakeWhereEnginesAreIdle()
     {
         SchedulingPlay play;
-        play.addEngine("d", EnginePhase::Decode);
-        play.addEngine("p1", EnginePhase::Prefill);
-        play.addEngine("p2", EnginePhase::Prefill);
-        int time = 0;
-        int behind = 0;
-        for (std::uint64_t i = 1; i <= 100; i += 2, time += 1'000) {
-            play.tell(time, A, SchedulingPlay::claimOf(i));
-            play.tell(time + 60, A, SchedulingPlay::claimOf(i + 1));
-            const bool isBehind = play.answer(A, i) == play.answer(A, i + 1);
-            behind += isBehind ? 1 : 0;
-            play.tell(time + 180, A, PrefillEnded {ClaimId(i), true});
-            play.tell(time + (isBehind ? 300 : 240), A, PrefillEnded {ClaimId(i + 1), true});
-            play.tell(time + 400, A, ClaimEnded {ClaimId(i), ClaimEnd::Served});
-            play.tell(time + 400, A, ClaimEnded {ClaimId(i + 1), ClaimEnd::Served});
-        }
+        const int behind = playPairs(play, 50);
         CPPUNIT_ASSERT(behind >= 30);
         CPPUNIT_ASSERT(behind < 45);
     }
@@ -441,6 +462,19 @@
         CPPUNIT_ASSERT(sent.size() >= 4);
     }
 
+    // The node that orders engines asks before anything was seen, and turns engines by what it is
+    // told: no answer is better than one that rests on another fleet's engines.
+    void tellsTheWorkOnceItIsKnown()
+    {
+        SchedulingPlay play;
+        play.tell(0, B, WorkAsked {ServiceName("llm")});
+        CPPUNIT_ASSERT(!play.work());
+        playPairs(play, 50);
+        play.tell(50'000, B, WorkAsked {ServiceName("llm")});
+        CPPUNIT_ASSERT(play.work());
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.12, play.work()->prefillSeconds, 0.03);
+    }
+
     void theDecodeEngineReadsWithoutPrefillEngines()
     {
         SchedulingPlay play;
--- a/tests/scheduling/schedulercodectest.cpp
+++ b/tests/scheduling/schedulercodectest.cpp
@@ -88,6 +88,8 @@
         checkAsked(EngineChanging {ServerName("d"), EnginePhase::Prefill, std::chrono::seconds(8)});
         checkAsked(
             EngineChanging {ServerName("d"), EnginePhase::Decode, std::chrono::seconds(8), true});
+        checkAsked(WorkAsked {ServiceName("s")});
+        checkAnswered(WorkTold {ServiceName("s"), GenerationWork {0.125, 16'000}});
         checkAnswered(ClaimQueued {id});
         checkAnswered(ClaimGranted {id, ServerName("d"), ServerName("p"), std::nullopt});
         checkAnswered(
@@ -109,6 +111,8 @@
               R"({"kind":"claim","node":"n","life":1,"claim":1,"urgency":9})",
               R"({"kind":"ended","node":"n","life":1,"claim":1,"how":77})",
               R"({"kind":"changing","node":"n","life":1,"lasts_us":5})",
+              R"({"kind":"work_asked","node":"n","life":1})",
+              R"({"kind":"work","node":"n","life":1,"service":"s","prefill_s":0})",
               R"({"kind":"changing","node":"n","life":1,"server":"s","lasts_us":-5})",
               R"({"kind":"other","node":"n","life":1,"claim":1})"}) {
             CPPUNIT_ASSERT_MESSAGE(text, !decodeToScheduler(text));
--- a/tests/scheduling/schedulingplay.h
+++ b/tests/scheduling/schedulingplay.h
@@ -75,6 +75,8 @@
         const auto it = m_answers.find({to, ClaimId(claim)});
         return it == m_answers.end() ? std::string() : it->second;
     }
+    /** What the scheduler has told of the engines' work; nothing if it was silent on it. */
+    const std::optional<GenerationWork> &work() const { return m_work; }
     void forgetAnswers() { m_answers.clear(); }
 
     SchedulerState state(int milliseconds) const
@@ -90,8 +92,11 @@
     void note(const SchedulerReplies &replies)
     {
         for (const SchedulerReply &reply : replies) {
-            const ClaimId claim =
-                std::visit([](const auto &one) { return one.claim; }, reply.message);
+            if (const auto *told = std::get_if<WorkTold>(&reply.message)) {
+                m_work = told->work;
+                continue;
+            }
+            const ClaimId claim = scheduling::claimOf(reply.message);
             std::string text = "queued";
             if (const auto *granted = std::get_if<ClaimGranted>(&reply.message)) {
                 text = granted->decodeServer.text() + "/" + granted->prefillServer.text();
@@ -106,6 +111,7 @@
     ServerDirectory m_servers;
     std::optional<RouteTable> m_routes;
     std::map<std::pair<NodeLife, ClaimId>, std::string> m_answers;
+    std::optional<GenerationWork> m_work;
 };
 
 } // namespace indigoway::scheduling
