--- a/tests/scheduling/schedulingplay.h
+++ b/tests/scheduling/schedulingplay.h
@@ -63,6 +63,14 @@
         return claim;
     }
 
+    /** A claim that waits for room as long as it takes. */
+    static Claim patient(Claim claim)
+    {
+        claim.waitsAtMost = std::chrono::seconds(9);
+        claim.untilTarget = std::chrono::seconds(9);
+        return claim;
+    }
+
     void tell(int milliseconds, const NodeLife &from, const ToScheduler &message)
     {
         note(m_scheduler.handle(at(milliseconds), view(), from, message));
