--- a/include/indigoway/routing.h
+++ b/include/indigoway/routing.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <indigoway/ids.h>
+#include <indigoway/organisation.h>
 
 #include <cstdint>
 #include <map>
@@ -38,6 +39,7 @@
     Repetition repetition = Repetition::AtMostOnce;
     bool isStream = false;         ///< The answer is a series of events.
     bool isResumable = false;      ///< A stream may go on at another server after an event id.
+    bool isOpen = false;           ///< Callers need no key, also where organisations have some.
     std::uint32_t maxAttempts = 1; ///< Servers that may run one request.
     std::uint32_t priority = 0;    ///< 0 is the most urgent.
     Duration timeout {};           ///< Longest time to the final answer.
@@ -82,6 +84,8 @@
     std::vector<Route> routes;
     std::map<ServiceName, Service> services;
     CallerLimits limits;
+    std::vector<Organisation> organisations;
+    bool wantsKeys = false; ///< Callers have to show a key, except on open routes.
 };
 
 } // namespace indigoway
--- a/src/dispatch/dispatcheffects.h
+++ b/src/dispatch/dispatcheffects.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "quotas/quotamessages.h"
 #include "scheduling/schedulermessages.h"
 
 #include <indigoway/announcedserver.h>
 #include <indigoway/crashnote.h>
 #include <indigoway/ids.h>
+#include <indigoway/organisation.h>
 
 #include <cstdint>
 #include <optional>
@@ -36,8 +38,9 @@
     ServerName server;
     std::string instance; ///< A server that calls itself otherwise does not run the call.
     std::string address;
-    Duration patience {};  ///< Handed on: how long the answer is waited for.
-    Duration silentFor {}; ///< Broken if the server sends nothing for so long; 0: no bound.
+    OrganisationName organisation; ///< On whose behalf; empty: nobody's.
+    Duration patience {};          ///< Handed on: how long the answer is waited for.
+    Duration silentFor {};         ///< Broken if the server sends nothing for so long; 0: no bound.
     bool needsNewConnection = false;   ///< A kept one may die as the request is written.
     std::uint32_t connectionsKept = 1; ///< To its server, by this node, at the most.
     std::uint64_t reserveTokens = 0;
@@ -98,6 +101,12 @@
     scheduling::ToScheduler message;
 };
 
+/** A datagram to the node that keeps the quotas, if one is known; it may be lost. */
+struct TellQuotaKeeper
+{
+    quotas::ToKeeper message;
+};
+
 /** All nodes are to know of it, also those that start later. */
 struct ShareCrash
 {
@@ -116,6 +125,7 @@
     Served,
     ServerFailed, ///< The server's own failure was passed on.
     Rejected,     ///< Not run.
+    OverQuota,    ///< Not run: its organisation has used up what it may.
     Failed,       ///< In doubt, or cut.
     CallerLeft,
 };
@@ -125,13 +135,14 @@
 {
     RequestOutcome outcome = RequestOutcome::Served;
     bool isGeneration = false;
-    Duration untilFirst {}; ///< Arrival to the (first piece of the) answer.
+    OrganisationName organisation; ///< Empty: nobody's.
+    Duration untilFirst {};        ///< Arrival to the (first piece of the) answer.
     Duration whole {};
 };
 
-using DispatchEffect =
-    std::variant<StartCall, AbandonCall, DeliverAnswer, ForwardStream, EndStream, BreakStream,
-                 RejectRequest, TellScheduler, ShareCrash, RecordDecision, RequestEnded>;
+using DispatchEffect = std::variant<StartCall, AbandonCall, DeliverAnswer, ForwardStream, EndStream,
+                                    BreakStream, RejectRequest, TellScheduler, TellQuotaKeeper,
+                                    ShareCrash, RecordDecision, RequestEnded>;
 using DispatchEffects = std::vector<DispatchEffect>;
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1,12 +1,15 @@
 #include "dispatcher.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace indigoway::dispatch {
 
 namespace {
 
+constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
+constexpr int TooManyRequests = 429;
 constexpr int ServiceUnavailable = 503;
 constexpr int GatewayTimeout = 504;
 /** A caller who names no patience and a route without a timeout still end some time. */
@@ -18,11 +21,32 @@
 constexpr Duration TimeoutGrace = std::chrono::milliseconds(120);
 /** While no routing is known: it comes within a second of the store's or a peer's answer. */
 constexpr Duration RoutingComesAfter = std::chrono::milliseconds(400);
+/** Of the caller's patience, where nothing tells how long it will take. */
+constexpr int ComeBackOfPatience = 4;
 /** Callers who come back from a leaving node are sent to other addresses at once. */
 constexpr Duration ElsewhereAfter = std::chrono::milliseconds(20);
 /** Streams last up to so long; a later one would be cut by the end of this process. */
 constexpr Duration LongestStream = std::chrono::milliseconds(6000);
 constexpr Duration LongestPlain = std::chrono::milliseconds(1500);
+/** A caller who is over its quota comes back no sooner, however little is missing. */
+constexpr Duration LeastQuotaWait = std::chrono::milliseconds(100);
+
+double unitsOf(const Quota &quota, const ArrivedRequest &facts)
+{
+    if (quota.unit == QuotaUnit::Requests) {
+        return 1;
+    }
+    const bool namesTokens = facts.promptTokens > 0 || facts.mostOutputTokens > 0;
+    return namesTokens ? static_cast<double>(facts.promptTokens) + facts.mostOutputTokens
+                       : quota.plainCost;
+}
+
+void tellKeeper(Step &step, quotas::QuotaGate::Messages messages)
+{
+    for (quotas::ToKeeper &message : messages) {
+        step.add(TellQuotaKeeper {std::move(message)});
+    }
+}
 
 } // namespace
 
@@ -31,11 +55,29 @@
     , m_plain(m_state)
     , m_generations(m_state)
     , m_crashWatch(m_state)
+    , m_quotas(m_state.settings.quotas)
 { }
 
+void Dispatcher::setRoutes(std::shared_ptr<const RouteTable> table)
+{
+    m_table = std::move(table);
+    m_hasNewRoutes = true;
+    m_quotas.setWanted(
+        std::ranges::any_of(m_table->organisations(), [](const Organisation &organisation) {
+            return organisation.quota.has_value();
+        }));
+}
+
+void Dispatcher::setScheduler(std::optional<NodeName> name)
+{
+    m_quotas.setKeeper(name);
+    m_generations.setScheduler(std::move(name));
+}
+
 void Dispatcher::setNodes(std::uint32_t nodes, TimePoint now)
 {
     m_state.nodes = nodes;
+    m_quotas.setNodes(nodes);
     m_state.nodesAt = now;
     for (auto &[service, allowance] : m_state.allowances) {
         allowance.setNodes(nodes, now);
@@ -83,8 +125,8 @@
     DispatchEffects effects;
     Step step(now, entropy, effects);
     std::visit([&](const auto &one) { handle(step, one); }, event);
-    const auto next = m_generations.tick(step);
-    m_nextTick = next;
+    tickQuotas(step);
+    m_nextTick = earlier(m_generations.tick(step), m_quotas.nextTick());
     return effects;
 }
 
@@ -102,11 +144,25 @@
     }
     const std::string path = event.path.substr(0, event.path.find('?'));
     const Route *route = m_table->find(event.host, path);
+    if (!route && !isNewEnough(event.copyAge, m_state.settings.mostCopyAge)) {
+        rejectByOldCopy(step, event);
+        return;
+    }
     if (!route) {
         rejectUnserved(step, event, NotFound, std::nullopt,
                        "no route version=" + std::to_string(m_table->version()));
         return;
     }
+    const Admission admission =
+        admit(*m_table, *route, event.credentials, event.copyAge, m_state.settings.mostCopyAge);
+    if (std::holds_alternative<CopyTooOld>(admission)) {
+        rejectByOldCopy(step, event);
+        return;
+    }
+    if (std::holds_alternative<UnknownKey>(admission)) {
+        rejectUnserved(step, event, Unauthorized, std::nullopt, unknownKeyText(event));
+        return;
+    }
     const ServiceName *serviceName = pickService(*route, step.random());
     const Service *service = serviceName ? m_table->service(*serviceName) : nullptr;
     if (!service) {
@@ -128,6 +184,7 @@
     request.table = m_table;
     request.route = route;
     request.service = service;
+    request.organisation = std::get<Admitted>(admission).organisation;
     request.arrived = step.now;
     request.answerBy = step.now + LongestRequest;
     if (route->timeout.count() > 0) {
@@ -137,8 +194,85 @@
         request.answerBy = std::min(request.answerBy, step.now + *event.patience);
     }
     m_timeouts.set(event.request, request.answerBy + TimeoutGrace);
-    OpenRequest &added = m_state.requests.add(std::move(request));
-    flowOf(added).begin(step, added);
+    serveWithinQuota(step, m_state.requests.add(std::move(request)));
+}
+
+void Dispatcher::serveWithinQuota(Step &step, OpenRequest &request)
+{
+    if (!request.organisation || !request.organisation->quota) {
+        flowOf(request).begin(step, request);
+        return;
+    }
+    const Quota &quota = *request.organisation->quota;
+    const double units = unitsOf(quota, request.facts);
+    quotas::QuotaGate::Messages messages;
+    const quotas::QuotaDecision decision =
+        m_quotas.decide(step.now, quotas::QuotaAskId(request.facts.request.value()),
+                        request.organisation->name, quota, units, messages);
+    tellKeeper(step, std::move(messages));
+    switch (decision.kind) {
+    case quotas::QuotaDecision::Kind::Passed:
+        request.quotaUnits = units;
+        flowOf(request).begin(step, request);
+        return;
+    case quotas::QuotaDecision::Kind::Asked:
+        request.stage = Stage::AwaitingQuota;
+        return;
+    case quotas::QuotaDecision::Kind::Refused:
+        rejectOverQuota(step, request, decision.roomAfter);
+        return;
+    }
+}
+
+void Dispatcher::handle(Step &step, const QuotaKeeperAnswered &event)
+{
+    quotas::QuotaGate::Messages messages;
+    const auto verdict = m_quotas.answered(step.now, event.message, event.life, messages);
+    tellKeeper(step, std::move(messages));
+    if (verdict) {
+        quotaDecided(step, *verdict);
+    }
+}
+
+void Dispatcher::quotaDecided(Step &step, const quotas::QuotaVerdict &verdict)
+{
+    OpenRequest *request = m_state.requests.find(RequestNumber(verdict.ask.value()));
+    if (!request || request->stage != Stage::AwaitingQuota) {
+        return;
+    }
+    if (!verdict.isGranted) {
+        rejectOverQuota(step, *request, verdict.roomAfter);
+        return;
+    }
+    request->stage = Stage::Calling;
+    request->quotaUnits = unitsOf(*request->organisation->quota, request->facts);
+    flowOf(*request).begin(step, *request);
+}
+
+void Dispatcher::rejectOverQuota(Step &step, OpenRequest &request, Duration roomAfter)
+{
+    const Quota &quota = *request.organisation->quota;
+    m_timeouts.clear(request.facts.request);
+    const std::string why = "over quota units=" + std::to_string(unitsOf(quota, request.facts))
+        + " per_s=" + std::to_string(quota.perSecond) + " burst=" + std::to_string(quota.burst)
+        + " room_after_ms=" + millisecondsText(roomAfter)
+        + " keeper=" + (m_quotas.hearsKeeper(step.now) ? "heard" : "silent");
+    m_state.requests.refuse(step, request,
+                            {TooManyRequests, RequestOutcome::OverQuota,
+                             step.spread(std::max(roomAfter, LeastQuotaWait)), why});
+}
+
+void Dispatcher::tickQuotas(Step &step)
+{
+    quotas::QuotaGate::Messages messages;
+    for (const OpenRequests::UnusedQuota &unused : m_state.requests.takeUnusedQuota()) {
+        m_quotas.giveBack(unused.organisation, unused.units, messages);
+    }
+    const auto verdicts = m_quotas.tick(step.now, messages);
+    tellKeeper(step, std::move(messages));
+    for (const quotas::QuotaVerdict &verdict : verdicts) {
+        quotaDecided(step, verdict);
+    }
 }
 
 void Dispatcher::handle(Step &step, const CallerLeft &event)
@@ -148,6 +282,7 @@
         return;
     }
     m_timeouts.clear(event.request);
+    m_quotas.dropQuestion(quotas::QuotaAskId(event.request.value()));
     flowOf(*request).release(step, *request);
     m_state.requests.dropLeft(step, *request);
 }
@@ -211,6 +346,9 @@
 
 void Dispatcher::handle(Step &step, const TimePassed & /*event*/)
 {
+    if (std::exchange(m_hasNewRoutes, false)) {
+        rejectWithoutKey(step);
+    }
     for (const RequestNumber number : m_timeouts.takeDue(step.now)) {
         if (OpenRequest *request = m_state.requests.find(number)) {
             timeOut(step, *request);
@@ -239,6 +377,7 @@
 void Dispatcher::timeOut(Step &step, OpenRequest &request)
 {
     const bool mayHaveRun = request.mayHaveRun();
+    m_quotas.dropQuestion(quotas::QuotaAskId(request.facts.request.value()));
     flowOf(request).release(step, request);
     if (request.isForwarding) {
         m_state.requests.breakStream(step, request, "time is up");
@@ -249,6 +388,44 @@
     }
 }
 
+void Dispatcher::rejectByOldCopy(Step &step, const ArrivedRequest &event)
+{
+    // Another node may know more; a store that is away for all comes back sooner or later.
+    const Duration wait = event.patience ? *event.patience / ComeBackOfPatience : RoutingComesAfter;
+    rejectUnserved(step, event, ServiceUnavailable, step.spread(wait),
+                   "copy too old age_ms="
+                       + (event.copyAge ? millisecondsText(*event.copyAge) : std::string("-"))
+                       + " version=" + std::to_string(m_table->version()));
+}
+
+std::string Dispatcher::unknownKeyText(const ArrivedRequest &event) const
+{
+    return std::string(event.credentials.key ? "unknown key" : "no key")
+        + " version=" + std::to_string(m_table->version())
+        + " age_ms=" + (event.copyAge ? millisecondsText(*event.copyAge) : std::string("-"));
+}
+
+void Dispatcher::rejectWithoutKey(Step &step)
+{
+    std::vector<RequestNumber> numbers;
+    for (const auto &[number, request] : m_state.requests.all()) {
+        const bool hasLostKey = request.table->wantsKeys() && !request.route->isOpen
+            && request.organisation && request.facts.credentials.key
+            && !m_table->organisationWith(*request.facts.credentials.key);
+        if (hasLostKey && !request.mayHaveRun()) {
+            numbers.push_back(number);
+        }
+    }
+    for (const RequestNumber number : numbers) {
+        OpenRequest &request = *m_state.requests.find(number);
+        flowOf(request).release(step, request);
+        m_quotas.dropQuestion(quotas::QuotaAskId(number.value()));
+        m_state.requests.refuse(step, request,
+                                {Unauthorized, RequestOutcome::Rejected, std::nullopt,
+                                 "its key was taken away while it waited"});
+    }
+}
+
 void Dispatcher::rejectUnserved(Step &step, const ArrivedRequest &event, int status,
                                 std::optional<Duration> retryAfter, const std::string &why)
 {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -21,8 +21,11 @@
 public:
     Dispatcher(DispatchSettings settings, TimePoint startedAt);
 
-    /** Open requests keep the table that was in force when they arrived. */
-    void setRoutes(std::shared_ptr<const RouteTable> table) { m_table = std::move(table); }
+    /**
+     * Open requests keep the table that was in force when they arrived; only those whose key has
+     * gone are turned away, unless a server may have begun with them.
+     */
+    void setRoutes(std::shared_ptr<const RouteTable> table);
     const RouteTable *routes() const { return m_table.get(); }
     /** Nodes that serve callers, this one included; they share the bounds on retries. */
     void setNodes(std::uint32_t nodes, TimePoint now);
@@ -37,8 +40,11 @@
     bool wantsOrderToken() const { return m_generations.phases().wantsToken(); }
     /** The token with which this node may give orders to engines now; nothing if it may not. */
     void setOrderToken(std::optional<std::uint64_t> token) { m_orderToken = token; }
-    /** The node that schedules the engines; nothing if this node chooses by itself. */
-    void setScheduler(std::optional<NodeName> name) { m_generations.setScheduler(std::move(name)); }
+    /**
+     * The node that schedules the engines and keeps the quotas; nothing if this node chooses by
+     * itself.
+     */
+    void setScheduler(std::optional<NodeName> name);
     /** This node is asked to end by @p endsAt; what cannot be done by then is turned away. */
     void leave(TimePoint now, TimePoint endsAt);
 
@@ -62,11 +68,23 @@
     void handle(Step &step, const StreamBegan &event);
     void handle(Step &step, const CallEnded &event);
     void handle(Step &step, const SchedulerAnswered &event);
+    void handle(Step &step, const QuotaKeeperAnswered &event);
     void handle(Step &step, const TimePassed &event);
     void noteCrashOrAnswer(Step &step, const OpenCall &call, const OpenRequest &request,
                            const CallEnded &event);
     bool isTooLateForLeaving(TimePoint now, bool isStream) const;
     void timeOut(Step &step, OpenRequest &request);
+    /** Serves @p request if its organisation's quota has room for it. */
+    void serveWithinQuota(Step &step, OpenRequest &request);
+    void quotaDecided(Step &step, const quotas::QuotaVerdict &verdict);
+    void rejectOverQuota(Step &step, OpenRequest &request, Duration roomAfter);
+    /** Gives back what was not used, and says and decides what is due. */
+    void tickQuotas(Step &step);
+    /** This node does not know well enough how things are. */
+    void rejectByOldCopy(Step &step, const ArrivedRequest &event);
+    std::string unknownKeyText(const ArrivedRequest &event) const;
+    /** Those whose key is not in the new routes any more. */
+    void rejectWithoutKey(Step &step);
     void rejectUnserved(Step &step, const ArrivedRequest &event, int status,
                         std::optional<Duration> retryAfter, const std::string &why);
     void forget(const ServerName &name);
@@ -77,6 +95,8 @@
     GenerationFlow m_generations;
     CrashWatch m_crashWatch;
     std::shared_ptr<const RouteTable> m_table;
+    quotas::QuotaGate m_quotas;
+    bool m_hasNewRoutes = false; ///< Since time passed last.
     Deadlines<RequestNumber> m_timeouts;
     std::optional<TimePoint> m_nextTick;
     bool m_holdsOrderRight = false;
--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "admission/admission.h"
+#include "quotas/quotamessages.h"
 #include "scheduling/schedulermessages.h"
 
 #include <indigoway/ids.h>
@@ -25,6 +27,9 @@
     std::optional<std::uint32_t> likelyOutputTokens; ///< The caller's own estimate.
     bool isContinuation = false; ///< Goes on after an event that the caller has already.
     bool isLastOnConnection = false;
+    Credentials credentials;
+    /** How old this node's copy of the desired state may be by now; nothing: not known. */
+    std::optional<Duration> copyAge;
 };
 
 /** The caller has closed its connection; nobody waits for the answer any more. */
@@ -86,12 +91,19 @@
     Incarnation life; ///< Of the scheduler.
 };
 
+/** The node that keeps the quotas has told something. */
+struct QuotaKeeperAnswered
+{
+    quotas::FromKeeper message;
+    Incarnation life; ///< Of the keeper.
+};
+
 /** Time has passed. */
 struct TimePassed
 {
 };
 
-using DispatchEvent =
-    std::variant<ArrivedRequest, CallerLeft, StreamBegan, CallEnded, SchedulerAnswered, TimePassed>;
+using DispatchEvent = std::variant<ArrivedRequest, CallerLeft, StreamBegan, CallEnded,
+                                   SchedulerAnswered, QuotaKeeperAnswered, TimePassed>;
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/dispatchstate.cpp
+++ b/src/dispatch/dispatchstate.cpp
@@ -19,6 +19,9 @@
                              StartCall call)
 {
     call.request = request.facts.request;
+    if (request.organisation) {
+        call.organisation = request.organisation->name;
+    }
     call.patience = request.answerBy - step.now;
     call.connectionsKept = connectionsKept(*request.service);
     request.server = server.name;
--- a/src/dispatch/dispatchstate.h
+++ b/src/dispatch/dispatchstate.h
@@ -6,6 +6,7 @@
 #include "dispatch/servercalls.h"
 #include "dispatch/servertracker.h"
 #include "fleet/serverdirectory.h"
+#include "quotas/quotagate.h"
 
 #include <map>
 
@@ -16,6 +17,9 @@
 {
     DomainName domain;
     RetryBounds retries;
+    /** Callers' keys are judged by no older copy of the desired state; nothing: by any. */
+    std::optional<Duration> mostCopyAge = {};
+    quotas::QuotaBounds quotas = {};
 };
 
 /** What the flows share: the open requests, the servers, and what is known of them. */
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -69,6 +69,15 @@
     erase(step, request, RequestOutcome::Rejected);
 }
 
+void OpenRequests::refuse(Step &step, OpenRequest &request, const Refusal &refusal)
+{
+    step.add(
+        RejectRequest {request.facts.request, refusal.status, refusal.retryAfter, refusal.why});
+    record(step, request, refusal.outcome,
+           "status=" + std::to_string(refusal.status) + " " + refusal.why);
+    erase(step, request, refusal.outcome);
+}
+
 void OpenRequests::failInDoubt(Step &step, OpenRequest &request, int status, const std::string &why)
 {
     step.add(RejectRequest {request.facts.request, status, std::nullopt, why});
@@ -89,6 +98,7 @@
         + request.route->name.text() + " routes_version=" + std::to_string(request.table->version())
         + " stage=" + nameOf(request.stage) + " age_ms="
         + millisecondsText(step.now - request.arrived) + " runs=" + std::to_string(request.runs)
+        + " organisation=" + (request.organisation ? request.organisation->name.text() : "-")
         + " server=" + request.server.text() + " content=" + request.facts.content.text();
     if (request.isGeneration()) {
         text += std::string(request.isComingBack ? " caller=coming_back" : " caller=fresh")
@@ -113,11 +123,17 @@
     RequestEnded ended;
     ended.outcome = outcome;
     ended.isGeneration = request.isGeneration();
+    if (request.organisation) {
+        ended.organisation = request.organisation->name;
+    }
     ended.whole = step.now - request.arrived;
     if (request.firstAnswer != TimePoint {}) {
         ended.untilFirst = request.firstAnswer - request.arrived;
     }
     step.add(ended);
+    if (request.quotaUnits > 0 && !request.mayHaveRun() && request.prefillTries == 0) {
+        m_unusedQuota.push_back({request.organisation->name, request.quotaUnits});
+    }
     m_requests.erase(request.facts.request);
 }
 
@@ -130,6 +146,8 @@
 const char *nameOf(Stage stage)
 {
     switch (stage) {
+    case Stage::AwaitingQuota:
+        return "awaiting_quota";
     case Stage::Calling:
         return "calling";
     case Stage::Waiting:
@@ -153,6 +171,8 @@
         return "server_failed";
     case RequestOutcome::Rejected:
         return "rejected";
+    case RequestOutcome::OverQuota:
+        return "over_quota";
     case RequestOutcome::Failed:
         return "failed";
     case RequestOutcome::CallerLeft:
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -12,6 +12,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace indigoway::dispatch {
 
@@ -49,6 +51,7 @@
 
 /** Where a generation stands. Plain requests stay Calling. */
 enum class Stage {
+    AwaitingQuota, ///< For the answer of the node that keeps the quotas.
     Calling,
     Waiting, ///< For a decode engine with room.
     Reserving,
@@ -60,9 +63,10 @@
 struct OpenRequest
 {
     ArrivedRequest facts;
-    std::shared_ptr<const RouteTable> table; ///< In force when it arrived; kept for it.
-    const Route *route = nullptr;            ///< In table.
-    const Service *service = nullptr;        ///< In table.
+    std::shared_ptr<const RouteTable> table;    ///< In force when it arrived; kept for it.
+    const Route *route = nullptr;               ///< In table.
+    const Service *service = nullptr;           ///< In table.
+    const Organisation *organisation = nullptr; ///< In table; null: nobody's.
     TimePoint arrived {};
     TimePoint answerBy {}; ///< Its route's timeout or the caller's patience, what ends first.
 
@@ -81,6 +85,8 @@
     std::uint32_t eventsPassed = 0;
     bool isComingBack = false; ///< Its caller was turned away before, here or elsewhere.
 
+    double quotaUnits = 0; ///< Of its organisation's quota, while it counts against it.
+
     // Of generations.
     scheduling::ClaimId claim; ///< At the scheduler; none while this node chooses by itself.
     ServerName plannedPrefill; ///< Chosen by the scheduler; empty: this node chooses.
@@ -121,17 +127,35 @@
     void breakStream(Step &step, OpenRequest &request, const std::string &why);
     /** It has not run and will not; @p retryAfter tells when coming back may help. */
     void reject(Step &step, OpenRequest &request, Duration retryAfter, const std::string &why);
+    struct Refusal
+    {
+        int status = 0;
+        RequestOutcome outcome = RequestOutcome::Rejected;
+        std::optional<Duration> retryAfter; ///< Nothing where coming back is of no use.
+        std::string why;
+    };
+    /** It has not run and will not. */
+    void refuse(Step &step, OpenRequest &request, const Refusal &refusal);
     /** It may have run: 502, or 504 where time has run out. */
     void failInDoubt(Step &step, OpenRequest &request, int status, const std::string &why);
     /** The caller left; nothing is answered. */
     void dropLeft(Step &step, OpenRequest &request);
 
+    /** What requests that ended without a server's work had taken of quotas; once. */
+    struct UnusedQuota
+    {
+        OrganisationName organisation;
+        double units = 0;
+    };
+    std::vector<UnusedQuota> takeUnusedQuota() { return std::exchange(m_unusedQuota, {}); }
+
 private:
     void record(Step &step, const OpenRequest &request, RequestOutcome outcome,
                 const std::string &detail);
     void erase(Step &step, const OpenRequest &request, RequestOutcome outcome);
 
     std::map<RequestNumber, OpenRequest> m_requests;
+    std::vector<UnusedQuota> m_unusedQuota;
 };
 
 /** Whether the server gets the caller's bytes with it. */
--- a/src/edge/edgemetrics.cpp
+++ b/src/edge/edgemetrics.cpp
@@ -17,6 +17,23 @@
 constexpr double LeastSeconds = 1e-3;
 constexpr double MostSeconds = 100;
 
+/** By organisation and outcome; operators declare the names, and may change them often. */
+constexpr std::size_t MostSeries = 10'000;
+
+/** As the text format has it between quotation marks. */
+std::string labelText(const std::string &text)
+{
+    std::string escaped;
+    for (const char c : text) {
+        if (c == '\n') {
+            escaped += "\\n";
+        } else {
+            escaped += c == '"' || c == '\\' ? std::string("\\") + c : std::string(1, c);
+        }
+    }
+    return escaped;
+}
+
 auto makeHistogram()
 {
     using Axis = bh::axis::regular<double, bh::axis::transform::log>;
@@ -81,6 +98,13 @@
 void EdgeMetrics::add(const dispatch::RequestEnded &ended)
 {
     ++m_requests[{ended.isGeneration, ended.outcome}];
+    if (!ended.organisation.isEmpty()) {
+        const std::pair key {ended.organisation, ended.outcome};
+        const bool isBounded = m_organisations.size() < MostSeries;
+        ++m_organisations[isBounded || m_organisations.contains(key)
+                              ? key
+                              : std::pair {OrganisationName("(others)"), ended.outcome}];
+    }
     const std::size_t sort = ended.isGeneration ? 1 : 0;
     if (ended.untilFirst.count() > 0) {
         m_histograms->untilFirst[sort].add(ended.untilFirst);
@@ -96,6 +120,12 @@
         text += fmt::format("indigoway_requests_total{{sort=\"{}\",outcome=\"{}\"}} {}\n",
                             sortName(key.first), dispatch::nameOf(key.second), count);
     }
+    text += "# TYPE indigoway_organisation_requests_total counter\n";
+    for (const auto &[key, count] : m_organisations) {
+        text += fmt::format(
+            "indigoway_organisation_requests_total{{organisation=\"{}\",outcome=\"{}\"}} {}\n",
+            labelText(key.first.text()), dispatch::nameOf(key.second), count);
+    }
     text += "# TYPE indigoway_decisions_total counter\n";
     for (const auto &[kind, count] : m_decisions) {
         text += fmt::format("indigoway_decisions_total{{kind=\"{}\"}} {}\n", kind, count);
--- a/src/edge/edgemetrics.h
+++ b/src/edge/edgemetrics.h
@@ -14,7 +14,7 @@
 
 /**
  * Counters and latency histograms of an edge node, in Prometheus' text format. Requests are
- * counted by sort (plain or generation) and outcome, decisions by kind.
+ * counted by sort (plain or generation) and outcome, and by organisation; decisions by kind.
  */
 class EdgeMetrics
 {
@@ -33,6 +33,7 @@
     struct Histograms;
 
     std::map<std::pair<bool, dispatch::RequestOutcome>, std::uint64_t> m_requests;
+    std::map<std::pair<OrganisationName, dispatch::RequestOutcome>, std::uint64_t> m_organisations;
     std::map<std::string, std::uint64_t> m_decisions;
     std::unique_ptr<Histograms> m_histograms;
 };
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -46,15 +46,27 @@
     return clockTime(CLOCK_BOOTTIME) - clockTime(CLOCK_MONOTONIC);
 }
 
+/** Nothing: any copy of the desired state will do. */
+std::optional<Duration> mostCopyAge(const EdgeSettings &settings)
+{
+    // For the clocks of nodes, which do not go at quite the same rate.
+    constexpr Duration Margin = std::chrono::milliseconds(200);
+    return settings.keyCopyAge.count() > 0 ? std::optional(settings.keyCopyAge - Margin)
+                                           : std::nullopt;
+}
+
 NodeEntry entryOf(const EdgeSettings &settings)
 {
     return {settings.node,    settings.domain,     settings.callers,
             settings.control, settings.scheduling, settings.processors};
 }
 
-dispatch::RetryBounds retryBoundsOf(const EdgeSettings &settings)
+DispatchSettings dispatchSettingsOf(const EdgeSettings &settings)
 {
-    return {settings.retryRatio, settings.retryWindow, settings.retrySlack};
+    return {settings.domain,
+            {settings.retryRatio, settings.retryWindow, settings.retrySlack},
+            mostCopyAge(settings),
+            {settings.quotaWindow, settings.quotaOver, settings.quotaSlack}};
 }
 
 } // namespace
@@ -66,7 +78,7 @@
     , m_life(std::random_device {}())
     , m_log(m_settings.node)
     , m_roster(entryOf(m_settings))
-    , m_dispatcher(DispatchSettings {m_settings.domain, retryBoundsOf(m_settings)}, present())
+    , m_dispatcher(dispatchSettingsOf(m_settings), present())
     , m_relay(base, m_dispatcher, *m_ports.dialect, std::random_device {}())
     , m_sync(base, *m_ports.store, client, wiringOf(*this, m_ports.layout),
              m_settings.node.text() + "/" + std::to_string(m_life.value()))
@@ -83,6 +95,7 @@
     , m_random(std::random_device {}())
     , m_frozen(frozenTime())
 {
+    m_relay.setCopyAge([this] { return m_sync.copyAge(BootClock::now()); });
     m_relay.setEndedHandler([this](const dispatch::RequestEnded &ended) { m_metrics.add(ended); });
     m_relay.setRecordHandler([this](const dispatch::RecordDecision &decision) {
         m_metrics.add(decision);
@@ -92,6 +105,8 @@
         [this](const dispatch::ShareCrash &crash) { m_sync.publish(crash.note); });
     m_relay.setSchedulerHandler(
         [this](const scheduling::ToScheduler &message) { m_scheduling.tell(message); });
+    m_relay.setQuotaHandler(
+        [this](const quotas::ToKeeper &message) { m_scheduling.tell(message); });
 }
 
 bool EdgeNode::start()
@@ -173,6 +188,7 @@
     wiring.leaderKey = layout.leaderKey;
     wiring.recordKey = layout.recordKey;
     wiring.crashesPrefix = layout.crashesPrefix;
+    wiring.mostCopyAge = mostCopyAge(node.m_settings);
     wiring.ownKey = layout.nodesPrefix + node.m_settings.node.text();
     wiring.changed = [&node](const std::string &key, const StoredItem *item) {
         node.storeChanged(key, item);
@@ -208,7 +224,10 @@
         }
         return scheduling::EngineScheduler::View {node.m_dispatcher.servers(), *routes};
     };
-    wiring.answered = [&node](const dispatch::SchedulerAnswered &answer) {
+    wiring.nodes = [&node] {
+        return node.m_roster.count(present());
+    };
+    wiring.answered = [&node](const dispatch::DispatchEvent &answer) {
         node.m_relay.post(answer);
     };
     wiring.record = [&node](const std::string &kind, const std::string &detail) {
@@ -273,7 +292,8 @@
     record("routing",
            {{"version", std::to_string(state.version)},
             {"before", old ? std::to_string(old->version()) : "none"},
-            {"routes", std::to_string(state.routes.size())}});
+            {"routes", std::to_string(state.routes.size())},
+            {"organisations", std::to_string(state.organisations.size())}});
     m_relay.setLimits(state.limits);
     m_dispatcher.setRoutes(std::make_shared<const RouteTable>(std::move(state)));
 }
@@ -378,11 +398,13 @@
         {"store_leases", m_sync.storeCalls().leases},
         {"store_renewals", m_sync.storeCalls().renewals},
         {"store_writes", m_sync.storeCalls().writes},
+        {"store_proofs", m_sync.storeCalls().proofs},
         {"servers_known", m_dispatcher.servers().size()},
         {"nodes_known", m_roster.count(present())},
         {"scheduler_waiting", m_scheduling.scheduler().waiting()},
         {"scheduler_granted", m_scheduling.scheduler().granted()},
         {"scheduler_unsent", m_scheduling.unsent()},
+        {"quotas_scarce", m_scheduling.quotaKeeper().scarce()},
         {"contents_crashed", m_dispatcher.crashes().size()},
         {"contents_refused", m_dispatcher.crashes().refused()},
         {"leaving", m_leavingSince ? 1U : 0U},
@@ -393,6 +415,7 @@
 {
     const TimePoint now = present();
     recordFirstCopy();
+    noteCopyAge();
     noticeFreeze(now);
     chooseScheduler(now);
     m_dispatcher.setOrderRight(m_sync.holdsOrderRight());
@@ -420,6 +443,24 @@
             {"servers", std::to_string(m_dispatcher.servers().size())}});
 }
 
+void EdgeNode::noteCopyAge()
+{
+    const auto most = mostCopyAge(m_settings);
+    if (!most) {
+        return;
+    }
+    const auto age = m_sync.copyAge(BootClock::now());
+    const bool isProven = isNewEnough(age, most);
+    if (isProven == m_isCopyProven) {
+        return;
+    }
+    m_isCopyProven = isProven;
+    record(isProven ? "copy_proven" : "copy_too_old",
+           {{"age_ms", age ? dispatch::millisecondsText(*age) : "-"},
+            {"most_ms", dispatch::millisecondsText(*most)},
+            {"as_of", std::to_string(m_sync.asOf())}});
+}
+
 void EdgeNode::recordStoreCalls(TimePoint now)
 {
     if (now < m_storeCallsRecordedAt + RecordStoreCallsEvery) {
@@ -432,7 +473,8 @@
             {"watches", std::to_string(calls.watches)},
             {"leases", std::to_string(calls.leases)},
             {"renewals", std::to_string(calls.renewals)},
-            {"writes", std::to_string(calls.writes)}});
+            {"writes", std::to_string(calls.writes)},
+            {"proofs", std::to_string(calls.proofs)}});
 }
 
 void EdgeNode::noticeFreeze(TimePoint now)
--- a/src/edge/edgenode.h
+++ b/src/edge/edgenode.h
@@ -81,6 +81,8 @@
     void noticeFreeze(TimePoint now);
     /** One line for all that a node learns at its start; a line for each change after it. */
     void recordFirstCopy();
+    /** A line when this node begins and ceases to know whose keys are good. */
+    void noteCopyAge();
     void recordStoreCalls(TimePoint now);
     void endIfDone(TimePoint now);
     void record(const std::string &kind, const std::vector<LogField> &fields);
@@ -103,6 +105,7 @@
     std::optional<NodeEntry> m_scheduler; ///< The node that schedules the engines.
     std::optional<TimePoint> m_leavingSince;
     bool m_hasCopy = false; ///< Of the store; changes are told one by one from then on.
+    bool m_isCopyProven = false;
     TimePoint m_storeCallsRecordedAt {};
     TimePoint m_lastTick {};
     Duration m_frozen {}; ///< Time that the steady clock did not count, as last seen.
--- a/src/edge/edgesettings.cpp
+++ b/src/edge/edgesettings.cpp
@@ -37,6 +37,15 @@
 ABSL_FLAG(double, retry_window_s, 10, "Length of that window in seconds.");
 ABSL_FLAG(double, retry_slack, 50,
           "Requests that all nodes together may send once more beyond the ratio.");
+ABSL_FLAG(double, key_copy_age_ms, 0,
+          "Milliseconds after which a copy of the desired state is too old to judge callers' keys "
+          "by: a key that was taken away is of no use on any node after that time. 0: no bound.");
+ABSL_FLAG(double, quota_window_s, 10,
+          "Length of the window in which quotas are judged, in seconds.");
+ABSL_FLAG(double, quota_over, 0.1,
+          "By how much an organisation's quota may be passed in a window, as a part of it.");
+ABSL_FLAG(double, quota_slack, 0,
+          "By how much it may be passed beyond that, in the quota's units.");
 ABSL_FLAG(double, list_kept_s, 2, "Seconds that callers may keep a list of nodes.");
 
 namespace indigoway {
@@ -67,6 +76,30 @@
     return value;
 }
 
+double checkedNotNegative(const char *flag, double value, CommandLineFaults &wrong)
+{
+    constexpr double Most = 1e15;
+    if (!(value >= 0 && value <= Most)) {
+        wrong.faults.push_back(std::string("--") + flag + ": must be from 0 to 1e15");
+        return 0;
+    }
+    return value;
+}
+
+Duration checkedKeyCopyAge(CommandLineFaults &wrong)
+{
+    constexpr double MillisecondsPerSecond = 1e3;
+    // Below that the store would be asked several times a second by each failure domain.
+    constexpr double Least = 1000;
+    constexpr double Most = 1e9;
+    const double age = absl::GetFlag(FLAGS_key_copy_age_ms);
+    if (age != 0 && !(age >= Least && age <= Most)) {
+        wrong.faults.emplace_back("--key_copy_age_ms: must be 0, or from 1000 to 1000000000");
+        return Duration(0);
+    }
+    return secondsOf(age / MillisecondsPerSecond);
+}
+
 } // namespace
 
 FlagSet edgeFlags()
@@ -74,9 +107,12 @@
     return {"indigoway-edge: routes requests to backend servers that announce themselves in a\n"
             "key-value service, by the desired state that operators keep there.\n"
             "Every entry VM runs one. SIGTERM makes it leave without cutting a request.",
-            {"node_file", "node", "domain", "callers", "readiness", "directory", "control",
-             "metrics", "scheduling", "processors", "store", "peers", "ends_within_s",
-             "retry_ratio", "retry_window_s", "retry_slack", "list_kept_s"}};
+            {"node_file",       "node",           "domain",         "callers",
+             "readiness",       "directory",      "control",        "metrics",
+             "scheduling",      "processors",     "store",          "peers",
+             "ends_within_s",   "retry_ratio",    "retry_window_s", "retry_slack",
+             "key_copy_age_ms", "quota_window_s", "quota_over",     "quota_slack",
+             "list_kept_s"}};
 }
 
 std::variant<EdgeSettings, CommandLineFaults> checkedEdgeSettings()
@@ -119,6 +155,12 @@
         wrong.faults.emplace_back("--retry_ratio and --retry_slack: must not be negative");
     }
     settings.retrySlack = slack < 0 ? 0 : static_cast<std::uint32_t>(slack);
+    settings.keyCopyAge = checkedKeyCopyAge(wrong);
+    settings.quotaWindow =
+        secondsOf(checkedPositive("quota_window_s", absl::GetFlag(FLAGS_quota_window_s), wrong));
+    settings.quotaOver = checkedNotNegative("quota_over", absl::GetFlag(FLAGS_quota_over), wrong);
+    settings.quotaSlack =
+        checkedNotNegative("quota_slack", absl::GetFlag(FLAGS_quota_slack), wrong);
     settings.listKept =
         secondsOf(checkedPositive("list_kept_s", absl::GetFlag(FLAGS_list_kept_s), wrong));
     if (!wrong.faults.empty()) {
--- a/src/edge/edgesettings.h
+++ b/src/edge/edgesettings.h
@@ -29,7 +29,13 @@
     double retryRatio = 0;
     Duration retryWindow {};
     std::uint32_t retrySlack = 0;
-    Duration listKept {}; ///< How long callers may keep a list of nodes.
+    /** Callers' keys are judged by no older copy of the desired state; 0: by any. */
+    Duration keyCopyAge {};
+    // By how much an organisation's quota may be passed.
+    Duration quotaWindow {};
+    double quotaOver = 0;  ///< Of what it allows in a window.
+    double quotaSlack = 0; ///< In its own units.
+    Duration listKept {};  ///< How long callers may keep a list of nodes.
     bool operator==(const EdgeSettings &) const = default;
 };
 
--- a/src/edge/mirrorexchange.cpp
+++ b/src/edge/mirrorexchange.cpp
@@ -11,6 +11,10 @@
     Json::Value value;
     value["as_of"] = Json::UInt64(news.asOf);
     value["whole"] = news.isWhole;
+    if (news.age) {
+        value["age_us"] = Json::Int64(news.age->count());
+        value["held_us"] = Json::Int64(news.held.count());
+    }
     Json::Value &changes = value["changes"] = Json::arrayValue;
     for (const StoredChange &change : news.changes) {
         Json::Value one;
@@ -34,6 +38,10 @@
     MirrorNews news;
     news.asOf = numberMember(value, "as_of");
     news.isWhole = value["whole"].asBool();
+    if (value["age_us"].isInt64() && value["held_us"].isInt64()) {
+        news.age = Duration(value["age_us"].asInt64());
+        news.held = Duration(value["held_us"].asInt64());
+    }
     for (const Json::Value &one : value["changes"]) {
         StoredChange change;
         change.key = stringMember(one, "key");
--- a/src/edge/schedulingexchange.cpp
+++ b/src/edge/schedulingexchange.cpp
@@ -1,5 +1,6 @@
 #include "schedulingexchange.h"
 
+#include "core/jsontext.h"
 #include "dispatch/openrequests.h"
 
 #include <event2/event.h>
@@ -22,6 +23,7 @@
 SchedulingExchange::SchedulingExchange(event_base *base, NodeLife self, Wiring wiring)
     : m_self(std::move(self))
     , m_wiring(std::move(wiring))
+    , m_quotaKeeper(m_self.incarnation)
     , m_link(base,
              [this](const DatagramAddress &from, const std::string &text) { received(from, text); })
     , m_timer(event_new(
@@ -39,26 +41,69 @@
     }
 }
 
+void SchedulingExchange::tell(const quotas::ToKeeper &message)
+{
+    if (const auto address = m_wiring.scheduler()) {
+        m_link.send(*address, encode(Datagram<quotas::ToKeeper> {m_self, message}));
+    }
+}
+
 void SchedulingExchange::received(const DatagramAddress &from, const std::string &text)
 {
-    if (const auto answer = decodeFromScheduler(text)) {
-        m_wiring.answered({answer->message, answer->from.incarnation});
+    const Json::Value value = parseJson(text);
+    if (const auto answer = readDatagramFromScheduler(value)) {
+        m_wiring.answered(dispatch::SchedulerAnswered {answer->message, answer->from.incarnation});
         return;
     }
-    const auto question = decodeToScheduler(text);
-    if (!question) {
+    if (const auto answer = quotas::readFromKeeper(value)) {
+        m_wiring.answered(
+            dispatch::QuotaKeeperAnswered {answer->message, answer->from.incarnation});
+        return;
+    }
+    if (!takeClaim(from, value) && !takeQuotaMessage(from, value)) {
         m_wiring.record("datagram_unreadable",
                         "from=" + from + " bytes=" + std::to_string(text.size()));
-        return;
+    }
+}
+
+bool SchedulingExchange::takeClaim(const DatagramAddress &from, const Json::Value &value)
+{
+    const auto question = readDatagramToScheduler(value);
+    if (!question) {
+        return false;
     }
     const auto view = m_wiring.view();
     if (!view) {
         // Without routing nothing can be granted; the asker chooses by itself.
-        return;
+        return true;
     }
     m_addresses[question->from.node] = from;
     reply(m_scheduler.handle(present(), *view, question->from, question->message));
     armTimer();
+    return true;
+}
+
+bool SchedulingExchange::takeQuotaMessage(const DatagramAddress &from, const Json::Value &value)
+{
+    const auto told = quotas::readToKeeper(value);
+    if (!told) {
+        return false;
+    }
+    const auto view = m_wiring.view();
+    if (!view) {
+        // Without the quotas nothing can be said; the asker keeps them by itself.
+        return true;
+    }
+    m_addresses[told->from.node] = from;
+    const auto replies = m_quotaKeeper.handle(present(), {view->routes, m_wiring.nodes()},
+                                              told->from, told->message);
+    for (const quotas::KeeperReply &one : replies) {
+        const auto it = m_addresses.find(one.to);
+        if (it != m_addresses.end()) {
+            m_link.send(it->second, encode(Datagram<quotas::FromKeeper> {m_self, one.message}));
+        }
+    }
+    return true;
 }
 
 void SchedulingExchange::tick()
--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -12,7 +12,18 @@
 constexpr Duration QuestionWait = std::chrono::milliseconds(1000);
 constexpr Duration ProbeWait = std::chrono::milliseconds(50);
 constexpr Duration PeerTimeout = QuestionWait + std::chrono::milliseconds(300);
+/** The upstream's name in logs, where it is no node. */
+constexpr char Store[] = "store";
 constexpr timeval TickEvery {0, 50'000};
+/**
+ * Of the age that the copy may come to: how often the store is asked for a proof, and how long
+ * another node's question is held. Together they leave half of it for what fails on the way: a
+ * node that fell silent, and the next one that is asked.
+ */
+constexpr int ProofsInAge = 4;
+constexpr int QuestionsInAge = 5;
+/** After a proof that could not be had; short, since nobody is served for a key without one. */
+constexpr Duration ProveAgainAfter = std::chrono::milliseconds(300);
 
 TimePoint present()
 {
@@ -72,13 +83,14 @@
 
 void StateSync::takePeerQuestion(ExchangeNumber exchange, std::uint64_t revision)
 {
-    m_questions[exchange] = {revision, present() + QuestionWait};
+    m_questions[exchange] = {revision, present() + questionWait(), BootClock::now()};
     answerQuestions();
 }
 
 void StateSync::pump()
 {
     pumpMirror();
+    pumpProof();
     pumpAnnouncer();
     pumpLeadership();
     pumpPublisher();
@@ -131,6 +143,9 @@
     const MirrorCall call = m_mirror.beginStoreCall();
     if (const auto *list = std::get_if<ListCall>(&call)) {
         ++m_calls.lists;
+        if (list->after.empty()) {
+            m_listAskedAt = BootClock::now();
+        }
         m_store.list(m_mirror.prefix(), list->after,
                      [this, upstream, generation](const auto &result) {
                          if (generation != m_mirror.generation()) {
@@ -141,6 +156,9 @@
                              return;
                          }
                          m_mirror.listed(std::get<StoredPage>(result));
+                         if (!m_mirror.isListing()) {
+                             m_proof.answered(m_listAskedAt, m_mirror.asOf(), m_mirror.asOf());
+                         }
                          succeeded(upstream);
                      });
         return;
@@ -169,28 +187,34 @@
     call.path = "/v1/mirror?after=" + std::to_string(m_mirror.beginPeerCall());
     call.timeout = PeerTimeout;
     call.traffic = Traffic::Peers;
-    m_client.start(std::move(call), [this, upstream, generation](const HttpAnswer &answer) {
-        if (generation != m_mirror.generation()) {
-            return;
-        }
-        constexpr int Ok = 200;
-        if (answer.end != HttpAnswer::End::Complete || answer.status != Ok) {
-            failed(upstream, StoreFault::Unanswered);
-            return;
-        }
-        const auto news = decodeNews(answer.body);
-        if (!news) {
-            failed(upstream, StoreFault::Refused);
-            return;
-        }
-        m_mirror.told(*news);
-        succeeded(upstream);
-    });
+    const BootTime askedAt = BootClock::now();
+    m_client.start(std::move(call),
+                   [this, upstream, generation, askedAt](const HttpAnswer &answer) {
+                       if (generation != m_mirror.generation()) {
+                           return;
+                       }
+                       constexpr int Ok = 200;
+                       if (answer.end != HttpAnswer::End::Complete || answer.status != Ok) {
+                           failed(upstream, StoreFault::Unanswered);
+                           return;
+                       }
+                       const auto news = decodeNews(answer.body);
+                       if (!news) {
+                           failed(upstream, StoreFault::Refused);
+                           return;
+                       }
+                       m_mirror.told(*news);
+                       if (news->age) {
+                           m_proof.told(askedAt, BootClock::now(), news->held, *news->age);
+                       }
+                       succeeded(upstream);
+                   });
 }
 
 void StateSync::succeeded(const Upstream &upstream)
 {
     m_choice.succeeded(upstream);
+    m_proof.copied(m_mirror.asOf());
     if (!m_isCurrent) {
         m_isCurrent = true;
         m_announcer.storeIsBack(present());
@@ -218,6 +242,35 @@
     pumpMirror();
 }
 
+void StateSync::pumpProof()
+{
+    const TimePoint now = present();
+    const bool hearsStore = m_isCurrent && m_upstream == Store;
+    if (!m_wiring.mostCopyAge || !hearsStore || m_isProving || now < m_proofWantedAt) {
+        return;
+    }
+    const Duration usualPause = *m_wiring.mostCopyAge / ProofsInAge;
+    m_isProving = true;
+    ++m_calls.proofs;
+    // Any answer tells the store's revision; that of one small item is the cheapest.
+    m_store.list(m_wiring.leaderKey, {},
+                 [this, usualPause, askedAt = BootClock::now()](const auto &result) {
+                     m_isProving = false;
+                     if (const auto *page = std::get_if<StoredPage>(&result)) {
+                         m_proof.answered(askedAt, page->asOf, m_mirror.asOf());
+                         m_proofWantedAt = present() + usualPause;
+                     } else {
+                         m_proofWantedAt = present() + std::min(ProveAgainAfter, usualPause);
+                     }
+                 });
+}
+
+Duration StateSync::questionWait() const
+{
+    return m_wiring.mostCopyAge ? std::min(QuestionWait, *m_wiring.mostCopyAge / QuestionsInAge)
+                                : QuestionWait;
+}
+
 void StateSync::pumpAnnouncer()
 {
     const auto call = m_announcer.nextCall(present());
@@ -359,18 +412,25 @@
             continue;
         }
         const ExchangeNumber exchange = it->first;
-        const std::uint64_t revision = it->second.revision;
+        const Question question = it->second;
         it = m_questions.erase(it);
         // A node that does not hear the store itself says nothing of use; the asker goes elsewhere.
-        m_wiring.answerPeer(exchange,
-                            hasNews || m_isCurrent ? encodeNews(m_mirror.newsSince(revision))
-                                                   : std::string());
+        m_wiring.answerPeer(exchange, hasNews || m_isCurrent ? newsSince(question) : std::string());
     }
 }
 
+std::string StateSync::newsSince(const Question &question) const
+{
+    const BootTime now = BootClock::now();
+    MirrorNews news = m_mirror.newsSince(question.revision);
+    news.age = m_proof.age(now);
+    news.held = now - question.arrived;
+    return encodeNews(news);
+}
+
 void StateSync::noteUpstream(const Upstream &upstream)
 {
-    const std::string name = upstream.peer.value_or("store");
+    const std::string name = upstream.peer.value_or(Store);
     if (name != m_upstream) {
         m_wiring.record("upstream", "from=" + name + " before=" + m_upstream);
         m_upstream = name;
--- a/src/edge/statesync.h
+++ b/src/edge/statesync.h
@@ -7,6 +7,7 @@
 #include "http/eventbase.h"
 #include "http/httpclient.h"
 #include "http/httpserver.h"
+#include "store/copyproof.h"
 #include "store/mirror.h"
 
 #include <functional>
@@ -32,6 +33,8 @@
         std::string leaderKey;
         std::string recordKey;
         std::string crashesPrefix;
+        /** The copy is kept proven to be no older than this; nothing: it is not proven. */
+        std::optional<Duration> mostCopyAge;
         /** An item was written, or is gone if it is null. */
         std::function<void(const std::string &key, const StoredItem *item)> changed;
         RecordHandler record;
@@ -50,6 +53,8 @@
     void leave();
     bool isKnown() const { return m_mirror.isKnown(); }
     std::uint64_t asOf() const { return m_mirror.asOf(); }
+    /** How old the copy may be by @p now, at the most; nothing: not known. */
+    std::optional<Duration> copyAge(BootTime now) const { return m_proof.age(now); }
     bool isAnnounced() const { return m_announcer.isAnnounced(); }
     bool holdsOrderRight() const { return m_leadership.isHeldByThis(); }
     /** This node has orders to give: its token holds once that is on record. */
@@ -73,6 +78,7 @@
         std::uint64_t leases = 0; ///< Granted and ended.
         std::uint64_t renewals = 0;
         std::uint64_t writes = 0;
+        std::uint64_t proofs = 0; ///< That the copy is up to date.
     };
     const StoreCalls &storeCalls() const { return m_calls; }
 
@@ -81,6 +87,7 @@
     {
         std::uint64_t revision = 0;
         TimePoint answerBy {};
+        BootTime arrived {};
     };
 
     void pump();
@@ -89,6 +96,9 @@
     void askPeer(const Upstream &upstream);
     void succeeded(const Upstream &upstream);
     void failed(const Upstream &upstream, StoreFault fault);
+    void pumpProof();
+    std::string newsSince(const Question &question) const;
+    Duration questionWait() const;
     void pumpAnnouncer();
     bool noteAnnouncement(const std::variant<StoreDone, StoreFault> &result);
     void pumpLeadership();
@@ -104,6 +114,10 @@
     Wiring m_wiring;
     EventHandle m_timer;
     Mirror m_mirror;
+    CopyProof m_proof;
+    TimePoint m_proofWantedAt {};
+    bool m_isProving = false;  ///< The store is being asked.
+    BootTime m_listAskedAt {}; ///< For the first page of the listing that is under way.
     UpstreamChoice m_choice;
     NodeAnnouncer m_announcer;
     Leadership m_leadership;
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -53,6 +53,8 @@
     ArrivedRequest arrived = m_dialect.readRequest(request.head);
     arrived.request = number;
     arrived.content = contentOf(request);
+    // Asked after the request was read, so that it cannot seem younger than what it is judged by.
+    arrived.copyAge = m_copyAge ? m_copyAge() : std::nullopt;
     OpenExchange exchange;
     exchange.callerId = arrived.callerId;
     exchange.request = std::move(request);
@@ -292,6 +294,13 @@
     }
 }
 
+void RequestRelay::run(const TellQuotaKeeper &effect)
+{
+    if (m_quotaHandler) {
+        m_quotaHandler(effect.message);
+    }
+}
+
 void RequestRelay::run(const ShareCrash &effect)
 {
     if (m_crashHandler) {
--- a/src/relay/requestrelay.h
+++ b/src/relay/requestrelay.h
@@ -22,6 +22,7 @@
 public:
     using RecordHandler = std::function<void(const dispatch::RecordDecision &)>;
     using SchedulerHandler = std::function<void(const scheduling::ToScheduler &)>;
+    using QuotaHandler = std::function<void(const quotas::ToKeeper &)>;
     using CrashHandler = std::function<void(const dispatch::ShareCrash &)>;
     using EndedHandler = std::function<void(const dispatch::RequestEnded &)>;
 
@@ -30,7 +31,11 @@
 
     void setRecordHandler(RecordHandler handler) { m_recordHandler = std::move(handler); }
     void setSchedulerHandler(SchedulerHandler handler) { m_schedulerHandler = std::move(handler); }
+    void setQuotaHandler(QuotaHandler handler) { m_quotaHandler = std::move(handler); }
     void setCrashHandler(CrashHandler handler) { m_crashHandler = std::move(handler); }
+    /** How old this node's copy of the desired state may be; nothing: not known. */
+    using CopyAge = std::function<std::optional<Duration>()>;
+    void setCopyAge(CopyAge copyAge) { m_copyAge = std::move(copyAge); }
     void setEndedHandler(EndedHandler handler) { m_endedHandler = std::move(handler); }
     std::optional<std::string> listenOn(const std::string &address);
     void setLimits(const CallerLimits &limits) { m_callers.setLimits(limits); }
@@ -80,6 +85,7 @@
     void run(const dispatch::BreakStream &effect);
     void run(const dispatch::RejectRequest &effect);
     void run(const dispatch::TellScheduler &effect);
+    void run(const dispatch::TellQuotaKeeper &effect);
     void run(const dispatch::ShareCrash &effect);
     void run(const dispatch::RecordDecision &effect);
     void run(const dispatch::RequestEnded &effect);
@@ -101,8 +107,10 @@
     std::map<CallNumber, OpenCall> m_answered;
     RecordHandler m_recordHandler;
     SchedulerHandler m_schedulerHandler;
+    QuotaHandler m_quotaHandler;
     CrashHandler m_crashHandler;
     EndedHandler m_endedHandler;
+    CopyAge m_copyAge;
 };
 
 } // namespace indigoway
--- a/src/routing/routetable.cpp
+++ b/src/routing/routetable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cstring>
 
 namespace indigoway {
 
@@ -12,6 +13,32 @@
         const Route &route = m_state.routes[i];
         m_hosts[route.host].byPrefix.emplace(route.prefix, i);
     }
+    for (std::size_t i = 0; i < m_state.organisations.size(); ++i) {
+        const Organisation &organisation = m_state.organisations[i];
+        m_organisations.emplace(organisation.name, i);
+        for (const KeyDigest &key : organisation.keys) {
+            m_keys.emplace(key, i);
+        }
+    }
+}
+
+std::size_t RouteTable::DigestHash::operator()(const KeyDigest &digest) const
+{
+    std::size_t hash = 0;
+    std::memcpy(&hash, digest.data(), sizeof hash);
+    return hash;
+}
+
+const Organisation *RouteTable::organisationWith(const KeyDigest &key) const
+{
+    const auto it = m_keys.find(key);
+    return it == m_keys.end() ? nullptr : &m_state.organisations[it->second];
+}
+
+const Organisation *RouteTable::organisation(const OrganisationName &name) const
+{
+    const auto it = m_organisations.find(name);
+    return it == m_organisations.end() ? nullptr : &m_state.organisations[it->second];
 }
 
 const Route *RouteTable::find(std::string_view host, std::string_view path) const
--- a/src/routing/routetable.h
+++ b/src/routing/routetable.h
@@ -23,8 +23,21 @@
     const Route *find(std::string_view host, std::string_view path) const;
     /** Null if the service is not declared. */
     const Service *service(const ServiceName &name) const;
+    /** Whether callers have to show a key, except on open routes. */
+    bool wantsKeys() const { return m_state.wantsKeys; }
+    const std::vector<Organisation> &organisations() const { return m_state.organisations; }
+    /** Null if no organisation holds that key. */
+    const Organisation *organisationWith(const KeyDigest &key) const;
+    /** Null if it is not declared. */
+    const Organisation *organisation(const OrganisationName &name) const;
 
 private:
+    /** A digest is as good as random; its first bytes will do. */
+    struct DigestHash
+    {
+        std::size_t operator()(const KeyDigest &digest) const;
+    };
+
     struct HostRoutes
     {
         std::unordered_map<std::string, std::size_t> byPrefix; ///< Index into the routes.
@@ -32,6 +45,8 @@
 
     RoutingState m_state;
     std::unordered_map<std::string, HostRoutes> m_hosts;
+    std::unordered_map<KeyDigest, std::size_t, DigestHash> m_keys; ///< Index of its organisation.
+    std::unordered_map<OrganisationName, std::size_t> m_organisations;
 };
 
 /**
--- a/src/scheduling/schedulercodec.cpp
+++ b/src/scheduling/schedulercodec.cpp
@@ -307,10 +307,9 @@
 }
 
 template <typename Message>
-std::optional<Datagram<Message>> decodeAny(const std::string &text,
-                                           std::optional<Message> (*read)(const Json::Value &))
+std::optional<Datagram<Message>> readAny(const Json::Value &value,
+                                         std::optional<Message> (*read)(const Json::Value &))
 {
-    const Json::Value value = parseJson(text);
     const auto from = senderOf(value);
     auto message = from ? read(value) : std::nullopt;
     if (!message) {
@@ -333,12 +332,22 @@
 
 std::optional<Datagram<ToScheduler>> decodeToScheduler(const std::string &text)
 {
-    return decodeAny<ToScheduler>(text, &readToScheduler);
+    return readDatagramToScheduler(parseJson(text));
 }
 
 std::optional<Datagram<FromScheduler>> decodeFromScheduler(const std::string &text)
 {
-    return decodeAny<FromScheduler>(text, &readFromScheduler);
+    return readDatagramFromScheduler(parseJson(text));
+}
+
+std::optional<Datagram<ToScheduler>> readDatagramToScheduler(const Json::Value &value)
+{
+    return readAny<ToScheduler>(value, &readToScheduler);
+}
+
+std::optional<Datagram<FromScheduler>> readDatagramFromScheduler(const Json::Value &value)
+{
+    return readAny<FromScheduler>(value, &readFromScheduler);
 }
 
 } // namespace indigoway::scheduling
--- a/src/scheduling/schedulercodec.h
+++ b/src/scheduling/schedulercodec.h
@@ -2,6 +2,8 @@
 
 #include "scheduling/schedulermessages.h"
 
+#include <json/json.h>
+
 #include <optional>
 #include <string>
 
@@ -26,5 +28,8 @@
 /** Nothing if @p text is no such message. */
 std::optional<Datagram<ToScheduler>> decodeToScheduler(const std::string &text);
 std::optional<Datagram<FromScheduler>> decodeFromScheduler(const std::string &text);
+/** As above, of text that has been parsed. */
+std::optional<Datagram<ToScheduler>> readDatagramToScheduler(const Json::Value &value);
+std::optional<Datagram<FromScheduler>> readDatagramFromScheduler(const Json::Value &value);
 
 } // namespace indigoway::scheduling
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -29,6 +29,8 @@
     std::uint64_t asOf = 0;
     bool isWhole = false; ///< All items there are; else only what has changed.
     std::vector<StoredChange> changes;
+    std::optional<Duration> age = {}; ///< Of the copy, as it was told; nothing: not known.
+    Duration held {};                 ///< From the question until then.
 };
 
 /**
@@ -64,6 +66,8 @@
     /** Changes with refresh(): results of calls from before it are not to be handed in. */
     std::uint64_t generation() const { return m_generation; }
 
+    /** Whether all items are being listed, or will be next. */
+    bool isListing() const { return m_mustList; }
     /** Whether all items are known as of some revision. */
     bool isKnown() const { return m_asOf > 0; }
     std::uint64_t asOf() const { return m_asOf; }
--- a/standins/sharedplatform.cpp
+++ b/standins/sharedplatform.cpp
@@ -244,6 +244,9 @@
     if (body.isObject() && body["down"].isBool()) {
         m_isDown = body["down"].asBool();
     }
+    if (body.isObject() && body["organisations"].isArray()) {
+        m_declared = body["organisations"];
+    }
     if (body.isObject() && body["version"].isUInt64()) {
         writeRouting(body["version"].asUInt64(), stringMember(body, "prefix"));
     }
@@ -266,9 +269,22 @@
     for (const auto &[id, runs] : m_runs) {
         answer["runs"][id] = runs;
     }
+    answer["ran_for"] = Json::objectValue;
+    for (const auto &[id, organisation] : m_organisations) {
+        answer["ran_for"][id] = organisation;
+    }
+    answer["keys_seen"] = m_keysSeen;
     reply(m_server, request, Ok, jsonText(answer));
 }
 
+void SharedPlatform::noteRun(const HttpRequest &request)
+{
+    const std::string id = request.header("Indigoway-Request-Id");
+    ++m_runs[id];
+    m_organisations[id] = request.header("Indigoway-Tenant-Id");
+    m_keysSeen += request.header("X-Api-Key").empty() ? 0 : 1;
+}
+
 void SharedPlatform::addWorker(const std::string &name, const std::string &phase)
 {
     auto worker = std::make_unique<Worker>();
@@ -357,7 +373,7 @@
             reply(server, request, ServiceUnavailable, "{}", {{"Indigoway-Not-Executed", "1"}});
             return;
         }
-        ++m_runs[id];
+        noteRun(request);
         if (crashes(request)) {
             crash(worker);
             return;
@@ -367,7 +383,7 @@
         server.startStream(request.exchange, Ok, headers);
         stream(worker, request, worker.lives, 1);
     } else {
-        ++m_runs[id];
+        noteRun(request);
         if (crashes(request)) {
             crash(worker);
             return;
@@ -426,6 +442,13 @@
         plain["prefix"] = extraPrefix;
         state["routes"].append(plain);
     }
+    if (!m_declared.isNull()) {
+        state["tenants"] = m_declared;
+        plain["name"] = "open";
+        plain["prefix"] = "/open/";
+        plain["public"] = true;
+        state["routes"].append(plain);
+    }
     Json::Value web;
     web["name"] = "web";
     Json::Value llm;
--- a/standins/sharedplatform.h
+++ b/standins/sharedplatform.h
@@ -5,6 +5,8 @@
 
 #include <indigoway/ids.h>
 
+#include <json/json.h>
+
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -91,6 +93,8 @@
     void work(Worker &worker, const HttpRequest &request);
     void stream(Worker &worker, const HttpRequest &request, std::uint64_t life, int event);
     void writeRouting(std::uint64_t version, const std::string &extraPrefix);
+    /** A server runs @p request: for whom, and with what that it should not have got. */
+    void noteRun(const HttpRequest &request);
     void reply(HttpServer &server, const HttpRequest &request, int status, const std::string &body,
                HttpHeaders headers = {});
 
@@ -104,8 +108,11 @@
     std::vector<Watch> m_watches;
     std::map<std::uint64_t, Lease> m_leases;
     std::vector<std::unique_ptr<Worker>> m_workers;
-    std::map<std::string, std::uint32_t> m_runs; ///< By a caller's id.
-    std::set<std::string> m_held;                ///< Reservations and handles not given back.
+    std::map<std::string, std::uint32_t> m_runs;        ///< By a caller's id.
+    std::map<std::string, std::string> m_organisations; ///< That it ran for, by a caller's id.
+    std::uint32_t m_keysSeen = 0;                       ///< Requests that came with their key.
+    Json::Value m_declared;                             ///< Organisations of the desired state.
+    std::set<std::string> m_held; ///< Reservations and handles not given back.
     std::uint64_t m_lastHold = 0;
     std::uint32_t m_crashes = 0;
     std::vector<std::string> m_announced;
--- a/tests/dispatch/dispatchplay.h
+++ b/tests/dispatch/dispatchplay.h
@@ -18,8 +18,8 @@
 class DispatchPlay
 {
 public:
-    DispatchPlay()
-        : m_dispatcher({DomainName("d1"), RetryBounds {}}, at(-60'000))
+    explicit DispatchPlay(std::optional<Duration> mostCopyAge = {}, quotas::QuotaBounds quotas = {})
+        : m_dispatcher({DomainName("d1"), RetryBounds {}, mostCopyAge, quotas}, at(-60'000))
     {
         m_dispatcher.setNodes(4, at(-30'000));
     }
@@ -59,7 +59,8 @@
     }
 
     /** Routes "plain" (of @p repetition), "stream" and "resumable"; services web and llm. */
-    void useRoutes(Repetition repetition = Repetition::AtMostOnce)
+    void useRoutes(Repetition repetition = Repetition::AtMostOnce,
+                   std::vector<Organisation> organisations = {})
     {
         RoutingState state;
         state.version = 1;
@@ -72,6 +73,8 @@
         llm.engine = EngineTraits {64, 50'000, std::chrono::milliseconds(500),
                                    std::chrono::milliseconds(2000)};
         state.services[llm.name] = llm;
+        state.wantsKeys = !organisations.empty();
+        state.organisations = std::move(organisations);
         m_dispatcher.setRoutes(std::make_shared<const RouteTable>(std::move(state)));
     }
 
@@ -92,6 +95,25 @@
     /** @p content: what it asks for; empty: something that no other request asks for. */
     RequestNumber arrive(int milliseconds, const std::string &host, std::uint32_t tokens = 0,
                          std::optional<Duration> patience = {}, const std::string &content = {})
+    {
+        return arrive(milliseconds, host, tokens, patience, content, {}, {});
+    }
+
+    /** By a caller who shows @p key, while the node's copy may be @p copyAge old. */
+    RequestNumber arriveWithKey(int milliseconds, const std::string &host,
+                                const std::optional<std::string> &key,
+                                std::optional<Duration> copyAge, std::uint32_t tokens = 0)
+    {
+        Credentials credentials;
+        if (key) {
+            credentials.key = digestOf(*key);
+        }
+        return arrive(milliseconds, host, tokens, {}, {}, credentials, copyAge);
+    }
+
+    RequestNumber arrive(int milliseconds, const std::string &host, std::uint32_t tokens,
+                         std::optional<Duration> patience, const std::string &content,
+                         const Credentials &credentials, std::optional<Duration> copyAge)
     {
         ArrivedRequest request;
         request.request = RequestNumber(++m_lastRequest);
@@ -103,6 +125,8 @@
             patience.value_or(std::chrono::milliseconds(host == "plain" ? 1000 : 14'000));
         request.promptTokens = tokens;
         request.mostOutputTokens = tokens == 0 ? 0 : 500;
+        request.credentials = credentials;
+        request.copyAge = copyAge;
         reduce(milliseconds, request);
         return request.request;
     }
@@ -116,6 +140,8 @@
                 m_abandoned.push_back(abandoned->call);
             } else if (const auto *told = std::get_if<TellScheduler>(&effect)) {
                 m_told.push_back(told->message);
+            } else if (const auto *asked = std::get_if<TellQuotaKeeper>(&effect)) {
+                m_toldKeeper.push_back(asked->message);
             } else if (const auto *shared = std::get_if<ShareCrash>(&effect)) {
                 m_shared.push_back(*shared);
             } else if (const auto *recorded = std::get_if<RecordDecision>(&effect)) {
@@ -124,6 +150,7 @@
                 m_ends[rejected->request] = rejected->retryAfter
                     ? "rejected"
                     : "failed " + std::to_string(rejected->status);
+                m_statuses[rejected->request] = rejected->status;
             } else if (const auto *delivered = std::get_if<DeliverAnswer>(&effect)) {
                 m_ends[delivered->request] = "delivered";
             } else if (const auto *ended = std::get_if<EndStream>(&effect)) {
@@ -213,6 +240,16 @@
         return it == m_ends.end() ? "open" : it->second;
     }
 
+    /** Of a request that the system itself has answered; 0 if it has not. */
+    int status(RequestNumber request) const
+    {
+        const auto it = m_statuses.find(request);
+        return it == m_statuses.end() ? 0 : it->second;
+    }
+
+    /** What the keeper of the quotas was told since this was asked last. */
+    std::vector<quotas::ToKeeper> takeToldKeeper() { return std::exchange(m_toldKeeper, {}); }
+
     /** Details of the log lines of @p kind, so far. */
     const std::vector<std::string> &recorded(const std::string &kind) { return m_recorded[kind]; }
 
@@ -233,7 +270,9 @@
     std::deque<StartCall> m_calls;
     std::deque<scheduling::ToScheduler> m_told;
     std::vector<CallNumber> m_abandoned;
+    std::vector<quotas::ToKeeper> m_toldKeeper;
     std::map<RequestNumber, std::string> m_ends;
+    std::map<RequestNumber, int> m_statuses;
     std::map<std::string, std::vector<std::string>> m_recorded;
     std::vector<ShareCrash> m_shared;
 };
--- a/tests/edge/edgemetricstest.cpp
+++ b/tests/edge/edgemetricstest.cpp
@@ -9,6 +9,7 @@
 {
     CPPUNIT_TEST_SUITE(EdgeMetricsTest);
     CPPUNIT_TEST(countsRequestsByOutcome);
+    CPPUNIT_TEST(countsByOrganisationWithinBounds);
     CPPUNIT_TEST(bucketsAddUp);
     CPPUNIT_TEST_SUITE_END();
 
@@ -30,6 +31,23 @@
         expect(text, "indigoway_requests_open 7\n");
     }
 
+    void countsByOrganisationWithinBounds()
+    {
+        EdgeMetrics metrics;
+        RequestEnded ended;
+        ended.outcome = RequestOutcome::OverQuota;
+        ended.organisation = OrganisationName("a \"b\"");
+        metrics.add(ended);
+        expect(metrics.text({}),
+               "indigoway_organisation_requests_total{organisation=\"a "
+               "\\\"b\\\"\",outcome=\"over_quota\"} 1\n");
+        for (int i = 0; i < 12'000; ++i) {
+            ended.organisation = OrganisationName(std::to_string(i));
+            metrics.add(ended);
+        }
+        expect(metrics.text({}), "organisation=\"(others)\",outcome=\"over_quota\"} 2001\n");
+    }
+
     void bucketsAddUp()
     {
         EdgeMetrics metrics;
--- a/tests/platform/platformdialecttest.cpp
+++ b/tests/platform/platformdialecttest.cpp
@@ -65,6 +65,11 @@
     CPPUNIT_TEST(callersCannotSetTheSystemsHeaders);
     CPPUNIT_TEST(spellsTheCallsOfAGeneration);
     CPPUNIT_TEST(spellsAnOrder);
+    CPPUNIT_TEST(aKeyGoesNoFurtherThanItsDigest);
+    CPPUNIT_TEST(whatIsNoKeyIsNobodys);
+    CPPUNIT_TEST(serversLearnTheOrganisationFromTheSystemOnly);
+    CPPUNIT_TEST(readsOrganisations);
+    CPPUNIT_TEST(organisationsThatCannotBeReadOpenNothing);
     CPPUNIT_TEST(goesOnAfterTheLastEvent);
     CPPUNIT_TEST(tellsAnAnswerFromAnother);
     CPPUNIT_TEST(readsGrants);
@@ -167,6 +172,94 @@
         CPPUNIT_ASSERT_EQUAL(std::string("i-1"), headerOf(request, "Indigoway-Expect-Instance"));
     }
 
+    void aKeyGoesNoFurtherThanItsDigest()
+    {
+        CallerRequest origin = callerRequest();
+        CPPUNIT_ASSERT(!m_dialect.readRequest(origin.head).credentials.key);
+        origin.head.headers.emplace_back("x-api-key", "secret");
+        CPPUNIT_ASSERT(m_dialect.readRequest(origin.head).credentials.key == digestOf("secret"));
+        for (const CallKind kind :
+             {CallKind::Plain, CallKind::Prefill, CallKind::Decode, CallKind::Whole}) {
+            for (const auto &[name, value] :
+                 m_dialect.writeCall(callOf(kind), &origin, {}).headers) {
+                CPPUNIT_ASSERT(value != "secret");
+            }
+        }
+    }
+
+    void whatIsNoKeyIsNobodys()
+    {
+        for (const std::vector<std::string> &keys : std::vector<std::vector<std::string>> {
+                 {""}, {"a b"}, {"a,b"}, {"a", "a"}, {"a", "b"}, {"", "a"}}) {
+            CallerRequest origin = callerRequest();
+            for (const std::string &key : keys) {
+                origin.head.headers.emplace_back("X-Api-Key", key);
+            }
+            CPPUNIT_ASSERT(m_dialect.readRequest(origin.head).credentials.key == digestOf(""));
+        }
+    }
+
+    // A caller names another organisation, to be served on its behalf. Servers hear only of the
+    // one whose key was shown, in each call that carries the request's bytes.
+    void serversLearnTheOrganisationFromTheSystemOnly()
+    {
+        CallerRequest origin = callerRequest();
+        origin.head.headers.emplace_back("indigoway-tenant-id", "forged");
+        for (const CallKind kind :
+             {CallKind::Plain, CallKind::Prefill, CallKind::Decode, CallKind::Whole}) {
+            StartCall call = callOf(kind);
+            CPPUNIT_ASSERT_EQUAL(
+                std::string("none"),
+                headerOf(m_dialect.writeCall(call, &origin, {}), "Indigoway-Tenant-Id"));
+            call.organisation = OrganisationName("o1");
+            CPPUNIT_ASSERT_EQUAL(
+                std::string("o1"),
+                headerOf(m_dialect.writeCall(call, &origin, {}), "Indigoway-Tenant-Id"));
+        }
+    }
+
+    void readsOrganisations()
+    {
+        const auto decoded = m_codec.decodeRouting(R"({"version":7,
+            "routes":[{"name":"r","host":"h","prefix":"/","kind":"idempotent","public":true}],
+            "tenants":[
+             {"name":"o1","api_keys":["k1","k2"],"priority":0,"unit":"token_stream",
+              "plain_tokens":200,"rate_per_s":114208,"burst":57000},
+             {"name":"o2","api_keys":["k3"],"rate_per_s":5,"burst":9},
+             {"name":"o3","api_keys":[],"rate_per_s":0,"burst":9}]})");
+        const auto &state = std::get<RoutingState>(decoded);
+        CPPUNIT_ASSERT(state.wantsKeys && state.routes.at(0).isOpen);
+        const Organisation &first = state.organisations.at(0);
+        CPPUNIT_ASSERT(first.keys == (std::vector<KeyDigest> {digestOf("k1"), digestOf("k2")}));
+        CPPUNIT_ASSERT_EQUAL(0U, *first.priority);
+        CPPUNIT_ASSERT((*first.quota == Quota {114'208, 57'000, QuotaUnit::Tokens, 200}));
+        const Organisation &second = state.organisations.at(1);
+        CPPUNIT_ASSERT((*second.quota == Quota {5, 9, QuotaUnit::Requests, 1}));
+        CPPUNIT_ASSERT(!second.priority);
+        CPPUNIT_ASSERT(!state.organisations.at(2).quota);
+        const auto none = m_codec.decodeRouting(R"({"version":7,"routes":[]})");
+        CPPUNIT_ASSERT(!std::get<RoutingState>(none).wantsKeys);
+    }
+
+    // The organisations have another form than expected. Taken for none at all, they would let
+    // everybody in.
+    void organisationsThatCannotBeReadOpenNothing()
+    {
+        for (const char *organisations :
+             {R"([7])", R"([{"name":3}])", R"([{"name":"o","api_keys":"k"}])",
+              R"([{"name":"o","api_keys":[7,"",null],"rate_per_s":"x","burst":[],"priority":-1}])",
+              R"([{"name":"o","rate_per_s":1e308,"burst":1e308,"plain_tokens":-4}])"}) {
+            const auto decoded = m_codec.decodeRouting(
+                std::string(R"({"version":7,"routes":[],"tenants":)") + organisations + "}");
+            const auto &state = std::get<RoutingState>(decoded);
+            CPPUNIT_ASSERT(state.wantsKeys);
+            for (const Organisation &organisation : state.organisations) {
+                CPPUNIT_ASSERT(organisation.keys.empty());
+                CPPUNIT_ASSERT(!organisation.quota || organisation.quota->perSecond < 1e16);
+            }
+        }
+    }
+
     void goesOnAfterTheLastEvent()
     {
         CallerRequest origin = callerRequest();
--- a/tests/processes/edgecommon.sh
+++ b/tests/processes/edgecommon.sh
@@ -6,11 +6,12 @@
 # listening NODE FIELD PATTERN: an address out of the node's log.
 listening() { grep -o "$2" "$RUN/$1.out" | head -1 | grep -o '127.0.0.1:[0-9]*'; }
 
+EDGE_FLAGS=() # Further settings of the nodes.
 start_edge() {
     empty_output "$1"
     "$BUILD/indigoway-edge" --node="$1" --domain=hall-a --callers=127.0.0.1:0 --readiness=127.0.0.1:0 \
         --directory=127.0.0.1:0 --control=127.0.0.1:0 --metrics=127.0.0.1:0 --scheduling=127.0.0.1:0 \
-        --store="${ADDRESSES[platform]}" >"$RUN/$1.out" 2>&1 &
+        --store="${ADDRESSES[platform]}" "${EDGE_FLAGS[@]}" >"$RUN/$1.out" 2>&1 &
     PIDS[$1]=$!
     wait_for "$1 to start" grep -q '"kind":"start"' "$RUN/$1.out" || fail "$1 does not start"
     ADDRESSES[$1.callers]=$(listening "$1" '"callers":"[^"]*"')
--- /dev/null
+++ b/tests/quotas/quotacodectest.cpp
@@ -0,0 +1,100 @@
+#include "quotas/quotacodec.h"
+
+#include "core/jsontext.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace indigoway;
+using namespace indigoway::quotas;
+
+namespace {
+
+NodeLife life()
+{
+    return {NodeName("n1"), Incarnation(17)};
+}
+
+void checkTold(ToKeeper message)
+{
+    const Datagram<ToKeeper> datagram {life(), std::move(message)};
+    const Json::Value value = parseJson(encode(datagram));
+    CPPUNIT_ASSERT(readToKeeper(value) == datagram);
+    CPPUNIT_ASSERT(!readFromKeeper(value));
+    CPPUNIT_ASSERT(!scheduling::readDatagramToScheduler(value));
+    CPPUNIT_ASSERT(!scheduling::readDatagramFromScheduler(value));
+}
+
+void checkAnswered(FromKeeper message)
+{
+    const Datagram<FromKeeper> datagram {life(), std::move(message)};
+    const Json::Value value = parseJson(encode(datagram));
+    CPPUNIT_ASSERT(readFromKeeper(value) == datagram);
+    CPPUNIT_ASSERT(!readToKeeper(value));
+}
+
+} // namespace
+
+class QuotaCodecTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(QuotaCodecTest);
+    CPPUNIT_TEST(messagesComeBackAsTheyWere);
+    CPPUNIT_TEST(brokenDatagramsAreNothing);
+    CPPUNIT_TEST(noDatagramOfAnyShapeStopsTheNode);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void messagesComeBackAsTheyWere()
+    {
+        checkTold(UsageTold {Incarnation(4), 9, true, {}});
+        checkTold(UsageTold {Incarnation(4),
+                             9,
+                             false,
+                             {{OrganisationName("a"), 3700.5}, {OrganisationName("b"), -1}}});
+        checkTold(QuotaAsked {QuotaAskId(3), OrganisationName("a"), 3700});
+        checkAnswered(StandingTold {{OrganisationName("a"), OrganisationName("b")}});
+        checkAnswered(StandingTold {});
+        checkAnswered(QuotaAnswered {QuotaAskId(3), true, Duration(0)});
+        checkAnswered(QuotaAnswered {QuotaAskId(3), false, std::chrono::milliseconds(70)});
+    }
+
+    void brokenDatagramsAreNothing()
+    {
+        const std::string whole = encode(
+            Datagram<ToKeeper> {life(), QuotaAsked {QuotaAskId(3), OrganisationName("a"), 1}});
+        for (std::size_t length = 0; length < whole.size(); ++length) {
+            CPPUNIT_ASSERT(!readToKeeper(parseJson(whole.substr(0, length))));
+        }
+        for (const char *text :
+             {R"({"kind":"quota_asked","node":"n","ask":0,"organisation":"a","units":1})",
+              R"({"kind":"quota_asked","node":"n","ask":1,"organisation":"","units":1})",
+              R"({"kind":"quota_asked","node":"n","ask":1,"organisation":"a","units":-1})",
+              R"({"kind":"quota_asked","node":"n","ask":1,"organisation":"a","units":1e300})",
+              R"({"kind":"quota_asked","node":"","ask":1,"organisation":"a","units":1})",
+              R"({"kind":"quota_used","node":"n","used":{"organisation":"a"}})",
+              R"({"kind":"quota_used","node":"n","used":[{"organisation":"a","units":-1e300}]})",
+              R"([])", R"(7)"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, !readToKeeper(parseJson(text)));
+        }
+    }
+
+    void noDatagramOfAnyShapeStopsTheNode()
+    {
+        const bool isTrue = rc::check([] {
+            Json::Value value = parseJson(encode(Datagram<ToKeeper> {
+                life(), UsageTold {Incarnation(4), 9, true, {{OrganisationName("a"), 3}}}}));
+            value["kind"] = *rc::gen::element("quota_used", "quota_asked", "quota_standing",
+                                              "quota_answer", "claim");
+            const auto names = value.getMemberNames();
+            const auto name = names[*rc::gen::inRange<std::size_t>(0, names.size())];
+            value[name] = *rc::gen::element(Json::Value(-1.5), Json::Value("text"),
+                                            Json::Value(Json::arrayValue), Json::Value(true),
+                                            Json::Value(1e300), Json::Value());
+            (void)readToKeeper(value);
+            (void)readFromKeeper(value);
+        });
+        CPPUNIT_ASSERT(isTrue);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QuotaCodecTest);
--- /dev/null
+++ b/tests/quotas/quotafleet.h
@@ -0,0 +1,283 @@
+#pragma once
+
+#include "quotas/quotagate.h"
+#include "quotas/quotakeeper.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace indigoway::quotas {
+
+/**
+ * Nodes with their parts in keeping quotas, in virtual time: datagrams take a few milliseconds and
+ * may be lost, nodes die, are started again and are cut off, and learn late who is there.
+ */
+class QuotaFleet
+{
+public:
+    struct Settings
+    {
+        std::size_t nodes = 8;
+        Quota quota;
+        QuotaBounds bounds;
+        double lost = 0; ///< Of the datagrams.
+        std::uint64_t seed = 1;
+    };
+
+    explicit QuotaFleet(Settings settings)
+        : m_settings(settings)
+        , m_random(settings.seed)
+        , m_routes(tableOf(settings.quota))
+    {
+        for (std::size_t node = 0; node < settings.nodes; ++node) {
+            m_nodes.push_back({});
+            start(node);
+        }
+        spreadNews();
+    }
+
+    static RouteTable tableOf(const Quota &quota)
+    {
+        RoutingState state;
+        state.version = 1;
+        state.wantsKeys = true;
+        Organisation organisation;
+        organisation.name = OrganisationName("o");
+        organisation.quota = quota;
+        state.organisations = {organisation};
+        return RouteTable(std::move(state));
+    }
+
+    void setQuota(const Quota &quota)
+    {
+        m_settings.quota = quota;
+        m_routes = tableOf(quota);
+    }
+
+    TimePoint now() const { return TimePoint {} + std::chrono::hours(1) + m_now; }
+    double seconds() const { return std::chrono::duration<double>(m_now).count(); }
+
+    void kill(std::size_t node) { m_nodes[node].isUp = false; }
+    void start(std::size_t node)
+    {
+        Node &one = m_nodes[node];
+        one.isUp = true;
+        one.life = Incarnation(++m_lives);
+        one.gate = std::make_unique<QuotaGate>(m_settings.bounds);
+        one.gate->setWanted(true);
+        one.keeper = std::make_unique<QuotaKeeper>(one.life);
+        one.waiting.clear();
+    }
+    void cut(std::size_t node, bool isCut) { m_nodes[node].isCut = isCut; }
+    std::size_t size() const { return m_nodes.size(); }
+
+    /** All nodes that the store reaches know who is there, and so who keeps the quotas. */
+    void spreadNews()
+    {
+        std::uint32_t known = 0;
+        std::optional<std::size_t> keeper;
+        for (std::size_t node = 0; node < m_nodes.size(); ++node) {
+            if (m_nodes[node].isUp && !m_nodes[node].isCut) {
+                ++known;
+                keeper = keeper.value_or(node);
+            }
+        }
+        for (Node &node : m_nodes) {
+            if (node.isUp && !node.isCut) {
+                node.known = known;
+                node.keeperIndex = keeper;
+                node.gate->setNodes(known);
+                node.gate->setKeeper(keeper ? std::optional(nameOf(*keeper)) : std::nullopt);
+            }
+        }
+    }
+
+    /** A caller's request of @p units comes to @p node. */
+    void request(std::size_t node, double units)
+    {
+        Node &one = m_nodes[node];
+        if (!one.isUp) {
+            return;
+        }
+        const QuotaAskId ask(++m_asks);
+        QuotaGate::Messages messages;
+        const auto decision =
+            one.gate->decide(now(), ask, OrganisationName("o"), m_settings.quota, units, messages);
+        send(node, std::move(messages));
+        ++m_requests;
+        if (decision.kind == QuotaDecision::Kind::Passed) {
+            pass(units);
+        } else if (decision.kind == QuotaDecision::Kind::Asked) {
+            one.waiting[ask] = units;
+        }
+    }
+
+    void run(Duration duration)
+    {
+        const Duration end = m_now + duration;
+        for (; m_now < end; m_now += std::chrono::milliseconds(1)) {
+            deliver();
+            for (std::size_t node = 0; node < m_nodes.size(); ++node) {
+                if (m_nodes[node].isUp) {
+                    tick(node);
+                }
+            }
+        }
+    }
+
+    double passed() const { return m_passed; }
+    /** The most that has passed in any window of @p seconds. */
+    double mostInWindow(double seconds) const
+    {
+        double most = 0;
+        double sum = 0;
+        std::size_t first = 0;
+        for (std::size_t last = 0; last < m_passes.size(); ++last) {
+            sum += m_passes[last].second;
+            while (m_passes[last].first - m_passes[first].first > seconds) {
+                sum -= m_passes[first++].second;
+            }
+            most = std::max(most, sum);
+        }
+        return most;
+    }
+    double mostAllowed() const
+    {
+        const double window = std::chrono::duration<double>(m_settings.bounds.window).count();
+        return (m_settings.quota.perSecond * window + m_settings.quota.burst)
+            * (1 + m_settings.bounds.over)
+            + m_settings.bounds.slack;
+    }
+
+private:
+    struct Node
+    {
+        bool isUp = false;
+        bool isCut = false; ///< From the other nodes and the store; callers reach it.
+        Incarnation life;
+        std::uint32_t known = 0;
+        std::optional<std::size_t> keeperIndex;
+        std::unique_ptr<QuotaGate> gate;
+        std::unique_ptr<QuotaKeeper> keeper;
+        std::map<QuotaAskId, double> waiting;
+    };
+    struct Datagram
+    {
+        Duration at {};
+        std::size_t from = 0;
+        std::size_t to = 0;
+        std::variant<ToKeeper, FromKeeper> message;
+    };
+
+    static NodeName nameOf(std::size_t node) { return NodeName(std::to_string(node)); }
+
+    void pass(double units)
+    {
+        m_passed += units;
+        m_passes.emplace_back(seconds(), units);
+    }
+
+    void send(std::size_t node, QuotaGate::Messages messages)
+    {
+        for (ToKeeper &message : messages) {
+            if (m_nodes[node].keeperIndex) {
+                post(node, *m_nodes[node].keeperIndex, std::move(message));
+            }
+        }
+    }
+
+    template <typename Message>
+    void post(std::size_t from, std::size_t to, Message message)
+    {
+        const bool isApart = from != to && (m_nodes[from].isCut || m_nodes[to].isCut);
+        const bool isLost = std::uniform_real_distribution<>(0, 1)(m_random) < m_settings.lost;
+        if (!isApart && !isLost) {
+            const auto delay = std::uniform_int_distribution<>(1, 4)(m_random);
+            m_datagrams.push_back(
+                {m_now + std::chrono::milliseconds(delay), from, to, std::move(message)});
+        }
+    }
+
+    void deliver()
+    {
+        std::deque<Datagram> due;
+        std::erase_if(m_datagrams, [&](Datagram &one) {
+            const bool isDue = one.at <= m_now;
+            if (isDue) {
+                due.push_back(std::move(one));
+            }
+            return isDue;
+        });
+        for (const Datagram &one : due) {
+            Node &to = m_nodes[one.to];
+            if (!to.isUp) {
+                continue;
+            }
+            if (const auto *question = std::get_if<ToKeeper>(&one.message)) {
+                const QuotaKeeper::View view {m_routes, to.known};
+                const NodeLife from {nameOf(one.from), m_nodes[one.from].life};
+                for (KeeperReply &reply : to.keeper->handle(now(), view, from, *question)) {
+                    post(one.to, std::stoul(reply.to.text()), std::move(reply.message));
+                }
+            } else {
+                answered(one);
+            }
+        }
+    }
+
+    void answered(const Datagram &one)
+    {
+        Node &node = m_nodes[one.to];
+        if (node.keeperIndex != one.from) {
+            return;
+        }
+        QuotaGate::Messages messages;
+        const auto verdict = node.gate->answered(now(), std::get<FromKeeper>(one.message),
+                                                 m_nodes[one.from].life, messages);
+        send(one.to, std::move(messages));
+        if (verdict) {
+            decided(node, *verdict);
+        }
+    }
+
+    void decided(Node &node, const QuotaVerdict &verdict)
+    {
+        const auto it = node.waiting.find(verdict.ask);
+        if (it != node.waiting.end() && verdict.isGranted) {
+            pass(it->second);
+        }
+        node.waiting.erase(verdict.ask);
+    }
+
+    void tick(std::size_t node)
+    {
+        Node &one = m_nodes[node];
+        const auto next = one.gate->nextTick();
+        if (!next || *next > now()) {
+            return;
+        }
+        QuotaGate::Messages messages;
+        const auto verdicts = one.gate->tick(now(), messages);
+        send(node, std::move(messages));
+        for (const QuotaVerdict &verdict : verdicts) {
+            decided(one, verdict);
+        }
+    }
+
+    Settings m_settings;
+    std::mt19937_64 m_random;
+    RouteTable m_routes;
+    Duration m_now {};
+    std::vector<Node> m_nodes;
+    std::deque<Datagram> m_datagrams;
+    std::uint64_t m_lives = 0;
+    std::uint64_t m_asks = 0;
+    std::uint64_t m_requests = 0;
+    double m_passed = 0;
+    std::vector<std::pair<double, double>> m_passes; ///< Seconds, units.
+};
+
+} // namespace indigoway::quotas
