--- a/scripts/worst-load.py
+++ b/scripts/worst-load.py
@@ -29,13 +29,14 @@
     return [name for block in text.split("[[day]]")[1:] for name in re.findall(r'^name = "(.+)"', block, re.M)[:1]]
 
 
-def play(bench, site, day, seed, options, folder):
-    """Plays one day; the report, or None if it could not be played."""
+def play(bench, site, day, seed, options, folder, repository=None):
+    """Plays one day of the code in @p repository (else in this folder); the report, or None if it
+    could not be played."""
     report = pathlib.Path(folder) / f"{pathlib.Path(day).stem}-{seed}.json"
     command = [bench, "run", site, day, "--seed", str(seed), "--report", str(report), "--why", options.why]
     if not options.cpu:
         command.append("--no-cpu")
-    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    done = subprocess.run(command, cwd=repository, capture_output=True, text=True, check=False)
     if not report.exists():
         print(f"{day} seed {seed} was not played: {done.stdout[-300:]} {done.stderr[-300:]}")
         return None
