--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -98,8 +98,8 @@
         + request.route->name.text() + " routes_version=" + std::to_string(request.table->version())
         + " stage=" + nameOf(request.stage) + " age_ms="
         + millisecondsText(step.now - request.arrived) + " runs=" + std::to_string(request.runs)
-        + " organisation=" + (request.organisation ? request.organisation->name.text() : "-")
-        + " server=" + request.server.text() + " content=" + request.facts.content.text();
+        + " server=" + request.server.text() + " content=" + request.facts.content.text()
+        + " organisation=" + (request.organisation ? request.organisation->name.text() : "-");
     if (request.isGeneration()) {
         text += std::string(request.isComingBack ? " caller=coming_back" : " caller=fresh")
             + " patience_ms="
--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -20,7 +20,7 @@
  * another node's question is held. Together they leave half of it for what fails on the way: a
  * node that fell silent, and the next one that is asked.
  */
-constexpr int ProofsInAge = 4;
+constexpr int ProofsInAge = 3;
 constexpr int QuestionsInAge = 5;
 /** After a proof that could not be had; short, since nobody is served for a key without one. */
 constexpr Duration ProveAgainAfter = std::chrono::milliseconds(300);
