Let the soak take keys away and send more than a quota; show both in the demo

The soak's nodes serve two organisations: keys of one are replaced while faults strike, the other sends without pause. Checked: nothing runs under a key two seconds after it went, no 401 for a good one, no 429 without a quota, no more runs than the bound, the right organisation named, no key at a server.

--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,6 @@
 	git ls-files 'src/*.cpp' 'platform/*.cpp' 'standins/*.cpp' 'bench/*.cpp' | xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD)
 
 # make bench, or one part: make bench PART=policy
-PART ?= relay policy capacity
+PART ?= relay policy capacity keys
 bench: build
 	for part in $(PART); do BUILD=$(BUILD) bash bench/$$part.sh || exit 1; done
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -55,5 +55,7 @@
     echo
 done
 cli show changes
+echo "== organisations, on two nodes of indigoway-edge: a key taken away, and a quota"
+bash scripts/demo-organisations.sh || RESULT=1
 [ "$RESULT" = 0 ] && echo "== demo passed" || { echo "== demo FAILED"; tail -5 "$RUN"/*.out; }
 exit "$RESULT"
--- a/tests/processes/edgecommon.sh
+++ b/tests/processes/edgecommon.sh
@@ -1,5 +1,5 @@
 # Shared by the tests of indigoway-edge: nodes on a stand-in of the platform, which is started here.
-. "$(dirname "$0")/common.sh"
+. "$(dirname "${BASH_SOURCE[0]}")/common.sh"
 
 start_standin platform indigoway-sharedplatform || fail "no platform"
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -24,6 +24,7 @@
         self.events = None  # Of a stream that was answered.
         self.is_whole = False
         self.is_stream = False
+        self.key = None  # That the caller showed.
         self.problem = None  # A broken promise that shows in the answer itself.
 
 
@@ -50,8 +51,11 @@
 
     _numbers = itertools.count(1)
 
-    def __init__(self, name, node, random, clock):
+    def __init__(self, name, node, random, clock, organisations, key=None):
+        """@p key: the one it shows always; else one that is good, or was."""
         self.name = name
+        self.organisations = organisations
+        self.key = key
         self.node = node
         self.random = random
         self.clock = clock
@@ -64,9 +68,16 @@
             await asyncio.sleep(self.random.uniform(0.01, 0.1))
         self._drop()
 
-    async def request(self, is_stream):
+    async def run_without_pause(self, until):
+        while self.clock() < until:
+            await self.request(False)
+            await asyncio.sleep(0.005)
+        self._drop()
+
+    async def request(self, is_stream, key=None):
         outcome = Outcome(f"{self.name}-{next(self._numbers)}", self.node, self.node.lives, self.clock())
         outcome.is_stream = is_stream
+        outcome.key = key or self.key or self.organisations.pick(self.random)
         patience = STREAM_PATIENCE_S if is_stream else PLAIN_PATIENCE_S
         try:
             await asyncio.wait_for(self._exchange(outcome, patience), patience + ANSWER_SLACK_S)
@@ -93,6 +104,7 @@
             f"Indigoway-Request-Id: {outcome.id}",
             f"Indigoway-Request-Deadline: {int(patience * 1000)}",
             f"Content-Length: {len(body)}",
+            f"X-Api-Key: {outcome.key}",
         ]
         if outcome.is_stream:
             head += ["Indigoway-Token-Count: 1000,100", "Indigoway-Model-Id: m"]
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,7 +10,8 @@
 class Faults:
     """Strikes at random and remembers which nodes were touched, and when."""
 
-    def __init__(self, random, clock, platform, nodes, log):
+    def __init__(self, random, clock, platform, nodes, organisations, log):
+        self.organisations = organisations
         self.random = random
         self.clock = clock
         self.platform = platform
@@ -22,7 +23,7 @@
         self._kinds = [
             self.kill, self.kill, self.leave, self.pause, self.pause, self.herd_kill,
             self.store_link, self.store_link, self.caller_link, self.worker_link, self.worker_link,
-            self.outage, self.change,
+            self.outage, self.change, self.revoke, self.revoke,
         ]
 
     async def run(self, until):
@@ -115,6 +116,9 @@
         await asyncio.sleep(self.random.uniform(0.3, 4.0))
         await self.platform.control({"down": False})
 
+    async def revoke(self, _):
+        await self.organisations.replace_key(self.platform)
+
     async def change(self, _):
         self.platform.version += self.random.randint(1, 3)
         await self.platform.control({"version": self.platform.version, "prefix": "/extra/"})
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -7,6 +7,7 @@
 import urllib.request
 
 from faultproxy import FaultProxy
+from organisations import FLAGS
 
 WORKERS = 5  # Of the stand-in: two plain ones, one prefill and two decode engines.
 START_LIMIT_S = 20
@@ -71,6 +72,7 @@
             *(f"--{one}=127.0.0.1:0" for one in
               ("callers", "readiness", "directory", "control", "metrics", "scheduling")),
             f"--store={self.store.address}",
+            *FLAGS,
         ]
         self.is_expected_to_end = False
         self.lives += 1
@@ -121,6 +123,11 @@
             else:
                 self.address = address
 
+    async def declare(self, organisations):
+        """A new version of the desired state with these organisations; confirmed when this returns."""
+        self.version += 1
+        await self.control({"version": self.version, "prefix": "/extra/", "organisations": organisations})
+
     async def control(self, change):
         """Sends a change to the stand-in; what it knows of runs and of what is held."""
         request = urllib.request.Request(
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,7 +9,8 @@
 is checked: every answer is the caller's own, and whole or visibly cut; nothing runs twice; what
 was refused as not run never runs; nothing is silent beyond a caller's patience on a node that no
 fault touched; a node that leaves cuts no stream; no process ends by itself; and when the faults
-are over, all nodes serve and no engine memory is held.
+are over, all nodes serve and no engine memory is held. Keys come and go meanwhile, and one organisation
+sends far more than its quota (organisations.py).
 """
 
 import argparse
@@ -23,6 +24,7 @@
 from callers import Caller, NOT_RUN
 from faults import Faults
 from fleet import Node, Platform
+import organisations as organisation
 
 FAULTS_S = 8.0
 # Leases of killed nodes end, and what they held at engines lapses.
@@ -33,7 +35,7 @@
 
 async def wait_until_served(caller, clock, limit):
     while clock() < limit:
-        outcome = await caller.request(False)
+        outcome = await caller.request(False, caller.organisations.good_keys()[-1])
         if outcome.status == 200:
             return True
         await asyncio.sleep(0.1)
@@ -59,28 +61,28 @@
             yield f"{one.id} on {one.node.name}: cut after {one.events} events, and no fault there"
 
 
-async def settle(platform, nodes, chance, clock, problems):
+async def settle(platform, nodes, chance, clock, organisations, problems):
     """When the faults are over: all nodes serve, and nothing is held."""
     outcomes = []
     for node in nodes:
-        caller = Caller(f"after-{node.name}", node, chance, clock)
+        caller = Caller(f"after-{node.name}", node, chance, clock, organisations)
         if not await wait_until_served(caller, clock, clock() + SETTLE_S):
             problems.append(f"{node.name} does not serve {SETTLE_S} s after the last fault")
     await asyncio.sleep(1.0)
     for node in nodes:
-        caller = Caller(f"probe-{node.name}", node, chance, clock)
+        caller = Caller(f"probe-{node.name}", node, chance, clock, organisations)
         for i in range(PROBES_A_NODE):
-            outcome = await caller.request(i % 2 == 0)
+            outcome = await caller.request(i % 2 == 0, organisations.good_keys()[-1])
             outcomes.append(outcome)
             if outcome.status != 200 or not outcome.is_whole:
                 problems.append(f"{outcome.id}: {outcome.status} after all faults were over")
     for _ in range(60):
         known = await platform.control({})
         if known["held"] == 0:
-            return outcomes, known["runs"]
+            return outcomes, known
         await asyncio.sleep(0.1)
     problems.append(f"engines still hold {known['held']} reservations or results")
-    return outcomes, known["runs"]
+    return outcomes, known
 
 
 async def soak(build, seed, count, log):
@@ -101,32 +103,43 @@
 
 async def play(platform, nodes, seed, chance, clock, log):
     await platform.start()
+    organisations = organisation.Organisations(clock)
+    await platform.declare(organisations.declared())
     for node in nodes:
         node.store.target = platform.address
         await node.store.listen()
         await node.callers.listen()
         await node.start()
-    faults = Faults(chance, clock, platform, nodes, log)
+    faults = Faults(chance, clock, platform, nodes, organisations, log)
     problems = faults.problems
     for node in nodes:
-        first = Caller(f"before-{node.name}", node, chance, clock)
+        first = Caller(f"before-{node.name}", node, chance, clock, organisations)
         if not await wait_until_served(first, clock, clock() + 10):
             problems.append(f"{node.name} never served")
     until = clock() + FAULTS_S
     callers = [
-        Caller(f"c{i}-{node.name}", node, random.Random(f"{seed}/{node.name}/{i}"), clock)
+        Caller(f"c{i}-{node.name}", node, random.Random(f"{seed}/{node.name}/{i}"), clock, organisations)
         for node in nodes for i in range(CALLERS_A_NODE)
     ]
-    await asyncio.gather(faults.run(until), *(caller.run(until + 1.0) for caller in callers))
+    hot = [
+        Caller(f"hot-{node.name}", node, random.Random(f"{seed}/{node.name}/hot"), clock, organisations,
+               organisation.HOT_KEY)
+        for node in nodes
+    ]
+    await asyncio.gather(faults.run(until), *(caller.run(until + 1.0) for caller in callers),
+                         *(caller.run_without_pause(until + 1.0) for caller in hot))
+    callers += hot
     for node in nodes:
         if node.process.returncode is not None:
             problems.append(f"{node.name} ended by itself with {node.process.returncode}")
-    outcomes, runs = await settle(platform, nodes, chance, clock, problems)
+    outcomes, known = await settle(platform, nodes, chance, clock, organisations, problems)
+    runs = known["runs"]
     outcomes += [one for caller in callers for one in caller.outcomes]
     for one in outcomes:
-        log.write(f"request {one.id} {one.node.name} {one.started:.2f} {one.ended:.2f} {one.status} "
+        log.write(f"request {one.id} {one.node.name} {one.started:.2f} {one.ended:.2f} {one.status} {one.key} "
                   f"events={one.events} whole={one.is_whole} runs={runs.get(one.id, 0)}\n")
     problems += broken_promises(outcomes, runs, faults)
+    problems += organisation.broken_promises(outcomes, known, organisations)
     served = sum(one.status == 200 and one.is_whole for one in outcomes)
     return problems, f"{served} of {len(outcomes)} served, {len(faults.touched)} faults"
 
