--- a/tests/processes/common.sh
+++ b/tests/processes/common.sh
@@ -1,6 +1,6 @@
 # Shared by the process tests: a small cluster, and checks that end the test with what was wrong.
 set -u
-cd "$(dirname "$0")/../.."
+cd "$(dirname "${BASH_SOURCE[0]}")/../.."
 BUILD=${BUILD_DIR:-build}
 . scripts/cluster.sh
 trap stop_cluster EXIT
