Let an organisation's priority go before its route's, in the scheduler too

Claims that are as urgent are served by priority, then by the latest start that keeps their target. Deployments whose routes all have one priority are as before. A line for each organisation that is declared otherwise than before.

--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -20,6 +20,11 @@
     return isComingBack ? scheduling::Urgency::ComingBack : scheduling::Urgency::Fresh;
 }
 
+std::uint32_t OpenRequest::priority() const
+{
+    return organisation ? organisation->priority.value_or(route->priority) : route->priority;
+}
+
 OpenRequest &OpenRequests::add(OpenRequest request)
 {
     const RequestNumber number = request.facts.request;
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -105,6 +105,8 @@
     std::uint32_t refusals = 0; ///< Engines that had no room in this round of asking.
 
     scheduling::Urgency urgency() const;
+    /** Its organisation's, before its route's. */
+    std::uint32_t priority() const;
     bool isGeneration() const { return route->isStream && service && service->engine; }
     bool mayHaveRun() const { return runs > 0; }
 };
--- a/src/dispatch/schedulerclaims.cpp
+++ b/src/dispatch/schedulerclaims.cpp
@@ -42,6 +42,7 @@
     message.promptTokens = readsWhole ? 0 : request.facts.promptTokens;
     message.memory = request.memory;
     message.urgency = request.urgency();
+    message.priority = request.priority();
     message.waitsAtMost = waitsAtMost;
     message.untilTarget = request.arrived + request.route->target - step.now;
     message.lasts = request.answerBy - step.now;
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -294,10 +294,28 @@
             {"before", old ? std::to_string(old->version()) : "none"},
             {"routes", std::to_string(state.routes.size())},
             {"organisations", std::to_string(state.organisations.size())}});
+    recordOrganisations(state, old);
     m_relay.setLimits(state.limits);
     m_dispatcher.setRoutes(std::make_shared<const RouteTable>(std::move(state)));
 }
 
+void EdgeNode::recordOrganisations(const RoutingState &state, const RouteTable *old)
+{
+    for (const Organisation &one : state.organisations) {
+        const Organisation *before = old ? old->organisation(one.name) : nullptr;
+        if (!before || *before == one) {
+            continue; // A first copy is told by how many there are.
+        }
+        record("organisation",
+               {{"organisation", one.name.text()},
+                {"keys", std::to_string(one.keys.size())},
+                {"keys_before", std::to_string(before->keys.size())},
+                {"priority", one.priority ? std::to_string(*one.priority) : "-"},
+                {"per_s", one.quota ? std::to_string(one.quota->perSecond) : "-"},
+                {"burst", one.quota ? std::to_string(one.quota->burst) : "-"}});
+    }
+}
+
 void EdgeNode::serverChanged(const std::string &key, const std::string *value)
 {
     const std::string instance = key.substr(m_ports.layout.serversPrefix.size());
--- a/src/edge/edgenode.h
+++ b/src/edge/edgenode.h
@@ -66,6 +66,8 @@
     void chooseScheduler(TimePoint now);
     void storeChanged(const std::string &key, const StoredItem *item);
     void routingChanged(const std::string &value);
+    /** A line for each organisation that is declared otherwise than before. */
+    void recordOrganisations(const RoutingState &state, const RouteTable *old);
     void serverChanged(const std::string &key, const std::string *value);
     void crashRecorded(const CrashNote &note, std::uint64_t revision);
     void nodeChanged(const std::string &key, const StoredItem *item);
--- a/src/scheduling/enginescheduler.cpp
+++ b/src/scheduling/enginescheduler.cpp
@@ -320,8 +320,9 @@
     Duration promptsAhead {};
     const TimePoint latest = startBy(now, claim);
     for (const auto &[key, waiting] : m_waiting) {
-        const bool goesBefore = waiting.claim.urgency < claim.urgency
-            || (waiting.claim.urgency == claim.urgency && waiting.startBy <= latest);
+        const bool goesBefore =
+            std::tie(waiting.claim.urgency, waiting.claim.priority, waiting.startBy)
+            <= std::tie(claim.urgency, claim.priority, latest);
         if (waiting.claim.service == claim.service && goesBefore) {
             ++result.ahead;
             tokensAhead += meanTokens(waiting.claim.memory);
@@ -353,6 +354,7 @@
     struct Place
     {
         int rank = 0;
+        std::uint32_t priority = 0;
         TimePoint startBy {};
         WaitingMap::iterator waiting;
     };
@@ -364,11 +366,11 @@
             const bool isLate =
                 waiting.claim.urgency == Urgency::Fresh && now + prefillWait > waiting.startBy;
             const int rank = isLate ? Late : static_cast<int>(waiting.claim.urgency);
-            places.push_back({rank, waiting.startBy, it});
+            places.push_back({rank, waiting.claim.priority, waiting.startBy, it});
         }
     }
     std::stable_sort(places.begin(), places.end(), [](const Place &a, const Place &b) {
-        return std::tie(a.rank, a.startBy) < std::tie(b.rank, b.startBy);
+        return std::tie(a.rank, a.priority, a.startBy) < std::tie(b.rank, b.priority, b.startBy);
     });
     std::vector<WaitingMap::iterator> ordered;
     ordered.reserve(places.size());
--- a/src/scheduling/schedulercodec.cpp
+++ b/src/scheduling/schedulercodec.cpp
@@ -59,6 +59,7 @@
     value["prompt"] = claim.promptTokens;
     write(value, claim.memory);
     value["urgency"] = static_cast<unsigned>(claim.urgency);
+    value["priority"] = claim.priority;
     value["waits_us"] = Json::Int64(claim.waitsAtMost.count());
     value["until_target_us"] = Json::Int64(claim.untilTarget.count());
     value["lasts_us"] = Json::Int64(claim.lasts.count());
@@ -177,6 +178,9 @@
         return std::nullopt;
     }
     claim.urgency = static_cast<Urgency>(urgency);
+    if (value["priority"].isUInt()) {
+        claim.priority = value["priority"].asUInt();
+    }
     claim.waitsAtMost = durationMember(value, "waits_us");
     claim.untilTarget = durationMember(value, "until_target_us");
     claim.lasts = durationMember(value, "lasts_us");
--- a/src/scheduling/schedulermessages.h
+++ b/src/scheduling/schedulermessages.h
@@ -33,6 +33,7 @@
     std::uint32_t promptTokens = 0; ///< To be prefilled; 0: only a decode engine is wanted.
     MemoryNeed memory;              ///< On the decode engine.
     Urgency urgency = Urgency::Fresh;
+    std::uint32_t priority = 0;      ///< Among claims that are as urgent; 0 goes first.
     Duration waitsAtMost {};         ///< It is refused rather than wait longer.
     Duration untilTarget {};         ///< Left for the first event; negative if it is late already.
     Duration lasts {};               ///< The request has ended by then, whatever happens.
--- a/tests/dispatch/organisationstest.cpp
+++ b/tests/dispatch/organisationstest.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(aKeeperThatFallsSilentHoldsNobodyUp);
     CPPUNIT_TEST(whatWasNotRunIsGivenBack);
     CPPUNIT_TEST(tokensAreCounted);
+    CPPUNIT_TEST(itsPriorityGoesBeforeTheRoutes);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Duration MostAge = 5s;
@@ -211,6 +212,19 @@
         CPPUNIT_ASSERT_EQUAL(0.0, last);
     }
 
+    void itsPriorityGoesBeforeTheRoutes()
+    {
+        DispatchPlay play(MostAge);
+        Organisation urgent = organisation("o1", "k1");
+        urgent.priority = 3;
+        play.useRoutes(Repetition::AtMostOnce, {urgent, organisation("o2", "k2")});
+        play.dispatcher().setScheduler(NodeName("k"));
+        play.arriveWithKey(0, "stream", "k1", 1s, 1000);
+        CPPUNIT_ASSERT_EQUAL(3U, play.told<scheduling::Claim>().priority);
+        play.arriveWithKey(0, "stream", "k2", 1s, 1000);
+        CPPUNIT_ASSERT_EQUAL(0U, play.told<scheduling::Claim>().priority);
+    }
+
     void tokensAreCounted()
     {
         DispatchPlay play(MostAge);
--- a/tests/scheduling/engineschedulertest.cpp
+++ b/tests/scheduling/engineschedulertest.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(refusesAtOnceWhatCannotBeInTime);
     CPPUNIT_TEST(servesAPromptThatIsLateByItsLength);
     CPPUNIT_TEST(streamsThatGoOnComeFirstAndThoseComingBackLast);
+    CPPUNIT_TEST(theMoreUrgentGoFirstAmongThoseInTime);
     CPPUNIT_TEST(keepsRoomForALargeClaim);
     CPPUNIT_TEST(answersARepeatedClaimTheSame);
     CPPUNIT_TEST(theDecodeEngineReadsWithoutPrefillEngines);
@@ -147,6 +148,24 @@
 
     // Small requests come all the time, and take each piece of room that comes free. A large one
     // would wait for ever.
+    // One engine is full, two organisations wait for it. The one that operators declared to be
+    // more urgent is served first, though it came later.
+    void theMoreUrgentGoFirstAmongThoseInTime()
+    {
+        SchedulingPlay play;
+        play.addEngine("d", EnginePhase::Decode);
+        play.tell(0, A, SchedulingPlay::claimOf(1, 40'000));
+        Claim ordinary = SchedulingPlay::patient(SchedulingPlay::claimOf(2, 30'000));
+        ordinary.priority = 2;
+        Claim urgent = SchedulingPlay::patient(SchedulingPlay::claimOf(3, 30'000));
+        urgent.priority = 1;
+        play.tell(10, A, ordinary);
+        play.tell(20, B, urgent);
+        play.tell(30, A, ClaimEnded {ClaimId(1)});
+        CPPUNIT_ASSERT_EQUAL(text("d/"), play.answer(B, 3));
+        CPPUNIT_ASSERT_EQUAL(text("queued"), play.answer(A, 2));
+    }
+
     void keepsRoomForALargeClaim()
     {
         SchedulingPlay play;
--- a/tests/scheduling/schedulercodectest.cpp
+++ b/tests/scheduling/schedulercodectest.cpp
@@ -34,6 +34,7 @@
                     *rc::gen::inRange<std::uint64_t>(0, 100'000),
                     *rc::gen::inRange<std::uint64_t>(0, 100'000)};
     claim.urgency = *rc::gen::element(Urgency::GoesOn, Urgency::Fresh, Urgency::ComingBack);
+    claim.priority = *rc::gen::inRange<std::uint32_t>(0, 10);
     claim.waitsAtMost = duration();
     claim.untilTarget = duration();
     claim.lasts = duration();
