Have decode engines read prompts that prefill engines cannot in time

Ruled out: another split alone. An order takes 6 s, what is learnt wavers, and at the peak both phases are full within seconds of each other.

Change: a claim that no prefill engine can take yet is read by a decode engine (half the speed, between the tokens of its runs) when its latest start is 0.25 s away, and only while memory is left beyond what all that wait want. An engine reads so for a quarter of its time.

--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -254,6 +254,7 @@
         return;
     }
     request->plannedPrefill = granted->prefillServer;
+    request->isPlannedWhole = granted->readsWhole;
     reserveAt(step, *request, *server);
 }
 
@@ -299,7 +300,9 @@
         if (request.claim.isNone()) {
             m_claims.tellHeld(step, request);
         }
-        if (request.facts.isContinuation || request.eventsPassed > 0 || request.readsWhole) {
+        const bool isPlannedWhole = std::exchange(request.isPlannedWhole, false);
+        if (isPlannedWhole || request.facts.isContinuation || request.eventsPassed > 0
+            || request.readsWhole) {
             decode(step, request, true);
         } else {
             prefill(step, request);
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -88,8 +88,9 @@
     double quotaUnits = 0; ///< Of its organisation's quota, while it counts against it.
 
     // Of generations.
-    scheduling::ClaimId claim; ///< At the scheduler; none while this node chooses by itself.
-    ServerName plannedPrefill; ///< Chosen by the scheduler; empty: this node chooses.
+    scheduling::ClaimId claim;   ///< At the scheduler; none while this node chooses by itself.
+    bool isPlannedWhole = false; ///< The scheduler has the decode engine read the prompt.
+    ServerName plannedPrefill;   ///< Chosen by the scheduler; empty: this node chooses.
     ServerName decodeServer;
     scheduling::MemoryNeed memory;
     std::uint64_t tokens = 0; ///< The most of it; charged to decodeServer while it is set.
--- a/src/scheduling/enginechoice.cpp
+++ b/src/scheduling/enginechoice.cpp
@@ -67,11 +67,24 @@
 }
 
 EngineChoice::DecodeRoom *EngineChoice::chooseDecode(const Claim &claim)
+{
+    return emptiest(claim, [](const DecodeRoom &) { return true; });
+}
+
+EngineChoice::DecodeRoom *EngineChoice::chooseWholeRead(const Claim &claim)
+{
+    return emptiest(claim, [this](const DecodeRoom &room) {
+        return m_ledger.mayReadWhole(room.server->name, m_now);
+    });
+}
+
+template <typename IsUsable>
+EngineChoice::DecodeRoom *EngineChoice::emptiest(const Claim &claim, const IsUsable &isUsable)
 {
     DecodeRoom *best = nullptr;
     double bestScore = 0;
     for (DecodeRoom &room : m_decode) {
-        if (room.isKept
+        if (room.isKept || !isUsable(room)
             || MemoryForecast::peakWith(room.memory, claim.memory, m_pace.decode) > m_memory
             || std::ranges::find(claim.without, room.server->name) != claim.without.end()) {
             continue;
--- a/src/scheduling/enginechoice.h
+++ b/src/scheduling/enginechoice.h
@@ -30,6 +30,8 @@
 
     /** Null if none has room. */
     DecodeRoom *chooseDecode(const Claim &claim);
+    /** As above, to read the prompt as well. */
+    DecodeRoom *chooseWholeRead(const Claim &claim);
     /** Counts a run in that was granted @p room. */
     void fill(DecodeRoom &room, const MemoryNeed &need) const;
     /** Keeps the engine that will have room for a large claim first from the other claims. */
@@ -52,6 +54,9 @@
 private:
     using Engines = std::vector<const AnnouncedServer *>;
 
+    /** Of those that @p isUsable; null if none has room. */
+    template <typename IsUsable>
+    DecodeRoom *emptiest(const Claim &claim, const IsUsable &isUsable);
     Engines inPhase(const ServerDirectory &servers, const Service &service,
                     EnginePhase phase) const;
     /** Time that the pair is ranked behind others for; negative: before them. */
--- a/src/scheduling/engineledger.cpp
+++ b/src/scheduling/engineledger.cpp
@@ -19,6 +19,13 @@
 constexpr Duration MostCorrection = std::chrono::milliseconds(500);
 /** From a grant until its prompt is in the engine's line: room is reserved first. */
 constexpr Duration SentWithin = std::chrono::milliseconds(20);
+/** A decode engine reads a prompt at half of a prefill engine's speed. */
+constexpr double WholeReadSlower = 2;
+/**
+ * Of a decode engine's time: while it reads, the tokens of its runs come several times slower, and
+ * each run that lasts longer holds memory for longer.
+ */
+constexpr double WholeReadPart = 0.25;
 /** Room comes free some times a second on a full engine. */
 constexpr Duration FullFor = std::chrono::milliseconds(80);
 /** Longer than any avoidance, and than an engine of a busy fleet stays without work. */
@@ -171,6 +178,27 @@
     return gained;
 }
 
+void EngineLedger::beginWholeRead(const ServerName &server, std::uint32_t tokens,
+                                  const PrefillPace &pace, TimePoint now)
+{
+    Engine &engine = m_engines[server];
+    const auto takes =
+        static_cast<double>(workOf(&engine, tokens, pace, now).count()) * WholeReadSlower;
+    engine.readsWholeAfter = now + Duration(static_cast<Duration::rep>(takes / WholeReadPart));
+    engine.lastUsed = now;
+}
+
+bool EngineLedger::mayReadWhole(const ServerName &server, TimePoint now) const
+{
+    const Engine *engine = find(server);
+    return !engine || now >= engine->readsWholeAfter;
+}
+
+double EngineLedger::wholeReadsOfPrefill()
+{
+    return WholeReadPart / WholeReadSlower;
+}
+
 void EngineLedger::refusedRoom(const ServerName &server, std::uint64_t memory, TimePoint now)
 {
     Engine &engine = m_engines[server];
--- a/src/scheduling/engineledger.h
+++ b/src/scheduling/engineledger.h
@@ -64,6 +64,13 @@
      * claims were refused for them.
      */
     void withdrawPrefill(const PrefillTurn &turn, TimePoint now);
+    /** A decode engine reads a whole prompt, between the tokens of its runs. */
+    void beginWholeRead(const ServerName &server, std::uint32_t tokens, const PrefillPace &pace,
+                        TimePoint now);
+    /** Its runs have had their time since it read one last. */
+    bool mayReadWhole(const ServerName &server, TimePoint now) const;
+    /** Of the prompts that a prefill engine reads, how many a decode engine may read beside. */
+    static double wholeReadsOfPrefill();
     /** The engine refused room that it was thought to have, of @p memory tokens in all. */
     void refusedRoom(const ServerName &server, std::uint64_t memory, TimePoint now);
     void failed(const ServerName &server, TimePoint now);
@@ -119,6 +126,7 @@
         TimePoint doubtfulUntil {};
         TimePoint avoidedUntil {};
         TimePoint fullUntil {};
+        TimePoint readsWholeAfter {};
         TimePoint changesUntil {};
         EnginePhase changesTo = EnginePhase::None;
         bool hasAccepted = false; ///< The change to changesTo.
--- a/src/scheduling/enginescheduler.cpp
+++ b/src/scheduling/enginescheduler.cpp
@@ -7,6 +7,11 @@
 
 namespace {
 
+/**
+ * Before the latest start that keeps its target, a claim that no prefill engine can take yet is read
+ * by a decode engine, which takes longer.
+ */
+constexpr Duration WholeReadBefore = std::chrono::milliseconds(250);
 /** From the prompt's answer to the first event: the KV cache is moved, a token is made. */
 constexpr Duration FirstEventAfterPrefill = std::chrono::milliseconds(40);
 /** While a prompt would be read sooner, those that wait do so for decode memory. */
@@ -341,8 +346,15 @@
     const Duration least = m_ledger.prefillTime(ServerName(), claim.promptTokens, prefillPace, now);
     Duration untilRead {};
     if (claim.promptTokens > 0 && engines.hasPrefill()) {
+        // Decode engines read, too, while they have room for all.
+        const bool hasSpare = engines.freeFor({}) > tokensWaiting(claim.service);
+        const double readers = static_cast<double>(engines.prefillEngines())
+            + (hasSpare ? static_cast<double>(engines.decodeEngines())
+                       * EngineLedger::wholeReadsOfPrefill()
+                        : 0);
         untilRead = engines.leastPrefillTime(claim.promptTokens)
-            + promptsAhead / static_cast<Duration::rep>(engines.prefillEngines());
+            + Duration(static_cast<Duration::rep>(static_cast<double>(promptsAhead.count())
+                                                  / readers));
     }
     result.firstEvent = std::max(untilRead, result.forRoom + least) + FirstEventAfterPrefill;
     return result;
@@ -402,6 +414,7 @@
                                SchedulerReplies &replies)
 {
     Pass pass {EngineChoice(m_ledger, view.servers, service, paceOf(service.name), now)};
+    pass.spare = pass.engines.freeFor({}) - tokensWaiting(service.name);
     for (const auto it : order(now, pass.engines.leastPrefillWait(), service.name)) {
         if (tryGrant(now, pass, it->first, it->second, replies)) {
             m_waiting.erase(it);
@@ -413,6 +426,18 @@
     }
 }
 
+double EngineScheduler::tokensWaiting(const ServiceName &service) const
+{
+    double tokens = 0;
+    for (const auto &[key, waiting] : m_waiting) {
+        if (waiting.claim.service == service) {
+            tokens += static_cast<double>(waiting.claim.memory.contextTokens
+                                          + waiting.claim.memory.outputTokens);
+        }
+    }
+    return tokens;
+}
+
 bool EngineScheduler::tryGrant(TimePoint now, Pass &pass, const Key &key, const Waiting &waiting,
                                SchedulerReplies &replies)
 {
@@ -433,13 +458,23 @@
     granted.answer = {key.claim, decode->name, {}, pace.work()};
     if (claim.promptTokens > 0 && pass.engines.hasPrefill()) {
         const AnnouncedServer *prefill = pass.engines.choosePrefill(claim, *decode);
-        if (!prefill) {
-            pass.isPrefillFull = claim.without.empty();
-            return false;
+        if (prefill) {
+            granted.prefill =
+                m_ledger.beginPrefill(prefill->name, claim.promptTokens, pace.prefill, now);
+            granted.answer.prefillServer = prefill->name;
+        } else {
+            // Prompts are what binds, while memory for them all lies idle on decode engines.
+            const bool isPressed = now + WholeReadBefore > waiting.startBy;
+            room = isPressed && pass.spare > 0 ? pass.engines.chooseWholeRead(claim) : nullptr;
+            if (!room) {
+                pass.isPrefillFull = claim.without.empty();
+                return false;
+            }
+            decode = room->server;
+            granted.answer.decodeServer = decode->name;
+            granted.answer.readsWhole = true;
+            m_ledger.beginWholeRead(decode->name, claim.promptTokens, pace.prefill, now);
         }
-        granted.prefill =
-            m_ledger.beginPrefill(prefill->name, claim.promptTokens, pace.prefill, now);
-        granted.answer.prefillServer = prefill->name;
     }
     granted.service = claim.service;
     granted.run = RunNumber(++m_lastRun);
--- a/src/scheduling/enginescheduler.h
+++ b/src/scheduling/enginescheduler.h
@@ -115,12 +115,16 @@
         EngineChoice engines;
         std::uint64_t tooLarge = 0; ///< No engine has room for so many tokens; 0: not known.
         bool isPrefillFull = false;
+        /** Memory that would be left if all that wait were served at once; may be negative. */
+        double spare = 0;
     };
     void grantOne(TimePoint now, const View &view, const Service &service,
                   SchedulerReplies &replies);
     /** Those that wait for @p service, in the order in which they are served. */
     std::vector<WaitingMap::iterator> order(TimePoint now, Duration prefillWait,
                                             const ServiceName &service);
+    /** What the claims on @p service that wait want of memory, each at its most. */
+    double tokensWaiting(const ServiceName &service) const;
     bool tryGrant(TimePoint now, Pass &pass, const Key &key, const Waiting &waiting,
                   SchedulerReplies &replies);
 
--- a/src/scheduling/schedulercodec.cpp
+++ b/src/scheduling/schedulercodec.cpp
@@ -139,6 +139,7 @@
     Json::Value value = head("granted", from, granted.claim);
     value["decode"] = granted.decodeServer.text();
     value["prefill"] = granted.prefillServer.text();
+    value["whole"] = granted.readsWhole;
     if (granted.work) {
         write(value, *granted.work);
     }
@@ -294,7 +295,8 @@
     }
     if (kind == "granted") {
         return ClaimGranted {id, ServerName(stringMember(value, "decode")),
-                             ServerName(stringMember(value, "prefill")), readWork(value)};
+                             ServerName(stringMember(value, "prefill")), readWork(value),
+                             value["whole"].isBool() && value["whole"].asBool()};
     }
     if (kind == "refused") {
         return ClaimRefused {id, static_cast<std::uint32_t>(numberMember(value, "ahead")),
--- a/src/scheduling/schedulermessages.h
+++ b/src/scheduling/schedulermessages.h
@@ -111,6 +111,7 @@
     ServerName decodeServer;
     ServerName prefillServer;           ///< Empty: the decode engine is to read the prompt.
     std::optional<GenerationWork> work; ///< Of the service, as the scheduler has learnt it.
+    bool readsWhole = false; ///< The decode engine reads the prompt, though others could later.
     bool operator==(const ClaimGranted &) const = default;
 };
 
--- a/tests/dispatch/schedulerclaimstest.cpp
+++ b/tests/dispatch/schedulerclaimstest.cpp
@@ -33,6 +33,7 @@
 {
     CPPUNIT_TEST_SUITE(SchedulerClaimsTest);
     CPPUNIT_TEST(usesTheEnginesThatAreGranted);
+    CPPUNIT_TEST(readsWholeWhereTheSchedulerSaysSo);
     CPPUNIT_TEST(repeatsAClaimThatIsNotAnswered);
     CPPUNIT_TEST(choosesByItselfWhenTheSchedulerIsSilent);
     CPPUNIT_TEST(aRefusalIsPassedOnAtOnce);
@@ -67,6 +68,23 @@
         CPPUNIT_ASSERT_EQUAL(std::string("streamed"), play.outcome(request));
     }
 
+    void readsWholeWhereTheSchedulerSaysSo()
+    {
+        DispatchPlay play;
+        useScheduler(play);
+        play.arrive(0, "stream", Prompt);
+        ClaimGranted granted = grantOf(play.told<Claim>(), "d2", "");
+        granted.readsWhole = true;
+        play.reduce(5, SchedulerAnswered {granted, Life});
+        const StartCall reserve = play.nextCall(CallKind::Reserve);
+        // Its answer says that there is no room after all; the next engine is not to read whole.
+        play.end(8, reserve, CallEnd::NotExecuted, 503);
+        play.told<ClaimEnded>();
+        play.reduce(10, SchedulerAnswered {grantOf(play.told<Claim>(), "d1", "p1"), Life});
+        play.grant(12, play.nextCall(CallKind::Reserve));
+        play.nextCall(CallKind::Prefill);
+    }
+
     void repeatsAClaimThatIsNotAnswered()
     {
         DispatchPlay play;
--- a/tests/scheduling/engineschedulertest.cpp
+++ b/tests/scheduling/engineschedulertest.cpp
@@ -34,6 +34,8 @@
     CPPUNIT_TEST(keepsRoomForALargeClaim);
     CPPUNIT_TEST(answersARepeatedClaimTheSame);
     CPPUNIT_TEST(theDecodeEngineReadsWithoutPrefillEngines);
+    CPPUNIT_TEST(decodeEnginesReadWhatPrefillEnginesCannotInTime);
+    CPPUNIT_TEST(decodeEnginesReadNothingWhileTheirRoomIsWanted);
     CPPUNIT_TEST(freesWhatADeadNodeHeld);
     CPPUNIT_TEST(freesWhatAnEarlierLifeHeld);
     CPPUNIT_TEST(forgetsEnginesThatAreGone);
@@ -208,6 +210,56 @@
 
     // A node dies and tells nothing. What it held comes free when its requests have ended at the
     // latest, or the engine would look full for ever.
+    // Prompts come twice as fast as the only prefill engine reads them, and decode engines lie
+    // idle. Callers whose prompts would be read too late were refused, with all that memory free.
+    void decodeEnginesReadWhatPrefillEnginesCannotInTime()
+    {
+        SchedulingPlay play;
+        play.addEngine("p", EnginePhase::Prefill);
+        for (const char *engine : {"d1", "d2", "d3", "d4"}) {
+            play.addEngine(engine, EnginePhase::Decode);
+        }
+        for (std::uint64_t i = 1; i <= 6; ++i) {
+            play.tell(0, A, SchedulingPlay::claimOf(i, 9'000));
+        }
+        CPPUNIT_ASSERT_EQUAL(text("queued"), play.answer(A, 6));
+        play.tick(100);
+        CPPUNIT_ASSERT_EQUAL(text("queued"), play.answer(A, 6)); // It may still be read in time.
+        int whole = 0;
+        for (int time = 110; time <= 700; time += 10) {
+            play.tick(time);
+        }
+        for (std::uint64_t i = 1; i <= 6; ++i) {
+            whole += play.answer(A, i).ends_with("/whole") ? 1 : 0;
+            CPPUNIT_ASSERT(play.answer(A, i) != "refused");
+        }
+        CPPUNIT_ASSERT(whole >= 1
+                       && whole <= 4); // One of an engine; then its runs have their time.
+    }
+
+    // Memory is as short as prompts' time. An engine that reads slows its runs down, which then
+    // hold memory for longer: those who wait for memory would wait more.
+    void decodeEnginesReadNothingWhileTheirRoomIsWanted()
+    {
+        for (const std::uint64_t waiting : {1, 2}) {
+            SchedulingPlay play;
+            play.addEngine("d", EnginePhase::Decode);
+            play.tell(0, A, SchedulingPlay::claimOf(1, 40'000));
+            play.addEngine("p", EnginePhase::Prefill);
+            Claim longPrompt = SchedulingPlay::patient(SchedulingPlay::claimOf(2, 5'000));
+            longPrompt.promptTokens = 90'000;
+            play.tell(10, A, longPrompt);
+            for (std::uint64_t i = 1; i <= waiting; ++i) {
+                Claim late = SchedulingPlay::patient(SchedulingPlay::claimOf(2 + i, 25'000));
+                late.untilTarget = Duration(0);
+                play.tell(20, A, late);
+            }
+            // Now there is room for one of them.
+            play.tell(50, A, ClaimEnded {ClaimId(1)});
+            CPPUNIT_ASSERT_EQUAL(text(waiting == 1 ? "d/whole" : "queued"), play.answer(A, 3));
+        }
+    }
+
     void freesWhatADeadNodeHeld()
     {
         SchedulingPlay play;
--- a/tests/scheduling/schedulercodectest.cpp
+++ b/tests/scheduling/schedulercodectest.cpp
@@ -95,6 +95,8 @@
         checkAnswered(ClaimGranted {id, ServerName("d"), ServerName("p"), std::nullopt});
         checkAnswered(
             ClaimGranted {id, ServerName("d"), ServerName("p"), GenerationWork {0.125, 16'000}});
+        checkAnswered(ClaimGranted {id, ServerName("d"), ServerName("p"),
+                                    GenerationWork {0.125, 16'000}, true});
         checkAnswered(ClaimRefused {id, 12, std::chrono::milliseconds(800)});
     }
 
--- a/tests/scheduling/schedulingplay.h
+++ b/tests/scheduling/schedulingplay.h
@@ -77,7 +77,8 @@
     }
     void tick(int milliseconds) { note(m_scheduler.tick(at(milliseconds), view())); }
 
-    /** "queued", "refused", "decode engine/prefill engine", or empty if there was no answer. */
+    /** "queued", "refused", "decode engine/prefill engine", "decode engine/whole", or empty if
+     * there was no answer. */
     std::string answer(const NodeLife &to, std::uint64_t claim) const
     {
         const auto it = m_answers.find({to, ClaimId(claim)});
@@ -107,7 +108,8 @@
             const ClaimId claim = scheduling::claimOf(reply.message);
             std::string text = "queued";
             if (const auto *granted = std::get_if<ClaimGranted>(&reply.message)) {
-                text = granted->decodeServer.text() + "/" + granted->prefillServer.text();
+                text = granted->decodeServer.text() + "/"
+                    + (granted->readsWhole ? "whole" : granted->prefillServer.text());
             } else if (std::holds_alternative<ClaimRefused>(reply.message)) {
                 text = "refused";
             }
