--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -137,64 +137,88 @@
 
 void Dispatcher::handle(Step &step, const ArrivedRequest &event)
 {
+    OpenRequest request;
+    request.facts = event;
+    request.table = m_table;
+    request.arrived = step.now;
+    const bool isServed = findRoute(step, request) && admitCaller(step, request)
+        && chooseService(step, request) && mayBegin(step, request);
+    if (!isServed) {
+        return; // It has its answer.
+    }
+    request.answerBy = step.now + LongestRequest;
+    if (request.route->timeout.count() > 0) {
+        request.answerBy = std::min(request.answerBy, step.now + request.route->timeout);
+    }
+    if (event.patience) {
+        request.answerBy = std::min(request.answerBy, step.now + *event.patience);
+    }
+    m_timeouts.set(event.request, request.answerBy + TimeoutGrace);
+    serveWithinQuota(step, m_state.requests.add(std::move(request)));
+}
+
+bool Dispatcher::findRoute(Step &step, OpenRequest &request)
+{
+    const ArrivedRequest &facts = request.facts;
     if (!m_table) {
-        rejectUnserved(step, event, ServiceUnavailable, step.spread(RoutingComesAfter),
+        rejectUnserved(step, facts, ServiceUnavailable, step.spread(RoutingComesAfter),
                        "no routing known yet");
-        return;
+        return false;
     }
-    const std::string path = event.path.substr(0, event.path.find('?'));
-    const Route *route = m_table->find(event.host, path);
-    if (!route && !isNewEnough(event.copyAge, m_state.settings.mostCopyAge)) {
-        rejectByOldCopy(step, event);
-        return;
+    request.route = m_table->find(facts.host, facts.path.substr(0, facts.path.find('?')));
+    if (request.route) {
+        return true;
     }
-    if (!route) {
-        rejectUnserved(step, event, NotFound, std::nullopt,
+    if (isNewEnough(facts.copyAge, m_state.settings.mostCopyAge)) {
+        rejectUnserved(step, facts, NotFound, std::nullopt,
                        "no route version=" + std::to_string(m_table->version()));
-        return;
+    } else {
+        rejectByOldCopy(step, facts);
     }
-    const Admission admission =
-        admit(*m_table, *route, event.credentials, event.copyAge, m_state.settings.mostCopyAge);
-    if (std::holds_alternative<CopyTooOld>(admission)) {
-        rejectByOldCopy(step, event);
-        return;
+    return false;
+}
+
+bool Dispatcher::admitCaller(Step &step, OpenRequest &request)
+{
+    const ArrivedRequest &facts = request.facts;
+    const Admission admission = admit(*m_table, *request.route, facts.credentials, facts.copyAge,
+                                      m_state.settings.mostCopyAge);
+    if (const auto *admitted = std::get_if<Admitted>(&admission)) {
+        request.organisation = admitted->organisation;
+        return true;
     }
-    if (std::holds_alternative<UnknownKey>(admission)) {
-        rejectUnserved(step, event, Unauthorized, std::nullopt, unknownKeyText(event));
-        return;
+    if (std::holds_alternative<CopyTooOld>(admission)) {
+        rejectByOldCopy(step, facts);
+    } else {
+        rejectUnserved(step, facts, Unauthorized, std::nullopt, unknownKeyText(facts));
     }
-    const ServiceName *serviceName = pickService(*route, step.random());
-    const Service *service = serviceName ? m_table->service(*serviceName) : nullptr;
-    if (!service) {
-        rejectUnserved(step, event, ServiceUnavailable, step.spread(RoutingComesAfter),
+    return false;
+}
+
+bool Dispatcher::chooseService(Step &step, OpenRequest &request)
+{
+    const ServiceName *name = pickService(*request.route, step.random());
+    request.service = name ? m_table->service(*name) : nullptr;
+    if (!request.service) {
+        rejectUnserved(step, request.facts, ServiceUnavailable, step.spread(RoutingComesAfter),
                        "route without a service");
-        return;
     }
-    if (const auto refused = m_state.refusedFor(event.content, step.now)) {
-        rejectUnserved(step, event, ServiceUnavailable, refused,
-                       CrashesServers + (" content=" + event.content.text()));
-        return;
-    }
-    if (isTooLateForLeaving(step.now, route->isStream)) {
-        rejectUnserved(step, event, ServiceUnavailable, ElsewhereAfter, "leaving");
-        return;
-    }
-    OpenRequest request;
-    request.facts = event;
-    request.table = m_table;
-    request.route = route;
-    request.service = service;
-    request.organisation = std::get<Admitted>(admission).organisation;
-    request.arrived = step.now;
-    request.answerBy = step.now + LongestRequest;
-    if (route->timeout.count() > 0) {
-        request.answerBy = std::min(request.answerBy, step.now + route->timeout);
+    return request.service != nullptr;
+}
+
+bool Dispatcher::mayBegin(Step &step, const OpenRequest &request)
+{
+    const ContentId &content = request.facts.content;
+    if (const auto refused = m_state.refusedFor(content, step.now)) {
+        rejectUnserved(step, request.facts, ServiceUnavailable, refused,
+                       CrashesServers + (" content=" + content.text()));
+        return false;
     }
-    if (event.patience) {
-        request.answerBy = std::min(request.answerBy, step.now + *event.patience);
+    if (isTooLateForLeaving(step.now, request.route->isStream)) {
+        rejectUnserved(step, request.facts, ServiceUnavailable, ElsewhereAfter, "leaving");
+        return false;
     }
-    m_timeouts.set(event.request, request.answerBy + TimeoutGrace);
-    serveWithinQuota(step, m_state.requests.add(std::move(request)));
+    return true;
 }
 
 void Dispatcher::serveWithinQuota(Step &step, OpenRequest &request)
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -74,6 +74,12 @@
                            const CallEnded &event);
     bool isTooLateForLeaving(TimePoint now, bool isStream) const;
     void timeOut(Step &step, OpenRequest &request);
+    // The steps of a request that has arrived; false: it has been answered.
+    bool findRoute(Step &step, OpenRequest &request);
+    bool admitCaller(Step &step, OpenRequest &request);
+    bool chooseService(Step &step, OpenRequest &request);
+    /** Whether it may be sent to a server at all, and can be answered before this node ends. */
+    bool mayBegin(Step &step, const OpenRequest &request);
     /** Serves @p request if its organisation's quota has room for it. */
     void serveWithinQuota(Step &step, OpenRequest &request);
     void quotaDecided(Step &step, const quotas::QuotaVerdict &verdict);
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -6,7 +6,6 @@
 #include <event2/event.h>
 
 #include <algorithm>
-#include <ctime>
 
 namespace indigoway {
 
@@ -15,9 +14,9 @@
 using dispatch::DispatchSettings;
 
 constexpr timeval TickEvery {0, 250'000};
-/** A jump of the clocks against each other beyond what reading both one after the other makes. */
 /** A look at the time that comes so late may be due to a busy processor. */
 constexpr Duration LateTick = std::chrono::milliseconds(600);
+/** A jump of the clocks against each other beyond what reading both one after the other makes. */
 constexpr Duration FreezeNoticed = std::chrono::milliseconds(300);
 /** Left of the time to end for the last bytes and for the process's own end. */
 constexpr Duration EndMargin = std::chrono::milliseconds(600);
@@ -32,18 +31,10 @@
     return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
 }
 
-Duration clockTime(clockid_t clock)
-{
-    timespec time {};
-    clock_gettime(clock, &time);
-    return std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
-                                                + std::chrono::nanoseconds(time.tv_nsec));
-}
-
 /** Time for which the machine stood still since it started. */
 Duration frozenTime()
 {
-    return clockTime(CLOCK_BOOTTIME) - clockTime(CLOCK_MONOTONIC);
+    return BootClock::now().time_since_epoch() - present().time_since_epoch();
 }
 
 /** Nothing: any copy of the desired state will do. */
