--- a/src/scheduling/enginescheduler.cpp
+++ b/src/scheduling/enginescheduler.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 /**
- * Before the latest start that keeps its target, a claim that no prefill engine can take yet is read
- * by a decode engine, which takes longer.
+ * Before the latest start that keeps its target, a claim that no prefill engine can take yet is
+ * read by a decode engine, which takes longer.
  */
 constexpr Duration WholeReadBefore = std::chrono::milliseconds(250);
 /** From the prompt's answer to the first event: the KV cache is moved, a token is made. */
