--- a/src/quotas/quotagate.cpp
+++ b/src/quotas/quotagate.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-constexpr Duration HelloEvery = std::chrono::milliseconds(1000);
+constexpr Duration HeartbeatEvery = std::chrono::milliseconds(1000);
 /** A way there and back takes some milliseconds, and the keeper has other work, too. */
-constexpr Duration RepeatHello = std::chrono::milliseconds(200);
+constexpr Duration RepeatHeartbeat = std::chrono::milliseconds(200);
 /** A caller waits for it; plain requests are to be answered within some 150 ms. */
 constexpr Duration RepeatQuestion = std::chrono::milliseconds(40);
 /** One datagram in twenty may be lost on a bad link; three in a row are no accident. */
@@ -34,7 +34,7 @@
     }
     m_keeper = std::move(keeper);
     m_keeperLife = {};
-    m_helloAt = {};
+    m_heartbeatAt = {};
     m_unanswered = 0;
     m_silentUntil = {};
 }
@@ -94,7 +94,7 @@
     m_heardAt = now;
     if (const auto *standing = std::get_if<StandingTold>(&message)) {
         m_scarce = {standing->scarce.begin(), standing->scarce.end()};
-        m_helloAt = std::max(m_helloAt, now + HelloEvery);
+        m_heartbeatAt = std::max(m_heartbeatAt, now + HeartbeatEvery);
         return std::nullopt;
     }
     const auto &answer = std::get<QuotaAnswered>(message);
@@ -118,8 +118,8 @@
     if (!m_isWanted || !m_keeper) {
         return decideAllAlone(now);
     }
-    if (now >= m_helloAt) {
-        sayHello(now, messages);
+    if (now >= m_heartbeatAt) {
+        sendHeartbeat(now, messages);
     }
     bool isSilent = m_unanswered > MostUnanswered;
     for (auto &[ask, question] : m_questions) {
@@ -146,7 +146,7 @@
     if (!m_isWanted || !m_keeper) {
         return std::nullopt;
     }
-    std::optional<TimePoint> next = m_helloAt;
+    std::optional<TimePoint> next = m_heartbeatAt;
     for (const auto &[ask, question] : m_questions) {
         next = earlier(next, question.sentAt + RepeatQuestion);
     }
@@ -194,18 +194,18 @@
         UsageTold {m_keeperLife, ++m_sequence, false, {{organisation, m_used[organisation]}}});
 }
 
-void QuotaGate::sayHello(TimePoint now, Messages &messages)
+void QuotaGate::sendHeartbeat(TimePoint now, Messages &messages)
 {
-    UsageTold hello {m_keeperLife, ++m_sequence, true, {}};
+    UsageTold heartbeat {m_keeperLife, ++m_sequence, true, {}};
     constexpr std::size_t MostSums = 40; // Of one datagram.
     for (const auto &[organisation, units] : m_used) {
-        if (hello.used.size() < MostSums) {
-            hello.used.push_back({organisation, units});
+        if (heartbeat.used.size() < MostSums) {
+            heartbeat.used.push_back({organisation, units});
         }
     }
-    messages.emplace_back(std::move(hello));
+    messages.emplace_back(std::move(heartbeat));
     ++m_unanswered;
-    m_helloAt = now + (m_unanswered > MostUnanswered ? HelloEvery : RepeatHello);
+    m_heartbeatAt = now + (m_unanswered > MostUnanswered ? HeartbeatEvery : RepeatHeartbeat);
 }
 
 std::vector<QuotaVerdict> QuotaGate::decideAllAlone(TimePoint now)
--- a/src/quotas/quotagate.h
+++ b/src/quotas/quotagate.h
@@ -91,7 +91,7 @@
     BucketSize ownShare(const Quota &quota) const;
     QuotaBucket &ownBucket(TimePoint now, const OrganisationName &organisation, const Quota &quota);
     void tellUsed(const OrganisationName &organisation, Messages &messages);
-    void sayHello(TimePoint now, Messages &messages);
+    void sendHeartbeat(TimePoint now, Messages &messages);
     std::vector<QuotaVerdict> decideAllAlone(TimePoint now);
 
     QuotaBounds m_bounds;
@@ -100,8 +100,8 @@
     std::optional<NodeName> m_keeper;
     Incarnation m_keeperLife;       ///< None until it is heard.
     TimePoint m_heardAt {};         ///< Its standing, the last time.
-    TimePoint m_helloAt {};         ///< The next one.
-    std::uint32_t m_unanswered = 0; ///< Of the hellos, in a row.
+    TimePoint m_heartbeatAt {};     ///< The next one.
+    std::uint32_t m_unanswered = 0; ///< Of the heartbeats, in a row.
     TimePoint m_silentUntil {};
     std::uint64_t m_sequence = 0;
     std::set<OrganisationName> m_scarce;
--- a/src/quotas/quotakeeper.cpp
+++ b/src/quotas/quotakeeper.cpp
@@ -59,13 +59,13 @@
     }
     for (const UsedSoFar &used : told.used) {
         const Quota *quota = quotaOf(view.routes, used.organisation);
-        auto &[units, sequence] = heard.used[used.organisation];
-        if (!quota || told.sequence <= sequence) {
+        Sum &sum = heard.used[used.organisation];
+        if (!quota || told.sequence <= sum.sequence) {
             continue;
         }
-        account(now, used.organisation, *quota).bucket.charge(sizeOf(*quota), used.units - units);
-        units = used.units;
-        sequence = told.sequence;
+        account(now, used.organisation, *quota)
+            .bucket.charge(sizeOf(*quota), used.units - sum.units);
+        sum = {used.units, told.sequence};
         noteLevel(now, used.organisation, *quota);
     }
 }
@@ -73,17 +73,16 @@
 QuotaAnswered QuotaKeeper::answer(TimePoint now, const View &view, Heard &heard,
                                   const QuotaAsked &asked)
 {
-    std::erase_if(heard.answered,
-                  [&](const auto &one) { return now > one.second.second + AnswerKept; });
-    if (const auto it = heard.answered.find(asked.ask); it != heard.answered.end()) {
-        return it->second.first;
+    std::erase_if(heard.decided, [&](const auto &one) { return now > one.second.at + AnswerKept; });
+    if (const auto it = heard.decided.find(asked.ask); it != heard.decided.end()) {
+        return it->second.answer;
     }
     const Quota *quota = quotaOf(view.routes, asked.organisation);
     // Without a limit here the node's copy of the desired state is another one; it lets none pass
     // that it should not, since it asks for each request only where it knows of a limit.
     const QuotaAnswered result =
         quota ? decide(now, *quota, asked) : QuotaAnswered {asked.ask, true, Duration(0)};
-    heard.answered.emplace(asked.ask, std::pair(result, now));
+    heard.decided.emplace(asked.ask, Decided {result, now});
     return result;
 }
 
@@ -141,14 +140,14 @@
     return {quota.perSecond * m_part, quota.burst};
 }
 
-bool QuotaKeeper::noteLevel(TimePoint now, const OrganisationName &name, const Quota &quota)
+void QuotaKeeper::noteLevel(TimePoint now, const OrganisationName &name, const Quota &quota)
 {
     const double level = account(now, name, quota).bucket.level();
     if (level > PlentyAbove * quota.burst) {
         m_scarce.erase(name);
-        return false;
+    } else if (level < ScarceBelow * quota.burst) {
+        m_scarce.insert(name);
     }
-    return level < ScarceBelow * quota.burst && m_scarce.insert(name).second;
 }
 
 void QuotaKeeper::noteAllLevels(TimePoint now, const View &view)
--- a/src/quotas/quotakeeper.h
+++ b/src/quotas/quotakeeper.h
@@ -5,8 +5,8 @@
 #include "routing/routetable.h"
 
 #include <map>
+#include <optional>
 #include <set>
-#include <utility>
 #include <vector>
 
 namespace indigoway::quotas {
@@ -51,13 +51,24 @@
     std::size_t scarce() const { return m_scarce.size(); }
 
 private:
+    /** What a node has used of an organisation's quota, as it told last. */
+    struct Sum
+    {
+        double units = 0;
+        std::uint64_t sequence = 0; ///< Of the message that told it.
+    };
+    struct Decided
+    {
+        QuotaAnswered answer;
+        TimePoint at {};
+    };
     /** A node that has told something. */
     struct Heard
     {
         Incarnation life;
         TimePoint at {};
-        std::map<OrganisationName, std::pair<double, std::uint64_t>> used; ///< And its sequence.
-        std::map<QuotaAskId, std::pair<QuotaAnswered, TimePoint>> answered;
+        std::map<OrganisationName, Sum> used;
+        std::map<QuotaAskId, Decided> decided; ///< Of late, for questions that are repeated.
     };
     /** All nodes together. */
     struct Account
@@ -73,8 +84,8 @@
     void countHeard(TimePoint now, const View &view);
     Account &account(TimePoint now, const OrganisationName &name, const Quota &quota);
     BucketSize sizeOf(const Quota &quota) const;
-    /** Whether @p name has just become scarce. */
-    bool noteLevel(TimePoint now, const OrganisationName &name, const Quota &quota);
+    /** Whether @p name is scarce from now on. */
+    void noteLevel(TimePoint now, const OrganisationName &name, const Quota &quota);
     void noteAllLevels(TimePoint now, const View &view);
     StandingTold standing() const;
 
