Give back only what the keeper has counted

Cause: a request that a node had passed by its own share, while the keeper was silent, and that no server ran, was given back to the keeper, which had never counted it: it made good what others had used, and the quota could be passed by as much. Found by reading. The test failed first (organisationstest: whatTheKeeperHasNotCountedIsNotGivenBack).

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -236,7 +236,7 @@
     tellKeeper(step, std::move(messages));
     switch (decision.kind) {
     case quotas::QuotaDecision::Kind::Passed:
-        request.quotaUnits = units;
+        request.quotaUnits = decision.isCounted ? units : 0;
         flowOf(request).begin(step, request);
         return;
     case quotas::QuotaDecision::Kind::Asked:
@@ -269,7 +269,9 @@
         return;
     }
     request->stage = Stage::Calling;
-    request->quotaUnits = unitsOf(*request->organisation->quota, request->facts);
+    if (verdict.isCounted) {
+        request->quotaUnits = unitsOf(*request->organisation->quota, request->facts);
+    }
     flowOf(*request).begin(step, *request);
 }
 
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -85,7 +85,7 @@
     std::uint32_t eventsPassed = 0;
     bool isComingBack = false; ///< Its caller was turned away before, here or elsewhere.
 
-    double quotaUnits = 0; ///< Of its organisation's quota, while it counts against it.
+    double quotaUnits = 0; ///< That the keeper has counted against its organisation.
 
     // Of generations.
     scheduling::ClaimId claim;   ///< At the scheduler; none while this node chooses by itself.
--- a/src/quotas/quotagate.cpp
+++ b/src/quotas/quotagate.cpp
@@ -56,13 +56,13 @@
     if (!m_scarce.contains(organisation)) {
         m_used[organisation] += units;
         tellUsed(organisation, messages);
-        return {};
+        return {QuotaDecision::Kind::Passed, true, Duration(0)};
     }
     // Whoever has to be asked has nothing left to give out if the keeper falls silent now.
     m_own.insert_or_assign(organisation, QuotaBucket(0, now));
     m_questions[ask] = {organisation, quota, units, now, 1, false};
     messages.emplace_back(QuotaAsked {ask, organisation, units});
-    return {QuotaDecision::Kind::Asked, Duration(0)};
+    return {QuotaDecision::Kind::Asked, true, Duration(0)};
 }
 
 void QuotaGate::giveBack(const OrganisationName &organisation, double units, Messages &messages)
@@ -110,7 +110,7 @@
         }
         return std::nullopt;
     }
-    return QuotaVerdict {answer.ask, answer.isGranted, answer.roomAfter};
+    return QuotaVerdict {answer.ask, answer.isGranted, true, answer.roomAfter};
 }
 
 std::vector<QuotaVerdict> QuotaGate::tick(TimePoint now, Messages &messages)
@@ -215,7 +215,7 @@
         if (question.isDropped) {
             continue;
         }
-        QuotaVerdict verdict {ask, false, Duration(0)};
+        QuotaVerdict verdict {ask, false, false, Duration(0)};
         verdict.isGranted = decideAlone(now, question.organisation, question.quota, question.units,
                                         verdict.roomAfter);
         verdicts.push_back(verdict);
--- a/src/quotas/quotagate.h
+++ b/src/quotas/quotagate.h
@@ -27,7 +27,8 @@
         Refused,
     };
     Kind kind = Kind::Passed;
-    Duration roomAfter {}; ///< Of one that is refused.
+    bool isCounted = false; ///< By the keeper: what is not used is to be given back.
+    Duration roomAfter {};  ///< Of one that is refused.
 };
 
 /** A question has come to its end. */
@@ -35,6 +36,7 @@
 {
     QuotaAskId ask;
     bool isGranted = false;
+    bool isCounted = false; ///< As above.
     Duration roomAfter {};
 };
 
@@ -62,7 +64,7 @@
     /** @p ask names the request if it comes to a question. */
     QuotaDecision decide(TimePoint now, QuotaAskId ask, const OrganisationName &organisation,
                          const Quota &quota, double units, Messages &messages);
-    /** A request that was passed or granted has not been run. */
+    /** A request that the keeper has counted has not been run. */
     void giveBack(const OrganisationName &organisation, double units, Messages &messages);
     /** Nobody waits for the answer any more; what it grants is given back. */
     void dropQuestion(QuotaAskId ask);
--- a/tests/dispatch/organisationstest.cpp
+++ b/tests/dispatch/organisationstest.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(theKeeperDecidesWhereLittleIsLeft);
     CPPUNIT_TEST(aKeeperThatFallsSilentHoldsNobodyUp);
     CPPUNIT_TEST(whatWasNotRunIsGivenBack);
+    CPPUNIT_TEST(whatTheKeeperHasNotCountedIsNotGivenBack);
     CPPUNIT_TEST(tokensAreCounted);
     CPPUNIT_TEST(itsPriorityGoesBeforeTheRoutes);
     CPPUNIT_TEST_SUITE_END();
@@ -225,6 +226,25 @@
         CPPUNIT_ASSERT_EQUAL(0U, play.told<scheduling::Claim>().priority);
     }
 
+    // While the keeper is silent a node passes a request by its own share, and no server takes it.
+    // Told to the keeper as given back, it would make good what others have used: the quota would
+    // be passed by as much.
+    void whatTheKeeperHasNotCountedIsNotGivenBack()
+    {
+        DispatchPlay play(MostAge, {8s, 0, 100});
+        play.useRoutes(Repetition::AtMostOnce, {organisation("o1", "k1", smallQuota())});
+        hearKeeper(play, 0);
+        play.wait(10, 2500); // Its heartbeats are not answered any more.
+        play.takeToldKeeper();
+        const RequestNumber request = play.arriveWithKey(2510, "plain", "k1", 1s);
+        CPPUNIT_ASSERT_EQUAL(503, play.status(request)); // Passed, and there is no server.
+        for (const quotas::ToKeeper &message : play.takeToldKeeper()) {
+            for (const auto &used : std::get<quotas::UsageTold>(message).used) {
+                CPPUNIT_ASSERT(used.units >= 0);
+            }
+        }
+    }
+
     void tokensAreCounted()
     {
         DispatchPlay play(MostAge);
