--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -261,6 +261,7 @@
                          m_proofWantedAt = present() + usualPause;
                      } else {
                          m_proofWantedAt = present() + std::min(ProveAgainAfter, usualPause);
+                         m_wiring.record("copy_not_proven", nameOf(std::get<StoreFault>(result)));
                      }
                  });
 }
