Let a claim look at as many engines as the work needs, not at all of them

Cause: for each claim, and each pass over those that wait, the scheduler built the outlook of every engine of the service. Change: a pass looks at the first usable engines of each failure domain and phase, at least 64, and twice the runs and claims there are. Before a claim is refused, or left waiting, all are looked at. Services of fewer engines are scheduled as before, engine for engine. What vanished is forgotten from a queue of the vanished in place of a walk over all servers at each look at the time. Weighed: one scheduler for each domain would cut the cost once more by the domains, and lets callers be refused where a neighbour has room; not built, since one scheduler is not what binds now. Also: comments that told of measurements in these files give the reason only.

--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -423,6 +423,7 @@
 void EdgeNode::tick()
 {
     const TimePoint now = present();
+        {"scheduler_engines_looked", m_scheduling.scheduler().enginesLooked()},
     recordFirstCopy();
     noteCopyAge();
     noticeFreeze(now);
--- a/src/fleet/serverdirectory.cpp
+++ b/src/fleet/serverdirectory.cpp
@@ -17,10 +17,9 @@
         erase(m_entries.find(*earlier));
     }
     Entry &entry = m_entries[name];
-    if (entry.server.service != server.service) {
-        m_byService[entry.server.service].erase(name);
-    }
+    unlist(entry.server);
     m_byService[server.service][name] = &entry;
+    m_byDomain[server.service][server.domain][name] = &entry;
     entry.server = std::move(server);
     entry.vanishedAt.reset();
     return earlier;
@@ -31,6 +30,7 @@
     const auto it = m_entries.find(name);
     if (it != m_entries.end() && !it->second.vanishedAt) {
         it->second.vanishedAt = now;
+        m_vanished.push_back({name, now});
     }
 }
 
@@ -42,14 +42,16 @@
 std::vector<ServerName> ServerDirectory::forgetVanished(TimePoint now)
 {
     std::vector<ServerName> forgotten;
-    for (auto it = m_entries.begin(); it != m_entries.end();) {
-        const Entry &entry = it->second;
-        if (!entry.vanishedAt || now < *entry.vanishedAt + VanishedKept) {
-            ++it;
-            continue;
+    for (; !m_vanished.empty() && now >= m_vanished.front().at + VanishedKept;
+         m_vanished.pop_front()) {
+        const auto it = m_entries.find(m_vanished.front().name);
+        // It may have been back since, and gone once more.
+        const bool isOver = it != m_entries.end() && it->second.vanishedAt
+            && now >= *it->second.vanishedAt + VanishedKept;
+        if (isOver) {
+            forgotten.push_back(it->first);
+            erase(it);
         }
-        forgotten.push_back(it->first);
-        it = erase(it);
     }
     return forgotten;
 }
@@ -61,7 +63,7 @@
         return it;
     }
     const AnnouncedServer &server = it->second.server;
-    m_byService[server.service].erase(server.name);
+    unlist(server);
     const auto instance = m_byInstance.find(server.instance);
     if (instance != m_byInstance.end() && instance->second == server.name) {
         m_byInstance.erase(instance);
@@ -69,6 +71,52 @@
     return m_entries.erase(it);
 }
 
+void ServerDirectory::unlist(const AnnouncedServer &server)
+{
+    const auto service = m_byService.find(server.service);
+    if (service == m_byService.end()) {
+        return;
+    }
+    service->second.erase(server.name);
+    m_byDomain[server.service][server.domain].erase(server.name);
+}
+
+void ServerDirectory::visitUsable(const ServiceName &service, const DomainName &domain,
+                                  TimePoint now, const Visitor &visitor) const
+{
+    const auto domains = m_byDomain.find(service);
+    if (domains == m_byDomain.end()) {
+        return;
+    }
+    const auto servers = domains->second.find(domain);
+    if (servers == domains->second.end()) {
+        return;
+    }
+    for (const auto &[name, entry] : servers->second) {
+        if (standingOf(*entry, now) == Standing::Usable && !visitor(entry->server)) {
+            return;
+        }
+    }
+}
+
+std::vector<DomainName> ServerDirectory::domainsOf(const ServiceName &service) const
+{
+    std::vector<DomainName> names;
+    const auto domains = m_byDomain.find(service);
+    if (domains != m_byDomain.end()) {
+        for (const auto &[name, servers] : domains->second) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+std::size_t ServerDirectory::sizeOf(const ServiceName &service) const
+{
+    const auto servers = m_byService.find(service);
+    return servers == m_byService.end() ? 0 : servers->second.size();
+}
+
 ServerName ServerDirectory::nameOf(const std::string &instance) const
 {
     const auto it = m_byInstance.find(instance);
--- a/src/fleet/serverdirectory.h
+++ b/src/fleet/serverdirectory.h
@@ -2,6 +2,8 @@
 
 #include <indigoway/announcedserver.h>
 
+#include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -35,7 +37,7 @@
     void withdraw(const ServerName &name, TimePoint now);
     /** Known to be gone, or not to be used: no last resort either. */
     void remove(const ServerName &name);
-    /** Forgets the entries that vanished longer ago than VanishedKept. */
+    /** Forgets the entries that vanished longer ago than VanishedKept; cheap if there are none. */
     std::vector<ServerName> forgetVanished(TimePoint now);
 
     /** The life that a server announced last; empty if it is not known (any more). */
@@ -46,6 +48,15 @@
     /** Servers of @p service in name order that may get new work; last resorts if no others. */
     std::vector<const AnnouncedServer *> candidates(const ServiceName &service, EnginePhase phase,
                                                     TimePoint now) const;
+    /** False ends the visit. */
+    using Visitor = std::function<bool(const AnnouncedServer &)>;
+    /** Visits the usable servers of @p service in @p domain in name order. */
+    void visitUsable(const ServiceName &service, const DomainName &domain, TimePoint now,
+                     const Visitor &visitor) const;
+    /** The domains with servers of @p service. */
+    std::vector<DomainName> domainsOf(const ServiceName &service) const;
+    /** Servers of @p service, whatever their standing. */
+    std::size_t sizeOf(const ServiceName &service) const;
     std::vector<ServerName> names() const;
     std::size_t size() const { return m_entries.size(); }
 
@@ -58,10 +69,21 @@
 
     std::map<ServerName, Entry>::iterator erase(std::map<ServerName, Entry>::iterator it);
     static Standing standingOf(const Entry &entry, TimePoint now);
+    void unlist(const AnnouncedServer &server);
+
+    struct Vanished
+    {
+        ServerName name;
+        TimePoint at {};
+    };
 
     std::map<ServerName, Entry> m_entries;
+    std::deque<Vanished> m_vanished; ///< Oldest first.
     std::map<std::string, ServerName> m_byInstance;
-    std::map<ServiceName, std::map<ServerName, const Entry *>> m_byService;
+    using Entries = std::map<ServerName, const Entry *>;
+
+    std::map<ServiceName, Entries> m_byService;
+    std::map<ServiceName, std::map<DomainName, Entries>> m_byDomain;
 };
 
 } // namespace indigoway
--- a/src/scheduling/enginechoice.cpp
+++ b/src/scheduling/enginechoice.cpp
@@ -39,29 +39,70 @@
 } // namespace
 
 EngineChoice::EngineChoice(const EngineLedger &ledger, const ServerDirectory &servers,
-                           const Service &service, const ServicePace &pace, TimePoint now)
+                           const Service &service, const ServicePace &pace, TimePoint now,
+                           Limit limit)
     : m_ledger(ledger)
     , m_pace(pace)
     , m_now(now)
     , m_memory(service.engine ? static_cast<double>(service.engine->memoryTokens) : 0)
 {
-    for (const auto *server : usableDecode(inPhase(servers, service, EnginePhase::Decode))) {
+    Phases engines;
+    if (limit < servers.sizeOf(service.name)) {
+        engines = firstEngines(servers, service, limit);
+    }
+    // Where none is usable, there may be last resorts.
+    if (engines.decode.empty() || engines.prefill.empty()) {
+        engines = allEngines(servers, service);
+    }
+    for (const auto *server : usableDecode(engines.decode)) {
         MemoryOutlook memory = ledger.memoryOutlook(server->name, pace.decode, now);
         const double peak = memory.peak();
         m_decode.push_back({server, std::move(memory), peak, false});
     }
-    m_prefill = usablePrefill(inPhase(servers, service, EnginePhase::Prefill));
+    m_prefill = usablePrefill(engines.prefill);
 }
 
-EngineChoice::Engines EngineChoice::inPhase(const ServerDirectory &servers, const Service &service,
-                                            EnginePhase phase) const
+EngineChoice::Phases EngineChoice::allEngines(const ServerDirectory &servers,
+                                              const Service &service)
 {
-    Engines engines;
+    Phases engines;
     for (const EnginePhase announced : {EnginePhase::Prefill, EnginePhase::Decode}) {
-        std::ranges::copy_if(servers.candidates(service.name, announced, m_now),
-                             std::back_inserter(engines), [&](const AnnouncedServer *server) {
-                                 return m_ledger.phaseOf(*server, m_now) == phase;
-                             });
+        for (const auto *server : servers.candidates(service.name, announced, m_now)) {
+            const bool isDecode = m_ledger.phaseOf(*server, m_now) == EnginePhase::Decode;
+            (isDecode ? engines.decode : engines.prefill).push_back(server);
+        }
+    }
+    m_isLimited = false;
+    m_looked += engines.decode.size() + engines.prefill.size();
+    return engines;
+}
+
+EngineChoice::Phases EngineChoice::firstEngines(const ServerDirectory &servers,
+                                                const Service &service, Limit limit)
+{
+    Phases engines;
+    for (const DomainName &domain : servers.domainsOf(service.name)) {
+        std::size_t decode = 0;
+        std::size_t prefill = 0;
+        servers.visitUsable(service.name, domain, m_now, [&](const AnnouncedServer &server) {
+            if (decode >= limit && prefill >= limit) {
+                m_isLimited = true;
+                return false;
+            }
+            ++m_looked;
+            if (server.phase == EnginePhase::None) {
+                return true;
+            }
+            const bool isDecode = m_ledger.phaseOf(server, m_now) == EnginePhase::Decode;
+            std::size_t &taken = isDecode ? decode : prefill;
+            if (taken >= limit) {
+                m_isLimited = true;
+            } else if (!m_ledger.isOut(server, m_now)) {
+                ++taken;
+                (isDecode ? engines.decode : engines.prefill).push_back(&server);
+            }
+            return true;
+        });
     }
     return engines;
 }
--- a/src/scheduling/enginechoice.h
+++ b/src/scheduling/enginechoice.h
@@ -5,6 +5,8 @@
 #include "scheduling/schedulermessages.h"
 #include "scheduling/servicepace.h"
 
+#include <cstddef>
+#include <limits>
 #include <vector>
 
 namespace indigoway::scheduling {
@@ -12,6 +14,10 @@
 /**
  * The engines of one service at a moment, for one pass over the claims on them: which decode
  * engine has room for a claim, and which prefill engine reads its prompt next.
+ *
+ * A pass costs by the engines that it looks at. Of a large service only so many are looked at as
+ * the work needs, the same ones from pass to pass, so that a claim costs no more in a larger
+ * fleet.
  */
 class EngineChoice
 {
@@ -25,8 +31,16 @@
         bool isKept = false;
     };
 
+    /** Engines of each phase that are looked at in a failure domain, at the most. */
+    using Limit = std::size_t;
+    static constexpr Limit All = std::numeric_limits<Limit>::max();
+
     EngineChoice(const EngineLedger &ledger, const ServerDirectory &servers, const Service &service,
-                 const ServicePace &pace, TimePoint now);
+                 const ServicePace &pace, TimePoint now, Limit limit = All);
+
+    /** Whether there are engines that were not looked at. */
+    bool isLimited() const { return m_isLimited; }
+    std::size_t looked() const { return m_looked; }
 
     /** Null if none has room. */
     DecodeRoom *chooseDecode(const Claim &claim);
@@ -57,8 +71,14 @@
     /** Of those that @p isUsable; null if none has room. */
     template <typename IsUsable>
     DecodeRoom *emptiest(const Claim &claim, const IsUsable &isUsable);
-    Engines inPhase(const ServerDirectory &servers, const Service &service,
-                    EnginePhase phase) const;
+    struct Phases
+    {
+        Engines decode;
+        Engines prefill;
+    };
+
+    Phases allEngines(const ServerDirectory &servers, const Service &service);
+    Phases firstEngines(const ServerDirectory &servers, const Service &service, Limit limit);
     /** Time that the pair is ranked behind others for; negative: before them. */
     Duration detour(const AnnouncedServer &prefill, const AnnouncedServer &decode) const;
     Engines usableDecode(const Engines &all) const;
@@ -72,6 +92,8 @@
     double m_memory = 0; ///< Of one engine, in tokens.
     std::vector<DecodeRoom> m_decode;
     Engines m_prefill;
+    bool m_isLimited = false;
+    std::size_t m_looked = 0;
     std::size_t m_kept = 0; ///< Engines whose room collects for claims that wait for long.
 };
 
--- a/src/scheduling/enginescheduler.cpp
+++ b/src/scheduling/enginescheduler.cpp
@@ -18,13 +18,12 @@
 constexpr Duration LongPrefillWait = std::chrono::milliseconds(100);
 /**
  * A claim waits so long before room is kept for it, on an engine of its own. Without that, each
- * piece of room that comes free goes to the small ones: in a burst of twice the capacity one in
- * eight of the largest prompts was served, of all two in three.
+ * piece of room that comes free goes to the small ones, and hardly a large one is served.
  */
 constexpr Duration KeepRoomAfter = std::chrono::milliseconds(100);
 /**
- * A pass over all that wait takes some 100 us. With hundreds waiting and a thousand messages a
- * second the scheduler would do nothing else, and nodes would take it for dead.
+ * With hundreds waiting and a thousand messages a second the scheduler would do nothing but pass
+ * over them, and nodes would take it for dead.
  */
 constexpr std::size_t ManyWaiting = 20;
 constexpr Duration BetweenPasses = std::chrono::milliseconds(5);
@@ -35,6 +34,11 @@
 /** A node that died tells nothing; its claims end with their requests' time, and a little later. */
 constexpr Duration ExpirySlack = std::chrono::milliseconds(500);
 
+/** Engines of each phase that are looked at in a failure domain, however little work there is. */
+constexpr std::size_t LeastEngines = 64;
+/** Engines looked at for each run and claim: most find an engine that is idle. */
+constexpr std::size_t EnginesForRun = 2;
+
 /** Of a run's memory over its time: its output grows from nothing. */
 double meanTokens(const MemoryNeed &need)
 {
@@ -134,16 +138,7 @@
         m_paces[claim.service].generations.add(claim.promptTokens, claim.memory);
     }
     const Outlook expected = outlook(now, view, claim);
-    // A prompt so long that even idle engines would be late is no reason to refuse it for ever.
-    const bool couldBeInTime = claim.urgency == Urgency::Fresh
-        && m_ledger.prefillTime(ServerName(), claim.promptTokens, paceOf(claim.service).prefill,
-                                now)
-            < claim.untilTarget;
-    const Duration latest =
-        claim.untilTarget - m_waits.allowanceForLarge(claim, paceOf(claim.service).prefill);
-    const bool isHopeless =
-        expected.forRoom > claim.waitsAtMost || (couldBeInTime && expected.firstEvent > latest);
-    if (isHopeless) {
+    if (isHopeless(now, claim, expected)) {
         ++m_refusedAtOnce;
         // Known now: the caller learns at once when to come back, and waits for nothing.
         replies.push_back({key.owner, ClaimRefused {key.claim, expected.ahead, expected.forRoom}});
@@ -311,16 +306,50 @@
                                now);
 }
 
+bool EngineScheduler::isHopeless(TimePoint now, const Claim &claim, const Outlook &expected)
+{
+    const PrefillPace &pace = paceOf(claim.service).prefill;
+    // A prompt so long that even idle engines would be late is no reason to refuse it for ever.
+    const bool couldBeInTime = claim.urgency == Urgency::Fresh
+        && m_ledger.prefillTime(ServerName(), claim.promptTokens, pace, now) < claim.untilTarget;
+    const Duration latest = claim.untilTarget - m_waits.allowanceForLarge(claim, pace);
+    return expected.forRoom > claim.waitsAtMost || (couldBeInTime && expected.firstEvent > latest);
+}
+
+EngineChoice::Limit EngineScheduler::enginesWanted(const View &view,
+                                                   const ServiceName &service) const
+{
+    const std::size_t domains = std::max<std::size_t>(view.servers.domainsOf(service).size(), 1);
+    const std::size_t work = m_granted.size() + m_waiting.size();
+    return std::max(LeastEngines, EnginesForRun * work / domains);
+}
+
 EngineScheduler::Outlook EngineScheduler::outlook(TimePoint now, const View &view,
-                                                  const Claim &claim) const
+                                                  const Claim &claim)
 {
-    Outlook result;
     const Service *service = view.routes.service(claim.service);
     if (!service || !service->engine) {
-        return result;
+        return {};
     }
+    const ServicePace &pace = paceOf(claim.service);
+    const EngineChoice some(m_ledger, view.servers, *service, pace, now,
+                            enginesWanted(view, claim.service));
+    m_enginesLooked += some.looked();
+    const Outlook expected = outlook(now, some, claim);
+    if (!some.isLimited() || !isHopeless(now, claim, expected)) {
+        return expected;
+    }
+    // No claim is refused for engines that were not looked at.
+    const EngineChoice all(m_ledger, view.servers, *service, pace, now);
+    m_enginesLooked += all.looked();
+    return outlook(now, all, claim);
+}
+
+EngineScheduler::Outlook EngineScheduler::outlook(TimePoint now, const EngineChoice &engines,
+                                                  const Claim &claim) const
+{
+    Outlook result;
     const PrefillPace &prefillPace = paceOf(claim.service).prefill;
-    const EngineChoice engines(m_ledger, view.servers, *service, paceOf(claim.service), now);
     double tokensAhead = 0;
     Duration promptsAhead {};
     const TimePoint latest = startBy(now, claim);
@@ -404,26 +433,34 @@
     }
     for (const ServiceName &name : services) {
         const Service *service = view.routes.service(name);
-        if (service && service->engine) {
-            grantOne(now, view, *service, replies);
+        if (service && service->engine
+            && !grantOne(now, view, *service, enginesWanted(view, name), replies)) {
+            grantOne(now, view, *service, EngineChoice::All, replies);
         }
     }
 }
 
-void EngineScheduler::grantOne(TimePoint now, const View &view, const Service &service,
-                               SchedulerReplies &replies)
+bool EngineScheduler::grantOne(TimePoint now, const View &view, const Service &service,
+                               EngineChoice::Limit limit, SchedulerReplies &replies)
 {
-    Pass pass {EngineChoice(m_ledger, view.servers, service, paceOf(service.name), now)};
+    Pass pass {EngineChoice(m_ledger, view.servers, service, paceOf(service.name), now, limit)};
+    m_enginesLooked += pass.engines.looked();
+    bool isAnyLeft = false;
     pass.spare = pass.engines.freeFor({}) - tokensWaiting(service.name);
     for (const auto it : order(now, pass.engines.leastPrefillWait(), service.name)) {
         if (tryGrant(now, pass, it->first, it->second, replies)) {
             m_waiting.erase(it);
-        } else if (pass.isPrefillFull) {
+            continue;
+        }
+        isAnyLeft = true;
+        if (pass.isPrefillFull) {
             break;
-        } else if (now > it->second.since + KeepRoomAfter) {
+        }
+        if (now > it->second.since + KeepRoomAfter) {
             pass.engines.keepRoom();
         }
     }
+    return !isAnyLeft || !pass.engines.isLimited();
 }
 
 double EngineScheduler::tokensWaiting(const ServiceName &service) const
--- a/src/scheduling/enginescheduler.h
+++ b/src/scheduling/enginescheduler.h
@@ -27,10 +27,9 @@
 /**
  * Gives out the room of model engines to all nodes: one node runs it for the others.
  *
- * Nodes that choose alone cannot see each other's prompts: with 65 nodes a prompt took 0.3 s at the
- * median and over 1 s for one in ten where an idle engine takes 0.14 s, and decode memory lay
- * reserved meanwhile. Here all prompts of an engine are known, so that each is sent where it is
- * read next, and none before it would be read soon.
+ * Nodes that choose alone cannot see each other's prompts, which then stand in line at some engines
+ * while others are idle, with decode memory reserved for them. Here all prompts of an engine are
+ * known, so that each is sent where it is read next, and none before it would be read soon.
  *
  * It is a help, not a guard: engines refuse what does not fit, so that two schedulers at a time,
  * or one that knows too little, cost time and never correctness. It keeps nothing that must last;
@@ -57,6 +56,8 @@
     std::size_t waiting() const { return m_waiting.size(); }
     std::size_t granted() const { return m_granted.size(); }
     std::size_t engines() const { return m_ledger.size(); }
+    /** Engines that were looked at, for all claims so far. */
+    std::uint64_t enginesLooked() const { return m_enginesLooked; }
 
 private:
     struct Key
@@ -104,7 +105,12 @@
         Duration forRoom {};    ///< On a decode engine.
         Duration firstEvent {}; ///< From now; the wait included.
     };
-    Outlook outlook(TimePoint now, const View &view, const Claim &claim) const;
+    Outlook outlook(TimePoint now, const View &view, const Claim &claim);
+    Outlook outlook(TimePoint now, const EngineChoice &engines, const Claim &claim) const;
+    /** Whether @p claim would not be served in time. */
+    bool isHopeless(TimePoint now, const Claim &claim, const Outlook &expected);
+    /** Engines that are looked at in a failure domain, for the work that there is. */
+    EngineChoice::Limit enginesWanted(const View &view, const ServiceName &service) const;
     /** When @p claim has to be granted for its target, on engines that are idle. */
     TimePoint startBy(TimePoint now, const Claim &claim) const;
     const ServicePace &paceOf(const ServiceName &service) const;
@@ -118,8 +124,9 @@
         /** Memory that would be left if all that wait were served at once; may be negative. */
         double spare = 0;
     };
-    void grantOne(TimePoint now, const View &view, const Service &service,
-                  SchedulerReplies &replies);
+    /** Among so many engines; false if claims are left and there are more engines. */
+    bool grantOne(TimePoint now, const View &view, const Service &service,
+                  EngineChoice::Limit limit, SchedulerReplies &replies);
     /** Those that wait for @p service, in the order in which they are served. */
     std::vector<WaitingMap::iterator> order(TimePoint now, Duration prefillWait,
                                             const ServiceName &service);
@@ -136,6 +143,7 @@
     ClaimWaits m_waits;
     std::map<ServiceName, ServicePace> m_paces;
     std::uint64_t m_lastRun = 0;
+    std::uint64_t m_enginesLooked = 0;
     std::uint64_t m_refusedAtOnce = 0;
     std::uint64_t m_refusedAfterWait = 0;
 };
