Encode news once, pass them down a tree, and take a first copy from another node

Cause: what a watcher sent and held grew as changes x nodes of its domain. Each asker's news were encoded anew (JSON, base64) by a walk over the whole copy, without a bound on what lay unsent, and asked for again from the same revision after 1.3 s; whoever was behind a listing, or by 500 removals, got everything. The users traced 198 equal answers of 2 MB in one watcher of 512 MB. After a loss of all each node would list the whole store by itself: 55 pages for 9,695 servers, 54,000 calls for 985 nodes.

Change, each part bounded whatever the fleet's size: - NewsLog: a change is one block (MessagePack, zstd), encoded by the node that heard it from the store and passed on as it came; 64 KB in an answer, 1 MB kept. A listing after lost history is told as its differences. Whole copies are encoded once and take turns on the link (CopyTurns, new flag link_mbps). - UpstreamChoice: the nodes of a domain form a tree by their rank, 16 below each; a node asks only nodes of a better rank. One that fails again and again is left for longer. - A node asks the store for two pages at the most; the rest comes from another node: the seeds list, those who are busy refer to others who have a copy. Patience of 5 to 10 s, then it lists by itself. - NodeRoster keeps the ranks as entries change; no copies of the roster any more, which each node made in each look (20 a second).

Ways weighed: a watch by each node (985 paid calls a second, ruled out before); a larger timeout and larger watchers (hold at one size only); a second fixed level below the watcher (what the tree is at 200 nodes a domain, without the switch). JSON news and their test gave way to the new codec's, with damaged bytes by property.

--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -3,7 +3,8 @@
 set -eu
 PACKAGES="build-essential cmake ninja-build pkg-config python3 clang-format clang-tidy curl
     libevent-dev libboost-dev libabsl-dev libspdlog-dev libfmt-dev libcppunit-dev librapidcheck-dev
-    libjsoncpp-dev libjsonrpccpp-dev libxxhash-dev tao-pegtl-dev libssl-dev libhttp-parser-dev"
+    libjsoncpp-dev libjsonrpccpp-dev libxxhash-dev tao-pegtl-dev libssl-dev libhttp-parser-dev
+    libmsgpack-cxx-dev libzstd-dev"
 missing=""
 for package in $PACKAGES; do
     dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing="$missing $package"
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -72,7 +72,7 @@
     , m_dispatcher(dispatchSettingsOf(m_settings), present())
     , m_relay(base, m_dispatcher, *m_ports.dialect, std::random_device {}())
     , m_sync(base, *m_ports.store, client, wiringOf(*this, m_ports.layout),
-             m_settings.node.text() + "/" + std::to_string(m_life.value()))
+             m_settings.node.text() + "/" + std::to_string(m_life.value()), std::random_device {}())
     , m_scheduling(base, {m_settings.node, m_life}, schedulingWiringOf(*this))
     , m_control(
           base, HttpLimits {}, [this](const HttpRequest &request) { handleControl(request); },
@@ -187,17 +187,23 @@
     wiring.record = [&node](const std::string &kind, const std::string &detail) {
         node.record(kind, {{"detail", detail}});
     };
-    wiring.members = [&node] {
-        return node.m_roster.members(present());
+    wiring.roster = [&node]() -> const NodeRoster & {
+        node.m_roster.forgetVanished(present());
+        return node.m_roster;
     };
     wiring.seeds = [&node] {
         return node.seeds();
     };
+    wiring.isSeed = [&node] {
+        return std::ranges::find(node.m_settings.peers, node.m_settings.control)
+            != node.m_settings.peers.end();
+    };
+    wiring.linkBytesPerSecond = node.m_settings.linkBytesPerSecond;
     wiring.answerPeer = [&node](ExchangeNumber exchange, const std::string &body) {
         constexpr int Ok = 200;
         constexpr int ServiceUnavailable = 503;
         node.m_control.reply(exchange, body.empty() ? ServiceUnavailable : Ok,
-                             {{"Content-Type", "application/json"}}, body);
+                             {{"Content-Type", "application/octet-stream"}}, body);
     };
     return wiring;
 }
@@ -229,8 +235,9 @@
 
 void EdgeNode::chooseScheduler(TimePoint now)
 {
-    auto chosen = m_settings.scheduling.empty() ? std::nullopt
-                                                : scheduling::schedulerOf(m_roster.members(now));
+    m_roster.forgetVanished(now);
+    auto chosen =
+        m_settings.scheduling.empty() ? std::nullopt : scheduling::schedulerOf(m_roster.members());
     if (chosen == m_scheduler) {
         return;
     }
@@ -373,7 +380,8 @@
     constexpr int NotFound = 404;
     if (request.path == "/v1/mirror") {
         m_sync.takePeerQuestion(request.exchange,
-                                std::strtoull(request.parameter("after").c_str(), nullptr, 10));
+                                std::strtoull(request.parameter("after").c_str(), nullptr, 10),
+                                request.parameter("from"));
     } else {
         m_control.reply(request.exchange, NotFound, {}, "");
     }
@@ -412,6 +420,7 @@
         {"nodes_known", m_roster.count(present())},
         {"scheduler_waiting", m_scheduling.scheduler().waiting()},
         {"scheduler_granted", m_scheduling.scheduler().granted()},
+        {"scheduler_engines_looked", m_scheduling.scheduler().enginesLooked()},
         {"scheduler_unsent", m_scheduling.unsent()},
         {"quotas_scarce", m_scheduling.quotaKeeper().scarce()},
         {"contents_crashed", m_dispatcher.crashes().size()},
@@ -423,7 +432,6 @@
 void EdgeNode::tick()
 {
     const TimePoint now = present();
-        {"scheduler_engines_looked", m_scheduling.scheduler().enginesLooked()},
     recordFirstCopy();
     noteCopyAge();
     noticeFreeze(now);
@@ -449,7 +457,7 @@
     m_hasCopy = true;
     record("first_copy",
            {{"as_of", std::to_string(m_sync.asOf())},
-            {"nodes", std::to_string(m_roster.members(present()).size())},
+            {"nodes", std::to_string(m_roster.members().size())},
             {"servers", std::to_string(m_dispatcher.servers().size())}});
 }
 
--- a/src/edge/edgesettings.cpp
+++ b/src/edge/edgesettings.cpp
@@ -27,6 +27,8 @@
 ABSL_FLAG(double, processors, 1,
           "This VM's share of processor time, in processors; the node with the most schedules the "
           "engines.");
+ABSL_FLAG(double, link_mbps, 1000,
+          "This VM's link, in megabits a second; bounds what it sends other nodes at a time.");
 ABSL_FLAG(std::string, store, "127.0.0.1:2379", "Address (IP:port) of the key-value service.");
 ABSL_FLAG(std::string, peers, "",
           "Control addresses of some other nodes, separated by commas; of use when the key-value "
@@ -107,12 +109,11 @@
     return {"indigoway-edge: routes requests to backend servers that announce themselves in a\n"
             "key-value service, by the desired state that operators keep there.\n"
             "Every entry VM runs one. SIGTERM makes it leave without cutting a request.",
-            {"node_file",       "node",           "domain",         "callers",
-             "readiness",       "directory",      "control",        "metrics",
-             "scheduling",      "processors",     "store",          "peers",
-             "ends_within_s",   "retry_ratio",    "retry_window_s", "retry_slack",
-             "key_copy_age_ms", "quota_window_s", "quota_over",     "quota_slack",
-             "list_kept_s"}};
+            {"node_file",      "node",        "domain",          "callers",        "readiness",
+             "directory",      "control",     "metrics",         "scheduling",     "processors",
+             "link_mbps",      "store",       "peers",           "ends_within_s",  "retry_ratio",
+             "retry_window_s", "retry_slack", "key_copy_age_ms", "quota_window_s", "quota_over",
+             "quota_slack",    "list_kept_s"}};
 }
 
 std::variant<EdgeSettings, CommandLineFaults> checkedEdgeSettings()
@@ -140,6 +141,9 @@
         checkedAddress("scheduling", settings.scheduling, wrong);
     }
     settings.processors = checkedPositive("processors", absl::GetFlag(FLAGS_processors), wrong);
+    constexpr double BytesPerMegabit = 1e6 / 8;
+    settings.linkBytesPerSecond =
+        checkedPositive("link_mbps", absl::GetFlag(FLAGS_link_mbps), wrong) * BytesPerMegabit;
     settings.store = checkedAddress("store", absl::GetFlag(FLAGS_store), wrong);
     const std::string peers = absl::GetFlag(FLAGS_peers);
     for (const absl::string_view peer : absl::StrSplit(peers, ',', absl::SkipEmpty())) {
--- a/src/edge/edgesettings.h
+++ b/src/edge/edgesettings.h
@@ -16,13 +16,14 @@
 {
     NodeName node;
     DomainName domain;
-    std::string callers;    ///< Address for callers' requests.
-    std::string readiness;  ///< Address that tells whether this node wants callers.
-    std::string directory;  ///< Address that tells callers which nodes to use.
-    std::string control;    ///< Address for the other nodes.
-    std::string metrics;    ///< Address for metrics; empty: none.
-    std::string scheduling; ///< Address (UDP) for claims on engines; empty: takes none.
-    double processors = 0;  ///< This VM's share of processor time, in processors.
+    std::string callers;           ///< Address for callers' requests.
+    std::string readiness;         ///< Address that tells whether this node wants callers.
+    std::string directory;         ///< Address that tells callers which nodes to use.
+    std::string control;           ///< Address for the other nodes.
+    std::string metrics;           ///< Address for metrics; empty: none.
+    std::string scheduling;        ///< Address (UDP) for claims on engines; empty: takes none.
+    double processors = 0;         ///< This VM's share of processor time, in processors.
+    double linkBytesPerSecond = 0; ///< Of this VM's link.
     std::string store;
     std::vector<std::string> peers; ///< Control addresses of some other nodes; may be stale.
     Duration endsWithin {};         ///< From SIGTERM until the process must be gone.
--- a/src/edge/mirrorexchange.cpp
+++ b/src/edge/mirrorexchange.cpp
@@ -1,64 +1,214 @@
 #include "mirrorexchange.h"
 
-#include "core/jsontext.h"
+#include <msgpack.hpp>
+#include <zstd.h>
 
-#include <absl/strings/escaping.h>
+#include <memory>
+#include <string_view>
 
 namespace indigoway {
 
-std::string encodeNews(const MirrorNews &news)
+namespace {
+
+using Packer = msgpack::packer<msgpack::sbuffer>;
+
+/** Other versions are not read. */
+constexpr std::uint32_t Version = 1;
+constexpr int CompressionLevel = 1;
+/** Unpacked; guards against a block that claims to be larger than a node's memory. */
+constexpr unsigned long long MostUnpackedBytes = 64ULL * 1024 * 1024;
+
+// Members of the arrays, by their place.
+enum BlockMember : std::uint32_t { BlockVersion, After, AsOf, IsWhole, Changes, BlockMembers };
+enum ChangeMember : std::uint32_t { Key, Revision, Value, Created, ChangeMembers };
+enum AnswerMember : std::uint32_t { AnswerVersion, Age, Held, Blocks, Elsewhere, AnswerMembers };
+
+void packBytes(Packer &packer, std::string_view bytes)
+{
+    packer.pack_bin(static_cast<std::uint32_t>(bytes.size()));
+    packer.pack_bin_body(bytes.data(), static_cast<std::uint32_t>(bytes.size()));
+}
+
+void packChange(Packer &packer, const StoredChange &change)
+{
+    packer.pack_array(ChangeMembers);
+    packBytes(packer, change.key);
+    packer.pack(change.revision);
+    if (change.value) {
+        packBytes(packer, *change.value);
+    } else {
+        packer.pack_nil();
+    }
+    packer.pack(change.created);
+}
+
+std::string compressed(std::string_view text)
+{
+    std::string bytes(ZSTD_compressBound(text.size()), '\0');
+    bytes.resize(
+        ZSTD_compress(bytes.data(), bytes.size(), text.data(), text.size(), CompressionLevel));
+    return bytes;
+}
+
+std::optional<std::string> decompressed(std::string_view bytes)
+{
+    const unsigned long long size = ZSTD_getFrameContentSize(bytes.data(), bytes.size());
+    if (size > MostUnpackedBytes) { // Above any size, too, where it is not known.
+        return std::nullopt;
+    }
+    std::string text(size, '\0');
+    const std::size_t read = ZSTD_decompress(text.data(), text.size(), bytes.data(), bytes.size());
+    if (ZSTD_isError(read) != 0 || read != size) {
+        return std::nullopt;
+    }
+    return text;
+}
+
+/** Nothing if @p object is no array of @p least members or more. */
+const msgpack::object *membersOf(const msgpack::object &object, std::uint32_t least)
+{
+    const bool isArray = object.type == msgpack::type::ARRAY && object.via.array.size >= least;
+    return isArray ? object.via.array.ptr : nullptr;
+}
+
+/** Throws msgpack::type_error, as all readers below do, if it is none. */
+std::string bytesIn(const msgpack::object &object)
+{
+    if (object.type != msgpack::type::BIN) {
+        throw msgpack::type_error();
+    }
+    return {object.via.bin.ptr, object.via.bin.size};
+}
+
+template <typename Value, typename Read>
+std::vector<Value> listIn(const msgpack::object &object, const Read &read)
+{
+    if (object.type != msgpack::type::ARRAY) {
+        throw msgpack::type_error();
+    }
+    std::vector<Value> list;
+    list.reserve(object.via.array.size);
+    for (std::uint32_t i = 0; i < object.via.array.size; ++i) {
+        list.push_back(read(object.via.array.ptr[i]));
+    }
+    return list;
+}
+
+StoredChange changeIn(const msgpack::object &object)
 {
-    Json::Value value;
-    value["as_of"] = Json::UInt64(news.asOf);
-    value["whole"] = news.isWhole;
-    if (news.age) {
-        value["age_us"] = Json::Int64(news.age->count());
-        value["held_us"] = Json::Int64(news.held.count());
+    const msgpack::object *members = membersOf(object, ChangeMembers);
+    if (!members) {
+        throw msgpack::type_error();
     }
-    Json::Value &changes = value["changes"] = Json::arrayValue;
+    StoredChange change;
+    change.key = bytesIn(members[Key]);
+    change.revision = members[Revision].as<std::uint64_t>();
+    if (!members[Value].is_nil()) {
+        change.value = bytesIn(members[Value]);
+    }
+    change.created = members[Created].as<std::uint64_t>();
+    return change;
+}
+
+bool isUsable(const MirrorNews &news)
+{
     for (const StoredChange &change : news.changes) {
-        Json::Value one;
-        one["key"] = change.key;
-        one["revision"] = Json::UInt64(change.revision);
-        if (change.value) {
-            one["value"] = absl::Base64Escape(*change.value);
-            one["created"] = Json::UInt64(change.created);
+        if (change.key.empty() || (news.isWhole && !change.value)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/** Reads with @p read what is packed in @p text; nothing if it is not that. */
+template <typename Result, typename Read>
+std::optional<Result> unpacked(std::string_view text, std::uint32_t leastMembers, const Read &read)
+{
+    try {
+        const auto handle = msgpack::unpack(text.data(), text.size());
+        const msgpack::object *members = membersOf(handle.get(), leastMembers);
+        if (!members || members[0].as<std::uint32_t>() != Version) {
+            return std::nullopt;
         }
-        changes.append(std::move(one));
+        return read(members);
+    } catch (const msgpack::unpack_error &) {
+        return std::nullopt;
+    } catch (const msgpack::type_error &) {
+        return std::nullopt;
+    }
+}
+
+std::string_view textOf(const msgpack::sbuffer &buffer)
+{
+    return {buffer.data(), buffer.size()};
+}
+
+} // namespace
+
+NewsBlock encodeNews(const MirrorNews &news)
+{
+    msgpack::sbuffer buffer;
+    Packer packer(buffer);
+    packer.pack_array(BlockMembers);
+    packer.pack(Version);
+    packer.pack(news.after);
+    packer.pack(news.asOf);
+    packer.pack(news.isWhole);
+    packer.pack_array(static_cast<std::uint32_t>(news.changes.size()));
+    for (const StoredChange &change : news.changes) {
+        packChange(packer, change);
     }
-    return jsonText(value);
+    return {news.after, news.asOf, news.isWhole,
+            std::make_shared<const std::string>(compressed(textOf(buffer)))};
 }
 
-std::optional<MirrorNews> decodeNews(const std::string &text)
+std::optional<MirrorNews> decodeNews(const std::string &bytes)
 {
-    const Json::Value value = parseJson(text);
-    if (!value.isObject() || !value["changes"].isArray() || !value["whole"].isBool()) {
+    const auto text = decompressed(bytes);
+    if (!text) {
         return std::nullopt;
     }
-    MirrorNews news;
-    news.asOf = numberMember(value, "as_of");
-    news.isWhole = value["whole"].asBool();
-    if (value["age_us"].isInt64() && value["held_us"].isInt64()) {
-        news.age = Duration(value["age_us"].asInt64());
-        news.held = Duration(value["held_us"].asInt64());
+    auto news = unpacked<MirrorNews>(*text, BlockMembers, [](const msgpack::object *members) {
+        return MirrorNews {members[After].as<std::uint64_t>(), members[AsOf].as<std::uint64_t>(),
+                           members[IsWhole].as<bool>(),
+                           listIn<StoredChange>(members[Changes], changeIn)};
+    });
+    return news && isUsable(*news) ? std::move(news) : std::nullopt;
+}
+
+std::string encodeAnswer(const MirrorAnswer &answer)
+{
+    msgpack::sbuffer buffer;
+    Packer packer(buffer);
+    packer.pack_array(AnswerMembers);
+    packer.pack(Version);
+    if (answer.age) {
+        packer.pack(std::int64_t {answer.age->count()});
+    } else {
+        packer.pack_nil();
     }
-    for (const Json::Value &one : value["changes"]) {
-        StoredChange change;
-        change.key = stringMember(one, "key");
-        change.revision = numberMember(one, "revision");
-        if (one.isObject() && one.isMember("value")) {
-            change.value.emplace();
-            change.created = numberMember(one, "created");
-            if (!absl::Base64Unescape(stringMember(one, "value"), &*change.value)) {
-                return std::nullopt;
-            }
-        }
-        if (change.key.empty() || (news.isWhole && !change.value)) {
-            return std::nullopt;
+    packer.pack(std::int64_t {answer.held.count()});
+    for (const auto *list : {&answer.blocks, &answer.elsewhere}) {
+        packer.pack_array(static_cast<std::uint32_t>(list->size()));
+        for (const std::string &one : *list) {
+            packBytes(packer, one);
         }
-        news.changes.push_back(std::move(change));
     }
-    return news;
+    return std::string(textOf(buffer));
+}
+
+std::optional<MirrorAnswer> decodeAnswer(const std::string &bytes)
+{
+    return unpacked<MirrorAnswer>(bytes, AnswerMembers, [](const msgpack::object *members) {
+        MirrorAnswer answer;
+        if (!members[Age].is_nil()) {
+            answer.age = Duration(members[Age].as<std::int64_t>());
+        }
+        answer.held = Duration(members[Held].as<std::int64_t>());
+        answer.blocks = listIn<std::string>(members[Blocks], bytesIn);
+        answer.elsewhere = listIn<std::string>(members[Elsewhere], bytesIn);
+        return answer;
+    });
 }
 
 } // namespace indigoway
--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -1,9 +1,10 @@
 #include "statesync.h"
 
-#include "edge/mirrorexchange.h"
-
 #include <event2/event.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace indigoway {
 
 namespace {
@@ -12,6 +13,12 @@
 constexpr Duration QuestionWait = std::chrono::milliseconds(1000);
 constexpr Duration ProbeWait = std::chrono::milliseconds(50);
 constexpr Duration PeerTimeout = QuestionWait + std::chrono::milliseconds(300);
+/** For a whole copy, which may take its turn on the sender's link. */
+constexpr Duration CopyTimeout = std::chrono::milliseconds(4000);
+/** A node whose upstream has failed finds another one before those below it turn elsewhere. */
+constexpr Duration LooksElsewhereFor = std::chrono::milliseconds(250);
+/** Nodes that an asker is referred to. */
+constexpr std::size_t MostFollowers = 16;
 /** The upstream's name in logs, where it is no node. */
 constexpr char Store[] = "store";
 constexpr timeval TickEvery {0, 50'000};
@@ -33,7 +40,7 @@
 } // namespace
 
 StateSync::StateSync(event_base *base, KeyValueStore &store, HttpClient &client, Wiring wiring,
-                     std::string life)
+                     std::string life, std::uint64_t spread)
     : m_store(store)
     , m_client(client)
     , m_wiring(std::move(wiring))
@@ -44,13 +51,15 @@
                [this](const std::string &key, const StoredItem *item, std::uint64_t revision) {
                    changed(key, item, revision);
                })
-    , m_choice(m_wiring.self.name, m_wiring.self.domain)
+    , m_copyTurns(m_wiring.linkBytesPerSecond)
+    , m_choice(m_wiring.self, spread)
     , m_leadership(std::move(life))
 { }
 
 void StateSync::start(const NodeEntry &self)
 {
     m_wiring.self = self;
+    m_lookingElsewhereUntil = present() + LooksElsewhereFor;
     event_add(m_timer.get(), &TickEvery);
     pump();
 }
@@ -81,9 +90,10 @@
     pump();
 }
 
-void StateSync::takePeerQuestion(ExchangeNumber exchange, std::uint64_t revision)
+void StateSync::takePeerQuestion(ExchangeNumber exchange, std::uint64_t revision,
+                                 const std::string &control)
 {
-    m_questions[exchange] = {revision, present() + questionWait(), BootClock::now()};
+    m_questions[exchange] = {revision, present() + questionWait(), BootClock::now(), control};
     answerQuestions();
 }
 
@@ -127,13 +137,20 @@
     if (m_mirror.isBusy(now)) {
         return;
     }
-    const Upstream upstream =
-        m_choice.choose(now, m_wiring.members(), m_wiring.seeds(), !m_mirror.isKnown());
-    noteUpstream(upstream);
-    if (upstream.peer) {
-        askPeer(upstream);
+    const NodeRoster &roster = m_wiring.roster();
+    const bool isLongListing =
+        !m_mirror.isKnown() && m_mirror.pagesListed() >= UpstreamChoice::MostOwnPages;
+    const std::optional<Upstream> upstream = isLongListing
+        ? m_choice.chooseForFirstCopy(now, roster, m_wiring.seeds(), m_wiring.isSeed())
+        : m_choice.choose(now, roster, m_wiring.seeds());
+    if (!upstream) {
+        return;
+    }
+    noteUpstream(*upstream);
+    if (upstream->peer) {
+        askPeer(*upstream);
     } else {
-        askStore(upstream);
+        askStore(*upstream);
     }
 }
 
@@ -156,6 +173,7 @@
                              return;
                          }
                          m_mirror.listed(std::get<StoredPage>(result));
+                         passOnHeard();
                          if (!m_mirror.isListing()) {
                              m_proof.answered(m_listAskedAt, m_mirror.asOf(), m_mirror.asOf());
                          }
@@ -175,6 +193,7 @@
                           return;
                       }
                       m_mirror.watched(present(), std::get<StoredChanges>(result));
+                      passOnHeard();
                       succeeded(upstream);
                   });
 }
@@ -184,8 +203,9 @@
     const std::uint64_t generation = m_mirror.generation();
     HttpCall call;
     call.address = *upstream.peer;
-    call.path = "/v1/mirror?after=" + std::to_string(m_mirror.beginPeerCall());
-    call.timeout = PeerTimeout;
+    call.path = "/v1/mirror?after=" + std::to_string(m_mirror.beginPeerCall())
+        + "&from=" + m_wiring.self.control;
+    call.timeout = m_mirror.isKnown() ? PeerTimeout : CopyTimeout;
     call.traffic = Traffic::Peers;
     const BootTime askedAt = BootClock::now();
     m_client.start(std::move(call),
@@ -198,19 +218,56 @@
                            failed(upstream, StoreFault::Unanswered);
                            return;
                        }
-                       const auto news = decodeNews(answer.body);
-                       if (!news) {
+                       const auto told = decodeAnswer(answer.body);
+                       if (!told) {
                            failed(upstream, StoreFault::Refused);
                            return;
                        }
-                       m_mirror.told(*news);
-                       if (news->age) {
-                           m_proof.told(askedAt, BootClock::now(), news->held, *news->age);
-                       }
-                       succeeded(upstream);
+                       peerAnswered(upstream, askedAt, *told);
                    });
 }
 
+void StateSync::peerAnswered(const Upstream &upstream, BootTime askedAt, const MirrorAnswer &answer)
+{
+    for (const std::string &block : answer.blocks) {
+        if (!takeBlock(block)) {
+            failed(upstream, StoreFault::Refused);
+            return;
+        }
+    }
+    m_mirror.peerAnswered();
+    if (!m_mirror.isKnown()) {
+        // Not at fault, and not of use yet.
+        m_choice.referred(present(), upstream, answer.elsewhere);
+        pumpMirror();
+        return;
+    }
+    if (answer.age) {
+        m_proof.told(askedAt, BootClock::now(), answer.held, *answer.age);
+    }
+    succeeded(upstream);
+}
+
+bool StateSync::takeBlock(const std::string &bytes)
+{
+    const auto news = decodeNews(bytes);
+    if (!news || !m_mirror.told(*news)) {
+        return false;
+    }
+    m_news.add(
+        {news->after, news->asOf, news->isWhole, std::make_shared<const std::string>(bytes)});
+    return true;
+}
+
+void StateSync::passOnHeard()
+{
+    if (const auto heard = m_mirror.takeHeard()) {
+        m_news.add(encodeNews(*heard));
+    } else if (m_news.upTo() < m_mirror.asOf()) {
+        m_news.startAt(m_mirror.asOf());
+    }
+}
+
 void StateSync::succeeded(const Upstream &upstream)
 {
     m_choice.succeeded(upstream);
@@ -233,7 +290,10 @@
         m_choice.succeeded(upstream);
     } else {
         m_choice.failed(present(), upstream);
-        m_isCurrent = false;
+        if (std::exchange(m_isCurrent, false) && upstream.peer) {
+            // One that hears the store itself tells at once: whoever is above it is gone.
+            m_lookingElsewhereUntil = present() + LooksElsewhereFor;
+        }
         answerQuestions();
     }
     m_wiring.record("store_copy_call_failed",
@@ -311,7 +371,7 @@
 
 void StateSync::pumpLeadership()
 {
-    const bool mayAsk = m_isCurrent && m_choice.isWatcher(m_wiring.members())
+    const bool mayAsk = m_isCurrent && m_choice.isWatcher(m_wiring.roster())
         && m_announcer.isAnnounced() && !m_announcer.lease().isNone();
     if (!mayAsk || !m_leadership.shouldAcquire(present())) {
         return;
@@ -407,26 +467,63 @@
 {
     const TimePoint now = present();
     for (auto it = m_questions.begin(); it != m_questions.end();) {
-        const bool hasNews = m_mirror.asOf() > it->second.revision;
-        if (!hasNews && m_isCurrent && now < it->second.answerBy) {
+        if (!isDue(it->second, now)) {
             ++it;
             continue;
         }
         const ExchangeNumber exchange = it->first;
         const Question question = it->second;
         it = m_questions.erase(it);
-        // A node that does not hear the store itself says nothing of use; the asker goes elsewhere.
-        m_wiring.answerPeer(exchange, hasNews || m_isCurrent ? newsSince(question) : std::string());
+        m_wiring.answerPeer(exchange, answerTo(question, now));
+    }
+}
+
+bool StateSync::isDue(const Question &question, TimePoint now) const
+{
+    const bool hasNews = m_mirror.isKnown() && m_mirror.asOf() > question.revision;
+    const bool mayHear = m_isCurrent || now < m_lookingElsewhereUntil;
+    return hasNews || !mayHear || now >= question.answerBy;
+}
+
+std::string StateSync::answerTo(const Question &question, TimePoint now)
+{
+    const bool hasNews = m_mirror.isKnown() && m_mirror.asOf() > question.revision;
+    if (!hasNews && !m_isCurrent) {
+        // A node that does not hear the store says nothing of use; the asker goes elsewhere.
+        return {};
+    }
+    MirrorAnswer answer;
+    answer.held = BootClock::now() - question.arrived;
+    if (m_news.needsWhole(question.revision) && !m_copyTurns.mayBegin(now)) {
+        answer.elsewhere = {m_followers.begin(), m_followers.end()};
+        return encodeAnswer(answer);
+    }
+    const auto blocks =
+        m_news.since(question.revision, [this] { return encodeNews(m_mirror.whole()); });
+    for (const NewsBlock &block : blocks) {
+        answer.blocks.push_back(*block.bytes);
+        if (block.isWhole) {
+            m_copyTurns.begin(now, block.bytes->size());
+        }
+    }
+    if (blocks.empty() || blocks.back().upTo == m_mirror.asOf()) {
+        answer.age = m_proof.age(BootClock::now());
     }
+    if (question.revision > 0 || !blocks.empty()) {
+        noteFollower(question.asker);
+    }
+    return encodeAnswer(answer);
 }
 
-std::string StateSync::newsSince(const Question &question) const
+void StateSync::noteFollower(const std::string &control)
 {
-    const BootTime now = BootClock::now();
-    MirrorNews news = m_mirror.newsSince(question.revision);
-    news.age = m_proof.age(now);
-    news.held = now - question.arrived;
-    return encodeNews(news);
+    if (control.empty() || std::ranges::find(m_followers, control) != m_followers.end()) {
+        return;
+    }
+    m_followers.push_back(control);
+    if (m_followers.size() > MostFollowers) {
+        m_followers.pop_front();
+    }
 }
 
 void StateSync::noteUpstream(const Upstream &upstream)
--- a/src/edge/statesync.h
+++ b/src/edge/statesync.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "edge/mirrorexchange.h"
 #include "fleet/crashpublisher.h"
 #include "fleet/leadership.h"
 #include "fleet/nodeannouncer.h"
@@ -8,8 +9,11 @@
 #include "http/httpclient.h"
 #include "http/httpserver.h"
 #include "store/copyproof.h"
+#include "store/copyturns.h"
 #include "store/mirror.h"
+#include "store/newslog.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -38,14 +42,17 @@
         /** An item was written, or is gone if it is null. */
         std::function<void(const std::string &key, const StoredItem *item)> changed;
         RecordHandler record;
-        std::function<std::vector<NodeEntry>()> members;
+        std::function<const NodeRoster &()> roster;
         std::function<std::vector<std::string>()> seeds; ///< Further control addresses.
+        /** Whether other nodes may know this one from their settings. */
+        std::function<bool()> isSeed;
+        double linkBytesPerSecond = 0;
         std::function<void(ExchangeNumber, const std::string &)> answerPeer;
     };
 
-    /** @p life: a name that no other life of any node has. */
+    /** @p life: a name that no other life of any node has. @p spread: a random number. */
     StateSync(event_base *base, KeyValueStore &store, HttpClient &client, Wiring wiring,
-              std::string life);
+              std::string life, std::uint64_t spread);
 
     /** @p self: as it is announced, with the addresses that it listens on. */
     void start(const NodeEntry &self);
@@ -65,9 +72,12 @@
     void stoodStill(TimePoint now);
     /** Lets all nodes know, as soon as the store can be written to. */
     void publish(const CrashNote &note);
-    /** Another node asks for what came after @p revision; it is answered when there is something.
+    /**
+     * Another node, at @p control, asks for what came after @p revision; it is answered when there
+     * is something.
      */
-    void takePeerQuestion(ExchangeNumber exchange, std::uint64_t revision);
+    void takePeerQuestion(ExchangeNumber exchange, std::uint64_t revision,
+                          const std::string &control);
     void peerGone(ExchangeNumber exchange) { m_questions.erase(exchange); }
 
     /** Calls to the store by this life of the node, each of which is paid for. */
@@ -88,16 +98,26 @@
         std::uint64_t revision = 0;
         TimePoint answerBy {};
         BootTime arrived {};
+        std::string asker; ///< Its control address.
     };
 
     void pump();
     void pumpMirror();
     void askStore(const Upstream &upstream);
     void askPeer(const Upstream &upstream);
+    void peerAnswered(const Upstream &upstream, BootTime askedAt, const MirrorAnswer &answer);
+    /** Takes in a block of news; false if it cannot be read. */
+    bool takeBlock(const std::string &bytes);
+    /** Others can be told of what the store has told. */
+    void passOnHeard();
     void succeeded(const Upstream &upstream);
     void failed(const Upstream &upstream, StoreFault fault);
     void pumpProof();
-    std::string newsSince(const Question &question) const;
+    /** Whether a question can be answered now; what it is answered by then. */
+    bool isDue(const Question &question, TimePoint now) const;
+    std::string answerTo(const Question &question, TimePoint now);
+    /** Nodes that have had a whole copy of this one, or follow it. */
+    void noteFollower(const std::string &control);
     Duration questionWait() const;
     void pumpAnnouncer();
     bool noteAnnouncement(const std::variant<StoreDone, StoreFault> &result);
@@ -114,6 +134,9 @@
     Wiring m_wiring;
     EventHandle m_timer;
     Mirror m_mirror;
+    NewsLog m_news;
+    CopyTurns m_copyTurns;
+    std::deque<std::string> m_followers; ///< Their control addresses, the latest last.
     CopyProof m_proof;
     TimePoint m_proofWantedAt {};
     bool m_isProving = false;  ///< The store is being asked.
@@ -125,7 +148,9 @@
     std::map<ExchangeNumber, Question> m_questions;
     StoreCalls m_calls;
     bool m_isCurrent = false; ///< The last call succeeded.
-    std::string m_upstream;   ///< Whom it was made to; for logs.
+    /** Until then the nodes below this one are not told that it hears nothing. */
+    TimePoint m_lookingElsewhereUntil {};
+    std::string m_upstream; ///< Whom it was made to; for logs.
 };
 
 } // namespace indigoway
--- a/src/fleet/noderoster.cpp
+++ b/src/fleet/noderoster.cpp
@@ -4,6 +4,7 @@
 #include "core/turnrandom.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace indigoway {
 
@@ -35,13 +36,21 @@
     return entry;
 }
 
+bool NodeRank::operator<(const NodeRank &other) const
+{
+    return std::tie(other.processors, name) < std::tie(processors, other.name);
+}
+
 NodeRoster::NodeRoster(NodeEntry self)
     : m_self(std::move(self))
 { }
 
 void NodeRoster::announce(const std::string &key, NodeEntry entry)
 {
-    m_nodes[key] = {std::move(entry), std::nullopt};
+    Known &known = m_nodes[key];
+    dropRank(known.entry);
+    known = {std::move(entry), std::nullopt};
+    m_domains[known.entry.domain][{known.entry.processors, known.entry.name}] = &known.entry;
 }
 
 void NodeRoster::withdraw(const std::string &key, TimePoint now)
@@ -49,6 +58,31 @@
     const auto it = m_nodes.find(key);
     if (it != m_nodes.end() && !it->second.vanishedAt) {
         it->second.vanishedAt = now;
+        m_vanished.push_back({key, now});
+    }
+}
+
+void NodeRoster::forgetVanished(TimePoint now)
+{
+    while (!m_vanished.empty() && now >= m_vanished.front().at + VanishedKept) {
+        const auto it = m_nodes.find(m_vanished.front().key);
+        if (it != m_nodes.end() && !isPresent(it->second, now)) {
+            dropRank(it->second.entry);
+            m_nodes.erase(it);
+        }
+        m_vanished.pop_front();
+    }
+}
+
+void NodeRoster::dropRank(const NodeEntry &entry)
+{
+    const auto domain = m_domains.find(entry.domain);
+    if (domain == m_domains.end()) {
+        return;
+    }
+    const auto it = domain->second.find({entry.processors, entry.name});
+    if (it != domain->second.end() && it->second == &entry) {
+        domain->second.erase(it);
     }
 }
 
@@ -72,17 +106,23 @@
     return addresses;
 }
 
-std::vector<NodeEntry> NodeRoster::members(TimePoint now) const
+std::vector<const NodeEntry *> NodeRoster::members() const
 {
-    std::vector<NodeEntry> members;
+    std::vector<const NodeEntry *> members;
+    members.reserve(m_nodes.size());
     for (const auto &[key, known] : m_nodes) {
-        if (isPresent(known, now)) {
-            members.push_back(known.entry);
-        }
+        members.push_back(&known.entry);
     }
     return members;
 }
 
+const RankedNodes &NodeRoster::inDomain(const DomainName &domain) const
+{
+    static const RankedNodes None;
+    const auto it = m_domains.find(domain);
+    return it == m_domains.end() ? None : it->second;
+}
+
 std::uint32_t NodeRoster::count(TimePoint now) const
 {
     std::uint32_t others = 0;
--- a/src/fleet/noderoster.h
+++ b/src/fleet/noderoster.h
@@ -3,6 +3,7 @@
 #include <indigoway/ids.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -30,6 +31,17 @@
 /** Nothing if @p text is no entry. */
 std::optional<NodeEntry> decodeNodeEntry(std::string_view text);
 
+/** Orders the nodes of a failure domain: who has most processor time, and so the widest link. */
+struct NodeRank
+{
+    double processors = 0;
+    NodeName name;
+    bool operator<(const NodeRank &other) const;
+};
+
+/** The nodes of a failure domain, the first in rank first. */
+using RankedNodes = std::map<NodeRank, const NodeEntry *>;
+
 /**
  * The nodes that serve callers. An entry that vanishes is kept for a moment: when the store has
  * been away, leases of healthy nodes lapse, and an empty list would send callers nowhere.
@@ -45,13 +57,17 @@
     void setSelf(NodeEntry self) { m_self = std::move(self); }
     void announce(const std::string &key, NodeEntry entry);
     void withdraw(const std::string &key, TimePoint now);
+    /** Drops the nodes whose moment is over; cheap where there are none. */
+    void forgetVanished(TimePoint now);
     /** This node asks callers to go elsewhere. */
     void setLeaving() { m_isLeaving = true; }
     /** Addresses for callers, at most @p most; this node's own unless it leaves. */
     std::vector<std::string> callerAddresses(TimePoint now, std::size_t most,
                                              std::uint64_t entropy) const;
-    /** The nodes that have announced themselves, this one included if it has. */
-    std::vector<NodeEntry> members(TimePoint now) const;
+    /** The nodes that have announced themselves, this one included if it has; until a change. */
+    std::vector<const NodeEntry *> members() const;
+    /** Those of them in @p domain. */
+    const RankedNodes &inDomain(const DomainName &domain) const;
     /** Nodes that serve callers, this one included. */
     std::uint32_t count(TimePoint now) const;
 
@@ -62,11 +78,20 @@
         std::optional<TimePoint> vanishedAt;
     };
 
+    struct Vanished
+    {
+        std::string key;
+        TimePoint at {};
+    };
+
     static bool isPresent(const Known &known, TimePoint now);
+    void dropRank(const NodeEntry &entry);
 
     NodeEntry m_self;
     bool m_isLeaving = false;
     std::map<std::string, Known> m_nodes; ///< By key.
+    std::map<DomainName, RankedNodes> m_domains;
+    std::deque<Vanished> m_vanished; ///< Oldest first.
 };
 
 } // namespace indigoway
--- a/src/scheduling/schedulerchoice.cpp
+++ b/src/scheduling/schedulerchoice.cpp
@@ -4,17 +4,18 @@
 
 namespace indigoway::scheduling {
 
-std::optional<NodeEntry> schedulerOf(const std::vector<NodeEntry> &members)
+std::optional<NodeEntry> schedulerOf(const std::vector<const NodeEntry *> &members)
 {
     const NodeEntry *chosen = nullptr;
-    for (const NodeEntry &member : members) {
-        if (member.scheduling.empty()) {
+    for (const NodeEntry *member : members) {
+        if (member->scheduling.empty()) {
             continue;
         }
         const auto rank = [](const NodeEntry &node) {
-            return std::tuple(-node.processors, node.announcedSince, node.name);
+            return std::tuple<double, std::uint64_t, const NodeName &>(
+                -node.processors, node.announcedSince, node.name);
         };
-        chosen = !chosen || rank(member) < rank(*chosen) ? &member : chosen;
+        chosen = !chosen || rank(*member) < rank(*chosen) ? member : chosen;
     }
     return chosen ? std::optional(*chosen) : std::nullopt;
 }
--- a/src/scheduling/schedulerchoice.h
+++ b/src/scheduling/schedulerchoice.h
@@ -14,6 +14,6 @@
  * same members agree; while they do not, there are two schedulers, which costs time only. Nothing
  * if none takes claims.
  */
-std::optional<NodeEntry> schedulerOf(const std::vector<NodeEntry> &members);
+std::optional<NodeEntry> schedulerOf(const std::vector<const NodeEntry *> &members);
 
 } // namespace indigoway::scheduling
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -1,6 +1,7 @@
 #include "mirror.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace indigoway {
 
@@ -12,14 +13,10 @@
 constexpr Duration LongestPause = std::chrono::milliseconds(240);
 constexpr std::uint32_t MostDoublings = 2;
 /**
- * After a watch that brought changes; those of the meantime come with the next one. While servers
- * of a large fleet are replaced, each change by itself would be a call to the store, and one to
- * each node that asks this one: 36 a second and watcher in place of five. What changes must be in
- * force within two seconds.
+ * After a watch that brought changes; those of the meantime come with the next one. Each change by
+ * itself would be a call to the store, and one to each node that asks this one.
  */
 constexpr Duration BetweenNews = std::chrono::milliseconds(200);
-/** Removals that other nodes can be told of one by one; later askers get the whole. */
-constexpr std::size_t MostRemovals = 500;
 
 /** Of a change that is no removal. */
 StoredItem itemOf(const StoredChange &change)
@@ -60,10 +57,14 @@
     if (m_listAfter.empty()) {
         m_listed.clear();
         m_listedFrom = page.asOf;
+        m_pagesListed = 0;
     }
+    ++m_pagesListed;
     for (const StoredItem &item : page.items) {
         m_listed[item.key] = item.revision;
-        put(item);
+        if (put(item)) {
+            noteHeard({item.key, item.revision, item.value, item.created});
+        }
     }
     if (page.hasMore && !page.items.empty()) {
         m_listAfter = page.items.back().key;
@@ -71,14 +72,21 @@
     }
     m_listAfter.clear();
     m_mustList = false;
+    m_heard.after = m_asOf;
     removeUnlisted();
     m_asOf = std::max(m_asOf, m_listedFrom);
+    m_heard.asOf = m_asOf;
 }
 
 void Mirror::watched(TimePoint now, const StoredChanges &changes)
 {
     callSucceeded();
+    m_heard.after = m_asOf;
+    for (const StoredChange &change : changes.changes) {
+        noteHeard(change);
+    }
     take(changes);
+    m_heard.asOf = m_asOf;
     if (!changes.changes.empty()) {
         m_pausedUntil = now + BetweenNews;
     }
@@ -96,15 +104,17 @@
     m_asOf = std::max(m_asOf, changes.asOf);
 }
 
-void Mirror::told(const MirrorNews &news)
+bool Mirror::told(const MirrorNews &news)
 {
-    callSucceeded();
     if (news.asOf <= m_asOf) {
-        return;
+        return true;
     }
     if (!news.isWhole) {
+        if (news.after > m_asOf) {
+            return false;
+        }
         take({news.changes, news.asOf});
-        return;
+        return true;
     }
     m_listed.clear();
     m_listedFrom = news.asOf;
@@ -116,6 +126,9 @@
     m_asOf = news.asOf;
     m_mustList = false;
     m_listAfter.clear();
+    // Those who follow this copy are told as this node was.
+    m_heard = {};
+    return true;
 }
 
 void Mirror::failed(TimePoint now, StoreFault fault)
@@ -142,49 +155,54 @@
     m_pausedUntil.reset();
 }
 
-MirrorNews Mirror::newsSince(std::uint64_t revision) const
+MirrorNews Mirror::whole() const
 {
     MirrorNews news;
     news.asOf = m_asOf;
-    news.isWhole = revision < m_removalsFrom || revision == 0;
+    news.isWhole = true;
+    news.changes.reserve(m_items.size());
     for (const auto &[key, item] : m_items) {
-        if (news.isWhole || item.revision > revision) {
-            news.changes.push_back({key, item.revision, item.value, item.created});
-        }
-    }
-    if (!news.isWhole) {
-        for (const Removal &removal : m_removals) {
-            if (removal.revision > revision) {
-                news.changes.push_back({removal.key, removal.revision, std::nullopt, 0});
-            }
-        }
+        news.changes.push_back({key, item.revision, item.value, item.created});
     }
     return news;
 }
 
-void Mirror::put(const StoredItem &item)
+std::optional<MirrorNews> Mirror::takeHeard()
+{
+    MirrorNews heard = std::exchange(m_heard, {});
+    if (heard.after == 0 || heard.asOf <= heard.after) {
+        return std::nullopt;
+    }
+    return heard;
+}
+
+void Mirror::noteHeard(const StoredChange &change)
+{
+    if (m_asOf > 0) {
+        m_heard.changes.push_back(change);
+    }
+}
+
+bool Mirror::put(const StoredItem &item)
 {
     StoredItem &known = m_items[item.key];
     if (item.revision <= known.revision) {
-        return;
+        return false;
     }
     known = item;
     m_handler(known.key, &known, known.revision);
+    return true;
 }
 
-void Mirror::remove(const std::string &key, std::uint64_t revision)
+bool Mirror::remove(const std::string &key, std::uint64_t revision)
 {
     const auto it = m_items.find(key);
     if (it == m_items.end() || revision < it->second.revision) {
-        return;
+        return false;
     }
     m_items.erase(it);
-    m_removals.push_back({key, revision});
-    if (m_removals.size() > MostRemovals) {
-        m_removalsFrom = std::max(m_removalsFrom, m_removals.front().revision);
-        m_removals.pop_front();
-    }
     m_handler(key, nullptr, revision);
+    return true;
 }
 
 void Mirror::removeUnlisted()
@@ -195,12 +213,9 @@
             gone.push_back(key);
         }
     }
-    // When each of them went is not known: whoever is behind this listing must get the whole.
-    m_removals.clear();
-    m_removalsFrom = std::max(m_removalsFrom, m_listedFrom);
     for (const std::string &key : gone) {
-        m_items.erase(key);
-        m_handler(key, nullptr, m_listedFrom);
+        remove(key, m_listedFrom);
+        noteHeard({key, m_listedFrom, std::nullopt, 0});
     }
     m_listed.clear();
 }
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -2,7 +2,6 @@
 
 #include "store/keyvaluestore.h"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -26,11 +25,10 @@
 /** What one node tells another of its copy. */
 struct MirrorNews
 {
-    std::uint64_t asOf = 0;
-    bool isWhole = false; ///< All items there are; else only what has changed.
+    std::uint64_t after = 0; ///< A copy of this revision or a later one can take it in.
+    std::uint64_t asOf = 0;  ///< What such a copy is as of then.
+    bool isWhole = false;    ///< All items there are; else only what has changed.
     std::vector<StoredChange> changes;
-    std::optional<Duration> age = {}; ///< Of the copy, as it was told; nothing: not known.
-    Duration held {};                 ///< From the question until then.
 };
 
 /**
@@ -58,8 +56,10 @@
     void listed(const StoredPage &page);
     /** Changes that a watch of the store has brought. */
     void watched(TimePoint now, const StoredChanges &changes);
-    /** A node has told; false if it has nothing to go on from. */
-    void told(const MirrorNews &news);
+    /** A call to another node has been answered. */
+    void peerAnswered() { callSucceeded(); }
+    /** A node has told. False if that does not follow on this copy; then nothing is taken in. */
+    bool told(const MirrorNews &news);
     void failed(TimePoint now, StoreFault fault);
     /** Lists anew, whatever is under way: this process stood still and may have missed changes. */
     void refresh();
@@ -68,22 +68,22 @@
 
     /** Whether all items are being listed, or will be next. */
     bool isListing() const { return m_mustList; }
+    /** Pages of the listing that is under way. */
+    std::size_t pagesListed() const { return m_pagesListed; }
     /** Whether all items are known as of some revision. */
     bool isKnown() const { return m_asOf > 0; }
     std::uint64_t asOf() const { return m_asOf; }
-    /** What has changed after @p revision; the whole where that is not known any more. */
-    MirrorNews newsSince(std::uint64_t revision) const;
+    /** All items there are. */
+    MirrorNews whole() const;
+    /** What the store has told since this was asked last; nothing if no copy can follow by it. */
+    std::optional<MirrorNews> takeHeard();
 
 private:
-    struct Removal
-    {
-        std::string key;
-        std::uint64_t revision = 0;
-    };
-
     void take(const StoredChanges &changes);
-    void put(const StoredItem &item);
-    void remove(const std::string &key, std::uint64_t revision);
+    /** False if nothing is new. */
+    bool put(const StoredItem &item);
+    bool remove(const std::string &key, std::uint64_t revision);
+    void noteHeard(const StoredChange &change);
     void removeUnlisted();
     void callSucceeded();
 
@@ -96,11 +96,11 @@
     bool m_mustList = true;
     std::string m_listAfter;
     std::uint64_t m_listedFrom = 0; ///< Revision of the first page; changes after it are watched.
+    std::size_t m_pagesListed = 0;
     std::map<std::string, std::uint64_t> m_listed;
     std::optional<TimePoint> m_pausedUntil;
     std::uint32_t m_failures = 0;
-    std::deque<Removal> m_removals;   ///< The latest, oldest first.
-    std::uint64_t m_removalsFrom = 0; ///< Removals after this revision are all there.
+    MirrorNews m_heard; ///< Of the store, while it is not taken.
 };
 
 } // namespace indigoway
--- /dev/null
+++ b/tests/edge/mirrorexchangetest.cpp
@@ -0,0 +1,112 @@
+#include "edge/mirrorexchange.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace indigoway;
+
+namespace {
+
+bool isSame(const StoredChange &one, const StoredChange &other)
+{
+    return one.key == other.key && one.revision == other.revision && one.value == other.value
+        && one.created == other.created;
+}
+
+} // namespace
+
+class MirrorExchangeTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(MirrorExchangeTest);
+    CPPUNIT_TEST(newsSurviveTheirEncoding);
+    CPPUNIT_TEST(anyNewsSurviveTheirEncoding);
+    CPPUNIT_TEST(answersSurviveTheirEncoding);
+    CPPUNIT_TEST(newsWithoutAKeyOrAValueAreRefused);
+    CPPUNIT_TEST(damagedBytesAreRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void newsSurviveTheirEncoding()
+    {
+        const std::string bytes("\0\xff{\"}", 5);
+        const NewsBlock block =
+            encodeNews({3, 9, false, {{"k", 4, bytes, 2}, {"gone", 5, std::nullopt}}});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {3}, block.after);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {9}, block.upTo);
+        const auto decoded = decodeNews(*block.bytes);
+        CPPUNIT_ASSERT(decoded.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {3}, decoded->after);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {9}, decoded->asOf);
+        CPPUNIT_ASSERT_EQUAL(bytes, *decoded->changes.at(0).value);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {2}, decoded->changes.at(0).created);
+        CPPUNIT_ASSERT(!decoded->changes.at(1).value);
+    }
+
+    void anyNewsSurviveTheirEncoding()
+    {
+        const bool isOk = rc::check("news survive their encoding", [] {
+            MirrorNews news;
+            news.after = *rc::gen::arbitrary<std::uint64_t>();
+            news.asOf = *rc::gen::arbitrary<std::uint64_t>();
+            for (const auto &key : *rc::gen::arbitrary<std::vector<std::string>>()) {
+                StoredChange change {"k" + key, *rc::gen::arbitrary<std::uint64_t>(), {}, 7};
+                if (*rc::gen::arbitrary<bool>()) {
+                    change.value = *rc::gen::arbitrary<std::string>();
+                }
+                news.changes.push_back(change);
+            }
+            const auto decoded = decodeNews(*encodeNews(news).bytes);
+            RC_ASSERT(decoded.has_value());
+            RC_ASSERT(decoded->after == news.after);
+            RC_ASSERT(decoded->asOf == news.asOf);
+            RC_ASSERT(std::ranges::equal(decoded->changes, news.changes, isSame));
+        });
+        CPPUNIT_ASSERT(isOk);
+    }
+
+    void answersSurviveTheirEncoding()
+    {
+        MirrorAnswer answer;
+        answer.blocks = {"one", std::string(2, '\0')};
+        answer.age = std::chrono::milliseconds(250);
+        answer.held = std::chrono::milliseconds(3);
+        answer.elsewhere = {"10.0.0.1:1"};
+        const auto decoded = decodeAnswer(encodeAnswer(answer));
+        CPPUNIT_ASSERT(decoded.has_value());
+        CPPUNIT_ASSERT(decoded->blocks == answer.blocks);
+        CPPUNIT_ASSERT(decoded->age == answer.age);
+        CPPUNIT_ASSERT(decoded->held == answer.held);
+        CPPUNIT_ASSERT(decoded->elsewhere == answer.elsewhere);
+        CPPUNIT_ASSERT(!decodeAnswer(encodeAnswer({}))->age.has_value());
+    }
+
+    /** Guards against an item without a value that would stand for a removal in a whole copy. */
+    void newsWithoutAKeyOrAValueAreRefused()
+    {
+        CPPUNIT_ASSERT(!decodeNews(*encodeNews({0, 1, true, {{"a", 1, std::nullopt}}}).bytes));
+        CPPUNIT_ASSERT(!decodeNews(*encodeNews({0, 1, false, {{"", 1, "v"}}}).bytes));
+    }
+
+    /** Guards against bytes of another version, or cut ones, that end the process. */
+    void damagedBytesAreRefused()
+    {
+        CPPUNIT_ASSERT(!decodeNews("").has_value());
+        CPPUNIT_ASSERT(!decodeNews("[]").has_value());
+        CPPUNIT_ASSERT(!decodeAnswer("").has_value());
+        CPPUNIT_ASSERT(!decodeAnswer("{}").has_value());
+        const bool isOk = rc::check("damaged bytes are read or refused", [] {
+            std::string block = *encodeNews({1, 2, false, {{"key", 2, "value"}}}).bytes;
+            std::string answer = encodeAnswer({{block}, Duration(1), Duration(2), {"a:1"}});
+            for (std::string *bytes : {&block, &answer}) {
+                const auto place = *rc::gen::inRange<std::size_t>(0, bytes->size());
+                (*bytes)[place] = *rc::gen::arbitrary<char>();
+                bytes->resize(*rc::gen::inRange<std::size_t>(0, bytes->size() + 1));
+            }
+            decodeNews(block);
+            decodeAnswer(answer);
+        });
+        CPPUNIT_ASSERT(isOk);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MirrorExchangeTest);
--- a/tests/fleet/noderostertest.cpp
+++ b/tests/fleet/noderostertest.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(entriesSurviveTheirEncoding);
     CPPUNIT_TEST(aLeavingNodeNamesTheOthersOnly);
     CPPUNIT_TEST(aVanishedNodeIsKeptForAMoment);
+    CPPUNIT_TEST(ranksFollowWhatIsAnnounced);
     CPPUNIT_TEST(answersNoMoreThanAsked);
     CPPUNIT_TEST(anEntryIsWrittenAgainWhenItIsLost);
     CPPUNIT_TEST(asksAStoreThatIsAwayEverMoreRarely);
@@ -73,6 +74,30 @@
         CPPUNIT_ASSERT_EQUAL(1U, roster.count(at(3'000)));
     }
 
+    /** Guards against a node that is kept in its domain after it has gone or has changed. */
+    void ranksFollowWhatIsAnnounced()
+    {
+        NodeRoster roster(node("self"));
+        NodeEntry large = node("z");
+        large.processors = 0.5;
+        roster.announce("k/z", large);
+        roster.announce("k/b", node("b"));
+        const RankedNodes &ranked = roster.inDomain(DomainName("d"));
+        CPPUNIT_ASSERT(ranked.begin()->second->name == NodeName("z"));
+        large.processors = 0;
+        roster.announce("k/z", large);
+        CPPUNIT_ASSERT(ranked.begin()->second->name == NodeName("b"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, ranked.size());
+        roster.withdraw("k/b", at(0));
+        roster.forgetVanished(at(500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, ranked.size());
+        roster.withdraw("k/z", at(600));
+        roster.announce("k/z", large);
+        roster.forgetVanished(at(3'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, ranked.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, roster.members().size());
+    }
+
     void answersNoMoreThanAsked()
     {
         NodeRoster roster(node("self"));
