Renew leases the less often the more nodes there are

Cause: each node renewed its lease every 0.8 s, whatever the fleet's size: 985 nodes make 1,230 renewals a second, a tenth of a paid call each; the largest steady part of the calls to the store. Change: a lease lasts 15 ms for each node known, three seconds at least (to 200 nodes all is as before), and is renewed 3.75 times in it: some 250 renewals a second at any size. A lease that has become twice too short or too long is moved to another one, the entry stays. The watcher of a domain, the holder of the order right and the scheduling node keep the short lease, since all others rely on them. What it costs: a node that is lost for good stays in lists of nodes for up to 15 s at 985 nodes. Nodes below it in the tree notice within 1.3 s, by themselves. Weighed: one lease renewed for a domain by one of its nodes (all entries vanish with it), no leases with a watcher that removes who is silent (a wrong verdict takes healthy nodes out; possible later, beside these leases). Tests: calls a minute of 1,000 and of 2,000 nodes; an entry through the move of its lease.

--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -198,6 +198,9 @@
         return std::ranges::find(node.m_settings.peers, node.m_settings.control)
             != node.m_settings.peers.end();
     };
+    wiring.isReliedOn = [&node] {
+        return node.m_scheduler && node.m_scheduler->name == node.m_settings.node;
+    };
     wiring.linkBytesPerSecond = node.m_settings.linkBytesPerSecond;
     wiring.answerPeer = [&node](ExchangeNumber exchange, const std::string &body) {
         constexpr int Ok = 200;
--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -332,19 +332,28 @@
                                 : QuestionWait;
 }
 
+Duration StateSync::wantedLifetime() const
+{
+    const NodeRoster &roster = m_wiring.roster();
+    const bool isReliedOn =
+        m_choice.isWatcher(roster) || m_leadership.isHeldByThis() || m_wiring.isReliedOn();
+    return isReliedOn ? NodeAnnouncer::LeastLifetime : NodeAnnouncer::lifetimeFor(roster.size());
+}
+
 void StateSync::pumpAnnouncer()
 {
+    m_announcer.setWanted(wantedLifetime());
     const auto call = m_announcer.nextCall(present());
     if (!call) {
         return;
     }
-    if (std::holds_alternative<GrantLeaseCall>(*call)) {
+    if (const auto *grant = std::get_if<GrantLeaseCall>(&*call)) {
         ++m_calls.leases;
-        m_store.grantLease(NodeAnnouncer::LeaseLifetime, [this](const auto &result) {
+        m_store.grantLease(grant->lifetime, [this](const auto &result) {
             if (const auto *fault = std::get_if<StoreFault>(&result)) {
                 m_announcer.failed(present(), *fault);
             } else {
-                m_announcer.leaseGranted(present(), std::get<GrantedLease>(result).lease);
+                m_announcer.leaseGranted(present(), std::get<GrantedLease>(result));
             }
             pumpAnnouncer();
         });
--- a/src/edge/statesync.h
+++ b/src/edge/statesync.h
@@ -46,6 +46,8 @@
         std::function<std::vector<std::string>()> seeds; ///< Further control addresses.
         /** Whether other nodes may know this one from their settings. */
         std::function<bool()> isSeed;
+        /** Whether all nodes rely on this one, so that its end must be noticed soon. */
+        std::function<bool()> isReliedOn;
         double linkBytesPerSecond = 0;
         std::function<void(ExchangeNumber, const std::string &)> answerPeer;
     };
@@ -120,6 +122,7 @@
     void noteFollower(const std::string &control);
     Duration questionWait() const;
     void pumpAnnouncer();
+    Duration wantedLifetime() const;
     bool noteAnnouncement(const std::variant<StoreDone, StoreFault> &result);
     void pumpLeadership();
     void pumpPublisher();
--- a/src/fleet/nodeannouncer.cpp
+++ b/src/fleet/nodeannouncer.cpp
@@ -6,17 +6,26 @@
 
 namespace {
 
-constexpr Duration RenewEvery = std::chrono::milliseconds(800);
+/** Renewals within a lease's lifetime, with a little time left for the last one's answer. */
+constexpr double RenewalsInLifetime = 3.75;
+/** Of the fleet's nodes in turn: all renewals together are some 250 a second, however many. */
+constexpr Duration LifetimeForNode = std::chrono::milliseconds(15);
+/** A lease is moved where it is so many times as short, or as long, as it should be. */
+constexpr int MoveAt = 2;
 constexpr Duration RetryAfter = std::chrono::milliseconds(250);
 /**
- * Doubled up to two seconds. A store that is away, or turns this node away, answers none of the
- * calls, and each is paid for: two hundred nodes that ask four times a second make six thousand
- * calls within eight seconds, twice as many as in a quiet minute.
+ * Doubled up to two seconds: a store that is away, or turns this node away, answers none of the
+ * calls, and each is paid for.
  */
 constexpr std::uint32_t MostDoublings = 3;
 
 } // namespace
 
+Duration NodeAnnouncer::lifetimeFor(std::size_t nodes)
+{
+    return std::max(LeastLifetime, LifetimeForNode * static_cast<Duration::rep>(nodes));
+}
+
 std::optional<AnnouncerCall> NodeAnnouncer::nextCall(TimePoint now)
 {
     if (m_isCalling || m_isLeaving || now < m_nextAt) {
@@ -24,8 +33,9 @@
     }
     m_isCalling = true;
     m_askedAt = now;
-    if (m_lease.isNone()) {
-        return GrantLeaseCall {};
+    // The lease that is left ends by itself, with nothing under it.
+    if (m_lease.isNone() || (m_isWritten && shouldMove())) {
+        return GrantLeaseCall {m_wanted};
     }
     if (!m_isWritten) {
         return PutEntryCall {m_lease};
@@ -33,11 +43,12 @@
     return RenewLeaseCall {m_lease};
 }
 
-void NodeAnnouncer::leaseGranted(TimePoint now, StoreLease lease)
+void NodeAnnouncer::leaseGranted(TimePoint now, const GrantedLease &granted)
 {
     m_isCalling = false;
     m_failures = 0;
-    m_lease = lease;
+    m_lease = granted.lease;
+    m_lifetime = granted.lifetime;
     m_renewedAt = m_askedAt;
     m_isWritten = false;
     m_nextAt = now;
@@ -48,7 +59,7 @@
     m_isCalling = false;
     m_failures = 0;
     m_isWritten = true;
-    m_nextAt = now + RenewEvery;
+    m_nextAt = now + renewEvery();
 }
 
 void NodeAnnouncer::leaseRenewed(TimePoint now)
@@ -56,7 +67,7 @@
     m_isCalling = false;
     m_failures = 0;
     m_renewedAt = m_askedAt;
-    m_nextAt = m_isWritten ? now + RenewEvery : now;
+    m_nextAt = m_isWritten ? now + renewEvery() : now;
 }
 
 void NodeAnnouncer::failed(TimePoint now, StoreFault fault)
@@ -86,6 +97,16 @@
     m_nextAt = {};
 }
 
+bool NodeAnnouncer::shouldMove() const
+{
+    return m_wanted >= m_lifetime * MoveAt || m_lifetime >= m_wanted * MoveAt;
+}
+
+Duration NodeAnnouncer::renewEvery() const
+{
+    return std::chrono::duration_cast<Duration>(m_lifetime / RenewalsInLifetime);
+}
+
 StoreLease NodeAnnouncer::leave()
 {
     m_isLeaving = true;
--- a/src/fleet/nodeannouncer.h
+++ b/src/fleet/nodeannouncer.h
@@ -2,6 +2,7 @@
 
 #include "store/keyvaluestore.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <variant>
@@ -10,6 +11,7 @@
 
 struct GrantLeaseCall
 {
+    Duration lifetime {};
 };
 struct PutEntryCall
 {
@@ -24,17 +26,25 @@
 /**
  * Keeps this node's entry in the store: under a lease, so that the entry of a node that dies
  * vanishes, and written again whenever the lease or the entry was lost while the node is well.
+ *
+ * Renewals are calls that are paid for. In a large fleet each node renews the less often, so that
+ * all of them together renew as often as a smaller one: there a node that has gone is found by the
+ * few that turn to it, long before its lease ends. Nodes that all rely on keep a short lease.
  */
 class NodeAnnouncer
 {
 public:
     /** Three renewals may fail before the entry vanishes. */
-    static constexpr Duration LeaseLifetime = std::chrono::milliseconds(3000);
+    static constexpr Duration LeastLifetime = std::chrono::milliseconds(3000);
+    /** Of a lease in a fleet of @p nodes. */
+    static Duration lifetimeFor(std::size_t nodes);
 
+    /** The lease is moved to another one where it has become far too short or too long. */
+    void setWanted(Duration lifetime) { m_wanted = lifetime; }
     /** What to ask the store now; nothing while a call is under way or nothing is due. */
     std::optional<AnnouncerCall> nextCall(TimePoint now);
 
-    void leaseGranted(TimePoint now, StoreLease lease);
+    void leaseGranted(TimePoint now, const GrantedLease &granted);
     void entryWritten(TimePoint now);
     void leaseRenewed(TimePoint now);
     void failed(TimePoint now, StoreFault fault);
@@ -52,9 +62,14 @@
     TimePoint renewedAt() const { return m_renewedAt; }
 
 private:
+    bool shouldMove() const;
+    Duration renewEvery() const;
+
     bool m_isCalling = false;
     bool m_isLeaving = false;
     StoreLease m_lease;
+    Duration m_lifetime = LeastLifetime; ///< Of m_lease.
+    Duration m_wanted = LeastLifetime;
     bool m_isWritten = false;
     TimePoint m_nextAt {};
     std::uint32_t m_failures = 0; ///< In a row.
--- a/src/fleet/noderoster.h
+++ b/src/fleet/noderoster.h
@@ -68,6 +68,8 @@
     std::vector<const NodeEntry *> members() const;
     /** Those of them in @p domain. */
     const RankedNodes &inDomain(const DomainName &domain) const;
+    /** Those that have announced themselves, until they are forgotten. */
+    std::size_t size() const { return m_nodes.size(); }
     /** Nodes that serve callers, this one included. */
     std::uint32_t count(TimePoint now) const;
 
--- a/tests/fleet/noderostertest.cpp
+++ b/tests/fleet/noderostertest.cpp
@@ -20,6 +20,35 @@
     return {NodeName(name), DomainName("d"), name + ":1", name + ":2"};
 }
 
+GrantedLease lease(std::uint64_t number, Duration lifetime = NodeAnnouncer::LeastLifetime)
+{
+    return {StoreLease(number), lifetime};
+}
+
+/** Calls of one node in a minute, in a fleet of @p nodes that it knows from the start. */
+int callsInAMinute(std::size_t nodes)
+{
+    constexpr int Minute = 60'000;
+    NodeAnnouncer announcer;
+    announcer.setWanted(NodeAnnouncer::lifetimeFor(nodes));
+    int calls = 0;
+    for (int time = 0; time < Minute; time += 50) {
+        const auto call = announcer.nextCall(at(time));
+        if (!call) {
+            continue;
+        }
+        ++calls;
+        if (const auto *grant = std::get_if<GrantLeaseCall>(&*call)) {
+            announcer.leaseGranted(at(time), lease(5, grant->lifetime));
+        } else if (std::holds_alternative<PutEntryCall>(*call)) {
+            announcer.entryWritten(at(time));
+        } else {
+            announcer.leaseRenewed(at(time));
+        }
+    }
+    return calls;
+}
+
 bool contains(const std::vector<std::string> &list, const std::string &one)
 {
     return std::find(list.begin(), list.end(), one) != list.end();
@@ -37,6 +66,8 @@
     CPPUNIT_TEST(answersNoMoreThanAsked);
     CPPUNIT_TEST(anEntryIsWrittenAgainWhenItIsLost);
     CPPUNIT_TEST(asksAStoreThatIsAwayEverMoreRarely);
+    CPPUNIT_TEST(renewalsDoNotGrowWithTheFleet);
+    CPPUNIT_TEST(aLeaseIsMovedAsTheFleetGrows);
     CPPUNIT_TEST(aNodeThatLeavesWritesNothing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -115,14 +146,14 @@
         NodeAnnouncer announcer;
         CPPUNIT_ASSERT(std::holds_alternative<GrantLeaseCall>(*announcer.nextCall(at(0))));
         CPPUNIT_ASSERT(!announcer.nextCall(at(0)).has_value());
-        announcer.leaseGranted(at(1), StoreLease(5));
+        announcer.leaseGranted(at(1), lease(5));
         CPPUNIT_ASSERT(std::holds_alternative<PutEntryCall>(*announcer.nextCall(at(1))));
         announcer.entryWritten(at(2));
         CPPUNIT_ASSERT(!announcer.nextCall(at(3)).has_value());
         CPPUNIT_ASSERT(std::holds_alternative<RenewLeaseCall>(*announcer.nextCall(at(1'000))));
         announcer.failed(at(1'001), StoreFault::NoLease);
         CPPUNIT_ASSERT(std::holds_alternative<GrantLeaseCall>(*announcer.nextCall(at(1'001))));
-        announcer.leaseGranted(at(1'002), StoreLease(6));
+        announcer.leaseGranted(at(1'002), lease(6));
         CPPUNIT_ASSERT(std::holds_alternative<PutEntryCall>(*announcer.nextCall(at(1'002))));
         announcer.entryWritten(at(1'003));
         announcer.entryVanished();
@@ -136,7 +167,7 @@
     {
         NodeAnnouncer announcer;
         announcer.nextCall(at(0));
-        announcer.leaseGranted(at(1), StoreLease(5));
+        announcer.leaseGranted(at(1), lease(5));
         announcer.nextCall(at(1));
         announcer.entryWritten(at(2));
         int calls = 0;
@@ -153,11 +184,47 @@
         CPPUNIT_ASSERT(std::holds_alternative<RenewLeaseCall>(*announcer.nextCall(at(time))));
     }
 
+    /** Guards against a store whose calls are mostly renewals of leases of a large fleet. */
+    void renewalsDoNotGrowWithTheFleet()
+    {
+        const std::size_t ofThousand = std::size_t {1'000} * callsInAMinute(1'000);
+        const std::size_t ofTwoThousand = std::size_t {2'000} * callsInAMinute(2'000);
+        CPPUNIT_ASSERT(ofTwoThousand < ofThousand * 5 / 4);
+        CPPUNIT_ASSERT_EQUAL(callsInAMinute(7), callsInAMinute(200));
+    }
+
+    /** Guards against an entry that vanishes while its node moves to another lease. */
+    void aLeaseIsMovedAsTheFleetGrows()
+    {
+        NodeAnnouncer announcer;
+        announcer.nextCall(at(0));
+        announcer.leaseGranted(at(1), lease(5));
+        announcer.nextCall(at(1));
+        announcer.entryWritten(at(2));
+        announcer.setWanted(NodeAnnouncer::LeastLifetime * 3 / 2);
+        CPPUNIT_ASSERT(std::holds_alternative<RenewLeaseCall>(*announcer.nextCall(at(900))));
+        announcer.leaseRenewed(at(901));
+        announcer.setWanted(NodeAnnouncer::LeastLifetime * 4);
+        const auto grant = announcer.nextCall(at(1'800));
+        CPPUNIT_ASSERT(std::get<GrantLeaseCall>(*grant).lifetime
+                       == NodeAnnouncer::LeastLifetime * 4);
+        // The grant fails: the lease that there is must be renewed in time.
+        announcer.failed(at(1'801), StoreFault::Refused);
+        announcer.setWanted(NodeAnnouncer::LeastLifetime);
+        CPPUNIT_ASSERT(std::holds_alternative<RenewLeaseCall>(*announcer.nextCall(at(2'100))));
+        announcer.leaseRenewed(at(2'101));
+        announcer.setWanted(NodeAnnouncer::LeastLifetime * 4);
+        announcer.nextCall(at(3'000));
+        announcer.leaseGranted(at(3'001), lease(6, NodeAnnouncer::LeastLifetime * 4));
+        const auto put = announcer.nextCall(at(3'001));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {6}, std::get<PutEntryCall>(*put).lease.value());
+    }
+
     void aNodeThatLeavesWritesNothing()
     {
         NodeAnnouncer announcer;
         announcer.nextCall(at(0));
-        announcer.leaseGranted(at(1), StoreLease(5));
+        announcer.leaseGranted(at(1), lease(5));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t {5}, announcer.leave().value());
         CPPUNIT_ASSERT(!announcer.nextCall(at(9'000)).has_value());
     }
