Give the node's records in the store and its answers to other nodes rooms of their own

StoreRecords writes (entry, order right, notes of crashes), NewsAnswers tells other nodes; what is left keeps the copy. No behaviour changes but one: whether the copy is current is handed over at each look and at each failure.

--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -93,7 +93,7 @@
         record(decision.kind, {{"request", decision.callerId}, {"detail", decision.detail}});
     });
     m_relay.setCrashHandler(
-        [this](const dispatch::ShareCrash &crash) { m_sync.publish(crash.note); });
+        [this](const dispatch::ShareCrash &crash) { m_sync.records().publish(crash.note); });
     m_relay.setSchedulerHandler(
         [this](const scheduling::ToScheduler &message) { m_scheduling.tell(message); });
     m_relay.setQuotaHandler(
@@ -151,7 +151,7 @@
     m_roster.setLeaving();
     m_relay.beginLeaving();
     m_dispatcher.leave(now, now + m_settings.endsWithin - EndMargin);
-    m_sync.leave();
+    m_sync.records().leave();
     record("leave", {{"open_requests", std::to_string(m_dispatcher.open())}});
 }
 
@@ -176,17 +176,15 @@
 {
     StateSync::Wiring wiring;
     wiring.self = entryOf(node.m_settings);
-    wiring.leaderKey = layout.leaderKey;
-    wiring.recordKey = layout.recordKey;
-    wiring.crashesPrefix = layout.crashesPrefix;
+    wiring.record = [&node](const std::string &kind, const std::string &detail) {
+        node.record(kind, {{"detail", detail}});
+    };
+    wiring.records = {layout.nodesPrefix + node.m_settings.node.text(), layout.leaderKey,
+                      layout.recordKey, layout.crashesPrefix, wiring.record};
     wiring.mostCopyAge = mostCopyAge(node.m_settings);
-    wiring.ownKey = layout.nodesPrefix + node.m_settings.node.text();
     wiring.changed = [&node](const std::string &key, const StoredItem *item) {
         node.storeChanged(key, item);
     };
-    wiring.record = [&node](const std::string &kind, const std::string &detail) {
-        node.record(kind, {{"detail", detail}});
-    };
     wiring.roster = [&node]() -> const NodeRoster & {
         node.m_roster.forgetVanished(present());
         return node.m_roster;
@@ -439,11 +437,11 @@
     noteCopyAge();
     noticeFreeze(now);
     chooseScheduler(now);
-    m_dispatcher.setOrderRight(m_sync.holdsOrderRight());
+    m_dispatcher.setOrderRight(m_sync.records().holdsOrderRight());
     if (m_dispatcher.wantsOrderToken()) {
-        m_sync.prepareOrders();
+        m_sync.records().prepareOrders();
     }
-    m_dispatcher.setOrderToken(m_sync.orderToken(now));
+    m_dispatcher.setOrderToken(m_sync.records().orderToken(now));
     if (m_sync.isKnown()) {
         m_dispatcher.setNodes(m_roster.count(now), now);
     }
@@ -488,7 +486,7 @@
         return;
     }
     m_storeCallsRecordedAt = now;
-    const StateSync::StoreCalls &calls = m_sync.storeCalls();
+    const StoreCalls &calls = m_sync.storeCalls();
     record("store_calls",
            {{"lists", std::to_string(calls.lists)},
             {"watches", std::to_string(calls.watches)},
--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -17,8 +17,6 @@
 constexpr Duration CopyTimeout = std::chrono::milliseconds(4000);
 /** A node whose upstream has failed finds another one before those below it turn elsewhere. */
 constexpr Duration LooksElsewhereFor = std::chrono::milliseconds(250);
-/** Nodes that an asker is referred to. */
-constexpr std::size_t MostFollowers = 16;
 /** The upstream's name in logs, where it is no node. */
 constexpr char Store[] = "store";
 constexpr timeval TickEvery {0, 50'000};
@@ -51,83 +49,69 @@
                [this](const std::string &key, const StoredItem *item, std::uint64_t revision) {
                    changed(key, item, revision);
                })
-    , m_copyTurns(m_wiring.linkBytesPerSecond)
+    , m_answers(m_mirror, m_proof, m_wiring.linkBytesPerSecond, questionWait())
     , m_choice(m_wiring.self, spread)
-    , m_leadership(std::move(life))
+    , m_records(store, m_calls, m_wiring.records, std::move(life))
 { }
 
 void StateSync::start(const NodeEntry &self)
 {
     m_wiring.self = self;
+    m_records.setSelf(self);
     m_lookingElsewhereUntil = present() + LooksElsewhereFor;
     event_add(m_timer.get(), &TickEvery);
     pump();
 }
 
-void StateSync::leave()
+void StateSync::stoodStill(TimePoint now)
 {
-    const StoreLease lease = m_announcer.leave();
-    if (lease.isNone()) {
-        return;
-    }
-    ++m_calls.leases;
-    m_store.endLease(lease, [this](const std::variant<StoreDone, StoreFault> &result) {
-        if (const auto *fault = std::get_if<StoreFault>(&result)) {
-            m_wiring.record("entry_not_ended", nameOf(*fault));
-        }
-    });
+    m_records.stoodStill(now);
+    m_mirror.refresh();
+    pump();
 }
 
-std::optional<std::uint64_t> StateSync::orderToken(TimePoint now) const
+void StateSync::pump()
 {
-    return m_isCurrent ? m_leadership.token(now, m_announcer.renewedAt()) : std::nullopt;
+    pumpMirror();
+    pumpProof();
+    pumpRecords();
+    answerQuestions();
 }
 
-void StateSync::stoodStill(TimePoint now)
+void StateSync::pumpRecords()
 {
-    m_leadership.stoodStill(now);
-    m_mirror.refresh();
-    pump();
+    const NodeRoster &roster = m_wiring.roster();
+    StoreRecords::Standing standing;
+    standing.isCurrent = m_isCurrent;
+    standing.isWatcher = m_choice.isWatcher(roster);
+    const bool isReliedOn =
+        standing.isWatcher || m_records.holdsOrderRight() || m_wiring.isReliedOn();
+    if (!isReliedOn) {
+        standing.leaseLifetime = NodeAnnouncer::lifetimeFor(roster.size());
+    }
+    m_records.pump(standing);
 }
 
 void StateSync::takePeerQuestion(ExchangeNumber exchange, std::uint64_t revision,
                                  const std::string &control)
 {
-    m_questions[exchange] = {revision, present() + questionWait(), BootClock::now(), control};
+    m_answers.take(exchange, revision, control, present(), BootClock::now());
     answerQuestions();
 }
 
-void StateSync::pump()
-{
-    pumpMirror();
-    pumpProof();
-    pumpAnnouncer();
-    pumpLeadership();
-    pumpPublisher();
-    answerQuestions();
-}
-
-void StateSync::publish(const CrashNote &note)
+void StateSync::answerQuestions()
 {
-    m_publisher.add(note);
-    pumpPublisher();
+    const TimePoint now = present();
+    const bool mayHear = m_isCurrent || now < m_lookingElsewhereUntil;
+    for (const NewsAnswers::Answered &one :
+         m_answers.due(now, BootClock::now(), m_isCurrent, mayHear)) {
+        m_wiring.answerPeer(one.exchange, one.body);
+    }
 }
 
 void StateSync::changed(const std::string &key, const StoredItem *item, std::uint64_t revision)
 {
-    const std::string *value = item ? &item->value : nullptr;
-    if (!value && key == m_wiring.ownKey) {
-        m_announcer.entryVanished();
-    }
-    if (key == m_wiring.recordKey && value) {
-        m_leadership.recordSeen(revision);
-    }
-    if (key == m_wiring.leaderKey) {
-        m_leadership.holderSeen(value, revision, present());
-        m_wiring.record("order_right",
-                        "holder=" + (value ? *value : std::string("none"))
-                            + " token=" + std::to_string(revision));
-    }
+    m_records.changed(key, item ? &item->value : nullptr, revision, present());
     m_wiring.changed(key, item);
 }
 
@@ -173,7 +157,7 @@
                              return;
                          }
                          m_mirror.listed(std::get<StoredPage>(result));
-                         passOnHeard();
+                         m_answers.passOnHeard(m_mirror);
                          if (!m_mirror.isListing()) {
                              m_proof.answered(m_listAskedAt, m_mirror.asOf(), m_mirror.asOf());
                          }
@@ -193,7 +177,7 @@
                           return;
                       }
                       m_mirror.watched(present(), std::get<StoredChanges>(result));
-                      passOnHeard();
+                      m_answers.passOnHeard(m_mirror);
                       succeeded(upstream);
                   });
 }
@@ -254,28 +238,18 @@
     if (!news || !m_mirror.told(*news)) {
         return false;
     }
-    m_news.add(
+    m_answers.passOn(
         {news->after, news->asOf, news->isWhole, std::make_shared<const std::string>(bytes)});
     return true;
 }
 
-void StateSync::passOnHeard()
-{
-    if (const auto heard = m_mirror.takeHeard()) {
-        m_news.add(encodeNews(*heard));
-    } else if (m_news.upTo() < m_mirror.asOf()) {
-        m_news.startAt(m_mirror.asOf());
-    }
-}
-
 void StateSync::succeeded(const Upstream &upstream)
 {
     m_choice.succeeded(upstream);
     m_proof.copied(m_mirror.asOf());
     if (!m_isCurrent) {
         m_isCurrent = true;
-        m_announcer.storeIsBack(present());
-        m_publisher.storeIsBack(present());
+        m_records.storeIsBack(present());
         m_wiring.record("store_copy_current",
                         "from=" + m_upstream + " as_of=" + std::to_string(m_mirror.asOf()));
     }
@@ -294,6 +268,7 @@
             // One that hears the store itself tells at once: whoever is above it is gone.
             m_lookingElsewhereUntil = present() + LooksElsewhereFor;
         }
+        pumpRecords();
         answerQuestions();
     }
     m_wiring.record("store_copy_call_failed",
@@ -313,7 +288,7 @@
     m_isProving = true;
     ++m_calls.proofs;
     // Any answer tells the store's revision; that of one small item is the cheapest.
-    m_store.list(m_wiring.leaderKey, {},
+    m_store.list(m_wiring.records.leaderKey, {},
                  [this, usualPause, askedAt = BootClock::now()](const auto &result) {
                      m_isProving = false;
                      if (const auto *page = std::get_if<StoredPage>(&result)) {
@@ -332,209 +307,6 @@
                                 : QuestionWait;
 }
 
-Duration StateSync::wantedLifetime() const
-{
-    const NodeRoster &roster = m_wiring.roster();
-    const bool isReliedOn =
-        m_choice.isWatcher(roster) || m_leadership.isHeldByThis() || m_wiring.isReliedOn();
-    return isReliedOn ? NodeAnnouncer::LeastLifetime : NodeAnnouncer::lifetimeFor(roster.size());
-}
-
-void StateSync::pumpAnnouncer()
-{
-    m_announcer.setWanted(wantedLifetime());
-    const auto call = m_announcer.nextCall(present());
-    if (!call) {
-        return;
-    }
-    if (const auto *grant = std::get_if<GrantLeaseCall>(&*call)) {
-        ++m_calls.leases;
-        m_store.grantLease(grant->lifetime, [this](const auto &result) {
-            if (const auto *fault = std::get_if<StoreFault>(&result)) {
-                m_announcer.failed(present(), *fault);
-            } else {
-                m_announcer.leaseGranted(present(), std::get<GrantedLease>(result));
-            }
-            pumpAnnouncer();
-        });
-    } else if (const auto *put = std::get_if<PutEntryCall>(&*call)) {
-        StoreCommit commit;
-        commit.writes.push_back({m_wiring.ownKey, encodeNodeEntry(m_wiring.self), put->lease});
-        ++m_calls.writes;
-        m_store.commit(commit, [this](const auto &result) {
-            if (noteAnnouncement(result)) {
-                m_announcer.entryWritten(present());
-            }
-            pumpAnnouncer();
-        });
-    } else {
-        ++m_calls.renewals;
-        m_store.renewLease(std::get<RenewLeaseCall>(*call).lease, [this](const auto &result) {
-            if (noteAnnouncement(result)) {
-                m_announcer.leaseRenewed(present());
-            }
-            pumpAnnouncer();
-        });
-    }
-}
-
-void StateSync::pumpLeadership()
-{
-    const bool mayAsk = m_isCurrent && m_choice.isWatcher(m_wiring.roster())
-        && m_announcer.isAnnounced() && !m_announcer.lease().isNone();
-    if (!mayAsk || !m_leadership.shouldAcquire(present())) {
-        return;
-    }
-    StoreCommit commit;
-    commit.conditions.push_back({m_wiring.leaderKey, 0});
-    commit.writes.push_back({m_wiring.leaderKey, m_leadership.life(), m_announcer.lease()});
-    // Whether it was done shows in the copy of the store, also where the answer is lost.
-    ++m_calls.writes;
-    m_store.commit(commit, [this](const std::variant<StoreDone, StoreFault> &result) {
-        if (const auto *fault = std::get_if<StoreFault>(&result)) {
-            m_wiring.record("order_right_not_taken", nameOf(*fault));
-        }
-    });
-}
-
-void StateSync::prepareOrders()
-{
-    if (!m_isCurrent || !m_leadership.shouldRecord(present())) {
-        return;
-    }
-    StoreCommit commit;
-    commit.conditions.push_back({m_wiring.leaderKey, m_leadership.revision()});
-    commit.conditions.push_back({m_wiring.recordKey, 0});
-    commit.writes.push_back({m_wiring.recordKey, m_leadership.life(), StoreLease()});
-    ++m_calls.writes;
-    m_store.commit(commit, [this](const std::variant<StoreDone, StoreFault> &result) {
-        if (const auto *fault = std::get_if<StoreFault>(&result)) {
-            m_wiring.record("orders_not_prepared", nameOf(*fault));
-        }
-    });
-}
-
-void StateSync::pumpPublisher()
-{
-    const auto call = m_publisher.nextCall(present());
-    if (!call) {
-        return;
-    }
-    if (const auto *write = std::get_if<WriteNotesCall>(&*call)) {
-        writeNotes(*write);
-        return;
-    }
-    ++m_calls.leases;
-    m_store.grantLease(CrashPublisher::LeaseLifetime, [this](const auto &result) {
-        if (const auto *fault = std::get_if<StoreFault>(&result)) {
-            notesFailed(*fault);
-        } else {
-            m_publisher.leaseGranted(present(), std::get<GrantedLease>(result).lease);
-        }
-        pumpPublisher();
-    });
-}
-
-void StateSync::writeNotes(const WriteNotesCall &call)
-{
-    StoreCommit commit;
-    for (const CrashNote &note : call.notes) {
-        commit.writes.push_back(
-            {crashKey(m_wiring.crashesPrefix, note), m_wiring.self.name.text(), call.lease});
-    }
-    ++m_calls.writes;
-    m_store.commit(commit, [this](const auto &result) {
-        if (const auto *fault = std::get_if<StoreFault>(&result)) {
-            notesFailed(*fault);
-        } else {
-            m_publisher.written(present());
-        }
-        pumpPublisher();
-    });
-}
-
-void StateSync::notesFailed(StoreFault fault)
-{
-    m_publisher.failed(present(), fault);
-    m_wiring.record("crash_not_shared",
-                    std::string(nameOf(fault))
-                        + " waiting=" + std::to_string(m_publisher.waiting()));
-}
-
-bool StateSync::noteAnnouncement(const std::variant<StoreDone, StoreFault> &result)
-{
-    const auto *fault = std::get_if<StoreFault>(&result);
-    if (!fault) {
-        return true;
-    }
-    m_announcer.failed(present(), *fault);
-    m_wiring.record("entry_not_kept", nameOf(*fault));
-    return false;
-}
-
-void StateSync::answerQuestions()
-{
-    const TimePoint now = present();
-    for (auto it = m_questions.begin(); it != m_questions.end();) {
-        if (!isDue(it->second, now)) {
-            ++it;
-            continue;
-        }
-        const ExchangeNumber exchange = it->first;
-        const Question question = it->second;
-        it = m_questions.erase(it);
-        m_wiring.answerPeer(exchange, answerTo(question, now));
-    }
-}
-
-bool StateSync::isDue(const Question &question, TimePoint now) const
-{
-    const bool hasNews = m_mirror.isKnown() && m_mirror.asOf() > question.revision;
-    const bool mayHear = m_isCurrent || now < m_lookingElsewhereUntil;
-    return hasNews || !mayHear || now >= question.answerBy;
-}
-
-std::string StateSync::answerTo(const Question &question, TimePoint now)
-{
-    const bool hasNews = m_mirror.isKnown() && m_mirror.asOf() > question.revision;
-    if (!hasNews && !m_isCurrent) {
-        // A node that does not hear the store says nothing of use; the asker goes elsewhere.
-        return {};
-    }
-    MirrorAnswer answer;
-    answer.held = BootClock::now() - question.arrived;
-    if (m_news.needsWhole(question.revision) && !m_copyTurns.mayBegin(now)) {
-        answer.elsewhere = {m_followers.begin(), m_followers.end()};
-        return encodeAnswer(answer);
-    }
-    const auto blocks =
-        m_news.since(question.revision, [this] { return encodeNews(m_mirror.whole()); });
-    for (const NewsBlock &block : blocks) {
-        answer.blocks.push_back(*block.bytes);
-        if (block.isWhole) {
-            m_copyTurns.begin(now, block.bytes->size());
-        }
-    }
-    if (blocks.empty() || blocks.back().upTo == m_mirror.asOf()) {
-        answer.age = m_proof.age(BootClock::now());
-    }
-    if (question.revision > 0 || !blocks.empty()) {
-        noteFollower(question.asker);
-    }
-    return encodeAnswer(answer);
-}
-
-void StateSync::noteFollower(const std::string &control)
-{
-    if (control.empty() || std::ranges::find(m_followers, control) != m_followers.end()) {
-        return;
-    }
-    m_followers.push_back(control);
-    if (m_followers.size() > MostFollowers) {
-        m_followers.pop_front();
-    }
-}
-
 void StateSync::noteUpstream(const Upstream &upstream)
 {
     const std::string name = upstream.peer.value_or(Store);
