--- a/src/dispatch/dispatchstate.h
+++ b/src/dispatch/dispatchstate.h
@@ -45,8 +45,7 @@
     /**
      * Idle connections to each server of @p service that this node may keep. A server resets those
      * beyond its limit, which all nodes share, also when a request has just been written: its
-     * caller gets a failure in doubt. With eight for each of 61 nodes, idle ones alone were more
-     * than the 430 allowed, and one in four calls that must not run twice failed so.
+     * caller gets a failure in doubt.
      */
     std::uint32_t connectionsKept(const Service &service) const;
 
--- a/src/dispatch/engineplacement.h
+++ b/src/dispatch/engineplacement.h
@@ -48,7 +48,7 @@
         const std::set<ServerName> *without = nullptr;
         /**
          * Decides between engines that look alike. Nodes that all took the first of them would
-         * send it all their work: with 65 nodes one engine of 30 got six times the mean.
+         * send it all their work.
          */
         std::uint64_t entropy = 0;
     };
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -53,7 +53,7 @@
         break;
     }
     // Only its answer was lost. Taken for unreachable, each engine that loses some answers was out
-    // for a second and more: 24 of 61 at once, while callers were refused.
+    // for a second and more, many at once, while callers are refused.
     return ClaimEnd::EngineFailed;
 }
 
--- a/src/dispatch/generationlimits.cpp
+++ b/src/dispatch/generationlimits.cpp
@@ -8,8 +8,7 @@
 
 /**
  * Of its target: a request that found no room for so long can hardly meet it any more, and what
- * comes after it can. With a target of 0.9 s waits of 0.7 and 1 s gave the same worth in played
- * days, and 2 s less.
+ * comes after it can.
  */
 constexpr double WaitOfTarget = 0.9;
 /** A stream that goes on: its caller has part of the answer, and stays for two seconds at least. */
@@ -17,8 +16,7 @@
 /**
  * Of the caller's patience. Callers come back once, and honour up to a third of the time they have
  * left. They are late then anyway, and a second rejection is worse than a wait: bursts last some
- * seconds. With 14 s of patience, 3.5 s in place of 1.2 s raised the worth of the worst days'
- * windows by a tenth.
+ * seconds.
  */
 constexpr int ComeBackOfPatience = 4;
 /** Where the caller does not tell its patience. */
--- a/src/dispatch/phasebalance.cpp
+++ b/src/dispatch/phasebalance.cpp
@@ -13,7 +13,7 @@
  * time and wait as long as one prompt takes (queue of fixed times, M/D/k); thirty for 0.96.
  */
 constexpr double SpareOfRoot = 0.2;
-/** Of a decode engine's memory that is in use on average when it is full, as replayed. */
+/** Of a decode engine's memory that is in use on average when it is full. */
 constexpr double MemoryInUse = 0.85;
 
 /**
@@ -37,7 +37,7 @@
 constexpr Duration SettledAfter = std::chrono::milliseconds(1500);
 /**
  * Later differences come of crashes and releases, most of which are over in this time; an engine
- * that is ordered away meanwhile is missing too. Orders after 5 s took 0.1 of worth on such days.
+ * that is ordered away meanwhile is missing too.
  */
 constexpr Duration LastsFor = std::chrono::milliseconds(15000);
 /** Of all engines; a smaller later shift gains less than the engines' time away costs. */
--- a/src/dispatch/phasechanges.h
+++ b/src/dispatch/phasechanges.h
@@ -19,7 +19,7 @@
 
     /**
      * Asks the scheduler what generations take of the engines; for the node that is to give orders.
-     * Grants tell it too, but one of two hundred nodes gets a grant every few seconds.
+     * Grants tell it too, but in a large fleet one node gets a grant every few seconds.
      */
     void askForWork(Step &step, const RouteTable &table);
     /** Gives the orders that are due if it has a token, which proves the right to, now. */
--- a/src/fleet/leadership.h
+++ b/src/fleet/leadership.h
@@ -45,9 +45,7 @@
     /**
      * Whether to write the record now, under the condition that the right is still this node's and
      * there is no record: it is about to give the first order of all. A right that changes hands
-     * before that costs the next holder no wait; with the record written as the right was taken, a
-     * VM that was lost before the first order delayed it by six seconds, to after the second burst.
-     * At most once a second.
+     * before that costs the next holder no wait. At most once a second.
      */
     bool shouldRecord(TimePoint now);
     /** Whether to ask the store for the right now. At most once a second. */
--- a/src/scheduling/engineledger.h
+++ b/src/scheduling/engineledger.h
@@ -59,9 +59,8 @@
     void dropPrefill(const PrefillTurn &turn, TimePoint now);
     /**
      * The engine does not read the prompt: no room was had for it, or its caller has left. Those
-     * behind it are read sooner. Unless its time is given back, engines look busy that are not:
-     * with a third of all reservations lost they stood idle for a quarter of the time, while
-     * claims were refused for them.
+     * behind it are read sooner. Unless its time is given back, engines look busy that are not,
+     * and claims are refused for them.
      */
     void withdrawPrefill(const PrefillTurn &turn, TimePoint now);
     /** A decode engine reads a whole prompt, between the tokens of its runs. */
@@ -85,9 +84,8 @@
     void changesPhase(const EngineChanging &change, TimePoint now);
     /**
      * The phase that @p server is in: as announced, but for an engine that has accepted an order
-     * and had the time for it. The news of it comes through the store; while that was away for
-     * eight seconds of a burst, thirteen engines that had changed stood idle, taken for what they
-     * had been.
+     * and had the time for it. The news of it comes through the store; while that is away, engines
+     * that have changed would stand idle, taken for what they have been.
      */
     EnginePhase phaseOf(const AnnouncedServer &server, TimePoint now) const;
     void workedWell(const ServerName &server);
--- a/src/scheduling/memoryforecast.cpp
+++ b/src/scheduling/memoryforecast.cpp
@@ -9,11 +9,8 @@
 
 /**
  * Standard deviations of what is to be made that are kept free. Where memory runs out the engine
- * preempts a run: its caller sees a pause, and its whole prompt is read again. In a replay of
- * four kinds of engine at twice what they hold, none of it kept free left the memory overrun for
- * 8 to 10 in 100 of the time, half of a deviation for less than 5, with 0.8 to 0.9 of it in use.
- * Of 0.5, 0.75 and 1, engines that hold eight runs served 71, 73 and 74 in 100 in time, and
- * engines with short outputs 83, 84 and 83 (played days with bursts).
+ * preempts a run: its caller sees a pause, and its whole prompt is read again. What is kept free
+ * beyond that serves nobody.
  */
 constexpr double Margin = 0.75;
 /**
--- a/src/scheduling/prefillpace.h
+++ b/src/scheduling/prefillpace.h
@@ -33,9 +33,8 @@
     bool wantsNext() const;
     /**
      * While which the engine reads no other prompt. By prompts that followed each other, as soon
-     * as there are enough: by the slope over prompts that found their engine idle, a fleet kept 11
-     * of 78 engines for prompts where 16 were needed. At full load such prompts are few and unlike
-     * the others, and the slope came out at 79 ms where an engine took 122 ms (played days).
+     * as there are enough: at full load prompts that find their engine idle are few and unlike the
+     * others, and by their slope too few engines would be kept for prompts.
      */
     Duration work(std::uint32_t tokens) const;
     /** Beyond work(), from sending a prompt to its answer. */
