--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+/** Each look goes over all engines; orders come of what lasts for seconds. */
+constexpr Duration LookAtOrdersEvery = std::chrono::milliseconds(250);
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
 constexpr int TooManyRequests = 429;
@@ -384,7 +386,9 @@
         forget(name);
     }
     m_state.crashes.forgetOld(step.now);
-    if (m_holdsOrderRight && m_table && !m_leavingSince) {
+    const bool isOrderLookDue = m_orderToken || step.now >= m_ordersLookedAt + LookAtOrdersEvery;
+    if (m_holdsOrderRight && m_table && !m_leavingSince && isOrderLookDue) {
+        m_ordersLookedAt = step.now;
         m_generations.phases().askForWork(step, *m_table);
         m_generations.phases().orderPhases(step, *m_table, m_orderToken);
     }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -38,6 +38,8 @@
     void setOrderRight(bool holds) { m_holdsOrderRight = holds; }
     /** Orders are due, and this node has no token for them. */
     bool wantsOrderToken() const { return m_generations.phases().wantsToken(); }
+    /** Looks over all engines for orders so far. */
+    std::uint64_t orderLooks() const { return m_generations.phases().looks(); }
     /** The token with which this node may give orders to engines now; nothing if it may not. */
     void setOrderToken(std::optional<std::uint64_t> token) { m_orderToken = token; }
     /**
@@ -107,6 +109,7 @@
     std::optional<TimePoint> m_nextTick;
     bool m_holdsOrderRight = false;
     std::optional<std::uint64_t> m_orderToken;
+    TimePoint m_ordersLookedAt {}; ///< Whether orders are due.
     std::optional<TimePoint> m_leavingSince;
     TimePoint m_endsAt {};
 };
--- a/src/dispatch/phasechanges.cpp
+++ b/src/dispatch/phasechanges.cpp
@@ -17,6 +17,7 @@
                                std::optional<std::uint64_t> token)
 {
     m_wantsToken = false;
+    ++m_looks;
     for (const auto &[name, service] : table.services()) {
         const auto orders =
             m_orders.decide(step.now, service, m_state.servers, m_balance, token.has_value());
--- a/src/dispatch/phasechanges.h
+++ b/src/dispatch/phasechanges.h
@@ -26,6 +26,8 @@
     void orderPhases(Step &step, const RouteTable &table, std::optional<std::uint64_t> token);
     /** Orders are due and there was no token for them. */
     bool wantsToken() const { return m_wantsToken; }
+    /** Looks over all engines so far. */
+    std::uint64_t looks() const { return m_looks; }
     void reportEnded(Step &step, const OpenCall &call, const CallEnded &event);
     void orderEnded(Step &step, const OpenCall &call, const CallEnded &event);
     /** The engine is changing, or perhaps so: it gets no new work. */
@@ -55,6 +57,7 @@
     PhaseBalance m_balance;
     PhaseOrders m_orders;
     bool m_wantsToken = false;
+    std::uint64_t m_looks = 0;
     std::uint64_t m_orderToken = 0;
     TimePoint m_orderTokenAt {}; ///< When the token was known to hold.
     TimePoint m_workAskedAt {};
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -423,6 +423,7 @@
         {"scheduler_granted", m_scheduling.scheduler().granted()},
         {"scheduler_engines_looked", m_scheduling.scheduler().enginesLooked()},
         {"scheduler_unsent", m_scheduling.unsent()},
+        {"order_looks", m_dispatcher.orderLooks()},
         {"quotas_scarce", m_scheduling.quotaKeeper().scarce()},
         {"contents_crashed", m_dispatcher.crashes().size()},
         {"contents_refused", m_dispatcher.crashes().refused()},
--- a/tests/dispatch/phasechangestest.cpp
+++ b/tests/dispatch/phasechangestest.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(asksTheSchedulerForTheWork);
     CPPUNIT_TEST(ordersByWhatTheSchedulerTells);
     CPPUNIT_TEST(wantsATokenOnceOrdersAreDue);
+    CPPUNIT_TEST(looksOverAllEnginesNowAndThen);
     CPPUNIT_TEST(asksOnlyWhileItMayGiveOrders);
     CPPUNIT_TEST_SUITE_END();
 
@@ -88,6 +89,19 @@
         CPPUNIT_ASSERT(!play.dispatcher().wantsOrderToken());
     }
 
+    /** Guards against a holder that goes over thousands of engines each time a timer is due. */
+    void looksOverAllEnginesNowAndThen()
+    {
+        DispatchPlay play;
+        prepare(play);
+        play.dispatcher().setOrderRight(true);
+        for (int time = 0; time < 1'000; time += 5) {
+            play.reduce(time, TimePassed {});
+        }
+        CPPUNIT_ASSERT(play.dispatcher().orderLooks() >= 4);
+        CPPUNIT_ASSERT(play.dispatcher().orderLooks() <= 5);
+    }
+
     void asksOnlyWhileItMayGiveOrders()
     {
         DispatchPlay play;
