--- a/src/fleet/upstreamchoice.cpp
+++ b/src/fleet/upstreamchoice.cpp
@@ -12,6 +12,8 @@
  */
 constexpr Duration AvoidPeerFor = std::chrono::milliseconds(2000);
 constexpr std::uint32_t MostAvoidDoublings = 3;
+/** VMs are replaced for ever; a failure so long ago says nothing of who has the address now. */
+constexpr Duration RememberFailureFor = std::chrono::seconds(60);
 /** A store that did not answer is tried again after this; meanwhile other nodes are asked. */
 constexpr Duration ProbeStoreEvery = std::chrono::milliseconds(1500);
 /**
@@ -121,6 +123,9 @@
 void UpstreamChoice::failed(TimePoint now, const Upstream &upstream)
 {
     if (upstream.peer) {
+        std::erase_if(m_avoided, [now](const auto &one) {
+            return now > one.second.until + RememberFailureFor;
+        });
         Avoided &avoided = m_avoided[*upstream.peer];
         avoided.until = now + AvoidPeerFor * (1 << std::min(avoided.failures, MostAvoidDoublings));
         ++avoided.failures;
--- a/src/fleet/upstreamchoice.h
+++ b/src/fleet/upstreamchoice.h
@@ -51,7 +51,7 @@
      */
     std::optional<Upstream> chooseForFirstCopy(TimePoint now, const NodeRoster &roster,
                                                const std::vector<std::string> &seeds, bool isSeed);
-    /** These may give a whole copy, says a node that is too busy to. */
+    /** A node that is too busy to give a whole copy names others that may have one. */
     void referred(TimePoint now, const Upstream &busy, const std::vector<std::string> &others);
     /** Whether this node is its domain's watcher; false while it is no member itself. */
     bool isWatcher(const NodeRoster &roster) const;
@@ -59,6 +59,12 @@
     void failed(TimePoint now, const Upstream &upstream);
 
 private:
+    struct Avoided
+    {
+        TimePoint until {};
+        std::uint32_t failures = 0; ///< In a row; 0: it was only too busy to give a copy.
+    };
+
     /**
      * The node above this one, by those that are not avoided; nothing: none is. One that has
      * failed several times in a row goes further up: those beside it hear no more than it does.
@@ -80,12 +86,6 @@
     NodeRank m_rank;
     DomainName m_domain;
     std::string m_control;
-    struct Avoided
-    {
-        TimePoint until {};
-        std::uint32_t failures = 0; ///< In a row.
-    };
-
     std::map<std::string, Avoided> m_avoided; ///< By control address.
     std::uint32_t m_peerFailures = 0;         ///< In a row.
     std::uint32_t m_storeFailures = 0;        ///< In a row.
