--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -105,6 +105,7 @@
 void Dispatcher::forget(const ServerName &name)
 {
     m_state.tracker.forget(name);
+    m_state.rateLimits.forget(name);
     m_generations.forget(name);
 }
 
@@ -322,6 +323,9 @@
 void Dispatcher::handle(Step &step, const StreamStarted &event)
 {
     const OpenCall *call = m_state.calls.find(event.call);
+    if (call && event.advice) {
+        m_state.recordAdvice(step, call->server.name, *event.advice, call->started);
+    }
     OpenRequest *request = call ? m_state.requests.find(call->request) : nullptr;
     if (!request || request->call != event.call) {
         step.add(AbandonCall {event.call});
@@ -336,6 +340,9 @@
     if (!call) {
         return;
     }
+    if (event.advice) {
+        m_state.recordAdvice(step, call->server.name, *event.advice, call->started);
+    }
     if (call->kind == CallKind::Report) {
         m_generations.phases().reportEnded(step, *call, event);
         return;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -61,6 +61,7 @@
      */
     bool crashRecorded(const CrashNote &note, std::uint64_t revision, TimePoint now);
     const CrashRecords &crashes() const { return m_state.crashes; }
+    const ratelimits::AnnouncedRateLimits &rateLimits() const { return m_state.rateLimits; }
 
     DispatchEffects reduce(TimePoint now, std::uint64_t entropy, const DispatchEvent &event);
     /** Returns the latest time for the next TimePassed event. */
--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -54,12 +54,20 @@
     std::uint32_t slots = 0;
 };
 
+/** What a server says about itself in the headers of an answer. */
+struct ServerAdvice
+{
+    /** Requests a second that the server accepts from all nodes together; nothing for no limit. */
+    std::optional<double> requestsPerSecond;
+};
+
 /** Signals the first event of a stream; the call continues. */
 struct StreamStarted
 {
     CallNumber call;
     int status = 0;
     std::optional<ServerLoad> load;
+    std::optional<ServerAdvice> advice;
 };
 
 /** Status reported by an engine, a few hundred milliseconds old. */
@@ -76,6 +84,8 @@
     CallEnd end = CallEnd::Broken;
     int status = 0; ///< 0 if there was no answer.
     std::optional<ServerLoad> load;
+    /** Nothing if the server sent no answer, or if StreamStarted carried its advice. */
+    std::optional<ServerAdvice> advice;
     std::string reservation;            ///< Of a Reserve that was granted.
     std::string handle;                 ///< Of a Prefill that succeeded.
     std::optional<EngineReport> report; ///< Of a Report that was answered.
--- a/src/dispatch/dispatchstate.cpp
+++ b/src/dispatch/dispatchstate.cpp
@@ -38,6 +38,22 @@
     return until && now < *until ? std::optional(Duration(*until - now)) : std::nullopt;
 }
 
+void DispatchState::recordAdvice(Step &step, const ServerName &server, const ServerAdvice &advice,
+                                 TimePoint started)
+{
+    if (!servers.find(server)) {
+        return; // The server has ended, and nothing would remove its entry.
+    }
+    if (rateLimits.record(server, advice.requestsPerSecond, started, step.now)) {
+        step.add(LogDecision {
+            "server_limit",
+            {},
+            "server=" + server.text() + " per_s="
+                + (advice.requestsPerSecond ? std::to_string(*advice.requestsPerSecond) : "-")
+                + " answer_age_ms=" + millisecondsText(step.now - started)});
+    }
+}
+
 NodeRetryBudget &DispatchState::retryBudget(const ServiceName &service)
 {
     auto [it, isNew] = retryBudgets.try_emplace(service, settings.retries, startedAt);
--- a/src/dispatch/dispatchstate.h
+++ b/src/dispatch/dispatchstate.h
@@ -7,6 +7,7 @@
 #include "dispatch/servertracker.h"
 #include "fleet/serverdirectory.h"
 #include "quotas/quotaenforcer.h"
+#include "ratelimits/announcedratelimits.h"
 
 #include <map>
 
@@ -40,6 +41,7 @@
     ServerTracker tracker;
     ServerCalls calls;
     CrashRecords crashes;
+    ratelimits::AnnouncedRateLimits rateLimits;
     std::map<ServiceName, NodeRetryBudget> retryBudgets;
 
     /**
@@ -56,6 +58,10 @@
      */
     std::optional<Duration> remainingRefusal(const ContentId &content, TimePoint now) const;
     NodeRetryBudget &retryBudget(const ServiceName &service);
+    /** Records what @p server says about itself in the answer to a call that started at @p started.
+     */
+    void recordAdvice(Step &step, const ServerName &server, const ServerAdvice &advice,
+                      TimePoint started);
 };
 
 /** Serves one kind of request; one object serves all requests of its kind. */
--- /dev/null
+++ b/src/ratelimits/announcedratelimits.cpp
@@ -0,0 +1,27 @@
+#include "announcedratelimits.h"
+
+namespace indigoway::ratelimits {
+
+bool AnnouncedRateLimits::record(const ServerName &server, std::optional<double> perSecond,
+                                 TimePoint callStarted, TimePoint now)
+{
+    const auto it = m_limits.find(server);
+    if (perSecond) {
+        const bool isChange = it == m_limits.end() || it->second.perSecond != *perSecond;
+        m_limits[server] = {*perSecond, now};
+        return isChange;
+    }
+    if (it == m_limits.end() || callStarted < it->second.announcedAt) {
+        return false;
+    }
+    m_limits.erase(it);
+    return true;
+}
+
+const AnnouncedLimit *AnnouncedRateLimits::find(const ServerName &server) const
+{
+    const auto it = m_limits.find(server);
+    return it == m_limits.end() ? nullptr : &it->second;
+}
+
+} // namespace indigoway::ratelimits
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -130,7 +130,7 @@
     open.bufferedEvents += completeEvents;
     if (!open.hasStarted) {
         open.hasStarted = true;
-        post(StreamStarted {call, open.head.status, open.info.load});
+        post(StreamStarted {call, open.head.status, open.info.load, open.info.advice});
     }
 }
 
@@ -153,6 +153,7 @@
     ended.call = open.call.call;
     ended.status = open.head.status;
     ended.load = open.info.load;
+    ended.advice = open.hasStarted ? std::nullopt : open.info.advice;
     ended.reason = reason;
     ended.isConnectionLost = end == TransferEnd::ConnectionLost;
     if (open.call.kind == CallKind::Probe) {
--- a/tests/platform/platformdialecttest.cpp
+++ b/tests/platform/platformdialecttest.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(decodesGrants);
     CPPUNIT_TEST(decodesTheDesiredState);
     CPPUNIT_TEST(decodesAServer);
+    CPPUNIT_TEST(readsTheRateLimitOfAServer);
     CPPUNIT_TEST(restartedServerGetsANewName);
     CPPUNIT_TEST(rejectsInvalidServerEntries);
     CPPUNIT_TEST(decodesOrRejectsAnyBytes);
@@ -463,6 +464,29 @@
 
     const PlatformDialect m_dialect {NodeName("n1")};
     PlatformCodec m_codec;
+
+    // Guards against taking the limit of one server for another that answers at its address.
+    void readsTheRateLimitOfAServer()
+    {
+        const auto limitIn = [this](int status, const std::string &value) {
+            MessageHead head;
+            head.status = status;
+            head.headers = {{"Server-Limit", value}};
+            const auto advice = m_dialect.readAnswer(head).advice;
+            return advice ? advice->requestsPerSecond : std::nullopt;
+        };
+        for (const int status : {200, 500, 503}) {
+            CPPUNIT_ASSERT(limitIn(status, "3.7") == std::optional(3.7));
+        }
+        CPPUNIT_ASSERT(limitIn(200, "0") == std::optional(0.0));
+        for (const char *invalid : {"", "x", "-1", "nan", "inf", "3.7 a second"}) {
+            CPPUNIT_ASSERT(!limitIn(200, invalid));
+        }
+        MessageHead misdirected;
+        misdirected.status = 421;
+        misdirected.headers = {{"Server-Limit", "3.7"}};
+        CPPUNIT_ASSERT(!m_dialect.readAnswer(misdirected).advice);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformDialectTest);
