--- /dev/null
+++ b/tests/ratelimits/limitedfleet.h
@@ -0,0 +1,347 @@
+#pragma once
+
+#include "dispatch/dispatcher.h"
+#include "scheduling/enginescheduler.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace indigoway::dispatch {
+
+/**
+ * Simulates the dispatchers of several nodes in virtual time, with backend servers that announce
+ * request rate limits in their answers.
+ */
+class LimitedFleet
+{
+public:
+    struct Settings
+    {
+        std::size_t nodes = 7;
+        std::size_t servers = 3;
+        double requestsPerSecond = 25; ///< Of all callers, at random nodes.
+        bool isGeneration = false;     ///< The servers are engines; the even ones prefill.
+        std::uint64_t seed = 1;
+    };
+
+    explicit LimitedFleet(const Settings &settings)
+        : m_settings(settings)
+        , m_random(settings.seed)
+        , m_routes(makeRoutes())
+    {
+        m_servers.resize(settings.servers);
+        m_nodes.resize(settings.nodes);
+        for (std::size_t node = 0; node < settings.nodes; ++node) {
+            start(node);
+        }
+        updateMembership();
+        scheduleArrival();
+    }
+
+    TimePoint now() const { return m_now; }
+    std::size_t served() const { return m_served; }
+    std::size_t refused() const { return m_refused; }
+    std::size_t failed() const { return m_failed; }
+    std::size_t arrivals(std::size_t server) const { return m_servers[server].arrivals.size(); }
+    Dispatcher &dispatcher(std::size_t node) { return *m_nodes[node].dispatcher; }
+    static ServerName serverName(std::size_t index)
+    {
+        return ServerName("s" + std::to_string(index));
+    }
+
+    /** Starts a new process on @p node. */
+    void start(std::size_t node)
+    {
+        Node &one = m_nodes[node];
+        ++one.life;
+        one.dispatcher = std::make_unique<Dispatcher>(
+            DispatchSettings {DomainName("d1"), RetryBudgetSettings {}}, m_now);
+        one.dispatcher->setRoutes(m_routes);
+        for (std::size_t server = 0; server < m_servers.size(); ++server) {
+            one.dispatcher->announce(announced(server));
+            m_servers[server].toldAt.erase(node);
+        }
+        one.dispatcher->setNodes(static_cast<std::uint32_t>(m_nodes.size()), m_now);
+    }
+
+    /** Announces the limit in the answers of @p server from now on; nothing to end it. */
+    void setLimit(std::size_t server, std::optional<double> perSecond)
+    {
+        m_servers[server].limit = perSecond;
+        m_servers[server].limitedSince = m_now;
+        m_servers[server].toldAt.clear();
+    }
+
+    void run(Duration duration)
+    {
+        const TimePoint end = m_now + duration;
+        while (!m_queue.empty() && m_queue.begin()->first <= end) {
+            const auto event = m_queue.extract(m_queue.begin());
+            m_now = event.key();
+            event.mapped()();
+        }
+        m_now = end;
+    }
+
+    /**
+     * Returns the largest number of requests that reached @p server within four seconds from nodes
+     * that had known its limit for half a second.
+     */
+    std::size_t mostInWindow(std::size_t server) const
+    {
+        constexpr Duration Window = std::chrono::seconds(4);
+        const std::vector<TimePoint> &times = m_servers[server].informedArrivals;
+        std::size_t most = 0;
+        std::size_t first = 0;
+        for (std::size_t last = 0; last < times.size(); ++last) {
+            while (times[first] + Window < times[last]) {
+                ++first;
+            }
+            most = std::max(most, last - first + 1);
+        }
+        return most;
+    }
+
+    /** Returns how many requests the server's limit allows within four seconds. */
+    static std::size_t allowedInWindow(double perSecond)
+    {
+        return static_cast<std::size_t>(1.5 * 4 * perSecond + 5);
+    }
+
+private:
+    struct Node
+    {
+        std::unique_ptr<Dispatcher> dispatcher;
+        std::uint64_t life = 0; ///< Changes with each start; earlier answers are dropped.
+        std::optional<TimePoint> wakeAt;
+        scheduling::EngineScheduler scheduler;
+    };
+    struct Server
+    {
+        std::optional<double> limit;
+        TimePoint limitedSince {};
+        std::map<std::size_t, TimePoint> toldAt; ///< Nodes that got an answer with the limit.
+        std::vector<TimePoint> arrivals;
+        std::vector<TimePoint> informedArrivals; ///< From nodes that had known the limit.
+    };
+
+    static constexpr Duration Latency = std::chrono::milliseconds(2);
+
+    std::shared_ptr<const RouteTable> makeRoutes() const
+    {
+        Route route;
+        route.name = RouteName("route");
+        route.host = "host";
+        route.prefix = "/";
+        route.shares = {{ServiceName("service"), 1}};
+        route.isStream = m_settings.isGeneration;
+        route.repetition =
+            m_settings.isGeneration ? Repetition::AtMostOnce : Repetition::Idempotent;
+        route.maxAttempts = m_settings.isGeneration ? 1 : 2;
+        route.target = std::chrono::milliseconds(m_settings.isGeneration ? 900 : 150);
+        route.timeout = std::chrono::seconds(m_settings.isGeneration ? 14 : 1);
+        Service service;
+        service.name = ServiceName("service");
+        if (m_settings.isGeneration) {
+            service.engine = EngineTraits {64, 50'000, std::chrono::milliseconds(500),
+                                           std::chrono::milliseconds(2000)};
+        }
+        RoutingState state;
+        state.version = 1;
+        state.routes = {route};
+        state.services[service.name] = service;
+        return std::make_shared<const RouteTable>(std::move(state));
+    }
+
+    AnnouncedServer announced(std::size_t index) const
+    {
+        AnnouncedServer server;
+        server.name = serverName(index);
+        server.instance = server.name.text();
+        server.service = ServiceName("service");
+        server.address = server.name.text() + ":80";
+        server.domain = DomainName("d1");
+        server.slots = 64;
+        if (m_settings.isGeneration) {
+            server.phase = index % 2 == 0 ? EnginePhase::Prefill : EnginePhase::Decode;
+        }
+        return server;
+    }
+
+    /** The first node schedules the engines. */
+    void updateMembership()
+    {
+        for (Node &node : m_nodes) {
+            node.dispatcher->setScheduler(NodeName("n0"));
+        }
+    }
+
+    void at(TimePoint time, std::function<void()> action)
+    {
+        m_queue.emplace(time, std::move(action));
+    }
+
+    /** Runs @p action after @p delay unless the process of @p node has been restarted. */
+    void later(std::size_t node, Duration delay, std::function<void()> action)
+    {
+        at(m_now + delay, [this, node, life = m_nodes[node].life, action = std::move(action)] {
+            if (m_nodes[node].life == life) {
+                action();
+            }
+        });
+    }
+
+    std::size_t randomBelow(std::size_t bound)
+    {
+        return std::uniform_int_distribution<std::size_t>(0, bound - 1)(m_random);
+    }
+
+    void scheduleArrival()
+    {
+        const double seconds =
+            std::exponential_distribution<>(m_settings.requestsPerSecond)(m_random);
+        const auto wait =
+            std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+        at(m_now + wait, [this] {
+            arrive(randomBelow(m_nodes.size()));
+            scheduleArrival();
+        });
+    }
+
+    void arrive(std::size_t node)
+    {
+        ArrivedRequest request;
+        request.request = RequestNumber(++m_lastRequest);
+        request.callerId = "c" + std::to_string(m_lastRequest);
+        request.content = ContentId(request.callerId);
+        request.host = "host";
+        request.path = "/x";
+        request.patience = std::chrono::seconds(m_settings.isGeneration ? 14 : 1);
+        request.promptTokens = m_settings.isGeneration ? 500 : 0;
+        request.maxOutputTokens = m_settings.isGeneration ? 50 : 0;
+        reduce(node, request);
+    }
+
+    void reduce(std::size_t node, const DispatchEvent &event)
+    {
+        const DispatchEffects effects = m_nodes[node].dispatcher->reduce(m_now, m_random(), event);
+        for (const DispatchEffect &effect : effects) {
+            std::visit([&](const auto &one) { run(node, one); }, effect);
+        }
+        const auto next = m_nodes[node].dispatcher->nextDeadline();
+        if (!next || (m_nodes[node].wakeAt && *m_nodes[node].wakeAt <= *next)) {
+            return;
+        }
+        m_nodes[node].wakeAt = next;
+        later(node, std::max(Duration(1), Duration(*next - m_now)), [this, node] {
+            m_nodes[node].wakeAt.reset();
+            reduce(node, TimePassed {});
+        });
+    }
+
+    template <typename Effect>
+    void run(std::size_t /*node*/, const Effect & /*effect*/)
+    { }
+
+    void run(std::size_t /*node*/, const DeliverAnswer & /*effect*/) { ++m_served; }
+    void run(std::size_t /*node*/, const EndStream & /*effect*/) { ++m_served; }
+    void run(std::size_t /*node*/, const BreakStream & /*effect*/) { ++m_failed; }
+    void run(std::size_t /*node*/, const RejectRequest &effect)
+    {
+        ++(effect.retryAfter ? m_refused : m_failed);
+    }
+
+    void run(std::size_t node, const StartCall &call)
+    {
+        later(node, Latency, [this, node, call] { reachServer(node, call); });
+    }
+
+    void run(std::size_t node, const SendToScheduler &effect)
+    {
+        at(m_now + Latency, [this, node, life = m_nodes[node].life, message = effect.message] {
+            const scheduling::EngineScheduler::View view {m_nodes[0].dispatcher->servers(),
+                                                          *m_routes};
+            const NodeLife from {nodeName(node), Incarnation(life)};
+            for (const auto &reply : m_nodes[0].scheduler.handle(m_now, view, from, message)) {
+                deliver(reply);
+            }
+        });
+    }
+
+    void deliver(const scheduling::SchedulerReply &reply)
+    {
+        const std::size_t node = std::stoul(reply.to.node.text().substr(1));
+        later(node, Latency, [this, node, message = reply.message] {
+            reduce(node, SchedulerAnswered {message, Incarnation(m_nodes[0].life)});
+        });
+    }
+
+    static NodeName nodeName(std::size_t node) { return NodeName("n" + std::to_string(node)); }
+
+    void reachServer(std::size_t node, const StartCall &call)
+    {
+        const std::size_t index = std::stoul(call.server.text().substr(1));
+        Server &server = m_servers[index];
+        if (carriesRequest(call.kind)) {
+            constexpr Duration Informed = std::chrono::milliseconds(500);
+            server.arrivals.push_back(m_now);
+            const auto told = server.toldAt.find(node);
+            if (told != server.toldAt.end() && told->second + Informed <= m_now) {
+                server.informedArrivals.push_back(m_now);
+            }
+        }
+        constexpr Duration ControlTime = std::chrono::milliseconds(1);
+        constexpr Duration AnswerTime = std::chrono::milliseconds(30);
+        later(node, carriesRequest(call.kind) ? AnswerTime : ControlTime,
+              [this, node, index, call] { answer(node, index, call); });
+    }
+
+    void answer(std::size_t node, std::size_t index, const StartCall &call)
+    {
+        Server &server = m_servers[index];
+        const ServerAdvice advice {server.limit};
+        later(node, Latency, [this, node, index, call, advice] {
+            if (advice.requestsPerSecond) {
+                m_servers[index].toldAt.try_emplace(node, m_now);
+            }
+            if (call.kind == CallKind::Decode || call.kind == CallKind::Whole) {
+                reduce(node, StreamStarted {call.call, 200, {}, advice});
+                later(node, std::chrono::milliseconds(300),
+                      [this, node, call] { endCall(node, call, {}); });
+            } else {
+                endCall(node, call, advice);
+            }
+        });
+    }
+
+    void endCall(std::size_t node, const StartCall &call, std::optional<ServerAdvice> advice)
+    {
+        CallEnded ended;
+        ended.call = call.call;
+        ended.end = CallEnd::Complete;
+        ended.status = 200;
+        ended.advice = advice;
+        ended.reservation = call.kind == CallKind::Reserve ? "r" : "";
+        ended.handle = call.kind == CallKind::Prefill ? "h" : "";
+        reduce(node, ended);
+    }
+
+    Settings m_settings;
+    std::mt19937_64 m_random;
+    TimePoint m_now = TimePoint {} + std::chrono::hours(1);
+    std::multimap<TimePoint, std::function<void()>> m_queue;
+    std::shared_ptr<const RouteTable> m_routes;
+    std::vector<Node> m_nodes;
+    std::vector<Server> m_servers;
+    std::uint64_t m_lastRequest = 0;
+    std::size_t m_served = 0;
+    std::size_t m_refused = 0;
+    std::size_t m_failed = 0;
+};
+
+} // namespace indigoway::dispatch
