--- a/src/dispatch/dispatcheffects.h
+++ b/src/dispatch/dispatcheffects.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "quotas/quotamessages.h"
+#include "ratelimits/ratelimitmessages.h"
 #include "scheduling/schedulermessages.h"
 
 #include <indigoway/announcedserver.h>
@@ -115,6 +116,12 @@
     quotas::ToKeeper message;
 };
 
+/** Sends a datagram to the rate limiter, if it is known. Delivery is not guaranteed. */
+struct SendToRateLimiter
+{
+    ratelimits::ToRateLimiter message;
+};
+
 /** Stores a crash note for all nodes, including those that start later. */
 struct PublishCrash
 {
@@ -150,7 +157,7 @@
 
 using DispatchEffect = std::variant<StartCall, AbandonCall, DeliverAnswer, ForwardStream, EndStream,
                                     BreakStream, RejectRequest, SendToScheduler, SendToQuotaKeeper,
-                                    PublishCrash, LogDecision, RequestEnded>;
+                                    SendToRateLimiter, PublishCrash, LogDecision, RequestEnded>;
 using DispatchEffects = std::vector<DispatchEffect>;
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -76,6 +76,7 @@
 void Dispatcher::setScheduler(std::optional<NodeName> name)
 {
     m_quotas.setKeeper(name);
+    m_state.permits.setLimiter(name);
     m_generations.setScheduler(std::move(name));
 }
 
@@ -83,6 +84,7 @@
 {
     m_state.nodes = nodes;
     m_quotas.setNodeCount(nodes);
+    m_state.permits.setNodeCount(nodes);
     m_state.nodesUpdatedAt = now;
     for (auto &[service, retryBudget] : m_state.retryBudgets) {
         retryBudget.setNodes(nodes, now);
@@ -105,7 +107,7 @@
 void Dispatcher::forget(const ServerName &name)
 {
     m_state.tracker.forget(name);
-    m_state.rateLimits.forget(name);
+    m_state.permits.forget(name);
     m_generations.forget(name);
 }
 
@@ -132,7 +134,9 @@
     Step step(now, entropy, effects);
     std::visit([&](const auto &alternative) { handle(step, alternative); }, event);
     tickQuotas(step);
-    m_nextTick = earlier(m_generations.tick(step), m_quotas.nextTick());
+    tickPermits(step);
+    m_nextTick =
+        earlier(earlier(m_generations.tick(step), m_quotas.nextTick()), m_state.permits.nextTick());
     return effects;
 }
 
@@ -308,6 +312,43 @@
     }
 }
 
+void Dispatcher::handle(Step &step, const PermitAnswered &event)
+{
+    if (const auto result = m_state.permits.handleAnswer(step.now, event.answer)) {
+        permitDecided(step, *result);
+    }
+}
+
+void Dispatcher::tickPermits(Step &step)
+{
+    ratelimits::ServerPermits::Messages messages;
+    const auto results = m_state.permits.tick(step.now, messages);
+    sendToRateLimiter(step, std::move(messages));
+    if (!results.empty()) {
+        step.add(
+            LogDecision {"rate_limiter_silent", {}, "permits=" + std::to_string(results.size())});
+    }
+    for (const ratelimits::PermitResult &result : results) {
+        permitDecided(step, result);
+    }
+}
+
+void Dispatcher::permitDecided(Step &step, const ratelimits::PermitResult &result)
+{
+    OpenRequest *request = m_state.requests.find(result.request);
+    if (!request || request->stage != Stage::AwaitingPermit) {
+        return;
+    }
+    request->refusedPermits += result.isGranted ? 0 : 1;
+    flowOf(*request).permitDecided(step, *request, result.server, result.isGranted);
+}
+
+void Dispatcher::abandonQueries(RequestNumber request)
+{
+    m_quotas.abandonQuery(quotas::QuotaQueryId(request.value()));
+    m_state.permits.abandon(request);
+}
+
 void Dispatcher::handle(Step &step, const CallerLeft &event)
 {
     OpenRequest *request = m_state.requests.find(event.request);
@@ -315,7 +356,7 @@
         return;
     }
     m_timeouts.clear(event.request);
-    m_quotas.abandonQuery(quotas::QuotaQueryId(event.request.value()));
+    abandonQueries(event.request);
     flowOf(*request).release(step, *request);
     m_state.requests.closeDisconnected(step, *request);
 }
@@ -419,7 +460,7 @@
 void Dispatcher::timeOut(Step &step, OpenRequest &request)
 {
     const bool mayHaveExecuted = request.mayHaveExecuted();
-    m_quotas.abandonQuery(quotas::QuotaQueryId(request.arrival.request.value()));
+    abandonQueries(request.arrival.request);
     flowOf(request).release(step, request);
     if (request.isForwarding) {
         m_state.requests.abortStream(step, request, "time is up");
@@ -462,7 +503,7 @@
     for (const RequestNumber number : numbers) {
         OpenRequest &request = *m_state.requests.find(number);
         flowOf(request).release(step, request);
-        m_quotas.abandonQuery(quotas::QuotaQueryId(number.value()));
+        abandonQueries(number);
         m_state.requests.refuse(step, request,
                                 {Unauthorized, RequestOutcome::Rejected, std::nullopt,
                                  "its key was taken away while it waited"});
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -47,8 +47,8 @@
     /** Sets the fencing token that is required to order phase changes; nothing if there is none. */
     void setOrderToken(std::optional<std::uint64_t> token) { m_orderToken = token; }
     /**
-     * Sets the node that schedules the engines and keeps the quotas; nothing if this node decides
-     * locally.
+     * Sets the node that schedules the engines, keeps the quotas and runs the rate limiter; nothing
+     * if this node decides locally.
      */
     void setScheduler(std::optional<NodeName> name);
     /** Starts the drain of this node. Requests that cannot complete by @p endsAt are rejected. */
@@ -61,7 +61,7 @@
      */
     bool crashRecorded(const CrashNote &note, std::uint64_t revision, TimePoint now);
     const CrashRecords &crashes() const { return m_state.crashes; }
-    const ratelimits::AnnouncedRateLimits &rateLimits() const { return m_state.rateLimits; }
+    const ratelimits::ServerPermits &permits() const { return m_state.permits; }
 
     DispatchEffects reduce(TimePoint now, std::uint64_t entropy, const DispatchEvent &event);
     /** Returns the latest time for the next TimePassed event. */
@@ -77,6 +77,7 @@
     void handle(Step &step, const CallEnded &event);
     void handle(Step &step, const SchedulerAnswered &event);
     void handle(Step &step, const QuotaKeeperAnswered &event);
+    void handle(Step &step, const PermitAnswered &event);
     void handle(Step &step, const TimePassed &event);
     void recordCallResult(Step &step, const OpenCall &call, const OpenRequest &request,
                           const CallEnded &event);
@@ -96,6 +97,10 @@
     void rejectOverQuota(Step &step, OpenRequest &request, Duration roomAfter);
     /** Returns unused quota, sends due messages and applies due decisions. */
     void tickQuotas(Step &step);
+    void tickPermits(Step &step);
+    void permitDecided(Step &step, const ratelimits::PermitResult &result);
+    /** Drops the pending queries of a request that ends. */
+    void abandonQueries(RequestNumber request);
     /** Rejects the request because the local configuration is too old to decide. */
     void rejectStaleConfiguration(Step &step, const ArrivedRequest &event);
     std::string unknownKeyText(const ArrivedRequest &event) const;
--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -2,6 +2,7 @@
 
 #include "admission/admission.h"
 #include "quotas/quotamessages.h"
+#include "ratelimits/ratelimitmessages.h"
 #include "scheduling/schedulermessages.h"
 
 #include <indigoway/ids.h>
@@ -66,8 +67,8 @@
 {
     CallNumber call;
     int status = 0;
-    std::optional<ServerLoad> load;
-    std::optional<ServerAdvice> advice;
+    std::optional<ServerLoad> load = {};
+    std::optional<ServerAdvice> advice = {};
 };
 
 /** Status reported by an engine, a few hundred milliseconds old. */
@@ -108,12 +109,19 @@
     Incarnation life; ///< Of the quota keeper.
 };
 
+/** Carries an answer of the rate limiter. */
+struct PermitAnswered
+{
+    ratelimits::PermitAnswer answer;
+};
+
 /** Signals that a deadline may have passed. */
 struct TimePassed
 {
 };
 
-using DispatchEvent = std::variant<ArrivedRequest, CallerLeft, StreamStarted, CallEnded,
-                                   SchedulerAnswered, QuotaKeeperAnswered, TimePassed>;
+using DispatchEvent =
+    std::variant<ArrivedRequest, CallerLeft, StreamStarted, CallEnded, SchedulerAnswered,
+                 QuotaKeeperAnswered, PermitAnswered, TimePassed>;
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/dispatchstate.cpp
+++ b/src/dispatch/dispatchstate.cpp
@@ -4,6 +4,13 @@
 
 namespace indigoway::dispatch {
 
+void sendToRateLimiter(Step &step, ratelimits::ServerPermits::Messages messages)
+{
+    for (ratelimits::ToRateLimiter &message : messages) {
+        step.add(SendToRateLimiter {std::move(message)});
+    }
+}
+
 std::uint32_t DispatchState::maxIdleConnections(const Service &service) const
 {
     constexpr std::uint32_t MaxIdleConnections = 8;
@@ -44,7 +51,11 @@
     if (!servers.find(server)) {
         return; // The server has ended, and nothing would remove its entry.
     }
-    if (rateLimits.record(server, advice.requestsPerSecond, started, step.now)) {
+    ratelimits::ServerPermits::Messages messages;
+    const bool isChange =
+        permits.record(server, advice.requestsPerSecond, started, step.now, messages);
+    sendToRateLimiter(step, std::move(messages));
+    if (isChange) {
         step.add(LogDecision {
             "server_limit",
             {},
@@ -54,6 +65,23 @@
     }
 }
 
+ratelimits::PermitDecision DispatchState::requestPermit(Step &step, OpenRequest &request,
+                                                        const ServerName &server)
+{
+    ratelimits::ServerPermits::Messages messages;
+    const auto decision = permits.request(step.now, request.arrival.request, server, messages);
+    sendToRateLimiter(step, std::move(messages));
+    if (decision == ratelimits::PermitDecision::Refused) {
+        ++request.refusedPermits;
+    }
+    return decision;
+}
+
+bool DispatchState::isBlocked(const ServerName &server, TimePoint now) const
+{
+    return permits.blockedUntil(server, now).has_value();
+}
+
 NodeRetryBudget &DispatchState::retryBudget(const ServiceName &service)
 {
     auto [it, isNew] = retryBudgets.try_emplace(service, settings.retries, startedAt);
--- a/src/dispatch/dispatchstate.h
+++ b/src/dispatch/dispatchstate.h
@@ -7,7 +7,7 @@
 #include "dispatch/servertracker.h"
 #include "fleet/serverdirectory.h"
 #include "quotas/quotaenforcer.h"
-#include "ratelimits/announcedratelimits.h"
+#include "ratelimits/serverpermits.h"
 
 #include <map>
 
@@ -41,7 +41,7 @@
     ServerTracker tracker;
     ServerCalls calls;
     CrashRecords crashes;
-    ratelimits::AnnouncedRateLimits rateLimits;
+    ratelimits::ServerPermits permits;
     std::map<ServiceName, NodeRetryBudget> retryBudgets;
 
     /**
@@ -62,8 +62,15 @@
      */
     void recordAdvice(Step &step, const ServerName &server, const ServerAdvice &advice,
                       TimePoint started);
+    /** Requests a permit to send @p request to @p server, see ServerPermits::request(). */
+    ratelimits::PermitDecision requestPermit(Step &step, OpenRequest &request,
+                                             const ServerName &server);
+    /** Returns whether the node must not send requests to @p server now. */
+    bool isBlocked(const ServerName &server, TimePoint now) const;
 };
 
+void sendToRateLimiter(Step &step, ratelimits::ServerPermits::Messages messages);
+
 /** Serves one kind of request; one object serves all requests of its kind. */
 class RequestFlow
 {
@@ -79,6 +86,9 @@
                            const CallEnded &event) = 0;
     /** Handles the end of a call whose request has already ended. */
     virtual void orphanedCallEnded(Step &step, const OpenCall &call, const CallEnded &event) = 0;
+    /** Continues a request that waited for a permit to be sent to @p server. */
+    virtual void permitDecided(Step &step, OpenRequest &request, const ServerName &server,
+                               bool isGranted) = 0;
     /** Releases all resources of the request; the caller of this function ends it. */
     virtual void release(Step &step, OpenRequest &request) = 0;
     /** Processes due work and returns the time of the next call. */
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -33,6 +33,8 @@
 /** Reservations that expire within this time are not used. */
 constexpr Duration ReservationMargin = std::chrono::milliseconds(100);
 constexpr std::uint32_t MaxPrefillAttempts = 2;
+/** Bounds the datagrams of a request while most engines announce rate limits. */
+constexpr std::uint32_t MaxRefusedPermits = 3;
 
 EnginePlacement::Need engineNeedOf(Step &step, const OpenRequest &request, const DomainName &domain)
 {
@@ -214,10 +216,11 @@
 
 void GenerationFlow::claimForWaiting(Step &step)
 {
+    const std::vector<ServerName> blocked = m_state.permits.blockedServers(step.now);
     for (const RequestNumber number : m_waiting) {
         OpenRequest &request = *m_state.requests.find(number);
         if (request.claim.isNone()) {
-            m_claims.claim(step, request, m_state.settings.domain, maxQueueTime(request));
+            m_claims.claim(step, request, m_state.settings.domain, maxQueueTime(request), blocked);
         }
     }
 }
@@ -257,6 +260,11 @@
         processQueue(step);
         return;
     }
+    if (m_state.isBlocked(server->name, step.now)) {
+        m_claims.end(step, *request, scheduling::ClaimOutcome::Cancelled);
+        processQueue(step);
+        return;
+    }
     request->plannedPrefill = granted->prefillServer;
     request->isPlannedWhole = granted->prefillsLocally;
     reserveAt(step, *request, *server);
@@ -277,6 +285,50 @@
 void GenerationFlow::reserveAt(Step &step, OpenRequest &request, const AnnouncedServer &server)
 {
     m_waiting.erase(request.arrival.request);
+    switch (m_state.requestPermit(step, request, server.name)) {
+    case ratelimits::PermitDecision::Granted:
+        startReservation(step, request, server);
+        return;
+    case ratelimits::PermitDecision::Pending:
+        request.stage = Stage::AwaitingPermit;
+        return;
+    case ratelimits::PermitDecision::Refused:
+        waitForOtherEngine(step, request);
+        return;
+    }
+}
+
+void GenerationFlow::waitForOtherEngine(Step &step, OpenRequest &request)
+{
+    m_claims.end(step, request, ClaimOutcome::Cancelled);
+    request.stage = Stage::Waiting;
+    m_waiting.insert(request.arrival.request);
+}
+
+void GenerationFlow::permitDecided(Step &step, OpenRequest &request, const ServerName &server,
+                                   bool isGranted)
+{
+    const AnnouncedServer *known = m_state.servers.find(server);
+    const bool isUsable = isGranted && known
+        && m_state.servers.availability(server, step.now) != ServerAvailability::Leaving;
+    const bool isForPrefill = !request.decodeServer.isEmpty();
+    if (isForPrefill && isUsable) {
+        startPrefill(step, request, *known);
+    } else if (isForPrefill) {
+        prefill(step, request);
+    } else if (isUsable) {
+        startReservation(step, request, *known);
+    } else if (request.refusedPermits >= MaxRefusedPermits) {
+        failUnsent(step, request, "rate limits of engines");
+    } else {
+        waitForOtherEngine(step, request);
+    }
+    processQueue(step);
+}
+
+void GenerationFlow::startReservation(Step &step, OpenRequest &request,
+                                      const AnnouncedServer &server)
+{
     m_placement.reservationStarted(server.name);
     ++m_reservationsInProgress;
     request.stage = Stage::Reserving;
@@ -331,25 +383,42 @@
         server = m_placement.pickPrefill(candidateEngines(step, request, EnginePhase::Prefill),
                                          engineNeedOf(step, request, domain), step.now);
     }
-    if (!server || request.prefillAttempts >= MaxPrefillAttempts) {
+    if (!server || request.prefillAttempts >= MaxPrefillAttempts
+        || request.refusedPermits >= MaxRefusedPermits) {
         decode(step, request, true);
         return;
     }
+    switch (m_state.requestPermit(step, request, server->name)) {
+    case ratelimits::PermitDecision::Granted:
+        startPrefill(step, request, *server);
+        return;
+    case ratelimits::PermitDecision::Pending:
+        request.stage = Stage::AwaitingPermit;
+        return;
+    case ratelimits::PermitDecision::Refused:
+        // The engine is blocked now, so this tries another one.
+        prefill(step, request);
+        return;
+    }
+}
+
+void GenerationFlow::startPrefill(Step &step, OpenRequest &request, const AnnouncedServer &server)
+{
     if (!maySend(step, request)) {
         return;
     }
     request.countedCalls += request.countedCalls > 0 ? 1 : 0;
     ++request.prefillAttempts;
     request.stage = Stage::Prefilling;
-    request.prefillServer = server->name;
-    m_placement.addLoad(server->name, request.arrival.promptTokens);
+    request.prefillServer = server.name;
+    m_placement.addLoad(server.name, request.arrival.promptTokens);
     StartCall call;
     call.kind = CallKind::Prefill;
     call.idleTimeout = PrefillTimeout;
     // A new connection detects a hanging engine earlier than the idle timeout, and before the
     // request is sent.
     call.needsNewConnection = true;
-    m_state.startCall(step, request, *server, std::move(call));
+    m_state.startCall(step, request, server, std::move(call));
 }
 
 const AnnouncedServer *GenerationFlow::plannedPrefill(Step &step, OpenRequest &request)
@@ -358,7 +427,7 @@
     const AnnouncedServer *server = m_state.servers.find(planned);
     const bool isAvailable = server && !request.triedServers.contains(planned)
         && m_state.servers.availability(planned, step.now) != ServerAvailability::Leaving
-        && !m_placement.isFaultySource(planned, step.now);
+        && !m_state.isBlocked(planned, step.now) && !m_placement.isFaultySource(planned, step.now);
     return isAvailable ? server : nullptr;
 }
 
@@ -587,7 +656,8 @@
 {
     auto servers = m_state.servers.candidates(request.service->name, phase, step.now);
     std::erase_if(servers, [&](const AnnouncedServer *server) {
-        return m_phases.isChanging(server->name, step.now);
+        return m_phases.isChanging(server->name, step.now)
+            || m_state.isBlocked(server->name, step.now);
     });
     return m_state.tracker.preferredServers(servers, step.now);
 }
--- a/src/dispatch/generationflow.h
+++ b/src/dispatch/generationflow.h
@@ -38,6 +38,8 @@
     void callEnded(Step &step, OpenRequest &request, const OpenCall &call,
                    const CallEnded &event) override;
     void orphanedCallEnded(Step &step, const OpenCall &call, const CallEnded &event) override;
+    void permitDecided(Step &step, OpenRequest &request, const ServerName &server,
+                       bool isGranted) override;
     void release(Step &step, OpenRequest &request) override;
     std::optional<TimePoint> tick(Step &step) override;
     std::size_t waiting() const { return m_waiting.size(); }
@@ -49,10 +51,16 @@
     void rejectOverdue(Step &step);
     void claimForWaiting(Step &step);
     bool reserve(Step &step, OpenRequest &request);
+    /** Reserves memory at @p server as soon as there is a permit for the run that follows. */
     void reserveAt(Step &step, OpenRequest &request, const AnnouncedServer &server);
+    void startReservation(Step &step, OpenRequest &request, const AnnouncedServer &server);
+    /** Returns the request to the queue; engines that are blocked now are not chosen again. */
+    void waitForOtherEngine(Step &step, OpenRequest &request);
     void reserveEnded(Step &step, OpenRequest &request, const OpenCall &call,
                       const CallEnded &event);
+    /** Chooses a prefill engine and sends it the prompt as soon as there is a permit. */
     void prefill(Step &step, OpenRequest &request);
+    void startPrefill(Step &step, OpenRequest &request, const AnnouncedServer &server);
     /** Returns the prefill engine chosen by the scheduler, once, or null if it cannot be used. */
     const AnnouncedServer *plannedPrefill(Step &step, OpenRequest &request);
     void prefillEnded(Step &step, OpenRequest &request, const OpenCall &call,
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -156,6 +156,8 @@
     switch (stage) {
     case Stage::AwaitingQuota:
         return "awaiting_quota";
+    case Stage::AwaitingPermit:
+        return "awaiting_permit";
     case Stage::Calling:
         return "calling";
     case Stage::Waiting:
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -54,7 +54,8 @@
 
 /** State of a generation. Plain requests stay in Calling. */
 enum class Stage {
-    AwaitingQuota, ///< Waits for the quota keeper.
+    AwaitingQuota,  ///< Waits for the quota keeper.
+    AwaitingPermit, ///< Waits for a permit to call a server with a rate limit.
     Calling,
     Waiting, ///< Waits for a reservation at a decode engine.
     Reserving,
@@ -90,6 +91,8 @@
     std::uint32_t forwardedEvents = 0;
     bool isRetry = false; ///< The caller was rejected before, by any node.
 
+    std::uint32_t refusedPermits = 0; ///< Refusals because of servers' rate limits.
+
     double quotaUnits = 0; ///< Units that the keeper has counted against the organisation.
 
     // Fields of generations.
--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -1,5 +1,7 @@
 #include "plainflow.h"
 
+#include "core/deadlines.h"
+
 #include <algorithm>
 
 namespace indigoway::dispatch {
@@ -17,6 +19,8 @@
 constexpr std::size_t MaxServersTried = 4;
 /** Retry delay after a rejection; about the queueing time of a full server. */
 constexpr Duration RetryDelay = std::chrono::milliseconds(250);
+/** Bounds the datagrams of a request while most servers announce rate limits. */
+constexpr std::uint32_t MaxRefusedPermits = 3;
 /** Cost of a server in another failure domain: the network round trip. */
 constexpr double OtherDomainPenaltyMilliseconds = 3;
 
@@ -85,21 +89,70 @@
     return std::nullopt;
 }
 
+void PlainFlow::permitDecided(Step &step, OpenRequest &request, const ServerName &server,
+                              bool isGranted)
+{
+    request.stage = Stage::Calling;
+    const AnnouncedServer *known = m_state.servers.find(server);
+    const bool isUsable =
+        known && m_state.servers.availability(server, step.now) != ServerAvailability::Leaving;
+    if (!isGranted || !isUsable) {
+        send(step, request);
+    } else if (!refuseContent(step, request)) {
+        sendTo(step, request, *known);
+    }
+}
+
 void PlainFlow::send(Step &step, OpenRequest &request)
 {
-    if (const auto refused = m_state.remainingRefusal(request.arrival.content, step.now)) {
-        if (request.mayHaveExecuted()) {
-            m_state.requests.failInDoubt(step, request, BadGateway, CrashesServers);
-        } else {
-            m_state.requests.reject(step, request, *refused, CrashesServers);
-        }
+    if (refuseContent(step, request)) {
         return;
     }
     const AnnouncedServer *server = pickServer(step, request);
-    if (!server) {
-        m_state.requests.reject(step, request, step.jitter(RetryDelay), "no server");
-        return;
+    while (server && request.refusedPermits < MaxRefusedPermits) {
+        switch (m_state.requestPermit(step, request, server->name)) {
+        case ratelimits::PermitDecision::Granted:
+            sendTo(step, request, *server);
+            return;
+        case ratelimits::PermitDecision::Pending:
+            request.stage = Stage::AwaitingPermit;
+            return;
+        case ratelimits::PermitDecision::Refused:
+            server = pickServer(step, request);
+            break;
+        }
     }
+    rejectWithoutServer(step, request);
+}
+
+bool PlainFlow::refuseContent(Step &step, OpenRequest &request)
+{
+    const auto refused = m_state.remainingRefusal(request.arrival.content, step.now);
+    if (!refused) {
+        return false;
+    }
+    if (request.mayHaveExecuted()) {
+        m_state.requests.failInDoubt(step, request, BadGateway, CrashesServers);
+    } else {
+        m_state.requests.reject(step, request, *refused, CrashesServers);
+    }
+    return true;
+}
+
+void PlainFlow::rejectWithoutServer(Step &step, OpenRequest &request)
+{
+    std::optional<TimePoint> unblockedAt;
+    for (const AnnouncedServer *server :
+         m_state.servers.candidates(request.service->name, EnginePhase::None, step.now)) {
+        unblockedAt = earlier(unblockedAt, m_state.permits.blockedUntil(server->name, step.now));
+    }
+    const Duration wait = unblockedAt ? *unblockedAt - step.now : Duration(0);
+    m_state.requests.reject(step, request, wait + step.jitter(RetryDelay),
+                            unblockedAt ? "rate limits of servers" : "no server");
+}
+
+void PlainFlow::sendTo(Step &step, OpenRequest &request, const AnnouncedServer &server)
+{
     StartCall call;
     call.kind = CallKind::Plain;
     const bool isIdempotent = request.route->repetition == Repetition::Idempotent;
@@ -111,8 +164,8 @@
     // A reused connection may close during the write, which leaves the execution in doubt and rules
     // out a retry.
     call.needsNewConnection = !isIdempotent;
-    request.triedServers.insert(server->name);
-    m_state.startCall(step, request, *server, std::move(call));
+    request.triedServers.insert(server.name);
+    m_state.startCall(step, request, server, std::move(call));
 }
 
 const AnnouncedServer *PlainFlow::pickServer(Step &step, const OpenRequest &request) const
@@ -121,7 +174,10 @@
         m_state.servers.candidates(request.service->name, EnginePhase::None, step.now);
     std::vector<const AnnouncedServer *> untried;
     for (const AnnouncedServer *server : candidates) {
-        if (!request.triedServers.contains(server->name)) {
+        // A permit is not spent on a retry while first attempts wait for one.
+        const bool isLimited = request.executions > 0 && m_state.permits.isLimited(server->name);
+        if (!request.triedServers.contains(server->name) && !isLimited
+            && !m_state.isBlocked(server->name, step.now)) {
             untried.push_back(server);
         }
     }
--- a/src/dispatch/plainflow.h
+++ b/src/dispatch/plainflow.h
@@ -20,11 +20,18 @@
     void callEnded(Step &step, OpenRequest &request, const OpenCall &call,
                    const CallEnded &event) override;
     void orphanedCallEnded(Step &step, const OpenCall &call, const CallEnded &event) override;
+    void permitDecided(Step &step, OpenRequest &request, const ServerName &server,
+                       bool isGranted) override;
     void release(Step &step, OpenRequest &request) override;
     std::optional<TimePoint> tick(Step &step) override;
 
 private:
+    /** Sends the request to the best server for which there is a permit. */
     void send(Step &step, OpenRequest &request);
+    void sendTo(Step &step, OpenRequest &request, const AnnouncedServer &server);
+    /** Refuses a request whose content is refused; returns whether it was. */
+    bool refuseContent(Step &step, OpenRequest &request);
+    void rejectWithoutServer(Step &step, OpenRequest &request);
     const AnnouncedServer *pickServer(Step &step, const OpenRequest &request) const;
     bool mayRetry(const OpenRequest &request) const;
     void handleAnswer(Step &step, OpenRequest &request, const OpenCall &call,
--- a/src/dispatch/schedulerclaims.cpp
+++ b/src/dispatch/schedulerclaims.cpp
@@ -17,6 +17,7 @@
 /** Consecutive losses that rule out random datagram loss. */
 constexpr std::uint32_t MaxUnanswered = 3;
 /** Time until a killed node restarts or another one takes over. */
+constexpr std::size_t MaxExcludedServers = 20; ///< Of a claim, which must fit into a datagram.
 constexpr Duration UnavailableTime = std::chrono::milliseconds(1000);
 
 } // namespace
@@ -29,7 +30,7 @@
 }
 
 void SchedulerClaims::claim(Step &step, OpenRequest &request, const DomainName &domain,
-                            Duration maxWait)
+                            Duration maxWait, const std::vector<ServerName> &blocked)
 {
     request.claim = ClaimId(++m_lastClaim);
     const bool readsWhole =
@@ -46,6 +47,11 @@
     message.timeToTarget = request.arrived + request.route->target - step.now;
     message.maxDuration = request.deadline - step.now;
     message.excludedServers.assign(request.triedServers.begin(), request.triedServers.end());
+    for (const ServerName &server : blocked) {
+        if (message.excludedServers.size() < MaxExcludedServers) {
+            message.excludedServers.push_back(server);
+        }
+    }
     m_pending[request.claim] = {request.arrival.request, message, step.now, 1};
     send(step, std::move(message));
 }
--- a/src/dispatch/schedulerclaims.h
+++ b/src/dispatch/schedulerclaims.h
@@ -24,8 +24,12 @@
     void setScheduler(std::optional<NodeName> name);
     bool isAvailable(TimePoint now) const { return m_scheduler && now >= m_unavailableUntil; }
 
-    /** Sends a claim for @p request, which must not have one. */
-    void claim(Step &step, OpenRequest &request, const DomainName &domain, Duration maxWait);
+    /**
+     * Sends a claim for @p request, which must not have one.
+     * @param blocked engines to which this node sends no requests now
+     */
+    void claim(Step &step, OpenRequest &request, const DomainName &domain, Duration maxWait,
+               const std::vector<ServerName> &blocked = {});
     /** Reports a reservation that this node made without a claim. */
     void reportReservation(Step &step, OpenRequest &request);
     void prefillEnded(Step &step, const OpenRequest &request, bool isDone, bool isReachable);
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -99,6 +99,8 @@
         [this](const scheduling::ToScheduler &message) { m_scheduling.send(message); });
     m_relay.setQuotaHandler(
         [this](const quotas::ToKeeper &message) { m_scheduling.send(message); });
+    m_relay.setRateLimitHandler(
+        [this](const ratelimits::ToRateLimiter &message) { m_scheduling.send(message); });
 }
 
 bool EdgeNode::start()
@@ -426,10 +428,12 @@
         {"scheduler_engines_looked", m_scheduling.scheduler().enginesExamined()},
         {"scheduler_unsent", m_scheduling.unsent()},
         {"order_looks", m_dispatcher.orderEvaluations()},
+        {"permits_granted", m_scheduling.rateLimiter().granted()},
+        {"permits_refused", m_scheduling.rateLimiter().refused()},
         {"quotas_scarce", m_scheduling.quotaKeeper().scarceCount()},
         {"contents_crashed", m_dispatcher.crashes().size()},
         {"contents_refused", m_dispatcher.crashes().refusedCount()},
-        {"servers_limited", m_dispatcher.rateLimits().size()},
+        {"servers_limited", m_dispatcher.permits().limitedServers()},
         {"leaving", m_leavingSince ? 1U : 0U},
     });
 }
--- a/src/edge/schedulingendpoint.cpp
+++ b/src/edge/schedulingendpoint.cpp
@@ -2,6 +2,7 @@
 
 #include "core/jsontext.h"
 #include "dispatch/openrequests.h"
+#include "ratelimits/ratelimitcodec.h"
 
 #include <event2/event.h>
 
@@ -50,23 +51,51 @@
     }
 }
 
+void SchedulingEndpoint::send(const ratelimits::ToRateLimiter &message)
+{
+    if (const auto address = m_dependencies.schedulerAddress()) {
+        m_socket.send(*address, encode(Datagram<ratelimits::ToRateLimiter> {m_self, message}));
+    }
+}
+
 void SchedulingEndpoint::handleDatagram(const DatagramAddress &from, const std::string &text)
 {
     const Json::Value value = parseJson(text);
+    if (!deliverAnswer(value) && !handleSchedulerMessage(from, value)
+        && !handleQuotaMessage(from, value) && !handleRateLimitMessage(from, value)) {
+        m_dependencies.record("datagram_unreadable",
+                              "from=" + from + " bytes=" + std::to_string(text.size()));
+    }
+}
+
+bool SchedulingEndpoint::deliverAnswer(const Json::Value &value)
+{
     if (const auto answer = readDatagramFromScheduler(value)) {
         m_dependencies.deliver(
             dispatch::SchedulerAnswered {answer->message, answer->from.incarnation});
-        return;
-    }
-    if (const auto answer = quotas::readFromKeeper(value)) {
+    } else if (const auto quota = quotas::readFromKeeper(value)) {
         m_dependencies.deliver(
-            dispatch::QuotaKeeperAnswered {answer->message, answer->from.incarnation});
-        return;
+            dispatch::QuotaKeeperAnswered {quota->message, quota->from.incarnation});
+    } else if (const auto permit = ratelimits::readPermitAnswer(value)) {
+        m_dependencies.deliver(dispatch::PermitAnswered {permit->message});
+    } else {
+        return false;
     }
-    if (!handleSchedulerMessage(from, value) && !handleQuotaMessage(from, value)) {
-        m_dependencies.record("datagram_unreadable",
-                              "from=" + from + " bytes=" + std::to_string(text.size()));
+    return true;
+}
+
+bool SchedulingEndpoint::handleRateLimitMessage(const DatagramAddress &from,
+                                                const Json::Value &value)
+{
+    const auto datagram = ratelimits::readToRateLimiter(value);
+    if (!datagram) {
+        return false;
+    }
+    const auto answer = m_rateLimiter.handle(steadyNow(), datagram->from, datagram->message);
+    if (answer) {
+        m_socket.send(from, encode(Datagram<ratelimits::PermitAnswer> {m_self, *answer}));
     }
+    return true;
 }
 
 bool SchedulingEndpoint::handleSchedulerMessage(const DatagramAddress &from,
--- a/src/edge/schedulingendpoint.h
+++ b/src/edge/schedulingendpoint.h
@@ -4,6 +4,7 @@
 #include "edge/datagramsocket.h"
 #include "quotas/quotacodec.h"
 #include "quotas/quotakeeper.h"
+#include "ratelimits/ratelimiter.h"
 #include "scheduling/enginescheduler.h"
 #include "scheduling/schedulercodec.h"
 
@@ -15,9 +16,9 @@
 namespace indigoway {
 
 /**
- * Exchanges datagrams with the node that schedules the engines and keeps the quotas. Sends this
- * node's claims and quota messages to it, and runs the scheduler and the quota keeper for the nodes
- * that send theirs to this one.
+ * Exchanges datagrams with the node that schedules the engines, keeps the quotas and limits the
+ * request rates of servers. Sends this node's messages to it, and runs the scheduler, the quota
+ * keeper and the rate limiter for the nodes that send theirs to this one.
  */
 class SchedulingEndpoint
 {
@@ -30,7 +31,7 @@
         std::function<std::optional<scheduling::EngineScheduler::View>()> view;
         /** Number of nodes that serve callers. */
         std::function<std::uint32_t()> nodeCount;
-        /** Delivers an answer of the scheduler or the quota keeper to the dispatcher. */
+        /** Delivers an answer of the scheduling node to the dispatcher. */
         std::function<void(const dispatch::DispatchEvent &)> deliver;
         std::function<void(const std::string &kind, const std::string &detail)> record;
     };
@@ -43,7 +44,9 @@
     }
     void send(const scheduling::ToScheduler &message);
     void send(const quotas::ToKeeper &message);
+    void send(const ratelimits::ToRateLimiter &message);
     const quotas::QuotaKeeper &quotaKeeper() const { return m_quotaKeeper; }
+    const ratelimits::RateLimiter &rateLimiter() const { return m_rateLimiter; }
     const scheduling::EngineScheduler &scheduler() const { return m_scheduler; }
     std::uint64_t unsent() const { return m_socket.unsent(); }
 
@@ -53,6 +56,10 @@
     bool handleSchedulerMessage(const DatagramAddress &from, const Json::Value &value);
     /** Returns false if @p value is not a message to the quota keeper. */
     bool handleQuotaMessage(const DatagramAddress &from, const Json::Value &value);
+    /** Returns false if @p value is not a message to the rate limiter. */
+    bool handleRateLimitMessage(const DatagramAddress &from, const Json::Value &value);
+    /** Returns whether @p value was an answer to a message of this node. */
+    bool deliverAnswer(const Json::Value &value);
     void tick();
     void reply(const scheduling::SchedulerReplies &replies);
     void armTimer();
@@ -63,6 +70,7 @@
     Dependencies m_dependencies;
     scheduling::EngineScheduler m_scheduler;
     quotas::QuotaKeeper m_quotaKeeper;
+    ratelimits::RateLimiter m_rateLimiter;
     DatagramSocket m_socket;
     EventHandle m_timer;
     TimePoint m_stateLoggedAt {};
--- /dev/null
+++ b/src/ratelimits/ratelimiter.cpp
@@ -0,0 +1,103 @@
+#include "ratelimiter.h"
+
+#include <algorithm>
+
+namespace indigoway::ratelimits {
+
+namespace {
+
+constexpr double MinRate = 0.2; ///< Requests a second.
+constexpr double MinBurst = 2;  ///< Requests.
+constexpr double BurstSeconds = 0.5;
+/** Longest time for which a node that was refused doesn't ask again; the limit may have ended. */
+constexpr Duration MaxRetryAfter = std::chrono::seconds(2);
+/** Longer than the time for which a node repeats a query. */
+constexpr Duration AnswerRetention = std::chrono::seconds(1);
+constexpr Duration AccountRetention = std::chrono::seconds(60);
+constexpr Duration AccountCheckInterval = std::chrono::seconds(5);
+
+} // namespace
+
+double RateLimiter::burstOf(double perSecond)
+{
+    return std::max(MinBurst, effectiveRate(perSecond) * BurstSeconds);
+}
+
+double RateLimiter::effectiveRate(double perSecond)
+{
+    return std::max(perSecond, MinRate);
+}
+
+std::optional<PermitAnswer> RateLimiter::handle(TimePoint now, const NodeLife &from,
+                                                const ToRateLimiter &message)
+{
+    removeExpired(now);
+    if (const auto *ended = std::get_if<LimitEnded>(&message)) {
+        endLimit(now, ended->server);
+        return std::nullopt;
+    }
+    const auto &query = std::get<PermitQuery>(message);
+    const AnswerKey key {from, query.id};
+    if (const auto it = m_answers.find(key); it != m_answers.end()) {
+        return it->second;
+    }
+    const PermitAnswer answer = decide(now, query);
+    ++(answer.isGranted ? m_granted : m_refused);
+    m_answers.emplace(key, answer);
+    m_answerOrder.push_back({key, now});
+    return answer;
+}
+
+PermitAnswer RateLimiter::decide(TimePoint now, const PermitQuery &query)
+{
+    const auto [it, isNew] =
+        m_accounts.try_emplace(query.server, Account {quotas::QuotaBucket(0, now)});
+    Account &account = it->second;
+    account.lastQueryAt = now;
+    const TimePoint announcedAt = now - query.announcedAgo;
+    if (isNew || announcedAt > account.announcedAt) {
+        account.announcedAt = announcedAt;
+        account.perSecond = query.perSecond;
+    }
+    if (account.endedAt && account.announcedAt <= *account.endedAt) {
+        return {query.id, true, Duration(0), true};
+    }
+    account.endedAt.reset();
+    const quotas::RateLimit limit {effectiveRate(account.perSecond), burstOf(account.perSecond)};
+    account.bucket.refill(limit, now);
+    if (account.bucket.take(limit, 1)) {
+        return {query.id, true, Duration(0), false};
+    }
+    // Refused nodes get successive retry times, so that they do not all ask for the same permit.
+    const TimePoint next = now + account.bucket.timeUntilAvailable(limit, 1);
+    const TimePoint retryAt = std::min(std::max(account.lastRetryAt, next), now + MaxRetryAfter);
+    account.lastRetryAt = retryAt
+        + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / limit.perSecond));
+    return {query.id, false, retryAt - now, false};
+}
+
+void RateLimiter::endLimit(TimePoint now, const ServerName &server)
+{
+    Account &account =
+        m_accounts.try_emplace(server, Account {quotas::QuotaBucket(0, now)}).first->second;
+    account.lastQueryAt = now;
+    account.endedAt = now;
+    account.bucket = quotas::QuotaBucket(0, now);
+}
+
+void RateLimiter::removeExpired(TimePoint now)
+{
+    while (!m_answerOrder.empty() && now > m_answerOrder.front().at + AnswerRetention) {
+        m_answers.erase(m_answerOrder.front().key);
+        m_answerOrder.pop_front();
+    }
+    if (now < m_accountsCheckedAt + AccountCheckInterval) {
+        return;
+    }
+    m_accountsCheckedAt = now;
+    std::erase_if(m_accounts, [now](const auto &one) {
+        return now > one.second.lastQueryAt + AccountRetention;
+    });
+}
+
+} // namespace indigoway::ratelimits
--- /dev/null
+++ b/src/ratelimits/serverpermits.cpp
@@ -0,0 +1,187 @@
+#include "serverpermits.h"
+
+#include "core/deadlines.h"
+#include "ratelimits/ratelimiter.h"
+
+#include <algorithm>
+
+namespace indigoway::ratelimits {
+
+namespace {
+
+/** The retry interval of a query; a caller waits for its answer. */
+constexpr Duration QueryRetryInterval = std::chrono::milliseconds(40);
+constexpr std::uint32_t MaxQueries = 3;
+/** The time for which a rate limiter that did not answer is not used. */
+constexpr Duration LimiterBackoff = std::chrono::seconds(1);
+/**
+ * Part of a limit that nodes use without the rate limiter, which may be issuing the whole limit to
+ * the nodes that reach it.
+ */
+constexpr double LocalFraction = 0.5;
+constexpr double LocalBurst = 1; ///< Requests.
+
+} // namespace
+
+void ServerPermits::setLimiter(std::optional<NodeName> limiter)
+{
+    if (limiter != m_limiter) {
+        m_limiter = std::move(limiter);
+        m_backoffUntil = {};
+    }
+}
+
+bool ServerPermits::record(const ServerName &server, std::optional<double> perSecond,
+                           TimePoint callStarted, TimePoint now, Messages &messages)
+{
+    const bool isChange = m_limits.record(server, perSecond, callStarted, now);
+    if (isChange && !perSecond) {
+        endLimit(server);
+        messages.emplace_back(LimitEnded {server});
+    }
+    return isChange;
+}
+
+void ServerPermits::forget(const ServerName &server)
+{
+    m_limits.forget(server);
+    endLimit(server);
+}
+
+void ServerPermits::endLimit(const ServerName &server)
+{
+    m_blockedUntil.erase(server);
+    m_localBuckets.erase(server);
+}
+
+std::optional<TimePoint> ServerPermits::blockedUntil(const ServerName &server, TimePoint now) const
+{
+    const auto it = m_blockedUntil.find(server);
+    return it != m_blockedUntil.end() && now < it->second ? std::optional(it->second)
+                                                          : std::nullopt;
+}
+
+std::vector<ServerName> ServerPermits::blockedServers(TimePoint now) const
+{
+    std::vector<ServerName> servers;
+    for (const auto &[server, until] : m_blockedUntil) {
+        if (now < until) {
+            servers.push_back(server);
+        }
+    }
+    return servers;
+}
+
+PermitDecision ServerPermits::request(TimePoint now, RequestNumber request,
+                                      const ServerName &server, Messages &messages)
+{
+    if (!isLimited(server)) {
+        return PermitDecision::Granted;
+    }
+    if (blockedUntil(server, now)) {
+        return PermitDecision::Refused;
+    }
+    if (!isLimiterReachable(now)) {
+        return decideLocally(now, server) ? PermitDecision::Granted : PermitDecision::Refused;
+    }
+    const PermitId id(++m_lastPermit);
+    m_pending[id] = {request, server, now, 1};
+    messages.emplace_back(makeQuery(now, id, server));
+    return PermitDecision::Pending;
+}
+
+PermitQuery ServerPermits::makeQuery(TimePoint now, PermitId id, const ServerName &server) const
+{
+    const AnnouncedLimit *limit = m_limits.find(server);
+    return limit ? PermitQuery {id, server, limit->perSecond, now - limit->announcedAt}
+                 : PermitQuery {id, server, 0, Duration(0)};
+}
+
+void ServerPermits::abandon(RequestNumber request)
+{
+    std::erase_if(m_pending, [request](const auto &one) { return one.second.request == request; });
+}
+
+std::optional<PermitResult> ServerPermits::handleAnswer(TimePoint now, const PermitAnswer &answer)
+{
+    const auto it = m_pending.find(answer.id);
+    if (it == m_pending.end()) {
+        return std::nullopt;
+    }
+    const PendingPermit pending = it->second;
+    m_pending.erase(it);
+    // While the rate limiter answers, the local share does not accumulate beside its permits.
+    m_localBuckets.insert_or_assign(pending.server, quotas::QuotaBucket(0, now));
+    if (answer.hasLimitEnded) {
+        forget(pending.server);
+    } else if (!answer.isGranted) {
+        m_blockedUntil[pending.server] = now + answer.retryAfter;
+    }
+    return PermitResult {pending.request, pending.server, answer.isGranted};
+}
+
+std::vector<PermitResult> ServerPermits::tick(TimePoint now, Messages &messages)
+{
+    if (m_pending.empty()) {
+        return {};
+    }
+    bool isLimiterSilent = !m_limiter;
+    for (auto &[id, pending] : m_pending) {
+        if (now < pending.sentAt + QueryRetryInterval) {
+            continue;
+        }
+        if (pending.sendCount >= MaxQueries) {
+            isLimiterSilent = true;
+            continue;
+        }
+        ++pending.sendCount;
+        pending.sentAt = now;
+        messages.emplace_back(makeQuery(now, id, pending.server));
+    }
+    if (!isLimiterSilent) {
+        return {};
+    }
+    m_backoffUntil = now + LimiterBackoff;
+    return decideAllLocally(now);
+}
+
+std::optional<TimePoint> ServerPermits::nextTick() const
+{
+    std::optional<TimePoint> next;
+    for (const auto &[id, pending] : m_pending) {
+        next = earlier(next, pending.sentAt + QueryRetryInterval);
+    }
+    return next;
+}
+
+bool ServerPermits::decideLocally(TimePoint now, const ServerName &server)
+{
+    const AnnouncedLimit *limit = m_limits.find(server);
+    if (!limit) {
+        return true;
+    }
+    const double fraction = m_limiter ? LocalFraction : 1;
+    const double nodes = std::max(m_nodeCount, 1U);
+    const quotas::RateLimit share {RateLimiter::effectiveRate(limit->perSecond) * fraction / nodes,
+                                   LocalBurst};
+    quotas::QuotaBucket &bucket =
+        m_localBuckets.try_emplace(server, quotas::QuotaBucket(0, now)).first->second;
+    bucket.refill(share, now);
+    if (bucket.take(share, 1)) {
+        return true;
+    }
+    m_blockedUntil[server] = now + std::min(bucket.timeUntilAvailable(share, 1), LimiterBackoff);
+    return false;
+}
+
+std::vector<PermitResult> ServerPermits::decideAllLocally(TimePoint now)
+{
+    std::vector<PermitResult> results;
+    for (const auto &[id, pending] : m_pending) {
+        results.push_back({pending.request, pending.server, decideLocally(now, pending.server)});
+    }
+    m_pending.clear();
+    return results;
+}
+
+} // namespace indigoway::ratelimits
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -305,6 +305,13 @@
     }
 }
 
+void RequestRelay::run(const SendToRateLimiter &effect)
+{
+    if (m_rateLimitHandler) {
+        m_rateLimitHandler(effect.message);
+    }
+}
+
 void RequestRelay::run(const PublishCrash &effect)
 {
     if (m_crashHandler) {
--- a/src/relay/requestrelay.h
+++ b/src/relay/requestrelay.h
@@ -23,6 +23,7 @@
     using DecisionHandler = std::function<void(const dispatch::LogDecision &)>;
     using SchedulerHandler = std::function<void(const scheduling::ToScheduler &)>;
     using QuotaHandler = std::function<void(const quotas::ToKeeper &)>;
+    using RateLimitHandler = std::function<void(const ratelimits::ToRateLimiter &)>;
     using CrashHandler = std::function<void(const dispatch::PublishCrash &)>;
     using RequestEndedHandler = std::function<void(const dispatch::RequestEnded &)>;
 
@@ -32,6 +33,7 @@
     void setDecisionHandler(DecisionHandler handler) { m_decisionHandler = std::move(handler); }
     void setSchedulerHandler(SchedulerHandler handler) { m_schedulerHandler = std::move(handler); }
     void setQuotaHandler(QuotaHandler handler) { m_quotaHandler = std::move(handler); }
+    void setRateLimitHandler(RateLimitHandler handler) { m_rateLimitHandler = std::move(handler); }
     void setCrashHandler(CrashHandler handler) { m_crashHandler = std::move(handler); }
     /** Returns the maximum age of this node's copy of the desired state; nothing if unknown. */
     using CopyAge = std::function<std::optional<Duration>()>;
@@ -89,6 +91,7 @@
     void run(const dispatch::RejectRequest &effect);
     void run(const dispatch::SendToScheduler &effect);
     void run(const dispatch::SendToQuotaKeeper &effect);
+    void run(const dispatch::SendToRateLimiter &effect);
     void run(const dispatch::PublishCrash &effect);
     void run(const dispatch::LogDecision &effect);
     void run(const dispatch::RequestEnded &effect);
@@ -111,6 +114,7 @@
     DecisionHandler m_decisionHandler;
     SchedulerHandler m_schedulerHandler;
     QuotaHandler m_quotaHandler;
+    RateLimitHandler m_rateLimitHandler;
     CrashHandler m_crashHandler;
     RequestEndedHandler m_requestEndedHandler;
     CopyAge m_copyAge;
--- a/tests/ratelimits/limitedfleet.h
+++ b/tests/ratelimits/limitedfleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/dispatcher.h"
+#include "ratelimits/ratelimiter.h"
 #include "scheduling/enginescheduler.h"
 
 #include <algorithm>
@@ -26,6 +27,7 @@
         std::size_t servers = 3;
         double requestsPerSecond = 25; ///< Of all callers, at random nodes.
         bool isGeneration = false;     ///< The servers are engines; the even ones prefill.
+        double lossRate = 0;           ///< Fraction of lost datagrams.
         std::uint64_t seed = 1;
     };
 
@@ -39,7 +41,7 @@
         for (std::size_t node = 0; node < settings.nodes; ++node) {
             start(node);
         }
-        updateMembership();
+        setSchedulingNode(0);
         scheduleArrival();
     }
 
@@ -48,7 +50,19 @@
     std::size_t refused() const { return m_refused; }
     std::size_t failed() const { return m_failed; }
     std::size_t arrivals(std::size_t server) const { return m_servers[server].arrivals.size(); }
+    std::size_t datagrams() const { return m_datagrams; }
     Dispatcher &dispatcher(std::size_t node) { return *m_nodes[node].dispatcher; }
+
+    /** Makes all nodes use @p node as their scheduler and rate limiter, or none. */
+    void setSchedulingNode(std::optional<std::size_t> node)
+    {
+        m_schedulingNode = node;
+        for (Node &one : m_nodes) {
+            setSchedulerOf(one);
+        }
+    }
+    /** Lets the scheduling node receive nothing, while the others still consider it alive. */
+    void setSilent(bool isSilent) { m_isSilent = isSilent; }
     static ServerName serverName(std::size_t index)
     {
         return ServerName("s" + std::to_string(index));
@@ -67,6 +81,9 @@
             m_servers[server].toldAt.erase(node);
         }
         one.dispatcher->setNodes(static_cast<std::uint32_t>(m_nodes.size()), m_now);
+        one.scheduler = {};
+        one.limiter = {};
+        setSchedulerOf(one);
     }
 
     /** Announces the limit in the answers of @p server from now on; nothing to end it. */
@@ -120,6 +137,7 @@
         std::uint64_t life = 0; ///< Changes with each start; earlier answers are dropped.
         std::optional<TimePoint> wakeAt;
         scheduling::EngineScheduler scheduler;
+        ratelimits::RateLimiter limiter;
     };
     struct Server
     {
@@ -173,14 +191,23 @@
         return server;
     }
 
-    /** The first node schedules the engines. */
-    void updateMembership()
+    void setSchedulerOf(Node &node) const
     {
-        for (Node &node : m_nodes) {
-            node.dispatcher->setScheduler(NodeName("n0"));
+        node.dispatcher->setScheduler(m_schedulingNode ? std::optional(nodeName(*m_schedulingNode))
+                                                       : std::nullopt);
+    }
+
+    /** Runs @p action at the other end of the network unless the datagram is lost. */
+    void sendDatagram(std::function<void()> action)
+    {
+        ++m_datagrams;
+        if (!std::bernoulli_distribution(m_settings.lossRate)(m_random)) {
+            at(m_now + Latency, std::move(action));
         }
     }
 
+    bool isSchedulingNodeReachable() const { return m_schedulingNode && !m_isSilent; }
+
     void at(TimePoint time, std::function<void()> action)
     {
         m_queue.emplace(time, std::move(action));
@@ -263,11 +290,15 @@
 
     void run(std::size_t node, const SendToScheduler &effect)
     {
-        at(m_now + Latency, [this, node, life = m_nodes[node].life, message = effect.message] {
-            const scheduling::EngineScheduler::View view {m_nodes[0].dispatcher->servers(),
+        sendDatagram([this, node, life = m_nodes[node].life, message = effect.message] {
+            if (!isSchedulingNodeReachable()) {
+                return;
+            }
+            Node &receiver = m_nodes[*m_schedulingNode];
+            const scheduling::EngineScheduler::View view {receiver.dispatcher->servers(),
                                                           *m_routes};
             const NodeLife from {nodeName(node), Incarnation(life)};
-            for (const auto &reply : m_nodes[0].scheduler.handle(m_now, view, from, message)) {
+            for (const auto &reply : receiver.scheduler.handle(m_now, view, from, message)) {
                 deliver(reply);
             }
         });
@@ -276,8 +307,27 @@
     void deliver(const scheduling::SchedulerReply &reply)
     {
         const std::size_t node = std::stoul(reply.to.node.text().substr(1));
-        later(node, Latency, [this, node, message = reply.message] {
-            reduce(node, SchedulerAnswered {message, Incarnation(m_nodes[0].life)});
+        const Incarnation scheduler(m_nodes[*m_schedulingNode].life);
+        sendDatagram([this, node, scheduler, message = reply.message] {
+            reduce(node, SchedulerAnswered {message, scheduler});
+        });
+    }
+
+    void run(std::size_t node, const SendToRateLimiter &effect)
+    {
+        sendDatagram([this, node, life = m_nodes[node].life, message = effect.message] {
+            if (!isSchedulingNodeReachable()) {
+                return;
+            }
+            const NodeLife from {nodeName(node), Incarnation(life)};
+            const auto answer = m_nodes[*m_schedulingNode].limiter.handle(m_now, from, message);
+            if (answer) {
+                sendDatagram([this, node, life, answer] {
+                    if (m_nodes[node].life == life) {
+                        reduce(node, PermitAnswered {*answer});
+                    }
+                });
+            }
         });
     }
 
@@ -337,6 +387,9 @@
     std::multimap<TimePoint, std::function<void()>> m_queue;
     std::shared_ptr<const RouteTable> m_routes;
     std::vector<Node> m_nodes;
+    std::optional<std::size_t> m_schedulingNode;
+    bool m_isSilent = false;
+    std::size_t m_datagrams = 0;
     std::vector<Server> m_servers;
     std::uint64_t m_lastRequest = 0;
     std::size_t m_served = 0;
--- a/tests/ratelimits/ratelimitfleettest.cpp
+++ b/tests/ratelimits/ratelimitfleettest.cpp
@@ -6,10 +6,31 @@
 using namespace indigoway::dispatch;
 using namespace std::chrono_literals;
 
+namespace {
+
+void assertWithinLimit(const LimitedFleet &fleet, std::size_t server, double perSecond)
+{
+    const std::size_t most = fleet.mostInWindow(server);
+    const std::size_t allowed = LimitedFleet::allowedInWindow(perSecond);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(most) + " requests, allowed " + std::to_string(allowed),
+                           most <= allowed);
+}
+
+} // namespace
+
 class RateLimitFleetTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(RateLimitFleetTest);
     CPPUNIT_TEST(nodesTogetherStayWithinTheLimitOfAServer);
+    CPPUNIT_TEST(serversGetMostOfTheirLimit);
+    CPPUNIT_TEST(endOfALimitReachesAllNodes);
+    CPPUNIT_TEST(holdsWhileTheRateLimiterIsSilent);
+    CPPUNIT_TEST(holdsWithoutARateLimiter);
+    CPPUNIT_TEST(holdsWhenTheRateLimiterChanges);
+    CPPUNIT_TEST(holdsWhileNodesRestart);
+    CPPUNIT_TEST(holdsWithLostDatagrams);
+    CPPUNIT_TEST(holdsForEngines);
+    CPPUNIT_TEST(holdsInLargeFleets);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -23,11 +44,137 @@
             fleet.setLimit(0, 3.7);
             fleet.setLimit(1, 1.9);
             fleet.run(30s);
-            CPPUNIT_ASSERT(fleet.mostInWindow(0) <= LimitedFleet::allowedInWindow(3.7));
-            CPPUNIT_ASSERT(fleet.mostInWindow(1) <= LimitedFleet::allowedInWindow(1.9));
+            assertWithinLimit(fleet, 0, 3.7);
+            assertWithinLimit(fleet, 1, 1.9);
             CPPUNIT_ASSERT_EQUAL(std::size_t {0}, fleet.refused() + fleet.failed());
         }
     }
+
+    // Guards against giving servers much less than they accept while callers are refused.
+    void serversGetMostOfTheirLimit()
+    {
+        for (const std::size_t nodes : {7U, 60U}) {
+            LimitedFleet fleet({.nodes = nodes, .requestsPerSecond = 60});
+            for (const std::size_t server : {0U, 1U, 2U}) {
+                fleet.setLimit(server, 4);
+            }
+            fleet.run(10s);
+            const std::size_t before = fleet.arrivals(0) + fleet.arrivals(1) + fleet.arrivals(2);
+            fleet.run(20s);
+            const std::size_t sent =
+                fleet.arrivals(0) + fleet.arrivals(1) + fleet.arrivals(2) - before;
+            const std::size_t accepted = 3 * 4 * 20;
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(sent), sent >= accepted * 85 / 100);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(sent), sent <= accepted * 105 / 100);
+        }
+    }
+
+    // Guards against nodes that keep to a limit long after the server has ended it.
+    void endOfALimitReachesAllNodes()
+    {
+        LimitedFleet fleet({.nodes = 60, .servers = 1, .requestsPerSecond = 100});
+        fleet.setLimit(0, 2);
+        fleet.run(20s);
+        fleet.setLimit(0, std::nullopt);
+        fleet.run(5s);
+        const std::size_t served = fleet.served();
+        fleet.run(5s);
+        CPPUNIT_ASSERT(fleet.served() - served > 100 * 5 * 8 / 10);
+    }
+
+    // Guards against nodes that each take the whole limit, or none of it, without a rate limiter.
+    void holdsWhileTheRateLimiterIsSilent()
+    {
+        LimitedFleet fleet({.requestsPerSecond = 60});
+        for (const std::size_t server : {0U, 1U, 2U}) {
+            fleet.setLimit(server, 10);
+        }
+        fleet.run(10s);
+        fleet.setSilent(true);
+        const std::size_t before = fleet.arrivals(0);
+        fleet.run(20s);
+        CPPUNIT_ASSERT(fleet.arrivals(0) - before >= 10 * 20 * 3 / 10);
+        fleet.setSilent(false);
+        fleet.run(10s);
+        assertWithinLimit(fleet, 0, 10);
+    }
+
+    void holdsWithoutARateLimiter()
+    {
+        LimitedFleet fleet({.requestsPerSecond = 60});
+        fleet.setSchedulingNode(std::nullopt);
+        fleet.setLimit(0, 10);
+        fleet.run(30s);
+        assertWithinLimit(fleet, 0, 10);
+        CPPUNIT_ASSERT(fleet.arrivals(0) >= 10 * 30 * 6 / 10);
+    }
+
+    // Guards against a second burst from each node that takes the rate limiter over.
+    void holdsWhenTheRateLimiterChanges()
+    {
+        LimitedFleet fleet({.requestsPerSecond = 60});
+        fleet.setLimit(0, 3);
+        for (std::size_t round = 0; round < 20; ++round) {
+            fleet.run(1500ms);
+            fleet.setSchedulingNode(round % 7);
+        }
+        assertWithinLimit(fleet, 0, 3);
+    }
+
+    void holdsWhileNodesRestart()
+    {
+        LimitedFleet fleet({.requestsPerSecond = 60});
+        fleet.setLimit(0, 3);
+        for (std::size_t round = 0; round < 20; ++round) {
+            fleet.run(1500ms);
+            fleet.start(round % 7);
+        }
+        assertWithinLimit(fleet, 0, 3);
+    }
+
+    // Guards against counting a repeated query twice, and against unlimited requests without
+    // answers.
+    void holdsWithLostDatagrams()
+    {
+        for (const double lossRate : {0.05, 0.3, 0.7}) {
+            LimitedFleet fleet({.requestsPerSecond = 60, .lossRate = lossRate});
+            fleet.setLimit(0, 5);
+            fleet.run(30s);
+            assertWithinLimit(fleet, 0, 5);
+        }
+    }
+
+    void holdsForEngines()
+    {
+        LimitedFleet fleet({.servers = 6, .requestsPerSecond = 20, .isGeneration = true});
+        fleet.run(5s);
+        fleet.setLimit(0, 1.5); // A prefill engine.
+        fleet.setLimit(1, 1.5); // A decode engine.
+        fleet.run(30s);
+        assertWithinLimit(fleet, 0, 1.5);
+        assertWithinLimit(fleet, 1, 1.5);
+        CPPUNIT_ASSERT(fleet.arrivals(1) > 1.5 * 30 * 5 / 10);
+        CPPUNIT_ASSERT(fleet.served() > 20 * 35 * 9 / 10);
+    }
+
+    // Guards against shares of a limit that add up to more than it, or to little, with many nodes.
+    void holdsInLargeFleets()
+    {
+        for (const std::size_t nodes : {400U, 985U}) {
+            LimitedFleet fleet({.nodes = nodes, .requestsPerSecond = 500});
+            fleet.run(2s);
+            fleet.setLimit(0, 20);
+            fleet.setLimit(1, 20);
+            fleet.run(10s);
+            const std::size_t before = fleet.arrivals(0);
+            const std::size_t datagrams = fleet.datagrams();
+            fleet.run(10s);
+            assertWithinLimit(fleet, 0, 20);
+            CPPUNIT_ASSERT(fleet.arrivals(0) - before >= 20 * 10 * 8 / 10);
+            // At most three queries a request, each with an answer.
+            CPPUNIT_ASSERT(fleet.datagrams() - datagrams <= 6 * 500 * 10);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RateLimitFleetTest);
