Log when an answer says that its server leaves

The dialect reads the header of each answer but a 421; the dispatcher logs server_leaving once a life. No decision uses it yet.

--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -59,7 +59,8 @@
 struct ServerAdvice
 {
     /** Requests a second that the server accepts from all nodes together; nothing for no limit. */
-    std::optional<double> requestsPerSecond;
+    std::optional<double> requestsPerSecond = {};
+    bool isLeaving = false; ///< The server shuts down and wants no new requests.
 };
 
 /** Signals the first event of a stream; the call continues. */
--- a/src/dispatch/dispatchstate.cpp
+++ b/src/dispatch/dispatchstate.cpp
@@ -51,6 +51,12 @@
     if (!servers.find(server)) {
         return; // The server has ended, and nothing would remove its entry.
     }
+    if (advice.isLeaving && leavingServers.insert(server).second) {
+        step.add(LogDecision {"server_leaving",
+                              {},
+                              "server=" + server.text()
+                                  + " answer_age_ms=" + millisecondsText(step.now - started)});
+    }
     ratelimits::ServerPermits::Messages messages;
     const bool isChange =
         permits.record(server, advice.requestsPerSecond, started, step.now, messages);
--- a/src/dispatch/dispatchstate.h
+++ b/src/dispatch/dispatchstate.h
@@ -10,6 +10,7 @@
 #include "ratelimits/serverpermits.h"
 
 #include <map>
+#include <set>
 
 namespace indigoway::dispatch {
 
@@ -42,6 +43,7 @@
     ServerCalls calls;
     CrashRecords crashes;
     ratelimits::ServerPermits permits;
+    std::set<ServerName> leavingServers; ///< Servers whose answers said that they shut down.
     std::map<ServiceName, NodeRetryBudget> retryBudgets;
 
     /**
--- a/tests/platform/platformdialecttest.cpp
+++ b/tests/platform/platformdialecttest.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(decodesTheDesiredState);
     CPPUNIT_TEST(decodesAServer);
     CPPUNIT_TEST(readsTheRateLimitOfAServer);
+    CPPUNIT_TEST(readsThatAServerLeaves);
     CPPUNIT_TEST(restartedServerGetsANewName);
     CPPUNIT_TEST(rejectsInvalidServerEntries);
     CPPUNIT_TEST(decodesOrRejectsAnyBytes);
@@ -465,6 +466,24 @@
     const PlatformDialect m_dialect {NodeName("n1")};
     PlatformCodec m_codec;
 
+    // Guards against overlooking the header in some kinds of answers.
+    void readsThatAServerLeaves()
+    {
+        const auto isLeaving = [this](int status, const std::string &value) {
+            MessageHead head;
+            head.status = status;
+            head.headers = {{"Server-Leaving", value}};
+            const auto advice = m_dialect.readAnswer(head).advice;
+            return advice && advice->isLeaving;
+        };
+        for (const int status : {200, 404, 500, 503}) {
+            CPPUNIT_ASSERT(isLeaving(status, "1"));
+            CPPUNIT_ASSERT(!isLeaving(status, ""));
+            CPPUNIT_ASSERT(!isLeaving(status, "0"));
+        }
+        CPPUNIT_ASSERT(!isLeaving(421, "1"));
+    }
+
     // Guards against taking the limit of one server for another that answers at its address.
     void readsTheRateLimitOfAServer()
     {
