--- a/tests/dispatch/dispatcherharness.h
+++ b/tests/dispatch/dispatcherharness.h
@@ -204,12 +204,14 @@
     bool hasSchedulerMessage() const { return !m_schedulerMessages.empty(); }
     bool hasCalls() const { return !m_calls.empty(); }
 
-    void end(int milliseconds, const StartCall &call, CallEnd how, int status = 0)
+    void end(int milliseconds, const StartCall &call, CallEnd how, int status = 0,
+             std::optional<ServerAdvice> advice = {})
     {
         CallEnded ended;
         ended.call = call.call;
         ended.end = how;
         ended.status = status;
+        ended.advice = advice;
         reduce(milliseconds, ended);
     }
 
