Send nothing more to a server that has said in an answer that it leaves

Class: as for the rate limits, a server's word about itself was not read where it comes first.

Change: an answer of any kind (also a refusal, a reservation, a report, the head of a stream) that says so marks the server's life as leaving in ServerDirectory, as a drain in the store does. The mark is kept also while the entry is gone, for the last 10,000 such servers. Claims name marked engines, so that the scheduling node, which may not have been told, does not grant them.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -108,7 +108,6 @@
 {
     m_state.tracker.forget(name);
     m_state.permits.forget(name);
-    m_state.leavingServers.erase(name);
     m_generations.forget(name);
 }
 
--- a/src/dispatch/dispatchstate.cpp
+++ b/src/dispatch/dispatchstate.cpp
@@ -48,15 +48,15 @@
 void DispatchState::recordAdvice(Step &step, const ServerName &server, const ServerAdvice &advice,
                                  TimePoint started)
 {
-    if (!servers.find(server)) {
-        return; // The server has ended, and nothing would remove its entry.
-    }
-    if (advice.isLeaving && leavingServers.insert(server).second) {
+    if (advice.isLeaving && servers.markLeaving(server)) {
         step.add(LogDecision {"server_leaving",
                               {},
                               "server=" + server.text()
                                   + " answer_age_ms=" + millisecondsText(step.now - started)});
     }
+    if (!servers.find(server)) {
+        return; // The server has ended, and nothing would remove its limit.
+    }
     ratelimits::ServerPermits::Messages messages;
     const bool isChange =
         permits.record(server, advice.requestsPerSecond, started, step.now, messages);
@@ -88,6 +88,14 @@
     return permits.blockedUntil(server, now).has_value();
 }
 
+std::vector<ServerName> DispatchState::unusableServers(TimePoint now) const
+{
+    std::vector<ServerName> names = permits.blockedServers(now);
+    const std::vector<ServerName> leaving = servers.leavingUnannounced();
+    names.insert(names.end(), leaving.begin(), leaving.end());
+    return names;
+}
+
 NodeRetryBudget &DispatchState::retryBudget(const ServiceName &service)
 {
     auto [it, isNew] = retryBudgets.try_emplace(service, settings.retries, startedAt);
--- a/src/dispatch/dispatchstate.h
+++ b/src/dispatch/dispatchstate.h
@@ -10,7 +10,6 @@
 #include "ratelimits/serverpermits.h"
 
 #include <map>
-#include <set>
 
 namespace indigoway::dispatch {
 
@@ -43,7 +42,6 @@
     ServerCalls calls;
     CrashRecords crashes;
     ratelimits::ServerPermits permits;
-    std::set<ServerName> leavingServers; ///< Servers whose answers said that they shut down.
     std::map<ServiceName, NodeRetryBudget> retryBudgets;
 
     /**
@@ -69,6 +67,8 @@
                                              const ServerName &server);
     /** Returns whether the node must not send requests to @p server now. */
     bool isBlocked(const ServerName &server, TimePoint now) const;
+    /** Returns the servers that the scheduling node may grant and that this node must not use. */
+    std::vector<ServerName> unusableServers(TimePoint now) const;
 };
 
 void sendToRateLimiter(Step &step, ratelimits::ServerPermits::Messages messages);
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -216,7 +216,7 @@
 
 void GenerationFlow::claimForWaiting(Step &step)
 {
-    const std::vector<ServerName> blocked = m_state.permits.blockedServers(step.now);
+    const std::vector<ServerName> blocked = m_state.unusableServers(step.now);
     for (const RequestNumber number : m_waiting) {
         OpenRequest &request = *m_state.requests.find(number);
         if (request.claim.isNone()) {
--- a/src/fleet/serverdirectory.cpp
+++ b/src/fleet/serverdirectory.cpp
@@ -2,6 +2,13 @@
 
 namespace indigoway {
 
+namespace {
+
+/** Bounds the memory of marks of servers that have gone. */
+constexpr std::size_t MaxLeavingMarks = 10'000;
+
+} // namespace
+
 std::optional<ServerName> ServerDirectory::announce(AnnouncedServer server)
 {
     const ServerName name = server.name;
@@ -17,6 +24,10 @@
         erase(m_entries.find(*earlier));
     }
     Entry &entry = m_entries[name];
+    if (entry.server.isDraining && !server.isDraining) {
+        m_saidLeaving.erase(name);
+    }
+    entry.hasSaidLeaving = m_saidLeaving.contains(name);
     removeFromIndexes(entry.server);
     m_byService[server.service][name] = &entry;
     m_byDomain[server.service][server.domain][name] = &entry;
@@ -34,6 +45,35 @@
     }
 }
 
+bool ServerDirectory::markLeaving(const ServerName &name)
+{
+    if (!m_saidLeaving.insert(name).second) {
+        return false;
+    }
+    m_saidLeavingOrder.push_back(name);
+    if (m_saidLeavingOrder.size() > MaxLeavingMarks) {
+        m_saidLeaving.erase(m_saidLeavingOrder.front());
+        m_saidLeavingOrder.pop_front();
+    }
+    const auto it = m_entries.find(name);
+    if (it != m_entries.end()) {
+        it->second.hasSaidLeaving = true;
+    }
+    return true;
+}
+
+std::vector<ServerName> ServerDirectory::leavingUnannounced() const
+{
+    std::vector<ServerName> names;
+    for (const ServerName &name : m_saidLeaving) {
+        const auto it = m_entries.find(name);
+        if (it != m_entries.end() && !it->second.server.isDraining) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 void ServerDirectory::remove(const ServerName &name)
 {
     erase(m_entries.find(name));
@@ -169,7 +209,7 @@
 
 ServerAvailability ServerDirectory::availabilityOf(const Entry &entry, TimePoint now)
 {
-    if (entry.server.isDraining) {
+    if (entry.server.isDraining || entry.hasSaidLeaving) {
         return ServerAvailability::Leaving;
     }
     if (!entry.withdrawnAt) {
--- a/src/fleet/serverdirectory.h
+++ b/src/fleet/serverdirectory.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace indigoway {
@@ -17,7 +18,7 @@
      * Its entry was removed recently; its lease may have expired while the store was unreachable.
      */
     LastResort,
-    Leaving, ///< Draining or gone; it gets no new requests.
+    Leaving, ///< Draining, shutting down or gone; it gets no new requests.
 };
 
 /**
@@ -40,6 +41,15 @@
      */
     std::optional<ServerName> announce(AnnouncedServer server);
     void withdraw(const ServerName &name, TimePoint now);
+    /**
+     * Marks a server that has said itself that it shuts down. Its entry may not say so while the
+     * store is unreachable, or may expire and return; the mark holds for the server's incarnation
+     * until the entry reports the end of a drain.
+     * @return Whether the server was not marked before.
+     */
+    bool markLeaving(const ServerName &name);
+    /** Returns the marked servers whose entries do not say that they are leaving. */
+    std::vector<ServerName> leavingUnannounced() const;
     /** Removes a server that has gone or must not be used, without keeping it as a last resort. */
     void remove(const ServerName &name);
     /**
@@ -76,6 +86,7 @@
     {
         AnnouncedServer server;
         std::optional<TimePoint> withdrawnAt;
+        bool hasSaidLeaving = false;
     };
 
     std::map<ServerName, Entry>::iterator erase(std::map<ServerName, Entry>::iterator it);
@@ -89,7 +100,10 @@
     };
 
     std::map<ServerName, Entry> m_entries;
-    std::deque<WithdrawnEntry> m_withdrawn; ///< Removed entries, oldest first.
+    /** Marked servers, including those whose entries were removed. */
+    std::set<ServerName> m_saidLeaving;
+    std::deque<ServerName> m_saidLeavingOrder; ///< Oldest first.
+    std::deque<WithdrawnEntry> m_withdrawn;    ///< Removed entries, oldest first.
     std::map<std::string, ServerName> m_byInstance;
     using Entries = std::map<ServerName, const Entry *>;
 
--- a/tests/fleet/serverdirectorytest.cpp
+++ b/tests/fleet/serverdirectorytest.cpp
@@ -36,6 +36,7 @@
 {
     CPPUNIT_TEST_SUITE(ServerDirectoryTest);
     CPPUNIT_TEST(drainingServerIsNoCandidate);
+    CPPUNIT_TEST(markedServerStaysLeavingUntilItsDrainEnds);
     CPPUNIT_TEST(withdrawnServerIsLastResort);
     CPPUNIT_TEST(expiredEntriesReturn);
     CPPUNIT_TEST(serverChangesService);
@@ -56,6 +57,25 @@
                        == ServerAvailability::Leaving);
     }
 
+    // Guards against an entry that expired or is late taking back what the server has said.
+    void markedServerStaysLeavingUntilItsDrainEnds()
+    {
+        ServerDirectory directory;
+        directory.announce(server("a"));
+        CPPUNIT_ASSERT(directory.markLeaving(ServerName("a")));
+        CPPUNIT_ASSERT(!directory.markLeaving(ServerName("a")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, directory.leavingUnannounced().size());
+        directory.remove(ServerName("a"));
+        directory.announce(server("a"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), candidates(directory, at(0)));
+        AnnouncedServer draining = server("a");
+        draining.isDraining = true;
+        directory.announce(draining);
+        CPPUNIT_ASSERT(directory.leavingUnannounced().empty());
+        directory.announce(server("a"));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), candidates(directory, at(0)));
+    }
+
     // Guards against requests to the earlier incarnation of a server, kept as a last resort, after
     // the server has restarted.
     void newIncarnationReplacesEarlierOne()
