Log the time for which a refusing server wants no requests

The dialect reads Retry-After of 503 and 429, bounded at 300 s; the dispatcher logs server_pause. No decision uses it yet.

--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -61,6 +61,8 @@
     /** Requests a second that the server accepts from all nodes together; nothing for no limit. */
     std::optional<double> requestsPerSecond = {};
     bool isLeaving = false; ///< The server shuts down and wants no new requests.
+    /** Time for which the server wants no requests from this node; only in a refusal. */
+    std::optional<Duration> pause = {};
 };
 
 /** Signals the first event of a stream; the call continues. */
--- a/src/dispatch/dispatchstate.cpp
+++ b/src/dispatch/dispatchstate.cpp
@@ -54,6 +54,12 @@
                               "server=" + server.text()
                                   + " answer_age_ms=" + millisecondsText(step.now - started)});
     }
+    if (advice.pause) {
+        step.add(LogDecision {"server_pause",
+                              {},
+                              "server=" + server.text()
+                                  + " pause_ms=" + millisecondsText(*advice.pause)});
+    }
     if (!servers.find(server)) {
         return; // The server has ended, and nothing would remove its limit.
     }
--- a/tests/platform/platformdialecttest.cpp
+++ b/tests/platform/platformdialecttest.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(decodesAServer);
     CPPUNIT_TEST(readsTheRateLimitOfAServer);
     CPPUNIT_TEST(readsThatAServerLeaves);
+    CPPUNIT_TEST(readsThePauseOfARefusal);
     CPPUNIT_TEST(restartedServerGetsANewName);
     CPPUNIT_TEST(rejectsInvalidServerEntries);
     CPPUNIT_TEST(decodesOrRejectsAnyBytes);
@@ -484,6 +485,26 @@
         CPPUNIT_ASSERT(!isLeaving(421, "1"));
     }
 
+    // Guards against pauses without end, and against pauses in answers that refuse nothing.
+    void readsThePauseOfARefusal()
+    {
+        const auto pauseIn = [this](int status, const std::string &value) {
+            MessageHead head;
+            head.status = status;
+            head.headers = {{"Retry-After", value}};
+            const auto advice = m_dialect.readAnswer(head).advice;
+            return advice ? advice->pause : std::nullopt;
+        };
+        CPPUNIT_ASSERT(pauseIn(503, "3") == Duration(std::chrono::seconds(3)));
+        CPPUNIT_ASSERT(pauseIn(429, "0.25") == Duration(std::chrono::milliseconds(250)));
+        CPPUNIT_ASSERT(pauseIn(503, "1e12") == Duration(std::chrono::seconds(300)));
+        for (const char *invalid : {"", "0", "-3", "soon", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+            CPPUNIT_ASSERT(!pauseIn(503, invalid));
+        }
+        CPPUNIT_ASSERT(!pauseIn(200, "3"));
+        CPPUNIT_ASSERT(!pauseIn(421, "3"));
+    }
+
     // Guards against taking the limit of one server for another that answers at its address.
     void readsTheRateLimitOfAServer()
     {
