--- a/tests/dispatch/dispatcherharness.h
+++ b/tests/dispatch/dispatcherharness.h
@@ -155,6 +155,7 @@
                     ? "rejected"
                     : "failed " + std::to_string(rejected->status);
                 m_statuses[rejected->request] = rejected->status;
+                m_retryAfter[rejected->request] = rejected->retryAfter.value_or(Duration(0));
             } else if (const auto *delivered = std::get_if<DeliverAnswer>(&effect)) {
                 m_outcomes[delivered->request] = "delivered";
             } else if (const auto *ended = std::get_if<EndStream>(&effect)) {
@@ -253,6 +254,13 @@
         return it == m_statuses.end() ? 0 : it->second;
     }
 
+    /** Returns when the caller of a rejected request was asked to return. */
+    Duration retryAfter(RequestNumber request) const
+    {
+        const auto it = m_retryAfter.find(request);
+        return it == m_retryAfter.end() ? Duration(0) : it->second;
+    }
+
     /** Returns the messages to the quota keeper since the last call. */
     std::vector<quotas::ToKeeper> takeKeeperMessages()
     {
@@ -282,6 +290,7 @@
     std::vector<quotas::ToKeeper> m_keeperMessages;
     std::map<RequestNumber, std::string> m_outcomes;
     std::map<RequestNumber, int> m_statuses;
+    std::map<RequestNumber, Duration> m_retryAfter;
     std::map<std::string, std::vector<std::string>> m_logLines;
     std::vector<PublishCrash> m_crashNotes;
 };
