Send nothing to a server during the pause that its refusal asked for

What users saw: a server of the shop's application refused a request, asked for 3 s without requests and got 9 and 7 more from the same nodes; each was sent on to another server. Class: as for the rate limits, a server's word about itself was not read.

Change: ServerPauses keeps the end of the pause by server life, apart from the directory, so that an entry that expires and returns does not end it. Paused servers and those whose rate limit is used up are 'blocked': no plain request, reservation, prefill or decode; a request whose reserved engine is paused meanwhile goes elsewhere; claims name blocked engines. If all servers are blocked, a request is rejected at once, with Retry-After after the first of them accepts requests again.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -61,6 +61,7 @@
      */
     bool crashRecorded(const CrashNote &note, std::uint64_t revision, TimePoint now);
     const CrashRecords &crashes() const { return m_state.crashes; }
+    std::size_t pausedServers() const { return m_state.pauses.size(); }
     const ratelimits::ServerPermits &permits() const { return m_state.permits; }
 
     DispatchEffects reduce(TimePoint now, std::uint64_t entropy, const DispatchEvent &event);
--- a/src/dispatch/dispatchstate.cpp
+++ b/src/dispatch/dispatchstate.cpp
@@ -1,5 +1,7 @@
 #include "dispatchstate.h"
 
+#include "core/deadlines.h"
+
 #include <algorithm>
 
 namespace indigoway::dispatch {
@@ -55,6 +57,7 @@
                                   + " answer_age_ms=" + millisecondsText(step.now - started)});
     }
     if (advice.pause) {
+        pauses.record(server, *advice.pause, step.now);
         step.add(LogDecision {"server_pause",
                               {},
                               "server=" + server.text()
@@ -89,9 +92,26 @@
     return decision;
 }
 
-bool DispatchState::isBlocked(const ServerName &server, TimePoint now) const
+std::optional<TimePoint> DispatchState::blockedUntil(const ServerName &server, TimePoint now) const
 {
-    return permits.blockedUntil(server, now).has_value();
+    const auto paused = pauses.pausedUntil(server, now);
+    const auto limited = permits.blockedUntil(server, now);
+    return paused && limited ? std::max(paused, limited) : paused ? paused : limited;
+}
+
+std::optional<TimePoint>
+DispatchState::allBlockedUntil(const std::vector<const AnnouncedServer *> &candidates,
+                               TimePoint now) const
+{
+    std::optional<TimePoint> first;
+    for (const AnnouncedServer *server : candidates) {
+        const auto until = blockedUntil(server->name, now);
+        if (!until) {
+            return std::nullopt;
+        }
+        first = earlier(first, until);
+    }
+    return first;
 }
 
 std::vector<ServerName> DispatchState::unusableServers(TimePoint now) const
@@ -99,6 +119,8 @@
     std::vector<ServerName> names = permits.blockedServers(now);
     const std::vector<ServerName> leaving = servers.leavingUnannounced();
     names.insert(names.end(), leaving.begin(), leaving.end());
+    const std::vector<ServerName> paused = pauses.paused(now);
+    names.insert(names.end(), paused.begin(), paused.end());
     return names;
 }
 
--- a/src/dispatch/dispatchstate.h
+++ b/src/dispatch/dispatchstate.h
@@ -4,6 +4,7 @@
 #include "dispatch/noderetrybudget.h"
 #include "dispatch/openrequests.h"
 #include "dispatch/servercalls.h"
+#include "dispatch/serverpauses.h"
 #include "dispatch/servertracker.h"
 #include "fleet/serverdirectory.h"
 #include "quotas/quotaenforcer.h"
@@ -42,6 +43,7 @@
     ServerCalls calls;
     CrashRecords crashes;
     ratelimits::ServerPermits permits;
+    ServerPauses pauses;
     std::map<ServiceName, NodeRetryBudget> retryBudgets;
 
     /**
@@ -65,8 +67,25 @@
     /** Requests a permit to send @p request to @p server, see ServerPermits::request(). */
     ratelimits::PermitDecision requestPermit(Step &step, OpenRequest &request,
                                              const ServerName &server);
-    /** Returns whether the node must not send requests to @p server now. */
-    bool isBlocked(const ServerName &server, TimePoint now) const;
+    /**
+     * Returns the time until which the node must not send requests to @p server, because of its
+     * rate limit or a pause; nothing if it may.
+     */
+    std::optional<TimePoint> blockedUntil(const ServerName &server, TimePoint now) const;
+    bool isBlocked(const ServerName &server, TimePoint now) const
+    {
+        return blockedUntil(server, now).has_value();
+    }
+    bool hasBlockedServers(TimePoint now) const
+    {
+        return permits.hasBlockedServers(now) || pauses.hasPauses(now);
+    }
+    /**
+     * Returns when the first of @p candidates may be used again, or nothing if one may be used now
+     * or there are none.
+     */
+    std::optional<TimePoint> allBlockedUntil(const std::vector<const AnnouncedServer *> &candidates,
+                                             TimePoint now) const;
     /** Returns the servers that the scheduling node may grant and that this node must not use. */
     std::vector<ServerName> unusableServers(TimePoint now) const;
 };
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -166,6 +166,7 @@
 void GenerationFlow::processQueue(Step &step)
 {
     rejectOverdue(step);
+    rejectWhileAllEnginesAreBlocked(step);
     for (const RequestNumber number : m_claims.tick(step, m_state.requests)) {
         m_state.requests.find(number)->claim = {};
     }
@@ -214,6 +215,30 @@
     }
 }
 
+void GenerationFlow::rejectWhileAllEnginesAreBlocked(Step &step)
+{
+    std::vector<RequestNumber> rejected;
+    for (const RequestNumber number : m_waiting) {
+        const OpenRequest *request = m_state.requests.find(number);
+        if (decodeEnginesBlockedUntil(step, *request)) {
+            rejected.push_back(number);
+        }
+    }
+    for (const RequestNumber number : rejected) {
+        failUnsent(step, *m_state.requests.find(number), "all engines limit requests");
+    }
+}
+
+std::optional<TimePoint> GenerationFlow::decodeEnginesBlockedUntil(Step &step,
+                                                                   const OpenRequest &request) const
+{
+    if (!m_state.hasBlockedServers(step.now)) {
+        return std::nullopt;
+    }
+    return m_state.allBlockedUntil(
+        m_state.servers.candidates(request.service->name, EnginePhase::Decode, step.now), step.now);
+}
+
 void GenerationFlow::claimForWaiting(Step &step)
 {
     const std::vector<ServerName> blocked = m_state.unusableServers(step.now);
@@ -309,7 +334,7 @@
                                    bool isGranted)
 {
     const AnnouncedServer *known = m_state.servers.find(server);
-    const bool isUsable = isGranted && known
+    const bool isUsable = isGranted && known && !m_state.isBlocked(server, step.now)
         && m_state.servers.availability(server, step.now) != ServerAvailability::Leaving;
     const bool isForPrefill = !request.decodeServer.isEmpty();
     if (isForPrefill && isUsable) {
@@ -460,7 +485,7 @@
 void GenerationFlow::decode(Step &step, OpenRequest &request, bool isWhole)
 {
     const AnnouncedServer *server = m_state.servers.find(request.decodeServer);
-    if (!server
+    if (!server || m_state.pauses.pausedUntil(server->name, step.now)
         || m_state.servers.availability(server->name, step.now) == ServerAvailability::Leaving) {
         request.triedServers.insert(request.decodeServer);
         releaseResources(step, request, ClaimOutcome::Cancelled);
@@ -618,8 +643,10 @@
         m_state.requests.failInDoubt(step, request, BadGateway, reason);
     } else {
         const auto refused = m_state.remainingRefusal(request.arrival.content, step.now);
-        m_state.requests.reject(step, request, refused.value_or(step.jitter(retryDelay(request))),
-                                reason);
+        const auto blocked = decodeEnginesBlockedUntil(step, request);
+        const Duration wait = blocked ? *blocked - step.now : Duration(0);
+        m_state.requests.reject(step, request,
+                                refused.value_or(wait + step.jitter(retryDelay(request))), reason);
     }
 }
 
--- a/src/dispatch/generationflow.h
+++ b/src/dispatch/generationflow.h
@@ -49,6 +49,11 @@
     void processQueue(Step &step);
     OpenRequest *nextWaiting(Step &step);
     void rejectOverdue(Step &step);
+    /** Rejects what waits while no decode engine accepts requests of this node. */
+    void rejectWhileAllEnginesAreBlocked(Step &step);
+    /** Returns when a decode engine accepts requests again, or nothing if one does now. */
+    std::optional<TimePoint> decodeEnginesBlockedUntil(Step &step,
+                                                       const OpenRequest &request) const;
     void claimForWaiting(Step &step);
     bool reserve(Step &step, OpenRequest &request);
     /** Reserves memory at @p server as soon as there is a permit for the run that follows. */
--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -1,7 +1,5 @@
 #include "plainflow.h"
 
-#include "core/deadlines.h"
-
 #include <algorithm>
 
 namespace indigoway::dispatch {
@@ -141,14 +139,11 @@
 
 void PlainFlow::rejectWithoutServer(Step &step, OpenRequest &request)
 {
-    std::optional<TimePoint> unblockedAt;
-    for (const AnnouncedServer *server :
-         m_state.servers.candidates(request.service->name, EnginePhase::None, step.now)) {
-        unblockedAt = earlier(unblockedAt, m_state.permits.blockedUntil(server->name, step.now));
-    }
+    const auto unblockedAt = m_state.allBlockedUntil(
+        m_state.servers.candidates(request.service->name, EnginePhase::None, step.now), step.now);
     const Duration wait = unblockedAt ? *unblockedAt - step.now : Duration(0);
     m_state.requests.reject(step, request, wait + step.jitter(RetryDelay),
-                            unblockedAt ? "rate limits of servers" : "no server");
+                            unblockedAt ? "all servers limit requests" : "no server");
 }
 
 void PlainFlow::sendTo(Step &step, OpenRequest &request, const AnnouncedServer &server)
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -433,6 +433,7 @@
         {"quotas_scarce", m_scheduling.quotaKeeper().scarceCount()},
         {"contents_crashed", m_dispatcher.crashes().size()},
         {"contents_refused", m_dispatcher.crashes().refusedCount()},
+        {"servers_paused", m_dispatcher.pausedServers()},
         {"servers_limited", m_dispatcher.permits().limitedServers()},
         {"leaving", m_leavingSince ? 1U : 0U},
     });
--- a/src/ratelimits/serverpermits.cpp
+++ b/src/ratelimits/serverpermits.cpp
@@ -61,6 +61,11 @@
                                                           : std::nullopt;
 }
 
+bool ServerPermits::hasBlockedServers(TimePoint now) const
+{
+    return std::ranges::any_of(m_blockedUntil, [now](const auto &one) { return now < one.second; });
+}
+
 std::vector<ServerName> ServerPermits::blockedServers(TimePoint now) const
 {
     std::vector<ServerName> servers;
--- a/src/ratelimits/serverpermits.h
+++ b/src/ratelimits/serverpermits.h
@@ -47,6 +47,7 @@
     bool isLimited(const ServerName &server) const { return m_limits.find(server) != nullptr; }
     /** Returns the time until which @p server gets no requests of this node, if there is one. */
     std::optional<TimePoint> blockedUntil(const ServerName &server, TimePoint now) const;
+    bool hasBlockedServers(TimePoint now) const;
     /** Returns the servers that get no requests of this node now. */
     std::vector<ServerName> blockedServers(TimePoint now) const;
     std::size_t limitedServers() const { return m_limits.size(); }
