Tell all nodes of a server's rate limit as soon as one has seen it

Change: a node reports the first limit of a server to the rate limiter, which tells all nodes in one datagram each, at most five times a second with 12 limits at a time, once a limit. No store calls; works while the store is away. A node that misses the datagram learns as before.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -312,9 +312,14 @@
     }
 }
 
-void Dispatcher::handle(Step &step, const PermitAnswered &event)
+void Dispatcher::handle(Step &step, const RateLimiterAnswered &event)
 {
-    if (const auto result = m_state.permits.handleAnswer(step.now, event.answer)) {
+    if (const auto *notice = std::get_if<ratelimits::LimitNotice>(&event.message)) {
+        m_state.permits.handleNotice(step.now, *notice);
+        return;
+    }
+    const auto &answer = std::get<ratelimits::PermitAnswer>(event.message);
+    if (const auto result = m_state.permits.handleAnswer(step.now, answer)) {
         permitDecided(step, *result);
     }
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -78,7 +78,7 @@
     void handle(Step &step, const CallEnded &event);
     void handle(Step &step, const SchedulerAnswered &event);
     void handle(Step &step, const QuotaKeeperAnswered &event);
-    void handle(Step &step, const PermitAnswered &event);
+    void handle(Step &step, const RateLimiterAnswered &event);
     void handle(Step &step, const TimePassed &event);
     void recordCallResult(Step &step, const OpenCall &call, const OpenRequest &request,
                           const CallEnded &event);
--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -112,10 +112,10 @@
     Incarnation life; ///< Of the quota keeper.
 };
 
-/** Carries an answer of the rate limiter. */
-struct PermitAnswered
+/** Carries a message of the rate limiter. */
+struct RateLimiterAnswered
 {
-    ratelimits::PermitAnswer answer;
+    ratelimits::FromRateLimiter message;
 };
 
 /** Signals that a deadline may have passed. */
@@ -125,6 +125,6 @@
 
 using DispatchEvent =
     std::variant<ArrivedRequest, CallerLeft, StreamStarted, CallEnded, SchedulerAnswered,
-                 QuotaKeeperAnswered, PermitAnswered, TimePassed>;
+                 QuotaKeeperAnswered, RateLimiterAnswered, TimePassed>;
 
 } // namespace indigoway::dispatch
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -229,6 +229,15 @@
     dependencies.nodeCount = [&node] {
         return node.m_roster.count(steadyNow());
     };
+    dependencies.nodeAddresses = [&node] {
+        std::vector<DatagramAddress> addresses;
+        for (const NodeEntry *member : node.m_roster.members()) {
+            if (!member->schedulingAddress.empty()) {
+                addresses.push_back(member->schedulingAddress);
+            }
+        }
+        return addresses;
+    };
     dependencies.deliver = [&node](const dispatch::DispatchEvent &answer) {
         node.m_relay.post(answer);
     };
--- a/src/edge/schedulingendpoint.cpp
+++ b/src/edge/schedulingendpoint.cpp
@@ -12,6 +12,8 @@
 
 using namespace scheduling;
 
+/** Collects the limits of servers that come under load together. */
+constexpr timeval NoticeInterval {0, 200'000};
 constexpr Duration StateLogInterval = std::chrono::seconds(1);
 
 TimePoint steadyNow()
@@ -35,6 +37,12 @@
               static_cast<SchedulingEndpoint *>(endpoint)->tick();
           },
           this))
+    , m_noticeTimer(event_new(
+          base, -1, 0,
+          [](evutil_socket_t, short, void *endpoint) {
+              static_cast<SchedulingEndpoint *>(endpoint)->sendNotice();
+          },
+          this))
 { }
 
 void SchedulingEndpoint::send(const ToScheduler &message)
@@ -76,8 +84,8 @@
     } else if (const auto quota = quotas::readFromKeeper(value)) {
         m_dependencies.deliver(
             dispatch::QuotaKeeperAnswered {quota->message, quota->from.incarnation});
-    } else if (const auto permit = ratelimits::readPermitAnswer(value)) {
-        m_dependencies.deliver(dispatch::PermitAnswered {permit->message});
+    } else if (const auto permit = ratelimits::readFromRateLimiter(value)) {
+        m_dependencies.deliver(dispatch::RateLimiterAnswered {permit->message});
     } else {
         return false;
     }
@@ -93,11 +101,31 @@
     }
     const auto answer = m_rateLimiter.handle(steadyNow(), datagram->from, datagram->message);
     if (answer) {
-        m_socket.send(from, encode(Datagram<ratelimits::PermitAnswer> {m_self, *answer}));
+        m_socket.send(from, encode(Datagram<ratelimits::FromRateLimiter> {m_self, *answer}));
     }
+    armNoticeTimer();
     return true;
 }
 
+void SchedulingEndpoint::sendNotice()
+{
+    const auto notice = m_rateLimiter.takeNotice(steadyNow());
+    if (notice) {
+        const std::string text = encode(Datagram<ratelimits::FromRateLimiter> {m_self, *notice});
+        for (const DatagramAddress &address : m_dependencies.nodeAddresses()) {
+            m_socket.send(address, text);
+        }
+    }
+    armNoticeTimer();
+}
+
+void SchedulingEndpoint::armNoticeTimer()
+{
+    if (m_rateLimiter.hasNotice() && event_pending(m_noticeTimer.get(), EV_TIMEOUT, nullptr) == 0) {
+        event_add(m_noticeTimer.get(), &NoticeInterval);
+    }
+}
+
 bool SchedulingEndpoint::handleSchedulerMessage(const DatagramAddress &from,
                                                 const Json::Value &value)
 {
--- a/src/edge/schedulingendpoint.h
+++ b/src/edge/schedulingendpoint.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace indigoway {
 
@@ -31,6 +32,8 @@
         std::function<std::optional<scheduling::EngineScheduler::View>()> view;
         /** Number of nodes that serve callers. */
         std::function<std::uint32_t()> nodeCount;
+        /** Addresses of all nodes for datagrams. */
+        std::function<std::vector<DatagramAddress>()> nodeAddresses;
         /** Delivers an answer of the scheduling node to the dispatcher. */
         std::function<void(const dispatch::DispatchEvent &)> deliver;
         std::function<void(const std::string &kind, const std::string &detail)> record;
@@ -60,6 +63,9 @@
     bool handleRateLimitMessage(const DatagramAddress &from, const Json::Value &value);
     /** Returns whether @p value was an answer to a message of this node. */
     bool deliverAnswer(const Json::Value &value);
+    /** Tells all nodes of new rate limits. */
+    void sendNotice();
+    void armNoticeTimer();
     void tick();
     void reply(const scheduling::SchedulerReplies &replies);
     void armTimer();
@@ -73,6 +79,7 @@
     ratelimits::RateLimiter m_rateLimiter;
     DatagramSocket m_socket;
     EventHandle m_timer;
+    EventHandle m_noticeTimer;
     TimePoint m_stateLoggedAt {};
     TimePoint m_timerAt {};                          ///< Expiry of the timer while it is armed.
     std::map<NodeName, DatagramAddress> m_addresses; ///< Reply addresses, by sender.
--- a/src/ratelimits/announcedratelimits.cpp
+++ b/src/ratelimits/announcedratelimits.cpp
@@ -18,6 +18,14 @@
     return true;
 }
 
+void AnnouncedRateLimits::recordNotice(const ServerName &server, const AnnouncedLimit &limit)
+{
+    const auto [it, isNew] = m_limits.try_emplace(server, limit);
+    if (!isNew && limit.announcedAt > it->second.announcedAt) {
+        it->second = limit;
+    }
+}
+
 const AnnouncedLimit *AnnouncedRateLimits::find(const ServerName &server) const
 {
     const auto it = m_limits.find(server);
--- a/src/ratelimits/announcedratelimits.h
+++ b/src/ratelimits/announcedratelimits.h
@@ -28,6 +28,8 @@
      */
     bool record(const ServerName &server, std::optional<double> perSecond, TimePoint callStarted,
                 TimePoint now);
+    /** Records a limit that another node has been told; a newer announcement is kept. */
+    void recordNotice(const ServerName &server, const AnnouncedLimit &limit);
     /** Removes a server that has ended. */
     void forget(const ServerName &server) { m_limits.erase(server); }
     /** Returns the limit of @p server, or null if it has none. */
--- a/src/ratelimits/ratelimitcodec.cpp
+++ b/src/ratelimits/ratelimitcodec.cpp
@@ -2,6 +2,9 @@
 
 #include "core/jsontext.h"
 
+#include <algorithm>
+#include <array>
+
 namespace indigoway::ratelimits {
 
 namespace {
@@ -10,14 +13,28 @@
 constexpr double MaxPerSecond = 1e9;
 constexpr Duration MaxDuration = std::chrono::hours(24);
 
+/** Adds the members of @p limit to @p value. */
+void write(Json::Value &value, const KnownLimit &limit)
+{
+    value["server"] = limit.server.text();
+    value["per_s"] = limit.perSecond;
+    value["announced_ago_us"] = Json::Int64(limit.announcedAgo.count());
+}
+
 Json::Value body(const PermitQuery &query)
 {
     Json::Value value;
     value["kind"] = "permit_query";
     value["id"] = Json::UInt64(query.id.value());
-    value["server"] = query.server.text();
-    value["per_s"] = query.perSecond;
-    value["announced_ago_us"] = Json::Int64(query.announcedAgo.count());
+    write(value, query.limit);
+    return value;
+}
+
+Json::Value body(const LimitStarted &started)
+{
+    Json::Value value;
+    value["kind"] = "limit_started";
+    write(value, started.limit);
     return value;
 }
 
@@ -40,10 +57,23 @@
     return value;
 }
 
-std::string encodeFrom(const NodeLife &from, Json::Value value)
+Json::Value body(const LimitNotice &notice)
+{
+    Json::Value value;
+    value["kind"] = "limit_notice";
+    value["limits"] = Json::arrayValue;
+    for (const KnownLimit &limit : notice.limits) {
+        write(value["limits"].append(Json::objectValue), limit);
+    }
+    return value;
+}
+
+template <typename Message>
+std::string encodeAny(const Datagram<Message> &datagram)
 {
-    value["node"] = from.node.text();
-    value["life"] = Json::UInt64(from.incarnation.value());
+    Json::Value value = std::visit([](const auto &one) { return body(one); }, datagram.message);
+    value["node"] = datagram.from.node.text();
+    value["life"] = Json::UInt64(datagram.from.incarnation.value());
     return jsonText(value);
 }
 
@@ -58,21 +88,31 @@
                                                               : std::nullopt;
 }
 
-std::optional<NodeLife> senderOf(const Json::Value &value)
+std::optional<KnownLimit> readLimit(const Json::Value &value)
 {
-    NodeLife from {NodeName(stringMember(value, "node")), Incarnation(numberMember(value, "life"))};
-    return from.node.isEmpty() ? std::nullopt : std::optional(std::move(from));
+    if (!value.isObject()) {
+        return std::nullopt;
+    }
+    const auto announcedAgo = durationMember(value, "announced_ago_us");
+    KnownLimit limit {ServerName(stringMember(value, "server")), realMember(value, "per_s"),
+                      announcedAgo.value_or(Duration(0))};
+    const bool isValid = announcedAgo && !limit.server.isEmpty() && limit.perSecond >= 0
+        && limit.perSecond <= MaxPerSecond;
+    return isValid ? std::optional(std::move(limit)) : std::nullopt;
 }
 
 std::optional<ToRateLimiter> readQuery(const Json::Value &value)
 {
-    const auto announcedAgo = durationMember(value, "announced_ago_us");
-    PermitQuery query {PermitId(numberMember(value, "id")),
-                       ServerName(stringMember(value, "server")), realMember(value, "per_s"),
-                       announcedAgo.value_or(Duration(0))};
-    const bool isValid = announcedAgo && !query.id.isNone() && !query.server.isEmpty()
-        && query.perSecond >= 0 && query.perSecond <= MaxPerSecond;
-    return isValid ? std::optional<ToRateLimiter>(std::move(query)) : std::nullopt;
+    const PermitId id(numberMember(value, "id"));
+    auto limit = readLimit(value);
+    return limit && !id.isNone() ? std::optional<ToRateLimiter>(PermitQuery {id, std::move(*limit)})
+                                 : std::nullopt;
+}
+
+std::optional<ToRateLimiter> readLimitStarted(const Json::Value &value)
+{
+    auto limit = readLimit(value);
+    return limit ? std::optional<ToRateLimiter>(LimitStarted {std::move(*limit)}) : std::nullopt;
 }
 
 std::optional<ToRateLimiter> readLimitEnded(const Json::Value &value)
@@ -81,44 +121,82 @@
     return ended.server.isEmpty() ? std::nullopt : std::optional<ToRateLimiter>(std::move(ended));
 }
 
+std::optional<FromRateLimiter> readPermitAnswer(const Json::Value &value)
+{
+    const auto retryAfter = durationMember(value, "retry_after_us");
+    const PermitId id(numberMember(value, "id"));
+    const bool isValid =
+        !id.isNone() && retryAfter && value["granted"].isBool() && value["limit_ended"].isBool();
+    return isValid ? std::optional<FromRateLimiter>(PermitAnswer {
+               id, value["granted"].asBool(), *retryAfter, value["limit_ended"].asBool()})
+                   : std::nullopt;
+}
+
+std::optional<FromRateLimiter> readLimitNotice(const Json::Value &value)
+{
+    if (!value["limits"].isArray()) {
+        return std::nullopt;
+    }
+    LimitNotice notice;
+    for (const Json::Value &one : value["limits"]) {
+        auto limit = readLimit(one);
+        if (!limit) {
+            return std::nullopt;
+        }
+        notice.limits.push_back(std::move(*limit));
+    }
+    return notice;
+}
+
+/** Reads the body of one kind of message. */
+template <typename Message>
+struct BodyReader
+{
+    const char *kind;
+    std::optional<Message> (*read)(const Json::Value &value);
+};
+
+constexpr std::array<BodyReader<ToRateLimiter>, 3> ToReaders {{{"permit_query", readQuery},
+                                                               {"limit_started", readLimitStarted},
+                                                               {"limit_ended", readLimitEnded}}};
+constexpr std::array<BodyReader<FromRateLimiter>, 2> FromReaders {
+    {{"permit_answer", readPermitAnswer}, {"limit_notice", readLimitNotice}}};
+
+template <typename Message, std::size_t count>
+std::optional<Datagram<Message>> readAny(const Json::Value &value,
+                                         const std::array<BodyReader<Message>, count> &readers)
+{
+    NodeLife from {NodeName(stringMember(value, "node")), Incarnation(numberMember(value, "life"))};
+    const std::string kind = stringMember(value, "kind");
+    const auto reader = std::ranges::find(readers, kind, &BodyReader<Message>::kind);
+    if (from.node.isEmpty() || reader == readers.end()) {
+        return std::nullopt;
+    }
+    auto message = reader->read(value);
+    return message ? std::optional(Datagram<Message> {std::move(from), std::move(*message)})
+                   : std::nullopt;
+}
+
 } // namespace
 
 std::string encode(const Datagram<ToRateLimiter> &datagram)
 {
-    return encodeFrom(datagram.from,
-                      std::visit([](const auto &one) { return body(one); }, datagram.message));
+    return encodeAny(datagram);
 }
 
-std::string encode(const Datagram<PermitAnswer> &datagram)
+std::string encode(const Datagram<FromRateLimiter> &datagram)
 {
-    return encodeFrom(datagram.from, body(datagram.message));
+    return encodeAny(datagram);
 }
 
 std::optional<Datagram<ToRateLimiter>> readToRateLimiter(const Json::Value &value)
 {
-    const std::string kind = stringMember(value, "kind");
-    const auto from = senderOf(value);
-    if (!from || (kind != "permit_query" && kind != "limit_ended")) {
-        return std::nullopt;
-    }
-    const auto message = kind == "permit_query" ? readQuery(value) : readLimitEnded(value);
-    return message ? std::optional(Datagram<ToRateLimiter> {*from, *message}) : std::nullopt;
+    return readAny(value, ToReaders);
 }
 
-std::optional<Datagram<PermitAnswer>> readPermitAnswer(const Json::Value &value)
+std::optional<Datagram<FromRateLimiter>> readFromRateLimiter(const Json::Value &value)
 {
-    const auto from = senderOf(value);
-    if (!from || stringMember(value, "kind") != "permit_answer") {
-        return std::nullopt;
-    }
-    const auto retryAfter = durationMember(value, "retry_after_us");
-    const PermitId id(numberMember(value, "id"));
-    if (id.isNone() || !retryAfter || !value["granted"].isBool()
-        || !value["limit_ended"].isBool()) {
-        return std::nullopt;
-    }
-    return Datagram<PermitAnswer> {
-        *from, {id, value["granted"].asBool(), *retryAfter, value["limit_ended"].asBool()}};
+    return readAny(value, FromReaders);
 }
 
 } // namespace indigoway::ratelimits
--- a/src/ratelimits/ratelimiter.cpp
+++ b/src/ratelimits/ratelimiter.cpp
@@ -36,6 +36,10 @@
         endLimit(now, ended->server);
         return std::nullopt;
     }
+    if (const auto *started = std::get_if<LimitStarted>(&message)) {
+        update(now, started->limit);
+        return std::nullopt;
+    }
     const auto &query = std::get<PermitQuery>(message);
     const AnswerKey key {from, query.id};
     if (const auto it = m_answers.find(key); it != m_answers.end()) {
@@ -48,21 +52,47 @@
     return answer;
 }
 
-PermitAnswer RateLimiter::decide(TimePoint now, const PermitQuery &query)
+RateLimiter::Account &RateLimiter::update(TimePoint now, const KnownLimit &limit)
 {
     const auto [it, isNew] =
-        m_accounts.try_emplace(query.server, Account {quotas::QuotaBucket(0, now)});
+        m_accounts.try_emplace(limit.server, Account {quotas::QuotaBucket(0, now)});
     Account &account = it->second;
     account.lastQueryAt = now;
-    const TimePoint announcedAt = now - query.announcedAgo;
+    const TimePoint announcedAt = now - limit.announcedAgo;
     if (isNew || announcedAt > account.announcedAt) {
         account.announcedAt = announcedAt;
-        account.perSecond = query.perSecond;
+        account.perSecond = limit.perSecond;
+    }
+    const bool hasStartedAgain = account.endedAt && account.announcedAt > *account.endedAt;
+    if (hasStartedAgain) {
+        account.endedAt.reset();
     }
-    if (account.endedAt && account.announcedAt <= *account.endedAt) {
+    if (isNew || hasStartedAgain) {
+        m_unannounced.push_back(limit.server);
+    }
+    return account;
+}
+
+std::optional<LimitNotice> RateLimiter::takeNotice(TimePoint now)
+{
+    LimitNotice notice;
+    while (!m_unannounced.empty() && notice.limits.size() < MaxNoticeSize) {
+        const auto it = m_accounts.find(m_unannounced.front());
+        if (it != m_accounts.end() && !it->second.endedAt) {
+            notice.limits.push_back(
+                {it->first, it->second.perSecond, now - it->second.announcedAt});
+        }
+        m_unannounced.pop_front();
+    }
+    return notice.limits.empty() ? std::nullopt : std::optional(std::move(notice));
+}
+
+PermitAnswer RateLimiter::decide(TimePoint now, const PermitQuery &query)
+{
+    Account &account = update(now, query.limit);
+    if (account.endedAt) {
         return {query.id, true, Duration(0), true};
     }
-    account.endedAt.reset();
     const quotas::RateLimit limit {effectiveRate(account.perSecond), burstOf(account.perSecond)};
     account.bucket.refill(limit, now);
     if (account.bucket.take(limit, 1)) {
--- a/src/ratelimits/ratelimiter.h
+++ b/src/ratelimits/ratelimiter.h
@@ -15,6 +15,9 @@
  * Issues the permits of all nodes for servers that announce a request rate limit; one node of the
  * fleet runs it, the one that schedules the engines.
  *
+ * Tells all nodes of each limit once, with little delay. A node that misses the notice learns of
+ * the limit from an answer of the server.
+ *
  * A new rate limiter doesn't know the earlier requests, so its buckets start empty and a change of
  * the limiter grants no second burst. The state is not persistent: each query carries the limit.
  */
@@ -24,6 +27,11 @@
     /** Handles a message; returns the answer to a query. */
     std::optional<PermitAnswer> handle(TimePoint now, const NodeLife &from,
                                        const ToRateLimiter &message);
+    /** The maximum number of limits in one notice, which must fit into a datagram. */
+    static constexpr std::size_t MaxNoticeSize = 12;
+    /** Returns the next notice for all nodes, or nothing if there is none. */
+    std::optional<LimitNotice> takeNotice(TimePoint now);
+    bool hasNotice() const { return !m_unannounced.empty(); }
     std::size_t servers() const { return m_accounts.size(); }
     std::uint64_t granted() const { return m_granted; }
     std::uint64_t refused() const { return m_refused; }
@@ -42,6 +50,7 @@
         quotas::QuotaBucket bucket;
         double perSecond = 0;
         TimePoint announcedAt {};
+        /** Set while the server has no limit any more. */
         std::optional<TimePoint> endedAt {};
         TimePoint lastRetryAt {}; ///< Latest retry time given to a node that was refused.
         TimePoint lastQueryAt {};
@@ -58,11 +67,13 @@
         TimePoint at {};
     };
 
+    Account &update(TimePoint now, const KnownLimit &limit);
     PermitAnswer decide(TimePoint now, const PermitQuery &query);
     void endLimit(TimePoint now, const ServerName &server);
     void removeExpired(TimePoint now);
 
     std::map<ServerName, Account> m_accounts;
+    std::deque<ServerName> m_unannounced;        ///< Limits that nodes have not been told of.
     std::map<AnswerKey, PermitAnswer> m_answers; ///< Recent answers, for repeated queries.
     std::deque<CachedAnswer> m_answerOrder;      ///< Oldest first.
     TimePoint m_accountsCheckedAt {};
--- a/src/ratelimits/serverpermits.cpp
+++ b/src/ratelimits/serverpermits.cpp
@@ -34,7 +34,11 @@
 bool ServerPermits::record(const ServerName &server, std::optional<double> perSecond,
                            TimePoint callStarted, TimePoint now, Messages &messages)
 {
+    const bool isFirst = perSecond && !m_limits.find(server);
     const bool isChange = m_limits.record(server, perSecond, callStarted, now);
+    if (isFirst) {
+        messages.emplace_back(LimitStarted {knownLimit(now, server)});
+    }
     if (isChange && !perSecond) {
         endLimit(server);
         messages.emplace_back(LimitEnded {server});
@@ -91,15 +95,15 @@
     }
     const PermitId id(++m_lastPermit);
     m_pending[id] = {request, server, now, 1};
-    messages.emplace_back(makeQuery(now, id, server));
+    messages.emplace_back(PermitQuery {id, knownLimit(now, server)});
     return PermitDecision::Pending;
 }
 
-PermitQuery ServerPermits::makeQuery(TimePoint now, PermitId id, const ServerName &server) const
+KnownLimit ServerPermits::knownLimit(TimePoint now, const ServerName &server) const
 {
     const AnnouncedLimit *limit = m_limits.find(server);
-    return limit ? PermitQuery {id, server, limit->perSecond, now - limit->announcedAt}
-                 : PermitQuery {id, server, 0, Duration(0)};
+    return limit ? KnownLimit {server, limit->perSecond, now - limit->announcedAt}
+                 : KnownLimit {server, 0, Duration(0)};
 }
 
 void ServerPermits::abandon(RequestNumber request)
@@ -125,6 +129,13 @@
     return PermitResult {pending.request, pending.server, answer.isGranted};
 }
 
+void ServerPermits::handleNotice(TimePoint now, const LimitNotice &notice)
+{
+    for (const KnownLimit &limit : notice.limits) {
+        m_limits.recordNotice(limit.server, {limit.perSecond, now - limit.announcedAgo});
+    }
+}
+
 std::vector<PermitResult> ServerPermits::tick(TimePoint now, Messages &messages)
 {
     if (m_pending.empty()) {
@@ -141,7 +152,7 @@
         }
         ++pending.sendCount;
         pending.sentAt = now;
-        messages.emplace_back(makeQuery(now, id, pending.server));
+        messages.emplace_back(PermitQuery {id, knownLimit(now, pending.server)});
     }
     if (!isLimiterSilent) {
         return {};
--- a/src/ratelimits/serverpermits.h
+++ b/src/ratelimits/serverpermits.h
@@ -62,6 +62,8 @@
     void abandon(RequestNumber request);
     /** Returns the result of a pending permit, if the message answers one. */
     std::optional<PermitResult> handleAnswer(TimePoint now, const PermitAnswer &answer);
+    /** Records limits that servers have announced to other nodes. */
+    void handleNotice(TimePoint now, const LimitNotice &notice);
     /**
      * Repeats queries that are not answered.
      * @return the permits decided locally because the rate limiter does not answer
@@ -80,7 +82,7 @@
     };
 
     bool isLimiterReachable(TimePoint now) const { return m_limiter && now >= m_backoffUntil; }
-    PermitQuery makeQuery(TimePoint now, PermitId id, const ServerName &server) const;
+    KnownLimit knownLimit(TimePoint now, const ServerName &server) const;
     bool decideLocally(TimePoint now, const ServerName &server);
     std::vector<PermitResult> decideAllLocally(TimePoint now);
     void endLimit(const ServerName &server);
--- a/tests/ratelimits/limitedfleet.h
+++ b/tests/ratelimits/limitedfleet.h
@@ -110,9 +110,22 @@
      * that had known its limit for half a second.
      */
     std::size_t mostInWindow(std::size_t server) const
+    {
+        return mostInWindow(m_servers[server].informedArrivals);
+    }
+
+    /** As mostInWindow(), but counts all nodes and starts three seconds after the announcement. */
+    std::size_t mostOfAllInWindow(std::size_t server) const
+    {
+        constexpr Duration Settling = std::chrono::seconds(3);
+        const Server &one = m_servers[server];
+        const auto first = std::ranges::lower_bound(one.arrivals, one.limitedSince + Settling);
+        return mostInWindow({first, one.arrivals.end()});
+    }
+
+    static std::size_t mostInWindow(const std::vector<TimePoint> &times)
     {
         constexpr Duration Window = std::chrono::seconds(4);
-        const std::vector<TimePoint> &times = m_servers[server].informedArrivals;
         std::size_t most = 0;
         std::size_t first = 0;
         for (std::size_t last = 0; last < times.size(); ++last) {
@@ -320,11 +333,32 @@
                 return;
             }
             const NodeLife from {nodeName(node), Incarnation(life)};
+            scheduleNotice();
             const auto answer = m_nodes[*m_schedulingNode].limiter.handle(m_now, from, message);
             if (answer) {
                 sendDatagram([this, node, life, answer] {
                     if (m_nodes[node].life == life) {
-                        reduce(node, PermitAnswered {*answer});
+                        reduce(node, RateLimiterAnswered {*answer});
+                    }
+                });
+            }
+        });
+    }
+
+    void scheduleNotice()
+    {
+        if (std::exchange(m_isNoticeScheduled, true)) {
+            return;
+        }
+        at(m_now + std::chrono::milliseconds(200), [this] {
+            m_isNoticeScheduled = false;
+            const auto notice = isSchedulingNodeReachable()
+                ? m_nodes[*m_schedulingNode].limiter.takeNotice(m_now)
+                : std::nullopt;
+            for (std::size_t node = 0; notice && node < m_nodes.size(); ++node) {
+                sendDatagram([this, node, life = m_nodes[node].life, notice] {
+                    if (m_nodes[node].life == life) {
+                        reduce(node, RateLimiterAnswered {*notice});
                     }
                 });
             }
@@ -389,6 +423,7 @@
     std::vector<Node> m_nodes;
     std::optional<std::size_t> m_schedulingNode;
     bool m_isSilent = false;
+    bool m_isNoticeScheduled = false;
     std::size_t m_datagrams = 0;
     std::vector<Server> m_servers;
     std::uint64_t m_lastRequest = 0;
--- a/tests/ratelimits/ratelimitcodectest.cpp
+++ b/tests/ratelimits/ratelimitcodectest.cpp
@@ -33,12 +33,18 @@
 public:
     void messagesSurviveEncoding()
     {
-        const ToRateLimiter query = PermitQuery {PermitId(3), ServerName("s@17"), 3.7, 1500ms};
+        const ToRateLimiter query = PermitQuery {PermitId(3), {ServerName("s@17"), 3.7, 1500ms}};
         CPPUNIT_ASSERT(decoded(query) == query);
         const ToRateLimiter ended = LimitEnded {ServerName("s")};
         CPPUNIT_ASSERT(decoded(ended) == ended);
-        const Datagram<PermitAnswer> answer {Sender, {PermitId(3), false, 270ms, true}};
-        CPPUNIT_ASSERT(readPermitAnswer(parseJson(encode(answer))) == answer);
+        const ToRateLimiter started = LimitStarted {{ServerName("s"), 3.7, 5ms}};
+        CPPUNIT_ASSERT(decoded(started) == started);
+        const Datagram<FromRateLimiter> answer {Sender,
+                                                PermitAnswer {PermitId(3), false, 270ms, true}};
+        CPPUNIT_ASSERT(readFromRateLimiter(parseJson(encode(answer))) == answer);
+        const Datagram<FromRateLimiter> notice {
+            Sender, LimitNotice {{{ServerName("s"), 3.7, 5ms}, {ServerName("t"), 0, 0ms}}}};
+        CPPUNIT_ASSERT(readFromRateLimiter(parseJson(encode(notice))) == notice);
     }
 
     // Guards against stray datagrams that grant permits or set rates.
@@ -59,8 +65,10 @@
             const char *text :
             {R"({"kind":"permit_answer","id":1,"granted":1,"retry_after_us":0,"limit_ended":false,"node":"n"})",
              R"({"kind":"permit_answer","id":1,"granted":true,"retry_after_us":-1,"limit_ended":false,"node":"n"})",
-             R"({"kind":"permit_answer","granted":true,"retry_after_us":0,"limit_ended":false,"node":"n"})"}) {
-            CPPUNIT_ASSERT_MESSAGE(text, !readPermitAnswer(parseJson(text)));
+             R"({"kind":"permit_answer","granted":true,"retry_after_us":0,"limit_ended":false,"node":"n"})",
+             R"({"kind":"limit_notice","limits":[1],"node":"n"})",
+             R"({"kind":"limit_notice","limits":[{"server":"s","per_s":-1,"announced_ago_us":0}],"node":"n"})"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, !readFromRateLimiter(parseJson(text)));
         }
     }
 
@@ -68,7 +76,7 @@
     {
         CPPUNIT_ASSERT(rc::check("any text is read or rejected", [](const std::string &text) {
             readToRateLimiter(parseJson(text));
-            readPermitAnswer(parseJson(text));
+            readFromRateLimiter(parseJson(text));
         }));
     }
 };
--- a/tests/ratelimits/ratelimitertest.cpp
+++ b/tests/ratelimits/ratelimitertest.cpp
@@ -1,4 +1,5 @@
 #include "ratelimits/ratelimiter.h"
+#include "ratelimits/ratelimitcodec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -32,13 +33,15 @@
     CPPUNIT_TEST(reportsTheEndOfALimit);
     CPPUNIT_TEST(serverThatAcceptsNothingIsTriedSometimes);
     CPPUNIT_TEST(forgetsServersWithoutQueries);
+    CPPUNIT_TEST(tellsOfEachLimitOnce);
+    CPPUNIT_TEST(noticeFitsIntoADatagram);
     CPPUNIT_TEST_SUITE_END();
 
     PermitAnswer ask(Duration time, int from, double perSecond = 2, Duration announcedAgo = 0s)
     {
         return *m_limiter.handle(
             at(time), node(from),
-            PermitQuery {PermitId(++m_lastId), Server, perSecond, announcedAgo});
+            PermitQuery {PermitId(++m_lastId), {Server, perSecond, announcedAgo}});
     }
 
     RateLimiter m_limiter;
@@ -56,7 +59,7 @@
     void repeatedQueryGetsTheSameAnswer()
     {
         ask(0s, 1);
-        const PermitQuery query {PermitId(100), Server, 2, 0s};
+        const PermitQuery query {PermitId(100), {Server, 2, 0s}};
         CPPUNIT_ASSERT(m_limiter.handle(at(500ms), node(1), query)->isGranted);
         CPPUNIT_ASSERT(m_limiter.handle(at(540ms), node(1), query)->isGranted);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t {1}, m_limiter.granted());
@@ -104,6 +107,37 @@
         m_limiter.handle(at(10min), node(1), LimitEnded {ServerName("other")});
         CPPUNIT_ASSERT_EQUAL(std::size_t {1}, m_limiter.servers());
     }
+
+    // Guards against notices to all nodes with each query.
+    void tellsOfEachLimitOnce()
+    {
+        const KnownLimit limit {Server, 2, 100ms};
+        m_limiter.handle(at(0s), node(1), LimitStarted {limit});
+        m_limiter.handle(at(0s), node(2), LimitStarted {limit});
+        ask(1s, 1);
+        const auto notice = m_limiter.takeNotice(at(1s));
+        CPPUNIT_ASSERT(notice && notice->limits.size() == 1);
+        ask(2s, 1);
+        CPPUNIT_ASSERT(!m_limiter.hasNotice());
+        m_limiter.handle(at(3s), node(1), LimitEnded {Server});
+        ask(4s, 1);
+        CPPUNIT_ASSERT(m_limiter.hasNotice());
+    }
+
+    void noticeFitsIntoADatagram()
+    {
+        for (int i = 0; i < 40; ++i) {
+            const std::string name = "i-0123456789abcdef@1748952000000" + std::to_string(i);
+            m_limiter.handle(at(0s), node(1), LimitStarted {{ServerName(name), 123.456789, 0s}});
+        }
+        int notices = 0;
+        while (const auto notice = m_limiter.takeNotice(at(60s))) {
+            const auto text = encode(Datagram<FromRateLimiter> {node(1), *notice});
+            CPPUNIT_ASSERT(text.size() < 1400);
+            ++notices;
+        }
+        CPPUNIT_ASSERT_EQUAL(4, notices);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RateLimiterTest);
--- a/tests/ratelimits/ratelimitfleettest.cpp
+++ b/tests/ratelimits/ratelimitfleettest.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(holdsWithLostDatagrams);
     CPPUNIT_TEST(holdsForEngines);
     CPPUNIT_TEST(holdsInLargeFleets);
+    CPPUNIT_TEST(nodesLearnOfLimitsFromOthers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -175,6 +176,17 @@
             CPPUNIT_ASSERT(fleet.datagrams() - datagrams <= 6 * 500 * 10);
         }
     }
+
+    // Guards against many nodes that each have to exceed the limit of a server to learn of it.
+    void nodesLearnOfLimitsFromOthers()
+    {
+        LimitedFleet fleet({.nodes = 400, .servers = 100, .requestsPerSecond = 1000});
+        fleet.run(2s);
+        fleet.setLimit(0, 2);
+        fleet.run(20s);
+        const std::size_t most = fleet.mostOfAllInWindow(0);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(most), most <= LimitedFleet::allowedInWindow(2));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RateLimitFleetTest);
