--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -95,6 +95,7 @@
 {
     if (const auto earlier = m_state.servers.announce(std::move(server))) {
         forget(*earlier);
+        m_state.permits.forget(*earlier);
     }
 }
 
@@ -107,7 +108,6 @@
 void Dispatcher::forget(const ServerName &name)
 {
     m_state.tracker.forget(name);
-    m_state.permits.forget(name);
     m_generations.forget(name);
 }
 
@@ -443,6 +443,8 @@
         forget(name);
     }
     m_state.crashes.removeExpired(step.now);
+    m_state.permits.removeGone(
+        step.now, [this](const ServerName &name) { return m_state.servers.find(name) != nullptr; });
     const bool isEvaluationDue =
         m_orderToken || step.now >= m_lastOrderEvaluation + OrderEvaluationInterval;
     if (m_holdsOrderRight && m_table && !m_drainingSince && isEvaluationDue) {
--- a/src/dispatch/dispatchstate.cpp
+++ b/src/dispatch/dispatchstate.cpp
@@ -63,9 +63,6 @@
                               "server=" + server.text()
                                   + " pause_ms=" + millisecondsText(*advice.pause)});
     }
-    if (!servers.find(server)) {
-        return; // The server has ended, and nothing would remove its limit.
-    }
     ratelimits::ServerPermits::Messages messages;
     const bool isChange =
         permits.record(server, advice.requestsPerSecond, started, step.now, messages);
--- a/src/ratelimits/announcedratelimits.cpp
+++ b/src/ratelimits/announcedratelimits.cpp
@@ -26,6 +26,17 @@
     }
 }
 
+std::vector<ServerName> AnnouncedRateLimits::announcedBefore(TimePoint time) const
+{
+    std::vector<ServerName> servers;
+    for (const auto &[server, limit] : m_limits) {
+        if (limit.announcedAt < time) {
+            servers.push_back(server);
+        }
+    }
+    return servers;
+}
+
 const AnnouncedLimit *AnnouncedRateLimits::find(const ServerName &server) const
 {
     const auto it = m_limits.find(server);
--- a/src/ratelimits/announcedratelimits.h
+++ b/src/ratelimits/announcedratelimits.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace indigoway::ratelimits {
 
@@ -34,6 +35,8 @@
     void forget(const ServerName &server) { m_limits.erase(server); }
     /** Returns the limit of @p server, or null if it has none. */
     const AnnouncedLimit *find(const ServerName &server) const;
+    /** Returns the servers that have not announced their limit since @p time. */
+    std::vector<ServerName> announcedBefore(TimePoint time) const;
     std::size_t size() const { return m_limits.size(); }
 
 private:
--- a/src/ratelimits/serverpermits.cpp
+++ b/src/ratelimits/serverpermits.cpp
@@ -20,6 +20,9 @@
  */
 constexpr double LocalFraction = 0.5;
 constexpr double LocalBurst = 1; ///< Requests.
+/** Longer than outages of the store after which servers return. */
+constexpr Duration GoneRetention = std::chrono::minutes(10);
+constexpr Duration GoneCheckInterval = std::chrono::seconds(10);
 
 } // namespace
 
@@ -52,6 +55,20 @@
     endLimit(server);
 }
 
+void ServerPermits::removeGone(TimePoint now,
+                               const std::function<bool(const ServerName &)> &isKnown)
+{
+    if (now < m_goneCheckedAt + GoneCheckInterval) {
+        return;
+    }
+    m_goneCheckedAt = now;
+    for (const ServerName &server : m_limits.announcedBefore(now - GoneRetention)) {
+        if (!isKnown(server)) {
+            forget(server);
+        }
+    }
+}
+
 void ServerPermits::endLimit(const ServerName &server)
 {
     m_blockedUntil.erase(server);
--- a/src/ratelimits/serverpermits.h
+++ b/src/ratelimits/serverpermits.h
@@ -5,6 +5,7 @@
 #include "ratelimits/ratelimitmessages.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -43,7 +44,13 @@
     /** Records the limit in an answer, see AnnouncedRateLimits::record(). */
     bool record(const ServerName &server, std::optional<double> perSecond, TimePoint callStarted,
                 TimePoint now, Messages &messages);
+    /** Removes an incarnation of a server that has been replaced by the next. */
     void forget(const ServerName &server);
+    /**
+     * Removes the limits of servers that ended long ago. The entry of a server may expire and
+     * return while the store is unreachable, so its limit outlasts the entry.
+     */
+    void removeGone(TimePoint now, const std::function<bool(const ServerName &)> &isKnown);
     bool isLimited(const ServerName &server) const { return m_limits.find(server) != nullptr; }
     /** Returns the time until which @p server gets no requests of this node, if there is one. */
     std::optional<TimePoint> blockedUntil(const ServerName &server, TimePoint now) const;
@@ -95,6 +102,7 @@
     std::map<ServerName, quotas::QuotaBucket> m_localBuckets;
     std::map<PermitId, PendingPermit> m_pending;
     std::uint64_t m_lastPermit = 0;
+    TimePoint m_goneCheckedAt {};
 };
 
 } // namespace indigoway::ratelimits
--- a/tests/ratelimits/announcedratelimitstest.cpp
+++ b/tests/ratelimits/announcedratelimitstest.cpp
@@ -51,6 +51,8 @@
     {
         AnnouncedRateLimits limits;
         limits.record(Server, 3.7, at(1s), at(2s));
+        CPPUNIT_ASSERT(limits.announcedBefore(at(2s)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, limits.announcedBefore(at(3s)).size());
         limits.forget(Server);
         CPPUNIT_ASSERT_EQUAL(std::size_t {0}, limits.size());
     }
--- a/tests/ratelimits/limitedfleet.h
+++ b/tests/ratelimits/limitedfleet.h
@@ -86,6 +86,22 @@
         setSchedulerOf(one);
     }
 
+    /** Removes the entry of @p server from the store. */
+    void withdraw(std::size_t server)
+    {
+        for (std::size_t node = 0; node < m_nodes.size(); ++node) {
+            m_nodes[node].dispatcher->withdraw(serverName(server), m_now);
+            later(node, ServerDirectory::LastResortTime,
+                  [this, node] { reduce(node, TimePassed {}); });
+        }
+    }
+    void announce(std::size_t server)
+    {
+        for (Node &node : m_nodes) {
+            node.dispatcher->announce(announced(server));
+        }
+    }
+
     /** Announces the limit in the answers of @p server from now on; nothing to end it. */
     void setLimit(std::size_t server, std::optional<double> perSecond)
     {
--- a/tests/ratelimits/ratelimitfleettest.cpp
+++ b/tests/ratelimits/ratelimitfleettest.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(holdsWithLostDatagrams);
     CPPUNIT_TEST(holdsForEngines);
     CPPUNIT_TEST(holdsInLargeFleets);
+    CPPUNIT_TEST(limitOutlastsAnEntryThatReturns);
     CPPUNIT_TEST(nodesLearnOfLimitsFromOthers);
     CPPUNIT_TEST_SUITE_END();
 
@@ -177,6 +178,22 @@
         }
     }
 
+    // Guards against nodes that forget a limit because the server's lease expired while the store
+    // was away.
+    void limitOutlastsAnEntryThatReturns()
+    {
+        LimitedFleet fleet({.nodes = 40, .requestsPerSecond = 200});
+        fleet.setLimit(0, 2);
+        fleet.run(10s);
+        for (int round = 0; round < 5; ++round) {
+            fleet.withdraw(0);
+            fleet.run(2s);
+            fleet.announce(0);
+            fleet.run(1s);
+        }
+        assertWithinLimit(fleet, 0, 2);
+    }
+
     // Guards against many nodes that each have to exceed the limit of a server to learn of it.
     void nodesLearnOfLimitsFromOthers()
     {
