Ask a refused caller to return after the pause of the servers

Found by a test of whole processes: the request whose refusal began the pause of the last server was rejected with Retry-After 125 to 375 ms, as if servers had room again by then; only later requests were told of the pause. Its caller would have come back in vain. refusedCallerReturnsAfterThePause failed before.

--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -120,7 +120,7 @@
             break;
         }
     }
-    rejectWithoutServer(step, request);
+    rejectNotExecuted(step, request, "no server accepts requests");
 }
 
 bool PlainFlow::refuseContent(Step &step, OpenRequest &request)
@@ -137,13 +137,12 @@
     return true;
 }
 
-void PlainFlow::rejectWithoutServer(Step &step, OpenRequest &request)
+void PlainFlow::rejectNotExecuted(Step &step, OpenRequest &request, const std::string &reason)
 {
     const auto unblockedAt = m_state.allBlockedUntil(
         m_state.servers.candidates(request.service->name, EnginePhase::None, step.now), step.now);
     const Duration wait = unblockedAt ? *unblockedAt - step.now : Duration(0);
-    m_state.requests.reject(step, request, wait + step.jitter(RetryDelay),
-                            unblockedAt ? "all servers limit requests" : "no server");
+    m_state.requests.reject(step, request, wait + step.jitter(RetryDelay), reason);
 }
 
 void PlainFlow::sendTo(Step &step, OpenRequest &request, const AnnouncedServer &server)
@@ -234,7 +233,7 @@
         send(step, request);
         return;
     }
-    m_state.requests.reject(step, request, step.jitter(RetryDelay), reason);
+    rejectNotExecuted(step, request, reason);
 }
 
 void PlainFlow::handleFailure(Step &step, OpenRequest &request, const CallEnded &event)
--- a/src/dispatch/plainflow.h
+++ b/src/dispatch/plainflow.h
@@ -31,7 +31,8 @@
     void sendTo(Step &step, OpenRequest &request, const AnnouncedServer &server);
     /** Refuses a request whose content is refused; returns whether it was. */
     bool refuseContent(Step &step, OpenRequest &request);
-    void rejectWithoutServer(Step &step, OpenRequest &request);
+    /** Asks the caller to return when a server accepts requests again. */
+    void rejectNotExecuted(Step &step, OpenRequest &request, const std::string &reason);
     const AnnouncedServer *pickServer(Step &step, const OpenRequest &request) const;
     bool mayRetry(const OpenRequest &request) const;
     void handleAnswer(Step &step, OpenRequest &request, const OpenCall &call,
--- a/tests/dispatch/pausedservertest.cpp
+++ b/tests/dispatch/pausedservertest.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(isUsedAgainAfterItsPause);
     CPPUNIT_TEST(shorterPauseDoesNotEndALongerOne);
     CPPUNIT_TEST(requestsAreRejectedAtOnceIfAllArePaused);
+    CPPUNIT_TEST(refusedCallerReturnsAfterThePause);
     CPPUNIT_TEST(nextLifeIsNotPaused);
     CPPUNIT_TEST(otherServerGetsTheRefusedRequest);
     CPPUNIT_TEST(pausedEngineIsNotReserved);
@@ -114,6 +115,18 @@
                        >= std::chrono::milliseconds(PauseMilliseconds - 1000));
     }
 
+    // Guards against a caller who returns while the server that refused it still wants no requests.
+    void refusedCallerReturnsAfterThePause()
+    {
+        DispatcherHarness harness;
+        harness.useRoutes();
+        harness.addServer("a");
+        const auto request = harness.arrive(0, "plain");
+        harness.end(5, harness.nextCall(CallKind::Plain), CallEnd::NotExecuted, 503, Pause);
+        CPPUNIT_ASSERT_EQUAL(text("rejected"), harness.outcome(request));
+        CPPUNIT_ASSERT(harness.retryAfter(request) >= std::chrono::milliseconds(PauseMilliseconds));
+    }
+
     void nextLifeIsNotPaused()
     {
         DispatcherHarness harness;
