--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -315,11 +315,22 @@
 void Dispatcher::handle(Step &step, const RateLimiterAnswered &event)
 {
     if (const auto *notice = std::get_if<ratelimits::LimitNotice>(&event.message)) {
-        m_state.permits.handleNotice(step.now, *notice);
+        for (const ratelimits::KnownLimit &limit :
+             m_state.permits.handleNotice(step.now, *notice)) {
+            step.add(LogDecision {
+                "server_limit",
+                {},
+                "server=" + limit.server.text() + " per_s=" + std::to_string(limit.perSecond)
+                    + " from=notice announced_ago_ms=" + millisecondsText(limit.announcedAgo)});
+        }
         return;
     }
     const auto &answer = std::get<ratelimits::PermitAnswer>(event.message);
     if (const auto result = m_state.permits.handleAnswer(step.now, answer)) {
+        if (result->hasLimitEnded) {
+            step.add(LogDecision {
+                "server_limit", {}, "server=" + result->server.text() + " per_s=- from=limiter"});
+        }
         permitDecided(step, *result);
     }
 }
@@ -344,7 +355,9 @@
     if (!request || request->stage != Stage::AwaitingPermit) {
         return;
     }
-    request->refusedPermits += result.isGranted ? 0 : 1;
+    if (!result.isGranted) {
+        m_state.recordRefusedPermit(step, *request, result.server);
+    }
     flowOf(*request).permitDecided(step, *request, result.server, result.isGranted);
 }
 
--- a/src/dispatch/dispatchstate.cpp
+++ b/src/dispatch/dispatchstate.cpp
@@ -73,7 +73,7 @@
             {},
             "server=" + server.text() + " per_s="
                 + (advice.requestsPerSecond ? std::to_string(*advice.requestsPerSecond) : "-")
-                + " answer_age_ms=" + millisecondsText(step.now - started)});
+                + " from=answer answer_age_ms=" + millisecondsText(step.now - started)});
     }
 }
 
@@ -84,11 +84,21 @@
     const auto decision = permits.request(step.now, request.arrival.request, server, messages);
     sendToRateLimiter(step, std::move(messages));
     if (decision == ratelimits::PermitDecision::Refused) {
-        ++request.refusedPermits;
+        recordRefusedPermit(step, request, server);
     }
     return decision;
 }
 
+void DispatchState::recordRefusedPermit(Step &step, OpenRequest &request,
+                                        const ServerName &server) const
+{
+    ++request.refusedPermits;
+    const auto until = permits.blockedUntil(server, step.now);
+    step.add(LogDecision {"permit_refused", request.arrival.callerId,
+                          "server=" + server.text() + " retry_after_ms="
+                              + millisecondsText(until ? *until - step.now : Duration(0))});
+}
+
 std::optional<TimePoint> DispatchState::blockedUntil(const ServerName &server, TimePoint now) const
 {
     const auto paused = pauses.pausedUntil(server, now);
--- a/src/dispatch/dispatchstate.h
+++ b/src/dispatch/dispatchstate.h
@@ -67,6 +67,8 @@
     /** Requests a permit to send @p request to @p server, see ServerPermits::request(). */
     ratelimits::PermitDecision requestPermit(Step &step, OpenRequest &request,
                                              const ServerName &server);
+    /** Counts and logs that @p request gets no permit for @p server. */
+    void recordRefusedPermit(Step &step, OpenRequest &request, const ServerName &server) const;
     /**
      * Returns the time until which the node must not send requests to @p server, because of its
      * rate limit or a pause; nothing if it may.
--- a/src/ratelimits/serverpermits.cpp
+++ b/src/ratelimits/serverpermits.cpp
@@ -143,14 +143,19 @@
     } else if (!answer.isGranted) {
         m_blockedUntil[pending.server] = now + answer.retryAfter;
     }
-    return PermitResult {pending.request, pending.server, answer.isGranted};
+    return PermitResult {pending.request, pending.server, answer.isGranted, answer.hasLimitEnded};
 }
 
-void ServerPermits::handleNotice(TimePoint now, const LimitNotice &notice)
+std::vector<KnownLimit> ServerPermits::handleNotice(TimePoint now, const LimitNotice &notice)
 {
+    std::vector<KnownLimit> newLimits;
     for (const KnownLimit &limit : notice.limits) {
+        if (!isLimited(limit.server)) {
+            newLimits.push_back(limit);
+        }
         m_limits.recordNotice(limit.server, {limit.perSecond, now - limit.announcedAgo});
     }
+    return newLimits;
 }
 
 std::vector<PermitResult> ServerPermits::tick(TimePoint now, Messages &messages)
@@ -211,7 +216,8 @@
 {
     std::vector<PermitResult> results;
     for (const auto &[id, pending] : m_pending) {
-        results.push_back({pending.request, pending.server, decideLocally(now, pending.server)});
+        results.push_back(
+            {pending.request, pending.server, decideLocally(now, pending.server), false});
     }
     m_pending.clear();
     return results;
--- a/src/ratelimits/serverpermits.h
+++ b/src/ratelimits/serverpermits.h
@@ -24,6 +24,7 @@
     RequestNumber request;
     ServerName server;
     bool isGranted = false;
+    bool hasLimitEnded = false; ///< The server has no limit any more.
 };
 
 /**
@@ -69,8 +70,11 @@
     void abandon(RequestNumber request);
     /** Returns the result of a pending permit, if the message answers one. */
     std::optional<PermitResult> handleAnswer(TimePoint now, const PermitAnswer &answer);
-    /** Records limits that servers have announced to other nodes. */
-    void handleNotice(TimePoint now, const LimitNotice &notice);
+    /**
+     * Records limits that servers have announced to other nodes.
+     * @return the limits that are new to this node
+     */
+    std::vector<KnownLimit> handleNotice(TimePoint now, const LimitNotice &notice);
     /**
      * Repeats queries that are not answered.
      * @return the permits decided locally because the rate limiter does not answer
--- a/standins/sharedplatform.cpp
+++ b/standins/sharedplatform.cpp
@@ -250,6 +250,9 @@
     if (body.isObject() && body["version"].isUInt64()) {
         writeRouting(body["version"].asUInt64(), stringMember(body, "prefix"));
     }
+    if (body.isObject() && body["advice"].isObject()) {
+        advise(body["advice"]);
+    }
     if (body.isObject() && body["drain"].isString()) {
         const std::string key = "servers/" + body["drain"].asString();
         std::string text;
@@ -274,6 +277,9 @@
         answer["ran_for"][id] = organisation;
     }
     answer["keys_seen"] = m_keysSeen;
+    for (const auto &worker : m_workers) {
+        answer["called"][worker->name] = Json::UInt64(worker->called);
+    }
     reply(m_server, request, Ok, jsonText(answer));
 }
 
@@ -347,30 +353,48 @@
     return id;
 }
 
+void SharedPlatform::advise(const Json::Value &advice)
+{
+    for (const auto &worker : m_workers) {
+        if (worker->name != stringMember(advice, "worker")) {
+            continue;
+        }
+        worker->advice.clear();
+        for (const std::string &name : advice["headers"].getMemberNames()) {
+            worker->advice.emplace_back(name, advice["headers"][name].asString());
+        }
+        worker->refusesFor = stringMember(advice, "refuses_for");
+    }
+}
+
 void SharedPlatform::work(Worker &worker, const HttpRequest &request)
 {
-    HttpServer &server = *worker.server;
     const std::string id = request.header("Indigoway-Request-Id");
     HttpHeaders headers {{"Indigoway-Request-Id", id}};
+    const bool isRequest = !id.empty();
+    worker.called += isRequest ? 1 : 0;
     if (request.header("Indigoway-Expect-Instance") != worker.name) {
-        reply(server, request, Misdirected, "{}", {{"Indigoway-Not-Executed", "1"}});
+        answer(worker, request, Misdirected, "{}", {{"Indigoway-Not-Executed", "1"}});
+    } else if (!worker.refusesFor.empty() && (isRequest || request.path == "/hold-take")) {
+        answer(worker, request, ServiceUnavailable, "{}",
+               {{"Indigoway-Not-Executed", "1"}, {"Retry-After", worker.refusesFor}});
     } else if (request.path == "/hold-take") {
         const std::uint64_t lifetime = numberMember(parseJson(request.body), "ttl_ms");
-        reply(server, request, Ok,
-              "{\"hold\":\"" + hold(std::chrono::milliseconds(lifetime)) + "\"}");
+        answer(worker, request, Ok,
+               "{\"hold\":\"" + hold(std::chrono::milliseconds(lifetime)) + "\"}");
     } else if (request.path.starts_with("/hold-drop/") || request.path.starts_with("/kv-handle/")) {
         const std::string held = request.path.substr(request.path.rfind('/') + 1);
-        reply(server, request, unhold(held) ? Ok : NotFound, "{}");
+        answer(worker, request, unhold(held) ? Ok : NotFound, "{}");
     } else if (request.path == "/report") {
-        reply(server, request, Ok, "{\"busy\":false,\"sequence\":0}");
+        answer(worker, request, Ok, "{\"busy\":false,\"sequence\":0}");
     } else if (request.header("Indigoway-Serving-Phase") == "prefill") {
-        reply(server, request, Ok,
-              "{\"kv_handle\":\"" + hold(HandleKept) + "\",\"tokens\":1,\"version\":1}", headers);
+        answer(worker, request, Ok,
+               "{\"kv_handle\":\"" + hold(HandleKept) + "\",\"tokens\":1,\"version\":1}", headers);
     } else if (!worker.phase.empty()) {
         const std::string source = request.header("Indigoway-Kv-Source");
         unhold(request.header("Indigoway-Kv-Hold"));
         if (!source.empty() && !unhold(source.substr(source.rfind('/') + 1))) {
-            reply(server, request, ServiceUnavailable, "{}", {{"Indigoway-Not-Executed", "1"}});
+            answer(worker, request, ServiceUnavailable, "{}", {{"Indigoway-Not-Executed", "1"}});
             return;
         }
         noteRun(request);
@@ -380,7 +404,8 @@
         }
         headers.emplace_back("Indigoway-Server-Stamp", "stamp-" + worker.name);
         headers.emplace_back("Content-Type", "text/event-stream");
-        server.startStream(request.exchange, Ok, headers);
+        headers.insert(headers.end(), worker.advice.begin(), worker.advice.end());
+        worker.server->startStream(request.exchange, Ok, headers);
         stream(worker, request, worker.lives, 1);
     } else {
         noteRun(request);
@@ -391,13 +416,20 @@
         headers.emplace_back("Indigoway-Server-Stamp", "stamp-" + worker.name);
         m_loop.after(PlainWork, [this, &worker, life = worker.lives, request, headers] {
             if (worker.lives == life) {
-                reply(*worker.server, request, Ok,
-                      request.method + " " + request.path + " " + request.body, headers);
+                answer(worker, request, Ok,
+                       request.method + " " + request.path + " " + request.body, headers);
             }
         });
     }
 }
 
+void SharedPlatform::answer(Worker &worker, const HttpRequest &request, int status,
+                            const std::string &body, HttpHeaders headers)
+{
+    headers.insert(headers.end(), worker.advice.begin(), worker.advice.end());
+    reply(*worker.server, request, status, body, std::move(headers));
+}
+
 void SharedPlatform::stream(Worker &worker, const HttpRequest &request, std::uint64_t life,
                             int event)
 {
--- a/standins/sharedplatform.h
+++ b/standins/sharedplatform.h
@@ -66,6 +66,9 @@
         std::string address;
         std::string announced; ///< What it announces in place of its address, if anything.
         std::uint64_t lives = 0;
+        HttpHeaders advice;       ///< Added to the head of each answer.
+        std::string refusesFor;   ///< Retry-After of its refusals; empty if it serves requests.
+        std::uint64_t called = 0; ///< Requests that reached it, refused ones included.
     };
 
     void take(const HttpRequest &request);
@@ -90,7 +93,11 @@
     void crash(Worker &worker);
     /** Whether @p request, which is run now, is one that crashes whatever runs it. */
     bool crashes(const HttpRequest &request) const;
+    /** Sets what the named worker says in its answers; headers, and the pause of refusals. */
+    void advise(const Json::Value &advice);
     void work(Worker &worker, const HttpRequest &request);
+    void answer(Worker &worker, const HttpRequest &request, int status, const std::string &body,
+                HttpHeaders headers = {});
     void stream(Worker &worker, const HttpRequest &request, std::uint64_t life, int event);
     void writeRouting(std::uint64_t version, const std::string &extraPrefix);
     /** A server runs @p request: for whom, and with what that it should not have got. */
