--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -373,6 +373,9 @@
     if (m_sync.isKnown()) {
         record("node", {{"key", key}, {"callers", entry->callerAddress}});
     }
+    if (!entry->schedulingAddress.empty()) {
+        m_scheduling.sendLimitsTo(entry->schedulingAddress);
+    }
     entry->announcedSince = item->created;
     entry->announcedAt = item->revision;
     m_roster.announce(key, std::move(*entry));
--- a/src/edge/schedulingendpoint.cpp
+++ b/src/edge/schedulingendpoint.cpp
@@ -109,8 +109,7 @@
 
 void SchedulingEndpoint::sendNotice()
 {
-    const auto notice = m_rateLimiter.takeNotice(steadyNow());
-    if (notice) {
+    if (const auto notice = m_rateLimiter.takeNotice(steadyNow())) {
         const std::string text = encode(Datagram<ratelimits::FromRateLimiter> {m_self, *notice});
         for (const DatagramAddress &address : m_dependencies.nodeAddresses()) {
             m_socket.send(address, text);
@@ -119,6 +118,13 @@
     armNoticeTimer();
 }
 
+void SchedulingEndpoint::sendLimitsTo(const DatagramAddress &node)
+{
+    for (const ratelimits::LimitNotice &notice : m_rateLimiter.currentLimits(steadyNow())) {
+        m_socket.send(node, encode(Datagram<ratelimits::FromRateLimiter> {m_self, notice}));
+    }
+}
+
 void SchedulingEndpoint::armNoticeTimer()
 {
     if (m_rateLimiter.hasNotice() && event_pending(m_noticeTimer.get(), EV_TIMEOUT, nullptr) == 0) {
--- a/src/edge/schedulingendpoint.h
+++ b/src/edge/schedulingendpoint.h
@@ -48,6 +48,8 @@
     void send(const scheduling::ToScheduler &message);
     void send(const quotas::ToKeeper &message);
     void send(const ratelimits::ToRateLimiter &message);
+    /** Tells a node that has started of the rate limits that this node's limiter knows. */
+    void sendLimitsTo(const DatagramAddress &node);
     const quotas::QuotaKeeper &quotaKeeper() const { return m_quotaKeeper; }
     const ratelimits::RateLimiter &rateLimiter() const { return m_rateLimiter; }
     const scheduling::EngineScheduler &scheduler() const { return m_scheduler; }
--- a/src/ratelimits/ratelimiter.cpp
+++ b/src/ratelimits/ratelimiter.cpp
@@ -87,6 +87,21 @@
     return notice.limits.empty() ? std::nullopt : std::optional(std::move(notice));
 }
 
+std::vector<LimitNotice> RateLimiter::currentLimits(TimePoint now) const
+{
+    std::vector<LimitNotice> notices;
+    for (const auto &[server, account] : m_accounts) {
+        if (account.endedAt) {
+            continue;
+        }
+        if (notices.empty() || notices.back().limits.size() >= MaxNoticeSize) {
+            notices.emplace_back();
+        }
+        notices.back().limits.push_back({server, account.perSecond, now - account.announcedAt});
+    }
+    return notices;
+}
+
 PermitAnswer RateLimiter::decide(TimePoint now, const PermitQuery &query)
 {
     Account &account = update(now, query.limit);
--- a/src/ratelimits/ratelimiter.h
+++ b/src/ratelimits/ratelimiter.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace indigoway::ratelimits {
 
@@ -31,6 +32,8 @@
     static constexpr std::size_t MaxNoticeSize = 12;
     /** Returns the next notice for all nodes, or nothing if there is none. */
     std::optional<LimitNotice> takeNotice(TimePoint now);
+    /** Returns all current limits, for a node that has started. */
+    std::vector<LimitNotice> currentLimits(TimePoint now) const;
     bool hasNotice() const { return !m_unannounced.empty(); }
     std::size_t servers() const { return m_accounts.size(); }
     std::uint64_t granted() const { return m_granted; }
--- a/tests/ratelimits/limitedfleet.h
+++ b/tests/ratelimits/limitedfleet.h
@@ -84,6 +84,8 @@
         one.scheduler = {};
         one.limiter = {};
         setSchedulerOf(one);
+        constexpr Duration EntryDelay = std::chrono::milliseconds(300);
+        at(m_now + EntryDelay, [this, node] { sendLimitsTo(node); });
     }
 
     /** Removes the entry of @p server from the store. */
@@ -361,6 +363,26 @@
         });
     }
 
+    /** The scheduling node has seen the entry of a process that has started. */
+    void sendLimitsTo(std::size_t node)
+    {
+        if (!isSchedulingNodeReachable()) {
+            return;
+        }
+        for (const auto &notice : m_nodes[*m_schedulingNode].limiter.currentLimits(m_now)) {
+            sendNotice(node, notice);
+        }
+    }
+
+    void sendNotice(std::size_t node, const ratelimits::LimitNotice &notice)
+    {
+        sendDatagram([this, node, life = m_nodes[node].life, notice] {
+            if (m_nodes[node].life == life) {
+                reduce(node, RateLimiterAnswered {notice});
+            }
+        });
+    }
+
     void scheduleNotice()
     {
         if (std::exchange(m_isNoticeScheduled, true)) {
@@ -372,11 +394,7 @@
                 ? m_nodes[*m_schedulingNode].limiter.takeNotice(m_now)
                 : std::nullopt;
             for (std::size_t node = 0; notice && node < m_nodes.size(); ++node) {
-                sendDatagram([this, node, life = m_nodes[node].life, notice] {
-                    if (m_nodes[node].life == life) {
-                        reduce(node, RateLimiterAnswered {*notice});
-                    }
-                });
+                sendNotice(node, *notice);
             }
         });
     }
--- a/tests/ratelimits/ratelimitfleettest.cpp
+++ b/tests/ratelimits/ratelimitfleettest.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(holdsInLargeFleets);
     CPPUNIT_TEST(limitOutlastsAnEntryThatReturns);
     CPPUNIT_TEST(nodesLearnOfLimitsFromOthers);
+    CPPUNIT_TEST(startingNodesLearnOfLimitsFromOthers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -204,6 +205,22 @@
         const std::size_t most = fleet.mostOfAllInWindow(0);
         CPPUNIT_ASSERT_MESSAGE(std::to_string(most), most <= LimitedFleet::allowedInWindow(2));
     }
+
+    // Guards against restarts in turn after which each node has to be told by the server again.
+    void startingNodesLearnOfLimitsFromOthers()
+    {
+        LimitedFleet fleet({.nodes = 200, .servers = 100, .requestsPerSecond = 1000});
+        fleet.run(2s);
+        fleet.setLimit(0, 2);
+        fleet.run(5s);
+        for (std::size_t node = 1; node < 200; ++node) {
+            fleet.start(node);
+            fleet.run(50ms);
+        }
+        fleet.run(10s);
+        const std::size_t most = fleet.mostOfAllInWindow(0);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(most), most <= LimitedFleet::allowedInWindow(2));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RateLimitFleetTest);
