--- a/src/quotas/quotacodec.cpp
+++ b/src/quotas/quotacodec.cpp
@@ -1,6 +1,6 @@
 #include "quotacodec.h"
 
-#include "core/jsontext.h"
+#include "scheduling/datagramjson.h"
 
 #include <cmath>
 
@@ -59,15 +59,6 @@
     return value;
 }
 
-template <typename Message>
-std::string encodeAny(const Datagram<Message> &datagram)
-{
-    Json::Value value = std::visit([](const auto &one) { return body(one); }, datagram.message);
-    value["node"] = datagram.from.node.text();
-    value["life"] = Json::UInt64(datagram.from.incarnation.value());
-    return jsonText(value);
-}
-
 bool isBounded(double units)
 {
     return std::abs(units) <= MaxUnits;
@@ -128,45 +119,35 @@
     return QuotaAnswer {queryId, value["granted"].asBool(), retryAfter};
 }
 
-template <typename Message>
-std::optional<Datagram<Message>> withSender(const Json::Value &value,
-                                            std::optional<Message> message)
-{
-    NodeLife from {NodeName(stringMember(value, "node")), Incarnation(numberMember(value, "life"))};
-    if (!message || from.node.isEmpty()) {
-        return std::nullopt;
-    }
-    return Datagram<Message> {std::move(from), std::move(*message)};
-}
+constexpr std::array<scheduling::MessageReader<ToKeeper>, 2> ToReaders {
+    {{"quota_used", readUsageReport}, {"quota_asked", readQuery}}};
+constexpr std::array<scheduling::MessageReader<FromKeeper>, 2> FromReaders {
+    {{"quota_standing", readScarcityReport}, {"quota_answer", readAnswer}}};
+
+constexpr auto BodyOf = [](const auto &message) {
+    return body(message);
+};
 
 } // namespace
 
 std::string encode(const Datagram<ToKeeper> &datagram)
 {
-    return encodeAny(datagram);
+    return scheduling::encodeDatagram(datagram, BodyOf);
 }
 
 std::string encode(const Datagram<FromKeeper> &datagram)
 {
-    return encodeAny(datagram);
+    return scheduling::encodeDatagram(datagram, BodyOf);
 }
 
 std::optional<Datagram<ToKeeper>> readToKeeper(const Json::Value &value)
 {
-    const std::string kind = stringMember(value, "kind");
-    if (kind == "quota_used") {
-        return withSender(value, readUsageReport(value));
-    }
-    return kind == "quota_asked" ? withSender(value, readQuery(value)) : std::nullopt;
+    return scheduling::readDatagram(value, ToReaders);
 }
 
 std::optional<Datagram<FromKeeper>> readFromKeeper(const Json::Value &value)
 {
-    const std::string kind = stringMember(value, "kind");
-    if (kind == "quota_standing") {
-        return withSender(value, readScarcityReport(value));
-    }
-    return kind == "quota_answer" ? withSender(value, readAnswer(value)) : std::nullopt;
+    return scheduling::readDatagram(value, FromReaders);
 }
 
 } // namespace indigoway::quotas
--- a/src/ratelimits/ratelimitcodec.cpp
+++ b/src/ratelimits/ratelimitcodec.cpp
@@ -1,9 +1,6 @@
 #include "ratelimitcodec.h"
 
-#include "core/jsontext.h"
-
-#include <algorithm>
-#include <array>
+#include "scheduling/datagramjson.h"
 
 namespace indigoway::ratelimits {
 
@@ -68,15 +65,6 @@
     return value;
 }
 
-template <typename Message>
-std::string encodeAny(const Datagram<Message> &datagram)
-{
-    Json::Value value = std::visit([](const auto &one) { return body(one); }, datagram.message);
-    value["node"] = datagram.from.node.text();
-    value["life"] = Json::UInt64(datagram.from.incarnation.value());
-    return jsonText(value);
-}
-
 /** Returns nothing if the member is missing, negative or unreasonably large. */
 std::optional<Duration> durationMember(const Json::Value &value, const char *name)
 {
@@ -148,55 +136,37 @@
     return notice;
 }
 
-/** Reads the body of one kind of message. */
-template <typename Message>
-struct BodyReader
-{
-    const char *kind;
-    std::optional<Message> (*read)(const Json::Value &value);
-};
-
-constexpr std::array<BodyReader<ToRateLimiter>, 3> ToReaders {{{"permit_query", readQuery},
-                                                               {"limit_started", readLimitStarted},
-                                                               {"limit_ended", readLimitEnded}}};
-constexpr std::array<BodyReader<FromRateLimiter>, 2> FromReaders {
+constexpr std::array<scheduling::MessageReader<ToRateLimiter>, 3> ToReaders {
+    {{"permit_query", readQuery},
+     {"limit_started", readLimitStarted},
+     {"limit_ended", readLimitEnded}}};
+constexpr std::array<scheduling::MessageReader<FromRateLimiter>, 2> FromReaders {
     {{"permit_answer", readPermitAnswer}, {"limit_notice", readLimitNotice}}};
 
-template <typename Message, std::size_t count>
-std::optional<Datagram<Message>> readAny(const Json::Value &value,
-                                         const std::array<BodyReader<Message>, count> &readers)
-{
-    NodeLife from {NodeName(stringMember(value, "node")), Incarnation(numberMember(value, "life"))};
-    const std::string kind = stringMember(value, "kind");
-    const auto reader = std::ranges::find(readers, kind, &BodyReader<Message>::kind);
-    if (from.node.isEmpty() || reader == readers.end()) {
-        return std::nullopt;
-    }
-    auto message = reader->read(value);
-    return message ? std::optional(Datagram<Message> {std::move(from), std::move(*message)})
-                   : std::nullopt;
-}
+constexpr auto BodyOf = [](const auto &message) {
+    return body(message);
+};
 
 } // namespace
 
 std::string encode(const Datagram<ToRateLimiter> &datagram)
 {
-    return encodeAny(datagram);
+    return scheduling::encodeDatagram(datagram, BodyOf);
 }
 
 std::string encode(const Datagram<FromRateLimiter> &datagram)
 {
-    return encodeAny(datagram);
+    return scheduling::encodeDatagram(datagram, BodyOf);
 }
 
 std::optional<Datagram<ToRateLimiter>> readToRateLimiter(const Json::Value &value)
 {
-    return readAny(value, ToReaders);
+    return scheduling::readDatagram(value, ToReaders);
 }
 
 std::optional<Datagram<FromRateLimiter>> readFromRateLimiter(const Json::Value &value)
 {
-    return readAny(value, FromReaders);
+    return scheduling::readDatagram(value, FromReaders);
 }
 
 } // namespace indigoway::ratelimits
