Let generations wait for a pause that ends in time

By reading: with all decode engines paused or at their limits for a moment, waiting requests were rejected and resumed streams cut, though the engines would have taken them within the time that a request may wait; and a claim kept excluding an engine after its pause. Now a request is rejected only if the first engine accepts requests too late for it, and claims once one does. The search stops at the first usable engine, and claims name blocked engines of their own service only.

--- a/src/dispatch/dispatchstate.cpp
+++ b/src/dispatch/dispatchstate.cpp
@@ -101,33 +101,43 @@
 
 std::optional<TimePoint> DispatchState::blockedUntil(const ServerName &server, TimePoint now) const
 {
-    const auto paused = pauses.pausedUntil(server, now);
-    const auto limited = permits.blockedUntil(server, now);
-    return paused && limited ? std::max(paused, limited) : paused ? paused : limited;
+    return std::max(pauses.pausedUntil(server, now), permits.blockedUntil(server, now));
 }
 
-std::optional<TimePoint>
-DispatchState::allBlockedUntil(const std::vector<const AnnouncedServer *> &candidates,
-                               TimePoint now) const
+std::optional<TimePoint> DispatchState::allBlockedUntil(const ServiceName &service,
+                                                        EnginePhase phase, TimePoint now) const
 {
+    if (!permits.hasBlockedServers(now) && !pauses.hasPauses(now)) {
+        return std::nullopt;
+    }
     std::optional<TimePoint> first;
-    for (const AnnouncedServer *server : candidates) {
-        const auto until = blockedUntil(server->name, now);
-        if (!until) {
+    bool isOneUsable = false;
+    const auto visit = [&](const AnnouncedServer &server) {
+        const auto until = blockedUntil(server.name, now);
+        isOneUsable = server.phase == phase && !until;
+        first = server.phase == phase ? earlier(first, until) : first;
+        return !isOneUsable;
+    };
+    for (const DomainName &domain : servers.domainsOf(service)) {
+        servers.visitUsable(service, domain, now, visit);
+        if (isOneUsable) {
             return std::nullopt;
         }
-        first = earlier(first, until);
     }
     return first;
 }
 
-std::vector<ServerName> DispatchState::unusableServers(TimePoint now) const
+std::vector<ServerName> DispatchState::unusableServers(const ServiceName &service,
+                                                       TimePoint now) const
 {
     std::vector<ServerName> names = permits.blockedServers(now);
-    const std::vector<ServerName> leaving = servers.leavingUnannounced();
-    names.insert(names.end(), leaving.begin(), leaving.end());
-    const std::vector<ServerName> paused = pauses.paused(now);
-    names.insert(names.end(), paused.begin(), paused.end());
+    for (const auto &more : {servers.leavingUnannounced(), pauses.paused(now)}) {
+        names.insert(names.end(), more.begin(), more.end());
+    }
+    std::erase_if(names, [&](const ServerName &name) {
+        const AnnouncedServer *server = servers.find(name);
+        return !server || server->service != service;
+    });
     return names;
 }
 
--- a/src/dispatch/dispatchstate.h
+++ b/src/dispatch/dispatchstate.h
@@ -14,6 +14,9 @@
 
 namespace indigoway::dispatch {
 
+/** Bounds the queries for permits of a request while most servers announce rate limits. */
+constexpr std::uint32_t MaxRefusedPermits = 3;
+
 /** Configuration of a node's dispatcher. */
 struct DispatchSettings
 {
@@ -60,8 +63,7 @@
      */
     std::optional<Duration> remainingRefusal(const ContentId &content, TimePoint now) const;
     NodeRetryBudget &retryBudget(const ServiceName &service);
-    /** Records what @p server says about itself in the answer to a call that started at @p started.
-     */
+    /** Records the advice in the answer of @p server to a call that started at @p started. */
     void recordAdvice(Step &step, const ServerName &server, const ServerAdvice &advice,
                       TimePoint started);
     /** Requests a permit to send @p request to @p server, see ServerPermits::request(). */
@@ -78,18 +80,17 @@
     {
         return blockedUntil(server, now).has_value();
     }
-    bool hasBlockedServers(TimePoint now) const
-    {
-        return permits.hasBlockedServers(now) || pauses.hasPauses(now);
-    }
     /**
-     * Returns when the first of @p candidates may be used again, or nothing if one may be used now
-     * or there are none.
+     * Returns when the first server of @p service accepts requests again if the node must not use
+     * any of them now; otherwise nothing.
      */
-    std::optional<TimePoint> allBlockedUntil(const std::vector<const AnnouncedServer *> &candidates,
+    std::optional<TimePoint> allBlockedUntil(const ServiceName &service, EnginePhase phase,
                                              TimePoint now) const;
-    /** Returns the servers that the scheduling node may grant and that this node must not use. */
-    std::vector<ServerName> unusableServers(TimePoint now) const;
+    /**
+     * Returns the servers of @p service that the scheduling node may grant and that this node must
+     * not use.
+     */
+    std::vector<ServerName> unusableServers(const ServiceName &service, TimePoint now) const;
 };
 
 void sendToRateLimiter(Step &step, ratelimits::ServerPermits::Messages messages);
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -33,8 +33,6 @@
 /** Reservations that expire within this time are not used. */
 constexpr Duration ReservationMargin = std::chrono::milliseconds(100);
 constexpr std::uint32_t MaxPrefillAttempts = 2;
-/** Bounds the datagrams of a request while most engines announce rate limits. */
-constexpr std::uint32_t MaxRefusedPermits = 3;
 
 EnginePlacement::Need engineNeedOf(Step &step, const OpenRequest &request, const DomainName &domain)
 {
@@ -166,7 +164,7 @@
 void GenerationFlow::processQueue(Step &step)
 {
     rejectOverdue(step);
-    rejectWhileAllEnginesAreBlocked(step);
+    rejectBlocked(step);
     for (const RequestNumber number : m_claims.tick(step, m_state.requests)) {
         m_state.requests.find(number)->claim = {};
     }
@@ -215,12 +213,13 @@
     }
 }
 
-void GenerationFlow::rejectWhileAllEnginesAreBlocked(Step &step)
+void GenerationFlow::rejectBlocked(Step &step)
 {
     std::vector<RequestNumber> rejected;
     for (const RequestNumber number : m_waiting) {
-        const OpenRequest *request = m_state.requests.find(number);
-        if (decodeEnginesBlockedUntil(step, *request)) {
+        const OpenRequest &request = *m_state.requests.find(number);
+        const auto until = decodeEnginesBlockedUntil(step, request);
+        if (until && *until > request.waitingSince + maxQueueTime(request)) {
             rejected.push_back(number);
         }
     }
@@ -232,20 +231,16 @@
 std::optional<TimePoint> GenerationFlow::decodeEnginesBlockedUntil(Step &step,
                                                                    const OpenRequest &request) const
 {
-    if (!m_state.hasBlockedServers(step.now)) {
-        return std::nullopt;
-    }
-    return m_state.allBlockedUntil(
-        m_state.servers.candidates(request.service->name, EnginePhase::Decode, step.now), step.now);
+    return m_state.allBlockedUntil(request.service->name, EnginePhase::Decode, step.now);
 }
 
 void GenerationFlow::claimForWaiting(Step &step)
 {
-    const std::vector<ServerName> blocked = m_state.unusableServers(step.now);
     for (const RequestNumber number : m_waiting) {
         OpenRequest &request = *m_state.requests.find(number);
-        if (request.claim.isNone()) {
-            m_claims.claim(step, request, m_state.settings.domain, maxQueueTime(request), blocked);
+        if (request.claim.isNone() && !decodeEnginesBlockedUntil(step, request)) {
+            m_claims.claim(step, request, m_state.settings.domain, maxQueueTime(request),
+                           m_state.unusableServers(request.service->name, step.now));
         }
     }
 }
--- a/src/dispatch/generationflow.h
+++ b/src/dispatch/generationflow.h
@@ -49,9 +49,9 @@
     void processQueue(Step &step);
     OpenRequest *nextWaiting(Step &step);
     void rejectOverdue(Step &step);
-    /** Rejects what waits while no decode engine accepts requests of this node. */
-    void rejectWhileAllEnginesAreBlocked(Step &step);
-    /** Returns when a decode engine accepts requests again, or nothing if one does now. */
+    /** Rejects what waits if no decode engine accepts requests of this node in time. */
+    void rejectBlocked(Step &step);
+    /** Returns when a decode engine accepts requests again; nothing if one does now. */
     std::optional<TimePoint> decodeEnginesBlockedUntil(Step &step,
                                                        const OpenRequest &request) const;
     void claimForWaiting(Step &step);
--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -17,8 +17,6 @@
 constexpr std::size_t MaxServersTried = 4;
 /** Retry delay after a rejection; about the queueing time of a full server. */
 constexpr Duration RetryDelay = std::chrono::milliseconds(250);
-/** Bounds the datagrams of a request while most servers announce rate limits. */
-constexpr std::uint32_t MaxRefusedPermits = 3;
 /** Cost of a server in another failure domain: the network round trip. */
 constexpr double OtherDomainPenaltyMilliseconds = 3;
 
@@ -139,8 +137,8 @@
 
 void PlainFlow::rejectNotExecuted(Step &step, OpenRequest &request, const std::string &reason)
 {
-    const auto unblockedAt = m_state.allBlockedUntil(
-        m_state.servers.candidates(request.service->name, EnginePhase::None, step.now), step.now);
+    const auto unblockedAt =
+        m_state.allBlockedUntil(request.service->name, EnginePhase::None, step.now);
     const Duration wait = unblockedAt ? *unblockedAt - step.now : Duration(0);
     m_state.requests.reject(step, request, wait + step.jitter(RetryDelay), reason);
 }
--- a/tests/dispatch/pausedservertest.cpp
+++ b/tests/dispatch/pausedservertest.cpp
@@ -54,6 +54,8 @@
     CPPUNIT_TEST(pausedPrefillEngineIsNotUsed);
     CPPUNIT_TEST(reservedRequestGoesElsewhere);
     CPPUNIT_TEST(generationsAreRejectedAtOnceIfAllEnginesArePaused);
+    CPPUNIT_TEST(generationWaitsForAPauseThatEndsInTime);
+    CPPUNIT_TEST(claimWaitsForAPauseThatEndsInTime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -253,6 +255,40 @@
         CPPUNIT_ASSERT(harness.retryAfter(request)
                        >= std::chrono::milliseconds(PauseMilliseconds - 1000));
     }
+
+    // Guards against rejecting callers, or cutting streams, for a pause of a moment.
+    void generationWaitsForAPauseThatEndsInTime()
+    {
+        DispatcherHarness harness;
+        harness.useRoutes();
+        harness.addServer("d1", EnginePhase::Decode);
+        harness.addServer("p1", EnginePhase::Prefill);
+        const auto request = harness.arrive(0, "stream", 500);
+        harness.end(5, harness.nextCall(CallKind::Reserve), CallEnd::NotExecuted, 503,
+                    ServerAdvice {.pause = std::chrono::milliseconds(300)});
+        harness.advance(10, 300);
+        CPPUNIT_ASSERT(!harness.hasCalls());
+        harness.advance(310, 400);
+        harness.nextCall(CallKind::Reserve);
+        CPPUNIT_ASSERT_EQUAL(text("open"), harness.outcome(request));
+    }
+
+    // Guards against a claim that excludes an engine for longer than its pause.
+    void claimWaitsForAPauseThatEndsInTime()
+    {
+        DispatcherHarness harness;
+        harness.useRoutes();
+        harness.addServer("d1", EnginePhase::Decode);
+        harness.addServer("p1", EnginePhase::Prefill);
+        harness.arrive(0, "stream", 500);
+        harness.end(5, harness.nextCall(CallKind::Reserve), CallEnd::NotExecuted, 503,
+                    ServerAdvice {.pause = std::chrono::milliseconds(300)});
+        harness.dispatcher().setScheduler(NodeName("n"));
+        harness.advance(10, 300);
+        CPPUNIT_ASSERT(!harness.hasSchedulerMessage());
+        harness.advance(310, 450);
+        CPPUNIT_ASSERT(harness.nextSchedulerMessage<scheduling::Claim>().excludedServers.empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PausedServerTest);
