Hold a plain request whose server is paused while it waits for a permit

Found by reading the diff: the check was written for generations only. A request whose permit had been asked for before the server's pause was sent to it during the pause (requestWithAPermitRespectsThePause failed before).

--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -90,8 +90,8 @@
 {
     request.stage = Stage::Calling;
     const AnnouncedServer *known = m_state.servers.find(server);
-    const bool isUsable =
-        known && m_state.servers.availability(server, step.now) != ServerAvailability::Leaving;
+    const bool isUsable = known && !m_state.isBlocked(server, step.now)
+        && m_state.servers.availability(server, step.now) != ServerAvailability::Leaving;
     if (!isGranted || !isUsable) {
         send(step, request);
     } else if (!refuseContent(step, request)) {
--- a/tests/dispatch/pausedservertest.cpp
+++ b/tests/dispatch/pausedservertest.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(refusedCallerReturnsAfterThePause);
     CPPUNIT_TEST(nextLifeIsNotPaused);
     CPPUNIT_TEST(otherServerGetsTheRefusedRequest);
+    CPPUNIT_TEST(requestWithAPermitRespectsThePause);
     CPPUNIT_TEST(pausedEngineIsNotReserved);
     CPPUNIT_TEST(pausedEngineIsNotGranted);
     CPPUNIT_TEST(pausedPrefillEngineIsNotUsed);
@@ -155,6 +156,29 @@
         CPPUNIT_ASSERT_EQUAL(text("delivered"), harness.outcome(request));
     }
 
+    // Guards against sending a request whose permit was asked for before the pause.
+    void requestWithAPermitRespectsThePause()
+    {
+        DispatcherHarness harness;
+        harness.useRoutes();
+        harness.addServer("a");
+        harness.arrive(0, "plain");
+        const StartCall other = harness.nextCall(CallKind::Plain);
+        harness.arrive(0, "plain");
+        harness.end(10, harness.nextCall(CallKind::Plain), CallEnd::Complete, 200,
+                    ServerAdvice {.requestsPerSecond = 100});
+        harness.dispatcher().setScheduler(NodeName("n"));
+        const auto request = harness.arrive(20, "plain");
+        CPPUNIT_ASSERT(!harness.hasCalls());
+        harness.end(21, other, CallEnd::NotExecuted, 503,
+                    ServerAdvice {.requestsPerSecond = 100, .pause = Pause.pause});
+        harness.reduce(22,
+                       RateLimiterAnswered {ratelimits::PermitAnswer {ratelimits::PermitId(1), true,
+                                                                      Duration(0), false}});
+        CPPUNIT_ASSERT(!harness.hasCalls());
+        CPPUNIT_ASSERT_EQUAL(text("rejected"), harness.outcome(request));
+    }
+
     // Guards against overlooking the pause in the refusal of a reservation.
     void pausedEngineIsNotReserved()
     {
