Index the leaving servers whose entries do not say so

Found by reading the diff: each claim walked all marks of leaving servers, 10,000 at the most after a long life of the node. ServerDirectory keeps the few that matter.

--- a/src/dispatch/dispatchstate.cpp
+++ b/src/dispatch/dispatchstate.cpp
@@ -131,9 +131,10 @@
                                                        TimePoint now) const
 {
     std::vector<ServerName> names = permits.blockedServers(now);
-    for (const auto &more : {servers.leavingUnannounced(), pauses.paused(now)}) {
-        names.insert(names.end(), more.begin(), more.end());
-    }
+    const std::vector<ServerName> paused = pauses.paused(now);
+    names.insert(names.end(), paused.begin(), paused.end());
+    const std::set<ServerName> &leaving = servers.leavingUnannounced();
+    names.insert(names.end(), leaving.begin(), leaving.end());
     std::erase_if(names, [&](const ServerName &name) {
         const AnnouncedServer *server = servers.find(name);
         return !server || server->service != service;
--- a/src/fleet/serverdirectory.cpp
+++ b/src/fleet/serverdirectory.cpp
@@ -33,6 +33,7 @@
     m_byDomain[server.service][server.domain][name] = &entry;
     entry.server = std::move(server);
     entry.withdrawnAt.reset();
+    updateLeavingUnannounced(entry);
     return earlier;
 }
 
@@ -58,20 +59,18 @@
     const auto it = m_entries.find(name);
     if (it != m_entries.end()) {
         it->second.hasSaidLeaving = true;
+        updateLeavingUnannounced(it->second);
     }
     return true;
 }
 
-std::vector<ServerName> ServerDirectory::leavingUnannounced() const
+void ServerDirectory::updateLeavingUnannounced(const Entry &entry)
 {
-    std::vector<ServerName> names;
-    for (const ServerName &name : m_saidLeaving) {
-        const auto it = m_entries.find(name);
-        if (it != m_entries.end() && !it->second.server.isDraining) {
-            names.push_back(name);
-        }
+    if (entry.hasSaidLeaving && !entry.server.isDraining) {
+        m_leavingUnannounced.insert(entry.server.name);
+    } else {
+        m_leavingUnannounced.erase(entry.server.name);
     }
-    return names;
 }
 
 void ServerDirectory::remove(const ServerName &name)
@@ -104,6 +103,7 @@
     }
     const AnnouncedServer &server = it->second.server;
     removeFromIndexes(server);
+    m_leavingUnannounced.erase(server.name);
     const auto instance = m_byInstance.find(server.instance);
     if (instance != m_byInstance.end() && instance->second == server.name) {
         m_byInstance.erase(instance);
--- a/src/fleet/serverdirectory.h
+++ b/src/fleet/serverdirectory.h
@@ -49,7 +49,7 @@
      */
     bool markLeaving(const ServerName &name);
     /** Returns the marked servers whose entries do not say that they are leaving. */
-    std::vector<ServerName> leavingUnannounced() const;
+    const std::set<ServerName> &leavingUnannounced() const { return m_leavingUnannounced; }
     /** Removes a server that has gone or must not be used, without keeping it as a last resort. */
     void remove(const ServerName &name);
     /**
@@ -92,6 +92,7 @@
     std::map<ServerName, Entry>::iterator erase(std::map<ServerName, Entry>::iterator it);
     static ServerAvailability availabilityOf(const Entry &entry, TimePoint now);
     void removeFromIndexes(const AnnouncedServer &server);
+    void updateLeavingUnannounced(const Entry &entry);
 
     struct WithdrawnEntry
     {
@@ -103,7 +104,8 @@
     /** Marked servers, including those whose entries were removed. */
     std::set<ServerName> m_saidLeaving;
     std::deque<ServerName> m_saidLeavingOrder; ///< Oldest first.
-    std::deque<WithdrawnEntry> m_withdrawn;    ///< Removed entries, oldest first.
+    std::set<ServerName> m_leavingUnannounced;
+    std::deque<WithdrawnEntry> m_withdrawn; ///< Removed entries, oldest first.
     std::map<std::string, ServerName> m_byInstance;
     using Entries = std::map<ServerName, const Entry *>;
 
