Send what gets no permit to a server without a limit

Found by reading the diff: after three refused permits a request was rejected although a server without a limit was free: 212 of some 600 requests with 12 of 14 servers limited (requestsReachTheServerWithoutALimit failed before).

--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -338,8 +338,6 @@
         prefill(step, request);
     } else if (isUsable) {
         startReservation(step, request, *known);
-    } else if (request.refusedPermits >= MaxRefusedPermits) {
-        failUnsent(step, request, "rate limits of engines");
     } else {
         waitForOtherEngine(step, request);
     }
--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -105,7 +105,7 @@
         return;
     }
     const AnnouncedServer *server = pickServer(step, request);
-    while (server && request.refusedPermits < MaxRefusedPermits) {
+    while (server) {
         switch (m_state.requestPermit(step, request, server->name)) {
         case ratelimits::PermitDecision::Granted:
             sendTo(step, request, *server);
@@ -164,11 +164,13 @@
 {
     const auto candidates =
         m_state.servers.candidates(request.service->name, EnginePhase::None, step.now);
+    // A permit is not spent on a retry while first attempts wait for one.
+    const bool mayAskForPermit =
+        request.executions == 0 && request.refusedPermits < MaxRefusedPermits;
     std::vector<const AnnouncedServer *> untried;
     for (const AnnouncedServer *server : candidates) {
-        // A permit is not spent on a retry while first attempts wait for one.
-        const bool isLimited = request.executions > 0 && m_state.permits.isLimited(server->name);
-        if (!request.triedServers.contains(server->name) && !isLimited
+        const bool mayUse = mayAskForPermit || !m_state.permits.isLimited(server->name);
+        if (mayUse && !request.triedServers.contains(server->name)
             && !m_state.isBlocked(server->name, step.now)) {
             untried.push_back(server);
         }
--- a/tests/ratelimits/ratelimitfleettest.cpp
+++ b/tests/ratelimits/ratelimitfleettest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST_SUITE(RateLimitFleetTest);
     CPPUNIT_TEST(nodesTogetherStayWithinTheLimitOfAServer);
     CPPUNIT_TEST(serversGetMostOfTheirLimit);
+    CPPUNIT_TEST(requestsReachTheServerWithoutALimit);
     CPPUNIT_TEST(endOfALimitReachesAllNodes);
     CPPUNIT_TEST(holdsWhileTheRateLimiterIsSilent);
     CPPUNIT_TEST(holdsWithoutARateLimiter);
@@ -72,6 +73,20 @@
         }
     }
 
+    // Guards against rejecting callers while a server without a limit is free.
+    void requestsReachTheServerWithoutALimit()
+    {
+        for (const bool isGeneration : {false, true}) {
+            LimitedFleet fleet(
+                {.servers = 14, .requestsPerSecond = 20, .isGeneration = isGeneration});
+            for (std::size_t server = 0; server < 12; ++server) {
+                fleet.setLimit(server, 0.2);
+            }
+            fleet.run(30s);
+            CPPUNIT_ASSERT_EQUAL(std::size_t {0}, fleet.refused() + fleet.failed());
+        }
+    }
+
     // Guards against nodes that keep to a limit long after the server has ended it.
     void endOfALimitReachesAllNodes()
     {
