Soak: servers that limit and refuse requests in their answers

A series of its own beside the other faults, drawn from its own random numbers, so that the seeds kept keep their faults.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -34,6 +34,19 @@
             await asyncio.sleep(self.random.uniform(0.1, 0.9))
         await asyncio.gather(*tasks)
 
+    async def advise(self, random, until):
+        """Servers limit and refuse requests in their answers for a while, one at a time."""
+        while self.clock() < until:
+            worker = random.choice(["w-1", "p-1", "d-1"])
+            limit = {"Server-Limit": str(random.choice([0, 0.5, 3, 20]))}
+            refusal = random.choice(["0.3", "1.5"])
+            advice = random.choice([{"headers": limit}, {"headers": {}, "refuses_for": refusal}])
+            self.log.write(f"advice {self.clock():.2f} {worker} {advice}\n")
+            await self.platform.control({"advice": {"worker": worker, **advice}})
+            await asyncio.sleep(random.uniform(0.2, 2.0))
+            await self.platform.control({"advice": {"worker": worker, "headers": {}}})
+            await asyncio.sleep(random.uniform(0.1, 1.0))
+
     async def _strike(self, fault):
         node = self.random.choice(self.nodes)
         start = self.clock()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,8 +9,8 @@
 is checked: every answer is the caller's own, and whole or visibly cut; nothing runs twice; what
 was refused as not run never runs; nothing is silent beyond a caller's patience on a node that no
 fault touched; a node that leaves cuts no stream; no process ends by itself; and when the faults
-are over, all nodes serve and no engine memory is held. Keys come and go meanwhile, and one organisation
-sends far more than its quota (organisations.py).
+are over, all nodes serve and no engine memory is held. Servers limit and refuse requests in their answers,
+and keys come and go meanwhile; one organisation sends far more than its quota (organisations.py).
 """
 
 import argparse
@@ -126,7 +126,8 @@
                organisation.HOT_KEY)
         for node in nodes
     ]
-    await asyncio.gather(faults.run(until), *(caller.run(until + 1.0) for caller in callers),
+    advising = faults.advise(random.Random(f"{seed}/advice"), until)
+    await asyncio.gather(faults.run(until), advising, *(caller.run(until + 1.0) for caller in callers),
                          *(caller.run_without_pause(until + 1.0) for caller in hot))
     callers += hot
     for node in nodes:
