--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -340,7 +340,7 @@
     ratelimits::ServerPermits::Messages messages;
     const auto results = m_state.permits.tick(step.now, messages);
     sendToRateLimiter(step, std::move(messages));
-    if (!results.empty()) {
+    if (!results.empty() && !m_state.permits.isLimiterReachable(step.now)) {
         step.add(
             LogDecision {"rate_limiter_silent", {}, "permits=" + std::to_string(results.size())});
     }
--- a/src/ratelimits/serverpermits.cpp
+++ b/src/ratelimits/serverpermits.cpp
@@ -160,8 +160,9 @@
 
 std::vector<PermitResult> ServerPermits::tick(TimePoint now, Messages &messages)
 {
+    std::vector<PermitResult> results = takeUnlimited();
     if (m_pending.empty()) {
-        return {};
+        return results;
     }
     bool isLimiterSilent = !m_limiter;
     for (auto &[id, pending] : m_pending) {
@@ -176,11 +177,26 @@
         pending.sentAt = now;
         messages.emplace_back(PermitQuery {id, knownLimit(now, pending.server)});
     }
-    if (!isLimiterSilent) {
-        return {};
+    if (isLimiterSilent) {
+        m_backoffUntil = now + LimiterBackoff;
+        const std::vector<PermitResult> local = decideAllLocally(now);
+        results.insert(results.end(), local.begin(), local.end());
     }
-    m_backoffUntil = now + LimiterBackoff;
-    return decideAllLocally(now);
+    return results;
+}
+
+std::vector<PermitResult> ServerPermits::takeUnlimited()
+{
+    std::vector<PermitResult> results;
+    std::erase_if(m_pending, [&](const auto &one) {
+        const PendingPermit &pending = one.second;
+        if (isLimited(pending.server)) {
+            return false;
+        }
+        results.push_back({pending.request, pending.server, true, false});
+        return true;
+    });
+    return results;
 }
 
 std::optional<TimePoint> ServerPermits::nextTick() const
--- a/src/ratelimits/serverpermits.h
+++ b/src/ratelimits/serverpermits.h
@@ -58,6 +58,7 @@
     bool hasBlockedServers(TimePoint now) const;
     /** Returns the servers that get no requests of this node now. */
     std::vector<ServerName> blockedServers(TimePoint now) const;
+    bool isLimiterReachable(TimePoint now) const { return m_limiter && now >= m_backoffUntil; }
     std::size_t limitedServers() const { return m_limits.size(); }
 
     /**
@@ -77,7 +78,8 @@
     std::vector<KnownLimit> handleNotice(TimePoint now, const LimitNotice &notice);
     /**
      * Repeats queries that are not answered.
-     * @return the permits decided locally because the rate limiter does not answer
+     * @return the permits decided locally, because the rate limiter does not answer or the server
+     * has no limit any more
      */
     std::vector<PermitResult> tick(TimePoint now, Messages &messages);
     /** Returns the time at which tick() must be called next. */
@@ -92,10 +94,11 @@
         std::uint32_t sendCount = 0;
     };
 
-    bool isLimiterReachable(TimePoint now) const { return m_limiter && now >= m_backoffUntil; }
     KnownLimit knownLimit(TimePoint now, const ServerName &server) const;
     bool decideLocally(TimePoint now, const ServerName &server);
     std::vector<PermitResult> decideAllLocally(TimePoint now);
+    /** Grants the pending permits for servers that have no limit any more. */
+    std::vector<PermitResult> takeUnlimited();
     void endLimit(const ServerName &server);
 
     AnnouncedRateLimits m_limits;
--- a/tests/ratelimits/serverpermitstest.cpp
+++ b/tests/ratelimits/serverpermitstest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(asksTheRateLimiterAndRepeats);
     CPPUNIT_TEST(refusalBlocksTheServerUntilTheRetryTime);
     CPPUNIT_TEST(abandonedPermitHasNoResult);
+    CPPUNIT_TEST(endOfALimitGrantsPendingPermits);
     CPPUNIT_TEST(reportsTheStartAndEndOfALimit);
     CPPUNIT_TEST(localShareBeginsEmpty);
     CPPUNIT_TEST(removesTheLimitsOfServersThatEnded);
@@ -91,6 +92,21 @@
         CPPUNIT_ASSERT(!permits.nextTick());
     }
 
+    // Guards against a repeated query that reports a limit of 0 for a server that has none any
+    // more.
+    void endOfALimitGrantsPendingPermits()
+    {
+        ServerPermits permits = limited();
+        permits.request(at(1s), Request, Server, m_messages);
+        permits.record(Server, std::nullopt, at(1s), at(1010ms), m_messages);
+        m_messages.clear();
+        const auto results = permits.tick(at(1040ms), m_messages);
+        CPPUNIT_ASSERT(m_messages.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, results.size());
+        CPPUNIT_ASSERT(results.front().isGranted && results.front().request == Request);
+        CPPUNIT_ASSERT(!permits.nextTick());
+    }
+
     void reportsTheStartAndEndOfALimit()
     {
         ServerPermits permits;
