Read the reported speed of plain servers and choose by it

Cause: a server that shares its machine adds a fourth figure to Indigoway-Server-Load, how long work currently takes there.

Change: lists of three or more figures are read, the first four are used (ServerLoad::workPercent). A list with anything that is no number, and a speed of 0 or above 100,000, is ignored as a whole and logged as server_load_malformed. ServerTracker scales a server's expected answer time by the figure relative to the mean figure of the answers behind its average; the weight halves every 150 ms, as the speed changes several times a second. Servers that report three figures are chosen as before.

--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -53,6 +53,10 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /**
+     * How long work currently takes at the server, 100 as usual; nothing if it does not report it.
+     */
+    std::optional<std::uint32_t> workPercent = {};
 };
 
 /** What a server says about itself in the headers of an answer. */
@@ -88,6 +92,7 @@
     CallEnd end = CallEnd::Broken;
     int status = 0; ///< 0 if there was no answer.
     std::optional<ServerLoad> load;
+    bool isLoadMalformed = false; ///< The server reported a load that cannot be read.
     /** Nothing if the server sent no answer, or if StreamStarted carried its advice. */
     std::optional<ServerAdvice> advice;
     std::string reservation;            ///< Of a Reserve that was granted.
--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -44,6 +44,10 @@
     if (event.load) {
         m_state.tracker.recordLoad(server, *event.load, step.now);
     }
+    if (event.isLoadMalformed) {
+        step.add(LogDecision {"server_load_malformed", request.arrival.callerId,
+                              "server=" + server.text()});
+    }
     switch (event.end) {
     case CallEnd::Complete:
         handleAnswer(step, request, call, event);
--- a/src/dispatch/servertracker.cpp
+++ b/src/dispatch/servertracker.cpp
@@ -1,6 +1,7 @@
 #include "servertracker.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace indigoway::dispatch {
 
@@ -16,6 +17,10 @@
 constexpr Duration HalfLife = std::chrono::seconds(3);
 /** Time during which a reported load is considered current. */
 constexpr Duration LoadValidity = std::chrono::milliseconds(300);
+/** Speed of a server that shares its machine with no other work. */
+constexpr double UsualWorkPercent = 100;
+/** Half-life of a reported speed's weight; the speed changes several times a second. */
+constexpr Duration WorkPercentHalfLife = std::chrono::milliseconds(150);
 /** Consecutive failures after which a server is avoided. */
 constexpr std::uint32_t FailuresToAvoid = 2;
 constexpr Duration InitialAvoidance = std::chrono::milliseconds(800);
@@ -55,6 +60,13 @@
         ? milliseconds
         : statistics.averageMilliseconds
             + SampleWeight * (milliseconds - statistics.averageMilliseconds);
+    if (statistics.load && statistics.load->workPercent && statistics.loadReportedAt == now) {
+        const double percent = *statistics.load->workPercent;
+        statistics.averageWorkPercent = statistics.averageWorkPercent == 0
+            ? percent
+            : statistics.averageWorkPercent
+                + SampleWeight * (percent - statistics.averageWorkPercent);
+    }
     addFailureSample(statistics, !isSuccess, now);
     statistics.consecutiveFailures = 0;
     statistics.avoidedUntil = {};
@@ -173,7 +185,20 @@
     }
     // A failure costs a retry, several times the answer time.
     constexpr double FailureCost = 4;
-    return base * (1 + competingCalls) * (1 + FailureCost * weight * statistics.failureRate);
+    return base * slowdown(statistics, now) * (1 + competingCalls)
+        * (1 + FailureCost * weight * statistics.failureRate);
+}
+
+double ServerTracker::slowdown(const ServerStatistics &statistics, TimePoint now) const
+{
+    if (!statistics.load || !statistics.load->workPercent) {
+        return 1;
+    }
+    const double halfLives = static_cast<double>((now - statistics.loadReportedAt).count())
+        / static_cast<double>(WorkPercentHalfLife.count());
+    const double usual =
+        statistics.averageWorkPercent == 0 ? UsualWorkPercent : statistics.averageWorkPercent;
+    return 1 + std::exp2(-halfLives) * (*statistics.load->workPercent / usual - 1);
 }
 
 void ServerTracker::addFailureSample(ServerStatistics &statistics, bool isFailure, TimePoint now)
--- a/src/dispatch/servertracker.h
+++ b/src/dispatch/servertracker.h
@@ -48,7 +48,8 @@
     double meanAnswerMilliseconds(const std::vector<const AnnouncedServer *> &servers) const;
     /**
      * Returns the expected time to a successful answer to a new call, in milliseconds, from the
-     * answer times, failures and open calls. For comparisons between servers of one service.
+     * answer times, failures, open calls and reported speed. For comparisons between servers of one
+     * service.
      * @param mean The mean answer time of the service; half of it is assumed for servers without
      * recent samples.
      */
@@ -59,7 +60,9 @@
     {
         std::uint32_t openCalls = 0;
         double averageMilliseconds = 0; ///< Moving average; 0 without samples.
-        double failureRate = 0;         ///< Moving average.
+        /** Moving average of the speeds reported with these answers; 0 without samples. */
+        double averageWorkPercent = 0;
+        double failureRate = 0; ///< Moving average.
         std::uint32_t consecutiveFailures = 0;
         TimePoint lastSampleAt {};
         TimePoint avoidedUntil {};
@@ -68,6 +71,11 @@
     };
 
     void addFailureSample(ServerStatistics &statistics, bool isFailure, TimePoint now);
+    /**
+     * Returns the factor by which the server's reported speed makes answers slower than those that
+     * its average is made of.
+     */
+    double slowdown(const ServerStatistics &statistics, TimePoint now) const;
 
     std::map<ServerName, ServerStatistics> m_statistics;
 };
--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -18,6 +18,7 @@
     bool hasServerStamp = false; ///< The server has stamped the answer, so it executed the request.
     bool isNotExecuted = false;  ///< The server states that it did not execute the request.
     std::optional<dispatch::ServerLoad> load;
+    bool isLoadMalformed = false; ///< A load was reported that cannot be read.
     /** Nothing if another server than the expected one answered. */
     std::optional<dispatch::ServerAdvice> advice;
 };
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -153,6 +153,7 @@
     ended.call = open.call.call;
     ended.status = open.head.status;
     ended.load = open.info.load;
+    ended.isLoadMalformed = open.info.isLoadMalformed;
     ended.advice = open.hasStarted ? std::nullopt : open.info.advice;
     ended.reason = reason;
     ended.isConnectionLost = end == TransferEnd::ConnectionLost;
--- a/tests/platform/platformdialecttest.cpp
+++ b/tests/platform/platformdialecttest.cpp
@@ -72,6 +72,8 @@
     CPPUNIT_TEST(malformedOrganisationsGrantNoAccess);
     CPPUNIT_TEST(sendsTheLastEventId);
     CPPUNIT_TEST(matchesAnswersToRequests);
+    CPPUNIT_TEST(decodesLoadsOfServersWithUnevenSpeed);
+    CPPUNIT_TEST(ignoresMalformedLoads);
     CPPUNIT_TEST(decodesGrants);
     CPPUNIT_TEST(decodesTheDesiredState);
     CPPUNIT_TEST(decodesAServer);
@@ -295,6 +297,47 @@
         CPPUNIT_ASSERT(m_dialect.readAnswer(head).isNotExecuted);
     }
 
+    AnswerInfo readLoad(const std::string &value) const
+    {
+        MessageHead head;
+        head.status = 200;
+        head.headers = {{"Indigoway-Server-Load", value}};
+        return m_dialect.readAnswer(head);
+    }
+
+    // A server that shares its machine adds a fourth figure. Guards against the loss of the whole
+    // report, so that the node chooses among such servers without any load information.
+    void decodesLoadsOfServersWithUnevenSpeed()
+    {
+        for (const char *value : {"3,1,6,250", "3,1,6,250,7", " 3, 1, 6, 250 "}) {
+            const AnswerInfo info = readLoad(value);
+            CPPUNIT_ASSERT_MESSAGE(value, info.load.has_value());
+            CPPUNIT_ASSERT_EQUAL(3U, info.load->running);
+            CPPUNIT_ASSERT_EQUAL(1U, info.load->waiting);
+            CPPUNIT_ASSERT_EQUAL(6U, info.load->slots);
+            CPPUNIT_ASSERT_EQUAL(250U, info.load->workPercent.value_or(0));
+        }
+        const AnswerInfo three = readLoad("3,1,6");
+        CPPUNIT_ASSERT(three.load.has_value());
+        CPPUNIT_ASSERT(!three.load->workPercent.has_value());
+    }
+
+    // Guards against the use of a part of a report that cannot be read, or of a speed that would
+    // make a server look infinitely fast.
+    void ignoresMalformedLoads()
+    {
+        for (const char *value :
+             {"", "3", "3,1", "3,1,6,", "3,1,6,x", "3,1,6,250,x", "3,1,6,-5", "3,1,6,2.5",
+              "3,1,6,0", "3,1,6,100001", "3,1,6,99999999999", "a,1,6,250"}) {
+            CPPUNIT_ASSERT_MESSAGE(value, !readLoad(value).load.has_value());
+        }
+        CPPUNIT_ASSERT(readLoad("3,1,6,x").isLoadMalformed);
+        CPPUNIT_ASSERT(!readLoad("3,1,6,250").isLoadMalformed);
+        MessageHead silent;
+        silent.status = 200;
+        CPPUNIT_ASSERT(!m_dialect.readAnswer(silent).isLoadMalformed);
+    }
+
     void decodesGrants()
     {
         CPPUNIT_ASSERT_EQUAL(
