Members and message for backups and organisations in the scheduler's protocol

Cause: nodes and the engine scheduler need to agree on backups of runs and on the organisation of a claim. Change: Claim gains organisation and wantsBackup, ClaimGranted and ReservationReport gain backupServer, and RunMoved reports that a run continues on its backup. Members are written only where they are set; missing members and members of another type mean none. The scheduler ignores RunMoved until it names backups.

--- a/src/scheduling/enginescheduler.cpp
+++ b/src/scheduling/enginescheduler.cpp
@@ -69,8 +69,8 @@
         process(now, key, *reservation);
     } else if (const auto *prefill = std::get_if<PrefillEnded>(&message)) {
         process(now, key, *prefill);
-    } else {
-        process(now, view, key, std::get<ClaimEnded>(message));
+    } else if (const auto *ended = std::get_if<ClaimEnded>(&message)) {
+        process(now, view, key, *ended);
     }
     grantWaiting(now, view, replies);
     if (m_waiting.contains(key)) {
--- a/src/scheduling/schedulercodec.cpp
+++ b/src/scheduling/schedulercodec.cpp
@@ -66,9 +66,23 @@
     for (const ServerName &server : claim.excludedServers) {
         value["without"].append(server.text());
     }
+    if (!claim.organisation.isEmpty()) {
+        value["organisation"] = claim.organisation.text();
+    }
+    if (claim.wantsBackup) {
+        value["backup_wanted"] = true;
+    }
     return value;
 }
 
+/** Adds the backup of a run; a missing member means that there is none. */
+void writeBackup(Json::Value &value, const ServerName &backup)
+{
+    if (!backup.isEmpty()) {
+        value["backup"] = backup.text();
+    }
+}
+
 Json::Value body(const NodeLife &from, const ReservationReport &reservation)
 {
     Json::Value value = header("held", from, reservation.claim);
@@ -79,6 +93,7 @@
     if (reservation.elapsedDecodeTime) {
         value["decoding_us"] = Json::Int64(reservation.elapsedDecodeTime->count());
     }
+    writeBackup(value, reservation.backupServer);
     return value;
 }
 
@@ -98,6 +113,11 @@
     return value;
 }
 
+Json::Value body(const NodeLife &from, const RunMoved &moved)
+{
+    return header("moved", from, moved.claim);
+}
+
 Json::Value body(const NodeLife &from, const PhaseChangeNotice &notice)
 {
     Json::Value value = header("changing", from);
@@ -143,6 +163,7 @@
     if (granted.work) {
         write(value, *granted.work);
     }
+    writeBackup(value, granted.backupServer);
     return value;
 }
 
@@ -191,6 +212,8 @@
                                                                  : std::string());
         }
     }
+    claim.organisation = OrganisationName(stringMember(value, "organisation"));
+    claim.wantsBackup = value["backup_wanted"].isBool() && value["backup_wanted"].asBool();
     return claim;
 }
 
@@ -209,6 +232,7 @@
     if (value["decoding_us"].isInt64()) {
         reservation.elapsedDecodeTime = Duration(value["decoding_us"].asInt64());
     }
+    reservation.backupServer = ServerName(stringMember(value, "backup"));
     return reservation;
 }
 
@@ -261,6 +285,9 @@
     if (kind == "ended") {
         return readEnded(value, id);
     }
+    if (kind == "moved") {
+        return RunMoved {id};
+    }
     return std::nullopt;
 }
 
@@ -295,9 +322,12 @@
         return ClaimQueued {id};
     }
     if (kind == "granted") {
-        return ClaimGranted {id, ServerName(stringMember(value, "decode")),
-                             ServerName(stringMember(value, "prefill")), readWork(value),
-                             value["whole"].isBool() && value["whole"].asBool()};
+        return ClaimGranted {id,
+                             ServerName(stringMember(value, "decode")),
+                             ServerName(stringMember(value, "prefill")),
+                             readWork(value),
+                             value["whole"].isBool() && value["whole"].asBool(),
+                             ServerName(stringMember(value, "backup"))};
     }
     if (kind == "refused") {
         return ClaimRefused {id, static_cast<std::uint32_t>(numberMember(value, "ahead")),
--- a/src/scheduling/schedulermessages.h
+++ b/src/scheduling/schedulermessages.h
@@ -42,6 +42,9 @@
     Duration timeToTarget {};
     Duration maxDuration {}; ///< Time after which the request has ended in any case.
     std::vector<ServerName> excludedServers; ///< Engines that have already failed this request.
+    OrganisationName organisation;           ///< Empty if the caller belongs to none.
+    /** Whether the service keeps backups of runs, so that a grant may name a backup. */
+    bool wantsBackup = false;
     bool operator==(const Claim &) const = default;
 };
 
@@ -56,6 +59,7 @@
     ServerName decodeServer;
     Duration maxDuration {};
     std::optional<Duration> elapsedDecodeTime; ///< Time since the first token; unset before it.
+    ServerName backupServer {};                ///< Engine with a copy of the run; empty if none.
     bool operator==(const ReservationReport &) const = default;
 };
 
@@ -84,6 +88,16 @@
     bool operator==(const ClaimEnded &) const = default;
 };
 
+/**
+ * Reports that the run continues on its backup: it counts as a run there from now on, and no longer
+ * at the first engine. Sending it again has no further effect.
+ */
+struct RunMoved
+{
+    ClaimId claim;
+    bool operator==(const RunMoved &) const = default;
+};
+
 /**
  * Reports that an engine is ordered to change its phase; it refuses work until it is announced in
  * the new one.
@@ -107,8 +121,8 @@
     bool operator==(const WorkQuery &) const = default;
 };
 
-using ToScheduler =
-    std::variant<Claim, ReservationReport, PrefillEnded, ClaimEnded, PhaseChangeNotice, WorkQuery>;
+using ToScheduler = std::variant<Claim, ReservationReport, PrefillEnded, ClaimEnded,
+                                 PhaseChangeNotice, WorkQuery, RunMoved>;
 
 /** Confirms that the claim is waiting. */
 struct ClaimQueued
@@ -125,6 +139,7 @@
     std::optional<GenerationWork> work; ///< Mean work of the service's generations, if known.
     /** Whether the decode engine processes the prompt because prefill engines would be too late. */
     bool prefillsLocally = false;
+    ServerName backupServer {}; ///< Engine to which the run is copied; empty if none.
     bool operator==(const ClaimGranted &) const = default;
 };
 
--- a/tests/scheduling/schedulercodectest.cpp
+++ b/tests/scheduling/schedulercodectest.cpp
@@ -39,6 +39,8 @@
     claim.timeToTarget = arbitraryDuration();
     claim.maxDuration = arbitraryDuration();
     claim.excludedServers.assign(*rc::gen::inRange<std::size_t>(0, 4), ServerName(arbitraryName()));
+    claim.organisation = OrganisationName(*rc::gen::element(std::string(), arbitraryName()));
+    claim.wantsBackup = *rc::gen::arbitrary<bool>();
     return claim;
 }
 
@@ -68,6 +70,9 @@
     CPPUNIT_TEST_SUITE(SchedulerCodecTest);
     CPPUNIT_TEST(claimsRoundTrip);
     CPPUNIT_TEST(otherMessagesRoundTrip);
+    CPPUNIT_TEST(missingMembersMeanOldBehaviour);
+    CPPUNIT_TEST(writesNoNewMembersWithoutNeed);
+    CPPUNIT_TEST(ignoresNewMembersOfWrongType);
     CPPUNIT_TEST(rejectsMalformedDatagrams);
     CPPUNIT_TEST_SUITE_END();
 
@@ -84,6 +89,14 @@
             id, ServiceName("s"), {5'000, 70, 90}, ServerName("d"), Duration(77), Duration(8)});
         checkRequest(ReservationReport {
             id, ServiceName("s"), {5'000, 70, 0}, ServerName("d"), Duration(77), std::nullopt});
+        checkRequest(ReservationReport {id,
+                                        ServiceName("s"),
+                                        {5'000, 70, 0},
+                                        ServerName("d"),
+                                        Duration(77),
+                                        std::nullopt,
+                                        ServerName("b")});
+        checkRequest(RunMoved {id});
         checkRequest(PrefillEnded {id, false, false});
         checkRequest(ClaimEnded {id, ClaimOutcome::KvCacheLost});
         checkRequest(
@@ -98,9 +111,56 @@
             ClaimGranted {id, ServerName("d"), ServerName("p"), GenerationWork {0.125, 16'000}});
         checkReply(ClaimGranted {id, ServerName("d"), ServerName("p"),
                                  GenerationWork {0.125, 16'000}, true});
+        checkReply(ClaimGranted {id, ServerName("d"), ServerName("p"), std::nullopt, false,
+                                 ServerName("b")});
         checkReply(ClaimRefused {id, 12, std::chrono::milliseconds(800)});
     }
 
+    // Guards against backups or shares for nodes of an earlier version, which don't ask for them.
+    void missingMembersMeanOldBehaviour()
+    {
+        const auto claim =
+            decodeToScheduler(R"({"kind":"claim","node":"n","life":1,"claim":1,"service":"s"})");
+        CPPUNIT_ASSERT(claim.has_value());
+        CPPUNIT_ASSERT(std::get<Claim>(claim->message).organisation.isEmpty());
+        CPPUNIT_ASSERT(!std::get<Claim>(claim->message).wantsBackup);
+        const auto report = decodeToScheduler(
+            R"({"kind":"held","node":"n","life":1,"claim":1,"service":"s","decode":"d"})");
+        CPPUNIT_ASSERT(report.has_value());
+        CPPUNIT_ASSERT(std::get<ReservationReport>(report->message).backupServer.isEmpty());
+        const auto granted = decodeFromScheduler(
+            R"({"kind":"granted","node":"n","life":1,"claim":1,"decode":"d","prefill":"p"})");
+        CPPUNIT_ASSERT(granted.has_value());
+        CPPUNIT_ASSERT(std::get<ClaimGranted>(granted->message).backupServer.isEmpty());
+    }
+
+    // Guards against a change of the datagrams of deployments without organisations and backups.
+    void writesNoNewMembersWithoutNeed()
+    {
+        Claim message;
+        message.claim = ClaimId(1);
+        const std::string claim = encode(Datagram<ToScheduler> {sender(), message});
+        const ClaimGranted grant {ClaimId(1), ServerName("d"), ServerName("p"), std::nullopt};
+        const std::string granted = encode(Datagram<FromScheduler> {sender(), grant});
+        CPPUNIT_ASSERT(claim.find("organisation") == std::string::npos);
+        CPPUNIT_ASSERT(claim.find("backup") == std::string::npos);
+        CPPUNIT_ASSERT(granted.find("backup") == std::string::npos);
+    }
+
+    // Guards against losing a whole claim or grant because of an optional member.
+    void ignoresNewMembersOfWrongType()
+    {
+        const auto claim = decodeToScheduler(
+            R"({"kind":"claim","node":"n","life":1,"claim":1,"organisation":7,"backup_wanted":1})");
+        CPPUNIT_ASSERT(claim.has_value());
+        CPPUNIT_ASSERT(std::get<Claim>(claim->message).organisation.isEmpty());
+        CPPUNIT_ASSERT(!std::get<Claim>(claim->message).wantsBackup);
+        const auto granted = decodeFromScheduler(
+            R"({"kind":"granted","node":"n","life":1,"claim":1,"decode":"d","backup":[1]})");
+        CPPUNIT_ASSERT(granted.has_value());
+        CPPUNIT_ASSERT(std::get<ClaimGranted>(granted->message).backupServer.isEmpty());
+    }
+
     // Guards against truncated, altered or foreign datagrams on the UDP port.
     void rejectsMalformedDatagrams()
     {
@@ -118,6 +178,7 @@
               R"({"kind":"work_asked","node":"n","life":1})",
               R"({"kind":"work","node":"n","life":1,"service":"s","prefill_s":0})",
               R"({"kind":"changing","node":"n","life":1,"server":"s","lasts_us":-5})",
+              R"({"kind":"moved","node":"n","life":1,"claim":0})",
               R"({"kind":"other","node":"n","life":1,"claim":1})"}) {
             CPPUNIT_ASSERT_MESSAGE(text, !decodeToScheduler(text));
             CPPUNIT_ASSERT_MESSAGE(text, !decodeFromScheduler(text));
