--- a/src/dispatch/schedulerclaims.cpp
+++ b/src/dispatch/schedulerclaims.cpp
@@ -46,6 +46,10 @@
     message.maxWait = maxWait;
     message.timeToTarget = request.arrived + request.route->target - step.now;
     message.maxDuration = request.deadline - step.now;
+    if (request.organisation) {
+        message.organisation = request.organisation->name;
+    }
+    message.wantsBackup = request.service->engine && request.service->engine->keepsBackups;
     message.excludedServers.assign(request.triedServers.begin(), request.triedServers.end());
     for (const ServerName &server : blocked) {
         if (message.excludedServers.size() < MaxExcludedServers) {
--- a/src/edge/edgemetrics.cpp
+++ b/src/edge/edgemetrics.cpp
@@ -81,6 +81,22 @@
     }
 };
 
+/** Appends one member of the organisations' load. */
+void appendGauge(std::string &text, const char *name,
+                 const std::vector<EdgeMetrics::OrganisationLoad> &organisations,
+                 std::uint64_t EdgeMetrics::OrganisationLoad::*value)
+{
+    if (organisations.empty()) {
+        return;
+    }
+    text += fmt::format("# TYPE indigoway_{} gauge\n", name);
+    for (const EdgeMetrics::OrganisationLoad &load : organisations) {
+        text += fmt::format("indigoway_{}{{service=\"{}\",organisation=\"{}\"}} {}\n", name,
+                            escapedLabelValue(load.service.text()),
+                            escapedLabelValue(load.organisation.text()), load.*value);
+    }
+}
+
 } // namespace
 
 struct EdgeMetrics::Histograms
@@ -114,7 +130,8 @@
 }
 
 std::string
-EdgeMetrics::prometheusText(const std::vector<std::pair<std::string, std::uint64_t>> &gauges) const
+EdgeMetrics::prometheusText(const std::vector<std::pair<std::string, std::uint64_t>> &gauges,
+                            const std::vector<OrganisationLoad> &organisations) const
 {
     std::string text = "# TYPE indigoway_requests_total counter\n";
     for (const auto &[key, count] : m_requests) {
@@ -134,6 +151,9 @@
     for (const auto &[name, value] : gauges) {
         text += fmt::format("# TYPE indigoway_{0} gauge\nindigoway_{0} {1}\n", name, value);
     }
+    appendGauge(text, "scheduler_organisation_waiting", organisations, &OrganisationLoad::waiting);
+    appendGauge(text, "scheduler_organisation_usage_permille", organisations,
+                &OrganisationLoad::usagePermille);
     text += "# TYPE indigoway_first_answer_seconds histogram\n";
     for (const bool isGeneration : {false, true}) {
         text += m_histograms->firstAnswer[isGeneration ? 1 : 0].text("first_answer_seconds",
--- a/src/edge/edgemetrics.h
+++ b/src/edge/edgemetrics.h
@@ -27,12 +27,20 @@
 
     void add(const dispatch::RequestEnded &ended);
     void add(const dispatch::LogDecision &decision) { ++m_decisions[decision.kind]; }
+    /** Load of one organisation on the engines of a service, at the node that schedules them. */
+    struct OrganisationLoad
+    {
+        ServiceName service;
+        OrganisationName organisation;
+        std::uint64_t waiting = 0;
+        std::uint64_t usagePermille = 0; ///< Of the memory-time granted recently.
+    };
     /**
      * Formats all metrics.
      * @param gauges Names, without the "indigoway_" prefix, and current values of further gauges.
      */
-    std::string
-    prometheusText(const std::vector<std::pair<std::string, std::uint64_t>> &gauges) const;
+    std::string prometheusText(const std::vector<std::pair<std::string, std::uint64_t>> &gauges,
+                               const std::vector<OrganisationLoad> &organisations = {}) const;
 
 private:
     struct Histograms;
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -6,6 +6,7 @@
 #include <event2/event.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace indigoway {
 
@@ -22,6 +23,8 @@
 constexpr Duration ShutdownMargin = std::chrono::milliseconds(600);
 /** Serves callers who resolved this node's address just before it left. */
 constexpr Duration MinLeaveTime = std::chrono::milliseconds(1500);
+/** Part of the age limit of the copy beyond which the store is taken for unreachable. */
+constexpr double MaxFreshAgeShare = 0.75;
 constexpr Duration StoreCallsLogInterval = std::chrono::seconds(10);
 
 TimePoint steadyNow()
@@ -44,6 +47,11 @@
                                               : std::nullopt;
 }
 
+std::uint64_t permille(double fraction)
+{
+    return static_cast<std::uint64_t>(std::lround(fraction * 1000));
+}
+
 NodeEntry makeNodeEntry(const EdgeSettings &settings)
 {
     return {settings.node,    settings.domain,     settings.callers,
@@ -224,7 +232,8 @@
         if (!routes) {
             return std::nullopt;
         }
-        return scheduling::EngineScheduler::View {node.m_dispatcher.servers(), *routes};
+        return scheduling::EngineScheduler::View {node.m_dispatcher.servers(), *routes,
+                                                  node.isStoreStale()};
     };
     dependencies.nodeCount = [&node] {
         return node.m_roster.count(steadyNow());
@@ -418,37 +427,50 @@
 
 std::string EdgeNode::metricsText() const
 {
-    return m_metrics.prometheusText({
-        {"requests_open", m_dispatcher.open()},
-        {"requests_waiting", m_dispatcher.waiting()},
-        {"caller_connections", m_relay.callers().connections()},
-        {"server_connections_kept", m_relay.serverConnections().idleConnections()},
-        {"server_connections_made", m_relay.serverConnections().connectionsMade()},
-        {"log_lines_dropped", m_log.dropped()},
-        {"routing_version", m_dispatcher.routes() ? m_dispatcher.routes()->version() : 0},
-        {"store_revision", m_sync.asOf()},
-        {"store_lists", m_sync.storeCallCounts().lists},
-        {"store_watches", m_sync.storeCallCounts().watches},
-        {"store_leases", m_sync.storeCallCounts().leases},
-        {"store_renewals", m_sync.storeCallCounts().renewals},
-        {"store_writes", m_sync.storeCallCounts().writes},
-        {"store_proofs", m_sync.storeCallCounts().proofs},
-        {"servers_known", m_dispatcher.servers().size()},
-        {"nodes_known", m_roster.count(steadyNow())},
-        {"scheduler_waiting", m_scheduling.scheduler().waiting()},
-        {"scheduler_granted", m_scheduling.scheduler().granted()},
-        {"scheduler_engines_looked", m_scheduling.scheduler().enginesExamined()},
-        {"scheduler_unsent", m_scheduling.unsent()},
-        {"order_looks", m_dispatcher.orderEvaluations()},
-        {"permits_granted", m_scheduling.rateLimiter().granted()},
-        {"permits_refused", m_scheduling.rateLimiter().refused()},
-        {"quotas_scarce", m_scheduling.quotaKeeper().scarceCount()},
-        {"contents_crashed", m_dispatcher.crashes().size()},
-        {"contents_refused", m_dispatcher.crashes().refusedCount()},
-        {"servers_paused", m_dispatcher.pausedServers()},
-        {"servers_limited", m_dispatcher.permits().limitedServers()},
-        {"leaving", m_leavingSince ? 1U : 0U},
-    });
+    std::vector<EdgeMetrics::OrganisationLoad> organisations;
+    for (const auto &state : m_scheduling.scheduler().organisations(steadyNow())) {
+        organisations.push_back(
+            {state.service, state.organisation, state.waiting, permille(state.usageShare)});
+    }
+    return m_metrics.prometheusText(
+        {
+            {"requests_open", m_dispatcher.open()},
+            {"requests_waiting", m_dispatcher.waiting()},
+            {"caller_connections", m_relay.callers().connections()},
+            {"server_connections_kept", m_relay.serverConnections().idleConnections()},
+            {"server_connections_made", m_relay.serverConnections().connectionsMade()},
+            {"log_lines_dropped", m_log.dropped()},
+            {"routing_version", m_dispatcher.routes() ? m_dispatcher.routes()->version() : 0},
+            {"store_revision", m_sync.asOf()},
+            {"store_lists", m_sync.storeCallCounts().lists},
+            {"store_watches", m_sync.storeCallCounts().watches},
+            {"store_leases", m_sync.storeCallCounts().leases},
+            {"store_renewals", m_sync.storeCallCounts().renewals},
+            {"store_writes", m_sync.storeCallCounts().writes},
+            {"store_proofs", m_sync.storeCallCounts().proofs},
+            {"servers_known", m_dispatcher.servers().size()},
+            {"nodes_known", m_roster.count(steadyNow())},
+            {"scheduler_waiting", m_scheduling.scheduler().waiting()},
+            {"scheduler_granted", m_scheduling.scheduler().granted()},
+            {"scheduler_engines_looked", m_scheduling.scheduler().enginesExamined()},
+            {"scheduler_unsent", m_scheduling.unsent()},
+            {"scheduler_copies", m_scheduling.scheduler().copies()},
+            {"scheduler_copy_tokens", m_scheduling.scheduler().copyTokens()},
+            {"scheduler_backups_granted", m_scheduling.scheduler().backupsGranted()},
+            {"scheduler_runs_moved", m_scheduling.scheduler().runsMoved()},
+            {"scheduler_loss_permille",
+             permille(m_scheduling.scheduler().lossFraction(steadyNow()))},
+            {"order_looks", m_dispatcher.orderEvaluations()},
+            {"permits_granted", m_scheduling.rateLimiter().granted()},
+            {"permits_refused", m_scheduling.rateLimiter().refused()},
+            {"quotas_scarce", m_scheduling.quotaKeeper().scarceCount()},
+            {"contents_crashed", m_dispatcher.crashes().size()},
+            {"contents_refused", m_dispatcher.crashes().refusedCount()},
+            {"servers_paused", m_dispatcher.pausedServers()},
+            {"servers_limited", m_dispatcher.permits().limitedServers()},
+            {"leaving", m_leavingSince ? 1U : 0U},
+        },
+        organisations);
 }
 
 void EdgeNode::tick()
@@ -501,6 +523,17 @@
             {"as_of", std::to_string(m_sync.asOf())}});
 }
 
+bool EdgeNode::isStoreStale() const
+{
+    if (m_sync.storeWriter().isStoreUnreachable()) {
+        return true;
+    }
+    const auto maxAge = maxCopyAge(m_settings);
+    return maxAge
+        && !isFreshEnough(m_sync.copyAge(BootClock::now()),
+                          std::chrono::duration_cast<Duration>(*maxAge * MaxFreshAgeShare));
+}
+
 void EdgeNode::recordStoreCallCounts(TimePoint now)
 {
     if (now < m_storeCallsLoggedAt + StoreCallsLogInterval) {
--- a/src/edge/edgenode.h
+++ b/src/edge/edgenode.h
@@ -96,6 +96,8 @@
     void recordFirstCopy();
     /** Logs a line when the copy becomes fresh enough to check API keys, or too old. */
     void recordCopyFreshness();
+    /** Returns whether this node may not have learned of engines that have left. */
+    bool isStoreStale() const;
     void recordStoreCallCounts(TimePoint now);
     void stopWhenDrained(TimePoint now);
     void record(const std::string &kind, const std::vector<LogField> &fields);
--- a/src/edge/schedulingendpoint.cpp
+++ b/src/edge/schedulingendpoint.cpp
@@ -21,6 +21,17 @@
     return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
 }
 
+/** Returns the claims waiting and the share of recent use of each organisation. */
+std::string organisationsText(const std::vector<ClaimQueue::OrganisationState> &organisations)
+{
+    std::string text;
+    for (const ClaimQueue::OrganisationState &state : organisations) {
+        text += (text.empty() ? "" : ",") + state.organisation.text() + "@" + state.service.text()
+            + ":" + std::to_string(state.waiting) + ":" + std::to_string(state.usageShare);
+    }
+    return text.empty() ? "-" : text;
+}
+
 } // namespace
 
 SchedulingEndpoint::SchedulingEndpoint(event_base *base, NodeLife self, Dependencies dependencies)
@@ -190,9 +201,27 @@
         if (it != m_addresses.end()) {
             m_socket.send(it->second, encode(Datagram<FromScheduler> {m_self, reply.message}));
         }
+        recordBackup(reply);
     }
 }
 
+void SchedulingEndpoint::recordBackup(const SchedulerReply &reply)
+{
+    const auto *granted = std::get_if<ClaimGranted>(&reply.message);
+    if (!granted || granted->backupServer.isEmpty()) {
+        return;
+    }
+    const auto view = m_dependencies.view();
+    m_dependencies.record(
+        "run_backup_granted",
+        "owner=" + reply.to.node.text() + " claim=" + std::to_string(granted->claim.value())
+            + " engine=" + granted->decodeServer.text() + " backup=" + granted->backupServer.text()
+            + " copies=" + std::to_string(m_scheduler.copies())
+            + " copy_tokens=" + std::to_string(m_scheduler.copyTokens())
+            + " loss=" + std::to_string(m_scheduler.lossFraction(steadyNow()))
+            + " store_stale=" + (view && view->isStoreStale ? "1" : "0"));
+}
+
 void SchedulingEndpoint::recordState(TimePoint now, const EngineScheduler::View &view)
 {
     if (m_scheduler.waiting() == 0 || now < m_stateLoggedAt + StateLogInterval) {
@@ -209,8 +238,11 @@
             + " free_tokens=" + std::to_string(state.freeTokens) + "/"
             + std::to_string(state.memoryTokens)
             + " prefill_wait_ms=" + dispatch::millisecondsText(state.shortestPrefillWait)
-            + " refused_at_once=" + std::to_string(state.refusedAtOnce)
-            + " refused_after_wait=" + std::to_string(state.refusedAfterWait));
+            + " refused_at_once=" + std::to_string(state.refusedAtOnce) + " refused_after_wait="
+            + std::to_string(state.refusedAfterWait) + " copies=" + std::to_string(state.copies)
+            + " copy_tokens=" + std::to_string(state.copyTokens)
+            + " loss=" + std::to_string(state.lossFraction)
+            + " organisations=" + organisationsText(state.organisations));
 }
 
 void SchedulingEndpoint::armTimer()
--- a/src/edge/schedulingendpoint.h
+++ b/src/edge/schedulingendpoint.h
@@ -71,6 +71,8 @@
     void tick();
     void reply(const scheduling::SchedulerReplies &replies);
     void armTimer();
+    /** Logs a grant that names a backup, with the figures that decided. */
+    void recordBackup(const scheduling::SchedulerReply &reply);
     /** Logs the scheduler's state at most once a second while claims are waiting. */
     void recordState(TimePoint now, const scheduling::EngineScheduler::View &view);
 
--- a/src/edge/statesync.h
+++ b/src/edge/statesync.h
@@ -57,6 +57,7 @@
     /** Returns the maximum age of the copy at @p now; nothing if it is unknown. */
     std::optional<Duration> copyAge(BootTime now) const { return m_proof.age(now); }
     StoreWriter &storeWriter() { return m_storeWriter; }
+    const StoreWriter &storeWriter() const { return m_storeWriter; }
     /** Lists the store anew and renews this node's rights, after this process was suspended. */
     void handleSuspension(TimePoint now);
     /**
--- a/src/edge/storewriter.h
+++ b/src/edge/storewriter.h
@@ -58,6 +58,8 @@
     void handleSuspension(TimePoint now) { m_leadership.handleSuspension(now); }
 
     bool isAnnounced() const { return m_announcer.isAnnounced(); }
+    /** Returns whether the store doesn't answer the calls for this node's entry. */
+    bool isStoreUnreachable() const { return m_announcer.isStoreUnreachable(); }
     bool holdsOrderRight() const { return m_leadership.isHolder(); }
     /** Records in the store that orders are about to be given, if no node has done so before. */
     void prepareOrders();
--- a/src/fleet/nodeannouncer.h
+++ b/src/fleet/nodeannouncer.h
@@ -62,12 +62,16 @@
     StoreLease leave();
 
     bool isAnnounced() const { return m_isEntryWritten; }
+    /** Returns whether the store doesn't answer; a single call may fail for other reasons. */
+    bool isStoreUnreachable() const { return m_failures >= MinFailuresToReport; }
     /** Returns the current lease; none before the first grant and after leave(). */
     StoreLease lease() const { return m_isLeaving ? StoreLease() : m_lease; }
     /** Returns the time when the last successful renewal was requested. */
     TimePoint renewedAt() const { return m_renewedAt; }
 
 private:
+    static constexpr std::uint32_t MinFailuresToReport = 2;
+
     bool shouldReplaceLease() const;
     Duration renewalInterval() const;
 
--- a/src/scheduling/enginescheduler.cpp
+++ b/src/scheduling/enginescheduler.cpp
@@ -1,7 +1,7 @@
 #include "enginescheduler.h"
 
 #include <algorithm>
-#include <tuple>
+#include <functional>
 
 namespace indigoway::scheduling {
 
@@ -12,10 +12,6 @@
  * where prefill takes longer.
  */
 constexpr Duration LocalPrefillLeadTime = std::chrono::milliseconds(250);
-/** Time from the prefill response to the first event: KV cache transfer and first token. */
-constexpr Duration FirstEventAfterPrefill = std::chrono::milliseconds(40);
-/** If prompts would be processed sooner than this, waiting claims wait for decode memory. */
-constexpr Duration LongPrefillWait = std::chrono::milliseconds(100);
 /**
  * Wait after which an engine is reserved for a claim. Otherwise small claims would take all memory
  * that comes free, and large ones would starve.
@@ -39,10 +35,14 @@
 /** Engines to examine for each run and claim, so that most claims find an idle engine. */
 constexpr std::size_t EnginesPerRun = 2;
 
-/** Returns the mean memory of a run over its lifetime; its output grows linearly. */
-double meanTokens(const MemoryNeed &need)
+/** Interval of the check whether backups still decode, which visits all copies. */
+constexpr Duration CopyCheckInterval = std::chrono::milliseconds(250);
+/** Limits the organisations in a snapshot, which becomes a log line. */
+constexpr std::size_t MaxReportedOrganisations = 8;
+
+double secondsOf(Duration duration)
 {
-    return static_cast<double>(need.contextTokens) + static_cast<double>(need.outputTokens) / 2;
+    return std::chrono::duration<double>(duration).count();
 }
 
 } // namespace
@@ -53,7 +53,7 @@
     removeEarlierIncarnations(from, now);
     SchedulerReplies replies;
     if (const auto *notice = std::get_if<PhaseChangeNotice>(&message)) {
-        m_tracker.recordPhaseChange(*notice, now);
+        process(now, *notice);
         return replies;
     }
     if (const auto *query = std::get_if<WorkQuery>(&message)) {
@@ -71,9 +71,11 @@
         process(now, key, *prefill);
     } else if (const auto *ended = std::get_if<ClaimEnded>(&message)) {
         process(now, view, key, *ended);
+    } else {
+        moveToBackup(now, key);
     }
     grantWaiting(now, view, replies);
-    if (m_waiting.contains(key)) {
+    if (m_queue.contains(key)) {
         replies.push_back({from, ClaimQueued {key.claim}});
     }
     return replies;
@@ -83,6 +85,7 @@
 {
     SchedulerReplies replies;
     removeExpired(now);
+    removeLostCopies(now, view);
     refuseOverdue(now, replies);
     grantWaiting(now, view, replies);
     return replies;
@@ -90,10 +93,10 @@
 
 std::optional<TimePoint> EngineScheduler::nextTick(TimePoint now) const
 {
-    if (m_waiting.size() > BatchingThreshold) {
+    if (m_queue.size() > BatchingThreshold) {
         return std::max(m_nextPass, now + Duration(1));
     }
-    if (!m_waiting.empty()) {
+    if (!m_queue.empty()) {
         return now + TickInterval;
     }
     return m_granted.empty() ? std::nullopt : std::optional(now + ExpiryCheckInterval);
@@ -102,10 +105,16 @@
 SchedulerState EngineScheduler::state(TimePoint now, const View &view) const
 {
     SchedulerState state;
-    state.waiting = m_waiting.size();
+    state.waiting = m_queue.size();
     state.granted = m_granted.size();
     state.refusedAtOnce = m_refusedAtOnce;
     state.refusedAfterWait = m_refusedAfterWait;
+    state.copies = copies();
+    state.copyTokens = copyTokens();
+    state.backupsGranted = m_backupsGranted;
+    state.runsMoved = m_runsMoved;
+    state.lossFraction = lossFraction(now);
+    state.organisations = organisations(now);
     for (const auto &[name, service] : view.routes.services()) {
         if (!service.engine) {
             continue;
@@ -123,30 +132,47 @@
     return state;
 }
 
+double EngineScheduler::lossFraction(TimePoint now) const
+{
+    double largest = 0;
+    for (const auto &[service, estimators] : m_estimators) {
+        largest = std::max(largest, estimators.losses.lossFraction(now));
+    }
+    return largest;
+}
+
+std::vector<ClaimQueue::OrganisationState> EngineScheduler::organisations(TimePoint now) const
+{
+    return m_queue.organisations(now, MaxReportedOrganisations);
+}
+
 void EngineScheduler::process(TimePoint now, const View &view, const ClaimKey &key,
                               const Claim &claim, SchedulerReplies &replies)
 {
-    const auto granted = m_granted.find(key);
-    if (granted != m_granted.end()) {
+    if (const GrantedClaim *granted = m_granted.find(key)) {
         // The reply was lost.
-        replies.push_back({key.owner, granted->second.reply});
+        replies.push_back({key.owner, granted->reply});
         return;
     }
-    if (m_waiting.contains(key)) {
+    if (m_queue.contains(key)) {
         return;
     }
     if (claim.urgency == Urgency::FirstAttempt && claim.promptTokens > 0) {
         m_estimators[claim.service].generations.add(claim.promptTokens, claim.memory);
     }
-    const WaitEstimate expected = estimateWait(now, view, claim);
-    if (shouldRefuse(now, claim, expected)) {
+    const PrefillEstimator &prefill = estimatorsOf(claim.service).prefill;
+    const WaitingClaim waiting {
+        claim, now, WaitEstimator::latestStart(now, claim, m_tracker, prefill),
+        meanTokens(claim.memory) * m_waitEstimator.meanHoldSeconds(), std::nullopt};
+    const WaitEstimate expected = estimateWait(now, view, waiting);
+    if (m_waitEstimator.shouldRefuse(now, claim, expected, m_tracker, prefill)) {
         ++m_refusedAtOnce;
         // Refusing immediately lets the caller retry sooner.
         replies.push_back(
             {key.owner, ClaimRefused {key.claim, expected.claimsAhead, expected.memoryWait}});
         return;
     }
-    m_waiting.emplace(key, WaitingClaim {claim, now, latestStart(now, claim)});
+    m_queue.add(key, waiting);
 }
 
 void EngineScheduler::process(TimePoint now, const ClaimKey &key,
@@ -155,7 +181,7 @@
     if (m_granted.contains(key)) {
         return;
     }
-    m_waiting.erase(key);
+    m_queue.remove(key);
     GrantedClaim granted;
     granted.service = reservation.service;
     granted.run = RunNumber(++m_lastRun);
@@ -163,59 +189,57 @@
     granted.decodeServer = reservation.decodeServer;
     granted.since = now;
     granted.deadline = now + reservation.maxDuration + ExpirySlack;
-    m_tracker.addRun(reservation.decodeServer, granted.run, reservation.memory, now);
+    if (reservation.backupServer != reservation.decodeServer) {
+        granted.backupServer = reservation.backupServer;
+    }
+    GrantedClaim &added = m_granted.add(key, std::move(granted), m_tracker, now);
     if (reservation.elapsedDecodeTime) {
         // Without the elapsed time, the forecast would count the full output again, and all engines
         // would appear full after a change of scheduler.
-        beginDecode(granted, now - *reservation.elapsedDecodeTime);
+        GrantedClaims::beginDecode(added, m_tracker, now - *reservation.elapsedDecodeTime);
     }
-    m_granted.emplace(key, std::move(granted));
 }
 
 void EngineScheduler::process(TimePoint now, const ClaimKey &key, const PrefillEnded &ended)
 {
-    const auto it = m_granted.find(key);
-    if (it == m_granted.end()) {
+    GrantedClaim *granted = m_granted.find(key);
+    if (!granted) {
         return;
     }
-    if (!it->second.prefill) {
+    if (!granted->prefill) {
         // The prompt was sent under another scheduler. Unless the start of decoding is recorded,
         // the run counts with its full output until it ends.
-        if (ended.isDone && !it->second.decodeStart) {
-            beginDecode(it->second, now);
+        if (ended.isDone && !granted->decodeStart) {
+            GrantedClaims::beginDecode(*granted, m_tracker, now);
         }
         return;
     }
-    const ServerName server = it->second.prefill->server;
+    const ServerName server = granted->prefill->server;
     if (ended.isDone) {
-        m_tracker.completePrefill(*it->second.prefill, m_estimators[it->second.service].prefill,
-                                  now);
-        beginDecode(it->second, now);
+        m_tracker.completePrefill(*granted->prefill, m_estimators[granted->service].prefill, now);
+        GrantedClaims::beginDecode(*granted, m_tracker, now);
         m_tracker.recordSuccess(server);
     } else {
-        m_tracker.failPrefill(*it->second.prefill, now);
+        m_tracker.failPrefill(*granted->prefill, now);
         ended.isReachable ? m_tracker.recordFailure(server, now)
                           : m_tracker.recordUnreachable(server, now);
     }
-    it->second.prefill.reset();
+    granted->prefill.reset();
 }
 
 void EngineScheduler::process(TimePoint now, const View &view, const ClaimKey &key,
                               const ClaimEnded &ended)
 {
-    m_waiting.erase(key);
-    const auto it = m_granted.find(key);
-    if (it == m_granted.end()) {
+    m_queue.remove(key);
+    const GrantedClaim *granted = m_granted.find(key);
+    if (!granted) {
         return;
     }
-    const ServerName server = it->second.decodeServer;
-    const ServerName prefillServer = it->second.reply.prefillServer;
-    const Duration holdTime = now - it->second.since;
-    if (ended.outcome == ClaimOutcome::Served && it->second.decodeStart) {
-        m_estimators[it->second.service].decode.add(
-            it->second.memory.outputTokens, ended.generatedTokens, now - *it->second.decodeStart);
-    }
-    removeGrant(it, now);
+    const ServerName server = granted->decodeServer;
+    const ServerName prefillServer = granted->reply.prefillServer;
+    const Duration holdTime = now - granted->since;
+    recordRunEnd(*granted, ended, now);
+    m_granted.remove(key, m_tracker, now);
     if (ended.outcome == ClaimOutcome::OutOfMemory) {
         const AnnouncedServer *known = view.servers.find(server);
         const Service *service = known ? view.routes.service(known->service) : nullptr;
@@ -225,6 +249,9 @@
         m_tracker.recordFailure(server, now);
     } else if (ended.outcome == ClaimOutcome::Unreachable) {
         m_tracker.recordUnreachable(server, now);
+        // An engine that refuses connections has crashed, and its copies are lost.
+        m_granted.removeCopies([&server](const ServerName &backup) { return backup == server; },
+                               m_tracker);
     } else if (ended.outcome == ClaimOutcome::KvCacheLost) {
         m_tracker.recordTransferFailure(prefillServer, server, now);
     } else if (ended.outcome == ClaimOutcome::Served) {
@@ -233,69 +260,89 @@
     }
 }
 
-void EngineScheduler::removeEarlierIncarnations(const NodeLife &owner, TimePoint now)
+void EngineScheduler::moveToBackup(TimePoint now, const ClaimKey &key)
 {
-    const auto [known, isNew] = m_incarnations.try_emplace(owner.node, owner.incarnation);
-    if (isNew || known->second == owner.incarnation) {
-        return;
+    GrantedClaim *granted = m_granted.find(key);
+    const ServerName first = granted ? granted->decodeServer : ServerName();
+    if (granted && m_granted.moveToBackup(*granted, m_tracker, now)) {
+        ++m_runsMoved;
+        // Without its backup the run would have been lost. If it counted as completed, backups
+        // would end while engines still fail.
+        m_estimators[granted->service].losses.add(true, now);
+        m_tracker.recordFailure(first, now);
     }
-    known->second = owner.incarnation;
-    const auto isEarlier = [&owner](const ClaimKey &key) {
-        return key.owner.node == owner.node && key.owner.incarnation != owner.incarnation;
-    };
-    std::erase_if(m_waiting, [&](const auto &one) { return isEarlier(one.first); });
-    std::erase_if(m_granted, [&](const auto &one) {
-        if (!isEarlier(one.first)) {
-            return false;
-        }
-        releaseResources(one.second, now);
-        return true;
-    });
 }
 
-void EngineScheduler::beginDecode(GrantedClaim &granted, TimePoint now)
+void EngineScheduler::process(TimePoint now, const PhaseChangeNotice &notice)
 {
-    granted.decodeStart = now;
-    m_tracker.beginDecode(granted.decodeServer, granted.run, now);
+    m_tracker.recordPhaseChange(notice, now);
+    if (notice.isAccepted && notice.to == EnginePhase::Prefill) {
+        m_granted.removeCopies(
+            [&notice](const ServerName &backup) { return backup == notice.server; }, m_tracker);
+    }
 }
 
-void EngineScheduler::releaseResources(const GrantedClaim &granted, TimePoint now)
+void EngineScheduler::recordRunEnd(const GrantedClaim &granted, const ClaimEnded &ended,
+                                   TimePoint now)
 {
-    m_tracker.removeRun(granted.decodeServer, granted.run);
-    if (granted.prefill) {
-        m_tracker.cancelPrefill(*granted.prefill, now);
+    ServiceEstimators &estimators = m_estimators[granted.service];
+    const bool isServed = ended.outcome == ClaimOutcome::Served;
+    // The time of a run that has moved includes an interruption.
+    if (isServed && granted.decodeStart && !granted.hasMoved) {
+        estimators.decode.add(granted.memory.outputTokens, ended.generatedTokens,
+                              now - *granted.decodeStart);
+    }
+    const bool isLost =
+        ended.outcome == ClaimOutcome::EngineFailed || ended.outcome == ClaimOutcome::Unreachable;
+    // A run that has moved was counted as lost then.
+    if (isLost || (isServed && !granted.hasMoved)) {
+        estimators.losses.add(isLost, now);
+    }
+    if (granted.tokenSeconds > 0) {
+        const double used = meanTokens(granted.memory) * secondsOf(now - granted.since);
+        m_queue.recordEnd(granted.service, granted.organisation, granted.tokenSeconds, used,
+                          granted.since, now);
     }
 }
 
-void EngineScheduler::removeGrant(std::map<ClaimKey, GrantedClaim>::iterator it, TimePoint now)
+void EngineScheduler::removeEarlierIncarnations(const NodeLife &owner, TimePoint now)
 {
-    releaseResources(it->second, now);
-    m_granted.erase(it);
+    const auto [known, isNew] = m_incarnations.try_emplace(owner.node, owner.incarnation);
+    if (isNew || known->second == owner.incarnation) {
+        return;
+    }
+    known->second = owner.incarnation;
+    m_queue.removeOtherIncarnations(owner);
+    m_granted.removeOtherIncarnations(owner, m_tracker, now);
 }
 
 void EngineScheduler::removeExpired(TimePoint now)
 {
-    for (auto it = m_granted.begin(); it != m_granted.end();) {
-        const auto next = std::next(it);
-        if (now > it->second.deadline) {
-            removeGrant(it, now);
-        }
-        it = next;
-    }
+    m_granted.removeExpired(m_tracker, now);
     m_tracker.removeIdle(now);
 }
 
+void EngineScheduler::removeLostCopies(TimePoint now, const View &view)
+{
+    if (now < m_nextCopyCheck) {
+        return;
+    }
+    m_nextCopyCheck = now + CopyCheckInterval;
+    m_granted.removeCopies(
+        [&](const ServerName &backup) {
+            const AnnouncedServer *server = view.servers.find(backup);
+            return !server || m_tracker.phaseOf(*server, now) != EnginePhase::Decode
+                || view.servers.availability(backup, now) == ServerAvailability::Leaving;
+        },
+        m_tracker);
+}
+
 void EngineScheduler::refuseOverdue(TimePoint now, SchedulerReplies &replies)
 {
-    std::erase_if(m_waiting, [&](const auto &one) {
-        const Duration waited = now - one.second.since;
-        const bool isOverdue = waited > one.second.claim.maxWait;
-        if (isOverdue) {
-            ++m_refusedAfterWait;
-            replies.push_back({one.first.owner, ClaimRefused {one.first.claim, 0, waited}});
-        }
-        return isOverdue;
-    });
+    for (const auto &[key, waited] : m_queue.takeOverdue(now)) {
+        ++m_refusedAfterWait;
+        replies.push_back({key.owner, ClaimRefused {key.claim, 0, waited}});
+    }
 }
 
 const ServiceEstimators &EngineScheduler::estimatorsOf(const ServiceName &service) const
@@ -305,37 +352,18 @@
     return it == m_estimators.end() ? Unknown : it->second;
 }
 
-TimePoint EngineScheduler::latestStart(TimePoint now, const Claim &claim) const
-{
-    return now + claim.timeToTarget - FirstEventAfterPrefill
-        - m_tracker.prefillTime(ServerName(), claim.promptTokens,
-                                estimatorsOf(claim.service).prefill, now);
-}
-
-bool EngineScheduler::shouldRefuse(TimePoint now, const Claim &claim, const WaitEstimate &expected)
-{
-    const PrefillEstimator &estimator = estimatorsOf(claim.service).prefill;
-    // A prompt that would miss its target even on idle engines must not be refused forever.
-    const bool canMeetTarget = claim.urgency == Urgency::FirstAttempt
-        && m_tracker.prefillTime(ServerName(), claim.promptTokens, estimator, now)
-            < claim.timeToTarget;
-    const Duration latest =
-        claim.timeToTarget - m_waitEstimator.longPromptAllowance(claim, estimator);
-    return expected.memoryWait > claim.maxWait
-        || (canMeetTarget && expected.timeToFirstEvent > latest);
-}
-
 EngineSelector::Limit EngineScheduler::engineLimit(const View &view,
                                                    const ServiceName &service) const
 {
     const std::size_t domains = std::max<std::size_t>(view.servers.domainsOf(service).size(), 1);
-    const std::size_t work = m_granted.size() + m_waiting.size();
+    const std::size_t work = m_granted.size() + m_queue.size();
     return std::max(MinEngines, EnginesPerRun * work / domains);
 }
 
-EngineScheduler::WaitEstimate EngineScheduler::estimateWait(TimePoint now, const View &view,
-                                                            const Claim &claim)
+WaitEstimate EngineScheduler::estimateWait(TimePoint now, const View &view,
+                                           const WaitingClaim &waiting)
 {
+    const Claim &claim = waiting.claim;
     const Service *service = view.routes.service(claim.service);
     if (!service || !service->engine) {
         return {};
@@ -344,162 +372,89 @@
     const EngineSelector someEngines(m_tracker, view.servers, *service, estimators, now,
                                      engineLimit(view, claim.service));
     m_enginesExamined += someEngines.examined();
-    const WaitEstimate expected = estimateWait(now, someEngines, claim);
-    if (!someEngines.isLimited() || !shouldRefuse(now, claim, expected)) {
+    const WaitEstimate expected =
+        m_waitEstimator.estimate(now, waiting, m_queue, someEngines, m_tracker, estimators.prefill);
+    if (!someEngines.isLimited()
+        || !m_waitEstimator.shouldRefuse(now, claim, expected, m_tracker, estimators.prefill)) {
         return expected;
     }
     // A claim is refused only after all engines were examined.
     const EngineSelector allEngines(m_tracker, view.servers, *service, estimators, now);
     m_enginesExamined += allEngines.examined();
-    return estimateWait(now, allEngines, claim);
-}
-
-EngineScheduler::WaitEstimate EngineScheduler::estimateWait(TimePoint now,
-                                                            const EngineSelector &engines,
-                                                            const Claim &claim) const
-{
-    WaitEstimate result;
-    const PrefillEstimator &prefillEstimator = estimatorsOf(claim.service).prefill;
-    double tokensAhead = 0;
-    Duration promptsAhead {};
-    const TimePoint latest = latestStart(now, claim);
-    for (const auto &[key, waiting] : m_waiting) {
-        const bool isAhead =
-            std::tie(waiting.claim.urgency, waiting.claim.priority, waiting.latestStart)
-            <= std::tie(claim.urgency, claim.priority, latest);
-        if (waiting.claim.service == claim.service && isAhead) {
-            ++result.claimsAhead;
-            tokensAhead += meanTokens(waiting.claim.memory);
-            promptsAhead += prefillEstimator.computeTime(waiting.claim.promptTokens);
-        }
-    }
-    // If claims wait although a prompt would be processed at once, they wait for memory: the free
-    // memory is too fragmented for them or reserved.
-    const bool isMemoryShort =
-        result.claimsAhead > 0 && engines.shortestPrefillWait() <= LongPrefillWait;
-    const double free = isMemoryShort ? 0 : engines.freeMemoryFor(claim.memory);
-    const double requiredTokens = tokensAhead + meanTokens(claim.memory) - free;
-    if (engines.memory() > 0 && requiredTokens > 0) {
-        result.memoryWait = m_waitEstimator.timeUntilFree(requiredTokens / engines.memory());
-    }
-    // While this claim waits for memory, the prompts ahead of it are processed.
-    const Duration idlePrefillTime =
-        m_tracker.prefillTime(ServerName(), claim.promptTokens, prefillEstimator, now);
-    Duration timeToPrefill {};
-    if (claim.promptTokens > 0 && engines.hasPrefillEngines()) {
-        // Decode engines also prefill while they have memory for all waiting claims.
-        const bool isMemorySpare = engines.freeMemoryFor({}) > waitingTokens(claim.service);
-        const double prefillCapacity = static_cast<double>(engines.prefillEngines())
-            + (isMemorySpare ? static_cast<double>(engines.decodeEngines())
-                       * EngineTracker::localPrefillRatio()
-                             : 0);
-        timeToPrefill = engines.shortestPrefillTime(claim.promptTokens)
-            + Duration(static_cast<Duration::rep>(static_cast<double>(promptsAhead.count())
-                                                  / prefillCapacity));
-    }
-    result.timeToFirstEvent =
-        std::max(timeToPrefill, result.memoryWait + idlePrefillTime) + FirstEventAfterPrefill;
-    return result;
-}
-
-std::vector<EngineScheduler::WaitingClaims::iterator>
-EngineScheduler::servingOrder(TimePoint now, Duration prefillWait, const ServiceName &service)
-{
-    struct Entry
-    {
-        int rank = 0;
-        std::uint32_t priority = 0;
-        TimePoint latestStart {};
-        WaitingClaims::iterator waiting;
-    };
-    constexpr int LateRank = 2;
-    std::vector<Entry> entries;
-    for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it) {
-        const WaitingClaim &waiting = it->second;
-        if (waiting.claim.service == service) {
-            const bool isLate = waiting.claim.urgency == Urgency::FirstAttempt
-                && now + prefillWait > waiting.latestStart;
-            const int rank = isLate ? LateRank : static_cast<int>(waiting.claim.urgency);
-            entries.push_back({rank, waiting.claim.priority, waiting.latestStart, it});
-        }
-    }
-    std::stable_sort(entries.begin(), entries.end(), [](const Entry &a, const Entry &b) {
-        return std::tie(a.rank, a.priority, a.latestStart)
-            < std::tie(b.rank, b.priority, b.latestStart);
-    });
-    std::vector<WaitingClaims::iterator> ordered;
-    ordered.reserve(entries.size());
-    for (const Entry &entry : entries) {
-        ordered.push_back(entry.waiting);
-    }
-    return ordered;
+    return m_waitEstimator.estimate(now, waiting, m_queue, allEngines, m_tracker,
+                                    estimators.prefill);
 }
 
 void EngineScheduler::grantWaiting(TimePoint now, const View &view, SchedulerReplies &replies)
 {
-    if (m_waiting.size() > BatchingThreshold && now < m_nextPass) {
+    if (m_queue.size() > BatchingThreshold && now < m_nextPass) {
         return;
     }
     m_nextPass = now + PassInterval;
-    std::set<ServiceName> services;
-    for (const auto &[key, waiting] : m_waiting) {
-        services.insert(waiting.claim.service);
-    }
-    for (const ServiceName &name : services) {
+    for (const ServiceName &name : m_queue.services()) {
         const Service *service = view.routes.service(name);
-        if (service && service->engine
-            && !grantForService(now, view, *service, engineLimit(view, name), replies)) {
-            grantForService(now, view, *service, EngineSelector::NoLimit, replies);
+        if (!service || !service->engine) {
+            continue;
+        }
+        std::vector<NewGrant> grants;
+        if (!grantForService(now, view, *service, engineLimit(view, name), grants)) {
+            grantForService(now, view, *service, EngineSelector::NoLimit, grants);
         }
+        for (const NewGrant &grant : grants) {
+            replies.push_back({grant.key.owner, m_granted.find(grant.key)->reply});
+        }
+        m_queue.recordOvertaking(now);
     }
 }
 
 bool EngineScheduler::grantForService(TimePoint now, const View &view, const Service &service,
-                                      EngineSelector::Limit limit, SchedulerReplies &replies)
+                                      EngineSelector::Limit limit, std::vector<NewGrant> &grants)
 {
     GrantPass pass {
         EngineSelector(m_tracker, view.servers, service, estimatorsOf(service.name), now, limit)};
     m_enginesExamined += pass.engines.examined();
     bool isAnyWaiting = false;
-    pass.spareTokens = pass.engines.freeMemoryFor({}) - waitingTokens(service.name);
-    for (const auto it : servingOrder(now, pass.engines.shortestPrefillWait(), service.name)) {
-        if (tryGrant(now, pass, it->first, it->second, replies)) {
-            m_waiting.erase(it);
+    pass.spareTokens = pass.engines.freeMemoryFor({}) - m_queue.waitingTokens(service.name);
+    for (const ClaimQueue::Entry *entry :
+         m_queue.servingOrder(now, pass.engines.shortestPrefillWait(), service.name)) {
+        const auto &[key, waiting] = *entry;
+        if (tryGrant(now, pass, key, waiting)) {
+            grants.push_back({key, waiting.claim});
+            m_queue.takeGranted(now, grants.back().key);
             continue;
         }
         isAnyWaiting = true;
         if (pass.isPrefillSaturated) {
             break;
         }
-        if (now > it->second.since + ReserveEngineAfter) {
+        if (now > waiting.since + ReserveEngineAfter) {
             pass.engines.reserveEngine();
         }
     }
-    return !isAnyWaiting || !pass.engines.isLimited();
-}
-
-double EngineScheduler::waitingTokens(const ServiceName &service) const
-{
-    double tokens = 0;
-    for (const auto &[key, waiting] : m_waiting) {
-        if (waiting.claim.service == service) {
-            tokens += static_cast<double>(waiting.claim.memory.contextTokens
-                                          + waiting.claim.memory.outputTokens);
-        }
+    const bool isComplete = !isAnyWaiting || !pass.engines.isLimited();
+    const ServiceEstimators &estimators = estimatorsOf(service.name);
+    // While claims wait for memory, copies would displace runs.
+    if (isComplete && !pass.isMemoryShort
+        && estimators.losses.areBackupsWorthwhile(now, view.isStoreStale)) {
+        BackupAssigner assigner(view.servers, estimators, pass.engines,
+                                m_queue.waitingTokens(service.name));
+        m_backupsGranted += assigner.assign(grants, m_granted, m_tracker, now);
     }
-    return tokens;
+    return isComplete;
 }
 
 bool EngineScheduler::tryGrant(TimePoint now, GrantPass &pass, const ClaimKey &key,
-                               const WaitingClaim &waiting, SchedulerReplies &replies)
+                               const WaitingClaim &waiting)
 {
     const Claim &claim = waiting.claim;
     if (pass.minUnplacedTokens != 0 && claim.memory.totalTokens() >= pass.minUnplacedTokens
         && claim.excludedServers.empty()) {
+        pass.isMemoryShort = true;
         return false;
     }
     EngineSelector::DecodeCandidate *candidate = pass.engines.chooseDecodeEngine(claim);
     if (!candidate) {
+        pass.isMemoryShort = true;
         if (claim.excludedServers.empty()) {
             pass.minUnplacedTokens = claim.memory.totalTokens();
         }
@@ -535,15 +490,16 @@
     granted.run = RunNumber(++m_lastRun);
     granted.memory = claim.memory;
     granted.decodeServer = decode->name;
+    granted.organisation = claim.organisation;
+    granted.tokenSeconds = waiting.tokenSeconds;
     granted.since = now;
     granted.deadline = now + claim.maxDuration + ExpirySlack;
-    m_tracker.addRun(decode->name, granted.run, claim.memory, now);
-    if (!granted.prefill) {
-        beginDecode(granted, now);
+    const bool isDecoding = !granted.prefill;
+    GrantedClaim &added = m_granted.add(key, std::move(granted), m_tracker, now);
+    if (isDecoding) {
+        GrantedClaims::beginDecode(added, m_tracker, now);
     }
     pass.engines.addRun(*candidate, claim.memory);
-    replies.push_back({key.owner, granted.reply});
-    m_granted.emplace(key, std::move(granted));
     return true;
 }
 
--- a/src/scheduling/enginescheduler.h
+++ b/src/scheduling/enginescheduler.h
@@ -2,8 +2,11 @@
 
 #include "fleet/serverdirectory.h"
 #include "routing/routetable.h"
+#include "scheduling/backupassigner.h"
+#include "scheduling/claimqueue.h"
 #include "scheduling/engineselector.h"
 #include "scheduling/enginetracker.h"
+#include "scheduling/grantedclaims.h"
 #include "scheduling/schedulermessages.h"
 #include "scheduling/schedulerstate.h"
 #include "scheduling/serviceestimators.h"
@@ -11,7 +14,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace indigoway::scheduling {
@@ -44,6 +46,11 @@
     {
         const ServerDirectory &servers;
         const RouteTable &routes;
+        /**
+         * Whether the scheduling node can't reach the store, so that engines may leave without its
+         * knowledge.
+         */
+        bool isStoreStale = false;
     };
 
     SchedulerReplies handle(TimePoint now, const View &view, const NodeLife &from,
@@ -54,72 +61,42 @@
     std::optional<TimePoint> nextTick(TimePoint now) const;
     /** Returns the state over the engines of all services. */
     SchedulerState state(TimePoint now, const View &view) const;
-    std::size_t waiting() const { return m_waiting.size(); }
+    std::size_t waiting() const { return m_queue.size(); }
     std::size_t granted() const { return m_granted.size(); }
     std::size_t engines() const { return m_tracker.size(); }
     /** Returns the number of engines that were examined for all claims so far. */
     std::uint64_t enginesExamined() const { return m_enginesExamined; }
+    std::size_t copies() const { return m_granted.copies(); }
+    std::uint64_t copyTokens() const { return m_granted.copyTokens(); }
+    std::uint64_t backupsGranted() const { return m_backupsGranted; }
+    std::uint64_t runsMoved() const { return m_runsMoved; }
+    /** Returns the estimated fraction of lost runs, the largest over all services. */
+    double lossFraction(TimePoint now) const;
+    /** Returns the organisations with the most waiting claims and the largest use. */
+    std::vector<ClaimQueue::OrganisationState> organisations(TimePoint now) const;
 
 private:
-    struct ClaimKey
-    {
-        NodeLife owner;
-        ClaimId claim;
-        auto operator<=>(const ClaimKey &) const = default;
-    };
-    struct WaitingClaim
-    {
-        Claim claim;
-        TimePoint since {};
-        TimePoint latestStart {}; ///< Latest time of a grant that meets the claim's target.
-    };
-    struct GrantedClaim
-    {
-        ServiceName service;
-        RunNumber run;
-        MemoryNeed memory;
-        ServerName decodeServer;
-        TimePoint since {};
-        std::optional<TimePoint> decodeStart;
-        TimePoint deadline {};
-        std::optional<PrefillAssignment> prefill; ///< Set while the prompt is being processed.
-        ClaimGranted reply;                       ///< Repeated if the claim is sent again.
-    };
-    using WaitingClaims = std::map<ClaimKey, WaitingClaim>;
-
     void process(TimePoint now, const View &view, const ClaimKey &key, const Claim &claim,
                  SchedulerReplies &replies);
     void process(TimePoint now, const ClaimKey &key, const ReservationReport &reservation);
     void process(TimePoint now, const ClaimKey &key, const PrefillEnded &ended);
     void process(TimePoint now, const View &view, const ClaimKey &key, const ClaimEnded &ended);
+    void moveToBackup(TimePoint now, const ClaimKey &key);
+    void process(TimePoint now, const PhaseChangeNotice &notice);
     void removeEarlierIncarnations(const NodeLife &owner, TimePoint now);
-    /** Records that the prompt has been processed. */
-    void beginDecode(GrantedClaim &granted, TimePoint now);
-    void releaseResources(const GrantedClaim &granted, TimePoint now);
-    void removeGrant(std::map<ClaimKey, GrantedClaim>::iterator it, TimePoint now);
+    /** Records how a run has ended for the estimates of the service and the fair queue. */
+    void recordRunEnd(const GrantedClaim &granted, const ClaimEnded &ended, TimePoint now);
     void removeExpired(TimePoint now);
+    /** Stops counting copies on engines that have left or no longer decode. */
+    void removeLostCopies(TimePoint now, const View &view);
     void refuseOverdue(TimePoint now, SchedulerReplies &replies);
-    /** Expected wait of a new claim. */
-    struct WaitEstimate
-    {
-        std::uint32_t claimsAhead = 0;
-        Duration memoryWait {};       ///< Wait for memory on a decode engine.
-        Duration timeToFirstEvent {}; ///< From now, including the wait.
-    };
-    WaitEstimate estimateWait(TimePoint now, const View &view, const Claim &claim);
-    WaitEstimate estimateWait(TimePoint now, const EngineSelector &engines,
-                              const Claim &claim) const;
     /**
-     * Returns whether @p claim would wait too long or miss a target that it could meet on idle
-     * engines.
+     * Returns the expected wait of a new claim.
+     * @param waiting The claim, which is not in the queue yet.
      */
-    bool shouldRefuse(TimePoint now, const Claim &claim, const WaitEstimate &expected);
+    WaitEstimate estimateWait(TimePoint now, const View &view, const WaitingClaim &waiting);
     /** Returns how many engines to examine in each failure domain for the current load. */
     EngineSelector::Limit engineLimit(const View &view, const ServiceName &service) const;
-    /**
-     * Returns the latest time at which @p claim can be granted and meet its target on idle engines.
-     */
-    TimePoint latestStart(TimePoint now, const Claim &claim) const;
     const ServiceEstimators &estimatorsOf(const ServiceName &service) const;
     void grantWaiting(TimePoint now, const View &view, SchedulerReplies &replies);
     /** One pass over the claims on a service. */
@@ -128,39 +105,36 @@
         EngineSelector engines;
         /** Size of the smallest claim for which no engine has memory; 0 if there is none. */
         std::uint64_t minUnplacedTokens = 0;
+        bool isMemoryShort = false; ///< Whether a claim waits for decode memory.
         bool isPrefillSaturated = false;
         /** Free memory after serving all waiting claims; negative if it doesn't suffice. */
         double spareTokens = 0;
     };
     /**
      * Grants claims on @p service to at most @p limit engines of each phase in a failure domain.
+     * @param grants Receives the granted claims.
      * @return False if claims are left and some engines were not examined.
      */
     bool grantForService(TimePoint now, const View &view, const Service &service,
-                         EngineSelector::Limit limit, SchedulerReplies &replies);
-    /** Returns the claims that wait for @p service in the order in which they are served. */
-    std::vector<WaitingClaims::iterator> servingOrder(TimePoint now, Duration prefillWait,
-                                                      const ServiceName &service);
-    /**
-     * Returns the memory that the waiting claims on @p service need, counting their full output.
-     */
-    double waitingTokens(const ServiceName &service) const;
-    bool tryGrant(TimePoint now, GrantPass &pass, const ClaimKey &key, const WaitingClaim &waiting,
-                  SchedulerReplies &replies);
+                         EngineSelector::Limit limit, std::vector<NewGrant> &grants);
+    bool tryGrant(TimePoint now, GrantPass &pass, const ClaimKey &key, const WaitingClaim &waiting);
 
     EngineTracker m_tracker;
-    WaitingClaims m_waiting;
-    std::map<ClaimKey, GrantedClaim> m_granted;
+    ClaimQueue m_queue;
+    GrantedClaims m_granted;
     /** Current incarnation of each node that makes claims. */
     std::map<NodeName, Incarnation> m_incarnations;
     /** Earliest next pass while more than BatchingThreshold claims wait. */
     TimePoint m_nextPass {};
+    TimePoint m_nextCopyCheck {};
     WaitEstimator m_waitEstimator;
     std::map<ServiceName, ServiceEstimators> m_estimators;
     std::uint64_t m_lastRun = 0;
     std::uint64_t m_enginesExamined = 0;
     std::uint64_t m_refusedAtOnce = 0;
     std::uint64_t m_refusedAfterWait = 0;
+    std::uint64_t m_backupsGranted = 0;
+    std::uint64_t m_runsMoved = 0;
 };
 
 } // namespace indigoway::scheduling
--- a/src/scheduling/engineselector.cpp
+++ b/src/scheduling/engineselector.cpp
@@ -158,6 +158,33 @@
     candidate.peak = candidate.memory.peak();
 }
 
+std::vector<BackupSelector::Engine> EngineSelector::backupEngines(const Claim &claim) const
+{
+    std::vector<BackupSelector::Engine> engines;
+    for (const DecodeCandidate &candidate : m_decode) {
+        const AnnouncedServer &server = *candidate.server;
+        if (!candidate.isReserved
+            && std::ranges::find(claim.excludedServers, server.name)
+                == claim.excludedServers.end()) {
+            engines.push_back(
+                {server.name, server.domain, m_memory,
+                 MemoryForecast::peakWith(candidate.memory, claim.memory, m_estimators.decode),
+                 m_tracker.isSuspect(server.name, m_now)});
+        }
+    }
+    return engines;
+}
+
+void EngineSelector::addCopy(const ServerName &server, const MemoryNeed &need)
+{
+    for (DecodeCandidate &candidate : m_decode) {
+        if (candidate.server->name == server) {
+            addRun(candidate, need);
+            return;
+        }
+    }
+}
+
 void EngineSelector::reserveEngine()
 {
     if (m_reservedEngines >= m_decode.size() / ReservableDivisor) {
--- a/src/scheduling/engineselector.h
+++ b/src/scheduling/engineselector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/serverdirectory.h"
+#include "scheduling/backupselector.h"
 #include "scheduling/enginetracker.h"
 #include "scheduling/schedulermessages.h"
 #include "scheduling/serviceestimators.h"
@@ -55,6 +56,10 @@
     DecodeCandidate *chooseLocalPrefillEngine(const Claim &claim);
     /** Adds a granted run to the projection of @p candidate. */
     void addRun(DecodeCandidate &candidate, const MemoryNeed &need) const;
+    /** Returns the decode engines that may keep a copy of a run of @p claim. */
+    std::vector<BackupSelector::Engine> backupEngines(const Claim &claim) const;
+    /** Adds a copy to the projection of @p server. */
+    void addCopy(const ServerName &server, const MemoryNeed &need);
     /**
      * Reserves the engine with the lowest memory peak for claims that have waited long. Other
      * claims no longer get it in this pass.
--- a/src/scheduling/generationwork.cpp
+++ b/src/scheduling/generationwork.cpp
@@ -25,6 +25,7 @@
     m_samples = m_samples * Decay + 1;
     m_prompt = m_prompt * Decay + promptTokens;
     m_context = m_context * Decay + context;
+    m_output = m_output * Decay + output;
     m_contextTimesOutput = m_contextTimesOutput * Decay + context * output;
     m_squaredOutput = m_squaredOutput * Decay + output * output;
 }
--- a/src/scheduling/generationwork.h
+++ b/src/scheduling/generationwork.h
@@ -32,11 +32,15 @@
     std::optional<GenerationWork> work(const PrefillEstimator &prefill,
                                        const DecodeEstimator &decode) const;
 
+    /** Returns the mean estimate of the output length; 0 if unknown. */
+    double meanOutputTokens() const { return m_samples > 0 ? m_output / m_samples : 0; }
+
 private:
     /** Number of samples, decaying like all sums here. */
     double m_samples = 0;
     double m_prompt = 0;
     double m_context = 0;
+    double m_output = 0;
     double m_contextTimesOutput = 0;
     double m_squaredOutput = 0;
 };
--- a/src/scheduling/schedulerstate.h
+++ b/src/scheduling/schedulerstate.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "scheduling/claimqueue.h"
+
 #include <indigoway/ids.h>
 
 #include <cstddef>
 #include <cstdint>
+#include <vector>
 
 namespace indigoway::scheduling {
 
@@ -23,6 +26,13 @@
     Duration shortestPrefillWait {};
     std::uint64_t refusedAtOnce = 0; ///< Claims refused without waiting since the process started.
     std::uint64_t refusedAfterWait = 0;
+    std::size_t copies = 0;           ///< Copies of runs at their backups.
+    std::uint64_t copyTokens = 0;     ///< Memory of all copies with their full output.
+    std::uint64_t backupsGranted = 0; ///< Since the process started.
+    std::uint64_t runsMoved = 0;      ///< Runs that continued on their backup.
+    double lossFraction = 0; ///< Estimated fraction of lost runs; the largest over all services.
+    /** Organisations with the most waiting claims and the largest use; their number is bounded. */
+    std::vector<ClaimQueue::OrganisationState> organisations;
 };
 
 } // namespace indigoway::scheduling
--- a/src/scheduling/serviceestimators.h
+++ b/src/scheduling/serviceestimators.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "scheduling/generationwork.h"
+#include "scheduling/runlossestimator.h"
 
 #include <optional>
 
@@ -12,6 +13,7 @@
     PrefillEstimator prefill;
     DecodeEstimator decode;
     GenerationStatistics generations;
+    RunLossEstimator losses;
     std::optional<GenerationWork> work() const { return generations.work(prefill, decode); }
 };
 
--- a/src/scheduling/waitestimator.cpp
+++ b/src/scheduling/waitestimator.cpp
@@ -18,6 +18,11 @@
 /** Weight of a sample in the moving average. */
 constexpr double HoldTimeWeight = 0.05;
 
+/** Time from the prefill response to the first event: KV cache transfer and first token. */
+constexpr Duration FirstEventAfterPrefill = std::chrono::milliseconds(40);
+/** If prompts would be processed sooner than this, waiting claims wait for decode memory. */
+constexpr Duration LongPrefillWait = std::chrono::milliseconds(100);
+
 } // namespace
 
 WaitEstimator::WaitEstimator()
@@ -31,6 +36,69 @@
     m_meanHoldSeconds += HoldTimeWeight * (seconds - m_meanHoldSeconds);
 }
 
+TimePoint WaitEstimator::latestStart(TimePoint now, const Claim &claim,
+                                     const EngineTracker &tracker,
+                                     const PrefillEstimator &estimator)
+{
+    return now + claim.timeToTarget - FirstEventAfterPrefill
+        - tracker.prefillTime(ServerName(), claim.promptTokens, estimator, now);
+}
+
+WaitEstimate WaitEstimator::estimate(TimePoint now, const WaitingClaim &waiting,
+                                     const ClaimQueue &queue, const EngineSelector &engines,
+                                     const EngineTracker &tracker,
+                                     const PrefillEstimator &estimator) const
+{
+    WaitEstimate result;
+    const Claim &claim = waiting.claim;
+    double tokensAhead = 0;
+    Duration promptsAhead {};
+    for (const WaitingClaim *other : queue.servedBefore(now, waiting)) {
+        ++result.claimsAhead;
+        tokensAhead += meanTokens(other->claim.memory);
+        promptsAhead += estimator.computeTime(other->claim.promptTokens);
+    }
+    // If claims wait although a prompt would be processed at once, they wait for memory: the free
+    // memory is too fragmented for them or reserved.
+    const bool isMemoryShort =
+        result.claimsAhead > 0 && engines.shortestPrefillWait() <= LongPrefillWait;
+    const double free = isMemoryShort ? 0 : engines.freeMemoryFor(claim.memory);
+    const double requiredTokens = tokensAhead + meanTokens(claim.memory) - free;
+    if (engines.memory() > 0 && requiredTokens > 0) {
+        result.memoryWait = timeUntilFree(requiredTokens / engines.memory());
+    }
+    // While this claim waits for memory, the prompts ahead of it are processed.
+    const Duration idlePrefillTime =
+        tracker.prefillTime(ServerName(), claim.promptTokens, estimator, now);
+    Duration timeToPrefill {};
+    if (claim.promptTokens > 0 && engines.hasPrefillEngines()) {
+        // Decode engines also prefill while they have memory for all waiting claims.
+        const bool isMemorySpare = engines.freeMemoryFor({}) > queue.waitingTokens(claim.service);
+        const double prefillCapacity = static_cast<double>(engines.prefillEngines())
+            + (isMemorySpare ? static_cast<double>(engines.decodeEngines())
+                       * EngineTracker::localPrefillRatio()
+                             : 0);
+        timeToPrefill = engines.shortestPrefillTime(claim.promptTokens)
+            + Duration(static_cast<Duration::rep>(static_cast<double>(promptsAhead.count())
+                                                  / prefillCapacity));
+    }
+    result.timeToFirstEvent =
+        std::max(timeToPrefill, result.memoryWait + idlePrefillTime) + FirstEventAfterPrefill;
+    return result;
+}
+
+bool WaitEstimator::shouldRefuse(TimePoint now, const Claim &claim, const WaitEstimate &expected,
+                                 const EngineTracker &tracker, const PrefillEstimator &estimator)
+{
+    // A prompt that would miss its target even on idle engines must not be refused forever.
+    const bool canMeetTarget = claim.urgency == Urgency::FirstAttempt
+        && tracker.prefillTime(ServerName(), claim.promptTokens, estimator, now)
+            < claim.timeToTarget;
+    const Duration latest = claim.timeToTarget - longPromptAllowance(claim, estimator);
+    return expected.memoryWait > claim.maxWait
+        || (canMeetTarget && expected.timeToFirstEvent > latest);
+}
+
 Duration WaitEstimator::timeUntilFree(double fraction) const
 {
     return std::chrono::duration_cast<Duration>(
--- a/tests/dispatch/organisationstest.cpp
+++ b/tests/dispatch/organisationstest.cpp
@@ -221,7 +221,10 @@
         harness.useRoutes(Repetition::AtMostOnce, {urgent, organisation("o2", "k2")});
         harness.dispatcher().setScheduler(NodeName("k"));
         harness.arriveWithKey(0, "stream", "k1", 1s, 1000);
-        CPPUNIT_ASSERT_EQUAL(3U, harness.nextSchedulerMessage<scheduling::Claim>().priority);
+        const auto claim = harness.nextSchedulerMessage<scheduling::Claim>();
+        CPPUNIT_ASSERT_EQUAL(3U, claim.priority);
+        // The scheduler is fair between organisations.
+        CPPUNIT_ASSERT_EQUAL(std::string("o1"), claim.organisation.text());
         harness.arriveWithKey(0, "stream", "k2", 1s, 1000);
         CPPUNIT_ASSERT_EQUAL(0U, harness.nextSchedulerMessage<scheduling::Claim>().priority);
     }
--- a/tests/dispatch/schedulerclaimstest.cpp
+++ b/tests/dispatch/schedulerclaimstest.cpp
@@ -32,6 +32,7 @@
 class SchedulerClaimsTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(SchedulerClaimsTest);
+    CPPUNIT_TEST(asksForBackupsWhereTheServiceKeepsThem);
     CPPUNIT_TEST(usesTheGrantedEngines);
     CPPUNIT_TEST(prefillsOnDecodeEngineIfGranted);
     CPPUNIT_TEST(repeatsAnUnansweredClaim);
@@ -46,6 +47,26 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against copies of runs on services whose engines don't keep any.
+    void asksForBackupsWhereTheServiceKeepsThem()
+    {
+        for (const bool keepsBackups : {false, true}) {
+            DispatcherHarness harness;
+            useScheduler(harness);
+            RoutingState state;
+            state.version = 2;
+            state.routes = {DispatcherHarness::streamRoute(false)};
+            Service llm = *harness.dispatcher().routes()->service(ServiceName("llm"));
+            llm.engine->keepsBackups = keepsBackups;
+            state.services[llm.name] = llm;
+            harness.dispatcher().setRoutes(std::make_shared<const RouteTable>(std::move(state)));
+            harness.arrive(0, "stream", Prompt);
+            const auto claim = harness.nextSchedulerMessage<Claim>();
+            CPPUNIT_ASSERT_EQUAL(keepsBackups, claim.wantsBackup);
+            CPPUNIT_ASSERT(claim.organisation.isEmpty());
+        }
+    }
+
     void usesTheGrantedEngines()
     {
         DispatcherHarness harness;
--- a/tests/edge/edgemetricstest.cpp
+++ b/tests/edge/edgemetricstest.cpp
@@ -9,6 +9,7 @@
 {
     CPPUNIT_TEST_SUITE(EdgeMetricsTest);
     CPPUNIT_TEST(countsRequestsByOutcome);
+    CPPUNIT_TEST(formatsLoadOfOrganisations);
     CPPUNIT_TEST(countsByOrganisationUpToALimit);
     CPPUNIT_TEST(histogramBucketsAreCumulative);
     CPPUNIT_TEST_SUITE_END();
@@ -29,6 +30,18 @@
         expect(text, "indigoway_requests_total{sort=\"generation\",outcome=\"rejected\"} 1\n");
         expect(text, "indigoway_decisions_total{kind=\"retry\"} 1\n");
         expect(text, "indigoway_requests_open 7\n");
+        CPPUNIT_ASSERT(text.find("scheduler_organisation") == std::string::npos);
+    }
+
+    void formatsLoadOfOrganisations()
+    {
+        const std::string text = EdgeMetrics().prometheusText(
+            {}, {{ServiceName("llm"), OrganisationName("a\"b"), 12, 250}});
+        expect(text,
+               "indigoway_scheduler_organisation_waiting{service=\"llm\",organisation=\"a\\\"b\"} "
+               "12\n");
+        expect(text, "# TYPE indigoway_scheduler_organisation_usage_permille gauge\n");
+        expect(text, "organisation=\"a\\\"b\"} 250\n");
     }
 
     void countsByOrganisationUpToALimit()
--- a/tests/scheduling/schedulerharness.h
+++ b/tests/scheduling/schedulerharness.h
@@ -48,6 +48,9 @@
         m_servers.announce(std::move(server));
     }
 
+    void removeEngine(const std::string &name) { m_servers.remove(ServerName(name)); }
+    void setStoreStale(bool isStale) { m_isStoreStale = isStale; }
+
     static Claim claimOf(std::uint64_t number, std::uint64_t tokens = 5'000)
     {
         Claim claim;
@@ -86,9 +89,19 @@
         const auto it = m_answers.find({to, ClaimId(claim)});
         return it == m_answers.end() ? std::string() : it->second;
     }
+    /** Returns the backup that the last grant of a claim named; empty if none. */
+    std::string backup(const NodeLife &to, std::uint64_t claim) const
+    {
+        const auto it = m_backups.find({to, ClaimId(claim)});
+        return it == m_backups.end() ? std::string() : it->second;
+    }
     /** Returns the last reported work, or nothing if there was no report. */
     const std::optional<GenerationWork> &work() const { return m_work; }
-    void clearAnswers() { m_answers.clear(); }
+    void clearAnswers()
+    {
+        m_answers.clear();
+        m_backups.clear();
+    }
 
     SchedulerState state(int milliseconds) const
     {
@@ -98,7 +111,7 @@
     EngineScheduler &scheduler() { return m_scheduler; }
 
 private:
-    EngineScheduler::View view() const { return {m_servers, *m_routes}; }
+    EngineScheduler::View view() const { return {m_servers, *m_routes, m_isStoreStale}; }
 
     void record(const SchedulerReplies &replies)
     {
@@ -112,6 +125,7 @@
             if (const auto *granted = std::get_if<ClaimGranted>(&reply.message)) {
                 text = granted->decodeServer.text() + "/"
                     + (granted->prefillsLocally ? "whole" : granted->prefillServer.text());
+                m_backups[{reply.to, claim}] = granted->backupServer.text();
             } else if (std::holds_alternative<ClaimRefused>(reply.message)) {
                 text = "refused";
             }
@@ -123,6 +137,8 @@
     ServerDirectory m_servers;
     std::optional<RouteTable> m_routes;
     std::map<std::pair<NodeLife, ClaimId>, std::string> m_answers;
+    std::map<std::pair<NodeLife, ClaimId>, std::string> m_backups;
+    bool m_isStoreStale = false;
     std::optional<GenerationWork> m_work;
 };
 
