--- a/src/edge/edgemetrics.cpp
+++ b/src/edge/edgemetrics.cpp
@@ -130,8 +130,7 @@
 }
 
 std::string
-EdgeMetrics::prometheusText(const std::vector<std::pair<std::string, std::uint64_t>> &gauges,
-                            const std::vector<OrganisationLoad> &organisations) const
+EdgeMetrics::prometheusText(const std::vector<std::pair<std::string, std::uint64_t>> &gauges) const
 {
     std::string text = "# TYPE indigoway_requests_total counter\n";
     for (const auto &[key, count] : m_requests) {
@@ -151,9 +150,6 @@
     for (const auto &[name, value] : gauges) {
         text += fmt::format("# TYPE indigoway_{0} gauge\nindigoway_{0} {1}\n", name, value);
     }
-    appendGauge(text, "scheduler_organisation_waiting", organisations, &OrganisationLoad::waiting);
-    appendGauge(text, "scheduler_organisation_usage_permille", organisations,
-                &OrganisationLoad::usagePermille);
     text += "# TYPE indigoway_first_answer_seconds histogram\n";
     for (const bool isGeneration : {false, true}) {
         text += m_histograms->firstAnswer[isGeneration ? 1 : 0].text("first_answer_seconds",
@@ -166,4 +162,13 @@
     return text;
 }
 
+std::string EdgeMetrics::organisationLoadText(const std::vector<OrganisationLoad> &organisations)
+{
+    std::string text;
+    appendGauge(text, "scheduler_organisation_waiting", organisations, &OrganisationLoad::waiting);
+    appendGauge(text, "scheduler_organisation_usage_permille", organisations,
+                &OrganisationLoad::usagePermille);
+    return text;
+}
+
 } // namespace indigoway
--- a/src/edge/edgemetrics.h
+++ b/src/edge/edgemetrics.h
@@ -27,6 +27,13 @@
 
     void add(const dispatch::RequestEnded &ended);
     void add(const dispatch::LogDecision &decision) { ++m_decisions[decision.kind]; }
+    /**
+     * Formats all metrics.
+     * @param gauges Names, without the "indigoway_" prefix, and current values of further gauges.
+     */
+    std::string
+    prometheusText(const std::vector<std::pair<std::string, std::uint64_t>> &gauges) const;
+
     /** Load of one organisation on the engines of a service, at the node that schedules them. */
     struct OrganisationLoad
     {
@@ -35,12 +42,8 @@
         std::uint64_t waiting = 0;
         std::uint64_t usagePermille = 0; ///< Of the memory-time granted recently.
     };
-    /**
-     * Formats all metrics.
-     * @param gauges Names, without the "indigoway_" prefix, and current values of further gauges.
-     */
-    std::string prometheusText(const std::vector<std::pair<std::string, std::uint64_t>> &gauges,
-                               const std::vector<OrganisationLoad> &organisations = {}) const;
+    /** Formats the gauges of the organisations' load. */
+    static std::string organisationLoadText(const std::vector<OrganisationLoad> &organisations);
 
 private:
     struct Histograms;
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -422,55 +422,58 @@
         return;
     }
     m_metricsServer.reply(request.exchange, Ok, {{"Content-Type", "text/plain; version=0.0.4"}},
-                          metricsText());
+                          metricsText() + organisationLoadText());
 }
 
 std::string EdgeNode::metricsText() const
+{
+    const std::uint64_t loss = permille(m_scheduling.scheduler().lossFraction(steadyNow()));
+    return m_metrics.prometheusText({
+        {"requests_open", m_dispatcher.open()},
+        {"requests_waiting", m_dispatcher.waiting()},
+        {"caller_connections", m_relay.callers().connections()},
+        {"server_connections_kept", m_relay.serverConnections().idleConnections()},
+        {"server_connections_made", m_relay.serverConnections().connectionsMade()},
+        {"log_lines_dropped", m_log.dropped()},
+        {"routing_version", m_dispatcher.routes() ? m_dispatcher.routes()->version() : 0},
+        {"store_revision", m_sync.asOf()},
+        {"store_lists", m_sync.storeCallCounts().lists},
+        {"store_watches", m_sync.storeCallCounts().watches},
+        {"store_leases", m_sync.storeCallCounts().leases},
+        {"store_renewals", m_sync.storeCallCounts().renewals},
+        {"store_writes", m_sync.storeCallCounts().writes},
+        {"store_proofs", m_sync.storeCallCounts().proofs},
+        {"servers_known", m_dispatcher.servers().size()},
+        {"nodes_known", m_roster.count(steadyNow())},
+        {"scheduler_waiting", m_scheduling.scheduler().waiting()},
+        {"scheduler_granted", m_scheduling.scheduler().granted()},
+        {"scheduler_engines_looked", m_scheduling.scheduler().enginesExamined()},
+        {"scheduler_unsent", m_scheduling.unsent()},
+        {"scheduler_copies", m_scheduling.scheduler().copies()},
+        {"scheduler_copy_tokens", m_scheduling.scheduler().copyTokens()},
+        {"scheduler_backups_granted", m_scheduling.scheduler().backupsGranted()},
+        {"scheduler_runs_moved", m_scheduling.scheduler().runsMoved()},
+        {"scheduler_loss_permille", loss},
+        {"order_looks", m_dispatcher.orderEvaluations()},
+        {"permits_granted", m_scheduling.rateLimiter().granted()},
+        {"permits_refused", m_scheduling.rateLimiter().refused()},
+        {"quotas_scarce", m_scheduling.quotaKeeper().scarceCount()},
+        {"contents_crashed", m_dispatcher.crashes().size()},
+        {"contents_refused", m_dispatcher.crashes().refusedCount()},
+        {"servers_paused", m_dispatcher.pausedServers()},
+        {"servers_limited", m_dispatcher.permits().limitedServers()},
+        {"leaving", m_leavingSince ? 1U : 0U},
+    });
+}
+
+std::string EdgeNode::organisationLoadText() const
 {
     std::vector<EdgeMetrics::OrganisationLoad> organisations;
     for (const auto &state : m_scheduling.scheduler().organisations(steadyNow())) {
         organisations.push_back(
             {state.service, state.organisation, state.waiting, permille(state.usageShare)});
     }
-    return m_metrics.prometheusText(
-        {
-            {"requests_open", m_dispatcher.open()},
-            {"requests_waiting", m_dispatcher.waiting()},
-            {"caller_connections", m_relay.callers().connections()},
-            {"server_connections_kept", m_relay.serverConnections().idleConnections()},
-            {"server_connections_made", m_relay.serverConnections().connectionsMade()},
-            {"log_lines_dropped", m_log.dropped()},
-            {"routing_version", m_dispatcher.routes() ? m_dispatcher.routes()->version() : 0},
-            {"store_revision", m_sync.asOf()},
-            {"store_lists", m_sync.storeCallCounts().lists},
-            {"store_watches", m_sync.storeCallCounts().watches},
-            {"store_leases", m_sync.storeCallCounts().leases},
-            {"store_renewals", m_sync.storeCallCounts().renewals},
-            {"store_writes", m_sync.storeCallCounts().writes},
-            {"store_proofs", m_sync.storeCallCounts().proofs},
-            {"servers_known", m_dispatcher.servers().size()},
-            {"nodes_known", m_roster.count(steadyNow())},
-            {"scheduler_waiting", m_scheduling.scheduler().waiting()},
-            {"scheduler_granted", m_scheduling.scheduler().granted()},
-            {"scheduler_engines_looked", m_scheduling.scheduler().enginesExamined()},
-            {"scheduler_unsent", m_scheduling.unsent()},
-            {"scheduler_copies", m_scheduling.scheduler().copies()},
-            {"scheduler_copy_tokens", m_scheduling.scheduler().copyTokens()},
-            {"scheduler_backups_granted", m_scheduling.scheduler().backupsGranted()},
-            {"scheduler_runs_moved", m_scheduling.scheduler().runsMoved()},
-            {"scheduler_loss_permille",
-             permille(m_scheduling.scheduler().lossFraction(steadyNow()))},
-            {"order_looks", m_dispatcher.orderEvaluations()},
-            {"permits_granted", m_scheduling.rateLimiter().granted()},
-            {"permits_refused", m_scheduling.rateLimiter().refused()},
-            {"quotas_scarce", m_scheduling.quotaKeeper().scarceCount()},
-            {"contents_crashed", m_dispatcher.crashes().size()},
-            {"contents_refused", m_dispatcher.crashes().refusedCount()},
-            {"servers_paused", m_dispatcher.pausedServers()},
-            {"servers_limited", m_dispatcher.permits().limitedServers()},
-            {"leaving", m_leavingSince ? 1U : 0U},
-        },
-        organisations);
+    return EdgeMetrics::organisationLoadText(organisations);
 }
 
 void EdgeNode::tick()
--- a/src/edge/edgenode.h
+++ b/src/edge/edgenode.h
@@ -89,6 +89,7 @@
     bool listenOn(std::string &address, const Binder &bind);
     void handleMetrics(const HttpRequest &request);
     std::string metricsText() const;
+    std::string organisationLoadText() const;
     void tick();
     /** Detects that the VM was suspended or the process stopped since the last tick. */
     void detectSuspension(TimePoint now);
--- a/tests/edge/edgemetricstest.cpp
+++ b/tests/edge/edgemetricstest.cpp
@@ -30,13 +30,13 @@
         expect(text, "indigoway_requests_total{sort=\"generation\",outcome=\"rejected\"} 1\n");
         expect(text, "indigoway_decisions_total{kind=\"retry\"} 1\n");
         expect(text, "indigoway_requests_open 7\n");
-        CPPUNIT_ASSERT(text.find("scheduler_organisation") == std::string::npos);
+        CPPUNIT_ASSERT(EdgeMetrics::organisationLoadText({}).empty());
     }
 
     void formatsLoadOfOrganisations()
     {
-        const std::string text = EdgeMetrics().prometheusText(
-            {}, {{ServiceName("llm"), OrganisationName("a\"b"), 12, 250}});
+        const std::string text = EdgeMetrics::organisationLoadText(
+            {{ServiceName("llm"), OrganisationName("a\"b"), 12, 250}});
         expect(text,
                "indigoway_scheduler_organisation_waiting{service=\"llm\",organisation=\"a\\\"b\"} "
                "12\n");
