--- a/src/edge/edgemetrics.cpp
+++ b/src/edge/edgemetrics.cpp
@@ -81,6 +81,22 @@
     }
 };
 
+/** Appends one member of the organisations' load. */
+void appendGauge(std::string &text, const char *name,
+                 const std::vector<EdgeMetrics::OrganisationLoad> &organisations,
+                 std::uint64_t EdgeMetrics::OrganisationLoad::*value)
+{
+    if (organisations.empty()) {
+        return;
+    }
+    text += fmt::format("# TYPE indigoway_{} gauge\n", name);
+    for (const EdgeMetrics::OrganisationLoad &load : organisations) {
+        text += fmt::format("indigoway_{}{{service=\"{}\",organisation=\"{}\"}} {}\n", name,
+                            escapedLabelValue(load.service.text()),
+                            escapedLabelValue(load.organisation.text()), load.*value);
+    }
+}
+
 } // namespace
 
 struct EdgeMetrics::Histograms
@@ -146,4 +162,13 @@
     return text;
 }
 
+std::string EdgeMetrics::organisationLoadText(const std::vector<OrganisationLoad> &organisations)
+{
+    std::string text;
+    appendGauge(text, "scheduler_organisation_waiting", organisations, &OrganisationLoad::waiting);
+    appendGauge(text, "scheduler_organisation_usage_permille", organisations,
+                &OrganisationLoad::usagePermille);
+    return text;
+}
+
 } // namespace indigoway
--- a/src/edge/edgemetrics.h
+++ b/src/edge/edgemetrics.h
@@ -34,6 +34,17 @@
     std::string
     prometheusText(const std::vector<std::pair<std::string, std::uint64_t>> &gauges) const;
 
+    /** Load of one organisation on the engines of a service, at the node that schedules them. */
+    struct OrganisationLoad
+    {
+        ServiceName service;
+        OrganisationName organisation;
+        std::uint64_t waiting = 0;
+        std::uint64_t usagePermille = 0; ///< Of the memory-time granted recently.
+    };
+    /** Formats the gauges of the organisations' load. */
+    static std::string organisationLoadText(const std::vector<OrganisationLoad> &organisations);
+
 private:
     struct Histograms;
 
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -6,6 +6,7 @@
 #include <event2/event.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace indigoway {
 
@@ -22,6 +23,8 @@
 constexpr Duration ShutdownMargin = std::chrono::milliseconds(600);
 /** Serves callers who resolved this node's address just before it left. */
 constexpr Duration MinLeaveTime = std::chrono::milliseconds(1500);
+/** Part of the age limit of the copy beyond which the store is taken for unreachable. */
+constexpr double MaxFreshAgeShare = 0.75;
 constexpr Duration StoreCallsLogInterval = std::chrono::seconds(10);
 
 TimePoint steadyNow()
@@ -44,6 +47,11 @@
                                               : std::nullopt;
 }
 
+std::uint64_t permille(double fraction)
+{
+    return static_cast<std::uint64_t>(std::lround(fraction * 1000));
+}
+
 NodeEntry makeNodeEntry(const EdgeSettings &settings)
 {
     return {settings.node,    settings.domain,     settings.callers,
@@ -224,7 +232,8 @@
         if (!routes) {
             return std::nullopt;
         }
-        return scheduling::EngineScheduler::View {node.m_dispatcher.servers(), *routes};
+        return scheduling::EngineScheduler::View {node.m_dispatcher.servers(), *routes,
+                                                  node.isStoreStale()};
     };
     dependencies.nodeCount = [&node] {
         return node.m_roster.count(steadyNow());
@@ -413,11 +422,12 @@
         return;
     }
     m_metricsServer.reply(request.exchange, Ok, {{"Content-Type", "text/plain; version=0.0.4"}},
-                          metricsText());
+                          metricsText() + organisationLoadText());
 }
 
 std::string EdgeNode::metricsText() const
 {
+    const std::uint64_t loss = permille(m_scheduling.scheduler().lossFraction(steadyNow()));
     return m_metrics.prometheusText({
         {"requests_open", m_dispatcher.open()},
         {"requests_waiting", m_dispatcher.waiting()},
@@ -439,6 +449,11 @@
         {"scheduler_granted", m_scheduling.scheduler().granted()},
         {"scheduler_engines_looked", m_scheduling.scheduler().enginesExamined()},
         {"scheduler_unsent", m_scheduling.unsent()},
+        {"scheduler_copies", m_scheduling.scheduler().copies()},
+        {"scheduler_copy_tokens", m_scheduling.scheduler().copyTokens()},
+        {"scheduler_backups_granted", m_scheduling.scheduler().backupsGranted()},
+        {"scheduler_runs_moved", m_scheduling.scheduler().runsMoved()},
+        {"scheduler_loss_permille", loss},
         {"order_looks", m_dispatcher.orderEvaluations()},
         {"permits_granted", m_scheduling.rateLimiter().granted()},
         {"permits_refused", m_scheduling.rateLimiter().refused()},
@@ -451,6 +466,16 @@
     });
 }
 
+std::string EdgeNode::organisationLoadText() const
+{
+    std::vector<EdgeMetrics::OrganisationLoad> organisations;
+    for (const auto &state : m_scheduling.scheduler().organisations(steadyNow())) {
+        organisations.push_back(
+            {state.service, state.organisation, state.waiting, permille(state.usageShare)});
+    }
+    return EdgeMetrics::organisationLoadText(organisations);
+}
+
 void EdgeNode::tick()
 {
     const TimePoint now = steadyNow();
@@ -501,6 +526,17 @@
             {"as_of", std::to_string(m_sync.asOf())}});
 }
 
+bool EdgeNode::isStoreStale() const
+{
+    if (m_sync.storeWriter().isStoreUnreachable()) {
+        return true;
+    }
+    const auto maxAge = maxCopyAge(m_settings);
+    return maxAge
+        && !isFreshEnough(m_sync.copyAge(BootClock::now()),
+                          std::chrono::duration_cast<Duration>(*maxAge * MaxFreshAgeShare));
+}
+
 void EdgeNode::recordStoreCallCounts(TimePoint now)
 {
     if (now < m_storeCallsLoggedAt + StoreCallsLogInterval) {
--- a/src/edge/edgenode.h
+++ b/src/edge/edgenode.h
@@ -89,6 +89,7 @@
     bool listenOn(std::string &address, const Binder &bind);
     void handleMetrics(const HttpRequest &request);
     std::string metricsText() const;
+    std::string organisationLoadText() const;
     void tick();
     /** Detects that the VM was suspended or the process stopped since the last tick. */
     void detectSuspension(TimePoint now);
@@ -96,6 +97,8 @@
     void recordFirstCopy();
     /** Logs a line when the copy becomes fresh enough to check API keys, or too old. */
     void recordCopyFreshness();
+    /** Returns whether this node may not have learned of engines that have left. */
+    bool isStoreStale() const;
     void recordStoreCallCounts(TimePoint now);
     void stopWhenDrained(TimePoint now);
     void record(const std::string &kind, const std::vector<LogField> &fields);
