--- a/src/dispatch/dispatcheffects.h
+++ b/src/dispatch/dispatcheffects.h
@@ -28,6 +28,7 @@
     Report,     ///< Queries the number of orders an engine has accepted.
     Order,      ///< Orders an engine to change its phase.
     Probe,      ///< Opens a connection only, to test whether the server is running.
+    StopRun,    ///< Stops a run and moves its KV cache to another engine.
 };
 
 /** Starts a call to a backend server. CallEnded follows once, unless the call is abandoned. */
@@ -52,9 +53,14 @@
     std::uint64_t reserveTokens = 0;
     Duration reserveFor {};
     std::string reservation;   ///< Result of Reserve; input of Decode, Whole and Unreserve.
-    std::string handle;        ///< Result of Prefill; input of Decode and FreeHandle.
+    std::string handle;        ///< Result of Prefill and StopRun; input of Decode and FreeHandle.
     std::string handleAddress; ///< Address of the engine that holds the KV cache.
     bool isResumption = false; ///< Resumes the stream after the last event forwarded to the caller.
+    std::string backupAddress; ///< Engine that is to keep a copy of the run; empty for none.
+    std::string runId;         ///< For StopRun: the caller's id of the request.
+    std::string moveTarget;    ///< For StopRun: address of the engine that gets the KV cache.
+    Duration connectTimeout {}; ///< Limit for a new connection; 0 for the usual one.
+    Duration silenceLimit {};   ///< Time without data after which StreamSilent follows; 0: never.
     EnginePhase orderedPhase = EnginePhase::None;
     std::uint64_t fencingToken = 0; ///< For Order: increases with each holder of the order right.
     /** For Order: the order is void if the engine has accepted another one since. */
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -393,6 +393,15 @@
     flowOf(*request).streamStarted(step, *request, event);
 }
 
+void Dispatcher::handle(Step &step, const StreamSilent &event)
+{
+    const OpenCall *call = m_state.calls.find(event.call);
+    OpenRequest *request = call ? m_state.requests.find(call->request) : nullptr;
+    if (request && request->call == event.call && request->isGeneration()) {
+        m_generations.streamSilent(step, *request, event);
+    }
+}
+
 void Dispatcher::handle(Step &step, const CallEnded &event)
 {
     const auto call = m_state.calls.take(event.call);
@@ -410,7 +419,7 @@
         m_generations.phases().orderEnded(step, *call, event);
         return;
     }
-    if (call->kind == CallKind::Probe) {
+    if (call->kind == CallKind::Probe && call->request.isNone()) {
         m_crashDetector.probeEnded(step, *call, event);
         return;
     }
@@ -418,6 +427,10 @@
     if (request && carriesRequest(call->kind)) {
         recordCallResult(step, *call, *request, event);
     }
+    if (request && call->kind == CallKind::Probe) {
+        m_generations.engineChecked(step, *request, *call, event);
+        return;
+    }
     if (!request || request->call != event.call) {
         RequestFlow &flow =
             call->kind == CallKind::Plain ? static_cast<RequestFlow &>(m_plain) : m_generations;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -69,12 +69,14 @@
     std::optional<TimePoint> nextDeadline() const;
 
     std::size_t open() const { return m_state.requests.size(); }
+    const RunCounts &runCounts() const { return m_generations.runCounts(); }
     std::size_t waiting() const { return m_generations.waiting(); }
 
 private:
     void handle(Step &step, const ArrivedRequest &event);
     void handle(Step &step, const CallerLeft &event);
     void handle(Step &step, const StreamStarted &event);
+    void handle(Step &step, const StreamSilent &event);
     void handle(Step &step, const CallEnded &event);
     void handle(Step &step, const SchedulerAnswered &event);
     void handle(Step &step, const QuotaKeeperAnswered &event);
--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -74,6 +74,13 @@
     std::optional<ServerAdvice> advice = {};
 };
 
+/** Signals that a call with a silence limit got no data for that time; the call continues. */
+struct StreamSilent
+{
+    CallNumber call;
+    std::uint32_t events = 0; ///< Complete stream events that were forwarded.
+};
+
 /** Status reported by an engine, a few hundred milliseconds old. */
 struct EngineReport
 {
@@ -91,7 +98,7 @@
     /** Nothing if the server sent no answer, or if StreamStarted carried its advice. */
     std::optional<ServerAdvice> advice;
     std::string reservation;            ///< Of a Reserve that was granted.
-    std::string handle;                 ///< Of a Prefill that succeeded.
+    std::string handle;                 ///< Of a Prefill that succeeded, or of a stopped run.
     std::optional<EngineReport> report; ///< Of a Report that was answered.
     std::uint32_t events = 0;           ///< Complete stream events that were forwarded.
     bool isConnectionLost = false;      ///< For Broken: the server closed or reset the connection.
@@ -124,7 +131,7 @@
 };
 
 using DispatchEvent =
-    std::variant<ArrivedRequest, CallerLeft, StreamStarted, CallEnded, SchedulerAnswered,
-                 QuotaKeeperAnswered, RateLimiterAnswered, TimePassed>;
+    std::variant<ArrivedRequest, CallerLeft, StreamStarted, StreamSilent, CallEnded,
+                 SchedulerAnswered, QuotaKeeperAnswered, RateLimiterAnswered, TimePassed>;
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -72,6 +72,7 @@
 void GenerationFlow::streamStarted(Step &step, OpenRequest &request, const StreamStarted &event)
 {
     request.streamingCall = event.call;
+    m_runs.streamStarted(step, request);
     if (request.isForwarding) {
         step.add(ForwardStream {request.arrival.request, event.call});
         return;
@@ -103,6 +104,9 @@
     case CallKind::Whole:
         decodeEnded(step, request, call, event);
         break;
+    case CallKind::StopRun:
+        stopEnded(step, request, call, event);
+        break;
     default:
         break;
     }
@@ -112,6 +116,9 @@
 void GenerationFlow::orphanedCallEnded(Step &step, const OpenCall &call, const CallEnded &event)
 {
     m_state.tracker.callClosed(call.server.name);
+    if (call.kind == CallKind::StopRun) {
+        m_runs.orphanedStopEnded(step, call, event);
+    }
     if (call.kind != CallKind::Reserve) {
         return;
     }
@@ -130,8 +137,8 @@
 {
     m_waiting.erase(request.arrival.request);
     if (!request.call.isNone()) {
-        // The result of a reservation is needed to release it.
-        if (request.callKind != CallKind::Reserve) {
+        // The result of a reservation or a move is needed to release it.
+        if (request.callKind != CallKind::Reserve && request.callKind != CallKind::StopRun) {
             m_state.calls.abandon(step, request.call);
         }
         if (request.callKind == CallKind::Prefill) {
@@ -287,6 +294,7 @@
     }
     request->plannedPrefill = granted->prefillServer;
     request->isPlannedWhole = granted->prefillsLocally;
+    request->run.backup = granted->backupServer;
     reserveAt(step, *request, *server);
 }
 
@@ -298,6 +306,7 @@
     if (!server) {
         return false;
     }
+    request.run.backup = {};
     reserveAt(step, request, *server);
     return true;
 }
@@ -505,6 +514,7 @@
         call.idleTimeout = StreamIdleTimeout;
     }
     call.needsNewConnection = true;
+    m_runs.prepare(step, request, call);
     ++request.executions;
     ++request.countedCalls;
     m_state.startCall(step, request, *server, std::move(call));
@@ -517,17 +527,21 @@
     request.forwardedEvents = std::max(request.forwardedEvents, event.events);
     switch (event.end) {
     case CallEnd::Complete: {
-        if (request.isForwarding && request.streamingCall != event.call) {
+        const bool isSuccess = event.status < FirstServerErrorStatus;
+        const bool isRefused = request.run.isContinuing && !isSuccess;
+        if (isRefused || (request.isForwarding && request.streamingCall != event.call)) {
             // An error response in place of the remaining events must not end the stream as
             // complete.
             m_state.tracker.recordAnswer(server, step.now - call.started, false, step.now);
             CallEnded failure = event;
             failure.reason =
                 "answered " + std::to_string(event.status) + " instead of resuming the stream";
+            if (request.run.isContinuing) {
+                m_runs.continuationRefused(step, request, call, failure);
+            }
             decodeFailed(step, request, failure);
             return;
         }
-        const bool isSuccess = event.status < FirstServerErrorStatus;
         m_state.tracker.recordAnswer(server, step.now - call.started, isSuccess, step.now);
         if (isSuccess && !request.isForwarding) {
             request.handle.clear();
@@ -542,15 +556,39 @@
     }
     case CallEnd::NotExecuted:
     case CallEnd::NotConnected:
+        if (request.run.isContinuing) {
+            recordFailure(step, server, event.end);
+            m_runs.continuationRefused(step, request, call, event);
+            decodeFailed(step, request, event);
+            return;
+        }
         decodeNotExecuted(step, request, call, event);
         return;
     case CallEnd::Broken:
         m_state.tracker.recordFailure(server, step.now);
-        decodeFailed(step, request, event);
+        if (m_runs.connectionLost(step, request, call, event) == RunContinuation::Result::Lost) {
+            decodeFailed(step, request, event);
+        }
         return;
     }
 }
 
+void GenerationFlow::stopEnded(Step &step, OpenRequest &request, const OpenCall &call,
+                               const CallEnded &event)
+{
+    if (m_runs.stopEnded(step, request, call, event) == RunContinuation::Result::Lost) {
+        decodeFailed(step, request, event);
+    }
+}
+
+void GenerationFlow::engineChecked(Step &step, OpenRequest &request, const OpenCall &call,
+                                   const CallEnded &event)
+{
+    if (m_runs.engineChecked(step, request, call, event) == RunContinuation::Result::Lost) {
+        decodeFailed(step, request, event);
+    }
+}
+
 void GenerationFlow::decodeNotExecuted(Step &step, OpenRequest &request, const OpenCall &call,
                                        const CallEnded &event)
 {
@@ -669,6 +707,7 @@
         m_state.calls.start(step, *source, std::move(call));
     }
     request.handle.clear();
+    m_runs.release(step, request);
 }
 
 std::vector<const AnnouncedServer *>
--- a/src/dispatch/generationflow.h
+++ b/src/dispatch/generationflow.h
@@ -4,6 +4,7 @@
 #include "dispatch/engineplacement.h"
 #include "dispatch/phasecontroller.h"
 #include "dispatch/retrydetector.h"
+#include "dispatch/runcontinuation.h"
 #include "dispatch/schedulerclaims.h"
 
 #include <set>
@@ -23,6 +24,7 @@
         : m_state(state)
         , m_placement(state.tracker)
         , m_phases(state)
+        , m_runs(state, m_placement, m_claims)
     { }
 
     /** Removes the statistics of an engine that has been removed. */
@@ -33,6 +35,16 @@
     void setScheduler(std::optional<NodeName> name) { m_claims.setScheduler(std::move(name)); }
     void schedulerAnswered(Step &step, const SchedulerAnswered &event);
 
+    const RunCounts &runCounts() const { return m_runs.counts(); }
+    /** Handles a call with a silence limit whose server sends nothing. */
+    void streamSilent(Step &step, OpenRequest &request, const StreamSilent &event)
+    {
+        m_runs.streamSilent(step, request, event);
+    }
+    /** Handles the end of a connection attempt to the engine of @p request. */
+    void engineChecked(Step &step, OpenRequest &request, const OpenCall &call,
+                       const CallEnded &event);
+
     void begin(Step &step, OpenRequest &request) override;
     void streamStarted(Step &step, OpenRequest &request, const StreamStarted &event) override;
     void callEnded(Step &step, OpenRequest &request, const OpenCall &call,
@@ -73,6 +85,7 @@
     void decode(Step &step, OpenRequest &request, bool isWhole);
     void decodeEnded(Step &step, OpenRequest &request, const OpenCall &call,
                      const CallEnded &event);
+    void stopEnded(Step &step, OpenRequest &request, const OpenCall &call, const CallEnded &event);
     void decodeNotExecuted(Step &step, OpenRequest &request, const OpenCall &call,
                            const CallEnded &event);
     void decodeFailed(Step &step, OpenRequest &request, const CallEnded &event);
@@ -92,6 +105,7 @@
     EnginePlacement m_placement;
     PhaseController m_phases;
     SchedulerClaims m_claims;
+    RunContinuation m_runs;
     RetryDetector m_retryDetector;
     std::set<RequestNumber> m_waiting;
     std::uint32_t m_reservationsInProgress = 0;
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -214,6 +214,8 @@
         return "order";
     case CallKind::Probe:
         return "probe";
+    case CallKind::StopRun:
+        return "stop_run";
     }
     return "";
 }
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -5,6 +5,7 @@
 #include "dispatch/dispatchevents.h"
 #include "routing/routetable.h"
 
+#include <indigoway/announcedserver.h>
 #include <indigoway/ids.h>
 
 #include <map>
@@ -63,6 +64,21 @@
     Decoding,
 };
 
+/** What is needed to continue a run on another engine, see RunContinuation. */
+struct RunRecord
+{
+    ServerName backup;      ///< Engine that keeps a copy of the KV cache; empty if none.
+    CallNumber engineCheck; ///< Connection attempt to an engine that may be lost.
+    std::uint32_t eventsAtCheck = 0;
+    std::uint32_t stopRequests = 0;  ///< Requests to stop the run at its present engine.
+    std::uint32_t continuations = 0; ///< How often the run continued elsewhere.
+    TimePoint lostAt {};             ///< When the connection to its engine ended.
+    std::string lossReason;          ///< How the connection to its engine ended.
+    bool isContinuing = false;    ///< The current call continues the run and has not streamed yet.
+    std::string handle;           ///< KV cache of a stopped run that has not been used yet.
+    AnnouncedServer handleSource; ///< Engine that executed the stopped run.
+};
+
 /** A caller's request from arrival to completion. */
 struct OpenRequest
 {
@@ -112,6 +128,7 @@
     TimePoint waitingSince {};
     TimePoint reservedAt {}; ///< Time of the last granted reservation.
     TimePoint prefilledAt {};
+    RunRecord run;
     std::uint32_t refusals = 0; ///< Engines that refused a reservation.
 
     scheduling::Urgency urgency() const;
--- /dev/null
+++ b/src/dispatch/runcontinuation.cpp
@@ -0,0 +1,338 @@
+#include "runcontinuation.h"
+
+namespace indigoway::dispatch {
+
+namespace {
+
+using Kind = RecoveryStep::Kind;
+
+/**
+ * Time for the answer of an engine that moves a run. It includes the transfer of the KV cache, so
+ * that it is longer than EngineAnswerLimit, which applies to the connection.
+ */
+constexpr Duration MoveTimeout = std::chrono::milliseconds(1000);
+constexpr Duration FreeHandleTimeout = std::chrono::milliseconds(300);
+/** Idle timeout of continued resumable streams, as of other streams. */
+constexpr Duration StreamIdleTimeout = std::chrono::milliseconds(1500);
+
+bool isEnabled(const OpenRequest &request)
+{
+    // Engines know runs by the caller's id.
+    const EngineTraits &traits = *request.service->engine;
+    return (traits.keepsBackups || traits.movesRuns) && !request.arrival.callerId.empty();
+}
+
+} // namespace
+
+void RunContinuation::prepare(Step &step, OpenRequest &request, StartCall &call)
+{
+    const AnnouncedServer *backup = usableBackup(request, step.now);
+    if (!backup) {
+        return;
+    }
+    call.backupAddress = backup->address;
+    call.silenceLimit = RunRecovery(*request.service->engine).silenceLimit().value_or(Duration(0));
+    if (request.run.continuations > 0) {
+        return;
+    }
+    ++m_counts.withBackup;
+    step.add(
+        LogDecision {"run_backup", request.arrival.callerId,
+                     "engine=" + request.decodeServer.text() + " backup=" + backup->name.text()});
+}
+
+void RunContinuation::streamStarted(Step &step, OpenRequest &request)
+{
+    RunRecord &run = request.run;
+    if (!std::exchange(run.isContinuing, false)) {
+        return;
+    }
+    if (run.handle.empty()) {
+        // Repeated, since the first message may have been lost.
+        m_claims.runMoved(step, request);
+    }
+    run.handle.clear();
+}
+
+RunContinuation::Result RunContinuation::connectionLost(Step &step, OpenRequest &request,
+                                                        const OpenCall &call,
+                                                        const CallEnded &event)
+{
+    if (!isEnabled(request)) {
+        return Result::Lost;
+    }
+    request.run.isContinuing = false;
+    request.run.lossReason = event.reason;
+    request.run.lostAt = step.now;
+    request.run.stopRequests = 0;
+    if (!request.run.engineCheck.isNone()) {
+        m_state.calls.abandon(step, std::exchange(request.run.engineCheck, {}));
+    }
+    const RunRecovery recovery(*request.service->engine);
+    return apply(step, request, call.server, recovery.connectionLost(stateOf(request, step.now)));
+}
+
+RunContinuation::Result RunContinuation::stopEnded(Step &step, OpenRequest &request,
+                                                   const OpenCall &call, const CallEnded &event)
+{
+    const StopResult result = stopResultOf(event);
+    if (result == StopResult::Unreachable) {
+        m_state.tracker.recordUnreachable(call.server.name, step.now);
+    } else {
+        m_state.tracker.callClosed(call.server.name);
+    }
+    step.add(LogDecision {"run_stopped", request.arrival.callerId,
+                          "engine=" + call.server.name.text() + " answer=" + nameOf(result)
+                              + " took_ms=" + millisecondsText(step.now - call.started) + " "
+                              + event.reason});
+    if (!event.handle.empty()) {
+        request.run.handle = event.handle;
+        request.run.handleSource = call.server;
+    }
+    const RunRecovery recovery(*request.service->engine);
+    const RecoveryStep next = recovery.stopEnded(stateOf(request, step.now), result);
+    const AnnouncedServer *backup = usableBackup(request, step.now);
+    if (result == StopResult::Unreachable && next.kind == Kind::ContinueAtBackup && backup) {
+        stopLate(step, request, call.server, *backup);
+    }
+    return apply(step, request, call.server, next);
+}
+
+RunContinuation::Result RunContinuation::continuationRefused(Step &step, OpenRequest &request,
+                                                             const OpenCall &call,
+                                                             const CallEnded &event)
+{
+    request.run.isContinuing = false;
+    request.run.lossReason = event.reason;
+    return apply(step, request, call.server,
+                 {Kind::GiveUp,
+                  event.end == CallEnd::NotConnected ? "the other engine cannot be reached"
+                                                     : "the other engine has no copy"});
+}
+
+void RunContinuation::streamSilent(Step &step, OpenRequest &request, const StreamSilent &event)
+{
+    const OpenCall *call = m_state.calls.find(event.call);
+    const RunRecovery recovery(*request.service->engine);
+    if (!call || !request.run.engineCheck.isNone()
+        || recovery.streamSilent(stateOf(request, step.now)).kind != Kind::AskEngine) {
+        return;
+    }
+    request.run.eventsAtCheck = event.events;
+    checkEngine(step, request, call->server);
+}
+
+RunContinuation::Result RunContinuation::engineChecked(Step &step, OpenRequest &request,
+                                                       const OpenCall &call, const CallEnded &event)
+{
+    request.run.engineCheck = {};
+    const bool isReachable = event.end == CallEnd::Complete;
+    const bool isStreamOpen = !request.call.isNone();
+    if (isReachable) {
+        m_state.tracker.callClosed(call.server.name);
+    } else {
+        m_state.tracker.recordUnreachable(call.server.name, step.now);
+    }
+    if (isStreamOpen && event.events > request.run.eventsAtCheck) {
+        return Result::InProgress; // Events have arrived in the meantime.
+    }
+    const RunRecovery recovery(*request.service->engine);
+    const RecoveryStep next =
+        recovery.engineAsked(stateOf(request, step.now), isReachable, isStreamOpen);
+    if (next.kind == Kind::Wait) {
+        return Result::InProgress;
+    }
+    request.forwardedEvents = std::max(request.forwardedEvents, event.events);
+    if (isStreamOpen) {
+        m_state.calls.abandon(step, std::exchange(request.call, {}));
+        request.run.lostAt = step.now;
+        request.run.lossReason = "engine unreachable: " + event.reason;
+    }
+    const AnnouncedServer *backup = usableBackup(request, step.now);
+    if (next.kind == Kind::ContinueAtBackup && backup && request.service->engine->movesRuns) {
+        stopLate(step, request, call.server, *backup);
+    }
+    return apply(step, request, call.server, next);
+}
+
+void RunContinuation::orphanedStopEnded(Step &step, const OpenCall &call, const CallEnded &event)
+{
+    if (!event.handle.empty()) {
+        freeHandle(step, call.server, event.handle);
+    }
+}
+
+void RunContinuation::release(Step &step, OpenRequest &request)
+{
+    RunRecord &run = request.run;
+    if (!run.engineCheck.isNone()) {
+        m_state.calls.abandon(step, run.engineCheck);
+    }
+    if (!run.handle.empty()) {
+        freeHandle(step, run.handleSource, run.handle);
+    }
+    run = {};
+}
+
+RunContinuation::Result RunContinuation::apply(Step &step, OpenRequest &request,
+                                               const AnnouncedServer &engine,
+                                               const RecoveryStep &next)
+{
+    const AnnouncedServer *backup = usableBackup(request, step.now);
+    const char *reason =
+        next.kind == Kind::GiveUp ? next.reason : "the other engine must not be used";
+    if (m_state.remainingRefusal(request.arrival.content, step.now)) {
+        reason = CrashesServers;
+    } else if (next.kind == Kind::AskEngine) {
+        checkEngine(step, request, engine);
+        return Result::InProgress;
+    } else if (next.kind == Kind::ContinueAtEngine) {
+        continueWithHandle(step, request, engine, engine);
+        return Result::InProgress;
+    } else if (backup && next.kind == Kind::StopRun) {
+        stopRun(step, request, engine, *backup);
+        return Result::InProgress;
+    } else if (backup && next.kind == Kind::ContinueAtBackup) {
+        continueAtBackup(step, request, engine);
+        return Result::InProgress;
+    } else if (backup && next.kind == Kind::ContinueAtTarget) {
+        continueWithHandle(step, request, engine, *backup);
+        return Result::InProgress;
+    }
+    ++m_counts.lost;
+    step.add(LogDecision {"run_lost", request.arrival.callerId,
+                          "engine=" + engine.name.text()
+                              + " events=" + std::to_string(request.forwardedEvents) + " " + reason
+                              + ": " + request.run.lossReason});
+    return Result::Lost;
+}
+
+void RunContinuation::checkEngine(Step &step, OpenRequest &request, const AnnouncedServer &engine)
+{
+    StartCall call;
+    call.kind = CallKind::Probe;
+    call.request = request.arrival.request;
+    call.connectTimeout = EngineAnswerLimit;
+    request.run.engineCheck = m_state.calls.start(step, engine, std::move(call));
+}
+
+void RunContinuation::stopRun(Step &step, OpenRequest &request, const AnnouncedServer &engine,
+                              const AnnouncedServer &target)
+{
+    ++request.run.stopRequests;
+    StartCall call;
+    call.kind = CallKind::StopRun;
+    call.runId = request.arrival.callerId;
+    call.moveTarget = target.address;
+    call.connectTimeout = EngineAnswerLimit;
+    call.idleTimeout = MoveTimeout;
+    call.needsNewConnection = true;
+    m_state.startCall(step, request, engine, std::move(call));
+}
+
+void RunContinuation::stopLate(Step &step, const OpenRequest &request,
+                               const AnnouncedServer &engine, const AnnouncedServer &target)
+{
+    // A lost packet may have made the engine look unreachable; most engines, but not all, drop a
+    // run whose connection has ended.
+    StartCall call;
+    call.kind = CallKind::StopRun;
+    call.runId = request.arrival.callerId;
+    call.moveTarget = target.address;
+    call.idleTimeout = MoveTimeout;
+    call.needsNewConnection = true;
+    m_state.calls.start(step, engine, std::move(call));
+}
+
+void RunContinuation::continueAtBackup(Step &step, OpenRequest &request,
+                                       const AnnouncedServer &engine)
+{
+    const AnnouncedServer &backup = *m_state.servers.find(request.run.backup);
+    ++m_counts.continuedByBackup;
+    step.add(LogDecision {"run_continued", request.arrival.callerId,
+                          "from=" + engine.name.text() + " to=" + backup.name.text()
+                              + " by=backup events=" + std::to_string(request.forwardedEvents)
+                              + " after_ms=" + millisecondsText(step.now - request.run.lostAt) + " "
+                              + request.run.lossReason});
+    StartCall call;
+    call.handle = request.arrival.callerId;
+    call.handleAddress = backup.address;
+    request.run.backup = {};
+    startContinuation(step, request, backup, std::move(call));
+    m_claims.runMoved(step, request);
+}
+
+void RunContinuation::continueWithHandle(Step &step, OpenRequest &request,
+                                         const AnnouncedServer &engine,
+                                         const AnnouncedServer &target)
+{
+    ++m_counts.continuedByMove;
+    step.add(LogDecision {"run_continued", request.arrival.callerId,
+                          "from=" + engine.name.text() + " to=" + target.name.text()
+                              + " by=move events=" + std::to_string(request.forwardedEvents)
+                              + " after_ms=" + millisecondsText(step.now - request.run.lostAt) + " "
+                              + request.run.lossReason});
+    StartCall call;
+    call.handle = request.run.handle;
+    call.handleAddress = engine.address;
+    if (target.name == request.run.backup) {
+        request.run.backup = {};
+        m_claims.runMoved(step, request);
+    }
+    startContinuation(step, request, target, std::move(call));
+}
+
+void RunContinuation::startContinuation(Step &step, OpenRequest &request,
+                                        const AnnouncedServer &server, StartCall call)
+{
+    if (server.name != request.decodeServer) {
+        m_placement.removeLoad(request.decodeServer, request.tokenDemand);
+        m_placement.addLoad(server.name, request.tokenDemand);
+        request.decodeServer = server.name;
+    }
+    ++request.run.continuations;
+    request.run.isContinuing = true;
+    request.handle.clear(); // The first engine has used the result of the prefill.
+    call.kind = CallKind::Decode;
+    call.isResumption = request.forwardedEvents > 0;
+    call.connectTimeout = EngineAnswerLimit;
+    call.needsNewConnection = true;
+    if (request.route->isResumable) {
+        call.idleTimeout = StreamIdleTimeout;
+    }
+    prepare(step, request, call);
+    m_state.startCall(step, request, server, std::move(call));
+}
+
+void RunContinuation::freeHandle(Step &step, const AnnouncedServer &server,
+                                 const std::string &handle)
+{
+    StartCall call;
+    call.kind = CallKind::FreeHandle;
+    call.handle = handle;
+    call.idleTimeout = FreeHandleTimeout;
+    m_state.calls.start(step, server, std::move(call));
+}
+
+const AnnouncedServer *RunContinuation::usableBackup(const OpenRequest &request,
+                                                     TimePoint now) const
+{
+    const AnnouncedServer *backup = m_state.servers.find(request.run.backup);
+    const bool isUsable = backup && isEnabled(request) && backup->name != request.decodeServer
+        && !m_state.isBlocked(backup->name, now)
+        && m_state.servers.availability(backup->name, now) != ServerAvailability::Leaving;
+    return isUsable ? backup : nullptr;
+}
+
+RunState RunContinuation::stateOf(const OpenRequest &request, TimePoint now) const
+{
+    RunState run;
+    run.hasBackup = usableBackup(request, now) != nullptr;
+    run.stopRequests = request.run.stopRequests;
+    run.continuations = request.run.continuations;
+    run.events = request.forwardedEvents;
+    run.timeLeft = request.deadline - now;
+    return run;
+}
+
+} // namespace indigoway::dispatch
--- /dev/null
+++ b/src/dispatch/runcontinuation.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "dispatch/dispatchstate.h"
+#include "dispatch/engineplacement.h"
+#include "dispatch/runrecovery.h"
+#include "dispatch/schedulerclaims.h"
+
+namespace indigoway::dispatch {
+
+/** Counts of runs whose engine was lost, and of those that were prepared for it. */
+struct RunCounts
+{
+    std::uint64_t withBackup = 0;
+    std::uint64_t continuedByBackup = 0;
+    std::uint64_t continuedByMove = 0;
+    std::uint64_t lost = 0;
+};
+
+/**
+ * Carries out the steps of RunRecovery: asks engines, stops runs and continues them at other
+ * engines. Has no effect for services whose engines neither keep backups nor move runs.
+ */
+class RunContinuation
+{
+public:
+    /** What the flow has to do with the request. */
+    enum class Result {
+        InProgress, ///< Nothing.
+        Lost,       ///< The run cannot continue.
+    };
+
+    RunContinuation(DispatchState &state, EnginePlacement &placement, SchedulerClaims &claims)
+        : m_state(state)
+        , m_placement(placement)
+        , m_claims(claims)
+    { }
+
+    /** Adds to the call that starts the run of @p request what its continuation requires. */
+    void prepare(Step &step, OpenRequest &request, StartCall &call);
+    /** Records that the stream of the current call has begun. */
+    void streamStarted(Step &step, OpenRequest &request);
+    Result connectionLost(Step &step, OpenRequest &request, const OpenCall &call,
+                          const CallEnded &event);
+    Result stopEnded(Step &step, OpenRequest &request, const OpenCall &call,
+                     const CallEnded &event);
+    /** Handles the refusal of the call that should have continued the run. */
+    Result continuationRefused(Step &step, OpenRequest &request, const OpenCall &call,
+                               const CallEnded &event);
+    void streamSilent(Step &step, OpenRequest &request, const StreamSilent &event);
+    Result engineChecked(Step &step, OpenRequest &request, const OpenCall &call,
+                         const CallEnded &event);
+    /** Handles the end of a StopRun whose request has ended. */
+    void orphanedStopEnded(Step &step, const OpenCall &call, const CallEnded &event);
+    /** Releases what was taken for the continuation of @p request. */
+    void release(Step &step, OpenRequest &request);
+    const RunCounts &counts() const { return m_counts; }
+
+private:
+    Result apply(Step &step, OpenRequest &request, const AnnouncedServer &engine,
+                 const RecoveryStep &next);
+    void checkEngine(Step &step, OpenRequest &request, const AnnouncedServer &engine);
+    void stopRun(Step &step, OpenRequest &request, const AnnouncedServer &engine,
+                 const AnnouncedServer &target);
+    /** Stops a run that could not be stopped in time and continues elsewhere now. */
+    void stopLate(Step &step, const OpenRequest &request, const AnnouncedServer &engine,
+                  const AnnouncedServer &target);
+    void continueAtBackup(Step &step, OpenRequest &request, const AnnouncedServer &engine);
+    void continueWithHandle(Step &step, OpenRequest &request, const AnnouncedServer &engine,
+                            const AnnouncedServer &target);
+    void startContinuation(Step &step, OpenRequest &request, const AnnouncedServer &server,
+                           StartCall call);
+    void freeHandle(Step &step, const AnnouncedServer &server, const std::string &handle);
+    /** Returns the engine that keeps the copy, or null if the run cannot continue there. */
+    const AnnouncedServer *usableBackup(const OpenRequest &request, TimePoint now) const;
+    RunState stateOf(const OpenRequest &request, TimePoint now) const;
+
+    DispatchState &m_state;
+    EnginePlacement &m_placement;
+    SchedulerClaims &m_claims;
+    RunCounts m_counts;
+};
+
+} // namespace indigoway::dispatch
--- /dev/null
+++ b/src/dispatch/runrecovery.cpp
@@ -0,0 +1,154 @@
+#include "runrecovery.h"
+
+#include <algorithm>
+
+namespace indigoway::dispatch {
+
+namespace {
+
+using Kind = RecoveryStep::Kind;
+
+/** Age of the last part of a copy when the last event was forwarded: several parts a second. */
+constexpr Duration MaxPartAge = std::chrono::milliseconds(100);
+/** Time from the decision until the continuing request has reached the backup. */
+constexpr Duration ReachTime = std::chrono::milliseconds(50);
+/** Shorter silences are regular pauses between events. */
+constexpr Duration MinSilenceLimit = std::chrono::milliseconds(150);
+/** Longer silences only delay the caller, however long the copy is kept. */
+constexpr Duration MaxSilenceLimit = std::chrono::milliseconds(500);
+/** Bounds the work on a run that every engine loses. */
+constexpr std::uint32_t MaxContinuations = 3;
+/** The second request shows whether the first one, whose answer was lost, has stopped the run. */
+constexpr std::uint32_t MaxStopRequests = 2;
+
+constexpr int Ok = 200;
+constexpr int NotFound = 404;
+constexpr int Misdirected = 421;
+constexpr int ServiceUnavailable = 503;
+
+} // namespace
+
+StopResult stopResultOf(const CallEnded &event)
+{
+    if (event.end == CallEnd::NotConnected) {
+        return StopResult::Unreachable;
+    }
+    if (event.end == CallEnd::Broken) {
+        return StopResult::Unknown;
+    }
+    switch (event.status) {
+    case Ok:
+        return event.handle.empty() ? StopResult::Unknown : StopResult::Moved;
+    case NotFound:
+        return StopResult::NoSuchRun;
+    case Misdirected:
+        return StopResult::OtherInstance;
+    case ServiceUnavailable:
+        return event.handle.empty() ? StopResult::NotStopped : StopResult::NotMoved;
+    default:
+        return StopResult::NotStopped;
+    }
+}
+
+const char *nameOf(StopResult result)
+{
+    switch (result) {
+    case StopResult::Unreachable:
+        return "unreachable";
+    case StopResult::OtherInstance:
+        return "other_instance";
+    case StopResult::NoSuchRun:
+        return "no_such_run";
+    case StopResult::Moved:
+        return "moved";
+    case StopResult::NotMoved:
+        return "not_moved";
+    case StopResult::NotStopped:
+        return "not_stopped";
+    case StopResult::Unknown:
+        return "unknown";
+    }
+    return "";
+}
+
+std::optional<Duration> RunRecovery::silenceLimit() const
+{
+    const Duration limit = m_traits.handleKept - MaxPartAge - EngineAnswerLimit - ReachTime;
+    if (!m_traits.keepsBackups || limit < MinSilenceLimit) {
+        return std::nullopt;
+    }
+    return std::min(limit, MaxSilenceLimit);
+}
+
+RecoveryStep RunRecovery::connectionLost(const RunState &run) const
+{
+    if (run.timeLeft.count() <= 0) {
+        return {Kind::GiveUp, "no time left"};
+    }
+    if (run.continuations >= MaxContinuations) {
+        return {Kind::GiveUp, "continued too often"};
+    }
+    if (m_traits.movesRuns && (run.hasBackup || run.hasTarget)) {
+        return {Kind::StopRun};
+    }
+    if (m_traits.movesRuns && run.mayRequestTarget) {
+        return {Kind::RequestTarget};
+    }
+    if (run.hasBackup) {
+        return {Kind::AskEngine};
+    }
+    return {Kind::GiveUp, "no other engine"};
+}
+
+RecoveryStep RunRecovery::stopEnded(const RunState &run, StopResult result) const
+{
+    switch (result) {
+    case StopResult::Unreachable:
+    case StopResult::OtherInstance:
+    case StopResult::NoSuchRun:
+        return continueAtBackup(run);
+    case StopResult::Moved:
+        return {Kind::ContinueAtTarget};
+    case StopResult::NotMoved:
+        return {Kind::ContinueAtEngine};
+    case StopResult::NotStopped:
+        return {Kind::GiveUp, "run not stopped"};
+    case StopResult::Unknown:
+        break;
+    }
+    if (run.stopRequests < MaxStopRequests) {
+        return {Kind::StopRun};
+    }
+    return {Kind::GiveUp, "unknown whether the run is over"};
+}
+
+RecoveryStep RunRecovery::streamSilent(const RunState &run) const
+{
+    const bool mayContinue = run.hasBackup && run.timeLeft.count() > 0;
+    return {mayContinue ? Kind::AskEngine : Kind::Wait};
+}
+
+RecoveryStep RunRecovery::engineAsked(const RunState &run, bool isReachable,
+                                      bool isStreamOpen) const
+{
+    if (!isReachable) {
+        return continueAtBackup(run);
+    }
+    if (isStreamOpen) {
+        return {Kind::Wait};
+    }
+    return {Kind::GiveUp, "the engine may still execute the run"};
+}
+
+RecoveryStep RunRecovery::continueAtBackup(const RunState &run)
+{
+    if (!run.hasBackup) {
+        return {Kind::GiveUp, "no backup"};
+    }
+    if (run.timeLeft.count() <= 0) {
+        return {Kind::GiveUp, "no time left"};
+    }
+    return {Kind::ContinueAtBackup};
+}
+
+} // namespace indigoway::dispatch
--- /dev/null
+++ b/src/dispatch/runrecovery.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "dispatch/dispatchevents.h"
+
+#include <indigoway/routing.h>
+
+#include <cstdint>
+#include <optional>
+
+namespace indigoway::dispatch {
+
+/** Time after which an engine that accepts no connection is unreachable. */
+constexpr Duration EngineAnswerLimit = std::chrono::milliseconds(100);
+
+/** What the node knows of a run whose engine may be lost. */
+struct RunState
+{
+    bool hasBackup = false;          ///< An engine is asked to keep a copy of the KV cache.
+    bool hasTarget = false;          ///< The scheduler has granted another engine.
+    bool mayRequestTarget = false;   ///< The scheduler responds and was not asked yet.
+    std::uint32_t stopRequests = 0;  ///< Requests to stop the run at its present engine.
+    std::uint32_t continuations = 0; ///< How often the run continued elsewhere.
+    std::uint32_t events = 0;        ///< Events forwarded to the caller.
+    Duration timeLeft {};            ///< Until the caller gives up.
+};
+
+/** Result of a request to stop a run. */
+enum class StopResult {
+    Unreachable,   ///< No connection within EngineAnswerLimit.
+    OtherInstance, ///< The engine was replaced or has restarted.
+    NoSuchRun,
+    Moved,      ///< Stopped; the KV cache is at the target.
+    NotMoved,   ///< Stopped; the KV cache is still at the engine.
+    NotStopped, ///< Another move is in progress, or the answer has no handle.
+    Unknown,    ///< The answer was lost or cannot be read.
+};
+
+StopResult stopResultOf(const CallEnded &event);
+const char *nameOf(StopResult result);
+
+/** The next step for a run whose engine may be lost. */
+struct RecoveryStep
+{
+    enum class Kind {
+        Wait,             ///< Leaves the stream open.
+        AskEngine,        ///< Opens a connection to the engine without stopping the run.
+        RequestTarget,    ///< Asks the scheduler for another engine.
+        StopRun,          ///< Stops the run and moves its KV cache to the target or the backup.
+        ContinueAtBackup, ///< Continues with the copy at the backup.
+        ContinueAtTarget, ///< Continues with the handle where the KV cache was moved to.
+        ContinueAtEngine, ///< Continues with the handle at the engine that executed the run.
+        GiveUp,           ///< Resumes the stream if the route allows it, else ends it.
+    };
+    Kind kind = Kind::Wait;
+    const char *reason = ""; ///< Of GiveUp.
+    bool operator==(const RecoveryStep &other) const { return kind == other.kind; }
+};
+
+/**
+ * Decides how a run continues whose engine may be lost. A run continues elsewhere only if it is
+ * over at its engine: the engine says so or cannot be reached.
+ */
+class RunRecovery
+{
+public:
+    explicit RunRecovery(const EngineTraits &traits)
+        : m_traits(traits)
+    { }
+
+    /**
+     * Returns the time without an event after which the engine of a run with a backup is asked;
+     * nothing if the copy would have been dropped before it can be used.
+     */
+    std::optional<Duration> silenceLimit() const;
+    /** Decides after the connection of the run's stream has ended early. */
+    RecoveryStep connectionLost(const RunState &run) const;
+    /** Decides after a request to stop the run has ended. */
+    RecoveryStep stopEnded(const RunState &run, StopResult result) const;
+    /** Decides when the stream has been silent for longer than the silence limit. */
+    RecoveryStep streamSilent(const RunState &run) const;
+    /**
+     * Decides after AskEngine.
+     * @param isStreamOpen Whether the stream's connection is still open.
+     */
+    RecoveryStep engineAsked(const RunState &run, bool isReachable, bool isStreamOpen) const;
+
+private:
+    static RecoveryStep continueAtBackup(const RunState &run);
+
+    const EngineTraits &m_traits;
+};
+
+} // namespace indigoway::dispatch
--- a/src/dispatch/schedulerclaims.cpp
+++ b/src/dispatch/schedulerclaims.cpp
@@ -47,6 +47,11 @@
     message.timeToTarget = request.arrived + request.route->target - step.now;
     message.maxDuration = request.deadline - step.now;
     message.excludedServers.assign(request.triedServers.begin(), request.triedServers.end());
+    if (request.organisation) {
+        message.organisation = request.organisation->name;
+    }
+    message.wantsBackup =
+        request.service->engine->keepsBackups && !request.arrival.callerId.empty();
     for (const ServerName &server : blocked) {
         if (message.excludedServers.size() < MaxExcludedServers) {
             message.excludedServers.push_back(server);
@@ -66,6 +71,7 @@
     }
     ReservationReport report {request.claim,        request.service->name,       request.memory,
                               request.decodeServer, request.deadline - step.now, std::nullopt};
+    report.backupServer = request.run.backup;
     if (request.firstAnswerAt != TimePoint {}) {
         report.elapsedDecodeTime = step.now - request.firstAnswerAt;
     }
@@ -80,6 +86,13 @@
     }
 }
 
+void SchedulerClaims::runMoved(Step &step, const OpenRequest &request)
+{
+    if (!request.claim.isNone()) {
+        send(step, RunMoved {request.claim});
+    }
+}
+
 void SchedulerClaims::end(Step &step, OpenRequest &request, ClaimOutcome result)
 {
     if (request.claim.isNone()) {
--- a/src/dispatch/schedulerclaims.h
+++ b/src/dispatch/schedulerclaims.h
@@ -32,6 +32,8 @@
                const std::vector<ServerName> &blocked = {});
     /** Reports a reservation that this node made without a claim. */
     void reportReservation(Step &step, OpenRequest &request);
+    /** Reports that the run of @p request continues on its backup. */
+    void runMoved(Step &step, const OpenRequest &request);
     void prefillEnded(Step &step, const OpenRequest &request, bool isDone, bool isReachable);
     /** Ends the claim of @p request and releases what it was granted. */
     void end(Step &step, OpenRequest &request, scheduling::ClaimOutcome result);
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -134,6 +134,20 @@
     }
 }
 
+void RequestRelay::callSilent(CallNumber call)
+{
+    const auto it = m_calls.find(call);
+    if (it != m_calls.end()) {
+        post(StreamSilent {call, forwardedEvents(it->second.call.request)});
+    }
+}
+
+std::uint32_t RequestRelay::forwardedEvents(RequestNumber request) const
+{
+    const auto exchange = m_exchanges.find(request);
+    return exchange == m_exchanges.end() ? 0 : exchange->second.eventParser.eventCount();
+}
+
 void RequestRelay::callEnded(CallNumber call, TransferEnd end, const std::string &reason)
 {
     auto callNode = m_calls.extract(call);
@@ -158,14 +172,14 @@
     ended.isConnectionLost = end == TransferEnd::ConnectionLost;
     if (open.call.kind == CallKind::Probe) {
         ended.end = end == TransferEnd::Complete ? CallEnd::Complete : CallEnd::NotConnected;
+        ended.events = forwardedEvents(open.call.request);
         return ended;
     }
     if (open.isStream) {
         const auto exchange = m_exchanges.find(open.call.request);
         const bool isAtBoundary =
             exchange == m_exchanges.end() || exchange->second.eventParser.isAtEventBoundary();
-        ended.events =
-            exchange == m_exchanges.end() ? 0 : exchange->second.eventParser.eventCount();
+        ended.events = forwardedEvents(open.call.request);
         const bool isComplete = isAtBoundary && open.hasStarted;
         ended.end =
             end == TransferEnd::Complete && isComplete ? CallEnd::Complete : CallEnd::Broken;
@@ -177,14 +191,15 @@
         ended.end = end == TransferEnd::NotConnected ? CallEnd::NotConnected : CallEnd::Broken;
         return ended;
     }
-    if (open.info.isNotExecuted) {
+    if (open.info.isNotExecuted && open.call.kind != CallKind::StopRun) {
         ended.end = CallEnd::NotExecuted;
         ended.reason = "turned away with " + std::to_string(open.head.status);
         return ended;
     }
     ended.end = CallEnd::Complete;
     if (!carriesRequest(open.call.kind) || open.call.kind == CallKind::Prefill) {
-        if (isSuccess(open.head.status)) {
+        // A run may have stopped although its KV cache was not moved.
+        if (isSuccess(open.head.status) || open.call.kind == CallKind::StopRun) {
             const EngineAnswer engineAnswer = m_dialect.readEngineAnswer(open.call.kind, open.body);
             ended.reservation = engineAnswer.reservation;
             ended.handle = engineAnswer.handle;
@@ -230,6 +245,8 @@
     request.server = effect.server;
     request.address = effect.address;
     request.idleTimeout = effect.idleTimeout;
+    request.silenceLimit = effect.silenceLimit;
+    request.connectTimeout = effect.connectTimeout;
     request.needsNewConnection = effect.needsNewConnection;
     request.maxIdleConnections = effect.maxIdleConnections;
     m_calls.emplace(effect.call, std::move(open));
--- a/src/relay/requestrelay.h
+++ b/src/relay/requestrelay.h
@@ -55,6 +55,7 @@
     bool isAnswerTo(CallNumber call, const MessageHead &head) override;
     void answerStarted(CallNumber call, const MessageHead &head) override;
     void answerDataReceived(CallNumber call, std::string_view data) override;
+    void callSilent(CallNumber call) override;
     void callEnded(CallNumber call, TransferEnd end, const std::string &reason) override;
 
 private:
@@ -96,6 +97,7 @@
     void run(const dispatch::LogDecision &effect);
     void run(const dispatch::RequestEnded &effect);
     void armTimer();
+    std::uint32_t forwardedEvents(RequestNumber request) const;
     dispatch::CallEnded resultOf(const OpenCall &open, TransferEnd end,
                                  const std::string &reason) const;
     static void handleTimer(int socket, short events, void *self);
--- a/src/relay/serverconnections.cpp
+++ b/src/relay/serverconnections.cpp
@@ -62,6 +62,9 @@
     MessageParser parser;
     CallNumber call; ///< None while the connection is idle.
     Duration idleTimeout {};
+    Duration silenceLimit {};
+    Duration silentFor {};                ///< Time without data when the timer was armed last.
+    Duration armedFor {};                 ///< Time until the timer fires.
     std::uint32_t maxIdleConnections = 1; ///< Maximum for the server, including this one.
     /**
      * Request to send once the connection is established. If it were written to the bufferevent
@@ -108,6 +111,7 @@
     Connection &connection = idle ? *idle : connect(request);
     connection.call = request.call;
     connection.idleTimeout = request.idleTimeout;
+    connection.silenceLimit = request.silenceLimit;
     connection.maxIdleConnections = request.maxIdleConnections;
     connection.isConnectOnly = request.isConnectOnly;
     m_calls[request.call] = connection.number;
@@ -186,7 +190,8 @@
     bufferevent_setcb(connection.bev, &ServerConnections::handleRead, nullptr,
                       &ServerConnections::handleEvent, &connection);
     bufferevent_enable(connection.bev, EV_READ | EV_WRITE);
-    const timeval limit = timevalOf(ConnectTimeout);
+    const timeval limit =
+        timevalOf(request.connectTimeout.count() > 0 ? request.connectTimeout : ConnectTimeout);
     event_add(connection.timer, &limit);
     sockaddr_in to {};
     to.sin_family = AF_INET;
@@ -369,15 +374,35 @@
         owner.finish(connection, TransferEnd::NotConnected, "no connection in time", false);
         return;
     }
-    owner.finish(connection, TransferEnd::Broken, "silent for too long", false);
+    connection.silentFor += connection.armedFor;
+    if (connection.idleTimeout.count() > 0 && connection.silentFor >= connection.idleTimeout) {
+        owner.finish(connection, TransferEnd::Broken, "silent for too long", false);
+        return;
+    }
+    owner.armSilenceTimer(connection);
+    owner.m_observer.callSilent(connection.call);
 }
 
 void ServerConnections::armIdleTimer(Connection &connection)
 {
-    if (connection.idleTimeout.count() <= 0) {
+    connection.silentFor = {};
+    armSilenceTimer(connection);
+}
+
+void ServerConnections::armSilenceTimer(Connection &connection)
+{
+    const bool hasSilenceLimit = connection.silenceLimit.count() > 0;
+    const bool hasIdleTimeout = connection.idleTimeout.count() > 0;
+    if (!hasSilenceLimit && !hasIdleTimeout) {
         return;
     }
-    const timeval limit = timevalOf(connection.idleTimeout);
+    connection.armedFor = connection.idleTimeout - connection.silentFor;
+    if (hasSilenceLimit) {
+        connection.armedFor = hasIdleTimeout
+            ? std::min(connection.armedFor, connection.silenceLimit)
+            : connection.silenceLimit;
+    }
+    const timeval limit = timevalOf(connection.armedFor);
     event_add(connection.timer, &limit);
 }
 
--- a/src/relay/serverconnections.h
+++ b/src/relay/serverconnections.h
@@ -27,7 +27,9 @@
     std::string target;
     HttpHeaders headers; ///< Without framing and hop-by-hop headers.
     std::string body;
-    Duration idleTimeout {}; ///< Maximum time without data from the server; 0 for none.
+    Duration idleTimeout {};    ///< Maximum time without data from the server; 0 for none.
+    Duration silenceLimit {};   ///< Time without data that is reported to the observer; 0 for none.
+    Duration connectTimeout {}; ///< Maximum time to connect; 0 for the default.
     bool needsNewConnection = false;
     bool isConnectOnly = false;           ///< Opens a connection without sending data.
     std::uint32_t maxIdleConnections = 1; ///< Maximum of idle connections to this server.
@@ -56,6 +58,8 @@
     virtual bool isAnswerTo(CallNumber call, const MessageHead &head) = 0;
     virtual void answerStarted(CallNumber call, const MessageHead &head) = 0;
     virtual void answerDataReceived(CallNumber call, std::string_view data) = 0;
+    /** Reports that the server has sent nothing for the silence limit of @p call. */
+    virtual void callSilent(CallNumber /*call*/) { }
     virtual void callEnded(CallNumber call, TransferEnd end, const std::string &reason) = 0;
 };
 
@@ -98,6 +102,7 @@
                 bool isReusable);
     void returnToPool(Connection &connection);
     void armIdleTimer(Connection &connection);
+    void armSilenceTimer(Connection &connection);
     void scheduleClose(Connection &connection);
     void closeScheduled();
 
--- a/tests/dispatch/dispatcherharness.h
+++ b/tests/dispatch/dispatcherharness.h
@@ -56,6 +56,13 @@
         return route;
     }
 
+    /** Sets which features the engines of the service llm have from the next useRoutes() on. */
+    void setEngineFeatures(bool keepsBackups, bool movesRuns)
+    {
+        m_keepsBackups = keepsBackups;
+        m_movesRuns = movesRuns;
+    }
+
     /**
      * Sets the routes "plain" (of @p repetition), "stream" and "resumable", and the services web
      * and llm.
@@ -73,6 +80,8 @@
         llm.name = ServiceName("llm");
         llm.engine = EngineTraits {64, 50'000, std::chrono::milliseconds(500),
                                    std::chrono::milliseconds(2000)};
+        llm.engine->keepsBackups = m_keepsBackups;
+        llm.engine->movesRuns = m_movesRuns;
         state.services[llm.name] = llm;
         state.wantsKeys = !organisations.empty();
         state.organisations = std::move(organisations);
@@ -284,6 +293,8 @@
     Dispatcher m_dispatcher;
     std::uint64_t m_entropy = 0;
     std::uint64_t m_lastRequest = 0;
+    bool m_keepsBackups = false;
+    bool m_movesRuns = false;
     std::deque<StartCall> m_calls;
     std::deque<scheduling::ToScheduler> m_schedulerMessages;
     std::vector<CallNumber> m_abandoned;
--- /dev/null
+++ b/tests/dispatch/runcontinuationtest.cpp
@@ -0,0 +1,513 @@
+#include "dispatch/dispatcherharness.h"
+
+using namespace indigoway;
+using namespace indigoway::dispatch;
+using namespace indigoway::scheduling;
+
+namespace {
+
+constexpr std::uint32_t Prompt = 5'000;
+const Incarnation Life(7);
+
+std::string text(const char *words)
+{
+    return words;
+}
+
+/** Adds three decode engines and a prefill engine, which the scheduler assigns. */
+void useEngines(DispatcherHarness &harness, bool keepsBackups = true, bool movesRuns = true)
+{
+    harness.setEngineFeatures(keepsBackups, movesRuns);
+    harness.useRoutes();
+    for (const char *name : {"d1", "d2", "d3"}) {
+        harness.addServer(name, EnginePhase::Decode);
+    }
+    harness.addServer("p1", EnginePhase::Prefill);
+    harness.dispatcher().setScheduler(NodeName("scheduler"));
+}
+
+/** A run at d1 with a backup at d2 that has forwarded events. */
+struct Run
+{
+    RequestNumber request;
+    ClaimId claim;
+    StartCall decode;
+};
+
+/** Starts a run at d1 up to its first event. */
+Run startRun(DispatcherHarness &harness, const char *route = "stream", const char *backup = "d2")
+{
+    Run run;
+    run.request = harness.arrive(0, route, Prompt);
+    run.claim = harness.nextSchedulerMessage<Claim>().claim;
+    ClaimGranted grant {run.claim, ServerName("d1"), ServerName("p1"), std::nullopt};
+    grant.backupServer = ServerName(backup);
+    harness.reduce(5, SchedulerAnswered {grant, Life});
+    harness.grant(8, harness.nextCall(CallKind::Reserve));
+    harness.grant(100, harness.nextCall(CallKind::Prefill));
+    harness.nextSchedulerMessage<PrefillEnded>();
+    run.decode = harness.nextCall(CallKind::Decode);
+    harness.reduce(150, StreamStarted {run.decode.call, 200, {}});
+    return run;
+}
+
+/** Ends the connection of @p call after @p events events. */
+void breakStream(DispatcherHarness &harness, int milliseconds, const StartCall &call,
+                 std::uint32_t events)
+{
+    CallEnded ended;
+    ended.call = call.call;
+    ended.end = CallEnd::Broken;
+    ended.events = events;
+    ended.reason = "connection reset";
+    harness.reduce(milliseconds, ended);
+}
+
+void answerStop(DispatcherHarness &harness, int milliseconds, const StartCall &call, int status,
+                const std::string &handle = {})
+{
+    CallEnded ended;
+    ended.call = call.call;
+    ended.end = CallEnd::Complete;
+    ended.status = status;
+    ended.handle = handle;
+    harness.reduce(milliseconds, ended);
+}
+
+/** Ends an engine check, which is answered or not, after @p events events of the stream. */
+void endCheck(DispatcherHarness &harness, int milliseconds, const StartCall &check,
+              bool isReachable, std::uint32_t events)
+{
+    CallEnded ended;
+    ended.call = check.call;
+    ended.end = isReachable ? CallEnd::Complete : CallEnd::NotConnected;
+    ended.events = events;
+    harness.reduce(milliseconds, ended);
+}
+
+void assertContinuesAtBackup(const StartCall &call)
+{
+    CPPUNIT_ASSERT(call.server == ServerName("d2"));
+    CPPUNIT_ASSERT_EQUAL(text("c1"), call.handle);
+    CPPUNIT_ASSERT_EQUAL(text("d2:80"), call.handleAddress);
+    CPPUNIT_ASSERT(call.isResumption);
+    CPPUNIT_ASSERT(call.backupAddress.empty());
+}
+
+} // namespace
+
+class RunContinuationTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RunContinuationTest);
+    CPPUNIT_TEST(asksForABackupOnlyWhereItIsConfigured);
+    CPPUNIT_TEST(continuesAtTheBackupOfACrashedEngine);
+    CPPUNIT_TEST(continuesAtTheBackupIfTheEngineDroppedTheRun);
+    CPPUNIT_TEST(movesTheRunOfALivingEngine);
+    CPPUNIT_TEST(continuesAtTheSameEngineIfTheTargetIsFull);
+    CPPUNIT_TEST(endsTheStreamIfTheRunWasNotStopped);
+    CPPUNIT_TEST(lostAnswerToAStopEndsTheStream);
+    CPPUNIT_TEST(lostAnswerOfACrashedEngineContinuesAtTheBackup);
+    CPPUNIT_TEST(restartedEngineContinuesAtTheBackup);
+    CPPUNIT_TEST(crashedBackupEndsTheStream);
+    CPPUNIT_TEST(backupWithoutACopyEndsTheStream);
+    CPPUNIT_TEST(backupWithoutACopyResumesAResumableStream);
+    CPPUNIT_TEST(errorInPlaceOfTheContinuationEndsTheStream);
+    CPPUNIT_TEST(leavingBackupIsNotUsed);
+    CPPUNIT_TEST(silentEngineThatIsReachableKeepsItsRun);
+    CPPUNIT_TEST(silentUnreachableEngineLosesItsRun);
+    CPPUNIT_TEST(eventsDuringACheckKeepTheStream);
+    CPPUNIT_TEST(lateStopFreesItsHandle);
+    CPPUNIT_TEST(runBeforeItsFirstEventContinues);
+    CPPUNIT_TEST(disconnectDuringAMoveReleasesAll);
+    CPPUNIT_TEST(disconnectDuringAContinuationReleasesAll);
+    CPPUNIT_TEST(checksTheEngineIfRunsCannotBeStopped);
+    CPPUNIT_TEST(reportsTheBackupToANewScheduler);
+    CPPUNIT_TEST(contentThatCrashesEnginesIsNotContinued);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // A service without the two settings must be served as before.
+    void asksForABackupOnlyWhereItIsConfigured()
+    {
+        DispatcherHarness plain;
+        useEngines(plain, false, false);
+        Run run = startRun(plain);
+        CPPUNIT_ASSERT(run.decode.backupAddress.empty());
+        CPPUNIT_ASSERT(run.decode.silenceLimit == Duration(0));
+        breakStream(plain, 1'000, run.decode, 5);
+        CPPUNIT_ASSERT_EQUAL(text("cut"), plain.outcome(run.request));
+        CPPUNIT_ASSERT(!plain.hasCalls());
+        CPPUNIT_ASSERT(plain.logLines("run_lost").empty());
+
+        DispatcherHarness harness;
+        useEngines(harness);
+        run = startRun(harness);
+        CPPUNIT_ASSERT_EQUAL(text("d2:80"), run.decode.backupAddress);
+        CPPUNIT_ASSERT(run.decode.silenceLimit > Duration(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, harness.logLines("run_backup").size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {1}, harness.dispatcher().runCounts().withBackup);
+    }
+
+    // The stream of a route that may not be resumed ended incomplete when its engine crashed.
+    void continuesAtTheBackupOfACrashedEngine()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        breakStream(harness, 1'000, run.decode, 20);
+        const StartCall stop = harness.nextCall(CallKind::StopRun);
+        CPPUNIT_ASSERT(stop.server == ServerName("d1"));
+        CPPUNIT_ASSERT_EQUAL(text("c1"), stop.runId);
+        CPPUNIT_ASSERT_EQUAL(text("d2:80"), stop.moveTarget);
+        CPPUNIT_ASSERT(stop.connectTimeout == EngineAnswerLimit);
+        harness.end(1'002, stop, CallEnd::NotConnected);
+        harness.nextCall(CallKind::StopRun); // A late stop, see lateStopFreesItsHandle().
+        const StartCall second = harness.nextCall(CallKind::Decode);
+        assertContinuesAtBackup(second);
+        CPPUNIT_ASSERT(harness.nextSchedulerMessage<RunMoved>().claim == run.claim);
+        harness.reduce(1'030, StreamStarted {second.call, 200, {}});
+        CPPUNIT_ASSERT(harness.nextSchedulerMessage<RunMoved>().claim == run.claim);
+        harness.end(3'000, second, CallEnd::Complete, 200);
+        CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
+        CPPUNIT_ASSERT(harness.nextSchedulerMessage<ClaimEnded>().outcome == ClaimOutcome::Served);
+        CPPUNIT_ASSERT(!harness.hasCalls());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, harness.logLines("run_continued").size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {1}, harness.dispatcher().runCounts().continuedByBackup);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {0}, harness.dispatcher().runCounts().lost);
+    }
+
+    void continuesAtTheBackupIfTheEngineDroppedTheRun()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        breakStream(harness, 1'000, run.decode, 20);
+        answerStop(harness, 1'003, harness.nextCall(CallKind::StopRun), 404);
+        assertContinuesAtBackup(harness.nextCall(CallKind::Decode));
+    }
+
+    // An engine that lives may still execute the run; it must be stopped first.
+    void movesTheRunOfALivingEngine()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        breakStream(harness, 1'000, run.decode, 20);
+        answerStop(harness, 1'040, harness.nextCall(CallKind::StopRun), 200, "k9");
+        const StartCall second = harness.nextCall(CallKind::Decode);
+        CPPUNIT_ASSERT(second.server == ServerName("d2"));
+        CPPUNIT_ASSERT_EQUAL(text("k9"), second.handle);
+        CPPUNIT_ASSERT_EQUAL(text("d1:80"), second.handleAddress);
+        CPPUNIT_ASSERT(harness.nextSchedulerMessage<RunMoved>().claim == run.claim);
+        harness.reduce(1'080, StreamStarted {second.call, 200, {}});
+        harness.end(3'000, second, CallEnd::Complete, 200);
+        CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
+        CPPUNIT_ASSERT(!harness.hasCalls()); // The handle was used and needs no release.
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {1}, harness.dispatcher().runCounts().continuedByMove);
+    }
+
+    void continuesAtTheSameEngineIfTheTargetIsFull()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        breakStream(harness, 1'000, run.decode, 20);
+        answerStop(harness, 1'010, harness.nextCall(CallKind::StopRun), 503, "k9");
+        const StartCall second = harness.nextCall(CallKind::Decode);
+        CPPUNIT_ASSERT(second.server == ServerName("d1"));
+        CPPUNIT_ASSERT_EQUAL(text("k9"), second.handle);
+        CPPUNIT_ASSERT_EQUAL(text("d1:80"), second.handleAddress);
+        CPPUNIT_ASSERT_EQUAL(text("d2:80"), second.backupAddress);
+        CPPUNIT_ASSERT(!harness.hasSchedulerMessage());
+    }
+
+    // The engine still executes the run, so that continuing it would execute it twice.
+    void endsTheStreamIfTheRunWasNotStopped()
+    {
+        for (const int status : {409, 503, 500}) {
+            DispatcherHarness harness;
+            useEngines(harness);
+            const Run run = startRun(harness);
+            breakStream(harness, 1'000, run.decode, 20);
+            answerStop(harness, 1'010, harness.nextCall(CallKind::StopRun), status);
+            CPPUNIT_ASSERT_EQUAL(text("cut"), harness.outcome(run.request));
+            CPPUNIT_ASSERT(!harness.hasCalls());
+            CPPUNIT_ASSERT(harness.nextSchedulerMessage<ClaimEnded>().outcome
+                           == ClaimOutcome::EngineFailed);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t {1}, harness.dispatcher().runCounts().lost);
+        }
+    }
+
+    // Without an answer it is unknown whether the run is over.
+    void lostAnswerToAStopEndsTheStream()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        breakStream(harness, 1'000, run.decode, 20);
+        harness.end(1'100, harness.nextCall(CallKind::StopRun), CallEnd::Broken);
+        harness.end(1'200, harness.nextCall(CallKind::StopRun), CallEnd::Broken);
+        CPPUNIT_ASSERT_EQUAL(text("cut"), harness.outcome(run.request));
+        CPPUNIT_ASSERT(!harness.hasCalls());
+    }
+
+    void lostAnswerOfACrashedEngineContinuesAtTheBackup()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        breakStream(harness, 1'000, run.decode, 20);
+        harness.end(1'010, harness.nextCall(CallKind::StopRun), CallEnd::Broken);
+        harness.end(1'012, harness.nextCall(CallKind::StopRun), CallEnd::NotConnected);
+        harness.nextCall(CallKind::StopRun);
+        assertContinuesAtBackup(harness.nextCall(CallKind::Decode));
+    }
+
+    // A restarted engine answers at once, but has lost the run.
+    void restartedEngineContinuesAtTheBackup()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        breakStream(harness, 1'000, run.decode, 20);
+        const StartCall stop = harness.nextCall(CallKind::StopRun);
+        harness.dispatcher().remove(ServerName("d1"));
+        answerStop(harness, 1'005, stop, 421);
+        assertContinuesAtBackup(harness.nextCall(CallKind::Decode));
+    }
+
+    void crashedBackupEndsTheStream()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        breakStream(harness, 1'000, run.decode, 20);
+        answerStop(harness, 1'003, harness.nextCall(CallKind::StopRun), 404);
+        harness.end(1'010, harness.nextCall(CallKind::Decode), CallEnd::NotConnected);
+        CPPUNIT_ASSERT_EQUAL(text("cut"), harness.outcome(run.request));
+        CPPUNIT_ASSERT(!harness.hasCalls());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {1}, harness.dispatcher().runCounts().lost);
+    }
+
+    // Also a backup that has restarted at the same address answers that it does not execute it.
+    void backupWithoutACopyEndsTheStream()
+    {
+        for (const int status : {503, 421}) {
+            DispatcherHarness harness;
+            useEngines(harness);
+            const Run run = startRun(harness);
+            breakStream(harness, 1'000, run.decode, 20);
+            answerStop(harness, 1'003, harness.nextCall(CallKind::StopRun), 404);
+            harness.end(1'010, harness.nextCall(CallKind::Decode), CallEnd::NotExecuted, status);
+            CPPUNIT_ASSERT_EQUAL(text("cut"), harness.outcome(run.request));
+            CPPUNIT_ASSERT(!harness.hasCalls());
+        }
+    }
+
+    void backupWithoutACopyResumesAResumableStream()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness, "resumable");
+        breakStream(harness, 1'000, run.decode, 20);
+        answerStop(harness, 1'003, harness.nextCall(CallKind::StopRun), 404);
+        harness.end(1'010, harness.nextCall(CallKind::Decode), CallEnd::NotExecuted, 503);
+        CPPUNIT_ASSERT_EQUAL(text("open"), harness.outcome(run.request));
+        harness.nextSchedulerMessage<RunMoved>();
+        CPPUNIT_ASSERT(harness.nextSchedulerMessage<ClaimEnded>().outcome
+                       == ClaimOutcome::EngineFailed);
+        CPPUNIT_ASSERT(harness.nextSchedulerMessage<Claim>().urgency == Urgency::Resumed);
+    }
+
+    // An error response must not complete the stream or reach the caller within it.
+    void errorInPlaceOfTheContinuationEndsTheStream()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        breakStream(harness, 1'000, run.decode, 20);
+        answerStop(harness, 1'003, harness.nextCall(CallKind::StopRun), 404);
+        harness.end(1'010, harness.nextCall(CallKind::Decode), CallEnd::Complete, 503);
+        CPPUNIT_ASSERT_EQUAL(text("cut"), harness.outcome(run.request));
+    }
+
+    // A leaving engine gets no new requests, and would end the run again.
+    void leavingBackupIsNotUsed()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        harness.addServer("d2", EnginePhase::Decode, true);
+        breakStream(harness, 1'000, run.decode, 20);
+        CPPUNIT_ASSERT_EQUAL(text("cut"), harness.outcome(run.request));
+        CPPUNIT_ASSERT(!harness.hasCalls());
+    }
+
+    // A busy engine pauses for longer than the silence limit; its run must not be disturbed.
+    void silentEngineThatIsReachableKeepsItsRun()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        for (const int time : {1'000, 1'300}) {
+            harness.reduce(time, StreamSilent {run.decode.call, 12});
+            const StartCall check = harness.nextCall(CallKind::Probe);
+            CPPUNIT_ASSERT(check.server == ServerName("d1"));
+            harness.reduce(time + 1, StreamSilent {run.decode.call, 12});
+            CPPUNIT_ASSERT(!harness.hasCalls()); // One check at a time.
+            endCheck(harness, time + 2, check, true, 12);
+        }
+        CPPUNIT_ASSERT(!harness.wasAbandoned(run.decode));
+        harness.end(3'000, run.decode, CallEnd::Complete, 200);
+        CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
+    }
+
+    // A cut-off engine sends no end of the connection, and its copy lives for half a second.
+    void silentUnreachableEngineLosesItsRun()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        harness.reduce(1'000, StreamSilent {run.decode.call, 12});
+        const StartCall check = harness.nextCall(CallKind::Probe);
+        CPPUNIT_ASSERT(check.connectTimeout == EngineAnswerLimit);
+        endCheck(harness, 1'100, check, false, 12);
+        CPPUNIT_ASSERT(harness.wasAbandoned(run.decode));
+        harness.nextCall(CallKind::StopRun);
+        const StartCall second = harness.nextCall(CallKind::Decode);
+        assertContinuesAtBackup(second);
+        harness.reduce(1'130, StreamStarted {second.call, 200, {}});
+        harness.end(3'000, second, CallEnd::Complete, 200);
+        CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
+    }
+
+    // A lost packet delays a connection attempt although the stream goes on.
+    void eventsDuringACheckKeepTheStream()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        harness.reduce(1'000, StreamSilent {run.decode.call, 12});
+        endCheck(harness, 1'100, harness.nextCall(CallKind::Probe), false, 13);
+        CPPUNIT_ASSERT(!harness.wasAbandoned(run.decode));
+        CPPUNIT_ASSERT(!harness.hasCalls());
+    }
+
+    // An engine that only looked unreachable would go on with the run, or keep its KV cache.
+    void lateStopFreesItsHandle()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        breakStream(harness, 1'000, run.decode, 20);
+        harness.end(1'100, harness.nextCall(CallKind::StopRun), CallEnd::NotConnected);
+        const StartCall late = harness.nextCall(CallKind::StopRun);
+        CPPUNIT_ASSERT(late.server == ServerName("d1"));
+        harness.nextCall(CallKind::Decode);
+        answerStop(harness, 1'110, late, 200, "k9");
+        const StartCall free = harness.nextCall(CallKind::FreeHandle);
+        CPPUNIT_ASSERT(free.server == ServerName("d1"));
+        CPPUNIT_ASSERT_EQUAL(text("k9"), free.handle);
+        CPPUNIT_ASSERT_EQUAL(text("open"), harness.outcome(run.request));
+    }
+
+    // Nothing was forwarded yet, so that there is no event to continue after.
+    void runBeforeItsFirstEventContinues()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const auto request = harness.arrive(0, "stream", Prompt);
+        const ClaimId claim = harness.nextSchedulerMessage<Claim>().claim;
+        ClaimGranted grant {claim, ServerName("d1"), ServerName("p1"), std::nullopt};
+        grant.backupServer = ServerName("d2");
+        harness.reduce(5, SchedulerAnswered {grant, Life});
+        harness.grant(8, harness.nextCall(CallKind::Reserve));
+        harness.grant(100, harness.nextCall(CallKind::Prefill));
+        breakStream(harness, 120, harness.nextCall(CallKind::Decode), 0);
+        answerStop(harness, 123, harness.nextCall(CallKind::StopRun), 404);
+        const StartCall second = harness.nextCall(CallKind::Decode);
+        CPPUNIT_ASSERT(!second.isResumption);
+        harness.reduce(150, StreamStarted {second.call, 200, {}});
+        harness.end(3'000, second, CallEnd::Complete, 200);
+        CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(request));
+    }
+
+    // The KV cache of a stopped run occupies memory at both engines until it is used or released.
+    void disconnectDuringAMoveReleasesAll()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        breakStream(harness, 1'000, run.decode, 20);
+        const StartCall stop = harness.nextCall(CallKind::StopRun);
+        harness.reduce(1'010, CallerLeft {run.request});
+        CPPUNIT_ASSERT(!harness.wasAbandoned(stop));
+        CPPUNIT_ASSERT(harness.nextSchedulerMessage<ClaimEnded>().claim == run.claim);
+        answerStop(harness, 1'040, stop, 200, "k9");
+        const StartCall free = harness.nextCall(CallKind::FreeHandle);
+        CPPUNIT_ASSERT(free.server == ServerName("d1"));
+        CPPUNIT_ASSERT_EQUAL(text("k9"), free.handle);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, harness.dispatcher().open());
+    }
+
+    void disconnectDuringAContinuationReleasesAll()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        breakStream(harness, 1'000, run.decode, 20);
+        answerStop(harness, 1'040, harness.nextCall(CallKind::StopRun), 200, "k9");
+        const StartCall second = harness.nextCall(CallKind::Decode);
+        harness.nextSchedulerMessage<RunMoved>();
+        harness.reduce(1'050, CallerLeft {run.request});
+        CPPUNIT_ASSERT(harness.wasAbandoned(second));
+        CPPUNIT_ASSERT_EQUAL(text("k9"), harness.nextCall(CallKind::FreeHandle).handle);
+        CPPUNIT_ASSERT(harness.nextSchedulerMessage<ClaimEnded>().claim == run.claim);
+    }
+
+    // Engines without moves cannot be told to stop; only an unreachable one does not run it.
+    void checksTheEngineIfRunsCannotBeStopped()
+    {
+        for (const bool isReachable : {true, false}) {
+            DispatcherHarness harness;
+            useEngines(harness, true, false);
+            const Run run = startRun(harness);
+            breakStream(harness, 1'000, run.decode, 20);
+            endCheck(harness, 1'002, harness.nextCall(CallKind::Probe), isReachable, 20);
+            if (isReachable) {
+                CPPUNIT_ASSERT_EQUAL(text("cut"), harness.outcome(run.request));
+                CPPUNIT_ASSERT(!harness.hasCalls());
+            } else {
+                assertContinuesAtBackup(harness.nextCall(CallKind::Decode));
+            }
+        }
+    }
+
+    // A new scheduler would otherwise grant the memory that copies occupy.
+    void reportsTheBackupToANewScheduler()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        startRun(harness);
+        harness.dispatcher().setScheduler(NodeName("other"));
+        harness.reduce(500, TimePassed {});
+        const auto report = harness.nextSchedulerMessage<ReservationReport>();
+        CPPUNIT_ASSERT(report.decodeServer == ServerName("d1"));
+        CPPUNIT_ASSERT(report.backupServer == ServerName("d2"));
+    }
+
+    // A request that ends each engine that executes it would end its backups as well.
+    void contentThatCrashesEnginesIsNotContinued()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        harness.dispatcher().crashRecorded({ContentId("c1"), CrashRecords::MaxCrashes}, 9,
+                                           DispatcherHarness::at(900));
+        breakStream(harness, 1'000, run.decode, 20);
+        CPPUNIT_ASSERT_EQUAL(text("cut"), harness.outcome(run.request));
+        CPPUNIT_ASSERT(!harness.hasCalls());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RunContinuationTest);
--- /dev/null
+++ b/tests/dispatch/runrecoverytest.cpp
@@ -0,0 +1,170 @@
+#include "dispatch/runrecovery.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+using namespace indigoway;
+using namespace indigoway::dispatch;
+using Kind = RecoveryStep::Kind;
+
+namespace {
+
+EngineTraits traitsOf(bool keepsBackups, bool movesRuns)
+{
+    EngineTraits traits;
+    traits.handleKept = std::chrono::milliseconds(500);
+    traits.keepsBackups = keepsBackups;
+    traits.movesRuns = movesRuns;
+    return traits;
+}
+
+RunState runWithBackup()
+{
+    RunState run;
+    run.hasBackup = true;
+    run.events = 20;
+    run.timeLeft = std::chrono::seconds(5);
+    return run;
+}
+
+CallEnded answerOf(int status, const std::string &handle)
+{
+    CallEnded ended;
+    ended.end = CallEnd::Complete;
+    ended.status = status;
+    ended.handle = handle;
+    return ended;
+}
+
+} // namespace
+
+class RunRecoveryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RunRecoveryTest);
+    CPPUNIT_TEST(readsTheAnswerToAStop);
+    CPPUNIT_TEST(stopsARunWhoseConnectionBroke);
+    CPPUNIT_TEST(continuesOnlyWhereTheRunIsOver);
+    CPPUNIT_TEST(asksAgainAfterALostAnswer);
+    CPPUNIT_TEST(silenceLimitLeavesTimeToReachTheCopy);
+    CPPUNIT_TEST(asksTheEngineOfASilentStream);
+    CPPUNIT_TEST(doesNotContinueWithoutTime);
+    CPPUNIT_TEST(limitsContinuations);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // A misread answer would start a run that is still being executed, or give up one that is over.
+    void readsTheAnswerToAStop()
+    {
+        CallEnded lost;
+        lost.end = CallEnd::NotConnected;
+        CPPUNIT_ASSERT(stopResultOf(lost) == StopResult::Unreachable);
+        lost.end = CallEnd::Broken;
+        CPPUNIT_ASSERT(stopResultOf(lost) == StopResult::Unknown);
+        CPPUNIT_ASSERT(stopResultOf(answerOf(200, "h")) == StopResult::Moved);
+        CPPUNIT_ASSERT(stopResultOf(answerOf(200, "")) == StopResult::Unknown);
+        CPPUNIT_ASSERT(stopResultOf(answerOf(404, "")) == StopResult::NoSuchRun);
+        CPPUNIT_ASSERT(stopResultOf(answerOf(409, "")) == StopResult::NotStopped);
+        CPPUNIT_ASSERT(stopResultOf(answerOf(421, "")) == StopResult::OtherInstance);
+        CPPUNIT_ASSERT(stopResultOf(answerOf(503, "h")) == StopResult::NotMoved);
+        CPPUNIT_ASSERT(stopResultOf(answerOf(503, "")) == StopResult::NotStopped);
+        CPPUNIT_ASSERT(stopResultOf(answerOf(500, "")) == StopResult::NotStopped);
+    }
+
+    // Continuing while the first engine still executes the run would execute it twice.
+    void stopsARunWhoseConnectionBroke()
+    {
+        const EngineTraits both = traitsOf(true, true);
+        CPPUNIT_ASSERT(RunRecovery(both).connectionLost(runWithBackup()).kind == Kind::StopRun);
+        const EngineTraits backups = traitsOf(true, false);
+        CPPUNIT_ASSERT(RunRecovery(backups).connectionLost(runWithBackup()).kind
+                       == Kind::AskEngine);
+        RunState alone = runWithBackup();
+        alone.hasBackup = false;
+        CPPUNIT_ASSERT(RunRecovery(both).connectionLost(alone).kind == Kind::GiveUp);
+    }
+
+    void continuesOnlyWhereTheRunIsOver()
+    {
+        const EngineTraits traits = traitsOf(true, true);
+        const RunRecovery recovery(traits);
+        const RunState run = runWithBackup();
+        RunState alone = run;
+        alone.hasBackup = false;
+        for (const StopResult over :
+             {StopResult::Unreachable, StopResult::OtherInstance, StopResult::NoSuchRun}) {
+            CPPUNIT_ASSERT(recovery.stopEnded(run, over).kind == Kind::ContinueAtBackup);
+            CPPUNIT_ASSERT(recovery.stopEnded(alone, over).kind == Kind::GiveUp);
+        }
+        CPPUNIT_ASSERT(recovery.stopEnded(run, StopResult::Moved).kind == Kind::ContinueAtTarget);
+        CPPUNIT_ASSERT(recovery.stopEnded(run, StopResult::NotMoved).kind
+                       == Kind::ContinueAtEngine);
+        CPPUNIT_ASSERT(recovery.stopEnded(run, StopResult::NotStopped).kind == Kind::GiveUp);
+    }
+
+    // After a lost answer it is unknown whether the run is over; only a second answer can tell.
+    void asksAgainAfterALostAnswer()
+    {
+        const EngineTraits traits = traitsOf(true, true);
+        RunState run = runWithBackup();
+        run.stopRequests = 1;
+        CPPUNIT_ASSERT(RunRecovery(traits).stopEnded(run, StopResult::Unknown).kind
+                       == Kind::StopRun);
+        run.stopRequests = 2;
+        CPPUNIT_ASSERT(RunRecovery(traits).stopEnded(run, StopResult::Unknown).kind
+                       == Kind::GiveUp);
+    }
+
+    // A copy lives for the handle lifetime after its last part. A later continuation finds none.
+    void silenceLimitLeavesTimeToReachTheCopy()
+    {
+        EngineTraits traits = traitsOf(true, true);
+        const auto limit = RunRecovery(traits).silenceLimit();
+        CPPUNIT_ASSERT(limit.has_value());
+        CPPUNIT_ASSERT(*limit + EngineAnswerLimit < traits.handleKept);
+        CPPUNIT_ASSERT(*limit >= std::chrono::milliseconds(150));
+        traits.handleKept = std::chrono::milliseconds(200);
+        CPPUNIT_ASSERT(!RunRecovery(traits).silenceLimit());
+        traits.handleKept = std::chrono::minutes(1);
+        CPPUNIT_ASSERT(*RunRecovery(traits).silenceLimit() <= std::chrono::milliseconds(500));
+        const EngineTraits noBackups = traitsOf(false, true);
+        CPPUNIT_ASSERT(!RunRecovery(noBackups).silenceLimit());
+    }
+
+    // An engine that only pauses must keep its run.
+    void asksTheEngineOfASilentStream()
+    {
+        const EngineTraits traits = traitsOf(true, true);
+        const RunRecovery recovery(traits);
+        const RunState run = runWithBackup();
+        CPPUNIT_ASSERT(recovery.streamSilent(run).kind == Kind::AskEngine);
+        CPPUNIT_ASSERT(recovery.engineAsked(run, true, true).kind == Kind::Wait);
+        CPPUNIT_ASSERT(recovery.engineAsked(run, true, false).kind == Kind::GiveUp);
+        CPPUNIT_ASSERT(recovery.engineAsked(run, false, true).kind == Kind::ContinueAtBackup);
+        RunState alone = run;
+        alone.hasBackup = false;
+        CPPUNIT_ASSERT(recovery.streamSilent(alone).kind == Kind::Wait);
+    }
+
+    void doesNotContinueWithoutTime()
+    {
+        const EngineTraits traits = traitsOf(true, true);
+        RunState run = runWithBackup();
+        run.timeLeft = Duration(0);
+        CPPUNIT_ASSERT(RunRecovery(traits).connectionLost(run).kind == Kind::GiveUp);
+        CPPUNIT_ASSERT(RunRecovery(traits).stopEnded(run, StopResult::Unreachable).kind
+                       == Kind::GiveUp);
+        CPPUNIT_ASSERT(RunRecovery(traits).streamSilent(run).kind == Kind::Wait);
+    }
+
+    // A run whose connection breaks at every engine must end.
+    void limitsContinuations()
+    {
+        const EngineTraits traits = traitsOf(true, true);
+        RunState run = runWithBackup();
+        run.continuations = 3;
+        CPPUNIT_ASSERT(RunRecovery(traits).connectionLost(run).kind == Kind::GiveUp);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RunRecoveryTest);
