Stop, move and copy runs in the stand-in engines; tests of the calls

The stand-in engines of the platform keep copies of runs, stop and move them, and crash or reset a stream after a given event, so that a process test can check the continuation of runs. Tests of the new calls and headers in the dialect, and of the silence limit in the relay.

--- a/include/indigoway/routing.h
+++ b/include/indigoway/routing.h
@@ -56,7 +56,7 @@
     Duration longestReservation {}; ///< Longest time for which capacity can be reserved.
     Duration phaseChange {};        ///< How long an engine is unavailable during a phase change.
     std::uint32_t tokensPerEvent = 1;
-    bool keepsBackups = false; ///< Engines copy the KV cache of a run to another engine.
+    bool keepsBackups = false; ///< Engines copy runs to each other while they execute them.
     bool movesRuns = false;    ///< Engines stop a run and move its KV cache to another engine.
     bool operator==(const EngineTraits &) const = default;
 };
--- a/src/dispatch/schedulerclaims.cpp
+++ b/src/dispatch/schedulerclaims.cpp
@@ -46,12 +46,11 @@
     message.maxWait = maxWait;
     message.timeToTarget = request.arrived + request.route->target - step.now;
     message.maxDuration = request.deadline - step.now;
-    message.excludedServers.assign(request.triedServers.begin(), request.triedServers.end());
     if (request.organisation) {
         message.organisation = request.organisation->name;
     }
-    message.wantsBackup =
-        request.service->engine->keepsBackups && !request.arrival.callerId.empty();
+    message.wantsBackup = request.service->engine && request.service->engine->keepsBackups;
+    message.excludedServers.assign(request.triedServers.begin(), request.triedServers.end());
     for (const ServerName &server : blocked) {
         if (message.excludedServers.size() < MaxExcludedServers) {
             message.excludedServers.push_back(server);
--- a/standins/sharedplatform.cpp
+++ b/standins/sharedplatform.cpp
@@ -37,6 +37,7 @@
           [this](ExchangeNumber exchange) {
               std::erase_if(m_watches, [&](const Watch &one) { return one.exchange == exchange; });
           })
+    , m_engineRuns(HandleKept)
     , m_announced(std::move(announced))
 { }
 
@@ -247,6 +248,16 @@
     if (body.isObject() && body["organisations"].isArray()) {
         m_declared = body["organisations"];
     }
+    if (body.isObject() && body["engine"].isObject()) {
+        m_keepsBackups = body["engine"]["backups"].asBool();
+        m_movesRuns = body["engine"]["moves"].asBool();
+    }
+    if (body.isObject() && body["kill_after"].isInt()) {
+        m_killAfter = body["kill_after"].asInt();
+    }
+    if (body.isObject() && body["reset_after"].isInt()) {
+        m_resetAfter = body["reset_after"].asInt();
+    }
     if (body.isObject() && body["version"].isUInt64()) {
         writeRouting(body["version"].asUInt64(), stringMember(body, "prefix"));
     }
@@ -263,6 +274,11 @@
     }
     Json::Value answer;
     answer["held"] = Json::UInt64(m_held.size());
+    answer["copies"] = Json::UInt64(m_engineRuns.copies(std::chrono::steady_clock::now()));
+    answer["continued"] = Json::objectValue;
+    for (const auto &[id, count] : m_continued) {
+        answer["continued"][id] = count;
+    }
     answer["crashes"] = m_crashes;
     answer["crashed_now"] = Json::UInt64(
         std::count_if(m_workers.begin(), m_workers.end(),
@@ -313,7 +329,7 @@
     worker.server = std::make_unique<HttpServer>(
         m_loop.base(), HttpLimits {.idle = std::chrono::seconds(60)},
         [this, &worker](const HttpRequest &request) { work(worker, request); },
-        [](ExchangeNumber) {});
+        [this, &worker](ExchangeNumber exchange) { m_engineRuns.drop(worker.address, exchange); });
     worker.address = worker.server->listenOn(address).value_or("");
     Json::Value entry;
     entry["service"] = worker.phase.empty() ? "web" : "llm";
@@ -335,6 +351,7 @@
 {
     ++m_crashes;
     ++worker.lives;
+    m_engineRuns.dropAll(worker.address);
     // Its server may not end inside of its own handler.
     m_loop.after(std::chrono::milliseconds(0), [&worker] { worker.server.reset(); });
     m_loop.after(DownAfterCrash, [this, &worker] { start(worker, worker.address); });
@@ -385,28 +402,15 @@
     } else if (request.path.starts_with("/hold-drop/") || request.path.starts_with("/kv-handle/")) {
         const std::string held = request.path.substr(request.path.rfind('/') + 1);
         answer(worker, request, unhold(held) ? Ok : NotFound, "{}");
+    } else if (request.path == "/kv-move") {
+        moveRun(worker, request);
     } else if (request.path == "/report") {
         answer(worker, request, Ok, "{\"busy\":false,\"sequence\":0}");
     } else if (request.header("Indigoway-Serving-Phase") == "prefill") {
         answer(worker, request, Ok,
                "{\"kv_handle\":\"" + hold(HandleKept) + "\",\"tokens\":1,\"version\":1}", headers);
     } else if (!worker.phase.empty()) {
-        const std::string source = request.header("Indigoway-Kv-Source");
-        unhold(request.header("Indigoway-Kv-Hold"));
-        if (!source.empty() && !unhold(source.substr(source.rfind('/') + 1))) {
-            answer(worker, request, ServiceUnavailable, "{}", {{"Indigoway-Not-Executed", "1"}});
-            return;
-        }
-        noteRun(request);
-        if (crashes(request)) {
-            crash(worker);
-            return;
-        }
-        headers.emplace_back("Indigoway-Server-Stamp", "stamp-" + worker.name);
-        headers.emplace_back("Content-Type", "text/event-stream");
-        headers.insert(headers.end(), worker.advice.begin(), worker.advice.end());
-        worker.server->startStream(request.exchange, Ok, headers);
-        stream(worker, request, worker.lives, 1);
+        generate(worker, request, std::move(headers));
     } else {
         noteRun(request);
         if (crashes(request)) {
@@ -423,6 +427,78 @@
     }
 }
 
+void SharedPlatform::generate(Worker &worker, const HttpRequest &request, HttpHeaders headers)
+{
+    unhold(request.header("Indigoway-Kv-Hold"));
+    if (!takeKvCache(worker, request)) {
+        answer(worker, request, ServiceUnavailable, "{}", {{"Indigoway-Not-Executed", "1"}});
+        return;
+    }
+    const std::string lastEvent = request.header("Last-Event-Id");
+    const std::string id = request.header("Indigoway-Request-Id");
+    if (lastEvent.empty()) {
+        noteRun(request);
+    } else {
+        ++m_continued[id];
+    }
+    if (crashes(request)) {
+        crash(worker);
+        return;
+    }
+    headers.emplace_back("Indigoway-Server-Stamp", "stamp-" + worker.name);
+    headers.emplace_back("Content-Type", "text/event-stream");
+    headers.insert(headers.end(), worker.advice.begin(), worker.advice.end());
+    worker.server->startStream(request.exchange, Ok, headers);
+    const std::string backup = request.header("Indigoway-Kv-Backup");
+    m_engineRuns.begin(worker.address, id, {request.exchange, backup});
+    stream(worker, request, worker.lives, std::atoi(lastEvent.c_str()) + 1);
+}
+
+bool SharedPlatform::takeKvCache(const Worker &worker, const HttpRequest &request)
+{
+    const std::string source = request.header("Indigoway-Kv-Source");
+    if (source.empty()) {
+        return true;
+    }
+    const std::size_t slash = source.rfind('/');
+    const std::string id = source.substr(slash + 1);
+    if (source.substr(0, slash) == worker.address && id == request.header("Indigoway-Request-Id")) {
+        return m_engineRuns.takeCopy(worker.address, id, std::chrono::steady_clock::now());
+    }
+    return unhold(id);
+}
+
+void SharedPlatform::moveRun(Worker &worker, const HttpRequest &request)
+{
+    const Json::Value body = parseJson(request.body);
+    const auto run = m_engineRuns.stop(worker.address, stringMember(body, "id"));
+    if (!run) {
+        answer(worker, request, NotFound, "{}");
+        return;
+    }
+    worker.server->abort(run->exchange);
+    const std::string target = stringMember(body, "to");
+    const bool isTargetUp = std::ranges::any_of(m_workers, [&](const auto &other) {
+        return other->address == target && other->server && other->phase == "decode";
+    });
+    answer(worker, request, isTargetUp ? Ok : ServiceUnavailable,
+           "{\"kv_handle\":\"" + hold(HandleKept) + "\",\"created\":" + std::to_string(run->events)
+               + "}");
+}
+
+void SharedPlatform::cutRun(Worker &worker, const HttpRequest &request)
+{
+    // The run goes on without a connection until it is stopped, as at engines that do not notice.
+    const std::string id = request.header("Indigoway-Request-Id");
+    auto run = m_engineRuns.stop(worker.address, id);
+    if (!run) {
+        return;
+    }
+    worker.server->abort(request.exchange);
+    run->exchange = {};
+    m_engineRuns.begin(worker.address, id, *run);
+}
+
 void SharedPlatform::answer(Worker &worker, const HttpRequest &request, int status,
                             const std::string &body, HttpHeaders headers)
 {
@@ -433,15 +509,29 @@
 void SharedPlatform::stream(Worker &worker, const HttpRequest &request, std::uint64_t life,
                             int event)
 {
-    if (worker.lives != life) {
+    const std::string id = request.header("Indigoway-Request-Id");
+    if (worker.lives != life || !m_engineRuns.isRunning(worker.address, id, request.exchange)) {
         return;
     }
     if (event > StreamEvents) {
+        m_engineRuns.complete(worker.address, id);
         worker.server->endStream(request.exchange);
         return;
     }
+    m_engineRuns.addEvent(worker.address, id, std::chrono::steady_clock::now());
     const std::string number = std::to_string(event);
     worker.server->send(request.exchange, "id: " + number + "\ndata: token" + number + "\n\n");
+    if (event == m_killAfter) {
+        m_killAfter = 0;
+        // Later, so that the event leaves before the connections are closed.
+        m_loop.after(BetweenEvents / 2, [this, &worker] { crash(worker); });
+        return;
+    }
+    if (event == m_resetAfter) {
+        m_resetAfter = 0;
+        m_loop.after(BetweenEvents / 2, [this, &worker, request] { cutRun(worker, request); });
+        return;
+    }
     m_loop.after(BetweenEvents, [this, &worker, request, life, event] {
         stream(worker, request, life, event + 1);
     });
@@ -490,6 +580,8 @@
     llm["engine"]["kv_hold_s"] = 0.5;
     llm["engine"]["hold_ms"] = 2000;
     llm["engine"]["reconfig_s"] = 6;
+    llm["engine"]["backups"] = m_keepsBackups;
+    llm["engine"]["moves"] = m_movesRuns;
     state["services"].append(web);
     state["services"].append(llm);
     state["limits"]["max_header_bytes"] = 16384;
--- a/standins/sharedplatform.h
+++ b/standins/sharedplatform.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "engineruns.h"
 #include "eventloop.h"
 #include "http/httpserver.h"
 
@@ -98,6 +99,13 @@
     void work(Worker &worker, const HttpRequest &request);
     void answer(Worker &worker, const HttpRequest &request, int status, const std::string &body,
                 HttpHeaders headers = {});
+    /** Executes a generation, or continues one with its KV cache from here or elsewhere. */
+    void generate(Worker &worker, const HttpRequest &request, HttpHeaders headers);
+    /** Whether the KV cache that @p request refers to, if any, is there; it can be used once. */
+    bool takeKvCache(const Worker &worker, const HttpRequest &request);
+    void moveRun(Worker &worker, const HttpRequest &request);
+    /** Breaks the connection of the run of @p id, which the engine then goes on with. */
+    void cutRun(Worker &worker, const HttpRequest &request);
     void stream(Worker &worker, const HttpRequest &request, std::uint64_t life, int event);
     void writeRouting(std::uint64_t version, const std::string &extraPrefix);
     /** A server runs @p request: for whom, and with what that it should not have got. */
@@ -121,6 +129,12 @@
     Json::Value m_declared;                             ///< Organisations of the desired state.
     std::set<std::string> m_held; ///< Reservations and handles not given back.
     std::uint64_t m_lastHold = 0;
+    EngineRuns m_engineRuns;
+    std::map<std::string, std::uint32_t> m_continued; ///< Continuations, by a caller's id.
+    bool m_keepsBackups = false;
+    bool m_movesRuns = false;
+    int m_killAfter = 0;  ///< The next engine to send this event crashes; 0: none.
+    int m_resetAfter = 0; ///< The next stream to reach this event is reset; 0: none.
     std::uint32_t m_crashes = 0;
     std::vector<std::string> m_announced;
 };
--- a/tests/platform/platformdialecttest.cpp
+++ b/tests/platform/platformdialecttest.cpp
@@ -64,6 +64,9 @@
     CPPUNIT_TEST(forwardsARequestUnchanged);
     CPPUNIT_TEST(removesReservedHeadersOfCallers);
     CPPUNIT_TEST(encodesTheCallsOfAGeneration);
+    CPPUNIT_TEST(encodesABackup);
+    CPPUNIT_TEST(encodesTheStopOfARun);
+    CPPUNIT_TEST(decodesTheAnswerToAStop);
     CPPUNIT_TEST(encodesAnOrder);
     CPPUNIT_TEST(doesNotForwardApiKeys);
     CPPUNIT_TEST(rejectsMalformedApiKeys);
@@ -74,6 +77,7 @@
     CPPUNIT_TEST(matchesAnswersToRequests);
     CPPUNIT_TEST(decodesGrants);
     CPPUNIT_TEST(decodesTheDesiredState);
+    CPPUNIT_TEST(decodesBackupsAndMoves);
     CPPUNIT_TEST(decodesAServer);
     CPPUNIT_TEST(readsTheRateLimitOfAServer);
     CPPUNIT_TEST(readsThatAServerLeaves);
@@ -163,6 +167,51 @@
                              m_dialect.writeCall(drop, nullptr, {}).target);
     }
 
+    // Otherwise a caller could have its KV cache copied to any address.
+    void encodesABackup()
+    {
+        CallerRequest origin = callerRequest();
+        origin.head.headers.emplace_back("Indigoway-Kv-Backup", "9.9.9.9:9");
+        StartCall decode = makeCall(CallKind::Decode);
+        decode.handle = "id1";
+        decode.handleAddress = "10.0.0.2:80";
+        const ServerRequest without = m_dialect.writeCall(decode, &origin, "4");
+        CPPUNIT_ASSERT_EQUAL(std::string("none"), headerValue(without, "Indigoway-Kv-Backup"));
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2:80/id1"),
+                             headerValue(without, "Indigoway-Kv-Source"));
+        CPPUNIT_ASSERT_EQUAL(std::string("4"), headerValue(without, "Last-Event-Id"));
+        decode.backupAddress = "10.0.0.3:80";
+        const ServerRequest with = m_dialect.writeCall(decode, &origin, {});
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.3:80"), headerValue(with, "Indigoway-Kv-Backup"));
+    }
+
+    void encodesTheStopOfARun()
+    {
+        StartCall stop = makeCall(CallKind::StopRun);
+        stop.runId = "id\"1";
+        stop.moveTarget = "10.0.0.3:80";
+        const ServerRequest request = m_dialect.writeCall(stop, nullptr, {});
+        CPPUNIT_ASSERT_EQUAL(std::string("POST"), request.method);
+        CPPUNIT_ASSERT_EQUAL(std::string("/kv-move"), request.target);
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), headerValue(request, "Indigoway-Expect-Instance"));
+        const Json::Value body = parseJson(request.body);
+        CPPUNIT_ASSERT_EQUAL(std::string("id\"1"), body["id"].asString());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.3:80"), body["to"].asString());
+        CPPUNIT_ASSERT(body["last"].isBool() && body["last"].asBool());
+    }
+
+    // An unreadable answer must not be taken for a handle.
+    void decodesTheAnswerToAStop()
+    {
+        const auto handleOf = [this](const char *body) {
+            return m_dialect.readEngineAnswer(CallKind::StopRun, body).handle;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("k7"), handleOf(R"({"kv_handle":"k7","created":12})"));
+        for (const char *body : {"", "{", "[]", "7", R"({"kv_handle":7})", R"({"created":1})"}) {
+            CPPUNIT_ASSERT_EQUAL(std::string(), handleOf(body));
+        }
+    }
+
     void encodesAnOrder()
     {
         StartCall order = makeCall(CallKind::Order);
@@ -333,12 +382,29 @@
         const EngineTraits &engine = *state.services.at(ServiceName("a")).engine;
         CPPUNIT_ASSERT(engine.handleKept == std::chrono::milliseconds(500));
         CPPUNIT_ASSERT(engine.longestReservation == std::chrono::milliseconds(2000));
+        CPPUNIT_ASSERT(!engine.keepsBackups && !engine.movesRuns);
         CPPUNIT_ASSERT(!state.services.at(ServiceName("b")).engine);
         CPPUNIT_ASSERT(state.limits.idleTimeout == std::chrono::seconds(15));
         CPPUNIT_ASSERT(std::holds_alternative<DecodeFault>(m_codec.decodeRouting("{}")));
         CPPUNIT_ASSERT(std::holds_alternative<DecodeFault>(m_codec.decodeRouting("nonsense")));
     }
 
+    // A malformed setting must not enable calls that the engines do not know.
+    void decodesBackupsAndMoves()
+    {
+        const auto traitsOf = [this](const std::string &members) {
+            const auto decoded = m_codec.decodeRouting(
+                R"({"version":7,"routes":[],"services":[{"name":"a","engine":{)" + members
+                + "}}]}");
+            return *std::get<RoutingState>(decoded).services.at(ServiceName("a")).engine;
+        };
+        CPPUNIT_ASSERT(traitsOf(R"("backups":true)").keepsBackups);
+        CPPUNIT_ASSERT(!traitsOf(R"("backups":true)").movesRuns);
+        CPPUNIT_ASSERT(traitsOf(R"("moves":true)").movesRuns);
+        CPPUNIT_ASSERT(!traitsOf(R"("moves":false,"backups":"yes")").keepsBackups);
+        CPPUNIT_ASSERT(!traitsOf(R"("moves":1)").movesRuns);
+    }
+
     void decodesAServer()
     {
         const auto decoded = m_codec.decodeServer(
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -125,6 +125,7 @@
         status[call] = head.status;
     }
     void answerDataReceived(CallNumber call, std::string_view data) override { body[call] += data; }
+    void callSilent(CallNumber call) override { ++silences[call]; }
     void callEnded(CallNumber call, TransferEnd end, const std::string & /*why*/) override
     {
         ends[call] = end;
@@ -133,6 +134,7 @@
     std::map<CallNumber, int> status;
     std::map<CallNumber, std::string> body;
     std::map<CallNumber, TransferEnd> ends;
+    std::map<CallNumber, int> silences;
 };
 
 } // namespace
@@ -157,6 +159,8 @@
     CPPUNIT_TEST(aRefusedConnectionIsReportedAsNotConnected);
     CPPUNIT_TEST(aProbeSendsNoData);
     CPPUNIT_TEST(theIdleTimeoutEndsACall);
+    CPPUNIT_TEST(aSilentCallIsReportedAndContinues);
+    CPPUNIT_TEST(aSilentCallStillEndsByItsIdleTimeout);
     CPPUNIT_TEST(abandoningACallClosesItsConnection);
     CPPUNIT_TEST_SUITE_END();
 
@@ -412,6 +416,27 @@
         CPPUNIT_ASSERT(endOf(1) == TransferEnd::Broken);
     }
 
+    // The end of a call by its silence limit would lose a run whose engine only pauses.
+    void aSilentCallIsReportedAndContinues()
+    {
+        startSilentCall(Duration(0));
+        RawSocket server(m_server.acceptConnection());
+        runUntil([&] { return m_calls->silences[CallNumber(1)] >= 2; });
+        CPPUNIT_ASSERT(m_calls->ends.empty());
+        server.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::Complete);
+    }
+
+    // The reports must not prolong the idle timeout.
+    void aSilentCallStillEndsByItsIdleTimeout()
+    {
+        startSilentCall(std::chrono::milliseconds(100));
+        RawSocket server(m_server.acceptConnection());
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::Broken);
+        const int silences = m_calls->silences[CallNumber(1)];
+        CPPUNIT_ASSERT(silences >= 2 && silences <= 4);
+    }
+
     void abandoningACallClosesItsConnection()
     {
         startCall(1);
@@ -441,7 +466,13 @@
         CPPUNIT_FAIL("condition not met in time");
     }
 
-    void startCall(std::uint64_t number, const std::string &address = {}, Duration idleTimeout = {})
+    void startSilentCall(Duration idleTimeout)
+    {
+        startCall(1, {}, idleTimeout, std::chrono::milliseconds(30));
+    }
+
+    void startCall(std::uint64_t number, const std::string &address = {}, Duration idleTimeout = {},
+                   Duration silenceLimit = {})
     {
         ServerRequest request;
         request.call = CallNumber(number);
@@ -450,6 +481,7 @@
         request.method = "GET";
         request.target = "/";
         request.idleTimeout = idleTimeout;
+        request.silenceLimit = silenceLimit;
         m_servers->start(request);
         run();
     }
