Move runs off engines that leave, and off live ones without a backup

Cause: a run on an engine that leaves ended incomplete with it, and so did a run without a backup whose connection broke while its engine lived. Change: RunMover chooses the runs that outlast their leaving engine, four at a time and the longest first; the scheduler is asked for another engine, the run is stopped there with /kv-move, and continues at the target, or at its engine if the target has no room. The relay reports the progress of such streams. Result: runcontinuationtest covers each answer of the engine and the scheduler.

--- a/src/dispatch/dispatcheffects.h
+++ b/src/dispatch/dispatcheffects.h
@@ -60,7 +60,9 @@
     std::string runId;         ///< For StopRun: the caller's id of the request.
     std::string moveTarget;    ///< For StopRun: address of the engine that gets the KV cache.
     Duration connectTimeout {}; ///< Limit for a new connection; 0 for the usual one.
-    Duration silenceLimit {};   ///< Time without data after which StreamSilent follows; 0: never.
+    /** Number of events after which StreamProgress follows, again and again; 0: never. */
+    std::uint32_t progressEvents = 0;
+    Duration silenceLimit {}; ///< Time without data after which StreamSilent follows; 0: never.
     EnginePhase orderedPhase = EnginePhase::None;
     std::uint64_t fencingToken = 0; ///< For Order: increases with each holder of the order right.
     /** For Order: the order is void if the engine has accepted another one since. */
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -402,6 +402,16 @@
     }
 }
 
+void Dispatcher::handle(Step &step, const StreamProgress &event)
+{
+    const OpenCall *call = m_state.calls.find(event.call);
+    OpenRequest *request = call ? m_state.requests.find(call->request) : nullptr;
+    if (request && request->call == event.call) {
+        request->forwardedEvents = std::max(request->forwardedEvents, event.events);
+        request->run.progressAt = step.now;
+    }
+}
+
 void Dispatcher::handle(Step &step, const CallEnded &event)
 {
     const auto call = m_state.calls.take(event.call);
@@ -427,6 +437,10 @@
     if (request && carriesRequest(call->kind)) {
         recordCallResult(step, *call, *request, event);
     }
+    if (request && call->kind == CallKind::StopRun) {
+        m_generations.stopEnded(step, *request, *call, event);
+        return;
+    }
     if (request && call->kind == CallKind::Probe) {
         m_generations.engineChecked(step, *request, *call, event);
         return;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -77,6 +77,7 @@
     void handle(Step &step, const CallerLeft &event);
     void handle(Step &step, const StreamStarted &event);
     void handle(Step &step, const StreamSilent &event);
+    void handle(Step &step, const StreamProgress &event);
     void handle(Step &step, const CallEnded &event);
     void handle(Step &step, const SchedulerAnswered &event);
     void handle(Step &step, const QuotaKeeperAnswered &event);
--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -81,6 +81,13 @@
     std::uint32_t events = 0; ///< Complete stream events that were forwarded.
 };
 
+/** Reports the events of a forwarded stream; the call continues. */
+struct StreamProgress
+{
+    CallNumber call;
+    std::uint32_t events = 0; ///< Complete stream events that were forwarded.
+};
+
 /** Status reported by an engine, a few hundred milliseconds old. */
 struct EngineReport
 {
@@ -131,7 +138,7 @@
 };
 
 using DispatchEvent =
-    std::variant<ArrivedRequest, CallerLeft, StreamStarted, StreamSilent, CallEnded,
+    std::variant<ArrivedRequest, CallerLeft, StreamStarted, StreamSilent, StreamProgress, CallEnded,
                  SchedulerAnswered, QuotaKeeperAnswered, RateLimiterAnswered, TimePassed>;
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -104,9 +104,6 @@
     case CallKind::Whole:
         decodeEnded(step, request, call, event);
         break;
-    case CallKind::StopRun:
-        stopEnded(step, request, call, event);
-        break;
     default:
         break;
     }
@@ -137,8 +134,8 @@
 {
     m_waiting.erase(request.arrival.request);
     if (!request.call.isNone()) {
-        // The result of a reservation or a move is needed to release it.
-        if (request.callKind != CallKind::Reserve && request.callKind != CallKind::StopRun) {
+        // The result of a reservation is needed to release it.
+        if (request.callKind != CallKind::Reserve) {
             m_state.calls.abandon(step, request.call);
         }
         if (request.callKind == CallKind::Prefill) {
@@ -152,12 +149,13 @@
 std::optional<TimePoint> GenerationFlow::tick(Step &step)
 {
     processQueue(step);
+    const auto next = earlier(m_runs.nextTick(), m_claims.nextTick());
     if (m_waiting.empty()) {
-        return std::nullopt;
+        return next;
     }
     const Duration after =
         m_claims.isAvailable(step.now) ? ClaimCheckInterval : ReservationInterval;
-    return earlier(step.now + after, m_claims.nextTick());
+    return earlier(step.now + after, next);
 }
 
 void GenerationFlow::enqueue(Step &step, OpenRequest &request)
@@ -172,9 +170,8 @@
 {
     rejectOverdue(step);
     rejectBlocked(step);
-    for (const RequestNumber number : m_claims.tick(step, m_state.requests)) {
-        m_state.requests.find(number)->claim = {};
-    }
+    withdrawClaims(step);
+    m_runs.tick(step);
     if (m_claims.isAvailable(step.now)) {
         claimForWaiting(step);
         return;
@@ -187,6 +184,16 @@
     }
 }
 
+void GenerationFlow::withdrawClaims(Step &step)
+{
+    for (const RequestNumber number : m_claims.tick(step, m_state.requests)) {
+        OpenRequest *request = m_state.requests.find(number);
+        if (request && request->stage == Stage::Decoding) {
+            targetDecided(step, *request, nullptr);
+        }
+    }
+}
+
 OpenRequest *GenerationFlow::nextWaiting(Step &step)
 {
     OpenRequest *best = nullptr;
@@ -263,6 +270,10 @@
     if (!request) {
         return;
     }
+    if (scheduling::claimOf(event.message) == request->run.targetClaim) {
+        targetDecided(step, *request, std::get_if<scheduling::ClaimGranted>(&event.message));
+        return;
+    }
     if (const auto *refused = std::get_if<scheduling::ClaimRefused>(&event.message)) {
         request->claim = {};
         failUnsent(step, *request,
@@ -581,6 +592,16 @@
     }
 }
 
+void GenerationFlow::targetDecided(Step &step, OpenRequest &request,
+                                   const scheduling::ClaimGranted *granted)
+{
+    if (m_runs.targetDecided(step, request, granted) == RunContinuation::Result::Lost) {
+        CallEnded failure;
+        failure.reason = request.run.lossReason;
+        decodeFailed(step, request, failure);
+    }
+}
+
 void GenerationFlow::engineChecked(Step &step, OpenRequest &request, const OpenCall &call,
                                    const CallEnded &event)
 {
--- a/src/dispatch/generationflow.h
+++ b/src/dispatch/generationflow.h
@@ -41,6 +41,8 @@
     {
         m_runs.streamSilent(step, request, event);
     }
+    /** Handles the end of a request to stop the run of @p request. */
+    void stopEnded(Step &step, OpenRequest &request, const OpenCall &call, const CallEnded &event);
     /** Handles the end of a connection attempt to the engine of @p request. */
     void engineChecked(Step &step, OpenRequest &request, const OpenCall &call,
                        const CallEnded &event);
@@ -85,7 +87,8 @@
     void decode(Step &step, OpenRequest &request, bool isWhole);
     void decodeEnded(Step &step, OpenRequest &request, const OpenCall &call,
                      const CallEnded &event);
-    void stopEnded(Step &step, OpenRequest &request, const OpenCall &call, const CallEnded &event);
+    void targetDecided(Step &step, OpenRequest &request, const scheduling::ClaimGranted *granted);
+    void withdrawClaims(Step &step);
     void decodeNotExecuted(Step &step, OpenRequest &request, const OpenCall &call,
                            const CallEnded &event);
     void decodeFailed(Step &step, OpenRequest &request, const CallEnded &event);
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -73,7 +73,16 @@
     std::uint32_t stopRequests = 0;  ///< Requests to stop the run at its present engine.
     std::uint32_t continuations = 0; ///< How often the run continued elsewhere.
     TimePoint lostAt {};             ///< When the connection to its engine ended.
+    /** Engine whose connection has ended, while another one is asked for. */
+    std::optional<AnnouncedServer> lostEngine;
     std::string lossReason;          ///< How the connection to its engine ended.
+    ServerName stopTarget;           ///< Engine to which stopCall moves the run.
+    CallNumber stopCall;             ///< Request to stop the run, in progress.
+    scheduling::ClaimId targetClaim; ///< Claim for an engine to move the run to.
+    ServerName target;               ///< Granted for targetClaim; empty while it waits.
+    ServerName targetBackup;         ///< Granted with target.
+    TimePoint movedAt {};            ///< Start of the last attempt to move it off a leaving engine.
+    TimePoint progressAt {};         ///< Time of the last report of forwarded events.
     bool isContinuing = false;    ///< The current call continues the run and has not streamed yet.
     std::string handle;           ///< KV cache of a stopped run that has not been used yet.
     AnnouncedServer handleSource; ///< Engine that executed the stopped run.
--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -11,6 +11,10 @@
  * that it is longer than EngineAnswerLimit, which applies to the connection.
  */
 constexpr Duration MoveTimeout = std::chrono::milliseconds(1000);
+/** Wait for another engine, about as long as a run can do without one unnoticed. */
+constexpr Duration MaxTargetWait = std::chrono::milliseconds(300);
+/** Bounds the estimate of remaining output to a few events, at little cost for each run. */
+constexpr std::uint32_t ProgressEvents = 8;
 constexpr Duration FreeHandleTimeout = std::chrono::milliseconds(300);
 /** Idle timeout of continued resumable streams, as of other streams. */
 constexpr Duration StreamIdleTimeout = std::chrono::milliseconds(1500);
@@ -26,6 +30,10 @@
 
 void RunContinuation::prepare(Step &step, OpenRequest &request, StartCall &call)
 {
+    if (request.service->engine->movesRuns) {
+        call.progressEvents = ProgressEvents;
+        m_mover.runStarted();
+    }
     const AnnouncedServer *backup = usableBackup(request, step.now);
     if (!backup) {
         return;
@@ -64,10 +72,19 @@
     request.run.isContinuing = false;
     request.run.lossReason = event.reason;
     request.run.lostAt = step.now;
-    request.run.stopRequests = 0;
     if (!request.run.engineCheck.isNone()) {
         m_state.calls.abandon(step, std::exchange(request.run.engineCheck, {}));
     }
+    if (!request.run.stopCall.isNone()) {
+        return Result::InProgress; // The engine ends the stream of a run that it stops.
+    }
+    if (!request.run.targetClaim.isNone() && request.run.target.isEmpty()) {
+        if (!usableBackup(request, step.now)) {
+            request.run.lostEngine = call.server;
+            return Result::InProgress; // The scheduler is being asked for another engine.
+        }
+        m_claims.endTarget(step, request, scheduling::ClaimOutcome::Cancelled);
+    }
     const RunRecovery recovery(*request.service->engine);
     return apply(step, request, call.server, recovery.connectionLost(stateOf(request, step.now)));
 }
@@ -75,6 +92,7 @@
 RunContinuation::Result RunContinuation::stopEnded(Step &step, OpenRequest &request,
                                                    const OpenCall &call, const CallEnded &event)
 {
+    request.run.stopCall = {};
     const StopResult result = stopResultOf(event);
     if (result == StopResult::Unreachable) {
         m_state.tracker.recordUnreachable(call.server.name, step.now);
@@ -89,6 +107,16 @@
         request.run.handle = event.handle;
         request.run.handleSource = call.server;
     }
+    const bool isStreamOpen = !request.call.isNone();
+    const bool isOver = result == StopResult::Moved || result == StopResult::NotMoved;
+    if (isStreamOpen && !isOver) {
+        // The run goes on here, or its stream ends next.
+        m_claims.endTarget(step, request, scheduling::ClaimOutcome::Cancelled);
+        return Result::InProgress;
+    }
+    if (isStreamOpen) {
+        m_state.calls.abandon(step, std::exchange(request.call, {}));
+    }
     const RunRecovery recovery(*request.service->engine);
     const RecoveryStep next = recovery.stopEnded(stateOf(request, step.now), result);
     const AnnouncedServer *backup = usableBackup(request, step.now);
@@ -98,6 +126,45 @@
     return apply(step, request, call.server, next);
 }
 
+RunContinuation::Result RunContinuation::targetDecided(Step &step, OpenRequest &request,
+                                                       const scheduling::ClaimGranted *granted)
+{
+    if (granted) {
+        request.run.target = granted->decodeServer;
+        request.run.targetBackup = granted->backupServer;
+    } else {
+        request.run.targetClaim = {};
+    }
+    const AnnouncedServer *target = usableTarget(request, step.now);
+    if (!target) {
+        m_claims.endTarget(step, request, scheduling::ClaimOutcome::Cancelled);
+    }
+    const OpenCall *stream = m_state.calls.find(request.call);
+    if (stream && target) {
+        stopRun(step, request, stream->server, *target);
+    }
+    if (stream || !request.run.lostEngine) {
+        return Result::InProgress; // Without a target the run goes on here.
+    }
+    const RunRecovery recovery(*request.service->engine);
+    return apply(step, request, *request.run.lostEngine,
+                 recovery.targetDecided(stateOf(request, step.now)));
+}
+
+void RunContinuation::tick(Step &step)
+{
+    if (!m_claims.isAvailable(step.now)) {
+        return;
+    }
+    for (const RequestNumber number :
+         m_mover.dueMoves(m_state.requests.all(), m_state.servers, step.now)) {
+        OpenRequest &request = *m_state.requests.find(number);
+        request.run.movedAt = step.now;
+        request.run.lossReason = "engine leaves";
+        requestTarget(step, request);
+    }
+}
+
 RunContinuation::Result RunContinuation::continuationRefused(Step &step, OpenRequest &request,
                                                              const OpenCall &call,
                                                              const CallEnded &event)
@@ -168,6 +235,7 @@
     if (!run.engineCheck.isNone()) {
         m_state.calls.abandon(step, run.engineCheck);
     }
+    m_claims.endTarget(step, request, scheduling::ClaimOutcome::Cancelled);
     if (!run.handle.empty()) {
         freeHandle(step, run.handleSource, run.handle);
     }
@@ -179,6 +247,11 @@
                                                const RecoveryStep &next)
 {
     const AnnouncedServer *backup = usableBackup(request, step.now);
+    const AnnouncedServer *granted = usableTarget(request, step.now);
+    const AnnouncedServer *target = granted ? granted : backup;
+    if (next.kind == Kind::ContinueAtTarget) {
+        target = m_state.servers.find(request.run.stopTarget);
+    }
     const char *reason =
         next.kind == Kind::GiveUp ? next.reason : "the other engine must not be used";
     if (m_state.remainingRefusal(request.arrival.content, step.now)) {
@@ -189,14 +262,18 @@
     } else if (next.kind == Kind::ContinueAtEngine) {
         continueWithHandle(step, request, engine, engine);
         return Result::InProgress;
-    } else if (backup && next.kind == Kind::StopRun) {
-        stopRun(step, request, engine, *backup);
+    } else if (next.kind == Kind::RequestTarget) {
+        request.run.lostEngine = engine;
+        requestTarget(step, request);
+        return Result::InProgress;
+    } else if (target && next.kind == Kind::StopRun) {
+        stopRun(step, request, engine, *target);
         return Result::InProgress;
     } else if (backup && next.kind == Kind::ContinueAtBackup) {
         continueAtBackup(step, request, engine);
         return Result::InProgress;
-    } else if (backup && next.kind == Kind::ContinueAtTarget) {
-        continueWithHandle(step, request, engine, *backup);
+    } else if (target && next.kind == Kind::ContinueAtTarget) {
+        continueWithHandle(step, request, engine, *target);
         return Result::InProgress;
     }
     ++m_counts.lost;
@@ -216,10 +293,18 @@
     request.run.engineCheck = m_state.calls.start(step, engine, std::move(call));
 }
 
+void RunContinuation::requestTarget(Step &step, OpenRequest &request)
+{
+    const Duration wait = std::min(MaxTargetWait, Duration(request.deadline - step.now));
+    m_claims.claimTarget(step, request, m_state.settings.domain, wait,
+                         m_state.unusableServers(request.service->name, step.now));
+}
+
 void RunContinuation::stopRun(Step &step, OpenRequest &request, const AnnouncedServer &engine,
                               const AnnouncedServer &target)
 {
     ++request.run.stopRequests;
+    request.run.stopTarget = target.name;
     StartCall call;
     call.kind = CallKind::StopRun;
     call.runId = request.arrival.callerId;
@@ -227,7 +312,8 @@
     call.connectTimeout = EngineAnswerLimit;
     call.idleTimeout = MoveTimeout;
     call.needsNewConnection = true;
-    m_state.startCall(step, request, engine, std::move(call));
+    call.request = request.arrival.request;
+    request.run.stopCall = m_state.calls.start(step, engine, std::move(call));
 }
 
 void RunContinuation::stopLate(Step &step, const OpenRequest &request,
@@ -275,7 +361,13 @@
     StartCall call;
     call.handle = request.run.handle;
     call.handleAddress = engine.address;
-    if (target.name == request.run.backup) {
+    if (target.name == engine.name) {
+        m_claims.endTarget(step, request, scheduling::ClaimOutcome::OutOfMemory);
+    } else if (target.name == request.run.target) {
+        m_claims.adoptTarget(step, request,
+                             request.run.lostEngine ? scheduling::ClaimOutcome::EngineFailed
+                                                    : scheduling::ClaimOutcome::Cancelled);
+    } else {
         request.run.backup = {};
         m_claims.runMoved(step, request);
     }
@@ -290,7 +382,10 @@
         m_placement.addLoad(server.name, request.tokenDemand);
         request.decodeServer = server.name;
     }
+    m_claims.endTarget(step, request, scheduling::ClaimOutcome::Cancelled);
     ++request.run.continuations;
+    request.run.stopRequests = 0;
+    request.run.lostEngine.reset();
     request.run.isContinuing = true;
     request.handle.clear(); // The first engine has used the result of the prefill.
     call.kind = CallKind::Decode;
@@ -318,20 +413,30 @@
                                                      TimePoint now) const
 {
     const AnnouncedServer *backup = m_state.servers.find(request.run.backup);
-    const bool isUsable = backup && isEnabled(request) && backup->name != request.decodeServer
-        && !m_state.isBlocked(backup->name, now)
-        && m_state.servers.availability(backup->name, now) != ServerAvailability::Leaving;
-    return isUsable ? backup : nullptr;
+    const bool isOther = backup && backup->name != request.decodeServer;
+    return isOther && isEnabled(request) && isUsable(*backup, now) ? backup : nullptr;
+}
+
+const AnnouncedServer *RunContinuation::usableTarget(const OpenRequest &request,
+                                                     TimePoint now) const
+{
+    const AnnouncedServer *target = m_state.servers.find(request.run.target);
+    const bool isOther = target && target->name != request.decodeServer;
+    return isOther && isUsable(*target, now) ? target : nullptr;
+}
+
+bool RunContinuation::isUsable(const AnnouncedServer &server, TimePoint now) const
+{
+    return !m_state.isBlocked(server.name, now)
+        && m_state.servers.availability(server.name, now) != ServerAvailability::Leaving;
 }
 
 RunState RunContinuation::stateOf(const OpenRequest &request, TimePoint now) const
 {
-    RunState run;
+    RunState run = progressOf(request, now);
     run.hasBackup = usableBackup(request, now) != nullptr;
-    run.stopRequests = request.run.stopRequests;
-    run.continuations = request.run.continuations;
-    run.events = request.forwardedEvents;
-    run.timeLeft = request.deadline - now;
+    run.hasTarget = usableTarget(request, now) != nullptr;
+    run.mayRequestTarget = m_claims.isAvailable(now) && request.run.targetClaim.isNone();
     return run;
 }
 
--- a/src/dispatch/runcontinuation.h
+++ b/src/dispatch/runcontinuation.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/dispatchstate.h"
 #include "dispatch/engineplacement.h"
+#include "dispatch/runmover.h"
 #include "dispatch/runrecovery.h"
 #include "dispatch/schedulerclaims.h"
 
@@ -43,6 +44,14 @@
                           const CallEnded &event);
     Result stopEnded(Step &step, OpenRequest &request, const OpenCall &call,
                      const CallEnded &event);
+    /**
+     * Handles the decision on the claim for an engine to move the run to.
+     * @param granted Null if the claim was refused or withdrawn.
+     */
+    Result targetDecided(Step &step, OpenRequest &request, const scheduling::ClaimGranted *granted);
+    /** Begins to move runs off engines that leave. */
+    void tick(Step &step);
+    std::optional<TimePoint> nextTick() const { return m_mover.nextCheck(); }
     /** Handles the refusal of the call that should have continued the run. */
     Result continuationRefused(Step &step, OpenRequest &request, const OpenCall &call,
                                const CallEnded &event);
@@ -59,6 +68,7 @@
     Result apply(Step &step, OpenRequest &request, const AnnouncedServer &engine,
                  const RecoveryStep &next);
     void checkEngine(Step &step, OpenRequest &request, const AnnouncedServer &engine);
+    void requestTarget(Step &step, OpenRequest &request);
     void stopRun(Step &step, OpenRequest &request, const AnnouncedServer &engine,
                  const AnnouncedServer &target);
     /** Stops a run that could not be stopped in time and continues elsewhere now. */
@@ -72,11 +82,15 @@
     void freeHandle(Step &step, const AnnouncedServer &server, const std::string &handle);
     /** Returns the engine that keeps the copy, or null if the run cannot continue there. */
     const AnnouncedServer *usableBackup(const OpenRequest &request, TimePoint now) const;
+    /** Returns the engine that the scheduler has granted, or null. */
+    const AnnouncedServer *usableTarget(const OpenRequest &request, TimePoint now) const;
+    bool isUsable(const AnnouncedServer &server, TimePoint now) const;
     RunState stateOf(const OpenRequest &request, TimePoint now) const;
 
     DispatchState &m_state;
     EnginePlacement &m_placement;
     SchedulerClaims &m_claims;
+    RunMover m_mover;
     RunCounts m_counts;
 };
 
--- a/src/dispatch/runrecovery.cpp
+++ b/src/dispatch/runrecovery.cpp
@@ -128,6 +128,37 @@
     return {mayContinue ? Kind::AskEngine : Kind::Wait};
 }
 
+std::optional<Duration> RunRecovery::remainingTime(const RunState &run)
+{
+    if (run.events < 2 || run.decodeTime.count() <= 0) {
+        return std::nullopt;
+    }
+    // A run that exceeds its expected length has at least one event to go.
+    const std::uint32_t left =
+        run.expectedEvents > run.events ? run.expectedEvents - run.events : 1;
+    return run.decodeTime / (run.events - 1) * left;
+}
+
+RecoveryStep RunRecovery::engineLeaving(const RunState &run, Duration engineTimeLeft) const
+{
+    const bool mayMove = m_traits.movesRuns && run.mayRequestTarget && run.timeLeft.count() > 0
+        && run.continuations < MaxContinuations;
+    const auto remaining = remainingTime(run);
+    const bool outlastsEngine = !remaining || *remaining > engineTimeLeft;
+    return {mayMove && outlastsEngine ? Kind::RequestTarget : Kind::Wait};
+}
+
+RecoveryStep RunRecovery::targetDecided(const RunState &run) const
+{
+    if (run.timeLeft.count() <= 0) {
+        return {Kind::GiveUp, "no time left"};
+    }
+    if (run.hasTarget || run.hasBackup) {
+        return {Kind::StopRun};
+    }
+    return {Kind::GiveUp, "the scheduler grants no other engine"};
+}
+
 RecoveryStep RunRecovery::engineAsked(const RunState &run, bool isReachable,
                                       bool isStreamOpen) const
 {
--- a/src/dispatch/runrecovery.h
+++ b/src/dispatch/runrecovery.h
@@ -15,13 +15,15 @@
 /** What the node knows of a run whose engine may be lost. */
 struct RunState
 {
-    bool hasBackup = false;          ///< An engine is asked to keep a copy of the KV cache.
-    bool hasTarget = false;          ///< The scheduler has granted another engine.
-    bool mayRequestTarget = false;   ///< The scheduler responds and was not asked yet.
-    std::uint32_t stopRequests = 0;  ///< Requests to stop the run at its present engine.
-    std::uint32_t continuations = 0; ///< How often the run continued elsewhere.
-    std::uint32_t events = 0;        ///< Events forwarded to the caller.
-    Duration timeLeft {};            ///< Until the caller gives up.
+    bool hasBackup = false;           ///< An engine is asked to keep a copy of the KV cache.
+    bool hasTarget = false;           ///< The scheduler has granted another engine.
+    bool mayRequestTarget = false;    ///< The scheduler responds and was not asked yet.
+    std::uint32_t stopRequests = 0;   ///< Requests to stop the run at its present engine.
+    std::uint32_t continuations = 0;  ///< How often the run continued elsewhere.
+    std::uint32_t events = 0;         ///< Events forwarded to the caller.
+    std::uint32_t expectedEvents = 0; ///< Of the complete answer.
+    Duration decodeTime {};           ///< From the first event to the last one.
+    Duration timeLeft {};             ///< Until the caller gives up.
 };
 
 /** Result of a request to stop a run. */
@@ -78,6 +80,16 @@
     RecoveryStep stopEnded(const RunState &run, StopResult result) const;
     /** Decides when the stream has been silent for longer than the silence limit. */
     RecoveryStep streamSilent(const RunState &run) const;
+    /** Returns how long the run is expected to go on; nothing if its speed is unknown. */
+    static std::optional<Duration> remainingTime(const RunState &run);
+    /**
+     * Decides for a run whose engine leaves.
+     * @param engineTimeLeft How long the engine is expected to go on.
+     */
+    RecoveryStep engineLeaving(const RunState &run, Duration engineTimeLeft) const;
+    /** Decides after the scheduler has answered RequestTarget for a run that has lost its engine.
+     */
+    RecoveryStep targetDecided(const RunState &run) const;
     /**
      * Decides after AskEngine.
      * @param isStreamOpen Whether the stream's connection is still open.
--- a/src/dispatch/schedulerclaims.cpp
+++ b/src/dispatch/schedulerclaims.cpp
@@ -32,11 +32,55 @@
 void SchedulerClaims::claim(Step &step, OpenRequest &request, const DomainName &domain,
                             Duration maxWait, const std::vector<ServerName> &blocked)
 {
-    request.claim = ClaimId(++m_lastClaim);
+    Claim message = makeClaim(step, request, domain, maxWait, blocked);
+    request.claim = message.claim;
+    m_pending[request.claim] = {request.arrival.request, message, step.now, 1};
+    send(step, std::move(message));
+}
+
+void SchedulerClaims::claimTarget(Step &step, OpenRequest &request, const DomainName &domain,
+                                  Duration maxWait, const std::vector<ServerName> &blocked)
+{
+    Claim message = makeClaim(step, request, domain, maxWait, blocked);
+    const std::uint64_t made =
+        std::uint64_t {request.forwardedEvents} * request.service->engine->tokensPerEvent;
+    message.promptTokens = 0;
+    message.memory.contextTokens += made;
+    message.memory.outputTokens -= std::min(message.memory.outputTokens, made);
+    message.urgency = Urgency::Resumed;
+    message.excludedServers.insert(message.excludedServers.begin(), request.decodeServer);
+    request.run.targetClaim = message.claim;
+    m_pending[message.claim] = {request.arrival.request, message, step.now, 1};
+    send(step, std::move(message));
+}
+
+void SchedulerClaims::endTarget(Step &step, OpenRequest &request, ClaimOutcome result)
+{
+    const ClaimId claim = std::exchange(request.run.targetClaim, {});
+    request.run.target = {};
+    request.run.targetBackup = {};
+    if (!claim.isNone()) {
+        m_pending.erase(claim);
+        send(step, ClaimEnded {claim, result});
+    }
+}
+
+void SchedulerClaims::adoptTarget(Step &step, OpenRequest &request, ClaimOutcome result)
+{
+    end(step, request, result);
+    request.claim = std::exchange(request.run.targetClaim, {});
+    request.run.target = {};
+    request.run.backup = std::exchange(request.run.targetBackup, {});
+}
+
+Claim SchedulerClaims::makeClaim(const Step &step, const OpenRequest &request,
+                                 const DomainName &domain, Duration maxWait,
+                                 const std::vector<ServerName> &blocked)
+{
     const bool readsWhole =
         request.arrival.isContinuation || request.forwardedEvents > 0 || request.readsWhole;
     Claim message;
-    message.claim = request.claim;
+    message.claim = ClaimId(++m_lastClaim);
     message.service = request.service->name;
     message.domain = domain;
     message.promptTokens = readsWhole ? 0 : request.arrival.promptTokens;
@@ -56,8 +100,7 @@
             message.excludedServers.push_back(server);
         }
     }
-    m_pending[request.claim] = {request.arrival.request, message, step.now, 1};
-    send(step, std::move(message));
+    return message;
 }
 
 void SchedulerClaims::reportReservation(Step &step, OpenRequest &request)
@@ -119,8 +162,9 @@
     if (it == m_pending.end()) {
         if (std::holds_alternative<ClaimGranted>(message)) {
             // The request has ended, or this node chose engines for it.
-            const bool isInUse = std::ranges::any_of(
-                requests.all(), [claim](const auto &one) { return one.second.claim == claim; });
+            const bool isInUse = std::ranges::any_of(requests.all(), [claim](const auto &one) {
+                return one.second.claim == claim || one.second.run.targetClaim == claim;
+            });
             if (!isInUse) {
                 send(step, ClaimEnded {claim, ClaimOutcome::Cancelled});
             }
@@ -155,7 +199,7 @@
         reportAllReservations(step, requests);
     }
     if (!m_pending.empty() && !m_scheduler) {
-        return withdrawAll(step);
+        return withdrawAll(step, requests);
     }
     for (auto &[number, pending] : m_pending) {
         if (step.now < pending.sentAt + repeatInterval(pending)) {
@@ -167,7 +211,7 @@
                                   {},
                                   "scheduler=" + m_scheduler->text()
                                       + " claims=" + std::to_string(m_pending.size())});
-            return withdrawAll(step);
+            return withdrawAll(step, requests);
         }
         ++pending.unanswered;
         pending.message.timeToTarget -= step.now - pending.sentAt;
@@ -192,16 +236,21 @@
     return pending.unanswered > 0 ? UnansweredRepeatInterval : QueuedRepeatInterval;
 }
 
-std::vector<RequestNumber> SchedulerClaims::withdrawAll(Step &step)
+std::vector<RequestNumber> SchedulerClaims::withdrawAll(Step &step, OpenRequests &requests)
 {
-    std::vector<RequestNumber> requests;
+    std::vector<RequestNumber> withdrawn;
     for (const auto &[number, pending] : m_pending) {
-        requests.push_back(pending.request);
+        withdrawn.push_back(pending.request);
+        if (OpenRequest *request = requests.find(pending.request)) {
+            ClaimId &claim =
+                request->run.targetClaim == number ? request->run.targetClaim : request->claim;
+            claim = {};
+        }
         // A scheduler that is still running must not hold capacity for these claims.
         send(step, ClaimEnded {number, ClaimOutcome::Cancelled});
     }
     m_pending.clear();
-    return requests;
+    return withdrawn;
 }
 
 void SchedulerClaims::send(Step &step, ToScheduler message) const
--- a/src/dispatch/schedulerclaims.h
+++ b/src/dispatch/schedulerclaims.h
@@ -30,6 +30,13 @@
      */
     void claim(Step &step, OpenRequest &request, const DomainName &domain, Duration maxWait,
                const std::vector<ServerName> &blocked = {});
+    /** Sends a claim for an engine to which the run of @p request can be moved. */
+    void claimTarget(Step &step, OpenRequest &request, const DomainName &domain, Duration maxWait,
+                     const std::vector<ServerName> &blocked);
+    /** Ends the claim for an engine to which the run should have been moved. */
+    void endTarget(Step &step, OpenRequest &request, scheduling::ClaimOutcome result);
+    /** Makes the claim for the target the claim of @p request, whose run continues there. */
+    void adoptTarget(Step &step, OpenRequest &request, scheduling::ClaimOutcome result);
     /** Reports a reservation that this node made without a claim. */
     void reportReservation(Step &step, OpenRequest &request);
     /** Reports that the run of @p request continues on its backup. */
@@ -47,7 +54,7 @@
     std::optional<RequestNumber> answered(Step &step, const scheduling::FromScheduler &message,
                                           Incarnation life, OpenRequests &requests);
     /**
-     * Repeats unanswered claims.
+     * Repeats unanswered claims. Claims are removed from their requests when they are withdrawn.
      * @return The requests whose claims were withdrawn because the scheduler is silent.
      */
     std::vector<RequestNumber> tick(Step &step, OpenRequests &requests);
@@ -63,9 +70,12 @@
         std::uint32_t unanswered = 0; ///< Repetitions since the last answer.
     };
 
+    scheduling::Claim makeClaim(const Step &step, const OpenRequest &request,
+                                const DomainName &domain, Duration maxWait,
+                                const std::vector<ServerName> &blocked);
     void reportAllReservations(Step &step, OpenRequests &requests);
     static Duration repeatInterval(const PendingClaim &pending);
-    std::vector<RequestNumber> withdrawAll(Step &step);
+    std::vector<RequestNumber> withdrawAll(Step &step, OpenRequests &requests);
     void send(Step &step, scheduling::ToScheduler message) const;
 
     std::optional<NodeName> m_scheduler;
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -125,6 +125,7 @@
     }
     if (open.isForwarded) {
         m_callers.sendChunk(open.call.request, completeEvents);
+        reportProgress(open);
         return;
     }
     open.bufferedEvents += completeEvents;
@@ -142,6 +143,15 @@
     }
 }
 
+void RequestRelay::reportProgress(OpenCall &open)
+{
+    const std::uint32_t events = forwardedEvents(open.call.request);
+    if (open.call.progressEvents > 0 && events >= open.reportedEvents + open.call.progressEvents) {
+        open.reportedEvents = events;
+        post(StreamProgress {open.call.call, events});
+    }
+}
+
 std::uint32_t RequestRelay::forwardedEvents(RequestNumber request) const
 {
     const auto exchange = m_exchanges.find(request);
--- a/src/relay/requestrelay.h
+++ b/src/relay/requestrelay.h
@@ -79,6 +79,7 @@
         bool isStream = false;
         bool isForwarded = false;
         bool hasStarted = false;
+        std::uint32_t reportedEvents = 0; ///< Events in the last StreamProgress.
     };
 
     void requestArrived(RequestNumber number, CallerRequest request);
@@ -98,6 +99,7 @@
     void run(const dispatch::RequestEnded &effect);
     void armTimer();
     std::uint32_t forwardedEvents(RequestNumber request) const;
+    void reportProgress(OpenCall &open);
     dispatch::CallEnded resultOf(const OpenCall &open, TransferEnd end,
                                  const std::string &reason) const;
     static void handleTimer(int socket, short events, void *self);
--- a/tests/dispatch/runcontinuationtest.cpp
+++ b/tests/dispatch/runcontinuationtest.cpp
@@ -85,6 +85,18 @@
     harness.reduce(milliseconds, ended);
 }
 
+/** Grants the claim for another engine; returns the request to stop the run that follows. */
+StartCall grantTarget(DispatcherHarness &harness, int milliseconds, const char *target)
+{
+    const auto claim = harness.nextSchedulerMessage<Claim>();
+    CPPUNIT_ASSERT_EQUAL(0U, claim.promptTokens);
+    CPPUNIT_ASSERT(claim.urgency == Urgency::Resumed);
+    CPPUNIT_ASSERT(claim.excludedServers.front() == ServerName("d1"));
+    const ClaimGranted grant {claim.claim, ServerName(target), {}, std::nullopt};
+    harness.reduce(milliseconds, SchedulerAnswered {grant, Life});
+    return harness.nextCall(CallKind::StopRun);
+}
+
 void assertContinuesAtBackup(const StartCall &call)
 {
     CPPUNIT_ASSERT(call.server == ServerName("d2"));
@@ -123,6 +135,17 @@
     CPPUNIT_TEST(checksTheEngineIfRunsCannotBeStopped);
     CPPUNIT_TEST(reportsTheBackupToANewScheduler);
     CPPUNIT_TEST(contentThatCrashesEnginesIsNotContinued);
+    CPPUNIT_TEST(asksForAnEngineIfThereIsNoBackup);
+    CPPUNIT_TEST(silentSchedulerLeavesNoTarget);
+    CPPUNIT_TEST(movesRunsOffALeavingEngine);
+    CPPUNIT_TEST(leavingEngineKeepsARunThatEndsInTime);
+    CPPUNIT_TEST(movesFourRunsAtATimeLongestFirst);
+    CPPUNIT_TEST(refusedMoveLeavesTheRunInPlace);
+    CPPUNIT_TEST(runThatEndsDuringItsMoveIsComplete);
+    CPPUNIT_TEST(leavingEngineThatLosesTheConnectionWaitsForTheTarget);
+    CPPUNIT_TEST(targetWithoutRoomKeepsTheRunAtItsEngine);
+    CPPUNIT_TEST(disconnectDuringAClaimForATargetEndsIt);
+    CPPUNIT_TEST(nothingIsMovedWithoutTheSetting);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -339,6 +362,9 @@
         const Run run = startRun(harness);
         harness.addServer("d2", EnginePhase::Decode, true);
         breakStream(harness, 1'000, run.decode, 20);
+        CPPUNIT_ASSERT(!harness.hasCalls());
+        const auto claim = harness.nextSchedulerMessage<Claim>();
+        harness.reduce(1'010, SchedulerAnswered {ClaimRefused {claim.claim}, Life});
         CPPUNIT_ASSERT_EQUAL(text("cut"), harness.outcome(run.request));
         CPPUNIT_ASSERT(!harness.hasCalls());
     }
@@ -508,6 +534,220 @@
         CPPUNIT_ASSERT_EQUAL(text("cut"), harness.outcome(run.request));
         CPPUNIT_ASSERT(!harness.hasCalls());
     }
+
+    // Without a backup the run of an engine that lives can still be moved.
+    void asksForAnEngineIfThereIsNoBackup()
+    {
+        DispatcherHarness harness;
+        useEngines(harness, false, true);
+        const Run run = startRun(harness, "stream", "");
+        breakStream(harness, 1'000, run.decode, 20);
+        CPPUNIT_ASSERT(!harness.hasCalls());
+        const StartCall stop = grantTarget(harness, 1'002, "d3");
+        CPPUNIT_ASSERT(stop.server == ServerName("d1"));
+        CPPUNIT_ASSERT_EQUAL(text("d3:80"), stop.moveTarget);
+        answerStop(harness, 1'040, stop, 200, "k9");
+        const StartCall second = harness.nextCall(CallKind::Decode);
+        CPPUNIT_ASSERT(second.server == ServerName("d3"));
+        CPPUNIT_ASSERT_EQUAL(text("k9"), second.handle);
+        // The first claim ends, and the second one stands for the run from now on.
+        const auto ended = harness.nextSchedulerMessage<ClaimEnded>();
+        CPPUNIT_ASSERT(ended.claim == run.claim);
+        CPPUNIT_ASSERT(ended.outcome == ClaimOutcome::EngineFailed);
+        harness.reduce(1'080, StreamStarted {second.call, 200, {}});
+        harness.end(3'000, second, CallEnd::Complete, 200);
+        CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
+        const auto served = harness.nextSchedulerMessage<ClaimEnded>();
+        CPPUNIT_ASSERT(served.claim != run.claim);
+        CPPUNIT_ASSERT(served.outcome == ClaimOutcome::Served);
+        CPPUNIT_ASSERT(!harness.hasSchedulerMessage());
+    }
+
+    // The caller of a lost run must not wait for a scheduler that does not respond.
+    void silentSchedulerLeavesNoTarget()
+    {
+        DispatcherHarness harness;
+        useEngines(harness, false, true);
+        const Run run = startRun(harness, "stream", "");
+        breakStream(harness, 1'000, run.decode, 20);
+        harness.advance(1'000, 1'400);
+        CPPUNIT_ASSERT_EQUAL(text("cut"), harness.outcome(run.request));
+        CPPUNIT_ASSERT(!harness.hasCalls());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, harness.dispatcher().open());
+    }
+
+    // A run that outlasts its engine would end incomplete with it.
+    void movesRunsOffALeavingEngine()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        harness.reduce(1'150, StreamProgress {run.decode.call, 8});
+        harness.addServer("d1", EnginePhase::Decode, true);
+        harness.reduce(1'300, TimePassed {});
+        const StartCall stop = grantTarget(harness, 1'305, "d3");
+        CPPUNIT_ASSERT(stop.server == ServerName("d1"));
+        CPPUNIT_ASSERT_EQUAL(text("d3:80"), stop.moveTarget);
+        CPPUNIT_ASSERT(!harness.wasAbandoned(run.decode));
+        breakStream(harness, 1'340, run.decode, 10); // The engine closes the stream.
+        CPPUNIT_ASSERT_EQUAL(text("open"), harness.outcome(run.request));
+        answerStop(harness, 1'341, stop, 200, "k9");
+        const StartCall second = harness.nextCall(CallKind::Decode);
+        CPPUNIT_ASSERT(second.server == ServerName("d3"));
+        CPPUNIT_ASSERT(second.isResumption);
+        CPPUNIT_ASSERT(harness.nextSchedulerMessage<ClaimEnded>().outcome
+                       == ClaimOutcome::Cancelled);
+        harness.reduce(1'400, StreamStarted {second.call, 200, {}});
+        harness.end(3'000, second, CallEnd::Complete, 200);
+        CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
+        CPPUNIT_ASSERT(!harness.hasCalls());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {1}, harness.dispatcher().runCounts().continuedByMove);
+    }
+
+    // Each move costs a transfer and a pause; a run that ends before its engine needs none.
+    void leavingEngineKeepsARunThatEndsInTime()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        // 480 of about 500 events in one second.
+        harness.reduce(1'150, StreamProgress {run.decode.call, 480});
+        harness.addServer("d1", EnginePhase::Decode, true);
+        harness.advance(1'200, 2'000);
+        CPPUNIT_ASSERT(!harness.hasSchedulerMessage());
+        CPPUNIT_ASSERT(!harness.hasCalls());
+    }
+
+    // A leaving engine with many runs would overload its link with all of them at once.
+    void movesFourRunsAtATimeLongestFirst()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        std::vector<Run> runs;
+        for (std::uint32_t i = 0; i < 6; ++i) {
+            runs.push_back(startRun(harness));
+        }
+        for (std::uint32_t i = 0; i < 6; ++i) {
+            harness.reduce(1'150, StreamProgress {runs[i].decode.call, 10 + 10 * (5 - i)});
+        }
+        harness.addServer("d1", EnginePhase::Decode, true);
+        harness.reduce(1'300, TimePassed {});
+        std::vector<StartCall> stops;
+        for (int i = 0; i < 4; ++i) {
+            stops.push_back(grantTarget(harness, 1'305, "d3"));
+            CPPUNIT_ASSERT_EQUAL("c" + std::to_string(6 - i), stops.back().runId);
+        }
+        harness.reduce(1'420, TimePassed {});
+        CPPUNIT_ASSERT(!harness.hasSchedulerMessage());
+        answerStop(harness, 1'430, stops.front(), 200, "k9");
+        harness.nextCall(CallKind::Decode);
+        CPPUNIT_ASSERT(harness.nextSchedulerMessage<ClaimEnded>().outcome
+                       == ClaimOutcome::Cancelled);
+        harness.reduce(1'540, TimePassed {});
+        CPPUNIT_ASSERT_EQUAL(text("c2"), grantTarget(harness, 1'545, "d3").runId);
+    }
+
+    // A run must go on at its leaving engine if there is no other engine, or it cannot be stopped.
+    void refusedMoveLeavesTheRunInPlace()
+    {
+        for (const int status : {0, 404, 409, 503}) {
+            DispatcherHarness harness;
+            useEngines(harness);
+            const Run run = startRun(harness);
+            harness.addServer("d1", EnginePhase::Decode, true);
+            harness.reduce(1'300, TimePassed {});
+            if (status == 0) {
+                const auto claim = harness.nextSchedulerMessage<Claim>();
+                harness.reduce(1'310, SchedulerAnswered {ClaimRefused {claim.claim}, Life});
+            } else {
+                answerStop(harness, 1'320, grantTarget(harness, 1'305, "d3"), status);
+                CPPUNIT_ASSERT(harness.nextSchedulerMessage<ClaimEnded>().claim != run.claim);
+            }
+            CPPUNIT_ASSERT(!harness.wasAbandoned(run.decode));
+            CPPUNIT_ASSERT(!harness.hasCalls());
+            harness.end(1'500, run.decode, CallEnd::Complete, 200);
+            CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
+            CPPUNIT_ASSERT(harness.nextSchedulerMessage<ClaimEnded>().claim == run.claim);
+        }
+    }
+
+    void runThatEndsDuringItsMoveIsComplete()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        harness.addServer("d1", EnginePhase::Decode, true);
+        harness.reduce(1'300, TimePassed {});
+        const StartCall stop = grantTarget(harness, 1'305, "d3");
+        harness.end(1'310, run.decode, CallEnd::Complete, 200);
+        CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
+        CPPUNIT_ASSERT(harness.nextSchedulerMessage<ClaimEnded>().outcome == ClaimOutcome::Served);
+        CPPUNIT_ASSERT(harness.nextSchedulerMessage<ClaimEnded>().outcome
+                       == ClaimOutcome::Cancelled);
+        answerStop(harness, 1'311, stop, 404);
+        CPPUNIT_ASSERT(!harness.hasCalls());
+    }
+
+    void leavingEngineThatLosesTheConnectionWaitsForTheTarget()
+    {
+        DispatcherHarness harness;
+        useEngines(harness, false, true);
+        const Run run = startRun(harness, "stream", "");
+        harness.addServer("d1", EnginePhase::Decode, true);
+        harness.reduce(1'300, TimePassed {});
+        breakStream(harness, 1'302, run.decode, 10);
+        CPPUNIT_ASSERT_EQUAL(text("open"), harness.outcome(run.request));
+        answerStop(harness, 1'340, grantTarget(harness, 1'305, "d3"), 200, "k9");
+        CPPUNIT_ASSERT(harness.nextCall(CallKind::Decode).server == ServerName("d3"));
+    }
+
+    // The run has stopped although it was not moved; its KV cache is still at its engine.
+    void targetWithoutRoomKeepsTheRunAtItsEngine()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        harness.addServer("d1", EnginePhase::Decode, true);
+        harness.reduce(1'300, TimePassed {});
+        answerStop(harness, 1'340, grantTarget(harness, 1'305, "d3"), 503, "k9");
+        CPPUNIT_ASSERT(harness.wasAbandoned(run.decode));
+        const StartCall second = harness.nextCall(CallKind::Decode);
+        CPPUNIT_ASSERT(second.server == ServerName("d1"));
+        const auto ended = harness.nextSchedulerMessage<ClaimEnded>();
+        CPPUNIT_ASSERT(ended.claim != run.claim);
+        CPPUNIT_ASSERT(ended.outcome == ClaimOutcome::OutOfMemory);
+    }
+
+    // The scheduler would keep memory for a run that has ended.
+    void disconnectDuringAClaimForATargetEndsIt()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        harness.addServer("d1", EnginePhase::Decode, true);
+        harness.reduce(1'300, TimePassed {});
+        const auto claim = harness.nextSchedulerMessage<Claim>();
+        harness.reduce(1'310, CallerLeft {run.request});
+        CPPUNIT_ASSERT(harness.nextSchedulerMessage<ClaimEnded>().claim == run.claim);
+        CPPUNIT_ASSERT(harness.nextSchedulerMessage<ClaimEnded>().claim == claim.claim);
+        // A grant that arrives late is returned.
+        const ClaimGranted grant {claim.claim, ServerName("d3"), {}, std::nullopt};
+        harness.reduce(1'320, SchedulerAnswered {grant, Life});
+        CPPUNIT_ASSERT(harness.nextSchedulerMessage<ClaimEnded>().claim == claim.claim);
+        CPPUNIT_ASSERT(!harness.hasCalls());
+    }
+
+    void nothingIsMovedWithoutTheSetting()
+    {
+        DispatcherHarness harness;
+        useEngines(harness, true, false);
+        const Run run = startRun(harness);
+        CPPUNIT_ASSERT_EQUAL(0U, run.decode.progressEvents);
+        harness.addServer("d1", EnginePhase::Decode, true);
+        harness.advance(1'000, 2'000);
+        CPPUNIT_ASSERT(!harness.hasSchedulerMessage());
+        CPPUNIT_ASSERT(!harness.hasCalls());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RunContinuationTest);
