Tests of backups over any messages, while memory is short, and of an unreachable store

Change: the test has memory that suffices in sum; a property test over lost, repeated and reordered messages, restarts and leaving engines; a test of NodeAnnouncer::isStoreUnreachable.

--- a/tests/fleet/nodedirectorytest.cpp
+++ b/tests/fleet/nodedirectorytest.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(boundsCallerAddresses);
     CPPUNIT_TEST(rewritesLostEntry);
     CPPUNIT_TEST(backsOffWhileStoreIsUnreachable);
+    CPPUNIT_TEST(reportsUnreachableStore);
     CPPUNIT_TEST(renewalRateIsIndependentOfFleetSize);
     CPPUNIT_TEST(replacesLeaseAsFleetGrows);
     CPPUNIT_TEST(leavingNodeWritesNothing);
@@ -183,6 +184,23 @@
         CPPUNIT_ASSERT(std::holds_alternative<RenewLeaseCall>(*announcer.nextCall(at(time))));
     }
 
+    // Guards against copies of all runs because of a single failed call, and against none while
+    // the store is out of reach.
+    void reportsUnreachableStore()
+    {
+        NodeAnnouncer announcer;
+        CPPUNIT_ASSERT(!announcer.isStoreUnreachable());
+        announcer.nextCall(at(0));
+        announcer.callFailed(at(1'000), StoreError::Unanswered);
+        CPPUNIT_ASSERT(!announcer.isStoreUnreachable());
+        announcer.nextCall(at(2'000));
+        announcer.callFailed(at(3'000), StoreError::Unanswered);
+        CPPUNIT_ASSERT(announcer.isStoreUnreachable());
+        announcer.nextCall(at(9'000));
+        announcer.leaseGranted(at(9'001), lease(5));
+        CPPUNIT_ASSERT(!announcer.isStoreUnreachable());
+    }
+
     /** Guards against a renewal rate that grows with the fleet. */
     void renewalRateIsIndependentOfFleetSize()
     {
--- a/tests/scheduling/schedulerbackuptest.cpp
+++ b/tests/scheduling/schedulerbackuptest.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/schedulerharness.h"
 
+#include <rapidcheck.h>
+
 using namespace indigoway;
 using namespace indigoway::scheduling;
 
@@ -58,6 +60,7 @@
     CPPUNIT_TEST(namesBackupOnlyWhereWantedAndWorthwhile);
     CPPUNIT_TEST(movedRunsKeepBackupsWorthwhile);
     CPPUNIT_TEST(namesNoBackupWhileClaimsWait);
+    CPPUNIT_TEST(namesNoBackupWhereMemoryIsUsed);
     CPPUNIT_TEST(copyCountsInMemory);
     CPPUNIT_TEST(repeatsBackupForResentClaim);
     CPPUNIT_TEST(endOfClaimReleasesBoth);
@@ -72,6 +75,7 @@
     CPPUNIT_TEST(releasesCopiesOnBackupThatCrashed);
     CPPUNIT_TEST(releasesCopiesOnBackupThatChangedPhase);
     CPPUNIT_TEST(countsRunThatMovedToForgottenCopy);
+    CPPUNIT_TEST(anyMessagesLeaveNoAccounts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -119,19 +123,37 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t {18}, harness.scheduler().runsMoved());
     }
 
-    // Guards against copies that displace runs while memory is short.
+    // Guards against copies that displace runs while memory is short in one piece, although its sum
+    // would suffice.
     void namesNoBackupWhileClaimsWait()
     {
         BackupHarness harness;
-        harness.send(0, NodeA, SchedulerHarness::claimOf(1, 20'000));
+        harness.addEngine("d3", EnginePhase::Decode);
+        harness.addEngine("d4", EnginePhase::Decode);
+        for (std::uint64_t i = 1; i <= 4; ++i) {
+            harness.send(0, NodeA, SchedulerHarness::claimOf(i, 21'000));
+            CPPUNIT_ASSERT(harness.answer(NodeA, i).starts_with("d"));
+        }
         harness.send(1, NodeB,
-                     SchedulerHarness::withLongWait(SchedulerHarness::claimOf(1, 49'000)));
-        harness.send(2, NodeB,
-                     SchedulerHarness::withLongWait(SchedulerHarness::claimOf(2, 49'000)));
-        CPPUNIT_ASSERT_EQUAL(std::string("queued"), harness.answer(NodeB, 2));
-        harness.send(3, NodeA, claimWithBackup(2, 1'000));
-        CPPUNIT_ASSERT_EQUAL(std::string("d1/"), harness.answer(NodeA, 2));
-        CPPUNIT_ASSERT_EQUAL(std::string(), harness.backup(NodeA, 2));
+                     SchedulerHarness::withLongWait(SchedulerHarness::claimOf(1, 30'000)));
+        CPPUNIT_ASSERT_EQUAL(std::string("queued"), harness.answer(NodeB, 1));
+        harness.send(2, NodeA, claimWithBackup(5, 1'000));
+        CPPUNIT_ASSERT(harness.answer(NodeA, 5).starts_with("d"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), harness.backup(NodeA, 5));
+        harness.send(3, NodeB, ClaimEnded {ClaimId(1), ClaimOutcome::Cancelled});
+        harness.send(4, NodeA, claimWithBackup(6, 1'000));
+        CPPUNIT_ASSERT(!harness.backup(NodeA, 6).empty());
+    }
+
+    // Guards against copies that leave no memory for the claims of the next seconds.
+    void namesNoBackupWhereMemoryIsUsed()
+    {
+        BackupHarness harness;
+        harness.send(0, NodeA, SchedulerHarness::claimOf(1, 35'000));
+        harness.send(1, NodeA, SchedulerHarness::claimOf(2, 30'000));
+        harness.send(2, NodeA, claimWithBackup(3, 1'000));
+        CPPUNIT_ASSERT_EQUAL(std::string("d2/"), harness.answer(NodeA, 3));
+        CPPUNIT_ASSERT_EQUAL(std::string(), harness.backup(NodeA, 3));
     }
 
     // Guards against granting the memory of a copy to a run, which the engine would refuse.
@@ -319,6 +341,76 @@
                      SchedulerHarness::withLongWait(SchedulerHarness::claimOf(2, 40'000)));
         CPPUNIT_ASSERT_EQUAL(std::string("d1/"), harness.answer(NodeB, 2));
     }
+
+    // Guards against accounts that stay after lost, repeated and reordered messages, restarts of
+    // nodes, and engines that leave or change their phase.
+    void anyMessagesLeaveNoAccounts()
+    {
+        CPPUNIT_ASSERT(rc::check("accounts", [] {
+            BackupHarness harness;
+            harness.addEngine("d3", EnginePhase::Decode);
+            harness.addEngine("d4", EnginePhase::Decode);
+            const int steps = *rc::gen::inRange(0, 120);
+            for (int time = 0; time < steps * 20; time += 20) {
+                sendAny(harness, time);
+            }
+            RC_ASSERT(harness.copies() <= harness.scheduler().granted());
+            constexpr int AllExpired = 40'000;
+            harness.tick(AllExpired);
+            RC_ASSERT(harness.scheduler().granted() == 0);
+            RC_ASSERT(harness.copies() == 0);
+            RC_ASSERT(harness.scheduler().copyTokens() == 0);
+            harness.setStoreStale(false);
+            for (std::uint64_t i = 1; i <= 2; ++i) {
+                // Two engines keep decoding all the time.
+                const NodeLife node = SchedulerHarness::node("probe");
+                harness.send(AllExpired, node,
+                             SchedulerHarness::withLongWait(SchedulerHarness::claimOf(i, 49'900)));
+                RC_ASSERT(harness.answer(node, i).starts_with("d"));
+            }
+        }));
+    }
+
+private:
+    static void sendAny(BackupHarness &harness, int time)
+    {
+        const NodeLife node = SchedulerHarness::node(*rc::gen::element("a", "b"),
+                                                     *rc::gen::inRange<std::uint64_t>(1, 3));
+        const auto number = *rc::gen::inRange<std::uint64_t>(1, 12);
+        const auto tokens = *rc::gen::inRange<std::uint64_t>(1'000, 20'000);
+        const auto engine = [] {
+            return *rc::gen::element("d1", "d2", "d3", "d4", "");
+        };
+        switch (*rc::gen::inRange(0, 8)) {
+        case 0:
+        case 1:
+            harness.send(time, node, claimWithBackup(number, tokens));
+            return;
+        case 2:
+            harness.send(time, node, reportOf(number, tokens, engine(), engine()));
+            return;
+        case 3:
+            harness.send(time, node, RunMoved {ClaimId(number)});
+            return;
+        case 4:
+            harness.send(time, node, PrefillEnded {ClaimId(number), true, true});
+            return;
+        case 5: {
+            const auto outcome =
+                *rc::gen::element(ClaimOutcome::Served, ClaimOutcome::EngineFailed,
+                                  ClaimOutcome::Unreachable, ClaimOutcome::Cancelled);
+            harness.send(time, node, ClaimEnded {ClaimId(number), outcome});
+            return;
+        }
+        case 6:
+            harness.send(time, node,
+                         PhaseChangeNotice {ServerName("d3"), EnginePhase::Prefill,
+                                            std::chrono::seconds(2), true});
+            return;
+        default:
+            *rc::gen::inRange(0, 10) == 0 ? harness.removeEngine("d4") : harness.tick(time);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerBackupTest);
