Process test: an engine is killed in the middle of a stream

The stream of a route that may not be resumed arrives whole and once when its engine is killed (copy at the backup) and when its connection is reset while the engine lives (move), and no engine memory is held afterwards.

--- /dev/null
+++ b/tests/processes/run-recovery.sh
@@ -0,0 +1,48 @@
+#!/usr/bin/env bash
+# Kills an engine in the middle of a stream that may not be resumed, while the store is unreachable.
+# Guards against an incomplete answer, an answer with repeated events, and engine memory that is held
+# afterwards.
+. "$(dirname "$0")/edgecommon.sh"
+
+start_edge n1
+start_edge n2
+for node in n1 n2; do wait_for "$node to be ready" ready $node || fail "$node is not ready"; done
+control platform '{"engine":{"backups":true,"moves":true},"version":2,"prefix":"/extra/"}'
+extra() { [ "$(call "$1" /extra/a "id-x$RANDOM")" = 200 ]; }
+for node in n1 n2; do wait_for "the settings on $node" extra $node || fail "$node does not apply the settings"; done
+
+TOKENS=(-H 'Indigoway-Token-Count: 1000,100' -H 'Indigoway-Model-Id: m' -d prompt)
+platform_says() { curl -s "http://${ADDRESSES[platform]}/control" | grep -o "\"$1\":[0-9]*" | head -1 | cut -d: -f2; }
+is_whole() { # Each event once and in order.
+    [ "$(grep '^id: ' "$RUN/body" | tr -d '\n')" = 'id: 1id: 2id: 3id: 4id: 5id: 6' ]
+}
+logged() { grep -h "\"kind\":\"$1\"" "$RUN"/n?.out | grep -q "$2"; }
+clean() { [ "$(platform_says held)" = 0 ] && [ "$(platform_says copies)" = 0 ]; }
+
+# Without a known risk of losing engines no copies are made. While the store is unreachable, the
+# scheduler cannot learn which engines leave, and names backups.
+control platform '{"down":true}'
+named_backup() {
+    [ "$(call n1 /stream/a "id-b$RANDOM" "${TOKENS[@]}")" = 200 ] || fail "a stream was not served"
+    logged run_backup 'backup'
+}
+wait_for "a run with a backup" named_backup || fail "no run got a backup"
+
+# The connection breaks, but the engine lives and goes on: it must be stopped and its run moved.
+control platform '{"reset_after":3}'
+[ "$(call n1 /stream/a id-reset "${TOKENS[@]}")" = 200 ] || fail "the stream was not served"
+is_whole || fail "the stream after a reset is not whole: $(cat "$RUN/body")"
+logged run_stopped 'moved' || fail "the run was not moved"
+wait_for "engine memory to be free" clean || fail "engine memory is held after the move"
+
+# An engine is killed: its connections end and it is gone.
+control platform '{"kill_after":3}'
+[ "$(call n1 /stream/a id-killed "${TOKENS[@]}")" = 200 ] || fail "the stream was not served"
+is_whole || fail "the stream of a killed engine is not whole: $(cat "$RUN/body")"
+[ "$(platform_says crashes)" = 1 ] || fail "no engine was killed: the test tests nothing"
+[ "$(platform_says id-killed)" = 1 ] || fail "the run began $(platform_says id-killed) times"
+logged run_continued 'backup' || fail "the run was not continued at its backup"
+wait_for "engine memory to be free" clean || fail "engine memory is held after the stream"
+curl -s "http://${ADDRESSES[n1.metrics]}/metrics" | grep -q '^indigoway_runs_continued_by_backup 1$' \
+    || fail "the metrics do not count the continued run"
+echo "OK"
