--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -72,6 +72,7 @@
 void GenerationFlow::streamStarted(Step &step, OpenRequest &request, const StreamStarted &event)
 {
     request.streamingCall = event.call;
+    m_runs.streamStarted(step, request);
     if (request.isForwarding) {
         step.add(ForwardStream {request.arrival.request, event.call});
         return;
@@ -112,6 +113,9 @@
 void GenerationFlow::orphanedCallEnded(Step &step, const OpenCall &call, const CallEnded &event)
 {
     m_state.tracker.callClosed(call.server.name);
+    if (call.kind == CallKind::StopRun) {
+        m_runs.orphanedStopEnded(step, call, event);
+    }
     if (call.kind != CallKind::Reserve) {
         return;
     }
@@ -145,12 +149,13 @@
 std::optional<TimePoint> GenerationFlow::tick(Step &step)
 {
     processQueue(step);
+    const auto next = earlier(m_runs.nextTick(), m_claims.nextTick());
     if (m_waiting.empty()) {
-        return std::nullopt;
+        return next;
     }
     const Duration after =
         m_claims.isAvailable(step.now) ? ClaimCheckInterval : ReservationInterval;
-    return earlier(step.now + after, m_claims.nextTick());
+    return earlier(step.now + after, next);
 }
 
 void GenerationFlow::enqueue(Step &step, OpenRequest &request)
@@ -165,9 +170,8 @@
 {
     rejectOverdue(step);
     rejectBlocked(step);
-    for (const RequestNumber number : m_claims.tick(step, m_state.requests)) {
-        m_state.requests.find(number)->claim = {};
-    }
+    withdrawClaims(step);
+    m_runs.tick(step);
     if (m_claims.isAvailable(step.now)) {
         claimForWaiting(step);
         return;
@@ -180,6 +184,16 @@
     }
 }
 
+void GenerationFlow::withdrawClaims(Step &step)
+{
+    for (const RequestNumber number : m_claims.tick(step, m_state.requests)) {
+        OpenRequest *request = m_state.requests.find(number);
+        if (request && request->stage == Stage::Decoding) {
+            targetDecided(step, *request, nullptr);
+        }
+    }
+}
+
 OpenRequest *GenerationFlow::nextWaiting(Step &step)
 {
     OpenRequest *best = nullptr;
@@ -256,6 +270,10 @@
     if (!request) {
         return;
     }
+    if (scheduling::claimOf(event.message) == request->run.targetClaim) {
+        targetDecided(step, *request, std::get_if<scheduling::ClaimGranted>(&event.message));
+        return;
+    }
     if (const auto *refused = std::get_if<scheduling::ClaimRefused>(&event.message)) {
         request->claim = {};
         failUnsent(step, *request,
@@ -287,6 +305,7 @@
     }
     request->plannedPrefill = granted->prefillServer;
     request->isPlannedWhole = granted->prefillsLocally;
+    request->run.backup = granted->backupServer;
     reserveAt(step, *request, *server);
 }
 
@@ -298,6 +317,7 @@
     if (!server) {
         return false;
     }
+    request.run.backup = {};
     reserveAt(step, request, *server);
     return true;
 }
@@ -505,6 +525,7 @@
         call.idleTimeout = StreamIdleTimeout;
     }
     call.needsNewConnection = true;
+    m_runs.prepare(step, request, call);
     ++request.executions;
     ++request.countedCalls;
     m_state.startCall(step, request, *server, std::move(call));
@@ -517,17 +538,21 @@
     request.forwardedEvents = std::max(request.forwardedEvents, event.events);
     switch (event.end) {
     case CallEnd::Complete: {
-        if (request.isForwarding && request.streamingCall != event.call) {
+        const bool isSuccess = event.status < FirstServerErrorStatus;
+        const bool isRefused = request.run.isContinuing && !isSuccess;
+        if (isRefused || (request.isForwarding && request.streamingCall != event.call)) {
             // An error response in place of the remaining events must not end the stream as
             // complete.
             m_state.tracker.recordAnswer(server, step.now - call.started, false, step.now);
             CallEnded failure = event;
             failure.reason =
                 "answered " + std::to_string(event.status) + " instead of resuming the stream";
+            if (request.run.isContinuing) {
+                m_runs.continuationRefused(step, request, call, failure);
+            }
             decodeFailed(step, request, failure);
             return;
         }
-        const bool isSuccess = event.status < FirstServerErrorStatus;
         m_state.tracker.recordAnswer(server, step.now - call.started, isSuccess, step.now);
         if (isSuccess && !request.isForwarding) {
             request.handle.clear();
@@ -542,15 +567,49 @@
     }
     case CallEnd::NotExecuted:
     case CallEnd::NotConnected:
+        if (request.run.isContinuing) {
+            recordFailure(step, server, event.end);
+            m_runs.continuationRefused(step, request, call, event);
+            decodeFailed(step, request, event);
+            return;
+        }
         decodeNotExecuted(step, request, call, event);
         return;
     case CallEnd::Broken:
         m_state.tracker.recordFailure(server, step.now);
-        decodeFailed(step, request, event);
+        if (m_runs.connectionLost(step, request, call, event) == RunContinuation::Result::Lost) {
+            decodeFailed(step, request, event);
+        }
         return;
     }
 }
 
+void GenerationFlow::stopEnded(Step &step, OpenRequest &request, const OpenCall &call,
+                               const CallEnded &event)
+{
+    if (m_runs.stopEnded(step, request, call, event) == RunContinuation::Result::Lost) {
+        decodeFailed(step, request, event);
+    }
+}
+
+void GenerationFlow::targetDecided(Step &step, OpenRequest &request,
+                                   const scheduling::ClaimGranted *granted)
+{
+    if (m_runs.targetDecided(step, request, granted) == RunContinuation::Result::Lost) {
+        CallEnded failure;
+        failure.reason = request.run.lossReason;
+        decodeFailed(step, request, failure);
+    }
+}
+
+void GenerationFlow::engineChecked(Step &step, OpenRequest &request, const OpenCall &call,
+                                   const CallEnded &event)
+{
+    if (m_runs.engineChecked(step, request, call, event) == RunContinuation::Result::Lost) {
+        decodeFailed(step, request, event);
+    }
+}
+
 void GenerationFlow::decodeNotExecuted(Step &step, OpenRequest &request, const OpenCall &call,
                                        const CallEnded &event)
 {
@@ -669,6 +728,7 @@
         m_state.calls.start(step, *source, std::move(call));
     }
     request.handle.clear();
+    m_runs.release(step, request);
 }
 
 std::vector<const AnnouncedServer *>
--- a/src/relay/requestrelay.h
+++ b/src/relay/requestrelay.h
@@ -55,6 +55,7 @@
     bool isAnswerTo(CallNumber call, const MessageHead &head) override;
     void answerStarted(CallNumber call, const MessageHead &head) override;
     void answerDataReceived(CallNumber call, std::string_view data) override;
+    void callSilent(CallNumber call) override;
     void callEnded(CallNumber call, TransferEnd end, const std::string &reason) override;
 
 private:
@@ -78,6 +79,7 @@
         bool isStream = false;
         bool isForwarded = false;
         bool hasStarted = false;
+        std::uint32_t reportedEvents = 0; ///< Events in the last StreamProgress.
     };
 
     void requestArrived(RequestNumber number, CallerRequest request);
@@ -96,6 +98,8 @@
     void run(const dispatch::LogDecision &effect);
     void run(const dispatch::RequestEnded &effect);
     void armTimer();
+    std::uint32_t forwardedEvents(RequestNumber request) const;
+    void reportProgress(OpenCall &open);
     dispatch::CallEnded resultOf(const OpenCall &open, TransferEnd end,
                                  const std::string &reason) const;
     static void handleTimer(int socket, short events, void *self);
