Assign the slots of plain servers with uneven speed at one node

Cause: with 73 nodes and some hundred plain requests a second, a node hears of a server once a second or less, while the server's speed changes several times a second.

Change: PlainScheduler (src/slots) runs on the node that schedules the engines and assigns the slots of services whose servers report the fourth load figure. PlainFlow claims a slot before each call of such a service (SlotClaims: repeated claims, a silent or new scheduler, reports of held slots and loads) and chooses the server itself as before if the scheduler does not respond. A service without the fourth figure causes no message.

--- a/src/dispatch/dispatcheffects.h
+++ b/src/dispatch/dispatcheffects.h
@@ -3,6 +3,7 @@
 #include "quotas/quotamessages.h"
 #include "ratelimits/ratelimitmessages.h"
 #include "scheduling/schedulermessages.h"
+#include "slots/slotmessages.h"
 
 #include <indigoway/announcedserver.h>
 #include <indigoway/crashnote.h>
@@ -122,6 +123,12 @@
     ratelimits::ToRateLimiter message;
 };
 
+/** Sends a datagram to the scheduler of plain services, if it is known; it may be lost. */
+struct SendToPlainScheduler
+{
+    slots::ToPlainScheduler message;
+};
+
 /** Stores a crash note for all nodes, including those that start later. */
 struct PublishCrash
 {
@@ -155,9 +162,10 @@
     Duration totalTime {};
 };
 
-using DispatchEffect = std::variant<StartCall, AbandonCall, DeliverAnswer, ForwardStream, EndStream,
-                                    BreakStream, RejectRequest, SendToScheduler, SendToQuotaKeeper,
-                                    SendToRateLimiter, PublishCrash, LogDecision, RequestEnded>;
+using DispatchEffect =
+    std::variant<StartCall, AbandonCall, DeliverAnswer, ForwardStream, EndStream, BreakStream,
+                 RejectRequest, SendToScheduler, SendToQuotaKeeper, SendToRateLimiter,
+                 SendToPlainScheduler, PublishCrash, LogDecision, RequestEnded>;
 using DispatchEffects = std::vector<DispatchEffect>;
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -77,6 +77,7 @@
 {
     m_quotas.setKeeper(name);
     m_state.permits.setLimiter(name);
+    m_plain.setScheduler(name);
     m_generations.setScheduler(std::move(name));
 }
 
@@ -108,6 +109,7 @@
 void Dispatcher::forget(const ServerName &name)
 {
     m_state.tracker.forget(name);
+    m_plain.forget(name);
     m_generations.forget(name);
 }
 
@@ -135,8 +137,8 @@
     std::visit([&](const auto &alternative) { handle(step, alternative); }, event);
     tickQuotas(step);
     tickPermits(step);
-    m_nextTick =
-        earlier(earlier(m_generations.tick(step), m_quotas.nextTick()), m_state.permits.nextTick());
+    m_nextTick = earlier(earlier(m_generations.tick(step), m_plain.tick(step)),
+                         earlier(m_quotas.nextTick(), m_state.permits.nextTick()));
     return effects;
 }
 
@@ -442,6 +444,11 @@
     m_generations.schedulerAnswered(step, event);
 }
 
+void Dispatcher::handle(Step &step, const PlainSchedulerAnswered &event)
+{
+    m_plain.schedulerAnswered(step, event);
+}
+
 void Dispatcher::handle(Step &step, const TimePassed & /*event*/)
 {
     if (std::exchange(m_hasNewRoutes, false)) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -47,8 +47,8 @@
     /** Sets the fencing token that is required to order phase changes; nothing if there is none. */
     void setOrderToken(std::optional<std::uint64_t> token) { m_orderToken = token; }
     /**
-     * Sets the node that schedules the engines, keeps the quotas and runs the rate limiter; nothing
-     * if this node decides locally.
+     * Sets the node that schedules the engines and the plain servers, keeps the quotas and runs the
+     * rate limiter; nothing if this node decides locally.
      */
     void setScheduler(std::optional<NodeName> name);
     /** Starts the drain of this node. Requests that cannot complete by @p endsAt are rejected. */
@@ -69,7 +69,7 @@
     std::optional<TimePoint> nextDeadline() const;
 
     std::size_t open() const { return m_state.requests.size(); }
-    std::size_t waiting() const { return m_generations.waiting(); }
+    std::size_t waiting() const { return m_generations.waiting() + m_plain.waiting(); }
 
 private:
     void handle(Step &step, const ArrivedRequest &event);
@@ -79,6 +79,7 @@
     void handle(Step &step, const SchedulerAnswered &event);
     void handle(Step &step, const QuotaKeeperAnswered &event);
     void handle(Step &step, const RateLimiterAnswered &event);
+    void handle(Step &step, const PlainSchedulerAnswered &event);
     void handle(Step &step, const TimePassed &event);
     void recordCallResult(Step &step, const OpenCall &call, const OpenRequest &request,
                           const CallEnded &event);
--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -4,6 +4,7 @@
 #include "quotas/quotamessages.h"
 #include "ratelimits/ratelimitmessages.h"
 #include "scheduling/schedulermessages.h"
+#include "slots/slotmessages.h"
 
 #include <indigoway/ids.h>
 
@@ -47,17 +48,7 @@
     Broken,       ///< Aborted early or malformed: the request may have been executed.
 };
 
-/** Request counts that a server reports with its answer. */
-struct ServerLoad
-{
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
-    std::uint32_t slots = 0;
-    /**
-     * How long work currently takes at the server, 100 as usual; nothing if it does not report it.
-     */
-    std::optional<std::uint32_t> workPercent = {};
-};
+using slots::ServerLoad;
 
 /** What a server says about itself in the headers of an answer. */
 struct ServerAdvice
@@ -123,6 +114,13 @@
     ratelimits::FromRateLimiter message;
 };
 
+/** Carries a message of the scheduler of plain services. */
+struct PlainSchedulerAnswered
+{
+    slots::FromPlainScheduler message;
+    Incarnation life; ///< Of the scheduler.
+};
+
 /** Signals that a deadline may have passed. */
 struct TimePassed
 {
@@ -130,6 +128,6 @@
 
 using DispatchEvent =
     std::variant<ArrivedRequest, CallerLeft, StreamStarted, CallEnded, SchedulerAnswered,
-                 QuotaKeeperAnswered, RateLimiterAnswered, TimePassed>;
+                 QuotaKeeperAnswered, RateLimiterAnswered, PlainSchedulerAnswered, TimePassed>;
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -158,6 +158,8 @@
         return "awaiting_quota";
     case Stage::AwaitingPermit:
         return "awaiting_permit";
+    case Stage::AwaitingSlot:
+        return "awaiting_slot";
     case Stage::Calling:
         return "calling";
     case Stage::Waiting:
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -56,6 +56,7 @@
 enum class Stage {
     AwaitingQuota,  ///< Waits for the quota keeper.
     AwaitingPermit, ///< Waits for a permit to call a server with a rate limit.
+    AwaitingSlot,   ///< Waits for a slot at a plain server.
     Calling,
     Waiting, ///< Waits for a reservation at a decode engine.
     Reserving,
@@ -95,6 +96,8 @@
 
     double quotaUnits = 0; ///< Units that the keeper has counted against the organisation.
 
+    slots::SlotClaimId slotClaim; ///< Claim of a slot at a plain server; none without one.
+
     // Fields of generations.
     scheduling::ClaimId claim;   ///< Claim at the scheduler; none while this node chooses engines.
     bool isPlannedWhole = false; ///< The scheduler assigned the prefill to the decode engine.
--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -19,6 +19,31 @@
 constexpr Duration RetryDelay = std::chrono::milliseconds(250);
 /** Cost of a server in another failure domain: the network round trip. */
 constexpr double OtherDomainPenaltyMilliseconds = 3;
+/** Servers that a claim of a slot excludes; it must fit into a datagram. */
+constexpr std::size_t MaxExcludedServers = 20;
+
+void sendToPlainScheduler(Step &step, slots::SlotClaims::Messages messages)
+{
+    for (slots::ToPlainScheduler &message : messages) {
+        step.add(SendToPlainScheduler {std::move(message)});
+    }
+}
+
+slots::SlotOutcome slotOutcomeOf(const CallEnded &event)
+{
+    switch (event.end) {
+    case CallEnd::Complete:
+        return event.status < FirstServerErrorStatus ? slots::SlotOutcome::Answered
+                                                     : slots::SlotOutcome::ServerError;
+    case CallEnd::NotExecuted:
+        return slots::SlotOutcome::Rejected;
+    case CallEnd::NotConnected:
+        return slots::SlotOutcome::Unreachable;
+    case CallEnd::Broken:
+        break;
+    }
+    return slots::SlotOutcome::Broken;
+}
 
 } // namespace
 
@@ -43,11 +68,13 @@
     request.call = {};
     if (event.load) {
         m_state.tracker.recordLoad(server, *event.load, step.now);
+        m_slots.recordLoad(request.service->name, server, *event.load, step.now);
     }
     if (event.isLoadMalformed) {
         step.add(LogDecision {"server_load_malformed", request.arrival.callerId,
                               "server=" + server.text()});
     }
+    endSlot(step, request, slotOutcomeOf(event), step.now - call.started, event.load);
     switch (event.end) {
     case CallEnd::Complete:
         handleAnswer(step, request, call, event);
@@ -78,36 +105,172 @@
 
 void PlainFlow::release(Step &step, OpenRequest &request)
 {
+    const Duration answerTime =
+        request.call.isNone() ? Duration(0) : Duration(step.now - request.callStarted);
+    endSlot(step, request, slots::SlotOutcome::Cancelled, answerTime, std::nullopt);
     if (!request.call.isNone()) {
         m_state.calls.abandon(step, request.call);
         request.call = {};
     }
 }
 
-std::optional<TimePoint> PlainFlow::tick(Step & /*step*/)
+std::optional<TimePoint> PlainFlow::tick(Step &step)
 {
-    return std::nullopt;
+    slots::SlotClaims::Messages messages;
+    const auto decisions = m_slots.tick(step.now, messages);
+    sendToPlainScheduler(step, std::move(messages));
+    if (!decisions.empty()) {
+        step.add(LogDecision {
+            "plain_scheduler_silent", {}, "claims=" + std::to_string(decisions.size())});
+    }
+    for (const slots::SlotDecision &decision : decisions) {
+        slotDecided(step, decision);
+    }
+    return m_slots.nextTick();
+}
+
+void PlainFlow::schedulerAnswered(Step &step, const PlainSchedulerAnswered &event)
+{
+    slots::SlotClaims::Messages messages;
+    const auto decision = m_slots.handleAnswer(step.now, event.message, event.life, messages);
+    sendToPlainScheduler(step, std::move(messages));
+    if (decision) {
+        slotDecided(step, *decision);
+    }
+}
+
+bool PlainFlow::claimSlot(Step &step, OpenRequest &request)
+{
+    const ServiceName &service = request.service->name;
+    if (!m_slots.isScheduled(service) || !m_slots.isAvailable() || !pickServer(step, request)) {
+        return false;
+    }
+    slots::SlotClaim claim;
+    claim.service = service;
+    claim.route = request.route->name;
+    claim.domain = m_state.settings.domain;
+    claim.priority = request.priority();
+    claim.timeToTarget = request.arrived + request.route->target - step.now;
+    claim.timeLeft = std::max(Duration(0), Duration(request.deadline - step.now));
+    claim.excludedServers.assign(request.triedServers.begin(), request.triedServers.end());
+    for (const ServerName &server : m_state.unusableServers(service, step.now)) {
+        if (claim.excludedServers.size() < MaxExcludedServers) {
+            claim.excludedServers.push_back(server);
+        }
+    }
+    slots::SlotClaims::Messages messages;
+    request.slotClaim =
+        m_slots.claim(step.now, request.arrival.request, std::move(claim), messages);
+    request.stage = Stage::AwaitingSlot;
+    sendToPlainScheduler(step, std::move(messages));
+    return true;
+}
+
+void PlainFlow::slotDecided(Step &step, const slots::SlotDecision &decision)
+{
+    OpenRequest *request = m_state.requests.find(decision.request);
+    if (!request || request->stage != Stage::AwaitingSlot || request->slotClaim != decision.claim) {
+        return;
+    }
+    request->stage = Stage::Calling;
+    const std::string detail = "claim=" + std::to_string(decision.claim.value()) + " service="
+        + request->service->name.text() + " waited_ms=" + millisecondsText(decision.waited);
+    switch (decision.kind) {
+    case slots::SlotDecision::Kind::Granted:
+        step.add(LogDecision {"slot_granted", request->arrival.callerId,
+                              detail + " server=" + decision.server.text()});
+        sendToGranted(step, *request, decision.server);
+        return;
+    case slots::SlotDecision::Kind::Refused:
+        step.add(LogDecision {"slot_refused", request->arrival.callerId,
+                              detail
+                                  + " expected_wait_ms=" + millisecondsText(decision.expectedWait)
+                                  + " executions=" + std::to_string(request->executions)});
+        request->slotClaim = {};
+        if (request->executions == 0) {
+            m_state.requests.reject(step, *request,
+                                    step.jitter(std::max(decision.expectedWait, RetryDelay)),
+                                    "no slot in time");
+            return;
+        }
+        // An earlier call may have been executed, so that the request must not be rejected.
+        sendLocally(step, *request);
+        return;
+    case slots::SlotDecision::Kind::Local:
+        request->slotClaim = {};
+        sendLocally(step, *request);
+        return;
+    }
+}
+
+void PlainFlow::sendToGranted(Step &step, OpenRequest &request, const ServerName &name)
+{
+    if (!isUsable(name, step.now)) {
+        endSlot(step, request, slots::SlotOutcome::Cancelled, Duration(0), std::nullopt);
+        sendLocally(step, request);
+        return;
+    }
+    if (m_state.remainingRefusal(request.arrival.content, step.now)) {
+        endSlot(step, request, slots::SlotOutcome::Cancelled, Duration(0), std::nullopt);
+        refuseContent(step, request);
+        return;
+    }
+    switch (m_state.requestPermit(step, request, name)) {
+    case ratelimits::PermitDecision::Granted:
+        sendTo(step, request, *m_state.servers.find(name));
+        return;
+    case ratelimits::PermitDecision::Pending:
+        request.stage = Stage::AwaitingPermit;
+        return;
+    case ratelimits::PermitDecision::Refused:
+        endSlot(step, request, slots::SlotOutcome::Cancelled, Duration(0), std::nullopt);
+        sendLocally(step, request);
+        return;
+    }
+}
+
+void PlainFlow::endSlot(Step &step, OpenRequest &request, slots::SlotOutcome outcome,
+                        Duration answerTime, const std::optional<ServerLoad> &load)
+{
+    if (request.slotClaim.isNone()) {
+        return;
+    }
+    slots::SlotClaims::Messages messages;
+    m_slots.end(request.slotClaim, outcome, answerTime, load, messages);
+    request.slotClaim = {};
+    sendToPlainScheduler(step, std::move(messages));
+}
+
+bool PlainFlow::isUsable(const ServerName &name, TimePoint now) const
+{
+    return m_state.servers.find(name) && !m_state.isBlocked(name, now)
+        && m_state.servers.availability(name, now) != ServerAvailability::Leaving;
 }
 
 void PlainFlow::permitDecided(Step &step, OpenRequest &request, const ServerName &server,
                               bool isGranted)
 {
     request.stage = Stage::Calling;
-    const AnnouncedServer *known = m_state.servers.find(server);
-    const bool isUsable = known && !m_state.isBlocked(server, step.now)
-        && m_state.servers.availability(server, step.now) != ServerAvailability::Leaving;
-    if (!isGranted || !isUsable) {
-        send(step, request);
-    } else if (!refuseContent(step, request)) {
-        sendTo(step, request, *known);
+    if (isGranted && isUsable(server, step.now)
+        && !m_state.remainingRefusal(request.arrival.content, step.now)) {
+        sendTo(step, request, *m_state.servers.find(server));
+        return;
+    }
+    endSlot(step, request, slots::SlotOutcome::Cancelled, Duration(0), std::nullopt);
+    if (!refuseContent(step, request)) {
+        sendLocally(step, request);
     }
 }
 
 void PlainFlow::send(Step &step, OpenRequest &request)
 {
-    if (refuseContent(step, request)) {
-        return;
+    if (!refuseContent(step, request) && !claimSlot(step, request)) {
+        sendLocally(step, request);
     }
+}
+
+void PlainFlow::sendLocally(Step &step, OpenRequest &request)
+{
     const AnnouncedServer *server = pickServer(step, request);
     while (server) {
         switch (m_state.requestPermit(step, request, server->name)) {
@@ -161,6 +324,17 @@
     // out a retry.
     call.needsNewConnection = !isIdempotent;
     request.triedServers.insert(server.name);
+    if (request.slotClaim.isNone() && m_slots.isScheduled(request.service->name)) {
+        slots::SlotClaims::Messages messages;
+        request.slotClaim =
+            m_slots.holdLocally(step.now, request.arrival.request,
+                                {{},
+                                 request.service->name,
+                                 server.name,
+                                 std::max(Duration(0), Duration(request.deadline - step.now))},
+                                messages);
+        sendToPlainScheduler(step, std::move(messages));
+    }
     m_state.startCall(step, request, server, std::move(call));
 }
 
--- a/src/edge/edgemetrics.cpp
+++ b/src/edge/edgemetrics.cpp
@@ -114,7 +114,8 @@
 }
 
 std::string
-EdgeMetrics::prometheusText(const std::vector<std::pair<std::string, std::uint64_t>> &gauges) const
+EdgeMetrics::prometheusText(const std::vector<std::pair<std::string, std::uint64_t>> &gauges,
+                            const std::vector<ServerGauge> &serverGauges) const
 {
     std::string text = "# TYPE indigoway_requests_total counter\n";
     for (const auto &[key, count] : m_requests) {
@@ -134,6 +135,14 @@
     for (const auto &[name, value] : gauges) {
         text += fmt::format("# TYPE indigoway_{0} gauge\nindigoway_{0} {1}\n", name, value);
     }
+    std::string lastName;
+    for (const ServerGauge &gauge : serverGauges) {
+        if (std::exchange(lastName, gauge.name) != gauge.name) {
+            text += fmt::format("# TYPE indigoway_{} gauge\n", gauge.name);
+        }
+        text += fmt::format("indigoway_{}{{server=\"{}\"}} {}\n", gauge.name,
+                            escapedLabelValue(gauge.server), gauge.value);
+    }
     text += "# TYPE indigoway_first_answer_seconds histogram\n";
     for (const bool isGeneration : {false, true}) {
         text += m_histograms->firstAnswer[isGeneration ? 1 : 0].text("first_answer_seconds",
--- a/src/edge/edgemetrics.h
+++ b/src/edge/edgemetrics.h
@@ -27,12 +27,20 @@
 
     void add(const dispatch::RequestEnded &ended);
     void add(const dispatch::LogDecision &decision) { ++m_decisions[decision.kind]; }
+    /** A gauge of one backend server. */
+    struct ServerGauge
+    {
+        std::string name; ///< Without the "indigoway_" prefix.
+        std::string server;
+        double value = 0;
+    };
     /**
      * Formats all metrics.
      * @param gauges Names, without the "indigoway_" prefix, and current values of further gauges.
+     * @param serverGauges Gauges of servers, ordered by name.
      */
-    std::string
-    prometheusText(const std::vector<std::pair<std::string, std::uint64_t>> &gauges) const;
+    std::string prometheusText(const std::vector<std::pair<std::string, std::uint64_t>> &gauges,
+                               const std::vector<ServerGauge> &serverGauges = {}) const;
 
 private:
     struct Histograms;
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -101,6 +101,8 @@
         [this](const quotas::ToKeeper &message) { m_scheduling.send(message); });
     m_relay.setRateLimitHandler(
         [this](const ratelimits::ToRateLimiter &message) { m_scheduling.send(message); });
+    m_relay.setPlainSchedulerHandler(
+        [this](const slots::ToPlainScheduler &message) { m_scheduling.send(message); });
 }
 
 bool EdgeNode::start()
@@ -418,37 +420,58 @@
 
 std::string EdgeNode::metricsText() const
 {
-    return m_metrics.prometheusText({
-        {"requests_open", m_dispatcher.open()},
-        {"requests_waiting", m_dispatcher.waiting()},
-        {"caller_connections", m_relay.callers().connections()},
-        {"server_connections_kept", m_relay.serverConnections().idleConnections()},
-        {"server_connections_made", m_relay.serverConnections().connectionsMade()},
-        {"log_lines_dropped", m_log.dropped()},
-        {"routing_version", m_dispatcher.routes() ? m_dispatcher.routes()->version() : 0},
-        {"store_revision", m_sync.asOf()},
-        {"store_lists", m_sync.storeCallCounts().lists},
-        {"store_watches", m_sync.storeCallCounts().watches},
-        {"store_leases", m_sync.storeCallCounts().leases},
-        {"store_renewals", m_sync.storeCallCounts().renewals},
-        {"store_writes", m_sync.storeCallCounts().writes},
-        {"store_proofs", m_sync.storeCallCounts().proofs},
-        {"servers_known", m_dispatcher.servers().size()},
-        {"nodes_known", m_roster.count(steadyNow())},
-        {"scheduler_waiting", m_scheduling.scheduler().waiting()},
-        {"scheduler_granted", m_scheduling.scheduler().granted()},
-        {"scheduler_engines_looked", m_scheduling.scheduler().enginesExamined()},
-        {"scheduler_unsent", m_scheduling.unsent()},
-        {"order_looks", m_dispatcher.orderEvaluations()},
-        {"permits_granted", m_scheduling.rateLimiter().granted()},
-        {"permits_refused", m_scheduling.rateLimiter().refused()},
-        {"quotas_scarce", m_scheduling.quotaKeeper().scarceCount()},
-        {"contents_crashed", m_dispatcher.crashes().size()},
-        {"contents_refused", m_dispatcher.crashes().refusedCount()},
-        {"servers_paused", m_dispatcher.pausedServers()},
-        {"servers_limited", m_dispatcher.permits().limitedServers()},
-        {"leaving", m_leavingSince ? 1U : 0U},
-    });
+    std::vector<EdgeMetrics::ServerGauge> serverGauges;
+    const auto servers = m_scheduling.plainServers();
+    const auto addGauges = [&](const char *name, auto value) {
+        for (const auto &state : servers) {
+            serverGauges.push_back({name, state.server.text(), value(state.figures)});
+        }
+    };
+    using Figures = slots::PlainServer::Figures;
+    addGauges("plain_server_held",
+              [](const Figures &one) { return static_cast<double>(one.held); });
+    addGauges("plain_server_queue", [](const Figures &one) { return one.queue(); });
+    addGauges("plain_server_slots",
+              [](const Figures &one) { return static_cast<double>(one.slots); });
+    addGauges("plain_server_work_percent", [](const Figures &one) { return one.workPercent; });
+    return m_metrics.prometheusText(
+        {
+            {"requests_open", m_dispatcher.open()},
+            {"requests_waiting", m_dispatcher.waiting()},
+            {"caller_connections", m_relay.callers().connections()},
+            {"server_connections_kept", m_relay.serverConnections().idleConnections()},
+            {"server_connections_made", m_relay.serverConnections().connectionsMade()},
+            {"log_lines_dropped", m_log.dropped()},
+            {"routing_version", m_dispatcher.routes() ? m_dispatcher.routes()->version() : 0},
+            {"store_revision", m_sync.asOf()},
+            {"store_lists", m_sync.storeCallCounts().lists},
+            {"store_watches", m_sync.storeCallCounts().watches},
+            {"store_leases", m_sync.storeCallCounts().leases},
+            {"store_renewals", m_sync.storeCallCounts().renewals},
+            {"store_writes", m_sync.storeCallCounts().writes},
+            {"store_proofs", m_sync.storeCallCounts().proofs},
+            {"servers_known", m_dispatcher.servers().size()},
+            {"nodes_known", m_roster.count(steadyNow())},
+            {"scheduler_waiting", m_scheduling.scheduler().waiting()},
+            {"scheduler_granted", m_scheduling.scheduler().granted()},
+            {"scheduler_engines_looked", m_scheduling.scheduler().enginesExamined()},
+            {"scheduler_unsent", m_scheduling.unsent()},
+            {"order_looks", m_dispatcher.orderEvaluations()},
+            {"permits_granted", m_scheduling.rateLimiter().granted()},
+            {"permits_refused", m_scheduling.rateLimiter().refused()},
+            {"slots_held", m_scheduling.plainScheduler().held()},
+            {"slots_waiting", m_scheduling.plainScheduler().waiting()},
+            {"slots_granted", m_scheduling.plainScheduler().granted()},
+            {"slots_refused", m_scheduling.plainScheduler().refused()},
+            {"slots_expired", m_scheduling.plainScheduler().expired()},
+            {"quotas_scarce", m_scheduling.quotaKeeper().scarceCount()},
+            {"contents_crashed", m_dispatcher.crashes().size()},
+            {"contents_refused", m_dispatcher.crashes().refusedCount()},
+            {"servers_paused", m_dispatcher.pausedServers()},
+            {"servers_limited", m_dispatcher.permits().limitedServers()},
+            {"leaving", m_leavingSince ? 1U : 0U},
+        },
+        serverGauges);
 }
 
 void EdgeNode::tick()
--- a/src/edge/schedulingendpoint.cpp
+++ b/src/edge/schedulingendpoint.cpp
@@ -1,8 +1,10 @@
 #include "schedulingendpoint.h"
 
+#include "core/deadlines.h"
 #include "core/jsontext.h"
 #include "dispatch/openrequests.h"
 #include "ratelimits/ratelimitcodec.h"
+#include "slots/slotcodec.h"
 
 #include <event2/event.h>
 
@@ -15,6 +17,8 @@
 /** Collects the limits of servers that come under load together. */
 constexpr timeval NoticeInterval {0, 200'000};
 constexpr Duration StateLogInterval = std::chrono::seconds(1);
+/** Plain servers whose figures are logged and exported. */
+constexpr std::size_t MaxPlainServersLogged = 32;
 
 TimePoint steadyNow()
 {
@@ -66,11 +70,19 @@
     }
 }
 
+void SchedulingEndpoint::send(const slots::ToPlainScheduler &message)
+{
+    if (const auto address = m_dependencies.schedulerAddress()) {
+        m_socket.send(*address, encode(Datagram<slots::ToPlainScheduler> {m_self, message}));
+    }
+}
+
 void SchedulingEndpoint::handleDatagram(const DatagramAddress &from, const std::string &text)
 {
     const Json::Value value = parseJson(text);
     if (!deliverAnswer(value) && !handleSchedulerMessage(from, value)
-        && !handleQuotaMessage(from, value) && !handleRateLimitMessage(from, value)) {
+        && !handleQuotaMessage(from, value) && !handleRateLimitMessage(from, value)
+        && !handleSlotMessage(from, value)) {
         m_dependencies.record("datagram_unreadable",
                               "from=" + from + " bytes=" + std::to_string(text.size()));
     }
@@ -86,6 +98,9 @@
             dispatch::QuotaKeeperAnswered {quota->message, quota->from.incarnation});
     } else if (const auto permit = ratelimits::readFromRateLimiter(value)) {
         m_dependencies.deliver(dispatch::RateLimiterAnswered {permit->message});
+    } else if (const auto slot = slots::readFromPlainScheduler(value)) {
+        m_dependencies.deliver(
+            dispatch::PlainSchedulerAnswered {slot->message, slot->from.incarnation});
     } else {
         return false;
     }
@@ -173,11 +188,31 @@
     return true;
 }
 
+bool SchedulingEndpoint::handleSlotMessage(const DatagramAddress &from, const Json::Value &value)
+{
+    const auto datagram = slots::readToPlainScheduler(value);
+    if (!datagram) {
+        return false;
+    }
+    const auto view = m_dependencies.view();
+    if (!view) {
+        // Without routes nothing can be granted; the sender falls back to choosing servers itself.
+        return true;
+    }
+    m_addresses[datagram->from.node] = from;
+    const TimePoint now = steadyNow();
+    reply(m_plainScheduler.handle(now, view->servers, datagram->from, datagram->message));
+    recordPlainServers(now);
+    armTimer();
+    return true;
+}
+
 void SchedulingEndpoint::tick()
 {
     if (const auto view = m_dependencies.view()) {
         const TimePoint now = steadyNow();
         reply(m_scheduler.tick(now, *view));
+        reply(m_plainScheduler.tick(now, view->servers));
         recordState(now, *view);
     }
     armTimer();
@@ -193,6 +228,43 @@
     }
 }
 
+void SchedulingEndpoint::reply(const slots::SlotReplies &replies)
+{
+    for (const slots::SlotReply &reply : replies) {
+        if (!reply.detail.empty()) {
+            const bool isGrant = std::holds_alternative<slots::SlotGranted>(reply.message);
+            m_dependencies.record(isGrant ? "slot_grant" : "slot_refusal",
+                                  "node=" + reply.to.node.text() + " claim="
+                                      + std::to_string(slots::claimOf(reply.message).value()) + " "
+                                      + reply.detail);
+        }
+        const auto it = m_addresses.find(reply.to.node);
+        if (it != m_addresses.end()) {
+            m_socket.send(it->second,
+                          encode(Datagram<slots::FromPlainScheduler> {m_self, reply.message}));
+        }
+    }
+}
+
+std::vector<slots::PlainScheduler::ServerState> SchedulingEndpoint::plainServers() const
+{
+    return m_plainScheduler.serverStates(steadyNow(), MaxPlainServersLogged);
+}
+
+void SchedulingEndpoint::recordPlainServers(TimePoint now)
+{
+    if (now < m_plainServersLoggedAt + StateLogInterval) {
+        return;
+    }
+    m_plainServersLoggedAt = now;
+    for (const auto &state : plainServers()) {
+        m_dependencies.record("plain_server",
+                              "service=" + state.service.text() + " server=" + state.server.text()
+                                  + " " + slots::figuresText(state.figures)
+                                  + " waiting=" + std::to_string(m_plainScheduler.waiting()));
+    }
+}
+
 void SchedulingEndpoint::recordState(TimePoint now, const EngineScheduler::View &view)
 {
     if (m_scheduler.waiting() == 0 || now < m_stateLoggedAt + StateLogInterval) {
@@ -216,13 +288,13 @@
 void SchedulingEndpoint::armTimer()
 {
     const TimePoint now = steadyNow();
-    const auto next = m_scheduler.nextTick(now);
+    const auto next = earlier(m_scheduler.nextTick(now), m_plainScheduler.nextTick());
     const bool isArmed = event_pending(m_timer.get(), EV_TIMEOUT, nullptr) != 0;
     if (!next || (isArmed && m_timerAt <= *next)) {
         return;
     }
     m_timerAt = *next;
-    const Duration wait = *next - now;
+    const Duration wait = std::max(Duration(0), Duration(*next - now));
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(wait);
     const timeval delay {seconds.count(), (wait - seconds).count()};
     event_add(m_timer.get(), &delay);
--- a/src/edge/schedulingendpoint.h
+++ b/src/edge/schedulingendpoint.h
@@ -7,6 +7,7 @@
 #include "ratelimits/ratelimiter.h"
 #include "scheduling/enginescheduler.h"
 #include "scheduling/schedulercodec.h"
+#include "slots/plainscheduler.h"
 
 #include <functional>
 #include <map>
@@ -17,9 +18,9 @@
 namespace indigoway {
 
 /**
- * Exchanges datagrams with the node that schedules the engines, keeps the quotas and limits the
- * request rates of servers. Sends this node's messages to it, and runs the scheduler, the quota
- * keeper and the rate limiter for the nodes that send theirs to this one.
+ * Exchanges datagrams with the node that schedules the engines and the plain servers, keeps the
+ * quotas and limits the request rates of servers. Sends this node's messages to it, and runs the
+ * schedulers, the quota keeper and the rate limiter for the nodes that send theirs to this one.
  */
 class SchedulingEndpoint
 {
@@ -48,11 +49,15 @@
     void send(const scheduling::ToScheduler &message);
     void send(const quotas::ToKeeper &message);
     void send(const ratelimits::ToRateLimiter &message);
+    void send(const slots::ToPlainScheduler &message);
     /** Tells a node that has started of the rate limits that this node's limiter knows. */
     void sendLimitsTo(const DatagramAddress &node);
     const quotas::QuotaKeeper &quotaKeeper() const { return m_quotaKeeper; }
     const ratelimits::RateLimiter &rateLimiter() const { return m_rateLimiter; }
     const scheduling::EngineScheduler &scheduler() const { return m_scheduler; }
+    const slots::PlainScheduler &plainScheduler() const { return m_plainScheduler; }
+    /** Returns the figures of a bounded number of plain servers that this node assigns. */
+    std::vector<slots::PlainScheduler::ServerState> plainServers() const;
     std::uint64_t unsent() const { return m_socket.unsent(); }
 
 private:
@@ -63,6 +68,8 @@
     bool handleQuotaMessage(const DatagramAddress &from, const Json::Value &value);
     /** Returns false if @p value is not a message to the rate limiter. */
     bool handleRateLimitMessage(const DatagramAddress &from, const Json::Value &value);
+    /** Returns false if @p value is not a message to the scheduler of plain services. */
+    bool handleSlotMessage(const DatagramAddress &from, const Json::Value &value);
     /** Returns whether @p value was an answer to a message of this node. */
     bool deliverAnswer(const Json::Value &value);
     /** Tells all nodes of new rate limits. */
@@ -70,19 +77,24 @@
     void armNoticeTimer();
     void tick();
     void reply(const scheduling::SchedulerReplies &replies);
+    void reply(const slots::SlotReplies &replies);
     void armTimer();
     /** Logs the scheduler's state at most once a second while claims are waiting. */
     void recordState(TimePoint now, const scheduling::EngineScheduler::View &view);
+    /** Logs the figures of the plain servers at most once a second. */
+    void recordPlainServers(TimePoint now);
 
     NodeLife m_self;
     Dependencies m_dependencies;
     scheduling::EngineScheduler m_scheduler;
     quotas::QuotaKeeper m_quotaKeeper;
     ratelimits::RateLimiter m_rateLimiter;
+    slots::PlainScheduler m_plainScheduler;
     DatagramSocket m_socket;
     EventHandle m_timer;
     EventHandle m_noticeTimer;
     TimePoint m_stateLoggedAt {};
+    TimePoint m_plainServersLoggedAt {};
     TimePoint m_timerAt {};                          ///< Expiry of the timer while it is armed.
     std::map<NodeName, DatagramAddress> m_addresses; ///< Reply addresses, by sender.
 };
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -313,6 +313,13 @@
     }
 }
 
+void RequestRelay::run(const SendToPlainScheduler &effect)
+{
+    if (m_plainSchedulerHandler) {
+        m_plainSchedulerHandler(effect.message);
+    }
+}
+
 void RequestRelay::run(const PublishCrash &effect)
 {
     if (m_crashHandler) {
--- a/src/relay/requestrelay.h
+++ b/src/relay/requestrelay.h
@@ -24,6 +24,7 @@
     using SchedulerHandler = std::function<void(const scheduling::ToScheduler &)>;
     using QuotaHandler = std::function<void(const quotas::ToKeeper &)>;
     using RateLimitHandler = std::function<void(const ratelimits::ToRateLimiter &)>;
+    using PlainSchedulerHandler = std::function<void(const slots::ToPlainScheduler &)>;
     using CrashHandler = std::function<void(const dispatch::PublishCrash &)>;
     using RequestEndedHandler = std::function<void(const dispatch::RequestEnded &)>;
 
@@ -34,6 +35,10 @@
     void setSchedulerHandler(SchedulerHandler handler) { m_schedulerHandler = std::move(handler); }
     void setQuotaHandler(QuotaHandler handler) { m_quotaHandler = std::move(handler); }
     void setRateLimitHandler(RateLimitHandler handler) { m_rateLimitHandler = std::move(handler); }
+    void setPlainSchedulerHandler(PlainSchedulerHandler handler)
+    {
+        m_plainSchedulerHandler = std::move(handler);
+    }
     void setCrashHandler(CrashHandler handler) { m_crashHandler = std::move(handler); }
     /** Returns the maximum age of this node's copy of the desired state; nothing if unknown. */
     using CopyAge = std::function<std::optional<Duration>()>;
@@ -92,6 +97,7 @@
     void run(const dispatch::SendToScheduler &effect);
     void run(const dispatch::SendToQuotaKeeper &effect);
     void run(const dispatch::SendToRateLimiter &effect);
+    void run(const dispatch::SendToPlainScheduler &effect);
     void run(const dispatch::PublishCrash &effect);
     void run(const dispatch::LogDecision &effect);
     void run(const dispatch::RequestEnded &effect);
@@ -115,6 +121,7 @@
     SchedulerHandler m_schedulerHandler;
     QuotaHandler m_quotaHandler;
     RateLimitHandler m_rateLimitHandler;
+    PlainSchedulerHandler m_plainSchedulerHandler;
     CrashHandler m_crashHandler;
     RequestEndedHandler m_requestEndedHandler;
     CopyAge m_copyAge;
--- a/tests/dispatch/dispatcherharness.h
+++ b/tests/dispatch/dispatcherharness.h
@@ -144,6 +144,8 @@
                 m_abandoned.push_back(abandoned->call);
             } else if (const auto *message = std::get_if<SendToScheduler>(&effect)) {
                 m_schedulerMessages.push_back(message->message);
+            } else if (const auto *slot = std::get_if<SendToPlainScheduler>(&effect)) {
+                m_slotMessages.push_back(slot->message);
             } else if (const auto *asked = std::get_if<SendToQuotaKeeper>(&effect)) {
                 m_keeperMessages.push_back(asked->message);
             } else if (const auto *shared = std::get_if<PublishCrash>(&effect)) {
@@ -206,13 +208,14 @@
     bool hasCalls() const { return !m_calls.empty(); }
 
     void end(int milliseconds, const StartCall &call, CallEnd how, int status = 0,
-             std::optional<ServerAdvice> advice = {})
+             std::optional<ServerAdvice> advice = {}, std::optional<ServerLoad> load = {})
     {
         CallEnded ended;
         ended.call = call.call;
         ended.end = how;
         ended.status = status;
         ended.advice = advice;
+        ended.load = load;
         reduce(milliseconds, ended);
     }
 
@@ -267,6 +270,12 @@
         return std::exchange(m_keeperMessages, {});
     }
 
+    /** Returns the messages to the scheduler of plain services since the last call. */
+    std::vector<slots::ToPlainScheduler> takeSlotMessages()
+    {
+        return std::exchange(m_slotMessages, {});
+    }
+
     /** Returns the details of the log lines of @p kind. */
     const std::vector<std::string> &logLines(const std::string &kind) { return m_logLines[kind]; }
 
@@ -288,6 +297,7 @@
     std::deque<scheduling::ToScheduler> m_schedulerMessages;
     std::vector<CallNumber> m_abandoned;
     std::vector<quotas::ToKeeper> m_keeperMessages;
+    std::vector<slots::ToPlainScheduler> m_slotMessages;
     std::map<RequestNumber, std::string> m_outcomes;
     std::map<RequestNumber, int> m_statuses;
     std::map<RequestNumber, Duration> m_retryAfter;
--- a/tests/edge/edgemetricstest.cpp
+++ b/tests/edge/edgemetricstest.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(countsRequestsByOutcome);
     CPPUNIT_TEST(countsByOrganisationUpToALimit);
     CPPUNIT_TEST(histogramBucketsAreCumulative);
+    CPPUNIT_TEST(formatsGaugesOfServers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -49,6 +50,17 @@
                "organisation=\"(others)\",outcome=\"over_quota\"} 2001\n");
     }
 
+    // Guards against a type line for each server, which makes the text invalid.
+    void formatsGaugesOfServers()
+    {
+        const std::string text = EdgeMetrics().prometheusText(
+            {}, {{"plain_server_held", "a@1", 3}, {"plain_server_held", "b@1", 4.5}});
+        expect(text,
+               "# TYPE indigoway_plain_server_held gauge\n"
+               "indigoway_plain_server_held{server=\"a@1\"} 3\n"
+               "indigoway_plain_server_held{server=\"b@1\"} 4.5\n");
+    }
+
     void histogramBucketsAreCumulative()
     {
         EdgeMetrics metrics;
