--- a/tests/processes/plain-slots.sh
+++ b/tests/processes/plain-slots.sh
@@ -29,6 +29,22 @@
 no_slots_held() { [ "$(slot_metric_sum slots_held)" = 0 ]; }
 wait_for "all slots to be free" no_slots_held || fail "slots stay taken"
 
+# The scheduling node stands still. The others serve by themselves, and use it again afterwards.
+for node in n1 n2 n3; do [ "$(metric $node slots_granted)" = 0 ] || SCHEDULER=$node; done
+kill -STOP "${PIDS[$SCHEDULER]}"
+for node in n1 n2 n3; do
+    [ $node = "$SCHEDULER" ] || serve_burst $node || fail "$node does not serve while the scheduler stands still"
+done
+log_line plain_scheduler_silent 'claims=[0-9]+'
+kill -CONT "${PIDS[$SCHEDULER]}"
+grants_again() {
+    local before
+    before=$(metric "$SCHEDULER" slots_granted)
+    for node in n1 n2 n3; do serve_burst $node || return 1; done
+    [ $(($(metric "$SCHEDULER" slots_granted) - before)) -ge 12 ]
+}
+wait_for "all nodes to use the scheduler again" grants_again || fail "the scheduler is not used again"
+
 # A load that cannot be read is ignored and logged.
 advise w-1 '"Indigoway-Server-Load":"0,0,6,fast"' ''
 advise w-2 '"Indigoway-Server-Load":"0,0,6,0"' ''
