--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -24,12 +24,6 @@
  * are busiest; an engine that is down is detected by its failed connection.
  */
 constexpr Duration PrefillTimeout = std::chrono::milliseconds(2000);
-/** Idle timeout of resumable streams, three times the longest pause of a healthy engine. */
-constexpr Duration StreamIdleTimeout = std::chrono::milliseconds(1500);
-/** Extra time for the scheduler to reject a request before this node does. */
-constexpr Duration SchedulerGrace = std::chrono::milliseconds(250);
-/** Typical time from a reservation to the first event. */
-constexpr Duration TypicalFirstEventTime = std::chrono::milliseconds(250);
 /** Reservations that expire within this time are not used. */
 constexpr Duration ReservationMargin = std::chrono::milliseconds(100);
 constexpr std::uint32_t MaxPrefillAttempts = 2;
@@ -132,7 +126,7 @@
 
 void GenerationFlow::release(Step &step, OpenRequest &request)
 {
-    m_waiting.erase(request.arrival.request);
+    m_waiting.remove(request);
     if (!request.call.isNone()) {
         // The result of a reservation is needed to release it.
         if (request.callKind != CallKind::Reserve) {
@@ -150,7 +144,7 @@
 {
     processQueue(step);
     const auto next = earlier(m_runs.nextTick(), m_claims.nextTick());
-    if (m_waiting.empty()) {
+    if (m_waiting.isEmpty()) {
         return next;
     }
     const Duration after =
@@ -162,14 +156,13 @@
 {
     request.stage = Stage::Waiting;
     request.waitingSince = step.now;
-    m_waiting.insert(request.arrival.request);
+    m_waiting.add(request);
     processQueue(step);
 }
 
 void GenerationFlow::processQueue(Step &step)
 {
-    rejectOverdue(step);
-    rejectBlocked(step);
+    rejectLate(step);
     withdrawClaims(step);
     m_runs.tick(step);
     if (m_claims.isAvailable(step.now)) {
@@ -177,7 +170,7 @@
         return;
     }
     while (m_reservationsInProgress < MaxConcurrentReservations) {
-        OpenRequest *request = nextWaiting(step);
+        OpenRequest *request = m_waiting.next(m_state.requests, step.now);
         if (!request || !reserve(step, *request)) {
             return;
         }
@@ -194,65 +187,22 @@
     }
 }
 
-OpenRequest *GenerationFlow::nextWaiting(Step &step)
+void GenerationFlow::rejectLate(Step &step)
 {
-    OpenRequest *best = nullptr;
-    bool bestIsInTime = false;
-    for (const RequestNumber number : m_waiting) {
-        OpenRequest *request = m_state.requests.find(number);
-        const bool isInTime =
-            step.now + TypicalFirstEventTime <= request->arrived + request->route->target;
-        if (!best || (isInTime && !bestIsInTime)
-            || (isInTime == bestIsInTime && request->arrived < best->arrived)) {
-            best = request;
-            bestIsInTime = isInTime;
-        }
-    }
-    return best;
-}
-
-void GenerationFlow::rejectOverdue(Step &step)
-{
-    std::vector<RequestNumber> overdue;
-    for (const RequestNumber number : m_waiting) {
-        const OpenRequest *request = m_state.requests.find(number);
-        // The scheduler normally rejects first.
-        const Duration slack = request->claim.isNone() ? Duration(0) : SchedulerGrace;
-        if (step.now > request->waitingSince + maxQueueTime(*request) + slack) {
-            overdue.push_back(number);
-        }
-    }
-    for (const RequestNumber number : overdue) {
+    for (const RequestNumber number : m_waiting.overdue(m_state.requests, step.now)) {
         failUnsent(step, *m_state.requests.find(number), "no room at any decode engine");
     }
-}
-
-void GenerationFlow::rejectBlocked(Step &step)
-{
-    std::vector<RequestNumber> rejected;
-    for (const RequestNumber number : m_waiting) {
-        const OpenRequest &request = *m_state.requests.find(number);
-        const auto until = decodeEnginesBlockedUntil(step, request);
-        if (until && *until > request.waitingSince + maxQueueTime(request)) {
-            rejected.push_back(number);
-        }
-    }
-    for (const RequestNumber number : rejected) {
+    for (const RequestNumber number : m_waiting.blocked(m_state, step.now)) {
         failUnsent(step, *m_state.requests.find(number), "all engines limit requests");
     }
 }
 
-std::optional<TimePoint> GenerationFlow::decodeEnginesBlockedUntil(Step &step,
-                                                                   const OpenRequest &request) const
-{
-    return m_state.allBlockedUntil(request.service->name, EnginePhase::Decode, step.now);
-}
-
 void GenerationFlow::claimForWaiting(Step &step)
 {
-    for (const RequestNumber number : m_waiting) {
+    for (const RequestNumber number : m_waiting.all()) {
         OpenRequest &request = *m_state.requests.find(number);
-        if (request.claim.isNone() && !decodeEnginesBlockedUntil(step, request)) {
+        if (request.claim.isNone()
+            && !WaitingGenerations::blockedUntil(m_state, request, step.now)) {
             m_claims.claim(step, request, m_state.settings.domain, maxQueueTime(request),
                            m_state.unusableServers(request.service->name, step.now));
         }
@@ -324,7 +274,7 @@
 
 void GenerationFlow::reserveAt(Step &step, OpenRequest &request, const AnnouncedServer &server)
 {
-    m_waiting.erase(request.arrival.request);
+    m_waiting.remove(request);
     switch (m_state.requestPermit(step, request, server.name)) {
     case ratelimits::PermitDecision::Granted:
         startReservation(step, request, server);
@@ -342,7 +292,7 @@
 {
     m_claims.end(step, request, ClaimOutcome::Cancelled);
     request.stage = Stage::Waiting;
-    m_waiting.insert(request.arrival.request);
+    m_waiting.add(request);
 }
 
 void GenerationFlow::permitDecided(Step &step, OpenRequest &request, const ServerName &server,
@@ -409,7 +359,7 @@
     m_claims.end(step, request, claimEndOf(event.end));
     ++request.refusals;
     request.stage = Stage::Waiting;
-    m_waiting.insert(request.arrival.request);
+    m_waiting.add(request);
 }
 
 void GenerationFlow::prefill(Step &step, OpenRequest &request)
@@ -587,26 +537,27 @@
 void GenerationFlow::stopEnded(Step &step, OpenRequest &request, const OpenCall &call,
                                const CallEnded &event)
 {
-    if (m_runs.stopEnded(step, request, call, event) == RunContinuation::Result::Lost) {
-        decodeFailed(step, request, event);
-    }
+    endIfLost(step, request, m_runs.stopEnded(step, request, call, event));
 }
 
 void GenerationFlow::targetDecided(Step &step, OpenRequest &request,
                                    const scheduling::ClaimGranted *granted)
 {
-    if (m_runs.targetDecided(step, request, granted) == RunContinuation::Result::Lost) {
-        CallEnded failure;
-        failure.reason = request.run.lossReason;
-        decodeFailed(step, request, failure);
-    }
+    endIfLost(step, request, m_runs.targetDecided(step, request, granted));
 }
 
 void GenerationFlow::engineChecked(Step &step, OpenRequest &request, const OpenCall &call,
                                    const CallEnded &event)
 {
-    if (m_runs.engineChecked(step, request, call, event) == RunContinuation::Result::Lost) {
-        decodeFailed(step, request, event);
+    endIfLost(step, request, m_runs.engineChecked(step, request, call, event));
+}
+
+void GenerationFlow::endIfLost(Step &step, OpenRequest &request, RunContinuation::Result result)
+{
+    if (result == RunContinuation::Result::Lost) {
+        CallEnded failure;
+        failure.reason = request.run.lossReason;
+        decodeFailed(step, request, failure);
     }
 }
 
@@ -695,7 +646,7 @@
         m_state.requests.failInDoubt(step, request, BadGateway, reason);
     } else {
         const auto refused = m_state.remainingRefusal(request.arrival.content, step.now);
-        const auto blocked = decodeEnginesBlockedUntil(step, request);
+        const auto blocked = WaitingGenerations::blockedUntil(m_state, request, step.now);
         const Duration wait = blocked ? *blocked - step.now : Duration(0);
         m_state.requests.reject(step, request,
                                 refused.value_or(wait + step.jitter(retryDelay(request))), reason);
--- a/src/dispatch/generationflow.h
+++ b/src/dispatch/generationflow.h
@@ -6,8 +6,8 @@
 #include "dispatch/retrydetector.h"
 #include "dispatch/runcontinuation.h"
 #include "dispatch/schedulerclaims.h"
+#include "dispatch/waitinggenerations.h"
 
-#include <set>
 #include <vector>
 
 namespace indigoway::dispatch {
@@ -61,13 +61,8 @@
 private:
     void enqueue(Step &step, OpenRequest &request);
     void processQueue(Step &step);
-    OpenRequest *nextWaiting(Step &step);
-    void rejectOverdue(Step &step);
-    /** Rejects what waits if no decode engine accepts requests of this node in time. */
-    void rejectBlocked(Step &step);
-    /** Returns when a decode engine accepts requests again; nothing if one does now. */
-    std::optional<TimePoint> decodeEnginesBlockedUntil(Step &step,
-                                                       const OpenRequest &request) const;
+    /** Rejects what waits if no decode engine has room or accepts requests in time. */
+    void rejectLate(Step &step);
     void claimForWaiting(Step &step);
     bool reserve(Step &step, OpenRequest &request);
     /** Reserves memory at @p server as soon as there is a permit for the run that follows. */
@@ -89,6 +84,8 @@
                      const CallEnded &event);
     void targetDecided(Step &step, OpenRequest &request, const scheduling::ClaimGranted *granted);
     void withdrawClaims(Step &step);
+    /** Resumes or ends the stream of a run that cannot continue. */
+    void endIfLost(Step &step, OpenRequest &request, RunContinuation::Result result);
     void decodeNotExecuted(Step &step, OpenRequest &request, const OpenCall &call,
                            const CallEnded &event);
     void decodeFailed(Step &step, OpenRequest &request, const CallEnded &event);
@@ -110,7 +107,7 @@
     SchedulerClaims m_claims;
     RunContinuation m_runs;
     RetryDetector m_retryDetector;
-    std::set<RequestNumber> m_waiting;
+    WaitingGenerations m_waiting;
     std::uint32_t m_reservationsInProgress = 0;
 };
 
--- a/src/dispatch/generationlimits.h
+++ b/src/dispatch/generationlimits.h
@@ -7,6 +7,9 @@
 /** @file Computes the memory demand and time limits of generations. */
 namespace indigoway::dispatch {
 
+/** Idle timeout of resumable streams, three times the longest pause of a healthy engine. */
+constexpr Duration StreamIdleTimeout = std::chrono::milliseconds(1500);
+
 scheduling::MemoryNeed memoryNeedOf(const ArrivedRequest &arrival);
 /** Returns the tokens to reserve at an engine that was chosen without the scheduler. */
 std::uint64_t unscheduledReservation(const ArrivedRequest &arrival,
--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -1,5 +1,7 @@
 #include "runcontinuation.h"
 
+#include "dispatch/generationlimits.h"
+
 namespace indigoway::dispatch {
 
 namespace {
@@ -16,8 +18,6 @@
 /** Bounds the estimate of remaining output to a few events, at little cost for each run. */
 constexpr std::uint32_t ProgressEvents = 8;
 constexpr Duration FreeHandleTimeout = std::chrono::milliseconds(300);
-/** Idle timeout of continued resumable streams, as of other streams. */
-constexpr Duration StreamIdleTimeout = std::chrono::milliseconds(1500);
 
 bool isEnabled(const OpenRequest &request)
 {
@@ -70,7 +70,6 @@
         return Result::Lost;
     }
     request.run.isContinuing = false;
-    request.run.lossReason = event.reason;
     request.run.lostAt = step.now;
     if (!request.run.engineCheck.isNone()) {
         m_state.calls.abandon(step, std::exchange(request.run.engineCheck, {}));
@@ -78,6 +77,7 @@
     if (!request.run.stopCall.isNone()) {
         return Result::InProgress; // The engine ends the stream of a run that it stops.
     }
+    request.run.lossReason = event.reason;
     if (!request.run.targetClaim.isNone() && request.run.target.isEmpty()) {
         if (!usableBackup(request, step.now)) {
             request.run.lostEngine = call.server;
@@ -115,6 +115,7 @@
         return Result::InProgress;
     }
     if (isStreamOpen) {
+        request.run.lostAt = step.now;
         m_state.calls.abandon(step, std::exchange(request.call, {}));
     }
     const RunRecovery recovery(*request.service->engine);
@@ -378,6 +379,7 @@
                                         const AnnouncedServer &server, StartCall call)
 {
     if (server.name != request.decodeServer) {
+        request.triedServers.insert(request.decodeServer);
         m_placement.removeLoad(request.decodeServer, request.tokenDemand);
         m_placement.addLoad(server.name, request.tokenDemand);
         request.decodeServer = server.name;
--- a/src/dispatch/runrecovery.cpp
+++ b/src/dispatch/runrecovery.cpp
@@ -9,7 +9,7 @@
 using Kind = RecoveryStep::Kind;
 
 /** Age of the last part of a copy when the last event was forwarded: several parts a second. */
-constexpr Duration MaxPartAge = std::chrono::milliseconds(100);
+constexpr Duration MaxPartAge = std::chrono::milliseconds(150);
 /** Time from the decision until the continuing request has reached the backup. */
 constexpr Duration ReachTime = std::chrono::milliseconds(50);
 /** Shorter silences are regular pauses between events. */
