--- a/standins/engineruns.cpp
+++ b/standins/engineruns.cpp
@@ -63,4 +63,11 @@
         m_copies.begin(), m_copies.end(), [now](const auto &copy) { return now < copy.second; }));
 }
 
+std::size_t EngineRuns::runsAt(const std::string &engine) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_runs.begin(), m_runs.end(),
+                      [&engine](const auto &run) { return run.first.first == engine; }));
+}
+
 } // namespace indigoway::standins
--- a/standins/engineruns.h
+++ b/standins/engineruns.h
@@ -45,6 +45,7 @@
     /** Removes the copy at @p engine. Returns false if there is none. */
     bool takeCopy(const std::string &engine, const std::string &id, Time now);
     std::size_t copies(Time now) const;
+    std::size_t runsAt(const std::string &engine) const;
 
 private:
     using Key = std::pair<std::string, std::string>; ///< Engine address, id of the request.
--- a/standins/sharedplatform.cpp
+++ b/standins/sharedplatform.cpp
@@ -38,6 +38,7 @@
               std::erase_if(m_watches, [&](const Watch &one) { return one.exchange == exchange; });
           })
     , m_engineRuns(HandleKept)
+    , m_streamEvents(StreamEvents)
     , m_announced(std::move(announced))
 { }
 
@@ -252,6 +253,9 @@
         m_keepsBackups = body["engine"]["backups"].asBool();
         m_movesRuns = body["engine"]["moves"].asBool();
     }
+    if (body.isObject() && body["stream_events"].isInt()) {
+        m_streamEvents = body["stream_events"].asInt();
+    }
     if (body.isObject() && body["kill_after"].isInt()) {
         m_killAfter = body["kill_after"].asInt();
     }
@@ -264,13 +268,11 @@
     if (body.isObject() && body["advice"].isObject()) {
         advise(body["advice"]);
     }
-    if (body.isObject() && body["drain"].isString()) {
-        const std::string key = "servers/" + body["drain"].asString();
-        std::string text;
-        absl::Base64Unescape(m_items[key].value, &text);
-        Json::Value entry = parseJson(text);
-        entry["state"] = "draining";
-        put(key, jsonText(entry));
+    for (const auto &[name, state] :
+         {std::pair {"drain", "draining"}, std::pair {"undrain", "ready"}}) {
+        if (body.isObject() && body[name].isString()) {
+            setState(body[name].asString(), state);
+        }
     }
     Json::Value answer;
     answer["held"] = Json::UInt64(m_held.size());
@@ -295,10 +297,23 @@
     answer["keys_seen"] = m_keysSeen;
     for (const auto &worker : m_workers) {
         answer["called"][worker->name] = Json::UInt64(worker->called);
+        if (const std::size_t runs = m_engineRuns.runsAt(worker->address)) {
+            answer["running_at"][worker->name] = Json::UInt64(runs);
+        }
     }
     reply(m_server, request, Ok, jsonText(answer));
 }
 
+void SharedPlatform::setState(const std::string &worker, const char *state)
+{
+    const std::string key = "servers/" + worker;
+    std::string text;
+    absl::Base64Unescape(m_items[key].value, &text);
+    Json::Value entry = parseJson(text);
+    entry["state"] = state;
+    put(key, jsonText(entry));
+}
+
 void SharedPlatform::noteRun(const HttpRequest &request)
 {
     const std::string id = request.header("Indigoway-Request-Id");
@@ -513,7 +528,7 @@
     if (worker.lives != life || !m_engineRuns.isRunning(worker.address, id, request.exchange)) {
         return;
     }
-    if (event > StreamEvents) {
+    if (event > m_streamEvents) {
         m_engineRuns.complete(worker.address, id);
         worker.server->endStream(request.exchange);
         return;
--- a/standins/sharedplatform.h
+++ b/standins/sharedplatform.h
@@ -108,6 +108,8 @@
     void cutRun(Worker &worker, const HttpRequest &request);
     void stream(Worker &worker, const HttpRequest &request, std::uint64_t life, int event);
     void writeRouting(std::uint64_t version, const std::string &extraPrefix);
+    /** Writes the state that a server announces. */
+    void setState(const std::string &worker, const char *state);
     /** A server runs @p request: for whom, and with what that it should not have got. */
     void noteRun(const HttpRequest &request);
     void reply(HttpServer &server, const HttpRequest &request, int status, const std::string &body,
@@ -133,6 +135,7 @@
     std::map<std::string, std::uint32_t> m_continued; ///< Continuations, by a caller's id.
     bool m_keepsBackups = false;
     bool m_movesRuns = false;
+    int m_streamEvents;   ///< Events of a stream.
     int m_killAfter = 0;  ///< The next engine to send this event crashes; 0: none.
     int m_resetAfter = 0; ///< The next stream to reach this event is reset; 0: none.
     std::uint32_t m_crashes = 0;
--- a/tests/processes/run-recovery.sh
+++ b/tests/processes/run-recovery.sh
@@ -13,12 +13,30 @@
 
 TOKENS=(-H 'Indigoway-Token-Count: 1000,100' -H 'Indigoway-Model-Id: m' -d prompt)
 platform_says() { curl -s "http://${ADDRESSES[platform]}/control" | grep -o "\"$1\":[0-9]*" | head -1 | cut -d: -f2; }
-is_whole() { # Each event once and in order.
-    [ "$(grep '^id: ' "$RUN/body" | tr -d '\n')" = 'id: 1id: 2id: 3id: 4id: 5id: 6' ]
+is_whole() { # [EVENTS]: each event once and in order.
+    [ "$(grep '^id: ' "$RUN/body" | grep -o '[0-9]*')" = "$(seq "${1:-6}")" ]
 }
 logged() { grep -h "\"kind\":\"$1\"" "$RUN"/n?.out | grep -q "$2"; }
 clean() { [ "$(platform_says held)" = 0 ] && [ "$(platform_says copies)" = 0 ]; }
 
+# An engine leaves in the middle of a stream that outlasts it: the run is moved to the other engine.
+control platform '{"stream_events":40}'
+call n1 /stream/a id-moved -N "${TOKENS[@]}" >"$RUN/status" &
+STREAM=$!
+begun() { [ "$(grep -c '^id: ' "$RUN/body")" -ge 10 ]; }
+wait_for "the stream to begin" begun || fail "no stream"
+engine=$(curl -s "http://${ADDRESSES[platform]}/control" | grep -o '"running_at":{[^}]*}' | grep -o 'd-[12]')
+[ -n "$engine" ] || fail "no engine executes the stream"
+control platform "{\"drain\":\"$engine\"}"
+wait $STREAM
+[ "$(cat "$RUN/status")" = 200 ] || fail "the stream of a leaving engine ended with $(cat "$RUN/status")"
+is_whole 40 || fail "the stream of a leaving engine is not whole: $(cat "$RUN/body")"
+logged run_continued 'engine leaves' || fail "the run was not moved off its leaving engine"
+wait_for "engine memory to be free" clean || fail "engine memory is held after the move"
+control platform "{\"stream_events\":6,\"undrain\":\"$engine\"}"
+returned() { grep -h '"kind":"server"' "$RUN/$1.out" | grep "\"server\":\"$engine@" | tail -1 | grep -q '"draining":"no"'; }
+for node in n1 n2; do wait_for "$engine to be back at $node" returned $node || fail "$node does not see that $engine stays"; done
+
 # Without a known risk of losing engines no copies are made. While the store is unreachable, the
 # scheduler cannot learn which engines leave, and names backups.
 control platform '{"down":true}'
