--- a/tests/dispatch/runcontinuationtest.cpp
+++ b/tests/dispatch/runcontinuationtest.cpp
@@ -145,6 +145,9 @@
     CPPUNIT_TEST(leavingEngineThatLosesTheConnectionWaitsForTheTarget);
     CPPUNIT_TEST(targetWithoutRoomKeepsTheRunAtItsEngine);
     CPPUNIT_TEST(disconnectDuringAClaimForATargetEndsIt);
+    CPPUNIT_TEST(silentSchedulerLeavesTheRunAtItsLeavingEngine);
+    CPPUNIT_TEST(crashOfAnEngineIsStillDetected);
+    CPPUNIT_TEST(timeoutDuringAMoveReleasesAll);
     CPPUNIT_TEST(nothingIsMovedWithoutTheSetting);
     CPPUNIT_TEST_SUITE_END();
 
@@ -737,6 +740,49 @@
         CPPUNIT_ASSERT(!harness.hasCalls());
     }
 
+    // Without a scheduler there is no target, but the run must go on while its engine does.
+    void silentSchedulerLeavesTheRunAtItsLeavingEngine()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        harness.addServer("d1", EnginePhase::Decode, true);
+        harness.advance(1'300, 1'900);
+        CPPUNIT_ASSERT(!harness.wasAbandoned(run.decode));
+        CPPUNIT_ASSERT(!harness.hasCalls());
+        harness.end(2'500, run.decode, CallEnd::Complete, 200);
+        CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
+    }
+
+    // A continued run must not hide the crash, which is counted against the content.
+    void crashOfAnEngineIsStillDetected()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        harness.loseConnection(1'000, run.decode);
+        const StartCall probe = harness.nextCall(CallKind::Probe);
+        const StartCall stop = harness.nextCall(CallKind::StopRun);
+        harness.end(1'002, probe, CallEnd::NotConnected);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, harness.takeCrashNotes().size());
+        harness.end(1'002, stop, CallEnd::NotConnected);
+        harness.nextCall(CallKind::StopRun);
+        CPPUNIT_ASSERT(harness.nextCall(CallKind::Decode).server == ServerName("d2"));
+    }
+
+    void timeoutDuringAMoveReleasesAll()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        breakStream(harness, 13'900, run.decode, 20);
+        const StartCall stop = harness.nextCall(CallKind::StopRun);
+        harness.reduce(14'200, TimePassed {});
+        CPPUNIT_ASSERT_EQUAL(text("cut"), harness.outcome(run.request));
+        answerStop(harness, 14'250, stop, 200, "k9");
+        CPPUNIT_ASSERT_EQUAL(text("k9"), harness.nextCall(CallKind::FreeHandle).handle);
+    }
+
     void nothingIsMovedWithoutTheSetting()
     {
         DispatcherHarness harness;
