Spend scarce quota units by urgency

Cause: when an organisation asked for more than its quota, its requests were refused in the order of arrival, whatever their priority. Nodes that were cut off also counted their own unreported use neither against their local share nor in proportion to the size of the fleet.

Change: UrgencyReserve learns from queries and reports what the requests of each priority ask for, and reserves what the more urgent ones are expected to need in a sixteenth of the window beyond what the window frees. Each priority that asks keeps 5 % of the window against all others. Units that were refused only because of the reserve may be made up for from an eighth of the tolerance. QuotaQuery states the priority, reports the units by priority; a query without priority counts as most urgent, as before. Refusals log priority, used, limit, reserve and record_age_ms; the metrics count units used and refused by priority. Nodes subtract what they used since the keeper last stated the usage from their local share, and pass at most two even shares of the units left without hearing from the keeper.

--- a/src/dispatch/dispatcheffects.h
+++ b/src/dispatch/dispatcheffects.h
@@ -151,6 +151,8 @@
     RequestOutcome outcome = RequestOutcome::Served;
     bool isGeneration = false;
     OrganisationName organisation; ///< Empty if there is none.
+    double quotaUnits = 0; ///< Units of the organisation's quota that it used or was refused.
+    std::uint32_t priority = 0;
     Duration timeToFirstAnswer {}; ///< Time from arrival to the first byte of the answer.
     Duration totalTime {};
 };
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -239,10 +239,11 @@
     }
     const Quota &quota = *request.organisation->quota;
     const double units = quotaUnitsOf(quota, request.arrival);
+    request.askedQuotaUnits = units;
     quotas::QuotaEnforcer::Messages messages;
     const quotas::QuotaDecision decision =
         m_quotas.decide(step.now, quotas::QuotaQueryId(request.arrival.request.value()),
-                        request.organisation->name, quota, units, messages);
+                        request.organisation->name, quota, units, request.priority(), messages);
     sendToKeeper(step, std::move(messages));
     switch (decision.kind) {
     case quotas::QuotaDecision::Kind::Passed:
@@ -253,7 +254,7 @@
         request.stage = Stage::AwaitingQuota;
         return;
     case quotas::QuotaDecision::Kind::Refused:
-        rejectOverQuota(step, request, decision.retryAfter);
+        rejectOverQuota(step, request, decision.retryAfter, decision.state);
         return;
     }
 }
@@ -275,7 +276,7 @@
         return;
     }
     if (!verdict.isGranted) {
-        rejectOverQuota(step, *request, verdict.retryAfter);
+        rejectOverQuota(step, *request, verdict.retryAfter, verdict.state);
         return;
     }
     request->stage = Stage::Calling;
@@ -285,7 +286,8 @@
     flowOf(*request).begin(step, *request);
 }
 
-void Dispatcher::rejectOverQuota(Step &step, OpenRequest &request, Duration roomAfter)
+void Dispatcher::rejectOverQuota(Step &step, OpenRequest &request, Duration roomAfter,
+                                 const quotas::QuotaState &state)
 {
     const Quota &quota = *request.organisation->quota;
     m_timeouts.clear(request.arrival.request);
@@ -293,7 +295,10 @@
         "over quota units=" + std::to_string(quotaUnitsOf(quota, request.arrival))
         + " per_s=" + std::to_string(quota.perSecond) + " burst=" + std::to_string(quota.burst)
         + " room_after_ms=" + millisecondsText(roomAfter)
-        + " keeper=" + (m_quotas.isKeeperReachable(step.now) ? "heard" : "silent");
+        + " keeper=" + (m_quotas.isKeeperReachable(step.now) ? "heard" : "silent")
+        + " priority=" + std::to_string(request.priority()) + " used=" + std::to_string(state.used)
+        + " limit=" + std::to_string(state.limit) + " reserve=" + std::to_string(state.reserve)
+        + " record_age_ms=" + millisecondsText(state.recordAge);
     m_state.requests.refuse(step, request,
                             {TooManyRequests, RequestOutcome::OverQuota,
                              step.jitter(std::max(roomAfter, MinQuotaRetryDelay)), reason});
@@ -303,7 +308,8 @@
 {
     quotas::QuotaEnforcer::Messages messages;
     for (const OpenRequests::UnusedQuota &unused : m_state.requests.takeUnusedQuota()) {
-        m_quotas.returnUnits(step.now, unused.organisation, unused.units, messages);
+        m_quotas.returnUnits(step.now, unused.organisation, unused.units, unused.priority,
+                             messages);
     }
     const auto verdicts = m_quotas.tick(step.now, messages);
     sendToKeeper(step, std::move(messages));
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -95,7 +95,8 @@
     /** Starts @p request if the quota of its organisation allows it. */
     void serveWithinQuota(Step &step, OpenRequest &request);
     void quotaDecided(Step &step, const quotas::QuotaResult &verdict);
-    void rejectOverQuota(Step &step, OpenRequest &request, Duration roomAfter);
+    void rejectOverQuota(Step &step, OpenRequest &request, Duration roomAfter,
+                         const quotas::QuotaState &state);
     /** Returns unused quota, sends due messages and applies due decisions. */
     void tickQuotas(Step &step);
     void tickPermits(Step &step);
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -134,13 +134,19 @@
     if (request.organisation) {
         ended.organisation = request.organisation->name;
     }
+    const bool isUnused = !request.mayHaveExecuted() && request.prefillAttempts == 0;
+    if (outcome == RequestOutcome::OverQuota || !isUnused) {
+        ended.quotaUnits = request.askedQuotaUnits;
+    }
+    ended.priority = request.priority();
     ended.totalTime = step.now - request.arrived;
     if (request.firstAnswerAt != TimePoint {}) {
         ended.timeToFirstAnswer = request.firstAnswerAt - request.arrived;
     }
     step.add(ended);
-    if (request.quotaUnits > 0 && !request.mayHaveExecuted() && request.prefillAttempts == 0) {
-        m_unusedQuota.push_back({request.organisation->name, request.quotaUnits});
+    if (request.quotaUnits > 0 && isUnused) {
+        m_unusedQuota.push_back(
+            {request.organisation->name, request.quotaUnits, request.priority()});
     }
     m_requests.erase(request.arrival.request);
 }
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -93,7 +93,8 @@
 
     std::uint32_t refusedPermits = 0; ///< Refusals because of servers' rate limits.
 
-    double quotaUnits = 0; ///< Units that the keeper has counted against the organisation.
+    double askedQuotaUnits = 0; ///< Units of the organisation's quota that the request needs.
+    double quotaUnits = 0;      ///< Units that the keeper has counted against the organisation.
 
     // Fields of generations.
     scheduling::ClaimId claim;   ///< Claim at the scheduler; none while this node chooses engines.
@@ -161,6 +162,7 @@
     {
         OrganisationName organisation;
         double units = 0;
+        std::uint32_t priority = 0;
     };
     std::vector<UnusedQuota> takeUnusedQuota() { return std::exchange(m_unusedQuota, {}); }
 
--- a/src/edge/edgemetrics.cpp
+++ b/src/edge/edgemetrics.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/histogram.hpp>
 
+#include <algorithm>
+
 #include <spdlog/fmt/fmt.h>
 
 namespace indigoway {
@@ -20,6 +22,9 @@
 /** Bounds the cardinality of the series by organisation and outcome. */
 constexpr std::size_t MaxOrganisationSeries = 10'000;
 
+/** Bounds the number of series by priority; less urgent ones count as the last. */
+constexpr std::uint32_t MaxPriorityLabel = 7;
+
 /** Escapes a label value for the text format. */
 std::string escapedLabelValue(const std::string &text)
 {
@@ -106,6 +111,10 @@
                               ? key
                               : std::pair {OrganisationName("(others)"), ended.outcome}];
     }
+    if (ended.quotaUnits > 0) {
+        m_quotaUnits[{std::min(ended.priority, MaxPriorityLabel),
+                      ended.outcome == dispatch::RequestOutcome::OverQuota}] += ended.quotaUnits;
+    }
     const std::size_t sort = ended.isGeneration ? 1 : 0;
     if (ended.timeToFirstAnswer.count() > 0) {
         m_histograms->firstAnswer[sort].add(ended.timeToFirstAnswer);
@@ -127,6 +136,13 @@
             "indigoway_organisation_requests_total{{organisation=\"{}\",outcome=\"{}\"}} {}\n",
             escapedLabelValue(key.first.text()), dispatch::nameOf(key.second), count);
     }
+    if (!m_quotaUnits.empty()) {
+        text += "# TYPE indigoway_quota_units_total counter\n";
+    }
+    for (const auto &[key, units] : m_quotaUnits) {
+        text += fmt::format("indigoway_quota_units_total{{priority=\"{}\",outcome=\"{}\"}} {}\n",
+                            key.first, key.second ? "refused" : "used", units);
+    }
     text += "# TYPE indigoway_decisions_total counter\n";
     for (const auto &[kind, count] : m_decisions) {
         text += fmt::format("indigoway_decisions_total{{kind=\"{}\"}} {}\n", kind, count);
--- a/src/edge/edgemetrics.h
+++ b/src/edge/edgemetrics.h
@@ -39,6 +39,8 @@
 
     std::map<std::pair<bool, dispatch::RequestOutcome>, std::uint64_t> m_requests;
     std::map<std::pair<OrganisationName, dispatch::RequestOutcome>, std::uint64_t> m_organisations;
+    /** Units of quotas by priority, and whether they were refused. */
+    std::map<std::pair<std::uint32_t, bool>, double> m_quotaUnits;
     std::map<std::string, std::uint64_t> m_decisions;
     std::unique_ptr<Histograms> m_histograms;
 };
--- a/src/quotas/quotacodec.cpp
+++ b/src/quotas/quotacodec.cpp
@@ -43,6 +43,9 @@
         Json::Value &one = value["used"].append(Json::objectValue);
         one["organisation"] = used.organisation.text();
         one["units"] = used.units;
+        for (const double units : used.byPriority) {
+            one["by_priority"].append(units);
+        }
         addProfile(one, "recent", used.granted);
         addProfile(one, "recent_local", used.local);
         addProfile(one, "recent_fleet", used.fleet);
@@ -63,6 +66,9 @@
     value["ask"] = Json::UInt64(query.queryId.value());
     value["organisation"] = query.organisation.text();
     value["units"] = query.units;
+    if (query.priority) {
+        value["priority"] = *query.priority;
+    }
     return value;
 }
 
@@ -96,6 +102,12 @@
     value["ask"] = Json::UInt64(answer.queryId.value());
     value["granted"] = answer.isGranted;
     value["room_after_us"] = Json::Int64(answer.retryAfter.count());
+    if (answer.state) {
+        value["used"] = answer.state->used;
+        value["limit"] = answer.state->limit;
+        value["reserve"] = answer.state->reserve;
+        value["record_us"] = Json::Int64(answer.state->recordAge.count());
+    }
     return value;
 }
 
@@ -134,10 +146,23 @@
         return std::nullopt;
     }
     UsageTotal used {OrganisationName(stringMember(value, "organisation")),
-                     realMember(value, "units"), *granted, *local, *fleet};
+                     realMember(value, "units"),
+                     {},
+                     *granted,
+                     *local,
+                     *fleet};
     if (used.organisation.isEmpty() || !isBounded(used.units)) {
         return std::nullopt;
     }
+    if (value["by_priority"].isArray()) {
+        for (const Json::Value &units : value["by_priority"]) {
+            const bool isValid = units.isNumeric() && isBounded(units.asDouble());
+            if (!isValid || used.byPriority.size() >= MaxPriorities) {
+                return std::nullopt;
+            }
+            used.byPriority.push_back(units.asDouble());
+        }
+    }
     return used;
 }
 
@@ -172,6 +197,9 @@
     QuotaQuery query {QuotaQueryId(numberMember(value, "ask")),
                       OrganisationName(stringMember(value, "organisation")),
                       realMember(value, "units")};
+    if (value["priority"].isUInt()) {
+        query.priority = value["priority"].asUInt();
+    }
     const bool isValid = !query.queryId.isNone() && !query.organisation.isEmpty()
         && query.units >= 0 && isBounded(query.units);
     return isValid ? std::optional<ToKeeper>(std::move(query)) : std::nullopt;
@@ -213,7 +241,12 @@
     if (retryAfter < Duration(0) || retryAfter > MaxRetryDelay) {
         return std::nullopt;
     }
-    return QuotaAnswer {queryId, value["granted"].asBool(), retryAfter};
+    QuotaAnswer answer {queryId, value["granted"].asBool(), retryAfter};
+    if (value["record_us"].isInt64()) {
+        answer.state = {realMember(value, "used"), realMember(value, "limit"),
+                        realMember(value, "reserve"), Duration(value["record_us"].asInt64())};
+    }
+    return answer;
 }
 
 constexpr std::array<scheduling::MessageReader<ToKeeper>, 2> ToReaders {
--- a/src/quotas/quotaenforcer.cpp
+++ b/src/quotas/quotaenforcer.cpp
@@ -24,6 +24,8 @@
  * usage of nodes that are cut off but do not know it yet.
  */
 constexpr double UnaskedFraction = 1.0 / 8;
+/** The same in even shares, for large fleets. */
+constexpr double UnaskedShares = 2;
 
 } // namespace
 
@@ -47,22 +49,24 @@
 
 QuotaDecision QuotaEnforcer::decide(TimePoint now, QuotaQueryId queryId,
                                     const OrganisationName &organisation, const Quota &quota,
-                                    double units, Messages &messages)
+                                    double units, std::optional<std::uint32_t> priority,
+                                    Messages &messages)
 {
     if (!isKeeperReachable(now)) {
         QuotaDecision decision;
-        const bool isPassed = decideLocally(now, organisation, quota, units, decision.retryAfter);
+        const bool isPassed =
+            decideLocally(now, organisation, quota, units, decision.retryAfter, decision.state);
         decision.kind = isPassed ? QuotaDecision::Kind::Passed : QuotaDecision::Kind::Refused;
         return decision;
     }
     if (passesUnasked(now, organisation, quota, units)) {
         usage(organisation).granted.charge(now, units);
-        m_reportedUsage[organisation] += units;
+        addUsage(organisation, units, priority);
         reportUsage(now, organisation, messages);
         return {QuotaDecision::Kind::Passed, true, Duration(0)};
     }
-    m_pendingQueries[queryId] = {organisation, quota, units, now, 1, false};
-    messages.emplace_back(QuotaQuery {queryId, organisation, units});
+    m_pendingQueries[queryId] = {organisation, quota, units, priority, now, 1, false};
+    messages.emplace_back(QuotaQuery {queryId, organisation, units, priority});
     return {QuotaDecision::Kind::Pending, true, Duration(0)};
 }
 
@@ -77,21 +81,25 @@
     }
     Usage &known = usage(organisation);
     const double left = m_keeperFraction * unitsPerWindow(quota, m_bounds) - known.fleet.used(now);
-    if (known.unasked + units > UnaskedFraction * left) {
+    const double fraction =
+        std::min(UnaskedFraction,
+                 UnaskedShares / std::max(1.0, static_cast<double>(m_nodeCount.count(now))));
+    if (known.unasked + units > fraction * left) {
         return false;
     }
     known.unasked += units;
+    known.sinceStated += units;
     return true;
 }
 
 void QuotaEnforcer::returnUnits(TimePoint now, const OrganisationName &organisation, double units,
-                                Messages &messages)
+                                std::optional<std::uint32_t> priority, Messages &messages)
 {
     usage(organisation).granted.charge(now, -units);
     if (m_keeperIncarnation.isNone()) {
         return;
     }
-    m_reportedUsage[organisation] -= units;
+    addUsage(organisation, -units, priority);
     reportUsage(now, organisation, messages);
 }
 
@@ -131,15 +139,18 @@
     const PendingQuery query = it->second;
     m_pendingQueries.erase(it);
     if (answer.isGranted) {
-        usage(query.organisation).granted.charge(now, query.units);
+        Usage &known = usage(query.organisation);
+        known.granted.charge(now, query.units);
+        known.sinceStated += query.units;
     }
     if (query.isAbandoned) {
         if (answer.isGranted) {
-            returnUnits(now, query.organisation, query.units, messages);
+            returnUnits(now, query.organisation, query.units, query.priority, messages);
         }
         return std::nullopt;
     }
-    return QuotaResult {answer.queryId, answer.isGranted, true, answer.retryAfter};
+    return QuotaResult {answer.queryId, answer.isGranted, true, answer.retryAfter,
+                        answer.state.value_or(QuotaState {})};
 }
 
 void QuotaEnforcer::handleScarcityReport(TimePoint now, const ScarcityReport &report,
@@ -148,10 +159,17 @@
     m_scarce = {report.scarce.begin(), report.scarce.end()};
     m_isFleetUsageStated = report.fleet.has_value();
     m_keeperFraction = report.keeperFraction;
+    if (report.isRecorded) {
+        // An answer to this node lists all organisations that used units.
+        for (auto &[organisation, known] : m_usage) {
+            known.sinceStated = 0;
+        }
+    }
     for (const FleetUsage &stated : report.fleet.value_or(std::vector<FleetUsage> {})) {
-        QuotaWindow &fleet = usage(stated.organisation).fleet;
-        fleet = QuotaWindow(m_bounds.window);
-        fleet.add(now, stated.used);
+        Usage &known = usage(stated.organisation);
+        known.sinceStated = 0;
+        known.fleet = QuotaWindow(m_bounds.window);
+        known.fleet.add(now, stated.used);
     }
     const bool wasRecorded = std::exchange(m_isRecorded, report.isRecorded.value_or(m_isRecorded));
     if (m_isRecorded || !report.isRecorded) {
@@ -180,7 +198,8 @@
         }
         ++query.sendCount;
         query.sentAt = now;
-        messages.emplace_back(QuotaQuery {queryId, query.organisation, query.units});
+        messages.emplace_back(
+            QuotaQuery {queryId, query.organisation, query.units, query.priority});
     }
     if (!isKeeperUnreachable) {
         return {};
@@ -202,21 +221,25 @@
 }
 
 bool QuotaEnforcer::decideLocally(TimePoint now, const OrganisationName &organisation,
-                                  const Quota &quota, double units, Duration &retryAfter)
+                                  const Quota &quota, double units, Duration &retryAfter,
+                                  QuotaState &state)
 {
     Usage &known = usage(organisation);
-    if (known.local.take(now, localShare(now, organisation, quota, known.fleet), units)) {
-        m_reportedUsage[organisation] += units;
+    const double share = localShare(now, organisation, quota, known);
+    if (known.local.take(now, share, units)) {
+        addUsage(organisation, units, std::nullopt);
         return true;
     }
+    state = {known.local.used(now), share, 0,
+             m_lastMessageAt == TimePoint {} ? recordAge(now) : now - m_lastMessageAt};
     retryAfter = known.local.timeUntil(now, [&](TimePoint at) {
-        return known.local.used(at) + units <= localShare(at, organisation, quota, known.fleet);
+        return known.local.used(at) + units <= localShare(at, organisation, quota, known);
     });
     return false;
 }
 
 double QuotaEnforcer::localShare(TimePoint at, const OrganisationName &organisation,
-                                 const Quota &quota, const QuotaWindow &fleet) const
+                                 const Quota &quota, const Usage &known) const
 {
     // This node may be one of many that have just restarted, each after it had used its share.
     const std::uint32_t nodes = m_nodeCount.count(at);
@@ -225,16 +248,19 @@
     }
     const double limit = unitsPerWindow(quota, m_bounds);
     double left = limit;
+    double usedSince = 0;
     if (m_lastMessageAt != TimePoint {} && at < m_lastMessageAt + m_bounds.window) {
         if (m_isFleetUsageStated) {
-            left = std::max(0.0, limit - fleet.used(at));
+            left = std::max(0.0, limit - known.fleet.used(at));
+            usedSince = known.sinceStated;
         } else if (m_scarce.contains(organisation)) {
             return 0;
         } else {
             left = std::min(left, quota.burst);
         }
     }
-    return (left + LocalToleranceFraction * toleranceOf(quota, m_bounds)) / nodes;
+    const double share = (left + LocalToleranceFraction * toleranceOf(quota, m_bounds)) / nodes;
+    return std::max(0.0, share - usedSince);
 }
 
 QuotaEnforcer::Usage &QuotaEnforcer::usage(const OrganisationName &organisation)
@@ -247,13 +273,26 @@
     return std::clamp(now - m_startedAt, Duration(0), m_bounds.window);
 }
 
+void QuotaEnforcer::addUsage(const OrganisationName &organisation, double units,
+                             std::optional<std::uint32_t> priority)
+{
+    UsageTotal &total = m_reportedUsage[organisation];
+    total.organisation = organisation;
+    total.units += units;
+    if (priority) {
+        const std::size_t index = std::min(*priority, MaxPriorities - 1);
+        total.byPriority.resize(std::max(total.byPriority.size(), index + 1));
+        total.byPriority[index] += units;
+    }
+}
+
 void QuotaEnforcer::reportUsage(TimePoint now, const OrganisationName &organisation,
                                 Messages &messages)
 {
     messages.emplace_back(UsageReport {m_keeperIncarnation,
                                        ++m_sequence,
                                        false,
-                                       {{organisation, m_reportedUsage[organisation]}},
+                                       {m_reportedUsage[organisation]},
                                        recordAge(now),
                                        false,
                                        m_epoch});
@@ -277,7 +316,8 @@
             break;
         }
         const auto total = m_reportedUsage.find(organisation);
-        UsageTotal used {organisation, total == m_reportedUsage.end() ? 0 : total->second};
+        UsageTotal used =
+            total == m_reportedUsage.end() ? UsageTotal {organisation} : total->second;
         if (heartbeat.hasRecord) {
             used.granted = known.granted.profile(now);
             used.local = known.local.profile(now);
@@ -298,9 +338,10 @@
         if (query.isAbandoned) {
             continue;
         }
-        QuotaResult result {queryId, false, false, Duration(0)};
-        result.isGranted =
-            decideLocally(now, query.organisation, query.quota, query.units, result.retryAfter);
+        QuotaResult result;
+        result.queryId = queryId;
+        result.isGranted = decideLocally(now, query.organisation, query.quota, query.units,
+                                         result.retryAfter, result.state);
         results.push_back(result);
     }
     m_pendingQueries.clear();
--- a/src/quotas/quotaenforcer.h
+++ b/src/quotas/quotaenforcer.h
@@ -22,6 +22,7 @@
     /** True if the keeper counts the request, so that unused units must be returned. */
     bool isCounted = false;
     Duration retryAfter {}; ///< Retry delay of a refused request.
+    QuotaState state = {};  ///< Of a refused request.
 };
 
 /** The result of a query to the keeper. */
@@ -31,6 +32,7 @@
     bool isGranted = false;
     bool isCounted = false; ///< As in QuotaDecision.
     Duration retryAfter {};
+    QuotaState state = {};
 };
 
 /**
@@ -66,13 +68,15 @@
     /**
      * Decides whether a request of @p units may run.
      * @param queryId the id of the query if the keeper must be asked
+     * @param priority the request's; nothing: the reserve for urgent requests does not apply
      * @param messages receives the messages for the keeper
      */
     QuotaDecision decide(TimePoint now, QuotaQueryId queryId, const OrganisationName &organisation,
-                         const Quota &quota, double units, Messages &messages);
+                         const Quota &quota, double units, std::optional<std::uint32_t> priority,
+                         Messages &messages);
     /** Returns the units of a request that the keeper has counted but that did not run. */
     void returnUnits(TimePoint now, const OrganisationName &organisation, double units,
-                     Messages &messages);
+                     std::optional<std::uint32_t> priority, Messages &messages);
     /** Abandons a query whose caller has left; units granted for it are returned. */
     void abandonQuery(QuotaQueryId queryId);
     /**
@@ -97,6 +101,7 @@
         OrganisationName organisation;
         Quota quota;
         double units = 0;
+        std::optional<std::uint32_t> priority;
         TimePoint sentAt {};
         std::uint32_t sendCount = 0;
         bool isAbandoned = false;
@@ -115,18 +120,22 @@
         QuotaWindow fleet;   ///< By all nodes as the keeper last stated it.
         /** Units passed without asking since the last message of the keeper. */
         double unasked = 0;
+        /** Units granted by the keeper, or unasked, since it last stated the usage of all nodes. */
+        double sinceStated = 0;
     };
 
     /** Returns whether a request may pass without asking the keeper. */
     bool passesUnasked(TimePoint now, const OrganisationName &organisation, const Quota &quota,
                        double units);
     bool decideLocally(TimePoint now, const OrganisationName &organisation, const Quota &quota,
-                       double units, Duration &retryAfter);
+                       double units, Duration &retryAfter, QuotaState &state);
     /** Returns the units that this node may grant locally in the window that ends at @p at. */
     double localShare(TimePoint at, const OrganisationName &organisation, const Quota &quota,
-                      const QuotaWindow &fleet) const;
+                      const Usage &known) const;
     Usage &usage(const OrganisationName &organisation);
     void handleScarcityReport(TimePoint now, const ScarcityReport &report, Messages &messages);
+    void addUsage(const OrganisationName &organisation, double units,
+                  std::optional<std::uint32_t> priority);
     void reportUsage(TimePoint now, const OrganisationName &organisation, Messages &messages);
     /** Returns the time that the record of this node's usage covers. */
     Duration recordAge(TimePoint now) const;
@@ -147,7 +156,7 @@
     std::uint64_t m_sequence = 0;
     std::set<OrganisationName> m_scarce;
     /** Units reported to the current incarnation of the keeper. */
-    std::map<OrganisationName, double> m_reportedUsage;
+    std::map<OrganisationName, UsageTotal> m_reportedUsage;
     std::map<OrganisationName, Usage> m_usage;
     /** True if the keeper has the record of this node's usage. */
     bool m_isRecorded = false;
--- a/src/quotas/quotakeeper.cpp
+++ b/src/quotas/quotakeeper.cpp
@@ -22,6 +22,11 @@
  * may have used the local fraction of it and units that were reported too late.
  */
 constexpr double YoungToleranceFraction = 0.25;
+/**
+ * Fraction of the tolerance that makes up for units which were reserved and then not used, so that
+ * the reserve does not lower the sum that is granted.
+ */
+constexpr double WithheldToleranceFraction = 1.0 / 8;
 /** Nodes are told the usage with each heartbeat. */
 constexpr Duration HeartbeatInterval = std::chrono::seconds(1);
 /**
@@ -57,6 +62,13 @@
     limit = units;
 }
 
+UrgencyReserve::FreedWithin QuotaKeeper::Account::freedAfter(TimePoint now) const
+{
+    return [this, now, usedNow = used(now)](Duration time) {
+        return usedNow - used(now + time);
+    };
+}
+
 UsageProfile QuotaKeeper::Account::profile(TimePoint now) const
 {
     QuotaWindow sum = counted;
@@ -67,6 +79,7 @@
 KeeperReplies QuotaKeeper::handle(TimePoint now, const View &view, const NodeLife &from,
                                   const ToKeeper &message)
 {
+    m_startedAt = m_startedAt.value_or(now);
     NodeState &state = touchNode(now, from);
     if (now >= m_fractionUpdatedAt + FractionUpdateInterval) {
         updateKnownFraction(now, view);
@@ -114,8 +127,10 @@
             applyRecord(now, account(now, used.organisation, *quota), used);
         } else {
             charge(now, used.organisation, *quota, used.units - total.units);
+            chargePriorities(now, account(now, used.organisation, *quota), total.byPriority,
+                             used.byPriority);
         }
-        total = {used.units, report.sequence};
+        total = {used.units, used.byPriority, report.sequence};
         updateScarcity(now, used.organisation, *quota);
     }
     if (isRecord) {
@@ -151,7 +166,7 @@
     // Without a quota here the node has a different version of the configuration; a node asks only
     // for organisations that it knows to have a quota, so granting is safe.
     const QuotaAnswer result =
-        quota ? decide(now, *quota, query) : QuotaAnswer {query.queryId, true, Duration(0)};
+        quota ? decide(now, *quota, query) : QuotaAnswer {query.queryId, true};
     state.recentAnswers.emplace(query.queryId, CachedAnswer {result, now});
     return result;
 }
@@ -162,15 +177,27 @@
     // A request larger than the window is granted by an unused one; otherwise it would never be
     // granted.
     const double needed = std::min(query.units, unitsPerWindow(quota, m_bounds));
+    // A node that states no priority knows of no reserve, as if the request were the most urgent.
+    const std::uint32_t priority = query.priority.value_or(0);
+    const double reserve =
+        one.reserve.reserveFor(now, priority, needed, one.limit, one.freedAfter(now));
+    const double limit = limitOf(quota)
+        + std::min(one.withheld.used(now),
+                   WithheldToleranceFraction * m_knownFraction * toleranceOf(quota, m_bounds));
     const auto hasRoom = [&](TimePoint at) {
-        return one.used(at) + needed <= limitOf(quota);
+        return one.used(at) + needed + reserve <= limit;
     };
+    one.reserve.ask(now, priority, query.units);
     if (hasRoom(now)) {
+        one.reserve.grant(now, priority, query.units);
         charge(now, query.organisation, quota, query.units);
         updateScarcity(now, query.organisation, quota);
-        return {query.queryId, true, Duration(0)};
+        return {query.queryId, true};
     }
     updateScarcity(now, query.organisation, quota);
+    if (one.used(now) + needed <= limitOf(quota)) {
+        one.withheld.charge(now, needed);
+    }
     // Refused callers get successive retry times, so that they do not all compete for the same
     // units.
     const TimePoint retryAt = std::max(one.lastRetryAt, now + one.counted.timeUntil(now, hasRoom));
@@ -178,7 +205,8 @@
         * std::min(1.0, needed / std::max(1.0, unitsPerWindow(quota, m_bounds)));
     one.lastRetryAt =
         retryAt + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-    return {query.queryId, false, retryAt - now};
+    return {query.queryId, false, retryAt - now,
+            QuotaState {one.used(now), limit, reserve, now - *m_startedAt}};
 }
 
 QuotaKeeper::NodeState &QuotaKeeper::touchNode(TimePoint now, const NodeLife &from)
@@ -255,6 +283,21 @@
     }
 }
 
+void QuotaKeeper::chargePriorities(TimePoint now, Account &account,
+                                   const std::vector<double> &before,
+                                   const std::vector<double> &after)
+{
+    for (std::size_t priority = 0; priority < after.size(); ++priority) {
+        const double units = after[priority] - (priority < before.size() ? before[priority] : 0);
+        if (units > 0) {
+            account.reserve.ask(now, static_cast<std::uint32_t>(priority), units);
+        }
+        if (units != 0) {
+            account.reserve.grant(now, static_cast<std::uint32_t>(priority), units);
+        }
+    }
+}
+
 double QuotaKeeper::limitOf(const Quota &quota) const
 {
     return unitsPerWindow(quota, m_bounds) * m_knownFraction
@@ -267,7 +310,10 @@
     // small.
     const double margin =
         std::min(unitsPerWindow(quota, m_bounds), std::max(quota.burst, quota.perSecond));
-    const double left = limitOf(quota) - account(now, name, quota).used(now);
+    const Account &one = account(now, name, quota);
+    // The least urgent requests must be asked for before they use the reserve.
+    const double reserve = one.reserve.largestReserve(now, one.limit, one.freedAfter(now));
+    const double left = limitOf(quota) - one.used(now) - reserve;
     if (left > PlentyAboveFraction * margin) {
         m_scarce.erase(name);
     } else if (left <= ScarceBelowFraction * margin && m_scarce.insert(name).second) {
--- a/src/quotas/quotakeeper.h
+++ b/src/quotas/quotakeeper.h
@@ -2,6 +2,7 @@
 
 #include "quotas/quotamessages.h"
 #include "quotas/quotawindow.h"
+#include "quotas/urgencyreserve.h"
 #include "routing/routetable.h"
 
 #include <map>
@@ -58,6 +59,7 @@
     struct ReportedUsage
     {
         double units = 0;
+        std::vector<double> byPriority;
         std::uint64_t sequence = 0; ///< Sequence number of the report.
     };
     struct CachedAnswer
@@ -86,10 +88,14 @@
             , recorded(window)
             , inherited(window)
             , beforeLowering(window)
+            , reserve(window)
+            , withheld(window)
         { }
         /** Returns the units that count against the quota in the window that ends at @p now. */
         double used(TimePoint now) const;
         void setLimit(TimePoint now, double units);
+        /** Returns the units that are freed within a time from @p now. */
+        UrgencyReserve::FreedWithin freedAfter(TimePoint now) const;
         UsageProfile profile(TimePoint now) const;
 
         QuotaWindow counted; ///< Counted by this keeper, or granted by nodes without a keeper.
@@ -102,6 +108,9 @@
          * only with its part of the new one, so that the lower quota binds one window later.
          */
         QuotaWindow beforeLowering;
+        UrgencyReserve reserve;
+        /** Units refused in the window only because of the reserve. */
+        QuotaWindow withheld;
         double loweredFrom = 0; ///< Units allowed in a window until then.
         /** Units charged since all nodes were told the usage, at most for a heartbeat interval. */
         double untold = 0;
@@ -118,6 +127,9 @@
     void updateKnownFraction(TimePoint now, const View &view);
     Account &account(TimePoint now, const OrganisationName &name, const Quota &quota);
     void charge(TimePoint now, const OrganisationName &name, const Quota &quota, double units);
+    /** Applies a change of the units that a node reported by priority. */
+    static void chargePriorities(TimePoint now, Account &account, const std::vector<double> &before,
+                                 const std::vector<double> &after);
     /**
      * Returns the units that this keeper may grant in a window: those of the nodes whose usage is
      * known, and the part of the tolerance that young nodes do not grant locally.
@@ -132,6 +144,7 @@
 
     Incarnation m_self;
     QuotaBounds m_bounds;
+    std::optional<TimePoint> m_startedAt; ///< Time of the first message.
     std::map<NodeName, NodeState> m_nodes;
     /** Nodes that left recently may be cut off and still grant requests. */
     LargestNodeCount m_nodeCount;
--- a/src/quotas/quotamessages.h
+++ b/src/quotas/quotamessages.h
@@ -25,6 +25,8 @@
      * deducted again.
      */
     double units = 0;
+    /** The part of the units of each priority, the most urgent first; empty if not stated. */
+    std::vector<double> byPriority = {};
     // Only in a report with hasRecord.
     UsageProfile granted = {}; ///< Units in the window that a keeper counted.
     UsageProfile local = {};   ///< Units in the window that the node granted without a keeper.
@@ -66,6 +68,8 @@
     QuotaQueryId queryId;
     OrganisationName organisation;
     double units = 0;
+    /** 0 is the most urgent; absent from nodes that do not state it. */
+    std::optional<std::uint32_t> priority = {};
     bool operator==(const QuotaQuery &) const = default;
 };
 
@@ -95,11 +99,23 @@
     bool operator==(const ScarcityReport &) const = default;
 };
 
+/** The state of an organisation's quota in a decision, for the log. */
+struct QuotaState
+{
+    double used = 0;    ///< Units in the window.
+    double limit = 0;   ///< Units that may be used in the window.
+    double reserve = 0; ///< Units reserved for other priorities.
+    /** Time that the keeper's record covers, or time since a node last heard of the usage. */
+    Duration recordAge {};
+    bool operator==(const QuotaState &) const = default;
+};
+
 struct QuotaAnswer
 {
     QuotaQueryId queryId;
     bool isGranted = false;
-    Duration retryAfter {}; ///< Retry delay of a refused request.
+    Duration retryAfter {};               ///< Retry delay of a refused request.
+    std::optional<QuotaState> state = {}; ///< Of a refused request; absent from old keepers.
     bool operator==(const QuotaAnswer &) const = default;
 };
 
--- a/src/quotas/quotawindow.h
+++ b/src/quotas/quotawindow.h
@@ -126,6 +126,9 @@
     double slack = 0; ///< Further units beyond that.
 };
 
+/** Bounds the memory of an organisation; less urgent priorities count as the last one. */
+constexpr std::uint32_t MaxPriorities = 8;
+
 /** Fraction of the tolerance that nodes may use locally; the rest covers usage reported late. */
 constexpr double LocalToleranceFraction = 0.5;
 
--- a/tests/edge/edgemetricstest.cpp
+++ b/tests/edge/edgemetricstest.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST_SUITE(EdgeMetricsTest);
     CPPUNIT_TEST(countsRequestsByOutcome);
     CPPUNIT_TEST(countsByOrganisationUpToALimit);
+    CPPUNIT_TEST(countsQuotaUnitsByPriority);
     CPPUNIT_TEST(histogramBucketsAreCumulative);
     CPPUNIT_TEST_SUITE_END();
 
@@ -49,6 +50,25 @@
                "organisation=\"(others)\",outcome=\"over_quota\"} 2001\n");
     }
 
+    // Guards against units whose priority or refusal does not show.
+    void countsQuotaUnitsByPriority()
+    {
+        EdgeMetrics metrics;
+        RequestEnded ended;
+        metrics.add(ended);
+        CPPUNIT_ASSERT(metrics.prometheusText({}).find("quota_units") == std::string::npos);
+        ended.quotaUnits = 1500;
+        ended.priority = 2;
+        metrics.add(ended);
+        ended.outcome = RequestOutcome::OverQuota;
+        ended.priority = 900;
+        metrics.add(ended);
+        metrics.add(ended);
+        const std::string text = metrics.prometheusText({});
+        expect(text, "indigoway_quota_units_total{priority=\"2\",outcome=\"used\"} 1500\n");
+        expect(text, "indigoway_quota_units_total{priority=\"7\",outcome=\"refused\"} 3000\n");
+    }
+
     void histogramBucketsAreCumulative()
     {
         EdgeMetrics metrics;
--- a/tests/processes/organisations.sh
+++ b/tests/processes/organisations.sh
@@ -73,7 +73,7 @@
 line request_unserved '"request":"id-3"' 'status=401 .*no key version=2 age_ms=[0-9]+'
 line request_unserved '"request":"id-4"' 'status=401 .*unknown key version=2 age_ms=[0-9]+'
 line request_unserved . 'status=503 .*copy too old age_ms=[0-9]+ version=3'
-line request_end '"request":"id-7"' 'outcome=over_quota .*organisation=b .*status=429 over quota units=1\.0* per_s=1\.0* burst=2\.0* room_after_ms=[0-9]+ keeper=heard'
+line request_end '"request":"id-7"' 'outcome=over_quota .*organisation=b .*status=429 over quota units=1\.0* per_s=1\.0* burst=2\.0* room_after_ms=[0-9]+ keeper=heard priority=[0-9]+ used=[0-9.]+ limit=6\.0* reserve=0\.0* record_age_ms=[0-9]+'
 line copy_too_old . '"most_ms":"1800"'
 line copy_proven . '"age_ms":"[0-9]+"'
 grep -qE 'key-a|key-b|nobodys' "$RUN"/n?.out && fail "a key is in the log"
--- a/tests/quotas/quotacodectest.cpp
+++ b/tests/quotas/quotacodectest.cpp
@@ -55,14 +55,18 @@
                          false,
                          {{OrganisationName("a"), 3700.5}, {OrganisationName("b"), -1}}});
         UsageReport record {Incarnation(4), 9, true, {}, std::chrono::seconds(8), true, 7, 71};
-        record.used.push_back({OrganisationName("a"), 3700, {1, 2}, {0, 0, 5}, {7, 0, 0, 0, 9}});
+        record.used.push_back(
+            {OrganisationName("a"), 3700, {700, 3000}, {1, 2}, {0, 0, 5}, {7, 0, 0, 0, 9}});
         checkRoundTripToKeeper(record);
         checkRoundTripToKeeper(QuotaQuery {QuotaQueryId(3), OrganisationName("a"), 3700});
+        checkRoundTripToKeeper(QuotaQuery {QuotaQueryId(3), OrganisationName("a"), 3700, 2});
         checkRoundTripFromKeeper(ScarcityReport {{OrganisationName("a"), OrganisationName("b")}});
         checkRoundTripFromKeeper(ScarcityReport {});
         checkRoundTripFromKeeper(ScarcityReport {
             {OrganisationName("a")}, false, {{{OrganisationName("b"), {4, 0, 6}}}}, 0.25});
         checkRoundTripFromKeeper(QuotaAnswer {QuotaQueryId(3), true, Duration(0)});
+        checkRoundTripFromKeeper(QuotaAnswer {QuotaQueryId(3), false, Duration(7),
+                                              QuotaState {900, 1000, 50, std::chrono::seconds(3)}});
         checkRoundTripFromKeeper(
             QuotaAnswer {QuotaQueryId(3), false, std::chrono::milliseconds(70)});
     }
--- a/tests/quotas/quotafleet.h
+++ b/tests/quotas/quotafleet.h
@@ -116,7 +116,8 @@
      * Sends a caller's request of @p units to @p node.
      * @return its number for wasGranted()
      */
-    std::uint64_t request(std::size_t node, double units)
+    std::uint64_t request(std::size_t node, double units,
+                          std::optional<std::uint32_t> priority = {})
     {
         Node &one = m_nodes[node];
         const bool isCutForLong =
@@ -127,7 +128,7 @@
         const QuotaQueryId queryId(++m_lastQueryId);
         QuotaEnforcer::Messages messages;
         const auto decision = one.enforcer->decide(now(), queryId, OrganisationName("o"),
-                                                   m_settings.quota, units, messages);
+                                                   m_settings.quota, units, priority, messages);
         send(node, std::move(messages));
         if (decision.kind == QuotaDecision::Kind::Passed) {
             grant(one, queryId, units, decision.isCounted);
@@ -292,7 +293,7 @@
         Node &one = m_nodes[node];
         QuotaEnforcer::Messages messages;
         for (const double units : std::exchange(one.unused, {})) {
-            one.enforcer->returnUnits(now(), OrganisationName("o"), units, messages);
+            one.enforcer->returnUnits(now(), OrganisationName("o"), units, std::nullopt, messages);
         }
         const auto next = one.enforcer->nextTick();
         if (!next || *next > now()) {
--- a/tests/quotas/quotafleettest.cpp
+++ b/tests/quotas/quotafleettest.cpp
@@ -44,16 +44,19 @@
             const double wait = std::exponential_distribution<>(1 / gap)(m_random);
             m_fleet.run(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait)));
             m_fleet.request(
-                std::uniform_int_distribution<std::size_t>(0, m_fleet.size() - 1)(m_random), Units);
+                std::uniform_int_distribution<std::size_t>(0, m_fleet.size() - 1)(m_random), Units,
+                m_statesPriorities ? std::optional<std::uint32_t>(m_random() % 3) : std::nullopt);
             m_requestedUnits += Units;
         }
     }
     double requestedUnits() const { return m_requestedUnits; }
+    void setStatesPriorities(bool statesPriorities) { m_statesPriorities = statesPriorities; }
 
 private:
     QuotaFleet &m_fleet;
     std::mt19937_64 m_random;
     double m_requestedUnits = 0;
+    bool m_statesPriorities = false;
 };
 
 } // namespace
@@ -297,6 +300,7 @@
         settings.age = *rc::gen::element(Duration(0), settings.bounds.window);
         QuotaFleet fleet(settings);
         Load load(fleet, settings.seed);
+        load.setStatesPriorities(*rc::gen::arbitrary<bool>());
         for (int step = 0; step < 15; ++step) {
             load.run(std::chrono::milliseconds(*rc::gen::inRange(100, 1500)),
                      *rc::gen::element(0.5, 2.0, 5.0));
--- a/tests/quotas/quotareplaytest.cpp
+++ b/tests/quotas/quotareplaytest.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <cstdio>
 #include <random>
 #include <utility>
@@ -24,6 +25,7 @@
 {
     Duration at {};
     double units = 0;
+    std::uint32_t priority = 0;
     std::uint64_t number = 0; ///< As QuotaFleet::request() returns it.
 };
 
@@ -38,6 +40,7 @@
 {
     constexpr double MeanUnits = 5'500;
     std::mt19937_64 random(seed);
+    std::mt19937_64 randomPriority(seed);
     std::vector<Request> requests;
     Duration begin {};
     for (const Stage &stage : stages) {
@@ -48,7 +51,8 @@
             const auto after =
                 std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
             requests.push_back(
-                {begin + after, std::uniform_real_distribution<>(500, 10'500)(random)});
+                {begin + after, std::uniform_real_distribution<>(500, 10'500)(random),
+                 std::uniform_int_distribution<std::uint32_t>(0, 2)(randomPriority)});
         }
         begin += stage.length;
     }
@@ -64,6 +68,7 @@
     /** Refused although the units granted in the window left room for the request. */
     std::size_t despiteRoom = 0;
     double grantedUnits = 0;
+    std::array<std::size_t, 3> refusedByPriority {};
 
     Refusals &operator+=(const Refusals &other)
     {
@@ -72,6 +77,9 @@
         entitled += other.entitled;
         despiteRoom += other.despiteRoom;
         grantedUnits += other.grantedUnits;
+        for (std::size_t priority = 0; priority < refusedByPriority.size(); ++priority) {
+            refusedByPriority.at(priority) += other.refusedByPriority.at(priority);
+        }
         return *this;
     }
 };
@@ -95,6 +103,7 @@
             continue;
         }
         ++result.refused;
+        ++result.refusedByPriority.at(requests[index].priority);
         result.entitled += asked <= WindowUnits ? 1 : 0;
         result.despiteRoom += granted + requests[index].units <= WindowUnits ? 1 : 0;
     }
@@ -121,6 +130,7 @@
 {
     CPPUNIT_TEST_SUITE(QuotaReplayTest);
     CPPUNIT_TEST(overloadIsServedWithinTheContract);
+    CPPUNIT_TEST(urgentRequestsAreServedFirst);
     CPPUNIT_TEST_SUITE_END();
 
     static QuotaFleet::Settings settings()
@@ -133,7 +143,7 @@
         return settings;
     }
 
-    static Refusals replayFleet(std::vector<Request> requests)
+    static Refusals replayFleet(std::vector<Request> requests, bool statesPriorities = true)
     {
         QuotaFleet fleet(settings());
         std::mt19937_64 random(1);
@@ -143,7 +153,7 @@
             fleet.run(begin + request.at - fleet.now());
             request.number = fleet.request(
                 std::uniform_int_distribution<std::size_t>(0, fleet.size() - 1)(random),
-                request.units);
+                request.units, statesPriorities ? std::optional(request.priority) : std::nullopt);
         }
         fleet.run(1s);
         CPPUNIT_ASSERT(fleet.maxUnitsInWindow(8) <= fleet.maxAllowedUnits());
@@ -167,7 +177,7 @@
                 {{10s, 0.5}, {1500ms, 5}, {10s, 0.4}, {3s, 6}, {12s, 0.5}, {4s, 3}, {10s, 0.5}},
                 seed);
             bucket += replayBucket(requests);
-            window += replayFleet(requests);
+            window += replayFleet(requests, false);
         }
         for (const auto &[name, result] :
              {std::pair("bucket", bucket), std::pair("window", window)}) {
@@ -181,6 +191,32 @@
         CPPUNIT_ASSERT(window.despiteRoom * 3 <= bucket.despiteRoom);
         CPPUNIT_ASSERT(window.grantedUnits >= bucket.grantedUnits);
     }
+
+    // Guards against urgent requests that are refused because less urgent ones of the organisation
+    // have used the units, and against units that are reserved but never used.
+    void urgentRequestsAreServedFirst()
+    {
+        for (const Duration overload : {1500ms, 2500ms, 4000ms, 8000ms}) {
+            Refusals without;
+            Refusals with;
+            for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+                const auto requests = requestsOf(
+                    {{10s, 0.5}, {overload, 6}, {12s, 0.6}, {overload, 5}, {10s, 0.5}}, seed);
+                without += replayFleet(requests, false);
+                with += replayFleet(requests);
+            }
+            for (const auto &[name, result] :
+                 {std::pair("without", without), std::pair("with", with)}) {
+                std::printf("\n%4lld ms, %7s priorities: %zu requests, refused %zu %zu %zu, %.2f "
+                            "million units granted",
+                            static_cast<long long>(overload / 1ms), name, result.requests,
+                            result.refusedByPriority[0], result.refusedByPriority[1],
+                            result.refusedByPriority[2], result.grantedUnits / 1e6);
+            }
+            CPPUNIT_ASSERT(with.refusedByPriority[0] * 4 <= without.refusedByPriority[0] * 3);
+            CPPUNIT_ASSERT(with.grantedUnits >= without.grantedUnits);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuotaReplayTest);
