--- a/tests/dispatch/organisationstest.cpp
+++ b/tests/dispatch/organisationstest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(revokedKeyKeepsRunningRequest);
     CPPUNIT_TEST(overQuotaIsRejectedBeforeAnyCall);
     CPPUNIT_TEST(keeperDecidesCloseToTheQuota);
+    CPPUNIT_TEST(queriesAndRefusalsStateThePriority);
     CPPUNIT_TEST(silentKeeperDoesNotDelayRequests);
     CPPUNIT_TEST(unusedQuotaIsReturned);
     CPPUNIT_TEST(uncountedQuotaIsNotReturned);
@@ -185,6 +186,30 @@
         CPPUNIT_ASSERT(!harness.hasCalls());
     }
 
+    // Guards against a keeper that cannot reserve units for urgent requests, and against a refusal
+    // whose log line does not explain it.
+    void queriesAndRefusalsStateThePriority()
+    {
+        DispatcherHarness harness(MostAge);
+        Organisation one = organisation("o1", "k1", smallQuota());
+        one.priority = 2;
+        harness.useRoutes(Repetition::AtMostOnce, {one});
+        harness.addServer("w1");
+        receiveKeeperMessage(harness, 0, {OrganisationName("o1")});
+        harness.arriveWithKey(10, "plain", "k1", 1s);
+        const auto query = std::get<quotas::QuotaQuery>(harness.takeKeeperMessages().front());
+        CPPUNIT_ASSERT(query.priority == 2U);
+        harness.reduce(13,
+                       QuotaKeeperAnswered {quotas::QuotaAnswer {query.queryId, false, 2s,
+                                                                 quotas::QuotaState {9, 10, 1, 3s}},
+                                            keeperLife().incarnation});
+        const auto lines = harness.logLines("request_end");
+        CPPUNIT_ASSERT(!lines.empty());
+        CPPUNIT_ASSERT(lines.back().find("priority=2 used=9.000000 limit=10.000000 "
+                                         "reserve=1.000000 record_age_ms=3000")
+                       != std::string::npos);
+    }
+
     // The keeper fails while a request waits for it. The request must be decided by the node's own
     // share.
     void silentKeeperDoesNotDelayRequests()
