--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -119,7 +119,8 @@
 
     std::uint32_t refusedPermits = 0; ///< Refusals because of servers' rate limits.
 
-    double quotaUnits = 0; ///< Units that the keeper has counted against the organisation.
+    double askedQuotaUnits = 0; ///< Units of the organisation's quota that the request needs.
+    double quotaUnits = 0;      ///< Units that the keeper has counted against the organisation.
 
     slots::SlotClaimId slotClaim; ///< Claim of a slot at a plain server; none without one.
 
@@ -190,6 +191,7 @@
     {
         OrganisationName organisation;
         double units = 0;
+        std::uint32_t priority = 0;
     };
     std::vector<UnusedQuota> takeUnusedQuota() { return std::exchange(m_unusedQuota, {}); }
 
--- a/tests/edge/edgemetricstest.cpp
+++ b/tests/edge/edgemetricstest.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(countsRequestsByOutcome);
     CPPUNIT_TEST(formatsLoadOfOrganisations);
     CPPUNIT_TEST(countsByOrganisationUpToALimit);
+    CPPUNIT_TEST(countsQuotaUnitsByPriority);
     CPPUNIT_TEST(histogramBucketsAreCumulative);
     CPPUNIT_TEST(formatsGaugesOfServers);
     CPPUNIT_TEST_SUITE_END();
@@ -74,6 +75,25 @@
                "indigoway_plain_server_held{server=\"b@1\"} 4.5\n");
     }
 
+    // Guards against units whose priority or refusal does not show.
+    void countsQuotaUnitsByPriority()
+    {
+        EdgeMetrics metrics;
+        RequestEnded ended;
+        metrics.add(ended);
+        CPPUNIT_ASSERT(metrics.prometheusText({}).find("quota_units") == std::string::npos);
+        ended.quotaUnits = 1500;
+        ended.priority = 2;
+        metrics.add(ended);
+        ended.outcome = RequestOutcome::OverQuota;
+        ended.priority = 900;
+        metrics.add(ended);
+        metrics.add(ended);
+        const std::string text = metrics.prometheusText({});
+        expect(text, "indigoway_quota_units_total{priority=\"2\",outcome=\"used\"} 1500\n");
+        expect(text, "indigoway_quota_units_total{priority=\"7\",outcome=\"refused\"} 3000\n");
+    }
+
     void histogramBucketsAreCumulative()
     {
         EdgeMetrics metrics;
