StateSync: take the clocks and the calls to peers as dependencies

Cause: StateSync read the system clocks and called HttpClient itself, so that only a copy of its logic could be replayed in virtual time (tests/edge/firstcopyreplaytest). Change: the clocks and the start of a call to a peer are dependencies; EdgeNode owns the timer.

--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -70,7 +70,7 @@
     , m_roster(makeNodeEntry(m_settings))
     , m_dispatcher(makeDispatchSettings(m_settings), steadyNow())
     , m_relay(base, m_dispatcher, *m_adapters.dialect, std::random_device {}())
-    , m_sync(base, *m_adapters.store, client, syncDependencies(*this, m_adapters.layout),
+    , m_sync(*m_adapters.store, syncDependencies(*this, client, m_adapters.layout),
              m_settings.node.text() + "/" + std::to_string(m_incarnation.value()),
              std::random_device {}())
     , m_scheduling(base, {m_settings.node, m_incarnation}, schedulingDependencies(*this))
@@ -83,6 +83,10 @@
     , m_timer(event_new(
           base, -1, EV_PERSIST,
           [](evutil_socket_t, short, void *self) { static_cast<EdgeNode *>(self)->tick(); }, this))
+    , m_syncTimer(event_new(
+          base, -1, EV_PERSIST,
+          [](evutil_socket_t, short, void *self) { static_cast<EdgeNode *>(self)->m_sync.tick(); },
+          this))
     , m_random(std::random_device {}())
     , m_suspendedTime(suspendedTime())
 {
@@ -129,6 +133,8 @@
             {"domain", m_settings.domain.text()}});
     event_add(m_timer.get(), &TickInterval);
     m_roster.setSelf(makeNodeEntry(m_settings));
+    const timeval syncInterval {0, static_cast<suseconds_t>(StateSync::TickInterval.count())};
+    event_add(m_syncTimer.get(), &syncInterval);
     m_sync.start(makeNodeEntry(m_settings));
     return true;
 }
@@ -175,7 +181,8 @@
     return m_roster.callerAddresses(steadyNow(), maxCount, m_random());
 }
 
-StateSync::Dependencies EdgeNode::syncDependencies(EdgeNode &node, const StoreLayout &layout)
+StateSync::Dependencies EdgeNode::syncDependencies(EdgeNode &node, HttpClient &client,
+                                                   const StoreLayout &layout)
 {
     StateSync::Dependencies dependencies;
     dependencies.self = makeNodeEntry(node.m_settings);
@@ -183,8 +190,11 @@
         node.record(kind, {{"detail", detail}});
     };
     dependencies.storeWriter = {layout.nodesPrefix + node.m_settings.node.text(),
-                                layout.ordersLeaderKey, layout.ordersRecordKey,
-                                layout.crashesPrefix, dependencies.record};
+                                layout.ordersLeaderKey,
+                                layout.ordersRecordKey,
+                                layout.crashesPrefix,
+                                dependencies.record,
+                                steadyNow};
     dependencies.maxCopyAge = maxCopyAge(node.m_settings);
     dependencies.itemChanged = [&node](const std::string &key, const StoredItem *item) {
         node.handleStoreChange(key, item);
@@ -204,6 +214,11 @@
         return node.m_scheduler && node.m_scheduler->name == node.m_settings.node;
     };
     dependencies.linkBytesPerSecond = node.m_settings.linkBytesPerSecond;
+    dependencies.startPeerCall = [&client](HttpCall call, HttpClient::DoneHandler done) {
+        client.start(std::move(call), std::move(done));
+    };
+    dependencies.now = steadyNow;
+    dependencies.bootNow = BootClock::now;
     dependencies.replyToPeer = [&node](ExchangeNumber exchange, const std::string &body) {
         constexpr int Ok = 200;
         constexpr int ServiceUnavailable = 503;
--- a/src/edge/edgenode.h
+++ b/src/edge/edgenode.h
@@ -70,7 +70,8 @@
     Duration nodeListTtl() const { return m_settings.nodeListTtl; }
 
 private:
-    static StateSync::Dependencies syncDependencies(EdgeNode &node, const StoreLayout &layout);
+    static StateSync::Dependencies syncDependencies(EdgeNode &node, HttpClient &client,
+                                                    const StoreLayout &layout);
     static SchedulingEndpoint::Dependencies schedulingDependencies(EdgeNode &node);
     void updateScheduler(TimePoint now);
     void handleStoreChange(const std::string &key, const StoredItem *item);
@@ -114,6 +115,7 @@
     HttpServer m_controlServer;
     HttpServer m_metricsServer;
     EventHandle m_timer;
+    EventHandle m_syncTimer;
     std::mt19937_64 m_random;
     std::optional<NodeEntry> m_scheduler; ///< The node that schedules the engines.
     std::optional<TimePoint> m_leavingSince;
--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -1,7 +1,5 @@
 #include "statesync.h"
 
-#include <event2/event.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -19,7 +17,6 @@
 constexpr Duration FailoverGracePeriod = std::chrono::milliseconds(250);
 /** Name in logs of the store as upstream. */
 constexpr char StoreName[] = "store";
-constexpr timeval TickInterval {0, 50'000};
 // Proofs and held polls per maximum copy age. About half of the age remains for a failover: the
 // timeout of a silent peer and the request to the next one.
 constexpr int ProofsPerMaxAge = 3;
@@ -27,22 +24,12 @@
 /** Short, since requests with API keys are rejected without a recent proof. */
 constexpr Duration ProofRetryDelay = std::chrono::milliseconds(300);
 
-TimePoint steadyNow()
-{
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
 } // namespace
 
-StateSync::StateSync(event_base *base, KeyValueStore &store, HttpClient &client,
-                     Dependencies dependencies, std::string incarnationId,
+StateSync::StateSync(KeyValueStore &store, Dependencies dependencies, std::string incarnationId,
                      std::uint64_t randomOffset)
     : m_store(store)
-    , m_client(client)
     , m_dependencies(std::move(dependencies))
-    , m_timer(event_new(
-          base, -1, EV_PERSIST,
-          [](evutil_socket_t, short, void *self) { static_cast<StateSync *>(self)->tick(); }, this))
     , m_mirror({},
                [this](const std::string &key, const StoredItem *item, std::uint64_t revision) {
                    handleChange(key, item, revision);
@@ -56,8 +43,7 @@
 {
     m_dependencies.self = self;
     m_storeWriter.setSelf(self);
-    m_failoverUntil = steadyNow() + FailoverGracePeriod;
-    event_add(m_timer.get(), &TickInterval);
+    m_failoverUntil = m_dependencies.now() + FailoverGracePeriod;
     tick();
 }
 
@@ -93,29 +79,30 @@
 void StateSync::handlePeerPoll(ExchangeNumber exchange, std::uint64_t revision,
                                const std::string &control)
 {
-    m_responder.addPoll(exchange, revision, control, steadyNow(), BootClock::now());
+    m_responder.addPoll(exchange, revision, control, m_dependencies.now(),
+                        m_dependencies.bootNow());
     sendDueReplies();
 }
 
 void StateSync::sendDueReplies()
 {
-    const TimePoint now = steadyNow();
+    const TimePoint now = m_dependencies.now();
     const bool mayBecomeCurrent = m_isCurrent || now < m_failoverUntil;
     for (const MirrorResponder::Reply &one :
-         m_responder.takeDueReplies(now, BootClock::now(), m_isCurrent, mayBecomeCurrent)) {
+         m_responder.takeDueReplies(now, m_dependencies.bootNow(), m_isCurrent, mayBecomeCurrent)) {
         m_dependencies.replyToPeer(one.exchange, one.body);
     }
 }
 
 void StateSync::handleChange(const std::string &key, const StoredItem *item, std::uint64_t revision)
 {
-    m_storeWriter.handleChange(key, item ? &item->value : nullptr, revision, steadyNow());
+    m_storeWriter.handleChange(key, item ? &item->value : nullptr, revision, m_dependencies.now());
     m_dependencies.itemChanged(key, item);
 }
 
 void StateSync::startNextMirrorCall()
 {
-    const TimePoint now = steadyNow();
+    const TimePoint now = m_dependencies.now();
     if (m_mirror.isBusy(now)) {
         return;
     }
@@ -144,7 +131,7 @@
     if (const auto *list = std::get_if<ListCall>(&call)) {
         ++m_callCounts.lists;
         if (list->after.empty()) {
-            m_listingStartedAt = BootClock::now();
+            m_listingStartedAt = m_dependencies.bootNow();
         }
         m_store.list(
             m_mirror.prefix(), list->after, [this, upstream, generation](const auto &result) {
@@ -175,7 +162,7 @@
                           handleCallFailure(upstream, *fault);
                           return;
                       }
-                      m_mirror.applyWatch(steadyNow(), std::get<StoredChanges>(result));
+                      m_mirror.applyWatch(m_dependencies.now(), std::get<StoredChanges>(result));
                       m_responder.addStoreUpdates(m_mirror);
                       handleCallSuccess(upstream);
                   });
@@ -190,24 +177,24 @@
         + "&from=" + m_dependencies.self.controlAddress;
     call.timeout = m_mirror.isLoaded() ? PeerTimeout : FullCopyTimeout;
     call.traffic = Traffic::Peers;
-    const BootTime askedAt = BootClock::now();
-    m_client.start(std::move(call),
-                   [this, upstream, generation, askedAt](const HttpAnswer &answer) {
-                       if (generation != m_mirror.generation()) {
-                           return;
-                       }
-                       constexpr int Ok = 200;
-                       if (answer.end != HttpAnswer::End::Complete || answer.status != Ok) {
-                           handleCallFailure(upstream, StoreError::Unanswered);
-                           return;
-                       }
-                       const auto response = decodeResponse(answer.body);
-                       if (!response) {
-                           handleCallFailure(upstream, StoreError::Refused);
-                           return;
-                       }
-                       handlePeerResponse(upstream, askedAt, *response);
-                   });
+    const BootTime askedAt = m_dependencies.bootNow();
+    m_dependencies.startPeerCall(
+        std::move(call), [this, upstream, generation, askedAt](const HttpAnswer &answer) {
+            if (generation != m_mirror.generation()) {
+                return;
+            }
+            constexpr int Ok = 200;
+            if (answer.end != HttpAnswer::End::Complete || answer.status != Ok) {
+                handleCallFailure(upstream, StoreError::Unanswered);
+                return;
+            }
+            const auto response = decodeResponse(answer.body);
+            if (!response) {
+                handleCallFailure(upstream, StoreError::Refused);
+                return;
+            }
+            handlePeerResponse(upstream, askedAt, *response);
+        });
 }
 
 void StateSync::handlePeerResponse(const Upstream &upstream, BootTime askedAt,
@@ -222,12 +209,12 @@
     m_mirror.completePeerCall();
     if (!m_mirror.isLoaded()) {
         // The peer is too busy to send a full copy, which is no failure.
-        m_upstreamChoice.handleReferral(steadyNow(), upstream, response.alternativePeers);
+        m_upstreamChoice.handleReferral(m_dependencies.now(), upstream, response.alternativePeers);
         startNextMirrorCall();
         return;
     }
     if (response.age) {
-        m_proof.peerAnswered(askedAt, BootClock::now(), response.heldFor, *response.age);
+        m_proof.peerAnswered(askedAt, m_dependencies.bootNow(), response.heldFor, *response.age);
     }
     handleCallSuccess(upstream);
 }
@@ -249,7 +236,7 @@
     m_proof.copyAdvanced(m_mirror.asOf());
     if (!m_isCurrent) {
         m_isCurrent = true;
-        m_storeWriter.handleStoreRecovery(steadyNow());
+        m_storeWriter.handleStoreRecovery(m_dependencies.now());
         m_dependencies.record("store_copy_current",
                               "from=" + m_upstreamName
                                   + " as_of=" + std::to_string(m_mirror.asOf()));
@@ -260,13 +247,13 @@
 
 void StateSync::handleCallFailure(const Upstream &upstream, StoreError fault)
 {
-    m_mirror.callFailed(steadyNow(), fault);
+    m_mirror.callFailed(m_dependencies.now(), fault);
     if (fault == StoreError::HistoryGone) {
         m_upstreamChoice.reportSuccess(upstream);
     } else {
-        m_upstreamChoice.reportFailure(steadyNow(), upstream);
+        m_upstreamChoice.reportFailure(m_dependencies.now(), upstream);
         if (std::exchange(m_isCurrent, false)) {
-            m_failoverUntil = steadyNow() + FailoverGracePeriod;
+            m_failoverUntil = m_dependencies.now() + FailoverGracePeriod;
         }
         updateStoreWriter();
         sendDueReplies();
@@ -279,7 +266,7 @@
 
 void StateSync::startDueProof()
 {
-    const TimePoint now = steadyNow();
+    const TimePoint now = m_dependencies.now();
     const bool followsStore = m_isCurrent && m_upstreamName == StoreName;
     if (!m_dependencies.maxCopyAge || !followsStore || m_isProofPending || now < m_nextProofAt) {
         return;
@@ -289,13 +276,13 @@
     ++m_callCounts.proofs;
     // Every response has the store's revision; listing one small item is the cheapest call.
     m_store.list(m_dependencies.storeWriter.ordersLeaderKey, {},
-                 [this, interval, askedAt = BootClock::now()](const auto &result) {
+                 [this, interval, askedAt = m_dependencies.bootNow()](const auto &result) {
                      m_isProofPending = false;
                      if (const auto *page = std::get_if<StoredPage>(&result)) {
                          m_proof.revisionRead(askedAt, page->asOf, m_mirror.asOf());
-                         m_nextProofAt = steadyNow() + interval;
+                         m_nextProofAt = m_dependencies.now() + interval;
                      } else {
-                         m_nextProofAt = steadyNow() + std::min(ProofRetryDelay, interval);
+                         m_nextProofAt = m_dependencies.now() + std::min(ProofRetryDelay, interval);
                          m_dependencies.record("copy_not_proven",
                                                nameOf(std::get<StoreError>(result)));
                      }
--- a/src/edge/statesync.h
+++ b/src/edge/statesync.h
@@ -3,7 +3,6 @@
 #include "edge/mirrorresponder.h"
 #include "edge/storewriter.h"
 #include "fleet/upstreamselector.h"
-#include "http/eventbase.h"
 #include "http/httpclient.h"
 #include "http/httpserver.h"
 #include "store/mirror.h"
@@ -38,19 +37,28 @@
         /** Whether other nodes depend on this one, so that its failure must be detected soon. */
         std::function<bool()> needsShortLease;
         double linkBytesPerSecond = 0;
+        /** Starts a call to another node; the handler is called once, after this has returned. */
+        std::function<void(HttpCall, HttpClient::DoneHandler)> startPeerCall;
         /** Sends a response to a polling node; 503 if the body is empty. */
         std::function<void(ExchangeNumber, const std::string &)> replyToPeer;
+        std::function<TimePoint()> now;    ///< Returns the present time.
+        std::function<BootTime()> bootNow; ///< Returns the present time, suspensions included.
     };
 
+    /** How often the owner calls tick(). */
+    static constexpr Duration TickInterval = std::chrono::milliseconds(50);
+
     /**
      * @param incarnationId Identifies this run of the process; unique over all nodes.
      * @param randomOffset Spreads the nodes over the possible upstreams.
      */
-    StateSync(event_base *base, KeyValueStore &store, HttpClient &client, Dependencies dependencies,
-              std::string incarnationId, std::uint64_t randomOffset);
+    StateSync(KeyValueStore &store, Dependencies dependencies, std::string incarnationId,
+              std::uint64_t randomOffset);
 
     /** @param self The entry to announce, with the bound addresses. */
     void start(const NodeEntry &self);
+    /** Starts the calls and sends the replies that are due. */
+    void tick();
     /** Returns whether there is a full copy of the store. */
     bool isKnown() const { return m_mirror.isLoaded(); }
     std::uint64_t asOf() const { return m_mirror.asOf(); }
@@ -70,7 +78,6 @@
     const StoreCallCounts &storeCallCounts() const { return m_callCounts; }
 
 private:
-    void tick();
     /** Starts a call for changes to the store or a peer, unless one is under way. */
     void startNextMirrorCall();
     void requestFromStore(const Upstream &upstream);
@@ -92,9 +99,7 @@
     void recordUpstreamChange(const Upstream &upstream);
 
     KeyValueStore &m_store;
-    HttpClient &m_client;
     Dependencies m_dependencies;
-    EventHandle m_timer;
     Mirror m_mirror;
     StalenessBound m_proof;
     MirrorResponder m_responder;
--- a/src/edge/storewriter.cpp
+++ b/src/edge/storewriter.cpp
@@ -2,15 +2,6 @@
 
 namespace indigoway {
 
-namespace {
-
-TimePoint steadyNow()
-{
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
-} // namespace
-
 StoreWriter::StoreWriter(KeyValueStore &store, StoreCallCounts &counts, Dependencies dependencies,
                          std::string incarnationId)
     : m_store(store)
@@ -79,7 +70,7 @@
 void StoreWriter::startAnnouncerCall()
 {
     m_announcer.setTargetLifetime(m_status.leaseLifetime);
-    const auto call = m_announcer.nextCall(steadyNow());
+    const auto call = m_announcer.nextCall(m_dependencies.now());
     if (!call) {
         return;
     }
@@ -87,9 +78,9 @@
         ++m_callCounts.leases;
         m_store.grantLease(grant->lifetime, [this](const auto &result) {
             if (const auto *fault = std::get_if<StoreError>(&result)) {
-                m_announcer.callFailed(steadyNow(), *fault);
+                m_announcer.callFailed(m_dependencies.now(), *fault);
             } else {
-                m_announcer.leaseGranted(steadyNow(), std::get<GrantedLease>(result));
+                m_announcer.leaseGranted(m_dependencies.now(), std::get<GrantedLease>(result));
             }
             startAnnouncerCall();
         });
@@ -99,7 +90,7 @@
         ++m_callCounts.writes;
         m_store.commit(commit, [this](const auto &result) {
             if (handleAnnouncementResult(result)) {
-                m_announcer.entryWritten(steadyNow());
+                m_announcer.entryWritten(m_dependencies.now());
             }
             startAnnouncerCall();
         });
@@ -107,7 +98,7 @@
         ++m_callCounts.renewals;
         m_store.renewLease(std::get<RenewLeaseCall>(*call).lease, [this](const auto &result) {
             if (handleAnnouncementResult(result)) {
-                m_announcer.leaseRenewed(steadyNow());
+                m_announcer.leaseRenewed(m_dependencies.now());
             }
             startAnnouncerCall();
         });
@@ -120,7 +111,7 @@
     if (!fault) {
         return true;
     }
-    m_announcer.callFailed(steadyNow(), *fault);
+    m_announcer.callFailed(m_dependencies.now(), *fault);
     m_dependencies.record("entry_not_kept", nameOf(*fault));
     return false;
 }
@@ -129,7 +120,7 @@
 {
     const bool mayAsk = m_status.isCurrent && m_status.isWatcher && m_announcer.isAnnounced()
         && !m_announcer.lease().isNone();
-    if (!mayAsk || !m_leadership.shouldAcquire(steadyNow())) {
+    if (!mayAsk || !m_leadership.shouldAcquire(m_dependencies.now())) {
         return;
     }
     StoreCommit commit;
@@ -147,7 +138,7 @@
 
 void StoreWriter::prepareOrders()
 {
-    if (!m_status.isCurrent || !m_leadership.shouldWriteRecord(steadyNow())) {
+    if (!m_status.isCurrent || !m_leadership.shouldWriteRecord(m_dependencies.now())) {
         return;
     }
     StoreCommit commit;
@@ -165,7 +156,7 @@
 
 void StoreWriter::startPublisherCall()
 {
-    const auto call = m_publisher.nextCall(steadyNow());
+    const auto call = m_publisher.nextCall(m_dependencies.now());
     if (!call) {
         return;
     }
@@ -178,7 +169,7 @@
         if (const auto *fault = std::get_if<StoreError>(&result)) {
             handlePublishFailure(*fault);
         } else {
-            m_publisher.leaseGranted(steadyNow(), std::get<GrantedLease>(result).lease);
+            m_publisher.leaseGranted(m_dependencies.now(), std::get<GrantedLease>(result).lease);
         }
         startPublisherCall();
     });
@@ -196,7 +187,7 @@
         if (const auto *fault = std::get_if<StoreError>(&result)) {
             handlePublishFailure(*fault);
         } else {
-            m_publisher.notesWritten(steadyNow());
+            m_publisher.notesWritten(m_dependencies.now());
         }
         startPublisherCall();
     });
@@ -204,7 +195,7 @@
 
 void StoreWriter::handlePublishFailure(StoreError fault)
 {
-    m_publisher.callFailed(steadyNow(), fault);
+    m_publisher.callFailed(m_dependencies.now(), fault);
     m_dependencies.record("crash_not_shared",
                           std::string(nameOf(fault))
                               + " waiting=" + std::to_string(m_publisher.queuedCount()));
--- a/src/edge/storewriter.h
+++ b/src/edge/storewriter.h
@@ -27,6 +27,7 @@
         std::string ordersRecordKey;
         std::string crashesPrefix;
         RecordHandler record;
+        std::function<TimePoint()> now; ///< Returns the present time.
     };
 
     /** The state of this node that its calls to the store depend on. */
