Search for a source of the store's changes while the regular ones do not answer

Cause: a node whose better-ranked peers did not answer polled one after the other for 1.3 s each, asked the first again after 2 s, and never reached the store; after an outage of the store, nodes asked it again only 1 to 4 s later.

Change: a node without a source or a proof asks random peers and, at a random time, the store (SourceSearch). The sum of these calls of a domain is bounded without the nodes knowing of each other. A source that answers is adopted until it fails; a failed peer is followed again only after it has answered. Nodes pass on when the store last answered the node at the head of their chain (SourceContact), which keeps nodes from following each other or a chain of nodes that all lost the same source. Polls name their hold time, the timeout follows from it, and a node that waits is told at once that its source is current or proven again. Answers to nodes of earlier versions are as before.

--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -411,9 +411,7 @@
 {
     constexpr int NotFound = 404;
     if (request.path == "/v1/mirror") {
-        m_sync.handlePeerPoll(request.exchange,
-                              std::strtoull(request.parameter("after").c_str(), nullptr, 10),
-                              request.parameter("from"));
+        m_sync.handlePeerPoll(request);
     } else {
         m_controlServer.reply(request.exchange, NotFound, {}, "");
     }
@@ -448,6 +446,9 @@
         {"store_renewals", m_sync.storeCallCounts().renewals},
         {"store_writes", m_sync.storeCallCounts().writes},
         {"store_proofs", m_sync.storeCallCounts().proofs},
+        {"source_searches", m_sync.searchCounts().searches},
+        {"source_peer_calls", m_sync.searchCounts().peerCalls},
+        {"source_store_calls", m_sync.searchCounts().storeCalls},
         {"servers_known", m_dispatcher.servers().size()},
         {"nodes_known", m_roster.count(steadyNow())},
         {"scheduler_waiting", m_scheduling.scheduler().waiting()},
--- a/src/edge/mirrorcodec.cpp
+++ b/src/edge/mirrorcodec.cpp
@@ -26,7 +26,10 @@
     HeldFor,
     Blocks,
     AlternativePeers,
-    ResponseMembers
+    ResponseMembers,
+    IsCurrent = ResponseMembers, ///< Absent in responses of earlier versions.
+    ContactAge,
+    ResponseMembersNow
 };
 
 void packBytes(Packer &packer, std::string_view bytes)
@@ -35,6 +38,20 @@
     packer.pack_bin_body(bytes.data(), static_cast<std::uint32_t>(bytes.size()));
 }
 
+void packDuration(Packer &packer, const std::optional<Duration> &duration)
+{
+    if (duration) {
+        packer.pack(std::int64_t {duration->count()});
+    } else {
+        packer.pack_nil();
+    }
+}
+
+std::optional<Duration> readDuration(const msgpack::object &object)
+{
+    return object.is_nil() ? std::nullopt : std::optional(Duration(object.as<std::int64_t>()));
+}
+
 void packChange(Packer &packer, const StoredChange &change)
 {
     packer.pack_array(ChangeMembers);
@@ -136,7 +153,7 @@
         if (!members || members[0].as<std::uint32_t>() != Version) {
             return std::nullopt;
         }
-        return read(members);
+        return read(members, handle.get().via.array.size);
     } catch (const msgpack::unpack_error &) {
         return std::nullopt;
     } catch (const msgpack::type_error &) {
@@ -174,8 +191,8 @@
     if (!text) {
         return std::nullopt;
     }
-    auto news =
-        unpackMembers<MirrorUpdate>(*text, BlockMembers, [](const msgpack::object *members) {
+    auto news = unpackMembers<MirrorUpdate>(
+        *text, BlockMembers, [](const msgpack::object *members, std::uint32_t /*count*/) {
             return MirrorUpdate {members[After].as<std::uint64_t>(),
                                  members[AsOf].as<std::uint64_t>(), members[IsWhole].as<bool>(),
                                  readList<StoredChange>(members[Changes], readChange)};
@@ -187,13 +204,9 @@
 {
     msgpack::sbuffer buffer;
     Packer packer(buffer);
-    packer.pack_array(ResponseMembers);
+    packer.pack_array(response.isCurrent ? ResponseMembersNow : ResponseMembers);
     packer.pack(Version);
-    if (response.age) {
-        packer.pack(std::int64_t {response.age->count()});
-    } else {
-        packer.pack_nil();
-    }
+    packDuration(packer, response.age);
     packer.pack(std::int64_t {response.heldFor.count()});
     for (const auto *list : {&response.blocks, &response.alternativePeers}) {
         packer.pack_array(static_cast<std::uint32_t>(list->size()));
@@ -201,20 +214,26 @@
             packBytes(packer, one);
         }
     }
+    if (response.isCurrent) {
+        packer.pack(*response.isCurrent);
+        packDuration(packer, response.contactAge);
+    }
     return std::string(viewOf(buffer));
 }
 
 std::optional<MirrorResponse> decodeResponse(const std::string &bytes)
 {
     return unpackMembers<MirrorResponse>(
-        bytes, ResponseMembers, [](const msgpack::object *members) {
+        bytes, ResponseMembers, [](const msgpack::object *members, std::uint32_t count) {
             MirrorResponse response;
-            if (!members[Age].is_nil()) {
-                response.age = Duration(members[Age].as<std::int64_t>());
-            }
+            response.age = readDuration(members[Age]);
             response.heldFor = Duration(members[HeldFor].as<std::int64_t>());
             response.blocks = readList<std::string>(members[Blocks], readBytes);
             response.alternativePeers = readList<std::string>(members[AlternativePeers], readBytes);
+            if (count >= ResponseMembersNow) {
+                response.isCurrent = members[IsCurrent].as<bool>();
+                response.contactAge = readDuration(members[ContactAge]);
+            }
             return response;
         });
 }
--- a/src/edge/mirrorcodec.h
+++ b/src/edge/mirrorcodec.h
@@ -19,6 +19,13 @@
     Duration heldFor {}; ///< Time from the arrival of the poll to the response.
     /** Control addresses of nodes that may have a full copy, if this one is too busy to send it. */
     std::vector<std::string> alternativePeers = {};
+    /**
+     * Whether the sender receives changes and can pass them on; nothing if it does not say. A
+     * sender that says so also honours the hold time that a poll names.
+     */
+    std::optional<bool> isCurrent = {};
+    /** Time since the store answered the node from which the sender's changes come. */
+    std::optional<Duration> contactAge = {};
 };
 
 /**
--- a/src/edge/mirrorresponder.cpp
+++ b/src/edge/mirrorresponder.cpp
@@ -1,5 +1,7 @@
 #include "mirrorresponder.h"
 
+#include "fleet/upstreamselector.h"
+
 #include <algorithm>
 
 namespace indigoway {
@@ -8,21 +10,26 @@
 
 /** Maximum number of alternative peers in a response. */
 constexpr std::size_t MaxFollowers = 16;
+/** Polls in progress at which further nodes are sent to others, as in the regular tree. */
+constexpr std::size_t MaxPolls = UpstreamSelector::MaxChildren;
 
 } // namespace
 
 MirrorResponder::MirrorResponder(const Mirror &mirror, const StalenessBound &proof,
-                                 double linkBytesPerSecond, Duration maxHoldTime)
+                                 const SourceContact &contact, double linkBytesPerSecond,
+                                 Duration maxHoldTime)
     : m_mirror(mirror)
     , m_proof(proof)
+    , m_contact(contact)
     , m_maxHoldTime(maxHoldTime)
     , m_copyTurns(linkBytesPerSecond)
 { }
 
-void MirrorResponder::addPoll(ExchangeNumber exchange, std::uint64_t revision,
-                              const std::string &control, TimePoint now, BootTime arrivedAt)
+void MirrorResponder::addPoll(ExchangeNumber exchange, const Poll &poll, TimePoint now,
+                              BootTime arrivedAt, const Status &status)
 {
-    m_polls[exchange] = {revision, now + m_maxHoldTime, arrivedAt, control};
+    const Duration holdTime = std::min(poll.holdTime.value_or(m_maxHoldTime), m_maxHoldTime);
+    m_polls[exchange] = {poll, now + holdTime, arrivedAt, status};
 }
 
 void MirrorResponder::addStoreUpdates(Mirror &mirror)
@@ -35,35 +42,50 @@
 }
 
 std::vector<MirrorResponder::Reply> MirrorResponder::takeDueReplies(TimePoint now, BootTime bootNow,
-                                                                    bool isCurrent,
-                                                                    bool mayBecomeCurrent)
+                                                                    const Status &status)
 {
     std::vector<Reply> replies;
     for (auto it = m_polls.begin(); it != m_polls.end();) {
-        const LongPoll &poll = it->second;
-        const bool hasUpdate = hasUpdateFor(poll);
-        if (!hasUpdate && mayBecomeCurrent && now < poll.deadline) {
+        const LongPoll &waiting = it->second;
+        const bool isOldVersion = !waiting.poll.holdTime;
+        const bool hasUpdate = hasUpdateFor(waiting);
+        // Nodes that wait for this one to become current, or for a proof, must hear of it at once.
+        const bool isUnchanged = isOldVersion
+            ? status.mayBecomeCurrent
+            : status.mayBecomeCurrent == waiting.status.mayBecomeCurrent
+                && status.isProven == waiting.status.isProven;
+        const bool hasProof = waiting.poll.isWaiting && status.isCurrent && status.isProven;
+        if (!hasUpdate && !hasProof && isUnchanged && now < waiting.deadline) {
             ++it;
             continue;
         }
-        // A node that receives no changes sends an empty body: it cannot confirm that none exist.
+        // To a node of an earlier version, only an empty body says that this one is not current.
+        const bool canAnswer =
+            hasUpdate || status.isCurrent || (!isOldVersion && m_mirror.isLoaded());
         replies.push_back(
             {it->first,
-             hasUpdate || isCurrent ? buildResponse(poll, now, bootNow) : std::string()});
+             canAnswer ? buildResponse(waiting, now, bootNow, status.isCurrent) : std::string()});
         it = m_polls.erase(it);
     }
     return replies;
 }
 
-bool MirrorResponder::hasUpdateFor(const LongPoll &poll) const
+bool MirrorResponder::hasUpdateFor(const LongPoll &waiting) const
 {
-    return m_mirror.isLoaded() && m_mirror.asOf() > poll.revision;
+    return m_mirror.isLoaded() && m_mirror.asOf() > waiting.poll.revision;
 }
 
-std::string MirrorResponder::buildResponse(const LongPoll &poll, TimePoint now, BootTime bootNow)
+std::string MirrorResponder::buildResponse(const LongPoll &waiting, TimePoint now, BootTime bootNow,
+                                           bool isCurrent)
 {
+    const Poll &poll = waiting.poll;
     MirrorResponse response;
-    response.heldFor = bootNow - poll.arrivedAt;
+    response.heldFor = bootNow - waiting.arrivedAt;
+    if (poll.holdTime) {
+        const bool mayFollow = *poll.holdTime > Duration::zero() || m_polls.size() <= MaxPolls;
+        response.isCurrent = isCurrent && mayFollow;
+        response.contactAge = m_contact.age(bootNow);
+    }
     if (m_newsLog.needsSnapshot(poll.revision) && !m_copyTurns.mayStart(now)) {
         response.alternativePeers = {m_followers.begin(), m_followers.end()};
         return encodeResponse(response);
--- a/src/edge/mirrorresponder.h
+++ b/src/edge/mirrorresponder.h
@@ -4,6 +4,7 @@
 #include "http/httpserver.h"
 #include "store/mirror.h"
 #include "store/snapshotthrottle.h"
+#include "store/sourcecontact.h"
 #include "store/stalenessbound.h"
 #include "store/updatelog.h"
 
@@ -27,41 +28,62 @@
     };
 
     /** @param maxHoldTime How long a poll is held if there are no changes. */
-    MirrorResponder(const Mirror &mirror, const StalenessBound &proof, double linkBytesPerSecond,
-                    Duration maxHoldTime);
+    MirrorResponder(const Mirror &mirror, const StalenessBound &proof, const SourceContact &contact,
+                    double linkBytesPerSecond, Duration maxHoldTime);
 
-    /** Adds a poll of the node at @p control for changes after @p revision. */
-    void addPoll(ExchangeNumber exchange, std::uint64_t revision, const std::string &control,
-                 TimePoint now, BootTime arrivedAt);
+    /** A request for changes. */
+    struct Poll
+    {
+        std::uint64_t revision = 0; ///< Revision of the requesting node's copy.
+        std::string peer;           ///< Its control address.
+        /**
+         * How long to wait for changes. Nothing: the node is of an earlier version, is answered
+         * after the longest hold time, and reads an answer as proof that this node is current.
+         */
+        std::optional<Duration> holdTime = {};
+        /** Whether the requesting node waits for a source or a proof rather than for changes. */
+        bool isWaiting = false;
+    };
+
+    /** What this node can tell others about its copy. */
+    struct Status
+    {
+        bool isCurrent = false; ///< Whether this node receives the changes of the store.
+        /** Whether it does, or may shortly; if so, polls are held. */
+        bool mayBecomeCurrent = false;
+        bool isProven = false; ///< Whether there is a recent proof, or none is required.
+    };
+
+    void addPoll(ExchangeNumber exchange, const Poll &poll, TimePoint now, BootTime arrivedAt,
+                 const Status &status);
     void cancelPoll(ExchangeNumber exchange) { m_polls.erase(exchange); }
+    /** Returns true if other nodes wait for changes of this one. */
+    bool hasFollowers() const { return !m_polls.empty(); }
     /** Adds a block that another node has sent, as it came. */
     void addPeerUpdate(EncodedUpdate block) { m_newsLog.add(std::move(block)); }
     /** Adds what the store has sent the mirror. */
     void addStoreUpdates(Mirror &mirror);
-    /**
-     * Removes the polls that can be answered, and returns the replies to them.
-     * @param isCurrent Whether this node receives the changes of the store.
-     * @param mayBecomeCurrent Whether it does, or may shortly; if so, polls are held.
-     */
-    std::vector<Reply> takeDueReplies(TimePoint now, BootTime bootNow, bool isCurrent,
-                                      bool mayBecomeCurrent);
+    /** Removes the polls that can be answered, and returns the replies to them. */
+    std::vector<Reply> takeDueReplies(TimePoint now, BootTime bootNow, const Status &status);
 
 private:
     struct LongPoll
     {
-        std::uint64_t revision = 0;
+        Poll poll;
         TimePoint deadline {};
         BootTime arrivedAt {};
-        std::string peer; ///< Its control address.
+        Status status; ///< Status when the poll arrived.
     };
 
-    bool hasUpdateFor(const LongPoll &poll) const;
-    std::string buildResponse(const LongPoll &poll, TimePoint now, BootTime bootNow);
+    bool hasUpdateFor(const LongPoll &waiting) const;
+    std::string buildResponse(const LongPoll &waiting, TimePoint now, BootTime bootNow,
+                              bool isCurrent);
     /** Remembers a node that has, or is about to have, a full copy. */
     void rememberFollower(const std::string &control);
 
     const Mirror &m_mirror;
     const StalenessBound &m_proof;
+    const SourceContact &m_contact;
     Duration m_maxHoldTime;
     UpdateLog m_newsLog;
     SnapshotThrottle m_copyTurns;
--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -7,23 +7,35 @@
 
 namespace {
 
-/** How long a poll is held if there are no changes; bounds how long a dead connection is used. */
-constexpr Duration PollDuration = std::chrono::milliseconds(1000);
 constexpr Duration ProbeDuration = std::chrono::milliseconds(50);
-constexpr Duration PeerTimeout = PollDuration + std::chrono::milliseconds(300);
+/** For peers that may not honour the poll's hold time. */
+constexpr Duration PeerTimeout = syncdelays::WatchHold + syncdelays::PeerAnswerMargin;
+constexpr Duration CautiousPeriod = std::chrono::seconds(5);
 /** For a full copy, which may wait for others on the sender's link. */
 constexpr Duration FullCopyTimeout = std::chrono::milliseconds(4000);
 /** Time to find another upstream before the nodes that poll this one are sent away. */
 constexpr Duration FailoverGracePeriod = std::chrono::milliseconds(250);
+/** Query parameter of a poll: how many milliseconds it may be held if there are no changes. */
+constexpr char HoldParameter[] = "hold_ms";
+/** Query parameter of a poll by a node that has no source or no proof. */
+constexpr char WaitingParameter[] = "waiting";
 /** Name in logs of the store as upstream. */
 constexpr char StoreName[] = "store";
-// Proofs and held polls per maximum copy age. About half of the age remains for a failover: the
-// timeout of a silent peer and the request to the next one.
-constexpr int ProofsPerMaxAge = 3;
-constexpr int PollsPerMaxAge = 5;
+/** How often a watcher that follows a peer asks whether the store serves it again. */
+constexpr Duration StoreReviewInterval = std::chrono::milliseconds(1500);
 /** Short, since requests with API keys are rejected without a recent proof. */
 constexpr Duration ProofRetryDelay = std::chrono::milliseconds(300);
 
+/** Returns the time of the latest contact with the store that @p response states. */
+std::optional<BootTime> contactOf(const MirrorResponse &response, BootTime askedAt, BootTime now)
+{
+    if (!response.contactAge) {
+        return std::nullopt;
+    }
+    const Duration held = std::clamp(response.heldFor, Duration(0), Duration(now - askedAt));
+    return askedAt + held - std::max(*response.contactAge, Duration(0));
+}
+
 } // namespace
 
 StateSync::StateSync(KeyValueStore &store, Dependencies dependencies, std::string incarnationId,
@@ -34,8 +46,9 @@
                [this](const std::string &key, const StoredItem *item, std::uint64_t revision) {
                    handleChange(key, item, revision);
                })
-    , m_responder(m_mirror, m_proof, m_dependencies.linkBytesPerSecond, pollDuration())
+    , m_responder(m_mirror, m_proof, m_contact, m_dependencies.linkBytesPerSecond, pollDuration())
     , m_upstreamChoice(m_dependencies.self, randomOffset)
+    , m_search(randomOffset)
     , m_storeWriter(store, m_callCounts, m_dependencies.storeWriter, std::move(incarnationId))
 { }
 
@@ -57,6 +70,7 @@
 void StateSync::tick()
 {
     startNextMirrorCall();
+    startSearchCalls();
     startDueProof();
     updateStoreWriter();
     sendDueReplies();
@@ -76,20 +90,27 @@
     m_storeWriter.startDueCalls(status);
 }
 
-void StateSync::handlePeerPoll(ExchangeNumber exchange, std::uint64_t revision,
-                               const std::string &control)
+void StateSync::handlePeerPoll(const HttpRequest &request)
 {
-    m_responder.addPoll(exchange, revision, control, m_dependencies.now(),
-                        m_dependencies.bootNow());
+    const std::uint64_t revision = std::strtoull(request.parameter("after").c_str(), nullptr, 10);
+    MirrorResponder::Poll poll {revision, request.parameter("from")};
+    if (const std::string hold = request.parameter(HoldParameter); !hold.empty()) {
+        const auto wanted = std::strtoull(hold.c_str(), nullptr, 10);
+        const auto limit =
+            static_cast<std::uint64_t>(syncdelays::WatchHold / std::chrono::milliseconds(1));
+        poll.holdTime = std::chrono::milliseconds(std::min<std::uint64_t>(wanted, limit));
+        poll.isWaiting = !request.parameter(WaitingParameter).empty();
+    }
+    m_responder.addPoll(request.exchange, poll, m_dependencies.now(), m_dependencies.bootNow(),
+                        status());
     sendDueReplies();
 }
 
 void StateSync::sendDueReplies()
 {
     const TimePoint now = m_dependencies.now();
-    const bool mayBecomeCurrent = m_isCurrent || now < m_failoverUntil;
     for (const MirrorResponder::Reply &one :
-         m_responder.takeDueReplies(now, m_dependencies.bootNow(), m_isCurrent, mayBecomeCurrent)) {
+         m_responder.takeDueReplies(now, m_dependencies.bootNow(), status())) {
         m_dependencies.replyToPeer(one.exchange, one.body);
     }
 }
@@ -147,13 +168,13 @@
                 if (!m_mirror.isListing()) {
                     m_proof.revisionRead(m_listingStartedAt, m_mirror.asOf(), m_mirror.asOf());
                 }
-                handleCallSuccess(upstream);
+                handleCallSuccess(upstream, m_dependencies.bootNow());
             });
         return;
     }
     ++m_callCounts.watches;
     m_store.watch(m_mirror.prefix(), std::get<WatchCall>(call).revision,
-                  upstream.isProbe ? ProbeDuration : PollDuration,
+                  upstream.isProbe ? ProbeDuration : syncdelays::WatchHold,
                   [this, upstream, generation](const auto &result) {
                       if (generation != m_mirror.generation()) {
                           return;
@@ -164,19 +185,21 @@
                       }
                       m_mirror.applyWatch(m_dependencies.now(), std::get<StoredChanges>(result));
                       m_responder.addStoreUpdates(m_mirror);
-                      handleCallSuccess(upstream);
+                      handleCallSuccess(upstream, m_dependencies.bootNow());
                   });
 }
 
 void StateSync::requestFromPeer(const Upstream &upstream)
 {
     const std::uint64_t generation = m_mirror.generation();
-    HttpCall call;
-    call.address = *upstream.peer;
-    call.path = "/v1/mirror?after=" + std::to_string(m_mirror.beginPeerCall())
-        + "&from=" + m_dependencies.self.controlAddress;
-    call.timeout = m_mirror.isLoaded() ? PeerTimeout : FullCopyTimeout;
-    call.traffic = Traffic::Peers;
+    m_mirror.beginPeerCall();
+    HttpCall call = pollOf(*upstream.peer,
+                           m_mirror.isLoaded() ? std::optional(peerPollDuration()) : std::nullopt);
+    if (!m_mirror.isLoaded()) {
+        call.timeout = FullCopyTimeout;
+    } else if (m_holdingPeer != *upstream.peer) {
+        call.timeout = PeerTimeout;
+    }
     const BootTime askedAt = m_dependencies.bootNow();
     m_dependencies.startPeerCall(
         std::move(call), [this, upstream, generation, askedAt](const HttpAnswer &answer) {
@@ -216,7 +239,62 @@
     if (response.age) {
         m_proof.peerAnswered(askedAt, m_dependencies.bootNow(), response.heldFor, *response.age);
     }
-    handleCallSuccess(upstream);
+    if (response.isCurrent) {
+        m_holdingPeer = *upstream.peer;
+    }
+    const auto contact = contactOf(response, askedAt, m_dependencies.bootNow());
+    if (!canFollow(*upstream.peer, response, contact)) {
+        m_unfollowedPeer = response.isCurrent.value_or(false) ? *upstream.peer : "";
+        handleUnsettledPeer(upstream);
+        return;
+    }
+    handleCallSuccess(upstream, contact.value_or(askedAt));
+}
+
+void StateSync::handleUnsettledPeer(const Upstream &upstream)
+{
+    m_upstreamChoice.reportSuccess(upstream);
+    m_doesParentAnswer = m_upstreamChoice.mayFollow(*upstream.peer, m_dependencies.roster());
+    m_proof.copyAdvanced(m_mirror.asOf());
+    if (m_upstreamChoice.hasAdoptedPeer()) {
+        m_upstreamChoice.releaseAdopted();
+    }
+    loseCurrency();
+    startNextMirrorCall();
+}
+
+bool StateSync::canFollow(const std::string &peer, const MirrorResponse &response,
+                          std::optional<BootTime> contact) const
+{
+    if (!response.isCurrent) {
+        return m_upstreamChoice.mayFollow(peer, m_dependencies.roster());
+    }
+    const bool isKnown = m_isCurrent
+        && (peer == m_followedPeer || m_upstreamChoice.mayFollow(peer, m_dependencies.roster()));
+    return *response.isCurrent && (isKnown || (contact && m_contact.isNewer(*contact)));
+}
+
+HttpCall StateSync::pollOf(const std::string &peer, std::optional<Duration> hold) const
+{
+    HttpCall call;
+    call.address = peer;
+    call.path = "/v1/mirror?after=" + std::to_string(m_mirror.asOf())
+        + "&from=" + m_dependencies.self.controlAddress;
+    if (hold) {
+        call.path += std::string("&") + HoldParameter + "="
+            + std::to_string(*hold / std::chrono::milliseconds(1));
+        // A peer that is current, but cannot be followed yet, would answer again at once.
+        const bool isWaiting = (!m_isCurrent && peer != m_unfollowedPeer)
+            || isCopyOlderThan(syncdelays::SearchAgeRatio);
+        if (isWaiting) {
+            call.path += std::string("&") + WaitingParameter + "=1";
+        }
+        const bool isCautious = m_dependencies.now() < m_cautiousUntil;
+        call.timeout =
+            *hold + (isCautious ? syncdelays::CautiousAnswerMargin : syncdelays::PeerAnswerMargin);
+    }
+    call.traffic = Traffic::Peers;
+    return call;
 }
 
 bool StateSync::applyBlock(const std::string &bytes)
@@ -230,19 +308,54 @@
     return true;
 }
 
-void StateSync::handleCallSuccess(const Upstream &upstream)
+void StateSync::handleCallSuccess(const Upstream &upstream, BootTime contact)
 {
     m_upstreamChoice.reportSuccess(upstream);
     m_proof.copyAdvanced(m_mirror.asOf());
-    if (!m_isCurrent) {
-        m_isCurrent = true;
+    m_followedPeer = upstream.peer.value_or("");
+    becomeCurrent();
+    if (const auto better = reviewSource(upstream)) {
+        askPeer(*better, contact);
+    } else {
+        m_contact.advanceTo(contact);
+    }
+    sendDueReplies();
+    startNextMirrorCall();
+}
+
+void StateSync::becomeCurrent()
+{
+    if (!std::exchange(m_isCurrent, true)) {
         m_storeWriter.handleStoreRecovery(m_dependencies.now());
         m_dependencies.record("store_copy_current",
                               "from=" + m_upstreamName
                                   + " as_of=" + std::to_string(m_mirror.asOf()));
     }
+}
+
+void StateSync::loseCurrency()
+{
+    const TimePoint now = m_dependencies.now();
+    m_cautiousUntil = now + CautiousPeriod;
+    if (std::exchange(m_isCurrent, false)) {
+        m_contact.sourceLost(m_dependencies.bootNow());
+        m_unfollowedPeer.clear();
+        m_failoverUntil = now + FailoverGracePeriod;
+    }
+    updateStoreWriter();
     sendDueReplies();
-    startNextMirrorCall();
+}
+
+MirrorResponder::Status StateSync::status() const
+{
+    return {m_isCurrent, m_isCurrent || m_dependencies.now() < m_failoverUntil,
+            !isCopyOlderThan(syncdelays::ProvenAgeRatio)};
+}
+
+bool StateSync::isCopyOlderThan(double ratio) const
+{
+    const auto age = m_proof.age(m_dependencies.bootNow());
+    return m_dependencies.maxCopyAge && (!age || *age > *m_dependencies.maxCopyAge * ratio);
 }
 
 void StateSync::handleCallFailure(const Upstream &upstream, StoreError fault)
@@ -252,11 +365,8 @@
         m_upstreamChoice.reportSuccess(upstream);
     } else {
         m_upstreamChoice.reportFailure(m_dependencies.now(), upstream);
-        if (std::exchange(m_isCurrent, false)) {
-            m_failoverUntil = m_dependencies.now() + FailoverGracePeriod;
-        }
-        updateStoreWriter();
-        sendDueReplies();
+        m_doesParentAnswer = false;
+        loseCurrency();
     }
     m_dependencies.record("store_copy_call_failed",
                           "from=" + m_upstreamName + " fault=" + nameOf(fault)
@@ -264,6 +374,190 @@
     startNextMirrorCall();
 }
 
+void StateSync::startSearchCalls()
+{
+    if (!m_mirror.isLoaded()) {
+        return; // The first copy has its own way, see UpstreamSelector::chooseForSnapshot().
+    }
+    const TimePoint now = m_dependencies.now();
+    const NodeDirectory &roster = m_dependencies.roster();
+    const auto contactAge = m_contact.age(m_dependencies.bootNow());
+    if (m_isCurrent && contactAge && *contactAge > syncdelays::MaxContactAge) {
+        m_upstreamChoice.releaseAdopted();
+        loseCurrency();
+    }
+    SourceSearch::Situation situation;
+    situation.needsSource = !m_isCurrent || isCopyOlderThan(syncdelays::SearchAgeRatio);
+    if (situation.needsSource) {
+        situation.isDeputy = m_upstreamChoice.isDeputy(now, roster);
+        situation.doesParentAnswer = m_doesParentAnswer;
+        situation.domainNodes = roster.nodesInDomain(m_dependencies.self.domain).size();
+    }
+    const auto searchedFor = m_search.elapsed(now);
+    const SourceSearch::Step step = m_search.next(now, situation);
+    recordSearch(searchedFor, situation);
+    if (step.asksStore) {
+        ++m_searchCounts.storeCalls;
+        askStoreForRevision();
+    }
+    for (int i = 0; i < step.peersToAsk; ++i) {
+        const auto peer = m_upstreamChoice.choosePeerToAsk(now, roster, m_search.randomNumber());
+        if (peer) {
+            ++m_searchCounts.peerCalls;
+            askPeer(*peer);
+        }
+    }
+}
+
+void StateSync::recordSearch(std::optional<Duration> searchedFor,
+                             const SourceSearch::Situation &situation)
+{
+    const auto text = [](std::optional<Duration> duration) {
+        return duration ? std::to_string(*duration / std::chrono::milliseconds(1)) : "-";
+    };
+    if (searchedFor && !situation.needsSource) {
+        m_dependencies.record("source_found",
+                              "from=" + m_upstreamName + " after_ms=" + text(searchedFor));
+    } else if (!searchedFor && situation.needsSource) {
+        ++m_searchCounts.searches;
+        const BootTime now = m_dependencies.bootNow();
+        m_dependencies.record("source_search",
+                              std::string("reason=") + (m_isCurrent ? "no_proof" : "no_source")
+                                  + " copy_age_ms=" + text(m_proof.age(now))
+                                  + " contact_age_ms=" + text(m_contact.age(now))
+                                  + " deputy=" + (situation.isDeputy ? "1" : "0")
+                                  + " domain_nodes=" + std::to_string(situation.domainNodes));
+    }
+}
+
+void StateSync::askStoreForRevision()
+{
+    ++m_callCounts.proofs;
+    m_store.list(m_dependencies.storeWriter.ordersLeaderKey, {},
+                 [this, askedAt = m_dependencies.bootNow()](const auto &result) {
+                     const auto *page = std::get_if<StoredPage>(&result);
+                     if (!page) {
+                         return;
+                     }
+                     m_proof.revisionRead(askedAt, page->asOf, m_mirror.asOf());
+                     const bool isWatcher = m_upstreamChoice.isWatcher(m_dependencies.roster());
+                     if (m_isCurrent && (!isWatcher || m_followedPeer.empty())) {
+                         return;
+                     }
+                     m_upstreamChoice.reportSuccess({std::nullopt, false});
+                     adopt({std::nullopt, false});
+                     m_contact.advanceTo(m_dependencies.bootNow());
+                     setNextProof();
+                     if (m_mirror.asOf() >= page->asOf) {
+                         m_followedPeer.clear();
+                         becomeCurrent();
+                         sendDueReplies();
+                     }
+                 });
+}
+
+void StateSync::askPeer(const std::string &peer, std::optional<BootTime> withheld)
+{
+    HttpCall call = pollOf(peer, Duration::zero());
+    call.timeout = SourceSearch::AnswerTimeout;
+    m_dependencies.startPeerCall(
+        std::move(call),
+        [this, peer, withheld, askedAt = m_dependencies.bootNow()](const HttpAnswer &answer) {
+            const auto response = answer.end == HttpAnswer::End::Complete
+                ? decodeResponse(answer.body)
+                : std::nullopt;
+            if (!response) {
+                m_upstreamChoice.reportSilentPeer(m_dependencies.now(), peer);
+            } else if (handleSearchResponse(peer, askedAt, *response)) {
+                return; // A contact of the previous source would let nodes close a cycle.
+            }
+            const auto age = m_contact.age(m_dependencies.bootNow());
+            const bool mayWait = response && response->isCurrent.value_or(false);
+            if (withheld && m_isCurrent
+                && (!mayWait || !age || *age > syncdelays::MaxWithheldContactAge)) {
+                m_contact.advanceTo(*withheld);
+            }
+        });
+}
+
+bool StateSync::handleSearchResponse(const std::string &peer, BootTime askedAt,
+                                     const MirrorResponse &response)
+{
+    for (const std::string &block : response.blocks) {
+        if (!applyBlock(block)) {
+            return false;
+        }
+    }
+    if (response.age) {
+        m_proof.peerAnswered(askedAt, m_dependencies.bootNow(), response.heldFor, *response.age);
+    }
+    m_proof.copyAdvanced(m_mirror.asOf());
+    const NodeDirectory &roster = m_dependencies.roster();
+    const auto contact = contactOf(response, askedAt, m_dependencies.bootNow());
+    const bool isAdopted = response.isCurrent.value_or(false) && contact
+        && m_contact.isNewer(*contact) && m_upstreamChoice.isInOwnDomain(peer, roster);
+    if (isAdopted) {
+        m_contact.advanceTo(*contact);
+        if (m_upstreamChoice.regularParent(m_dependencies.now(), roster) == peer) {
+            m_upstreamChoice.releaseAdopted();
+        } else {
+            m_upstreamChoice.adopt({peer, false});
+        }
+        m_holdingPeer = peer;
+        m_followedPeer = peer;
+        m_mirror.abandonCall();
+        becomeCurrent();
+        startNextMirrorCall();
+    }
+    sendDueReplies();
+    return isAdopted;
+}
+
+void StateSync::adopt(const Upstream &source)
+{
+    m_upstreamChoice.adopt(source);
+    m_mirror.abandonCall();
+    startNextMirrorCall();
+}
+
+std::optional<std::string> StateSync::reviewSource(const Upstream &upstream)
+{
+    const TimePoint now = m_dependencies.now();
+    const NodeDirectory &roster = m_dependencies.roster();
+    if (m_upstreamChoice.isWatcher(roster)) {
+        if (!upstream.peer) {
+            m_upstreamChoice.releaseAdopted();
+        } else if (now >= m_nextStoreReviewAt) {
+            m_nextStoreReviewAt = now + StoreReviewInterval;
+            askStoreForRevision();
+        }
+        return std::nullopt;
+    }
+    if (!m_upstreamChoice.hasAdopted()) {
+        if (m_upstreamChoice.hasFailedPeer(now)) {
+            m_upstreamChoice.adopt(upstream);
+        }
+        return std::nullopt;
+    }
+    const std::size_t nodes = roster.nodesInDomain(m_dependencies.self.domain).size();
+    if (!upstream.peer && nodes > SourceSearch::SmallDomain && !m_responder.hasFollowers()
+        && !m_upstreamChoice.isDeputy(now, roster)) {
+        // Nobody can reach this node or needs it: it must not follow the store for good, since each
+        // of many nodes may be cut off from all others.
+        m_upstreamChoice.releaseAdopted();
+        loseCurrency();
+        return std::nullopt;
+    }
+    auto better = m_upstreamChoice.choosePeerToReview(now, roster, m_search.randomNumber());
+    if (!better || *better != upstream.peer.value_or("")) {
+        return better;
+    }
+    if (!m_upstreamChoice.hasFailedPeer(now)) {
+        m_upstreamChoice.releaseAdopted();
+    }
+    return std::nullopt;
+}
+
 void StateSync::startDueProof()
 {
     const TimePoint now = m_dependencies.now();
@@ -271,29 +565,44 @@
     if (!m_dependencies.maxCopyAge || !followsStore || m_isProofPending || now < m_nextProofAt) {
         return;
     }
-    const Duration interval = *m_dependencies.maxCopyAge / ProofsPerMaxAge;
     m_isProofPending = true;
     ++m_callCounts.proofs;
     // Every response has the store's revision; listing one small item is the cheapest call.
     m_store.list(m_dependencies.storeWriter.ordersLeaderKey, {},
-                 [this, interval, askedAt = m_dependencies.bootNow()](const auto &result) {
+                 [this, askedAt = m_dependencies.bootNow()](const auto &result) {
                      m_isProofPending = false;
                      if (const auto *page = std::get_if<StoredPage>(&result)) {
                          m_proof.revisionRead(askedAt, page->asOf, m_mirror.asOf());
-                         m_nextProofAt = m_dependencies.now() + interval;
+                         setNextProof();
+                         sendDueReplies();
                      } else {
-                         m_nextProofAt = m_dependencies.now() + std::min(ProofRetryDelay, interval);
+                         m_nextProofAt = m_dependencies.now() + ProofRetryDelay;
                          m_dependencies.record("copy_not_proven",
                                                nameOf(std::get<StoreError>(result)));
                      }
                  });
 }
 
+void StateSync::setNextProof()
+{
+    if (m_dependencies.maxCopyAge) {
+        m_nextProofAt =
+            m_dependencies.now() + *m_dependencies.maxCopyAge / syncdelays::ProofsPerMaxAge;
+    }
+}
+
+Duration StateSync::peerPollDuration() const
+{
+    const bool isCautious = m_dependencies.now() < m_cautiousUntil || !m_isCurrent;
+    return std::min(isCautious ? syncdelays::CautiousHold : syncdelays::PeerHold, pollDuration());
+}
+
 Duration StateSync::pollDuration() const
 {
+    using syncdelays::WatchHold;
     return m_dependencies.maxCopyAge
-        ? std::min(PollDuration, *m_dependencies.maxCopyAge / PollsPerMaxAge)
-        : PollDuration;
+        ? std::min(WatchHold, *m_dependencies.maxCopyAge / syncdelays::PollsPerMaxAge)
+        : WatchHold;
 }
 
 void StateSync::recordUpstreamChange(const Upstream &upstream)
--- a/src/edge/statesync.h
+++ b/src/edge/statesync.h
@@ -2,10 +2,13 @@
 
 #include "edge/mirrorresponder.h"
 #include "edge/storewriter.h"
+#include "edge/syncdelays.h"
+#include "fleet/sourcesearch.h"
 #include "fleet/upstreamselector.h"
 #include "http/httpclient.h"
 #include "http/httpserver.h"
 #include "store/mirror.h"
+#include "store/sourcecontact.h"
 #include "store/stalenessbound.h"
 
 #include <functional>
@@ -46,7 +49,15 @@
     };
 
     /** How often the owner calls tick(). */
-    static constexpr Duration TickInterval = std::chrono::milliseconds(50);
+    static constexpr Duration TickInterval = syncdelays::Tick;
+
+    /** Numbers of searches for a source of changes and of their calls since the start. */
+    struct SearchCounts
+    {
+        std::uint64_t searches = 0;
+        std::uint64_t peerCalls = 0;
+        std::uint64_t storeCalls = 0;
+    };
 
     /**
      * @param incarnationId Identifies this run of the process; unique over all nodes.
@@ -68,13 +79,13 @@
     /** Lists the store anew and renews this node's rights, after this process was suspended. */
     void handleSuspension(TimePoint now);
     /**
-     * Handles a poll of the node at @p control for the changes after @p revision. If there are
-     * none, the response is delayed until there are or the poll's hold time is over.
+     * Handles another node's poll for changes. If there are none, the response is delayed until
+     * there are or the poll's hold time is over.
      */
-    void handlePeerPoll(ExchangeNumber exchange, std::uint64_t revision,
-                        const std::string &control);
+    void handlePeerPoll(const HttpRequest &request);
     void cancelPeerPoll(ExchangeNumber exchange) { m_responder.cancelPoll(exchange); }
 
+    const SearchCounts &searchCounts() const { return m_searchCounts; }
     const StoreCallCounts &storeCallCounts() const { return m_callCounts; }
 
 private:
@@ -86,14 +97,58 @@
                             const MirrorResponse &response);
     /** Applies a block of changes to the copy; returns false if it is malformed or has a gap. */
     bool applyBlock(const std::string &bytes);
-    void handleCallSuccess(const Upstream &upstream);
+    /** @param contact The latest contact with the store of @p upstream, or now for the store. */
+    void handleCallSuccess(const Upstream &upstream, BootTime contact);
+    /** Handles a peer that answers but receives no changes itself, or none that count here. */
+    void handleUnsettledPeer(const Upstream &upstream);
+    void becomeCurrent();
+    /** Stops confirming to other nodes that there are no changes, unless it recovers soon. */
+    void loseCurrency();
+    /** Returns what this node can tell others about its copy. */
+    MirrorResponder::Status status() const;
+    /** Returns true if the copy is older than @p ratio of its maximum age, if it has one. */
+    bool isCopyOlderThan(double ratio) const;
+    /** Asks further sources if it is time to, while the regular ones give no changes or proof. */
+    void startSearchCalls();
+    /** @param searchedFor How long this node had been searching before; nothing if it was not. */
+    void recordSearch(std::optional<Duration> searchedFor,
+                      const SourceSearch::Situation &situation);
+    void askStoreForRevision();
+    /**
+     * Asks @p peer for changes that it has and whether it can be followed.
+     * @param withheld the latest contact with the store, which counts only if the peer is not
+     *     followed then: see SourceContact
+     */
+    void askPeer(const std::string &peer, std::optional<BootTime> withheld = {});
+    /** Returns true if this node follows @p peer from now on. */
+    bool handleSearchResponse(const std::string &peer, BootTime askedAt,
+                              const MirrorResponse &response);
+    /**
+     * Returns true if this node may start to follow @p peer, or go on if it has not lost it.
+     * @param contact the peer's latest contact with the store, if it says
+     */
+    bool canFollow(const std::string &peer, const MirrorResponse &response,
+                   std::optional<BootTime> contact) const;
+    /** Follows @p source, which has answered and is current, from now on. */
+    void adopt(const Upstream &source);
+    /**
+     * Decides after an answer of @p upstream whether this node goes on following it, and which
+     * better source than an adopted one to ask whether it has recovered.
+     * @return another source to ask
+     */
+    std::optional<std::string> reviewSource(const Upstream &upstream);
+    /** Requests changes from @p peer that it holds for at most @p hold. */
+    HttpCall pollOf(const std::string &peer, std::optional<Duration> hold) const;
     void handleCallFailure(const Upstream &upstream, StoreError fault);
     /** Asks the store for its revision if it is time to check that the copy is up to date. */
     void startDueProof();
+    void setNextProof();
     /** Passes this node's current status to the store writer. */
     void updateStoreWriter();
     /** Returns how long a poll for changes is held if there are none. */
     Duration pollDuration() const;
+    /** Returns the same for a poll of another node. */
+    Duration peerPollDuration() const;
     void handleChange(const std::string &key, const StoredItem *item, std::uint64_t revision);
     void sendDueReplies();
     void recordUpstreamChange(const Upstream &upstream);
@@ -102,15 +157,24 @@
     Dependencies m_dependencies;
     Mirror m_mirror;
     StalenessBound m_proof;
+    SourceContact m_contact;
     MirrorResponder m_responder;
     TimePoint m_nextProofAt {};
     bool m_isProofPending = false;
     BootTime m_listingStartedAt {}; ///< Time of the request for the first page.
     UpstreamSelector m_upstreamChoice;
+    SourceSearch m_search;
     StoreCallCounts m_callCounts;
+    SearchCounts m_searchCounts;
     StoreWriter m_storeWriter;
-    bool m_isCurrent = false;     ///< Whether the last call for changes succeeded.
-    TimePoint m_failoverUntil {}; ///< End of the time to find another upstream.
+    bool m_doesParentAnswer = false; ///< Whether the followed node answers but gets no changes.
+    bool m_isCurrent = false;        ///< Whether the last call for changes succeeded.
+    TimePoint m_failoverUntil {};    ///< End of the time to find another upstream.
+    TimePoint m_cautiousUntil {}; ///< Until then, polls are short: the next source may fail, too.
+    std::string m_followedPeer;   ///< Node followed at the last success; empty for the store.
+    TimePoint m_nextStoreReviewAt {};
+    std::string m_unfollowedPeer; ///< Peer that was current, but without a newer contact.
+    std::string m_holdingPeer;    ///< Latest peer that is known to honour a poll's hold time.
     std::string m_upstreamName;   ///< Upstream of the last call, for logs.
 };
 
--- a/src/fleet/upstreamselector.cpp
+++ b/src/fleet/upstreamselector.cpp
@@ -1,5 +1,7 @@
 #include "upstreamselector.h"
 
+#include "core/turnrandom.h"
+
 #include <algorithm>
 
 namespace indigoway {
@@ -29,6 +31,13 @@
  */
 constexpr Duration FirstWatcherRetryDelay = std::chrono::milliseconds(100);
 
+/**
+ * The number of nodes of a domain that follow the store if those ranked better do not answer. The
+ * others ask it as SourceSearch allows, since a partition may let each node believe that it is the
+ * only one left.
+ */
+constexpr std::size_t MaxDeputies = 3;
+
 /** The time for which a peer that is too busy to send a snapshot is not asked again. */
 constexpr Duration BusyPeerBackoff = std::chrono::milliseconds(300);
 /**
@@ -54,12 +63,15 @@
                                   const std::vector<std::string> &seeds)
 {
     m_snapshotWantedSince.reset();
+    if (m_adopted && (!m_adopted->peer || !isBackedOff(*m_adopted->peer, now))) {
+        return *m_adopted;
+    }
     if (const auto parent = parentNode(now, directory)) {
         return {*parent, false};
     }
     // If the watcher has failed, the store may be refusing all watchers but not this node, so the
     // store is tried before other peers.
-    if (!mayCallStore(now, isHighestRanked(directory))) {
+    if (!isAmongFirst(directory) || !mayCallStore(now, isHighestRanked(directory))) {
         if (const auto peer = chooseAnyPeer(now, directory, seeds)) {
             return *peer;
         }
@@ -109,6 +121,75 @@
     }
 }
 
+std::optional<std::string> UpstreamSelector::choosePeerToAsk(TimePoint now,
+                                                             const NodeDirectory &directory,
+                                                             std::uint64_t entropy)
+{
+    const bool asksAny = ++m_roundRobinIndex % 2 == 0;
+    return chooseRandom(now, asksAny ? directory.members() : domainMembers(directory), entropy);
+}
+
+std::optional<std::string> UpstreamSelector::choosePeerToReview(TimePoint now,
+                                                                const NodeDirectory &directory,
+                                                                std::uint64_t entropy)
+{
+    if (hasAdoptedStore() && ++m_roundRobinIndex % 2 == 0) {
+        return chooseRandom(now, domainMembers(directory), entropy);
+    }
+    return parentNode(now, directory);
+}
+
+std::vector<const NodeEntry *> UpstreamSelector::domainMembers(const NodeDirectory &directory) const
+{
+    std::vector<const NodeEntry *> members;
+    for (const auto &[rank, node] : directory.nodesInDomain(m_domain)) {
+        members.push_back(node);
+    }
+    return members;
+}
+
+std::optional<std::string>
+UpstreamSelector::chooseRandom(TimePoint now, const std::vector<const NodeEntry *> &candidates,
+                               std::uint64_t entropy) const
+{
+    constexpr int Attempts = 8;
+    TurnRandom random(entropy);
+    for (int i = 0; i < Attempts && !candidates.empty(); ++i) {
+        std::uniform_int_distribution<std::size_t> any(0, candidates.size() - 1);
+        const NodeEntry &node = *candidates[any(random)];
+        if (node.name != m_rank.name && !isBackedOff(node.controlAddress, now)) {
+            return node.controlAddress;
+        }
+    }
+    return std::nullopt;
+}
+
+bool UpstreamSelector::hasFailedPeer(TimePoint now) const
+{
+    return std::ranges::any_of(m_peerBackoffs, [now](const auto &one) {
+        return now < one.second.until && one.second.failures > 0;
+    });
+}
+
+bool UpstreamSelector::mayFollow(const std::string &peer, const NodeDirectory &directory) const
+{
+    const auto members = directory.members();
+    const auto it = std::ranges::find(members, peer, &NodeEntry::controlAddress);
+    return it == members.end() || NodeRank {(*it)->cpuShare, (*it)->name} < m_rank;
+}
+
+bool UpstreamSelector::isInOwnDomain(const std::string &peer, const NodeDirectory &directory) const
+{
+    return std::ranges::any_of(directory.nodesInDomain(m_domain), [&peer](const auto &one) {
+        return one.second->controlAddress == peer;
+    });
+}
+
+bool UpstreamSelector::isDeputy(TimePoint now, const NodeDirectory &directory) const
+{
+    return isAmongFirst(directory) && !parentNode(now, directory);
+}
+
 bool UpstreamSelector::isWatcher(const NodeDirectory &directory) const
 {
     const RankedNodes &nodes = directory.nodesInDomain(m_domain);
@@ -121,25 +202,34 @@
         m_peerBackoffs.erase(*upstream.peer);
         m_peerFailures = 0;
     } else {
+
         m_storeFailures = 0;
     }
 }
 
 void UpstreamSelector::reportFailure(TimePoint now, const Upstream &upstream)
 {
+    if (m_adopted && m_adopted->peer == upstream.peer) {
+        m_adopted.reset();
+    }
     if (upstream.peer) {
-        std::erase_if(m_peerBackoffs,
-                      [now](const auto &one) { return now > one.second.until + FailureRetention; });
-        PeerBackoff &backoff = m_peerBackoffs[*upstream.peer];
-        backoff.until =
-            now + FirstPeerBackoff * (1 << std::min(backoff.failures, MaxPeerBackoffDoublings));
-        ++backoff.failures;
+        backOff(now, *upstream.peer);
         ++m_peerFailures;
     } else {
         ++m_storeFailures;
     }
 }
 
+void UpstreamSelector::backOff(TimePoint now, const std::string &peer)
+{
+    std::erase_if(m_peerBackoffs,
+                  [now](const auto &one) { return now > one.second.until + FailureRetention; });
+    PeerBackoff &backoff = m_peerBackoffs[peer];
+    backoff.until =
+        now + FirstPeerBackoff * (1 << std::min(backoff.failures, MaxPeerBackoffDoublings));
+    ++backoff.failures;
+}
+
 std::optional<std::string> UpstreamSelector::parentNode(TimePoint now,
                                                         const NodeDirectory &directory) const
 {
@@ -175,6 +265,17 @@
     return nodes.empty() || !(nodes.begin()->first < m_rank);
 }
 
+bool UpstreamSelector::isAmongFirst(const NodeDirectory &directory) const
+{
+    std::size_t better = 0;
+    for (const auto &[rank, node] : directory.nodesInDomain(m_domain)) {
+        if (!(rank < m_rank) || ++better >= MaxDeputies) {
+            break;
+        }
+    }
+    return better < MaxDeputies;
+}
+
 bool UpstreamSelector::mayCallStore(TimePoint now, bool isDomainWatcher) const
 {
     return m_storeFailures == 0 || now >= m_storeCalledAt + storeRetryInterval(isDomainWatcher);
--- a/src/fleet/upstreamselector.h
+++ b/src/fleet/upstreamselector.h
@@ -67,6 +67,53 @@
     /** Handles a peer that is too busy to send a snapshot and names @p others that may have one. */
     void handleReferral(TimePoint now, const Upstream &busy,
                         const std::vector<std::string> &others);
+    /**
+     * Chooses a random peer to ask for changes while this node receives none: alternately any node
+     * and one of the own domain. Returns nothing if no usable one is found.
+     */
+    std::optional<std::string> choosePeerToAsk(TimePoint now, const NodeDirectory &directory,
+                                               std::uint64_t entropy);
+    /**
+     * Chooses a node to ask whether it has recovered and can be followed instead of the adopted
+     * source: the regular parent, or for a node at the store also any node of the domain.
+     */
+    std::optional<std::string> choosePeerToReview(TimePoint now, const NodeDirectory &directory,
+                                                  std::uint64_t entropy);
+    /**
+     * Returns the node that this one would follow if it had not adopted another source; nothing if
+     * it would follow the store.
+     */
+    std::optional<std::string> regularParent(TimePoint now, const NodeDirectory &directory) const
+    {
+        return parentNode(now, directory);
+    }
+    /**
+     * Follows @p source, which has just answered, until it fails or is released.
+     */
+    void adopt(const Upstream &source) { m_adopted = source; }
+    void releaseAdopted() { m_adopted.reset(); }
+    bool hasAdoptedStore() const { return m_adopted && !m_adopted->peer; }
+    bool hasAdoptedPeer() const { return m_adopted && m_adopted->peer; }
+    bool hasAdopted() const { return m_adopted.has_value(); }
+    /**
+     * Returns true if any peer has failed lately. As long as this is so, a source that answers is
+     * left only for one that has been asked and answers as well.
+     */
+    bool hasFailedPeer(TimePoint now) const;
+    /**
+     * Returns true if a node that follows @p peer cannot close a cycle: it is ranked better, or no
+     * entry of it is known.
+     */
+    bool mayFollow(const std::string &peer, const NodeDirectory &directory) const;
+    /** Returns true if @p peer is in this node's domain. */
+    bool isInOwnDomain(const std::string &peer, const NodeDirectory &directory) const;
+    /**
+     * Returns true if this node calls the store for its domain: it is one of the best-ranked three,
+     * and those ranked better have failed.
+     */
+    bool isDeputy(TimePoint now, const NodeDirectory &directory) const;
+    /** Handles a peer that did not answer a call of the search. */
+    void reportSilentPeer(TimePoint now, const std::string &peer) { backOff(now, peer); }
     /** Returns true if this node is its domain's watcher; false while it has no entry itself. */
     bool isWatcher(const NodeDirectory &directory) const;
     void reportSuccess(const Upstream &upstream);
@@ -88,6 +135,14 @@
     std::optional<std::string> parentNode(TimePoint now, const NodeDirectory &directory) const;
     /** Returns true if no node of the domain has a better rank. */
     bool isHighestRanked(const NodeDirectory &directory) const;
+    /** Returns true if few enough nodes of the domain are ranked better to follow the store. */
+    std::vector<const NodeEntry *> domainMembers(const NodeDirectory &directory) const;
+    /** Returns a random usable one of @p candidates other than this node. */
+    std::optional<std::string> chooseRandom(TimePoint now,
+                                            const std::vector<const NodeEntry *> &candidates,
+                                            std::uint64_t entropy) const;
+    bool isAmongFirst(const NodeDirectory &directory) const;
+    void backOff(TimePoint now, const std::string &peer);
     bool isBackedOff(const std::string &address, TimePoint now) const;
     bool mayCallStore(TimePoint now, bool isDomainWatcher) const;
     Upstream chooseStore(TimePoint now);
@@ -102,6 +157,7 @@
     NodeRank m_rank;
     DomainName m_domain;
     std::string m_controlAddress;
+    std::optional<Upstream> m_adopted; ///< Source found while the regular ones failed.
     /** Peers that are not used for now, by control address. */
     std::map<std::string, PeerBackoff> m_peerBackoffs;
     std::uint32_t m_peerFailures = 0;  ///< Consecutive failures of peers.
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -161,6 +161,13 @@
     m_nextCallAt.reset();
 }
 
+void Mirror::abandonCall()
+{
+    ++m_generation;
+    m_isCallInFlight = false;
+    m_nextCallAt.reset();
+}
+
 MirrorUpdate Mirror::snapshot() const
 {
     MirrorUpdate update;
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -77,9 +77,11 @@
      * while the process was suspended.
      */
     void refresh();
+    /** Abandons the call in flight, since a better source has been found. */
+    void abandonCall();
     /**
-     * Returns a number that changes with each refresh(); results of calls from an earlier
-     * generation must be discarded.
+     * Returns a number that changes with each refresh() and abandonCall(); results of calls from an
+     * earlier generation must be discarded.
      */
     std::uint64_t generation() const { return m_generation; }
 
--- a/tests/edge/mirrorcodectest.cpp
+++ b/tests/edge/mirrorcodectest.cpp
@@ -78,6 +78,14 @@
         CPPUNIT_ASSERT(decoded->heldFor == response.heldFor);
         CPPUNIT_ASSERT(decoded->alternativePeers == response.alternativePeers);
         CPPUNIT_ASSERT(!decodeResponse(encodeResponse({}))->age.has_value());
+        CPPUNIT_ASSERT(!decoded->isCurrent.has_value());
+        response.isCurrent = false;
+        response.contactAge = std::chrono::milliseconds(40);
+        const auto extended = decodeResponse(encodeResponse(response));
+        CPPUNIT_ASSERT(extended.has_value());
+        CPPUNIT_ASSERT(extended->blocks == response.blocks);
+        CPPUNIT_ASSERT(extended->isCurrent == response.isCurrent);
+        CPPUNIT_ASSERT(extended->contactAge == response.contactAge);
     }
 
     /** Guards against a full copy in which an item without a value would remove one. */
