--- a/tests/edge/partitionreplaytest.cpp
+++ b/tests/edge/partitionreplaytest.cpp
@@ -67,12 +67,13 @@
  * Replays @p fault in each deployment and checks the delay of changes and the age of the copies at
  * the nodes that are not cut off, and the calls to the store.
  */
-void replayAll(const std::string &name, const std::function<void(CopyFleet &, unsigned)> &fault)
+void replayAll(const std::string &name, const std::function<void(CopyFleet &, unsigned)> &fault,
+               std::optional<Duration> maxCopyAge = MaxCopyAge)
 {
     for (const Deployment &deployment : Deployments) {
         const Duration maxDelay = deployment.nodes <= 20 ? MaxSmallDelay : MaxDelay;
         for (unsigned seed = 1; seed <= deployment.seeds; ++seed) {
-            CopyFleet fleet(deployment.nodes, deployment.domains, MaxCopyAge, seed);
+            CopyFleet fleet(deployment.nodes, deployment.domains, maxCopyAge, seed);
             // The polls and proofs of different replays are at different points of their course.
             fleet.run(WarmUp + std::chrono::milliseconds(130) * seed);
             fleet.maxDelay = fleet.maxAge = {};
@@ -89,7 +90,7 @@
                 std::cout << result << "\n";
             }
             CPPUNIT_ASSERT_MESSAGE(result, fleet.maxDelay <= maxDelay);
-            CPPUNIT_ASSERT_MESSAGE(result, fleet.maxAge <= MaxAge);
+            CPPUNIT_ASSERT_MESSAGE(result, !maxCopyAge || fleet.maxAge <= MaxAge);
             CPPUNIT_ASSERT_MESSAGE(result, calls <= MaxCallsPerSecond);
             CPPUNIT_ASSERT_MESSAGE(result, peerCalls <= MaxPeerCallsPerSecond);
         }
@@ -109,7 +110,9 @@
     CPPUNIT_TEST(changesArriveWithoutFirstTwoLevels);
     CPPUNIT_TEST(changesArriveWhileBestRankedNodesFailInTurn);
     CPPUNIT_TEST(changesArriveWhileStoreRefusesWatchers);
+    CPPUNIT_TEST(changesArriveWithoutAgeLimit);
     CPPUNIT_TEST(changesArriveInMixedVersions);
+    CPPUNIT_TEST(changesArriveInMixedVersionsWithoutWatchers);
     CPPUNIT_TEST(copiesAreProvenAfterOutage);
     CPPUNIT_TEST(callsWithoutFaultsAreUnchanged);
     CPPUNIT_TEST(regularTreeIsRestoredAfterFault);
@@ -198,6 +201,33 @@
         });
     }
 
+    /** Guards against a search that relies on the proofs, which only revocable keys require. */
+    void changesArriveWithoutAgeLimit()
+    {
+        replayAll(
+            "no age limit, better half silent",
+            [](CopyFleet &fleet, unsigned) {
+                fleet.cutBestRanked(fleet.ranked().begin()->second.size() / 2, Cut::Silent);
+                runWithChanges(fleet, FaultTime);
+            },
+            std::nullopt);
+    }
+
+    /** Guards against a rolling update during which the loss of a node is noticed too late. */
+    void changesArriveInMixedVersionsWithoutWatchers()
+    {
+        replayAll("mixed versions, watchers silent", [](CopyFleet &fleet, unsigned) {
+            for (const auto &[domain, addresses] : fleet.ranked()) {
+                for (std::size_t i = 1; i < addresses.size(); i += 2) {
+                    fleet.oldNodes.insert(addresses[i]);
+                }
+            }
+            runWithChanges(fleet, std::chrono::seconds(4));
+            fleet.cutBestRanked(1, Cut::Silent);
+            runWithChanges(fleet, FaultTime);
+        });
+    }
+
     /** Guards against nodes that hear late that the store answers again. */
     void copiesAreProvenAfterOutage()
     {
