--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -78,7 +78,7 @@
     , m_roster(makeNodeEntry(m_settings))
     , m_dispatcher(makeDispatchSettings(m_settings), steadyNow())
     , m_relay(base, m_dispatcher, *m_adapters.dialect, std::random_device {}())
-    , m_sync(base, *m_adapters.store, client, syncDependencies(*this, m_adapters.layout),
+    , m_sync(*m_adapters.store, syncDependencies(*this, client, m_adapters.layout),
              m_settings.node.text() + "/" + std::to_string(m_incarnation.value()),
              std::random_device {}())
     , m_scheduling(base, {m_settings.node, m_incarnation}, schedulingDependencies(*this))
@@ -91,6 +91,10 @@
     , m_timer(event_new(
           base, -1, EV_PERSIST,
           [](evutil_socket_t, short, void *self) { static_cast<EdgeNode *>(self)->tick(); }, this))
+    , m_syncTimer(event_new(
+          base, -1, EV_PERSIST,
+          [](evutil_socket_t, short, void *self) { static_cast<EdgeNode *>(self)->m_sync.tick(); },
+          this))
     , m_random(std::random_device {}())
     , m_suspendedTime(suspendedTime())
 {
@@ -139,6 +143,8 @@
             {"domain", m_settings.domain.text()}});
     event_add(m_timer.get(), &TickInterval);
     m_roster.setSelf(makeNodeEntry(m_settings));
+    const timeval syncInterval {0, static_cast<suseconds_t>(StateSync::TickInterval.count())};
+    event_add(m_syncTimer.get(), &syncInterval);
     m_sync.start(makeNodeEntry(m_settings));
     return true;
 }
@@ -185,7 +191,8 @@
     return m_roster.callerAddresses(steadyNow(), maxCount, m_random());
 }
 
-StateSync::Dependencies EdgeNode::syncDependencies(EdgeNode &node, const StoreLayout &layout)
+StateSync::Dependencies EdgeNode::syncDependencies(EdgeNode &node, HttpClient &client,
+                                                   const StoreLayout &layout)
 {
     StateSync::Dependencies dependencies;
     dependencies.self = makeNodeEntry(node.m_settings);
@@ -193,8 +200,11 @@
         node.record(kind, {{"detail", detail}});
     };
     dependencies.storeWriter = {layout.nodesPrefix + node.m_settings.node.text(),
-                                layout.ordersLeaderKey, layout.ordersRecordKey,
-                                layout.crashesPrefix, dependencies.record};
+                                layout.ordersLeaderKey,
+                                layout.ordersRecordKey,
+                                layout.crashesPrefix,
+                                dependencies.record,
+                                steadyNow};
     dependencies.maxCopyAge = maxCopyAge(node.m_settings);
     dependencies.itemChanged = [&node](const std::string &key, const StoredItem *item) {
         node.handleStoreChange(key, item);
@@ -214,6 +224,11 @@
         return node.m_scheduler && node.m_scheduler->name == node.m_settings.node;
     };
     dependencies.linkBytesPerSecond = node.m_settings.linkBytesPerSecond;
+    dependencies.startPeerCall = [&client](HttpCall call, HttpClient::DoneHandler done) {
+        client.start(std::move(call), std::move(done));
+    };
+    dependencies.now = steadyNow;
+    dependencies.bootNow = BootClock::now;
     dependencies.replyToPeer = [&node](ExchangeNumber exchange, const std::string &body) {
         constexpr int Ok = 200;
         constexpr int ServiceUnavailable = 503;
@@ -409,9 +424,7 @@
 {
     constexpr int NotFound = 404;
     if (request.path == "/v1/mirror") {
-        m_sync.handlePeerPoll(request.exchange,
-                              std::strtoull(request.parameter("after").c_str(), nullptr, 10),
-                              request.parameter("from"));
+        m_sync.handlePeerPoll(request);
     } else {
         m_controlServer.reply(request.exchange, NotFound, {}, "");
     }
@@ -462,6 +475,9 @@
             {"store_renewals", m_sync.storeCallCounts().renewals},
             {"store_writes", m_sync.storeCallCounts().writes},
             {"store_proofs", m_sync.storeCallCounts().proofs},
+            {"source_searches", m_sync.searchCounts().searches},
+            {"source_peer_calls", m_sync.searchCounts().peerCalls},
+            {"source_store_calls", m_sync.searchCounts().storeCalls},
             {"servers_known", m_dispatcher.servers().size()},
             {"nodes_known", m_roster.count(steadyNow())},
             {"scheduler_waiting", m_scheduling.scheduler().waiting()},
