Bound the burst of a quota, so that a restart of all nodes withholds the rate for a second only

Cause: with a whole window's sum granted at once, nothing but a quarter of the tolerance could be granted for a window after all nodes had restarted, since such a burst may have been used just before. Change: a bucket of burst plus extraBurst (one second of the rate) bounds what is used at once, beside the window; young nodes are granted the rate as soon as they are older than that. A new keeper starts the bucket with what the records leave. The tests of whole windows set extraBurst to the window; the property tests draw 1, 2 and 8 s.

--- a/src/quotas/quotabucket.h
+++ b/src/quotas/quotabucket.h
@@ -3,6 +3,8 @@
 #include <indigoway/ids.h>
 #include <indigoway/organisation.h>
 
+#include <algorithm>
+
 namespace indigoway::quotas {
 
 /** The rate and burst of a quota or of a share of it. */
@@ -34,6 +36,8 @@
     /** Returns the time until take() of @p units can succeed if nothing else is taken. */
     Duration timeUntilAvailable(const RateLimit &limit, double units) const;
     double level() const { return m_level; }
+    /** Lowers the level to @p most units if it is higher. */
+    void capLevel(double most) { m_level = std::min(m_level, most); }
 
 private:
     double m_level = 0;
--- a/src/quotas/quotakeeper.cpp
+++ b/src/quotas/quotakeeper.cpp
@@ -37,6 +37,11 @@
 constexpr double UntoldFraction = 1.0 / 6;
 constexpr std::size_t MaxFleetUsages = 40; // Fits into one datagram.
 
+double secondsOf(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
 const Quota *quotaOf(const RouteTable &routes, const OrganisationName &name)
 {
     const Organisation *organisation = routes.organisation(name);
@@ -62,10 +67,11 @@
     limit = units;
 }
 
-UrgencyReserve::FreedWithin QuotaKeeper::Account::freedAfter(TimePoint now) const
+UrgencyReserve::FreedWithin QuotaKeeper::Account::freedAfter(TimePoint now,
+                                                             const Quota &quota) const
 {
-    return [this, now, usedNow = used(now)](Duration time) {
-        return usedNow - used(now + time);
+    return [this, now, usedNow = used(now), perSecond = quota.perSecond](Duration time) {
+        return std::min(usedNow - used(now + time), perSecond * secondsOf(time));
     };
 }
 
@@ -124,7 +130,7 @@
             continue;
         }
         if (isRecord) {
-            applyRecord(now, account(now, used.organisation, *quota), used);
+            applyRecord(now, *quota, account(now, used.organisation, *quota), used);
         } else {
             charge(now, used.organisation, *quota, used.units - total.units);
             chargePriorities(now, account(now, used.organisation, *quota), total.byPriority,
@@ -142,7 +148,8 @@
     }
 }
 
-void QuotaKeeper::applyRecord(TimePoint now, Account &account, const UsageTotal &used)
+void QuotaKeeper::applyRecord(TimePoint now, const Quota &quota, Account &account,
+                              const UsageTotal &used)
 {
     account.recorded.add(now, used.granted);
     account.counted.add(now, used.local);
@@ -152,6 +159,8 @@
     if (inherited.used(now) > account.inherited.used(now)) {
         account.inherited = inherited;
     }
+    // The previous keeper may have granted all of it a moment ago.
+    account.burst.capLevel(std::max(0.0, burstLimitOf(quota).burst - account.used(now)));
 }
 
 QuotaAnswer QuotaKeeper::answer(TimePoint now, const View &view, NodeState &state,
@@ -180,12 +189,16 @@
     // A node that states no priority knows of no reserve, as if the request were the most urgent.
     const std::uint32_t priority = query.priority.value_or(0);
     const double reserve =
-        one.reserve.reserveFor(now, priority, needed, one.limit, one.freedAfter(now));
+        one.reserve.reserveFor(now, priority, needed, one.limit, one.freedAfter(now, quota));
     const double limit = limitOf(quota)
         + std::min(one.withheld.used(now),
                    WithheldToleranceFraction * m_knownFraction * toleranceOf(quota, m_bounds));
+    const double burstLimit = burstLimitOf(quota).burst;
+    const double burst = std::min(needed, burstLimit);
     const auto hasRoom = [&](TimePoint at) {
-        return one.used(at) + needed + reserve <= limit;
+        const double refilled = quota.perSecond * secondsOf(at - now);
+        return one.used(at) + needed + reserve <= limit
+            && one.burst.level() + refilled >= std::min(burst + reserve, burstLimit);
     };
     one.reserve.ask(now, priority, query.units);
     if (hasRoom(now)) {
@@ -195,7 +208,7 @@
         return {query.queryId, true};
     }
     updateScarcity(now, query.organisation, quota);
-    if (one.used(now) + needed <= limitOf(quota)) {
+    if (one.used(now) + needed <= limitOf(quota) && one.burst.level() >= burst) {
         one.withheld.charge(now, needed);
     }
     // Refused callers get successive retry times, so that they do not all compete for the same
@@ -243,6 +256,7 @@
     const double nodes = std::max(1U, largest);
     double known = 0;
     double young = 0;
+    double youngSeconds = 0;
     for (const auto &[node, state] : m_nodes) {
         if (now > state.lastMessageAt + NodeTimeout) {
             continue;
@@ -251,18 +265,23 @@
             ++known;
         } else if (state.hasRecord) {
             ++young;
+            const Duration age = m_bounds.window - (state.completeAt - now);
+            youngSeconds += std::max(0.0, secondsOf(age - m_bounds.extraBurst));
         }
     }
     m_knownFraction = std::min(1.0, known / nodes);
     m_youngFraction = std::min(1.0 - m_knownFraction, young / nodes);
+    m_youngSeconds = young > 0 ? m_youngFraction * youngSeconds / young : 0;
     updateAllScarcity(now, view);
 }
 
 QuotaKeeper::Account &QuotaKeeper::account(TimePoint now, const OrganisationName &name,
                                            const Quota &quota)
 {
-    Account &one = m_accounts.try_emplace(name, m_bounds.window).first->second;
+    const auto it = m_accounts.try_emplace(name, m_bounds.window, burstLimitOf(quota), now).first;
+    Account &one = it->second;
     one.setLimit(now, unitsPerWindow(quota, m_bounds));
+    one.burst.refill(burstLimitOf(quota), now);
     return one;
 }
 
@@ -271,6 +290,7 @@
 {
     Account &one = account(now, name, quota);
     one.counted.charge(now, units);
+    one.burst.charge(burstLimitOf(quota), units);
     if (now > one.untoldSince + HeartbeatInterval) {
         one.untold = 0;
         one.untoldSince = now;
@@ -301,7 +321,14 @@
 double QuotaKeeper::limitOf(const Quota &quota) const
 {
     return unitsPerWindow(quota, m_bounds) * m_knownFraction
-        + YoungToleranceFraction * toleranceOf(quota, m_bounds) * m_youngFraction;
+        + YoungToleranceFraction * toleranceOf(quota, m_bounds) * m_youngFraction
+        + quota.perSecond * m_youngSeconds;
+}
+
+RateLimit QuotaKeeper::burstLimitOf(const Quota &quota) const
+{
+    const double burst = quota.burst + quota.perSecond * secondsOf(m_bounds.extraBurst);
+    return {quota.perSecond, std::min(burst, unitsPerWindow(quota, m_bounds))};
 }
 
 void QuotaKeeper::updateScarcity(TimePoint now, const OrganisationName &name, const Quota &quota)
@@ -312,8 +339,8 @@
         std::min(unitsPerWindow(quota, m_bounds), std::max(quota.burst, quota.perSecond));
     const Account &one = account(now, name, quota);
     // The least urgent requests must be asked for before they use the reserve.
-    const double reserve = one.reserve.largestReserve(now, one.limit, one.freedAfter(now));
-    const double left = limitOf(quota) - one.used(now) - reserve;
+    const double reserve = one.reserve.largestReserve(now, one.limit, one.freedAfter(now, quota));
+    const double left = std::min(limitOf(quota) - one.used(now), one.burst.level()) - reserve;
     if (left > PlentyAboveFraction * margin) {
         m_scarce.erase(name);
     } else if (left <= ScarceBelowFraction * margin && m_scarce.insert(name).second) {
--- a/src/quotas/quotakeeper.h
+++ b/src/quotas/quotakeeper.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "quotas/quotabucket.h"
 #include "quotas/quotamessages.h"
 #include "quotas/quotawindow.h"
 #include "quotas/urgencyreserve.h"
@@ -83,8 +84,9 @@
     /** The usage of an organisation by all nodes. */
     struct Account
     {
-        explicit Account(Duration window)
-            : counted(window)
+        Account(Duration window, const RateLimit &burstLimit, TimePoint now)
+            : burst(burstLimit.burst, now)
+            , counted(window)
             , recorded(window)
             , inherited(window)
             , beforeLowering(window)
@@ -94,10 +96,11 @@
         /** Returns the units that count against the quota in the window that ends at @p now. */
         double used(TimePoint now) const;
         void setLimit(TimePoint now, double units);
-        /** Returns the units that are freed within a time from @p now. */
-        UrgencyReserve::FreedWithin freedAfter(TimePoint now) const;
+        /** Returns the units of @p quota that become available within a time from @p now. */
+        UrgencyReserve::FreedWithin freedAfter(TimePoint now, const Quota &quota) const;
         UsageProfile profile(TimePoint now) const;
 
+        QuotaBucket burst;   ///< Bounds what is used at once; see burstLimitOf().
         QuotaWindow counted; ///< Counted by this keeper, or granted by nodes without a keeper.
         // Both cover the usage that previous keepers counted.
         QuotaWindow recorded;  ///< Sum of the nodes' own records.
@@ -119,7 +122,7 @@
     };
 
     void applyReport(TimePoint now, const View &view, NodeState &state, const UsageReport &report);
-    void applyRecord(TimePoint now, Account &account, const UsageTotal &used);
+    void applyRecord(TimePoint now, const Quota &quota, Account &account, const UsageTotal &used);
     QuotaAnswer answer(TimePoint now, const View &view, NodeState &state, const QuotaQuery &query);
     QuotaAnswer decide(TimePoint now, const Quota &quota, const QuotaQuery &query);
     NodeState &touchNode(TimePoint now, const NodeLife &from);
@@ -135,6 +138,8 @@
      * known, and the part of the tolerance that young nodes do not grant locally.
      */
     double limitOf(const Quota &quota) const;
+    /** Returns the rate and the size of the bucket that bounds what may be used at once. */
+    RateLimit burstLimitOf(const Quota &quota) const;
     /** Updates whether @p name is scarce. */
     void updateScarcity(TimePoint now, const OrganisationName &name, const Quota &quota);
     void updateAllScarcity(TimePoint now, const View &view);
@@ -150,6 +155,8 @@
     LargestNodeCount m_nodeCount;
     double m_knownFraction = 0; ///< Fraction of the fleet's nodes whose usage is known.
     double m_youngFraction = 0; ///< Fraction that started less than a window ago.
+    /** Time for which young nodes may use the rate, over all nodes. */
+    double m_youngSeconds = 0;
     TimePoint m_fractionUpdatedAt {};
     std::map<OrganisationName, Account> m_accounts;
     std::set<OrganisationName> m_scarce;
--- a/src/quotas/quotawindow.h
+++ b/src/quotas/quotawindow.h
@@ -124,6 +124,12 @@
     Duration window = std::chrono::seconds(10);
     double over = 0;  ///< Fraction of the quota's units in a window.
     double slack = 0; ///< Further units beyond that.
+    /**
+     * Time of a quota's rate that may be used at once beyond its burst. After a restart of all
+     * nodes nobody knows whether this was used just before, so the rate is withheld for as long: a
+     * longer time serves more bursts and refuses more after such a restart.
+     */
+    Duration extraBurst = std::chrono::seconds(1);
 };
 
 /** Bounds the memory of an organisation; less urgent priorities count as the last one. */
--- a/tests/quotas/quotafleettest.cpp
+++ b/tests/quotas/quotafleettest.cpp
@@ -21,8 +21,8 @@
 {
     QuotaFleet::Settings settings;
     settings.quota = {PerSecond, PerSecond, QuotaUnit::Tokens, 200};
-    settings.bounds = {8s, 0.1, 190'000};
-    settings.age = settings.bounds.window; // Nodes know that nothing was used in the window.
+    settings.bounds = {8s, 0.1, 190'000, 8s}; // A whole window may be used at once.
+    settings.age = settings.bounds.window;    // Nodes know that nothing was used in the window.
     settings.seed = seed;
     return settings;
 }
@@ -75,6 +75,8 @@
     CPPUNIT_TEST(newKeeperKnowsTheUsage);
     CPPUNIT_TEST(usageSurvivesItsNodeAndTheKeeper);
     CPPUNIT_TEST(restartOfAllNodesGrantsOnlyTolerance);
+    CPPUNIT_TEST(restartOfAllNodesWithholdsOnlyTheExtraBurst);
+    CPPUNIT_TEST(burstsAreBoundedByTheExtraBurst);
     CPPUNIT_TEST(unexecutedRequestsUseNoUnits);
     CPPUNIT_TEST(neverExceedsTolerance);
     CPPUNIT_TEST(neverExceedsToleranceWithoutRevocation);
@@ -256,6 +258,41 @@
         CPPUNIT_ASSERT(fleet.maxUnitsInWindow(8) <= fleet.maxAllowedUnits());
     }
 
+    // Guards against refusals for a whole window after a restart of all nodes, when only the extra
+    // burst can have been used at once before it.
+    void restartOfAllNodesWithholdsOnlyTheExtraBurst()
+    {
+        QuotaFleet::Settings settings = settingsOf(11);
+        settings.bounds.extraBurst = 1s;
+        QuotaFleet fleet(settings);
+        Load load(fleet, 11);
+        fleet.run(2s);
+        load.run(6s, 5);
+        for (std::size_t node = 0; node < fleet.size(); ++node) {
+            fleet.start(node);
+        }
+        fleet.updateMembership();
+        fleet.run(100ms);
+        const double before = fleet.grantedUnits();
+        load.run(6s, 5);
+        CPPUNIT_ASSERT(fleet.grantedUnits() - before >= 0.9 * PerSecond * 5);
+        CPPUNIT_ASSERT(fleet.maxUnitsInWindow(8) <= fleet.maxAllowedUnits());
+    }
+
+    // Guards against a burst that a restart of all nodes could repeat beyond the tolerance.
+    void burstsAreBoundedByTheExtraBurst()
+    {
+        QuotaFleet::Settings settings = settingsOf(8);
+        settings.bounds.extraBurst = 1s;
+        QuotaFleet fleet(settings);
+        Load load(fleet, 8);
+        fleet.run(2s);
+        load.run(1s, 8);
+        CPPUNIT_ASSERT(fleet.grantedUnits() >= 2.9 * PerSecond);
+        CPPUNIT_ASSERT(fleet.grantedUnits() <= 3.5 * PerSecond);
+        CPPUNIT_ASSERT(fleet.maxUnitsInWindow(8) <= fleet.maxAllowedUnits());
+    }
+
     // Guards against units that stay counted although their requests were not executed.
     void unexecutedRequestsUseNoUnits()
     {
@@ -298,6 +335,7 @@
         settings.lateRate = *rc::gen::element(0.0, 0.05);
         settings.returnRate = *rc::gen::element(0.0, 0.1);
         settings.age = *rc::gen::element(Duration(0), settings.bounds.window);
+        settings.bounds.extraBurst = *rc::gen::element<Duration>(1s, 2s, 8s);
         QuotaFleet fleet(settings);
         Load load(fleet, settings.seed);
         load.setStatesPriorities(*rc::gen::arbitrary<bool>());
--- a/tests/quotas/quotakeepertest.cpp
+++ b/tests/quotas/quotakeepertest.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr QuotaBounds Bounds {8s, 0, 0};
+constexpr QuotaBounds Bounds {8s, 0, 0, 8s};
 const Quota WindowOf900 {100, 100, QuotaUnit::Tokens, 1};
 
 OrganisationName organisation()
--- a/tests/quotas/quotareplaytest.cpp
+++ b/tests/quotas/quotareplaytest.cpp
@@ -138,7 +138,7 @@
         QuotaFleet::Settings settings;
         settings.nodes = 60;
         settings.quota = {PerSecond, Burst, QuotaUnit::Tokens, 200};
-        settings.bounds = {Window, 0.1, 190'000};
+        settings.bounds = {Window, 0.1, 190'000, Window};
         settings.age = Window;
         return settings;
     }
--- a/tests/quotas/urgencyreservetest.cpp
+++ b/tests/quotas/urgencyreservetest.cpp
@@ -117,7 +117,7 @@
             QuotaFleet::Settings settings;
             settings.nodes = 10;
             settings.quota = {100'000, 50'000, QuotaUnit::Tokens, 200};
-            settings.bounds = {Window, 0.1, 190'000};
+            settings.bounds = {Window, 0.1, 190'000, Window};
             settings.age = Window;
             QuotaFleet fleet(settings);
             fleet.run(2s);
