Clarify comments and private names of slots, quotas, fleet and edge

Comments that needed the context of another one now stand alone, and constants state their reason. The doc comment of isAmongFirst() had slipped to domainMembers(). Private names that were figurative or ambiguous are replaced: removeHopeless() is refuseOverdue(), loseCurrency() markNotCurrent(), handleUnsettledPeer() handlePeerNotFollowed(), m_holdingPeer m_holdTimePeer, m_toTell m_toAnnounce, untold unannounced.

No behaviour changes.

--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -10,6 +10,7 @@
 constexpr Duration ProbeDuration = std::chrono::milliseconds(50);
 /** For peers that may not honour the poll's hold time. */
 constexpr Duration PeerTimeout = syncdelays::WatchHold + syncdelays::PeerAnswerMargin;
+/** Time after a failure for which polls are short, since the next source may fail as well. */
 constexpr Duration CautiousPeriod = std::chrono::seconds(5);
 /** For a full copy, which may wait for others on the sender's link. */
 constexpr Duration FullCopyTimeout = std::chrono::milliseconds(4000);
@@ -197,7 +198,7 @@
                            m_mirror.isLoaded() ? std::optional(peerPollDuration()) : std::nullopt);
     if (!m_mirror.isLoaded()) {
         call.timeout = FullCopyTimeout;
-    } else if (m_holdingPeer != *upstream.peer) {
+    } else if (m_holdTimePeer != *upstream.peer) {
         call.timeout = PeerTimeout;
     }
     const BootTime askedAt = m_dependencies.bootNow();
@@ -240,18 +241,18 @@
         m_proof.peerAnswered(askedAt, m_dependencies.bootNow(), response.heldFor, *response.age);
     }
     if (response.isCurrent) {
-        m_holdingPeer = *upstream.peer;
+        m_holdTimePeer = *upstream.peer;
     }
     const auto contact = contactOf(response, askedAt, m_dependencies.bootNow());
     if (!canFollow(*upstream.peer, response, contact)) {
         m_unfollowedPeer = response.isCurrent.value_or(false) ? *upstream.peer : "";
-        handleUnsettledPeer(upstream);
+        handlePeerNotFollowed(upstream);
         return;
     }
     handleCallSuccess(upstream, contact.value_or(askedAt));
 }
 
-void StateSync::handleUnsettledPeer(const Upstream &upstream)
+void StateSync::handlePeerNotFollowed(const Upstream &upstream)
 {
     m_upstreamChoice.reportSuccess(upstream);
     m_doesParentAnswer = m_upstreamChoice.mayFollow(*upstream.peer, m_dependencies.roster());
@@ -259,7 +260,7 @@
     if (m_upstreamChoice.hasAdoptedPeer()) {
         m_upstreamChoice.releaseAdopted();
     }
-    loseCurrency();
+    markNotCurrent();
     startNextMirrorCall();
 }
 
@@ -333,7 +334,7 @@
     }
 }
 
-void StateSync::loseCurrency()
+void StateSync::markNotCurrent()
 {
     const TimePoint now = m_dependencies.now();
     m_cautiousUntil = now + CautiousPeriod;
@@ -366,7 +367,7 @@
     } else {
         m_upstreamChoice.reportFailure(m_dependencies.now(), upstream);
         m_doesParentAnswer = false;
-        loseCurrency();
+        markNotCurrent();
     }
     m_dependencies.record("store_copy_call_failed",
                           "from=" + m_upstreamName + " fault=" + nameOf(fault)
@@ -377,14 +378,14 @@
 void StateSync::startSearchCalls()
 {
     if (!m_mirror.isLoaded()) {
-        return; // The first copy has its own way, see UpstreamSelector::chooseForSnapshot().
+        return; // UpstreamSelector::chooseForSnapshot() finds the source of the first copy.
     }
     const TimePoint now = m_dependencies.now();
     const NodeDirectory &roster = m_dependencies.roster();
     const auto contactAge = m_contact.age(m_dependencies.bootNow());
     if (m_isCurrent && contactAge && *contactAge > syncdelays::MaxContactAge) {
         m_upstreamChoice.releaseAdopted();
-        loseCurrency();
+        markNotCurrent();
     }
     SourceSearch::Situation situation;
     situation.needsSource = !m_isCurrent || isCopyOlderThan(syncdelays::SearchAgeRatio);
@@ -503,7 +504,7 @@
         } else {
             m_upstreamChoice.adopt({peer, false});
         }
-        m_holdingPeer = peer;
+        m_holdTimePeer = peer;
         m_followedPeer = peer;
         m_mirror.abandonCall();
         becomeCurrent();
@@ -545,7 +546,7 @@
         // Nobody can reach this node or needs it: it must not follow the store for good, since each
         // of many nodes may be cut off from all others.
         m_upstreamChoice.releaseAdopted();
-        loseCurrency();
+        markNotCurrent();
         return std::nullopt;
     }
     auto better = m_upstreamChoice.choosePeerToReview(now, roster, m_search.randomNumber());
--- a/src/edge/statesync.h
+++ b/src/edge/statesync.h
@@ -100,16 +100,19 @@
     bool applyBlock(const std::string &bytes);
     /** @param contact The latest contact with the store of @p upstream, or now for the store. */
     void handleCallSuccess(const Upstream &upstream, BootTime contact);
-    /** Handles a peer that answers but receives no changes itself, or none that count here. */
-    void handleUnsettledPeer(const Upstream &upstream);
+    /**
+     * Handles a peer that answers but cannot be followed: it receives no changes itself, or has no
+     * newer contact with the store than this node.
+     */
+    void handlePeerNotFollowed(const Upstream &upstream);
     void becomeCurrent();
     /** Stops confirming to other nodes that there are no changes, unless it recovers soon. */
-    void loseCurrency();
+    void markNotCurrent();
     /** Returns what this node can tell others about its copy. */
     MirrorResponder::Status status() const;
     /** Returns true if the copy is older than @p ratio of its maximum age, if it has one. */
     bool isCopyOlderThan(double ratio) const;
-    /** Asks further sources if it is time to, while the regular ones give no changes or proof. */
+    /** Asks further sources while the regular ones give no changes or proof. */
     void startSearchCalls();
     /** @param searchedFor How long this node had been searching before; nothing if it was not. */
     void recordSearch(std::optional<Duration> searchedFor,
@@ -117,8 +120,8 @@
     void askStoreForRevision();
     /**
      * Asks @p peer for changes that it has and whether it can be followed.
-     * @param withheld the latest contact with the store, which counts only if the peer is not
-     *     followed then: see SourceContact
+     * @param withheld a contact with the store that is recorded only if the peer is not followed,
+     *     see SourceContact
      */
     void askPeer(const std::string &peer, std::optional<BootTime> withheld = {});
     /** Returns true if this node follows @p peer from now on. */
@@ -175,7 +178,7 @@
     std::string m_followedPeer;   ///< Node followed at the last success; empty for the store.
     TimePoint m_nextStoreReviewAt {};
     std::string m_unfollowedPeer; ///< Peer that was current, but without a newer contact.
-    std::string m_holdingPeer;    ///< Latest peer that is known to honour a poll's hold time.
+    std::string m_holdTimePeer;   ///< Latest peer that is known to honour a poll's hold time.
     std::string m_upstreamName;   ///< Upstream of the last call, for logs.
 };
 
--- a/src/edge/syncdelays.h
+++ b/src/edge/syncdelays.h
@@ -34,13 +34,15 @@
  */
 constexpr double SearchAgeRatio = 0.7;
 /**
- * The same up to which a node counts as proven for those that ask it. Lower, since a node that asks
- * for a proof must get one that does not make it ask again at once.
+ * The age of the copy, as a part of the maximum, up to which a node answers others that it is
+ * proven. Lower than SearchAgeRatio, so that a node that gets this proof does not search again at
+ * once.
  */
 constexpr double ProvenAgeRatio = 0.6;
 /**
- * While a node asks another source whether it can be followed, its own contact does not advance up
- * to this age. That of a source that does not depend on it does meanwhile.
+ * The age up to which a node does not advance its contact with the store while it asks whether
+ * another source can be followed. Sources that depend on this node then have no newer contact, and
+ * are not followed.
  */
 constexpr Duration MaxWithheldContactAge = std::chrono::milliseconds(1500);
 /**
--- a/src/fleet/sourcesearch.cpp
+++ b/src/fleet/sourcesearch.cpp
@@ -6,16 +6,16 @@
 
 namespace {
 
-/** Interval of the calls to peers at first: most faults end or are routed around meanwhile. */
+/** Interval of the calls to peers within FastPeriod, in which most searches find a source. */
 constexpr Duration FastPeerInterval = std::chrono::milliseconds(50);
-/** Calls at a time meanwhile: half of the peers may be silent. */
+/** Calls at a time within FastPeriod: half of the peers may be silent. */
 constexpr int FastPeerCalls = 2;
 constexpr Duration FastPeriod = std::chrono::milliseconds(1500);
 /** Interval of the calls to peers later. A change needs several rounds to reach all nodes. */
 constexpr Duration PeerInterval = std::chrono::milliseconds(100);
 /**
  * The same while the node that this one follows answers, but receives no changes itself: it
- * searches for both, and in an outage of the store calls to other peers are in vain.
+ * searches for both, and during an outage of the store other peers have no changes either.
  */
 constexpr Duration AnsweredPeerInterval = std::chrono::milliseconds(400);
 /** Bounds the calls to the store of a small domain in which each node is cut off for long. */
--- a/src/fleet/upstreamselector.cpp
+++ b/src/fleet/upstreamselector.cpp
@@ -202,7 +202,6 @@
         m_peerBackoffs.erase(*upstream.peer);
         m_peerFailures = 0;
     } else {
-
         m_storeFailures = 0;
     }
 }
--- a/src/fleet/upstreamselector.h
+++ b/src/fleet/upstreamselector.h
@@ -87,9 +87,7 @@
     {
         return parentNode(now, directory);
     }
-    /**
-     * Follows @p source, which has just answered, until it fails or is released.
-     */
+    /** Follows @p source, which has just answered, until it fails or is released. */
     void adopt(const Upstream &source) { m_adopted = source; }
     void releaseAdopted() { m_adopted.reset(); }
     bool hasAdoptedStore() const { return m_adopted && !m_adopted->peer; }
@@ -135,12 +133,12 @@
     std::optional<std::string> parentNode(TimePoint now, const NodeDirectory &directory) const;
     /** Returns true if no node of the domain has a better rank. */
     bool isHighestRanked(const NodeDirectory &directory) const;
-    /** Returns true if few enough nodes of the domain are ranked better to follow the store. */
     std::vector<const NodeEntry *> domainMembers(const NodeDirectory &directory) const;
     /** Returns a random usable one of @p candidates other than this node. */
     std::optional<std::string> chooseRandom(TimePoint now,
                                             const std::vector<const NodeEntry *> &candidates,
                                             std::uint64_t entropy) const;
+    /** Returns true if few enough nodes of the domain are ranked better to follow the store. */
     bool isAmongFirst(const NodeDirectory &directory) const;
     void backOff(TimePoint now, const std::string &peer);
     bool isBackedOff(const std::string &address, TimePoint now) const;
--- a/src/quotas/quotaenforcer.cpp
+++ b/src/quotas/quotaenforcer.cpp
@@ -24,7 +24,10 @@
  * usage of nodes that are cut off but do not know it yet.
  */
 constexpr double UnaskedFraction = 1.0 / 8;
-/** The same in even shares, for large fleets. */
+/**
+ * The same limit as a number of even shares. The lower one applies, since an eighth for each node
+ * of a large fleet would be many times what is left.
+ */
 constexpr double UnaskedShares = 2;
 
 } // namespace
--- a/src/quotas/quotaenforcer.h
+++ b/src/quotas/quotaenforcer.h
@@ -68,7 +68,7 @@
     /**
      * Decides whether a request of @p units may run.
      * @param queryId the id of the query if the keeper must be asked
-     * @param priority the request's; nothing: the reserve for urgent requests does not apply
+     * @param priority the request's priority; if absent, no units are reserved against it
      * @param messages receives the messages for the keeper
      */
     QuotaDecision decide(TimePoint now, QuotaQueryId queryId, const OrganisationName &organisation,
@@ -144,7 +144,7 @@
 
     QuotaBounds m_bounds;
     TimePoint m_startedAt {};
-    /** The other nodes may not yet know of those that left. */
+    /** Counts nodes for a window after they left, since others may not know of that yet. */
     LargestNodeCount m_nodeCount;
     bool m_isEnabled = false;
     std::optional<NodeName> m_keeper;
--- a/src/quotas/quotakeeper.cpp
+++ b/src/quotas/quotakeeper.cpp
@@ -14,7 +14,7 @@
 constexpr Duration FractionUpdateInterval = std::chrono::milliseconds(50);
 /** Longer than the time for which a node repeats a query. */
 constexpr Duration AnswerRetention = std::chrono::seconds(1);
-/** Fractions of the burst; the gap between them prevents rapid changes of state. */
+/** Fractions of the margin in updateScarcity(); their gap prevents rapid changes of state. */
 constexpr double ScarceBelowFraction = 0.5;
 constexpr double PlentyAboveFraction = 0.75;
 /**
@@ -27,14 +27,14 @@
  * the reserve does not lower the sum that is granted.
  */
 constexpr double WithheldToleranceFraction = 1.0 / 8;
-/** Nodes are told the usage with each heartbeat. */
+/** Interval of the nodes' heartbeats, whose answers state the usage. */
 constexpr Duration HeartbeatInterval = std::chrono::seconds(1);
 /**
  * Fraction of a window's units after which all nodes are told the usage at once. Usage that no
  * other node knows is forgotten if the keeper and the node that had it fail together. Higher than
  * the usage in a heartbeat interval at the quota's rate.
  */
-constexpr double UntoldFraction = 1.0 / 6;
+constexpr double AnnouncementFraction = 1.0 / 6;
 constexpr std::size_t MaxFleetUsages = 40; // Fits into one datagram.
 
 double secondsOf(Duration duration)
@@ -101,13 +101,13 @@
             replies.push_back({from.node, answerTo(now, state, report.epoch)});
         }
     }
-    if (m_scarce.size() > scarceBefore || !m_toTell.empty()) {
-        // The next periodic answer could be a second away, and nodes would grant a sudden excess
-        // until then.
+    if (m_scarce.size() > scarceBefore || !m_toAnnounce.empty()) {
+        // Nodes hear of it with their next heartbeat otherwise, and would pass a sudden excess
+        // without asking for up to a second.
         for (const auto &[node, other] : m_nodes) {
-            replies.push_back({node, scarcityReport(now, m_toTell)});
+            replies.push_back({node, scarcityReport(now, m_toAnnounce)});
         }
-        m_toTell.clear();
+        m_toAnnounce.clear();
     }
     return replies;
 }
@@ -153,7 +153,8 @@
 {
     account.recorded.add(now, used.granted);
     account.counted.add(now, used.local);
-    // Records of the same usage that differ by a slot must not add up, so the largest one is kept.
+    // All nodes report the same usage, possibly from different times. It must not be added up, so
+    // the largest report is kept.
     QuotaWindow inherited(m_bounds.window);
     inherited.add(now, used.fleet);
     if (inherited.used(now) > account.inherited.used(now)) {
@@ -291,15 +292,15 @@
     Account &one = account(now, name, quota);
     one.counted.charge(now, units);
     one.burst.charge(burstLimitOf(quota), units);
-    if (now > one.untoldSince + HeartbeatInterval) {
-        one.untold = 0;
-        one.untoldSince = now;
+    if (now > one.unannouncedSince + HeartbeatInterval) {
+        one.unannounced = 0;
+        one.unannouncedSince = now;
     }
-    one.untold += units;
-    if (one.untold >= UntoldFraction * one.limit) {
-        one.untold = 0;
-        one.untoldSince = now;
-        m_toTell.insert(name);
+    one.unannounced += units;
+    if (one.unannounced >= AnnouncementFraction * one.limit) {
+        one.unannounced = 0;
+        one.unannouncedSince = now;
+        m_toAnnounce.insert(name);
     }
 }
 
@@ -344,7 +345,7 @@
     if (left > PlentyAboveFraction * margin) {
         m_scarce.erase(name);
     } else if (left <= ScarceBelowFraction * margin && m_scarce.insert(name).second) {
-        m_toTell.insert(name);
+        m_toAnnounce.insert(name);
     }
 }
 
--- a/src/quotas/quotakeeper.h
+++ b/src/quotas/quotakeeper.h
@@ -102,7 +102,7 @@
 
         QuotaBucket burst;   ///< Bounds what is used at once; see burstLimitOf().
         QuotaWindow counted; ///< Counted by this keeper, or granted by nodes without a keeper.
-        // Both cover the usage that previous keepers counted.
+        // Two accounts of the usage that previous keepers counted; the larger one is used.
         QuotaWindow recorded;  ///< Sum of the nodes' own records.
         QuotaWindow inherited; ///< As a node has heard from a previous keeper.
         double limit = 0;      ///< Units allowed in a window.
@@ -114,10 +114,10 @@
         UrgencyReserve reserve;
         /** Units refused in the window only because of the reserve. */
         QuotaWindow withheld;
-        double loweredFrom = 0; ///< Units allowed in a window until then.
-        /** Units charged since all nodes were told the usage, at most for a heartbeat interval. */
-        double untold = 0;
-        TimePoint untoldSince {};
+        double loweredFrom = 0; ///< Units allowed in a window before the quota was lowered.
+        /** Units charged since the usage was announced, at most for a heartbeat interval. */
+        double unannounced = 0;
+        TimePoint unannouncedSince {};
         TimePoint lastRetryAt {}; ///< Latest retry time given to a refused request.
     };
 
@@ -155,13 +155,14 @@
     LargestNodeCount m_nodeCount;
     double m_knownFraction = 0; ///< Fraction of the fleet's nodes whose usage is known.
     double m_youngFraction = 0; ///< Fraction that started less than a window ago.
-    /** Time for which young nodes may use the rate, over all nodes. */
+    /** Time since young nodes passed the age of QuotaBounds::extraBurst, averaged over all nodes.
+     */
     double m_youngSeconds = 0;
     TimePoint m_fractionUpdatedAt {};
     std::map<OrganisationName, Account> m_accounts;
     std::set<OrganisationName> m_scarce;
-    /** Organisations of which all nodes must be told at once. */
-    std::set<OrganisationName> m_toTell;
+    /** Organisations whose usage or scarcity must be announced to all nodes at once. */
+    std::set<OrganisationName> m_toAnnounce;
 };
 
 } // namespace indigoway::quotas
--- a/src/quotas/quotawindow.h
+++ b/src/quotas/quotawindow.h
@@ -18,8 +18,8 @@
 
 /**
  * The units used within the last window, in slots of 1/128 of it. The oldest slot counts whole, so
- * that the units of any moment count for at least the window and at most a slot longer. Longer
- * slots refuse units of organisations at their limit that the contract allows.
+ * that the units of any moment count for at least the window and at most a slot longer. With longer
+ * slots, more requests that the contract allows are refused at the limit.
  */
 class QuotaWindow
 {
@@ -42,6 +42,7 @@
     Duration timeUntilAvailable(TimePoint now, double limit, double units) const;
 
     UsageProfile profile(TimePoint now) const;
+    /** Adds the units that another window has stated as its profile() at @p now. */
     void add(TimePoint now, const UsageProfile &profile);
 
     /** Returns the beginning of the slot after that of @p now, when the oldest slot is freed. */
--- a/src/quotas/urgencyreserve.cpp
+++ b/src/quotas/urgencyreserve.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::uint32_t MaxPriority = MaxPriorities - 1;
-/** Shorter than an overload, whose end must release the reserve. */
+/** Time constant of the rates asked; short, since the end of an overload must free the reserve. */
 constexpr double LearningSeconds = 0.5;
 /**
  * Fraction of the window for which units are reserved. In replays a longer time refuses fewer
--- a/src/quotas/urgencyreserve.h
+++ b/src/quotas/urgencyreserve.h
@@ -47,7 +47,7 @@
         explicit Use(Duration window)
             : granted(window)
         { }
-        double askedPerSecond = 0; ///< Exponentially weighted, at the time of the last request.
+        double askedPerSecond = 0; ///< Exponentially weighted mean as of askedAt.
         TimePoint askedAt {};
         QuotaWindow granted;
     };
--- a/src/slots/plainscheduler.cpp
+++ b/src/slots/plainscheduler.cpp
@@ -25,22 +25,28 @@
 constexpr std::size_t MaxClaimsSkipped = 16;
 /** Time over which the rate of grants to claims that meet their target is averaged. */
 constexpr Duration RateWindow = std::chrono::seconds(1);
-/** Part of the capacity that late claims are assumed to get at least. */
+/** Least part of the capacity that late claims are assumed to get. */
 constexpr double MinLateShare = 0.05;
 /** Keeps a new request from an infinite expected wait while all servers are very slow. */
 constexpr double MinWorkRate = 1e-3;
 constexpr Duration MaxExpectedWait = std::chrono::hours(1);
-/** Of a call between failure domains, with the messages to and from the scheduler. */
+/** Network time of a call between failure domains and of the claim and its grant before it. */
 constexpr Duration RoundTripTime = std::chrono::milliseconds(5);
-/** Part of the time to the target that may be spent waiting; the speed may fall meanwhile. */
+/**
+ * The part 1/OnTimeWaitDivisor of the time that an answer leaves until its target may be spent
+ * waiting; the speed may fall meanwhile.
+ */
 constexpr int OnTimeWaitDivisor = 2;
-/** Bounds of the wait of claims that are served before late ones. */
+/** Lower bound of maxOnTimeWait(). */
 constexpr Duration MinOnTimeWait = std::chrono::milliseconds(20);
-/** Time after its latest claim in which a route's target counts. */
+/** Time after its latest claim for which a route's target limits the wait of on-time claims. */
 constexpr Duration RouteUseTime = std::chrono::seconds(10);
-/** Routes of a service whose work is known apart; the others share one mean. */
+/** Routes of a service whose work is averaged separately; the service's mean holds for others. */
 constexpr std::size_t MaxRoutes = 64;
-/** Factor by which the expected wait may exceed the time left after the claim was accepted. */
+/**
+ * Factor by which the expected wait of an accepted claim may exceed its time left: the estimate
+ * varies with the speed of the servers, and a refusal cannot be taken back.
+ */
 constexpr int WaitTolerance = 2;
 /** Wait stated in a refusal if the service has no usable server. */
 constexpr Duration NoServerWait = std::chrono::milliseconds(250);
@@ -49,8 +55,7 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(20);
 /** Interval without waiting claims, in which only expired slots are freed. */
 constexpr Duration IdleTickInterval = std::chrono::seconds(1);
-/** A node answers its caller this much after the deadline at the latest, and then frees the slot.
- */
+/** A node answers its caller at most this long after the deadline, and then frees the slot. */
 constexpr Duration ExpiryMargin = std::chrono::milliseconds(300);
 /** Nodes repeat waiting claims; after several missing repetitions the node has probably ended. */
 constexpr Duration MaxSilenceOfWaiting = std::chrono::milliseconds(600);
@@ -222,7 +227,7 @@
         if (service.queues.empty()) {
             continue;
         }
-        removeHopeless(now, service, capacityOf(now, servers, name), replies);
+        refuseOverdue(now, service, capacityOf(now, servers, name), replies);
         serve(now, servers, name, replies);
     }
     return replies;
@@ -256,7 +261,8 @@
         updateCandidate(candidate, service.servers[server->name], now);
         capacity.candidates.push_back(candidate);
     }
-    // If calls to most servers get no answer, the network or the nodes are the likely cause.
+    // If calls to most servers get no answer, the network or the nodes are the likely cause, and
+    // avoiding the servers would only overload the others.
     const auto isAvoided = [](const Candidate &one) {
         return one.figures.isAvoided;
     };
@@ -322,8 +328,8 @@
         return std::nullopt;
     }
     const auto &[queueClass, claims] = *service.queues.begin();
-    const auto &[at, key] = *claims.queue.begin();
-    return QueueEntry {queueClass, at, key};
+    const auto &[position, key] = *claims.queue.begin();
+    return QueueEntry {queueClass, position, key};
 }
 
 std::optional<PlainScheduler::QueueEntry> PlainScheduler::nextWaiting(const ServiceState &service,
@@ -332,7 +338,7 @@
     // Queues that became empty were removed.
     auto queue = service.queues.find(entry.queueClass);
     if (queue != service.queues.end()) {
-        const auto next = queue->second.queue.upper_bound({entry.at, entry.key});
+        const auto next = queue->second.queue.upper_bound({entry.position, entry.key});
         if (next != queue->second.queue.end()) {
             return QueueEntry {entry.queueClass, next->first, next->second};
         }
@@ -341,8 +347,8 @@
     if (queue == service.queues.end()) {
         return std::nullopt;
     }
-    const auto &[at, key] = *queue->second.queue.begin();
-    return QueueEntry {queue->first, at, key};
+    const auto &[position, key] = *queue->second.queue.begin();
+    return QueueEntry {queue->first, position, key};
 }
 
 bool PlainScheduler::hasMissedTarget(TimePoint now, const Capacity &capacity,
@@ -417,8 +423,8 @@
     erase(key);
 }
 
-void PlainScheduler::removeHopeless(TimePoint now, ServiceState &service, const Capacity &capacity,
-                                    SlotReplies &replies)
+void PlainScheduler::refuseOverdue(TimePoint now, ServiceState &service, const Capacity &capacity,
+                                   SlotReplies &replies)
 {
     double ahead = 0;
     for (std::optional<QueueEntry> entry = firstWaiting(service); entry;
@@ -431,10 +437,10 @@
         const Duration wait = capacity.candidates.empty()
             ? NoServerWait
             : expectedWait(service, capacity, entry->queueClass, ahead, now);
-        const bool isHopeless =
+        const bool isTooLate =
             now + wait / WaitTolerance + expectedAnswer(capacity, claim.workMilliseconds)
             > claim.deadline;
-        if (capacity.candidates.empty() || isHopeless) {
+        if (capacity.candidates.empty() || isTooLate) {
             refuse(now, entry->key, wait, replies);
         } else {
             ahead += claim.workMilliseconds;
@@ -485,8 +491,8 @@
 double PlainScheduler::workAhead(const ServiceState &service, const QueueClass &queueClass)
 {
     double work = 0;
-    for (const auto &[one, claims] : service.queues) {
-        work += one <= queueClass ? claims.workMilliseconds : 0;
+    for (const auto &[other, claims] : service.queues) {
+        work += other <= queueClass ? claims.workMilliseconds : 0;
     }
     return work;
 }
@@ -494,8 +500,9 @@
 PlainScheduler::RouteWork &PlainScheduler::recordRoute(ServiceState &service,
                                                        const SlotClaim &claim, TimePoint now) const
 {
-    const bool hasRoom = service.routes.size() < MaxRoutes || service.routes.contains(claim.route);
-    RouteWork &route = service.routes[hasRoom ? claim.route : RouteName()];
+    const bool isSeparate =
+        service.routes.size() < MaxRoutes || service.routes.contains(claim.route);
+    RouteWork &route = service.routes[isSeparate ? claim.route : RouteName()];
     route.usedAt = now;
     route.target = std::max(route.target, claim.timeToTarget);
     return route;
--- a/src/slots/plainscheduler.h
+++ b/src/slots/plainscheduler.h
@@ -66,12 +66,12 @@
         bool isLate = false; ///< The target cannot be met.
         auto operator<=>(const QueueClass &) const = default;
     };
-    /** By arrival while the target can be met, else by deadline. */
+    /** Claims by arrival while their target can be met, else by deadline. */
     using Queue = std::set<std::pair<TimePoint, ClaimKey>>;
     struct QueueEntry
     {
         QueueClass queueClass;
-        TimePoint at {};
+        TimePoint position {}; ///< See queuePosition().
         ClaimKey key;
     };
 
@@ -122,9 +122,9 @@
     struct Capacity
     {
         std::vector<Candidate> candidates;
-        double workRate =
-            0; ///< Work at the usual speed that is done, in milliseconds a millisecond.
-        double workPercent = 100;     ///< Mean over the slots.
+        /** Work at the usual speed that all slots do, in milliseconds a millisecond. */
+        double workRate = 0;
+        double workPercent = 100;     ///< Mean of the servers' figures, weighted by their slots.
         double queueMilliseconds = 0; ///< Expected time in the queue of a server.
     };
 
@@ -153,8 +153,8 @@
                OpenClaim &claim, SlotReplies &replies);
     void refuse(TimePoint now, const ClaimKey &key, Duration expectedWait, SlotReplies &replies);
     /** Reclassifies claims that miss their target and refuses those that would wait too long. */
-    void removeHopeless(TimePoint now, ServiceState &service, const Capacity &capacity,
-                        SlotReplies &replies);
+    void refuseOverdue(TimePoint now, ServiceState &service, const Capacity &capacity,
+                       SlotReplies &replies);
     /** Returns the expected wait of a claim with @p aheadMilliseconds of work before it. */
     static Duration expectedWait(const ServiceState &service, const Capacity &capacity,
                                  const QueueClass &queueClass, double aheadMilliseconds,
--- a/src/slots/plainserver.cpp
+++ b/src/slots/plainserver.cpp
@@ -22,15 +22,16 @@
 constexpr double OutcomeSampleWeight = 0.1;
 /** Half-life of the failure rate, so that a server that has recovered is used again. */
 constexpr Duration FailureHalfLife = std::chrono::seconds(3);
-/** A failure costs a retry, several times the answer time. */
+/** Cost of a failed call, in answer times: the caller needs a retry and may miss its target. */
 constexpr double FailureCost = 4;
 /** Calls in a row without an answer after which a server is avoided. */
 constexpr std::uint32_t FailuresToAvoid = 2;
 constexpr Duration InitialAvoidance = std::chrono::milliseconds(800);
 /** Limits the time until a restarted server is used again. */
 constexpr Duration MaxAvoidance = std::chrono::milliseconds(3200);
+/** Doublings of InitialAvoidance; a further one would exceed MaxAvoidance. */
 constexpr std::uint32_t MaxDoublings = 2;
-/** Time in which a full server has probably ended a request. */
+/** Time for which a server that rejected a request is not used; it has ended one by then. */
 constexpr Duration FullServerPause = std::chrono::milliseconds(15);
 
 double weightAfter(Duration age, Duration halfLife)
--- a/src/slots/plainserver.h
+++ b/src/slots/plainserver.h
@@ -55,7 +55,10 @@
     std::optional<TimePoint> release(const ClaimKey &key);
     /** Records a report that is @p age old; a report older than the latest is ignored. */
     void recordLoad(const ServerLoad &load, Duration age, TimePoint now);
-    /** Records whether a call failed, and makes the server avoided for a while if it must be. */
+    /**
+     * Records how a call ended. A server that gave no answer several times in a row is avoided for
+     * a while, and one that rejected the request is full for a moment.
+     */
     void recordOutcome(SlotOutcome outcome, TimePoint now);
     /**
      * Returns a claim whose end was probably lost: it was granted longer than @p age ago, and the
@@ -67,7 +70,7 @@
 private:
     double workPercent(TimePoint now) const;
 
-    std::map<ClaimKey, TimePoint> m_held; ///< With the time of the grant.
+    std::map<ClaimKey, TimePoint> m_held; ///< Claims that hold a slot, with the time of the grant.
     std::optional<ServerLoad> m_load;
     TimePoint m_reportedAt {};
     double m_meanWorkPercent = 0; ///< Moving average of the reported speeds; 0 without any.
--- a/src/slots/slotclaims.cpp
+++ b/src/slots/slotclaims.cpp
@@ -13,6 +13,7 @@
 constexpr Duration UnansweredInterval = std::chrono::milliseconds(40);
 /** Repetition of a waiting claim, whose grant may have been lost. */
 constexpr Duration WaitingInterval = std::chrono::milliseconds(150);
+/** Claims sent without an answer after which the scheduler counts as silent. */
 constexpr std::uint32_t MaxUnanswered = 3;
 /** Interval of messages to a scheduler that did not respond, until it does. */
 constexpr Duration ProbeInterval = std::chrono::seconds(1);
@@ -125,7 +126,8 @@
     const auto *granted = std::get_if<SlotGranted>(&answer);
     if (it == m_claims.end()) {
         if (granted) {
-            // The request has ended.
+            // The request ended before the grant arrived; without this message, the slot would be
+            // held until it expires.
             messages.emplace_back(
                 SlotEnded {claim, {}, granted->server, SlotOutcome::Cancelled, Duration(0), {}});
         }
--- a/src/slots/slotclaims.h
+++ b/src/slots/slotclaims.h
@@ -55,8 +55,9 @@
      */
     SlotClaimId claim(TimePoint now, RequestNumber request, SlotClaim claim, Messages &messages);
     /**
-     * Records a slot of a server that the node has chosen itself. The scheduler is told of it and
-     * of the loads that the node has seen, if it does not respond at present once a second.
+     * Records a slot of a server that the node has chosen itself, and reports it to the scheduler.
+     * A scheduler that does not respond gets the loads that the node has seen instead, at most once
+     * a second; its answer ends the silence.
      */
     SlotClaimId holdLocally(TimePoint now, RequestNumber request, SlotHeld held,
                             Messages &messages);
