Clarify names and comments of run recovery, fair queue and copies

Renames locals, members and private functions whose names did not say what they hold (LastGranted is now GrantedStarts, stopLate is stopUnreachableRun), and rewords comments that gave no reason or were ambiguous. The log reason for a continuation without a usable engine names the possible causes. Each new test states the failure that it guards against; the delays of the load replay have names. Behaviour, values and checks are unchanged.

--- a/src/dispatch/dispatcheffects.h
+++ b/src/dispatch/dispatcheffects.h
@@ -61,7 +61,7 @@
     std::string runId;         ///< For StopRun: the caller's id of the request.
     std::string moveTarget;    ///< For StopRun: address of the engine that gets the KV cache.
     Duration connectTimeout {}; ///< Limit for a new connection; 0 for the usual one.
-    /** Number of events after which StreamProgress follows, again and again; 0: never. */
+    /** Number of events after which each StreamProgress follows; 0: never. */
     std::uint32_t progressEvents = 0;
     Duration silenceLimit {}; ///< Time without data after which StreamSilent follows; 0: never.
     EnginePhase orderedPhase = EnginePhase::None;
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -68,15 +68,15 @@
 /** What is needed to continue a run on another engine, see RunContinuation. */
 struct RunRecord
 {
-    ServerName backup;      ///< Engine that keeps a copy of the KV cache; empty if none.
-    CallNumber engineCheck; ///< Connection attempt to an engine that may be lost.
-    std::uint32_t eventsAtCheck = 0;
+    ServerName backup;               ///< Engine that keeps a copy of the KV cache; empty if none.
+    CallNumber engineCheck;          ///< Connection attempt to an engine that may be lost.
+    std::uint32_t eventsAtCheck = 0; ///< Events forwarded when the check began.
     std::uint32_t stopRequests = 0;  ///< Requests to stop the run at its present engine.
     std::uint32_t continuations = 0; ///< How often the run continued elsewhere.
     TimePoint lostAt {};             ///< When the connection to its engine ended.
     /** Engine whose connection has ended, while another one is asked for. */
     std::optional<AnnouncedServer> lostEngine;
-    std::string lossReason;          ///< How the connection to its engine ended.
+    std::string lossReason;          ///< Why the run leaves its engine, for the log.
     ServerName stopTarget;           ///< Engine to which stopCall moves the run.
     CallNumber stopCall;             ///< Request to stop the run, in progress.
     scheduling::ClaimId targetClaim; ///< Claim for an engine to move the run to.
--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -19,7 +19,7 @@
 constexpr Duration RetryDelay = std::chrono::milliseconds(250);
 /** Cost of a server in another failure domain: the network round trip. */
 constexpr double OtherDomainPenaltyMilliseconds = 3;
-/** Servers that a claim of a slot excludes; it must fit into a datagram. */
+/** Limits the unusable servers that a slot claim names, so that it fits into a datagram. */
 constexpr std::size_t MaxExcludedServers = 20;
 
 void sendToPlainScheduler(Step &step, slots::SlotClaims::Messages messages)
--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -13,9 +13,15 @@
  * that it is longer than EngineAnswerLimit, which applies to the connection.
  */
 constexpr Duration MoveTimeout = std::chrono::milliseconds(1000);
-/** Wait for another engine, about as long as a run can do without one unnoticed. */
+/**
+ * Maximum wait for the scheduler to grant another engine. It equals the longest pause between
+ * events that callers accept.
+ */
 constexpr Duration MaxTargetWait = std::chrono::milliseconds(300);
-/** Bounds the estimate of remaining output to a few events, at little cost for each run. */
+/**
+ * Events between progress reports. The number of events that are left, which decides whether a run
+ * is moved, is at most this much too high.
+ */
 constexpr std::uint32_t ProgressEvents = 8;
 constexpr Duration FreeHandleTimeout = std::chrono::milliseconds(300);
 
@@ -56,7 +62,8 @@
         return;
     }
     if (run.handle.empty()) {
-        // Repeated, since the first message may have been lost.
+        // Continued with the copy at the backup. RunMoved is repeated, since the first one may have
+        // been lost.
         m_claims.runMoved(step, request);
     }
     run.handle.clear();
@@ -110,7 +117,7 @@
     const bool isStreamOpen = !request.call.isNone();
     const bool isOver = result == StopResult::Moved || result == StopResult::NotMoved;
     if (isStreamOpen && !isOver) {
-        // The run goes on here, or its stream ends next.
+        // Either the engine goes on with the run, or its stream ends and connectionLost() follows.
         m_claims.endTarget(step, request, scheduling::ClaimOutcome::Cancelled);
         return Result::InProgress;
     }
@@ -122,7 +129,7 @@
     const RecoveryStep next = recovery.stopEnded(stateOf(request, step.now), result);
     const AnnouncedServer *backup = usableBackup(request, step.now);
     if (result == StopResult::Unreachable && next.kind == Kind::ContinueAtBackup && backup) {
-        stopLate(step, request, call.server, *backup);
+        stopUnreachableRun(step, request, call.server, *backup);
     }
     return apply(step, request, call.server, next);
 }
@@ -145,7 +152,7 @@
         stopRun(step, request, stream->server, *target);
     }
     if (stream || !request.run.lostEngine) {
-        return Result::InProgress; // Without a target the run goes on here.
+        return Result::InProgress; // Without a target the run goes on at its engine.
     }
     const RunRecovery recovery(*request.service->engine);
     return apply(step, request, *request.run.lostEngine,
@@ -218,7 +225,7 @@
     }
     const AnnouncedServer *backup = usableBackup(request, step.now);
     if (next.kind == Kind::ContinueAtBackup && backup && request.service->engine->movesRuns) {
-        stopLate(step, request, call.server, *backup);
+        stopUnreachableRun(step, request, call.server, *backup);
     }
     return apply(step, request, call.server, next);
 }
@@ -253,8 +260,9 @@
     if (next.kind == Kind::ContinueAtTarget) {
         target = m_state.servers.find(request.run.stopTarget);
     }
-    const char *reason =
-        next.kind == Kind::GiveUp ? next.reason : "the other engine must not be used";
+    const char *reason = next.kind == Kind::GiveUp
+        ? next.reason
+        : "the other engine is gone, leaving or limits requests";
     if (m_state.remainingRefusal(request.arrival.content, step.now)) {
         reason = CrashesServers;
     } else if (next.kind == Kind::AskEngine) {
@@ -317,11 +325,13 @@
     request.run.stopCall = m_state.calls.start(step, engine, std::move(call));
 }
 
-void RunContinuation::stopLate(Step &step, const OpenRequest &request,
-                               const AnnouncedServer &engine, const AnnouncedServer &target)
+void RunContinuation::stopUnreachableRun(Step &step, const OpenRequest &request,
+                                         const AnnouncedServer &engine,
+                                         const AnnouncedServer &target)
 {
-    // A lost packet may have made the engine look unreachable; most engines, but not all, drop a
-    // run whose connection has ended.
+    // The engine may only have looked unreachable because of a lost packet. Not all engines drop a
+    // run whose connection has ended, so that this one could still execute it. No connect timeout
+    // of EngineAnswerLimit applies, since nothing waits for the answer.
     StartCall call;
     call.kind = CallKind::StopRun;
     call.runId = request.arrival.callerId;
--- a/src/dispatch/runcontinuation.h
+++ b/src/dispatch/runcontinuation.h
@@ -24,10 +24,10 @@
 class RunContinuation
 {
 public:
-    /** What the flow has to do with the request. */
+    /** Whether the flow has to resume or end the stream of the request. */
     enum class Result {
-        InProgress, ///< Nothing.
-        Lost,       ///< The run cannot continue.
+        InProgress, ///< No: the run goes on or its continuation is being prepared.
+        Lost,       ///< Yes: the run cannot continue.
     };
 
     RunContinuation(DispatchState &state, EnginePlacement &placement, SchedulerClaims &claims)
@@ -36,7 +36,10 @@
         , m_claims(claims)
     { }
 
-    /** Adds to the call that starts the run of @p request what its continuation requires. */
+    /**
+     * Adds the backup, the silence limit and progress reports to a call that starts or continues
+     * the run of @p request.
+     */
     void prepare(Step &step, OpenRequest &request, StartCall &call);
     /** Records that the stream of the current call has begun. */
     void streamStarted(Step &step, OpenRequest &request);
@@ -60,20 +63,27 @@
                          const CallEnded &event);
     /** Handles the end of a StopRun whose request has ended. */
     void orphanedStopEnded(Step &step, const OpenCall &call, const CallEnded &event);
-    /** Releases what was taken for the continuation of @p request. */
+    /** Ends the engine check and the claim for a target, and frees the handle of @p request. */
     void release(Step &step, OpenRequest &request);
     const RunCounts &counts() const { return m_counts; }
 
 private:
+    /**
+     * Carries out @p next.
+     * @param engine The engine that executes or executed the run.
+     */
     Result apply(Step &step, OpenRequest &request, const AnnouncedServer &engine,
                  const RecoveryStep &next);
     void checkEngine(Step &step, OpenRequest &request, const AnnouncedServer &engine);
     void requestTarget(Step &step, OpenRequest &request);
     void stopRun(Step &step, OpenRequest &request, const AnnouncedServer &engine,
                  const AnnouncedServer &target);
-    /** Stops a run that could not be stopped in time and continues elsewhere now. */
-    void stopLate(Step &step, const OpenRequest &request, const AnnouncedServer &engine,
-                  const AnnouncedServer &target);
+    /**
+     * Asks an engine that did not respond to stop the run, which continues elsewhere meanwhile. A
+     * handle in the answer is freed.
+     */
+    void stopUnreachableRun(Step &step, const OpenRequest &request, const AnnouncedServer &engine,
+                            const AnnouncedServer &target);
     void continueAtBackup(Step &step, OpenRequest &request, const AnnouncedServer &engine);
     void continueWithHandle(Step &step, OpenRequest &request, const AnnouncedServer &engine,
                             const AnnouncedServer &target);
--- a/src/dispatch/runmover.cpp
+++ b/src/dispatch/runmover.cpp
@@ -8,9 +8,9 @@
 
 /** Interval between checks whether the engines of runs leave. */
 constexpr Duration CheckInterval = std::chrono::milliseconds(100);
-/** Time after which a run that could not be moved is tried again. */
+/** Minimum time between two attempts to move the same run. */
 constexpr Duration RetryInterval = std::chrono::milliseconds(400);
-/** Engines announce no end. Those that leave are expected to go on for this time at least. */
+/** Time for which a leaving engine is expected to go on at least; engines do not announce it. */
 constexpr Duration MinLeaveTime = std::chrono::seconds(2);
 
 bool isMovable(const OpenRequest &request)
@@ -54,7 +54,7 @@
         std::uint32_t remainingEvents = 0;
     };
     std::vector<Candidate> candidates;
-    std::map<ServerName, TimePoint> leaving;
+    std::map<ServerName, TimePoint> leavingSince;
     std::size_t moving = 0;
     m_nextCheck = now + CheckInterval;
     m_hasRuns = false;
@@ -68,20 +68,21 @@
             || !servers.find(request.decodeServer)) {
             continue;
         }
-        const auto since = m_leavingSince.find(request.decodeServer);
-        leaving[request.decodeServer] = since == m_leavingSince.end() ? now : since->second;
+        const auto known = m_leavingSince.find(request.decodeServer);
+        const TimePoint since = known == m_leavingSince.end() ? now : known->second;
+        leavingSince[request.decodeServer] = since;
         RunState run = progressOf(request, now);
         run.mayRequestTarget = request.isForwarding && !request.call.isNone()
             && !isBeingMoved(request.run) && !request.run.isContinuing
             && now >= request.run.movedAt + RetryInterval;
-        const Duration engineTimeLeft = leaving[request.decodeServer] + MinLeaveTime - now;
+        const Duration engineTimeLeft = since + MinLeaveTime - now;
         const RunRecovery recovery(*request.service->engine);
         if (recovery.engineLeaving(run, engineTimeLeft).kind == RecoveryStep::Kind::RequestTarget) {
             candidates.push_back(
                 {number, run.expectedEvents - std::min(run.expectedEvents, run.events)});
         }
     }
-    m_leavingSince = std::move(leaving);
+    m_leavingSince = std::move(leavingSince);
     std::ranges::stable_sort(candidates, std::greater {}, &Candidate::remainingEvents);
     std::vector<RequestNumber> due;
     for (const Candidate &candidate : candidates) {
--- a/src/dispatch/runmover.h
+++ b/src/dispatch/runmover.h
@@ -10,7 +10,10 @@
 
 namespace indigoway::dispatch {
 
-/** Returns what the node knows of the progress of a run; the other members are not set. */
+/**
+ * Returns the progress, the attempts so far and the time left of a run. The members about a backup
+ * and a target are not set.
+ */
 RunState progressOf(const OpenRequest &request, TimePoint now);
 
 /** Chooses the runs that are moved off engines that leave. */
@@ -32,7 +35,8 @@
     void runStarted() { m_hasRuns = true; }
 
 private:
-    std::map<ServerName, TimePoint> m_leavingSince; ///< Engines of runs, since they were seen.
+    /** Leaving engines that execute runs, with the time at which each was first seen to leave. */
+    std::map<ServerName, TimePoint> m_leavingSince;
     TimePoint m_nextCheck {};
     bool m_hasRuns = false; ///< Whether runs that can be moved are in progress.
 };
--- a/src/dispatch/runrecovery.cpp
+++ b/src/dispatch/runrecovery.cpp
@@ -8,7 +8,10 @@
 
 using Kind = RecoveryStep::Kind;
 
-/** Age of the last part of a copy when the last event was forwarded: several parts a second. */
+/**
+ * Maximum age of the last part of a copy when the last event is forwarded. Engines send several
+ * parts a second.
+ */
 constexpr Duration MaxPartAge = std::chrono::milliseconds(150);
 /** Time from the decision until the continuing request has reached the backup. */
 constexpr Duration ReachTime = std::chrono::milliseconds(50);
@@ -16,9 +19,12 @@
 constexpr Duration MinSilenceLimit = std::chrono::milliseconds(150);
 /** Longer silences only delay the caller, however long the copy is kept. */
 constexpr Duration MaxSilenceLimit = std::chrono::milliseconds(500);
-/** Bounds the work on a run that every engine loses. */
+/** Ends a request that breaks at each engine, for example because of its content. */
 constexpr std::uint32_t MaxContinuations = 3;
-/** The second request shows whether the first one, whose answer was lost, has stopped the run. */
+/**
+ * If the answer to the first request to stop the run is lost, the answer to the second shows
+ * whether the run has stopped.
+ */
 constexpr std::uint32_t MaxStopRequests = 2;
 
 constexpr int Ok = 200;
--- a/src/dispatch/runrecovery.h
+++ b/src/dispatch/runrecovery.h
@@ -87,7 +87,7 @@
      * @param engineTimeLeft How long the engine is expected to go on.
      */
     RecoveryStep engineLeaving(const RunState &run, Duration engineTimeLeft) const;
-    /** Decides after the scheduler has answered RequestTarget for a run that has lost its engine.
+    /** Decides for a run that has lost its engine, after the scheduler has answered RequestTarget.
      */
     RecoveryStep targetDecided(const RunState &run) const;
     /**
--- a/src/dispatch/servertracker.cpp
+++ b/src/dispatch/servertracker.cpp
@@ -17,7 +17,7 @@
 constexpr Duration HalfLife = std::chrono::seconds(3);
 /** Time during which a reported load is considered current. */
 constexpr Duration LoadValidity = std::chrono::milliseconds(300);
-/** Speed of a server that shares its machine with no other work. */
+/** Work time of a server that shares its machine with no other work, in percent. */
 constexpr double UsualWorkPercent = 100;
 /** Half-life of a reported speed's weight; the speed changes several times a second. */
 constexpr Duration WorkPercentHalfLife = std::chrono::milliseconds(150);
--- a/src/dispatch/servertracker.h
+++ b/src/dispatch/servertracker.h
@@ -72,8 +72,8 @@
 
     void addFailureSample(ServerStatistics &statistics, bool isFailure, TimePoint now);
     /**
-     * Returns the factor by which the server's reported speed makes answers slower than those that
-     * its average is made of.
+     * Returns the expected answer time relative to averageMilliseconds, from the last reported
+     * speed and the mean speed of the answers in that average. It approaches 1 as the report ages.
      */
     double slowdown(const ServerStatistics &statistics, TimePoint now) const;
 
--- a/src/relay/serverconnections.cpp
+++ b/src/relay/serverconnections.cpp
@@ -63,8 +63,8 @@
     CallNumber call; ///< None while the connection is idle.
     Duration idleTimeout {};
     Duration silenceLimit {};
-    Duration silentFor {};                ///< Time without data when the timer was armed last.
-    Duration armedFor {};                 ///< Time until the timer fires.
+    Duration silentFor {};                ///< Time without data when the timer was last armed.
+    Duration armedFor {};                 ///< Interval for which the timer was last armed.
     std::uint32_t maxIdleConnections = 1; ///< Maximum for the server, including this one.
     /**
      * Request to send once the connection is established. If it were written to the bufferevent
--- a/src/relay/serverconnections.h
+++ b/src/relay/serverconnections.h
@@ -101,7 +101,9 @@
     void finish(Connection &connection, TransferEnd end, const std::string &reason,
                 bool isReusable);
     void returnToPool(Connection &connection);
+    /** Restarts the idle timeout and the silence limit after data or a new request. */
     void armIdleTimer(Connection &connection);
+    /** Arms the timer for the silence limit or the rest of the idle timeout, whichever is first. */
     void armSilenceTimer(Connection &connection);
     void scheduleClose(Connection &connection);
     void closeScheduled();
--- a/src/scheduling/backupselector.cpp
+++ b/src/scheduling/backupselector.cpp
@@ -7,8 +7,9 @@
 namespace {
 
 /**
- * Share of memory up to which copies are made, copies included. The rest is for runs that arrive
- * before the present copies end: a larger share made claims wait when demand rose within seconds.
+ * Share of memory up to which runs and copies may be expected to use it for another copy to be
+ * made. The rest is for runs that arrive before the present copies end; with a larger share claims
+ * wait when demand rises within seconds.
  */
 constexpr double MaxUsedShare = 0.65;
 
--- a/src/scheduling/claimqueue.cpp
+++ b/src/scheduling/claimqueue.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/** Class of claims that can no longer meet their target, together with retried ones. */
+/** First attempts that can no longer meet their target are served like retried claims. */
 constexpr int LateClass = static_cast<int>(Urgency::Retried);
 
 FairQueue::Entry fairEntry(const WaitingClaim &waiting, int urgencyClass)
@@ -128,26 +128,27 @@
     const WaitingClaim &granted = it->second;
     const Claim &claim = granted.claim;
     m_fairQueues[claim.service].charge(claim.organisation, granted.tokenSeconds, now, now);
-    const auto [last, isNew] = m_lastGranted.try_emplace(
-        classOf(claim), LastGranted {claim.organisation, granted.latestStart, std::nullopt});
+    const auto [starts, isNew] = m_grantedStarts.try_emplace(
+        classOf(claim), GrantedStarts {claim.organisation, granted.latestStart, std::nullopt});
     if (!isNew) {
-        last->second.add(claim.organisation, granted.latestStart);
+        starts->second.add(claim.organisation, granted.latestStart);
     }
     m_claims.erase(it);
 }
 
 void ClaimQueue::recordOvertaking(TimePoint now)
 {
-    if (m_lastGranted.empty()) {
+    if (m_grantedStarts.empty()) {
         return;
     }
     for (auto &[key, waiting] : m_claims) {
-        const auto it = m_lastGranted.find(classOf(waiting.claim));
-        if (!waiting.overtakenAt && it != m_lastGranted.end() && it->second.hasOvertaken(waiting)) {
+        const auto it = m_grantedStarts.find(classOf(waiting.claim));
+        if (!waiting.overtakenAt && it != m_grantedStarts.end()
+            && it->second.hasOvertaken(waiting)) {
             waiting.overtakenAt = now;
         }
     }
-    m_lastGranted.clear();
+    m_grantedStarts.clear();
 }
 
 void ClaimQueue::recordEnd(const ServiceName &service, const OrganisationName &organisation,
@@ -201,7 +202,7 @@
     return result;
 }
 
-void ClaimQueue::LastGranted::add(const OrganisationName &name, TimePoint start)
+void ClaimQueue::GrantedStarts::add(const OrganisationName &name, TimePoint start)
 {
     if (name == organisation) {
         latestStart = std::max(latestStart, start);
@@ -213,7 +214,7 @@
     }
 }
 
-bool ClaimQueue::LastGranted::hasOvertaken(const WaitingClaim &waiting) const
+bool ClaimQueue::GrantedStarts::hasOvertaken(const WaitingClaim &waiting) const
 {
     const auto other = waiting.claim.organisation == organisation ? otherLatestStart : latestStart;
     return other && *other > waiting.latestStart;
--- a/src/scheduling/claimqueue.h
+++ b/src/scheduling/claimqueue.h
@@ -85,17 +85,25 @@
     std::vector<OrganisationState> organisations(TimePoint now, std::size_t limit) const;
 
 private:
-    /** Claims of one class and priority on a service. */
+    /** Service, urgency and priority: claims that differ in one of them do not overtake each other.
+     */
     using Class = std::tuple<ServiceName, Urgency, std::uint32_t>;
-    /** The latest starts of the claims of a class that were granted. */
-    struct LastGranted
+    /**
+     * The largest values of WaitingClaim::latestStart among the granted claims of a class. Two are
+     * kept, since a claim is only overtaken by claims of other organisations.
+     */
+    struct GrantedStarts
     {
-        OrganisationName organisation;
-        TimePoint latestStart {}; ///< The latest of all organisations; of organisation.
-        /** The latest of the other organisations; nothing if there are none. */
+        OrganisationName organisation; ///< Organisation of the claim with the largest value.
+        TimePoint latestStart {};      ///< The largest value of all organisations.
+        /** The largest value of all organisations but that one; nothing if there are none. */
         std::optional<TimePoint> otherLatestStart;
 
         void add(const OrganisationName &name, TimePoint start);
+        /**
+         * Returns whether a granted claim of another organisation than that of @p waiting had a
+         * later latest start.
+         */
         bool hasOvertaken(const WaitingClaim &waiting) const;
     };
 
@@ -104,7 +112,8 @@
 
     Claims m_claims;
     std::map<ServiceName, FairQueue> m_fairQueues;
-    std::map<Class, LastGranted> m_lastGranted; ///< Since the last call of recordOvertaking().
+    /** Claims granted since the last call of recordOvertaking(). */
+    std::map<Class, GrantedStarts> m_grantedStarts;
 };
 
 } // namespace indigoway::scheduling
--- a/src/scheduling/enginescheduler.cpp
+++ b/src/scheduling/enginescheduler.cpp
@@ -72,6 +72,7 @@
     } else if (const auto *ended = std::get_if<ClaimEnded>(&message)) {
         process(now, view, key, *ended);
     } else {
+        // RunMoved, which carries nothing but the claim.
         moveToBackup(now, key);
     }
     grantWaiting(now, view, replies);
@@ -263,13 +264,13 @@
 void EngineScheduler::moveToBackup(TimePoint now, const ClaimKey &key)
 {
     GrantedClaim *granted = m_granted.find(key);
-    const ServerName first = granted ? granted->decodeServer : ServerName();
+    const ServerName lostEngine = granted ? granted->decodeServer : ServerName();
     if (granted && m_granted.moveToBackup(*granted, m_tracker, now)) {
         ++m_runsMoved;
         // Without its backup the run would have been lost. If it counted as completed, backups
         // would end while engines still fail.
         m_estimators[granted->service].losses.add(true, now);
-        m_tracker.recordFailure(first, now);
+        m_tracker.recordFailure(lostEngine, now);
     }
 }
 
@@ -287,14 +288,15 @@
 {
     ServiceEstimators &estimators = m_estimators[granted.service];
     const bool isServed = ended.outcome == ClaimOutcome::Served;
-    // The time of a run that has moved includes an interruption.
+    // The decode time of a run that has moved includes the interruption, which would make the
+    // engines look slow.
     if (isServed && granted.decodeStart && !granted.hasMoved) {
         estimators.decode.add(granted.memory.outputTokens, ended.generatedTokens,
                               now - *granted.decodeStart);
     }
     const bool isLost =
         ended.outcome == ClaimOutcome::EngineFailed || ended.outcome == ClaimOutcome::Unreachable;
-    // A run that has moved was counted as lost then.
+    // A run that has moved was counted as lost by moveToBackup().
     if (isLost || (isServed && !granted.hasMoved)) {
         estimators.losses.add(isLost, now);
     }
--- a/src/scheduling/enginescheduler.h
+++ b/src/scheduling/enginescheduler.h
@@ -81,8 +81,9 @@
     void process(TimePoint now, const ClaimKey &key, const ReservationReport &reservation);
     void process(TimePoint now, const ClaimKey &key, const PrefillEnded &ended);
     void process(TimePoint now, const View &view, const ClaimKey &key, const ClaimEnded &ended);
-    void moveToBackup(TimePoint now, const ClaimKey &key);
     void process(TimePoint now, const PhaseChangeNotice &notice);
+    /** Handles RunMoved: counts the run at its backup, and its engine as failed. */
+    void moveToBackup(TimePoint now, const ClaimKey &key);
     void removeEarlierIncarnations(const NodeLife &owner, TimePoint now);
     /** Records how a run has ended for the estimates of the service and the fair queue. */
     void recordRunEnd(const GrantedClaim &granted, const ClaimEnded &ended, TimePoint now);
--- a/src/scheduling/fairqueue.cpp
+++ b/src/scheduling/fairqueue.cpp
@@ -16,7 +16,7 @@
  * organisation until the runs that it was granted have ended.
  */
 constexpr Duration UsageHalfLife = std::chrono::seconds(10);
-/** An account with less memory-time is removed. */
+/** Accounts with less memory-time count as unused; they are neither reported nor kept when full. */
 constexpr double MinTokenSeconds = 1;
 
 double decay(Duration elapsed)
--- a/src/scheduling/grantedclaims.cpp
+++ b/src/scheduling/grantedclaims.cpp
@@ -48,7 +48,8 @@
         tracker.cancelPrefill(*granted.prefill, now);
         granted.prefill.reset();
     }
-    // The copy may have ceased to count, for example after another node failed to connect.
+    // Does nothing if the copy no longer counts, for example because another node could not
+    // connect to the engine.
     dropCopy(granted, tracker);
     granted.decodeServer = std::exchange(granted.backupServer, {});
     granted.reply.backupServer = {};
@@ -104,8 +105,8 @@
     for (auto &[key, granted] : m_claims) {
         if (granted.isCopyCounted && isLost(granted.backupServer)) {
             dropCopy(granted, tracker);
-            // A repeated grant must not name an engine that has no copy. The name is kept, since
-            // the run may have continued there before.
+            // A repeated grant must not name an engine that has no copy. backupServer is kept: the
+            // run may already continue there, and its RunMoved may arrive later.
             granted.reply.backupServer = {};
         }
     }
--- a/standins/sharedplatform.h
+++ b/standins/sharedplatform.h
@@ -101,10 +101,13 @@
                 HttpHeaders headers = {});
     /** Executes a generation, or continues one with its KV cache from here or elsewhere. */
     void generate(Worker &worker, const HttpRequest &request, HttpHeaders headers);
-    /** Whether the KV cache that @p request refers to, if any, is there; it can be used once. */
+    /**
+     * Takes the KV cache that @p request refers to, which can be used once.
+     * @return False if it is not there; true if the request refers to none.
+     */
     bool takeKvCache(const Worker &worker, const HttpRequest &request);
     void moveRun(Worker &worker, const HttpRequest &request);
-    /** Breaks the connection of the run of @p id, which the engine then goes on with. */
+    /** Breaks the connection of the run of @p request, which the engine does not drop. */
     void cutRun(Worker &worker, const HttpRequest &request);
     void stream(Worker &worker, const HttpRequest &request, std::uint64_t life, int event);
     void writeRouting(std::uint64_t version, const std::string &extraPrefix);
--- a/tests/dispatch/plainslottest.cpp
+++ b/tests/dispatch/plainslottest.cpp
@@ -89,6 +89,7 @@
         CPPUNIT_ASSERT(harness.takeSlotMessages().empty());
     }
 
+    // Guards against requests that wait for a scheduler that is not known.
     void noMessagesWithoutAScheduler()
     {
         SlotHarness harness;
@@ -99,6 +100,7 @@
         CPPUNIT_ASSERT(harness.takeSlotMessages().empty());
     }
 
+    // Guards against a call to another server than the granted one, and a slot that is not freed.
     void usesTheGrantedServer()
     {
         for (const std::string server : {"a", "b"}) {
@@ -117,6 +119,7 @@
         }
     }
 
+    // Guards against a grant of the server that failed, or one that is decided by wrong times.
     void claimNamesTimesAndExcludedServers()
     {
         SlotHarness harness(Repetition::Idempotent);
@@ -191,6 +194,7 @@
         CPPUNIT_ASSERT(std::get<slots::SlotHeld>(messages.back()).server == ServerName("b"));
     }
 
+    // A server that asked for a pause must not be called although the scheduler grants it.
     void doesNotUseAGrantOfAPausedServer()
     {
         SlotHarness harness;
@@ -204,6 +208,7 @@
         CPPUNIT_ASSERT(harness.nextCall(CallKind::Plain).server == ServerName("b"));
     }
 
+    // Guards against a slot that stays taken by a call that was abandoned.
     void freesTheSlotIfTheCallerLeaves()
     {
         SlotHarness harness;
@@ -216,6 +221,7 @@
         CPPUNIT_ASSERT(ended.answerTime == 27ms);
     }
 
+    // Guards against a slot that is granted too late and stays taken.
     void withdrawsTheClaimIfTheCallerLeaves()
     {
         SlotHarness harness;
@@ -243,6 +249,7 @@
         CPPUNIT_ASSERT(!harness.hasCalls());
     }
 
+    // Guards against failures of a server that the scheduler does not learn of.
     void reportsHowCallsEnded()
     {
         const std::pair<CallEnd, slots::SlotOutcome> ends[] = {
@@ -258,6 +265,7 @@
         }
     }
 
+    // Guards against a server that is served without slots and without a hint at the reason.
     void logsLoadsThatCannotBeRead()
     {
         SlotHarness harness;
--- a/tests/dispatch/runcontinuationtest.cpp
+++ b/tests/dispatch/runcontinuationtest.cpp
@@ -174,7 +174,8 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t {1}, harness.dispatcher().runCounts().withBackup);
     }
 
-    // The stream of a route that may not be resumed ended incomplete when its engine crashed.
+    // Guards against a stream that ends incomplete, or a run that is reported wrongly, after a
+    // crash.
     void continuesAtTheBackupOfACrashedEngine()
     {
         DispatcherHarness harness;
@@ -202,6 +203,7 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t {0}, harness.dispatcher().runCounts().lost);
     }
 
+    // An engine that has dropped the run after a reset has no KV cache to move.
     void continuesAtTheBackupIfTheEngineDroppedTheRun()
     {
         DispatcherHarness harness;
@@ -232,6 +234,7 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t {1}, harness.dispatcher().runCounts().continuedByMove);
     }
 
+    // The run has stopped, and its KV cache is still at its engine.
     void continuesAtTheSameEngineIfTheTargetIsFull()
     {
         DispatcherHarness harness;
@@ -277,6 +280,7 @@
         CPPUNIT_ASSERT(!harness.hasCalls());
     }
 
+    // An engine that crashes during the request to stop the run no longer executes it.
     void lostAnswerOfACrashedEngineContinuesAtTheBackup()
     {
         DispatcherHarness harness;
@@ -302,6 +306,7 @@
         assertContinuesAtBackup(harness.nextCall(CallKind::Decode));
     }
 
+    // Guards against a request that stays open after its engine and its backup were lost.
     void crashedBackupEndsTheStream()
     {
         DispatcherHarness harness;
@@ -330,6 +335,7 @@
         }
     }
 
+    // A missing copy must not end a stream that may be resumed.
     void backupWithoutACopyResumesAResumableStream()
     {
         DispatcherHarness harness;
@@ -479,6 +485,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {0}, harness.dispatcher().open());
     }
 
+    // The call that would have used the handle may not have reached the engine.
     void disconnectDuringAContinuationReleasesAll()
     {
         DispatcherHarness harness;
@@ -674,6 +681,7 @@
         }
     }
 
+    // Guards against a complete answer that is continued or cut by the end of its move.
     void runThatEndsDuringItsMoveIsComplete()
     {
         DispatcherHarness harness;
@@ -691,6 +699,8 @@
         CPPUNIT_ASSERT(!harness.hasCalls());
     }
 
+    // Guards against a second claim, or a lost run, while the scheduler is being asked for a
+    // target.
     void leavingEngineThatLosesTheConnectionWaitsForTheTarget()
     {
         DispatcherHarness harness;
@@ -770,6 +780,7 @@
         CPPUNIT_ASSERT(harness.nextCall(CallKind::Decode).server == ServerName("d2"));
     }
 
+    // A handle that arrives after the request has timed out occupies memory at both engines.
     void timeoutDuringAMoveReleasesAll()
     {
         DispatcherHarness harness;
@@ -783,6 +794,7 @@
         CPPUNIT_ASSERT_EQUAL(text("k9"), harness.nextCall(CallKind::FreeHandle).handle);
     }
 
+    // Engines without moves do not know the calls of a move.
     void nothingIsMovedWithoutTheSetting()
     {
         DispatcherHarness harness;
--- a/tests/dispatch/runrecoverytest.cpp
+++ b/tests/dispatch/runrecoverytest.cpp
@@ -84,6 +84,7 @@
         CPPUNIT_ASSERT(RunRecovery(both).connectionLost(alone).kind == Kind::GiveUp);
     }
 
+    // Continuing a run that its engine may still execute would execute it twice.
     void continuesOnlyWhereTheRunIsOver()
     {
         const EngineTraits traits = traitsOf(true, true);
@@ -146,6 +147,7 @@
         CPPUNIT_ASSERT(recovery.streamSilent(alone).kind == Kind::Wait);
     }
 
+    // Guards against work on a run whose caller no longer waits.
     void doesNotContinueWithoutTime()
     {
         const EngineTraits traits = traitsOf(true, true);
--- a/tests/platform/platformdialecttest.cpp
+++ b/tests/platform/platformdialecttest.cpp
@@ -187,6 +187,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.3:80"), headerValue(with, "Indigoway-Kv-Backup"));
     }
 
+    // Guards against a call that another instance executes, and an id that breaks the body.
     void encodesTheStopOfARun()
     {
         StartCall stop = makeCall(CallKind::StopRun);
--- a/tests/scheduling/backupreplaytest.cpp
+++ b/tests/scheduling/backupreplaytest.cpp
@@ -19,8 +19,8 @@
 {
     /** Requests per second that fill the memory of the decode engines. */
     constexpr double Capacity = 64;
-    constexpr double Swing =
-        0.55 / 2.55; // From the mean, so that the top is 1.55 times the bottom.
+    /** Deviation from the mean, so that the highest demand is 1.55 times the lowest. */
+    constexpr double Swing = 0.55 / 2.55;
     LoadReplay::Options options;
     options.wantsBackups = wantsBackups;
     options.minDecodeTime = std::chrono::seconds(3);
@@ -104,7 +104,7 @@
             options.crashInterval = crashInterval;
             LoadReplay replay(options);
             results.at(wantsBackups ? 1 : 0) = replay.simulate(std::chrono::seconds(60)).front();
-            // Accounts that stay after all runs have ended.
+            // Guards against runs and copies that stay counted after all runs have ended.
             CPPUNIT_ASSERT_EQUAL(std::size_t {0}, replay.grantedAtEnd());
             CPPUNIT_ASSERT_EQUAL(std::size_t {0}, replay.copiesAtEnd());
         }
--- a/tests/scheduling/backupselectortest.cpp
+++ b/tests/scheduling/backupselectortest.cpp
@@ -67,6 +67,7 @@
                              chosen({engine("d2", "b", 5'000), engine("d3", "a", 39'000)}));
     }
 
+    // Guards against copies that fill one engine while others have room.
     void prefersFreeMemory()
     {
         CPPUNIT_ASSERT_EQUAL(std::string("d3"),
--- a/tests/scheduling/claimqueuetest.cpp
+++ b/tests/scheduling/claimqueuetest.cpp
@@ -48,7 +48,7 @@
     return waiting;
 }
 
-/** The order before organisations were known. */
+/** Returns the order by urgency, priority and latest start, without fairness. */
 std::vector<ClaimKey> plainOrder(const ClaimQueue::Claims &claims, TimePoint now, Duration wait)
 {
     std::vector<std::tuple<int, std::uint32_t, TimePoint, ClaimKey>> entries;
@@ -93,8 +93,8 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Proves that where no claim names an organisation, claims are served in exactly the order
-    // before, whatever was granted earlier.
+    // Guards against a changed order where no claim names an organisation, whatever was granted
+    // earlier.
     void orderIsUnchangedWithoutOrganisations()
     {
         CPPUNIT_ASSERT(rc::check("serving order", [] {
@@ -122,7 +122,7 @@
         }));
     }
 
-    // Proves the same for the claims that the estimate of a new claim's wait counts.
+    // Guards against a changed estimate of a new claim's wait where no claim names an organisation.
     void countsClaimsServedBefore()
     {
         CPPUNIT_ASSERT(rc::check("claims ahead", [] {
--- a/tests/scheduling/fairqueuetest.cpp
+++ b/tests/scheduling/fairqueuetest.cpp
@@ -29,7 +29,7 @@
     return {1, 0, at(latestStart), organisation(number), tokenSeconds, std::nullopt};
 }
 
-/** The order before organisations were known. */
+/** Returns the order by urgency, priority and latest start, without fairness. */
 std::vector<std::size_t> plainOrder(const std::vector<Entry> &entries)
 {
     std::vector<std::size_t> indexes(entries.size());
@@ -83,7 +83,7 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Proves that deployments without organisations are served in exactly the order before.
+    // Guards against a changed order where no claim names an organisation.
     void orderIsUnchangedWithoutOrganisations()
     {
         CPPUNIT_ASSERT(rc::check("no organisation", [] {
--- a/tests/scheduling/loadreplay.h
+++ b/tests/scheduling/loadreplay.h
@@ -113,8 +113,8 @@
     static constexpr int PrefillEngines = 20;
     static constexpr int DecodeEngines = 70;
     static constexpr std::uint64_t Memory = 38'000;
-    static constexpr auto Target = std::chrono::milliseconds(900);
-    static constexpr double TokensPerSecond = 70;
+    static constexpr auto Target = std::chrono::milliseconds(900); ///< For the first event.
+    static constexpr double TokensPerSecond = 70;                  ///< Of a run that decodes.
 
     struct Request
     {
@@ -244,9 +244,13 @@
     void prefill(std::uint64_t number, const ServerName &server)
     {
         Offset &busyUntil = m_busyUntil[server];
-        const Offset work(m_requests[number].prompt * 18 + 15'000);
+        constexpr int MicrosecondsPerPromptToken = 18;
+        constexpr int MicrosecondsPerPrompt = 15'000;
+        constexpr auto KvCacheTransfer = std::chrono::milliseconds(60);
+        const Offset work(m_requests[number].prompt * MicrosecondsPerPromptToken
+                          + MicrosecondsPerPrompt);
         busyUntil = std::max(busyUntil, m_now) + work;
-        schedule(busyUntil + std::chrono::milliseconds(60), [this, number] { decode(number); });
+        schedule(busyUntil + KvCacheTransfer, [this, number] { decode(number); });
     }
 
     void decode(std::uint64_t number)
@@ -255,8 +259,9 @@
             return;
         }
         const Request &request = m_requests[number];
-        const Duration first = m_now + std::chrono::milliseconds(25) - request.arrived;
-        ++(first <= Target ? resultsOf(request).onTime : resultsOf(request).late);
+        constexpr auto FirstDecodeStep = std::chrono::milliseconds(25);
+        const Duration timeToFirstEvent = m_now + FirstDecodeStep - request.arrived;
+        ++(timeToFirstEvent <= Target ? resultsOf(request).onTime : resultsOf(request).late);
         send(number, PrefillEnded {ClaimId(number), true});
         schedule(m_now + request.decodeTime, [this, number] {
             if (m_running.erase(number) > 0) {
--- a/tests/scheduling/schedulerbackuptest.cpp
+++ b/tests/scheduling/schedulerbackuptest.cpp
@@ -258,6 +258,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {0}, harness.copies());
     }
 
+    // Guards against a run that a new scheduler counts at the engine that it has left.
     void movesReportedRunAfterTakeover()
     {
         BackupHarness harness;
