Clarify three comments of the claim queue and the slot tests

The comment on classes of claims said that claims of different classes do not overtake each other; only claims of one class are compared. Comments only.

--- a/src/scheduling/claimqueue.h
+++ b/src/scheduling/claimqueue.h
@@ -85,8 +85,7 @@
     std::vector<OrganisationState> organisations(TimePoint now, std::size_t limit) const;
 
 private:
-    /** Service, urgency and priority: claims that differ in one of them do not overtake each other.
-     */
+    /** Service, urgency and priority. Overtaking is recorded between claims that agree in all. */
     using Class = std::tuple<ServiceName, Urgency, std::uint32_t>;
     /**
      * The largest values of WaitingClaim::latestStart among the granted claims of a class. Two are
--- a/tests/dispatch/plainslottest.cpp
+++ b/tests/dispatch/plainslottest.cpp
@@ -119,7 +119,7 @@
         }
     }
 
-    // Guards against a grant of the server that failed, or one that is decided by wrong times.
+    // Guards against a grant of the server that failed, and a decision from wrong time limits.
     void claimNamesTimesAndExcludedServers()
     {
         SlotHarness harness(Repetition::Idempotent);
@@ -265,7 +265,7 @@
         }
     }
 
-    // Guards against a server that is served without slots and without a hint at the reason.
+    // Guards against a malformed load that is ignored without a log line.
     void logsLoadsThatCannotBeRead()
     {
         SlotHarness harness;
