Move the estimates of work and waits out of PlainScheduler

ServiceWork keeps the mean work of a service and its routes and the rate of on-time grants, and estimates waits and answer times from them. ServiceSpeed holds what capacityOf() computes for it. Whether a server has room is computed there, which every caller of expectedWait() has just called. UsualWorkPercent is defined once, beside PlainServer.

--- a/src/slots/plainscheduler.cpp
+++ b/src/slots/plainscheduler.cpp
@@ -12,37 +12,12 @@
  * the end of a request and the arrival of the next.
  */
 constexpr double RequestsAboveSlots = 1;
-/** Answer time at the usual speed before the first answer. */
-constexpr double DefaultWorkMilliseconds = 50;
-constexpr double WorkSampleWeight = 0.05;
-constexpr double MaxWorkMilliseconds = 60'000;
-constexpr double UsualWorkPercent = 100;
 /** Cost of a server in another failure domain than the node: the network round trip. */
 constexpr double OtherDomainPenaltyMilliseconds = 3;
 /** Bounds the cost of a decision for services with many servers. */
 constexpr std::size_t MaxServersExamined = 64;
 /** Waiting claims that are skipped because they exclude the servers with room. */
 constexpr std::size_t MaxClaimsSkipped = 16;
-/** Time over which the rate of grants to claims that meet their target is averaged. */
-constexpr Duration RateWindow = std::chrono::seconds(1);
-/** Least part of the capacity that late claims are assumed to get. */
-constexpr double MinLateShare = 0.05;
-/** Keeps a new request from an infinite expected wait while all servers are very slow. */
-constexpr double MinWorkRate = 1e-3;
-constexpr Duration MaxExpectedWait = std::chrono::hours(1);
-/** Network time of a call between failure domains and of the claim and its grant before it. */
-constexpr Duration RoundTripTime = std::chrono::milliseconds(5);
-/**
- * The part 1/OnTimeWaitDivisor of the time that an answer leaves until its target may be spent
- * waiting; the speed may fall meanwhile.
- */
-constexpr int OnTimeWaitDivisor = 2;
-/** Lower bound of maxOnTimeWait(). */
-constexpr Duration MinOnTimeWait = std::chrono::milliseconds(20);
-/** Time after its latest claim for which a route's target limits the wait of on-time claims. */
-constexpr Duration RouteUseTime = std::chrono::seconds(10);
-/** Routes of a service whose work is averaged separately; the service's mean holds for others. */
-constexpr std::size_t MaxRoutes = 64;
 /**
  * Factor by which the expected wait of an accepted claim may exceed its time left: the estimate
  * varies with the speed of the servers, and a refusal cannot be taken back.
@@ -69,17 +44,6 @@
 /** Time after which an unused service or a silent node is forgotten. */
 constexpr Duration Retention = std::chrono::seconds(60);
 
-double millisecondsOf(Duration duration)
-{
-    return static_cast<double>(duration.count()) / 1000;
-}
-
-Duration durationOf(double milliseconds)
-{
-    return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(milliseconds));
-}
-
 std::string millisecondsText(Duration duration)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -131,16 +95,15 @@
     open.heardAt = now;
     open.targetAt = now + claim.timeToTarget;
     open.deadline = now + claim.timeLeft;
-    const RouteWork &route = recordRoute(service, claim, now);
-    open.workMilliseconds = route.milliseconds == 0 ? workOf(service) : route.milliseconds;
+    open.workMilliseconds = service.work.recordClaim(claim, now);
     QueueClass queueClass {claim.priority, false};
-    const Duration answerTime = expectedAnswer(capacity, open.workMilliseconds);
+    const Duration answerTime = ServiceWork::expectedAnswer(capacity.speed, open.workMilliseconds);
     const Duration onTimeWait =
-        expectedWait(service, capacity, queueClass, workAhead(service, queueClass), now);
+        service.work.expectedWait(capacity.speed, false, workAhead(service, queueClass), now);
     queueClass.isLate = onTimeWait + answerTime > claim.timeToTarget
-        || onTimeWait > maxOnTimeWait(service, capacity, now);
+        || onTimeWait > service.work.maxOnTimeWait(capacity.speed, now);
     const Duration wait = queueClass.isLate
-        ? expectedWait(service, capacity, queueClass, workAhead(service, queueClass), now)
+        ? service.work.expectedWait(capacity.speed, true, workAhead(service, queueClass), now)
         : onTimeWait;
     enqueue(key, open, queueClass);
     serve(now, servers, claim.service, replies);
@@ -192,14 +155,14 @@
         server->recordLoad(*ended.load, Duration(0), now);
     }
     const PlainServer::Figures figures = server->figures(1, now);
-    const double work = workOf(service);
+    const double work = service.work.mean();
     const Duration overdueTime = std::max(
         MinOverdueTime, durationOf(OverdueFactor * figures.expectedMilliseconds(work, work)));
     const bool isOverdue =
         ended.outcome == SlotOutcome::Cancelled && ended.answerTime > overdueTime;
     server->recordOutcome(isOverdue ? SlotOutcome::Broken : ended.outcome, now);
     if (hadFreeSlot && ended.outcome == SlotOutcome::Answered) {
-        recordWork(service, route, ended.answerTime, figures.workPercent);
+        service.work.recordAnswer(route, ended.answerTime, figures.workPercent);
     }
     if (ended.load) {
         freeLostSlots(now, service, *server);
@@ -274,15 +237,18 @@
     double slots = 0;
     for (const Candidate &candidate : capacity.candidates) {
         const double percent = candidate.figures.workPercent;
-        capacity.workRate += candidate.figures.slots * UsualWorkPercent / percent;
+        capacity.speed.workRate += candidate.figures.slots * UsualWorkPercent / percent;
         slots += candidate.figures.slots;
     }
-    capacity.workPercent = UsualWorkPercent * slots / std::max(capacity.workRate, MinWorkRate);
+    capacity.speed.workPercent =
+        UsualWorkPercent * slots / std::max(capacity.speed.workRate, ServiceWork::MinWorkRate);
     // A server's own queue adds its share of the time of a request.
     const double queued = slots == 0
         ? 0
         : RequestsAboveSlots * static_cast<double>(capacity.candidates.size()) / slots;
-    capacity.queueMilliseconds = queued * workOf(service) * capacity.workPercent / UsualWorkPercent;
+    capacity.speed.queueMilliseconds =
+        queued * service.work.mean() * capacity.speed.workPercent / UsualWorkPercent;
+    capacity.speed.hasRoom = std::ranges::any_of(capacity.candidates, &Candidate::hasRoom);
     return capacity;
 }
 
@@ -355,7 +321,8 @@
                                      const OpenClaim &claim)
 {
     return !claim.queueClass.isLate
-        && now + expectedAnswer(capacity, claim.workMilliseconds) > claim.targetAt;
+        && now + ServiceWork::expectedAnswer(capacity.speed, claim.workMilliseconds)
+        > claim.targetAt;
 }
 
 void PlainScheduler::moveToLate(const ClaimKey &key, OpenClaim &claim)
@@ -375,7 +342,7 @@
         }
         const bool isOtherDomain = candidate.server->domain != claim.message.domain;
         const double score =
-            candidate.figures.expectedMilliseconds(claim.workMilliseconds, workOf(service))
+            candidate.figures.expectedMilliseconds(claim.workMilliseconds, service.work.mean())
             + (isOtherDomain ? OtherDomainPenaltyMilliseconds : 0);
         if (!best || score < bestScore) {
             best = &candidate;
@@ -387,9 +354,7 @@
     }
     dequeue(key, claim);
     if (!claim.queueClass.isLate) {
-        service.onTimeRate =
-            onTimeRate(service, now) + claim.workMilliseconds / millisecondsOf(RateWindow);
-        service.onTimeRateAt = now;
+        service.work.recordOnTimeGrant(claim.workMilliseconds, now);
     }
     claim.server = best->server->name;
     claim.expiresAt = claim.deadline + ExpiryMargin;
@@ -436,9 +401,9 @@
         }
         const Duration wait = capacity.candidates.empty()
             ? NoServerWait
-            : expectedWait(service, capacity, entry->queueClass, ahead, now);
-        const bool isTooLate =
-            now + wait / WaitTolerance + expectedAnswer(capacity, claim.workMilliseconds)
+            : service.work.expectedWait(capacity.speed, entry->queueClass.isLate, ahead, now);
+        const bool isTooLate = now + wait / WaitTolerance
+                + ServiceWork::expectedAnswer(capacity.speed, claim.workMilliseconds)
             > claim.deadline;
         if (capacity.candidates.empty() || isTooLate) {
             refuse(now, entry->key, wait, replies);
@@ -448,46 +413,6 @@
     }
 }
 
-Duration PlainScheduler::expectedWait(const ServiceState &service, const Capacity &capacity,
-                                      const QueueClass &queueClass, double aheadMilliseconds,
-                                      TimePoint now)
-{
-    const bool hasRoom = std::ranges::any_of(capacity.candidates, &Candidate::hasRoom);
-    if (aheadMilliseconds == 0 && hasRoom) {
-        return Duration(0);
-    }
-    double rate = capacity.workRate;
-    if (queueClass.isLate) {
-        // Claims that can meet their target keep arriving and go first.
-        rate = std::max(rate - onTimeRate(service, now), MinLateShare * rate);
-    }
-    // The next slot becomes free after a part of the time that a request takes.
-    const double milliseconds = (aheadMilliseconds + workOf(service)) / std::max(rate, MinWorkRate);
-    return std::min(durationOf(milliseconds), MaxExpectedWait);
-}
-
-Duration PlainScheduler::expectedAnswer(const Capacity &capacity, double workMilliseconds)
-{
-    return durationOf(workMilliseconds * capacity.workPercent / UsualWorkPercent
-                      + capacity.queueMilliseconds)
-        + RoundTripTime;
-}
-
-Duration PlainScheduler::maxOnTimeWait(const ServiceState &service, const Capacity &capacity,
-                                       TimePoint now)
-{
-    Duration least = MaxExpectedWait;
-    for (const auto &[name, route] : service.routes) {
-        const double work = route.milliseconds == 0 ? workOf(service) : route.milliseconds;
-        const Duration slack = route.target - expectedAnswer(capacity, work);
-        // A target that cannot be met at the present speed must not keep all others from waiting.
-        if (now < route.usedAt + RouteUseTime && slack > Duration(0)) {
-            least = std::min(least, slack / OnTimeWaitDivisor);
-        }
-    }
-    return std::max(least, MinOnTimeWait);
-}
-
 double PlainScheduler::workAhead(const ServiceState &service, const QueueClass &queueClass)
 {
     double work = 0;
@@ -497,28 +422,6 @@
     return work;
 }
 
-PlainScheduler::RouteWork &PlainScheduler::recordRoute(ServiceState &service,
-                                                       const SlotClaim &claim, TimePoint now) const
-{
-    const bool isSeparate =
-        service.routes.size() < MaxRoutes || service.routes.contains(claim.route);
-    RouteWork &route = service.routes[isSeparate ? claim.route : RouteName()];
-    route.usedAt = now;
-    route.target = std::max(route.target, claim.timeToTarget);
-    return route;
-}
-
-double PlainScheduler::onTimeRate(const ServiceState &service, TimePoint now)
-{
-    const double age = millisecondsOf(now - service.onTimeRateAt);
-    return service.onTimeRate * std::exp(-age / millisecondsOf(RateWindow));
-}
-
-double PlainScheduler::workOf(const ServiceState &service)
-{
-    return service.workMilliseconds == 0 ? DefaultWorkMilliseconds : service.workMilliseconds;
-}
-
 PlainServer *PlainScheduler::serverOf(TimePoint now, const ServerDirectory &servers,
                                       const ServiceName &service, const ServerName &server)
 {
@@ -531,25 +434,11 @@
     return &state.servers[server];
 }
 
-void PlainScheduler::recordWork(ServiceState &service, const RouteName &route, Duration answerTime,
-                                double workPercent)
-{
-    const double usual = millisecondsOf(answerTime) * UsualWorkPercent / workPercent;
-    const double sample = std::clamp(usual, 1.0, MaxWorkMilliseconds);
-    const auto update = [sample](double &mean) {
-        mean = mean == 0 ? sample : mean + WorkSampleWeight * (sample - mean);
-    };
-    update(service.workMilliseconds);
-    if (const auto it = service.routes.find(route); it != service.routes.end()) {
-        update(it->second.milliseconds);
-    }
-}
-
 void PlainScheduler::freeLostSlots(TimePoint now, const ServiceState &service,
                                    const PlainServer &server)
 {
     const double expected =
-        server.figures(1, now).expectedMilliseconds(workOf(service), workOf(service));
+        server.figures(1, now).expectedMilliseconds(service.work.mean(), service.work.mean());
     const Duration age = std::max(MinLostClaimAge, durationOf(LostClaimFactor * expected));
     while (const auto lost = server.findLostClaim(age, now)) {
         ++m_expired;
--- a/src/slots/plainscheduler.h
+++ b/src/slots/plainscheduler.h
@@ -2,6 +2,7 @@
 
 #include "fleet/serverdirectory.h"
 #include "slots/plainserver.h"
+#include "slots/servicework.h"
 #include "slots/slotmessages.h"
 
 #include <cstddef>
@@ -88,12 +89,6 @@
         bool hadFreeSlot = false;    ///< The server was expected to start the request at once.
         double workMilliseconds = 0; ///< Expected answer time at the usual speed.
     };
-    struct RouteWork
-    {
-        double milliseconds = 0; ///< Moving average at the usual speed; 0 if unknown.
-        Duration target {};      ///< Longest time to the target of a claim.
-        TimePoint usedAt {};
-    };
     struct WaitingClaims
     {
         Queue queue;
@@ -103,11 +98,7 @@
     {
         std::map<ServerName, PlainServer> servers;
         std::map<QueueClass, WaitingClaims> queues;
-        std::map<RouteName, RouteWork> routes;
-        double workMilliseconds = 0; ///< Moving average over all routes; 0 if unknown.
-        /** Work granted to claims that can meet their target, in milliseconds a millisecond. */
-        double onTimeRate = 0;
-        TimePoint onTimeRateAt {};
+        ServiceWork work;
         TimePoint usedAt {};
         std::size_t nextExamined = 0; ///< Server that is examined first, if there are many.
     };
@@ -122,10 +113,7 @@
     struct Capacity
     {
         std::vector<Candidate> candidates;
-        /** Work at the usual speed that all slots do, in milliseconds a millisecond. */
-        double workRate = 0;
-        double workPercent = 100;     ///< Mean of the servers' figures, weighted by their slots.
-        double queueMilliseconds = 0; ///< Expected time in the queue of a server.
+        ServiceSpeed speed;
     };
 
     void handle(TimePoint now, const ServerDirectory &servers, const NodeLife &from,
@@ -155,31 +143,12 @@
     /** Reclassifies claims that miss their target and refuses those that would wait too long. */
     void refuseOverdue(TimePoint now, ServiceState &service, const Capacity &capacity,
                        SlotReplies &replies);
-    /** Returns the expected wait of a claim with @p aheadMilliseconds of work before it. */
-    static Duration expectedWait(const ServiceState &service, const Capacity &capacity,
-                                 const QueueClass &queueClass, double aheadMilliseconds,
-                                 TimePoint now);
-    /** Returns the expected answer time after a grant while all servers are busy. */
-    static Duration expectedAnswer(const Capacity &capacity, double workMilliseconds);
-    /**
-     * Returns the longest wait of claims that are served before late ones. It is the same for all
-     * routes: else the requests of routes with long targets would fill the queue and leave no
-     * capacity to those with short ones.
-     */
-    static Duration maxOnTimeWait(const ServiceState &service, const Capacity &capacity,
-                                  TimePoint now);
     /** Returns the work of the waiting claims that are served before a new one. */
     static double workAhead(const ServiceState &service, const QueueClass &queueClass);
-    RouteWork &recordRoute(ServiceState &service, const SlotClaim &claim, TimePoint now) const;
-    static double onTimeRate(const ServiceState &service, TimePoint now);
-    static double workOf(const ServiceState &service);
 
     /** Returns the state of a server, or null if @p service has no such server. */
     PlainServer *serverOf(TimePoint now, const ServerDirectory &servers, const ServiceName &service,
                           const ServerName &server);
-    /** Updates the mean work of the service and the route from an answered call. */
-    static void recordWork(ServiceState &service, const RouteName &route, Duration answerTime,
-                           double workPercent);
     /** Frees slots of @p server whose ends were probably lost. */
     void freeLostSlots(TimePoint now, const ServiceState &service, const PlainServer &server);
     static TimePoint queuePosition(const OpenClaim &claim);
--- a/src/slots/plainserver.cpp
+++ b/src/slots/plainserver.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr double UsualWorkPercent = 100;
 /** Weight of a report in the mean speed. A busy server reports many times a second. */
 constexpr double MeanSampleWeight = 0.02;
 /** Half-life of a reported speed's weight; the speed changes several times a second. */
--- a/src/slots/plainserver.h
+++ b/src/slots/plainserver.h
@@ -10,6 +10,9 @@
 
 namespace indigoway::slots {
 
+/** The speed figure of a server whose work takes as long as usual. */
+constexpr double UsualWorkPercent = 100;
+
 /** Identifies a claim over all nodes. */
 struct ClaimKey
 {
