Mend the faults that the reading of the diff found

- A run that moved after fewer than eight events continued without Last-Event-Id, since its count of forwarded events was out of date, so that its caller could get the first events twice.
- The check of an engine could end after its run had continued elsewhere, and was taken for the new engine's.
- The whole output of a moved run counted as the output of the claim at its second engine, which falsified the learnt pace and output length.
- Records of 16 organisations and more exceeded the receive buffer of 4 KB and never arrived.
- Totals of an earlier epoch that a new record does not list counted as returned units (unlistedTotalsReturnNoUnits).

--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -398,10 +398,15 @@
     ++request.run.continuations;
     request.run.stopRequests = 0;
     request.run.lostEngine.reset();
+    if (!request.run.engineCheck.isNone()) {
+        // Its result would be taken for one of the engine at which the run continues.
+        m_state.calls.abandon(step, std::exchange(request.run.engineCheck, {}));
+    }
     request.run.isContinuing = true;
     request.handle.clear(); // The first engine has used the result of the prefill.
     call.kind = CallKind::Decode;
-    call.isResumption = request.forwardedEvents > 0;
+    // The relay knows whether events were forwarded; the count here may be older.
+    call.isResumption = true;
     call.connectTimeout = EngineAnswerLimit;
     call.needsNewConnection = true;
     if (request.route->isResumable) {
--- a/src/dispatch/schedulerclaims.cpp
+++ b/src/dispatch/schedulerclaims.cpp
@@ -141,7 +141,9 @@
         return;
     }
     m_pending.erase(request.claim);
-    const std::uint64_t made = result == ClaimOutcome::Served
+    // The claim of a run that has continued elsewhere covers only a part of the answer.
+    const bool isWhole = result == ClaimOutcome::Served && request.run.continuations == 0;
+    const std::uint64_t made = isWhole
         ? std::uint64_t {request.forwardedEvents} * request.service->engine->tokensPerEvent
         : 0;
     send(step, ClaimEnded {request.claim, result, made});
--- a/src/edge/datagramsocket.cpp
+++ b/src/edge/datagramsocket.cpp
@@ -16,7 +16,8 @@
 
 /** Limits how long one read event can delay the events of other sockets. */
 constexpr int MaxDatagramsPerEvent = 64;
-constexpr std::size_t MaxDatagramBytes = std::size_t {4} * 1024;
+/** The largest messages, records of the use of 40 organisations, have some 9 KB. */
+constexpr std::size_t MaxDatagramBytes = std::size_t {16} * 1024;
 
 std::optional<sockaddr_in> parseAddress(const DatagramAddress &address)
 {
--- a/src/quotas/quotakeeper.cpp
+++ b/src/quotas/quotakeeper.cpp
@@ -123,6 +123,10 @@
     if (report.epoch != state.epoch && !isRecord) {
         return; // Out of date, or part of the record that the node is going to send.
     }
+    if (isRecord) {
+        // Totals start again; the difference to earlier ones would count as returned units.
+        state.used.clear();
+    }
     for (const UsageTotal &used : report.used) {
         const Quota *quota = quotaOf(view.routes, used.organisation);
         ReportedUsage &total = state.used[used.organisation];
--- a/src/slots/plainscheduler.cpp
+++ b/src/slots/plainscheduler.cpp
@@ -160,7 +160,9 @@
         MinOverdueTime, durationOf(OverdueFactor * figures.expectedMilliseconds(work, work)));
     const bool isOverdue =
         ended.outcome == SlotOutcome::Cancelled && ended.answerTime > overdueTime;
-    server->recordOutcome(isOverdue ? SlotOutcome::Broken : ended.outcome, now);
+    if (isKnown) { // A repeated datagram must not count a failure twice.
+        server->recordOutcome(isOverdue ? SlotOutcome::Broken : ended.outcome, now);
+    }
     if (hadFreeSlot && ended.outcome == SlotOutcome::Answered) {
         service.work.recordAnswer(route, ended.answerTime, figures.workPercent);
     }
--- a/tests/quotas/quotakeepertest.cpp
+++ b/tests/quotas/quotakeepertest.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(missingNodesCountWithTheirShare);
     CPPUNIT_TEST(recordsCountOnce);
     CPPUNIT_TEST(restartedTotalsReturnNoUnits);
+    CPPUNIT_TEST(unlistedTotalsReturnNoUnits);
     CPPUNIT_TEST(repeatedQueriesCountOnce);
     CPPUNIT_TEST(oldNodesCountAfterAWindow);
     CPPUNIT_TEST(oldKeepersAreUnderstood);
@@ -110,6 +111,22 @@
         CPPUNIT_ASSERT(!keeper.isGranted(2s, "a", 2, 1));
     }
 
+    // Guards against totals of an earlier epoch that the new record does not list, which would be
+    // taken for returned units.
+    void unlistedTotalsReturnNoUnits()
+    {
+        KeeperHarness keeper;
+        keeper.sendRecord(10ms, "a", 1);
+        keeper.sendRecord(10ms, "b", 1);
+        keeper.handle(
+            20ms, "a",
+            UsageReport {Incarnation(7), 2, false, {{organisation(), 800}}, 8s, false, 1});
+        keeper.sendRecord(2s, "a", 5);
+        keeper.handle(
+            2s, "a", UsageReport {Incarnation(7), 6, false, {{organisation(), 100}}, 8s, false, 5});
+        CPPUNIT_ASSERT(!keeper.isGranted(2s, "a", 1, 1));
+    }
+
     // Guards against a query that is counted or decided twice because it was repeated.
     void repeatedQueriesCountOnce()
     {
