--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -7,7 +7,10 @@
 
 namespace {
 
-/** Interval between evaluations of phase orders; each one scans all engines. */
+/**
+ * Interval between evaluations of phase orders. Each one scans all engines, and orders only correct
+ * differences that last for seconds.
+ */
 constexpr Duration OrderEvaluationInterval = std::chrono::milliseconds(250);
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
@@ -21,7 +24,10 @@
  * the return path and timer granularity.
  */
 constexpr Duration TimeoutGrace = std::chrono::milliseconds(120);
-/** Retry delay while no routing table is loaded. */
+/**
+ * Retry delay while no routing table is loaded; it arrives within a second of the first answer of
+ * the store or a peer.
+ */
 constexpr Duration RoutingRetryDelay = std::chrono::milliseconds(400);
 /**
  * Divisor of the caller's remaining time that gives the retry delay if the cause has no known
--- a/src/dispatch/engineplacement.cpp
+++ b/src/dispatch/engineplacement.cpp
@@ -4,14 +4,27 @@
 
 namespace {
 
-/** Time during which an engine that refused a reservation is not asked again. */
+/**
+ * Time during which an engine that refused a reservation is not asked again. Its requests run for
+ * seconds, so memory comes free a few times a second; asking more often only loads engines and
+ * nodes.
+ */
 constexpr Duration RefusalBackoff = std::chrono::milliseconds(60);
-/** After a refusal, only requests that are smaller by this divisor's part are tried. */
+/**
+ * After a refusal, only requests that are smaller by this divisor's part are tried; the refusal
+ * says nothing about these.
+ */
 constexpr std::uint64_t SmallerRequestDivisor = 4;
-/** Cost, in prompt tokens, of moving a KV cache to another failure domain. */
+/**
+ * Cost, in prompt tokens, of moving a KV cache to another failure domain: the tokens that a prefill
+ * engine processes in the additional transfer time, and the price of traffic between domains.
+ */
 constexpr double PrefillOtherDomainPenalty = 3000;
 constexpr double TokensPerRequest = 5000;
-/** Cost, in tokens, of a decode engine in another failure domain. */
+/**
+ * Cost, in tokens, of a decode engine in another failure domain; decides between engines with
+ * nearly the same load.
+ */
 constexpr double DecodeOtherDomainPenalty = 1000;
 /** Exceeds any engine's memory: engines that fail to take over KV caches are the last choice. */
 constexpr double BadTargetPenalty = 1e9;
--- a/src/dispatch/generationlimits.cpp
+++ b/src/dispatch/generationlimits.cpp
@@ -11,9 +11,16 @@
  * the target.
  */
 constexpr double MaxQueueTimeOfTarget = 0.9;
-/** Maximum queue time of a resumed stream, during which its caller receives nothing. */
+/**
+ * Maximum queue time of a resumed stream. Its caller receives nothing meanwhile, and waits for two
+ * seconds at least.
+ */
 constexpr Duration MaxResumeQueueTime = std::chrono::milliseconds(2000);
-/** Divisor of the caller's remaining time; retries within a third of it are accepted by callers. */
+/**
+ * Divisor of the caller's remaining time. Callers accept a delay of up to a third of it and retry
+ * once. They are late then anyway, and as bursts last for seconds, an early retry risks a second
+ * rejection.
+ */
 constexpr int PatiencePerRetryDelay = 4;
 /** Retry delay if the caller's remaining time is unknown. */
 constexpr Duration DefaultRetryDelay = std::chrono::milliseconds(3500);
--- a/src/dispatch/phasebalance.cpp
+++ b/src/dispatch/phasebalance.cpp
@@ -18,7 +18,8 @@
 
 /**
  * Minimum throughput ratio that justifies a change, as the estimated work fluctuates and a changing
- * engine is out of service for seconds.
+ * engine is out of service for seconds. Without it, engines were changed back and forth within a
+ * minute.
  */
 constexpr double MinGain = 1.05;
 
@@ -37,7 +38,10 @@
 constexpr std::uint32_t MinPrefillEngines = 2;
 /** Delay of the first decision, until all engines are registered. */
 constexpr Duration InitialSettlingTime = std::chrono::milliseconds(1500);
-/** Delay of later decisions; most crashes and releases are over by then. */
+/**
+ * Delay of later decisions; most crashes and releases are over by then. An engine that changes its
+ * phase during one of them would be missing as well.
+ */
 constexpr Duration SettlingTime = std::chrono::milliseconds(15000);
 /** Minimum share of the engines for later changes; a smaller change costs more than it gains. */
 constexpr double MinShiftRatio = 0.25;
--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -9,8 +9,8 @@
 constexpr int FirstServerErrorStatus = 500;
 constexpr int BadGateway = 502;
 /**
- * Idle timeout of an idempotent request in multiples of its route's target; leaves time for a retry
- * at another server.
+ * Idle timeout of an idempotent request in multiples of its route's target. Healthy answers take a
+ * fifth of the target at the median, and half of the caller's time remains for another server.
  */
 constexpr int IdleTimeoutInTargets = 2;
 /** Maximum of servers tried by calls that were not executed. */
--- a/src/dispatch/schedulerclaims.cpp
+++ b/src/dispatch/schedulerclaims.cpp
@@ -14,10 +14,12 @@
 constexpr Duration UnansweredRepeatInterval = std::chrono::milliseconds(80);
 /** Interval for queued claims, whose grant may have been lost. */
 constexpr Duration QueuedRepeatInterval = std::chrono::milliseconds(150);
-/** Consecutive losses that rule out random datagram loss. */
+/**
+ * Consecutive losses that rule out random datagram loss: a bad link loses one datagram in twenty.
+ */
 constexpr std::uint32_t MaxUnanswered = 3;
-/** Time until a killed node restarts or another one takes over. */
 constexpr std::size_t MaxExcludedServers = 20; ///< Of a claim, which must fit into a datagram.
+/** Time until a killed node restarts or another one takes over. */
 constexpr Duration UnavailableTime = std::chrono::milliseconds(1000);
 
 } // namespace
--- a/src/dispatch/servertracker.cpp
+++ b/src/dispatch/servertracker.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/** Weight of one sample in the moving averages. */
+/** Weight of one sample in the moving averages, which represent about ten samples. */
 constexpr double SampleWeight = 0.2;
 /** Answer time for a service without any samples; only relative values matter. */
 constexpr double DefaultMilliseconds = 30;
@@ -21,7 +21,10 @@
 constexpr double UsualWorkPercent = 100;
 /** Half-life of a reported speed's weight; the speed changes several times a second. */
 constexpr Duration WorkPercentHalfLife = std::chrono::milliseconds(150);
-/** Consecutive failures after which a server is avoided. */
+/**
+ * Consecutive failures after which a server is avoided; a single one also occurs on
+ * healthy servers.
+ */
 constexpr std::uint32_t FailuresToAvoid = 2;
 constexpr Duration InitialAvoidance = std::chrono::milliseconds(800);
 /** Limits the time until a restarted server is used again. */
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -25,6 +25,7 @@
 constexpr Duration MinLeaveTime = std::chrono::milliseconds(1500);
 /** Part of the age limit of the copy beyond which the store is taken for unreachable. */
 constexpr double MaxFreshAgeShare = 0.75;
+/** Interval between logs of the calls to the store, each of which is billed to the operator. */
 constexpr Duration StoreCallsLogInterval = std::chrono::seconds(10);
 
 TimePoint steadyNow()
--- a/src/edge/edgeprocess.cpp
+++ b/src/edge/edgeprocess.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr int UsageError = 2;
+/** The settings file may change without a signal. */
 constexpr timeval FilePollInterval {2, 0};
 
 std::string readFile(const std::string &path)
--- a/src/edge/structuredlog.cpp
+++ b/src/edge/structuredlog.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-/** Sustained rate of each kind of line. */
+/** Sustained rate of each kind of line, three times the requests of a node at peak load. */
 constexpr double LinesPerSecond = 40;
 constexpr double BurstLines = 200;
 /** Below PIPE_BUF, so that a line is written to a pipe as a whole or not at all. */
--- a/src/fleet/crashpublisher.cpp
+++ b/src/fleet/crashpublisher.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr Duration FirstRetryDelay = std::chrono::milliseconds(250);
-/** Limits the retry delay to four seconds. */
+/** Limits the retry delay to four seconds; each call to an unavailable store is billed. */
 constexpr std::uint32_t MaxRetryDoublings = 4;
 /** The maximum length of a content id; keys written by others are not trusted. */
 constexpr std::size_t MaxContentIdLength = 64;
--- a/src/fleet/nodeannouncer.cpp
+++ b/src/fleet/nodeannouncer.cpp
@@ -16,7 +16,7 @@
 /** Factor by which the lifetimes of the current and the target lease must differ to replace it. */
 constexpr int ReplacementFactor = 2;
 constexpr Duration FirstRetryDelay = std::chrono::milliseconds(250);
-/** Limits the retry delay to two seconds. */
+/** Limits the retry delay to two seconds; each call to an unavailable store is billed. */
 constexpr std::uint32_t MaxRetryDoublings = 3;
 
 } // namespace
--- a/src/quotas/quotaenforcer.cpp
+++ b/src/quotas/quotaenforcer.cpp
@@ -12,9 +12,15 @@
 constexpr Duration HeartbeatInterval = std::chrono::milliseconds(1000);
 /** The retry interval of a heartbeat, longer than a round trip to a busy keeper. */
 constexpr Duration HeartbeatRetryInterval = std::chrono::milliseconds(200);
-/** The retry interval of a query; a caller waits for its answer. */
+/**
+ * The retry interval of a query. A caller waits for its answer, and plain requests should be
+ * answered within 150 ms.
+ */
 constexpr Duration QueryRetryInterval = std::chrono::milliseconds(40);
-/** Number of unanswered datagrams in a row after which the keeper is considered unreachable. */
+/**
+ * Number of unanswered datagrams in a row after which the keeper is considered unreachable. A bad
+ * link loses one datagram in twenty, so that three in a row are no random loss.
+ */
 constexpr std::uint32_t MaxUnanswered = 3;
 /** The time for which an unreachable keeper is not used again. */
 constexpr Duration KeeperBackoff = std::chrono::milliseconds(1000);
--- a/src/scheduling/enginetracker.cpp
+++ b/src/scheduling/enginetracker.cpp
@@ -37,8 +37,8 @@
 /** A single failure also happens on healthy engines. */
 constexpr std::uint32_t FailuresToSuspect = 2;
 /**
- * Rare on an engine that fails a third of its requests, while a dead engine fails all its open
- * requests at once.
+ * An engine that fails a third of its requests fails this many in a row once in a hundred times,
+ * while a dead engine fails all its open requests at once.
  */
 constexpr std::uint32_t FailuresToAvoid = 4;
 constexpr Duration InitialAvoidance = std::chrono::milliseconds(800);
--- a/src/scheduling/kvtransferfaults.cpp
+++ b/src/scheduling/kvtransferfaults.cpp
@@ -11,7 +11,9 @@
  * Two engines failing with the same partner by chance are less likely than a fault of the partner.
  */
 constexpr std::size_t PartnersToBlame = 2;
-/** Bounds the unattributed failures that are kept. */
+/**
+ * Bounds the unattributed failures that are kept; a busy fleet with many faults has ten a second.
+ */
 constexpr std::size_t MaxFailures = 100;
 
 } // namespace
--- a/src/scheduling/memoryforecast.h
+++ b/src/scheduling/memoryforecast.h
@@ -45,7 +45,8 @@
 
 /**
  * Runs on one decode engine and their expected memory use. Accounting for growth over time lets
- * more runs share an engine than reserving the whole output of each run from its start.
+ * more runs share an engine than reserving the whole output of each run from its start, which left
+ * a third of the memory unused where outputs are as long as prompts.
  */
 class MemoryForecast
 {
--- a/src/scheduling/prefillestimator.cpp
+++ b/src/scheduling/prefillestimator.cpp
@@ -10,7 +10,10 @@
 constexpr double Decay = 0.98;
 /** Decay per back-to-back sample; about two hundred, to average over engines and prompt lengths. */
 constexpr double BackToBackDecay = 0.995;
-/** Prior of 50 tokens per millisecond with the weight of two samples. */
+/**
+ * Prior of 50 tokens per millisecond with the weight of two samples, so that five real samples
+ * outweigh it even if the engines are ten times as fast or as slow.
+ */
 constexpr double InitialSecondsPerToken = 20e-6;
 constexpr double InitialFixedSeconds = 0.01;
 constexpr double InitialShortPrompt = 500;
--- a/src/scheduling/waitestimator.cpp
+++ b/src/scheduling/waitestimator.cpp
@@ -13,7 +13,7 @@
  */
 constexpr double LongestPromptDecay = 0.998;
 constexpr Duration MaxAllowance = std::chrono::milliseconds(150);
-/** Used until the first grant has ended. */
+/** Used until the first grant has ended: a prompt and about seventy events. */
 constexpr double InitialHoldSeconds = 3;
 /** Weight of a sample in the moving average. */
 constexpr double HoldTimeWeight = 0.05;
