Log and count which backend servers a node can connect to, since when and how it knows

The hypotheses (one path to each server; reports of cut-off nodes put engines out for all; callers sent there) could not be told apart without counting by hand.

Change: ServerPaths records the result of each connection attempt; a line "server_path" for each change with what lasted how long and how many calls failed in it; two gauges. No decision depends on it.

Measured: serverpathstest, relaytest and serverconnectionstest pass.

--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -467,6 +467,8 @@
             {"caller_connections", m_relay.callers().connections()},
             {"server_connections_kept", m_relay.serverConnections().idleConnections()},
             {"server_connections_made", m_relay.serverConnections().connectionsMade()},
+            {"servers_unreachable", m_relay.serverConnections().paths().unreachableServers()},
+            {"server_calls_not_connected", m_relay.serverConnections().paths().failedCalls()},
             {"log_lines_dropped", m_log.dropped()},
             {"routing_version", m_dispatcher.routes() ? m_dispatcher.routes()->version() : 0},
             {"store_revision", m_sync.asOf()},
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -41,13 +41,25 @@
           },
           [this](RequestNumber number) { callerGone(number); })
     , m_servers(base, *this)
-{ }
+{
+    m_servers.setPathHandler([this](const PathChange &change) { recordPathChange(change); });
+}
 
 std::optional<std::string> RequestRelay::listenOn(const std::string &address)
 {
     return m_callers.listenOn(address);
 }
 
+void RequestRelay::recordPathChange(const PathChange &change)
+{
+    run(LogDecision {"server_path",
+                     {},
+                     "server=" + change.server.text()
+                         + " reachable=" + (change.isReachable ? "yes" : "no")
+                         + " lasted_ms=" + millisecondsText(change.lasted) + " failed_calls="
+                         + std::to_string(change.failedCalls) + " " + change.reason});
+}
+
 void RequestRelay::requestArrived(RequestNumber number, CallerRequest request)
 {
     ArrivedRequest arrived = m_dialect.readRequest(request.head);
--- a/src/relay/requestrelay.h
+++ b/src/relay/requestrelay.h
@@ -102,6 +102,7 @@
     void run(const dispatch::SendToPlainScheduler &effect);
     void run(const dispatch::PublishCrash &effect);
     void run(const dispatch::LogDecision &effect);
+    void recordPathChange(const PathChange &change);
     void run(const dispatch::RequestEnded &effect);
     void armTimer();
     std::uint32_t forwardedEvents(RequestNumber request) const;
--- a/src/relay/serverconnections.cpp
+++ b/src/relay/serverconnections.cpp
@@ -28,6 +28,11 @@
 constexpr Duration IdleTimeMargin = std::chrono::milliseconds(600);
 constexpr Duration MaxIdleTime = std::chrono::seconds(8);
 
+TimePoint steadyNow()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
 timeval timevalOf(Duration duration)
 {
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(duration);
@@ -325,6 +330,7 @@
     if ((events & BEV_EVENT_CONNECTED) != 0) {
         connection.isConnected = true;
         event_del(connection.timer);
+        owner.recordConnected(connection);
         if (connection.isConnectOnly) {
             owner.finish(connection, TransferEnd::Complete, {}, false);
             return;
@@ -339,7 +345,7 @@
         return;
     }
     if (!connection.isConnected) {
-        owner.finish(connection, TransferEnd::NotConnected, "connection refused", false);
+        owner.finishNotConnected(connection, "connection refused");
         return;
     }
     if (connection.call.isNone()) {
@@ -371,7 +377,7 @@
         return;
     }
     if (!connection.isConnected) {
-        owner.finish(connection, TransferEnd::NotConnected, "no connection in time", false);
+        owner.finishNotConnected(connection, "no connection in time");
         return;
     }
     connection.silentFor += connection.armedFor;
@@ -406,6 +412,28 @@
     event_add(connection.timer, &limit);
 }
 
+void ServerConnections::recordConnected(const Connection &connection)
+{
+    m_paths.recordConnected(connection.server, steadyNow());
+    reportPathChanges();
+}
+
+void ServerConnections::finishNotConnected(Connection &connection, const std::string &reason)
+{
+    m_paths.recordNotConnected(connection.server, reason, steadyNow());
+    reportPathChanges();
+    finish(connection, TransferEnd::NotConnected, reason, false);
+}
+
+void ServerConnections::reportPathChanges()
+{
+    for (const PathChange &change : m_paths.takeChanges()) {
+        if (m_pathHandler) {
+            m_pathHandler(change);
+        }
+    }
+}
+
 void ServerConnections::scheduleClose(Connection &connection)
 {
     if (connection.isClosing) {
--- a/src/relay/serverconnections.h
+++ b/src/relay/serverconnections.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/eventbase.h"
+#include "paths/serverpaths.h"
 #include "relay/messageparser.h"
 
 #include <indigoway/ids.h>
@@ -82,6 +83,10 @@
     /** Closes the call's connection; the observer receives no further events of the call. */
     void abandon(CallNumber call);
     std::size_t openCalls() const { return m_calls.size(); }
+    /** Is called for each change of what is known of the connections to a server. */
+    using PathHandler = std::function<void(const PathChange &)>;
+    void setPathHandler(PathHandler handler) { m_pathHandler = std::move(handler); }
+    const ServerPaths &paths() const { return m_paths; }
     /** Returns the number of idle connections. */
     std::size_t idleConnections() const;
     std::uint64_t connectionsMade() const { return m_connectionsMade; }
@@ -105,11 +110,16 @@
     void armIdleTimer(Connection &connection);
     /** Arms the timer for the silence limit or the rest of the idle timeout, whichever is first. */
     void armSilenceTimer(Connection &connection);
+    void recordConnected(const Connection &connection);
+    void finishNotConnected(Connection &connection, const std::string &reason);
+    void reportPathChanges();
     void scheduleClose(Connection &connection);
     void closeScheduled();
 
     event_base *m_base;
     ServerCallObserver &m_observer;
+    ServerPaths m_paths;
+    PathHandler m_pathHandler;
     EventHandle m_closeEvent;
     std::map<ConnectionNumber, std::unique_ptr<Connection>> m_connections;
     std::map<CallNumber, ConnectionNumber> m_calls;
