--- a/standins/sharedplatform.cpp
+++ b/standins/sharedplatform.cpp
@@ -29,18 +29,34 @@
 
 } // namespace
 
-SharedPlatform::SharedPlatform(EventLoop &loop, std::vector<std::string> announced)
+SharedPlatform::SharedPlatform(EventLoop &loop, Addresses announced,
+                               const std::vector<Addresses> &views)
     : m_loop(loop)
-    , m_server(
-          loop.base(), HttpLimits {.idle = std::chrono::seconds(60)},
-          [this](const HttpRequest &request) { take(request); },
-          [this](ExchangeNumber exchange) {
-              std::erase_if(m_watches, [&](const Watch &one) { return one.exchange == exchange; });
-          })
     , m_engineRuns(HandleKept)
     , m_streamEvents(StreamEvents)
     , m_announced(std::move(announced))
-{ }
+{
+    m_entrances.push_back(makeEntrance({}));
+    for (const Addresses &view : views) {
+        m_entrances.push_back(makeEntrance(view));
+    }
+}
+
+std::unique_ptr<SharedPlatform::Entrance> SharedPlatform::makeEntrance(Addresses addresses)
+{
+    auto made = std::make_unique<Entrance>();
+    Entrance *entrance = made.get();
+    made->addresses = std::move(addresses);
+    made->server = std::make_unique<HttpServer>(
+        m_loop.base(), HttpLimits {.idle = std::chrono::seconds(60)},
+        [this, entrance](const HttpRequest &request) { take(*entrance, request); },
+        [this, entrance](ExchangeNumber exchange) {
+            std::erase_if(m_watches, [&](const Watch &one) {
+                return one.entrance == entrance && one.exchange == exchange;
+            });
+        });
+    return made;
+}
 
 std::optional<std::string> SharedPlatform::listenOn(const std::string &address)
 {
@@ -50,23 +66,27 @@
     addWorker("d-1", "decode");
     addWorker("d-2", "decode");
     writeRouting(1, {});
-    return m_server.listenOn(address);
+    for (std::size_t i = 1; i < m_entrances.size(); ++i) {
+        std::printf("view%zu %s\n", i - 1,
+                    m_entrances[i]->server->listenOn("127.0.0.1:0").value_or("").c_str());
+    }
+    return m_entrances.front()->server->listenOn(address);
 }
 
-void SharedPlatform::take(const HttpRequest &request)
+void SharedPlatform::take(Entrance &entrance, const HttpRequest &request)
 {
     if (request.path == "/control") {
-        control(request);
+        control(entrance, request);
     } else if (m_isDown) {
-        reply(m_server, request, ServiceUnavailable, "{}");
+        reply(*entrance.server, request, ServiceUnavailable, "{}");
     } else if (request.path == "/kv-range") {
-        list(request);
+        list(entrance, request);
     } else if (request.path == "/kv-watch") {
-        watch(request);
+        watch(entrance, request);
     } else if (request.path == "/kv-txn") {
-        commit(request);
+        commit(entrance, request);
     } else if (request.path == "/kv-lease") {
-        grantLease(request);
+        grantLease(entrance, request);
     } else if (request.path.starts_with("/kv-keep/")) {
         const std::uint64_t lease = std::strtoull(request.path.c_str() + 9, nullptr, 10);
         const auto it = m_leases.find(lease);
@@ -74,16 +94,16 @@
             ++it->second.renewals;
             planEnd(lease);
         }
-        reply(m_server, request, it == m_leases.end() ? NotFound : Ok, "{}");
+        reply(*entrance.server, request, it == m_leases.end() ? NotFound : Ok, "{}");
     } else if (request.path.starts_with("/kv-lease-end/")) {
         endLease(std::strtoull(request.path.c_str() + 14, nullptr, 10));
-        reply(m_server, request, Ok, "{}");
+        reply(*entrance.server, request, Ok, "{}");
     } else {
-        reply(m_server, request, NotFound, "{}");
+        reply(*entrance.server, request, NotFound, "{}");
     }
 }
 
-void SharedPlatform::list(const HttpRequest &request)
+void SharedPlatform::list(Entrance &entrance, const HttpRequest &request)
 {
     const std::string prefix = request.parameter("prefix");
     constexpr std::size_t PageSize = 4; // Small, so that nodes have to ask for more.
@@ -101,27 +121,28 @@
         }
         Json::Value item;
         item["key"] = it->first;
-        item["value"] = it->second.value;
+        item["value"] = valueAt(entrance, it->first, it->second);
         item["revision"] = Json::UInt64(it->second.revision);
         item["created"] = Json::UInt64(it->second.created);
         body["items"].append(std::move(item));
     }
-    reply(m_server, request, Ok, jsonText(body));
+    reply(*entrance.server, request, Ok, jsonText(body));
 }
 
-void SharedPlatform::watch(const HttpRequest &request)
+void SharedPlatform::watch(Entrance &entrance, const HttpRequest &request)
 {
-    const Watch one {request.exchange, numberParameter(request, "after")};
+    const Watch one {&entrance, request.exchange, numberParameter(request, "after")};
     if (m_revision > one.after) {
         answerWatch(one);
         return;
     }
     m_watches.push_back(one);
     m_loop.after(std::chrono::milliseconds(numberParameter(request, "wait_ms")),
-                 [this, exchange = one.exchange] {
+                 [this, entrance = &entrance, exchange = one.exchange] {
                      const auto it =
-                         std::find_if(m_watches.begin(), m_watches.end(),
-                                      [&](const Watch &w) { return w.exchange == exchange; });
+                         std::find_if(m_watches.begin(), m_watches.end(), [&](const Watch &w) {
+                             return w.entrance == entrance && w.exchange == exchange;
+                         });
                      if (it != m_watches.end()) {
                          const Watch ended = *it;
                          m_watches.erase(it);
@@ -146,29 +167,30 @@
         if (change.isRemoval || item == m_items.end()) {
             event["removed"] = true;
         } else {
-            event["value"] = item->second.value;
+            event["value"] = valueAt(*watch.entrance, change.key, item->second);
             event["created"] = Json::UInt64(item->second.created);
         }
         body["events"].append(std::move(event));
     }
-    m_server.reply(watch.exchange, Ok, {{"Content-Type", "application/json"}}, jsonText(body));
+    watch.entrance->server->reply(watch.exchange, Ok, {{"Content-Type", "application/json"}},
+                                  jsonText(body));
 }
 
-void SharedPlatform::commit(const HttpRequest &request)
+void SharedPlatform::commit(Entrance &entrance, const HttpRequest &request)
 {
     const Json::Value body = parseJson(request.body);
     for (const Json::Value &row : body["expected"]) {
         const auto it = m_items.find(stringMember(row, "key"));
         const std::uint64_t present = it == m_items.end() ? 0 : it->second.revision;
         if (present != numberMember(row, "revision")) {
-            reply(m_server, request, PreconditionFailed, "{\"items\":[]}");
+            reply(*entrance.server, request, PreconditionFailed, "{\"items\":[]}");
             return;
         }
     }
     for (const Json::Value &row : body["writes"]) {
         const std::uint64_t lease = numberMember(row, "lease");
         if (lease != 0 && !m_leases.contains(lease)) {
-            reply(m_server, request, NotFound, "{}");
+            reply(*entrance.server, request, NotFound, "{}");
             return;
         }
     }
@@ -177,16 +199,16 @@
         absl::Base64Unescape(stringMember(row, "value"), &text);
         put(stringMember(row, "key"), text, numberMember(row, "lease"));
     }
-    reply(m_server, request, Ok, "{\"revision\":" + std::to_string(m_revision) + "}");
+    reply(*entrance.server, request, Ok, "{\"revision\":" + std::to_string(m_revision) + "}");
 }
 
-void SharedPlatform::grantLease(const HttpRequest &request)
+void SharedPlatform::grantLease(Entrance &entrance, const HttpRequest &request)
 {
     const std::uint64_t lifetime = numberMember(parseJson(request.body), "ttl_ms");
     const std::uint64_t lease = ++m_lastLease;
     m_leases[lease].lifetime = std::chrono::milliseconds(lifetime);
     planEnd(lease);
-    reply(m_server, request, Ok,
+    reply(*entrance.server, request, Ok,
           "{\"lease\":" + std::to_string(lease) + ",\"ttl_ms\":" + std::to_string(lifetime) + "}");
 }
 
@@ -215,6 +237,35 @@
     }
 }
 
+std::string SharedPlatform::valueAt(const Entrance &entrance, const std::string &key,
+                                    const Item &item) const
+{
+    for (std::size_t i = 0; i < std::min(m_workers.size(), entrance.addresses.size()); ++i) {
+        if (key == "servers/" + m_workers[i]->name) {
+            std::string text;
+            absl::Base64Unescape(item.value, &text);
+            Json::Value entry = parseJson(text);
+            entry["address"] = entrance.addresses[i];
+            return absl::Base64Escape(jsonText(entry));
+        }
+    }
+    return item.value;
+}
+
+const SharedPlatform::Worker *SharedPlatform::workerAt(const std::string &address) const
+{
+    for (std::size_t i = 0; i < m_workers.size(); ++i) {
+        const Worker &worker = *m_workers[i];
+        const bool isSeenThere = std::ranges::any_of(m_entrances, [&](const auto &entrance) {
+            return i < entrance->addresses.size() && address == entrance->addresses[i];
+        });
+        if (isSeenThere || address == worker.address || address == worker.announced) {
+            return &worker;
+        }
+    }
+    return nullptr;
+}
+
 void SharedPlatform::put(const std::string &key, const std::string &text, std::uint64_t lease)
 {
     Item &item = m_items[key];
@@ -240,7 +291,7 @@
     }
 }
 
-void SharedPlatform::control(const HttpRequest &request)
+void SharedPlatform::control(Entrance &entrance, const HttpRequest &request)
 {
     const Json::Value body = parseJson(request.body);
     if (body.isObject() && body["down"].isBool()) {
@@ -301,7 +352,7 @@
             answer["running_at"][worker->name] = Json::UInt64(runs);
         }
     }
-    reply(m_server, request, Ok, jsonText(answer));
+    reply(*entrance.server, request, Ok, jsonText(answer));
 }
 
 void SharedPlatform::setState(const std::string &worker, const char *state)
@@ -464,8 +515,8 @@
     headers.emplace_back("Content-Type", "text/event-stream");
     headers.insert(headers.end(), worker.advice.begin(), worker.advice.end());
     worker.server->startStream(request.exchange, Ok, headers);
-    const std::string backup = request.header("Indigoway-Kv-Backup");
-    m_engineRuns.begin(worker.address, id, {request.exchange, backup});
+    const Worker *backup = workerAt(request.header("Indigoway-Kv-Backup"));
+    m_engineRuns.begin(worker.address, id, {request.exchange, backup ? backup->address : ""});
     stream(worker, request, worker.lives, std::atoi(lastEvent.c_str()) + 1);
 }
 
@@ -477,7 +528,8 @@
     }
     const std::size_t slash = source.rfind('/');
     const std::string id = source.substr(slash + 1);
-    if (source.substr(0, slash) == worker.address && id == request.header("Indigoway-Request-Id")) {
+    if (workerAt(source.substr(0, slash)) == &worker
+        && id == request.header("Indigoway-Request-Id")) {
         return m_engineRuns.takeCopy(worker.address, id, std::chrono::steady_clock::now());
     }
     return unhold(id);
@@ -492,10 +544,8 @@
         return;
     }
     worker.server->abort(run->exchange);
-    const std::string target = stringMember(body, "to");
-    const bool isTargetUp = std::ranges::any_of(m_workers, [&](const auto &other) {
-        return other->address == target && other->server && other->phase == "decode";
-    });
+    const Worker *target = workerAt(stringMember(body, "to"));
+    const bool isTargetUp = target && target->server && target->phase == "decode";
     answer(worker, request, isTargetUp ? Ok : ServiceUnavailable,
            "{\"kv_handle\":\"" + hold(HandleKept) + "\",\"created\":" + std::to_string(run->events)
                + "}");
--- a/standins/sharedplatform.h
+++ b/standins/sharedplatform.h
@@ -29,13 +29,25 @@
 class SharedPlatform
 {
 public:
-    /** @p announced: addresses that the servers announce in place of their own, if any. */
-    SharedPlatform(EventLoop &loop, std::vector<std::string> announced);
+    using Addresses = std::vector<std::string>;
+
+    /**
+     * @param announced Addresses that the servers announce in place of their own, if any.
+     * @param views The servers' addresses as seen by the users of each further address of the
+     * service, so that single nodes can be cut off from the servers.
+     */
+    SharedPlatform(EventLoop &loop, Addresses announced, const std::vector<Addresses> &views = {});
 
     /** The service's address; nothing if it cannot be listened on. */
     std::optional<std::string> listenOn(const std::string &address);
 
 private:
+    /** An address of the service with its view of the servers. */
+    struct Entrance
+    {
+        std::unique_ptr<HttpServer> server;
+        Addresses addresses; ///< Of the servers; empty for the announced ones.
+    };
     struct Item
     {
         std::string value; ///< In base64, as it came.
@@ -51,6 +63,7 @@
     };
     struct Watch
     {
+        Entrance *entrance = nullptr;
         ExchangeNumber exchange;
         std::uint64_t after = 0;
     };
@@ -72,12 +85,17 @@
         std::uint64_t called = 0; ///< Requests that reached it, refused ones included.
     };
 
-    void take(const HttpRequest &request);
-    void list(const HttpRequest &request);
-    void watch(const HttpRequest &request);
+    std::unique_ptr<Entrance> makeEntrance(Addresses addresses);
+    void take(Entrance &entrance, const HttpRequest &request);
+    void list(Entrance &entrance, const HttpRequest &request);
+    void watch(Entrance &entrance, const HttpRequest &request);
     void answerWatch(const Watch &watch);
-    void commit(const HttpRequest &request);
-    void grantLease(const HttpRequest &request);
+    void commit(Entrance &entrance, const HttpRequest &request);
+    void grantLease(Entrance &entrance, const HttpRequest &request);
+    /** The value of an item as seen at @p entrance. */
+    std::string valueAt(const Entrance &entrance, const std::string &key, const Item &item) const;
+    /** The worker that any view has at @p address; null if there is none. */
+    const Worker *workerAt(const std::string &address) const;
     void planEnd(std::uint64_t lease);
     void endLease(std::uint64_t lease);
     void put(const std::string &key, const std::string &text, std::uint64_t lease = 0);
@@ -86,7 +104,7 @@
     /** A reservation or result under a new id, which lapses if it is not used. */
     std::string hold(std::chrono::milliseconds lifetime);
     bool unhold(const std::string &id) { return m_held.erase(id) > 0; }
-    void control(const HttpRequest &request);
+    void control(Entrance &entrance, const HttpRequest &request);
     void addWorker(const std::string &name, const std::string &phase);
     /** Listens and announces itself, as another life of it. */
     void start(Worker &worker, const std::string &address);
@@ -119,7 +137,7 @@
                HttpHeaders headers = {});
 
     EventLoop &m_loop;
-    HttpServer m_server;
+    std::vector<std::unique_ptr<Entrance>> m_entrances; ///< The first has the announced addresses.
     bool m_isDown = false;
     std::uint64_t m_revision = 0;
     std::uint64_t m_lastLease = 0;
@@ -142,7 +160,7 @@
     int m_killAfter = 0;  ///< The next engine to send this event crashes; 0: none.
     int m_resetAfter = 0; ///< The next stream to reach this event is reset; 0: none.
     std::uint32_t m_crashes = 0;
-    std::vector<std::string> m_announced;
+    Addresses m_announced;
 };
 
 } // namespace indigoway::standins
--- a/tests/soak/faultproxy.py
+++ b/tests/soak/faultproxy.py
@@ -1,4 +1,4 @@
-"""A TCP proxy on loopback whose connections a soak can delay, hold up one way, silence and reset."""
+"""A TCP proxy on loopback whose connections a soak can delay, hold up one way, silence, reset and refuse."""
 
 import asyncio
 import socket
@@ -18,13 +18,41 @@
         self.holds_up = set()  # Directions whose bytes wait: "to_server", "to_client".
         self._server = None
         self._writers = set()
+        self._port = 0
+        self._full_queue = []  # Sockets that keep the listen queue full while connects hang.
 
     async def listen(self):
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", self._port)
+        host, self._port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{self._port}"
         return self.address
 
+    def refuse(self):
+        """New connections are refused; existing ones live on."""
+        self._server.close()
+
+    def hang(self):
+        """New connections get no answer, as across a network partition; existing ones live on."""
+        self._server.close()
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", self._port))
+        listener.listen(0)
+        self._full_queue = [listener]
+        for _ in range(3):
+            client = socket.socket()
+            client.setblocking(False)
+            client.connect_ex(("127.0.0.1", self._port))
+            self._full_queue.append(client)
+
+    async def accept_again(self):
+        """Ends refuse() and hang()."""
+        for one in self._full_queue:
+            one.close()
+        self._full_queue = []
+        if not self._server.is_serving():
+            await self.listen()
+
     def reset_all(self):
         """Ends every connection with a reset, as a crashed peer does."""
         for writer in list(self._writers):
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -56,11 +56,15 @@
 class Node(Process):
     """An entry VM's process, with proxies on its way to the store and on its callers' way to it."""
 
+    listens = ("callers", "readiness", "directory", "control", "metrics", "scheduling")
+
     def __init__(self, name, build, log):
         super().__init__(name, [], log)
         self.build = build
+        self.domain = "hall-a"
         self.store = FaultProxy()
         self.callers = FaultProxy()
+        self.servers = []  # Proxies on this node's way to each backend server, if it has its own.
         self.lives = 0
         self.is_expected_to_end = False
 
@@ -68,9 +72,8 @@
         self.words = [
             f"{self.build}/indigoway-edge",
             f"--node={self.name}",
-            "--domain=hall-a",
-            *(f"--{one}=127.0.0.1:0" for one in
-              ("callers", "readiness", "directory", "control", "metrics", "scheduling")),
+            f"--domain={self.domain}",
+            *(f"--{one}=127.0.0.1:0" for one in self.listens),
             f"--store={self.store.address}",
             *FLAGS,
         ]
@@ -90,6 +93,26 @@
             await asyncio.sleep(0.02)
         raise RuntimeError(f"{self.name} did not write {words}")
 
+    async def reach_servers_by_proxies(self):
+        """Before the platform starts: this node, in a domain of its own, has proxies to the servers."""
+        self.domain = f"hall-{self.name}"
+        self.servers = [FaultProxy() for _ in range(WORKERS)]
+        return [await proxy.listen() for proxy in self.servers]
+
+    def cut_from_servers(self, how):
+        """"hang": nothing comes through; "reset": all is reset; "live-on": only what is new is refused."""
+        for proxy in self.servers:
+            proxy.hang() if how == "hang" else proxy.refuse()
+            if how == "hang":
+                proxy.holds_up = {"to_server", "to_client"}
+            elif how == "reset":
+                proxy.reset_all()
+
+    async def heal_servers(self):
+        for proxy in self.servers:
+            proxy.holds_up = set()
+            await proxy.accept_again()
+
     async def leave(self):
         """SIGTERM; the exit status, or None if the process was still there at its limit."""
         self.is_expected_to_end = True
@@ -110,18 +133,29 @@
         self.address = None
         self.version = 1
 
-    async def start(self):
+    async def start(self, nodes=()):
+        """Of @p nodes, each gets proxies of its own to the servers."""
         announced = [await proxy.listen() for proxy in self.workers]
-        self.words = [f"{self.build}/indigoway-sharedplatform", f"--announce={','.join(announced)}"]
+        views = [",".join(await node.reach_servers_by_proxies()) for node in nodes]
+        self.words = [
+            f"{self.build}/indigoway-sharedplatform",
+            f"--announce={','.join(announced)}",
+            f"--views={';'.join(views)}",
+        ]
         await super().start()
-        while len(self.lines) < 1 + WORKERS:
+        while len(self.lines) < 1 + WORKERS + len(nodes):
             await asyncio.sleep(0.02)
         for line in self.lines:
             name, _, address = line.rpartition(" ")
-            if name:
+            if name.startswith("worker"):
                 self.workers[int(name.removeprefix("worker"))].target = address
+            elif name:
+                nodes[int(name.removeprefix("view"))].store.target = address
             else:
                 self.address = address
+        for node in nodes:
+            for proxy, worker in zip(node.servers, self.workers):
+                proxy.target = worker.address
 
     async def declare(self, organisations):
         """A new version of the desired state with these organisations; confirmed when this returns."""
