--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -61,6 +61,10 @@
      */
     bool crashRecorded(const CrashNote &note, std::uint64_t revision, TimePoint now);
     const CrashRecords &crashes() const { return m_state.crashes; }
+    bool isPaused(const ServerName &server, TimePoint now) const
+    {
+        return m_state.pauses.pausedUntil(server, now).has_value();
+    }
     std::size_t pausedServers() const { return m_state.pauses.size(); }
     const ratelimits::ServerPermits &permits() const { return m_state.permits; }
 
--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -42,12 +42,20 @@
 
 /** Result of a call to a backend server. */
 enum class CallEnd {
-    NotConnected, ///< Nothing was sent.
-    NotExecuted,  ///< The server states that it did not and will not execute the request.
-    Complete,     ///< The answer is complete.
-    Broken,       ///< Aborted early or malformed: the request may have been executed.
+    NotConnected, ///< Nothing was sent: the server accepts no connection from any node.
+    /** Nothing was sent: this node cannot connect, which says nothing of the server. */
+    NoPath,
+    NotExecuted, ///< The server states that it did not and will not execute the request.
+    Complete,    ///< The answer is complete.
+    Broken,      ///< Aborted early or malformed: the request may have been executed.
 };
 
+/** Returns whether nothing was sent to the server. */
+inline bool isUnsent(CallEnd end)
+{
+    return end == CallEnd::NotConnected || end == CallEnd::NoPath;
+}
+
 using slots::ServerLoad;
 
 /** What a server says about itself in the headers of an answer. */
@@ -105,7 +113,12 @@
     std::optional<EngineReport> report; ///< Of a Report that was answered.
     std::uint32_t events = 0;           ///< Complete stream events that were forwarded.
     bool isConnectionLost = false;      ///< For Broken: the server closed or reset the connection.
-    std::string reason;                 ///< Failure reason, for logs.
+    /** For NotConnected: no process listens at the server's address any more. */
+    bool isRefused = false;
+    NodeName relay; ///< The node that opened the connection; empty for this one.
+    /** This node does not reach the server itself, so that a failure may be its own. */
+    bool isPathSuspect = false;
+    std::string reason; ///< Failure reason, for logs.
 };
 
 /** Carries an answer of the scheduler node. */
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -44,6 +44,8 @@
         return ClaimOutcome::OutOfMemory;
     case CallEnd::NotConnected:
         return ClaimOutcome::Unreachable;
+    case CallEnd::NoPath:
+        return ClaimOutcome::Cancelled;
     case CallEnd::Broken:
         break;
     }
@@ -357,6 +359,10 @@
     m_placement.reservationRefused(server, request.tokenDemand, step.now);
     recordFailure(step, server, event.end);
     m_claims.end(step, request, claimEndOf(event.end));
+    if (event.end == CallEnd::NoPath) {
+        // The scheduler may grant the engine again, since other nodes may reach it.
+        request.triedServers.insert(server);
+    }
     ++request.refusals;
     request.stage = Stage::Waiting;
     m_waiting.add(request);
@@ -425,7 +431,9 @@
     const ServerName &server = call.server.name;
     m_placement.removeLoad(server, request.arrival.promptTokens);
     const bool isDone = event.end == CallEnd::Complete && !event.handle.empty();
-    m_claims.prefillEnded(step, request, isDone, event.end != CallEnd::NotConnected);
+    if (event.end != CallEnd::NoPath) {
+        m_claims.prefillEnded(step, request, isDone, event.end != CallEnd::NotConnected);
+    }
     if (isDone) {
         m_state.tracker.recordAnswer(server, step.now - call.started, true, step.now);
         request.handle = event.handle;
@@ -434,7 +442,7 @@
         return;
     }
     recordFailure(step, server, event.end);
-    if (event.end == CallEnd::NotConnected) {
+    if (isUnsent(event.end)) {
         --request.prefillAttempts;
     } else if (request.countedCalls == 0) {
         request.countedCalls = 1; // Only successful prefills are exempt from the retry budget.
@@ -517,6 +525,7 @@
     }
     case CallEnd::NotExecuted:
     case CallEnd::NotConnected:
+    case CallEnd::NoPath:
         if (request.run.isContinuing) {
             recordFailure(step, server, event.end);
             m_runs.continuationRefused(step, request, call, event);
@@ -570,10 +579,10 @@
                           "kind=" + std::string(nameOf(call.kind))
                               + " server=" + call.server.name.text() + " " + event.reason});
     recordFailure(step, call.server.name, event.end);
-    if (event.end == CallEnd::NotConnected) {
+    if (isUnsent(event.end)) {
         --request.countedCalls;
         request.triedServers.insert(call.server.name);
-        result = ClaimOutcome::Unreachable;
+        result = claimEndOf(event.end);
     } else if (call.kind == CallKind::Decode) {
         // Memory was reserved, so the KV cache was not available.
         m_placement.handoverLost(request.prefillServer, call.server.name, step.now);
@@ -593,6 +602,7 @@
         m_state.tracker.recordRejection(server);
         return;
     case CallEnd::NotConnected:
+    case CallEnd::NoPath:
         m_state.tracker.recordUnreachable(server, step.now);
         return;
     case CallEnd::Broken:
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -233,6 +233,8 @@
     switch (end) {
     case CallEnd::NotConnected:
         return "not_connected";
+    case CallEnd::NoPath:
+        return "no_path";
     case CallEnd::NotExecuted:
         return "not_executed";
     case CallEnd::Complete:
--- a/src/dispatch/phasecontroller.cpp
+++ b/src/dispatch/phasecontroller.cpp
@@ -113,7 +113,7 @@
     constexpr int Accepted = 202;
     const bool isTaken =
         event.end == CallEnd::Complete && (event.status == Ok || event.status == Accepted);
-    const bool isRefused = event.end == CallEnd::NotExecuted || event.end == CallEnd::NotConnected
+    const bool isRefused = event.end == CallEnd::NotExecuted || isUnsent(event.end)
         || (event.end == CallEnd::Complete && !isTaken);
     if (isRefused) {
         cancelOrder(step, call.server.name);
--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -39,6 +39,8 @@
         return slots::SlotOutcome::Rejected;
     case CallEnd::NotConnected:
         return slots::SlotOutcome::Unreachable;
+    case CallEnd::NoPath:
+        return slots::SlotOutcome::Cancelled;
     case CallEnd::Broken:
         break;
     }
@@ -85,6 +87,7 @@
         handleRejection(step, request, event.reason);
         return;
     case CallEnd::NotConnected:
+    case CallEnd::NoPath:
         m_state.tracker.recordUnreachable(server, step.now);
         --request.executions;
         --request.countedCalls;
--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -181,8 +181,8 @@
     request.run.lossReason = event.reason;
     return apply(step, request, call.server,
                  {Kind::GiveUp,
-                  event.end == CallEnd::NotConnected ? "the other engine cannot be reached"
-                                                     : "the other engine has no copy"});
+                  isUnsent(event.end) ? "the other engine cannot be reached"
+                                      : "the other engine has no copy"});
 }
 
 void RunContinuation::streamSilent(Step &step, OpenRequest &request, const StreamSilent &event)
--- a/src/dispatch/runrecovery.cpp
+++ b/src/dispatch/runrecovery.cpp
@@ -36,7 +36,7 @@
 
 StopResult stopResultOf(const CallEnded &event)
 {
-    if (event.end == CallEnd::NotConnected) {
+    if (isUnsent(event.end)) {
         return StopResult::Unreachable;
     }
     if (event.end == CallEnd::Broken) {
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -23,6 +23,8 @@
 constexpr Duration ShutdownMargin = std::chrono::milliseconds(600);
 /** Serves callers who resolved this node's address just before it left. */
 constexpr Duration MinLeaveTime = std::chrono::milliseconds(1500);
+/** Tunnels of other nodes' requests that are idle for longer than this end with the process. */
+constexpr Duration IdleTunnelTime = std::chrono::milliseconds(500);
 /** Part of the age limit of the copy beyond which the store is taken for unreachable. */
 constexpr double MaxFreshAgeShare = 0.75;
 /** Interval between logs of the calls to the store, each of which is billed to the operator. */
@@ -55,8 +57,8 @@
 
 NodeEntry makeNodeEntry(const EdgeSettings &settings)
 {
-    return {settings.node,    settings.domain,     settings.callers,
-            settings.control, settings.scheduling, settings.processors};
+    return {settings.node,       settings.domain, settings.callers,   settings.control,
+            settings.scheduling, settings.relay,  settings.processors};
 }
 
 DispatchSettings makeDispatchSettings(const EdgeSettings &settings)
@@ -129,6 +131,10 @@
             || listenOn(
                 m_settings.scheduling,
                 [this](const std::string &address) { return m_scheduling.listenOn(address); }))
+        && (m_settings.relay.empty()
+            || listenOn(
+                m_settings.relay,
+                [this](const std::string &address) { return m_relay.listenForNodes(address); }))
         && (m_settings.metrics.empty()
             || listenOn(m_settings.metrics, [this](const std::string &address) {
                    return m_metricsServer.listenOn(address);
@@ -291,6 +297,20 @@
     m_dispatcher.setScheduler(m_scheduler ? std::optional(m_scheduler->name) : std::nullopt);
 }
 
+void EdgeNode::updateRelays(TimePoint now)
+{
+    if (!std::exchange(m_hasNodeChange, false)) {
+        return;
+    }
+    std::vector<RelayNode> relays;
+    for (const NodeEntry *node : m_roster.members()) {
+        if (node->name != m_settings.node && !node->relayAddress.empty()) {
+            relays.push_back({node->name, node->relayAddress});
+        }
+    }
+    m_relay.setRelays(relays, now);
+}
+
 void EdgeNode::handleStoreChange(const std::string &key, const StoredItem *item)
 {
     if (key == m_adapters.layout.routingKey) {
@@ -405,6 +425,7 @@
     if (!entry->schedulingAddress.empty()) {
         m_scheduling.sendLimitsTo(entry->schedulingAddress);
     }
+    m_hasNodeChange = true;
     entry->announcedSince = item->created;
     entry->announcedAt = item->revision;
     m_roster.announce(key, std::move(*entry));
@@ -459,6 +480,7 @@
     addGauges("plain_server_slots",
               [](const Figures &one) { return static_cast<double>(one.slots); });
     addGauges("plain_server_work_percent", [](const Figures &one) { return one.workPercent; });
+    const ServerPaths &paths = m_relay.serverConnections().paths().servers;
     const std::uint64_t loss = permille(m_scheduling.scheduler().lossFraction(steadyNow()));
     return m_metrics.prometheusText(
         {
@@ -467,8 +489,13 @@
             {"caller_connections", m_relay.callers().connections()},
             {"server_connections_kept", m_relay.serverConnections().idleConnections()},
             {"server_connections_made", m_relay.serverConnections().connectionsMade()},
-            {"servers_unreachable", m_relay.serverConnections().paths().unreachableServers()},
-            {"server_calls_not_connected", m_relay.serverConnections().paths().failedCalls()},
+            {"servers_not_connected", paths.unreachableServers()},
+            {"server_connections_failed", paths.failedConnections()},
+            {"isolated", paths.isIsolated() ? 1U : 0U},
+            {"server_calls_relayed", m_relay.serverConnections().relayedCalls()},
+            {"tunnels_open", m_relay.tunnels().openTunnels()},
+            {"tunnels_opened", m_relay.tunnels().opened()},
+            {"tunnels_refused", m_relay.tunnels().refused()},
             {"log_lines_dropped", m_log.dropped()},
             {"routing_version", m_dispatcher.routes() ? m_dispatcher.routes()->version() : 0},
             {"store_revision", m_sync.asOf()},
@@ -531,6 +558,7 @@
     recordCopyFreshness();
     detectSuspension(now);
     updateScheduler(now);
+    updateRelays(now);
     m_dispatcher.setOrderRight(m_sync.storeWriter().holdsOrderRight());
     if (m_dispatcher.wantsOrderToken()) {
         m_sync.storeWriter().prepareOrders();
@@ -621,7 +649,8 @@
     if (!m_leavingSince) {
         return;
     }
-    const bool isDone = m_relay.callers().openRequests() == 0;
+    const bool isDone =
+        m_relay.callers().openRequests() == 0 && !m_relay.tunnels().isActive(now, IdleTunnelTime);
     const bool isTimeUp = now > *m_leavingSince + m_settings.shutdownTimeout - ShutdownMargin;
     if ((isDone && now > *m_leavingSince + MinLeaveTime) || isTimeUp) {
         record("stop", {{"open_requests", std::to_string(m_dispatcher.open())}});
--- a/src/edge/edgenode.h
+++ b/src/edge/edgenode.h
@@ -74,6 +74,8 @@
                                                     const StoreLayout &layout);
     static SchedulingEndpoint::Dependencies schedulingDependencies(EdgeNode &node);
     void updateScheduler(TimePoint now);
+    /** Tells the relay which nodes open connections for this one. */
+    void updateRelays(TimePoint now);
     void handleStoreChange(const std::string &key, const StoredItem *item);
     void applyRouting(const std::string &value);
     /** Logs a line for each organisation whose declaration differs from the one in @p old. */
@@ -122,6 +124,7 @@
     std::mt19937_64 m_random;
     std::optional<NodeEntry> m_scheduler; ///< The node that schedules the engines.
     std::optional<TimePoint> m_leavingSince;
+    bool m_hasNodeChange = false; ///< Since the last tick.
     bool m_hasFirstCopy = false;
     bool m_isCopyFresh = false;
     TimePoint m_storeCallsLoggedAt {};
--- a/src/edge/edgesettings.cpp
+++ b/src/edge/edgesettings.cpp
@@ -22,6 +22,9 @@
 ABSL_FLAG(std::string, scheduling, "",
           "UDP address (IP:port) for claims on engines while this node is the scheduler; if empty, "
           "the node takes no part in scheduling.");
+ABSL_FLAG(std::string, relay, "",
+          "Address (IP:port) at which other nodes ask for connections to backend servers that they "
+          "cannot reach themselves; if empty, this node opens none for them.");
 ABSL_FLAG(double, processors, 1,
           "CPU share of this VM, in processors; the node with the largest schedules the engines.");
 ABSL_FLAG(double, link_mbps, 1000,
@@ -111,11 +114,11 @@
         "indigoway-edge: routes requests to backend servers that register in a key-value\n"
         "service, according to the desired state that operators keep there.\n"
         "Runs on each entry VM. SIGTERM starts a graceful shutdown: open requests are finished.",
-        {"node_file",      "node",        "domain",          "callers",        "readiness",
-         "directory",      "control",     "metrics",         "scheduling",     "processors",
-         "link_mbps",      "store",       "peers",           "ends_within_s",  "retry_ratio",
-         "retry_window_s", "retry_slack", "key_copy_age_ms", "quota_window_s", "quota_over",
-         "quota_slack",    "list_kept_s"}};
+        {"node_file",   "node",           "domain",      "callers",         "readiness",
+         "directory",   "control",        "metrics",     "scheduling",      "relay",
+         "processors",  "link_mbps",      "store",       "peers",           "ends_within_s",
+         "retry_ratio", "retry_window_s", "retry_slack", "key_copy_age_ms", "quota_window_s",
+         "quota_over",  "quota_slack",    "list_kept_s"}};
 }
 
 std::variant<EdgeSettings, SettingsErrors> checkedEdgeSettings()
@@ -142,6 +145,10 @@
     if (!settings.scheduling.empty()) {
         checkedAddress("scheduling", settings.scheduling, invalid);
     }
+    settings.relay = absl::GetFlag(FLAGS_relay);
+    if (!settings.relay.empty()) {
+        checkedAddress("relay", settings.relay, invalid);
+    }
     settings.processors = checkedPositive("processors", absl::GetFlag(FLAGS_processors), invalid);
     constexpr double BytesPerMegabit = 1e6 / 8;
     settings.linkBytesPerSecond =
--- a/src/edge/edgesettings.h
+++ b/src/edge/edgesettings.h
@@ -16,12 +16,14 @@
 {
     NodeName node;
     DomainName domain;
-    std::string callers;            ///< Address for callers' requests.
-    std::string readiness;          ///< Address of the readiness check.
-    std::string directory;          ///< Address at which callers look up the nodes.
-    std::string control;            ///< Address for the other nodes.
-    std::string metrics;            ///< Address for metrics; empty: not served.
-    std::string scheduling;         ///< UDP address for claims on engines; empty: not served.
+    std::string callers;    ///< Address for callers' requests.
+    std::string readiness;  ///< Address of the readiness check.
+    std::string directory;  ///< Address at which callers look up the nodes.
+    std::string control;    ///< Address for the other nodes.
+    std::string metrics;    ///< Address for metrics; empty: not served.
+    std::string scheduling; ///< UDP address for claims on engines; empty: not served.
+    /** Address for other nodes' connections to backend servers; empty: not served. */
+    std::string relay;
     double processors = 0;          ///< CPU share of this VM, in processors.
     double linkBytesPerSecond = 0;  ///< Bandwidth of this VM's network link.
     std::string store;              ///< Address of the key-value service.
--- a/src/fleet/nodedirectory.cpp
+++ b/src/fleet/nodedirectory.cpp
@@ -16,6 +16,9 @@
     value["callers"] = entry.callerAddress;
     value["control"] = entry.controlAddress;
     value["scheduling"] = entry.schedulingAddress;
+    if (!entry.relayAddress.empty()) {
+        value["relay"] = entry.relayAddress;
+    }
     value["processors"] = entry.cpuShare;
     return jsonText(value);
 }
@@ -29,6 +32,7 @@
     entry.callerAddress = stringMember(value, "callers");
     entry.controlAddress = stringMember(value, "control");
     entry.schedulingAddress = stringMember(value, "scheduling");
+    entry.relayAddress = stringMember(value, "relay");
     entry.cpuShare = realMember(value, "processors");
     if (entry.name.isEmpty() || entry.callerAddress.empty()) {
         return std::nullopt;
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -20,6 +20,8 @@
     std::string callerAddress;          ///< "IP:port" for callers.
     std::string controlAddress;         ///< "IP:port" for other nodes.
     std::string schedulingAddress = {}; ///< "IP:port" (UDP) for claims on engines; empty if none.
+    /** "IP:port" (TCP) for other nodes' connections to backend servers; empty if none. */
+    std::string relayAddress = {};
     /** CPU share of the VM; the node with the largest share schedules the engines. */
     double cpuShare = 0;
     // Store revisions, not part of the encoded entry.
--- a/src/relay/callerlistener.cpp
+++ b/src/relay/callerlistener.cpp
@@ -123,25 +123,9 @@
 
 std::optional<std::string> CallerListener::listenOn(const std::string &address)
 {
-    const auto parts = splitAddress(address);
-    if (!parts) {
-        return std::nullopt;
-    }
-    sockaddr_in at {};
-    at.sin_family = AF_INET;
-    at.sin_port = htons(parts->second);
-    if (inet_pton(AF_INET, parts->first.c_str(), &at.sin_addr) != 1) {
-        return std::nullopt;
-    }
-    m_listener = evconnlistener_new_bind(m_base, &CallerListener::handleAccept, this,
-                                         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, ListenBacklog,
-                                         reinterpret_cast<sockaddr *>(&at), sizeof at);
-    if (!m_listener) {
-        return std::nullopt;
-    }
-    socklen_t length = sizeof at;
-    getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr *>(&at), &length);
-    return parts->first + ":" + std::to_string(ntohs(at.sin_port));
+    m_listener = listenForConnections(m_base, address, &CallerListener::handleAccept, this);
+    return m_listener ? std::optional(boundAddress(evconnlistener_get_fd(m_listener)))
+                      : std::nullopt;
 }
 
 void CallerListener::respond(RequestNumber request, int status, const HttpHeaders &headers,
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -21,6 +21,20 @@
     return status >= 200 && status < 300;
 }
 
+/** Maps the end of a call without a complete answer. */
+CallEnd unconnectedEnd(TransferEnd end)
+{
+    switch (end) {
+    case TransferEnd::NotConnected:
+    case TransferEnd::Refused:
+        return CallEnd::NotConnected;
+    case TransferEnd::NoPath:
+        return CallEnd::NoPath;
+    default:
+        return CallEnd::Broken;
+    }
+}
+
 bool isEventStream(const MessageHead &head)
 {
     return head.header("Content-Type").starts_with("text/event-stream");
@@ -40,24 +54,67 @@
               requestArrived(number, std::move(request));
           },
           [this](RequestNumber number) { callerGone(number); })
-    , m_servers(base, *this)
-{
-    m_servers.setPathHandler([this](const PathChange &change) { recordPathChange(change); });
-}
+    , m_servers(base, *this, seed)
+    , m_tunnels(base, m_servers.paths().servers, tunnelDependencies())
+{ }
 
 std::optional<std::string> RequestRelay::listenOn(const std::string &address)
 {
     return m_callers.listenOn(address);
 }
 
-void RequestRelay::recordPathChange(const PathChange &change)
+TunnelListener::Dependencies RequestRelay::tunnelDependencies()
+{
+    return {[this](const ServerName &server) { return tunnelTarget(server); },
+            [this](const ServerName &server) {
+                return otherTunnelTarget(server);
+            }};
+}
+
+std::optional<TunnelListener::Target> RequestRelay::tunnelTarget(const ServerName &server) const
+{
+    const AnnouncedServer *known = m_dispatcher.servers().find(server);
+    if (!known || m_dispatcher.isPaused(server, steadyNow())) {
+        return std::nullopt;
+    }
+    return TunnelListener::Target {server, known->address};
+}
+
+std::optional<TunnelListener::Target> RequestRelay::otherTunnelTarget(const ServerName &server)
 {
-    run(LogDecision {"server_path",
-                     {},
-                     "server=" + change.server.text()
-                         + " reachable=" + (change.isReachable ? "yes" : "no")
-                         + " lasted_ms=" + millisecondsText(change.lasted) + " failed_calls="
-                         + std::to_string(change.failedCalls) + " " + change.reason});
+    const std::vector<ServerName> names = m_dispatcher.servers().names();
+    const std::size_t start = names.empty() ? 0 : m_random() % names.size();
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        const AnnouncedServer *other =
+            m_dispatcher.servers().find(names[(start + i) % names.size()]);
+        if (other && other->name != server
+            && m_dispatcher.servers().availability(other->name, steadyNow())
+                != ServerAvailability::Leaving) {
+            return TunnelListener::Target {other->name, other->address};
+        }
+    }
+    return std::nullopt;
+}
+
+void RequestRelay::recordPathChanges()
+{
+    for (const PathChange &change : m_servers.paths().servers.takeChanges()) {
+        const std::string server = change.server.isEmpty() ? "all" : change.server.text();
+        run(LogDecision {"server_path",
+                         {},
+                         "server=" + server + " directly=" + (change.isReachable ? "yes" : "no")
+                             + " lasted_ms=" + millisecondsText(change.lasted)
+                             + " failed_connections=" + std::to_string(change.failedCalls) + " "
+                             + change.reason});
+    }
+}
+
+void RequestRelay::callRelayed(CallNumber call, const NodeName &relay)
+{
+    const auto it = m_calls.find(call);
+    if (it != m_calls.end()) {
+        it->second.relay = relay;
+    }
 }
 
 void RequestRelay::requestArrived(RequestNumber number, CallerRequest request)
@@ -86,6 +143,7 @@
     for (const DispatchEffect &effect : effects) {
         std::visit([this](const auto &alternative) { run(alternative); }, effect);
     }
+    recordPathChanges();
     armTimer();
 }
 
@@ -193,8 +251,11 @@
     ended.advice = open.hasStarted ? std::nullopt : open.info.advice;
     ended.reason = reason;
     ended.isConnectionLost = end == TransferEnd::ConnectionLost;
+    ended.isRefused = end == TransferEnd::Refused;
+    ended.relay = open.relay;
+    ended.isPathSuspect = m_servers.paths().servers.isRelayed(open.call.server);
     if (open.call.kind == CallKind::Probe) {
-        ended.end = end == TransferEnd::Complete ? CallEnd::Complete : CallEnd::NotConnected;
+        ended.end = end == TransferEnd::Complete ? CallEnd::Complete : unconnectedEnd(end);
         ended.events = forwardedEvents(open.call.request);
         return ended;
     }
@@ -211,7 +272,7 @@
         return ended;
     }
     if (end != TransferEnd::Complete) {
-        ended.end = end == TransferEnd::NotConnected ? CallEnd::NotConnected : CallEnd::Broken;
+        ended.end = unconnectedEnd(end);
         return ended;
     }
     if (open.info.isNotExecuted && open.call.kind != CallKind::StopRun) {
@@ -272,8 +333,10 @@
     request.connectTimeout = effect.connectTimeout;
     request.needsNewConnection = effect.needsNewConnection;
     request.maxIdleConnections = effect.maxIdleConnections;
+    // Engines take orders from the node that holds the right, by its address.
+    request.isDirectOnly = effect.kind == CallKind::Report || effect.kind == CallKind::Order;
     m_calls.emplace(effect.call, std::move(open));
-    m_servers.start(request);
+    m_servers.start(std::move(request));
 }
 
 void RequestRelay::run(const AbandonCall &effect)
--- a/src/relay/requestrelay.h
+++ b/src/relay/requestrelay.h
@@ -5,6 +5,7 @@
 #include "relay/dialect.h"
 #include "relay/eventstreamparser.h"
 #include "relay/serverconnections.h"
+#include "relay/tunnellistener.h"
 
 #include <functional>
 #include <map>
@@ -48,15 +49,31 @@
         m_requestEndedHandler = std::move(handler);
     }
     std::optional<std::string> listenOn(const std::string &address);
+    /** Listens for other nodes that cannot connect to servers themselves. */
+    std::optional<std::string> listenForNodes(const std::string &address)
+    {
+        return m_tunnels.listenOn(address);
+    }
+    /** Sets the other nodes that open connections for this one. */
+    void setRelays(const std::vector<RelayNode> &nodes, TimePoint now)
+    {
+        m_servers.paths().relays.setNodes(nodes, now);
+    }
     void setLimits(const CallerLimits &limits) { m_callers.setLimits(limits); }
-    void beginLeaving() { m_callers.beginLeaving(); }
+    void beginLeaving()
+    {
+        m_callers.beginLeaving();
+        m_tunnels.beginLeaving();
+    }
     /** Makes the dispatcher check its deadlines after a change outside of the relay. */
     void checkDeadlines() { post(dispatch::TimePassed {}); }
     /** Passes @p event to the dispatcher and executes the resulting effects. */
     void post(const dispatch::DispatchEvent &event);
     const CallerListener &callers() const { return m_callers; }
     const ServerConnections &serverConnections() const { return m_servers; }
+    const TunnelListener &tunnels() const { return m_tunnels; }
 
+    void callRelayed(CallNumber call, const NodeName &relay) override;
     bool isAnswerTo(CallNumber call, const MessageHead &head) override;
     void answerStarted(CallNumber call, const MessageHead &head) override;
     void answerDataReceived(CallNumber call, std::string_view data) override;
@@ -82,6 +99,7 @@
         std::string body;           ///< Body of an answer that is not a stream.
         std::string bufferedEvents; ///< Complete events received before ForwardStream.
         bool isStream = false;
+        NodeName relay; ///< The node that opened the connection; empty for this one.
         bool isForwarded = false;
         bool hasStarted = false;
         std::uint32_t reportedEvents = 0; ///< Events in the last StreamProgress.
@@ -102,7 +120,10 @@
     void run(const dispatch::SendToPlainScheduler &effect);
     void run(const dispatch::PublishCrash &effect);
     void run(const dispatch::LogDecision &effect);
-    void recordPathChange(const PathChange &change);
+    void recordPathChanges();
+    TunnelListener::Dependencies tunnelDependencies();
+    std::optional<TunnelListener::Target> tunnelTarget(const ServerName &server) const;
+    std::optional<TunnelListener::Target> otherTunnelTarget(const ServerName &server);
     void run(const dispatch::RequestEnded &effect);
     void armTimer();
     std::uint32_t forwardedEvents(RequestNumber request) const;
@@ -118,6 +139,7 @@
     std::optional<TimePoint> m_timerDeadline;
     CallerListener m_callers;
     ServerConnections m_servers;
+    TunnelListener m_tunnels;
     std::map<RequestNumber, OpenExchange> m_exchanges;
     std::map<CallNumber, OpenCall> m_calls;
     /** Calls whose CallEnded is being processed; DeliverAnswer uses their answers. */
--- a/src/relay/serverconnections.cpp
+++ b/src/relay/serverconnections.cpp
@@ -1,14 +1,12 @@
 #include "serverconnections.h"
 
 #include "relay/sockets.h"
+#include "relay/tunnelprotocol.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-
 #include <algorithm>
 
 namespace indigoway {
@@ -20,6 +18,10 @@
  * listen queue.
  */
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(250);
+/** Limit if another node is asked afterwards. */
+constexpr Duration ConnectTimeoutBeforeRelay = std::chrono::milliseconds(150);
+/** Covers the other node's own connect timeout. */
+constexpr Duration RelayTimeout = std::chrono::milliseconds(150);
 /** Time without acknowledgement after which a connection to a server is closed. */
 constexpr auto TcpUserTimeout = std::chrono::milliseconds(2500);
 /** Idle time after which a connection is closed if the server sends no Keep-Alive timeout. */
@@ -39,6 +41,36 @@
     return {seconds.count(), (duration - seconds).count()};
 }
 
+TransferEnd transferEndOf(PathSearchEnd end)
+{
+    switch (end) {
+    case PathSearchEnd::Refused:
+        return TransferEnd::Refused;
+    case PathSearchEnd::Unreachable:
+        return TransferEnd::NotConnected;
+    case PathSearchEnd::NoPath:
+        break;
+    }
+    return TransferEnd::NoPath;
+}
+
+/** Returns the request as it is sent. */
+std::string textOf(const ServerRequest &request)
+{
+    std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+    for (const auto &[name, value] : request.headers) {
+        text.append(name).append(": ").append(value).append("\r\n");
+    }
+    const bool hasBody =
+        !request.body.empty() || (request.method != "GET" && request.method != "HEAD");
+    if (hasBody) {
+        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    }
+    text += "\r\n";
+    text += request.body;
+    return text;
+}
+
 /** Returns how long the connection may be idle according to @p head, less a margin. */
 Duration idleTimeFrom(const MessageHead &head)
 {
@@ -56,6 +88,19 @@
 
 } // namespace
 
+/** A call whose connection is not open yet. */
+struct ServerConnections::PendingCall
+{
+    ServerRequest request; ///< Without headers and body.
+    /**
+     * Sent once the connection is established. If it were written to the bufferevent before, it
+     * could be sent although the connect timeout in the same iteration of the event loop reports
+     * NotConnected, and the request would be executed twice.
+     */
+    std::string text;
+    PathSearch search;
+};
+
 struct ServerConnections::Connection
 {
     ServerConnections *owner = nullptr;
@@ -71,13 +116,11 @@
     Duration silentFor {};                ///< Time without data when the timer was last armed.
     Duration armedFor {};                 ///< Interval for which the timer was last armed.
     std::uint32_t maxIdleConnections = 1; ///< Maximum for the server, including this one.
-    /**
-     * Request to send once the connection is established. If it were written to the bufferevent
-     * before, it could be sent although the connect timeout in the same iteration of the event loop
-     * reports NotConnected, and the request would be executed twice.
-     */
-    std::string unsentRequest;
-    bool isConnected = false;
+    std::unique_ptr<PendingCall> pending; ///< Null once the connection is established.
+    NodeName relay;                       ///< The node that opened it; empty for this one.
+    bool isConnected = false;             ///< The connection to the server is established.
+    bool isTunnelRequested = false;
+    bool isPathTest = false;
     bool isClosing = false;
     /** The message being read is informational or answers an earlier request; it is discarded. */
     bool isDiscarded = false;
@@ -96,9 +139,11 @@
     }
 };
 
-ServerConnections::ServerConnections(event_base *base, ServerCallObserver &observer)
+ServerConnections::ServerConnections(event_base *base, ServerCallObserver &observer,
+                                     std::uint64_t seed)
     : m_base(base)
     , m_observer(observer)
+    , m_random(seed)
     , m_closeEvent(event_new(
           base, -1, 0,
           [](evutil_socket_t, short, void *self) {
@@ -109,21 +154,40 @@
 
 ServerConnections::~ServerConnections() = default;
 
-void ServerConnections::start(const ServerRequest &request)
+void ServerConnections::start(ServerRequest request)
+{
+    const bool requiresNew =
+        request.needsNewConnection || request.isConnectOnly || request.isDirectOnly;
+    if (m_paths.servers.takeTest(request.server, steadyNow())) {
+        testPath(request.server, request.address);
+    }
+    if (Connection *idle = requiresNew ? nullptr : takeIdleConnection(request)) {
+        const std::string text = textOf(request);
+        assign(*idle, request);
+        if (!idle->relay.isEmpty()) {
+            m_observer.callRelayed(request.call, idle->relay);
+        }
+        bufferevent_write(idle->bev, text.data(), text.size());
+        armIdleTimer(*idle);
+        return;
+    }
+    std::string text = textOf(request);
+    request.headers.clear();
+    request.body.clear();
+    PathSearch search(request.server, request.isDirectOnly, steadyNow());
+    search.begin(m_paths, steadyNow(), m_random());
+    connect(std::make_unique<PendingCall>(
+        PendingCall {std::move(request), std::move(text), std::move(search)}));
+}
+
+void ServerConnections::assign(Connection &connection, const ServerRequest &request)
 {
-    const bool requiresNew = request.needsNewConnection || request.isConnectOnly;
-    Connection *idle = requiresNew ? nullptr : takeIdleConnection(request);
-    Connection &connection = idle ? *idle : connect(request);
     connection.call = request.call;
     connection.idleTimeout = request.idleTimeout;
     connection.silenceLimit = request.silenceLimit;
     connection.maxIdleConnections = request.maxIdleConnections;
     connection.isConnectOnly = request.isConnectOnly;
     m_calls[request.call] = connection.number;
-    send(connection, request);
-    if (connection.isConnected) {
-        armIdleTimer(connection);
-    }
 }
 
 void ServerConnections::abandon(CallNumber call)
@@ -161,7 +225,7 @@
     return &connection;
 }
 
-ServerConnections::Connection &ServerConnections::connect(const ServerRequest &request)
+ServerConnections::Connection &ServerConnections::addConnection(const ServerName &server)
 {
     const ConnectionNumber number(++m_lastConnection);
     ++m_connectionsMade;
@@ -185,54 +249,164 @@
     Connection &connection = *created;
     connection.owner = this;
     connection.number = number;
-    connection.server = request.server;
-    connection.address = request.address;
+    connection.server = server;
     connection.bev =
         bufferevent_socket_new(m_base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     connection.timer = event_new(m_base, -1, 0, &ServerConnections::handleTimer, &connection);
-    connection.parser.reset(request.method == "HEAD");
-    m_connections.emplace(number, std::move(created));
     bufferevent_setcb(connection.bev, &ServerConnections::handleRead, nullptr,
                       &ServerConnections::handleEvent, &connection);
     bufferevent_enable(connection.bev, EV_READ | EV_WRITE);
-    const timeval limit =
-        timevalOf(request.connectTimeout.count() > 0 ? request.connectTimeout : ConnectTimeout);
-    event_add(connection.timer, &limit);
-    sockaddr_in to {};
-    to.sin_family = AF_INET;
-    const auto parts = splitAddress(request.address);
-    if (!parts || inet_pton(AF_INET, parts->first.c_str(), &to.sin_addr) != 1) {
-        event_active(connection.timer, EV_TIMEOUT, 1);
-        return connection;
+    m_connections.emplace(number, std::move(created));
+    return connection;
+}
+
+void ServerConnections::connect(std::unique_ptr<PendingCall> pending)
+{
+    const ServerRequest &request = pending->request;
+    const ServerRoute &route = pending->search.route();
+    Connection &connection = addConnection(request.server);
+    assign(connection, request);
+    connection.parser.reset(request.method == "HEAD");
+    connection.relay = route.relay.name;
+    const bool mayAskOthers = !request.isDirectOnly && !m_paths.relays.isEmpty();
+    Duration limit = mayAskOthers ? ConnectTimeoutBeforeRelay : ConnectTimeout;
+    if (request.connectTimeout.count() > 0) {
+        limit = std::min(limit, request.connectTimeout);
+    }
+    const std::string address = route.isDirect() ? request.address : route.relay.address;
+    const bool isDirect = route.isDirect();
+    connection.pending = std::move(pending);
+    openSocket(connection, address, isDirect ? limit : RelayTimeout);
+    if (!isDirect && bufferevent_getfd(connection.bev) >= 0) {
+        detectDeadPeer(bufferevent_getfd(connection.bev));
     }
-    to.sin_port = htons(parts->second);
-    if (bufferevent_socket_connect(connection.bev, reinterpret_cast<sockaddr *>(&to), sizeof to)
-        != 0) {
+}
+
+void ServerConnections::openSocket(Connection &connection, const std::string &address,
+                                   Duration limit)
+{
+    const timeval limitTimeval = timevalOf(limit);
+    event_add(connection.timer, &limitTimeval);
+    const auto to = socketAddress(address);
+    if (!to
+        || bufferevent_socket_connect(connection.bev, reinterpret_cast<const sockaddr *>(&*to),
+                                      sizeof *to)
+            != 0) {
         event_active(connection.timer, EV_TIMEOUT, 1);
-        return connection;
+        return;
     }
     setNoDelay(bufferevent_getfd(connection.bev));
     setUserTimeout(bufferevent_getfd(connection.bev), TcpUserTimeout);
-    return connection;
 }
 
-void ServerConnections::send(Connection &connection, const ServerRequest &request)
+void ServerConnections::testPath(const ServerName &server, const std::string &address)
 {
-    std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
-    for (const auto &[name, value] : request.headers) {
-        text.append(name).append(": ").append(value).append("\r\n");
+    Connection &connection = addConnection(server);
+    connection.isPathTest = true;
+    openSocket(connection, address, ConnectTimeout);
+}
+
+void ServerConnections::socketConnected(Connection &connection)
+{
+    if (connection.isPathTest) {
+        m_paths.servers.recordConnected(connection.server, steadyNow());
+        scheduleClose(connection);
+        return;
     }
-    const bool hasBody =
-        !request.body.empty() || (request.method != "GET" && request.method != "HEAD");
-    if (hasBody) {
-        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    if (connection.relay.isEmpty()) {
+        established(connection);
+        return;
     }
-    text += "\r\n";
-    text += request.body;
-    if (connection.isConnected) {
-        bufferevent_write(connection.bev, text.data(), text.size());
-    } else {
-        connection.unsentRequest = std::move(text);
+    const auto request = encodeTunnelRequest(connection.server);
+    if (!request) {
+        connectFailed(connection, ConnectFailure::NotRelayed, "name of the server");
+        return;
+    }
+    connection.isTunnelRequested = true;
+    bufferevent_write(connection.bev, request->data(), request->size());
+}
+
+void ServerConnections::readTunnelAnswer(Connection &connection)
+{
+    evbuffer *input = bufferevent_get_input(connection.bev);
+    std::string head(std::min(evbuffer_get_length(input), MaxTunnelHeadBytes), '\0');
+    evbuffer_copyout(input, head.data(), head.size());
+    const auto length = tunnelHeadLength(head);
+    if (!length) {
+        return;
+    }
+    evbuffer_drain(input, *length);
+    switch (parseTunnelAnswer(head)) {
+    case TunnelAnswer::Open:
+        established(connection);
+        return;
+    case TunnelAnswer::Refused:
+        connectFailed(connection, ConnectFailure::Refused, "refused to another node as well");
+        return;
+    case TunnelAnswer::NoAnswer:
+        connectFailed(connection, ConnectFailure::NoAnswer, "no answer to another node either");
+        return;
+    case TunnelAnswer::Unavailable:
+        connectFailed(connection, ConnectFailure::NotRelayed, "other nodes do not reach it");
+        return;
+    }
+}
+
+void ServerConnections::established(Connection &connection)
+{
+    const auto pending = std::move(connection.pending);
+    connection.isConnected = true;
+    event_del(connection.timer);
+    const bool wasIsolated = m_paths.servers.isIsolated();
+    pending->search.connected(m_paths, steadyNow());
+    if (!connection.relay.isEmpty()) {
+        ++m_relayedCalls;
+        closeIdleDirect(m_paths.servers.isIsolated() && !wasIsolated ? ServerName()
+                                                                     : connection.server);
+        m_observer.callRelayed(connection.call, connection.relay);
+    }
+    if (connection.isConnectOnly) {
+        finish(connection, TransferEnd::Complete, {}, false);
+        return;
+    }
+    bufferevent_write(connection.bev, pending->text.data(), pending->text.size());
+    armIdleTimer(connection);
+}
+
+void ServerConnections::connectFailed(Connection &connection, ConnectFailure failure,
+                                      const std::string &reason)
+{
+    if (connection.isPathTest) {
+        m_paths.servers.recordNotConnected(connection.server, reason, steadyNow());
+        scheduleClose(connection);
+        return;
+    }
+    auto pending = std::move(connection.pending);
+    const CallNumber call = connection.call;
+    connection.call = {};
+    scheduleClose(connection);
+    const auto next = pending->search.failed(m_paths, failure, reason, steadyNow(), m_random());
+    if (std::holds_alternative<ServerRoute>(next)) {
+        connect(std::move(pending));
+        return;
+    }
+    m_calls.erase(call);
+    m_observer.callEnded(call, transferEndOf(std::get<PathSearchEnd>(next)), reason);
+}
+
+void ServerConnections::closeIdleDirect(const ServerName &server)
+{
+    std::vector<ConnectionNumber> direct;
+    for (const auto &[name, connections] : m_idle) {
+        if (!server.isEmpty() && name != server) {
+            continue;
+        }
+        std::ranges::copy_if(connections, std::back_inserter(direct), [this](auto number) {
+            return m_connections.at(number)->relay.isEmpty();
+        });
+    }
+    for (const ConnectionNumber number : direct) {
+        scheduleClose(*m_connections.at(number));
     }
 }
 
@@ -254,6 +428,10 @@
         scheduleClose(connection);
         return;
     }
+    if (connection.isTunnelRequested && !connection.isConnected) {
+        readTunnelAnswer(connection);
+        return;
+    }
     armIdleTimer(connection);
     while (!connection.call.isNone() && !connection.isClosing && evbuffer_get_length(input) > 0) {
         const std::size_t size = evbuffer_get_length(input);
@@ -328,24 +506,17 @@
         return;
     }
     if ((events & BEV_EVENT_CONNECTED) != 0) {
-        connection.isConnected = true;
-        event_del(connection.timer);
-        owner.recordConnected(connection);
-        if (connection.isConnectOnly) {
-            owner.finish(connection, TransferEnd::Complete, {}, false);
-            return;
-        }
-        bufferevent_write(connection.bev, connection.unsentRequest.data(),
-                          connection.unsentRequest.size());
-        connection.unsentRequest.clear();
-        owner.armIdleTimer(connection);
+        owner.socketConnected(connection);
         return;
     }
     if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) {
         return;
     }
     if (!connection.isConnected) {
-        owner.finishNotConnected(connection, "connection refused");
+        owner.connectFailed(connection,
+                            connection.relay.isEmpty() ? ConnectFailure::Refused
+                                                       : ConnectFailure::NotRelayed,
+                            "connection refused");
         return;
     }
     if (connection.call.isNone()) {
@@ -372,12 +543,15 @@
 {
     auto &connection = *static_cast<Connection *>(context);
     ServerConnections &owner = *connection.owner;
-    if (connection.call.isNone()) {
+    if (connection.call.isNone() && !connection.isPathTest) {
         owner.scheduleClose(connection);
         return;
     }
     if (!connection.isConnected) {
-        owner.finishNotConnected(connection, "no connection in time");
+        owner.connectFailed(connection,
+                            connection.relay.isEmpty() ? ConnectFailure::NoAnswer
+                                                       : ConnectFailure::NotRelayed,
+                            "no connection in time");
         return;
     }
     connection.silentFor += connection.armedFor;
@@ -412,28 +586,6 @@
     event_add(connection.timer, &limit);
 }
 
-void ServerConnections::recordConnected(const Connection &connection)
-{
-    m_paths.recordConnected(connection.server, steadyNow());
-    reportPathChanges();
-}
-
-void ServerConnections::finishNotConnected(Connection &connection, const std::string &reason)
-{
-    m_paths.recordNotConnected(connection.server, reason, steadyNow());
-    reportPathChanges();
-    finish(connection, TransferEnd::NotConnected, reason, false);
-}
-
-void ServerConnections::reportPathChanges()
-{
-    for (const PathChange &change : m_paths.takeChanges()) {
-        if (m_pathHandler) {
-            m_pathHandler(change);
-        }
-    }
-}
-
 void ServerConnections::scheduleClose(Connection &connection)
 {
     if (connection.isClosing) {
--- a/src/relay/serverconnections.h
+++ b/src/relay/serverconnections.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "http/eventbase.h"
-#include "paths/serverpaths.h"
+#include "paths/pathsearch.h"
 #include "relay/messageparser.h"
 
 #include <indigoway/ids.h>
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,11 +34,14 @@
     Duration connectTimeout {}; ///< Maximum time to connect; 0 for the default.
     bool needsNewConnection = false;
     bool isConnectOnly = false;           ///< Opens a connection without sending data.
+    bool isDirectOnly = false;            ///< Must come from this node's own address.
     std::uint32_t maxIdleConnections = 1; ///< Maximum of idle connections to this server.
 };
 
 enum class TransferEnd {
-    NotConnected, ///< Nothing was sent.
+    NotConnected, ///< Nothing was sent: the server does not answer this node or another one.
+    Refused,      ///< Nothing was sent: no process listens at the server's address.
+    NoPath,       ///< Nothing was sent: this node has no connection, which may be its own fault.
     Complete,
     ConnectionLost, ///< The connection ended before the answer was complete.
     Broken,         ///< Idle timeout or malformed answer.
@@ -52,6 +56,8 @@
     ServerCallObserver &operator=(const ServerCallObserver &) = delete;
     virtual ~ServerCallObserver() = default;
 
+    /** Reports that another node has opened the connection of the call. */
+    virtual void callRelayed(CallNumber /*call*/, const NodeName & /*relay*/) { }
     /**
      * Returns whether @p head belongs to the answer to @p call. Otherwise it is a late answer to an
      * earlier request on the connection, which is discarded.
@@ -73,34 +79,49 @@
 class ServerConnections
 {
 public:
-    ServerConnections(event_base *base, ServerCallObserver &observer);
+    ServerConnections(event_base *base, ServerCallObserver &observer, std::uint64_t seed = 1);
     ~ServerConnections();
     ServerConnections(const ServerConnections &) = delete;
     ServerConnections &operator=(const ServerConnections &) = delete;
 
     /** Starts a call. The observer is called from the event loop only, never from start(). */
-    void start(const ServerRequest &request);
+    void start(ServerRequest request);
     /** Closes the call's connection; the observer receives no further events of the call. */
     void abandon(CallNumber call);
     std::size_t openCalls() const { return m_calls.size(); }
-    /** Is called for each change of what is known of the connections to a server. */
-    using PathHandler = std::function<void(const PathChange &)>;
-    void setPathHandler(PathHandler handler) { m_pathHandler = std::move(handler); }
-    const ServerPaths &paths() const { return m_paths; }
+    /** What is known of the paths to the servers. */
+    PathKnowledge &paths() { return m_paths; }
+    const PathKnowledge &paths() const { return m_paths; }
+    /** Returns the number of calls whose connection was opened by another node. */
+    std::uint64_t relayedCalls() const { return m_relayedCalls; }
     /** Returns the number of idle connections. */
     std::size_t idleConnections() const;
     std::uint64_t connectionsMade() const { return m_connectionsMade; }
 
 private:
     struct Connection;
+    struct PendingCall;
     using ConnectionNumber = Number<struct ServerConnectionTag>;
 
     static void handleRead(bufferevent *bev, void *context);
     static void handleEvent(bufferevent *bev, short events, void *context);
     static void handleTimer(int socket, short events, void *context);
     Connection *takeIdleConnection(const ServerRequest &request);
-    Connection &connect(const ServerRequest &request);
-    void send(Connection &connection, const ServerRequest &request);
+    /** Opens a connection for the call on the present route of its search. */
+    void connect(std::unique_ptr<PendingCall> pending);
+    Connection &addConnection(const ServerName &server);
+    void openSocket(Connection &connection, const std::string &address, Duration limit);
+    void socketConnected(Connection &connection);
+    void readTunnelAnswer(Connection &connection);
+    /** Sends the call's request on its new connection. */
+    void established(Connection &connection);
+    /** Tries the next route, or ends the call. */
+    void connectFailed(Connection &connection, ConnectFailure failure, const std::string &reason);
+    /** Tests whether this node can connect to a server that it reaches through others. */
+    void testPath(const ServerName &server, const std::string &address);
+    /** Closes idle connections of this node itself that a cut may have made useless. */
+    void closeIdleDirect(const ServerName &server);
+    void assign(Connection &connection, const ServerRequest &request);
     void readInput(Connection &connection);
     void handleMessageComplete(Connection &connection);
     void finish(Connection &connection, TransferEnd end, const std::string &reason,
@@ -110,16 +131,13 @@
     void armIdleTimer(Connection &connection);
     /** Arms the timer for the silence limit or the rest of the idle timeout, whichever is first. */
     void armSilenceTimer(Connection &connection);
-    void recordConnected(const Connection &connection);
-    void finishNotConnected(Connection &connection, const std::string &reason);
-    void reportPathChanges();
     void scheduleClose(Connection &connection);
     void closeScheduled();
 
     event_base *m_base;
     ServerCallObserver &m_observer;
-    ServerPaths m_paths;
-    PathHandler m_pathHandler;
+    PathKnowledge m_paths;
+    std::mt19937_64 m_random;
     EventHandle m_closeEvent;
     std::map<ConnectionNumber, std::unique_ptr<Connection>> m_connections;
     std::map<CallNumber, ConnectionNumber> m_calls;
@@ -128,6 +146,7 @@
     std::vector<ConnectionNumber> m_scheduledForClose;
     std::uint64_t m_lastConnection = 0;
     std::uint64_t m_connectionsMade = 0;
+    std::uint64_t m_relayedCalls = 0;
 };
 
 } // namespace indigoway
--- /dev/null
+++ b/src/relay/tunnellistener.cpp
@@ -0,0 +1,357 @@
+#include "tunnellistener.h"
+
+#include "relay/sockets.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+#include <algorithm>
+
+namespace indigoway {
+
+namespace {
+
+/** The other node tries elsewhere after a little more. */
+constexpr timeval ConnectLimit {0, 90'000};
+constexpr timeval CheckLimit {0, 40'000};
+constexpr timeval RequestLimit {1, 0};
+/** Time for the last bytes of an answer to a node that reads slowly. */
+constexpr timeval FlushLimit {5, 0};
+/** Limits the memory, descriptors and processor time that other nodes can take. */
+constexpr std::size_t MaxTunnels = 256;
+/** Unsent bytes beyond which the other side is not read, and below which it is read again. */
+constexpr std::size_t MaxUnsentBytes = 128 * 1024;
+constexpr std::size_t LowUnsentBytes = 32 * 1024;
+
+TimePoint steadyNow()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+} // namespace
+
+struct TunnelListener::Tunnel
+{
+    enum class Stage {
+        ReadingRequest,
+        Connecting,
+        CheckingOther, ///< Connects to another server after a failure.
+        Open,
+        Closing, ///< The last bytes are sent to the node.
+    };
+
+    TunnelListener *owner = nullptr;
+    TunnelNumber number;
+    Stage stage = Stage::ReadingRequest;
+    Target target;
+    TimePoint startedAt {};                          ///< Of the connection to the target.
+    TunnelAnswer answer = TunnelAnswer::Unavailable; ///< While another server is checked.
+    bufferevent *nodeSide = nullptr;
+    bufferevent *serverSide = nullptr;
+    event *timer = nullptr;
+    TimePoint lastBytesAt {};
+
+    Tunnel() = default;
+    Tunnel(const Tunnel &) = delete;
+    Tunnel &operator=(const Tunnel &) = delete;
+    ~Tunnel()
+    {
+        event_free(timer);
+        bufferevent_free(nodeSide);
+        if (serverSide) {
+            bufferevent_free(serverSide);
+        }
+    }
+};
+
+TunnelListener::TunnelListener(event_base *base, ServerPaths &paths, Dependencies dependencies)
+    : m_base(base)
+    , m_paths(paths)
+    , m_dependencies(std::move(dependencies))
+{ }
+
+TunnelListener::~TunnelListener()
+{
+    if (m_listener) {
+        evconnlistener_free(m_listener);
+    }
+}
+
+std::optional<std::string> TunnelListener::listenOn(const std::string &address)
+{
+    m_listener = listenForConnections(m_base, address, &TunnelListener::handleAccept, this);
+    return m_listener ? std::optional(boundAddress(evconnlistener_get_fd(m_listener)))
+                      : std::nullopt;
+}
+
+bool TunnelListener::isActive(TimePoint now, Duration time) const
+{
+    return std::ranges::any_of(
+        m_tunnels, [&](const auto &one) { return now < one.second->lastBytesAt + time; });
+}
+
+void TunnelListener::handleAccept(evconnlistener * /*listener*/, int socket, sockaddr * /*from*/,
+                                  int /*length*/, void *self)
+{
+    static_cast<TunnelListener *>(self)->accept(socket);
+}
+
+void TunnelListener::accept(int socket)
+{
+    setNoDelay(socket);
+    detectDeadPeer(socket);
+    const TunnelNumber number(++m_lastTunnel);
+    auto tunnel = std::make_unique<Tunnel>();
+    tunnel->owner = this;
+    tunnel->number = number;
+    tunnel->nodeSide =
+        bufferevent_socket_new(m_base, socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    tunnel->timer = event_new(m_base, -1, 0, &TunnelListener::handleTimer, tunnel.get());
+    bufferevent_setcb(tunnel->nodeSide, &TunnelListener::handleNodeRead,
+                      &TunnelListener::handleNodeWritten, &TunnelListener::handleNodeEvent,
+                      tunnel.get());
+    bufferevent_setwatermark(tunnel->nodeSide, EV_WRITE, LowUnsentBytes, 0);
+    bufferevent_enable(tunnel->nodeSide, EV_READ | EV_WRITE);
+    event_add(tunnel->timer, &RequestLimit);
+    m_tunnels.emplace(number, std::move(tunnel));
+}
+
+void TunnelListener::handleNodeRead(bufferevent * /*bev*/, void *context)
+{
+    auto &tunnel = *static_cast<Tunnel *>(context);
+    if (tunnel.stage == Tunnel::Stage::ReadingRequest) {
+        tunnel.owner->readRequest(tunnel);
+    } else if (tunnel.stage == Tunnel::Stage::Open) {
+        pass(tunnel, tunnel.nodeSide, tunnel.serverSide);
+    }
+}
+
+void TunnelListener::readRequest(Tunnel &tunnel)
+{
+    evbuffer *input = bufferevent_get_input(tunnel.nodeSide);
+    const std::size_t size = std::min(evbuffer_get_length(input), MaxTunnelHeadBytes);
+    std::string head(size, '\0');
+    evbuffer_copyout(input, head.data(), size);
+    const auto length = tunnelHeadLength(head);
+    if (!length) {
+        if (size == MaxTunnelHeadBytes) {
+            reset(tunnel);
+        }
+        return;
+    }
+    evbuffer_drain(input, *length);
+    const auto server = parseTunnelRequest(head);
+    const auto target = server ? m_dependencies.find(*server) : std::nullopt;
+    if (!target || m_isLeaving || m_tunnels.size() > MaxTunnels || m_paths.isRelayed(*server)) {
+        refuse(tunnel, TunnelAnswer::Unavailable);
+        return;
+    }
+    connectTo(tunnel, *target);
+}
+
+void TunnelListener::connectTo(Tunnel &tunnel, const Target &target)
+{
+    tunnel.target = target;
+    tunnel.startedAt = steadyNow();
+    tunnel.stage = Tunnel::Stage::Connecting;
+    event_add(tunnel.timer, &ConnectLimit);
+    openServerSide(tunnel, target.address);
+}
+
+void TunnelListener::openServerSide(Tunnel &tunnel, const std::string &address)
+{
+    tunnel.serverSide =
+        bufferevent_socket_new(m_base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_setcb(tunnel.serverSide, &TunnelListener::handleServerRead,
+                      &TunnelListener::handleServerWritten, &TunnelListener::handleServerEvent,
+                      &tunnel);
+    bufferevent_setwatermark(tunnel.serverSide, EV_WRITE, LowUnsentBytes, 0);
+    bufferevent_enable(tunnel.serverSide, EV_READ | EV_WRITE);
+    const auto to = socketAddress(address);
+    if (!to
+        || bufferevent_socket_connect(tunnel.serverSide, reinterpret_cast<const sockaddr *>(&*to),
+                                      sizeof *to)
+            != 0) {
+        refuse(tunnel, TunnelAnswer::Unavailable);
+        return;
+    }
+    setNoDelay(bufferevent_getfd(tunnel.serverSide));
+    detectDeadPeer(bufferevent_getfd(tunnel.serverSide));
+}
+
+void TunnelListener::handleServerEvent(bufferevent * /*bev*/, short events, void *context)
+{
+    auto &tunnel = *static_cast<Tunnel *>(context);
+    TunnelListener &owner = *tunnel.owner;
+    if ((events & BEV_EVENT_CONNECTED) != 0) {
+        owner.serverConnected(tunnel);
+    } else if (tunnel.stage == Tunnel::Stage::Connecting) {
+        owner.serverNotConnected(tunnel, TunnelAnswer::Refused);
+    } else if (tunnel.stage == Tunnel::Stage::CheckingOther) {
+        owner.otherChecked(tunnel, false);
+    } else if (tunnel.stage == Tunnel::Stage::Open && (events & BEV_EVENT_EOF) != 0) {
+        // The end of an answer without a length must not look like a reset.
+        pass(tunnel, tunnel.serverSide, tunnel.nodeSide);
+        owner.closeWhenWritten(tunnel);
+    } else if (tunnel.stage == Tunnel::Stage::Open) {
+        owner.reset(tunnel);
+    }
+}
+
+void TunnelListener::serverConnected(Tunnel &tunnel)
+{
+    if (tunnel.stage == Tunnel::Stage::CheckingOther) {
+        otherChecked(tunnel, true);
+        return;
+    }
+    if (tunnel.stage != Tunnel::Stage::Connecting) {
+        return;
+    }
+    m_paths.recordConnected(tunnel.target.server, steadyNow());
+    ++m_opened;
+    event_del(tunnel.timer);
+    tunnel.stage = Tunnel::Stage::Open;
+    tunnel.lastBytesAt = steadyNow();
+    const std::string answer = encodeTunnelAnswer(TunnelAnswer::Open);
+    bufferevent_write(tunnel.nodeSide, answer.data(), answer.size());
+    pass(tunnel, tunnel.nodeSide, tunnel.serverSide);
+}
+
+void TunnelListener::serverNotConnected(Tunnel &tunnel, TunnelAnswer answer)
+{
+    const char *reason = answer == TunnelAnswer::Refused ? "refused to another node's connection"
+                                                         : "no answer to another node's connection";
+    m_paths.recordNotConnected(tunnel.target.server, reason, steadyNow());
+    const auto other = m_dependencies.findOther(tunnel.target.server);
+    if (!other || m_paths.hasConnectedSince(tunnel.startedAt)) {
+        refuse(tunnel, answer);
+        return;
+    }
+    tunnel.answer = answer;
+    checkOther(tunnel, *other);
+}
+
+void TunnelListener::checkOther(Tunnel &tunnel, const Target &other)
+{
+    bufferevent_free(tunnel.serverSide);
+    tunnel.serverSide = nullptr;
+    tunnel.target = other;
+    tunnel.stage = Tunnel::Stage::CheckingOther;
+    event_add(tunnel.timer, &CheckLimit);
+    openServerSide(tunnel, other.address);
+}
+
+void TunnelListener::otherChecked(Tunnel &tunnel, bool isConnected)
+{
+    if (isConnected) {
+        m_paths.recordConnected(tunnel.target.server, steadyNow());
+    } else {
+        m_paths.recordNotConnected(tunnel.target.server, "no connection in a check", steadyNow());
+    }
+    refuse(tunnel, isConnected ? tunnel.answer : TunnelAnswer::Unavailable);
+}
+
+void TunnelListener::handleServerRead(bufferevent * /*bev*/, void *context)
+{
+    auto &tunnel = *static_cast<Tunnel *>(context);
+    if (tunnel.stage == Tunnel::Stage::Open) {
+        pass(tunnel, tunnel.serverSide, tunnel.nodeSide);
+    }
+}
+
+void TunnelListener::pass(Tunnel &tunnel, bufferevent *from, bufferevent *to)
+{
+    if (evbuffer_get_length(bufferevent_get_input(from)) == 0) {
+        return;
+    }
+    tunnel.lastBytesAt = steadyNow();
+    bufferevent_write_buffer(to, bufferevent_get_input(from));
+    if (evbuffer_get_length(bufferevent_get_output(to)) > MaxUnsentBytes) {
+        bufferevent_disable(from, EV_READ);
+    }
+}
+
+void TunnelListener::handleNodeWritten(bufferevent *bev, void *context)
+{
+    auto &tunnel = *static_cast<Tunnel *>(context);
+    if (tunnel.stage == Tunnel::Stage::Open) {
+        bufferevent_enable(tunnel.serverSide, EV_READ);
+    } else if (tunnel.stage == Tunnel::Stage::Closing
+               && evbuffer_get_length(bufferevent_get_output(bev)) == 0) {
+        tunnel.owner->close(tunnel.number);
+    }
+}
+
+void TunnelListener::handleServerWritten(bufferevent * /*bev*/, void *context)
+{
+    auto &tunnel = *static_cast<Tunnel *>(context);
+    if (tunnel.stage == Tunnel::Stage::Open) {
+        bufferevent_enable(tunnel.nodeSide, EV_READ);
+    }
+}
+
+void TunnelListener::handleNodeEvent(bufferevent * /*bev*/, short events, void *context)
+{
+    auto &tunnel = *static_cast<Tunnel *>(context);
+    if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+        tunnel.owner->reset(tunnel);
+    }
+}
+
+void TunnelListener::handleTimer(int /*socket*/, short /*events*/, void *context)
+{
+    auto &tunnel = *static_cast<Tunnel *>(context);
+    if (tunnel.stage == Tunnel::Stage::Connecting) {
+        tunnel.owner->serverNotConnected(tunnel, TunnelAnswer::NoAnswer);
+    } else if (tunnel.stage == Tunnel::Stage::CheckingOther) {
+        tunnel.owner->otherChecked(tunnel, false);
+    } else {
+        tunnel.owner->reset(tunnel);
+    }
+}
+
+void TunnelListener::refuse(Tunnel &tunnel, TunnelAnswer answer)
+{
+    ++m_refused;
+    const std::string text = encodeTunnelAnswer(answer);
+    bufferevent_write(tunnel.nodeSide, text.data(), text.size());
+    closeWhenWritten(tunnel);
+}
+
+void TunnelListener::closeWhenWritten(Tunnel &tunnel)
+{
+    if (evbuffer_get_length(bufferevent_get_output(tunnel.nodeSide)) == 0) {
+        close(tunnel.number);
+        return;
+    }
+    tunnel.stage = Tunnel::Stage::Closing;
+    bufferevent_disable(tunnel.nodeSide, EV_READ);
+    if (tunnel.serverSide) {
+        bufferevent_disable(tunnel.serverSide, EV_READ | EV_WRITE);
+    }
+    // The callback for written bytes must come when nothing is left.
+    bufferevent_setwatermark(tunnel.nodeSide, EV_WRITE, 0, 0);
+    event_add(tunnel.timer, &FlushLimit);
+}
+
+void TunnelListener::reset(Tunnel &tunnel)
+{
+    for (bufferevent *side : {tunnel.nodeSide, tunnel.serverSide}) {
+        if (side && bufferevent_getfd(side) >= 0) {
+            resetOnClose(bufferevent_getfd(side));
+        }
+    }
+    close(tunnel.number);
+}
+
+void TunnelListener::close(TunnelNumber number)
+{
+    m_tunnels.erase(number);
+}
+
+} // namespace indigoway
--- /dev/null
+++ b/src/relay/tunnellistener.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "http/eventbase.h"
+#include "paths/serverpaths.h"
+#include "relay/tunnelprotocol.h"
+
+#include <indigoway/ids.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+struct bufferevent;
+struct evconnlistener;
+struct sockaddr;
+
+namespace indigoway {
+
+/**
+ * Opens connections to backend servers for nodes that cannot, and passes their bytes on unread. The
+ * other node decides everything about its requests. A connection is opened from this node itself
+ * only, so that requests cannot go around between nodes.
+ */
+class TunnelListener
+{
+public:
+    struct Target
+    {
+        ServerName server;
+        std::string address; ///< "IP:port"
+    };
+    /** What the listener asks of the node. */
+    struct Dependencies
+    {
+        /** Finds a server to which connections may be opened now. */
+        std::function<std::optional<Target>(const ServerName &)> find;
+        /** Returns any other server; nothing if there is none. */
+        std::function<std::optional<Target>(const ServerName &)> findOther;
+    };
+
+    /** @param paths Records which servers this node reaches. */
+    TunnelListener(event_base *base, ServerPaths &paths, Dependencies dependencies);
+    ~TunnelListener();
+    TunnelListener(const TunnelListener &) = delete;
+    TunnelListener &operator=(const TunnelListener &) = delete;
+
+    /**
+     * Listens on @p address, "IP:port"; port 0 selects a free port.
+     * @return the bound address, or nothing on failure
+     */
+    std::optional<std::string> listenOn(const std::string &address);
+    /** Refuses new connections; open ones go on. */
+    void beginLeaving() { m_isLeaving = true; }
+
+    std::size_t openTunnels() const { return m_tunnels.size(); }
+    /** Returns whether an open tunnel has passed on bytes within @p time. */
+    bool isActive(TimePoint now, Duration time) const;
+    std::uint64_t opened() const { return m_opened; }
+    std::uint64_t refused() const { return m_refused; }
+
+private:
+    struct Tunnel;
+    using TunnelNumber = Number<struct TunnelTag>;
+
+    static void handleAccept(evconnlistener *listener, int socket, sockaddr *from, int length,
+                             void *self);
+    static void handleNodeRead(bufferevent *bev, void *context);
+    static void handleNodeWritten(bufferevent *bev, void *context);
+    static void handleNodeEvent(bufferevent *bev, short events, void *context);
+    static void handleServerRead(bufferevent *bev, void *context);
+    static void handleServerWritten(bufferevent *bev, void *context);
+    static void handleServerEvent(bufferevent *bev, short events, void *context);
+    static void handleTimer(int socket, short events, void *context);
+    void accept(int socket);
+    void readRequest(Tunnel &tunnel);
+    void connectTo(Tunnel &tunnel, const Target &target);
+    void openServerSide(Tunnel &tunnel, const std::string &address);
+    void serverConnected(Tunnel &tunnel);
+    /** Handles that the connection to the server could not be opened. */
+    void serverNotConnected(Tunnel &tunnel, TunnelAnswer answer);
+    /**
+     * Connects to another server: if that fails as well, this node may be cut off, and its failure
+     * says nothing of the first one.
+     */
+    void checkOther(Tunnel &tunnel, const Target &other);
+    void otherChecked(Tunnel &tunnel, bool isConnected);
+    void refuse(Tunnel &tunnel, TunnelAnswer answer);
+    /** Moves bytes; @p from is not read while @p to has too many unsent ones. */
+    static void pass(Tunnel &tunnel, bufferevent *from, bufferevent *to);
+    void closeWhenWritten(Tunnel &tunnel);
+    /** Closes both connections with a reset, which ends the request at the server. */
+    void reset(Tunnel &tunnel);
+    void close(TunnelNumber number);
+
+    event_base *m_base;
+    ServerPaths &m_paths;
+    Dependencies m_dependencies;
+    evconnlistener *m_listener = nullptr;
+    bool m_isLeaving = false;
+    std::map<TunnelNumber, std::unique_ptr<Tunnel>> m_tunnels;
+    std::uint64_t m_lastTunnel = 0;
+    std::uint64_t m_opened = 0;
+    std::uint64_t m_refused = 0;
+};
+
+} // namespace indigoway
--- a/tests/processes/edgecommon.sh
+++ b/tests/processes/edgecommon.sh
@@ -10,7 +10,7 @@
 start_edge() {
     empty_output "$1"
     "$BUILD/indigoway-edge" --node="$1" --domain=hall-a --callers=127.0.0.1:0 --readiness=127.0.0.1:0 \
-        --directory=127.0.0.1:0 --control=127.0.0.1:0 --metrics=127.0.0.1:0 --scheduling=127.0.0.1:0 \
+        --directory=127.0.0.1:0 --control=127.0.0.1:0 --metrics=127.0.0.1:0 --scheduling=127.0.0.1:0 --relay=127.0.0.1:0 \
         --store="${ADDRESSES[platform]}" "${EDGE_FLAGS[@]}" >"$RUN/$1.out" 2>&1 &
     PIDS[$1]=$!
     wait_for "$1 to start" grep -q '"kind":"start"' "$RUN/$1.out" || fail "$1 does not start"
--- /dev/null
+++ b/tests/relay/tunneltest.cpp
@@ -0,0 +1,328 @@
+#include "relay/rawsockets.h"
+#include "relay/tunnellistener.h"
+
+#include <event2/event.h>
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+#include <string>
+
+using namespace indigoway;
+using namespace indigoway::tests;
+
+namespace {
+
+/** A server's address that refuses connections, as a cut node sees it. */
+std::string refusingAddress()
+{
+    const RawServer closed;
+    return closed.address();
+}
+
+} // namespace
+
+/** Two nodes in one process: the first cannot connect to the server, the second relays for it. */
+class TunnelTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TunnelTest);
+    CPPUNIT_TEST(passesRequestsAndAnswersUnchanged);
+    CPPUNIT_TEST(reusesARelayedConnection);
+    CPPUNIT_TEST(passesALargeAnswerToASlowNode);
+    CPPUNIT_TEST(endsTheRequestAtTheServerWhenTheCallerLeaves);
+    CPPUNIT_TEST(reportsAResetOfTheServerAsLost);
+    CPPUNIT_TEST(completesAnAnswerThatEndsWithItsConnection);
+    CPPUNIT_TEST(reportsALostRelayAsALostConnection);
+    CPPUNIT_TEST(closesTheServerConnectionOfADeadNode);
+    CPPUNIT_TEST(confirmsThatAServerIsDown);
+    CPPUNIT_TEST(blamesNoServerIfTheRelayIsCutOffToo);
+    CPPUNIT_TEST(doesNotRelayOnward);
+    CPPUNIT_TEST(opensNoConnectionToUnknownServers);
+    CPPUNIT_TEST(sendsOrdersFromItsOwnAddressOnly);
+    CPPUNIT_TEST(refusesNewTunnelsWhileLeaving);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_base.reset(event_base_new());
+        m_serverAddressAtRelay = m_server.address();
+        m_otherAddressAtRelay = m_otherServer.address();
+        m_relayPaths.emplace();
+        startRelay();
+        m_calls.emplace();
+        m_servers.emplace(m_base.get(), *m_calls);
+        m_servers->paths().relays.setNodes({{NodeName("relay"), m_relayAddress}},
+                                           TimePoint(Duration(1)));
+    }
+
+    void tearDown() override
+    {
+        m_servers.reset();
+        m_relay.reset();
+        event_base_loop(m_base.get(), EVLOOP_NONBLOCK);
+        m_calls.reset();
+        m_base.reset();
+    }
+
+    // A changed byte would break the server's signature or smuggle a request.
+    void passesRequestsAndAnswersUnchanged()
+    {
+        std::string body(70'000, '\0');
+        for (std::size_t i = 0; i < body.size(); ++i) {
+            body[i] = static_cast<char>(i * 31);
+        }
+        startCall(1, body);
+        RawSocket server(accepted(m_server));
+        std::string request;
+        runUntil([&] { return (request += server.receive()).size() >= body.size(); });
+        CPPUNIT_ASSERT(request.starts_with("POST / HTTP/1.1\r\nX-Name: value\r\nContent-Length: "));
+        CPPUNIT_ASSERT(request.ends_with(body));
+        server.send("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + body);
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::Complete);
+        CPPUNIT_ASSERT(m_calls->body.at(CallNumber(1)) == body);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {1}, m_servers->relayedCalls());
+    }
+
+    void reusesARelayedConnection()
+    {
+        startCall(1);
+        RawSocket server(accepted(m_server));
+        answer(server, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok");
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::Complete);
+        startCall(2);
+        answer(server, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        CPPUNIT_ASSERT(endOf(2) == TransferEnd::Complete);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {1}, m_relay->opened());
+        CPPUNIT_ASSERT_EQUAL(std::string("relay"), m_calls->relays.at(CallNumber(2)).text());
+    }
+
+    // A relaying node would run out of memory if it read answers faster than the other node.
+    void passesALargeAnswerToASlowNode()
+    {
+        RawSocket node(m_relayAddress);
+        node.send(*encodeTunnelRequest(ServerName("s")));
+        RawSocket server(accepted(m_server));
+        std::string head;
+        runUntil([&] { return (head += node.receive()).ends_with("\r\n\r\n"); });
+        const std::string part(100'000, 'x');
+        std::size_t sent = 0;
+        for (int i = 0; i < 2'000; ++i) {
+            sent += server.trySend(part);
+            event_base_loop(m_base.get(), EVLOOP_NONBLOCK);
+        }
+        CPPUNIT_ASSERT(sent < 2'000 * part.size());
+        std::size_t received = 0;
+        runUntil([&] { return (received += node.receive().size()) >= sent; });
+        server.close();
+        runUntil([&] {
+            node.receive();
+            return node.hasEnded();
+        });
+    }
+
+    // The server would go on working for a caller who has left.
+    void endsTheRequestAtTheServerWhenTheCallerLeaves()
+    {
+        startCall(1);
+        RawSocket server(accepted(m_server));
+        runUntil([&] { return !server.receive().empty(); });
+        m_servers->abandon(CallNumber(1));
+        runUntil([&] {
+            server.receive();
+            return server.isReset();
+        });
+        runUntil([&] { return m_relay->openTunnels() == 0; });
+    }
+
+    void reportsAResetOfTheServerAsLost()
+    {
+        startCall(1);
+        RawSocket server(accepted(m_server));
+        answer(server, "HTTP/1.1 200 OK\r\n\r\nhalf of it");
+        runUntil([&] { return m_calls->status.contains(CallNumber(1)); });
+        server.reset();
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::ConnectionLost);
+    }
+
+    void completesAnAnswerThatEndsWithItsConnection()
+    {
+        startCall(1);
+        RawSocket server(accepted(m_server));
+        answer(server, "HTTP/1.1 200 OK\r\n\r\nall of it");
+        server.close();
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::Complete);
+        CPPUNIT_ASSERT_EQUAL(std::string("all of it"), m_calls->body.at(CallNumber(1)));
+    }
+
+    // The request may have been executed, so that it must not count as unsent.
+    void reportsALostRelayAsALostConnection()
+    {
+        startCall(1);
+        RawSocket server(accepted(m_server));
+        runUntil([&] { return !server.receive().empty(); });
+        m_relay.reset();
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::ConnectionLost);
+        runUntil([&] {
+            server.receive();
+            return server.isReset() || server.hasEnded();
+        });
+    }
+
+    // Otherwise the server holds a slot and memory for a node that has died.
+    void closesTheServerConnectionOfADeadNode()
+    {
+        RawSocket node(m_relayAddress);
+        node.send(*encodeTunnelRequest(ServerName("s")));
+        RawSocket server(accepted(m_server));
+        node.reset();
+        runUntil([&] {
+            server.receive();
+            return server.isReset();
+        });
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, m_relay->openTunnels());
+    }
+
+    // A server that is down must be known as such; the relay shows that it reaches another one.
+    void confirmsThatAServerIsDown()
+    {
+        m_serverAddressAtRelay = refusingAddress();
+        startCall(1);
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::Refused);
+        CPPUNIT_ASSERT(!m_servers->paths().servers.isRelayed(ServerName("s")));
+    }
+
+    // Nodes of one cut-off domain would confirm to each other that sound servers are down.
+    void blamesNoServerIfTheRelayIsCutOffToo()
+    {
+        m_serverAddressAtRelay = refusingAddress();
+        m_otherAddressAtRelay = refusingAddress();
+        startCall(1);
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::NoPath);
+    }
+
+    // Two nodes that are cut off must not send a request around between them.
+    void doesNotRelayOnward()
+    {
+        m_relayPaths->recordNotConnected(ServerName("s"), "", TimePoint(Duration(1)));
+        m_relayPaths->recordRelayed(ServerName("s"), "n", TimePoint(Duration(1)));
+        startCall(1);
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::NoPath);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {0}, m_relay->opened());
+    }
+
+    // The port would otherwise open connections to any address in the network.
+    void opensNoConnectionToUnknownServers()
+    {
+        for (const std::string request :
+             {"CONNECT unknown HTTP/1.1\r\n\r\n", "CONNECT 127.0.0.1:1 HTTP/1.1\r\n\r\n",
+              "GET /x HTTP/1.1\r\n\r\n", "\r\n\r\n"}) {
+            RawSocket node(m_relayAddress);
+            node.send(request);
+            std::string answer;
+            runUntil([&] {
+                answer += node.receive();
+                return node.hasEnded();
+            });
+            CPPUNIT_ASSERT(parseTunnelAnswer(answer) == TunnelAnswer::Unavailable);
+        }
+        RawSocket node(m_relayAddress);
+        node.send(std::string(2 * MaxTunnelHeadBytes, 'x'));
+        runUntil([&] {
+            node.receive();
+            return node.isReset() || node.hasEnded();
+        });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {0}, m_relay->opened());
+    }
+
+    void sendsOrdersFromItsOwnAddressOnly()
+    {
+        startCall(1, "order", true);
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::Refused);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {0}, m_relay->opened());
+    }
+
+    void refusesNewTunnelsWhileLeaving()
+    {
+        m_relay->beginLeaving();
+        startCall(1);
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::NoPath);
+    }
+
+private:
+    void startRelay()
+    {
+        m_relay.emplace(m_base.get(), *m_relayPaths,
+                        TunnelListener::Dependencies {
+                            [this](const ServerName &server) {
+                                return server == ServerName("s") ? std::optional(
+                                           TunnelListener::Target {server, m_serverAddressAtRelay})
+                                                                 : std::nullopt;
+                            },
+                            [this](const ServerName &) {
+                                return std::optional(TunnelListener::Target {
+                                    ServerName("other"), m_otherAddressAtRelay});
+                            }});
+        m_relayAddress = *m_relay->listenOn("127.0.0.1:0");
+    }
+
+    void startCall(std::uint64_t number, const std::string &body = "x", bool isDirectOnly = false)
+    {
+        ServerRequest request;
+        request.call = CallNumber(number);
+        request.server = ServerName("s");
+        request.address = m_refusing;
+        request.method = "POST";
+        request.target = "/";
+        request.headers = {{"X-Name", "value"}};
+        request.body = body;
+        request.isDirectOnly = isDirectOnly;
+        m_servers->start(std::move(request));
+        event_base_loop(m_base.get(), EVLOOP_NONBLOCK);
+    }
+
+    int accepted(const RawServer &server)
+    {
+        int connection = -1;
+        runUntil([&] { return (connection = server.tryAccept()) >= 0; });
+        return connection;
+    }
+
+    void answer(RawSocket &server, const std::string &text)
+    {
+        runUntil([&] { return !server.receive().empty(); });
+        server.send(text);
+    }
+
+    TransferEnd endOf(std::uint64_t number)
+    {
+        runUntil([&] { return m_calls->ends.contains(CallNumber(number)); });
+        return m_calls->ends.at(CallNumber(number));
+    }
+
+    void runUntil(const std::function<bool()> &condition)
+    {
+        const timeval step {0, 2'000};
+        bool holds = condition();
+        for (int i = 0; i < 2'500 && !holds; ++i) {
+            event_base_loopexit(m_base.get(), &step);
+            event_base_dispatch(m_base.get());
+            holds = condition();
+        }
+        CPPUNIT_ASSERT(holds);
+    }
+
+    EventBase m_base;
+    RawServer m_server;
+    RawServer m_otherServer;
+    const std::string m_refusing = refusingAddress(); ///< The server, for the cut-off node.
+    std::string m_serverAddressAtRelay;
+    std::string m_otherAddressAtRelay;
+    std::optional<ServerPaths> m_relayPaths;
+    std::optional<TunnelListener> m_relay;
+    std::string m_relayAddress;
+    std::optional<CallRecorder> m_calls;
+    std::optional<ServerConnections> m_servers;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TunnelTest);
--- a/tests/soak/cutnode.py
+++ b/tests/soak/cutnode.py
@@ -24,7 +24,8 @@
 CONTACT_S = 2.0
 CUT_S = 6.0
 SETTLE_S = 4.5
-CALLERS_A_NODE = 3
+# Of these, the second half begins with the cut: streams that are cut hold the first ones up.
+CALLERS_A_NODE = 6
 # Of the first attempts in the cut, at nodes that are cut off and at the others.
 LEAST_SERVED = 0.9
 
@@ -93,10 +94,14 @@
                 callers = [Caller(f"{how}{count}-{i}-{node.name}", node, random.Random(i), clock, organisations,
                                   organisations.good_keys()[-1])
                            for node in nodes for i in range(CALLERS_A_NODE)]
-                # The last ones: the first may be the one that schedules the engines; both are cut.
-                cut_off = nodes[:count] if count > 1 else nodes[:1]
-                running = [asyncio.create_task(caller.run(clock() + 1.0 + CUT_S)) for caller in callers]
+                # The first node by name schedules the engines.
+                cut_off = nodes[:count]
+                until = clock() + 1.0 + CUT_S
+                early = [caller for i, caller in enumerate(callers) if i % 2 == 0]
+                late = [caller for i, caller in enumerate(callers) if i % 2 == 1]
+                running = [asyncio.create_task(caller.run(until)) for caller in early]
                 await asyncio.sleep(1.0)
+                running += [asyncio.create_task(caller.run(until)) for caller in late]
                 shares = await cut(nodes, cut_off, how, clock, callers)
                 await asyncio.gather(*running)
                 for node, (served, count_all) in shares.items():
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -56,7 +56,7 @@
 class Node(Process):
     """An entry VM's process, with proxies on its way to the store and on its callers' way to it."""
 
-    listens = ("callers", "readiness", "directory", "control", "metrics", "scheduling")
+    listens = ("callers", "readiness", "directory", "control", "metrics", "scheduling", "relay")
 
     def __init__(self, name, build, log):
         super().__init__(name, [], log)
