A node's own broken connections are no evidence against engines that others reach

Cause: each node reported every lost or silent call as a failure of the engine, and every connection it could not make as an engine that is down; four such reports in a row put an engine out of use for all nodes. A reset of all connections of three nodes is more than four reports for each engine. Class: an observer's fault taken for the observed one's.

Change: a broken call ends its claim as ConnectionLost, which is counted as a lost run but is no verdict. The node that saw it probes the engine with one connection (as was done for crashes): it reports EngineFault if it connects itself, or if other nodes cannot connect either; if only another node connects, or nobody can say, it reports nothing and logs path_at_fault. The same probe decides whether contents count as crashing, so resets of a cut no longer count against contents. A run that moves to its backup is no verdict either.

--- a/src/dispatch/crashdetector.h
+++ b/src/dispatch/crashdetector.h
@@ -7,9 +7,11 @@
 namespace indigoway::dispatch {
 
 /**
- * Detects crashes of backend servers and records the contents that were running there. A lost
- * connection alone may be a reset link or an aborted answer, so the server is probed with one
- * connection attempt; if it fails, the server has crashed.
+ * Finds out whose fault a failed call was. A lost connection or a silent server may be a link of
+ * this node, so the server is probed with one connection attempt. If no node can connect, the
+ * server has crashed, and the contents that were running there are recorded. If this node connects
+ * itself, the server has failed the calls. If only another node connects, the path of this node is
+ * at fault.
  */
 class CrashDetector
 {
@@ -18,24 +20,29 @@
         : m_state(state)
     { }
 
-    /**
-     * Starts a probe of the server of @p call, whose connection was lost while it ran @p request.
-     */
-    void connectionLost(Step &step, const OpenCall &call, const OpenRequest &request);
-    /** Records a crash if the probe of @p call could not connect. */
+    /** Starts a probe of the server of @p call, which broke while the server ran @p request. */
+    void callBroken(Step &step, const OpenCall &call, const OpenRequest &request,
+                    bool isConnectionLost);
+    /** Records and reports what the probe of @p call shows. */
     void probeEnded(Step &step, const OpenCall &call, const CallEnded &event);
     /** Records that a server completed an answer to @p content, with any status. */
     void recordAnswer(Step &step, const ContentId &content);
 
 private:
+    /** What is known of a server with a probe in progress. */
+    struct Suspicion
+    {
+        /** Contents whose connections were lost, with the number of crashes known before. */
+        std::map<ContentId, std::uint32_t> contents;
+        std::uint32_t engineCalls = 0; ///< Broken calls of generations.
+    };
+
     void recordCrash(Step &step, const ContentId &content, std::uint32_t count);
+    void reportToScheduler(Step &step, const ServerName &server, const Suspicion &suspicion,
+                           const CallEnded &event) const;
 
     DispatchState &m_state;
-    /**
-     * Servers with a probe in progress: the contents lost there, with the number of crashes known
-     * before.
-     */
-    std::map<ServerName, std::map<ContentId, std::uint32_t>> m_pendingProbes;
+    std::map<ServerName, Suspicion> m_suspicions;
 };
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -448,7 +448,7 @@
         return;
     }
     OpenRequest *request = m_state.requests.find(call->request);
-    if (request && carriesRequest(call->kind)) {
+    if (request && (carriesRequest(call->kind) || call->kind == CallKind::Reserve)) {
         recordCallResult(step, *call, *request, event);
     }
     if (request && call->kind == CallKind::StopRun) {
@@ -471,9 +471,11 @@
 void Dispatcher::recordCallResult(Step &step, const OpenCall &call, const OpenRequest &request,
                                   const CallEnded &event)
 {
-    if (event.isConnectionLost) {
-        m_crashDetector.connectionLost(step, call, request);
-    } else if (event.end == CallEnd::Complete && call.kind != CallKind::Prefill) {
+    const bool runsContent = carriesRequest(call.kind);
+    const bool isLost = event.isConnectionLost && runsContent;
+    if (isLost || (event.end == CallEnd::Broken && request.isGeneration())) {
+        m_crashDetector.callBroken(step, call, request, isLost);
+    } else if (event.end == CallEnd::Complete && runsContent && call.kind != CallKind::Prefill) {
         m_crashDetector.recordAnswer(step, request.arrival.content);
     }
 }
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -49,9 +49,7 @@
     case CallEnd::Broken:
         break;
     }
-    // A lost answer does not make the engine unreachable: with lossy links most engines would be
-    // excluded.
-    return ClaimOutcome::EngineFailed;
+    return ClaimOutcome::ConnectionLost;
 }
 
 } // namespace
@@ -431,9 +429,7 @@
     const ServerName &server = call.server.name;
     m_placement.removeLoad(server, request.arrival.promptTokens);
     const bool isDone = event.end == CallEnd::Complete && !event.handle.empty();
-    if (event.end != CallEnd::NoPath) {
-        m_claims.prefillEnded(step, request, isDone, event.end != CallEnd::NotConnected);
-    }
+    m_claims.prefillEnded(step, request, isDone, event.end);
     if (isDone) {
         m_state.tracker.recordAnswer(server, step.now - call.started, true, step.now);
         request.handle = event.handle;
@@ -615,7 +611,9 @@
 {
     request.handle.clear();
     request.triedServers.insert(request.decodeServer);
-    releaseResources(step, request, ClaimOutcome::EngineFailed);
+    releaseResources(step, request,
+                     event.end == CallEnd::Broken ? ClaimOutcome::ConnectionLost
+                                                  : ClaimOutcome::EngineFailed);
     const bool mayResume = request.route->isResumable
         && request.executions < request.route->maxAttempts
         && m_state.retryBudget(request.service->name).tryTake(step.now);
--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -376,7 +376,7 @@
         m_claims.endTarget(step, request, scheduling::ClaimOutcome::OutOfMemory);
     } else if (target.name == request.run.target) {
         m_claims.adoptTarget(step, request,
-                             request.run.lostEngine ? scheduling::ClaimOutcome::EngineFailed
+                             request.run.lostEngine ? scheduling::ClaimOutcome::ConnectionLost
                                                     : scheduling::ClaimOutcome::Cancelled);
     } else {
         request.run.backup = {};
--- a/src/dispatch/schedulerclaims.cpp
+++ b/src/dispatch/schedulerclaims.cpp
@@ -122,11 +122,13 @@
     send(step, std::move(report));
 }
 
-void SchedulerClaims::prefillEnded(Step &step, const OpenRequest &request, bool isDone,
-                                   bool isReachable)
+void SchedulerClaims::prefillEnded(Step &step, const OpenRequest &request, bool isDone, CallEnd end)
 {
-    if (!request.claim.isNone()) {
-        send(step, PrefillEnded {request.claim, isDone, isReachable});
+    // Without a path nothing is known of the engine, and the prompt is sent to another one.
+    if (!request.claim.isNone() && end != CallEnd::NoPath) {
+        send(step,
+             PrefillEnded {request.claim, isDone, end != CallEnd::NotConnected,
+                           end == CallEnd::Broken});
     }
 }
 
--- a/src/dispatch/schedulerclaims.h
+++ b/src/dispatch/schedulerclaims.h
@@ -41,7 +41,8 @@
     void reportReservation(Step &step, OpenRequest &request);
     /** Reports that the run of @p request continues on its backup. */
     void runMoved(Step &step, const OpenRequest &request);
-    void prefillEnded(Step &step, const OpenRequest &request, bool isDone, bool isReachable);
+    /** Reports how the call to the prefill engine has ended. */
+    void prefillEnded(Step &step, const OpenRequest &request, bool isDone, CallEnd end);
     /** Ends the claim of @p request and releases what it was granted. */
     void end(Step &step, OpenRequest &request, scheduling::ClaimOutcome result);
 
--- a/src/scheduling/enginescheduler.cpp
+++ b/src/scheduling/enginescheduler.cpp
@@ -56,6 +56,10 @@
         process(now, *notice);
         return replies;
     }
+    if (const auto *fault = std::get_if<EngineFault>(&message)) {
+        process(now, *fault);
+        return replies;
+    }
     if (const auto *query = std::get_if<WorkQuery>(&message)) {
         if (const auto work = estimatorsOf(query->service).work()) {
             replies.push_back({from, WorkReport {query->service, *work}});
@@ -222,8 +226,11 @@
         m_tracker.recordSuccess(server);
     } else {
         m_tracker.failPrefill(*granted->prefill, now);
-        ended.isReachable ? m_tracker.recordFailure(server, now)
-                          : m_tracker.recordUnreachable(server, now);
+        if (!ended.isReachable) {
+            m_tracker.recordUnreachable(server, now);
+        } else if (!ended.isConnectionLost) {
+            m_tracker.recordFailure(server, now);
+        }
     }
     granted->prefill.reset();
 }
@@ -249,10 +256,7 @@
     } else if (ended.outcome == ClaimOutcome::EngineFailed) {
         m_tracker.recordFailure(server, now);
     } else if (ended.outcome == ClaimOutcome::Unreachable) {
-        m_tracker.recordUnreachable(server, now);
-        // An engine that refuses connections has crashed, and its copies are lost.
-        m_granted.removeCopies([&server](const ServerName &backup) { return backup == server; },
-                               m_tracker);
+        recordUnreachable(now, server);
     } else if (ended.outcome == ClaimOutcome::KvCacheLost) {
         m_tracker.recordTransferFailure(prefillServer, server, now);
     } else if (ended.outcome == ClaimOutcome::Served) {
@@ -261,16 +265,33 @@
     }
 }
 
+void EngineScheduler::process(TimePoint now, const EngineFault &fault)
+{
+    if (!fault.isReachable) {
+        recordUnreachable(now, fault.server);
+        return;
+    }
+    for (std::uint32_t i = 0; i < fault.failures; ++i) {
+        m_tracker.recordFailure(fault.server, now);
+    }
+}
+
+void EngineScheduler::recordUnreachable(TimePoint now, const ServerName &server)
+{
+    m_tracker.recordUnreachable(server, now);
+    // An engine that accepts no connections has crashed, and its copies are lost.
+    m_granted.removeCopies([&server](const ServerName &backup) { return backup == server; },
+                           m_tracker);
+}
+
 void EngineScheduler::moveToBackup(TimePoint now, const ClaimKey &key)
 {
     GrantedClaim *granted = m_granted.find(key);
-    const ServerName lostEngine = granted ? granted->decodeServer : ServerName();
     if (granted && m_granted.moveToBackup(*granted, m_tracker, now)) {
         ++m_runsMoved;
         // Without its backup the run would have been lost. If it counted as completed, backups
         // would end while engines still fail.
         m_estimators[granted->service].losses.add(true, now);
-        m_tracker.recordFailure(lostEngine, now);
     }
 }
 
@@ -294,8 +315,9 @@
         estimators.decode.add(granted.memory.outputTokens, ended.generatedTokens,
                               now - *granted.decodeStart);
     }
-    const bool isLost =
-        ended.outcome == ClaimOutcome::EngineFailed || ended.outcome == ClaimOutcome::Unreachable;
+    const bool isLost = ended.outcome == ClaimOutcome::EngineFailed
+        || ended.outcome == ClaimOutcome::Unreachable
+        || ended.outcome == ClaimOutcome::ConnectionLost;
     // A run that has moved was counted as lost by moveToBackup().
     if (isLost || (isServed && !granted.hasMoved)) {
         estimators.losses.add(isLost, now);
--- a/src/scheduling/enginescheduler.h
+++ b/src/scheduling/enginescheduler.h
@@ -80,6 +80,8 @@
                  SchedulerReplies &replies);
     void process(TimePoint now, const ClaimKey &key, const ReservationReport &reservation);
     void process(TimePoint now, const ClaimKey &key, const PrefillEnded &ended);
+    void process(TimePoint now, const EngineFault &fault);
+    void recordUnreachable(TimePoint now, const ServerName &server);
     void process(TimePoint now, const View &view, const ClaimKey &key, const ClaimEnded &ended);
     void process(TimePoint now, const PhaseChangeNotice &notice);
     /** Handles RunMoved: counts the run at its backup, and its engine as failed. */
--- a/src/scheduling/schedulercodec.cpp
+++ b/src/scheduling/schedulercodec.cpp
@@ -10,6 +10,7 @@
 
 /** Bounds values in stray or forged datagrams. */
 constexpr std::uint64_t MaxTokens = 100'000'000;
+constexpr std::uint64_t MaxFailures = 1'000;
 constexpr Duration MaxPhaseChangeDuration = std::chrono::minutes(10);
 
 Json::Value header(const char *kind, const NodeLife &from)
@@ -102,6 +103,9 @@
     Json::Value value = header("prefilled", from, ended.claim);
     value["done"] = ended.isDone;
     value["reachable"] = ended.isReachable;
+    if (ended.isConnectionLost) {
+        value["lost"] = true;
+    }
     return value;
 }
 
@@ -128,6 +132,15 @@
     return value;
 }
 
+Json::Value body(const NodeLife &from, const EngineFault &fault)
+{
+    Json::Value value = header("engine_fault", from);
+    value["server"] = fault.server.text();
+    value["failures"] = fault.failures;
+    value["reachable"] = fault.isReachable;
+    return value;
+}
+
 Json::Value body(const NodeLife &from, const WorkQuery &query)
 {
     Json::Value value = header("work_asked", from);
@@ -240,7 +253,7 @@
 {
     const std::uint64_t how = numberMember(value, "how");
     const std::uint64_t generated = numberMember(value, "made");
-    if (how > static_cast<unsigned>(ClaimOutcome::KvCacheLost) || generated > MaxTokens) {
+    if (how > static_cast<unsigned>(ClaimOutcome::ConnectionLost) || generated > MaxTokens) {
         return std::nullopt;
     }
     return ClaimEnded {id, static_cast<ClaimOutcome>(how), generated};
@@ -258,12 +271,25 @@
     return isValid ? std::optional<ToScheduler>(std::move(notice)) : std::nullopt;
 }
 
+std::optional<ToScheduler> readEngineFault(const Json::Value &value)
+{
+    const std::uint64_t failures = numberMember(value, "failures");
+    EngineFault fault {ServerName(stringMember(value, "server")),
+                       static_cast<std::uint32_t>(std::min(failures, MaxFailures)),
+                       value["reachable"].isBool() && value["reachable"].asBool()};
+    const bool isValid = !fault.server.isEmpty() && failures > 0;
+    return isValid ? std::optional<ToScheduler>(std::move(fault)) : std::nullopt;
+}
+
 std::optional<ToScheduler> readToScheduler(const Json::Value &value)
 {
     const std::string kind = stringMember(value, "kind");
     if (kind == "changing") {
         return readPhaseChange(value);
     }
+    if (kind == "engine_fault") {
+        return readEngineFault(value);
+    }
     if (kind == "work_asked") {
         WorkQuery query {ServiceName(stringMember(value, "service"))};
         return query.service.isEmpty() ? std::nullopt
@@ -280,7 +306,8 @@
         return readReservation(value, id);
     }
     if (kind == "prefilled" && value["done"].isBool() && value["reachable"].isBool()) {
-        return PrefillEnded {id, value["done"].asBool(), value["reachable"].asBool()};
+        return PrefillEnded {id, value["done"].asBool(), value["reachable"].asBool(),
+                             value["lost"].isBool() && value["lost"].asBool()};
     }
     if (kind == "ended") {
         return readEnded(value, id);
--- a/src/scheduling/schedulermessages.h
+++ b/src/scheduling/schedulermessages.h
@@ -68,6 +68,9 @@
     ClaimId claim;
     bool isDone = false;     ///< False if the engine failed.
     bool isReachable = true; ///< False if the engine refused the connection.
+    /** The connection broke during the prefill; EngineFault follows if that is the engine's fault.
+     */
+    bool isConnectionLost = false;
     bool operator==(const PrefillEnded &) const = default;
 };
 
@@ -78,6 +81,8 @@
     EngineFailed, ///< The decode engine failed during the run.
     Unreachable,  ///< The decode engine refused the connection.
     KvCacheLost,  ///< The KV cache of the prefill engine was no longer available.
+    /** The connection broke during the run; EngineFault follows if that is the engine's fault. */
+    ConnectionLost,
 };
 
 struct ClaimEnded
@@ -121,8 +126,20 @@
     bool operator==(const WorkQuery &) const = default;
 };
 
+/**
+ * Reports failures at an engine for which its node is not to blame: it has connected to the engine
+ * itself afterwards, or other nodes cannot connect to it either.
+ */
+struct EngineFault
+{
+    ServerName server;
+    std::uint32_t failures = 1; ///< Calls that failed.
+    bool isReachable = true;    ///< False if the engine accepts no connection.
+    bool operator==(const EngineFault &) const = default;
+};
+
 using ToScheduler = std::variant<Claim, ReservationReport, PrefillEnded, ClaimEnded,
-                                 PhaseChangeNotice, WorkQuery, RunMoved>;
+                                 PhaseChangeNotice, WorkQuery, RunMoved, EngineFault>;
 
 /** Confirms that the claim is waiting. */
 struct ClaimQueued
--- a/tests/scheduling/enginebehaviourtest.cpp
+++ b/tests/scheduling/enginebehaviourtest.cpp
@@ -63,6 +63,8 @@
     CPPUNIT_TEST(faultyDecodeEngineExcludesNoPrefillEngine);
     CPPUNIT_TEST(avoidsEngineOrderedToChangePhase);
     CPPUNIT_TEST(assumesAcceptedPhaseChange);
+    CPPUNIT_TEST(lostConnectionsOfCutOffNodesLeaveEnginesUsable);
+    CPPUNIT_TEST(reportedFaultsExcludeAnEngine);
     CPPUNIT_TEST(usesFailingEngineOnlyAsLastResort);
     CPPUNIT_TEST(freesQueueTimeOfCancelledPrompt);
     CPPUNIT_TEST(learnsPrefillTimeAtLowLoad);
@@ -215,6 +217,43 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {3}, harness.state(9'000).prefillUsable);
     }
 
+    // Three of six nodes are cut off, and all their streams at both engines are reset at once. The
+    // engines serve the other nodes; put out of use, they would serve nobody.
+    void lostConnectionsOfCutOffNodesLeaveEnginesUsable()
+    {
+        SchedulerHarness harness;
+        harness.addEngine("d1", EnginePhase::Decode);
+        harness.addEngine("d2", EnginePhase::Decode);
+        const std::vector<NodeLife> nodes {SchedulerHarness::node("c1"),
+                                           SchedulerHarness::node("c2"),
+                                           SchedulerHarness::node("c3")};
+        for (const NodeLife &node : nodes) {
+            for (std::uint64_t i = 1; i <= 4; ++i) {
+                harness.send(0, node, SchedulerHarness::claimOf(i, 3'000));
+            }
+        }
+        for (const NodeLife &node : nodes) {
+            for (std::uint64_t i = 1; i <= 4; ++i) {
+                harness.send(100, node, ClaimEnded {ClaimId(i), ClaimOutcome::ConnectionLost});
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, harness.state(110).decodeUsable);
+        harness.send(110, NodeA, SchedulerHarness::claimOf(1));
+        CPPUNIT_ASSERT(harness.answer(NodeA, 1).starts_with("d"));
+    }
+
+    // An engine that fails its calls, or that no node reaches, must get no work.
+    void reportedFaultsExcludeAnEngine()
+    {
+        SchedulerHarness harness;
+        harness.addEngine("d1", EnginePhase::Decode);
+        harness.addEngine("d2", EnginePhase::Decode);
+        harness.send(0, NodeA, EngineFault {ServerName("d1"), 4, true});
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, harness.state(10).decodeUsable);
+        harness.send(10, NodeA, EngineFault {ServerName("d2"), 1, false});
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, harness.state(20).decodeUsable);
+    }
+
     // Guards against excluding an engine that fails some requests while the other is full, and
     // against using both alike.
     void usesFailingEngineOnlyAsLastResort()
--- a/tests/scheduling/schedulercodectest.cpp
+++ b/tests/scheduling/schedulercodectest.cpp
@@ -98,6 +98,9 @@
                                         ServerName("b")});
         checkRequest(RunMoved {id});
         checkRequest(PrefillEnded {id, false, false});
+        checkRequest(PrefillEnded {id, false, true, true});
+        checkRequest(ClaimEnded {id, ClaimOutcome::ConnectionLost});
+        checkRequest(EngineFault {ServerName("d-1"), 3, false});
         checkRequest(ClaimEnded {id, ClaimOutcome::KvCacheLost});
         checkRequest(
             PhaseChangeNotice {ServerName("d"), EnginePhase::Prefill, std::chrono::seconds(8)});
