Continue no run before its first event

Cause: a run without a forwarded event was continued at its backup as others are. The continuation names the last event; without one it is no continuation but a second run, which a stream that may not be resumed must not get. Mostly the backup has no copy that early and refuses. Class: a special case (zero) of a rule that holds for one and more.

Change: RunRecovery gives such a run up (or leaves it where it is, if its engine leaves or is silent). A stream whose first event was forwarded counts as one with an event, also before its progress is reported.

Measured: runcontinuationtest, runrecoverytest, runrecoveryreplaytest and generationflowtest pass.

--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -2,6 +2,8 @@
 
 #include "dispatch/generationlimits.h"
 
+#include <algorithm>
+
 namespace indigoway::dispatch {
 
 namespace {
@@ -189,6 +191,7 @@
 {
     const OpenCall *call = m_state.calls.find(event.call);
     const RunRecovery recovery(*request.service->engine);
+    request.forwardedEvents = std::max(request.forwardedEvents, event.events);
     if (!call || !request.run.engineCheck.isNone()
         || recovery.streamSilent(stateOf(request, step.now)).kind != Kind::AskEngine) {
         return;
--- a/src/dispatch/runrecovery.cpp
+++ b/src/dispatch/runrecovery.cpp
@@ -94,6 +94,10 @@
     if (run.continuations >= MaxContinuations) {
         return {Kind::GiveUp, "continued too often"};
     }
+    if (run.events == 0) {
+        // Without the id of an event, the continuation would be a second run of the request.
+        return {Kind::GiveUp, "no event yet"};
+    }
     if (m_traits.movesRuns && (run.hasBackup || run.hasTarget)) {
         return {Kind::StopRun};
     }
@@ -130,7 +134,7 @@
 
 RecoveryStep RunRecovery::streamSilent(const RunState &run) const
 {
-    const bool mayContinue = run.hasBackup && run.timeLeft.count() > 0;
+    const bool mayContinue = run.hasBackup && run.timeLeft.count() > 0 && run.events > 0;
     return {mayContinue ? Kind::AskEngine : Kind::Wait};
 }
 
@@ -148,7 +152,7 @@
 RecoveryStep RunRecovery::engineLeaving(const RunState &run, Duration engineTimeLeft) const
 {
     const bool mayMove = m_traits.movesRuns && run.mayRequestTarget && run.timeLeft.count() > 0
-        && run.continuations < MaxContinuations;
+        && run.continuations < MaxContinuations && run.events > 0;
     const auto remaining = remainingTime(run);
     const bool outlastsEngine = !remaining || *remaining > engineTimeLeft;
     return {mayMove && outlastsEngine ? Kind::RequestTarget : Kind::Wait};
--- a/tests/dispatch/runrecoverytest.cpp
+++ b/tests/dispatch/runrecoverytest.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(silenceLimitLeavesTimeToReachTheCopy);
     CPPUNIT_TEST(asksTheEngineOfASilentStream);
     CPPUNIT_TEST(doesNotContinueWithoutTime);
+    CPPUNIT_TEST(doesNotContinueBeforeTheFirstEvent);
     CPPUNIT_TEST(limitsContinuations);
     CPPUNIT_TEST_SUITE_END();
 
@@ -159,6 +160,18 @@
         CPPUNIT_ASSERT(RunRecovery(traits).streamSilent(run).kind == Kind::Wait);
     }
 
+    // A continuation names the last event; without one it would be a second run of the request.
+    void doesNotContinueBeforeTheFirstEvent()
+    {
+        const EngineTraits traits = traitsOf(true, true);
+        RunState run = runWithBackup();
+        run.events = 0;
+        run.mayRequestTarget = true;
+        CPPUNIT_ASSERT(RunRecovery(traits).connectionLost(run).kind == Kind::GiveUp);
+        CPPUNIT_ASSERT(RunRecovery(traits).streamSilent(run).kind == Kind::Wait);
+        CPPUNIT_ASSERT(RunRecovery(traits).engineLeaving(run, Duration(0)).kind == Kind::Wait);
+    }
+
     // A run whose connection breaks at every engine must end.
     void limitsContinuations()
     {
