Take no silence as proof that a run is over

Cause: 200 ms without data and then 100 ms without a connection counted as proof that an engine no longer executes a run, which was then continued at its backup. A silent engine executed it as well. In a cut that resets, a connection refused to one node proves as little. Class: a timeout taken for a proof.

Change: RunRecovery continues a run only if the engine says that it is over, another instance answers, or the machine refuses connections to this node and to one that reaches other engines (CallEnded::isRefused). No connection in time: the engine is asked once more, then the run is given up; a silent stream stays open. If only another node connects (EngineCheck::Relayed), the stream of this node is dead and the engine lives: it is stopped and moved through that node, where a run used to hang. The late request to stop a run that was continued already is gone with its reason.

Tests: the replay of lost runs asserted that no run goes on at an engine that is executing it, but excused engines that could not be reached; the excuse is gone, with silent engines and lost paths as faults (the old code fails it for each silent engine). silentEngineWithoutAConnectionKeepsItsRun takes the place of silentUnreachableEngineLosesItsRun, and engineWithoutAConnectionIsAskedAgain that of lateStopFreesItsHandle, which expected the fault; new: silentEngineThatHasEndedLosesItsRun, streamOnALostPathIsMoved.

--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -103,7 +103,7 @@
 {
     request.run.stopCall = {};
     const StopResult result = stopResultOf(event);
-    if (result == StopResult::Unreachable) {
+    if (result == StopResult::Unreachable || result == StopResult::Refused) {
         m_state.tracker.recordUnreachable(call.server.name, step.now);
     } else {
         m_state.tracker.callClosed(call.server.name);
@@ -129,10 +129,6 @@
     }
     const RunRecovery recovery(*request.service->engine);
     const RecoveryStep next = recovery.stopEnded(stateOf(request, step.now), result);
-    const AnnouncedServer *backup = usableBackup(request, step.now);
-    if (result == StopResult::Unreachable && next.kind == Kind::ContinueAtBackup && backup) {
-        stopUnreachableRun(step, request, call.server, *backup);
-    }
     return apply(step, request, call.server, next);
 }
 
@@ -204,9 +200,9 @@
                                                        const OpenCall &call, const CallEnded &event)
 {
     request.run.engineCheck = {};
-    const bool isReachable = event.end == CallEnd::Complete;
+    const EngineCheck check = engineCheckOf(event);
     const bool isStreamOpen = !request.call.isNone();
-    if (isReachable) {
+    if (event.end == CallEnd::Complete) {
         m_state.tracker.callClosed(call.server.name);
     } else {
         m_state.tracker.recordUnreachable(call.server.name, step.now);
@@ -215,21 +211,17 @@
         return Result::InProgress; // Events have arrived in the meantime.
     }
     const RunRecovery recovery(*request.service->engine);
-    const RecoveryStep next =
-        recovery.engineAsked(stateOf(request, step.now), isReachable, isStreamOpen);
+    const RecoveryStep next = recovery.engineAsked(stateOf(request, step.now), check, isStreamOpen);
     if (next.kind == Kind::Wait) {
         return Result::InProgress;
     }
     request.forwardedEvents = std::max(request.forwardedEvents, event.events);
-    if (isStreamOpen) {
+    request.run.lossReason = event.reason.empty() ? "path to the engine lost" : event.reason;
+    if (isStreamOpen && next.kind != Kind::StopRun) {
         m_state.calls.abandon(step, std::exchange(request.call, {}));
         request.run.lostAt = step.now;
         request.run.lossReason = "engine unreachable: " + event.reason;
     }
-    const AnnouncedServer *backup = usableBackup(request, step.now);
-    if (next.kind == Kind::ContinueAtBackup && backup && request.service->engine->movesRuns) {
-        stopUnreachableRun(step, request, call.server, *backup);
-    }
     return apply(step, request, call.server, next);
 }
 
@@ -328,22 +320,6 @@
     request.run.stopCall = m_state.calls.start(step, engine, std::move(call));
 }
 
-void RunContinuation::stopUnreachableRun(Step &step, const OpenRequest &request,
-                                         const AnnouncedServer &engine,
-                                         const AnnouncedServer &target)
-{
-    // The engine may only have looked unreachable because of a lost packet. Not all engines drop a
-    // run whose connection has ended, so that this one could still execute it. No connect timeout
-    // of EngineAnswerLimit applies, since nothing waits for the answer.
-    StartCall call;
-    call.kind = CallKind::StopRun;
-    call.runId = request.arrival.callerId;
-    call.moveTarget = target.address;
-    call.idleTimeout = MoveTimeout;
-    call.needsNewConnection = true;
-    m_state.calls.start(step, engine, std::move(call));
-}
-
 void RunContinuation::continueAtBackup(Step &step, OpenRequest &request,
                                        const AnnouncedServer &engine)
 {
--- a/src/dispatch/runcontinuation.h
+++ b/src/dispatch/runcontinuation.h
@@ -78,12 +78,6 @@
     void requestTarget(Step &step, OpenRequest &request);
     void stopRun(Step &step, OpenRequest &request, const AnnouncedServer &engine,
                  const AnnouncedServer &target);
-    /**
-     * Asks an engine that did not respond to stop the run, which continues elsewhere meanwhile. A
-     * handle in the answer is freed.
-     */
-    void stopUnreachableRun(Step &step, const OpenRequest &request, const AnnouncedServer &engine,
-                            const AnnouncedServer &target);
     void continueAtBackup(Step &step, OpenRequest &request, const AnnouncedServer &engine);
     void continueWithHandle(Step &step, OpenRequest &request, const AnnouncedServer &engine,
                             const AnnouncedServer &target);
--- a/src/dispatch/runrecovery.cpp
+++ b/src/dispatch/runrecovery.cpp
@@ -37,7 +37,7 @@
 StopResult stopResultOf(const CallEnded &event)
 {
     if (isUnsent(event.end)) {
-        return StopResult::Unreachable;
+        return event.isRefused ? StopResult::Refused : StopResult::Unreachable;
     }
     if (event.end == CallEnd::Broken) {
         return StopResult::Unknown;
@@ -61,6 +61,8 @@
     switch (result) {
     case StopResult::Unreachable:
         return "unreachable";
+    case StopResult::Refused:
+        return "refused";
     case StopResult::OtherInstance:
         return "other_instance";
     case StopResult::NoSuchRun:
@@ -77,6 +79,14 @@
     return "";
 }
 
+EngineCheck engineCheckOf(const CallEnded &event)
+{
+    if (event.end == CallEnd::Complete) {
+        return event.relay.isEmpty() ? EngineCheck::Connected : EngineCheck::Relayed;
+    }
+    return event.isRefused ? EngineCheck::Refused : EngineCheck::NoAnswer;
+}
+
 std::optional<Duration> RunRecovery::silenceLimit() const
 {
     const Duration limit = m_traits.handleKept - MaxPartAge - EngineAnswerLimit - ReachTime;
@@ -113,7 +123,7 @@
 RecoveryStep RunRecovery::stopEnded(const RunState &run, StopResult result) const
 {
     switch (result) {
-    case StopResult::Unreachable:
+    case StopResult::Refused:
     case StopResult::OtherInstance:
     case StopResult::NoSuchRun:
         return continueAtBackup(run);
@@ -123,6 +133,7 @@
         return {Kind::ContinueAtEngine};
     case StopResult::NotStopped:
         return {Kind::GiveUp, "run not stopped"};
+    case StopResult::Unreachable:
     case StopResult::Unknown:
         break;
     }
@@ -169,12 +180,16 @@
     return {Kind::GiveUp, "the scheduler grants no other engine"};
 }
 
-RecoveryStep RunRecovery::engineAsked(const RunState &run, bool isReachable,
+RecoveryStep RunRecovery::engineAsked(const RunState &run, EngineCheck check,
                                       bool isStreamOpen) const
 {
-    if (!isReachable) {
+    if (check == EngineCheck::Refused) {
         return continueAtBackup(run);
     }
+    const bool mayStop = m_traits.movesRuns && (run.hasBackup || run.hasTarget);
+    if (isStreamOpen && check == EngineCheck::Relayed && mayStop) {
+        return {Kind::StopRun};
+    }
     if (isStreamOpen) {
         return {Kind::Wait};
     }
--- a/src/dispatch/runrecovery.h
+++ b/src/dispatch/runrecovery.h
@@ -28,7 +28,8 @@
 
 /** Result of a request to stop a run. */
 enum class StopResult {
-    Unreachable,   ///< No connection within EngineAnswerLimit.
+    Unreachable,   ///< No connection in time; the engine may go on with the run.
+    Refused,       ///< No process listens at the engine's address.
     OtherInstance, ///< The engine was replaced or has restarted.
     NoSuchRun,
     Moved,      ///< Stopped; the KV cache is at the target.
@@ -40,6 +41,16 @@
 StopResult stopResultOf(const CallEnded &event);
 const char *nameOf(StopResult result);
 
+/** Result of a connection to an engine whose stream was lost or is silent. */
+enum class EngineCheck {
+    Connected, ///< By this node itself.
+    Relayed,   ///< Only by another node: the path of this node is lost.
+    NoAnswer,  ///< No connection in time; the engine may go on with the run.
+    Refused,   ///< No process listens at the engine's address.
+};
+
+EngineCheck engineCheckOf(const CallEnded &event);
+
 /** The next step for a run whose engine may be lost. */
 struct RecoveryStep
 {
@@ -60,7 +71,8 @@
 
 /**
  * Decides how a run continues whose engine may be lost. A run continues elsewhere only if it is
- * over at its engine: the engine says so or cannot be reached.
+ * over at its engine: the engine says so, was replaced, or its machine refuses connections. Silence
+ * is no proof, however the engine is asked: a sound engine may be silent for a second and go on.
  */
 class RunRecovery
 {
@@ -94,7 +106,7 @@
      * Decides after AskEngine.
      * @param isStreamOpen Whether the stream's connection is still open.
      */
-    RecoveryStep engineAsked(const RunState &run, bool isReachable, bool isStreamOpen) const;
+    RecoveryStep engineAsked(const RunState &run, EngineCheck check, bool isStreamOpen) const;
 
 private:
     static RecoveryStep continueAtBackup(const RunState &run);
--- a/tests/dispatch/dispatcherharness.h
+++ b/tests/dispatch/dispatcherharness.h
@@ -241,6 +241,16 @@
         reduce(milliseconds, ended);
     }
 
+    /** Ends @p call since no process listens at the server's address. */
+    void refuse(int milliseconds, const StartCall &call)
+    {
+        CallEnded ended;
+        ended.call = call.call;
+        ended.end = CallEnd::NotConnected;
+        ended.isRefused = true;
+        reduce(milliseconds, ended);
+    }
+
     /** Closes the connection of @p call from the server's side before the answer. */
     void loseConnection(int milliseconds, const StartCall &call)
     {
--- a/tests/dispatch/runcontinuationtest.cpp
+++ b/tests/dispatch/runcontinuationtest.cpp
@@ -74,13 +74,16 @@
     harness.reduce(milliseconds, ended);
 }
 
-/** Ends an engine check, which is answered or not, after @p events events of the stream. */
+/** Ends an engine check after @p events events of the stream. */
 void endCheck(DispatcherHarness &harness, int milliseconds, const StartCall &check,
-              bool isReachable, std::uint32_t events)
+              EngineCheck result, std::uint32_t events)
 {
+    const bool isConnected = result == EngineCheck::Connected || result == EngineCheck::Relayed;
     CallEnded ended;
     ended.call = check.call;
-    ended.end = isReachable ? CallEnd::Complete : CallEnd::NotConnected;
+    ended.end = isConnected ? CallEnd::Complete : CallEnd::NotConnected;
+    ended.isRefused = result == EngineCheck::Refused;
+    ended.relay = NodeName(result == EngineCheck::Relayed ? "n2" : "");
     ended.events = events;
     harness.reduce(milliseconds, ended);
 }
@@ -126,9 +129,11 @@
     CPPUNIT_TEST(errorInPlaceOfTheContinuationEndsTheStream);
     CPPUNIT_TEST(leavingBackupIsNotUsed);
     CPPUNIT_TEST(silentEngineThatIsReachableKeepsItsRun);
-    CPPUNIT_TEST(silentUnreachableEngineLosesItsRun);
+    CPPUNIT_TEST(silentEngineWithoutAConnectionKeepsItsRun);
+    CPPUNIT_TEST(silentEngineThatHasEndedLosesItsRun);
+    CPPUNIT_TEST(streamOnALostPathIsMoved);
     CPPUNIT_TEST(eventsDuringACheckKeepTheStream);
-    CPPUNIT_TEST(lateStopFreesItsHandle);
+    CPPUNIT_TEST(engineWithoutAConnectionIsAskedAgain);
     CPPUNIT_TEST(runBeforeItsFirstEventIsNotContinued);
     CPPUNIT_TEST(disconnectDuringAMoveReleasesAll);
     CPPUNIT_TEST(disconnectDuringAContinuationReleasesAll);
@@ -187,8 +192,7 @@
         CPPUNIT_ASSERT_EQUAL(text("c1"), stop.runId);
         CPPUNIT_ASSERT_EQUAL(text("d2:80"), stop.moveTarget);
         CPPUNIT_ASSERT(stop.connectTimeout == EngineAnswerLimit);
-        harness.end(1'002, stop, CallEnd::NotConnected);
-        harness.nextCall(CallKind::StopRun); // A late stop, see lateStopFreesItsHandle().
+        harness.refuse(1'002, stop);
         const StartCall second = harness.nextCall(CallKind::Decode);
         assertContinuesAtBackup(second);
         CPPUNIT_ASSERT(harness.nextSchedulerMessage<RunMoved>().claim == run.claim);
@@ -288,8 +292,7 @@
         const Run run = startRun(harness);
         breakStream(harness, 1'000, run.decode, 20);
         harness.end(1'010, harness.nextCall(CallKind::StopRun), CallEnd::Broken);
-        harness.end(1'012, harness.nextCall(CallKind::StopRun), CallEnd::NotConnected);
-        harness.nextCall(CallKind::StopRun);
+        harness.refuse(1'012, harness.nextCall(CallKind::StopRun));
         assertContinuesAtBackup(harness.nextCall(CallKind::Decode));
     }
 
@@ -390,15 +393,16 @@
             CPPUNIT_ASSERT(check.server == ServerName("d1"));
             harness.reduce(time + 1, StreamSilent {run.decode.call, 12});
             CPPUNIT_ASSERT(!harness.hasCalls()); // One check at a time.
-            endCheck(harness, time + 2, check, true, 12);
+            endCheck(harness, time + 2, check, EngineCheck::Connected, 12);
         }
         CPPUNIT_ASSERT(!harness.wasAbandoned(run.decode));
         harness.end(3'000, run.decode, CallEnd::Complete, 200);
         CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
     }
 
-    // A cut-off engine sends no end of the connection, and its copy lives for half a second.
-    void silentUnreachableEngineLosesItsRun()
+    // A sound engine is silent for a second and takes no connection. Its run goes on afterwards, so
+    // that a continuation elsewhere would execute it twice.
+    void silentEngineWithoutAConnectionKeepsItsRun()
     {
         DispatcherHarness harness;
         useEngines(harness);
@@ -406,14 +410,40 @@
         harness.reduce(1'000, StreamSilent {run.decode.call, 12});
         const StartCall check = harness.nextCall(CallKind::Probe);
         CPPUNIT_ASSERT(check.connectTimeout == EngineAnswerLimit);
-        endCheck(harness, 1'100, check, false, 12);
+        endCheck(harness, 1'100, check, EngineCheck::NoAnswer, 12);
+        CPPUNIT_ASSERT(!harness.wasAbandoned(run.decode));
+        CPPUNIT_ASSERT(!harness.hasCalls());
+        harness.end(3'000, run.decode, CallEnd::Complete, 200);
+        CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
+    }
+
+    // The engine's machine refuses connections, so that nothing runs there any more.
+    void silentEngineThatHasEndedLosesItsRun()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        harness.reduce(1'000, StreamSilent {run.decode.call, 12});
+        endCheck(harness, 1'003, harness.nextCall(CallKind::Probe), EngineCheck::Refused, 12);
+        CPPUNIT_ASSERT(harness.wasAbandoned(run.decode));
+        assertContinuesAtBackup(harness.nextCall(CallKind::Decode));
+    }
+
+    // This node is cut off from the engine, which another node reaches: the stream would hang until
+    // its caller gives up, while the engine executes the run.
+    void streamOnALostPathIsMoved()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        harness.reduce(1'000, StreamSilent {run.decode.call, 12});
+        endCheck(harness, 1'200, harness.nextCall(CallKind::Probe), EngineCheck::Relayed, 12);
+        CPPUNIT_ASSERT(!harness.wasAbandoned(run.decode));
+        answerStop(harness, 1'230, harness.nextCall(CallKind::StopRun), 200, "k9");
         CPPUNIT_ASSERT(harness.wasAbandoned(run.decode));
-        harness.nextCall(CallKind::StopRun);
         const StartCall second = harness.nextCall(CallKind::Decode);
-        assertContinuesAtBackup(second);
-        harness.reduce(1'130, StreamStarted {second.call, 200, {}});
-        harness.end(3'000, second, CallEnd::Complete, 200);
-        CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
+        CPPUNIT_ASSERT(second.server == ServerName("d2"));
+        CPPUNIT_ASSERT_EQUAL(text("k9"), second.handle);
     }
 
     // A lost packet delays a connection attempt although the stream goes on.
@@ -423,27 +453,32 @@
         useEngines(harness);
         const Run run = startRun(harness);
         harness.reduce(1'000, StreamSilent {run.decode.call, 12});
-        endCheck(harness, 1'100, harness.nextCall(CallKind::Probe), false, 13);
+        endCheck(harness, 1'100, harness.nextCall(CallKind::Probe), EngineCheck::Refused, 13);
         CPPUNIT_ASSERT(!harness.wasAbandoned(run.decode));
         CPPUNIT_ASSERT(!harness.hasCalls());
     }
 
-    // An engine that only looked unreachable would go on with the run, or keep its KV cache.
-    void lateStopFreesItsHandle()
+    // An engine that gives no connection in time may execute the run: it is asked again, and
+    // without an answer the run is not continued.
+    void engineWithoutAConnectionIsAskedAgain()
     {
-        DispatcherHarness harness;
-        useEngines(harness);
-        const Run run = startRun(harness);
-        breakStream(harness, 1'000, run.decode, 20);
-        harness.end(1'100, harness.nextCall(CallKind::StopRun), CallEnd::NotConnected);
-        const StartCall late = harness.nextCall(CallKind::StopRun);
-        CPPUNIT_ASSERT(late.server == ServerName("d1"));
-        harness.nextCall(CallKind::Decode);
-        answerStop(harness, 1'110, late, 200, "k9");
-        const StartCall free = harness.nextCall(CallKind::FreeHandle);
-        CPPUNIT_ASSERT(free.server == ServerName("d1"));
-        CPPUNIT_ASSERT_EQUAL(text("k9"), free.handle);
-        CPPUNIT_ASSERT_EQUAL(text("open"), harness.outcome(run.request));
+        for (const bool isReachedLater : {true, false}) {
+            DispatcherHarness harness;
+            useEngines(harness);
+            const Run run = startRun(harness);
+            breakStream(harness, 1'000, run.decode, 20);
+            harness.end(1'200, harness.nextCall(CallKind::StopRun), CallEnd::NotConnected);
+            const StartCall again = harness.nextCall(CallKind::StopRun);
+            CPPUNIT_ASSERT(again.server == ServerName("d1"));
+            if (isReachedLater) {
+                answerStop(harness, 1'210, again, 200, "k9");
+                CPPUNIT_ASSERT_EQUAL(text("k9"), harness.nextCall(CallKind::Decode).handle);
+            } else {
+                harness.end(1'400, again, CallEnd::NoPath);
+                CPPUNIT_ASSERT_EQUAL(text("cut"), harness.outcome(run.request));
+                CPPUNIT_ASSERT(!harness.hasCalls());
+            }
+        }
     }
 
     // Nothing was forwarded yet, so that there is no event to continue after: another engine would
@@ -498,20 +533,21 @@
         CPPUNIT_ASSERT(harness.nextSchedulerMessage<ClaimEnded>().claim == run.claim);
     }
 
-    // Engines without moves cannot be told to stop; only an unreachable one does not run it.
+    // Engines without moves cannot be told to stop; only one that has ended does not run it.
     void checksTheEngineIfRunsCannotBeStopped()
     {
-        for (const bool isReachable : {true, false}) {
+        for (const EngineCheck check : {EngineCheck::Connected, EngineCheck::Relayed,
+                                        EngineCheck::NoAnswer, EngineCheck::Refused}) {
             DispatcherHarness harness;
             useEngines(harness, true, false);
             const Run run = startRun(harness);
             breakStream(harness, 1'000, run.decode, 20);
-            endCheck(harness, 1'002, harness.nextCall(CallKind::Probe), isReachable, 20);
-            if (isReachable) {
+            endCheck(harness, 1'002, harness.nextCall(CallKind::Probe), check, 20);
+            if (check == EngineCheck::Refused) {
+                assertContinuesAtBackup(harness.nextCall(CallKind::Decode));
+            } else {
                 CPPUNIT_ASSERT_EQUAL(text("cut"), harness.outcome(run.request));
                 CPPUNIT_ASSERT(!harness.hasCalls());
-            } else {
-                assertContinuesAtBackup(harness.nextCall(CallKind::Decode));
             }
         }
     }
@@ -775,8 +811,7 @@
         const StartCall stop = harness.nextCall(CallKind::StopRun);
         harness.end(1'002, probe, CallEnd::NotConnected);
         CPPUNIT_ASSERT_EQUAL(std::size_t {1}, harness.takeCrashNotes().size());
-        harness.end(1'002, stop, CallEnd::NotConnected);
-        harness.nextCall(CallKind::StopRun);
+        harness.refuse(1'002, stop);
         CPPUNIT_ASSERT(harness.nextCall(CallKind::Decode).server == ServerName("d2"));
     }
 
--- a/tests/dispatch/runrecoveryreplaytest.cpp
+++ b/tests/dispatch/runrecoveryreplaytest.cpp
@@ -14,12 +14,13 @@
 
 enum class Fault {
     Crash,          ///< The engine refuses connections.
-    CutOff,         ///< No packet arrives any more; the connection does not end.
+    Silent,         ///< The engine sends nothing and takes no connection, and goes on later.
+    PathLost,       ///< Only other nodes reach the engine, which goes on with the run.
     Reset,          ///< The connection ends; the engine drops the run.
     ResetUnnoticed, ///< The connection ends; the engine goes on with the run.
     Pause,          ///< The engine is busy; the stream goes on later.
 };
-constexpr int FaultCount = 5;
+constexpr int FaultCount = 6;
 
 Duration milliseconds(int count)
 {
@@ -35,8 +36,7 @@
         , m_traits(traits)
         , m_fault(fault)
         , m_random(random)
-        , m_isExecuting(fault == Fault::ResetUnnoticed || fault == Fault::CutOff
-                        || fault == Fault::Pause)
+        , m_isExecuting(fault != Fault::Crash && fault != Fault::Reset)
         , m_lastPart(-milliseconds(draw(0, 140)))
         , m_losesAnswers(draw(0, 9) == 0)
     {
@@ -59,7 +59,7 @@
             switch (next.kind) {
             case Kind::AskEngine:
                 m_now += connectTime();
-                next = m_recovery.engineAsked(m_state, isReachable(), isSilent());
+                next = m_recovery.engineAsked(m_state, check(), isSilent());
                 break;
             case Kind::StopRun:
                 next = m_recovery.stopEnded(m_state, stop());
@@ -84,19 +84,29 @@
 
 private:
     int draw(int low, int high) { return std::uniform_int_distribution<int>(low, high)(m_random); }
-    bool isSilent() const { return m_fault == Fault::CutOff || m_fault == Fault::Pause; }
-    bool isReachable() const { return m_fault != Fault::Crash && m_fault != Fault::CutOff; }
+    bool isSilent() const
+    {
+        return m_fault == Fault::Silent || m_fault == Fault::PathLost || m_fault == Fault::Pause;
+    }
+    EngineCheck check() const
+    {
+        static const std::map<Fault, EngineCheck> Checks {{Fault::Crash, EngineCheck::Refused},
+                                                          {Fault::Silent, EngineCheck::NoAnswer},
+                                                          {Fault::PathLost, EngineCheck::Relayed}};
+        const auto it = Checks.find(m_fault);
+        return it == Checks.end() ? EngineCheck::Connected : it->second;
+    }
     Duration connectTime()
     {
-        return m_fault == Fault::CutOff ? EngineAnswerLimit : milliseconds(draw(1, 4));
+        return m_fault == Fault::Silent ? EngineAnswerLimit : milliseconds(draw(1, 4));
     }
 
     StopResult stop()
     {
         ++m_state.stopRequests;
         m_now += connectTime();
-        if (!isReachable()) {
-            return StopResult::Unreachable;
+        if (m_fault == Fault::Crash) {
+            return StopResult::Refused;
         }
         const bool wasExecuting = std::exchange(m_isExecuting, false);
         if (m_losesAnswers && m_state.stopRequests == 1) {
@@ -111,7 +121,7 @@
 
     void assertOver() const
     {
-        CPPUNIT_ASSERT_MESSAGE("the run would be executed twice", !m_isExecuting || !isReachable());
+        CPPUNIT_ASSERT_MESSAGE("the run would be executed twice", !m_isExecuting);
     }
 
     RunRecovery m_recovery;
@@ -134,7 +144,7 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Replays 5,000 lost runs with parts of copies 140 ms apart. Guards against a run that
+    // Replays 6,000 lost runs with parts of copies 140 ms apart. Guards against a run that
     // continues while its first engine executes it, a copy that is reached too late, and a paused
     // engine that loses its run.
     void runsContinueOnceAndInTime()
@@ -145,19 +155,20 @@
         traits.movesRuns = true;
         std::mt19937_64 random(20261203);
         std::map<std::string, int> ends;
-        for (int i = 0; i < 5'000; ++i) {
+        for (int i = 0; i < 6'000; ++i) {
             const auto fault = static_cast<Fault>(i % FaultCount);
             LostRun run(traits, fault, random);
             const std::string end = run.end();
             ++ends[end];
-            const bool mayBeLost =
-                run.losesAnswers() && (fault == Fault::Reset || fault == Fault::ResetUnnoticed);
-            CPPUNIT_ASSERT_EQUAL(fault == Fault::Pause, end == "open");
+            const bool isStopped =
+                fault == Fault::Reset || fault == Fault::ResetUnnoticed || fault == Fault::PathLost;
+            const bool mayBeLost = run.losesAnswers() && isStopped;
+            CPPUNIT_ASSERT_EQUAL(fault == Fault::Pause || fault == Fault::Silent, end == "open");
             CPPUNIT_ASSERT(mayBeLost || end != "lost");
         }
-        CPPUNIT_ASSERT_EQUAL(1'000, ends["open"]);
-        CPPUNIT_ASSERT(ends["backup"] >= 2'800);
-        CPPUNIT_ASSERT(ends["move"] >= 800);
+        CPPUNIT_ASSERT_EQUAL(2'000, ends["open"]);
+        CPPUNIT_ASSERT(ends["backup"] >= 1'800);
+        CPPUNIT_ASSERT(ends["move"] >= 1'600);
     }
 };
 
--- a/tests/dispatch/runrecoverytest.cpp
+++ b/tests/dispatch/runrecoverytest.cpp
@@ -60,6 +60,11 @@
         CallEnded lost;
         lost.end = CallEnd::NotConnected;
         CPPUNIT_ASSERT(stopResultOf(lost) == StopResult::Unreachable);
+        lost.isRefused = true;
+        CPPUNIT_ASSERT(stopResultOf(lost) == StopResult::Refused);
+        lost.isRefused = false;
+        lost.end = CallEnd::NoPath;
+        CPPUNIT_ASSERT(stopResultOf(lost) == StopResult::Unreachable);
         lost.end = CallEnd::Broken;
         CPPUNIT_ASSERT(stopResultOf(lost) == StopResult::Unknown);
         CPPUNIT_ASSERT(stopResultOf(answerOf(200, "h")) == StopResult::Moved);
@@ -94,7 +99,7 @@
         RunState alone = run;
         alone.hasBackup = false;
         for (const StopResult over :
-             {StopResult::Unreachable, StopResult::OtherInstance, StopResult::NoSuchRun}) {
+             {StopResult::Refused, StopResult::OtherInstance, StopResult::NoSuchRun}) {
             CPPUNIT_ASSERT(recovery.stopEnded(run, over).kind == Kind::ContinueAtBackup);
             CPPUNIT_ASSERT(recovery.stopEnded(alone, over).kind == Kind::GiveUp);
         }
@@ -109,12 +114,12 @@
     {
         const EngineTraits traits = traitsOf(true, true);
         RunState run = runWithBackup();
-        run.stopRequests = 1;
-        CPPUNIT_ASSERT(RunRecovery(traits).stopEnded(run, StopResult::Unknown).kind
-                       == Kind::StopRun);
-        run.stopRequests = 2;
-        CPPUNIT_ASSERT(RunRecovery(traits).stopEnded(run, StopResult::Unknown).kind
-                       == Kind::GiveUp);
+        for (const StopResult open : {StopResult::Unknown, StopResult::Unreachable}) {
+            run.stopRequests = 1;
+            CPPUNIT_ASSERT(RunRecovery(traits).stopEnded(run, open).kind == Kind::StopRun);
+            run.stopRequests = 2;
+            CPPUNIT_ASSERT(RunRecovery(traits).stopEnded(run, open).kind == Kind::GiveUp);
+        }
     }
 
     // A copy lives for the handle lifetime after its last part. A later continuation finds none.
@@ -140,9 +145,13 @@
         const RunRecovery recovery(traits);
         const RunState run = runWithBackup();
         CPPUNIT_ASSERT(recovery.streamSilent(run).kind == Kind::AskEngine);
-        CPPUNIT_ASSERT(recovery.engineAsked(run, true, true).kind == Kind::Wait);
-        CPPUNIT_ASSERT(recovery.engineAsked(run, true, false).kind == Kind::GiveUp);
-        CPPUNIT_ASSERT(recovery.engineAsked(run, false, true).kind == Kind::ContinueAtBackup);
+        for (const EngineCheck silent : {EngineCheck::Connected, EngineCheck::NoAnswer}) {
+            CPPUNIT_ASSERT(recovery.engineAsked(run, silent, true).kind == Kind::Wait);
+            CPPUNIT_ASSERT(recovery.engineAsked(run, silent, false).kind == Kind::GiveUp);
+        }
+        CPPUNIT_ASSERT(recovery.engineAsked(run, EngineCheck::Relayed, true).kind == Kind::StopRun);
+        CPPUNIT_ASSERT(recovery.engineAsked(run, EngineCheck::Refused, true).kind
+                       == Kind::ContinueAtBackup);
         RunState alone = run;
         alone.hasBackup = false;
         CPPUNIT_ASSERT(recovery.streamSilent(alone).kind == Kind::Wait);
@@ -155,7 +164,7 @@
         RunState run = runWithBackup();
         run.timeLeft = Duration(0);
         CPPUNIT_ASSERT(RunRecovery(traits).connectionLost(run).kind == Kind::GiveUp);
-        CPPUNIT_ASSERT(RunRecovery(traits).stopEnded(run, StopResult::Unreachable).kind
+        CPPUNIT_ASSERT(RunRecovery(traits).stopEnded(run, StopResult::Refused).kind
                        == Kind::GiveUp);
         CPPUNIT_ASSERT(RunRecovery(traits).streamSilent(run).kind == Kind::Wait);
     }
