Soak with nodes that are cut off; own failures on lost paths are no verdict on plain servers

Cause (found by looking for the same class elsewhere): a node that does not reach a plain server itself told the scheduler of plain services that the server broke the call. Such a call ends as Cancelled now.

The soak can cut nodes off from all backend servers (--cuts): by hanging, resets and refusals, one, some or all nodes, over all other faults.

--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -44,7 +44,8 @@
     case CallEnd::Broken:
         break;
     }
-    return slots::SlotOutcome::Broken;
+    // While this node does not reach the server itself, the failure may be its own.
+    return event.isPathSuspect ? slots::SlotOutcome::Cancelled : slots::SlotOutcome::Broken;
 }
 
 } // namespace
@@ -76,7 +77,9 @@
         step.add(LogDecision {"server_load_malformed", request.arrival.callerId,
                               "server=" + server.text()});
     }
-    endSlot(step, request, slotOutcomeOf(event), step.now - call.started, event.load);
+    const slots::SlotOutcome outcome = slotOutcomeOf(event);
+    const bool isVerdict = outcome != slots::SlotOutcome::Cancelled;
+    endSlot(step, request, outcome, isVerdict ? step.now - call.started : Duration(0), event.load);
     switch (event.end) {
     case CallEnd::Complete:
         handleAnswer(step, request, call, event);
--- a/src/relay/callerlistener.cpp
+++ b/src/relay/callerlistener.cpp
@@ -1,6 +1,7 @@
 #include "callerlistener.h"
 
 #include "relay/sockets.h"
+#include "relay/timers.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -30,13 +31,6 @@
 constexpr Duration IdleTimeoutMargin = std::chrono::seconds(1);
 /** Limit of buffered stream data for a slow caller; its connection is closed beyond that. */
 constexpr std::size_t MaxUnsentBytes = std::size_t {4} * 1024 * 1024;
-constexpr int ListenBacklog = 512;
-
-timeval timevalOf(Duration duration)
-{
-    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(duration);
-    return {seconds.count(), (duration - seconds).count()};
-}
 
 const char *reasonPhrase(int status)
 {
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -1,6 +1,7 @@
 #include "requestrelay.h"
 
 #include "relay/contentid.h"
+#include "relay/timers.h"
 
 namespace indigoway {
 
@@ -11,11 +12,6 @@
 /** Maximum body size of an answer that is not a stream, which is buffered in memory. */
 constexpr std::size_t MaxBufferedAnswerBytes = std::size_t {8} * 1024 * 1024;
 
-TimePoint steadyNow()
-{
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
--- a/src/relay/serverconnections.cpp
+++ b/src/relay/serverconnections.cpp
@@ -1,6 +1,7 @@
 #include "serverconnections.h"
 
 #include "relay/sockets.h"
+#include "relay/timers.h"
 #include "relay/tunnelprotocol.h"
 
 #include <event2/buffer.h>
@@ -24,22 +25,6 @@
 constexpr Duration RelayTimeout = std::chrono::milliseconds(150);
 /** Time without acknowledgement after which a connection to a server is closed. */
 constexpr auto TcpUserTimeout = std::chrono::milliseconds(2500);
-/** Idle time after which a connection is closed if the server sends no Keep-Alive timeout. */
-constexpr Duration DefaultIdleTime = std::chrono::milliseconds(400);
-/** Time before the server's Keep-Alive timeout at which a connection is no longer reused. */
-constexpr Duration IdleTimeMargin = std::chrono::milliseconds(600);
-constexpr Duration MaxIdleTime = std::chrono::seconds(8);
-
-TimePoint steadyNow()
-{
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
-timeval timevalOf(Duration duration)
-{
-    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(duration);
-    return {seconds.count(), (duration - seconds).count()};
-}
 
 TransferEnd transferEndOf(PathSearchEnd end)
 {
@@ -54,38 +39,6 @@
     return TransferEnd::NoPath;
 }
 
-/** Returns the request as it is sent. */
-std::string textOf(const ServerRequest &request)
-{
-    std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
-    for (const auto &[name, value] : request.headers) {
-        text.append(name).append(": ").append(value).append("\r\n");
-    }
-    const bool hasBody =
-        !request.body.empty() || (request.method != "GET" && request.method != "HEAD");
-    if (hasBody) {
-        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
-    }
-    text += "\r\n";
-    text += request.body;
-    return text;
-}
-
-/** Returns how long the connection may be idle according to @p head, less a margin. */
-Duration idleTimeFrom(const MessageHead &head)
-{
-    const std::string_view keepAlive = head.header("Keep-Alive");
-    const std::size_t at = keepAlive.find("timeout=");
-    if (at == std::string_view::npos) {
-        return DefaultIdleTime;
-    }
-    constexpr std::size_t NameLength = 8;
-    const long seconds =
-        std::strtol(std::string(keepAlive.substr(at + NameLength)).c_str(), nullptr, 10);
-    const Duration idleTime = std::chrono::seconds(std::clamp(seconds, 0L, 3600L));
-    return std::clamp(idleTime - IdleTimeMargin, Duration(0), MaxIdleTime);
-}
-
 } // namespace
 
 /** A call whose connection is not open yet. */
--- a/src/relay/serverconnections.h
+++ b/src/relay/serverconnections.h
@@ -2,7 +2,7 @@
 
 #include "http/eventbase.h"
 #include "paths/pathsearch.h"
-#include "relay/messageparser.h"
+#include "relay/serverrequest.h"
 
 #include <indigoway/ids.h>
 
@@ -19,25 +19,6 @@
 
 namespace indigoway {
 
-/** HTTP request to a backend server. */
-struct ServerRequest
-{
-    CallNumber call;
-    ServerName server;   ///< Identifies the server process; connections are reused for it only.
-    std::string address; ///< "IP:port"
-    std::string method;
-    std::string target;
-    HttpHeaders headers; ///< Without framing and hop-by-hop headers.
-    std::string body;
-    Duration idleTimeout {};    ///< Maximum time without data from the server; 0 for none.
-    Duration silenceLimit {};   ///< Time without data that is reported to the observer; 0 for none.
-    Duration connectTimeout {}; ///< Maximum time to connect; 0 for the default.
-    bool needsNewConnection = false;
-    bool isConnectOnly = false;           ///< Opens a connection without sending data.
-    bool isDirectOnly = false;            ///< Must come from this node's own address.
-    std::uint32_t maxIdleConnections = 1; ///< Maximum of idle connections to this server.
-};
-
 enum class TransferEnd {
     NotConnected, ///< Nothing was sent: the server does not answer this node or another one.
     Refused,      ///< Nothing was sent: no process listens at the server's address.
--- a/src/relay/tunnellistener.cpp
+++ b/src/relay/tunnellistener.cpp
@@ -1,6 +1,7 @@
 #include "tunnellistener.h"
 
 #include "relay/sockets.h"
+#include "relay/timers.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -25,13 +26,8 @@
 /** Limits the memory, descriptors and processor time that other nodes can take. */
 constexpr std::size_t MaxTunnels = 256;
 /** Unsent bytes beyond which the other side is not read, and below which it is read again. */
-constexpr std::size_t MaxUnsentBytes = 128 * 1024;
-constexpr std::size_t LowUnsentBytes = 32 * 1024;
-
-TimePoint steadyNow()
-{
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
+constexpr std::size_t MaxUnsentBytes = std::size_t {128} * 1024;
+constexpr std::size_t LowUnsentBytes = std::size_t {32} * 1024;
 
 } // namespace
 
--- a/tests/dispatch/plainslottest.cpp
+++ b/tests/dispatch/plainslottest.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(withdrawsTheClaimIfTheCallerLeaves);
     CPPUNIT_TEST(rejectsAtTheDeadlineWhileWaiting);
     CPPUNIT_TEST(reportsHowCallsEnded);
+    CPPUNIT_TEST(lostPathIsNoVerdict);
     CPPUNIT_TEST(logsLoadsThatCannotBeRead);
     CPPUNIT_TEST_SUITE_END();
 
@@ -265,6 +266,23 @@
         }
     }
 
+    // A node that does not reach the server itself must not put it out of use for all nodes.
+    void lostPathIsNoVerdict()
+    {
+        for (const CallEnd end : {CallEnd::Broken, CallEnd::NoPath}) {
+            SlotHarness harness;
+            harness.arrive(0, "plain");
+            CallEnded ended;
+            ended.call = harness.grantSlot(3, "a").call;
+            ended.end = end;
+            ended.isPathSuspect = true;
+            harness.reduce(900, ended);
+            const auto message = std::get<slots::SlotEnded>(harness.takeSlotMessages().front());
+            CPPUNIT_ASSERT(message.outcome == slots::SlotOutcome::Cancelled);
+            CPPUNIT_ASSERT_EQUAL(Duration(0).count(), message.answerTime.count());
+        }
+    }
+
     // Guards against a malformed load that is ignored without a log line.
     void logsLoadsThatCannotBeRead()
     {
--- a/tests/soak/faultproxy.py
+++ b/tests/soak/faultproxy.py
@@ -34,6 +34,7 @@
     def hang(self):
         """New connections get no answer, as across a network partition; existing ones live on."""
         self._server.close()
+        self._empty_queue()
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind(("127.0.0.1", self._port))
@@ -47,11 +48,14 @@
 
     async def accept_again(self):
         """Ends refuse() and hang()."""
+        self._empty_queue()
+        if not self._server.is_serving():
+            await self.listen()
+
+    def _empty_queue(self):
         for one in self._full_queue:
             one.close()
         self._full_queue = []
-        if not self._server.is_serving():
-            await self.listen()
 
     def reset_all(self):
         """Ends every connection with a reset, as a crashed peer does."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,12 +5,13 @@
 
 # A new process needs some time to be of use; faults in between would only keep it down.
 RESTART_PAUSE_S = 0.3
+CUT_AFTERMATH_S = 1.0
 
 
 class Faults:
     """Strikes at random and remembers which nodes were touched, and when."""
 
-    def __init__(self, random, clock, platform, nodes, organisations, log):
+    def __init__(self, random, clock, platform, nodes, organisations, log, cuts_nodes=False):
         self.organisations = organisations
         self.random = random
         self.clock = clock
@@ -25,6 +26,8 @@
             self.store_link, self.store_link, self.caller_link, self.worker_link, self.worker_link,
             self.outage, self.change, self.revoke, self.revoke,
         ]
+        if cuts_nodes:
+            self._kinds += [self.node_cut] * 5
 
     async def run(self, until):
         tasks = []
@@ -124,6 +127,23 @@
     async def worker_link(self, _):
         await self._link(self.random.choice(self.platform.workers))
 
+    async def node_cut(self, node):
+        """This node reaches no backend server; at times another one neither, or all of them."""
+        also = [one for one in self.nodes if one is not node and self.random.random() < 0.3]
+        how = self.random.choice(["hang", "reset", "live-on"])
+        self.log.write(f"cut {self.clock():.2f} {how} {[one.name for one in [node, *also]]}\n")
+        records = [[one, self.clock(), float("inf")] for one in also]
+        self.touched += records
+        for one in [node, *also]:
+            one.cut_from_servers(how)
+        await asyncio.sleep(self.random.uniform(0.5, 4.0))
+        for one in [node, *also]:
+            await one.heal_servers()
+        # Connections through other nodes go on for a while.
+        await asyncio.sleep(CUT_AFTERMATH_S)
+        for record in records:
+            record[2] = self.clock()
+
     async def outage(self, _):
         await self.platform.control({"down": True})
         await asyncio.sleep(self.random.uniform(0.3, 4.0))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,6 +4,8 @@
 
     tests/soak/soak.py --build build --seed 7            one run; its log is kept if it fails
     tests/soak/soak.py --build build --seed 1 --runs 50  seeds 1 to 50, some at a time
+    tests/soak/soak.py --build build --seed 1 --cuts     also cuts nodes off from all backend servers; each
+                                                         node is then in a failure domain of its own
 
 A seed fixes which faults strike and when they are due; processes and their timing are real. What
 is checked: every answer is the caller's own, and whole or visibly cut; nothing runs twice; what
@@ -85,7 +87,7 @@
     return outcomes, known
 
 
-async def soak(build, seed, count, log):
+async def soak(build, seed, count, cuts_nodes, log):
     chance = random.Random(seed)
     begun = time.monotonic()
 
@@ -95,22 +97,22 @@
     platform = Platform(build, log)
     nodes = [Node(f"n{i}", build, log) for i in range(1, count + 1)]
     try:
-        return await play(platform, nodes, seed, chance, clock, log)
+        return await play(platform, nodes, seed, chance, clock, cuts_nodes, log)
     finally:
         for process in [*nodes, platform]:
             await process.kill()
 
 
-async def play(platform, nodes, seed, chance, clock, log):
-    await platform.start()
+async def play(platform, nodes, seed, chance, clock, cuts_nodes, log):
+    await platform.start(nodes if cuts_nodes else ())
     organisations = organisation.Organisations(clock)
     await platform.declare(organisations.declared())
     for node in nodes:
-        node.store.target = platform.address
+        node.store.target = node.store.target or platform.address
         await node.store.listen()
         await node.callers.listen()
         await node.start()
-    faults = Faults(chance, clock, platform, nodes, organisations, log)
+    faults = Faults(chance, clock, platform, nodes, organisations, log, cuts_nodes)
     problems = faults.problems
     for node in nodes:
         first = Caller(f"before-{node.name}", node, chance, clock, organisations)
@@ -149,7 +151,7 @@
     async with limit:
         path = pathlib.Path(options.logs) / f"soak-{seed}.log"
         with open(path, "w", encoding="utf-8") as log:
-            problems, summary = await soak(options.build, seed, options.nodes, log)
+            problems, summary = await soak(options.build, seed, options.nodes, options.cuts, log)
             for problem in problems:
                 log.write(f"problem {problem}\n")
         print(f"seed {seed}: {'FAILED' if problems else 'ok'}, {summary}", flush=True)
@@ -167,6 +169,7 @@
     parser.add_argument("--build", default="build", help="folder with the programs")
     parser.add_argument("--seed", type=int, default=1, help="the first seed")
     parser.add_argument("--runs", type=int, default=1, help="how many seeds")
+    parser.add_argument("--cuts", action="store_true", help="also cut nodes off from all backend servers")
     parser.add_argument("--nodes", type=int, default=3, help="nodes a run")
     parser.add_argument("--at-once", type=int, default=4, help="runs at a time")
     parser.add_argument("--logs", default=tempfile.gettempdir(), help="folder for logs of failed runs")
