Move a silent run without a backup off a lost path

Cause: the silence of a stream was reported only for runs with a backup. Change: where runs can be moved, silences of half a second are reported for others, too, with whether the path of this node to the engine is known to be lost; then the scheduler is asked for another engine, as for engines that leave, and the run is stopped and moved through another node. Without the knowledge nothing happens and nothing is sent.

--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -82,6 +82,8 @@
 {
     CallNumber call;
     std::uint32_t events = 0; ///< Complete stream events that were forwarded.
+    /** This node does not reach the server itself any more, while other nodes do. */
+    bool isPathLost = false;
 };
 
 /** Reports the events of a forwarded stream; the call continues. */
--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -43,11 +43,14 @@
         m_mover.runStarted();
     }
     const AnnouncedServer *backup = usableBackup(request, step.now);
+    const RunRecovery recovery(*request.service->engine);
+    call.silenceLimit = isEnabled(request)
+        ? recovery.silenceLimit(backup != nullptr).value_or(Duration(0))
+        : Duration(0);
     if (!backup) {
         return;
     }
     call.backupAddress = backup->address;
-    call.silenceLimit = RunRecovery(*request.service->engine).silenceLimit().value_or(Duration(0));
     if (request.run.continuations > 0) {
         return;
     }
@@ -188,12 +191,17 @@
     const OpenCall *call = m_state.calls.find(event.call);
     const RunRecovery recovery(*request.service->engine);
     request.forwardedEvents = std::max(request.forwardedEvents, event.events);
-    if (!call || !request.run.engineCheck.isNone()
-        || recovery.streamSilent(stateOf(request, step.now)).kind != Kind::AskEngine) {
+    if (!call || !request.run.engineCheck.isNone()) {
         return;
     }
-    request.run.eventsAtCheck = event.events;
-    checkEngine(step, request, call->server);
+    const RecoveryStep next = recovery.streamSilent(stateOf(request, step.now), event.isPathLost);
+    if (next.kind == Kind::AskEngine) {
+        request.run.eventsAtCheck = event.events;
+        checkEngine(step, request, call->server);
+    } else if (next.kind == Kind::RequestTarget) {
+        request.run.lossReason = "path to the engine lost";
+        requestTarget(step, request);
+    }
 }
 
 RunContinuation::Result RunContinuation::engineChecked(Step &step, OpenRequest &request,
--- a/src/dispatch/runrecovery.cpp
+++ b/src/dispatch/runrecovery.cpp
@@ -87,10 +87,13 @@
     return event.isRefused ? EngineCheck::Refused : EngineCheck::NoAnswer;
 }
 
-std::optional<Duration> RunRecovery::silenceLimit() const
+std::optional<Duration> RunRecovery::silenceLimit(bool hasBackup) const
 {
+    if (!hasBackup || !m_traits.keepsBackups) {
+        return m_traits.movesRuns ? std::optional(MaxSilenceLimit) : std::nullopt;
+    }
     const Duration limit = m_traits.handleKept - MaxPartAge - EngineAnswerLimit - ReachTime;
-    if (!m_traits.keepsBackups || limit < MinSilenceLimit) {
+    if (limit < MinSilenceLimit) {
         return std::nullopt;
     }
     return std::min(limit, MaxSilenceLimit);
@@ -143,10 +146,15 @@
     return {Kind::GiveUp, "unknown whether the run is over"};
 }
 
-RecoveryStep RunRecovery::streamSilent(const RunState &run) const
+RecoveryStep RunRecovery::streamSilent(const RunState &run, bool isPathLost) const
 {
-    const bool mayContinue = run.hasBackup && run.timeLeft.count() > 0 && run.events > 0;
-    return {mayContinue ? Kind::AskEngine : Kind::Wait};
+    const bool mayContinue = run.timeLeft.count() > 0 && run.events > 0;
+    if (mayContinue && run.hasBackup) {
+        return {Kind::AskEngine};
+    }
+    const bool mayMove =
+        m_traits.movesRuns && run.mayRequestTarget && run.continuations < MaxContinuations;
+    return {mayContinue && mayMove && isPathLost ? Kind::RequestTarget : Kind::Wait};
 }
 
 std::optional<Duration> RunRecovery::remainingTime(const RunState &run)
--- a/src/dispatch/runrecovery.h
+++ b/src/dispatch/runrecovery.h
@@ -82,16 +82,16 @@
     { }
 
     /**
-     * Returns the time without an event after which the engine of a run with a backup is asked;
-     * nothing if the copy would have been dropped before it can be used.
+     * Returns the time without an event that is reported; nothing if nothing follows from it. The
+     * copy of a run with a backup is dropped soon after its engine has ended.
      */
-    std::optional<Duration> silenceLimit() const;
+    std::optional<Duration> silenceLimit(bool hasBackup) const;
     /** Decides after the connection of the run's stream has ended early. */
     RecoveryStep connectionLost(const RunState &run) const;
     /** Decides after a request to stop the run has ended. */
     RecoveryStep stopEnded(const RunState &run, StopResult result) const;
     /** Decides when the stream has been silent for longer than the silence limit. */
-    RecoveryStep streamSilent(const RunState &run) const;
+    RecoveryStep streamSilent(const RunState &run, bool isPathLost = false) const;
     /** Returns how long the run is expected to go on; nothing if its speed is unknown. */
     static std::optional<Duration> remainingTime(const RunState &run);
     /**
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -205,7 +205,9 @@
 {
     const auto it = m_calls.find(call);
     if (it != m_calls.end()) {
-        post(StreamSilent {call, forwardedEvents(it->second.call.request)});
+        post(StreamSilent {call, forwardedEvents(it->second.call.request),
+                           m_servers.paths().servers.isRelayed(it->second.call.server)
+                               && it->second.relay.isEmpty()});
     }
 }
 
--- a/tests/dispatch/runcontinuationtest.cpp
+++ b/tests/dispatch/runcontinuationtest.cpp
@@ -132,6 +132,7 @@
     CPPUNIT_TEST(silentEngineWithoutAConnectionKeepsItsRun);
     CPPUNIT_TEST(silentEngineThatHasEndedLosesItsRun);
     CPPUNIT_TEST(streamOnALostPathIsMoved);
+    CPPUNIT_TEST(streamWithoutABackupIsMovedOffALostPath);
     CPPUNIT_TEST(eventsDuringACheckKeepTheStream);
     CPPUNIT_TEST(engineWithoutAConnectionIsAskedAgain);
     CPPUNIT_TEST(runBeforeItsFirstEventIsNotContinued);
@@ -446,6 +447,23 @@
         CPPUNIT_ASSERT_EQUAL(text("k9"), second.handle);
     }
 
+    // As streamOnALostPathIsMoved(), for a run without a backup: the scheduler grants another
+    // engine.
+    void streamWithoutABackupIsMovedOffALostPath()
+    {
+        DispatcherHarness harness;
+        useEngines(harness, false, true);
+        const Run run = startRun(harness);
+        CPPUNIT_ASSERT(run.decode.silenceLimit.count() > 0);
+        harness.dispatcher().remove(ServerName("d2")); // The backup that the grant names.
+        harness.reduce(1'000, StreamSilent {run.decode.call, 12, false});
+        CPPUNIT_ASSERT(!harness.hasSchedulerMessage());
+        harness.reduce(1'500, StreamSilent {run.decode.call, 12, true});
+        answerStop(harness, 1'530, grantTarget(harness, 1'502, "d3"), 200, "k9");
+        CPPUNIT_ASSERT(harness.wasAbandoned(run.decode));
+        CPPUNIT_ASSERT(harness.nextCall(CallKind::Decode).server == ServerName("d3"));
+    }
+
     // A lost packet delays a connection attempt although the stream goes on.
     void eventsDuringACheckKeepTheStream()
     {
