Keep the ports of the soak's proxies while they refuse connections

Cause: the port was free meanwhile, and an outgoing connection of another process had got it. Change: a bound socket that does not listen keeps it; connections are refused as before. The same proxy serves process-cut-node, which could have failed by it.

--- a/tests/soak/faultproxy.py
+++ b/tests/soak/faultproxy.py
@@ -19,7 +19,8 @@
         self._server = None
         self._writers = set()
         self._port = 0
-        self._full_queue = []  # Sockets that keep the listen queue full while connects hang.
+        # While nothing is accepted: sockets that keep the port, and the listen queue full in hang().
+        self._holders = []
 
     async def listen(self):
         self._server = await asyncio.start_server(self._accept, "127.0.0.1", self._port)
@@ -29,33 +30,37 @@
 
     def refuse(self):
         """New connections are refused; existing ones live on."""
-        self._server.close()
+        self._hold_port()
 
     def hang(self):
         """New connections get no answer, as across a network partition; existing ones live on."""
-        self._server.close()
-        self._empty_queue()
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(("127.0.0.1", self._port))
-        listener.listen(0)
-        self._full_queue = [listener]
+        self._hold_port()
+        self._holders[0].listen(0)
         for _ in range(3):
             client = socket.socket()
             client.setblocking(False)
             client.connect_ex(("127.0.0.1", self._port))
-            self._full_queue.append(client)
+            self._holders.append(client)
 
     async def accept_again(self):
         """Ends refuse() and hang()."""
-        self._empty_queue()
+        self._drop_holders()
         if not self._server.is_serving():
             await self.listen()
 
-    def _empty_queue(self):
-        for one in self._full_queue:
+    def _hold_port(self):
+        """Stops listening; the port is kept, as another connection could take it otherwise."""
+        self._server.close()
+        self._drop_holders()
+        holder = socket.socket()
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind(("127.0.0.1", self._port))
+        self._holders = [holder]
+
+    def _drop_holders(self):
+        for one in self._holders:
             one.close()
-        self._full_queue = []
+        self._holders = []
 
     def reset_all(self):
         """Ends every connection with a reset, as a crashed peer does."""
