--- a/tests/soak/faultproxy.py
+++ b/tests/soak/faultproxy.py
@@ -21,6 +21,7 @@
         self._port = 0
         # While nothing is accepted: sockets that keep the port, and the listen queue full in hang().
         self._holders = []
+        self._starting = asyncio.Lock()  # Cuts overlap, and so do their ends.
 
     async def listen(self):
         self._server = await asyncio.start_server(self._accept, "127.0.0.1", self._port)
@@ -44,9 +45,10 @@
 
     async def accept_again(self):
         """Ends refuse() and hang()."""
-        self._drop_holders()
-        if not self._server.is_serving():
-            await self.listen()
+        async with self._starting:
+            self._drop_holders()
+            if not self._server.is_serving():
+                await self.listen()
 
     def _hold_port(self):
         """Stops listening; the port is kept, as another connection could take it otherwise."""
