Ask a node that has failed rather than none

Cause: since the load was spread, a node that fails is left out for up to 8 s. With three nodes of which two are cut off, one slow answer (over 150 ms) of the only node in reach left the others without any path for seconds.

Change: if all other nodes have failed lately, one of them is asked all the same.

--- a/src/paths/relayselector.cpp
+++ b/src/paths/relayselector.cpp
@@ -57,6 +57,10 @@
         candidates = untestedNodes(now);
         std::erase_if(candidates, [&](const NodeName &name) { return contains(tried, name); });
     }
+    if (candidates.empty()) {
+        // In a small deployment the only node in reach may have been slow once.
+        candidates = otherNodes(tried);
+    }
     if (candidates.empty()) {
         return std::nullopt;
     }
@@ -71,6 +75,17 @@
     return names;
 }
 
+std::vector<NodeName> RelaySelector::otherNodes(const std::vector<NodeName> &tried) const
+{
+    std::vector<NodeName> names;
+    for (const auto &[name, node] : m_nodes) {
+        if (!contains(tried, name)) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 std::vector<NodeName> RelaySelector::untestedNodes(TimePoint now) const
 {
     std::vector<NodeName> names;
--- a/src/paths/relayselector.h
+++ b/src/paths/relayselector.h
@@ -32,7 +32,7 @@
      */
     void setNodes(const std::vector<RelayNode> &nodes, TimePoint now);
     bool isEmpty() const { return m_nodes.empty(); }
-    /** Returns a node that is not in @p tried, or nothing if all others have failed lately. */
+    /** Returns a node that is not in @p tried, one that has failed lately only if all have. */
     std::optional<RelayNode> pick(const std::vector<NodeName> &tried, TimePoint now,
                                   std::uint64_t entropy) const;
     /** Records that the node has opened a connection to a server. */
@@ -42,6 +42,8 @@
 
 private:
     std::vector<NodeName> provenNodes(const std::vector<NodeName> &tried) const;
+    /** Returns all nodes that are not in @p tried, those that have failed included. */
+    std::vector<NodeName> otherNodes(const std::vector<NodeName> &tried) const;
     /** Returns the nodes of which nothing is known now. */
     std::vector<NodeName> untestedNodes(TimePoint now) const;
 
