Log the software versions of servers chosen, of streams and of continued runs

That streams went on at another version than the one that began them showed only with the operators' log beside ours, and which of the ways (moves, resumptions in one answer, callers' resumptions) mixed them could not be counted.

Change: a server's entry keeps its software version, which was checked to be there and then dropped; the lines server, request_end, resume and run_continued tell it; a new line stream_first_event tells at which server and version each call's first event came, and which attempt the caller resumes (the header Resumes, read for the log only). No decision depends on it.

--- a/include/indigoway/announcedserver.h
+++ b/include/indigoway/announcedserver.h
@@ -26,6 +26,7 @@
     std::string instance;        ///< Its own name, the same after a restart; sent with calls.
     std::uint64_t startedAt = 0; ///< Identifies its life; 0 if not announced.
     ServiceName service;
+    std::string version; ///< Of its software; empty if unknown.
     std::string address; ///< "IP:port"; may have belonged to another server before.
     DomainName domain;
     std::uint32_t slots = 1;
--- a/src/dispatch/dispatchstate.cpp
+++ b/src/dispatch/dispatchstate.cpp
@@ -34,6 +34,10 @@
     call.patience = request.deadline - step.now;
     call.maxIdleConnections = maxIdleConnections(*request.service);
     request.server = server.name;
+    request.serverVersion = server.version;
+    if (call.kind == CallKind::Prefill) {
+        request.prefillVersion = server.version;
+    }
     request.callKind = call.kind;
     request.callStarted = step.now;
     request.knownCrashes = crashes.crashCount(request.arrival.content);
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -67,6 +67,7 @@
 {
     request.streamingCall = event.call;
     m_runs.streamStarted(step, request);
+    OpenRequests::recordFirstEvent(step, request);
     if (request.isForwarding) {
         step.add(ForwardStream {request.arrival.request, event.call});
         return;
@@ -619,7 +620,8 @@
         && m_state.retryBudget(request.service->name).tryTake(step.now);
     if (mayResume) {
         step.add(LogDecision {"resume", request.arrival.callerId,
-                              "after_events=" + std::to_string(request.forwardedEvents) + " "
+                              "after_events=" + std::to_string(request.forwardedEvents)
+                                  + " version=" + versionText(request.serverVersion) + " "
                                   + event.reason});
         request.countedCalls = 0; // The retry has already been charged to the budget.
         enqueue(step, request);
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -12,6 +12,11 @@
 
 } // namespace
 
+std::string versionText(const std::string &version)
+{
+    return version.empty() ? "-" : version;
+}
+
 scheduling::Urgency OpenRequest::urgency() const
 {
     if (isForwarding || arrival.isContinuation) {
@@ -37,6 +42,19 @@
     return it == m_requests.end() ? nullptr : &it->second;
 }
 
+void OpenRequests::recordFirstEvent(Step &step, const OpenRequest &request)
+{
+    const ArrivedRequest &arrival = request.arrival;
+    std::string detail = "server=" + request.server.text() + " version="
+        + versionText(request.serverVersion) + " service=" + request.service->name.text();
+    if (request.isForwarding) {
+        detail += " resumes=own_answer";
+    } else if (arrival.isContinuation) {
+        detail += " resumes=" + (arrival.resumedId.empty() ? "-" : arrival.resumedId);
+    }
+    step.add(LogDecision {"stream_first_event", arrival.callerId, std::move(detail)});
+}
+
 void OpenRequests::deliver(Step &step, OpenRequest &request, CallNumber call, int status)
 {
     if (request.firstAnswerAt == TimePoint {}) {
@@ -106,6 +124,7 @@
         + " stage=" + nameOf(request.stage)
         + " age_ms=" + millisecondsText(step.now - request.arrived)
         + " runs=" + std::to_string(request.executions) + " server=" + request.server.text()
+        + " server_version=" + versionText(request.serverVersion)
         + " content=" + request.arrival.content.text()
         + " organisation=" + (request.organisation ? request.organisation->name.text() : "-");
     if (request.isGeneration()) {
@@ -114,8 +133,9 @@
             + (request.arrival.patience ? millisecondsText(*request.arrival.patience) : "-")
             + " prompt=" + std::to_string(request.arrival.promptTokens)
             + " output_guessed=" + std::to_string(request.memory.outputTokens)
-            + " events=" + std::to_string(request.forwardedEvents) + " prefill_server="
-            + request.prefillServer.text() + " decode_server=" + request.decodeServer.text()
+            + " events=" + std::to_string(request.forwardedEvents)
+            + " prefill_server=" + request.prefillServer.text() + " prefill_version="
+            + versionText(request.prefillVersion) + " decode_server=" + request.decodeServer.text()
             + " room_after_ms=" + elapsedText(request.arrived, request.reservedAt)
             + " prefilled_after_ms=" + elapsedText(request.arrived, request.prefilledAt)
             + " first_after_ms=" + elapsedText(request.arrived, request.firstAnswerAt);
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -103,7 +103,9 @@
     Stage stage = Stage::Calling;
     CallNumber call; ///< The current call; none while queued.
     CallKind callKind = CallKind::Plain;
-    ServerName server; ///< Server of the current or last call.
+    ServerName server;          ///< Server of the current or last call.
+    std::string serverVersion;  ///< Software version of that server.
+    std::string prefillVersion; ///< Software version of the engine of the last prefill.
     TimePoint callStarted {};
     std::set<ServerName> triedServers;
     std::uint32_t executions = 0; ///< Calls that a server may have executed.
@@ -161,6 +163,8 @@
     std::map<RequestNumber, OpenRequest> &all() { return m_requests; }
     std::size_t size() const { return m_requests.size(); }
 
+    /** Logs which server of which version has sent the first event of a call for @p request. */
+    static void recordFirstEvent(Step &step, const OpenRequest &request);
     /** Sends the server's complete answer to the caller. */
     void deliver(Step &step, OpenRequest &request, CallNumber call, int status);
     /** Completes the forwarded stream. */
@@ -215,6 +219,9 @@
 /** Error for requests whose content is refused by CrashRecords. */
 constexpr char CrashesServers[] = "servers crash under it";
 
+/** Returns a server's software version, or a dash if it is unknown, for logs. */
+std::string versionText(const std::string &version);
+
 /** Returns @p duration in whole milliseconds, for logs. */
 std::string millisecondsText(Duration duration);
 
--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -59,6 +59,7 @@
 void PlainFlow::streamStarted(Step &step, OpenRequest &request, const StreamStarted &event)
 {
     // Plain services may stream, too.
+    OpenRequests::recordFirstEvent(step, request);
     request.isForwarding = true;
     request.firstAnswerAt = step.now;
     step.add(ForwardStream {request.arrival.request, event.call});
--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -333,11 +333,12 @@
 {
     const AnnouncedServer &backup = *m_state.servers.find(request.run.backup);
     ++m_counts.continuedByBackup;
-    step.add(LogDecision {"run_continued", request.arrival.callerId,
-                          "from=" + engine.name.text() + " to=" + backup.name.text()
-                              + " by=backup events=" + std::to_string(request.forwardedEvents)
-                              + " after_ms=" + millisecondsText(step.now - request.run.lostAt) + " "
-                              + request.run.lossReason});
+    step.add(LogDecision {
+        "run_continued", request.arrival.callerId,
+        "from=" + engine.name.text() + " to=" + backup.name.text() + " from_version="
+            + versionText(engine.version) + " to_version=" + versionText(backup.version)
+            + " by=backup events=" + std::to_string(request.forwardedEvents) + " after_ms="
+            + millisecondsText(step.now - request.run.lostAt) + " " + request.run.lossReason});
     StartCall call;
     call.handle = request.arrival.callerId;
     call.handleAddress = backup.address;
@@ -351,11 +352,12 @@
                                          const AnnouncedServer &target)
 {
     ++m_counts.continuedByMove;
-    step.add(LogDecision {"run_continued", request.arrival.callerId,
-                          "from=" + engine.name.text() + " to=" + target.name.text()
-                              + " by=move events=" + std::to_string(request.forwardedEvents)
-                              + " after_ms=" + millisecondsText(step.now - request.run.lostAt) + " "
-                              + request.run.lossReason});
+    step.add(LogDecision {
+        "run_continued", request.arrival.callerId,
+        "from=" + engine.name.text() + " to=" + target.name.text() + " from_version="
+            + versionText(engine.version) + " to_version=" + versionText(target.version)
+            + " by=move events=" + std::to_string(request.forwardedEvents) + " after_ms="
+            + millisecondsText(step.now - request.run.lostAt) + " " + request.run.lossReason});
     StartCall call;
     call.handle = request.run.handle;
     call.handleAddress = engine.address;
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -401,6 +401,7 @@
                {{"server", server.name.text()},
                 {"before", known.text()},
                 {"service", server.service.text()},
+                {"version", server.version},
                 {"address", server.address},
                 {"draining", server.isDraining ? "yes" : "no"}});
     }
