--- a/standins/sharedplatform.cpp
+++ b/standins/sharedplatform.cpp
@@ -30,9 +30,10 @@
 } // namespace
 
 SharedPlatform::SharedPlatform(EventLoop &loop, Addresses announced,
-                               const std::vector<Addresses> &views)
+                               const std::vector<Addresses> &views, int decodeEngines)
     : m_loop(loop)
     , m_engineRuns(HandleKept)
+    , m_decodeEngines(decodeEngines)
     , m_streamEvents(StreamEvents)
     , m_announced(std::move(announced))
 {
@@ -63,8 +64,9 @@
     addWorker("w-1", "");
     addWorker("w-2", "");
     addWorker("p-1", "prefill");
-    addWorker("d-1", "decode");
-    addWorker("d-2", "decode");
+    for (int i = 1; i <= m_decodeEngines; ++i) {
+        addWorker("d-" + std::to_string(i), "decode");
+    }
     writeRouting(1, {});
     for (std::size_t i = 1; i < m_entrances.size(); ++i) {
         std::printf("view%zu %s\n", i - 1,
@@ -319,6 +321,9 @@
     if (body.isObject() && body["advice"].isObject()) {
         advise(body["advice"]);
     }
+    if (body.isObject() && body["upgrade"].isObject()) {
+        upgrade(body["upgrade"]);
+    }
     for (const auto &[name, state] :
          {std::pair {"drain", "draining"}, std::pair {"undrain", "ready"}}) {
         if (body.isObject() && body[name].isString()) {
@@ -341,6 +346,12 @@
     for (const auto &[id, runs] : m_runs) {
         answer["runs"][id] = runs;
     }
+    answer["versions"] = Json::objectValue;
+    for (const auto &[id, versions] : m_streamVersions) {
+        for (const std::string &version : versions) {
+            answer["versions"][id].append(version);
+        }
+    }
     answer["ran_for"] = Json::objectValue;
     for (const auto &[id, organisation] : m_organisations) {
         answer["ran_for"][id] = organisation;
@@ -401,7 +412,7 @@
     entry["service"] = worker.phase.empty() ? "web" : "llm";
     entry["address"] = worker.announced.empty() ? worker.address : worker.announced;
     entry["zone"] = "hall-a";
-    entry["version"] = "v1";
+    entry["version"] = worker.version;
     entry["capacity"] = 8;
     entry["warmup_ms"] = 0;
     entry["sequence"] = 1;
@@ -450,6 +461,16 @@
     }
 }
 
+void SharedPlatform::upgrade(const Json::Value &upgrade)
+{
+    for (const auto &worker : m_workers) {
+        if (worker->name == stringMember(upgrade, "worker") && worker->server) {
+            worker->version = stringMember(upgrade, "version");
+            crash(*worker);
+        }
+    }
+}
+
 void SharedPlatform::work(Worker &worker, const HttpRequest &request)
 {
     const std::string id = request.header("Indigoway-Request-Id");
@@ -584,6 +605,8 @@
         return;
     }
     m_engineRuns.addEvent(worker.address, id, std::chrono::steady_clock::now());
+    const std::string resumed = request.header("Resumes");
+    m_streamVersions[resumed.empty() ? id : resumed].insert(worker.version);
     const std::string number = std::to_string(event);
     worker.server->send(request.exchange, "id: " + number + "\ndata: token" + number + "\n\n");
     if (event == m_killAfter) {
@@ -620,10 +643,16 @@
     stream["timeout_ms"] = 14000;
     stream["slo_ms"] = 900;
     stream["service"] = "llm";
+    Json::Value resumable = stream;
+    resumable["name"] = "resumable";
+    resumable["prefix"] = "/resumable/";
+    resumable["resumable"] = true;
+    resumable["max_attempts"] = 2;
     Json::Value state;
     state["version"] = Json::UInt64(version);
     state["routes"].append(plain);
     state["routes"].append(stream);
+    state["routes"].append(resumable);
     if (!extraPrefix.empty()) {
         plain["name"] = "extra";
         plain["prefix"] = extraPrefix;
--- a/standins/sharedplatform.h
+++ b/standins/sharedplatform.h
@@ -35,8 +35,10 @@
      * @param announced Addresses that the servers announce in place of their own, if any.
      * @param views The servers' addresses as seen by the users of each further address of the
      * service, so that single nodes can be cut off from the servers.
+     * @param decodeEngines How many engines generate tokens.
      */
-    SharedPlatform(EventLoop &loop, Addresses announced, const std::vector<Addresses> &views = {});
+    SharedPlatform(EventLoop &loop, Addresses announced, const std::vector<Addresses> &views = {},
+                   int decodeEngines = 2);
 
     /** The service's address; nothing if it cannot be listened on. */
     std::optional<std::string> listenOn(const std::string &address);
@@ -78,7 +80,8 @@
         std::string phase;                  ///< Empty for plain services.
         std::unique_ptr<HttpServer> server; ///< Null from a crash to the next start.
         std::string address;
-        std::string announced; ///< What it announces in place of its address, if anything.
+        std::string version = "v1"; ///< Of its software.
+        std::string announced;      ///< What it announces in place of its address, if anything.
         std::uint64_t lives = 0;
         HttpHeaders advice;       ///< Added to the head of each answer.
         std::string refusesFor;   ///< Retry-After of its refusals; empty if it serves requests.
@@ -114,6 +117,8 @@
     bool crashes(const HttpRequest &request) const;
     /** Sets what the named worker says in its answers; headers, and the pause of refusals. */
     void advise(const Json::Value &advice);
+    /** Ends the named worker and starts it again with another software version. */
+    void upgrade(const Json::Value &upgrade);
     void work(Worker &worker, const HttpRequest &request);
     void answer(Worker &worker, const HttpRequest &request, int status, const std::string &body,
                 HttpHeaders headers = {});
@@ -154,8 +159,11 @@
     std::uint64_t m_lastHold = 0;
     EngineRuns m_engineRuns;
     std::map<std::string, std::uint32_t> m_continued; ///< Continuations, by a caller's id.
+    /** Software versions that have sent events of a stream, by the id of its first attempt. */
+    std::map<std::string, std::set<std::string>> m_streamVersions;
     bool m_keepsBackups = false;
     bool m_movesRuns = false;
+    int m_decodeEngines;
     int m_streamEvents;   ///< Events of a stream.
     int m_killAfter = 0;  ///< The next engine to send this event crashes; 0: none.
     int m_resetAfter = 0; ///< The next stream to reach this event is reset; 0: none.
--- a/standins/sharedplatform_main.cpp
+++ b/standins/sharedplatform_main.cpp
@@ -13,12 +13,14 @@
           "For each further address of the service, the servers' addresses that its users see: "
           "lists as for --announce, separated by semicolons.");
 
+ABSL_FLAG(int, decode_engines, 2, "Engines that generate tokens.");
+
 int main(int argc, char **argv)
 {
     using namespace indigoway;
     parseOrExit({"indigoway-sharedplatform: stand-in of the users' platform, with its store and\n"
-                 "five backend servers.",
-                 {"listen", "announce", "views"}},
+                 "backend servers: two plain ones, a prefill engine and decode engines.",
+                 {"listen", "announce", "views", "decode_engines"}},
                 argc, argv);
     standins::EventLoop loop;
     std::vector<standins::SharedPlatform::Addresses> views;
@@ -27,6 +29,7 @@
         views.emplace_back(absl::StrSplit(view, ',', absl::SkipEmpty()));
     }
     standins::SharedPlatform platform(
-        loop, absl::StrSplit(absl::GetFlag(FLAGS_announce), ',', absl::SkipEmpty()), views);
+        loop, absl::StrSplit(absl::GetFlag(FLAGS_announce), ',', absl::SkipEmpty()), views,
+        absl::GetFlag(FLAGS_decode_engines));
     return standins::announceAndRun(loop, platform.listenOn(absl::GetFlag(FLAGS_listen)));
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -83,15 +83,15 @@
         started = await self.wait_for_line('"kind":"start"')
         self.callers.target = json.loads(started)["callers"]
 
-    async def wait_for_line(self, words):
+    async def wait_for_line(self, *words):
         for _ in range(START_LIMIT_S * 50):
             for line in self.lines:
-                if words in line:
+                if all(word in line for word in words):
                     return line
             if self.process.returncode is not None:
                 break
             await asyncio.sleep(0.02)
-        raise RuntimeError(f"{self.name} did not write {words}")
+        raise RuntimeError(f"{self.name} did not write {' '.join(words)}")
 
     async def reach_servers_by_proxies(self):
         """Before the platform starts: this node, in a domain of its own, has proxies to the servers."""
@@ -126,9 +126,10 @@
 class Platform(Process):
     """The stand-in of the platform's store and backend servers, each behind a proxy."""
 
-    def __init__(self, build, log):
+    def __init__(self, build, log, decode_engines=2):
         super().__init__("platform", [], log)
         self.build = build
+        self.decode_engines = decode_engines
         self.workers = [FaultProxy() for _ in range(WORKERS)]
         self.address = None
         self.version = 1
@@ -141,6 +142,7 @@
             f"{self.build}/indigoway-sharedplatform",
             f"--announce={','.join(announced)}",
             f"--views={';'.join(views)}",
+            f"--decode_engines={self.decode_engines}",
         ]
         await super().start()
         while len(self.lines) < 1 + WORKERS + len(nodes):
