Keep the origins of streams at a few other nodes

Change: src/origins. The node that forwards the first event tells three to six others, chosen by rendezvous hashing of the id over the failure domains, before the event leaves; a node that gets a resumption asks the same ones. Confirmed, repeated, told again to nodes that start anew; bounded in number, time and messages. Not used yet.

NodeDirectory counts its changes, so that dead nodes leave the list of holders without a new entry.

--- a/src/core/deadlines.h
+++ b/src/core/deadlines.h
@@ -43,6 +43,12 @@
         return m_order.begin()->first;
     }
 
+    /** Returns the key with the earliest deadline. */
+    std::optional<Key> first() const
+    {
+        return m_order.empty() ? std::nullopt : std::optional(m_order.begin()->second);
+    }
+
     /** Removes and returns the keys that are due at @p now, earliest deadline first. */
     std::vector<Key> takeDue(TimePoint now)
     {
--- a/src/fleet/nodedirectory.cpp
+++ b/src/fleet/nodedirectory.cpp
@@ -51,6 +51,7 @@
 
 void NodeDirectory::announce(const std::string &key, NodeEntry entry)
 {
+    ++m_changes;
     TrackedNode &tracked = m_nodes[key];
     removeFromDomain(tracked.entry);
     tracked = {std::move(entry), std::nullopt};
@@ -73,6 +74,7 @@
         if (it != m_nodes.end() && !isRetained(it->second, now)) {
             removeFromDomain(it->second.entry);
             m_nodes.erase(it);
+            ++m_changes;
         }
         m_withdrawn.pop_front();
     }
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -84,6 +84,8 @@
     std::vector<const NodeEntry *> members() const;
     /** Returns the nodes in @p domain. */
     const RankedNodes &nodesInDomain(const DomainName &domain) const;
+    /** Returns how often members() has changed; it begins with 1. */
+    std::uint64_t changes() const { return m_changes; }
     /** Returns the number of entries, including those removed but still retained. */
     std::size_t size() const { return m_nodes.size(); }
     /** Returns the number of nodes that serve callers, including this one. */
@@ -107,6 +109,7 @@
 
     NodeEntry m_self;
     bool m_isLeaving = false;
+    std::uint64_t m_changes = 1;
     std::map<std::string, TrackedNode> m_nodes; ///< Nodes by store key.
     std::map<DomainName, RankedNodes> m_domains;
     std::deque<WithdrawnEntry> m_withdrawn; ///< Removed entries, oldest first.
--- /dev/null
+++ b/src/origins/streamorigins.cpp
@@ -0,0 +1,255 @@
+#include "streamorigins.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace indigoway::origins {
+
+namespace {
+
+/** Copies of an origin at other nodes: one for each of this many failure domains. */
+constexpr std::size_t MinCopies = 3;
+/** Made while there are few streams, so that more than half of the nodes may die. */
+constexpr std::size_t MaxCopies = 6;
+/** Notices a second up to which more than the least number of copies are made. */
+constexpr double NoticesPerSecond = 60;
+constexpr double MaxAllowance = 18;
+/** Round trip time with a margin for a busy node. */
+constexpr Duration FirstRepetition = std::chrono::milliseconds(60);
+constexpr Duration MaxRepetition = std::chrono::milliseconds(1000);
+/** Nodes asked at first; they include the holders, unless the members have just changed. */
+constexpr std::size_t FirstAsked = 3;
+constexpr std::size_t MaxAsked = 8;
+constexpr Duration QueryInterval = std::chrono::milliseconds(40);
+/** Time for answers of busy nodes and for one lost datagram; callers must not wait for longer. */
+constexpr std::uint32_t MaxRounds = 6;
+
+bool contains(const std::vector<Holder> &holders, const Holder &holder)
+{
+    return std::ranges::find(holders, holder) != holders.end();
+}
+
+} // namespace
+
+void StreamOrigins::setNodes(TimePoint now, const std::vector<Holder> &nodes)
+{
+    m_holders.setNodes(nodes);
+    m_hasNodes = true;
+    for (auto &[stream, notice] : m_notices) {
+        const std::vector<Holder> holders = m_holders.holdersOf(stream, notice.copies);
+        notice.unconfirmed.clear();
+        std::ranges::copy_if(
+            holders, std::back_inserter(notice.unconfirmed),
+            [&notice](const Holder &holder) { return !contains(notice.confirmed, holder); });
+        if (!notice.unconfirmed.empty()) {
+            notice.interval = FirstRepetition;
+            m_repetitions.set(stream, now);
+        }
+    }
+}
+
+void StreamOrigins::begin(TimePoint now, const StreamId &stream, const StreamOrigin &origin,
+                          Duration keepFor, Messages &messages)
+{
+    m_records.add(stream, origin, keepFor, now);
+    Notice notice;
+    notice.origin = origin;
+    notice.until = now + keepFor;
+    notice.copies = copiesFor(now);
+    notice.unconfirmed = m_holders.holdersOf(stream, notice.copies);
+    notice.interval = FirstRepetition;
+    for (const Holder &holder : notice.unconfirmed) {
+        sendNotice(now, stream, notice, holder, messages);
+    }
+    m_repetitions.set(stream, now + notice.interval);
+    m_notices.insert_or_assign(stream, std::move(notice));
+}
+
+std::size_t StreamOrigins::copiesFor(TimePoint now)
+{
+    const double elapsed = std::chrono::duration<double>(now - m_allowanceUpdatedAt).count();
+    m_noticeAllowance = std::min(MaxAllowance, m_noticeAllowance + elapsed * NoticesPerSecond);
+    m_allowanceUpdatedAt = now;
+    const std::size_t copies =
+        std::clamp(static_cast<std::size_t>(m_noticeAllowance), MinCopies, MaxCopies);
+    m_noticeAllowance = std::max(0.0, m_noticeAllowance - static_cast<double>(copies));
+    return copies;
+}
+
+void StreamOrigins::complete(const StreamId &stream)
+{
+    m_notices.erase(stream);
+    m_repetitions.clear(stream);
+}
+
+void StreamOrigins::sendNotice(TimePoint now, const StreamId &stream, const Notice &notice,
+                               const Holder &holder, Messages &messages)
+{
+    ++m_noticesSent;
+    messages.push_back({holder.node, OriginNotice {stream, notice.origin, notice.until - now}});
+}
+
+std::optional<OriginResult> StreamOrigins::lookUp(TimePoint now, RequestNumber request,
+                                                  const StreamId &stream, Messages &messages)
+{
+    Lookup lookup {stream, now, 0, now, {}, 0};
+    const auto own = m_records.find(stream, now);
+    if (own || m_holders.size() == 0) {
+        OriginResult result = resultOf(request, lookup, own, now);
+        if (!own && !m_hasNodes) {
+            result.fault = OriginFault::Unreachable;
+        }
+        return result;
+    }
+    ask(now, lookup, messages);
+    m_lookups.insert_or_assign(request, std::move(lookup));
+    return std::nullopt;
+}
+
+void StreamOrigins::ask(TimePoint now, Lookup &lookup, Messages &messages)
+{
+    const std::size_t count = lookup.rounds == 0 ? FirstAsked : MaxAsked;
+    const std::vector<Holder> holders = m_holders.holdersOf(lookup.stream, count);
+    for (std::size_t i = lookup.asked; i < holders.size(); ++i) {
+        lookup.silent.push_back(holders[i].node);
+    }
+    lookup.asked = std::max(lookup.asked, holders.size());
+    for (const NodeName &node : lookup.silent) {
+        ++m_queriesSent;
+        messages.push_back({node, OriginQuery {lookup.stream}});
+    }
+    ++lookup.rounds;
+    lookup.nextRound = now + QueryInterval;
+}
+
+std::vector<OriginResult> StreamOrigins::handle(TimePoint now, const NodeName &from,
+                                                const OriginMessage &message, Messages &messages)
+{
+    if (const auto *notice = std::get_if<OriginNotice>(&message)) {
+        m_records.add(notice->stream, notice->origin, notice->keepFor, now);
+        messages.push_back({from, OriginKept {notice->stream}});
+    } else if (const auto *query = std::get_if<OriginQuery>(&message)) {
+        messages.push_back(
+            {from, OriginAnswer {query->stream, m_records.find(query->stream, now)}});
+    } else if (const auto *kept = std::get_if<OriginKept>(&message)) {
+        const auto it = m_notices.find(kept->stream);
+        if (it != m_notices.end()) {
+            auto &unconfirmed = it->second.unconfirmed;
+            const auto holder = std::ranges::find(unconfirmed, from, &Holder::node);
+            if (holder != unconfirmed.end()) {
+                it->second.confirmed.push_back(*holder);
+                unconfirmed.erase(holder);
+            }
+        }
+    } else {
+        return handleAnswer(now, from, std::get<OriginAnswer>(message), messages);
+    }
+    return {};
+}
+
+std::vector<OriginResult> StreamOrigins::handleAnswer(TimePoint now, const NodeName &from,
+                                                      const OriginAnswer &answer,
+                                                      Messages &messages)
+{
+    std::vector<OriginResult> results;
+    for (auto it = m_lookups.begin(); it != m_lookups.end();) {
+        auto &[request, lookup] = *it;
+        const bool isAsked = lookup.stream == answer.stream && std::erase(lookup.silent, from) > 0;
+        if (isAsked && !answer.record && lookup.silent.empty() && lookup.rounds == 1) {
+            ask(now, lookup, messages); // Perhaps the members have changed since the notice.
+        }
+        if (!isAsked || (!answer.record && !lookup.silent.empty())) {
+            ++it;
+            continue;
+        }
+        results.push_back(resultOf(request, lookup, answer.record, now));
+        results.back().learntFrom = from;
+        it = m_lookups.erase(it);
+    }
+    return results;
+}
+
+OriginResult StreamOrigins::resultOf(RequestNumber request, const Lookup &lookup,
+                                     const std::optional<OriginRecord> &record, TimePoint now)
+{
+    OriginResult result;
+    result.request = request;
+    result.lookupTime = now - lookup.since;
+    result.asked = lookup.asked;
+    if (record && !record->isAmbiguous) {
+        result.record = record;
+    } else if (record) {
+        result.fault = OriginFault::Ambiguous;
+    } else {
+        result.fault = lookup.silent.empty() ? OriginFault::Unknown : OriginFault::Unreachable;
+    }
+    return result;
+}
+
+std::vector<OriginResult> StreamOrigins::tick(TimePoint now, Messages &messages)
+{
+    m_records.removeExpired(now);
+    for (const StreamId &stream : m_repetitions.takeDue(now)) {
+        repeat(now, stream, messages);
+    }
+    std::vector<OriginResult> results;
+    for (auto it = m_lookups.begin(); it != m_lookups.end();) {
+        auto &[request, lookup] = *it;
+        if (now < lookup.nextRound) {
+            ++it;
+        } else if (lookup.rounds < MaxRounds) {
+            ask(now, lookup, messages);
+            ++it;
+        } else {
+            results.push_back(resultOf(request, lookup, std::nullopt, now));
+            it = m_lookups.erase(it);
+        }
+    }
+    return results;
+}
+
+void StreamOrigins::repeat(TimePoint now, const StreamId &stream, Messages &messages)
+{
+    const auto it = m_notices.find(stream);
+    if (it == m_notices.end()) {
+        return;
+    }
+    Notice &notice = it->second;
+    if (now >= notice.until) {
+        m_notices.erase(it);
+        return;
+    }
+    for (const Holder &holder : notice.unconfirmed) {
+        sendNotice(now, stream, notice, holder, messages);
+    }
+    if (notice.unconfirmed.empty()) {
+        m_repetitions.set(stream, notice.until); // Kept for nodes that start later.
+        return;
+    }
+    notice.interval = std::min(notice.interval * 2, MaxRepetition);
+    m_repetitions.set(stream, now + notice.interval);
+}
+
+std::optional<TimePoint> StreamOrigins::nextTick() const
+{
+    std::optional<TimePoint> next = m_repetitions.next();
+    for (const auto &[request, lookup] : m_lookups) {
+        next = earlier(next, lookup.nextRound);
+    }
+    return next;
+}
+
+const char *nameOf(OriginFault fault)
+{
+    switch (fault) {
+    case OriginFault::Unknown:
+        return "unknown";
+    case OriginFault::Ambiguous:
+        return "ambiguous";
+    case OriginFault::Unreachable:
+        return "unreachable";
+    }
+    return "";
+}
+
+} // namespace indigoway::origins
--- a/tests/fleet/nodedirectorytest.cpp
+++ b/tests/fleet/nodedirectorytest.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(renewalRateIsIndependentOfFleetSize);
     CPPUNIT_TEST(replacesLeaseAsFleetGrows);
     CPPUNIT_TEST(leavingNodeWritesNothing);
+    CPPUNIT_TEST(countsChangesOfMembers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -244,6 +245,20 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t {5}, announcer.leave().value());
         CPPUNIT_ASSERT(!announcer.nextCall(at(9'000)).has_value());
     }
+
+    // Guards against nodes that take the dead for members until another one joins.
+    void countsChangesOfMembers()
+    {
+        NodeDirectory directory(node("n1"));
+        const std::uint64_t start = directory.changes();
+        directory.announce("k2", node("n2"));
+        CPPUNIT_ASSERT_EQUAL(start + 1, directory.changes());
+        directory.withdraw("k2", at(0));
+        directory.purgeWithdrawn(at(100));
+        CPPUNIT_ASSERT_EQUAL(start + 1, directory.changes());
+        directory.purgeWithdrawn(at(5'000));
+        CPPUNIT_ASSERT_EQUAL(start + 2, directory.changes());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(NodeDirectoryTest);
