Leave each software version an engine in each phase

Change: while several versions serve, the last engine of a version in its phase gets no order.

Measured: phasebalancetest keepsAnEngineOfEachVersion; without the change the engine is the first that is chosen.

--- a/src/dispatch/phasebalance.cpp
+++ b/src/dispatch/phasebalance.cpp
@@ -119,9 +119,13 @@
     const EnginePhase to = difference > 0 ? EnginePhase::Decode : EnginePhase::Prefill;
     auto &from = difference > 0 ? prefill : decode;
     std::map<DomainName, std::size_t> left;
+    std::map<std::string, std::size_t> leftOfVersion;
     for (const AnnouncedServer *server : from) {
         ++left[server->domain];
+        ++leftOfVersion[server->version];
     }
+    // Streams and KV caches of a version need engines of that version in both phases.
+    const bool hasSeveralVersions = leftOfVersion.size() > 1;
     std::vector<PhaseOrder> orders;
     for (int i = 0; i < std::abs(difference) && !from.empty(); ++i) {
         // Chooses from the domain with the most candidates, so that each domain keeps some.
@@ -129,8 +133,11 @@
             return left[a->domain] < left[b->domain];
         });
         --left[(*one)->domain];
-        if (!isChanging((*one)->name, now)) {
+        std::size_t &sameVersion = leftOfVersion[(*one)->version];
+        const bool isLastOfVersion = hasSeveralVersions && sameVersion == 1;
+        if (!isLastOfVersion && !isChanging((*one)->name, now)) {
             orders.push_back({*one, to});
+            --sameVersion;
         }
         from.erase(one);
     }
--- a/tests/dispatch/phasebalancetest.cpp
+++ b/tests/dispatch/phasebalancetest.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(crashedEnginesCauseNoOrders);
     CPPUNIT_TEST(ordersComeFromAllDomains);
     CPPUNIT_TEST(refusedOrderKeepsTheEngineInUse);
+    CPPUNIT_TEST(keepsAnEngineOfEachVersion);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -192,6 +193,26 @@
         orders.cancel(name);
         CPPUNIT_ASSERT(!orders.isChanging(name, at(2'100)));
     }
+
+    // Guards against streams of a version that lose its last decode engine to another phase.
+    void keepsAnEngineOfEachVersion()
+    {
+        PhaseOrderPlanner orders;
+        const PhaseBalance balance = usualBalance();
+        ServerDirectory servers;
+        addEngines(servers, "d", EnginePhase::Decode, 12);
+        addEngines(servers, "p", EnginePhase::Prefill, 2);
+        AnnouncedServer last = *servers.find(ServerName("d0"));
+        last.version = "v0";
+        servers.announce(last);
+        orders.decide(at(0), service(51'867), servers, balance);
+        const auto given = orders.decide(at(2'000), service(51'867), servers, balance);
+        CPPUNIT_ASSERT(!given.empty());
+        for (const PhaseOrder &order : given) {
+            CPPUNIT_ASSERT(order.phase == EnginePhase::Prefill);
+            CPPUNIT_ASSERT(order.server->name != ServerName("d0"));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PhaseBalanceTest);
