Soak with software versions and callers who resume their streams elsewhere

--versions: engines come back with another version, one or two at a time, under streams whose callers take them up at other nodes. Checked: no stream has events of two versions, none is missing or comes twice.

--- a/tests/processes/soak.sh
+++ b/tests/processes/soak.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Two short runs of the fault soak, each seed that ever failed (tests/soak/failed-seeds), and two runs
-# that also cut nodes off from the backend servers.
+# each that also cut nodes off from the backend servers, and that mix software versions of engines.
 . "$(dirname "$0")/common.sh"
 SEEDS="1 2 $(grep -o '^[0-9]*' tests/soak/failed-seeds)"
 for seed in $SEEDS; do
@@ -9,4 +9,7 @@
 for seed in 1 2; do
     python3 tests/soak/soak.py --build "$BUILD" --seed "$seed" --cuts --logs "$RUN" || fail "soak with cuts of seed $seed"
 done
+for seed in 1 2; do
+    python3 tests/soak/soak.py --build "$BUILD" --seed "$seed" --versions --logs "$RUN" || fail "soak with versions of seed $seed"
+done
 echo "OK"
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,6 +6,8 @@
 # A new process needs some time to be of use; faults in between would only keep it down.
 RESTART_PAUSE_S = 0.3
 CUT_AFTERMATH_S = 1.0
+# The stand-in starts an engine again after 0.3 s; nodes learn of it later.
+UPGRADE_S = 0.8
 
 
 class Faults:
@@ -50,6 +52,18 @@
             await self.platform.control({"advice": {"worker": worker, "headers": {}}})
             await asyncio.sleep(random.uniform(0.1, 1.0))
 
+    async def upgrade(self, random, until):
+        """Decode engines come back with another software version, one or two at a time."""
+        while self.clock() < until:
+            await asyncio.sleep(random.uniform(0.8, 2.5))
+            for worker in random.sample(["d-1", "d-2", "d-3", "d-4"], random.choice([1, 2])):
+                version = random.choice(["v1", "v2", "v3"])
+                record = [None, self.clock(), float("inf")]
+                self.touched.append(record)
+                self.log.write(f"upgrade {self.clock():.2f} {worker} {version}\n")
+                await self.platform.control({"upgrade": {"worker": worker, "version": version}})
+                record[2] = self.clock() + UPGRADE_S
+
     async def _strike(self, fault):
         node = self.random.choice(self.nodes)
         start = self.clock()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,6 +6,8 @@
     tests/soak/soak.py --build build --seed 1 --runs 50  seeds 1 to 50, some at a time
     tests/soak/soak.py --build build --seed 1 --cuts     also cuts nodes off from all backend servers; each
                                                          node is then in a failure domain of its own
+    tests/soak/soak.py --build build --seed 1 --versions engines come back with other software versions, and
+                                                         callers resume their streams at other nodes
 
 A seed fixes which faults strike and when they are due; processes and their timing are real. What
 is checked: every answer is the caller's own, and whole or visibly cut; nothing runs twice; what
@@ -13,6 +15,7 @@
 fault touched; a node that leaves cuts no stream; no process ends by itself; and when the faults
 are over, all nodes serve and no engine memory is held. Servers limit and refuse requests in their answers,
 and keys come and go meanwhile; one organisation sends far more than its quota (organisations.py).
+No stream has events of two software versions (streams.py).
 """
 
 import argparse
@@ -27,12 +30,14 @@
 from faults import Faults
 from fleet import Node, Platform
 import organisations as organisation
+from streams import ResumingCaller, mixed_or_disordered
 
 FAULTS_S = 8.0
 # Leases of killed nodes end, and what they held at engines lapses.
 SETTLE_S = 4.5
 CALLERS_A_NODE = 3
 PROBES_A_NODE = 6
+RESUMING_CALLERS = 6
 
 
 async def wait_until_served(caller, clock, limit):
@@ -87,24 +92,24 @@
     return outcomes, known
 
 
-async def soak(build, seed, count, cuts_nodes, log):
+async def soak(options, seed, log):
     chance = random.Random(seed)
     begun = time.monotonic()
 
     def clock():
         return time.monotonic() - begun
 
-    platform = Platform(build, log)
-    nodes = [Node(f"n{i}", build, log) for i in range(1, count + 1)]
+    platform = Platform(options.build, log, decode_engines=4 if options.versions else 2)
+    nodes = [Node(f"n{i}", options.build, log) for i in range(1, options.nodes + 1)]
     try:
-        return await play(platform, nodes, seed, chance, clock, cuts_nodes, log)
+        return await play(platform, nodes, seed, chance, clock, options, log)
     finally:
         for process in [*nodes, platform]:
             await process.kill()
 
 
-async def play(platform, nodes, seed, chance, clock, cuts_nodes, log):
-    await platform.start(nodes if cuts_nodes else ())
+async def play(platform, nodes, seed, chance, clock, options, log):
+    await platform.start(nodes if options.cuts else ())
     organisations = organisation.Organisations(clock)
     await platform.declare(organisations.declared())
     for node in nodes:
@@ -112,7 +117,7 @@
         await node.store.listen()
         await node.callers.listen()
         await node.start()
-    faults = Faults(chance, clock, platform, nodes, organisations, log, cuts_nodes)
+    faults = Faults(chance, clock, platform, nodes, organisations, log, options.cuts)
     problems = faults.problems
     for node in nodes:
         first = Caller(f"before-{node.name}", node, chance, clock, organisations)
@@ -128,8 +133,14 @@
                organisation.HOT_KEY)
         for node in nodes
     ]
+    resuming = [
+        ResumingCaller(f"r{i}", nodes, random.Random(f"{seed}/resuming/{i}"), clock, organisations)
+        for i in range(RESUMING_CALLERS if options.versions else 0)
+    ]
     advising = faults.advise(random.Random(f"{seed}/advice"), until)
-    await asyncio.gather(faults.run(until), advising, *(caller.run(until + 1.0) for caller in callers),
+    upgrading = [faults.upgrade(random.Random(f"{seed}/upgrade"), until)] if options.versions else []
+    await asyncio.gather(faults.run(until), advising, *upgrading,
+                         *(caller.run(until + 1.0) for caller in resuming), *(caller.run(until + 1.0) for caller in callers),
                          *(caller.run_without_pause(until + 1.0) for caller in hot))
     callers += hot
     for node in nodes:
@@ -141,17 +152,23 @@
     for one in outcomes:
         log.write(f"request {one.id} {one.node.name} {one.started:.2f} {one.ended:.2f} {one.status} {one.key} "
                   f"events={one.events} whole={one.is_whole} runs={runs.get(one.id, 0)}\n")
+    streams = [one for caller in resuming for one in caller.streams]
+    for one in streams:
+        log.write(f"stream {one.name} versions={known['versions'].get(one.begun_id)} "
+                  f"{[(a.node.name, a.status, a.events) for a in one.attempts]}\n")
+    problems += mixed_or_disordered(streams, known["versions"])
     problems += broken_promises(outcomes, runs, faults)
     problems += organisation.broken_promises(outcomes, known, organisations)
     served = sum(one.status == 200 and one.is_whole for one in outcomes)
-    return problems, f"{served} of {len(outcomes)} served, {len(faults.touched)} faults"
+    return problems, f"{served} of {len(outcomes)} served, {len(faults.touched)} faults, "\
+        f"{sum(one.was_resumed for one in streams)} of {len(streams)} streams went on at another node"
 
 
 async def run_seed(options, seed, limit):
     async with limit:
         path = pathlib.Path(options.logs) / f"soak-{seed}.log"
         with open(path, "w", encoding="utf-8") as log:
-            problems, summary = await soak(options.build, seed, options.nodes, options.cuts, log)
+            problems, summary = await soak(options, seed, log)
             for problem in problems:
                 log.write(f"problem {problem}\n")
         print(f"seed {seed}: {'FAILED' if problems else 'ok'}, {summary}", flush=True)
@@ -170,6 +187,8 @@
     parser.add_argument("--seed", type=int, default=1, help="the first seed")
     parser.add_argument("--runs", type=int, default=1, help="how many seeds")
     parser.add_argument("--cuts", action="store_true", help="also cut nodes off from all backend servers")
+    parser.add_argument("--versions", action="store_true",
+                        help="also restart engines with other software versions under streams that are resumed")
     parser.add_argument("--nodes", type=int, default=3, help="nodes a run")
     parser.add_argument("--at-once", type=int, default=4, help="runs at a time")
     parser.add_argument("--logs", default=tempfile.gettempdir(), help="folder for logs of failed runs")
--- a/tests/soak/streams.py
+++ b/tests/soak/streams.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from callers import read_chunk, read_head
+from callers import EVENTS, read_chunk, read_head
 
 PATIENCE_S = 14.0
 ANSWER_LIMIT_S = 5.0
@@ -93,3 +93,45 @@
                 self.events.append(number)
                 self.begun_id = self.begun_id or request_id
         attempt.is_whole = True
+
+    @property
+    def was_resumed(self):
+        """Whether an attempt that resumed the stream has brought events."""
+        return any(one.events for one in self.attempts[1:]) and bool(self.attempts[0].events)
+
+
+class ResumingCaller:
+    """A caller who takes its streams up again at other nodes until they are whole or refused."""
+
+    MAX_ATTEMPTS = 4
+
+    def __init__(self, name, nodes, random, clock, organisations):
+        self.name = name
+        self.nodes = nodes
+        self.random = random
+        self.clock = clock
+        self.organisations = organisations
+        self.streams = []
+
+    async def run(self, until):
+        while self.clock() < until:
+            key = self.organisations.good_keys()[-1]
+            stream = Stream(f"{self.name}-{len(self.streams)}", self.clock, key)
+            self.streams.append(stream)
+            for _ in range(self.MAX_ATTEMPTS):
+                if stream.is_whole or self.clock() > until:
+                    break
+                await stream.attempt(self.random.choice(self.nodes))
+                await asyncio.sleep(self.random.uniform(0.0, 0.1))
+
+
+def mixed_or_disordered(streams, versions):
+    """Broken promises: events of two software versions, events that are missing or come twice."""
+    for one in streams:
+        seen = versions.get(one.begun_id, [])
+        if len(seen) > 1:
+            yield f"{one.name} has events of {' and '.join(seen)}"
+        if not one.is_in_order():
+            yield f"{one.name} has the events {one.events}"
+        if one.is_whole and len(one.events) != EVENTS:
+            yield f"{one.name} ended in good order after {len(one.events)} events"
