--- a/src/dispatch/dispatcheffects.h
+++ b/src/dispatch/dispatcheffects.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "origins/originmessages.h"
 #include "quotas/quotamessages.h"
 #include "ratelimits/ratelimitmessages.h"
 #include "scheduling/schedulermessages.h"
@@ -137,6 +138,13 @@
     slots::ToPlainScheduler message;
 };
 
+/** Sends a datagram about the origin of a stream to another node; it may be lost. */
+struct SendToNode
+{
+    NodeName to;
+    origins::OriginMessage message;
+};
+
 /** Stores a crash note for all nodes, including those that start later. */
 struct PublishCrash
 {
@@ -175,7 +183,7 @@
 using DispatchEffect =
     std::variant<StartCall, AbandonCall, DeliverAnswer, ForwardStream, EndStream, BreakStream,
                  RejectRequest, SendToScheduler, SendToQuotaKeeper, SendToRateLimiter,
-                 SendToPlainScheduler, PublishCrash, LogDecision, RequestEnded>;
+                 SendToPlainScheduler, SendToNode, PublishCrash, LogDecision, RequestEnded>;
 using DispatchEffects = std::vector<DispatchEffect>;
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -66,6 +66,7 @@
     , m_plain(m_state)
     , m_generations(m_state)
     , m_crashDetector(m_state)
+    , m_resumption(m_state)
     , m_quotas(m_state.settings.quotas, startedAt)
 { }
 
@@ -143,8 +144,10 @@
     std::visit([&](const auto &alternative) { handle(step, alternative); }, event);
     tickQuotas(step);
     tickPermits(step);
+    originsDecided(step, m_resumption.tick(step));
     m_nextTick = earlier(earlier(m_generations.tick(step), m_plain.tick(step)),
                          earlier(m_quotas.nextTick(), m_state.permits.nextTick()));
+    m_nextTick = earlier(m_nextTick, m_resumption.nextTick());
     return effects;
 }
 
@@ -159,8 +162,8 @@
     request.arrival = event;
     request.table = m_table;
     request.arrived = step.now;
-    const bool isServed = findRoute(step, request) && admitCaller(step, request)
-        && chooseService(step, request) && isAcceptable(step, request);
+    const bool isServed =
+        findRoute(step, request) && admitCaller(step, request) && isAcceptable(step, request);
     if (!isServed) {
         return; // The request has been answered.
     }
@@ -172,7 +175,35 @@
         request.deadline = std::min(request.deadline, step.now + *event.patience);
     }
     m_timeouts.set(event.request, request.deadline + TimeoutGrace);
-    serveWithinQuota(step, m_state.requests.add(std::move(request)));
+    OpenRequest &added = m_state.requests.add(std::move(request));
+    if (!StreamResumption::isResumption(added)) {
+        serve(step, added);
+        return;
+    }
+    originsDecided(step, {{event.request, m_resumption.begin(step, added)}});
+}
+
+void Dispatcher::serve(Step &step, OpenRequest &request)
+{
+    if (request.service || chooseService(step, request)) {
+        serveWithinQuota(step, request);
+    }
+}
+
+void Dispatcher::originsDecided(Step &step, const std::vector<StreamResumption::Outcome> &outcomes)
+{
+    for (const StreamResumption::Outcome &outcome : outcomes) {
+        if (outcome.decision == StreamResumption::Decision::Ready) {
+            serve(step, *m_state.requests.find(outcome.request));
+        } else if (outcome.decision == StreamResumption::Decision::Rejected) {
+            m_timeouts.clear(outcome.request);
+        }
+    }
+}
+
+void Dispatcher::handle(Step &step, const OriginMessageArrived &event)
+{
+    originsDecided(step, m_resumption.messageArrived(step, event));
 }
 
 bool Dispatcher::findRoute(Step &step, OpenRequest &request)
@@ -217,11 +248,13 @@
 {
     const ServiceName *name = pickService(*request.route, step.random());
     request.service = name ? m_table->service(*name) : nullptr;
-    if (!request.service) {
-        rejectArrival(step, request.arrival, ServiceUnavailable, step.jitter(RoutingRetryDelay),
-                      "route without a service");
+    if (request.service) {
+        return true;
     }
-    return request.service != nullptr;
+    m_timeouts.clear(request.arrival.request);
+    m_state.requests.reject(step, request, step.jitter(RoutingRetryDelay),
+                            "route without a service");
+    return false;
 }
 
 bool Dispatcher::isAcceptable(Step &step, const OpenRequest &request)
@@ -379,6 +412,7 @@
 {
     m_quotas.abandonQuery(quotas::QuotaQueryId(request.value()));
     m_state.permits.abandon(request);
+    m_state.origins.abandon(request);
 }
 
 void Dispatcher::handle(Step &step, const CallerLeft &event)
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -4,6 +4,7 @@
 #include "dispatch/dispatchstate.h"
 #include "dispatch/generationflow.h"
 #include "dispatch/plainflow.h"
+#include "dispatch/streamresumption.h"
 
 #include "core/deadlines.h"
 
@@ -33,6 +34,12 @@
      * among them.
      */
     void setNodes(std::uint32_t nodes, TimePoint now);
+    /** Sets the other nodes, which keep the origins of streams for this one. */
+    void setOriginHolders(TimePoint now, const std::vector<origins::Holder> &nodes)
+    {
+        m_state.origins.setNodes(now, nodes);
+    }
+    const origins::StreamOrigins &origins() const { return m_state.origins; }
     void announce(AnnouncedServer server);
     void withdraw(const ServerName &name, TimePoint now) { m_state.servers.withdraw(name, now); }
     /** Removes a server instance that has ended or must not be used. */
@@ -87,6 +94,7 @@
     void handle(Step &step, const QuotaKeeperAnswered &event);
     void handle(Step &step, const RateLimiterAnswered &event);
     void handle(Step &step, const PlainSchedulerAnswered &event);
+    void handle(Step &step, const OriginMessageArrived &event);
     void handle(Step &step, const TimePassed &event);
     void recordCallResult(Step &step, const OpenCall &call, const OpenRequest &request,
                           const CallEnded &event);
@@ -100,6 +108,9 @@
      * Checks that the content is not refused and that the request can complete before a shutdown.
      */
     bool isAcceptable(Step &step, const OpenRequest &request);
+    /** Starts a request that has a route and, if it resumes a stream, its origin. */
+    void serve(Step &step, OpenRequest &request);
+    void originsDecided(Step &step, const std::vector<StreamResumption::Outcome> &outcomes);
     /** Starts @p request if the quota of its organisation allows it. */
     void serveWithinQuota(Step &step, OpenRequest &request);
     void quotaDecided(Step &step, const quotas::QuotaResult &verdict);
@@ -125,6 +136,7 @@
     PlainFlow m_plain;
     GenerationFlow m_generations;
     CrashDetector m_crashDetector;
+    StreamResumption m_resumption;
     std::shared_ptr<const RouteTable> m_table;
     quotas::QuotaEnforcer m_quotas;
     bool m_hasNewRoutes = false; ///< Since the last TimePassed event.
--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/admission.h"
+#include "origins/originmessages.h"
 #include "quotas/quotamessages.h"
 #include "ratelimits/ratelimitmessages.h"
 #include "scheduling/schedulermessages.h"
@@ -155,6 +156,13 @@
     Incarnation life; ///< Of the scheduler.
 };
 
+/** Carries a message of another node about the origin of a stream. */
+struct OriginMessageArrived
+{
+    NodeName from;
+    origins::OriginMessage message;
+};
+
 /** Signals that a deadline may have passed. */
 struct TimePassed
 {
@@ -163,6 +171,6 @@
 using DispatchEvent =
     std::variant<ArrivedRequest, CallerLeft, StreamStarted, StreamSilent, StreamProgress, CallEnded,
                  SchedulerAnswered, QuotaKeeperAnswered, RateLimiterAnswered,
-                 PlainSchedulerAnswered, TimePassed>;
+                 PlainSchedulerAnswered, OriginMessageArrived, TimePassed>;
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/dispatchstate.h
+++ b/src/dispatch/dispatchstate.h
@@ -7,6 +7,7 @@
 #include "dispatch/serverpauses.h"
 #include "dispatch/servertracker.h"
 #include "fleet/serverdirectory.h"
+#include "origins/streamorigins.h"
 #include "quotas/quotaenforcer.h"
 #include "ratelimits/serverpermits.h"
 
@@ -47,6 +48,7 @@
     CrashRecords crashes;
     ratelimits::ServerPermits permits;
     ServerPauses pauses;
+    origins::StreamOrigins origins;
     std::map<ServiceName, NodeRetryBudget> retryBudgets;
 
     /**
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -2,6 +2,7 @@
 
 #include "core/deadlines.h"
 #include "dispatch/generationlimits.h"
+#include "dispatch/streamresumption.h"
 
 namespace indigoway::dispatch {
 
@@ -33,6 +34,12 @@
     return {request.tokenDemand, domain, &request.triedServers, step.random()};
 }
 
+/** KV caches of one software version cannot be used by another one. */
+bool isSameVersion(const AnnouncedServer &prefill, const AnnouncedServer *decode)
+{
+    return !decode || prefill.version == decode->version;
+}
+
 /**
  * Maps the result of a failed reservation to the claim result that is reported to the scheduler.
  */
@@ -74,6 +81,7 @@
     }
     request.isForwarding = true;
     request.firstAnswerAt = step.now;
+    recordStreamOrigin(step, m_state, request);
     request.handle.clear();
     if (event.load) {
         m_state.tracker.recordLoad(request.server, *event.load, step.now);
@@ -193,6 +201,9 @@
     for (const RequestNumber number : m_waiting.overdue(m_state.requests, step.now)) {
         failUnsent(step, *m_state.requests.find(number), "no room at any decode engine");
     }
+    for (const RequestNumber number : m_waiting.unservable(m_state, step.now)) {
+        failUnservable(step, *m_state.requests.find(number));
+    }
     for (const RequestNumber number : m_waiting.blocked(m_state, step.now)) {
         failUnsent(step, *m_state.requests.find(number), "all engines limit requests");
     }
@@ -241,7 +252,7 @@
         m_phases.updateWork(request->service->name, *granted->work);
     }
     const AnnouncedServer *server = m_state.servers.find(granted->decodeServer);
-    if (!server
+    if (!server || !request->accepts(*server)
         || m_state.servers.availability(server->name, step.now) == ServerAvailability::Leaving) {
         // The local server list is newer than the grant.
         m_claims.end(step, *request, scheduling::ClaimOutcome::Cancelled);
@@ -373,8 +384,11 @@
     const DomainName domain = decodeServer ? decodeServer->domain : m_state.settings.domain;
     const AnnouncedServer *server = plannedPrefill(step, request);
     if (!server) {
-        server = m_placement.pickPrefill(candidateEngines(step, request, EnginePhase::Prefill),
-                                         engineNeedOf(step, request, domain), step.now);
+        auto candidates = candidateEngines(step, request, EnginePhase::Prefill);
+        std::erase_if(candidates, [&](const AnnouncedServer *candidate) {
+            return !isSameVersion(*candidate, decodeServer);
+        });
+        server = m_placement.pickPrefill(candidates, engineNeedOf(step, request, domain), step.now);
     }
     if (!server || request.prefillAttempts >= MaxPrefillAttempts
         || request.refusedPermits >= MaxRefusedPermits) {
@@ -418,7 +432,9 @@
 {
     const ServerName planned = std::exchange(request.plannedPrefill, {});
     const AnnouncedServer *server = m_state.servers.find(planned);
-    const bool isAvailable = server && !request.triedServers.contains(planned)
+    const bool isAvailable = server
+        && isSameVersion(*server, m_state.servers.find(request.decodeServer))
+        && !request.triedServers.contains(planned)
         && m_state.servers.availability(planned, step.now) != ServerAvailability::Leaving
         && !m_state.isBlocked(planned, step.now) && !m_placement.isFaultySource(planned, step.now);
     return isAvailable ? server : nullptr;
@@ -453,7 +469,7 @@
 void GenerationFlow::decode(Step &step, OpenRequest &request, bool isWhole)
 {
     const AnnouncedServer *server = m_state.servers.find(request.decodeServer);
-    if (!server || m_state.pauses.pausedUntil(server->name, step.now)
+    if (!server || !request.accepts(*server) || m_state.pauses.pausedUntil(server->name, step.now)
         || m_state.servers.availability(server->name, step.now) == ServerAvailability::Leaving) {
         request.triedServers.insert(request.decodeServer);
         releaseResources(step, request, ClaimOutcome::Cancelled);
@@ -514,6 +530,7 @@
         }
         releaseResources(step, request, ClaimOutcome::Served);
         if (request.isForwarding) {
+            forgetStreamOrigin(m_state, request);
             m_state.requests.endStream(step, request);
         } else {
             m_state.requests.deliver(step, request, event.call, event.status);
@@ -663,6 +680,20 @@
     }
 }
 
+void GenerationFlow::failUnservable(Step &step, OpenRequest &request)
+{
+    const std::string reason =
+        "no server of the stream's version version=" + versionText(*request.boundVersion);
+    if (request.isForwarding || request.mayHaveExecuted()) {
+        failUnsent(step, request, reason);
+        return;
+    }
+    release(step, request);
+    constexpr int ServiceUnavailable = 503;
+    m_state.requests.refuse(step, request,
+                            {ServiceUnavailable, RequestOutcome::Rejected, std::nullopt, reason});
+}
+
 void GenerationFlow::releaseResources(Step &step, OpenRequest &request, ClaimOutcome result)
 {
     m_claims.end(step, request, result);
@@ -697,7 +728,7 @@
 {
     auto servers = m_state.servers.candidates(request.service->name, phase, step.now);
     std::erase_if(servers, [&](const AnnouncedServer *server) {
-        return m_phases.isChanging(server->name, step.now)
+        return !request.accepts(*server) || m_phases.isChanging(server->name, step.now)
             || m_state.isBlocked(server->name, step.now);
     });
     return m_state.tracker.preferredServers(servers, step.now);
--- a/src/dispatch/generationflow.h
+++ b/src/dispatch/generationflow.h
@@ -96,6 +96,8 @@
     bool maySend(Step &step, OpenRequest &request);
     void recordFailure(Step &step, const ServerName &server, CallEnd end);
     void failUnsent(Step &step, OpenRequest &request, const std::string &reason);
+    /** Ends a request that no server's software version allows to continue. */
+    void failUnservable(Step &step, OpenRequest &request);
     /** Releases the engine load, reservation, handle and claim of @p request. */
     void releaseResources(Step &step, OpenRequest &request, scheduling::ClaimOutcome result);
     std::vector<const AnnouncedServer *> candidateEngines(Step &step, const OpenRequest &request,
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -180,6 +180,8 @@
 const char *nameOf(Stage stage)
 {
     switch (stage) {
+    case Stage::AwaitingOrigin:
+        return "awaiting_origin";
     case Stage::AwaitingQuota:
         return "awaiting_quota";
     case Stage::AwaitingPermit:
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -55,6 +55,7 @@
 
 /** State of a generation. Plain requests stay in Calling. */
 enum class Stage {
+    AwaitingOrigin, ///< Waits for other nodes to say where the resumed stream began.
     AwaitingQuota,  ///< Waits for the quota keeper.
     AwaitingPermit, ///< Waits for a permit to call a server with a rate limit.
     AwaitingSlot,   ///< Waits for a slot at a plain server.
@@ -118,6 +119,11 @@
     TimePoint firstAnswerAt {};
     std::uint32_t forwardedEvents = 0;
     bool isRetry = false; ///< The caller was rejected before, by any node.
+    /**
+     * Software version of the server that began the stream, from the first event on; only servers
+     * of that version may continue it.
+     */
+    std::optional<std::string> boundVersion;
 
     std::uint32_t refusedPermits = 0; ///< Refusals because of servers' rate limits.
 
@@ -149,6 +155,11 @@
     scheduling::Urgency urgency() const;
     /** Returns the priority of the organisation if it has one, else that of the route. */
     std::uint32_t priority() const;
+    /** Returns whether the software version of @p candidate allows it to serve the request. */
+    bool accepts(const AnnouncedServer &candidate) const
+    {
+        return !boundVersion || *boundVersion == candidate.version;
+    }
     bool isGeneration() const { return route->isStream && service && service->engine; }
     bool mayHaveExecuted() const { return executions > 0; }
 };
--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -1,5 +1,7 @@
 #include "plainflow.h"
 
+#include "dispatch/streamresumption.h"
+
 #include <algorithm>
 
 namespace indigoway::dispatch {
@@ -62,6 +64,7 @@
     OpenRequests::recordFirstEvent(step, request);
     request.isForwarding = true;
     request.firstAnswerAt = step.now;
+    recordStreamOrigin(step, m_state, request);
     step.add(ForwardStream {request.arrival.request, event.call});
 }
 
@@ -149,7 +152,9 @@
 bool PlainFlow::claimSlot(Step &step, OpenRequest &request)
 {
     const ServiceName &service = request.service->name;
-    if (!m_slots.isScheduled(service) || !m_slots.isAvailable() || !pickServer(step, request)) {
+    // The scheduling node does not know which servers may continue a stream.
+    if (!m_slots.isScheduled(service) || !m_slots.isAvailable() || request.boundVersion
+        || !pickServer(step, request)) {
         return false;
     }
     slots::SlotClaim claim;
@@ -258,7 +263,7 @@
                               bool isGranted)
 {
     request.stage = Stage::Calling;
-    if (isGranted && isUsable(server, step.now)
+    if (isGranted && isUsable(server, step.now) && request.accepts(*m_state.servers.find(server))
         && !m_state.remainingRefusal(request.arrival.content, step.now)) {
         sendTo(step, request, *m_state.servers.find(server));
         return;
@@ -311,6 +316,13 @@
 
 void PlainFlow::rejectNotExecuted(Step &step, OpenRequest &request, const std::string &reason)
 {
+    if (!isServable(m_state, request, step.now)) {
+        constexpr int ServiceUnavailable = 503;
+        m_state.requests.refuse(step, request,
+                                {ServiceUnavailable, RequestOutcome::Rejected, std::nullopt,
+                                 "no server of the stream's version"});
+        return;
+    }
     const auto unblockedAt =
         m_state.allBlockedUntil(request.service->name, EnginePhase::None, step.now);
     const Duration wait = unblockedAt ? *unblockedAt - step.now : Duration(0);
@@ -355,7 +367,7 @@
     std::vector<const AnnouncedServer *> untried;
     for (const AnnouncedServer *server : candidates) {
         const bool mayUse = mayAskForPermit || !m_state.permits.isLimited(server->name);
-        if (mayUse && !request.triedServers.contains(server->name)
+        if (mayUse && request.accepts(*server) && !request.triedServers.contains(server->name)
             && !m_state.isBlocked(server->name, step.now)) {
             untried.push_back(server);
         }
@@ -390,6 +402,7 @@
     const bool isSuccess = event.status < FirstServerErrorStatus;
     m_state.tracker.recordAnswer(call.server.name, step.now - call.started, isSuccess, step.now);
     if (request.isForwarding) {
+        forgetStreamOrigin(m_state, request);
         m_state.requests.endStream(step, request);
         return;
     }
--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -262,6 +262,7 @@
     const AnnouncedServer *target = granted ? granted : backup;
     if (next.kind == Kind::ContinueAtTarget) {
         target = m_state.servers.find(request.run.stopTarget);
+        target = target && request.accepts(*target) ? target : nullptr;
     }
     const char *reason = next.kind == Kind::GiveUp
         ? next.reason
@@ -419,7 +420,9 @@
                                                      TimePoint now) const
 {
     const AnnouncedServer *backup = m_state.servers.find(request.run.backup);
-    const bool isOther = backup && backup->name != request.decodeServer;
+    const AnnouncedServer *engine = m_state.servers.find(request.decodeServer);
+    const bool isOther = backup && backup->name != request.decodeServer && request.accepts(*backup)
+        && (!engine || engine->version == backup->version);
     return isOther && isEnabled(request) && isUsable(*backup, now) ? backup : nullptr;
 }
 
@@ -427,7 +430,7 @@
                                                      TimePoint now) const
 {
     const AnnouncedServer *target = m_state.servers.find(request.run.target);
-    const bool isOther = target && target->name != request.decodeServer;
+    const bool isOther = target && target->name != request.decodeServer && request.accepts(*target);
     return isOther && isUsable(*target, now) ? target : nullptr;
 }
 
--- a/src/dispatch/schedulerclaims.cpp
+++ b/src/dispatch/schedulerclaims.cpp
@@ -87,6 +87,7 @@
     message.domain = domain;
     message.promptTokens = readsWhole ? 0 : request.arrival.promptTokens;
     message.memory = request.memory;
+    message.version = request.boundVersion;
     message.urgency = request.urgency();
     message.priority = request.priority();
     message.maxWait = maxWait;
--- /dev/null
+++ b/src/dispatch/streamresumption.cpp
@@ -0,0 +1,180 @@
+#include "streamresumption.h"
+
+#include "origins/origincodec.h"
+
+#include <algorithm>
+
+namespace indigoway::dispatch {
+
+namespace {
+
+using origins::OriginFault;
+using origins::OriginResult;
+using origins::StreamId;
+
+/** Another node may reach those that know the origin. */
+constexpr Duration UnreachableRetryDelay = std::chrono::milliseconds(50);
+/** How long a stream can be resumed if its caller sets no time limit. */
+constexpr Duration MaxStreamTime = std::chrono::minutes(10);
+/** Covers the transit of the last attempt to resume a stream. */
+constexpr Duration KeepMargin = std::chrono::seconds(2);
+
+void sendToNodes(Step &step, origins::StreamOrigins::Messages messages)
+{
+    for (origins::StreamOrigins::Outgoing &message : messages) {
+        step.add(SendToNode {std::move(message.to), std::move(message.message)});
+    }
+}
+
+/** Returns the id by which callers resume the stream of @p request; empty if they can't. */
+StreamId streamIdOf(const OpenRequest &request)
+{
+    const ArrivedRequest &arrival = request.arrival;
+    const bool isResumption = StreamResumption::isResumption(request);
+    const std::string &id = isResumption ? arrival.resumedId : arrival.callerId;
+    const bool isResumable = request.route->isResumable && id.size() <= origins::MaxNameBytes;
+    return isResumable ? StreamId(id) : StreamId();
+}
+
+bool leadsTo(const Route &route, const ServiceName &service)
+{
+    return std::ranges::any_of(route.shares, [&service](const ServiceShare &share) {
+        return share.service == service && share.weight > 0;
+    });
+}
+
+std::string textOf(const OriginResult &result)
+{
+    std::string text =
+        "asked=" + std::to_string(result.asked) + " took_ms=" + millisecondsText(result.lookupTime);
+    if (!result.record) {
+        return text + " origin=" + nameOf(result.fault);
+    }
+    return text + " origin=known service=" + result.record->origin.service.text()
+        + " version=" + versionText(result.record->origin.version)
+        + " from=" + (result.learntFrom.isEmpty() ? "own" : result.learntFrom.text())
+        + " age_ms=" + millisecondsText(result.record->age);
+}
+
+} // namespace
+
+StreamResumption::Decision StreamResumption::begin(Step &step, OpenRequest &request)
+{
+    const StreamId stream = streamIdOf(request);
+    if (stream.isEmpty()) {
+        reject(step, request, std::nullopt,
+               request.route->isResumable ? "no valid id of the stream to resume"
+                                          : "the route's streams cannot be resumed");
+        return Decision::Rejected;
+    }
+    origins::StreamOrigins::Messages messages;
+    const auto result = m_state.origins.lookUp(step.now, request.arrival.request, stream, messages);
+    sendToNodes(step, std::move(messages));
+    if (result) {
+        return decide(step, *result);
+    }
+    request.stage = Stage::AwaitingOrigin;
+    return Decision::Pending;
+}
+
+StreamResumption::Decision StreamResumption::decide(Step &step, const OriginResult &result)
+{
+    OpenRequest &request = *m_state.requests.find(result.request);
+    request.stage = Stage::Calling;
+    step.add(LogDecision {"stream_origin", request.arrival.callerId,
+                          "resumes=" + request.arrival.resumedId + " " + textOf(result)});
+    if (!result.record) {
+        const bool isUnreachable = result.fault == OriginFault::Unreachable;
+        reject(step, request,
+               isUnreachable ? std::optional(step.jitter(UnreachableRetryDelay)) : std::nullopt,
+               std::string("origin of the stream ") + nameOf(result.fault));
+        return Decision::Rejected;
+    }
+    const origins::StreamOrigin &origin = result.record->origin;
+    request.service =
+        leadsTo(*request.route, origin.service) ? request.table->service(origin.service) : nullptr;
+    if (!request.service) {
+        reject(step, request, std::nullopt,
+               "the route leads to the stream's service no more service=" + origin.service.text());
+        return Decision::Rejected;
+    }
+    request.boundVersion = origin.version;
+    if (!isServable(m_state, request, step.now)) {
+        reject(step, request, std::nullopt,
+               "no server of the stream's version version=" + versionText(origin.version));
+        return Decision::Rejected;
+    }
+    return Decision::Ready;
+}
+
+void StreamResumption::reject(Step &step, OpenRequest &request, std::optional<Duration> retryAfter,
+                              const std::string &reason)
+{
+    constexpr int ServiceUnavailable = 503;
+    m_state.requests.refuse(step, request,
+                            {ServiceUnavailable, RequestOutcome::Rejected, retryAfter, reason});
+}
+
+std::vector<StreamResumption::Outcome>
+StreamResumption::decideAll(Step &step, const std::vector<OriginResult> &results)
+{
+    std::vector<Outcome> outcomes;
+    for (const OriginResult &result : results) {
+        const OpenRequest *request = m_state.requests.find(result.request);
+        if (request && request->stage == Stage::AwaitingOrigin) {
+            outcomes.push_back({result.request, decide(step, result)});
+        }
+    }
+    return outcomes;
+}
+
+std::vector<StreamResumption::Outcome>
+StreamResumption::messageArrived(Step &step, const OriginMessageArrived &event)
+{
+    origins::StreamOrigins::Messages messages;
+    const auto results = m_state.origins.handle(step.now, event.from, event.message, messages);
+    sendToNodes(step, std::move(messages));
+    return decideAll(step, results);
+}
+
+std::vector<StreamResumption::Outcome> StreamResumption::tick(Step &step)
+{
+    origins::StreamOrigins::Messages messages;
+    const auto results = m_state.origins.tick(step.now, messages);
+    sendToNodes(step, std::move(messages));
+    return decideAll(step, results);
+}
+
+void recordStreamOrigin(Step &step, DispatchState &state, OpenRequest &request)
+{
+    request.boundVersion = request.serverVersion;
+    const StreamId stream = streamIdOf(request);
+    if (stream.isEmpty()) {
+        return;
+    }
+    const Duration longest = std::max(request.arrival.patience.value_or(MaxStreamTime),
+                                      Duration(request.deadline - step.now));
+    origins::StreamOrigins::Messages messages;
+    state.origins.begin(step.now, stream, {request.service->name, request.serverVersion},
+                        std::min(longest, MaxStreamTime) + KeepMargin, messages);
+    sendToNodes(step, std::move(messages));
+}
+
+void forgetStreamOrigin(DispatchState &state, const OpenRequest &request)
+{
+    const StreamId stream = streamIdOf(request);
+    if (!stream.isEmpty()) {
+        state.origins.complete(stream);
+    }
+}
+
+bool isServable(const DispatchState &state, const OpenRequest &request, TimePoint now)
+{
+    if (!request.boundVersion) {
+        return true;
+    }
+    const EnginePhase phase = request.service->engine ? EnginePhase::Decode : EnginePhase::None;
+    return state.servers.hasVersion(request.service->name, phase, *request.boundVersion, now);
+}
+
+} // namespace indigoway::dispatch
--- /dev/null
+++ b/src/dispatch/streamresumption.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "dispatch/dispatchstate.h"
+
+#include <optional>
+#include <vector>
+
+namespace indigoway::dispatch {
+
+/**
+ * Binds streams to the service and the software version of the server that sent their first event:
+ * records them at that event, and looks them up when a caller resumes a stream. A stream whose
+ * origin is not known, or whose version no server has any more, is rejected as not executed.
+ */
+class StreamResumption
+{
+public:
+    enum class Decision {
+        Ready,    ///< The request may be sent to the servers that it is bound to.
+        Pending,  ///< Other nodes are being asked.
+        Rejected, ///< The request has been answered.
+    };
+
+    explicit StreamResumption(DispatchState &state)
+        : m_state(state)
+    { }
+
+    /** Returns whether @p request resumes a stream that another attempt has begun. */
+    static bool isResumption(const OpenRequest &request)
+    {
+        return request.arrival.isContinuation && request.route->isStream;
+    }
+    /** Looks up the origin of the stream that @p request resumes. */
+    Decision begin(Step &step, OpenRequest &request);
+    /** A decided lookup; the request is bound to its servers if the decision is Ready. */
+    struct Outcome
+    {
+        RequestNumber request;
+        Decision decision = Decision::Pending;
+    };
+    std::vector<Outcome> messageArrived(Step &step, const OriginMessageArrived &event);
+    std::vector<Outcome> tick(Step &step);
+    std::optional<TimePoint> nextTick() const { return m_state.origins.nextTick(); }
+
+private:
+    Decision decide(Step &step, const origins::OriginResult &result);
+    std::vector<Outcome> decideAll(Step &step, const std::vector<origins::OriginResult> &results);
+    void reject(Step &step, OpenRequest &request, std::optional<Duration> retryAfter,
+                const std::string &reason);
+
+    DispatchState &m_state;
+};
+
+/**
+ * Binds @p request to the software version of the server whose first event is about to be
+ * forwarded, and tells other nodes if the stream can be resumed.
+ */
+void recordStreamOrigin(Step &step, DispatchState &state, OpenRequest &request);
+/** Ends the messages about the origin of a stream that its caller has completely. */
+void forgetStreamOrigin(DispatchState &state, const OpenRequest &request);
+/**
+ * Returns whether a server may serve @p request later on, though perhaps not now; false if it is
+ * bound to a software version that no server has any more.
+ */
+bool isServable(const DispatchState &state, const OpenRequest &request, TimePoint now);
+
+} // namespace indigoway::dispatch
--- a/src/dispatch/waitinggenerations.cpp
+++ b/src/dispatch/waitinggenerations.cpp
@@ -1,6 +1,7 @@
 #include "waitinggenerations.h"
 
 #include "dispatch/generationlimits.h"
+#include "dispatch/streamresumption.h"
 
 namespace indigoway::dispatch {
 
@@ -44,6 +45,17 @@
     return overdue;
 }
 
+std::vector<RequestNumber> WaitingGenerations::unservable(DispatchState &state, TimePoint now) const
+{
+    std::vector<RequestNumber> unservable;
+    for (const RequestNumber number : m_numbers) {
+        if (!isServable(state, *state.requests.find(number), now)) {
+            unservable.push_back(number);
+        }
+    }
+    return unservable;
+}
+
 std::vector<RequestNumber> WaitingGenerations::blocked(DispatchState &state, TimePoint now) const
 {
     std::vector<RequestNumber> blocked;
--- a/src/dispatch/waitinggenerations.h
+++ b/src/dispatch/waitinggenerations.h
@@ -25,6 +25,8 @@
     OpenRequest *next(OpenRequests &requests, TimePoint now) const;
     /** Returns the requests that have waited for too long. */
     std::vector<RequestNumber> overdue(OpenRequests &requests, TimePoint now) const;
+    /** Returns the requests that no server may serve any more, see isServable(). */
+    std::vector<RequestNumber> unservable(DispatchState &state, TimePoint now) const;
     /** Returns the requests that no decode engine accepts from this node in time. */
     std::vector<RequestNumber> blocked(DispatchState &state, TimePoint now) const;
     /**
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -116,6 +116,9 @@
         [this](const quotas::ToKeeper &message) { m_scheduling.send(message); });
     m_relay.setRateLimitHandler(
         [this](const ratelimits::ToRateLimiter &message) { m_scheduling.send(message); });
+    m_relay.setNodeMessageHandler([this](const dispatch::SendToNode &effect) {
+        m_scheduling.send(effect.to, effect.message);
+    });
     m_relay.setPlainSchedulerHandler(
         [this](const slots::ToPlainScheduler &message) { m_scheduling.send(message); });
 }
@@ -297,18 +300,30 @@
     m_dispatcher.setScheduler(m_scheduler ? std::optional(m_scheduler->name) : std::nullopt);
 }
 
-void EdgeNode::updateRelays(TimePoint now)
+void EdgeNode::updateNodes(TimePoint now)
 {
-    if (!std::exchange(m_hasNodeChange, false)) {
+    if (!m_sync.isKnown() || m_appliedNodeChanges == m_roster.changes()) {
         return;
     }
+    m_appliedNodeChanges = m_roster.changes();
     std::vector<RelayNode> relays;
+    std::vector<origins::Holder> holders;
+    std::map<NodeName, DatagramAddress> addresses;
     for (const NodeEntry *node : m_roster.members()) {
-        if (node->name != m_settings.node && !node->relayAddress.empty()) {
+        if (node->name == m_settings.node) {
+            continue;
+        }
+        if (!node->relayAddress.empty()) {
             relays.push_back({node->name, node->relayAddress});
         }
+        if (!node->schedulingAddress.empty()) {
+            holders.push_back({node->name, node->domain, node->announcedAt});
+            addresses.emplace(node->name, node->schedulingAddress);
+        }
     }
     m_relay.setRelays(relays, now);
+    m_scheduling.setNodeAddresses(std::move(addresses));
+    m_dispatcher.setOriginHolders(now, holders);
 }
 
 void EdgeNode::handleStoreChange(const std::string &key, const StoredItem *item)
@@ -426,7 +441,6 @@
     if (!entry->schedulingAddress.empty()) {
         m_scheduling.sendLimitsTo(entry->schedulingAddress);
     }
-    m_hasNodeChange = true;
     entry->announcedSince = item->created;
     entry->announcedAt = item->revision;
     m_roster.announce(key, std::move(*entry));
@@ -529,6 +543,10 @@
             {"slots_refused", m_scheduling.plainScheduler().refused()},
             {"slots_expired", m_scheduling.plainScheduler().expired()},
             {"quotas_scarce", m_scheduling.quotaKeeper().scarceCount()},
+            {"stream_origins_kept", m_dispatcher.origins().records()},
+            {"stream_origins_unconfirmed", m_dispatcher.origins().unconfirmed()},
+            {"stream_origin_notices", m_dispatcher.origins().noticesSent()},
+            {"stream_origin_queries", m_dispatcher.origins().queriesSent()},
             {"contents_crashed", m_dispatcher.crashes().size()},
             {"contents_refused", m_dispatcher.crashes().refusedCount()},
             {"runs_with_backup", m_dispatcher.runCounts().withBackup},
@@ -559,7 +577,7 @@
     recordCopyFreshness();
     detectSuspension(now);
     updateScheduler(now);
-    updateRelays(now);
+    updateNodes(now);
     m_dispatcher.setOrderRight(m_sync.storeWriter().holdsOrderRight());
     if (m_dispatcher.wantsOrderToken()) {
         m_sync.storeWriter().prepareOrders();
--- a/src/edge/edgenode.h
+++ b/src/edge/edgenode.h
@@ -74,8 +74,8 @@
                                                     const StoreLayout &layout);
     static SchedulingEndpoint::Dependencies schedulingDependencies(EdgeNode &node);
     void updateScheduler(TimePoint now);
-    /** Tells the relay which nodes open connections for this one. */
-    void updateRelays(TimePoint now);
+    /** Applies changes of the other nodes, which open connections and keep origins for this one. */
+    void updateNodes(TimePoint now);
     void handleStoreChange(const std::string &key, const StoredItem *item);
     void applyRouting(const std::string &value);
     /** Logs a line for each organisation whose declaration differs from the one in @p old. */
@@ -124,7 +124,7 @@
     std::mt19937_64 m_random;
     std::optional<NodeEntry> m_scheduler; ///< The node that schedules the engines.
     std::optional<TimePoint> m_leavingSince;
-    bool m_hasNodeChange = false; ///< Since the last tick.
+    std::uint64_t m_appliedNodeChanges = 0; ///< Changes of the roster that were applied.
     bool m_hasFirstCopy = false;
     bool m_isCopyFresh = false;
     TimePoint m_storeCallsLoggedAt {};
--- a/src/edge/schedulingendpoint.cpp
+++ b/src/edge/schedulingendpoint.cpp
@@ -3,6 +3,7 @@
 #include "core/deadlines.h"
 #include "core/jsontext.h"
 #include "dispatch/openrequests.h"
+#include "origins/origincodec.h"
 #include "ratelimits/ratelimitcodec.h"
 #include "slots/slotcodec.h"
 
@@ -88,6 +89,14 @@
     }
 }
 
+void SchedulingEndpoint::send(const NodeName &node, const origins::OriginMessage &message)
+{
+    const auto it = m_nodeAddresses.find(node);
+    if (it != m_nodeAddresses.end()) {
+        m_socket.send(it->second, origins::encode(m_self.node, message));
+    }
+}
+
 void SchedulingEndpoint::handleDatagram(const DatagramAddress &from, const std::string &text)
 {
     const Json::Value value = parseJson(text);
@@ -112,6 +121,8 @@
     } else if (const auto slot = slots::readFromPlainScheduler(value)) {
         m_dependencies.deliver(
             dispatch::PlainSchedulerAnswered {slot->message, slot->from.incarnation});
+    } else if (const auto origin = origins::readOriginDatagram(value)) {
+        m_dependencies.deliver(dispatch::OriginMessageArrived {origin->from, origin->message});
     } else {
         return false;
     }
--- a/src/edge/schedulingendpoint.h
+++ b/src/edge/schedulingendpoint.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/dispatchevents.h"
 #include "edge/datagramsocket.h"
+#include "origins/originmessages.h"
 #include "quotas/quotacodec.h"
 #include "quotas/quotakeeper.h"
 #include "ratelimits/ratelimiter.h"
@@ -51,6 +52,12 @@
     void send(const quotas::ToKeeper &message);
     void send(const ratelimits::ToRateLimiter &message);
     void send(const slots::ToPlainScheduler &message);
+    /** Sends a message about the origin of a stream to @p node, if its address is known. */
+    void send(const NodeName &node, const origins::OriginMessage &message);
+    void setNodeAddresses(std::map<NodeName, DatagramAddress> addresses)
+    {
+        m_nodeAddresses = std::move(addresses);
+    }
     /** Tells a node that has started of the rate limits that this node's limiter knows. */
     void sendLimitsTo(const DatagramAddress &node);
     const quotas::QuotaKeeper &quotaKeeper() const { return m_quotaKeeper; }
@@ -100,6 +107,7 @@
     TimePoint m_plainServersLoggedAt {};
     TimePoint m_timerAt {};                          ///< Expiry of the timer while it is armed.
     std::map<NodeName, DatagramAddress> m_addresses; ///< Reply addresses, by sender.
+    std::map<NodeName, DatagramAddress> m_nodeAddresses;
 };
 
 } // namespace indigoway
--- a/src/fleet/serverdirectory.cpp
+++ b/src/fleet/serverdirectory.cpp
@@ -20,8 +20,16 @@
         }
         known = name;
     }
+    const auto existing = m_entries.find(name);
+    if (existing != m_entries.end() && existing->second.server.version != server.version) {
+        earlier = name;
+        m_saidLeaving.erase(name);
+    }
     if (earlier) {
         erase(m_entries.find(*earlier));
+        if (!server.instance.empty()) {
+            m_byInstance[server.instance] = name;
+        }
     }
     Entry &entry = m_entries[name];
     if (entry.server.isDraining && !server.isDraining) {
@@ -198,6 +206,31 @@
     return usable.empty() ? lastResorts : usable;
 }
 
+bool ServerDirectory::hasVersion(const ServiceName &service, EnginePhase phase,
+                                 const std::string &version, TimePoint now) const
+{
+    const auto members = m_byService.find(service);
+    if (members == m_byService.end()) {
+        return false;
+    }
+    bool isAnyUsable = false;
+    bool isLastResort = false;
+    for (const auto &[name, entry] : members->second) {
+        const ServerAvailability availability = availabilityOf(*entry, now);
+        if (entry->server.phase != phase || availability == ServerAvailability::Leaving) {
+            continue;
+        }
+        const bool isUsable = availability == ServerAvailability::Usable;
+        const bool hasVersion = entry->server.version == version;
+        if (isUsable && hasVersion) {
+            return true;
+        }
+        isAnyUsable = isAnyUsable || isUsable;
+        isLastResort = isLastResort || hasVersion;
+    }
+    return !isAnyUsable && isLastResort;
+}
+
 std::vector<ServerName> ServerDirectory::names() const
 {
     std::vector<ServerName> names;
--- a/src/fleet/serverdirectory.h
+++ b/src/fleet/serverdirectory.h
@@ -36,7 +36,8 @@
     static constexpr Duration LastResortTime = std::chrono::milliseconds(1500);
 
     /**
-     * Adds or updates @p server.
+     * Adds or updates @p server. Another software version is another incarnation, also under the
+     * same name.
      * @return the name of the server's previous incarnation, which is removed, if there was one
      */
     std::optional<ServerName> announce(AnnouncedServer server);
@@ -69,6 +70,9 @@
      */
     std::vector<const AnnouncedServer *> candidates(const ServiceName &service, EnginePhase phase,
                                                     TimePoint now) const;
+    /** Returns whether one of the candidates() has @p version of the software. */
+    bool hasVersion(const ServiceName &service, EnginePhase phase, const std::string &version,
+                    TimePoint now) const;
     /** Returns false to stop the iteration. */
     using Visitor = std::function<bool(const AnnouncedServer &)>;
     /** Visits the usable servers of @p service in @p domain, ordered by name. */
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -420,6 +420,13 @@
     }
 }
 
+void RequestRelay::run(const SendToNode &effect)
+{
+    if (m_nodeMessageHandler) {
+        m_nodeMessageHandler(effect);
+    }
+}
+
 void RequestRelay::run(const PublishCrash &effect)
 {
     if (m_crashHandler) {
--- a/src/relay/requestrelay.h
+++ b/src/relay/requestrelay.h
@@ -26,6 +26,7 @@
     using QuotaHandler = std::function<void(const quotas::ToKeeper &)>;
     using RateLimitHandler = std::function<void(const ratelimits::ToRateLimiter &)>;
     using PlainSchedulerHandler = std::function<void(const slots::ToPlainScheduler &)>;
+    using NodeMessageHandler = std::function<void(const dispatch::SendToNode &)>;
     using CrashHandler = std::function<void(const dispatch::PublishCrash &)>;
     using RequestEndedHandler = std::function<void(const dispatch::RequestEnded &)>;
 
@@ -40,6 +41,10 @@
     {
         m_plainSchedulerHandler = std::move(handler);
     }
+    void setNodeMessageHandler(NodeMessageHandler handler)
+    {
+        m_nodeMessageHandler = std::move(handler);
+    }
     void setCrashHandler(CrashHandler handler) { m_crashHandler = std::move(handler); }
     /** Returns the maximum age of this node's copy of the desired state; nothing if unknown. */
     using CopyAge = std::function<std::optional<Duration>()>;
@@ -118,6 +123,7 @@
     void run(const dispatch::SendToQuotaKeeper &effect);
     void run(const dispatch::SendToRateLimiter &effect);
     void run(const dispatch::SendToPlainScheduler &effect);
+    void run(const dispatch::SendToNode &effect);
     void run(const dispatch::PublishCrash &effect);
     void run(const dispatch::LogDecision &effect);
     void recordPathChanges();
@@ -149,6 +155,7 @@
     QuotaHandler m_quotaHandler;
     RateLimitHandler m_rateLimitHandler;
     PlainSchedulerHandler m_plainSchedulerHandler;
+    NodeMessageHandler m_nodeMessageHandler;
     CrashHandler m_crashHandler;
     RequestEndedHandler m_requestEndedHandler;
     CopyAge m_copyAge;
--- a/src/scheduling/backupassigner.cpp
+++ b/src/scheduling/backupassigner.cpp
@@ -45,7 +45,10 @@
     if (!m_selector.hasMemoryFor(run)) {
         return false;
     }
-    const auto engines = m_engines.backupEngines(claim);
+    if (!decode) {
+        return false;
+    }
+    const auto engines = m_engines.backupEngines(claim, *decode);
     const BackupSelector::Engine *backup = m_selector.choose(run, engines);
     if (!backup) {
         return false;
--- a/src/scheduling/enginescheduler.cpp
+++ b/src/scheduling/enginescheduler.cpp
@@ -162,6 +162,11 @@
     if (m_queue.contains(key)) {
         return;
     }
+    if (claim.version
+        && !view.servers.hasVersion(claim.service, EnginePhase::Decode, *claim.version, now)) {
+        replies.push_back({key.owner, ClaimRefused {key.claim, 0, Duration(0)}});
+        return;
+    }
     if (claim.urgency == Urgency::FirstAttempt && claim.promptTokens > 0) {
         m_estimators[claim.service].generations.add(claim.promptTokens, claim.memory);
     }
@@ -452,7 +457,7 @@
             break;
         }
         if (now > waiting.since + ReserveEngineAfter) {
-            pass.engines.reserveEngine();
+            pass.engines.reserveEngine(waiting.claim);
         }
     }
     const bool isComplete = !isAnyWaiting || !pass.engines.isLimited();
@@ -471,15 +476,17 @@
                                const WaitingClaim &waiting)
 {
     const Claim &claim = waiting.claim;
+    // A claim that may not use all engines says nothing about the others.
+    const bool isUnrestricted = claim.excludedServers.empty() && !claim.version;
     if (pass.minUnplacedTokens != 0 && claim.memory.totalTokens() >= pass.minUnplacedTokens
-        && claim.excludedServers.empty()) {
+        && isUnrestricted) {
         pass.isMemoryShort = true;
         return false;
     }
     EngineSelector::DecodeCandidate *candidate = pass.engines.chooseDecodeEngine(claim);
     if (!candidate) {
         pass.isMemoryShort = true;
-        if (claim.excludedServers.empty()) {
+        if (isUnrestricted) {
             pass.minUnplacedTokens = claim.memory.totalTokens();
         }
         return false;
@@ -496,12 +503,13 @@
             granted.reply.prefillServer = prefill->name;
         } else {
             // Prefill is the bottleneck while decode engines have memory for all waiting claims.
-            const bool isUrgent = now + LocalPrefillLeadTime > waiting.latestStart;
+            const bool isUrgent = now + LocalPrefillLeadTime > waiting.latestStart
+                || !pass.engines.hasPrefillEngine(decode->version);
             candidate = isUrgent && pass.spareTokens > 0
                 ? pass.engines.chooseLocalPrefillEngine(claim)
                 : nullptr;
             if (!candidate) {
-                pass.isPrefillSaturated = claim.excludedServers.empty();
+                pass.isPrefillSaturated = isUnrestricted && !pass.engines.isPrefillAvailable(claim);
                 return false;
             }
             decode = candidate->server;
--- a/src/scheduling/engineselector.cpp
+++ b/src/scheduling/engineselector.cpp
@@ -34,6 +34,11 @@
 constexpr double SuspectTokens = 1e9;
 constexpr Duration SuspectDelay = std::chrono::seconds(5);
 
+bool isVersionOf(const Claim &claim, const EngineSelector::DecodeCandidate &candidate)
+{
+    return !claim.version || *claim.version == candidate.server->version;
+}
+
 /** Returns the servers for which @p isHealthy holds, or all if those are too few. */
 template <typename IsHealthy>
 std::vector<const AnnouncedServer *> healthyOrAll(const std::vector<const AnnouncedServer *> &all,
@@ -68,6 +73,9 @@
         m_decode.push_back({server, std::move(memory), peak, false});
     }
     m_prefill = usablePrefillEngines(engines.prefill);
+    m_hasSeveralVersions = std::ranges::any_of(m_decode, [this](const DecodeCandidate &candidate) {
+        return candidate.server->version != m_decode.front().server->version;
+    });
 }
 
 EngineSelector::EnginesByPhase EngineSelector::allEngines(const ServerDirectory &servers,
@@ -117,9 +125,49 @@
 
 EngineSelector::DecodeCandidate *EngineSelector::chooseDecodeEngine(const Claim &claim)
 {
+    if (m_hasSeveralVersions && claim.promptTokens > 0) {
+        const std::set<std::string> versions = versionsWithPrefill(claim);
+        const auto hasPrefill = [&versions](const DecodeCandidate &candidate) {
+            return versions.contains(candidate.server->version);
+        };
+        if (DecodeCandidate *candidate = leastLoaded(claim, hasPrefill)) {
+            return candidate;
+        }
+    }
     return leastLoaded(claim, [](const DecodeCandidate &) { return true; });
 }
 
+bool EngineSelector::hasPrefillEngine(const std::string &version) const
+{
+    return std::ranges::any_of(m_prefill, [&version](const AnnouncedServer *server) {
+        return server->version == version;
+    });
+}
+
+bool EngineSelector::isPrefillAvailable(const Claim &claim) const
+{
+    return std::ranges::any_of(m_prefill, [this, &claim](const AnnouncedServer *server) {
+        return mayPrefill(*server, claim);
+    });
+}
+
+std::set<std::string> EngineSelector::versionsWithPrefill(const Claim &claim) const
+{
+    std::set<std::string> versions;
+    for (const AnnouncedServer *server : m_prefill) {
+        if (mayPrefill(*server, claim)) {
+            versions.insert(server->version);
+        }
+    }
+    return versions;
+}
+
+bool EngineSelector::mayPrefill(const AnnouncedServer &prefill, const Claim &claim) const
+{
+    return m_tracker.prefillWait(prefill.name, m_now) <= MaxPrefillWait
+        && std::ranges::find(claim.excludedServers, prefill.name) == claim.excludedServers.end();
+}
+
 EngineSelector::DecodeCandidate *EngineSelector::chooseLocalPrefillEngine(const Claim &claim)
 {
     return leastLoaded(claim, [this](const DecodeCandidate &candidate) {
@@ -134,7 +182,7 @@
     DecodeCandidate *best = nullptr;
     double bestScore = 0;
     for (DecodeCandidate &candidate : m_decode) {
-        if (candidate.isReserved || !isUsable(candidate)
+        if (candidate.isReserved || !isUsable(candidate) || !isVersionOf(claim, candidate)
             || MemoryForecast::peakWith(candidate.memory, claim.memory, m_estimators.decode)
                 > m_memory
             || std::ranges::find(claim.excludedServers, candidate.server->name)
@@ -158,12 +206,13 @@
     candidate.peak = candidate.memory.peak();
 }
 
-std::vector<BackupSelector::Engine> EngineSelector::backupEngines(const Claim &claim) const
+std::vector<BackupSelector::Engine>
+EngineSelector::backupEngines(const Claim &claim, const AnnouncedServer &decode) const
 {
     std::vector<BackupSelector::Engine> engines;
     for (const DecodeCandidate &candidate : m_decode) {
         const AnnouncedServer &server = *candidate.server;
-        if (!candidate.isReserved
+        if (!candidate.isReserved && server.version == decode.version
             && std::ranges::find(claim.excludedServers, server.name)
                 == claim.excludedServers.end()) {
             engines.push_back(
@@ -185,14 +234,15 @@
     }
 }
 
-void EngineSelector::reserveEngine()
+void EngineSelector::reserveEngine(const Claim &claim)
 {
     if (m_reservedEngines >= m_decode.size() / ReservableDivisor) {
         return;
     }
     DecodeCandidate *leastLoaded = nullptr;
     for (DecodeCandidate &candidate : m_decode) {
-        if (!candidate.isReserved && (!leastLoaded || candidate.peak < leastLoaded->peak)) {
+        if (!candidate.isReserved && isVersionOf(claim, candidate)
+            && (!leastLoaded || candidate.peak < leastLoaded->peak)) {
             leastLoaded = &candidate;
         }
     }
@@ -219,9 +269,7 @@
     const AnnouncedServer *best = nullptr;
     Duration bestTime {};
     for (const AnnouncedServer *server : m_prefill) {
-        if (m_tracker.prefillWait(server->name, m_now) > MaxPrefillWait
-            || std::ranges::find(claim.excludedServers, server->name)
-                != claim.excludedServers.end()) {
+        if (server->version != decode.version || !mayPrefill(*server, claim)) {
             continue;
         }
         const Duration time =
--- a/src/scheduling/engineselector.h
+++ b/src/scheduling/engineselector.h
@@ -8,6 +8,8 @@
 
 #include <cstddef>
 #include <limits>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace indigoway::scheduling {
@@ -45,7 +47,8 @@
     std::size_t examined() const { return m_examined; }
 
     /**
-     * Returns the decode engine with the lowest memory peak that has memory for @p claim.
+     * Returns the decode engine with the lowest memory peak that has memory for @p claim. One whose
+     * version no prefill engine has, or none without a long queue, is the last choice.
      * @return Null if no engine has enough memory.
      */
     DecodeCandidate *chooseDecodeEngine(const Claim &claim);
@@ -56,24 +59,29 @@
     DecodeCandidate *chooseLocalPrefillEngine(const Claim &claim);
     /** Adds a granted run to the projection of @p candidate. */
     void addRun(DecodeCandidate &candidate, const MemoryNeed &need) const;
-    /** Returns the decode engines that may keep a copy of a run of @p claim. */
-    std::vector<BackupSelector::Engine> backupEngines(const Claim &claim) const;
+    /** Returns the decode engines that may keep a copy of a run of @p claim on @p decode. */
+    std::vector<BackupSelector::Engine> backupEngines(const Claim &claim,
+                                                      const AnnouncedServer &decode) const;
     /** Adds a copy to the projection of @p server. */
     void addCopy(const ServerName &server, const MemoryNeed &need);
     /**
-     * Reserves the engine with the lowest memory peak for claims that have waited long. Other
-     * claims no longer get it in this pass.
+     * Reserves the engine with the lowest memory peak that may serve @p claim, which has waited
+     * long. Other claims no longer get it in this pass.
      */
-    void reserveEngine();
+    void reserveEngine(const Claim &claim);
     /** Returns the total memory of the decode engines in tokens. */
     double memory() const { return m_memory * static_cast<double>(m_decode.size()); }
     /** Returns the free tokens on the decode engines that have memory for a run of @p need. */
     double freeMemoryFor(const MemoryNeed &need) const;
 
     bool hasPrefillEngines() const { return !m_prefill.empty(); }
+    bool hasPrefillEngine(const std::string &version) const;
+    /** Returns whether a prefill engine of any version takes the prompt of @p claim now. */
+    bool isPrefillAvailable(const Claim &claim) const;
     /**
-     * Returns the prefill engine for a run on @p decode.
-     * @return Null if the prompt would wait too long at each engine.
+     * Returns the prefill engine for a run on @p decode. KV caches of one software version cannot
+     * be used by another one.
+     * @return Null if there is none of that version, or the prompt would wait too long at each.
      */
     const AnnouncedServer *choosePrefillEngine(const Claim &claim,
                                                const AnnouncedServer &decode) const;
@@ -90,6 +98,9 @@
 private:
     using Engines = std::vector<const AnnouncedServer *>;
 
+    bool mayPrefill(const AnnouncedServer &prefill, const Claim &claim) const;
+    /** Returns the versions of the decode engines whose prompts a prefill engine takes now. */
+    std::set<std::string> versionsWithPrefill(const Claim &claim) const;
     /**
      * Returns the candidate with the lowest memory peak for which @p isUsable holds, or null if
      * none has enough memory.
@@ -121,6 +132,7 @@
     double m_memory = 0; ///< Memory of one engine in tokens.
     std::vector<DecodeCandidate> m_decode;
     Engines m_prefill;
+    bool m_hasSeveralVersions = false;
     bool m_isLimited = false;
     std::size_t m_examined = 0;
     std::size_t m_reservedEngines = 0;
--- a/src/scheduling/schedulercodec.cpp
+++ b/src/scheduling/schedulercodec.cpp
@@ -73,6 +73,9 @@
     if (claim.wantsBackup) {
         value["backup_wanted"] = true;
     }
+    if (claim.version) {
+        value["version"] = *claim.version;
+    }
     return value;
 }
 
@@ -227,6 +230,9 @@
     }
     claim.organisation = OrganisationName(stringMember(value, "organisation"));
     claim.wantsBackup = value["backup_wanted"].isBool() && value["backup_wanted"].asBool();
+    if (value["version"].isString()) {
+        claim.version = value["version"].asString();
+    }
     return claim;
 }
 
--- a/src/scheduling/schedulermessages.h
+++ b/src/scheduling/schedulermessages.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -35,6 +36,8 @@
     DomainName domain;              ///< Failure domain of the node that serves the caller.
     std::uint32_t promptTokens = 0; ///< Tokens to prefill; 0 if only a decode engine is needed.
     MemoryNeed memory;              ///< Memory needed on the decode engine.
+    /** Software version that the engine must have, since it continues a stream; nothing for any. */
+    std::optional<std::string> version;
     Urgency urgency = Urgency::FirstAttempt;
     std::uint32_t priority = 0; ///< Order among claims of the same urgency; 0 goes first.
     Duration maxWait {};        ///< Maximum wait, after which the claim is refused.
--- a/tests/dispatch/dispatcherharness.h
+++ b/tests/dispatch/dispatcherharness.h
@@ -89,9 +89,10 @@
     }
 
     void addServer(const std::string &name, EnginePhase phase = EnginePhase::None,
-                   bool isDraining = false)
+                   bool isDraining = false, const std::string &version = "v1")
     {
         AnnouncedServer server;
+        server.version = version;
         server.name = ServerName(name);
         server.service = ServiceName(phase == EnginePhase::None ? "web" : "llm");
         server.address = name + ":80";
@@ -144,6 +145,25 @@
         return request.request;
     }
 
+    /** Sends a request that resumes the stream whose first event attempt @p id has brought. */
+    RequestNumber resume(int milliseconds, const std::string &host, const std::string &id,
+                         std::uint32_t tokens = 5'000)
+    {
+        ArrivedRequest request;
+        request.request = RequestNumber(++m_lastRequest);
+        request.callerId = "c" + std::to_string(m_lastRequest);
+        request.content = ContentId(request.callerId);
+        request.host = host;
+        request.path = "/x";
+        request.patience = std::chrono::milliseconds(14'000);
+        request.promptTokens = tokens;
+        request.maxOutputTokens = tokens == 0 ? 0 : 500;
+        request.isContinuation = true;
+        request.resumedId = id;
+        reduce(milliseconds, request);
+        return request.request;
+    }
+
     void reduce(int milliseconds, const DispatchEvent &event)
     {
         for (DispatchEffect &effect : m_dispatcher.reduce(at(milliseconds), ++m_entropy, event)) {
@@ -160,6 +180,8 @@
                 m_slotMessages.push_back(slot->message);
             } else if (const auto *asked = std::get_if<SendToQuotaKeeper>(&effect)) {
                 m_keeperMessages.push_back(asked->message);
+            } else if (const auto *told = std::get_if<SendToNode>(&effect)) {
+                m_nodeMessages.push_back(*told);
             } else if (const auto *shared = std::get_if<PublishCrash>(&effect)) {
                 m_crashNotes.push_back(*shared);
             } else if (const auto *recorded = std::get_if<LogDecision>(&effect)) {
@@ -308,6 +330,9 @@
         return std::exchange(m_slotMessages, {});
     }
 
+    /** Returns the messages to other nodes about origins of streams since the last call. */
+    std::vector<SendToNode> takeNodeMessages() { return std::exchange(m_nodeMessages, {}); }
+
     /** Returns the details of the log lines of @p kind. */
     const std::vector<std::string> &logLines(const std::string &kind) { return m_logLines[kind]; }
 
@@ -333,6 +358,7 @@
     std::vector<CallNumber> m_abandoned;
     std::vector<quotas::ToKeeper> m_keeperMessages;
     std::vector<slots::ToPlainScheduler> m_slotMessages;
+    std::vector<SendToNode> m_nodeMessages;
     std::map<RequestNumber, std::string> m_outcomes;
     std::map<RequestNumber, int> m_statuses;
     std::map<RequestNumber, Duration> m_retryAfter;
--- a/tests/dispatch/runcontinuationtest.cpp
+++ b/tests/dispatch/runcontinuationtest.cpp
@@ -155,6 +155,7 @@
     CPPUNIT_TEST(crashOfAnEngineIsStillDetected);
     CPPUNIT_TEST(timeoutDuringAMoveReleasesAll);
     CPPUNIT_TEST(nothingIsMovedWithoutTheSetting);
+    CPPUNIT_TEST(continuesOnlyAtItsVersion);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -859,6 +860,25 @@
         CPPUNIT_ASSERT(!harness.hasSchedulerMessage());
         CPPUNIT_ASSERT(!harness.hasCalls());
     }
+
+    // Guards against a run whose events come from two software versions.
+    void continuesOnlyAtItsVersion()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        harness.addServer("d2", EnginePhase::Decode, false, "v2");
+        harness.addServer("d3", EnginePhase::Decode, false, "v2");
+        const Run run = startRun(harness);
+        CPPUNIT_ASSERT_EQUAL(text(""), run.decode.backupAddress);
+        harness.addServer("d1", EnginePhase::Decode, true);
+        harness.advance(500, 700);
+        const auto claim = harness.nextSchedulerMessage<Claim>();
+        CPPUNIT_ASSERT(claim.version == text("v1"));
+        const ClaimGranted grant {claim.claim, ServerName("d3"), {}, std::nullopt};
+        harness.reduce(705, SchedulerAnswered {grant, Life});
+        CPPUNIT_ASSERT(!harness.hasCalls());
+        CPPUNIT_ASSERT_EQUAL(text("open"), harness.outcome(run.request));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RunContinuationTest);
--- a/tests/fleet/serverdirectorytest.cpp
+++ b/tests/fleet/serverdirectorytest.cpp
@@ -42,6 +42,8 @@
     CPPUNIT_TEST(serverChangesService);
     CPPUNIT_TEST(newIncarnationReplacesEarlierOne);
     CPPUNIT_TEST(removedServerIsNoLastResort);
+    CPPUNIT_TEST(otherVersionIsAnotherIncarnation);
+    CPPUNIT_TEST(knowsTheVersionsThatServe);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -142,6 +144,46 @@
         directory.announce(server("a", "other"));
         CPPUNIT_ASSERT_EQUAL(std::string(), candidates(directory, at(0)));
     }
+
+    // Guards against what was recorded of a server being used for its successor of another version.
+    void otherVersionIsAnotherIncarnation()
+    {
+        ServerDirectory directory;
+        AnnouncedServer first = server("a");
+        first.instance = "a";
+        first.version = "v1";
+        CPPUNIT_ASSERT(!directory.announce(first));
+        directory.markLeaving(ServerName("a"));
+        AnnouncedServer second = first;
+        second.version = "v2";
+        CPPUNIT_ASSERT(directory.announce(second) == ServerName("a"));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), candidates(directory, at(0)));
+        CPPUNIT_ASSERT(directory.nameOf("a") == ServerName("a"));
+        CPPUNIT_ASSERT_EQUAL(std::string("v2"), directory.find(ServerName("a"))->version);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, directory.size());
+    }
+
+    void knowsTheVersionsThatServe()
+    {
+        ServerDirectory directory;
+        AnnouncedServer one = server("a");
+        one.version = "v1";
+        directory.announce(one);
+        const auto has = [&directory](const char *version) {
+            return directory.hasVersion(ServiceName("web"), EnginePhase::None, version, at(10));
+        };
+        CPPUNIT_ASSERT(has("v1") && !has("v2"));
+        // Entries of healthy servers expire during a store outage.
+        directory.withdraw(ServerName("a"), at(0));
+        CPPUNIT_ASSERT(has("v1"));
+        AnnouncedServer other = server("b");
+        other.version = "v2";
+        directory.announce(other);
+        CPPUNIT_ASSERT(!has("v1") && has("v2"));
+        other.isDraining = true;
+        directory.announce(other);
+        CPPUNIT_ASSERT(!has("v2"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerDirectoryTest);
--- a/tests/platform/platformdialecttest.cpp
+++ b/tests/platform/platformdialecttest.cpp
@@ -87,6 +87,7 @@
     CPPUNIT_TEST(restartedServerGetsANewName);
     CPPUNIT_TEST(rejectsInvalidServerEntries);
     CPPUNIT_TEST(decodesOrRejectsAnyBytes);
+    CPPUNIT_TEST(readsTheResumedStream);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -637,6 +638,28 @@
         misdirected.headers = {{"Server-Limit", "3.7"}};
         CPPUNIT_ASSERT(!m_dialect.readAnswer(misdirected).advice);
     }
+
+    // Guards against a stream that is resumed by a value that names none, or two.
+    void readsTheResumedStream()
+    {
+        const PlatformDialect dialect(NodeName("n1"));
+        const auto resumedId = [&dialect](const std::vector<std::string> &values) {
+            CallerRequest request = callerRequest();
+            request.head.headers.emplace_back("Last-Event-Id", "7");
+            for (const std::string &value : values) {
+                request.head.headers.emplace_back("Resumes", value);
+            }
+            return dialect.readRequest(request.head).resumedId;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("5f7cc0a4b77d4f8e"), resumedId({"5f7cc0a4b77d4f8e"}));
+        CPPUNIT_ASSERT_EQUAL(std::string(), resumedId({}));
+        CPPUNIT_ASSERT_EQUAL(std::string(), resumedId({""}));
+        CPPUNIT_ASSERT_EQUAL(std::string(), resumedId({"a", "b"}));
+        CPPUNIT_ASSERT_EQUAL(std::string(), resumedId({"", "b"}));
+        CPPUNIT_ASSERT_EQUAL(std::string(), resumedId({"a b"}));
+        CPPUNIT_ASSERT_EQUAL(std::string(), resumedId({std::string("a\tb")}));
+        CPPUNIT_ASSERT_EQUAL(std::string(), resumedId({std::string(3'000, 'a')}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformDialectTest);
--- a/tests/scheduling/schedulercodectest.cpp
+++ b/tests/scheduling/schedulercodectest.cpp
@@ -41,6 +41,9 @@
     claim.excludedServers.assign(*rc::gen::inRange<std::size_t>(0, 4), ServerName(arbitraryName()));
     claim.organisation = OrganisationName(*rc::gen::element(std::string(), arbitraryName()));
     claim.wantsBackup = *rc::gen::arbitrary<bool>();
+    if (*rc::gen::arbitrary<bool>()) {
+        claim.version = arbitraryName();
+    }
     return claim;
 }
 
--- a/tests/scheduling/schedulerharness.h
+++ b/tests/scheduling/schedulerharness.h
@@ -37,9 +37,11 @@
         return {NodeName(name), Incarnation(life)};
     }
 
-    void addEngine(const std::string &name, EnginePhase phase, const std::string &domain = "a")
+    void addEngine(const std::string &name, EnginePhase phase, const std::string &domain = "a",
+                   const std::string &version = "v1")
     {
         AnnouncedServer server;
+        server.version = version;
         server.name = ServerName(name);
         server.service = ServiceName("llm");
         server.address = name + ":80";
