Check the life of a server whose id may come back before it continues a stream

An engine had come back under its id and address with another version; a node whose way to the store was held up still knew the old life, and the expected id does not tell lives apart.

Change: where servers announce when they started, the node asks for it (a report, some ms) before a server continues a stream, and takes another one if it differs. Servers without it have a new id with each start.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -469,7 +469,7 @@
     if (event.advice) {
         m_state.recordAdvice(step, call->server.name, *event.advice, call->started);
     }
-    if (call->kind == CallKind::Report) {
+    if (call->kind == CallKind::Report && call->request.isNone()) {
         m_generations.phases().reportEnded(step, *call, event);
         return;
     }
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -103,6 +103,9 @@
     case CallKind::Prefill:
         prefillEnded(step, request, call, event);
         break;
+    case CallKind::Report:
+        lifeChecked(step, request, call, event);
+        break;
     case CallKind::Decode:
     case CallKind::Whole:
         decodeEnded(step, request, call, event);
@@ -476,6 +479,10 @@
         enqueue(step, request);
         return;
     }
+    if (needsLifeCheck(request, *server)) {
+        startLifeCheck(step, m_state, request, *server);
+        return;
+    }
     if (!maySend(step, request)) {
         return;
     }
@@ -502,6 +509,26 @@
     m_state.startCall(step, request, *server, std::move(call));
 }
 
+void GenerationFlow::lifeChecked(Step &step, OpenRequest &request, const OpenCall &call,
+                                 const CallEnded &event)
+{
+    m_state.tracker.callClosed(call.server.name);
+    if (event.end == CallEnd::Complete && isSameLife(call, event)) {
+        request.checkedServer = call.server.name;
+        decode(step, request, true);
+        return;
+    }
+    step.add(LogDecision {"server_life_unconfirmed", request.arrival.callerId,
+                          "server=" + call.server.name.text()
+                              + " version=" + versionText(call.server.version) + " born="
+                              + (event.report ? std::to_string(event.report->startedAt) : "-") + " "
+                              + event.reason});
+    request.triedServers.insert(call.server.name);
+    releaseResources(step, request,
+                     isUnsent(event.end) ? claimEndOf(event.end) : ClaimOutcome::Cancelled);
+    enqueue(step, request);
+}
+
 void GenerationFlow::decodeEnded(Step &step, OpenRequest &request, const OpenCall &call,
                                  const CallEnded &event)
 {
--- a/src/dispatch/generationflow.h
+++ b/src/dispatch/generationflow.h
@@ -80,6 +80,9 @@
     void prefillEnded(Step &step, OpenRequest &request, const OpenCall &call,
                       const CallEnded &event);
     void decode(Step &step, OpenRequest &request, bool isWhole);
+    /** Handles the answer to startLifeCheck(). */
+    void lifeChecked(Step &step, OpenRequest &request, const OpenCall &call,
+                     const CallEnded &event);
     void decodeEnded(Step &step, OpenRequest &request, const OpenCall &call,
                      const CallEnded &event);
     void targetDecided(Step &step, OpenRequest &request, const scheduling::ClaimGranted *granted);
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -124,6 +124,8 @@
      * of that version may continue it.
      */
     std::optional<std::string> boundVersion;
+    /** Server whose life was checked before it continues the stream; see needsLifeCheck(). */
+    ServerName checkedServer;
 
     std::uint32_t refusedPermits = 0; ///< Refusals because of servers' rate limits.
 
--- a/src/dispatch/phasecontroller.cpp
+++ b/src/dispatch/phasecontroller.cpp
@@ -1,5 +1,7 @@
 #include "phasecontroller.h"
 
+#include "dispatch/streamresumption.h"
+
 namespace indigoway::dispatch {
 
 namespace {
@@ -57,10 +59,7 @@
 {
     m_state.tracker.callClosed(call.server.name);
     // A restarted engine has a new order count and possibly another phase.
-    const bool isSameInstance = event.report
-        && (event.report->startedAt == 0 || call.server.startedAt == 0
-            || event.report->startedAt == call.server.startedAt);
-    const bool mayOrder = isSameInstance && !event.report->isExecutingOrder
+    const bool mayOrder = isSameLife(call, event) && !event.report->isExecutingOrder
         && step.now <= m_orderTokenAt + TokenValidity;
     if (!mayOrder) {
         cancelOrder(step, call.server.name);
--- a/src/dispatch/streamresumption.cpp
+++ b/src/dispatch/streamresumption.cpp
@@ -168,6 +168,29 @@
     }
 }
 
+bool needsLifeCheck(const OpenRequest &request, const AnnouncedServer &server)
+{
+    // Servers that do not announce when they started get a new id with each start.
+    return request.boundVersion && server.startedAt != 0 && request.checkedServer != server.name;
+}
+
+void startLifeCheck(Step &step, DispatchState &state, OpenRequest &request,
+                    const AnnouncedServer &server)
+{
+    constexpr Duration ReportTimeout = std::chrono::milliseconds(300);
+    StartCall call;
+    call.kind = CallKind::Report;
+    call.idleTimeout = ReportTimeout;
+    state.startCall(step, request, server, std::move(call));
+}
+
+bool isSameLife(const OpenCall &call, const CallEnded &event)
+{
+    return event.report
+        && (event.report->startedAt == 0 || call.server.startedAt == 0
+            || event.report->startedAt == call.server.startedAt);
+}
+
 bool isServable(const DispatchState &state, const OpenRequest &request, TimePoint now)
 {
     if (!request.boundVersion) {
--- a/src/dispatch/streamresumption.h
+++ b/src/dispatch/streamresumption.h
@@ -58,6 +58,17 @@
 void recordStreamOrigin(Step &step, DispatchState &state, OpenRequest &request);
 /** Ends the messages about the origin of a stream that its caller has completely. */
 void forgetStreamOrigin(DispatchState &state, const OpenRequest &request);
+/**
+ * Returns whether the life of @p server has to be checked before it continues the stream of
+ * @p request: an id may have come back with another software version, which the node's copy of the
+ * store does not tell yet.
+ */
+bool needsLifeCheck(const OpenRequest &request, const AnnouncedServer &server);
+/** Asks @p server when it was started; the end of the call tells, see isSameLife(). */
+void startLifeCheck(Step &step, DispatchState &state, OpenRequest &request,
+                    const AnnouncedServer &server);
+/** Returns whether the server that was asked for a report is the one that was announced. */
+bool isSameLife(const OpenCall &call, const CallEnded &event);
 /**
  * Returns whether a server may serve @p request later on, though perhaps not now; false if it is
  * bound to a software version that no server has any more.
--- a/standins/sharedplatform.cpp
+++ b/standins/sharedplatform.cpp
@@ -34,6 +34,7 @@
     : m_loop(loop)
     , m_engineRuns(HandleKept)
     , m_decodeEngines(decodeEngines)
+    , m_resumableEvents(StreamEvents)
     , m_streamEvents(StreamEvents)
     , m_announced(std::move(announced))
 {
@@ -309,6 +310,9 @@
     if (body.isObject() && body["stream_events"].isInt()) {
         m_streamEvents = body["stream_events"].asInt();
     }
+    if (body.isObject() && body["resumable_events"].isInt()) {
+        m_resumableEvents = body["resumable_events"].asInt();
+    }
     if (body.isObject() && body["kill_after"].isInt()) {
         m_killAfter = body["kill_after"].asInt();
     }
@@ -416,7 +420,7 @@
     entry["capacity"] = 8;
     entry["warmup_ms"] = 0;
     entry["sequence"] = 1;
-    entry["born"] = Json::UInt64(1'700'000'000'000 + worker.lives);
+    entry["born"] = Json::UInt64(bornAt(worker));
     entry["state"] = "ready";
     if (!worker.phase.empty()) {
         entry["phase"] = worker.phase;
@@ -429,11 +433,21 @@
     ++m_crashes;
     ++worker.lives;
     m_engineRuns.dropAll(worker.address);
-    // Its server may not end inside of its own handler.
-    m_loop.after(std::chrono::milliseconds(0), [&worker] { worker.server.reset(); });
+    // Its server may not end inside of its own handler. What arrives until then is lost as well.
+    m_loop.after(std::chrono::milliseconds(0), [this, &worker] {
+        ++worker.lives;
+        m_engineRuns.dropAll(worker.address);
+        worker.server.reset();
+    });
     m_loop.after(DownAfterCrash, [this, &worker] { start(worker, worker.address); });
 }
 
+std::uint64_t SharedPlatform::bornAt(const Worker &worker)
+{
+    constexpr std::uint64_t FirstBorn = 1'700'000'000'000;
+    return FirstBorn + worker.lives;
+}
+
 bool SharedPlatform::crashes(const HttpRequest &request) const
 {
     return request.body.starts_with("crash");
@@ -492,7 +506,8 @@
     } else if (request.path == "/kv-move") {
         moveRun(worker, request);
     } else if (request.path == "/report") {
-        answer(worker, request, Ok, "{\"busy\":false,\"sequence\":0}");
+        answer(worker, request, Ok,
+               "{\"busy\":false,\"sequence\":0,\"born\":" + std::to_string(bornAt(worker)) + "}");
     } else if (request.header("Indigoway-Serving-Phase") == "prefill") {
         answer(worker, request, Ok,
                "{\"kv_handle\":\"" + hold(HandleKept) + "\",\"tokens\":1,\"version\":1}", headers);
@@ -599,7 +614,8 @@
     if (worker.lives != life || !m_engineRuns.isRunning(worker.address, id, request.exchange)) {
         return;
     }
-    if (event > m_streamEvents) {
+    const bool isResumable = request.path.starts_with("/resumable/");
+    if (event > (isResumable ? m_resumableEvents : m_streamEvents)) {
         m_engineRuns.complete(worker.address, id);
         worker.server->endStream(request.exchange);
         return;
--- a/standins/sharedplatform.h
+++ b/standins/sharedplatform.h
@@ -113,6 +113,8 @@
     void start(Worker &worker, const std::string &address);
     /** Closes all connections at once; starts again at its address after a while. */
     void crash(Worker &worker);
+    /** When its present life began; another figure for each life. */
+    static std::uint64_t bornAt(const Worker &worker);
     /** Whether @p request, which is run now, is one that crashes whatever runs it. */
     bool crashes(const HttpRequest &request) const;
     /** Sets what the named worker says in its answers; headers, and the pause of refusals. */
@@ -164,9 +166,10 @@
     bool m_keepsBackups = false;
     bool m_movesRuns = false;
     int m_decodeEngines;
-    int m_streamEvents;   ///< Events of a stream.
-    int m_killAfter = 0;  ///< The next engine to send this event crashes; 0: none.
-    int m_resetAfter = 0; ///< The next stream to reach this event is reset; 0: none.
+    int m_resumableEvents; ///< Events of a stream on the route whose streams may be resumed.
+    int m_streamEvents;    ///< Events of a stream.
+    int m_killAfter = 0;   ///< The next engine to send this event crashes; 0: none.
+    int m_resetAfter = 0;  ///< The next stream to reach this event is reset; 0: none.
     std::uint32_t m_crashes = 0;
     Addresses m_announced;
 };
--- a/tests/dispatch/streamresumptiontest.cpp
+++ b/tests/dispatch/streamresumptiontest.cpp
@@ -95,6 +95,7 @@
     CPPUNIT_TEST(claimNamesTheVersion);
     CPPUNIT_TEST(refusesAGrantOfAnotherVersion);
     CPPUNIT_TEST(serverThatReturnsWithAnotherVersionIsNotUsed);
+    CPPUNIT_TEST(checksTheLifeOfAServerWhoseIdMayComeBack);
     CPPUNIT_TEST(callerThatLeavesDuringTheLookupIsForgotten);
     CPPUNIT_TEST(answersQueriesOfOtherNodes);
     CPPUNIT_TEST(resumesAtTheServiceThatBeganTheStream);
@@ -301,6 +302,39 @@
         CPPUNIT_ASSERT(other.kind == CallKind::Unreserve || other.server != reserve.server);
     }
 
+    // Guards against an id that has come back with another version, which a node that is cut off
+    // from the store does not know.
+    void checksTheLifeOfAServerWhoseIdMayComeBack()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        for (const char *name : {"d1-v1", "d2-v1"}) {
+            AnnouncedServer server = *harness.dispatcher().servers().find(ServerName(name));
+            server.startedAt = 5;
+            harness.dispatcher().announce(server);
+        }
+        harness.resume(0, "resumable", "elsewhere");
+        answerQuery(harness, 3, "elsewhere", StreamOrigin {ServiceName("llm"), "v1"});
+        const auto report = [&harness](int milliseconds, const StartCall &call,
+                                       std::uint64_t startedAt) {
+            CallEnded ended;
+            ended.call = call.call;
+            ended.end = CallEnd::Complete;
+            ended.status = 200;
+            ended.report = EngineReport {false, 0, startedAt};
+            harness.reduce(milliseconds, ended);
+        };
+        const StartCall first = harness.nextCall(CallKind::Reserve);
+        harness.grant(10, first);
+        report(12, harness.nextCall(CallKind::Report), 6);
+        CPPUNIT_ASSERT(harness.nextCall(CallKind::Unreserve).server == first.server);
+        const StartCall second = harness.nextCall(CallKind::Reserve);
+        CPPUNIT_ASSERT(second.server != first.server);
+        harness.grant(15, second);
+        report(17, harness.nextCall(CallKind::Report), 5);
+        CPPUNIT_ASSERT(harness.nextCall(CallKind::Whole).server == second.server);
+    }
+
     void callerThatLeavesDuringTheLookupIsForgotten()
     {
         DispatcherHarness harness;
--- a/tests/soak/resumption.py
+++ b/tests/soak/resumption.py
@@ -58,7 +58,7 @@
         await self.platform.declare(organisations.declared())
         for node in self.nodes:
             await self.wait_until_served(node)
-        await self.platform.control({"stream_events": EVENTS})
+        await self.platform.control({"resumable_events": EVENTS})
 
     async def wait_until_served(self, node):
         while self.clock() < 60:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -30,7 +30,7 @@
 from faults import Faults
 from fleet import Node, Platform
 import organisations as organisation
-from streams import ResumingCaller, mixed_or_disordered
+from streams import RESUMED_EVENTS, ResumingCaller, mixed_or_disordered
 
 FAULTS_S = 8.0
 # Leases of killed nodes end, and what they held at engines lapses.
@@ -123,6 +123,7 @@
         first = Caller(f"before-{node.name}", node, chance, clock, organisations)
         if not await wait_until_served(first, clock, clock() + 10):
             problems.append(f"{node.name} never served")
+    await platform.control({"resumable_events": RESUMED_EVENTS})
     until = clock() + FAULTS_S
     callers = [
         Caller(f"c{i}-{node.name}", node, random.Random(f"{seed}/{node.name}/{i}"), clock, organisations)
--- a/tests/soak/streams.py
+++ b/tests/soak/streams.py
@@ -2,8 +2,9 @@
 
 import asyncio
 
-from callers import EVENTS, read_chunk, read_head
+from callers import read_chunk, read_head
 
+RESUMED_EVENTS = 30  # Of a stream in the soak: long enough for faults to strike under it.
 PATIENCE_S = 14.0
 ANSWER_LIMIT_S = 5.0
 
@@ -133,5 +134,5 @@
             yield f"{one.name} has events of {' and '.join(seen)}"
         if not one.is_in_order():
             yield f"{one.name} has the events {one.events}"
-        if one.is_whole and len(one.events) != EVENTS:
+        if one.is_whole and len(one.events) != RESUMED_EVENTS:
             yield f"{one.name} ended in good order after {len(one.events)} events"
