--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -14,7 +14,6 @@
 constexpr Duration OrderEvaluationInterval = std::chrono::milliseconds(250);
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
-constexpr int TooManyRequests = 429;
 constexpr int ServiceUnavailable = 503;
 constexpr int GatewayTimeout = 504;
 /** Time limit of a request if neither the caller nor the route sets one. */
@@ -39,25 +38,6 @@
 /** Longest expected stream; streams that could exceed the shutdown time are rejected. */
 constexpr Duration MaxStreamTime = std::chrono::milliseconds(6000);
 constexpr Duration MaxPlainTime = std::chrono::milliseconds(1500);
-/** Lower bound of the retry delay after a quota rejection. */
-constexpr Duration MinQuotaRetryDelay = std::chrono::milliseconds(100);
-
-double quotaUnitsOf(const Quota &quota, const ArrivedRequest &arrival)
-{
-    if (quota.unit == QuotaUnit::Requests) {
-        return 1;
-    }
-    const bool hasTokenCounts = arrival.promptTokens > 0 || arrival.maxOutputTokens > 0;
-    return hasTokenCounts ? static_cast<double>(arrival.promptTokens) + arrival.maxOutputTokens
-                          : quota.plainCost;
-}
-
-void sendToKeeper(Step &step, quotas::QuotaEnforcer::Messages messages)
-{
-    for (quotas::ToKeeper &message : messages) {
-        step.add(SendToQuotaKeeper {std::move(message)});
-    }
-}
 
 } // namespace
 
@@ -67,7 +47,7 @@
     , m_generations(m_state)
     , m_crashDetector(m_state)
     , m_resumption(m_state)
-    , m_quotas(m_state.settings.quotas, startedAt)
+    , m_quotas(m_state, startedAt)
 { }
 
 void Dispatcher::setRoutes(std::shared_ptr<const RouteTable> table)
@@ -142,7 +122,7 @@
     DispatchEffects effects;
     Step step(now, entropy, effects);
     std::visit([&](const auto &alternative) { handle(step, alternative); }, event);
-    tickQuotas(step);
+    quotasDecided(step, m_quotas.tick(step));
     tickPermits(step);
     originsDecided(step, m_resumption.tick(step));
     m_nextTick = earlier(earlier(m_generations.tick(step), m_plain.tick(step)),
@@ -186,16 +166,18 @@
 void Dispatcher::serve(Step &step, OpenRequest &request)
 {
     if (request.service || chooseService(step, request)) {
-        serveWithinQuota(step, request);
+        quotasDecided(step, {{request.arrival.request, m_quotas.begin(step, request)}});
     }
 }
 
-void Dispatcher::originsDecided(Step &step, const std::vector<StreamResumption::Outcome> &outcomes)
+void Dispatcher::originsDecided(Step &step, const AdmissionOutcomes &outcomes)
 {
-    for (const StreamResumption::Outcome &outcome : outcomes) {
-        if (outcome.decision == StreamResumption::Decision::Ready) {
-            serve(step, *m_state.requests.find(outcome.request));
-        } else if (outcome.decision == StreamResumption::Decision::Rejected) {
+    for (const AdmissionOutcome &outcome : outcomes) {
+        if (outcome.step == AdmissionStep::Passed) {
+            if (OpenRequest *request = m_state.requests.find(outcome.request)) {
+                serve(step, *request);
+            }
+        } else if (outcome.step == AdmissionStep::Rejected) {
             m_timeouts.clear(outcome.request);
         }
     }
@@ -272,90 +254,21 @@
     return true;
 }
 
-void Dispatcher::serveWithinQuota(Step &step, OpenRequest &request)
-{
-    if (!request.organisation || !request.organisation->quota) {
-        flowOf(request).begin(step, request);
-        return;
-    }
-    const Quota &quota = *request.organisation->quota;
-    const double units = quotaUnitsOf(quota, request.arrival);
-    request.askedQuotaUnits = units;
-    quotas::QuotaEnforcer::Messages messages;
-    const quotas::QuotaDecision decision =
-        m_quotas.decide(step.now, quotas::QuotaQueryId(request.arrival.request.value()),
-                        request.organisation->name, quota, units, request.priority(), messages);
-    sendToKeeper(step, std::move(messages));
-    switch (decision.kind) {
-    case quotas::QuotaDecision::Kind::Passed:
-        request.quotaUnits = decision.isCounted ? units : 0;
-        flowOf(request).begin(step, request);
-        return;
-    case quotas::QuotaDecision::Kind::Pending:
-        request.stage = Stage::AwaitingQuota;
-        return;
-    case quotas::QuotaDecision::Kind::Refused:
-        rejectOverQuota(step, request, decision.retryAfter, decision.state);
-        return;
-    }
-}
-
 void Dispatcher::handle(Step &step, const QuotaKeeperAnswered &event)
 {
-    quotas::QuotaEnforcer::Messages messages;
-    const auto verdict = m_quotas.handleMessage(step.now, event.message, event.life, messages);
-    sendToKeeper(step, std::move(messages));
-    if (verdict) {
-        quotaDecided(step, *verdict);
-    }
-}
-
-void Dispatcher::quotaDecided(Step &step, const quotas::QuotaResult &verdict)
-{
-    OpenRequest *request = m_state.requests.find(RequestNumber(verdict.queryId.value()));
-    if (!request || request->stage != Stage::AwaitingQuota) {
-        return;
-    }
-    if (!verdict.isGranted) {
-        rejectOverQuota(step, *request, verdict.retryAfter, verdict.state);
-        return;
-    }
-    request->stage = Stage::Calling;
-    if (verdict.isCounted) {
-        request->quotaUnits = quotaUnitsOf(*request->organisation->quota, request->arrival);
-    }
-    flowOf(*request).begin(step, *request);
-}
-
-void Dispatcher::rejectOverQuota(Step &step, OpenRequest &request, Duration roomAfter,
-                                 const quotas::QuotaState &state)
-{
-    const Quota &quota = *request.organisation->quota;
-    m_timeouts.clear(request.arrival.request);
-    const std::string reason =
-        "over quota units=" + std::to_string(quotaUnitsOf(quota, request.arrival))
-        + " per_s=" + std::to_string(quota.perSecond) + " burst=" + std::to_string(quota.burst)
-        + " room_after_ms=" + millisecondsText(roomAfter)
-        + " keeper=" + (m_quotas.isKeeperReachable(step.now) ? "heard" : "silent")
-        + " priority=" + std::to_string(request.priority()) + " used=" + std::to_string(state.used)
-        + " limit=" + std::to_string(state.limit) + " reserve=" + std::to_string(state.reserve)
-        + " record_age_ms=" + millisecondsText(state.recordAge);
-    m_state.requests.refuse(step, request,
-                            {TooManyRequests, RequestOutcome::OverQuota,
-                             step.jitter(std::max(roomAfter, MinQuotaRetryDelay)), reason});
+    quotasDecided(step, m_quotas.messageArrived(step, event));
 }
 
-void Dispatcher::tickQuotas(Step &step)
+void Dispatcher::quotasDecided(Step &step, const AdmissionOutcomes &outcomes)
 {
-    quotas::QuotaEnforcer::Messages messages;
-    for (const OpenRequests::UnusedQuota &unused : m_state.requests.takeUnusedQuota()) {
-        m_quotas.returnUnits(step.now, unused.organisation, unused.units, unused.priority,
-                             messages);
-    }
-    const auto verdicts = m_quotas.tick(step.now, messages);
-    sendToKeeper(step, std::move(messages));
-    for (const quotas::QuotaResult &verdict : verdicts) {
-        quotaDecided(step, verdict);
+    for (const AdmissionOutcome &outcome : outcomes) {
+        if (outcome.step == AdmissionStep::Passed) {
+            if (OpenRequest *request = m_state.requests.find(outcome.request)) {
+                flowOf(*request).begin(step, *request);
+            }
+        } else if (outcome.step == AdmissionStep::Rejected) {
+            m_timeouts.clear(outcome.request);
+        }
     }
 }
 
@@ -410,7 +323,7 @@
 
 void Dispatcher::abandonQueries(RequestNumber request)
 {
-    m_quotas.abandonQuery(quotas::QuotaQueryId(request.value()));
+    m_quotas.abandon(request);
     m_state.permits.abandon(request);
     m_state.origins.abandon(request);
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -4,6 +4,7 @@
 #include "dispatch/dispatchstate.h"
 #include "dispatch/generationflow.h"
 #include "dispatch/plainflow.h"
+#include "dispatch/quotaadmission.h"
 #include "dispatch/streamresumption.h"
 
 #include "core/deadlines.h"
@@ -110,14 +111,8 @@
     bool isAcceptable(Step &step, const OpenRequest &request);
     /** Starts a request that has a route and, if it resumes a stream, its origin. */
     void serve(Step &step, OpenRequest &request);
-    void originsDecided(Step &step, const std::vector<StreamResumption::Outcome> &outcomes);
-    /** Starts @p request if the quota of its organisation allows it. */
-    void serveWithinQuota(Step &step, OpenRequest &request);
-    void quotaDecided(Step &step, const quotas::QuotaResult &verdict);
-    void rejectOverQuota(Step &step, OpenRequest &request, Duration roomAfter,
-                         const quotas::QuotaState &state);
-    /** Returns unused quota, sends due messages and applies due decisions. */
-    void tickQuotas(Step &step);
+    void originsDecided(Step &step, const AdmissionOutcomes &outcomes);
+    void quotasDecided(Step &step, const AdmissionOutcomes &outcomes);
     void tickPermits(Step &step);
     void permitDecided(Step &step, const ratelimits::PermitResult &result);
     /** Drops the pending queries of a request that ends. */
@@ -138,7 +133,7 @@
     CrashDetector m_crashDetector;
     StreamResumption m_resumption;
     std::shared_ptr<const RouteTable> m_table;
-    quotas::QuotaEnforcer m_quotas;
+    QuotaAdmission m_quotas;
     bool m_hasNewRoutes = false; ///< Since the last TimePassed event.
     Deadlines<RequestNumber> m_timeouts;
     std::optional<TimePoint> m_nextTick;
--- a/src/dispatch/streamresumption.cpp
+++ b/src/dispatch/streamresumption.cpp
@@ -58,14 +58,14 @@
 
 } // namespace
 
-StreamResumption::Decision StreamResumption::begin(Step &step, OpenRequest &request)
+AdmissionStep StreamResumption::begin(Step &step, OpenRequest &request)
 {
     const StreamId stream = streamIdOf(request);
     if (stream.isEmpty()) {
         reject(step, request, std::nullopt,
                request.route->isResumable ? "no valid id of the stream to resume"
                                           : "the route's streams cannot be resumed");
-        return Decision::Rejected;
+        return AdmissionStep::Rejected;
     }
     origins::StreamOrigins::Messages messages;
     const auto result = m_state.origins.lookUp(step.now, request.arrival.request, stream, messages);
@@ -74,10 +74,10 @@
         return decide(step, *result);
     }
     request.stage = Stage::AwaitingOrigin;
-    return Decision::Pending;
+    return AdmissionStep::Pending;
 }
 
-StreamResumption::Decision StreamResumption::decide(Step &step, const OriginResult &result)
+AdmissionStep StreamResumption::decide(Step &step, const OriginResult &result)
 {
     OpenRequest &request = *m_state.requests.find(result.request);
     request.stage = Stage::Calling;
@@ -88,7 +88,7 @@
         reject(step, request,
                isUnreachable ? std::optional(step.jitter(UnreachableRetryDelay)) : std::nullopt,
                std::string("origin of the stream ") + nameOf(result.fault));
-        return Decision::Rejected;
+        return AdmissionStep::Rejected;
     }
     const origins::StreamOrigin &origin = result.record->origin;
     request.service =
@@ -96,15 +96,15 @@
     if (!request.service) {
         reject(step, request, std::nullopt,
                "the route leads to the stream's service no more service=" + origin.service.text());
-        return Decision::Rejected;
+        return AdmissionStep::Rejected;
     }
     request.boundVersion = origin.version;
     if (!isServable(m_state, request, step.now)) {
         reject(step, request, std::nullopt,
                "no server of the stream's version version=" + versionText(origin.version));
-        return Decision::Rejected;
+        return AdmissionStep::Rejected;
     }
-    return Decision::Ready;
+    return AdmissionStep::Passed;
 }
 
 void StreamResumption::reject(Step &step, OpenRequest &request, std::optional<Duration> retryAfter,
@@ -115,10 +115,9 @@
                             {ServiceUnavailable, RequestOutcome::Rejected, retryAfter, reason});
 }
 
-std::vector<StreamResumption::Outcome>
-StreamResumption::decideAll(Step &step, const std::vector<OriginResult> &results)
+AdmissionOutcomes StreamResumption::decideAll(Step &step, const std::vector<OriginResult> &results)
 {
-    std::vector<Outcome> outcomes;
+    AdmissionOutcomes outcomes;
     for (const OriginResult &result : results) {
         const OpenRequest *request = m_state.requests.find(result.request);
         if (request && request->stage == Stage::AwaitingOrigin) {
@@ -128,8 +127,7 @@
     return outcomes;
 }
 
-std::vector<StreamResumption::Outcome>
-StreamResumption::messageArrived(Step &step, const OriginMessageArrived &event)
+AdmissionOutcomes StreamResumption::messageArrived(Step &step, const OriginMessageArrived &event)
 {
     origins::StreamOrigins::Messages messages;
     const auto results = m_state.origins.handle(step.now, event.from, event.message, messages);
@@ -137,7 +135,7 @@
     return decideAll(step, results);
 }
 
-std::vector<StreamResumption::Outcome> StreamResumption::tick(Step &step)
+AdmissionOutcomes StreamResumption::tick(Step &step)
 {
     origins::StreamOrigins::Messages messages;
     const auto results = m_state.origins.tick(step.now, messages);
--- a/src/dispatch/streamresumption.h
+++ b/src/dispatch/streamresumption.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/admissionstep.h"
 #include "dispatch/dispatchstate.h"
 
 #include <optional>
@@ -15,12 +16,6 @@
 class StreamResumption
 {
 public:
-    enum class Decision {
-        Ready,    ///< The request may be sent to the servers that it is bound to.
-        Pending,  ///< Other nodes are being asked.
-        Rejected, ///< The request has been answered.
-    };
-
     explicit StreamResumption(DispatchState &state)
         : m_state(state)
     { }
@@ -31,20 +26,15 @@
         return request.arrival.isContinuation && request.route->isStream;
     }
     /** Looks up the origin of the stream that @p request resumes. */
-    Decision begin(Step &step, OpenRequest &request);
-    /** A decided lookup; the request is bound to its servers if the decision is Ready. */
-    struct Outcome
-    {
-        RequestNumber request;
-        Decision decision = Decision::Pending;
-    };
-    std::vector<Outcome> messageArrived(Step &step, const OriginMessageArrived &event);
-    std::vector<Outcome> tick(Step &step);
+    AdmissionStep begin(Step &step, OpenRequest &request);
+    /** Returns the decided lookups; requests that pass are bound to their servers. */
+    AdmissionOutcomes messageArrived(Step &step, const OriginMessageArrived &event);
+    AdmissionOutcomes tick(Step &step);
     std::optional<TimePoint> nextTick() const { return m_state.origins.nextTick(); }
 
 private:
-    Decision decide(Step &step, const origins::OriginResult &result);
-    std::vector<Outcome> decideAll(Step &step, const std::vector<origins::OriginResult> &results);
+    AdmissionStep decide(Step &step, const origins::OriginResult &result);
+    AdmissionOutcomes decideAll(Step &step, const std::vector<origins::OriginResult> &results);
     void reject(Step &step, OpenRequest &request, std::optional<Duration> retryAfter,
                 const std::string &reason);
 
