Find streams by their content for callers who do not name them

Callers of the earlier contract resume with Last-Event-Id only.

Cause: the mend took a missing name for bad input.

Change: a missing name is told from an invalid one, which stays refused. Notices carry the content's hash; a stream that is not named is looked up by it at up to 128 nodes. It goes on only if all that know the content say the same service and version; else 503, not run.

--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -30,10 +30,10 @@
     std::optional<std::uint32_t> likelyOutputTokens; ///< Estimate provided by the caller.
     bool isContinuation = false; ///< Resumes after an event that the caller has received.
     /**
-     * Id of the attempt that brought the first event of the resumed stream; empty if it is missing
-     * or invalid.
+     * Id of the attempt that brought the first event of the resumed stream; empty if it is invalid,
+     * nothing if the caller names none.
      */
-    std::string resumedId;
+    std::optional<std::string> resumedId;
     bool isLastOnConnection = false;
     Credentials credentials;
     /** Upper bound of the age of the node's configuration; nothing if unknown. */
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -50,7 +50,7 @@
     if (request.isForwarding) {
         detail += " resumes=own_answer";
     } else if (arrival.isContinuation) {
-        detail += " resumes=" + (arrival.resumedId.empty() ? "-" : arrival.resumedId);
+        detail += " resumes=" + arrival.resumedId.value_or("-");
     }
     step.add(LogDecision {"stream_first_event", arrival.callerId, std::move(detail)});
 }
--- a/src/dispatch/streamresumption.cpp
+++ b/src/dispatch/streamresumption.cpp
@@ -31,11 +31,22 @@
 {
     const ArrivedRequest &arrival = request.arrival;
     const bool isResumption = StreamResumption::isResumption(request);
-    const std::string &id = isResumption ? arrival.resumedId : arrival.callerId;
+    const std::string &id =
+        isResumption && arrival.resumedId ? *arrival.resumedId : arrival.callerId;
     const bool isResumable = request.route->isResumable && id.size() <= origins::MaxNameBytes;
     return isResumable ? StreamId(id) : StreamId();
 }
 
+/** Returns what @p request resumes; an empty stream if that is not valid. */
+origins::StreamOrigins::Subject subjectOf(const OpenRequest &request)
+{
+    const ArrivedRequest &arrival = request.arrival;
+    if (arrival.resumedId || !request.route->isResumable) {
+        return {streamIdOf(request)};
+    }
+    return {origins::streamIdOf(arrival.content), true};
+}
+
 bool leadsTo(const Route &route, const ServiceName &service)
 {
     return std::ranges::any_of(route.shares, [&service](const ServiceShare &share) {
@@ -60,15 +71,16 @@
 
 AdmissionStep StreamResumption::begin(Step &step, OpenRequest &request)
 {
-    const StreamId stream = streamIdOf(request);
-    if (stream.isEmpty()) {
+    const origins::StreamOrigins::Subject subject = subjectOf(request);
+    if (subject.stream.isEmpty()) {
         reject(step, request, std::nullopt,
                request.route->isResumable ? "no valid id of the stream to resume"
                                           : "the route's streams cannot be resumed");
         return AdmissionStep::Rejected;
     }
     origins::StreamOrigins::Messages messages;
-    const auto result = m_state.origins.lookUp(step.now, request.arrival.request, stream, messages);
+    const auto result =
+        m_state.origins.lookUp(step.now, request.arrival.request, subject, messages);
     sendToNodes(step, std::move(messages));
     if (result) {
         return decide(step, *result);
@@ -81,8 +93,9 @@
 {
     OpenRequest &request = *m_state.requests.find(result.request);
     request.stage = Stage::Calling;
-    step.add(LogDecision {"stream_origin", request.arrival.callerId,
-                          "resumes=" + request.arrival.resumedId + " " + textOf(result)});
+    step.add(
+        LogDecision {"stream_origin", request.arrival.callerId,
+                     "resumes=" + request.arrival.resumedId.value_or("-") + " " + textOf(result)});
     if (!result.record) {
         const bool isUnreachable = result.fault == OriginFault::Unreachable;
         reject(step, request,
@@ -153,8 +166,12 @@
     const Duration longest = std::max(request.arrival.patience.value_or(MaxStreamTime),
                                       Duration(request.deadline - step.now));
     origins::StreamOrigins::Messages messages;
-    state.origins.begin(step.now, stream, {request.service->name, request.serverVersion},
-                        std::min(longest, MaxStreamTime) + KeepMargin, messages);
+    state.origins.begin(step.now,
+                        {stream,
+                         {request.service->name, request.serverVersion},
+                         std::min(longest, MaxStreamTime) + KeepMargin,
+                         request.arrival.content},
+                        messages);
     sendToNodes(step, std::move(messages));
 }
 
--- a/src/origins/origincodec.cpp
+++ b/src/origins/origincodec.cpp
@@ -17,7 +17,16 @@
 constexpr char Query[] = "ask";
 constexpr char Answer[] = "know";
 
-enum Position : Json::ArrayIndex { Kind, Node, Stream, Service, Version, Time, IsAmbiguous };
+enum Position : Json::ArrayIndex {
+    Kind,
+    Node,
+    Stream,
+    Service,
+    Version,
+    Time,
+    Content,               ///< Of a notice.
+    IsAmbiguous = Content, ///< Of an answer.
+};
 
 Json::Value start(const char *kind, const NodeName &from, const StreamId &stream)
 {
@@ -39,6 +48,7 @@
 {
     Json::Value value = start(Notice, from, notice.stream);
     append(value, notice.origin, notice.keepFor);
+    value.append(notice.content.text());
     return value;
 }
 
@@ -101,8 +111,9 @@
 {
     const std::string kind = value[Kind].asString();
     const StreamId stream(value[Stream].asString());
-    if (kind == Notice && hasOrigin(value)) {
-        return OriginNotice {stream, originOf(value), timeOf(value)};
+    if (kind == Notice && hasOrigin(value) && value.size() > Content && isName(value[Content])) {
+        return OriginNotice {stream, originOf(value), timeOf(value),
+                             ContentId(value[Content].asString())};
     }
     if (kind == Kept) {
         return OriginKept {stream};
--- a/src/origins/originmessages.h
+++ b/src/origins/originmessages.h
@@ -24,12 +24,22 @@
     bool operator==(const StreamOrigin &) const = default;
 };
 
+/**
+ * Returns the id under which a stream is found by its content, for callers that resume it without
+ * naming it. No caller's id contains a space.
+ */
+inline StreamId streamIdOf(const ContentId &content)
+{
+    return StreamId("content " + content.text());
+}
+
 /** Asks a node to keep the origin of a stream. Sending it again has no further effect. */
 struct OriginNotice
 {
     StreamId stream;
     StreamOrigin origin;
     Duration keepFor {}; ///< Time after which no caller can resume the stream.
+    ContentId content = {};
     bool operator==(const OriginNotice &) const = default;
 };
 
--- a/src/origins/streamorigins.cpp
+++ b/src/origins/streamorigins.cpp
@@ -20,6 +20,8 @@
 /** Nodes asked at first; they include the holders, unless the members have just changed. */
 constexpr std::size_t FirstAsked = 3;
 constexpr std::size_t MaxAsked = 8;
+/** Bounds the messages for callers that do not name what they resume. */
+constexpr std::size_t MaxAskedForContent = 128;
 constexpr Duration QueryInterval = std::chrono::milliseconds(40);
 /** Time for answers of busy nodes and for one lost datagram; callers must not wait for longer. */
 constexpr std::uint32_t MaxRounds = 6;
@@ -48,21 +50,29 @@
     }
 }
 
-void StreamOrigins::begin(TimePoint now, const StreamId &stream, const StreamOrigin &origin,
-                          Duration keepFor, Messages &messages)
+void StreamOrigins::begin(TimePoint now, const OriginNotice &stream, Messages &messages)
 {
-    m_records.add(stream, origin, keepFor, now);
+    keep(now, stream);
     Notice notice;
-    notice.origin = origin;
-    notice.until = now + keepFor;
+    notice.origin = stream.origin;
+    notice.content = stream.content;
+    notice.until = now + stream.keepFor;
     notice.copies = copiesFor(now);
-    notice.unconfirmed = m_holders.holdersOf(stream, notice.copies);
+    notice.unconfirmed = m_holders.holdersOf(stream.stream, notice.copies);
     notice.interval = FirstRepetition;
     for (const Holder &holder : notice.unconfirmed) {
-        sendNotice(now, stream, notice, holder, messages);
+        sendNotice(now, stream.stream, notice, holder, messages);
+    }
+    m_repetitions.set(stream.stream, now + notice.interval);
+    m_notices.insert_or_assign(stream.stream, std::move(notice));
+}
+
+void StreamOrigins::keep(TimePoint now, const OriginNotice &notice)
+{
+    m_records.add(notice.stream, notice.origin, notice.keepFor, now);
+    if (!notice.content.isEmpty()) {
+        m_records.add(streamIdOf(notice.content), notice.origin, notice.keepFor, now);
     }
-    m_repetitions.set(stream, now + notice.interval);
-    m_notices.insert_or_assign(stream, std::move(notice));
 }
 
 std::size_t StreamOrigins::copiesFor(TimePoint now)
@@ -70,9 +80,9 @@
     const double elapsed = std::chrono::duration<double>(now - m_allowanceUpdatedAt).count();
     m_noticeAllowance = std::min(MaxAllowance, m_noticeAllowance + elapsed * NoticesPerSecond);
     m_allowanceUpdatedAt = now;
-    const std::size_t copies =
-        std::clamp(static_cast<std::size_t>(m_noticeAllowance), MinCopies, MaxCopies);
-    m_noticeAllowance = std::max(0.0, m_noticeAllowance - static_cast<double>(copies));
+    const auto allowed = static_cast<std::size_t>(std::max(0.0, m_noticeAllowance));
+    const std::size_t copies = std::clamp(allowed, MinCopies, MaxCopies);
+    m_noticeAllowance = std::max(-MaxAllowance, m_noticeAllowance - static_cast<double>(copies));
     return copies;
 }
 
@@ -86,17 +96,21 @@
                                const Holder &holder, Messages &messages)
 {
     ++m_noticesSent;
-    messages.push_back({holder.node, OriginNotice {stream, notice.origin, notice.until - now}});
+    messages.push_back(
+        {holder.node, OriginNotice {stream, notice.origin, notice.until - now, notice.content}});
 }
 
 std::optional<OriginResult> StreamOrigins::lookUp(TimePoint now, RequestNumber request,
-                                                  const StreamId &stream, Messages &messages)
+                                                  const Subject &subject, Messages &messages)
 {
-    Lookup lookup {stream, now, 0, now, {}, 0};
-    const auto own = m_records.find(stream, now);
-    if (own || m_holders.size() == 0) {
-        OriginResult result = resultOf(request, lookup, own, now);
-        if (!own && !m_hasNodes) {
+    Lookup lookup;
+    lookup.subject = subject;
+    lookup.since = now;
+    lookup.found = m_records.find(subject.stream, now);
+    const bool isDecided = lookup.found && !subject.isContent;
+    if (isDecided || m_holders.size() == 0) {
+        OriginResult result = resultOf(request, lookup, now);
+        if (!lookup.found && !m_hasNodes) {
             result.fault = OriginFault::Unreachable;
         }
         return result;
@@ -108,15 +122,17 @@
 
 void StreamOrigins::ask(TimePoint now, Lookup &lookup, Messages &messages)
 {
-    const std::size_t count = lookup.rounds == 0 ? FirstAsked : MaxAsked;
-    const std::vector<Holder> holders = m_holders.holdersOf(lookup.stream, count);
+    const std::size_t byStream = lookup.rounds == 0 ? FirstAsked : MaxAsked;
+    const std::size_t count = lookup.subject.isContent ? MaxAskedForContent : byStream;
+    const StreamId &stream = lookup.subject.stream;
+    const std::vector<Holder> holders = m_holders.holdersOf(stream, count);
     for (std::size_t i = lookup.asked; i < holders.size(); ++i) {
         lookup.silent.push_back(holders[i].node);
     }
     lookup.asked = std::max(lookup.asked, holders.size());
     for (const NodeName &node : lookup.silent) {
         ++m_queriesSent;
-        messages.push_back({node, OriginQuery {lookup.stream}});
+        messages.push_back({node, OriginQuery {stream}});
     }
     ++lookup.rounds;
     lookup.nextRound = now + QueryInterval;
@@ -126,7 +142,7 @@
                                                 const OriginMessage &message, Messages &messages)
 {
     if (const auto *notice = std::get_if<OriginNotice>(&message)) {
-        m_records.add(notice->stream, notice->origin, notice->keepFor, now);
+        keep(now, *notice);
         messages.push_back({from, OriginKept {notice->stream}});
     } else if (const auto *query = std::get_if<OriginQuery>(&message)) {
         messages.push_back(
@@ -154,31 +170,48 @@
     std::vector<OriginResult> results;
     for (auto it = m_lookups.begin(); it != m_lookups.end();) {
         auto &[request, lookup] = *it;
-        const bool isAsked = lookup.stream == answer.stream && std::erase(lookup.silent, from) > 0;
-        if (isAsked && !answer.record && lookup.silent.empty() && lookup.rounds == 1) {
+        if (lookup.subject.stream != answer.stream || std::erase(lookup.silent, from) == 0) {
+            ++it;
+            continue;
+        }
+        if (answer.record) {
+            addAnswer(lookup, *answer.record, from);
+        } else if (lookup.silent.empty() && lookup.rounds == 1 && !lookup.found) {
             ask(now, lookup, messages); // Perhaps the members have changed since the notice.
         }
-        if (!isAsked || (!answer.record && !lookup.silent.empty())) {
+        const bool isDecided =
+            lookup.silent.empty() || (answer.record && !lookup.subject.isContent);
+        if (!isDecided) {
             ++it;
             continue;
         }
-        results.push_back(resultOf(request, lookup, answer.record, now));
-        results.back().learntFrom = from;
+        results.push_back(resultOf(request, lookup, now));
         it = m_lookups.erase(it);
     }
     return results;
 }
 
-OriginResult StreamOrigins::resultOf(RequestNumber request, const Lookup &lookup,
-                                     const std::optional<OriginRecord> &record, TimePoint now)
+void StreamOrigins::addAnswer(Lookup &lookup, const OriginRecord &record, const NodeName &from)
+{
+    if (!lookup.found) {
+        lookup.found = record;
+        lookup.foundAt = from;
+        return;
+    }
+    OriginRecord &found = *lookup.found;
+    found.isAmbiguous = found.isAmbiguous || record.isAmbiguous || found.origin != record.origin;
+}
+
+OriginResult StreamOrigins::resultOf(RequestNumber request, const Lookup &lookup, TimePoint now)
 {
     OriginResult result;
     result.request = request;
     result.lookupTime = now - lookup.since;
     result.asked = lookup.asked;
-    if (record && !record->isAmbiguous) {
-        result.record = record;
-    } else if (record) {
+    result.learntFrom = lookup.foundAt;
+    if (lookup.found && !lookup.found->isAmbiguous) {
+        result.record = lookup.found;
+    } else if (lookup.found) {
         result.fault = OriginFault::Ambiguous;
     } else {
         result.fault = lookup.silent.empty() ? OriginFault::Unknown : OriginFault::Unreachable;
@@ -197,11 +230,11 @@
         auto &[request, lookup] = *it;
         if (now < lookup.nextRound) {
             ++it;
-        } else if (lookup.rounds < MaxRounds) {
+        } else if (!lookup.found && lookup.rounds < MaxRounds) {
             ask(now, lookup, messages);
             ++it;
         } else {
-            results.push_back(resultOf(request, lookup, std::nullopt, now));
+            results.push_back(resultOf(request, lookup, now));
             it = m_lookups.erase(it);
         }
     }
--- a/src/origins/streamorigins.h
+++ b/src/origins/streamorigins.h
@@ -49,20 +49,28 @@
     void setNodes(TimePoint now, const std::vector<Holder> &nodes);
 
     /**
-     * Records that the first event of @p stream, or the first one after a resumption, is about to
-     * be forwarded, and tells the holders.
+     * Records that the first event of a stream, or the first one after a resumption, is about to be
+     * forwarded, and tells the holders.
      */
-    void begin(TimePoint now, const StreamId &stream, const StreamOrigin &origin, Duration keepFor,
-               Messages &messages);
+    void begin(TimePoint now, const OriginNotice &stream, Messages &messages);
     /** Ends the repetition of notices, since the caller has the complete stream. */
     void complete(const StreamId &stream);
 
+    /** What a caller resumes. */
+    struct Subject
+    {
+        StreamId stream;
+        /** The caller does not name the stream, so that it is found by its content; see
+         * streamIdOf(). Its holders are not known, so that many nodes are asked. */
+        bool isContent = false;
+    };
+
     /**
-     * Looks up the origin of @p stream for @p request.
+     * Looks up the origin of @p subject for @p request.
      * @return The result if no other node needs to be asked; otherwise it follows from handle() or
      * tick().
      */
-    std::optional<OriginResult> lookUp(TimePoint now, RequestNumber request, const StreamId &stream,
+    std::optional<OriginResult> lookUp(TimePoint now, RequestNumber request, const Subject &subject,
                                        Messages &messages);
     void abandon(RequestNumber request) { m_lookups.erase(request); }
 
@@ -83,6 +91,7 @@
     struct Notice
     {
         StreamOrigin origin;
+        ContentId content;
         TimePoint until {};
         std::size_t copies = 0;
         std::vector<Holder> unconfirmed;
@@ -91,14 +100,19 @@
     };
     struct Lookup
     {
-        StreamId stream;
+        Subject subject;
         TimePoint since {};
         std::uint32_t rounds = 0;
         TimePoint nextRound {};
         std::vector<NodeName> silent; ///< Nodes that have not answered yet.
         std::size_t asked = 0;
+        std::optional<OriginRecord> found; ///< What the answers so far say.
+        NodeName foundAt;
     };
 
+    void keep(TimePoint now, const OriginNotice &notice);
+    static void addAnswer(Lookup &lookup, const OriginRecord &record, const NodeName &from);
+
     /** Returns how many nodes to tell of a stream now, within the message rate. */
     std::size_t copiesFor(TimePoint now);
     void sendNotice(TimePoint now, const StreamId &stream, const Notice &notice,
@@ -107,8 +121,7 @@
     void ask(TimePoint now, Lookup &lookup, Messages &messages);
     std::vector<OriginResult> handleAnswer(TimePoint now, const NodeName &from,
                                            const OriginAnswer &answer, Messages &messages);
-    static OriginResult resultOf(RequestNumber request, const Lookup &lookup,
-                                 const std::optional<OriginRecord> &record, TimePoint now);
+    static OriginResult resultOf(RequestNumber request, const Lookup &lookup, TimePoint now);
 
     OriginHolders m_holders;
     bool m_hasNodes = false; ///< Whether setNodes() was called.
--- a/tests/dispatch/dispatcherharness.h
+++ b/tests/dispatch/dispatcherharness.h
@@ -146,13 +146,14 @@
     }
 
     /** Sends a request that resumes the stream whose first event attempt @p id has brought. */
-    RequestNumber resume(int milliseconds, const std::string &host, const std::string &id,
-                         std::uint32_t tokens = 5'000)
+    RequestNumber resume(int milliseconds, const std::string &host,
+                         const std::optional<std::string> &id, std::uint32_t tokens = 5'000,
+                         const std::string &content = "content")
     {
         ArrivedRequest request;
         request.request = RequestNumber(++m_lastRequest);
         request.callerId = "c" + std::to_string(m_lastRequest);
-        request.content = ContentId(request.callerId);
+        request.content = ContentId(content);
         request.host = host;
         request.path = "/x";
         request.patience = std::chrono::milliseconds(14'000);
--- a/tests/dispatch/streamresumptiontest.cpp
+++ b/tests/dispatch/streamresumptiontest.cpp
@@ -89,6 +89,7 @@
     CPPUNIT_TEST(rejectsStreamWhoseVersionIsGone);
     CPPUNIT_TEST(rejectsWaitingStreamWhenItsVersionGoes);
     CPPUNIT_TEST(rejectsWithoutAValidId);
+    CPPUNIT_TEST(resumesByContentIfTheCallerNamesNoStream);
     CPPUNIT_TEST(rejectsOnRoutesThatCannotBeResumed);
     CPPUNIT_TEST(rejectsWhenNobodyAnswers);
     CPPUNIT_TEST(oneVersionIsNoReasonToGuess);
@@ -223,6 +224,21 @@
         CPPUNIT_ASSERT(harness.takeNodeMessages().empty());
     }
 
+    // Guards against refusing callers of an earlier contract, who name no stream.
+    void resumesByContentIfTheCallerNamesNoStream()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const std::string id = origins::streamIdOf(ContentId("prompt")).text();
+        harness.resume(0, "resumable", std::nullopt, Prompt, "prompt");
+        answerQuery(harness, 3, id, StreamOrigin {ServiceName("llm"), "v2"});
+        CPPUNIT_ASSERT_EQUAL(std::string("v2"),
+                             versionOf(harness.nextCall(CallKind::Reserve).server));
+        const RequestNumber unknown = harness.resume(10, "resumable", std::nullopt, Prompt, "new");
+        answerQuery(harness, 13, origins::streamIdOf(ContentId("new")).text(), std::nullopt);
+        CPPUNIT_ASSERT_EQUAL(503, harness.status(unknown));
+    }
+
     void rejectsOnRoutesThatCannotBeResumed()
     {
         DispatcherHarness harness;
--- a/tests/origins/origincodectest.cpp
+++ b/tests/origins/origincodectest.cpp
@@ -54,7 +54,8 @@
             const StreamId stream(arbitraryName());
             const OriginRecord record {arbitraryOrigin(), *rc::gen::arbitrary<bool>(),
                                        arbitraryTime()};
-            RC_ASSERT(survives(OriginNotice {stream, arbitraryOrigin(), arbitraryTime()}));
+            RC_ASSERT(survives(OriginNotice {stream, arbitraryOrigin(), arbitraryTime(),
+                                             ContentId(arbitraryName())}));
             RC_ASSERT(survives(OriginKept {stream}));
             RC_ASSERT(survives(OriginQuery {stream}));
             RC_ASSERT(survives(OriginAnswer {stream, std::nullopt}));
@@ -67,24 +68,26 @@
     {
         for (const char *text :
              {"", "7", "{}", "[]", R"(["tell"])", R"(["tell","n1","id"])",
-              R"(["tell","n1","id","llm","v1","soon"])", R"(["tell","n1","id","llm",1,5])",
-              R"(["tell","","id","llm","v1",5])", R"(["tell","n1","","llm","v1",5])",
+              R"(["tell","n1","id","llm","v1","soon","c"])", R"(["tell","n1","id","llm","v1",5,7])",
+              R"(["tell","n1","id","llm",1,5,"c"])", R"(["tell","n1","id","llm","v1",5])",
+              R"(["tell","","id","llm","v1",5,"c"])", R"(["tell","n1","","llm","v1",5,"c"])",
               R"([7,"n1","id"])", R"(["other","n1","id"])", R"(["know","n1","id","llm","v1",5])",
               R"(["know","n1","id","llm","v1",5,"no"])"}) {
             CPPUNIT_ASSERT_MESSAGE(text, !isRead(text));
         }
         const std::string tooLong(MaxNameBytes + 1, 'a');
         CPPUNIT_ASSERT(!isRead((R"(["ask","n1",")" + tooLong + R"("])").c_str()));
-        CPPUNIT_ASSERT(!isRead((R"(["tell","n1","id","llm",")" + tooLong + R"(",5])").c_str()));
+        CPPUNIT_ASSERT(!isRead((R"(["tell","n1","id","llm",")" + tooLong + R"(",5,"c"])").c_str()));
     }
 
     // Guards against records that a forged time keeps for ever.
     void boundsTimes()
     {
         const auto read =
-            readOriginDatagram(parseJson(R"(["tell","n1","id","llm","v1",9000000000000])"));
+            readOriginDatagram(parseJson(R"(["tell","n1","id","llm","v1",9000000000000,"c"])"));
         CPPUNIT_ASSERT(std::get<OriginNotice>(read->message).keepFor == OriginRecords::MaxKeepTime);
-        const auto negative = readOriginDatagram(parseJson(R"(["tell","n1","id","llm","v1",-5])"));
+        const auto negative =
+            readOriginDatagram(parseJson(R"(["tell","n1","id","llm","v1",-5,"c"])"));
         CPPUNIT_ASSERT(std::get<OriginNotice>(negative->message).keepFor == Duration(0));
     }
 };
--- a/tests/origins/originfleet.h
+++ b/tests/origins/originfleet.h
@@ -70,16 +70,29 @@
     void begin(int number, const std::string &stream, const std::string &version)
     {
         StreamOrigins::Messages messages;
-        node(number).begin(m_now, StreamId(stream), {ServiceName("llm"), version},
-                           std::chrono::seconds(14), messages);
+        node(number).begin(m_now,
+                           {StreamId(stream),
+                            {ServiceName("llm"), version},
+                            std::chrono::seconds(14),
+                            ContentId("content-of-" + stream)},
+                           messages);
         send(nameOf(number), messages);
     }
     /** Looks up a stream; the result is in results() once it is decided. */
     RequestNumber lookUp(int number, const std::string &stream)
+    {
+        return lookUp(number, StreamOrigins::Subject {StreamId(stream)});
+    }
+    /** Looks up a stream whose id the caller does not name. */
+    RequestNumber lookUpContent(int number, const std::string &content)
+    {
+        return lookUp(number, StreamOrigins::Subject {streamIdOf(ContentId(content)), true});
+    }
+    RequestNumber lookUp(int number, const StreamOrigins::Subject &subject)
     {
         StreamOrigins::Messages messages;
         const RequestNumber request(++m_lastRequest);
-        if (const auto result = node(number).lookUp(m_now, request, StreamId(stream), messages)) {
+        if (const auto result = node(number).lookUp(m_now, request, subject, messages)) {
             m_results[request] = *result;
         }
         send(nameOf(number), messages);
--- a/tests/origins/streamoriginstest.cpp
+++ b/tests/origins/streamoriginstest.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(ownStreamsNeedNoMessage);
     CPPUNIT_TEST(unknownStreamIsDecidedAtOnce);
     CPPUNIT_TEST(idsThatBeganTwiceAreAmbiguous);
+    CPPUNIT_TEST(findsStreamsByTheirContent);
     CPPUNIT_TEST(repeatsLostMessages);
     CPPUNIT_TEST(cutOffNodeTellsOthersAfterTheCut);
     CPPUNIT_TEST(cutOffNodeDecidesInTime);
@@ -103,6 +104,32 @@
         CPPUNIT_ASSERT_EQUAL(text("v1"), lookUp(fleet, 2, "b"));
     }
 
+    // Guards against callers of an earlier contract, who do not name what they resume, being
+    // refused, or being served at the version of another caller's stream with the same content.
+    void findsStreamsByTheirContent()
+    {
+        OriginFleet fleet(74, 4);
+        fleet.begin(0, "a", "v1");
+        fleet.kill(0);
+        fleet.advance(2ms);
+        const RequestNumber one = fleet.lookUpContent(5, "content-of-a");
+        const RequestNumber none = fleet.lookUpContent(5, "content-of-b");
+        fleet.advance(LookupLimit);
+        CPPUNIT_ASSERT_EQUAL(text("v1"), textOf(fleet.result(one)));
+        CPPUNIT_ASSERT(!fleet.result(none)->record);
+        for (const int node : {1, 5}) {
+            StreamOrigins::Messages messages;
+            const OriginNotice other {StreamId("other"),
+                                      {ServiceName("llm"), "v2"},
+                                      std::chrono::seconds(14),
+                                      ContentId("content-of-a")};
+            fleet.node(node).begin(fleet.now(), other, messages);
+            const RequestNumber both = fleet.lookUpContent(5, "content-of-a");
+            fleet.advance(LookupLimit);
+            CPPUNIT_ASSERT_EQUAL(text("ambiguous"), textOf(fleet.result(both)));
+        }
+    }
+
     void repeatsLostMessages()
     {
         OriginFleet fleet(7, 3);
@@ -167,10 +194,10 @@
         StreamOrigins origins;
         StreamOrigins::Messages messages;
         const TimePoint now = TimePoint {} + 1h;
-        const auto early = origins.lookUp(now, RequestNumber(1), StreamId("a"), messages);
+        const auto early = origins.lookUp(now, RequestNumber(1), {StreamId("a")}, messages);
         CPPUNIT_ASSERT_EQUAL(text("unreachable"), textOf(early));
         origins.setNodes(now, {});
-        const auto alone = origins.lookUp(now, RequestNumber(2), StreamId("a"), messages);
+        const auto alone = origins.lookUp(now, RequestNumber(2), {StreamId("a")}, messages);
         CPPUNIT_ASSERT_EQUAL(text("unknown"), textOf(alone));
     }
 
--- a/tests/platform/platformdialecttest.cpp
+++ b/tests/platform/platformdialecttest.cpp
@@ -649,10 +649,10 @@
             for (const std::string &value : values) {
                 request.head.headers.emplace_back("Resumes", value);
             }
-            return dialect.readRequest(request.head).resumedId;
+            return dialect.readRequest(request.head).resumedId.value_or("none");
         };
         CPPUNIT_ASSERT_EQUAL(std::string("5f7cc0a4b77d4f8e"), resumedId({"5f7cc0a4b77d4f8e"}));
-        CPPUNIT_ASSERT_EQUAL(std::string(), resumedId({}));
+        CPPUNIT_ASSERT_EQUAL(std::string("none"), resumedId({}));
         CPPUNIT_ASSERT_EQUAL(std::string(), resumedId({""}));
         CPPUNIT_ASSERT_EQUAL(std::string(), resumedId({"a", "b"}));
         CPPUNIT_ASSERT_EQUAL(std::string(), resumedId({"", "b"}));
