--- a/src/origins/originmessages.h
+++ b/src/origins/originmessages.h
@@ -38,8 +38,8 @@
 {
     StreamId stream;
     StreamOrigin origin;
-    Duration keepFor {}; ///< Time after which no caller can resume the stream.
-    ContentId content = {};
+    Duration keepFor {};    ///< Time after which no caller can resume the stream.
+    ContentId content = {}; ///< For callers that resume the stream without naming it.
     bool operator==(const OriginNotice &) const = default;
 };
 
--- a/src/origins/streamorigins.cpp
+++ b/src/origins/streamorigins.cpp
@@ -38,11 +38,12 @@
     m_holders.setNodes(nodes);
     m_hasNodes = true;
     for (auto &[stream, notice] : m_notices) {
-        const std::vector<Holder> holders = m_holders.holdersOf(stream, notice.copies);
         notice.unconfirmed.clear();
-        std::ranges::copy_if(
-            holders, std::back_inserter(notice.unconfirmed),
-            [&notice](const Holder &holder) { return !contains(notice.confirmed, holder); });
+        for (const Holder &holder : m_holders.holdersOf(stream, notice.copies)) {
+            if (!contains(notice.confirmed, holder)) {
+                notice.unconfirmed.push_back(holder);
+            }
+        }
         if (!notice.unconfirmed.empty()) {
             notice.interval = FirstRepetition;
             m_repetitions.set(stream, now);
--- a/src/origins/streamorigins.h
+++ b/src/origins/streamorigins.h
@@ -60,8 +60,10 @@
     struct Subject
     {
         StreamId stream;
-        /** The caller does not name the stream, so that it is found by its content; see
-         * streamIdOf(). Its holders are not known, so that many nodes are asked. */
+        /**
+         * Whether the caller names no stream, so that it is found by its content, see streamIdOf().
+         * The holders are then not known, and many nodes are asked.
+         */
         bool isContent = false;
     };
 
@@ -111,6 +113,7 @@
     };
 
     void keep(TimePoint now, const OriginNotice &notice);
+    /** Adds what @p from knows; another origin than that of earlier answers makes it ambiguous. */
     static void addAnswer(Lookup &lookup, const OriginRecord &record, const NodeName &from);
 
     /** Returns how many nodes to tell of a stream now, within the message rate. */
