Log the parts of the prompts on a server that has crashed

Cause: the logs could not tell whether requests that end engines have something in common: the header with the parts of a prompt was passed on and never read, and nothing said whether a cut request had begun to write. Change: the parts but the last are read (bounded, each once, any spelling); server_crashed lists up to 16 lost requests with them, the events passed on, the age of the call and what was known of the content. No decision changes.

--- a/src/dispatch/crashdetector.cpp
+++ b/src/dispatch/crashdetector.cpp
@@ -4,8 +4,16 @@
 
 namespace indigoway::dispatch {
 
+namespace {
+
+/** Limits the log line of a crash; an engine serves a few dozen requests. */
+constexpr std::size_t MaxLoggedRequests = 16;
+constexpr std::size_t MaxLoggedParts = 8;
+
+} // namespace
+
 void CrashDetector::callBroken(Step &step, const OpenCall &call, const OpenRequest &request,
-                               bool isConnectionLost)
+                               const CallEnded &event)
 {
     const ServerName &server = call.server.name;
     const bool isLeaving =
@@ -15,7 +23,8 @@
     }
     auto [suspected, isFirst] = m_suspicions.try_emplace(server);
     Suspicion &suspicion = suspected->second;
-    if (isConnectionLost) {
+    if (event.isConnectionLost && carriesRequest(call.kind)) {
+        addLostRequest(step, suspicion, call, request, event.events);
         std::uint32_t &knownCrashes = suspicion.contents[request.arrival.content];
         knownCrashes = std::max(knownCrashes, request.knownCrashes);
     }
@@ -27,6 +36,28 @@
     }
 }
 
+void CrashDetector::addLostRequest(Step &step, Suspicion &suspicion, const OpenCall &call,
+                                   const OpenRequest &request, std::uint32_t events)
+{
+    if (suspicion.requests.size() >= MaxLoggedRequests) {
+        return;
+    }
+    suspicion.requests.push_back({request.arrival.callerId, request.arrival.sharedParts, call.kind,
+                                  std::max(request.forwardedEvents, events), request.knownCrashes,
+                                  step.now - call.started});
+}
+
+std::string CrashDetector::textOf(const LostRequest &lost)
+{
+    std::string parts;
+    for (std::size_t i = 0; i < std::min(lost.sharedParts.size(), MaxLoggedParts); ++i) {
+        parts += (parts.empty() ? "" : ",") + indigoway::textOf(lost.sharedParts[i]);
+    }
+    return " lost=" + lost.callerId + ":" + nameOf(lost.kind) + ":events="
+        + std::to_string(lost.events) + ":sent_ago_ms=" + millisecondsText(lost.sentAgo)
+        + ":known=" + std::to_string(lost.knownCrashes) + ":parts=" + (parts.empty() ? "-" : parts);
+}
+
 void CrashDetector::probeEnded(Step &step, const OpenCall &call, const CallEnded &event)
 {
     const ServerName &server = call.server.name;
@@ -44,6 +75,9 @@
             " content=" + content.text() + " crashes_in_row=" + std::to_string(knownCrashes + 1);
         recordCrash(step, content, knownCrashes + 1);
     }
+    for (const LostRequest &lost : suspicion.requests) {
+        crashedContents += textOf(lost);
+    }
     step.add(LogDecision {"server_crashed",
                           {},
                           "server=" + server.text() + " address=" + call.server.address
--- a/src/dispatch/crashdetector.h
+++ b/src/dispatch/crashdetector.h
@@ -3,6 +3,8 @@
 #include "dispatch/dispatchstate.h"
 
 #include <map>
+#include <string>
+#include <vector>
 
 namespace indigoway::dispatch {
 
@@ -22,21 +24,36 @@
 
     /** Starts a probe of the server of @p call, which broke while the server ran @p request. */
     void callBroken(Step &step, const OpenCall &call, const OpenRequest &request,
-                    bool isConnectionLost);
+                    const CallEnded &event);
     /** Records and reports what the probe of @p call shows. */
     void probeEnded(Step &step, const OpenCall &call, const CallEnded &event);
     /** Records that a server completed an answer to @p content, with any status. */
     void recordAnswer(Step &step, const ContentId &content);
 
 private:
+    /** A request that was on a server when it may have crashed. */
+    struct LostRequest
+    {
+        std::string callerId;
+        std::vector<PartId> sharedParts;
+        CallKind kind = CallKind::Plain;
+        std::uint32_t events = 0;       ///< Stream events that were forwarded.
+        std::uint32_t knownCrashes = 0; ///< Of its content, when it was sent.
+        Duration sentAgo {};
+    };
+
     /** What is known of a server with a probe in progress. */
     struct Suspicion
     {
         /** Contents whose connections were lost, with the number of crashes known before. */
         std::map<ContentId, std::uint32_t> contents;
-        std::uint32_t engineCalls = 0; ///< Broken calls of generations.
+        std::vector<LostRequest> requests; ///< At most MaxLoggedRequests.
+        std::uint32_t engineCalls = 0;     ///< Broken calls of generations.
     };
 
+    static void addLostRequest(Step &step, Suspicion &suspicion, const OpenCall &call,
+                               const OpenRequest &request, std::uint32_t events);
+    static std::string textOf(const LostRequest &lost);
     void recordCrash(Step &step, const ContentId &content, std::uint32_t count);
     void reportToScheduler(Step &step, const ServerName &server, const Suspicion &suspicion,
                            const CallEnded &event) const;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -421,7 +421,7 @@
     const bool runsContent = carriesRequest(call.kind);
     const bool isLost = event.isConnectionLost && runsContent;
     if (isLost || (event.end == CallEnd::Broken && request.isGeneration())) {
-        m_crashDetector.callBroken(step, call, request, isLost);
+        m_crashDetector.callBroken(step, call, request, event);
     } else if (event.end == CallEnd::Complete && runsContent && call.kind != CallKind::Prefill) {
         m_crashDetector.recordAnswer(step, request.arrival.content);
     }
--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -8,11 +8,13 @@
 #include "slots/slotmessages.h"
 
 #include <indigoway/ids.h>
+#include <indigoway/promptpart.h>
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace indigoway::dispatch {
 
@@ -26,6 +28,8 @@
     std::string path;                 ///< Includes the query.
     std::optional<Duration> patience; ///< Maximum time the caller waits.
     std::uint32_t promptTokens = 0;   ///< 0 if the request is not a generation.
+    /** Parts of the prompt that other requests may share, in order, each once. */
+    std::vector<PartId> sharedParts;
     std::uint32_t maxOutputTokens = 0;
     std::optional<std::uint32_t> likelyOutputTokens; ///< Estimate provided by the caller.
     bool isContinuation = false; ///< Resumes after an event that the caller has received.
--- a/tests/dispatch/crashdetectortest.cpp
+++ b/tests/dispatch/crashdetectortest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(failuresOfAReachableEngineAreReported);
     CPPUNIT_TEST(anEngineThatNobodyReachesIsReported);
     CPPUNIT_TEST(aNodeWithoutAnyPathReportsNothing);
+    CPPUNIT_TEST(aCrashIsLoggedWithThePartsOfTheLostPrompts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -105,6 +106,17 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {1}, harness.logLines("path_at_fault").size());
     }
 
+    void aCrashIsLoggedWithThePartsOfTheLostPrompts()
+    {
+        DispatcherHarness harness;
+        harness.setSharedParts({"f1", "dead"});
+        harness.loseConnection(100, startDecode(harness));
+        harness.end(110, harness.nextServerProbe(), CallEnd::NotConnected);
+        const std::string &line = harness.logLines("server_crashed").front();
+        CPPUNIT_ASSERT(line.find(":parts=f1,dead") != std::string::npos);
+        CPPUNIT_ASSERT(line.find(":events=0") != std::string::npos);
+    }
+
     // An engine that resets its streams while it accepts connections must lose its work.
     void failuresOfAReachableEngineAreReported()
     {
--- a/tests/dispatch/dispatcherharness.h
+++ b/tests/dispatch/dispatcherharness.h
@@ -125,6 +125,15 @@
         return arrive(milliseconds, host, tokens, {}, {}, credentials, copyAge);
     }
 
+    /** Sets the parts that the prompts of the next requests share with others. */
+    void setSharedParts(const std::vector<std::string> &names)
+    {
+        m_sharedParts.clear();
+        for (const std::string &name : names) {
+            m_sharedParts.push_back(partIdOf(name));
+        }
+    }
+
     RequestNumber arrive(int milliseconds, const std::string &host, std::uint32_t tokens,
                          std::optional<Duration> patience, const std::string &content,
                          const Credentials &credentials, std::optional<Duration> copyAge)
@@ -140,6 +149,7 @@
         request.promptTokens = tokens;
         request.maxOutputTokens = tokens == 0 ? 0 : 500;
         request.credentials = credentials;
+        request.sharedParts = m_sharedParts;
         request.copyAge = copyAge;
         reduce(milliseconds, request);
         return request.request;
@@ -351,6 +361,7 @@
     Dispatcher m_dispatcher;
     std::uint64_t m_entropy = 0;
     std::uint64_t m_lastRequest = 0;
+    std::vector<PartId> m_sharedParts;
     bool m_keepsBackups = false;
     bool m_movesRuns = false;
     std::deque<StartCall> m_calls;
--- a/tests/platform/platformdialecttest.cpp
+++ b/tests/platform/platformdialecttest.cpp
@@ -88,9 +88,38 @@
     CPPUNIT_TEST(rejectsInvalidServerEntries);
     CPPUNIT_TEST(decodesOrRejectsAnyBytes);
     CPPUNIT_TEST(readsTheResumedStream);
+    CPPUNIT_TEST(sharedPartsOfThePromptAreRead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Parts are the caller's input: whatever stands there must neither be lost nor be unbounded.
+    void sharedPartsOfThePromptAreRead()
+    {
+        const auto partsOf = [this](const std::string &value) {
+            CallerRequest origin = callerRequest();
+            origin.head.headers.emplace_back("Indigoway-Prompt-Prefix", value);
+            std::string text;
+            for (const PartId part : m_dialect.readRequest(origin.head).sharedParts) {
+                text += textOf(part) + " ";
+            }
+            return text;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("5c1e07a2 91bd3f06 "),
+                             partsOf("5c1e07a2:800,91bd3f06:410,e4402b7d:250"));
+        CPPUNIT_ASSERT_EQUAL(std::string("5c1e07a2 "), partsOf(" 005C1E07A2 : 8 , 5c1e07a2,e4:1"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), partsOf("5c1e07a2:800"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), partsOf(",,,:,"));
+        CPPUNIT_ASSERT(!partsOf("not hex:-1,e4:1").empty());
+        std::string thousands;
+        for (int i = 1; i <= 5'000; ++i) {
+            thousands += std::to_string(i) + ":1,";
+        }
+        CallerRequest endless = callerRequest();
+        endless.head.headers.emplace_back("Indigoway-Prompt-Prefix", thousands);
+        CPPUNIT_ASSERT_EQUAL(MaxPromptParts,
+                             m_dialect.readRequest(endless.head).sharedParts.size());
+    }
+
     void decodesACallerRequest()
     {
         const auto request = m_dialect.readRequest(callerRequest().head);
