--- a/standins/sharedplatform.cpp
+++ b/standins/sharedplatform.cpp
@@ -3,6 +3,7 @@
 #include "core/jsontext.h"
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/str_split.h>
 
 #include <algorithm>
 #include <cstdio>
@@ -342,6 +343,7 @@
         answer["continued"][id] = count;
     }
     answer["crashes"] = m_crashes;
+    answer["calls_with_crashing_part"] = Json::UInt64(m_callsWithCrashingPart);
     answer["crashed_now"] = Json::UInt64(
         std::count_if(m_workers.begin(), m_workers.end(),
                       [](const std::unique_ptr<Worker> &worker) { return !worker->server; }));
@@ -448,9 +450,18 @@
     return FirstBorn + worker.lives;
 }
 
-bool SharedPlatform::crashes(const HttpRequest &request) const
+bool SharedPlatform::hasCrashingPart(const HttpRequest &request)
 {
-    return request.body.starts_with("crash");
+    const std::string parts = request.header("Indigoway-Prompt-Prefix");
+    std::vector<std::string> entries = absl::StrSplit(parts, ',');
+    entries.pop_back();
+    return std::ranges::any_of(entries,
+                               [](const std::string &entry) { return entry.starts_with("dead:"); });
+}
+
+bool SharedPlatform::crashes(const HttpRequest &request)
+{
+    return request.body.starts_with("crash") || hasCrashingPart(request);
 }
 
 std::string SharedPlatform::hold(std::chrono::milliseconds lifetime)
@@ -491,6 +502,7 @@
     HttpHeaders headers {{"Indigoway-Request-Id", id}};
     const bool isRequest = !id.empty();
     worker.called += isRequest ? 1 : 0;
+    m_callsWithCrashingPart += isRequest && hasCrashingPart(request) ? 1 : 0;
     if (request.header("Indigoway-Expect-Instance") != worker.name) {
         answer(worker, request, Misdirected, "{}", {{"Indigoway-Not-Executed", "1"}});
     } else if (!worker.refusesFor.empty() && (isRequest || request.path == "/hold-take")) {
--- a/standins/sharedplatform.h
+++ b/standins/sharedplatform.h
@@ -24,7 +24,8 @@
  * Stand-in of the users' platform: its key-value service (lists, watches, conditions, leases that
  * end) and backend servers that have announced themselves there. As much as tests of whole
  * processes need. Faults and changes are at /control of the service's address; a request whose
- * body begins with "crash" ends each server that runs it.
+ * body begins with "crash", or whose prompt has the part "dead" before its last one, ends each
+ * server that begins to write an answer to it.
  */
 class SharedPlatform
 {
@@ -116,7 +117,8 @@
     /** When its present life began; another figure for each life. */
     static std::uint64_t bornAt(const Worker &worker);
     /** Whether @p request, which is run now, is one that crashes whatever runs it. */
-    bool crashes(const HttpRequest &request) const;
+    static bool crashes(const HttpRequest &request);
+    static bool hasCrashingPart(const HttpRequest &request);
     /** Sets what the named worker says in its answers; headers, and the pause of refusals. */
     void advise(const Json::Value &advice);
     /** Ends the named worker and starts it again with another software version. */
@@ -148,6 +150,8 @@
     bool m_isDown = false;
     std::uint64_t m_revision = 0;
     std::uint64_t m_lastLease = 0;
+    std::uint64_t m_callsWithCrashingPart =
+        0; ///< Requests that reached a server, prefills included.
     std::map<std::string, Item> m_items;
     std::deque<Change> m_changes;
     std::vector<Watch> m_watches;
