End streams to HTTP/1.0 callers with their connection, and reset them if they are broken off

Change: such a caller gets the events as they are and Connection: close; a stream that is broken off ends with a reset. Measured: two cases in relaytest; the first fails on the code before (Transfer-Encoding: chunked).

--- a/src/relay/callerlistener.cpp
+++ b/src/relay/callerlistener.cpp
@@ -82,7 +82,8 @@
     RequestNumber request;
     CallerRequest incomingRequest;
     CallerLimits limits;
-    bool isChunked = false;
+    bool isHttp10 = false; ///< The caller knows no chunks; a stream ends with the connection.
+    bool isStreaming = false;
     bool isKeepAlive = true; ///< The connection accepts further requests.
     bool isHeadRequest = false;
     /** Set in a parser callback; the answer is sent after the parser returns. */
@@ -139,7 +140,7 @@
 void CallerListener::startStream(RequestNumber request, int status, const HttpHeaders &headers)
 {
     if (Connection *connection = findConnection(request)) {
-        connection->isChunked = true;
+        connection->isStreaming = true;
         writeHead(*connection, status, headers, std::nullopt);
     }
 }
@@ -151,9 +152,13 @@
         return;
     }
     evbuffer *output = bufferevent_get_output(connection->bev);
-    evbuffer_add_printf(output, "%zx\r\n", data.size());
-    evbuffer_add(output, data.data(), data.size());
-    evbuffer_add(output, "\r\n", 2);
+    if (connection->isHttp10) {
+        evbuffer_add(output, data.data(), data.size());
+    } else {
+        evbuffer_add_printf(output, "%zx\r\n", data.size());
+        evbuffer_add(output, data.data(), data.size());
+        evbuffer_add(output, "\r\n", 2);
+    }
     if (evbuffer_get_length(output) > MaxUnsentBytes) {
         const ConnectionNumber number = connection->number;
         close(number);
@@ -167,7 +172,7 @@
     if (!connection) {
         return;
     }
-    if (!connection->isHeadRequest) {
+    if (!connection->isHeadRequest && !connection->isHttp10) {
         bufferevent_write(connection->bev, "0\r\n\r\n", 5);
     }
     finishAnswer(*connection);
@@ -179,6 +184,12 @@
     if (!connection) {
         return;
     }
+    if (connection->isHttp10 && connection->isStreaming) {
+        // A regular close would mark the answer as complete.
+        resetOnClose(bufferevent_getfd(connection->bev));
+        close(connection->number);
+        return;
+    }
     m_requests.erase(request);
     connection->request = {};
     // Buffered data is still sent; the missing last chunk marks the answer as incomplete.
@@ -280,6 +291,7 @@
 {
     connection.incomingRequest.head = head;
     connection.isKeepAlive = head.isKeepAlive;
+    connection.isHttp10 = head.isHttp10;
     connection.isHeadRequest = head.method == "HEAD";
     std::size_t bytes = 0;
     for (const auto &[name, value] : head.headers) {
@@ -320,7 +332,7 @@
 {
     event_del(connection.timer);
     connection.state = Connection::State::Answering;
-    connection.isChunked = false;
+    connection.isStreaming = false;
     connection.request = RequestNumber(++m_lastRequest);
     m_requests.emplace(connection.request, connection.number);
     m_requestHandler(connection.request, std::move(connection.incomingRequest));
@@ -434,9 +446,13 @@
     for (const auto &[name, value] : headers) {
         text.append(name).append(": ").append(value).append("\r\n");
     }
-    text += length ? "Content-Length: " + std::to_string(*length) + "\r\n"
-                   : std::string("Transfer-Encoding: chunked\r\n");
-    if (!connection.isKeepAlive || m_isLeaving) {
+    const bool endsWithConnection = !length && connection.isHttp10;
+    if (length) {
+        text += "Content-Length: " + std::to_string(*length) + "\r\n";
+    } else if (!endsWithConnection) {
+        text += "Transfer-Encoding: chunked\r\n";
+    }
+    if (!connection.isKeepAlive || m_isLeaving || endsWithConnection) {
         text += "Connection: close\r\n";
         connection.isKeepAlive = false;
     }
--- a/src/relay/messageparser.cpp
+++ b/src/relay/messageparser.cpp
@@ -167,6 +167,8 @@
         self.m_head.status = static_cast<int>(parser->status_code);
         parser->upgrade = 0;
     }
+    self.m_head.isHttp10 =
+        parser->http_major < 1 || (parser->http_major == 1 && parser->http_minor == 0);
     self.m_head.isKeepAlive = http_should_keep_alive(parser) != 0;
     self.m_head.isDelimitedByClose = self.m_kind == Kind::Response && !self.m_isBodiless
         && mayHaveBody(self.m_head.status) && (parser->flags & F_CHUNKED) == 0
--- a/src/relay/messageparser.h
+++ b/src/relay/messageparser.h
@@ -17,6 +17,7 @@
     std::string target; ///< Unmodified path and query of a request.
     int status = 0;     ///< Response status; 0 for a request.
     HttpHeaders headers;
+    bool isHttp10 = false;           ///< Sent by a peer that does not know chunked encoding.
     bool isKeepAlive = false;        ///< The connection stays open after the message.
     bool isDelimitedByClose = false; ///< The end of the connection marks the end of the body.
 
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(rejectsMalformedRequests);
     CPPUNIT_TEST(answersExpectContinue);
     CPPUNIT_TEST(anAbortedStreamHasNoLastChunk);
+    CPPUNIT_TEST(aStreamToAnOldCallerEndsWithItsConnection);
+    CPPUNIT_TEST(anAbortedStreamToAnOldCallerIsReset);
     CPPUNIT_TEST(closesConnectionsWhileLeaving);
     CPPUNIT_TEST(reusesAnIdleConnection);
     CPPUNIT_TEST(aResetEndsAnAnswerWithoutLengthAsLost);
@@ -163,6 +165,35 @@
         CPPUNIT_ASSERT(answer.ends_with("9\r\ndata: a\n\n\r\n"));
     }
 
+    // A caller with HTTP/1.0 takes chunk sizes for a part of the answer.
+    void aStreamToAnOldCallerEndsWithItsConnection()
+    {
+        RawSocket caller(m_address);
+        const std::string answer = streamToOldCaller(caller);
+        m_listener->endStream(m_requests.front().first);
+        runUntil([&] {
+            caller.receive();
+            return caller.hasEnded();
+        });
+        CPPUNIT_ASSERT(answer.find("Transfer-Encoding") == std::string::npos);
+        CPPUNIT_ASSERT(answer.find("Connection: close") != std::string::npos);
+        CPPUNIT_ASSERT(answer.ends_with("\r\n\r\ndata: a\n\n"));
+        CPPUNIT_ASSERT(!caller.isReset());
+    }
+
+    // A regular close would pass the stream as whole.
+    void anAbortedStreamToAnOldCallerIsReset()
+    {
+        RawSocket caller(m_address);
+        streamToOldCaller(caller);
+        m_listener->abortAnswer(m_requests.front().first);
+        runUntil([&] {
+            caller.receive();
+            return caller.isReset();
+        });
+        CPPUNIT_ASSERT(!caller.hasEnded());
+    }
+
     void closesConnectionsWhileLeaving()
     {
         RawSocket caller(m_address);
@@ -339,6 +370,18 @@
         CPPUNIT_FAIL("condition not met in time");
     }
 
+    /** Sends an event to a caller with HTTP/1.0 on a kept connection; returns what it has got. */
+    std::string streamToOldCaller(RawSocket &caller)
+    {
+        caller.send("GET /a HTTP/1.0\r\nHost: x\r\nConnection: keep-alive\r\n\r\n");
+        runUntil([&] { return !m_requests.empty(); });
+        m_listener->startStream(m_requests.front().first, 200, {});
+        m_listener->sendChunk(m_requests.front().first, "data: a\n\n");
+        std::string answer;
+        runUntil([&] { return (answer += caller.receive()).ends_with("\n\n"); });
+        return answer;
+    }
+
     void startSilentCall(Duration idleTimeout)
     {
         startCall(1, {}, idleTimeout, std::chrono::milliseconds(30));
