Refuse the part of prompts under which engines end, at all nodes

Cause: nodes knew whole contents only, and the parts that prompts share were passed on unread: a fault that travels with a part of the work was judged by the whole of it. Class: evidence kept under a key that the fault does not have. Change: a crash is attributed to the parts of the requests on the server that had not begun to write. A part has a series of crashes, which a run extends only if it was sent when the one before was known; an answer that begins later ends it. Three in a row refuse a part, five one that was answered before; the refused part explains the crash, so that the others' series end; the more specific part goes first and is released if the crashes go on without it. Nodes tell each other by datagrams that each passes on, and by the store. Checked on every way to a server; open requests are ended at once; a request that was cut before it had begun to write is not sent on in the same attempt. Ruled out: whole contents (crashes_in_row stayed 1), sizes, engines that end by themselves.

--- a/src/dispatch/crashdetector.cpp
+++ b/src/dispatch/crashdetector.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-/** Limits the log line of a crash; an engine serves a few dozen requests. */
+/** Limits the requests that are considered; an engine serves a few dozen from all nodes. */
+constexpr std::size_t MaxLostRequests = 64;
 constexpr std::size_t MaxLoggedRequests = 16;
 constexpr std::size_t MaxLoggedParts = 8;
 
@@ -39,22 +40,32 @@
 void CrashDetector::addLostRequest(Step &step, Suspicion &suspicion, const OpenCall &call,
                                    const OpenRequest &request, std::uint32_t events)
 {
-    if (suspicion.requests.size() >= MaxLoggedRequests) {
+    if (suspicion.requests.size() >= MaxLostRequests) {
         return;
     }
-    suspicion.requests.push_back({request.arrival.callerId, request.arrival.sharedParts, call.kind,
-                                  std::max(request.forwardedEvents, events), request.knownCrashes,
-                                  step.now - call.started});
+    suspicion.requests.push_back(
+        {request.arrival.callerId,
+         request.service->name,
+         {request.arrival.sharedParts, request.knownParts, request.callerId()},
+         request.hasBegunToWrite(step.now),
+         call.kind,
+         std::max(request.forwardedEvents, events),
+         request.knownCrashes,
+         step.now - call.started});
 }
 
 std::string CrashDetector::textOf(const LostRequest &lost)
 {
     std::string parts;
-    for (std::size_t i = 0; i < std::min(lost.sharedParts.size(), MaxLoggedParts); ++i) {
-        parts += (parts.empty() ? "" : ",") + indigoway::textOf(lost.sharedParts[i]);
+    for (std::size_t i = 0; i < std::min(lost.run.parts.size(), MaxLoggedParts); ++i) {
+        const auto known =
+            std::ranges::find(lost.run.known, lost.run.parts[i], &crashes::KnownPart::part);
+        parts += (parts.empty() ? "" : ",") + indigoway::textOf(lost.run.parts[i])
+            + (known == lost.run.known.end() ? "" : "/" + std::to_string(known->crashes.count));
     }
     return " lost=" + lost.callerId + ":" + nameOf(lost.kind) + ":events="
         + std::to_string(lost.events) + ":sent_ago_ms=" + millisecondsText(lost.sentAgo)
+        + (lost.hasBegunToWrite ? ":writing" : ":not_writing")
         + ":known=" + std::to_string(lost.knownCrashes) + ":parts=" + (parts.empty() ? "-" : parts);
 }
 
@@ -75,13 +86,38 @@
             " content=" + content.text() + " crashes_in_row=" + std::to_string(knownCrashes + 1);
         recordCrash(step, content, knownCrashes + 1);
     }
-    for (const LostRequest &lost : suspicion.requests) {
-        crashedContents += textOf(lost);
+    for (std::size_t i = 0; i < std::min(suspicion.requests.size(), MaxLoggedRequests); ++i) {
+        crashedContents += textOf(suspicion.requests[i]);
     }
     step.add(LogDecision {"server_crashed",
                           {},
                           "server=" + server.text() + " address=" + call.server.address
                               + " why=" + event.reason + crashedContents});
+    recordPartCrashes(step, server, suspicion);
+}
+
+void CrashDetector::recordPartCrashes(Step &step, const ServerName &server,
+                                      const Suspicion &suspicion)
+{
+    std::vector<crashes::LostRun> runs;
+    for (const LostRequest &lost : suspicion.requests) {
+        // Prefill engines write no answers.
+        if (!lost.hasBegunToWrite && lost.kind != CallKind::Prefill && !lost.run.parts.empty()) {
+            runs.push_back(lost.run);
+        }
+    }
+    if (runs.empty()) {
+        return;
+    }
+    const ServiceName &service = suspicion.requests.front().service;
+    auto attribution = m_state.crashingParts.attribute(service, runs, step.now);
+    std::string detail = "server=" + server.text() + " service=" + service.text()
+        + " runs=" + std::to_string(runs.size());
+    if (attribution.explainedBy) {
+        detail += " explained_by=" + indigoway::textOf(*attribution.explainedBy);
+    }
+    step.add(LogDecision {"crash_attributed", {}, detail + partsText(attribution.notes)});
+    m_parts.share(step, std::move(attribution.notes));
 }
 
 void CrashDetector::reportToScheduler(Step &step, const ServerName &server,
--- a/src/dispatch/crashdetector.h
+++ b/src/dispatch/crashdetector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/dispatchstate.h"
+#include "dispatch/partcrashexchange.h"
 
 #include <map>
 #include <string>
@@ -18,8 +19,9 @@
 class CrashDetector
 {
 public:
-    explicit CrashDetector(DispatchState &state)
+    CrashDetector(DispatchState &state, PartCrashExchange &parts)
         : m_state(state)
+        , m_parts(parts)
     { }
 
     /** Starts a probe of the server of @p call, which broke while the server ran @p request. */
@@ -35,7 +37,9 @@
     struct LostRequest
     {
         std::string callerId;
-        std::vector<PartId> sharedParts;
+        ServiceName service;
+        crashes::LostRun run;
+        bool hasBegunToWrite = false;
         CallKind kind = CallKind::Plain;
         std::uint32_t events = 0;       ///< Stream events that were forwarded.
         std::uint32_t knownCrashes = 0; ///< Of its content, when it was sent.
@@ -47,18 +51,21 @@
     {
         /** Contents whose connections were lost, with the number of crashes known before. */
         std::map<ContentId, std::uint32_t> contents;
-        std::vector<LostRequest> requests; ///< At most MaxLoggedRequests.
+        std::vector<LostRequest> requests; ///< At most MaxLostRequests.
         std::uint32_t engineCalls = 0;     ///< Broken calls of generations.
     };
 
     static void addLostRequest(Step &step, Suspicion &suspicion, const OpenCall &call,
                                const OpenRequest &request, std::uint32_t events);
     static std::string textOf(const LostRequest &lost);
+    /** Attributes the crash to parts of prompts. */
+    void recordPartCrashes(Step &step, const ServerName &server, const Suspicion &suspicion);
     void recordCrash(Step &step, const ContentId &content, std::uint32_t count);
     void reportToScheduler(Step &step, const ServerName &server, const Suspicion &suspicion,
                            const CallEnded &event) const;
 
     DispatchState &m_state;
+    PartCrashExchange &m_parts;
     std::map<ServerName, Suspicion> m_suspicions;
 };
 
--- a/src/dispatch/dispatcheffects.h
+++ b/src/dispatch/dispatcheffects.h
@@ -151,6 +151,16 @@
     CrashNote note;
 };
 
+/**
+ * Sends the series of crashes under parts of prompts to other nodes, and stores them for nodes that
+ * start later if this node has observed them.
+ */
+struct SharePartCrashes
+{
+    std::vector<PartCrashNote> notes;
+    bool isObserved = false; ///< Otherwise another node has sent them.
+};
+
 /** Writes a log line with a decision and its inputs. */
 struct LogDecision
 {
@@ -180,10 +190,10 @@
     Duration totalTime {};
 };
 
-using DispatchEffect =
-    std::variant<StartCall, AbandonCall, DeliverAnswer, ForwardStream, EndStream, BreakStream,
-                 RejectRequest, SendToScheduler, SendToQuotaKeeper, SendToRateLimiter,
-                 SendToPlainScheduler, SendToNode, PublishCrash, LogDecision, RequestEnded>;
+using DispatchEffect = std::variant<StartCall, AbandonCall, DeliverAnswer, ForwardStream, EndStream,
+                                    BreakStream, RejectRequest, SendToScheduler, SendToQuotaKeeper,
+                                    SendToRateLimiter, SendToPlainScheduler, SendToNode,
+                                    PublishCrash, SharePartCrashes, LogDecision, RequestEnded>;
 using DispatchEffects = std::vector<DispatchEffect>;
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -14,6 +14,7 @@
 constexpr Duration OrderEvaluationInterval = std::chrono::milliseconds(250);
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
+constexpr int BadGateway = 502;
 constexpr int ServiceUnavailable = 503;
 constexpr int GatewayTimeout = 504;
 /** Time limit of a request if neither the caller nor the route sets one. */
@@ -45,7 +46,8 @@
     : m_state(std::move(settings), startedAt)
     , m_plain(m_state)
     , m_generations(m_state)
-    , m_crashDetector(m_state)
+    , m_partCrashes(m_state)
+    , m_crashDetector(m_state, m_partCrashes)
     , m_resumption(m_state)
     , m_quotas(m_state, startedAt)
 { }
@@ -122,12 +124,14 @@
     DispatchEffects effects;
     Step step(now, entropy, effects);
     std::visit([&](const auto &alternative) { handle(step, alternative); }, event);
+    m_partCrashes.tick(step);
+    rejectCrashing(step);
     quotasDecided(step, m_quotas.tick(step));
     tickPermits(step);
     originsDecided(step, m_resumption.tick(step));
     m_nextTick = earlier(earlier(m_generations.tick(step), m_plain.tick(step)),
                          earlier(m_quotas.nextTick(), m_state.permits.nextTick()));
-    m_nextTick = earlier(m_nextTick, m_resumption.nextTick());
+    m_nextTick = earlier(m_nextTick, earlier(m_resumption.nextTick(), m_partCrashes.nextTick()));
     return effects;
 }
 
@@ -165,11 +169,25 @@
 
 void Dispatcher::serve(Step &step, OpenRequest &request)
 {
-    if (request.service || chooseService(step, request)) {
+    const bool hasService = request.service || chooseService(step, request);
+    if (hasService && !rejectRefusedPart(step, request)) {
         quotasDecided(step, {{request.arrival.request, m_quotas.begin(step, request)}});
     }
 }
 
+bool Dispatcher::rejectRefusedPart(Step &step, OpenRequest &request)
+{
+    const auto refused = m_state.crashingParts.refusal(
+        request.service->name, request.arrival.sharedParts, request.callerId(), step.now);
+    if (!refused) {
+        return false;
+    }
+    m_timeouts.clear(request.arrival.request);
+    m_state.requests.reject(step, request, refused->remaining,
+                            CrashesServers + (" part=" + textOf(refused->part)));
+    return true;
+}
+
 void Dispatcher::originsDecided(Step &step, const AdmissionOutcomes &outcomes)
 {
     for (const AdmissionOutcome &outcome : outcomes) {
@@ -351,6 +369,7 @@
         step.add(AbandonCall {event.call});
         return;
     }
+    m_partCrashes.writingBegan(step, *request);
     flowOf(*request).streamStarted(step, *request, event);
 }
 
@@ -424,6 +443,7 @@
         m_crashDetector.callBroken(step, call, request, event);
     } else if (event.end == CallEnd::Complete && runsContent && call.kind != CallKind::Prefill) {
         m_crashDetector.recordAnswer(step, request.arrival.content);
+        m_partCrashes.answered(step, request, event);
     }
 }
 
@@ -437,6 +457,11 @@
     m_plain.schedulerAnswered(step, event);
 }
 
+void Dispatcher::handle(Step &step, const PartCrashesArrived &event)
+{
+    m_partCrashes.notesArrived(step, event);
+}
+
 void Dispatcher::handle(Step &step, const TimePassed & /*event*/)
 {
     if (std::exchange(m_hasNewRoutes, false)) {
@@ -451,6 +476,7 @@
         forget(name);
     }
     m_state.crashes.removeExpired(step.now);
+    m_state.crashingParts.removeExpired(step.now);
     m_state.permits.removeGone(
         step.now, [this](const ServerName &name) { return m_state.servers.find(name) != nullptr; });
     const bool isEvaluationDue =
@@ -525,6 +551,31 @@
     }
 }
 
+void Dispatcher::rejectCrashing(Step &step)
+{
+    if (!m_partCrashes.takeNewRefusals()) {
+        return;
+    }
+    std::vector<RequestNumber> numbers;
+    for (const auto &[number, request] : m_state.requests.all()) {
+        if (!request.isForwarding && m_state.remainingRefusal(request, step.now)) {
+            numbers.push_back(number);
+        }
+    }
+    for (const RequestNumber number : numbers) {
+        OpenRequest &request = *m_state.requests.find(number);
+        abandonQueries(number);
+        m_timeouts.clear(number);
+        flowOf(request).release(step, request);
+        if (request.mayHaveExecuted()) {
+            m_state.requests.failInDoubt(step, request, BadGateway, CrashesServers);
+        } else {
+            m_state.requests.reject(step, request, *m_state.remainingRefusal(request, step.now),
+                                    CrashesServers);
+        }
+    }
+}
+
 void Dispatcher::rejectArrival(Step &step, const ArrivedRequest &event, int status,
                                std::optional<Duration> retryAfter, const std::string &reason)
 {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -3,6 +3,7 @@
 #include "dispatch/crashdetector.h"
 #include "dispatch/dispatchstate.h"
 #include "dispatch/generationflow.h"
+#include "dispatch/partcrashexchange.h"
 #include "dispatch/plainflow.h"
 #include "dispatch/quotaadmission.h"
 #include "dispatch/streamresumption.h"
@@ -69,6 +70,12 @@
      */
     bool crashRecorded(const CrashNote &note, std::uint64_t revision, TimePoint now);
     const CrashRecords &crashes() const { return m_state.crashes; }
+    /** Applies a series of crashes that a node has stored; returns whether it was news. */
+    bool partCrashStored(const PartCrashNote &note, TimePoint now)
+    {
+        return m_partCrashes.noteStored(note, now);
+    }
+    const crashes::CrashingParts &crashingParts() const { return m_state.crashingParts; }
     bool isPaused(const ServerName &server, TimePoint now) const
     {
         return m_state.pauses.pausedUntil(server, now).has_value();
@@ -96,6 +103,7 @@
     void handle(Step &step, const RateLimiterAnswered &event);
     void handle(Step &step, const PlainSchedulerAnswered &event);
     void handle(Step &step, const OriginMessageArrived &event);
+    void handle(Step &step, const PartCrashesArrived &event);
     void handle(Step &step, const TimePassed &event);
     void recordCallResult(Step &step, const OpenCall &call, const OpenRequest &request,
                           const CallEnded &event);
@@ -109,6 +117,8 @@
      * Checks that the content is not refused and that the request can complete before a shutdown.
      */
     bool isAcceptable(Step &step, const OpenRequest &request);
+    /** Rejects a request with a refused part of its prompt; returns whether it was one. */
+    bool rejectRefusedPart(Step &step, OpenRequest &request);
     /** Starts a request that has a route and, if it resumes a stream, its origin. */
     void serve(Step &step, OpenRequest &request);
     void originsDecided(Step &step, const AdmissionOutcomes &outcomes);
@@ -122,6 +132,8 @@
     std::string unknownKeyText(const ArrivedRequest &event) const;
     /** Rejects open requests whose key is missing from the new routing table. */
     void rejectRevokedKeys(Step &step);
+    /** Ends the open requests with a part that has been refused, unless their answer has begun. */
+    void rejectCrashing(Step &step);
     void rejectArrival(Step &step, const ArrivedRequest &event, int status,
                        std::optional<Duration> retryAfter, const std::string &reason);
     void forget(const ServerName &name);
@@ -130,6 +142,7 @@
     DispatchState m_state;
     PlainFlow m_plain;
     GenerationFlow m_generations;
+    PartCrashExchange m_partCrashes;
     CrashDetector m_crashDetector;
     StreamResumption m_resumption;
     std::shared_ptr<const RouteTable> m_table;
--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -7,6 +7,7 @@
 #include "scheduling/schedulermessages.h"
 #include "slots/slotmessages.h"
 
+#include <indigoway/crashnote.h>
 #include <indigoway/ids.h>
 #include <indigoway/promptpart.h>
 
@@ -167,6 +168,12 @@
     origins::OriginMessage message;
 };
 
+/** Carries series of crashes that another node has sent. */
+struct PartCrashesArrived
+{
+    std::vector<PartCrashNote> notes;
+};
+
 /** Signals that a deadline may have passed. */
 struct TimePassed
 {
@@ -175,6 +182,6 @@
 using DispatchEvent =
     std::variant<ArrivedRequest, CallerLeft, StreamStarted, StreamSilent, StreamProgress, CallEnded,
                  SchedulerAnswered, QuotaKeeperAnswered, RateLimiterAnswered,
-                 PlainSchedulerAnswered, OriginMessageArrived, TimePassed>;
+                 PlainSchedulerAnswered, OriginMessageArrived, PartCrashesArrived, TimePassed>;
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/dispatchstate.cpp
+++ b/src/dispatch/dispatchstate.cpp
@@ -41,6 +41,9 @@
     request.callKind = call.kind;
     request.callStarted = step.now;
     request.knownCrashes = crashes.crashCount(request.arrival.content);
+    request.knownParts =
+        crashingParts.knownParts(request.service->name, request.arrival.sharedParts);
+    request.writingSince.reset();
     request.call = calls.start(step, server, std::move(call));
 }
 
@@ -51,6 +54,24 @@
     return until && now < *until ? std::optional(Duration(*until - now)) : std::nullopt;
 }
 
+std::optional<Duration> DispatchState::remainingRefusal(const OpenRequest &request,
+                                                        TimePoint now) const
+{
+    const auto ofContent = remainingRefusal(request.arrival.content, now);
+    if (!request.service) {
+        return ofContent;
+    }
+    const auto ofPart = crashingParts.refusal(request.service->name, request.arrival.sharedParts,
+                                              request.callerId(), now);
+    return ofPart ? std::max(ofContent, std::optional(ofPart->remaining)) : ofContent;
+}
+
+bool DispatchState::mayRepeatAfterCrash(const OpenRequest &request, TimePoint now) const
+{
+    return request.hasBegunToWrite(now)
+        || crashingParts.areSound(request.service->name, request.arrival.sharedParts, now);
+}
+
 void DispatchState::recordAdvice(Step &step, const ServerName &server, const ServerAdvice &advice,
                                  TimePoint started)
 {
--- a/src/dispatch/dispatchstate.h
+++ b/src/dispatch/dispatchstate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crashes/crashingparts.h"
 #include "dispatch/crashrecords.h"
 #include "dispatch/noderetrybudget.h"
 #include "dispatch/openrequests.h"
@@ -46,6 +47,7 @@
     ServerTracker tracker;
     ServerCalls calls;
     CrashRecords crashes;
+    crashes::CrashingParts crashingParts;
     ratelimits::ServerPermits permits;
     ServerPauses pauses;
     origins::StreamOrigins origins;
@@ -64,6 +66,16 @@
      * Returns how long @p content remains refused because of crashes, or nothing if it may be sent.
      */
     std::optional<Duration> remainingRefusal(const ContentId &content, TimePoint now) const;
+    /**
+     * Returns how long requests with the content of @p request, or with a part of its prompt,
+     * remain refused because of crashes; nothing if it may be sent to a server of its service.
+     */
+    std::optional<Duration> remainingRefusal(const OpenRequest &request, TimePoint now) const;
+    /**
+     * Returns whether a request that was lost with its server may be sent to another one within the
+     * same attempt. One that had not begun to write may be the cause of the crash.
+     */
+    bool mayRepeatAfterCrash(const OpenRequest &request, TimePoint now) const;
     NodeRetryBudget &retryBudget(const ServiceName &service);
     /** Records the advice in the answer of @p server to a call that started at @p started. */
     void recordAdvice(Step &step, const ServerName &server, const ServerAdvice &advice,
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -660,6 +660,7 @@
                      event.end == CallEnd::Broken ? ClaimOutcome::ConnectionLost
                                                   : ClaimOutcome::EngineFailed);
     const bool mayResume = request.route->isResumable
+        && (!event.isConnectionLost || m_state.mayRepeatAfterCrash(request, step.now))
         && request.executions < request.route->maxAttempts
         && m_state.retryBudget(request.service->name).tryTake(step.now);
     if (mayResume) {
@@ -680,7 +681,7 @@
 
 bool GenerationFlow::maySend(Step &step, OpenRequest &request)
 {
-    if (m_state.remainingRefusal(request.arrival.content, step.now)) {
+    if (m_state.remainingRefusal(request, step.now)) {
         failUnsent(step, request, CrashesServers);
         return false;
     }
@@ -699,7 +700,7 @@
     } else if (request.mayHaveExecuted()) {
         m_state.requests.failInDoubt(step, request, BadGateway, reason);
     } else {
-        const auto refused = m_state.remainingRefusal(request.arrival.content, step.now);
+        const auto refused = m_state.remainingRefusal(request, step.now);
         const auto blocked = WaitingGenerations::blockedUntil(m_state, request, step.now);
         const Duration wait = blocked ? *blocked - step.now : Duration(0);
         m_state.requests.reject(step, request,
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -30,6 +30,16 @@
     return organisation ? organisation->priority.value_or(route->priority) : route->priority;
 }
 
+CallerId OpenRequest::callerId() const
+{
+    return organisation ? CallerId(partIdOf(organisation->name.text()).value()) : CallerId();
+}
+
+bool OpenRequest::hasBegunToWrite(TimePoint now) const
+{
+    return writingSince && now >= *writingSince + MinWritingTime;
+}
+
 OpenRequest &OpenRequests::add(OpenRequest request)
 {
     const RequestNumber number = request.arrival.request;
@@ -267,6 +277,17 @@
     return "";
 }
 
+std::string partsText(const crashes::PartCrashNotes &notes)
+{
+    std::string text;
+    for (const PartCrashNote &note : notes) {
+        text += " part=" + textOf(note.part) + ":epoch=" + std::to_string(note.crashes.epoch)
+            + ":crashes=" + std::to_string(note.crashes.count) + "/"
+            + std::to_string(crashes::PartCrashRecords::limitOf(note.crashes));
+    }
+    return text;
+}
+
 std::string millisecondsText(Duration duration)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/turnrandom.h"
+#include "crashes/crashingparts.h"
 #include "dispatch/dispatcheffects.h"
 #include "dispatch/dispatchevents.h"
 #include "routing/routetable.h"
@@ -114,6 +115,10 @@
     std::uint32_t countedCalls = 0;
     /** Consecutive crashes of the content when the call was started. */
     std::uint32_t knownCrashes = 0;
+    /** Parts of its prompt under which servers had crashed when the call was started. */
+    std::vector<crashes::KnownPart> knownParts;
+    /** When the server of the current call began to write its answer; nothing before. */
+    std::optional<TimePoint> writingSince;
     bool isForwarding = false;
     CallNumber streamingCall; ///< The call whose events are forwarded.
     TimePoint firstAnswerAt {};
@@ -155,6 +160,13 @@
     std::uint32_t refusals = 0; ///< Engines that refused a reservation.
 
     scheduling::Urgency urgency() const;
+    /** Returns the organisation's id in crash records; none without an organisation. */
+    CallerId callerId() const;
+    /**
+     * Returns whether the server has begun to write its answer and has lived on for some time, so
+     * that the request cannot be what crashes it.
+     */
+    bool hasBegunToWrite(TimePoint now) const;
     /** Returns the priority of the organisation if it has one, else that of the route. */
     std::uint32_t priority() const;
     /** Returns whether the software version of @p candidate allows it to serve the request. */
@@ -229,12 +241,22 @@
 const char *nameOf(CallKind kind);
 const char *nameOf(CallEnd end);
 
-/** Error for requests whose content is refused by CrashRecords. */
+/**
+ * Time for which a server must have written an answer before the request is known not to crash it.
+ * Longer than it takes until the end of a server that crashes on what it writes is known.
+ */
+constexpr Duration MinWritingTime = std::chrono::milliseconds(200);
+
+/** Error for requests that are refused because servers have crashed under their content or a part.
+ */
 constexpr char CrashesServers[] = "servers crash under it";
 
 /** Returns a server's software version, or a dash if it is unknown, for logs. */
 std::string versionText(const std::string &version);
 
+/** Returns the parts and their series of crashes, for logs. */
+std::string partsText(const crashes::PartCrashNotes &notes);
+
 /** Returns @p duration in whole milliseconds, for logs. */
 std::string millisecondsText(Duration duration);
 
--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -222,9 +222,9 @@
         sendLocally(step, request);
         return;
     }
-    if (m_state.remainingRefusal(request.arrival.content, step.now)) {
+    if (m_state.remainingRefusal(request, step.now)) {
         endSlot(step, request, slots::SlotOutcome::Cancelled, Duration(0), std::nullopt);
-        refuseContent(step, request);
+        sendLocally(step, request);
         return;
     }
     switch (m_state.requestPermit(step, request, name)) {
@@ -264,25 +264,26 @@
 {
     request.stage = Stage::Calling;
     if (isGranted && isUsable(server, step.now) && request.accepts(*m_state.servers.find(server))
-        && !m_state.remainingRefusal(request.arrival.content, step.now)) {
+        && !m_state.remainingRefusal(request, step.now)) {
         sendTo(step, request, *m_state.servers.find(server));
         return;
     }
     endSlot(step, request, slots::SlotOutcome::Cancelled, Duration(0), std::nullopt);
-    if (!refuseContent(step, request)) {
-        sendLocally(step, request);
-    }
+    sendLocally(step, request);
 }
 
 void PlainFlow::send(Step &step, OpenRequest &request)
 {
-    if (!refuseContent(step, request) && !claimSlot(step, request)) {
+    if (m_state.remainingRefusal(request, step.now) || !claimSlot(step, request)) {
         sendLocally(step, request);
     }
 }
 
 void PlainFlow::sendLocally(Step &step, OpenRequest &request)
 {
+    if (refuseCrashing(step, request)) {
+        return;
+    }
     const AnnouncedServer *server = pickServer(step, request);
     while (server) {
         switch (m_state.requestPermit(step, request, server->name)) {
@@ -300,9 +301,9 @@
     rejectNotExecuted(step, request, "no server accepts requests");
 }
 
-bool PlainFlow::refuseContent(Step &step, OpenRequest &request)
+bool PlainFlow::refuseCrashing(Step &step, OpenRequest &request)
 {
-    const auto refused = m_state.remainingRefusal(request.arrival.content, step.now);
+    const auto refused = m_state.remainingRefusal(request, step.now);
     if (!refused) {
         return false;
     }
@@ -440,7 +441,9 @@
         m_state.requests.abortStream(step, request, event.reason);
         return;
     }
-    if (mayRetry(request) && pickServer(step, request)
+    const bool mayRepeat =
+        !event.isConnectionLost || m_state.mayRepeatAfterCrash(request, step.now);
+    if (mayRepeat && mayRetry(request) && pickServer(step, request)
         && m_state.retryBudget(request.service->name).tryTake(step.now)) {
         step.add(
             LogDecision {"retry", request.arrival.callerId, "possibly executed: " + event.reason});
--- a/src/dispatch/plainflow.h
+++ b/src/dispatch/plainflow.h
@@ -46,7 +46,7 @@
     bool isUsable(const ServerName &name, TimePoint now) const;
     void sendTo(Step &step, OpenRequest &request, const AnnouncedServer &server);
     /** Refuses a request whose content is refused; returns whether it was. */
-    bool refuseContent(Step &step, OpenRequest &request);
+    bool refuseCrashing(Step &step, OpenRequest &request);
     /** Asks the caller to return when a server accepts requests again. */
     void rejectNotExecuted(Step &step, OpenRequest &request, const std::string &reason);
     const AnnouncedServer *pickServer(Step &step, const OpenRequest &request) const;
--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -89,6 +89,9 @@
     if (!request.run.stopCall.isNone()) {
         return Result::InProgress; // The engine ends the stream of a run that it stops.
     }
+    if (event.isConnectionLost && !m_state.mayRepeatAfterCrash(request, step.now)) {
+        return Result::Lost;
+    }
     request.run.lossReason = event.reason;
     if (!request.run.targetClaim.isNone() && request.run.target.isEmpty()) {
         if (!usableBackup(request, step.now)) {
@@ -267,8 +270,11 @@
     const char *reason = next.kind == Kind::GiveUp
         ? next.reason
         : "the other engine is gone, leaving or limits requests";
-    if (m_state.remainingRefusal(request.arrival.content, step.now)) {
+    if (m_state.remainingRefusal(request, step.now)) {
         reason = CrashesServers;
+    } else if (next.kind == Kind::ContinueAtBackup
+               && !m_state.mayRepeatAfterCrash(request, step.now)) {
+        reason = "it may be what ended the engine";
     } else if (next.kind == Kind::AskEngine) {
         checkEngine(step, request, engine);
         return Result::InProgress;
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -1,5 +1,6 @@
 #include "edgenode.h"
 
+#include "crashes/partcrashcodec.h"
 #include "scheduling/schedulerchoice.h"
 #include "settings/flagset.h"
 
@@ -110,6 +111,8 @@
     });
     m_relay.setCrashHandler(
         [this](const dispatch::PublishCrash &crash) { m_sync.storeWriter().publish(crash.note); });
+    m_relay.setPartCrashHandler(
+        [this](const dispatch::SharePartCrashes &effect) { sharePartCrashes(effect); });
     m_relay.setSchedulerHandler(
         [this](const scheduling::ToScheduler &message) { m_scheduling.send(message); });
     m_relay.setQuotaHandler(
@@ -336,6 +339,10 @@
         applyServerChange(key, item ? &item->value : nullptr);
     } else if (key.starts_with(m_adapters.layout.nodesPrefix)) {
         applyNodeChange(key, item);
+    } else if (isPartCrashKey(m_adapters.layout.crashesPrefix, key)) {
+        if (item) {
+            applyPartCrashes(item->value);
+        }
     } else if (const auto note = parseCrashKey(m_adapters.layout.crashesPrefix, key)) {
         // An expired note needs no handling: the node's own crash records expire as early.
         if (item) {
@@ -356,6 +363,40 @@
             {"revision", std::to_string(revision)}});
 }
 
+void EdgeNode::applyPartCrashes(const std::string &value)
+{
+    const auto note = crashes::readPartCrashItem(value);
+    if (!note) {
+        record("part_crashes_unreadable", {{"bytes", std::to_string(value.size())}});
+        return;
+    }
+    if (m_dispatcher.partCrashStored(*note, steadyNow())) {
+        record("part_crashes_heard", {{"detail", "from=store" + dispatch::partsText({*note})}});
+        m_relay.checkDeadlines(); // Requests that are refused now must not be sent.
+    }
+}
+
+void EdgeNode::sharePartCrashes(const dispatch::SharePartCrashes &effect)
+{
+    m_scheduling.spread(effect.notes);
+    if (!effect.isObserved) {
+        return;
+    }
+    for (const PartCrashNote &note : effect.notes) {
+        m_sync.storeWriter().publish(note);
+    }
+}
+
+void EdgeNode::sendRefusedPartsTo(const NodeEntry &node)
+{
+    constexpr std::uint32_t ReportingNodes = 8;
+    const auto notes = m_dispatcher.crashingParts().records().refusedParts(steadyNow());
+    const std::uint32_t nodes = std::max(1U, m_roster.count(steadyNow()));
+    if (!notes.empty() && m_random() % nodes < ReportingNodes) {
+        m_scheduling.sendTo(node.schedulingAddress, notes);
+    }
+}
+
 void EdgeNode::applyRouting(const std::string &value)
 {
     auto decoded = m_adapters.codec->decodeRouting(value);
@@ -440,6 +481,7 @@
     }
     if (!entry->schedulingAddress.empty()) {
         m_scheduling.sendLimitsTo(entry->schedulingAddress);
+        sendRefusedPartsTo(*entry);
     }
     entry->announcedSince = item->created;
     entry->announcedAt = item->revision;
@@ -549,6 +591,9 @@
             {"stream_origin_queries", m_dispatcher.origins().queriesSent()},
             {"contents_crashed", m_dispatcher.crashes().size()},
             {"contents_refused", m_dispatcher.crashes().refusedCount()},
+            {"parts_crashed", m_dispatcher.crashingParts().records().size()},
+            {"parts_refused", m_dispatcher.crashingParts().records().refusedCount(steadyNow())},
+            {"parts_answered", m_dispatcher.crashingParts().answeredParts()},
             {"runs_with_backup", m_dispatcher.runCounts().withBackup},
             {"runs_continued_by_backup", m_dispatcher.runCounts().continuedByBackup},
             {"runs_continued_by_move", m_dispatcher.runCounts().continuedByMove},
--- a/src/edge/edgenode.h
+++ b/src/edge/edgenode.h
@@ -82,6 +82,10 @@
     void recordOrganisationChanges(const RoutingState &state, const RouteTable *old);
     void applyServerChange(const std::string &key, const std::string *value);
     void applyCrashNote(const CrashNote &note, std::uint64_t revision);
+    void applyPartCrashes(const std::string &value);
+    void sharePartCrashes(const dispatch::SharePartCrashes &effect);
+    /** Tells a node that has started of the refused parts; some of the other nodes do so. */
+    void sendRefusedPartsTo(const NodeEntry &node);
     void applyNodeChange(const std::string &key, const StoredItem *item);
     std::vector<std::string> seeds() const;
     void handleControl(const HttpRequest &request);
--- a/src/edge/schedulingendpoint.cpp
+++ b/src/edge/schedulingendpoint.cpp
@@ -2,6 +2,7 @@
 
 #include "core/deadlines.h"
 #include "core/jsontext.h"
+#include "crashes/partcrashcodec.h"
 #include "dispatch/openrequests.h"
 #include "origins/origincodec.h"
 #include "ratelimits/ratelimitcodec.h"
@@ -9,6 +10,9 @@
 
 #include <event2/event.h>
 
+#include <algorithm>
+#include <iterator>
+
 namespace indigoway {
 
 namespace {
@@ -18,6 +22,8 @@
 /** Collects the limits of servers that come under load together. */
 constexpr timeval NoticeInterval {0, 200'000};
 constexpr Duration StateLogInterval = std::chrono::seconds(1);
+/** Enough for all nodes to be reached, with a margin for lost datagrams. */
+constexpr std::ptrdiff_t NodesPerSpread = 8;
 /** Plain servers whose figures are logged and exported. */
 constexpr std::size_t MaxPlainServersLogged = 32;
 
@@ -59,6 +65,7 @@
               static_cast<SchedulingEndpoint *>(endpoint)->sendNotice();
           },
           this))
+    , m_random(m_self.incarnation.value())
 { }
 
 void SchedulingEndpoint::send(const ToScheduler &message)
@@ -97,6 +104,23 @@
     }
 }
 
+void SchedulingEndpoint::spread(const std::vector<PartCrashNote> &notes)
+{
+    std::vector<std::pair<NodeName, DatagramAddress>> sample;
+    std::ranges::sample(m_nodeAddresses, std::back_inserter(sample), NodesPerSpread, m_random);
+    for (const auto &[name, address] : sample) {
+        sendTo(address, notes);
+    }
+}
+
+void SchedulingEndpoint::sendTo(const DatagramAddress &node,
+                                const std::vector<PartCrashNote> &notes)
+{
+    for (const std::string &datagram : crashes::encodeDatagrams(m_self.node, notes)) {
+        m_socket.send(node, datagram);
+    }
+}
+
 void SchedulingEndpoint::handleDatagram(const DatagramAddress &from, const std::string &text)
 {
     const Json::Value value = parseJson(text);
@@ -123,6 +147,8 @@
             dispatch::PlainSchedulerAnswered {slot->message, slot->from.incarnation});
     } else if (const auto origin = origins::readOriginDatagram(value)) {
         m_dependencies.deliver(dispatch::OriginMessageArrived {origin->from, origin->message});
+    } else if (auto notes = crashes::readPartCrashDatagram(value)) {
+        m_dependencies.deliver(dispatch::PartCrashesArrived {std::move(*notes)});
     } else {
         return false;
     }
--- a/src/edge/schedulingendpoint.h
+++ b/src/edge/schedulingendpoint.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,13 @@
     void send(const slots::ToPlainScheduler &message);
     /** Sends a message about the origin of a stream to @p node, if its address is known. */
     void send(const NodeName &node, const origins::OriginMessage &message);
+    /**
+     * Sends @p notes to a few random nodes. Each node passes on what is news to it, so that they
+     * reach all nodes within a few round trips and without the store.
+     */
+    void spread(const std::vector<PartCrashNote> &notes);
+    /** Sends @p notes to a node that has started. */
+    void sendTo(const DatagramAddress &node, const std::vector<PartCrashNote> &notes);
     void setNodeAddresses(std::map<NodeName, DatagramAddress> addresses)
     {
         m_nodeAddresses = std::move(addresses);
@@ -108,6 +116,7 @@
     TimePoint m_timerAt {};                          ///< Expiry of the timer while it is armed.
     std::map<NodeName, DatagramAddress> m_addresses; ///< Reply addresses, by sender.
     std::map<NodeName, DatagramAddress> m_nodeAddresses;
+    std::mt19937_64 m_random;
 };
 
 } // namespace indigoway
--- a/src/edge/storewriter.cpp
+++ b/src/edge/storewriter.cpp
@@ -1,5 +1,7 @@
 #include "storewriter.h"
 
+#include "crashes/partcrashcodec.h"
+
 namespace indigoway {
 
 StoreWriter::StoreWriter(KeyValueStore &store, StoreCallCounts &counts, Dependencies dependencies,
@@ -61,9 +63,9 @@
     });
 }
 
-void StoreWriter::publish(const CrashNote &note)
+void StoreWriter::publish(const StoredNote &note)
 {
-    m_publisher.enqueue(note);
+    std::visit([this](const auto &one) { m_publisher.enqueue(one); }, note);
     startPublisherCall();
 }
 
@@ -178,9 +180,12 @@
 void StoreWriter::writeNotes(const WriteNotesCall &call)
 {
     StoreCommit commit;
-    for (const CrashNote &note : call.notes) {
+    for (const StoredNote &note : call.notes) {
+        const auto *part = std::get_if<PartCrashNote>(&note);
+        const std::string key = std::visit(
+            [this](const auto &one) { return crashKey(m_dependencies.crashesPrefix, one); }, note);
         commit.writes.push_back(
-            {crashKey(m_dependencies.crashesPrefix, note), m_self.name.text(), call.lease});
+            {key, part ? crashes::encodeItem(*part) : m_self.name.text(), call.lease});
     }
     ++m_callCounts.writes;
     m_store.commit(commit, [this](const auto &result) {
--- a/src/edge/storewriter.h
+++ b/src/edge/storewriter.h
@@ -49,7 +49,7 @@
     /** Ends the lease of this node's entry and announces nothing any more. */
     void leave();
     /** Publishes @p note to all nodes, as soon as the store accepts writes. */
-    void publish(const CrashNote &note);
+    void publish(const StoredNote &note);
     /** Handles the change of an item; @p value is null if it was removed. */
     void handleChange(const std::string &key, const std::string *value, std::uint64_t revision,
                       TimePoint now);
--- a/src/fleet/crashpublisher.cpp
+++ b/src/fleet/crashpublisher.cpp
@@ -1,5 +1,7 @@
 #include "crashpublisher.h"
 
+#include "crashes/partcrashcodec.h"
+
 #include <algorithm>
 
 namespace indigoway {
@@ -9,6 +11,7 @@
 constexpr Duration FirstRetryDelay = std::chrono::milliseconds(250);
 /** Limits the retry delay to four seconds; each call to an unavailable store is billed. */
 constexpr std::uint32_t MaxRetryDoublings = 4;
+constexpr char PartsFolder[] = "parts/";
 /** The maximum length of a content id; keys written by others are not trusted. */
 constexpr std::size_t MaxContentIdLength = 64;
 
@@ -19,6 +22,17 @@
     return prefix + note.content.text() + "/" + std::to_string(note.count);
 }
 
+std::string crashKey(const std::string &prefix, const PartCrashNote &note)
+{
+    // Nodes that know different things must not overwrite each other.
+    return prefix + PartsFolder + textOf(partIdOf(crashes::encodeItem(note)));
+}
+
+bool isPartCrashKey(const std::string &prefix, const std::string &key)
+{
+    return key.starts_with(prefix + PartsFolder);
+}
+
 std::optional<CrashNote> parseCrashKey(const std::string &prefix, const std::string &key)
 {
     if (!key.starts_with(prefix)) {
@@ -39,12 +53,32 @@
 {
     if (note.count == 0) {
         // A queued crash would be written after this reset and count as a newer crash.
-        const auto first = m_queue.begin() + static_cast<std::ptrdiff_t>(m_inFlightCount);
-        m_queue.erase(
-            std::remove_if(first, m_queue.end(),
-                           [&](const CrashNote &one) { return one.content == note.content; }),
-            m_queue.end());
+        removeQueued([&note](const StoredNote &queued) {
+            const auto *one = std::get_if<CrashNote>(&queued);
+            return one && one->content == note.content;
+        });
     }
+    add(note);
+}
+
+void CrashPublisher::enqueue(const PartCrashNote &note)
+{
+    // A newer state of a part includes the older ones.
+    removeQueued([&note](const StoredNote &queued) {
+        const auto *one = std::get_if<PartCrashNote>(&queued);
+        return one && one->service == note.service && one->part == note.part;
+    });
+    add(note);
+}
+
+void CrashPublisher::removeQueued(const std::function<bool(const StoredNote &)> &isOutdated)
+{
+    const auto first = m_queue.begin() + static_cast<std::ptrdiff_t>(m_inFlightCount);
+    m_queue.erase(std::remove_if(first, m_queue.end(), isOutdated), m_queue.end());
+}
+
+void CrashPublisher::add(const StoredNote &note)
+{
     const bool isQueued = std::find(m_queue.begin(), m_queue.end(), note) != m_queue.end();
     if (!isQueued && m_queue.size() < MaxQueuedNotes) {
         m_queue.push_back(note);
--- a/src/fleet/crashpublisher.h
+++ b/src/fleet/crashpublisher.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <string>
 #include <variant>
@@ -18,16 +19,23 @@
  * other.
  */
 std::string crashKey(const std::string &prefix, const CrashNote &note);
-/** Parses a key made by crashKey(); returns nothing for any other key. */
+/** Returns the store key of @p note; each state of a part has its own. */
+std::string crashKey(const std::string &prefix, const PartCrashNote &note);
+/** Returns whether @p key was made for a PartCrashNote, which is its item's value. */
+bool isPartCrashKey(const std::string &prefix, const std::string &key);
+/** Parses a key made for a CrashNote; returns nothing for any other key. */
 std::optional<CrashNote> parseCrashKey(const std::string &prefix, const std::string &key);
 
+/** A note that is written to the store. */
+using StoredNote = std::variant<CrashNote, PartCrashNote>;
+
 struct GrantNoteLeaseCall
 {
 };
 struct WriteNotesCall
 {
     StoreLease lease;
-    std::vector<CrashNote> notes;
+    std::vector<StoredNote> notes;
 };
 using PublisherCall = std::variant<GrantNoteLeaseCall, WriteNotesCall>;
 
@@ -50,6 +58,7 @@
     static constexpr std::size_t MaxQueuedNotes = 256;
 
     void enqueue(const CrashNote &note);
+    void enqueue(const PartCrashNote &note);
     /** Returns the next call to the store, or nothing while a call is in flight or none is due. */
     std::optional<PublisherCall> nextCall(TimePoint now);
     void leaseGranted(TimePoint now, StoreLease lease);
@@ -60,7 +69,11 @@
     std::size_t queuedCount() const { return m_queue.size(); }
 
 private:
-    std::deque<CrashNote> m_queue;
+    /** Removes the queued notes that are not being written and that @p isOutdated names. */
+    void removeQueued(const std::function<bool(const StoredNote &)> &isOutdated);
+    void add(const StoredNote &note);
+
+    std::deque<StoredNote> m_queue;
     std::size_t m_inFlightCount = 0; ///< Number of notes at the front that are being written.
     bool m_isCallInFlight = false;
     StoreLease m_lease;
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -434,6 +434,13 @@
     }
 }
 
+void RequestRelay::run(const SharePartCrashes &effect)
+{
+    if (m_partCrashHandler) {
+        m_partCrashHandler(effect);
+    }
+}
+
 void RequestRelay::run(const LogDecision &effect)
 {
     if (m_decisionHandler) {
--- a/src/relay/requestrelay.h
+++ b/src/relay/requestrelay.h
@@ -28,6 +28,7 @@
     using PlainSchedulerHandler = std::function<void(const slots::ToPlainScheduler &)>;
     using NodeMessageHandler = std::function<void(const dispatch::SendToNode &)>;
     using CrashHandler = std::function<void(const dispatch::PublishCrash &)>;
+    using PartCrashHandler = std::function<void(const dispatch::SharePartCrashes &)>;
     using RequestEndedHandler = std::function<void(const dispatch::RequestEnded &)>;
 
     RequestRelay(event_base *base, dispatch::Dispatcher &dispatcher, const Dialect &dialect,
@@ -46,6 +47,7 @@
         m_nodeMessageHandler = std::move(handler);
     }
     void setCrashHandler(CrashHandler handler) { m_crashHandler = std::move(handler); }
+    void setPartCrashHandler(PartCrashHandler handler) { m_partCrashHandler = std::move(handler); }
     /** Returns the maximum age of this node's copy of the desired state; nothing if unknown. */
     using CopyAge = std::function<std::optional<Duration>()>;
     void setCopyAge(CopyAge copyAge) { m_copyAge = std::move(copyAge); }
@@ -125,6 +127,7 @@
     void run(const dispatch::SendToPlainScheduler &effect);
     void run(const dispatch::SendToNode &effect);
     void run(const dispatch::PublishCrash &effect);
+    void run(const dispatch::SharePartCrashes &effect);
     void run(const dispatch::LogDecision &effect);
     void recordPathChanges();
     TunnelListener::Dependencies tunnelDependencies();
@@ -157,6 +160,7 @@
     PlainSchedulerHandler m_plainSchedulerHandler;
     NodeMessageHandler m_nodeMessageHandler;
     CrashHandler m_crashHandler;
+    PartCrashHandler m_partCrashHandler;
     RequestEndedHandler m_requestEndedHandler;
     CopyAge m_copyAge;
 };
--- a/tests/dispatch/dispatcherharness.h
+++ b/tests/dispatch/dispatcherharness.h
@@ -195,6 +195,8 @@
                 m_nodeMessages.push_back(*told);
             } else if (const auto *shared = std::get_if<PublishCrash>(&effect)) {
                 m_crashNotes.push_back(*shared);
+            } else if (const auto *parts = std::get_if<SharePartCrashes>(&effect)) {
+                m_partCrashes.push_back(*parts);
             } else if (const auto *recorded = std::get_if<LogDecision>(&effect)) {
                 m_logLines[recorded->kind].push_back(recorded->detail);
             } else if (const auto *rejected = std::get_if<RejectRequest>(&effect)) {
@@ -350,6 +352,9 @@
     /** Returns the crash notes published since the last call. */
     std::vector<PublishCrash> takeCrashNotes() { return std::exchange(m_crashNotes, {}); }
 
+    /** Returns the series of crashes under parts shared since the last call. */
+    std::vector<SharePartCrashes> takePartCrashes() { return std::exchange(m_partCrashes, {}); }
+
     bool wasAbandoned(const StartCall &call) const
     {
         return std::find(m_abandoned.begin(), m_abandoned.end(), call.call) != m_abandoned.end();
@@ -376,6 +381,7 @@
     std::map<RequestNumber, Duration> m_retryAfter;
     std::map<std::string, std::vector<std::string>> m_logLines;
     std::vector<PublishCrash> m_crashNotes;
+    std::vector<SharePartCrashes> m_partCrashes;
 };
 
 } // namespace indigoway::dispatch
--- a/tests/fleet/crashpublishertest.cpp
+++ b/tests/fleet/crashpublishertest.cpp
@@ -44,7 +44,7 @@
         publisher.leaseGranted(at(5), StoreLease(7));
         const auto write = std::get<WriteNotesCall>(*publisher.nextCall(at(5)));
         CPPUNIT_ASSERT(write.lease == StoreLease(7));
-        CPPUNIT_ASSERT(write.notes == (std::vector {note("a", 1), note("b", 2)}));
+        CPPUNIT_ASSERT(write.notes == (std::vector<StoredNote> {note("a", 1), note("b", 2)}));
         publisher.enqueue(note("c", 1));
         publisher.notesWritten(at(10));
         CPPUNIT_ASSERT_EQUAL(std::size_t {1},
@@ -100,7 +100,7 @@
         publisher.nextCall(at(1'000));
         publisher.leaseGranted(at(1'005), StoreLease(7));
         const auto write = std::get<WriteNotesCall>(*publisher.nextCall(at(1'005)));
-        CPPUNIT_ASSERT(write.notes == (std::vector {note("b", 1), note("a", 0)}));
+        CPPUNIT_ASSERT(write.notes == (std::vector<StoredNote> {note("b", 1), note("a", 0)}));
     }
 
     void boundsQueueAndBatch()
--- a/tests/processes/crash-part.sh
+++ b/tests/processes/crash-part.sh
@@ -10,14 +10,13 @@
 platform_says() { curl -s "http://${ADDRESSES[platform]}/control" | grep -o "\"$1\":[0-9]*" | cut -d: -f2; }
 engines_up() { [ "$(platform_says crashed_now)" = 0 ]; }
 # request NODE PARTS: a request that differs from all others but for its parts; prints the status.
-LAST=0
 request() {
-    LAST=$((LAST + 1))
-    call "$1" "$3/a" "id-$LAST-$RANDOM" "${TOKENS[@]}" -H "Indigoway-Prompt-Prefix: $2,aa$LAST:50" -d "text $LAST" -D "$RUN/head"
+    local own=$RANDOM$RANDOM
+    call "$1" "$3/a" "id-$own" "${TOKENS[@]}" -H "Indigoway-Prompt-Prefix: $2,aa$own:50" -d "text $own" -D "$RUN/head"
 }
 sound() {
     local status
-    status=$(request "$1" "f1:200,bb$((LAST % 5)):300" /stream)
+    status=$(request "$1" "f1:200,bb$((RANDOM % 5)):300" /stream)
     [ "$status" = 200 ] || fail "a sound request is not served by $1: $status"
 }
 
@@ -26,6 +25,7 @@
     local i status
     for i in $(seq 15); do
         status=$(request n$((1 + i % 3)) f1:200,dead:300 "$1")
+        cp "$RUN/head" "$RUN/crashing-head"
         wait_for "crashed engines to be back" engines_up || fail "an engine stays away"
         sound n$((1 + (i + 1) % 3))
     done
@@ -36,7 +36,7 @@
 ended=$(platform_says crashes)
 [ "$ended" -ge 1 ] || fail "no engine crashed: the test tests nothing"
 [ "$ended" -le 5 ] || fail "$ended engines have ended under one part"
-grep -qi '^Retry-After:' "$RUN/head" || fail "not told when to come back"
+grep -qi '^Retry-After:' "$RUN/crashing-head" || fail "not told when to come back"
 
 # Nothing with the part is sent any more, not even a prefill, on no route and by no node that starts later.
 sent=$(platform_says calls_with_crashing_part)
