Build the log of lost requests without a warning under full optimisation

Cause: g++ 12 takes "/" + std::to_string(...) in a conditional for an overlapping copy at -O3 (the build of deploy/, which the tests do not use), and warnings are errors. Change: append in place of it.

--- a/src/dispatch/crashdetector.cpp
+++ b/src/dispatch/crashdetector.cpp
@@ -60,8 +60,10 @@
     for (std::size_t i = 0; i < std::min(lost.run.parts.size(), MaxLoggedParts); ++i) {
         const auto known =
             std::ranges::find(lost.run.known, lost.run.parts[i], &crashes::KnownPart::part);
-        parts += (parts.empty() ? "" : ",") + indigoway::textOf(lost.run.parts[i])
-            + (known == lost.run.known.end() ? "" : "/" + std::to_string(known->crashes.count));
+        parts.append(parts.empty() ? "" : ",").append(indigoway::textOf(lost.run.parts[i]));
+        if (known != lost.run.known.end()) {
+            parts.append("/").append(std::to_string(known->crashes.count));
+        }
     }
     return " lost=" + lost.callerId + ":" + nameOf(lost.kind) + ":events="
         + std::to_string(lost.events) + ":sent_ago_ms=" + millisecondsText(lost.sentAgo)
