--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= 8
 SOURCES = $(shell git ls-files -co --exclude-standard '*.cpp' '*.h')
 
-.PHONY: packages build demo test soak sanitize format format-check tidy bench
+.PHONY: packages build release demo test soak sanitize format format-check tidy bench
 
 packages:
 	bash scripts/packages.sh
@@ -12,6 +12,11 @@
 	cmake -S . -B $(BUILD) -G Ninja >/dev/null
 	cmake --build $(BUILD) -j $(JOBS)
 
+# The build of deploy/system.toml; at its level of optimisation the compiler warns of other things.
+release: packages
+	cmake -S . -B build-release -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
+	cmake --build build-release -j $(JOBS) --target indigoway-edge
+
 demo: build
 	BUILD=$(BUILD) bash scripts/demo.sh
 
