--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -14,7 +14,6 @@
 constexpr Duration OrderEvaluationInterval = std::chrono::milliseconds(250);
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
-constexpr int BadGateway = 502;
 constexpr int ServiceUnavailable = 503;
 constexpr int GatewayTimeout = 504;
 /** Time limit of a request if neither the caller nor the route sets one. */
@@ -170,24 +169,14 @@
 void Dispatcher::serve(Step &step, OpenRequest &request)
 {
     const bool hasService = request.service || chooseService(step, request);
-    if (hasService && !rejectRefusedPart(step, request)) {
+    if (hasService && m_state.remainingRefusal(request, step.now)) {
+        m_timeouts.clear(request.arrival.request);
+        m_state.rejectCrashing(step, request);
+    } else if (hasService) {
         quotasDecided(step, {{request.arrival.request, m_quotas.begin(step, request)}});
     }
 }
 
-bool Dispatcher::rejectRefusedPart(Step &step, OpenRequest &request)
-{
-    const auto refused = m_state.crashingParts.refusal(
-        request.service->name, request.arrival.sharedParts, request.callerId(), step.now);
-    if (!refused) {
-        return false;
-    }
-    m_timeouts.clear(request.arrival.request);
-    m_state.requests.reject(step, request, refused->remaining,
-                            CrashesServers + (" part=" + textOf(refused->part)));
-    return true;
-}
-
 void Dispatcher::originsDecided(Step &step, const AdmissionOutcomes &outcomes)
 {
     for (const AdmissionOutcome &outcome : outcomes) {
@@ -339,11 +328,14 @@
     flowOf(*request).permitDecided(step, *request, result.server, result.isGranted);
 }
 
-void Dispatcher::abandonQueries(RequestNumber request)
+void Dispatcher::withdraw(Step &step, OpenRequest &request)
 {
-    m_quotas.abandon(request);
-    m_state.permits.abandon(request);
-    m_state.origins.abandon(request);
+    const RequestNumber number = request.arrival.request;
+    m_timeouts.clear(number);
+    m_quotas.abandon(number);
+    m_state.permits.abandon(number);
+    m_state.origins.abandon(number);
+    flowOf(request).release(step, request);
 }
 
 void Dispatcher::handle(Step &step, const CallerLeft &event)
@@ -352,9 +344,7 @@
     if (!request) {
         return;
     }
-    m_timeouts.clear(event.request);
-    abandonQueries(event.request);
-    flowOf(*request).release(step, *request);
+    withdraw(step, *request);
     m_state.requests.closeDisconnected(step, *request);
 }
 
@@ -501,8 +491,7 @@
 void Dispatcher::timeOut(Step &step, OpenRequest &request)
 {
     const bool mayHaveExecuted = request.mayHaveExecuted();
-    abandonQueries(request.arrival.request);
-    flowOf(request).release(step, request);
+    withdraw(step, request);
     if (request.isForwarding) {
         m_state.requests.abortStream(step, request, "time is up");
     } else if (mayHaveExecuted) {
@@ -543,8 +532,7 @@
     }
     for (const RequestNumber number : numbers) {
         OpenRequest &request = *m_state.requests.find(number);
-        flowOf(request).release(step, request);
-        abandonQueries(number);
+        withdraw(step, request);
         m_state.requests.refuse(step, request,
                                 {Unauthorized, RequestOutcome::Rejected, std::nullopt,
                                  "its key was taken away while it waited"});
@@ -564,15 +552,8 @@
     }
     for (const RequestNumber number : numbers) {
         OpenRequest &request = *m_state.requests.find(number);
-        abandonQueries(number);
-        m_timeouts.clear(number);
-        flowOf(request).release(step, request);
-        if (request.mayHaveExecuted()) {
-            m_state.requests.failInDoubt(step, request, BadGateway, CrashesServers);
-        } else {
-            m_state.requests.reject(step, request, *m_state.remainingRefusal(request, step.now),
-                                    CrashesServers);
-        }
+        withdraw(step, request);
+        m_state.rejectCrashing(step, request);
     }
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -117,16 +117,14 @@
      * Checks that the content is not refused and that the request can complete before a shutdown.
      */
     bool isAcceptable(Step &step, const OpenRequest &request);
-    /** Rejects a request with a refused part of its prompt; returns whether it was one. */
-    bool rejectRefusedPart(Step &step, OpenRequest &request);
     /** Starts a request that has a route and, if it resumes a stream, its origin. */
     void serve(Step &step, OpenRequest &request);
     void originsDecided(Step &step, const AdmissionOutcomes &outcomes);
     void quotasDecided(Step &step, const AdmissionOutcomes &outcomes);
     void tickPermits(Step &step);
     void permitDecided(Step &step, const ratelimits::PermitResult &result);
-    /** Drops the pending queries of a request that ends. */
-    void abandonQueries(RequestNumber request);
+    /** Takes back what a request that ends has asked for and holds. */
+    void withdraw(Step &step, OpenRequest &request);
     /** Rejects the request because the local configuration is too old to decide. */
     void rejectStaleConfiguration(Step &step, const ArrivedRequest &event);
     std::string unknownKeyText(const ArrivedRequest &event) const;
--- a/src/dispatch/dispatchstate.cpp
+++ b/src/dispatch/dispatchstate.cpp
@@ -66,6 +66,22 @@
     return ofPart ? std::max(ofContent, std::optional(ofPart->remaining)) : ofContent;
 }
 
+void DispatchState::rejectCrashing(Step &step, OpenRequest &request)
+{
+    constexpr int BadGateway = 502;
+    if (request.mayHaveExecuted()) {
+        requests.failInDoubt(step, request, BadGateway, CrashesServers);
+        return;
+    }
+    const auto refused = request.service
+        ? crashingParts.refusal(request.service->name, request.arrival.sharedParts,
+                                request.callerId(), step.now)
+        : std::nullopt;
+    const std::string part = refused ? " part=" + textOf(refused->part) : std::string();
+    requests.reject(step, request, remainingRefusal(request, step.now).value_or(Duration(0)),
+                    CrashesServers + part);
+}
+
 bool DispatchState::mayRepeatAfterCrash(const OpenRequest &request, TimePoint now) const
 {
     return request.hasBegunToWrite(now)
--- a/src/dispatch/dispatchstate.h
+++ b/src/dispatch/dispatchstate.h
@@ -71,6 +71,8 @@
      * remain refused because of crashes; nothing if it may be sent to a server of its service.
      */
     std::optional<Duration> remainingRefusal(const OpenRequest &request, TimePoint now) const;
+    /** Ends a request under which servers crash: as not executed, or in doubt if it was sent. */
+    void rejectCrashing(Step &step, OpenRequest &request);
     /**
      * Returns whether a request that was lost with its server may be sent to another one within the
      * same attempt. One that had not begun to write may be the cause of the crash.
--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -303,15 +303,10 @@
 
 bool PlainFlow::refuseCrashing(Step &step, OpenRequest &request)
 {
-    const auto refused = m_state.remainingRefusal(request, step.now);
-    if (!refused) {
+    if (!m_state.remainingRefusal(request, step.now)) {
         return false;
     }
-    if (request.mayHaveExecuted()) {
-        m_state.requests.failInDoubt(step, request, BadGateway, CrashesServers);
-    } else {
-        m_state.requests.reject(step, request, *refused, CrashesServers);
-    }
+    m_state.rejectCrashing(step, request);
     return true;
 }
 
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -1,13 +1,13 @@
 #include "edgenode.h"
 
 #include "crashes/partcrashcodec.h"
+#include "edge/nodemetrics.h"
 #include "scheduling/schedulerchoice.h"
 #include "settings/flagset.h"
 
 #include <event2/event.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace indigoway {
 
@@ -51,11 +51,6 @@
                                               : std::nullopt;
 }
 
-std::uint64_t permille(double fraction)
-{
-    return static_cast<std::uint64_t>(std::lround(fraction * 1000));
-}
-
 NodeEntry makeNodeEntry(const EdgeSettings &settings)
 {
     return {settings.node,       settings.domain, settings.callers,   settings.control,
@@ -518,101 +513,9 @@
         return;
     }
     m_metricsServer.reply(request.exchange, Ok, {{"Content-Type", "text/plain; version=0.0.4"}},
-                          metricsText() + organisationLoadText());
-}
-
-std::string EdgeNode::metricsText() const
-{
-    std::vector<EdgeMetrics::ServerGauge> serverGauges;
-    const auto servers = m_scheduling.plainServers();
-    const auto addGauges = [&](const char *name, auto value) {
-        for (const auto &state : servers) {
-            serverGauges.push_back({name, state.server.text(), value(state.figures)});
-        }
-    };
-    using Figures = slots::PlainServer::Figures;
-    addGauges("plain_server_held",
-              [](const Figures &one) { return static_cast<double>(one.held); });
-    addGauges("plain_server_queue", [](const Figures &one) { return one.queue(); });
-    addGauges("plain_server_slots",
-              [](const Figures &one) { return static_cast<double>(one.slots); });
-    addGauges("plain_server_work_percent", [](const Figures &one) { return one.workPercent; });
-    const ServerPaths &paths = m_relay.serverConnections().paths().servers;
-    const std::uint64_t loss = permille(m_scheduling.scheduler().lossFraction(steadyNow()));
-    return m_metrics.prometheusText(
-        {
-            {"requests_open", m_dispatcher.open()},
-            {"requests_waiting", m_dispatcher.waiting()},
-            {"caller_connections", m_relay.callers().connections()},
-            {"server_connections_kept", m_relay.serverConnections().idleConnections()},
-            {"server_connections_made", m_relay.serverConnections().connectionsMade()},
-            {"servers_not_connected", paths.unreachableServers()},
-            {"server_connections_failed", paths.failedConnections()},
-            {"isolated", paths.isIsolated() ? 1U : 0U},
-            {"server_calls_relayed", m_relay.serverConnections().relayedCalls()},
-            {"tunnels_open", m_relay.tunnels().openTunnels()},
-            {"tunnels_opened", m_relay.tunnels().opened()},
-            {"tunnels_refused", m_relay.tunnels().refused()},
-            {"log_lines_dropped", m_log.dropped()},
-            {"routing_version", m_dispatcher.routes() ? m_dispatcher.routes()->version() : 0},
-            {"store_revision", m_sync.asOf()},
-            {"store_lists", m_sync.storeCallCounts().lists},
-            {"store_watches", m_sync.storeCallCounts().watches},
-            {"store_leases", m_sync.storeCallCounts().leases},
-            {"store_renewals", m_sync.storeCallCounts().renewals},
-            {"store_writes", m_sync.storeCallCounts().writes},
-            {"store_proofs", m_sync.storeCallCounts().proofs},
-            {"source_searches", m_sync.searchCounts().searches},
-            {"source_peer_calls", m_sync.searchCounts().peerCalls},
-            {"source_store_calls", m_sync.searchCounts().storeCalls},
-            {"servers_known", m_dispatcher.servers().size()},
-            {"nodes_known", m_roster.count(steadyNow())},
-            {"scheduler_waiting", m_scheduling.scheduler().waiting()},
-            {"scheduler_granted", m_scheduling.scheduler().granted()},
-            {"scheduler_engines_looked", m_scheduling.scheduler().enginesExamined()},
-            {"scheduler_unsent", m_scheduling.unsent()},
-            {"scheduler_copies", m_scheduling.scheduler().copies()},
-            {"scheduler_copy_tokens", m_scheduling.scheduler().copyTokens()},
-            {"scheduler_backups_granted", m_scheduling.scheduler().backupsGranted()},
-            {"scheduler_runs_moved", m_scheduling.scheduler().runsMoved()},
-            {"scheduler_loss_permille", loss},
-            {"order_looks", m_dispatcher.orderEvaluations()},
-            {"permits_granted", m_scheduling.rateLimiter().granted()},
-            {"permits_refused", m_scheduling.rateLimiter().refused()},
-            {"slots_held", m_scheduling.plainScheduler().held()},
-            {"slots_waiting", m_scheduling.plainScheduler().waiting()},
-            {"slots_granted", m_scheduling.plainScheduler().granted()},
-            {"slots_refused", m_scheduling.plainScheduler().refused()},
-            {"slots_expired", m_scheduling.plainScheduler().expired()},
-            {"quotas_scarce", m_scheduling.quotaKeeper().scarceCount()},
-            {"stream_origins_kept", m_dispatcher.origins().records()},
-            {"stream_origins_unconfirmed", m_dispatcher.origins().unconfirmed()},
-            {"stream_origin_notices", m_dispatcher.origins().noticesSent()},
-            {"stream_origin_queries", m_dispatcher.origins().queriesSent()},
-            {"contents_crashed", m_dispatcher.crashes().size()},
-            {"contents_refused", m_dispatcher.crashes().refusedCount()},
-            {"parts_crashed", m_dispatcher.crashingParts().records().size()},
-            {"parts_refused", m_dispatcher.crashingParts().records().refusedCount(steadyNow())},
-            {"parts_answered", m_dispatcher.crashingParts().answeredParts()},
-            {"runs_with_backup", m_dispatcher.runCounts().withBackup},
-            {"runs_continued_by_backup", m_dispatcher.runCounts().continuedByBackup},
-            {"runs_continued_by_move", m_dispatcher.runCounts().continuedByMove},
-            {"runs_lost", m_dispatcher.runCounts().lost},
-            {"servers_paused", m_dispatcher.pausedServers()},
-            {"servers_limited", m_dispatcher.permits().limitedServers()},
-            {"leaving", m_leavingSince ? 1U : 0U},
-        },
-        serverGauges);
-}
-
-std::string EdgeNode::organisationLoadText() const
-{
-    std::vector<EdgeMetrics::OrganisationLoad> organisations;
-    for (const auto &state : m_scheduling.scheduler().organisations(steadyNow())) {
-        organisations.push_back(
-            {state.service, state.organisation, state.waiting, permille(state.usageShare)});
-    }
-    return EdgeMetrics::organisationLoadText(organisations);
+                          nodeMetricsText({m_metrics, m_relay, m_dispatcher, m_scheduling, m_sync,
+                                           m_roster, m_log, m_leavingSince.has_value()},
+                                          steadyNow()));
 }
 
 void EdgeNode::tick()
--- a/src/edge/edgenode.h
+++ b/src/edge/edgenode.h
@@ -95,8 +95,6 @@
     /** Binds @p address and replaces it by the bound one; returns false on failure. */
     bool listenOn(std::string &address, const Binder &bind);
     void handleMetrics(const HttpRequest &request);
-    std::string metricsText() const;
-    std::string organisationLoadText() const;
     void tick();
     /** Detects that the VM was suspended or the process stopped since the last tick. */
     void detectSuspension(TimePoint now);
--- a/src/edge/schedulingendpoint.cpp
+++ b/src/edge/schedulingendpoint.cpp
@@ -3,6 +3,7 @@
 #include "core/deadlines.h"
 #include "core/jsontext.h"
 #include "crashes/partcrashcodec.h"
+#include "crashes/partcrashspread.h"
 #include "dispatch/openrequests.h"
 #include "origins/origincodec.h"
 #include "ratelimits/ratelimitcodec.h"
@@ -10,9 +11,6 @@
 
 #include <event2/event.h>
 
-#include <algorithm>
-#include <iterator>
-
 namespace indigoway {
 
 namespace {
@@ -22,8 +20,6 @@
 /** Collects the limits of servers that come under load together. */
 constexpr timeval NoticeInterval {0, 200'000};
 constexpr Duration StateLogInterval = std::chrono::seconds(1);
-/** Enough for all nodes to be reached, with a margin for lost datagrams. */
-constexpr std::ptrdiff_t NodesPerSpread = 8;
 /** Plain servers whose figures are logged and exported. */
 constexpr std::size_t MaxPlainServersLogged = 32;
 
@@ -106,10 +102,8 @@
 
 void SchedulingEndpoint::spread(const std::vector<PartCrashNote> &notes)
 {
-    std::vector<std::pair<NodeName, DatagramAddress>> sample;
-    std::ranges::sample(m_nodeAddresses, std::back_inserter(sample), NodesPerSpread, m_random);
-    for (const auto &[name, address] : sample) {
-        sendTo(address, notes);
+    for (const DatagramAddress &node : crashes::spreadTargets(m_nodeAddresses, m_random)) {
+        sendTo(node, notes);
     }
 }
 
--- a/src/edge/schedulingendpoint.h
+++ b/src/edge/schedulingendpoint.h
@@ -55,10 +55,7 @@
     void send(const slots::ToPlainScheduler &message);
     /** Sends a message about the origin of a stream to @p node, if its address is known. */
     void send(const NodeName &node, const origins::OriginMessage &message);
-    /**
-     * Sends @p notes to a few random nodes. Each node passes on what is news to it, so that they
-     * reach all nodes within a few round trips and without the store.
-     */
+    /** Sends @p notes to a few nodes, which pass them on; see crashes::spreadTargets(). */
     void spread(const std::vector<PartCrashNote> &notes);
     /** Sends @p notes to a node that has started. */
     void sendTo(const DatagramAddress &node, const std::vector<PartCrashNote> &notes);
