Attribute crashes of prefill engines to parts, too; only successes prove a part sound

Cause: found by reading: a part may as well end engines that read it, and an error that a server answers is no answer that has begun. Change: lost prefills are suspects; 2xx only ends a series. Four cases in crashdetectortest: what a crash is attributed to, a cut request that is not sent on, open requests that end when their part is refused, no send on any way.

--- a/src/dispatch/crashdetector.cpp
+++ b/src/dispatch/crashdetector.cpp
@@ -103,8 +103,7 @@
 {
     std::vector<crashes::LostRun> runs;
     for (const LostRequest &lost : suspicion.requests) {
-        // Prefill engines write no answers.
-        if (!lost.hasBegunToWrite && lost.kind != CallKind::Prefill && !lost.run.parts.empty()) {
+        if (!lost.hasBegunToWrite && !lost.run.parts.empty()) {
             runs.push_back(lost.run);
         }
     }
--- a/src/dispatch/partcrashexchange.cpp
+++ b/src/dispatch/partcrashexchange.cpp
@@ -6,7 +6,10 @@
 
 namespace {
 
-constexpr int FirstServerErrorStatus = 500;
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
 
 } // namespace
 
@@ -20,7 +23,7 @@
 
 void PartCrashExchange::answered(Step &step, const OpenRequest &request, const CallEnded &event)
 {
-    if (event.status < FirstServerErrorStatus) {
+    if (isSuccess(event.status)) {
         // An answer that is no stream is seen only when it is complete.
         recordAnswer(step, request, request.writingSince.value_or(request.callStarted));
     }
--- a/tests/dispatch/crashdetectortest.cpp
+++ b/tests/dispatch/crashdetectortest.cpp
@@ -17,6 +17,10 @@
     CPPUNIT_TEST(anEngineThatNobodyReachesIsReported);
     CPPUNIT_TEST(aNodeWithoutAnyPathReportsNothing);
     CPPUNIT_TEST(aCrashIsLoggedWithThePartsOfTheLostPrompts);
+    CPPUNIT_TEST(aCrashIsAttributedToPartsThatWereNotBeingAnswered);
+    CPPUNIT_TEST(aRunThatMayHaveCrashedItsEngineIsNotSentOn);
+    CPPUNIT_TEST(waitingRequestsEndWhenTheirPartIsRefused);
+    CPPUNIT_TEST(refusedPartsAreSentOnNoWay);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -117,6 +121,82 @@
         CPPUNIT_ASSERT(line.find(":events=0") != std::string::npos);
     }
 
+    // A stream that has been written for a while cannot be what crashes its engine.
+    void aCrashIsAttributedToPartsThatWereNotBeingAnswered()
+    {
+        DispatcherHarness harness;
+        harness.setSharedParts({"f1", "dead"});
+        const StartCall decode = startDecode(harness);
+        harness.loseConnection(100, decode);
+        harness.end(110, harness.nextServerProbe(), CallEnd::NotConnected);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, harness.takePartCrashes().front().notes.size());
+
+        DispatcherHarness writing;
+        writing.setSharedParts({"f1", "dead"});
+        const StartCall stream = startDecode(writing);
+        writing.reduce(100, StreamStarted {stream.call, 200, {}});
+        writing.loseConnection(400, stream);
+        writing.end(410, writing.nextServerProbe(), CallEnd::NotConnected);
+        CPPUNIT_ASSERT(writing.takePartCrashes().empty());
+    }
+
+    // The users' record shows a crashing request at a second engine within one attempt.
+    void aRunThatMayHaveCrashedItsEngineIsNotSentOn()
+    {
+        for (const bool isKnownToBeSound : {false, true}) {
+            DispatcherHarness harness;
+            harness.useRoutes();
+            harness.addServer("d1", EnginePhase::Decode);
+            harness.addServer("d2", EnginePhase::Decode);
+            harness.setSharedParts({"f1"});
+            if (isKnownToBeSound) {
+                serve(harness, 0, harness.arrive(0, "resumable", 1'000));
+            }
+            const auto request = harness.arrive(5'000, "resumable", 1'000);
+            harness.loseConnection(5'100, beginWhole(harness, 5'000));
+            CPPUNIT_ASSERT_EQUAL(std::string(isKnownToBeSound ? "open" : "failed 502"),
+                                 harness.outcome(request));
+        }
+    }
+
+    // What cannot run must not wait for its deadline.
+    void waitingRequestsEndWhenTheirPartIsRefused()
+    {
+        DispatcherHarness harness;
+        harness.useRoutes();
+        harness.addServer("d1", EnginePhase::Decode);
+        harness.addServer("p1", EnginePhase::Prefill);
+        harness.setSharedParts({"f1", "dead"});
+        const auto prefilling = harness.arrive(0, "stream", 1'000);
+        harness.grant(1, harness.nextCall(CallKind::Reserve));
+        const StartCall prefill = harness.nextCall(CallKind::Prefill);
+        const auto reserving = harness.arrive(2, "stream", 1'000);
+        harness.setSharedParts({"f1"});
+        const auto sound = harness.arrive(3, "stream", 1'000);
+        harness.reduce(10, refusal());
+        CPPUNIT_ASSERT_EQUAL(std::string("rejected"), harness.outcome(prefilling));
+        CPPUNIT_ASSERT_EQUAL(std::string("rejected"), harness.outcome(reserving));
+        CPPUNIT_ASSERT_EQUAL(std::string("open"), harness.outcome(sound));
+        CPPUNIT_ASSERT(harness.wasAbandoned(prefill));
+        CPPUNIT_ASSERT_EQUAL(503, harness.status(prefilling));
+    }
+
+    void refusedPartsAreSentOnNoWay()
+    {
+        DispatcherHarness harness;
+        harness.useRoutes();
+        harness.addServer("a");
+        harness.addServer("d1", EnginePhase::Decode);
+        harness.reduce(0, refusal());
+        harness.reduce(0, refusal("web"));
+        harness.setSharedParts({"f1", "dead"});
+        for (const char *host : {"stream", "resumable", "plain"}) {
+            const auto request = harness.arrive(10, host, 1'000);
+            CPPUNIT_ASSERT_EQUAL(std::string("rejected"), harness.outcome(request));
+            CPPUNIT_ASSERT(!harness.hasCalls());
+        }
+    }
+
     // An engine that resets its streams while it accepts connections must lose its work.
     void failuresOfAReachableEngineAreReported()
     {
@@ -153,6 +233,37 @@
     }
 
 private:
+    /** What another node tells when it refuses the part "dead". */
+    static PartCrashesArrived refusal(const char *service = "llm")
+    {
+        PartCrashNote note {ServiceName(service), partIdOf("dead"), {}};
+        note.crashes.count = crashes::PartCrashRecords::MaxCrashes;
+        return {{note}};
+    }
+
+    /** Grants calls until the one that generates the answer. */
+    static StartCall beginWhole(DispatcherHarness &harness, int milliseconds)
+    {
+        for (;;) {
+            const StartCall call = harness.nextCall();
+            if (call.kind == CallKind::Whole || call.kind == CallKind::Decode) {
+                return call;
+            }
+            harness.grant(milliseconds, call);
+        }
+    }
+
+    static void serve(DispatcherHarness &harness, int milliseconds, RequestNumber request)
+    {
+        const StartCall call = beginWhole(harness, milliseconds);
+        harness.reduce(milliseconds, StreamStarted {call.call, 200, {}});
+        harness.end(milliseconds + 1'000, call, CallEnd::Complete, 200);
+        CPPUNIT_ASSERT_EQUAL(std::string("streamed"), harness.outcome(request));
+        while (harness.hasCalls()) {
+            harness.nextCall();
+        }
+    }
+
     /** Starts a generation under a scheduler, up to its decode call. */
     static StartCall startDecode(DispatcherHarness &harness)
     {
