Ask all nodes for answers of a part, and correct nodes that missed the end of a series

Change: a node that remembers an answer adds it to the news that it passes on; what is known of answers outlives the end of a series; every node tells of an answer that ends one (64 on average write it to the store); who sends an outdated state gets the newer one. The replay passes messages on as the program does, and has a store.

--- a/src/crashes/crashingparts.cpp
+++ b/src/crashes/crashingparts.cpp
@@ -12,11 +12,12 @@
 /** Limits the series, which comes from other nodes, too. */
 constexpr std::uint32_t MaxCount = 1000;
 
-/** Returns the state after an answer has ended the series in @p crashes. */
-PartCrashes afterAnswer(const PartCrashes &crashes)
+/** Returns the state after the series in @p crashes has ended. */
+PartCrashes endedSeries(const PartCrashes &crashes)
 {
     PartCrashes ended;
     ended.epoch = crashes.epoch + 1;
+    ended.wasAnswered = crashes.wasAnswered;
     return ended;
 }
 
@@ -115,13 +116,14 @@
 {
     const auto it = std::ranges::find(run.known, part.part, &KnownPart::part);
     PartCrashes series = it == run.known.end() ? PartCrashes() : it->crashes;
-    if (m_records.crashesOf(part).epoch > series.epoch) {
+    const PartCrashes known = m_records.crashesOf(part);
+    if (known.epoch > series.epoch) {
         return {};
     }
     if (series.count == 0) {
         series.caller = run.caller;
-        series.wasAnswered = m_answered.contains(part, now);
     }
+    series.wasAnswered = series.wasAnswered || known.wasAnswered || m_answered.contains(part, now);
     series.isFromMany = series.isFromMany || series.caller != run.caller;
     series.count = std::min(series.count + 1, MaxCount);
     return series;
@@ -147,24 +149,22 @@
             crashes.rival = guilty.part;
             change(part, crashes);
         } else if (known.count > 0) {
-            change(part, afterAnswer(known));
+            change(part, endedSeries(known));
         }
     }
     // The crashes have gone on without the part that was refused for them at first.
     const PartOfService rival {guilty.service, charges.at(guilty).crashes.rival};
     const PartCrashes ofRival = m_records.crashesOf(rival);
     if (!rival.part.isNone() && !charges.contains(rival) && ofRival.count > 0) {
-        change(rival, afterAnswer(ofRival));
+        change(rival, endedSeries(ofRival));
     }
     return notes;
 }
 
-PartCrashNotes CrashingParts::answered(const ServiceName &service, const std::vector<PartId> &parts,
-                                       TimePoint since, TimePoint now, std::uint32_t nodes,
-                                       std::uint64_t random)
+EndedSeries CrashingParts::answered(const ServiceName &service, const std::vector<PartId> &parts,
+                                    TimePoint since, TimePoint now)
 {
-    PartCrashNotes notes;
-    const bool isReporting = nodes <= MaxReportingNodes || random % nodes < MaxReportingNodes;
+    EndedSeries ended;
     for (std::size_t i = 0; i < parts.size(); ++i) {
         const PartOfService part {service, parts[i]};
         if (i < MaxPartsCharged) {
@@ -175,15 +175,16 @@
             continue;
         }
         const PartCrashes before = m_records.crashesOf(part);
-        const PartCrashes after = afterAnswer(before);
+        PartCrashes after = endedSeries(before);
+        after.wasAnswered = true;
         m_records.merge(part, after, now);
         // One crash under a part with many answers is no news to anyone.
-        const bool isWorthReporting = !before.wasAnswered || before.count > 1;
-        if (PartCrashRecords::isAtLimit(before) || (isReporting && isWorthReporting)) {
-            notes.push_back({service, part.part, after});
+        if (!before.wasAnswered || before.count > 1) {
+            ended.notes.push_back({service, part.part, after});
         }
+        ended.hasEndedRefusal = ended.hasEndedRefusal || PartCrashRecords::isAtLimit(before);
     }
-    return notes;
+    return ended;
 }
 
 PartCrashNotes CrashingParts::merge(const PartCrashNotes &notes, TimePoint now)
@@ -195,8 +196,12 @@
         const PartOfService part {note.service, note.part};
         crashes.wasAnswered =
             crashes.wasAnswered || (crashes.count > 0 && m_answered.contains(part, now));
+        const PartCrashes known = m_records.crashesOf(part);
         if (m_records.merge(part, crashes, now)) {
             news.push_back({note.service, note.part, crashes});
+        } else if (crashes.epoch < known.epoch) {
+            // The sender has missed the end of the series, such as a node that has just started.
+            news.push_back({note.service, note.part, known});
         }
     }
     return news;
--- a/src/crashes/crashingparts.h
+++ b/src/crashes/crashingparts.h
@@ -34,6 +34,13 @@
 /** Changes of the records that other nodes need to know. */
 using PartCrashNotes = std::vector<PartCrashNote>;
 
+/** The series of crashes that an answer has ended. */
+struct EndedSeries
+{
+    PartCrashNotes notes; ///< Those that other nodes need to know.
+    bool hasEndedRefusal = false;
+};
+
 /** The parts that a crash is attributed to. */
 struct CrashAttribution
 {
@@ -57,8 +64,6 @@
 public:
     /** Limits the parts of a request that a crash is attributed to; they are the caller's input. */
     static constexpr std::size_t MaxPartsCharged = 16;
-    /** Share of the nodes that report an answer, see answered(). */
-    static constexpr std::uint32_t MaxReportingNodes = 64;
 
     /** Returns the parts of @p parts with a series, for LostRun. */
     std::vector<KnownPart> knownParts(const ServiceName &service,
@@ -66,15 +71,13 @@
     /** Attributes the crash of a server of @p service to parts of @p runs. */
     CrashAttribution attribute(const ServiceName &service, const std::vector<LostRun> &runs,
                                TimePoint now);
+    /** Records an answer to a request with @p parts that began to be written at @p since. */
+    EndedSeries answered(const ServiceName &service, const std::vector<PartId> &parts,
+                         TimePoint since, TimePoint now);
     /**
-     * Records an answer to a request with @p parts that began to be written at @p since.
-     * @param nodes The number of nodes, of which a limited number report the answer.
-     * @param random A random number.
+     * Merges @p notes of other nodes.
+     * @return What to pass on: notes that are news, and newer states of those that are outdated.
      */
-    PartCrashNotes answered(const ServiceName &service, const std::vector<PartId> &parts,
-                            TimePoint since, TimePoint now, std::uint32_t nodes,
-                            std::uint64_t random);
-    /** Merges @p notes of other nodes; returns those that are news. */
     PartCrashNotes merge(const PartCrashNotes &notes, TimePoint now);
     /** Returns the refusal that ends last, if requests of @p caller with @p parts are refused. */
     std::optional<PartRefusal> refusal(const ServiceName &service, const std::vector<PartId> &parts,
--- a/src/dispatch/dispatcheffects.h
+++ b/src/dispatch/dispatcheffects.h
@@ -151,14 +151,11 @@
     CrashNote note;
 };
 
-/**
- * Sends the series of crashes under parts of prompts to other nodes, and stores them for nodes that
- * start later if this node has observed them.
- */
+/** Sends the series of crashes under parts of prompts to other nodes. */
 struct SharePartCrashes
 {
     std::vector<PartCrashNote> notes;
-    bool isObserved = false; ///< Otherwise another node has sent them.
+    bool isForStore = false; ///< They are also stored, for nodes that start later.
 };
 
 /** Writes a log line with a decision and its inputs. */
--- a/src/dispatch/partcrashexchange.cpp
+++ b/src/dispatch/partcrashexchange.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/** Nodes, on average, that write to the store what all of them see. */
+constexpr std::uint64_t MaxWriters = 64;
+
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -51,12 +54,15 @@
     if (request.arrival.sharedParts.empty()) {
         return;
     }
-    auto notes = m_state.crashingParts.answered(request.service->name, request.arrival.sharedParts,
-                                                since, step.now, m_state.nodes, step.random());
-    if (!notes.empty()) {
-        step.add(LogDecision {"parts_answered", request.arrival.callerId, partsText(notes)});
-        share(step, std::move(notes));
+    auto ended = m_state.crashingParts.answered(request.service->name, request.arrival.sharedParts,
+                                                since, step.now);
+    if (ended.notes.empty()) {
+        return;
     }
+    // Many nodes may see answers to a common part at the same time.
+    const bool isForStore = ended.hasEndedRefusal || step.randomBelow(m_state.nodes) < MaxWriters;
+    step.add(LogDecision {"parts_answered", request.arrival.callerId, partsText(ended.notes)});
+    step.add(SharePartCrashes {std::move(ended.notes), isForStore});
 }
 
 void PartCrashExchange::share(Step &step, crashes::PartCrashNotes notes)
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -374,7 +374,7 @@
 void EdgeNode::sharePartCrashes(const dispatch::SharePartCrashes &effect)
 {
     m_scheduling.spread(effect.notes);
-    if (!effect.isObserved) {
+    if (!effect.isForStore) {
         return;
     }
     for (const PartCrashNote &note : effect.notes) {
--- a/tests/crashes/crashingpartstest.cpp
+++ b/tests/crashes/crashingpartstest.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(theMostSpecificPartIsRefusedFirst);
     CPPUNIT_TEST(theNextSuspectIsRefusedIfTheCrashesGoOn);
     CPPUNIT_TEST(answersAtOtherNodesCount);
+    CPPUNIT_TEST(aNodeThatMissedAnAnswerIsCorrected);
     CPPUNIT_TEST(anAnsweredPartNeedsMoreCrashes);
     CPPUNIT_TEST(oneCallerCannotHaveTheOthersRefused);
     CPPUNIT_TEST(madeUpPartsDoNotHideTheGuiltyOne);
@@ -71,7 +72,7 @@
         crash({"a"});
         crash({"a"});
         const int since = ++m_now;
-        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, answer({"a"}, since).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, answer({"a"}, since).notes.size());
         CPPUNIT_ASSERT_EQUAL(0U, countOf("a"));
         crash({"a"});
         crash({"a"});
@@ -83,7 +84,7 @@
     {
         const int since = ++m_now;
         crash({"a"});
-        CPPUNIT_ASSERT(answer({"a"}, since).empty());
+        CPPUNIT_ASSERT(answer({"a"}, since).notes.empty());
         CPPUNIT_ASSERT_EQUAL(1U, countOf("a"));
     }
 
@@ -125,7 +126,7 @@
     void answersAtOtherNodesCount()
     {
         CrashingParts other;
-        other.answered(Llm, partsOf({"a"}), at(0), at(1), 4, 0);
+        other.answered(Llm, partsOf({"a"}), at(0), at(1));
         const auto news = other.merge(crash({"a"}), at(m_now));
         CPPUNIT_ASSERT_EQUAL(std::size_t {1}, news.size());
         CPPUNIT_ASSERT(news.front().crashes.wasAnswered);
@@ -135,6 +136,18 @@
         CPPUNIT_ASSERT(!isRefused({"a"}));
     }
 
+    // A node that starts finds crashes in the store whose series may have ended since.
+    void aNodeThatMissedAnAnswerIsCorrected()
+    {
+        CrashingParts started;
+        started.merge(crash({"a"}), at(m_now));
+        answer({"a"}, ++m_now);
+        const auto outdated = started.attribute(
+            Llm, {{partsOf({"a"}), started.knownParts(Llm, partsOf({"a"})), {}}}, at(++m_now));
+        started.merge(m_parts.merge(outdated.notes, at(m_now)), at(m_now));
+        CPPUNIT_ASSERT_EQUAL(0U, started.records().crashesOf({Llm, partIdOf("a")}).count);
+    }
+
     void anAnsweredPartNeedsMoreCrashes()
     {
         answer({"a"}, m_now);
@@ -204,7 +217,8 @@
             CPPUNIT_ASSERT(node->refusal(Llm, partsOf({"a"}), {}, at(m_now)));
             CPPUNIT_ASSERT(!node->refusal(Llm, partsOf({"first"}), {}, at(m_now)));
         }
-        CPPUNIT_ASSERT(forwards.merge(notes, at(m_now)).empty());
+        // Notes that come again lead to nothing that the other node does not know.
+        CPPUNIT_ASSERT(backwards.merge(forwards.merge(notes, at(m_now)), at(m_now)).empty());
     }
 
     void aRefusalEndsAndTheNextCrashRenewsIt()
@@ -243,10 +257,10 @@
         return m_parts.attribute(Llm, {runOf(names, caller)}, at(m_now)).notes;
     }
 
-    PartCrashNotes answer(const std::vector<std::string> &names, int since)
+    EndedSeries answer(const std::vector<std::string> &names, int since)
     {
         m_now = std::max(m_now, since) + 300;
-        return m_parts.answered(Llm, partsOf(names), at(since), at(m_now), 4, 0);
+        return m_parts.answered(Llm, partsOf(names), at(since), at(m_now));
     }
 
     bool isRefused(const std::vector<std::string> &names) const
--- a/tests/dispatch/partcrashfleet.h
+++ b/tests/dispatch/partcrashfleet.h
@@ -28,8 +28,9 @@
     /** Whether the first part of crashing requests, which sound requests share, is their only one.
      */
     bool isFirstPartCrashing = false;
-    int newsDelay = 20;                ///< Until the other nodes have what one has shared.
-    double newsLoss = 0;               ///< Share of the messages that are lost.
+    int newsDelay = 20;  ///< Until the other nodes have what one has shared.
+    double newsLoss = 0; ///< Share of the messages that are lost.
+    int storeDelay = 0;  ///< Until all nodes have what was stored; 0 if the store is away.
     double randomCrashesPerSecond = 0; ///< Of engines that end by themselves.
     int powerLossAt = 0;               ///< A third of the engines end at once; 0 for never.
     int soundUntil = 0;                ///< Until then, crashing parts are sound; 0 for never.
@@ -48,7 +49,8 @@
     int begunAfter = 0;
     std::vector<std::string> refusedParts; ///< At any node at the end.
     std::size_t mostNotes = 0;             ///< Most records at a node.
-    int notesShared = 0;
+    int notesStored = 0;
+    int messagesStored = 0; ///< Each of them is one write to the store at the most.
 };
 
 /**
@@ -345,22 +347,39 @@
 
     void share(std::size_t from)
     {
+        constexpr int Targets = 8;
         for (const SharePartCrashes &shared : m_nodes[from]->takePartCrashes()) {
-            if (!shared.isObserved) {
-                continue; // Here a message reaches all other nodes at once.
+            if (shared.isForStore) {
+                store(shared.notes);
             }
-            m_result.notesShared += static_cast<int>(shared.notes.size());
-            for (std::size_t node = 0; node < m_nodes.size(); ++node) {
-                if (node == from || std::bernoulli_distribution(m_load.newsLoss)(m_random)) {
-                    continue;
+            for (int i = 0; i < std::min<int>(Targets, static_cast<int>(m_nodes.size()) - 1); ++i) {
+                if (!std::bernoulli_distribution(m_load.newsLoss)(m_random)) {
+                    const std::size_t node = m_nodes.size() <= Targets
+                        ? (from + 1 + static_cast<std::size_t>(i)) % m_nodes.size()
+                        : below(m_nodes.size());
+                    plan(m_now + m_load.newsDelay, [this, node, notes = shared.notes] {
+                        m_nodes[node]->reduce(m_now, PartCrashesArrived {notes});
+                        drain(node);
+                    });
                 }
-                plan(m_now + m_load.newsDelay, [this, node, notes = shared.notes] {
-                    m_nodes[node]->reduce(m_now, PartCrashesArrived {notes});
-                    drain(node);
-                });
             }
         }
     }
+    void store(const std::vector<PartCrashNote> &notes)
+    {
+        ++m_result.messagesStored;
+        m_result.notesStored += static_cast<int>(notes.size());
+        if (m_load.storeDelay == 0) {
+            return;
+        }
+        plan(m_now + m_load.storeDelay, [this, notes] {
+            for (const auto &node : m_nodes) {
+                for (const PartCrashNote &note : notes) {
+                    node->dispatcher().partCrashStored(note, DispatcherHarness::at(m_now));
+                }
+            }
+        });
+    }
     void tick()
     {
         constexpr int TickTime = 10;
--- a/tests/dispatch/partcrashreplaytest.cpp
+++ b/tests/dispatch/partcrashreplaytest.cpp
@@ -32,7 +32,8 @@
             + std::to_string(result.begunBefore) + "/" + std::to_string(result.soundBefore)
             + " sound_after=" + std::to_string(result.begunAfter) + "/"
             + std::to_string(result.soundAfter) + " refused=" + textOfParts(result) + " records="
-            + std::to_string(result.mostNotes) + " shared=" + std::to_string(result.notesShared);
+            + std::to_string(result.mostNotes) + " notes=" + std::to_string(result.notesStored)
+            + " writes=" + std::to_string(result.messagesStored);
         std::printf("%s\n", text.c_str());
         CPPUNIT_ASSERT_MESSAGE(text, result.countedSends <= MaxCountedSends);
         CPPUNIT_ASSERT_EQUAL_MESSAGE(text, refusedParts, textOfParts(result));
@@ -60,6 +61,7 @@
     CPPUNIT_TEST(powerLossOfManyEnginesAccusesNoPart);
     CPPUNIT_TEST(otherCrashesBesideACrashingPart);
     CPPUNIT_TEST(fewRequestsBeforeManyNodes);
+    CPPUNIT_TEST(manyNodesWhoseSoundPartTurnsHarmful);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -157,6 +159,23 @@
         load.soundPerSecond = 12;
         play("many nodes", load, "dead");
     }
+
+    // Guards against sessions that are refused because few of many nodes have seen their answers.
+    void manyNodesWhoseSoundPartTurnsHarmful()
+    {
+        PartCrashLoad load;
+        load.nodes = 400;
+        load.engines = 400;
+        load.soundPerSecond = 200;
+        load.crashingPerSecond = 10;
+        load.seconds = 20;
+        load.crashingFrom = 4'000;
+        load.crashingUntil = 20'000;
+        load.soundUntil = load.crashingFrom;
+        load.newsLoss = 0.02;
+        load.storeDelay = 300;
+        play("400 nodes, sound before", load, "dead");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PartCrashReplayTest);
