Hash texts in one place; notes of parts in the queue for the store

Cause: ids of callers and keys of notes were made by the function for part ids, which takes "0a" and "a" for the same.

--- a/include/indigoway/promptpart.h
+++ b/include/indigoway/promptpart.h
@@ -10,8 +10,7 @@
 
 namespace indigoway {
 
-/** A part of a prompt that several requests may share, such as the instructions of an application.
- */
+/** A part of a prompt, such as the instructions of an application; requests may share it. */
 using PartId = Number<struct PromptPartTag>;
 
 /**
--- a/src/core/promptpart.cpp
+++ b/src/core/promptpart.cpp
@@ -1,6 +1,6 @@
 #include <indigoway/promptpart.h>
 
-#include <xxhash.h>
+#include "core/texthash.h"
 
 #include <algorithm>
 #include <array>
@@ -39,8 +39,7 @@
     if (const auto id = parsePartId(text)) {
         return *id;
     }
-    // Zero means "none".
-    return PartId(std::max<std::uint64_t>(1, XXH3_64bits(text.data(), text.size())));
+    return PartId(textHash(text));
 }
 
 std::string textOf(PartId part)
--- a/src/crashes/partcrashspread.cpp
+++ b/src/crashes/partcrashspread.cpp
@@ -18,6 +18,7 @@
     std::vector<std::pair<NodeName, std::string>> sample;
     std::ranges::sample(addresses, std::back_inserter(sample), Targets, random);
     std::vector<std::string> targets;
+    targets.reserve(sample.size());
     for (auto &[node, address] : sample) {
         targets.push_back(std::move(address));
     }
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -1,5 +1,7 @@
 #include "openrequests.h"
 
+#include "core/texthash.h"
+
 namespace indigoway::dispatch {
 
 namespace {
@@ -32,7 +34,7 @@
 
 CallerId OpenRequest::callerId() const
 {
-    return organisation ? CallerId(partIdOf(organisation->name.text()).value()) : CallerId();
+    return organisation ? CallerId(textHash(organisation->name.text())) : CallerId();
 }
 
 bool OpenRequest::hasBegunToWrite(TimePoint now) const
--- a/src/fleet/crashpublisher.cpp
+++ b/src/fleet/crashpublisher.cpp
@@ -1,5 +1,6 @@
 #include "crashpublisher.h"
 
+#include "core/texthash.h"
 #include "crashes/partcrashcodec.h"
 
 #include <algorithm>
@@ -25,7 +26,7 @@
 std::string crashKey(const std::string &prefix, const PartCrashNote &note)
 {
     // Nodes that know different things must not overwrite each other.
-    return prefix + PartsFolder + textOf(partIdOf(crashes::encodeItem(note)));
+    return prefix + PartsFolder + std::to_string(textHash(crashes::encodeItem(note)));
 }
 
 bool isPartCrashKey(const std::string &prefix, const std::string &key)
--- a/tests/fleet/crashpublishertest.cpp
+++ b/tests/fleet/crashpublishertest.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(resetReplacesQueuedCrash);
     CPPUNIT_TEST(boundsQueueAndBatch);
     CPPUNIT_TEST(rejectsForeignKeys);
+    CPPUNIT_TEST(newerStatesOfAPartReplaceQueuedOnes);
+    CPPUNIT_TEST(keysOfPartsAreNotTakenForContents);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -116,6 +118,28 @@
                              std::get<WriteNotesCall>(*publisher.nextCall(at(0))).notes.size());
     }
 
+    // A store that was away must not get every step of a series.
+    void newerStatesOfAPartReplaceQueuedOnes()
+    {
+        CrashPublisher publisher;
+        PartCrashNote part {ServiceName("llm"), PartId(7), {}};
+        for (part.crashes.count = 1; part.crashes.count < 4; ++part.crashes.count) {
+            publisher.enqueue(part);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, publisher.queuedCount());
+    }
+
+    void keysOfPartsAreNotTakenForContents()
+    {
+        PartCrashNote part {ServiceName("llm"), PartId(7), {}};
+        part.crashes.count = 1;
+        const std::string key = crashKey(Prefix, part);
+        CPPUNIT_ASSERT(isPartCrashKey(Prefix, key));
+        CPPUNIT_ASSERT(!isPartCrashKey(Prefix, crashKey(Prefix, note("a", 1))));
+        part.crashes.count = 2;
+        CPPUNIT_ASSERT(key != crashKey(Prefix, part));
+    }
+
     // Guards against keys of other writers that are taken for crash notes.
     void rejectsForeignKeys()
     {
