--- a/tests/soak/crashingparts.py
+++ b/tests/soak/crashingparts.py
@@ -10,14 +10,13 @@
 
 import argparse
 import asyncio
-import pathlib
 import random
 import sys
-import tempfile
 import time
 
 from callers import read_chunk, read_head
 from fleet import Node, Platform
+import seeds
 
 DECODE_ENGINES = 6
 NODES = 4
@@ -182,39 +181,20 @@
                           f"{'-' if after is None else f'{after:.2f}'} after")
 
 
-async def run_seed(options, seed, limit):
-    async with limit:
-        path = pathlib.Path(options.logs) / f"crashingparts-{seed}.log"
-        with open(path, "w", encoding="utf-8") as log:
-            play = Play(options.build, seed, log)
-            try:
-                problems, summary = await play.run()
-            finally:
-                for process in [*play.nodes, play.platform]:
-                    await process.kill()
-        print(f"seed {seed}: {'FAILED' if problems else 'ok'}, {summary}", flush=True)
-        for problem in problems[:10]:
-            print(f"    {problem}")
-        if problems:
-            print(f"    log: {path}")
-        else:
-            path.unlink()
-        return not problems
+async def play(build, seed, log):
+    one = Play(build, seed, log)
+    try:
+        return await one.run()
+    finally:
+        for process in [*one.nodes, one.platform]:
+            await process.kill()
 
 
 async def main():
     parser = argparse.ArgumentParser(description="A part of prompts under which engines end.")
-    parser.add_argument("--build", default="build", help="folder with the programs")
-    parser.add_argument("--seed", type=int, default=1, help="the first seed")
-    parser.add_argument("--runs", type=int, default=1, help="how many seeds")
-    parser.add_argument("--at-once", type=int, default=3, help="runs at a time")
-    parser.add_argument("--logs", default=tempfile.gettempdir(), help="folder for logs of failed runs")
+    seeds.add_options(parser, at_once=3)
     options = parser.parse_args()
-    limit = asyncio.Semaphore(options.at_once)
-    seeds = range(options.seed, options.seed + options.runs)
-    good = await asyncio.gather(*(run_seed(options, seed, limit) for seed in seeds))
-    print(f"{sum(good)} of {len(good)} runs kept all promises")
-    return 0 if all(good) else 1
+    return await seeds.play_seeds(options, "crashingparts", lambda seed, log: play(options.build, seed, log))
 
 
 if __name__ == "__main__":
--- a/tests/soak/cutnode.py
+++ b/tests/soak/cutnode.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """Cuts nodes off from all backend servers, which the other nodes still reach, and checks what callers get.
 
-    tests/soak/cutnode.py --build build                  all kinds of cut, one after the other
+    tests/soak/cutnode.py --build build                  three kinds of cut, one after the other
+    tests/soak/cutnode.py --build build --how open-hang,open-reset   cuts in which connections open first
 
 Callers keep the address of a node that is cut off, so their first attempts come to it all the while. What is
 checked: from CONTACT_S after the cut on, at least nine in ten of them are served; the other nodes serve as
--- a/tests/soak/faultproxy.py
+++ b/tests/soak/faultproxy.py
@@ -16,6 +16,7 @@
         self.target = None
         self.delay_s = 0.0
         self.holds_up = set()  # Directions whose bytes wait: "to_server", "to_client".
+        self.on_open = None  # "hang" or "reset": what happens to connections that open.
         self._server = None
         self._writers = set()
         self._port = 0
@@ -75,6 +76,18 @@
         self.reset_all()
 
     async def _accept(self, reader, writer):
+        if self.on_open == "reset":
+            abort(writer)
+            return
+        if self.on_open == "hang":
+            self._writers.add(writer)
+            while self.on_open == "hang" and not reader.at_eof():
+                await asyncio.sleep(LOOK_EVERY_S)
+                if reader.exception():
+                    break
+            abort(writer)
+            self._writers.discard(writer)
+            return
         host, port = self.target.rsplit(":", 1)
         try:
             to_server = await asyncio.open_connection(host, int(port))
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -100,7 +100,16 @@
         return [await proxy.listen() for proxy in self.servers]
 
     def cut_from_servers(self, how):
-        """"hang": nothing comes through; "reset": all is reset; "live-on": only what is new is refused."""
+        """"hang": nothing comes through; "reset": all is reset; "live-on": only what is new is refused;
+        "open-hang", "open-reset": connections open, and then nothing comes through or they are reset."""
+        if how.startswith("open-"):
+            for proxy in self.servers:
+                proxy.on_open = how.removeprefix("open-")
+                if how == "open-hang":
+                    proxy.holds_up = {"to_server", "to_client"}
+                else:
+                    proxy.reset_all()
+            return
         for proxy in self.servers:
             proxy.hang() if how == "hang" else proxy.refuse()
             if how == "hang":
@@ -110,6 +119,7 @@
 
     async def heal_servers(self):
         for proxy in self.servers:
+            proxy.on_open = None
             proxy.holds_up = set()
             await proxy.accept_again()
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -20,16 +20,15 @@
 
 import argparse
 import asyncio
-import pathlib
 import random
 import sys
-import tempfile
 import time
 
 from callers import Caller, NOT_RUN
 from faults import Faults
 from fleet import Node, Platform
 import organisations as organisation
+import seeds
 from streams import RESUMED_EVENTS, ResumingCaller, mixed_or_disordered
 
 FAULTS_S = 8.0
@@ -165,40 +164,15 @@
         f"{sum(one.was_resumed for one in streams)} of {len(streams)} streams went on at another node"
 
 
-async def run_seed(options, seed, limit):
-    async with limit:
-        path = pathlib.Path(options.logs) / f"soak-{seed}.log"
-        with open(path, "w", encoding="utf-8") as log:
-            problems, summary = await soak(options, seed, log)
-            for problem in problems:
-                log.write(f"problem {problem}\n")
-        print(f"seed {seed}: {'FAILED' if problems else 'ok'}, {summary}", flush=True)
-        for problem in problems[:10]:
-            print(f"    {problem}")
-        if problems:
-            print(f"    log: {path}")
-        else:
-            path.unlink()
-        return not problems
-
-
 async def main():
     parser = argparse.ArgumentParser(description="Fault soak of indigoway-edge.")
-    parser.add_argument("--build", default="build", help="folder with the programs")
-    parser.add_argument("--seed", type=int, default=1, help="the first seed")
-    parser.add_argument("--runs", type=int, default=1, help="how many seeds")
+    seeds.add_options(parser, at_once=4)
     parser.add_argument("--cuts", action="store_true", help="also cut nodes off from all backend servers")
     parser.add_argument("--versions", action="store_true",
                         help="also restart engines with other software versions under streams that are resumed")
     parser.add_argument("--nodes", type=int, default=3, help="nodes a run")
-    parser.add_argument("--at-once", type=int, default=4, help="runs at a time")
-    parser.add_argument("--logs", default=tempfile.gettempdir(), help="folder for logs of failed runs")
     options = parser.parse_args()
-    limit = asyncio.Semaphore(options.at_once)
-    seeds = range(options.seed, options.seed + options.runs)
-    good = await asyncio.gather(*(run_seed(options, seed, limit) for seed in seeds))
-    print(f"{sum(good)} of {len(good)} runs kept all promises")
-    return 0 if all(good) else 1
+    return await seeds.play_seeds(options, "soak", lambda seed, log: soak(options, seed, log))
 
 
 if __name__ == "__main__":
