Call the organisation under whose requests servers crash by its name

Cause: reading as a newcomer: callerId was the id of an attempt in one place and an organisation in another. Change: names only (OrganisationKey, organisationKey).

--- a/include/indigoway/crashnote.h
+++ b/include/indigoway/crashnote.h
@@ -17,8 +17,8 @@
     bool operator==(const CrashNote &) const = default;
 };
 
-/** Identifies the organisation that sent a request; none if callers have no organisation. */
-using CallerId = Number<struct CallerTag>;
+/** A hash of the name of the organisation that sent a request; none if callers have none. */
+using OrganisationKey = Number<struct OrganisationKeyTag>;
 
 /**
  * The consecutive server crashes under one part of prompts. Of two states, the one with the higher
@@ -26,11 +26,11 @@
  */
 struct PartCrashes
 {
-    std::uint32_t epoch = 0;  ///< How often a series of crashes has ended.
-    std::uint32_t count = 0;  ///< Crashes in the present series.
-    bool wasAnswered = false; ///< A server had answered with the part before the series.
-    CallerId caller;          ///< Whose requests crashed the servers.
-    bool isFromMany = false;  ///< There was a second caller.
+    std::uint32_t epoch = 0;      ///< How often a series of crashes has ended.
+    std::uint32_t count = 0;      ///< Crashes in the present series.
+    bool wasAnswered = false;     ///< A server had answered with the part before the series.
+    OrganisationKey organisation; ///< Whose requests crashed the servers.
+    bool isFromMany = false;      ///< There was a second organisation.
     /** Part that was refused for the same crashes, as the more likely cause; none otherwise. */
     PartId rival;
     bool operator==(const PartCrashes &) const = default;
--- a/src/crashes/crashingparts.cpp
+++ b/src/crashes/crashingparts.cpp
@@ -43,7 +43,7 @@
                                           const std::vector<LostRun> &runs, TimePoint now)
 {
     for (const LostRun &run : runs) {
-        if (const auto refused = refusal(service, run.parts, run.caller, now)) {
+        if (const auto refused = refusal(service, run.parts, run.organisation, now)) {
             return {{}, refused->part};
         }
     }
@@ -121,10 +121,10 @@
         return {};
     }
     if (series.count == 0) {
-        series.caller = run.caller;
+        series.organisation = run.organisation;
     }
     series.wasAnswered = series.wasAnswered || known.wasAnswered || m_answered.contains(part, now);
-    series.isFromMany = series.isFromMany || series.caller != run.caller;
+    series.isFromMany = series.isFromMany || series.organisation != run.organisation;
     series.count = std::min(series.count + 1, MaxCount);
     return series;
 }
@@ -208,15 +208,15 @@
 }
 
 std::optional<PartRefusal> CrashingParts::refusal(const ServiceName &service,
-                                                  const std::vector<PartId> &parts, CallerId caller,
-                                                  TimePoint now) const
+                                                  const std::vector<PartId> &parts,
+                                                  OrganisationKey organisation, TimePoint now) const
 {
     if (m_records.isEmpty()) {
         return std::nullopt;
     }
     std::optional<PartRefusal> last;
     for (const PartId part : parts) {
-        const auto until = m_records.refusedUntil({service, part}, caller, now);
+        const auto until = m_records.refusedUntil({service, part}, organisation, now);
         if (until && (!last || last->remaining < *until - now)) {
             last = PartRefusal {part, *until - now};
         }
--- a/src/crashes/crashingparts.h
+++ b/src/crashes/crashingparts.h
@@ -21,7 +21,7 @@
 {
     std::vector<PartId> parts;    ///< All but the last one of its prompt, in order.
     std::vector<KnownPart> known; ///< Those with a known series when the request was sent.
-    CallerId caller;
+    OrganisationKey organisation;
 };
 
 /** A refusal of requests with a part. */
@@ -79,9 +79,10 @@
      * @return What to pass on: notes that are news, and newer states of those that are outdated.
      */
     PartCrashNotes merge(const PartCrashNotes &notes, TimePoint now);
-    /** Returns the refusal that ends last, if requests of @p caller with @p parts are refused. */
+    /** Returns the refusal that ends last, if requests of @p organisation with @p parts are
+     * refused. */
     std::optional<PartRefusal> refusal(const ServiceName &service, const std::vector<PartId> &parts,
-                                       CallerId caller, TimePoint now) const;
+                                       OrganisationKey organisation, TimePoint now) const;
     /** Returns whether all @p parts were answered recently and crashes were rare since. */
     bool areSound(const ServiceName &service, const std::vector<PartId> &parts,
                   TimePoint now) const;
--- a/src/crashes/partcrashcodec.cpp
+++ b/src/crashes/partcrashcodec.cpp
@@ -24,7 +24,7 @@
     Epoch,
     Count,
     WasAnswered,
-    Caller,
+    Organisation,
     IsFromMany,
     Rival,
     NoteSize,
@@ -38,7 +38,7 @@
     value.append(note.crashes.epoch);
     value.append(note.crashes.count);
     value.append(note.crashes.wasAnswered);
-    value.append(Json::UInt64(note.crashes.caller.value()));
+    value.append(Json::UInt64(note.crashes.organisation.value()));
     value.append(note.crashes.isFromMany);
     value.append(note.crashes.rival.isNone() ? std::string() : textOf(note.crashes.rival));
     return value;
@@ -49,17 +49,17 @@
     const bool isNote = value.isArray() && value.size() == NoteSize && value[Service].isString()
         && value[Service].asString().size() <= MaxServiceNameBytes && value[Part].isString()
         && value[Epoch].isUInt() && value[Count].isUInt() && value[WasAnswered].isBool()
-        && value[Caller].isUInt64() && value[IsFromMany].isBool() && value[Rival].isString();
+        && value[Organisation].isUInt64() && value[IsFromMany].isBool() && value[Rival].isString();
     const auto part = isNote ? parsePartId(value[Part].asString()) : std::nullopt;
     if (!part) {
         return std::nullopt;
     }
-    return PartCrashNote {ServiceName(value[Service].asString()),
-                          *part,
-                          {value[Epoch].asUInt(), value[Count].asUInt(),
-                           value[WasAnswered].asBool(), CallerId(value[Caller].asUInt64()),
-                           value[IsFromMany].asBool(),
-                           parsePartId(value[Rival].asString()).value_or(PartId())}};
+    return PartCrashNote {
+        ServiceName(value[Service].asString()),
+        *part,
+        {value[Epoch].asUInt(), value[Count].asUInt(), value[WasAnswered].asBool(),
+         OrganisationKey(value[Organisation].asUInt64()), value[IsFromMany].asBool(),
+         parsePartId(value[Rival].asString()).value_or(PartId())}};
 }
 
 } // namespace
--- a/src/crashes/partcrashrecords.cpp
+++ b/src/crashes/partcrashrecords.cpp
@@ -7,13 +7,13 @@
 
 namespace {
 
-/** Adds the callers and answers that @p other knows of the same series; returns whether any is new.
- */
+/** Adds what @p other knows of the same series; returns whether any of it is new. */
 bool addEvidence(PartCrashes &crashes, const PartCrashes &other)
 {
     const PartCrashes before = crashes;
     crashes.wasAnswered = crashes.wasAnswered || other.wasAnswered;
-    crashes.isFromMany = crashes.isFromMany || other.isFromMany || crashes.caller != other.caller;
+    crashes.isFromMany =
+        crashes.isFromMany || other.isFromMany || crashes.organisation != other.organisation;
     return crashes != before;
 }
 
@@ -58,16 +58,17 @@
     return hasSeries ? std::optional(it->second.seriesKnownSince) : std::nullopt;
 }
 
-std::optional<TimePoint> PartCrashRecords::refusedUntil(const PartOfService &part, CallerId caller,
+std::optional<TimePoint> PartCrashRecords::refusedUntil(const PartOfService &part,
+                                                        OrganisationKey organisation,
                                                         TimePoint now) const
 {
     const auto it = m_records.find(part);
     if (it == m_records.end() || !isRefused(it->second, now)) {
         return std::nullopt;
     }
-    // A caller must not be able to have another caller's part refused.
+    // An organisation must not be able to have another one's part refused.
     const PartCrashes &crashes = it->second.crashes;
-    if (crashes.caller != caller && !crashes.isFromMany) {
+    if (crashes.organisation != organisation && !crashes.isFromMany) {
         return std::nullopt;
     }
     return it->second.updatedAt + RefusalTime;
--- a/src/crashes/partcrashrecords.h
+++ b/src/crashes/partcrashrecords.h
@@ -50,8 +50,9 @@
     PartCrashes crashesOf(const PartOfService &part) const;
     /** Returns when the first crash of the present series became known; nothing without one. */
     std::optional<TimePoint> seriesKnownSince(const PartOfService &part) const;
-    /** Returns the time until which requests of @p caller with @p part are refused, if they are. */
-    std::optional<TimePoint> refusedUntil(const PartOfService &part, CallerId caller,
+    /** Returns the time until which requests of @p organisation with @p part are refused, if they
+     * are. */
+    std::optional<TimePoint> refusedUntil(const PartOfService &part, OrganisationKey organisation,
                                           TimePoint now) const;
     bool isEmpty() const { return m_records.empty(); }
     std::size_t size() const { return m_records.size(); }
--- a/src/dispatch/crashdetector.cpp
+++ b/src/dispatch/crashdetector.cpp
@@ -46,7 +46,7 @@
     suspicion.requests.push_back(
         {request.arrival.callerId,
          request.service->name,
-         {request.arrival.sharedParts, request.knownParts, request.callerId()},
+         {request.arrival.sharedParts, request.knownParts, request.organisationKey()},
          request.hasBegunToWrite(step.now),
          call.kind,
          std::max(request.forwardedEvents, events),
--- a/src/dispatch/dispatchstate.cpp
+++ b/src/dispatch/dispatchstate.cpp
@@ -62,7 +62,7 @@
         return ofContent;
     }
     const auto ofPart = crashingParts.refusal(request.service->name, request.arrival.sharedParts,
-                                              request.callerId(), now);
+                                              request.organisationKey(), now);
     return ofPart ? std::max(ofContent, std::optional(ofPart->remaining)) : ofContent;
 }
 
@@ -75,7 +75,7 @@
     }
     const auto refused = request.service
         ? crashingParts.refusal(request.service->name, request.arrival.sharedParts,
-                                request.callerId(), step.now)
+                                request.organisationKey(), step.now)
         : std::nullopt;
     const std::string part = refused ? " part=" + textOf(refused->part) : std::string();
     requests.reject(step, request, remainingRefusal(request, step.now).value_or(Duration(0)),
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -32,9 +32,9 @@
     return organisation ? organisation->priority.value_or(route->priority) : route->priority;
 }
 
-CallerId OpenRequest::callerId() const
+OrganisationKey OpenRequest::organisationKey() const
 {
-    return organisation ? CallerId(textHash(organisation->name.text())) : CallerId();
+    return organisation ? OrganisationKey(textHash(organisation->name.text())) : OrganisationKey();
 }
 
 bool OpenRequest::hasBegunToWrite(TimePoint now) const
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -161,7 +161,7 @@
 
     scheduling::Urgency urgency() const;
     /** Returns the organisation's id in crash records; none without an organisation. */
-    CallerId callerId() const;
+    OrganisationKey organisationKey() const;
     /**
      * Returns whether the server has begun to write its answer and has lived on for some time, so
      * that the request cannot be what crashes it.
@@ -247,8 +247,7 @@
  */
 constexpr Duration MinWritingTime = std::chrono::milliseconds(200);
 
-/** Error for requests that are refused because servers have crashed under their content or a part.
- */
+/** Error for requests under whose content, or a part of whose prompt, servers have crashed. */
 constexpr char CrashesServers[] = "servers crash under it";
 
 /** Returns a server's software version, or a dash if it is unknown, for logs. */
--- a/tests/crashes/crashingpartstest.cpp
+++ b/tests/crashes/crashingpartstest.cpp
@@ -161,14 +161,14 @@
     // A caller whose own bodies crash servers names a part of others.
     void oneCallerCannotHaveTheOthersRefused()
     {
-        const CallerId other(7);
+        const OrganisationKey other(7);
         for (int i = 0; i < 4; ++i) {
-            crash({"a"}, CallerId(1));
+            crash({"a"}, OrganisationKey(1));
         }
-        CPPUNIT_ASSERT(m_parts.refusal(Llm, partsOf({"a"}), CallerId(1), at(m_now)));
+        CPPUNIT_ASSERT(m_parts.refusal(Llm, partsOf({"a"}), OrganisationKey(1), at(m_now)));
         CPPUNIT_ASSERT(!m_parts.refusal(Llm, partsOf({"a"}), other, at(m_now)));
         crash({"a"}, other);
-        CPPUNIT_ASSERT(m_parts.refusal(Llm, partsOf({"a"}), CallerId(9), at(m_now)));
+        CPPUNIT_ASSERT(m_parts.refusal(Llm, partsOf({"a"}), OrganisationKey(9), at(m_now)));
     }
 
     void madeUpPartsDoNotHideTheGuiltyOne()
@@ -244,17 +244,17 @@
     }
 
 private:
-    LostRun runOf(const std::vector<std::string> &names, CallerId caller = {})
+    LostRun runOf(const std::vector<std::string> &names, OrganisationKey organisation = {})
     {
         const std::vector<PartId> parts = partsOf(names);
-        return {parts, m_parts.knownParts(Llm, parts), caller};
+        return {parts, m_parts.knownParts(Llm, parts), organisation};
     }
 
     /** Crashes a server under a request that was sent when all earlier crashes were known. */
-    PartCrashNotes crash(const std::vector<std::string> &names, CallerId caller = {})
+    PartCrashNotes crash(const std::vector<std::string> &names, OrganisationKey organisation = {})
     {
         m_now += 10;
-        return m_parts.attribute(Llm, {runOf(names, caller)}, at(m_now)).notes;
+        return m_parts.attribute(Llm, {runOf(names, organisation)}, at(m_now)).notes;
     }
 
     EndedSeries answer(const std::vector<std::string> &names, int since)
--- a/tests/crashes/partcrashcodectest.cpp
+++ b/tests/crashes/partcrashcodectest.cpp
@@ -13,7 +13,7 @@
 {
     return {ServiceName("llm"),
             PartId(part),
-            {3, 2, true, CallerId(1'000'000'000'000'000'007), true, PartId(9)}};
+            {3, 2, true, OrganisationKey(1'000'000'000'000'000'007), true, PartId(9)}};
 }
 
 } // namespace
