Review case 1: show the short answers with a planned restart as well

Seen: with a node that is partitioned from all workers, as the users' pages have it, a restart by SIGTERM of another node suffices; a kill shows it too.

--- a/review/1/run.py
+++ b/review/1/run.py
@@ -1,4 +1,7 @@
-"""A node in between two others' path ends while a worker's answer without a length passes it."""
+"""A node ends, through which another one reaches a worker, while answers without a length pass it.
+
+run.py term: by SIGTERM, as in a planned restart; run.py kill: by SIGKILL.
+"""
 
 import asyncio
 import os
@@ -12,13 +15,17 @@
 
 HOST = "site.example"
 BOUNDS = {"grace_s": 8, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 56}
-PLAIN_REQUESTS = 30
+IS_PLANNED = sys.argv[1:] == ["term"]
+PLAIN_REQUESTS = 0 if IS_PLANNED else 30
 STREAMS = 24
-STREAM_EVENTS = 20
+STREAM_EVENTS = 30
 EVENT_PAUSE_S = 0.06
+# "A sound worker may fall silent for a second or so and go on": once, in the middle of its streams.
+SILENT_BEFORE_EVENT = 20 if IS_PLANNED else 0
+SILENCE_S = 1.2
 WORK_S = 0.03
 SECOND_HALF_AFTER_S = 0.6
-KILL_AFTER_S = 0.45
+END_AFTER_S = 0.3 if IS_PLANNED else 0.45
 PLAIN_BUDGET_MS = 1000
 STREAM_BUDGET_MS = 14000
 
@@ -94,7 +101,7 @@
         self.bodies[identity] = b"".join(pieces)
         for i, piece in enumerate(pieces):
             if i > 0:
-                await asyncio.sleep(pause)
+                await asyncio.sleep(SILENCE_S if i == SILENT_BEFORE_EVENT else pause)
             writer.write(piece)
             await writer.drain()
         return False
@@ -154,9 +161,9 @@
     await asyncio.sleep(1.0)
 
     if TROUBLE:
-        for name in ("web-1", "decode-1"):
-            paths[name].cut()
-            record(f"cut: {near.name} does not reach {name}; the other nodes do")
+        for path in paths.values():
+            path.cut()
+        record(f"{near.name} is partitioned from all workers; the other machines reach them")
     answers = {}
 
     async def ask(identity, prefix, budget_ms, extra):
@@ -174,11 +181,10 @@
         tokens = [("Indigoway-Model-Id", "m"), ("Indigoway-Token-Count", "1460,140"),
                   ("Indigoway-Prompt-Prefix", f"5c1e07a2:200,{0xabc000 + i:x}:1260")]
         tasks.append(asyncio.create_task(ask(f"stream{i:02}", "/summary/", STREAM_BUDGET_MS, tokens)))
-    await asyncio.sleep(KILL_AFTER_S)
+    await asyncio.sleep(END_AFTER_S)
     if TROUBLE:
-        for victim in nodes[1:2]:
-            record(f"SIGKILL for {victim.name}")
-            victim.signal(signal.SIGKILL)
+        record(f"{'SIGTERM' if IS_PLANNED else 'SIGKILL'} for {nodes[1].name}")
+        nodes[1].signal(signal.SIGTERM if IS_PLANNED else signal.SIGKILL)
     await asyncio.gather(*tasks)
 
     truncated = 0
--- a/review/standin.py
+++ b/review/standin.py
@@ -12,7 +12,7 @@
 import shutil
 import signal
 import socket
-import struct
+import sys
 import tempfile
 import time
 
@@ -28,9 +28,10 @@
     """record.txt of a case: what was sent, answered and run, with seconds since the start."""
 
     def __init__(self, path):
-        self.file = open(path, "w", encoding="utf-8")
+        self.file = open(path, "a", encoding="utf-8")
         self.start = time.monotonic()
         self.traced = []  # Request ids whose log lines the record gets at the end.
+        self(f"run, TROUBLE={int(TROUBLE)} {' '.join(sys.argv[1:])}")
 
     def __call__(self, text):
         self.file.write(f"{time.monotonic() - self.start:8.3f} {text}\n")
