--- a/review/1/run.py
+++ b/review/1/run.py
@@ -143,7 +143,8 @@
     views = {name: await path.open() for name, path in paths.items()}
 
     # The first node has paths of its own to the workers. It is alone in its zone.
-    names = (("edge-c-1", "hall-c"), ("edge-a-1", "hall-a"), ("edge-a-2", "hall-a"), ("edge-b-1", "hall-b"))
+    names = [("edge-c-1", "hall-c")]
+    names += [(f"edge-{zone}-{i}", f"hall-{zone}") for zone, count in (("a", 4), ("b", 3)) for i in range(1, count + 1)]
     nodes += [Node(name, zone, BOUNDS, files) for name, zone in names]
     seeds = [node.listen["control"] for node in nodes[:3]]
     for i, node in enumerate(nodes):
