--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -59,6 +59,11 @@
     NotExecuted, ///< The server states that it did not and will not execute the request.
     Complete,    ///< The answer is complete.
     Broken,      ///< Aborted early or malformed: the request may have been executed.
+    /**
+     * Ended at another node that had opened the connection: the request may have been executed, and
+     * nothing is known of the server.
+     */
+    PathLost,
 };
 
 /** Returns whether nothing was sent to the server. */
@@ -67,6 +72,12 @@
     return end == CallEnd::NotConnected || end == CallEnd::NoPath;
 }
 
+/** Returns whether the request was sent and its answer did not arrive whole. */
+inline bool isCutShort(CallEnd end)
+{
+    return end == CallEnd::Broken || end == CallEnd::PathLost;
+}
+
 using slots::ServerLoad;
 
 /** What a server says about itself in the headers of an answer. */
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -52,6 +52,7 @@
     case CallEnd::NotConnected:
         return ClaimOutcome::Unreachable;
     case CallEnd::NoPath:
+    case CallEnd::PathLost:
         return ClaimOutcome::Cancelled;
     case CallEnd::Broken:
         break;
@@ -59,6 +60,12 @@
     return ClaimOutcome::ConnectionLost;
 }
 
+/** Maps the end of a failed run to the claim result that is reported to the scheduler. */
+ClaimOutcome outcomeOfRun(CallEnd end)
+{
+    return isCutShort(end) ? claimEndOf(end) : ClaimOutcome::EngineFailed;
+}
+
 } // namespace
 
 void GenerationFlow::begin(Step &step, OpenRequest &request)
@@ -576,7 +583,8 @@
         decodeNotExecuted(step, request, call, event);
         return;
     case CallEnd::Broken:
-        m_state.tracker.recordFailure(server, step.now);
+    case CallEnd::PathLost:
+        recordFailure(step, server, event.end);
         if (m_runs.connectionLost(step, request, call, event) == RunContinuation::Result::Lost) {
             decodeFailed(step, request, event);
         }
@@ -649,6 +657,9 @@
     case CallEnd::Broken:
         m_state.tracker.recordFailure(server, step.now);
         return;
+    case CallEnd::PathLost:
+        m_state.tracker.callClosed(server);
+        return;
     }
 }
 
@@ -656,9 +667,7 @@
 {
     request.handle.clear();
     request.triedServers.insert(request.decodeServer);
-    releaseResources(step, request,
-                     event.end == CallEnd::Broken ? ClaimOutcome::ConnectionLost
-                                                  : ClaimOutcome::EngineFailed);
+    releaseResources(step, request, outcomeOfRun(event.end));
     const bool mayResume = request.route->isResumable
         && (!event.isConnectionLost || m_state.mayRepeatAfterCrash(request, step.now))
         && request.executions < request.route->maxAttempts
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -275,6 +275,8 @@
         return "complete";
     case CallEnd::Broken:
         return "broken";
+    case CallEnd::PathLost:
+        return "path_lost";
     }
     return "";
 }
--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -42,6 +42,7 @@
     case CallEnd::NotConnected:
         return slots::SlotOutcome::Unreachable;
     case CallEnd::NoPath:
+    case CallEnd::PathLost:
         return slots::SlotOutcome::Cancelled;
     case CallEnd::Broken:
         break;
@@ -104,6 +105,10 @@
         m_state.tracker.recordFailure(server, step.now);
         handleFailure(step, request, event);
         return;
+    case CallEnd::PathLost:
+        m_state.tracker.callClosed(server);
+        handleFailure(step, request, event);
+        return;
     }
 }
 
--- a/src/dispatch/runrecovery.cpp
+++ b/src/dispatch/runrecovery.cpp
@@ -39,7 +39,7 @@
     if (isUnsent(event.end)) {
         return event.isRefused ? StopResult::Refused : StopResult::Unreachable;
     }
-    if (event.end == CallEnd::Broken) {
+    if (isCutShort(event.end)) {
         return StopResult::Unknown;
     }
     switch (event.status) {
--- a/src/dispatch/schedulerclaims.cpp
+++ b/src/dispatch/schedulerclaims.cpp
@@ -128,8 +128,7 @@
     // Without a path nothing is known of the engine, and the prompt is sent to another one.
     if (!request.claim.isNone() && end != CallEnd::NoPath) {
         send(step,
-             PrefillEnded {request.claim, isDone, end != CallEnd::NotConnected,
-                           end == CallEnd::Broken});
+             PrefillEnded {request.claim, isDone, end != CallEnd::NotConnected, isCutShort(end)});
     }
 }
 
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -24,8 +24,6 @@
 constexpr Duration ShutdownMargin = std::chrono::milliseconds(600);
 /** Serves callers who resolved this node's address just before it left. */
 constexpr Duration MinLeaveTime = std::chrono::milliseconds(1500);
-/** Tunnels of other nodes' requests that are idle for longer than this end with the process. */
-constexpr Duration IdleTunnelTime = std::chrono::milliseconds(500);
 /** Part of the age limit of the copy beyond which the store is taken for unreachable. */
 constexpr double MaxFreshAgeShare = 0.75;
 /** Interval between logs of the calls to the store, each of which is billed to the operator. */
@@ -179,7 +177,9 @@
     m_relay.beginLeaving();
     m_dispatcher.startDrain(now, now + m_settings.shutdownTimeout - ShutdownMargin);
     m_sync.storeWriter().leave();
-    record("leave", {{"open_requests", std::to_string(m_dispatcher.open())}});
+    record("leave",
+           {{"open_requests", std::to_string(m_dispatcher.open())},
+            {"busy_tunnels", std::to_string(m_relay.tunnels().busyTunnels(now))}});
 }
 
 void EdgeNode::reload(const EdgeSettings &settings)
@@ -312,7 +312,7 @@
             continue;
         }
         if (!node->relayAddress.empty()) {
-            relays.push_back({node->name, node->relayAddress});
+            relays.push_back({node->name, node->relayAddress, node->framesRelayed});
         }
         if (!node->schedulingAddress.empty()) {
             holders.push_back({node->name, node->domain, node->announcedAt});
@@ -616,11 +616,13 @@
     if (!m_leavingSince) {
         return;
     }
-    const bool isDone =
-        m_relay.callers().openRequests() == 0 && !m_relay.tunnels().isActive(now, IdleTunnelTime);
+    const std::size_t busyTunnels = m_relay.tunnels().busyTunnels(now);
+    const bool isDone = m_relay.callers().openRequests() == 0 && busyTunnels == 0;
     const bool isTimeUp = now > *m_leavingSince + m_settings.shutdownTimeout - ShutdownMargin;
     if ((isDone && now > *m_leavingSince + MinLeaveTime) || isTimeUp) {
-        record("stop", {{"open_requests", std::to_string(m_dispatcher.open())}});
+        record("stop",
+               {{"open_requests", std::to_string(m_dispatcher.open())},
+                {"busy_tunnels", std::to_string(busyTunnels)}});
         event_base_loopbreak(m_base);
     }
 }
--- a/src/fleet/nodedirectory.cpp
+++ b/src/fleet/nodedirectory.cpp
@@ -19,6 +19,7 @@
     if (!entry.relayAddress.empty()) {
         value["relay"] = entry.relayAddress;
     }
+    value["frames"] = entry.framesRelayed;
     value["processors"] = entry.cpuShare;
     return jsonText(value);
 }
@@ -34,6 +35,7 @@
     entry.schedulingAddress = stringMember(value, "scheduling");
     entry.relayAddress = stringMember(value, "relay");
     entry.cpuShare = realMember(value, "processors");
+    entry.framesRelayed = value.isObject() && value["frames"].isBool() && value["frames"].asBool();
     if (entry.name.isEmpty() || entry.callerAddress.empty()) {
         return std::nullopt;
     }
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -24,6 +24,9 @@
     std::string relayAddress = {};
     /** CPU share of the VM; the node with the largest share schedules the engines. */
     double cpuShare = 0;
+    /** Whether the node frames what it relays; those of earlier versions do not (tunnelframes.h).
+     */
+    bool framesRelayed = true;
     // Store revisions, not part of the encoded entry.
     /** Revision since which the entry has existed continuously, across process restarts. */
     std::uint64_t announcedSince = 0;
--- a/src/paths/relayselector.cpp
+++ b/src/paths/relayselector.cpp
@@ -33,8 +33,9 @@
     for (const RelayNode &node : nodes) {
         Node &known = m_nodes[node.name];
         if (known.address != node.address) {
-            known = {node.address, now, 0, {}};
+            known = {node.address, node.knowsFrames, now, 0, {}};
         }
+        known.knowsFrames = node.knowsFrames;
         known.lastSeen = now;
     }
     std::erase_if(m_nodes,
@@ -45,17 +46,9 @@
 std::optional<RelayNode> RelaySelector::pick(const std::vector<NodeName> &tried, TimePoint now,
                                              std::uint64_t entropy) const
 {
-    // A call that has asked in vain keeps to nodes that worked; others find more of them.
-    const bool wantsNew = m_proven.size() < FewProvenNodes
-        || (m_proven.size() < ProvenNodes && entropy % CallsPerNewNode == 0);
-    std::vector<NodeName> candidates =
-        tried.empty() && wantsNew ? untestedNodes(now) : provenNodes(tried);
-    if (candidates.empty()) {
-        candidates = provenNodes(tried);
-    }
+    std::vector<NodeName> candidates = usableNodes(tried, now, entropy, true);
     if (candidates.empty()) {
-        candidates = untestedNodes(now);
-        std::erase_if(candidates, [&](const NodeName &name) { return contains(tried, name); });
+        candidates = usableNodes(tried, now, entropy, false);
     }
     if (candidates.empty()) {
         // In a small deployment the only node in reach may have been slow once.
@@ -65,14 +58,29 @@
         return std::nullopt;
     }
     const NodeName &chosen = candidates[(entropy / CallsPerNewNode) % candidates.size()];
-    return RelayNode {chosen, m_nodes.at(chosen).address};
+    const Node &node = m_nodes.at(chosen);
+    return RelayNode {chosen, node.address, node.knowsFrames};
 }
 
-std::vector<NodeName> RelaySelector::provenNodes(const std::vector<NodeName> &tried) const
+std::vector<NodeName> RelaySelector::usableNodes(const std::vector<NodeName> &tried, TimePoint now,
+                                                 std::uint64_t entropy, bool knowFrames) const
 {
-    std::vector<NodeName> names = m_proven;
-    std::erase_if(names, [&](const NodeName &name) { return contains(tried, name); });
-    return names;
+    const auto eraseUnusable = [&](std::vector<NodeName> names) {
+        std::erase_if(names, [&](const NodeName &name) {
+            return contains(tried, name) || (knowFrames && !m_nodes.at(name).knowsFrames);
+        });
+        return names;
+    };
+    const std::vector<NodeName> proven = eraseUnusable(m_proven);
+    // A call that has asked in vain keeps to nodes that worked; others find more of them.
+    const bool wantsNew = tried.empty()
+        && (proven.size() < FewProvenNodes
+            || (proven.size() < ProvenNodes && entropy % CallsPerNewNode == 0));
+    if (!proven.empty() && !wantsNew) {
+        return proven;
+    }
+    const std::vector<NodeName> untested = eraseUnusable(untestedNodes(now));
+    return untested.empty() ? proven : untested;
 }
 
 std::vector<NodeName> RelaySelector::otherNodes(const std::vector<NodeName> &tried) const
--- a/src/paths/relayselector.h
+++ b/src/paths/relayselector.h
@@ -15,6 +15,8 @@
 {
     NodeName name;
     std::string address; ///< "IP:port" (TCP).
+    /** Whether it tells the end of a server's connection from its own (tunnelframes.h). */
+    bool knowsFrames = true;
     bool operator==(const RelayNode &) const = default;
 };
 
@@ -32,7 +34,11 @@
      */
     void setNodes(const std::vector<RelayNode> &nodes, TimePoint now);
     bool isEmpty() const { return m_nodes.empty(); }
-    /** Returns a node that is not in @p tried, one that has failed lately only if all have. */
+    /**
+     * Returns a node that is not in @p tried, one that has failed lately only if all have. Nodes of
+     * earlier versions, which don't know frames, are only used if no other one is usable: answers
+     * without a length cannot be completed through them.
+     */
     std::optional<RelayNode> pick(const std::vector<NodeName> &tried, TimePoint now,
                                   std::uint64_t entropy) const;
     /** Records that the node has opened a connection to a server. */
@@ -41,7 +47,9 @@
     void recordFailed(const NodeName &name, TimePoint now);
 
 private:
-    std::vector<NodeName> provenNodes(const std::vector<NodeName> &tried) const;
+    /** Returns the nodes that have not failed lately. @param knowFrames Only those with frames. */
+    std::vector<NodeName> usableNodes(const std::vector<NodeName> &tried, TimePoint now,
+                                      std::uint64_t entropy, bool knowFrames) const;
     /** Returns all nodes that are not in @p tried, those that have failed included. */
     std::vector<NodeName> otherNodes(const std::vector<NodeName> &tried) const;
     /** Returns the nodes of which nothing is known now. */
@@ -50,6 +58,7 @@
     struct Node
     {
         std::string address;
+        bool knowsFrames = false;
         TimePoint lastSeen {};      ///< When setNodes() last named it.
         std::uint32_t failures = 0; ///< In a row.
         TimePoint avoidedUntil {};
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -26,6 +26,8 @@
         return CallEnd::NotConnected;
     case TransferEnd::NoPath:
         return CallEnd::NoPath;
+    case TransferEnd::PathLost:
+        return CallEnd::PathLost;
     default:
         return CallEnd::Broken;
     }
@@ -263,8 +265,9 @@
             exchange == m_exchanges.end() || exchange->second.eventParser.isAtEventBoundary();
         ended.events = forwardedEvents(open.call.request);
         const bool isComplete = isAtBoundary && open.hasStarted;
-        ended.end =
-            end == TransferEnd::Complete && isComplete ? CallEnd::Complete : CallEnd::Broken;
+        ended.end = end == TransferEnd::Complete && isComplete ? CallEnd::Complete
+            : end == TransferEnd::PathLost                     ? CallEnd::PathLost
+                                                               : CallEnd::Broken;
         // A stream delimited by close is complete only if it ends at an event boundary.
         ended.isConnectionLost |= end == TransferEnd::Complete && !isComplete;
         return ended;
--- /dev/null
+++ b/src/relay/serverconnection.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "paths/pathsearch.h"
+#include "relay/messageparser.h"
+#include "relay/serverrequest.h"
+#include "relay/tunnelframes.h"
+
+#include <indigoway/ids.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+struct bufferevent;
+struct evbuffer;
+struct event;
+struct event_base;
+
+namespace indigoway {
+
+class ServerConnections;
+
+using ServerConnectionNumber = Number<struct ServerConnectionTag>;
+
+/** A call whose connection is not open yet. */
+struct PendingCall
+{
+    ServerRequest request; ///< Without headers and body.
+    /**
+     * Sent once the connection is established. If it were written to the bufferevent before, it
+     * could be sent although the connect timeout in the same iteration of the event loop reports
+     * NotConnected, and the request would be executed twice.
+     */
+    std::string text;
+    PathSearch search;
+};
+
+/** State of one connection of ServerConnections, opened by this node or by another one for it. */
+struct ServerConnection
+{
+    ServerConnection(event_base *base, ServerConnections &connections,
+                     ServerConnectionNumber itsNumber, ServerName itsServer,
+                     MessageParser::Handler handler);
+    ServerConnection(const ServerConnection &) = delete;
+    ServerConnection &operator=(const ServerConnection &) = delete;
+    ~ServerConnection();
+
+    /** Takes over what ServerRequest says of the connection and of its limits. */
+    void assign(const ServerRequest &request);
+    /** Returns the bytes of the server that the parser has not taken yet. */
+    evbuffer *input() const;
+    void send(const std::string &text);
+    /** Reads frames of the node that opened the connection, if it writes any. */
+    void readFrames();
+    /** Starts reading and writing frames. */
+    void useFrames();
+    /** Tells the node that opened the connection that no request is open. */
+    void markIdle();
+    /** Returns whether no further request may be sent. */
+    bool isEnding() const { return serverEnd.has_value() || isRelayLeaving; }
+    /** Restarts the idle timeout and the silence limit after data or a new request. */
+    void armIdleTimer();
+    /** Arms the timer for the silence limit or the rest of the idle timeout, whichever is first. */
+    void armSilenceTimer();
+
+    ServerConnections &owner;
+    const ServerConnectionNumber number;
+    const ServerName server;
+    bufferevent *bev = nullptr;
+    event *timer = nullptr;
+    MessageParser parser;
+    CallNumber call; ///< None while the connection is idle.
+    Duration idleTimeout {};
+    Duration silenceLimit {};
+    Duration silentFor {};                ///< Time without data when the timer was last armed.
+    Duration armedFor {};                 ///< Interval for which the timer was last armed.
+    std::uint32_t maxIdleConnections = 1; ///< Maximum for the server, including this one.
+    std::unique_ptr<PendingCall> pending; ///< Null once the connection is established.
+    NodeName relay;                       ///< The node that opened it; empty for this one.
+    bool isConnected = false;             ///< The connection to the server is established.
+    bool isTunnelRequested = false;
+    bool isRelayLeaving = false;          ///< The node that opened it is about to end.
+    std::optional<TunnelFrame> serverEnd; ///< How the server has ended it, as the relay says.
+    bool isPathTest = false;
+    bool isClosing = false;
+    /** The message being read is informational or answers an earlier request; it is discarded. */
+    bool isDiscarded = false;
+    bool isHeadRequest = false;
+    bool isConnectOnly = false;
+
+private:
+    TunnelFrameReader m_frames;
+    evbuffer *m_serverBytes = nullptr; ///< Null without frames.
+};
+
+} // namespace indigoway
--- a/src/relay/serverconnections.cpp
+++ b/src/relay/serverconnections.cpp
@@ -41,57 +41,6 @@
 
 } // namespace
 
-/** A call whose connection is not open yet. */
-struct ServerConnections::PendingCall
-{
-    ServerRequest request; ///< Without headers and body.
-    /**
-     * Sent once the connection is established. If it were written to the bufferevent before, it
-     * could be sent although the connect timeout in the same iteration of the event loop reports
-     * NotConnected, and the request would be executed twice.
-     */
-    std::string text;
-    PathSearch search;
-};
-
-struct ServerConnections::Connection
-{
-    ServerConnections *owner = nullptr;
-    ConnectionNumber number;
-    ServerName server;
-    std::string address;
-    bufferevent *bev = nullptr;
-    event *timer = nullptr;
-    MessageParser parser;
-    CallNumber call; ///< None while the connection is idle.
-    Duration idleTimeout {};
-    Duration silenceLimit {};
-    Duration silentFor {};                ///< Time without data when the timer was last armed.
-    Duration armedFor {};                 ///< Interval for which the timer was last armed.
-    std::uint32_t maxIdleConnections = 1; ///< Maximum for the server, including this one.
-    std::unique_ptr<PendingCall> pending; ///< Null once the connection is established.
-    NodeName relay;                       ///< The node that opened it; empty for this one.
-    bool isConnected = false;             ///< The connection to the server is established.
-    bool isTunnelRequested = false;
-    bool isPathTest = false;
-    bool isClosing = false;
-    /** The message being read is informational or answers an earlier request; it is discarded. */
-    bool isDiscarded = false;
-    bool isHeadRequest = false;
-    bool isConnectOnly = false;
-
-    explicit Connection(MessageParser::Handler handler)
-        : parser(MessageParser::Kind::Response, std::move(handler))
-    { }
-    Connection(const Connection &) = delete;
-    Connection &operator=(const Connection &) = delete;
-    ~Connection()
-    {
-        event_free(timer);
-        bufferevent_free(bev);
-    }
-};
-
 ServerConnections::ServerConnections(event_base *base, ServerCallObserver &observer,
                                      std::uint64_t seed)
     : m_base(base)
@@ -120,8 +69,8 @@
         if (!idle->relay.isEmpty()) {
             m_observer.callRelayed(request.call, idle->relay);
         }
-        bufferevent_write(idle->bev, text.data(), text.size());
-        armIdleTimer(*idle);
+        idle->send(text);
+        idle->armIdleTimer();
         return;
     }
     std::string text = textOf(request);
@@ -135,11 +84,7 @@
 
 void ServerConnections::assign(Connection &connection, const ServerRequest &request)
 {
-    connection.call = request.call;
-    connection.idleTimeout = request.idleTimeout;
-    connection.silenceLimit = request.silenceLimit;
-    connection.maxIdleConnections = request.maxIdleConnections;
-    connection.isConnectOnly = request.isConnectOnly;
+    connection.assign(request);
     m_calls[request.call] = connection.number;
 }
 
@@ -198,17 +143,8 @@
             m_observer.answerDataReceived(connection.call, data);
         }
     };
-    auto created = std::make_unique<Connection>(std::move(handler));
+    auto created = std::make_unique<Connection>(m_base, *this, number, server, std::move(handler));
     Connection &connection = *created;
-    connection.owner = this;
-    connection.number = number;
-    connection.server = server;
-    connection.bev =
-        bufferevent_socket_new(m_base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
-    connection.timer = event_new(m_base, -1, 0, &ServerConnections::handleTimer, &connection);
-    bufferevent_setcb(connection.bev, &ServerConnections::handleRead, nullptr,
-                      &ServerConnections::handleEvent, &connection);
-    bufferevent_enable(connection.bev, EV_READ | EV_WRITE);
     m_connections.emplace(number, std::move(created));
     return connection;
 }
@@ -289,8 +225,12 @@
         return;
     }
     evbuffer_drain(input, *length);
+    head.resize(*length);
     switch (parseTunnelAnswer(head)) {
     case TunnelAnswer::Open:
+        if (isFramedAnswer(head)) {
+            connection.useFrames();
+        }
         established(connection);
         return;
     case TunnelAnswer::Refused:
@@ -322,8 +262,8 @@
         finish(connection, TransferEnd::Complete, {}, false);
         return;
     }
-    bufferevent_write(connection.bev, pending->text.data(), pending->text.size());
-    armIdleTimer(connection);
+    connection.send(pending->text);
+    connection.armIdleTimer();
 }
 
 void ServerConnections::connectFailed(Connection &connection, ConnectFailure failure,
@@ -366,26 +306,41 @@
 void ServerConnections::handleRead(bufferevent * /*bev*/, void *context)
 {
     auto &connection = *static_cast<Connection *>(context);
-    connection.owner->readInput(connection);
+    connection.owner.readInput(connection);
 }
 
 void ServerConnections::readInput(Connection &connection)
 {
-    evbuffer *input = bufferevent_get_input(connection.bev);
     if (connection.isClosing) {
+        evbuffer *input = bufferevent_get_input(connection.bev);
         evbuffer_drain(input, evbuffer_get_length(input));
         return;
     }
-    if (connection.call.isNone()) {
-        // Data without a pending call.
-        scheduleClose(connection);
-        return;
-    }
     if (connection.isTunnelRequested && !connection.isConnected) {
         readTunnelAnswer(connection);
+        if (!connection.isConnected || connection.isClosing) {
+            return;
+        }
+    }
+    connection.readFrames();
+    if (connection.call.isNone()) {
+        if (connection.isEnding() || evbuffer_get_length(connection.input()) > 0) {
+            scheduleClose(connection); // Data without a pending call.
+        }
         return;
     }
-    armIdleTimer(connection);
+    parseAnswer(connection);
+    if (connection.serverEnd && !connection.call.isNone() && !connection.isClosing) {
+        serverEnded(connection, connection.serverEnd == TunnelFrame::ServerClosed);
+    }
+}
+
+void ServerConnections::parseAnswer(Connection &connection)
+{
+    evbuffer *input = connection.input();
+    if (evbuffer_get_length(input) > 0) {
+        connection.armIdleTimer();
+    }
     while (!connection.call.isNone() && !connection.isClosing && evbuffer_get_length(input) > 0) {
         const std::size_t size = evbuffer_get_length(input);
         const auto *bytes =
@@ -416,10 +371,10 @@
         }
         return;
     }
-    const bool hasExtraData = evbuffer_get_length(bufferevent_get_input(connection.bev)) > 0;
+    const bool hasExtraData = evbuffer_get_length(connection.input()) > 0;
     const MessageHead &head = connection.parser.head();
     finish(connection, TransferEnd::Complete, {},
-           head.isKeepAlive && !head.isDelimitedByClose && !hasExtraData);
+           head.isKeepAlive && !head.isDelimitedByClose && !hasExtraData && !connection.isEnding());
 }
 
 void ServerConnections::finish(Connection &connection, TransferEnd end, const std::string &reason,
@@ -447,6 +402,7 @@
         return;
     }
     idle.push_back(connection.number);
+    connection.markIdle();
     const timeval limit = timevalOf(idleTime);
     event_add(connection.timer, &limit);
 }
@@ -454,7 +410,7 @@
 void ServerConnections::handleEvent(bufferevent * /*bev*/, short events, void *context)
 {
     auto &connection = *static_cast<Connection *>(context);
-    ServerConnections &owner = *connection.owner;
+    ServerConnections &owner = connection.owner;
     if (connection.isClosing) {
         return;
     }
@@ -480,22 +436,32 @@
     if (connection.isClosing || connection.call.isNone()) {
         return;
     }
-    const bool isOrderly = (events & BEV_EVENT_EOF) != 0;
-    if (isOrderly && connection.parser.isHeadComplete() && !connection.isDiscarded) {
+    if (connection.relay.isEmpty()) {
+        owner.serverEnded(connection, (events & BEV_EVENT_EOF) != 0);
+        return;
+    }
+    // The kernel of the relay closes the connection of a process that ends, as a server does.
+    owner.finish(connection, TransferEnd::PathLost,
+                 "connection through " + connection.relay.text() + " ended", false);
+}
+
+void ServerConnections::serverEnded(Connection &connection, bool isRegular)
+{
+    if (isRegular && connection.parser.isHeadComplete() && !connection.isDiscarded) {
         connection.parser.feedEof();
         if (connection.parser.isComplete()) {
-            owner.finish(connection, TransferEnd::Complete, {}, false);
+            finish(connection, TransferEnd::Complete, {}, false);
             return;
         }
     }
-    owner.finish(connection, TransferEnd::ConnectionLost,
-                 isOrderly ? "closed early" : "connection reset", false);
+    finish(connection, TransferEnd::ConnectionLost, isRegular ? "closed early" : "connection reset",
+           false);
 }
 
 void ServerConnections::handleTimer(int /*socket*/, short /*events*/, void *context)
 {
     auto &connection = *static_cast<Connection *>(context);
-    ServerConnections &owner = *connection.owner;
+    ServerConnections &owner = connection.owner;
     if (connection.call.isNone() && !connection.isPathTest) {
         owner.scheduleClose(connection);
         return;
@@ -512,33 +478,10 @@
         owner.finish(connection, TransferEnd::Broken, "silent for too long", false);
         return;
     }
-    owner.armSilenceTimer(connection);
+    connection.armSilenceTimer();
     owner.m_observer.callSilent(connection.call);
 }
 
-void ServerConnections::armIdleTimer(Connection &connection)
-{
-    connection.silentFor = {};
-    armSilenceTimer(connection);
-}
-
-void ServerConnections::armSilenceTimer(Connection &connection)
-{
-    const bool hasSilenceLimit = connection.silenceLimit.count() > 0;
-    const bool hasIdleTimeout = connection.idleTimeout.count() > 0;
-    if (!hasSilenceLimit && !hasIdleTimeout) {
-        return;
-    }
-    connection.armedFor = connection.idleTimeout - connection.silentFor;
-    if (hasSilenceLimit) {
-        connection.armedFor = hasIdleTimeout
-            ? std::min(connection.armedFor, connection.silenceLimit)
-            : connection.silenceLimit;
-    }
-    const timeval limit = timevalOf(connection.armedFor);
-    event_add(connection.timer, &limit);
-}
-
 void ServerConnections::scheduleClose(Connection &connection)
 {
     if (connection.isClosing) {
--- a/src/relay/serverconnections.h
+++ b/src/relay/serverconnections.h
@@ -2,6 +2,7 @@
 
 #include "http/eventbase.h"
 #include "paths/pathsearch.h"
+#include "relay/serverconnection.h"
 #include "relay/serverrequest.h"
 
 #include <indigoway/ids.h>
@@ -24,8 +25,13 @@
     Refused,      ///< Nothing was sent: no process listens at the server's address.
     NoPath,       ///< Nothing was sent: this node has no connection, which may be its own fault.
     Complete,
-    ConnectionLost, ///< The connection ended before the answer was complete.
-    Broken,         ///< Idle timeout or malformed answer.
+    ConnectionLost, ///< The server ended the connection before the answer was complete.
+    /**
+     * The connection ended before the answer was complete, at the node that had opened it or
+     * unknown where. Says nothing of the server.
+     */
+    PathLost,
+    Broken, ///< Idle timeout or malformed answer.
 };
 
 /** Receives the events of calls. callEnded() follows once per call, unless it is abandoned. */
@@ -80,9 +86,9 @@
     std::uint64_t connectionsMade() const { return m_connectionsMade; }
 
 private:
-    struct Connection;
-    struct PendingCall;
-    using ConnectionNumber = Number<struct ServerConnectionTag>;
+    friend struct ServerConnection;
+    using Connection = ServerConnection;
+    using ConnectionNumber = ServerConnectionNumber;
 
     static void handleRead(bufferevent *bev, void *context);
     static void handleEvent(bufferevent *bev, short events, void *context);
@@ -104,14 +110,14 @@
     void closeIdleDirect(const ServerName &server);
     void assign(Connection &connection, const ServerRequest &request);
     void readInput(Connection &connection);
+    /** Passes what the server has sent to the parser. */
+    void parseAnswer(Connection &connection);
     void handleMessageComplete(Connection &connection);
+    /** Handles that the server has ended the connection of a call. */
+    void serverEnded(Connection &connection, bool isRegular);
     void finish(Connection &connection, TransferEnd end, const std::string &reason,
                 bool isReusable);
     void returnToPool(Connection &connection);
-    /** Restarts the idle timeout and the silence limit after data or a new request. */
-    void armIdleTimer(Connection &connection);
-    /** Arms the timer for the silence limit or the rest of the idle timeout, whichever is first. */
-    void armSilenceTimer(Connection &connection);
     void scheduleClose(Connection &connection);
     void closeScheduled();
 
--- a/src/relay/sockets.cpp
+++ b/src/relay/sockets.cpp
@@ -78,4 +78,10 @@
     setsockopt(socket, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
 }
 
+void endRegularlyOnClose(int socket)
+{
+    const linger regular {0, 0};
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &regular, sizeof regular);
+}
+
 } // namespace indigoway
--- a/src/relay/sockets.h
+++ b/src/relay/sockets.h
@@ -30,7 +30,12 @@
  * Keep-alive probes find out, and the user timeout decides when they give up, whatever their count.
  */
 void detectDeadPeer(int socket);
-/** Makes close() send a TCP reset instead of a FIN, which the peer could read as a regular end. */
+/**
+ * Makes close(), also the one at the end of the process, send a TCP reset instead of a FIN, which
+ * the peer could read as a regular end.
+ */
 void resetOnClose(int socket);
+/** Reverts resetOnClose(). */
+void endRegularlyOnClose(int socket);
 
 } // namespace indigoway
--- a/src/relay/tunnellistener.cpp
+++ b/src/relay/tunnellistener.cpp
@@ -2,6 +2,7 @@
 
 #include "relay/sockets.h"
 #include "relay/timers.h"
+#include "relay/tunnelframes.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -28,6 +29,11 @@
 /** Unsent bytes beyond which the other side is not read, and below which it is read again. */
 constexpr std::size_t MaxUnsentBytes = std::size_t {128} * 1024;
 constexpr std::size_t LowUnsentBytes = std::size_t {32} * 1024;
+/**
+ * Time after the last bytes until a tunnel without frames counts as idle: servers that are sound
+ * fall silent for a second or so.
+ */
+constexpr Duration UnframedIdleTime = std::chrono::milliseconds(2500);
 
 } // namespace
 
@@ -38,7 +44,7 @@
         Connecting,
         CheckingOther, ///< Connects to another server after a failure.
         Open,
-        Closing, ///< The last bytes are sent to the node.
+        Closing, ///< The last bytes are sent to the node; a node that knows frames closes then.
     };
 
     TunnelListener *owner = nullptr;
@@ -51,6 +57,10 @@
     bufferevent *serverSide = nullptr;
     event *timer = nullptr;
     TimePoint lastBytesAt {};
+    bool isFramed = false;
+    TunnelFrameReader frames; ///< Of the node, if they are used.
+    /** A request may be open on the connection; without frames this is unknown. */
+    bool isBusy = true;
 
     Tunnel() = default;
     Tunnel(const Tunnel &) = delete;
@@ -85,10 +95,33 @@
                       : std::nullopt;
 }
 
-bool TunnelListener::isActive(TimePoint now, Duration time) const
+void TunnelListener::beginLeaving()
 {
-    return std::ranges::any_of(
-        m_tunnels, [&](const auto &one) { return now < one.second->lastBytesAt + time; });
+    m_isLeaving = true;
+    for (const auto &[number, tunnel] : m_tunnels) {
+        if (tunnel->stage == Tunnel::Stage::Open && tunnel->isFramed) {
+            writeTunnelFrame(bufferevent_get_output(tunnel->nodeSide), TunnelFrame::Leaving);
+        }
+    }
+}
+
+std::size_t TunnelListener::busyTunnels(TimePoint now) const
+{
+    const auto isBusy = [now](const Tunnel &tunnel) {
+        switch (tunnel.stage) {
+        case Tunnel::Stage::ReadingRequest:
+        case Tunnel::Stage::CheckingOther:
+            return false;
+        case Tunnel::Stage::Connecting:
+        case Tunnel::Stage::Closing:
+            return true;
+        case Tunnel::Stage::Open:
+            break;
+        }
+        return tunnel.isFramed ? tunnel.isBusy : now < tunnel.lastBytesAt + UnframedIdleTime;
+    };
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_tunnels, [&isBusy](const auto &one) { return isBusy(*one.second); }));
 }
 
 void TunnelListener::handleAccept(evconnlistener * /*listener*/, int socket, sockaddr * /*from*/,
@@ -123,7 +156,10 @@
     if (tunnel.stage == Tunnel::Stage::ReadingRequest) {
         tunnel.owner->readRequest(tunnel);
     } else if (tunnel.stage == Tunnel::Stage::Open) {
-        pass(tunnel, tunnel.nodeSide, tunnel.serverSide);
+        tunnel.owner->passToServer(tunnel);
+    } else if (tunnel.stage == Tunnel::Stage::Closing) {
+        evbuffer *input = bufferevent_get_input(tunnel.nodeSide);
+        evbuffer_drain(input, evbuffer_get_length(input));
     }
 }
 
@@ -141,12 +177,14 @@
         return;
     }
     evbuffer_drain(input, *length);
-    const auto server = parseTunnelRequest(head);
-    const auto target = server ? m_dependencies.find(*server) : std::nullopt;
-    if (!target || m_isLeaving || m_tunnels.size() > MaxTunnels || m_paths.isRelayed(*server)) {
+    const auto request = parseTunnelRequest(std::string_view(head).substr(0, *length));
+    const auto target = request ? m_dependencies.find(request->server) : std::nullopt;
+    if (!target || m_isLeaving || m_tunnels.size() > MaxTunnels
+        || m_paths.isRelayed(request->server)) {
         refuse(tunnel, TunnelAnswer::Unavailable);
         return;
     }
+    tunnel.isFramed = request->knowsFrames;
     connectTo(tunnel, *target);
 }
 
@@ -190,12 +228,8 @@
         owner.serverNotConnected(tunnel, TunnelAnswer::Refused);
     } else if (tunnel.stage == Tunnel::Stage::CheckingOther) {
         owner.otherChecked(tunnel, false);
-    } else if (tunnel.stage == Tunnel::Stage::Open && (events & BEV_EVENT_EOF) != 0) {
-        // The end of an answer without a length must not look like a reset.
-        pass(tunnel, tunnel.serverSide, tunnel.nodeSide);
-        owner.closeWhenWritten(tunnel);
     } else if (tunnel.stage == Tunnel::Stage::Open) {
-        owner.reset(tunnel);
+        owner.serverEnded(tunnel, (events & BEV_EVENT_EOF) != 0);
     }
 }
 
@@ -213,9 +247,15 @@
     event_del(tunnel.timer);
     tunnel.stage = Tunnel::Stage::Open;
     tunnel.lastBytesAt = steadyNow();
-    const std::string answer = encodeTunnelAnswer(TunnelAnswer::Open);
+    resetOnClose(bufferevent_getfd(tunnel.nodeSide));
+    // Otherwise the server could go on with a request whose node has ended.
+    resetOnClose(bufferevent_getfd(tunnel.serverSide));
+    const std::string answer = encodeTunnelAnswer(TunnelAnswer::Open, tunnel.isFramed);
     bufferevent_write(tunnel.nodeSide, answer.data(), answer.size());
-    pass(tunnel, tunnel.nodeSide, tunnel.serverSide);
+    if (m_isLeaving && tunnel.isFramed) {
+        writeTunnelFrame(bufferevent_get_output(tunnel.nodeSide), TunnelFrame::Leaving);
+    }
+    passToServer(tunnel);
 }
 
 void TunnelListener::serverNotConnected(Tunnel &tunnel, TunnelAnswer answer)
@@ -256,30 +296,81 @@
 {
     auto &tunnel = *static_cast<Tunnel *>(context);
     if (tunnel.stage == Tunnel::Stage::Open) {
-        pass(tunnel, tunnel.serverSide, tunnel.nodeSide);
+        passToNode(tunnel);
+    }
+}
+
+void TunnelListener::passToServer(Tunnel &tunnel)
+{
+    if (evbuffer_get_length(bufferevent_get_input(tunnel.nodeSide)) == 0) {
+        return;
+    }
+    tunnel.lastBytesAt = steadyNow();
+    if (tunnel.isFramed) {
+        readFrames(tunnel);
+    } else {
+        bufferevent_write_buffer(tunnel.serverSide, bufferevent_get_input(tunnel.nodeSide));
+    }
+    limitUnsent(tunnel.nodeSide, tunnel.serverSide);
+}
+
+void TunnelListener::readFrames(Tunnel &tunnel)
+{
+    evbuffer *input = bufferevent_get_input(tunnel.nodeSide);
+    while (const auto part = tunnel.frames.next(input)) {
+        if (part->kind == TunnelFrame::Data) {
+            tunnel.isBusy = true;
+            evbuffer_remove_buffer(input, bufferevent_get_output(tunnel.serverSide), part->bytes);
+        } else if (part->kind == TunnelFrame::Idle) {
+            tunnel.isBusy = false;
+        }
     }
 }
 
-void TunnelListener::pass(Tunnel &tunnel, bufferevent *from, bufferevent *to)
+void TunnelListener::passToNode(Tunnel &tunnel)
 {
-    if (evbuffer_get_length(bufferevent_get_input(from)) == 0) {
+    evbuffer *input = bufferevent_get_input(tunnel.serverSide);
+    if (evbuffer_get_length(input) == 0) {
         return;
     }
     tunnel.lastBytesAt = steadyNow();
-    bufferevent_write_buffer(to, bufferevent_get_input(from));
+    if (tunnel.isFramed) {
+        moveTunnelData(bufferevent_get_output(tunnel.nodeSide), input);
+    } else {
+        bufferevent_write_buffer(tunnel.nodeSide, input);
+    }
+    limitUnsent(tunnel.serverSide, tunnel.nodeSide);
+}
+
+void TunnelListener::limitUnsent(bufferevent *from, bufferevent *to)
+{
     if (evbuffer_get_length(bufferevent_get_output(to)) > MaxUnsentBytes) {
         bufferevent_disable(from, EV_READ);
     }
 }
 
+void TunnelListener::serverEnded(Tunnel &tunnel, bool isRegular)
+{
+    if (!tunnel.isFramed && !isRegular) {
+        reset(tunnel);
+        return;
+    }
+    passToNode(tunnel);
+    if (tunnel.isFramed) {
+        writeTunnelFrame(bufferevent_get_output(tunnel.nodeSide),
+                         isRegular ? TunnelFrame::ServerClosed : TunnelFrame::ServerReset);
+    }
+    closeWhenWritten(tunnel);
+}
+
 void TunnelListener::handleNodeWritten(bufferevent *bev, void *context)
 {
     auto &tunnel = *static_cast<Tunnel *>(context);
     if (tunnel.stage == Tunnel::Stage::Open) {
         bufferevent_enable(tunnel.serverSide, EV_READ);
-    } else if (tunnel.stage == Tunnel::Stage::Closing
+    } else if (tunnel.stage == Tunnel::Stage::Closing && !tunnel.isFramed
                && evbuffer_get_length(bufferevent_get_output(bev)) == 0) {
-        tunnel.owner->close(tunnel.number);
+        tunnel.owner->closeRegularly(tunnel);
     }
 }
 
@@ -314,6 +405,7 @@
 void TunnelListener::refuse(Tunnel &tunnel, TunnelAnswer answer)
 {
     ++m_refused;
+    tunnel.isFramed = false;
     const std::string text = encodeTunnelAnswer(answer);
     bufferevent_write(tunnel.nodeSide, text.data(), text.size());
     closeWhenWritten(tunnel);
@@ -321,12 +413,16 @@
 
 void TunnelListener::closeWhenWritten(Tunnel &tunnel)
 {
-    if (evbuffer_get_length(bufferevent_get_output(tunnel.nodeSide)) == 0) {
-        close(tunnel.number);
+    if (!tunnel.isFramed && evbuffer_get_length(bufferevent_get_output(tunnel.nodeSide)) == 0) {
+        closeRegularly(tunnel);
         return;
     }
     tunnel.stage = Tunnel::Stage::Closing;
-    bufferevent_disable(tunnel.nodeSide, EV_READ);
+    if (tunnel.isFramed) {
+        bufferevent_enable(tunnel.nodeSide, EV_READ); // The node closes once it has read all.
+    } else {
+        bufferevent_disable(tunnel.nodeSide, EV_READ);
+    }
     if (tunnel.serverSide) {
         bufferevent_disable(tunnel.serverSide, EV_READ | EV_WRITE);
     }
@@ -335,6 +431,13 @@
     event_add(tunnel.timer, &FlushLimit);
 }
 
+void TunnelListener::closeRegularly(Tunnel &tunnel)
+{
+    // Not before all bytes are written: until then the end of the process must be a reset.
+    endRegularlyOnClose(bufferevent_getfd(tunnel.nodeSide));
+    close(tunnel.number);
+}
+
 void TunnelListener::reset(Tunnel &tunnel)
 {
     for (bufferevent *side : {tunnel.nodeSide, tunnel.serverSide}) {
--- a/src/relay/tunnellistener.h
+++ b/src/relay/tunnellistener.h
@@ -23,6 +23,11 @@
  * Opens connections to backend servers for nodes that cannot, and passes their bytes on unread. The
  * other node decides everything about its requests. A connection is opened from this node itself
  * only, so that requests cannot go around between nodes.
+ *
+ * The end of an answer without a length is the end of its connection. So that the end of this
+ * process is never taken for it, nodes that know frames get a frame at the end of the server's
+ * connection; and as long as a tunnel is open, its connections are set to be reset when the process
+ * ends, which is all that nodes of earlier versions can see.
  */
 class TunnelListener
 {
@@ -52,12 +57,12 @@
      * @return the bound address, or nothing on failure
      */
     std::optional<std::string> listenOn(const std::string &address);
-    /** Refuses new connections; open ones go on. */
-    void beginLeaving() { m_isLeaving = true; }
+    /** Refuses new connections and asks the other nodes for no further requests on open ones. */
+    void beginLeaving();
 
     std::size_t openTunnels() const { return m_tunnels.size(); }
-    /** Returns whether an open tunnel has passed on bytes within @p time. */
-    bool isActive(TimePoint now, Duration time) const;
+    /** Returns the number of tunnels on which a request is open or the end of an answer waits. */
+    std::size_t busyTunnels(TimePoint now) const;
     std::uint64_t opened() const { return m_opened; }
     std::uint64_t refused() const { return m_refused; }
 
@@ -88,9 +93,17 @@
     void checkOther(Tunnel &tunnel, const Target &other);
     void otherChecked(Tunnel &tunnel, bool isConnected);
     void refuse(Tunnel &tunnel, TunnelAnswer answer);
-    /** Moves bytes; @p from is not read while @p to has too many unsent ones. */
-    static void pass(Tunnel &tunnel, bufferevent *from, bufferevent *to);
+    void passToServer(Tunnel &tunnel);
+    static void passToNode(Tunnel &tunnel);
+    /** Handles the frames that have arrived from the node. */
+    void readFrames(Tunnel &tunnel);
+    /** Stops reading @p from while @p to has too many unsent bytes. */
+    static void limitUnsent(bufferevent *from, bufferevent *to);
+    /** Tells the node how the server's connection has ended, after its last bytes. */
+    void serverEnded(Tunnel &tunnel, bool isRegular);
     void closeWhenWritten(Tunnel &tunnel);
+    /** Closes both connections, the node's one with a FIN. */
+    void closeRegularly(Tunnel &tunnel);
     /** Closes both connections with a reset, which ends the request at the server. */
     void reset(Tunnel &tunnel);
     void close(TunnelNumber number);
--- a/src/relay/tunnelprotocol.h
+++ b/src/relay/tunnelprotocol.h
@@ -9,7 +9,8 @@
 /**
  * @file Messages with which a node asks another one to open a connection to a backend server, as
  * HTTP's CONNECT does. The server is named by its id, not its address: a node connects only to
- * servers that it knows itself. After the answer Open both directions carry the connection's bytes.
+ * servers that it knows itself. After the answer Open both directions carry the connection's bytes,
+ * in frames (tunnelframes.h) if both nodes say so: nodes of earlier versions don't.
  */
 namespace indigoway {
 
@@ -23,14 +24,23 @@
     NoAnswer = 504,    ///< The server does not answer; other servers are reached.
 };
 
-/** Returns the request, or nothing if the name can't be sent. */
+struct TunnelRequest
+{
+    ServerName server;
+    bool knowsFrames = false; ///< Whether the asking node can read and write frames.
+};
+
+/** Returns the request of a node that knows frames, or nothing if the name can't be sent. */
 std::optional<std::string> encodeTunnelRequest(const ServerName &server);
-std::string encodeTunnelAnswer(TunnelAnswer answer);
+/** @param isFramed Whether frames follow. */
+std::string encodeTunnelAnswer(TunnelAnswer answer, bool isFramed = false);
 /** Returns the length of the head in @p text including its end, or nothing if it is incomplete. */
 std::optional<std::size_t> tunnelHeadLength(std::string_view text);
 /** Parses a complete head; returns nothing if it is no request. */
-std::optional<ServerName> parseTunnelRequest(std::string_view head);
+std::optional<TunnelRequest> parseTunnelRequest(std::string_view head);
 /** Parses a complete head; an unknown answer is read as Unavailable. */
 TunnelAnswer parseTunnelAnswer(std::string_view head);
+/** Returns whether the complete head of an answer says that frames follow. */
+bool isFramedAnswer(std::string_view head);
 
 } // namespace indigoway
--- a/tests/dispatch/crashdetectortest.cpp
+++ b/tests/dispatch/crashdetectortest.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(manyLossesAtOneServerAreOneProbe);
     CPPUNIT_TEST(aServerThatWasLeavingIsNotProbed);
     CPPUNIT_TEST(aSilentServerIsNotProbed);
+    CPPUNIT_TEST(aRelayThatEndsIsNoEvidenceAgainstServers);
     CPPUNIT_TEST(aResetOfAllConnectionsIsNoEvidenceAgainstServers);
     CPPUNIT_TEST(failuresOfAReachableEngineAreReported);
     CPPUNIT_TEST(anEngineThatNobodyReachesIsReported);
@@ -67,6 +68,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {1}, harness.logLines("server_crashed").size());
     }
 
+    // The node that had opened the connections was killed: sound prompts would be refused, and an
+    // engine put out of use for all nodes.
+    void aRelayThatEndsIsNoEvidenceAgainstServers()
+    {
+        DispatcherHarness harness;
+        harness.setSharedParts({"f1", "sound"});
+        harness.end(100, startDecode(harness), CallEnd::PathLost);
+        CPPUNIT_ASSERT(!harness.hasServerProbes());
+        CPPUNIT_ASSERT(harness.logLines("server_crashed").empty());
+        CPPUNIT_ASSERT(harness.takePartCrashes().empty());
+    }
+
     // A draining server may end with open streams, which is not a crash.
     void aServerThatWasLeavingIsNotProbed()
     {
--- a/tests/dispatch/plainflowtest.cpp
+++ b/tests/dispatch/plainflowtest.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(answersAtTheRoutesTimeout);
     CPPUNIT_TEST(passesTheRemainingTimeOn);
     CPPUNIT_TEST(avoidsAFailingServer);
+    CPPUNIT_TEST(doesNotAvoidAServerBehindALostPath);
     CPPUNIT_TEST(rejectsLateRequestsDuringADrain);
     CPPUNIT_TEST(openRequestKeepsItsRoutes);
     CPPUNIT_TEST(keepsItsShareOfIdleConnections);
@@ -265,6 +266,25 @@
         CPPUNIT_ASSERT(later >= 2);
     }
 
+    // The nodes in between end, not the server: the others would get all of its requests.
+    void doesNotAvoidAServerBehindALostPath()
+    {
+        DispatcherHarness harness;
+        harness.useRoutes();
+        harness.addServer("a");
+        harness.addServer("b");
+        int sentToA = 0;
+        for (int i = 0; i < 50; ++i) {
+            const RequestNumber request = harness.arrive(i * 10, "plain");
+            const StartCall call = harness.nextCall();
+            const bool isCut = call.server == ServerName("a");
+            sentToA += isCut ? 1 : 0;
+            harness.end(i * 10 + 8, call, isCut ? CallEnd::PathLost : CallEnd::Complete, 200);
+            CPPUNIT_ASSERT(!isCut || harness.outcome(request) == text("failed 502"));
+        }
+        CPPUNIT_ASSERT(sentToA >= 15);
+    }
+
     // During a drain, requests that cannot complete before the shutdown must be rejected.
     void rejectsLateRequestsDuringADrain()
     {
--- a/tests/dispatch/plainslottest.cpp
+++ b/tests/dispatch/plainslottest.cpp
@@ -269,13 +269,13 @@
     // A node that does not reach the server itself must not put it out of use for all nodes.
     void lostPathIsNoVerdict()
     {
-        for (const CallEnd end : {CallEnd::Broken, CallEnd::NoPath}) {
+        for (const CallEnd end : {CallEnd::Broken, CallEnd::NoPath, CallEnd::PathLost}) {
             SlotHarness harness;
             harness.arrive(0, "plain");
             CallEnded ended;
             ended.call = harness.grantSlot(3, "a").call;
             ended.end = end;
-            ended.isPathSuspect = true;
+            ended.isPathSuspect = end != CallEnd::PathLost;
             harness.reduce(900, ended);
             const auto message = std::get<slots::SlotEnded>(harness.takeSlotMessages().front());
             CPPUNIT_ASSERT(message.outcome == slots::SlotOutcome::Cancelled);
--- a/tests/dispatch/runcontinuationtest.cpp
+++ b/tests/dispatch/runcontinuationtest.cpp
@@ -53,11 +53,11 @@
 
 /** Ends the connection of @p call after @p events events. */
 void breakStream(DispatcherHarness &harness, int milliseconds, const StartCall &call,
-                 std::uint32_t events)
+                 std::uint32_t events, CallEnd end = CallEnd::Broken)
 {
     CallEnded ended;
     ended.call = call.call;
-    ended.end = CallEnd::Broken;
+    ended.end = end;
     ended.events = events;
     ended.reason = "connection reset";
     harness.reduce(milliseconds, ended);
@@ -118,6 +118,7 @@
     CPPUNIT_TEST(continuesAtTheBackupOfACrashedEngine);
     CPPUNIT_TEST(continuesAtTheBackupIfTheEngineDroppedTheRun);
     CPPUNIT_TEST(movesTheRunOfALivingEngine);
+    CPPUNIT_TEST(stopsTheRunWhoseRelayHasEnded);
     CPPUNIT_TEST(continuesAtTheSameEngineIfTheTargetIsFull);
     CPPUNIT_TEST(endsTheStreamIfTheRunWasNotStopped);
     CPPUNIT_TEST(lostAnswerToAStopEndsTheStream);
@@ -240,6 +241,21 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t {1}, harness.dispatcher().runCounts().continuedByMove);
     }
 
+    // The end of the node in between proves nothing about the run: it would run twice.
+    void stopsTheRunWhoseRelayHasEnded()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        breakStream(harness, 1'000, run.decode, 20, CallEnd::PathLost);
+        const StartCall stop = harness.nextCall(CallKind::StopRun);
+        CPPUNIT_ASSERT(stop.server == ServerName("d1"));
+        CPPUNIT_ASSERT(!harness.hasCalls());
+        answerStop(harness, 1'040, stop, 404);
+        assertContinuesAtBackup(harness.nextCall(CallKind::Decode));
+        CPPUNIT_ASSERT(!harness.hasServerProbes());
+    }
+
     // The run has stopped, and its KV cache is still at its engine.
     void continuesAtTheSameEngineIfTheTargetIsFull()
     {
--- a/tests/paths/relayselectortest.cpp
+++ b/tests/paths/relayselectortest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST_SUITE(RelaySelectorTest);
     CPPUNIT_TEST(avoidsNodesThatFailed);
     CPPUNIT_TEST(keepsToProvenNodes);
+    CPPUNIT_TEST(prefersNodesThatKnowFrames);
     CPPUNIT_TEST(spreadsTheConnectionsOfACutOffDomain);
     CPPUNIT_TEST(keepsNodesWhoseEntriesHaveExpired);
     CPPUNIT_TEST(forgetsTheFailuresOfAnEarlierAddress);
@@ -44,6 +45,25 @@
         CPPUNIT_ASSERT(!selector.pick({m_nodes[0].name, m_nodes[1].name}, m_now, 0));
     }
 
+    // Through nodes of an earlier version, answers without a length cannot be completed.
+    void prefersNodesThatKnowFrames()
+    {
+        RelaySelector selector;
+        m_nodes[0].knowsFrames = false;
+        selector.setNodes({m_nodes[0], m_nodes[1], m_nodes[2]}, m_now);
+        selector.recordOpened(m_nodes[0].name);
+        selector.recordFailed(m_nodes[1].name, m_now);
+        for (std::uint64_t entropy = 0; entropy < 100; ++entropy) {
+            CPPUNIT_ASSERT(selector.pick({}, m_now, entropy) == m_nodes[2]);
+        }
+        // Most answers have a length: rather such a node than one that has failed.
+        CPPUNIT_ASSERT(selector.pick({m_nodes[2].name}, m_now, 0) == m_nodes[0]);
+        // It has been restarted with this version.
+        m_nodes[0].knowsFrames = true;
+        selector.setNodes({m_nodes[0], m_nodes[1], m_nodes[2]}, m_now);
+        CPPUNIT_ASSERT(selector.pick({m_nodes[2].name}, m_now, 0) == m_nodes[0]);
+    }
+
     // Without memory of what worked, half of all calls would ask nodes that are cut off, too.
     void keepsToProvenNodes()
     {
--- a/tests/relay/tunneltest.cpp
+++ b/tests/relay/tunneltest.cpp
@@ -1,10 +1,14 @@
 #include "relay/rawsockets.h"
+#include "relay/timers.h"
+#include "relay/tunnelframes.h"
 #include "relay/tunnellistener.h"
 
+#include <event2/buffer.h>
 #include <event2/event.h>
 
 #include <algorithm>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -32,7 +36,18 @@
     CPPUNIT_TEST(endsTheRequestAtTheServerWhenTheCallerLeaves);
     CPPUNIT_TEST(reportsAResetOfTheServerAsLost);
     CPPUNIT_TEST(completesAnAnswerThatEndsWithItsConnection);
-    CPPUNIT_TEST(reportsALostRelayAsALostConnection);
+    CPPUNIT_TEST(reportsALostRelayAsALostPath);
+    CPPUNIT_TEST(doesNotCompleteAnAnswerThatTheEndOfTheRelayCuts);
+    CPPUNIT_TEST(doesNotCompleteFramesCutAnywhere);
+    CPPUNIT_TEST(trustsNoEndOfAConnectionWithoutFrames);
+    CPPUNIT_TEST(skipsFramesOfLaterVersions);
+    CPPUNIT_TEST(passesTheServersEndToANodeWithoutFrames);
+    CPPUNIT_TEST(resetsTheConnectionOfANodeWithoutFramesWhenItEnds);
+    CPPUNIT_TEST(resetsAnUnreadAnswerWhenItEnds);
+    CPPUNIT_TEST(countsSilentAnswersAsBusy);
+    CPPUNIT_TEST(countsConnectionsWithoutRequestsAsIdle);
+    CPPUNIT_TEST(finishesOpenAnswersWhileLeaving);
+    CPPUNIT_TEST(sendsNothingOnIdleConnectionsOfALeavingRelay);
     CPPUNIT_TEST(closesTheServerConnectionOfADeadNode);
     CPPUNIT_TEST(confirmsThatAServerIsDown);
     CPPUNIT_TEST(blamesNoServerIfTheRelayIsCutOffToo);
@@ -101,10 +116,7 @@
     void passesALargeAnswerToASlowNode()
     {
         RawSocket node(m_relayAddress);
-        node.send(*encodeTunnelRequest(ServerName("s")));
-        RawSocket server(accepted(m_server));
-        std::string head;
-        runUntil([&] { return (head += node.receive()).ends_with("\r\n\r\n"); });
+        RawSocket server(acceptedFromNodeWithoutFrames(node));
         const std::string part(100'000, 'x');
         std::size_t sent = 0;
         for (int i = 0; i < 2'000; ++i) {
@@ -155,20 +167,184 @@
         CPPUNIT_ASSERT_EQUAL(std::string("all of it"), m_calls->body.at(CallNumber(1)));
     }
 
-    // The request may have been executed, so that it must not count as unsent.
-    void reportsALostRelayAsALostConnection()
+    // The request may have been executed, so that it must not count as unsent; and the server must
+    // not be blamed.
+    void reportsALostRelayAsALostPath()
     {
         startCall(1);
         RawSocket server(accepted(m_server));
         runUntil([&] { return !server.receive().empty(); });
         m_relay.reset();
-        CPPUNIT_ASSERT(endOf(1) == TransferEnd::ConnectionLost);
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::PathLost);
         runUntil([&] {
             server.receive();
             return server.isReset() || server.hasEnded();
         });
     }
 
+    // The caller would take half of an answer for all of it.
+    void doesNotCompleteAnAnswerThatTheEndOfTheRelayCuts()
+    {
+        startCall(1);
+        RawSocket server(accepted(m_server));
+        answer(server, "HTTP/1.1 200 OK\r\n\r\nhalf of it");
+        runUntil([&] { return m_calls->body[CallNumber(1)] == "half of it"; });
+        m_relay.reset();
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::PathLost);
+    }
+
+    // The kernel of a relay that is killed sends what it has, and then an end that looks regular.
+    void doesNotCompleteFramesCutAnywhere()
+    {
+        const std::string text = "HTTP/1.1 200 OK\r\n\r\nall of it";
+        const std::string whole = framed(text) + framed(TunnelFrame::ServerClosed);
+        for (std::size_t size = 0; size <= whole.size(); ++size) {
+            for (const bool isReset : {false, true}) {
+                const std::uint64_t call = 2 * size + (isReset ? 2 : 1);
+                RawSocket relay(connectedRelay(call, true));
+                relay.send(whole.substr(0, size));
+                isReset ? relay.reset() : relay.close();
+                const bool isComplete = endOf(call) == TransferEnd::Complete;
+                CPPUNIT_ASSERT_EQUAL(size == whole.size(), isComplete);
+                CPPUNIT_ASSERT(isComplete
+                               || m_calls->ends.at(CallNumber(call)) == TransferEnd::PathLost);
+            }
+        }
+    }
+
+    // A relay of an earlier version cannot say whether the server or its own process has ended.
+    void trustsNoEndOfAConnectionWithoutFrames()
+    {
+        RawSocket bare(connectedRelay(1, false));
+        bare.send("HTTP/1.1 200 OK\r\n\r\nall of it?");
+        bare.close();
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::PathLost);
+        RawSocket withLength(connectedRelay(2, false));
+        withLength.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        CPPUNIT_ASSERT(endOf(2) == TransferEnd::Complete);
+    }
+
+    // A later version may tell nodes more.
+    void skipsFramesOfLaterVersions()
+    {
+        RawSocket relay(connectedRelay(1, true));
+        constexpr auto Unknown = static_cast<TunnelFrame>(77);
+        relay.send(framed("HTTP/1.1 200 OK\r\n\r\nall ") + framed("what?", Unknown)
+                   + framed(Unknown) + framed("of it") + framed(TunnelFrame::ServerClosed));
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::Complete);
+        CPPUNIT_ASSERT_EQUAL(std::string("all of it"), m_calls->body.at(CallNumber(1)));
+    }
+
+    void passesTheServersEndToANodeWithoutFrames()
+    {
+        RawSocket node(m_relayAddress);
+        RawSocket server(acceptedFromNodeWithoutFrames(node));
+        server.send("HTTP/1.1 200 OK\r\n\r\nall of it");
+        server.close();
+        std::string received;
+        runUntil([&] {
+            received += node.receive();
+            return node.hasEnded();
+        });
+        CPPUNIT_ASSERT(received.ends_with("all of it"));
+        CPPUNIT_ASSERT(!node.isReset());
+    }
+
+    // Nodes of an earlier version take a regular end for the server's.
+    void resetsTheConnectionOfANodeWithoutFramesWhenItEnds()
+    {
+        RawSocket node(m_relayAddress);
+        RawSocket server(acceptedFromNodeWithoutFrames(node));
+        server.send("HTTP/1.1 200 OK\r\n\r\nhalf of it");
+        std::string received;
+        runUntil([&] { return (received += node.receive()).ends_with("half of it"); });
+        m_relay.reset();
+        runUntil([&] {
+            node.receive();
+            return node.isReset() || node.hasEnded();
+        });
+        CPPUNIT_ASSERT(node.isReset());
+    }
+
+    // The server's connection has ended regularly, but not all of its bytes have been passed on.
+    void resetsAnUnreadAnswerWhenItEnds()
+    {
+        RawSocket node(m_relayAddress);
+        RawSocket server(acceptedFromNodeWithoutFrames(node));
+        const std::string part(100'000, 'x');
+        std::size_t sent = 0;
+        for (int i = 0; i < 500; ++i) {
+            sent += server.trySend(part);
+            event_base_loop(m_base.get(), EVLOOP_NONBLOCK);
+        }
+        server.close();
+        const timeval time {0, 100'000};
+        event_base_loopexit(m_base.get(), &time);
+        event_base_dispatch(m_base.get());
+        m_relay.reset();
+        std::size_t received = 0;
+        runUntil([&] {
+            received += node.receive().size();
+            return node.isReset() || node.hasEnded();
+        });
+        CPPUNIT_ASSERT(received < sent);
+        CPPUNIT_ASSERT(node.isReset());
+    }
+
+    // A planned restart would cut an answer of a server that is silent for a second.
+    void countsSilentAnswersAsBusy()
+    {
+        startCall(1);
+        RawSocket server(accepted(m_server));
+        answer(server, "HTTP/1.1 200 OK\r\n\r\nhalf");
+        runUntil([&] { return m_calls->body[CallNumber(1)] == "half"; });
+        const TimePoint later = steadyNow() + std::chrono::seconds(60);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, m_relay->busyTunnels(later));
+        server.close();
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::Complete);
+        runUntil([&] { return m_relay->busyTunnels(later) == 0; });
+    }
+
+    // Kept connections would hold up a restart until its time is over.
+    void countsConnectionsWithoutRequestsAsIdle()
+    {
+        startCall(1);
+        RawSocket server(accepted(m_server));
+        answer(server, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok");
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::Complete);
+        runUntil([&] { return m_relay->busyTunnels(steadyNow()) == 0; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, m_relay->openTunnels());
+        startCall(2);
+        runUntil([&] { return m_relay->busyTunnels(steadyNow()) == 1; });
+    }
+
+    void finishesOpenAnswersWhileLeaving()
+    {
+        startCall(1);
+        RawSocket server(accepted(m_server));
+        answer(server, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nha");
+        runUntil([&] { return m_calls->body[CallNumber(1)] == "ha"; });
+        m_relay->beginLeaving();
+        server.send("lf");
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::Complete);
+        runUntil([&] { return m_relay->openTunnels() == 0; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, m_servers->idleConnections());
+    }
+
+    // A request that crosses the end of the process would be lost.
+    void sendsNothingOnIdleConnectionsOfALeavingRelay()
+    {
+        startCall(1);
+        RawSocket server(accepted(m_server));
+        answer(server, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok");
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::Complete);
+        m_relay->beginLeaving();
+        runUntil([&] { return m_relay->openTunnels() == 0; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, m_servers->idleConnections());
+        startCall(2);
+        CPPUNIT_ASSERT(endOf(2) == TransferEnd::NoPath);
+    }
+
     // Otherwise the server holds a slot and memory for a node that has died.
     void closesTheServerConnectionOfADeadNode()
     {
@@ -281,6 +457,42 @@
         event_base_loop(m_base.get(), EVLOOP_NONBLOCK);
     }
 
+    static std::string framed(const std::string &payload, TunnelFrame kind = TunnelFrame::Data)
+    {
+        const std::unique_ptr<evbuffer, decltype(&evbuffer_free)> buffer(evbuffer_new(),
+                                                                         &evbuffer_free);
+        writeTunnelData(buffer.get(), payload);
+        std::string text(evbuffer_get_length(buffer.get()), '\0');
+        evbuffer_remove(buffer.get(), text.data(), text.size());
+        text.front() = static_cast<char>(kind);
+        return text;
+    }
+
+    static std::string framed(TunnelFrame kind) { return framed("", kind); }
+
+    /** Starts a call through a relay that the test plays; returns the socket of the relay. */
+    int connectedRelay(std::uint64_t call, bool isFramed)
+    {
+        m_servers->paths().relays.setNodes({{NodeName("played"), m_otherServer.address()}},
+                                           TimePoint(std::chrono::hours(call)));
+        startCall(call);
+        const int socket = accepted(m_otherServer);
+        const std::string open = encodeTunnelAnswer(TunnelAnswer::Open, isFramed);
+        CPPUNIT_ASSERT(::send(socket, open.data(), open.size(), MSG_NOSIGNAL) > 0);
+        runUntil([&] { return m_servers->relayedCalls() == call; });
+        return socket;
+    }
+
+    int acceptedFromNodeWithoutFrames(RawSocket &node)
+    {
+        node.send("CONNECT s HTTP/1.1\r\nHost: s\r\n\r\n");
+        const int server = accepted(m_server);
+        std::string head;
+        runUntil([&] { return (head += node.receive()).ends_with("\r\n\r\n"); });
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200 -\r\n\r\n"), head);
+        return server;
+    }
+
     int accepted(const RawServer &server)
     {
         int connection = -1;
--- a/tests/soak/faultproxy.py
+++ b/tests/soak/faultproxy.py
@@ -105,15 +105,18 @@
             abort(writer)  # The soak is over.
         self._writers -= writers
 
+    async def _delayed(self, direction):
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        # Bytes of a connection are never dropped: a network delivers them late or resets.
+        while direction in self.holds_up:
+            await asyncio.sleep(LOOK_EVERY_S)
+
     async def _pump(self, reader, writer, direction):
         try:
             while True:
                 data = await reader.read(CHUNK)
-                if self.delay_s:
-                    await asyncio.sleep(self.delay_s)
-                # Bytes of a connection are never dropped: a network delivers them late or resets.
-                while direction in self.holds_up:
-                    await asyncio.sleep(LOOK_EVERY_S)
+                await self._delayed(direction)
                 if not data:
                     if writer.can_write_eof():
                         writer.write_eof()
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -93,10 +93,10 @@
             await asyncio.sleep(0.02)
         raise RuntimeError(f"{self.name} did not write {' '.join(words)}")
 
-    async def reach_servers_by_proxies(self):
+    async def reach_servers_by_proxies(self, make_proxy=FaultProxy):
         """Before the platform starts: this node, in a domain of its own, has proxies to the servers."""
         self.domain = f"hall-{self.name}"
-        self.servers = [FaultProxy() for _ in range(WORKERS)]
+        self.servers = [make_proxy() for _ in range(WORKERS)]
         return [await proxy.listen() for proxy in self.servers]
 
     def cut_from_servers(self, how):
@@ -136,10 +136,12 @@
 class Platform(Process):
     """The stand-in of the platform's store and backend servers, each behind a proxy."""
 
-    def __init__(self, build, log, decode_engines=2):
+    def __init__(self, build, log, decode_engines=2, make_proxy=FaultProxy):
+        """@p make_proxy: makes the proxies on the nodes' own ways to the servers."""
         super().__init__("platform", [], log)
         self.build = build
         self.decode_engines = decode_engines
+        self.make_proxy = make_proxy
         self.workers = [FaultProxy() for _ in range(WORKERS)]
         self.address = None
         self.version = 1
@@ -147,7 +149,7 @@
     async def start(self, nodes=()):
         """Of @p nodes, each gets proxies of its own to the servers."""
         announced = [await proxy.listen() for proxy in self.workers]
-        views = [",".join(await node.reach_servers_by_proxies()) for node in nodes]
+        views = [",".join(await node.reach_servers_by_proxies(self.make_proxy)) for node in nodes]
         self.words = [
             f"{self.build}/indigoway-sharedplatform",
             f"--announce={','.join(announced)}",
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,8 +4,9 @@
 
     tests/soak/soak.py --build build --seed 7            one run; its log is kept if it fails
     tests/soak/soak.py --build build --seed 1 --runs 50  seeds 1 to 50, some at a time
-    tests/soak/soak.py --build build --seed 1 --cuts     also cuts nodes off from all backend servers; each
-                                                         node is then in a failure domain of its own
+    tests/soak/soak.py --build build --seed 1 --cuts     also cuts nodes off from all backend servers, half of
+                                                         whose answers have no length; each node is then in a
+                                                         failure domain of its own
     tests/soak/soak.py --build build --seed 1 --versions engines come back with other software versions, and
                                                          callers resume their streams at other nodes
 
@@ -24,6 +25,7 @@
 import sys
 import time
 
+from bareproxy import BareProxy
 from callers import Caller, NOT_RUN
 from faults import Faults
 from fleet import Node, Platform
@@ -37,6 +39,8 @@
 CALLERS_A_NODE = 3
 PROBES_A_NODE = 6
 RESUMING_CALLERS = 6
+# Of the servers' connections, with --cuts: their answers have no length and end with them.
+BARE_SHARE = 0.5
 
 
 async def wait_until_served(caller, clock, limit):
@@ -98,7 +102,9 @@
     def clock():
         return time.monotonic() - begun
 
-    platform = Platform(options.build, log, decode_engines=4 if options.versions else 2)
+    bare = random.Random(f"{seed}/bare")
+    platform = Platform(options.build, log, decode_engines=4 if options.versions else 2,
+                        make_proxy=lambda: BareProxy(bare, BARE_SHARE))
     nodes = [Node(f"n{i}", options.build, log) for i in range(1, options.nodes + 1)]
     try:
         return await play(platform, nodes, seed, chance, clock, options, log)
