Reset streams to HTTP/1.0 callers when the process ends before they do

What callers saw: a stream to a caller with HTTP/1.0 ends with its connection. When our process was killed, or its caller read too slowly, the kernel or a close() ended it regularly, and a part looked like the whole. Cause: the same as with tunnels: the end of the process looks like the end of the answer. Change: the connection is set to be reset on close from the start of the stream until its last byte has been handed to the kernel with the end of the connection.

--- a/src/relay/callerlistener.cpp
+++ b/src/relay/callerlistener.cpp
@@ -141,6 +141,11 @@
 {
     if (Connection *connection = findConnection(request)) {
         connection->isStreaming = true;
+        if (connection->isHttp10) {
+            // Only the end of the connection marks the end of the stream: the end of this process
+            // must not look like it.
+            resetOnClose(bufferevent_getfd(connection->bev));
+        }
         writeHead(*connection, status, headers, std::nullopt);
     }
 }
@@ -185,9 +190,7 @@
         return;
     }
     if (connection->isHttp10 && connection->isStreaming) {
-        // A regular close would mark the answer as complete.
-        resetOnClose(bufferevent_getfd(connection->bev));
-        close(connection->number);
+        close(connection->number); // With a reset, see startStream().
         return;
     }
     m_requests.erase(request);
@@ -378,6 +381,7 @@
     connection.state = Connection::State::Lingering;
     if (evbuffer_get_length(bufferevent_get_output(connection.bev)) == 0) {
         shutdown(bufferevent_getfd(connection.bev), SHUT_WR);
+        endRegularlyOnClose(bufferevent_getfd(connection.bev));
     }
     const timeval limit = timevalOf(LingerTime);
     event_add(connection.timer, &limit);
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(anAbortedStreamHasNoLastChunk);
     CPPUNIT_TEST(aStreamToAnOldCallerEndsWithItsConnection);
     CPPUNIT_TEST(anAbortedStreamToAnOldCallerIsReset);
+    CPPUNIT_TEST(aStreamToAnOldCallerIsResetWhenTheProcessEnds);
+    CPPUNIT_TEST(anUnreadStreamToAnOldCallerIsResetWhenTheProcessEnds);
     CPPUNIT_TEST(closesConnectionsWhileLeaving);
     CPPUNIT_TEST(reusesAnIdleConnection);
     CPPUNIT_TEST(aResetEndsAnAnswerWithoutLengthAsLost);
@@ -194,6 +196,39 @@
         CPPUNIT_ASSERT(!caller.hasEnded());
     }
 
+    // The kernel closes the connections of a process that ends: the stream would look whole.
+    void aStreamToAnOldCallerIsResetWhenTheProcessEnds()
+    {
+        RawSocket caller(m_address);
+        streamToOldCaller(caller);
+        m_listener.reset();
+        runUntil([&] {
+            caller.receive();
+            return caller.isReset();
+        });
+        CPPUNIT_ASSERT(!caller.hasEnded());
+    }
+
+    // The stream has ended, but the caller has not been sent all of it.
+    void anUnreadStreamToAnOldCallerIsResetWhenTheProcessEnds()
+    {
+        RawSocket caller(m_address);
+        streamToOldCaller(caller);
+        const std::string part(100'000, 'x');
+        for (int i = 0; i < 35; ++i) {
+            m_listener->sendChunk(m_requests.front().first, part);
+        }
+        m_listener->endStream(m_requests.front().first);
+        event_base_loop(m_base.get(), EVLOOP_NONBLOCK);
+        m_listener.reset();
+        std::size_t received = 0;
+        runUntil([&] {
+            received += caller.receive().size();
+            return caller.isReset() || caller.hasEnded();
+        });
+        CPPUNIT_ASSERT(caller.isReset() || received == 35 * part.size());
+    }
+
     void closesConnectionsWhileLeaving()
     {
         RawSocket caller(m_address);
