Take no answer without a length from nodes, the store or services for whole

What could be seen: nothing yet. A store or node that is killed in the middle of an answer without a length or chunks ended it regularly; a list cut between two items would not have parsed, an answer with an empty body would have counted. Change: HttpClient reports such answers as Broken, unless chunks are handed on and their content tells the end (streams with [DONE]); the check of backendcalls moved there. Test: takesNoAnswerWithoutALengthForWhole.

--- a/src/http/backendcalls.cpp
+++ b/src/http/backendcalls.cpp
@@ -83,14 +83,6 @@
     return value > 0 ? static_cast<std::uint32_t>(value) : 0;
 }
 
-bool knowsItsEnd(const HttpAnswer &answer, const std::string &method)
-{
-    constexpr int NoContent = 204;
-    constexpr int NotModified = 304;
-    return method == "HEAD" || answer.status == NoContent || answer.status == NotModified
-        || !answer.header("Content-Length").empty() || !answer.header("Transfer-Encoding").empty();
-}
-
 } // namespace
 
 CallOutcome outcomeOf(const HttpAnswer &answer)
@@ -295,9 +287,8 @@
         }
     }
     http.headers.emplace_back(RequestNameHeader, effect.name.text());
-    const std::string method = http.method;
     m_calls[effect.call] =
-        m_client.start(std::move(http), [this, effect, method](const HttpAnswer &answer) {
+        m_client.start(std::move(http), [this, effect](const HttpAnswer &answer) {
             m_calls.erase(effect.call);
             CallOutcome outcome = CallOutcome::Whole;
             const std::string echoed = answer.header(RequestNameHeader);
@@ -305,9 +296,6 @@
                 outcome = outcomeOf(answer);
             } else if (!echoed.empty() && echoed != effect.name.text()) {
                 outcome = CallOutcome::Crossed;
-            } else if (!knowsItsEnd(answer, method)) {
-                // Ended by closing alone, which is also what a crash looks like.
-                outcome = CallOutcome::Truncated;
             } else if (OpenRequest *request = m_find(effect.request)) {
                 request->serviceStatus = answer.status;
                 request->serviceBody = answer.body;
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -47,6 +47,15 @@
     return bytes;
 }
 
+/** Returns whether the end of @p answer is told by more than the end of its connection. */
+bool hasKnownEnd(const HttpAnswer &answer)
+{
+    constexpr int NoContent = 204;
+    constexpr int NotModified = 304;
+    return answer.status == NoContent || answer.status == NotModified
+        || !answer.header("Content-Length").empty() || !answer.header("Transfer-Encoding").empty();
+}
+
 std::string takeInput(evhttp_request *request)
 {
     evbuffer *input = evhttp_request_get_input_buffer(request);
@@ -67,8 +76,9 @@
     evhttp_connection *connection = nullptr;
     evhttp_request *request = nullptr;
     event *timer = nullptr;
+    bool isHead = false;
     DoneHandler done;
-    ChunkHandler chunk;
+    ChunkHandler chunk; ///< Knows by the content whether the answer is whole.
     Traffic traffic = Traffic::Requests;
 
     Call() = default;
@@ -124,6 +134,7 @@
     call->number = HttpCallNumber(++m_lastCall);
     call->address = wanted.address;
     call->isFresh = wanted.isFreshConnection;
+    call->isHead = wanted.method == "HEAD";
     call->done = std::move(done);
     call->chunk = std::move(chunk);
     call->traffic = wanted.traffic;
@@ -248,10 +259,13 @@
     for (const evkeyval *header = headers->tqh_first; header; header = header->next.tqe_next) {
         answer.headers.emplace_back(header->key, header->value);
     }
+    if (!call.chunk && !call.isHead && !hasKnownEnd(answer)) {
+        answer.end = HttpAnswer::End::Broken;
+    }
     answer.body = takeInput(request);
     m_traffic[static_cast<std::size_t>(call.traffic)].bytesReceived +=
         headBytes(answer.headers) + answer.body.size();
-    finish(call.number, answer, true);
+    finish(call.number, answer, answer.end == HttpAnswer::End::Complete);
 }
 
 void HttpClient::finish(HttpCallNumber number, const HttpAnswer &answer, bool mayReuse)
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -55,7 +55,11 @@
     enum class End {
         Complete,
         NotConnected, ///< Nothing of the request was sent.
-        Broken, ///< The connection ended before the answer did: the request may have been run.
+        /**
+         * The connection ended before the answer did, or may have: an answer without a length ends
+         * like one whose server was killed. The request may have been run.
+         */
+        Broken,
         TimedOut,
     };
     End end = End::Broken;
--- a/tests/http/httpservertest.cpp
+++ b/tests/http/httpservertest.cpp
@@ -56,6 +56,42 @@
     int m_socket;
 };
 
+/** A server on a plain socket that closes its connection after one answer. */
+class RawListener
+{
+public:
+    RawListener()
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in at {};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        CPPUNIT_ASSERT_EQUAL(0, bind(m_socket, reinterpret_cast<sockaddr *>(&at), sizeof at));
+        CPPUNIT_ASSERT_EQUAL(0, listen(m_socket, 1));
+        socklen_t length = sizeof at;
+        getsockname(m_socket, reinterpret_cast<sockaddr *>(&at), &length);
+        m_address = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
+    }
+    ~RawListener() { close(m_socket); }
+    RawListener(const RawListener &) = delete;
+    RawListener &operator=(const RawListener &) = delete;
+
+    const std::string &address() const { return m_address; }
+    void answer(const std::string &text) const
+    {
+        const int connection = accept(m_socket, nullptr, nullptr);
+        ::send(connection, text.data(), text.size(), MSG_NOSIGNAL);
+        shutdown(connection, SHUT_WR);
+        char buffer[4096];
+        recv(connection, buffer, sizeof buffer, MSG_DONTWAIT);
+        close(connection);
+    }
+
+private:
+    int m_socket;
+    std::string m_address;
+};
+
 } // namespace
 
 class HttpServerTest : public CppUnit::TestFixture
@@ -64,6 +100,7 @@
     CPPUNIT_TEST(tellsThatACallerLeftBeforeItsAnswerBegan);
     CPPUNIT_TEST(livesThroughPipelinedRequests);
     CPPUNIT_TEST(abortLeavesTheAnswerVisiblyBroken);
+    CPPUNIT_TEST(takesNoAnswerWithoutALengthForWhole);
     CPPUNIT_TEST(refusesABodyOverTheLimit);
     CPPUNIT_TEST(tellsAFailedConnectionFromABrokenOne);
     CPPUNIT_TEST_SUITE_END();
@@ -154,6 +191,22 @@
         CPPUNIT_ASSERT(answer->end == HttpAnswer::End::Broken);
     }
 
+    // A store or node that is killed ends its connections regularly: a part of its answer would be
+    // taken for all of it.
+    void takesNoAnswerWithoutALengthForWhole()
+    {
+        RawListener server;
+        HttpClient client(m_base);
+        std::optional<HttpAnswer> answer;
+        HttpCall call;
+        call.address = server.address();
+        client.start(call, [&](const HttpAnswer &done) { answer = done; });
+        event_base_loop(m_base, EVLOOP_NONBLOCK);
+        server.answer("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\"items\":[]}");
+        runUntil([&] { return answer.has_value(); });
+        CPPUNIT_ASSERT(answer->end == HttpAnswer::End::Broken);
+    }
+
     void refusesABodyOverTheLimit()
     {
         HttpClient client(m_base);
