Follow no source whose changes come over this node itself

Both nodes of its domain took each other for the source of changes, for 4.5 s. Cause: a node that has listed the store turns to its regular parent. If the store turns that one away in the same 50 ms, it asks around, and adopts the node, whose contact with the store is newer than its own loss. Its answer to the poll that waits at it was accepted because of its rank: only adoption compared contacts. The rank rules out cycles only while nobody adopts a node ranked lower; the contact's age ended this one. Change: a current node rests on a chain of nodes that ends at the store, without itself in it. Nodes state the path of their changes with each answer (9 bytes a node), and StateSync::canFollow(), which now decides for every way of following (poll answer, regular parent, adopted, search answer), refuses a source on whose path it is. Polls are answered at once when the path changes. A node is not told that the one is current whose source it is, so that nodes of the version before, which read no path, are kept from the cycle too; where a path is unknown, a regular parent needs a newer contact. A node that finds itself on its parent's path is the one that must find a source, and asks the store at once. Ways weighed: sequence numbers alone (the contact is one; required of the regular parent as well, a node that has just listed the store would wait up to 1 s for a newer one and search meanwhile), split horizon alone (cycles of two only), a shorter age.

--- a/src/edge/mirrorcodec.cpp
+++ b/src/edge/mirrorcodec.cpp
@@ -29,6 +29,9 @@
     ResponseMembers,
     IsCurrent = ResponseMembers, ///< Absent in responses of earlier versions.
     ContactAge,
+    ResponseMembersWithState,
+    PathNodes = ResponseMembersWithState, ///< Nil: no path.
+    IsPathComplete,
     ResponseMembersNow
 };
 
@@ -52,6 +55,16 @@
     return object.is_nil() ? std::nullopt : std::optional(Duration(object.as<std::int64_t>()));
 }
 
+void packPath(Packer &packer, const std::optional<SourcePath> &path)
+{
+    if (path) {
+        packer.pack(path->nodes());
+    } else {
+        packer.pack_nil();
+    }
+    packer.pack(path && path->isComplete());
+}
+
 void packChange(Packer &packer, const StoredChange &change)
 {
     packer.pack_array(ChangeMembers);
@@ -217,6 +230,7 @@
     if (response.isCurrent) {
         packer.pack(*response.isCurrent);
         packDuration(packer, response.contactAge);
+        packPath(packer, response.path);
     }
     return std::string(viewOf(buffer));
 }
@@ -230,10 +244,14 @@
             response.heldFor = Duration(members[HeldFor].as<std::int64_t>());
             response.blocks = readList<std::string>(members[Blocks], readBytes);
             response.alternativePeers = readList<std::string>(members[AlternativePeers], readBytes);
-            if (count >= ResponseMembersNow) {
+            if (count >= ResponseMembersWithState) {
                 response.isCurrent = members[IsCurrent].as<bool>();
                 response.contactAge = readDuration(members[ContactAge]);
             }
+            if (count >= ResponseMembersNow && !members[PathNodes].is_nil()) {
+                response.path.emplace(members[PathNodes].as<std::vector<SourcePath::NodeId>>(),
+                                      members[IsPathComplete].as<bool>());
+            }
             return response;
         });
 }
--- a/src/edge/mirrorcodec.h
+++ b/src/edge/mirrorcodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "store/mirror.h"
+#include "store/sourcepath.h"
 #include "store/updatelog.h"
 
 #include <optional>
@@ -26,6 +27,8 @@
     std::optional<bool> isCurrent = {};
     /** Time since the store answered the node from which the sender's changes come. */
     std::optional<Duration> contactAge = {};
+    /** The path of the sender if it is current; nothing: it is not, or of an earlier version. */
+    std::optional<SourcePath> path = {};
 };
 
 /**
--- a/src/edge/mirrorresponder.cpp
+++ b/src/edge/mirrorresponder.cpp
@@ -16,11 +16,12 @@
 } // namespace
 
 MirrorResponder::MirrorResponder(const Mirror &mirror, const StalenessBound &proof,
-                                 const SourceContact &contact, double linkBytesPerSecond,
-                                 Duration maxHoldTime)
+                                 const SourceContact &contact, const SourcePath &path,
+                                 double linkBytesPerSecond, Duration maxHoldTime)
     : m_mirror(mirror)
     , m_proof(proof)
     , m_contact(contact)
+    , m_path(path)
     , m_maxHoldTime(maxHoldTime)
     , m_copyTurns(linkBytesPerSecond)
 { }
@@ -49,13 +50,8 @@
         const LongPoll &waiting = it->second;
         const bool isOldVersion = !waiting.poll.holdTime;
         const bool hasUpdate = hasUpdateFor(waiting);
-        // Nodes that wait for this one to become current, or for a proof, must hear of it at once.
-        const bool isUnchanged = isOldVersion
-            ? status.mayBecomeCurrent
-            : status.mayBecomeCurrent == waiting.status.mayBecomeCurrent
-                && status.isProven == waiting.status.isProven;
         const bool hasProof = waiting.poll.isWaiting && status.isCurrent && status.isProven;
-        if (!hasUpdate && !hasProof && isUnchanged && now < waiting.deadline) {
+        if (!hasUpdate && !hasProof && isUnchanged(waiting, status) && now < waiting.deadline) {
             ++it;
             continue;
         }
@@ -70,6 +66,18 @@
     return replies;
 }
 
+bool MirrorResponder::isUnchanged(const LongPoll &waiting, const Status &status)
+{
+    if (!waiting.poll.holdTime) {
+        return status.mayBecomeCurrent;
+    }
+    // Nodes that wait for this one to become current, or for a proof, must hear of it at once, and
+    // those that follow it of a new path, which they may be on themselves.
+    return status.mayBecomeCurrent == waiting.status.mayBecomeCurrent
+        && status.isProven == waiting.status.isProven
+        && (!status.isCurrent || status.pathChanges == waiting.status.pathChanges);
+}
+
 bool MirrorResponder::hasUpdateFor(const LongPoll &waiting) const
 {
     return m_mirror.isLoaded() && m_mirror.asOf() > waiting.poll.revision;
@@ -82,9 +90,14 @@
     MirrorResponse response;
     response.heldFor = bootNow - waiting.arrivedAt;
     if (poll.holdTime) {
-        const bool mayFollow = *poll.holdTime > Duration::zero() || m_polls.size() <= MaxPolls;
-        response.isCurrent = isCurrent && mayFollow;
+        const bool hasRoom = *poll.holdTime > Duration::zero() || m_polls.size() <= MaxPolls;
+        // Nodes of an earlier version do not look at the path.
+        const bool isOwnSource = m_path.contains(SourcePath::idOf(poll.peer));
+        response.isCurrent = isCurrent && hasRoom && !isOwnSource;
         response.contactAge = m_contact.age(bootNow);
+        if (isCurrent) {
+            response.path = m_path;
+        }
     }
     if (m_newsLog.needsSnapshot(poll.revision) && !m_copyTurns.mayStart(now)) {
         response.alternativePeers = {m_followers.begin(), m_followers.end()};
--- a/src/edge/mirrorresponder.h
+++ b/src/edge/mirrorresponder.h
@@ -29,7 +29,7 @@
 
     /** @param maxHoldTime How long a poll is held if there are no changes. */
     MirrorResponder(const Mirror &mirror, const StalenessBound &proof, const SourceContact &contact,
-                    double linkBytesPerSecond, Duration maxHoldTime);
+                    const SourcePath &path, double linkBytesPerSecond, Duration maxHoldTime);
 
     /** A request for changes. */
     struct Poll
@@ -51,7 +51,8 @@
         bool isCurrent = false; ///< Whether this node receives the changes of the store.
         /** Whether it does, or may shortly; if so, polls are held. */
         bool mayBecomeCurrent = false;
-        bool isProven = false; ///< Whether there is a recent proof, or none is required.
+        bool isProven = false;         ///< Whether there is a recent proof, or none is required.
+        std::uint64_t pathChanges = 0; ///< How often this node's path has changed.
     };
 
     void addPoll(ExchangeNumber exchange, const Poll &poll, TimePoint now, BootTime arrivedAt,
@@ -76,6 +77,8 @@
     };
 
     bool hasUpdateFor(const LongPoll &waiting) const;
+    /** Returns whether a node that waits for this one must hear at once of what it now says. */
+    static bool isUnchanged(const LongPoll &waiting, const Status &status);
     std::string buildResponse(const LongPoll &waiting, TimePoint now, BootTime bootNow,
                               bool isCurrent);
     /** Remembers a node that has, or is about to have, a full copy. */
@@ -84,6 +87,7 @@
     const Mirror &m_mirror;
     const StalenessBound &m_proof;
     const SourceContact &m_contact;
+    const SourcePath &m_path;
     Duration m_maxHoldTime;
     UpdateLog m_newsLog;
     SnapshotThrottle m_copyTurns;
--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -47,7 +47,8 @@
                [this](const std::string &key, const StoredItem *item, std::uint64_t revision) {
                    handleChange(key, item, revision);
                })
-    , m_responder(m_mirror, m_proof, m_contact, m_dependencies.linkBytesPerSecond, pollDuration())
+    , m_responder(m_mirror, m_proof, m_contact, m_path, m_dependencies.linkBytesPerSecond,
+                  pollDuration())
     , m_upstreamChoice(m_dependencies.self, randomOffset)
     , m_search(randomOffset)
     , m_storeWriter(store, m_callCounts, m_dependencies.storeWriter, std::move(incarnationId))
@@ -246,16 +247,22 @@
     const auto contact = contactOf(response, askedAt, m_dependencies.bootNow());
     if (!canFollow(*upstream.peer, response, contact)) {
         m_unfollowedPeer = response.isCurrent.value_or(false) ? *upstream.peer : "";
-        handlePeerNotFollowed(upstream);
+        handlePeerNotFollowed(upstream, response);
         return;
     }
+    followPeer(*upstream.peer, response);
     handleCallSuccess(upstream, contact.value_or(askedAt));
 }
 
-void StateSync::handlePeerNotFollowed(const Upstream &upstream)
+void StateSync::handlePeerNotFollowed(const Upstream &upstream, const MirrorResponse &response)
 {
     m_upstreamChoice.reportSuccess(upstream);
     m_doesParentAnswer = m_upstreamChoice.mayFollow(*upstream.peer, m_dependencies.roster());
+    if (isOnPathOf(response) && !std::exchange(m_isSourceOfParent, true)) {
+        m_dependencies.record("source_of_parent",
+                              "parent=" + *upstream.peer
+                                  + " path_nodes=" + std::to_string(response.path->nodes().size()));
+    }
     m_proof.copyAdvanced(m_mirror.asOf());
     if (m_upstreamChoice.hasAdoptedPeer()) {
         m_upstreamChoice.releaseAdopted();
@@ -270,9 +277,45 @@
     if (!response.isCurrent) {
         return m_upstreamChoice.mayFollow(peer, m_dependencies.roster());
     }
+    if (!*response.isCurrent || isOnPathOf(response)
+        || (response.path && response.path->nodes().size() >= SourcePath::MaxNodes)) {
+        return false;
+    }
+    // Without its whole path, a better-ranked node may have come to depend on this one.
+    const bool isPathKnown = response.path && response.path->isComplete();
     const bool isKnown = m_isCurrent
-        && (peer == m_followedPeer || m_upstreamChoice.mayFollow(peer, m_dependencies.roster()));
-    return *response.isCurrent && (isKnown || (contact && m_contact.isNewer(*contact)));
+        && (peer == m_followedPeer
+            || (isPathKnown && m_upstreamChoice.mayFollow(peer, m_dependencies.roster())));
+    return isKnown || (contact && m_contact.isNewer(*contact));
+}
+
+bool StateSync::isOnPathOf(const MirrorResponse &response) const
+{
+    return response.path
+        && response.path->contains(SourcePath::idOf(m_dependencies.self.controlAddress));
+}
+
+void StateSync::followPeer(const std::string &peer, const MirrorResponse &response)
+{
+    m_followedPeer = peer;
+    m_isSourceOfParent = false;
+    setPath(response.path.value_or(SourcePath({}, false)).extendedBy(SourcePath::idOf(peer)));
+}
+
+void StateSync::followStore()
+{
+    m_followedPeer.clear();
+    m_isSourceOfParent = false;
+    setPath(SourcePath());
+}
+
+void StateSync::setPath(SourcePath path)
+{
+    if (m_path == path) {
+        return;
+    }
+    m_path = std::move(path);
+    ++m_pathChanges;
 }
 
 HttpCall StateSync::pollOf(const std::string &peer, std::optional<Duration> hold) const
@@ -313,7 +356,9 @@
 {
     m_upstreamChoice.reportSuccess(upstream);
     m_proof.copyAdvanced(m_mirror.asOf());
-    m_followedPeer = upstream.peer.value_or("");
+    if (!upstream.peer) {
+        followStore();
+    }
     becomeCurrent();
     if (const auto better = reviewSource(upstream)) {
         askPeer(*better, contact);
@@ -350,7 +395,7 @@
 MirrorResponder::Status StateSync::status() const
 {
     return {m_isCurrent, m_isCurrent || m_dependencies.now() < m_failoverUntil,
-            !isCopyOlderThan(syncdelays::ProvenAgeRatio)};
+            !isCopyOlderThan(syncdelays::ProvenAgeRatio), m_pathChanges};
 }
 
 bool StateSync::isCopyOlderThan(double ratio) const
@@ -390,7 +435,7 @@
     SourceSearch::Situation situation;
     situation.needsSource = !m_isCurrent || isCopyOlderThan(syncdelays::SearchAgeRatio);
     if (situation.needsSource) {
-        situation.isDeputy = m_upstreamChoice.isDeputy(now, roster);
+        situation.isDeputy = m_isSourceOfParent || m_upstreamChoice.isDeputy(now, roster);
         situation.doesParentAnswer = m_doesParentAnswer;
         situation.domainNodes = roster.nodesInDomain(m_dependencies.self.domain).size();
     }
@@ -450,7 +495,7 @@
                      m_contact.advanceTo(m_dependencies.bootNow());
                      setNextProof();
                      if (m_mirror.asOf() >= page->asOf) {
-                         m_followedPeer.clear();
+                         followStore();
                          becomeCurrent();
                          sendDueReplies();
                      }
@@ -496,7 +541,8 @@
     const NodeDirectory &roster = m_dependencies.roster();
     const auto contact = contactOf(response, askedAt, m_dependencies.bootNow());
     const bool isAdopted = response.isCurrent.value_or(false) && contact
-        && m_contact.isNewer(*contact) && m_upstreamChoice.isInOwnDomain(peer, roster);
+        && m_contact.isNewer(*contact) && canFollow(peer, response, contact)
+        && m_upstreamChoice.isInOwnDomain(peer, roster);
     if (isAdopted) {
         m_contact.advanceTo(*contact);
         if (m_upstreamChoice.regularParent(m_dependencies.now(), roster) == peer) {
@@ -505,7 +551,7 @@
             m_upstreamChoice.adopt({peer, false});
         }
         m_holdTimePeer = peer;
-        m_followedPeer = peer;
+        followPeer(peer, response);
         m_mirror.abandonCall();
         becomeCurrent();
         startNextMirrorCall();
--- a/src/edge/statesync.h
+++ b/src/edge/statesync.h
@@ -9,6 +9,7 @@
 #include "http/httpserver.h"
 #include "store/mirror.h"
 #include "store/sourcecontact.h"
+#include "store/sourcepath.h"
 #include "store/stalenessbound.h"
 
 #include <functional>
@@ -73,6 +74,10 @@
     /** Returns whether there is a full copy of the store. */
     bool isKnown() const { return m_mirror.isLoaded(); }
     std::uint64_t asOf() const { return m_mirror.asOf(); }
+    /** Returns whether this node receives the changes of the store, as far as it knows. */
+    bool isCurrent() const { return m_isCurrent; }
+    /** Returns the control address of the node that is followed; empty for the store. */
+    const std::string &source() const { return m_followedPeer; }
     /** Returns the maximum age of the copy at @p now; nothing if it is unknown. */
     std::optional<Duration> copyAge(BootTime now) const { return m_proof.age(now); }
     StoreWriter &storeWriter() { return m_storeWriter; }
@@ -101,10 +106,10 @@
     /** @param contact The latest contact with the store of @p upstream, or now for the store. */
     void handleCallSuccess(const Upstream &upstream, BootTime contact);
     /**
-     * Handles a peer that answers but cannot be followed: it receives no changes itself, or has no
-     * newer contact with the store than this node.
+     * Handles a peer that answers but cannot be followed: it receives no changes itself, or over
+     * this node, or has no newer contact with the store than this node.
      */
-    void handlePeerNotFollowed(const Upstream &upstream);
+    void handlePeerNotFollowed(const Upstream &upstream, const MirrorResponse &response);
     void becomeCurrent();
     /** Stops confirming to other nodes that there are no changes, unless it recovers soon. */
     void markNotCurrent();
@@ -128,11 +133,19 @@
     bool handleSearchResponse(const std::string &peer, BootTime askedAt,
                               const MirrorResponse &response);
     /**
-     * Returns true if this node may start to follow @p peer, or go on if it has not lost it.
+     * Returns true if this node may rest on @p peer from now on: to start to follow it, or to go
+     * on. Any way of following a node asks this after each answer, so that a node that is current
+     * rests on a chain of nodes that ends at the store, without itself in it.
      * @param contact the peer's latest contact with the store, if it says
      */
     bool canFollow(const std::string &peer, const MirrorResponse &response,
                    std::optional<BootTime> contact) const;
+    /** Returns true if the changes of the sender of @p response come over this node. */
+    bool isOnPathOf(const MirrorResponse &response) const;
+    /** Sets the source of this node's changes: @p peer with its answer, or the store. */
+    void followPeer(const std::string &peer, const MirrorResponse &response);
+    void followStore();
+    void setPath(SourcePath path);
     /** Follows @p source, which has answered and is current, from now on. */
     void adopt(const Upstream &source);
     /**
@@ -162,6 +175,8 @@
     Mirror m_mirror;
     StalenessBound m_proof;
     SourceContact m_contact;
+    SourcePath m_path; ///< Of the source at the last success.
+    std::uint64_t m_pathChanges = 0;
     MirrorResponder m_responder;
     TimePoint m_nextProofAt {};
     bool m_isProofPending = false;
@@ -172,8 +187,11 @@
     SearchCounts m_searchCounts;
     StoreWriter m_storeWriter;
     bool m_doesParentAnswer = false; ///< Whether the followed node answers but gets no changes.
-    bool m_isCurrent = false;        ///< Whether the last call for changes succeeded.
-    TimePoint m_failoverUntil {};    ///< End of the time to find another upstream.
+    /** Whether the changes of the followed node come over this one, which must find a source. */
+    bool m_isSourceOfParent = false;
+    bool m_isCurrent = false;     ///< Whether the last call for changes succeeded.
+    TimePoint m_answeredAt {};    ///< When a source that can be followed last answered.
+    TimePoint m_failoverUntil {}; ///< End of the time to find another upstream.
     TimePoint m_cautiousUntil {}; ///< Until then, polls are short: the next source may fail, too.
     std::string m_followedPeer;   ///< Node followed at the last success; empty for the store.
     TimePoint m_nextStoreReviewAt {};
--- a/src/store/sourcecontact.h
+++ b/src/store/sourcecontact.h
@@ -12,7 +12,8 @@
  * Nodes pass it on with their answers. It only advances while there is a live chain of nodes up to
  * the store, so it tells nodes that can reach the store from those that have not yet noticed that
  * they cannot. A node that changes its source only to one with a newer contact than its own never
- * follows itself through other nodes, since what these know from it is older.
+ * follows itself through other nodes, since what these know from it is older. Where a node returns
+ * to its regular parent without this condition, the parent's SourcePath takes its place.
  */
 class SourceContact
 {
--- a/tests/edge/copyfleet.h
+++ b/tests/edge/copyfleet.h
@@ -40,6 +40,20 @@
         return {{m_log.begin() + static_cast<std::ptrdiff_t>(revision), m_log.end()}, m_revision};
     }
     void addWatch(std::function<void()> answer) { m_watches.push_back(std::move(answer)); }
+    /** Refuses the calls of a node from now on, the one that waits for changes included. */
+    void refuse(const std::string &node)
+    {
+        refusedNodes.insert(node);
+        const auto waiting = std::exchange(m_watches, {});
+        for (const auto &answer : waiting) {
+            answer(); // Those of other nodes ask again.
+        }
+    }
+    /** Returns whether the store answers the calls of @p node. */
+    bool serves(const std::string &node) const
+    {
+        return isAvailable && !refusedNodes.contains(node);
+    }
 
     bool isAvailable = true;
     std::set<std::string> refusedNodes; ///< Nodes whose calls are refused.
@@ -54,14 +68,19 @@
     std::vector<std::function<void()>> m_watches;
 };
 
-/** The calls of one node to the simulated store. */
+/** The calls of one process to the simulated store. */
 class SimulatedStoreClient : public KeyValueStore
 {
 public:
-    SimulatedStoreClient(Simulator &simulator, SimulatedStore &store, const NodeEntry &node)
+    /** Runs an action in the process, later if it is frozen, or not at all if it has ended. */
+    using Deliver = std::function<void(std::function<void()>)>;
+
+    SimulatedStoreClient(Simulator &simulator, SimulatedStore &store, const NodeEntry &node,
+                         Deliver deliver)
         : m_simulator(simulator)
         , m_store(store)
         , m_node(node)
+        , m_deliver(std::move(deliver))
     { }
 
     void list(const std::string & /*prefix*/, const std::string & /*after*/,
@@ -75,14 +94,18 @@
     {
         count();
         const auto once = std::make_shared<StoreHandler<StoredChanges>>(std::move(handler));
-        const auto finish = [once](const std::variant<StoredChanges, StoreError> &result) {
-            if (const auto done = std::exchange(*once, {})) {
-                done(result);
-            }
+        const auto finish = [this, once](const std::variant<StoredChanges, StoreError> &result) {
+            m_deliver([once, result] {
+                if (const auto done = std::exchange(*once, {})) {
+                    done(result);
+                }
+            });
         };
         const auto answer = [this, revision, finish] {
             m_simulator.schedule(SimulatedStore::Latency, [this, revision, finish] {
-                if (m_store.isAvailable) {
+                if (m_store.refusedNodes.contains(m_node.name.text())) {
+                    finish(StoreError::Refused);
+                } else if (m_store.isAvailable) {
                     finish(m_store.changesAfter(revision));
                 }
             });
@@ -127,14 +150,17 @@
     template <typename Result>
     void call(StoreHandler<Result> handler, std::function<Result()> result)
     {
-        m_simulator.schedule(SimulatedStore::Latency, [this, handler, result] {
+        const auto finish = [this, handler](const std::variant<Result, StoreError> &answer) {
+            m_deliver([handler, answer] { handler(answer); });
+        };
+        m_simulator.schedule(SimulatedStore::Latency, [this, finish, result] {
             if (m_store.refusedNodes.contains(m_node.name.text())) {
-                handler(StoreError::Refused);
+                finish(StoreError::Refused);
             } else if (m_store.isAvailable) {
-                handler(result());
+                finish(result());
             } else {
                 m_simulator.schedule(SimulatedStore::CallTimeout,
-                                     [handler] { handler(StoreError::Unanswered); });
+                                     [finish] { finish(StoreError::Unanswered); });
             }
         });
     }
@@ -142,6 +168,7 @@
     Simulator &m_simulator;
     SimulatedStore &m_store;
     const NodeEntry &m_node;
+    Deliver m_deliver;
 };
 
 /** Nodes that keep copies of a store, and the calls between them, in virtual time. */
@@ -158,6 +185,7 @@
     CopyFleet(int nodes, int domains, std::optional<Duration> maxCopyAge, unsigned seed = 7)
         : store(simulator)
         , roster(NodeEntry {})
+        , m_maxCopyAge(maxCopyAge)
     {
         std::mt19937 random(seed);
         store.write("configuration", "first");
@@ -167,19 +195,86 @@
                              name + ":1"};
             entry.cpuShare = i < 2 * domains ? 0.5 : 0.12;
             roster.announce("nodes/" + name, entry);
-            m_nodes[entry.controlAddress] = std::make_unique<Node>(*this, entry);
+            m_nodes[entry.controlAddress] = std::make_unique<Node>(entry);
         }
         for (const auto &one : m_nodes) {
             Node &node = *one.second;
-            node.sync = std::make_unique<StateSync>(node.client, dependenciesOf(node, maxCopyAge),
-                                                    one.first, random());
-            simulator.schedule(std::chrono::milliseconds(random() % 300), [&node] {
-                node.sync->start(node.entry);
-                node.tick();
-            });
+            const std::uint64_t spread = random();
+            simulator.schedule(std::chrono::milliseconds(random() % 300),
+                               [this, &node, spread] { startProcess(node, spread); });
         }
     }
 
+    /** Kills the process of a node, whose connections are refused from now on. */
+    void kill(const std::string &address)
+    {
+        Node &node = *m_nodes.at(address);
+        if (Process *process = std::exchange(node.process, nullptr)) {
+            process->isAlive = false;
+            for (auto it = m_exchanges.begin(); it != m_exchanges.end();) {
+                const auto current = it++;
+                if (current->second.process == process) {
+                    current->second.reply({HttpAnswer::End::Broken, 0, {}, {}});
+                    m_exchanges.erase(current);
+                }
+            }
+        }
+    }
+    /** Starts a process at a node that has none. */
+    void start(const std::string &address, std::uint64_t spread)
+    {
+        startProcess(*m_nodes.at(address), spread);
+    }
+    bool isRunning(const std::string &address) const { return m_nodes.at(address)->process; }
+    /** Suspends the process of a node; what reaches it meanwhile is handled afterwards. */
+    void freeze(const std::string &address, Duration duration)
+    {
+        Node &node = *m_nodes.at(address);
+        node.frozenUntil = std::max(node.frozenUntil, simulator.now() + duration);
+        simulator.schedule(duration, [this, &node] {
+            if (node.process && simulator.now() >= node.frozenUntil) {
+                node.process->sync->handleSuspension(simulator.now());
+            }
+        });
+    }
+    /** Returns whether a node is current although its changes do not come from the store. */
+    bool isFalselyCurrent(const std::string &address) const
+    {
+        std::set<std::string> visited;
+        const Node *node = m_nodes.at(address).get();
+        if (!node->process || !node->process->sync->isCurrent()) {
+            return false;
+        }
+        while (visited.insert(node->entry.controlAddress).second) {
+            if (!node->process || !node->process->sync->isCurrent()) {
+                return true;
+            }
+            const std::string &source = node->process->sync->source();
+            if (source.empty()) {
+                return !store.serves(node->entry.name.text());
+            }
+            node = m_nodes.at(source).get();
+        }
+        return true; // The sources are a cycle.
+    }
+    /** Returns whether the nodes that follow one another from @p address on are a cycle. */
+    bool isInCycle(const std::string &address) const
+    {
+        std::set<std::string> visited;
+        const Node *node = m_nodes.at(address).get();
+        while (node->process && node->process->sync->isCurrent()) {
+            if (!visited.insert(node->entry.controlAddress).second) {
+                return true;
+            }
+            const std::string &source = node->process->sync->source();
+            if (source.empty()) {
+                return false;
+            }
+            node = m_nodes.at(source).get();
+        }
+        return false;
+    }
+
     /** Returns the control addresses of the nodes of each domain, best-ranked first. */
     std::map<std::string, std::vector<std::string>> ranked() const
     {
@@ -251,7 +346,8 @@
     bool allProvenSince(BootTime since) const
     {
         return std::ranges::all_of(m_nodes, [this, since](const auto &one) {
-            const auto age = one.second->sync->copyAge(simulator.bootNow());
+            const Process *process = one.second->process;
+            const auto age = process ? process->sync->copyAge(simulator.bootNow()) : std::nullopt;
             return age && simulator.bootNow() - *age >= since;
         });
     }
@@ -262,34 +358,85 @@
     SimulatedStore store;
     NodeDirectory roster;
     std::map<std::string, Cut> cuts; ///< Nodes cut off from all others, by control address.
+    Duration extraLatency {};        ///< Of each message between nodes.
+    /** Called for each line that a node logs, with its name; may be empty. */
+    std::function<void(const std::string &, const std::string &, const std::string &)> trace;
     /** Nodes of an earlier version, which neither state nor honour hold times. */
     std::set<std::string> oldNodes;
+    /** Nodes of the version before this one: they state no paths and follow by rank alone. */
+    std::set<std::string> pathlessNodes;
     std::uint64_t peerCalls = 0; ///< Calls between nodes.
     Duration maxDelay {};        ///< Longest time until a node that is not cut off had a change.
     Duration maxCutDelay {};     ///< The same of nodes that are cut off.
     Duration maxAge {};          ///< Greatest age of the copy of a node that is not cut off.
+    /** Longest time for which a node of the present version was current without the store. */
+    Duration maxFalseTime {};
 
 private:
+    /** One life of a node's process. It is kept after its end, as calls refer to it. */
+    struct Process
+    {
+        std::unique_ptr<SimulatedStoreClient> client;
+        std::unique_ptr<StateSync> sync;
+        TimePoint startedAt {};
+        bool isAlive = true;
+    };
     struct Node
     {
-        Node(CopyFleet &owner, NodeEntry self)
-            : fleet(owner)
-            , entry(std::move(self))
-            , client(owner.simulator, owner.store, entry)
+        explicit Node(NodeEntry self)
+            : entry(std::move(self))
         { }
-        void tick()
-        {
-            sync->tick();
-            fleet.simulator.schedule(StateSync::TickInterval, [this] { tick(); });
-        }
 
-        CopyFleet &fleet;
         NodeEntry entry;
-        SimulatedStoreClient client;
-        std::unique_ptr<StateSync> sync;
+        std::vector<std::unique_ptr<Process>> processes;
+        Process *process = nullptr; ///< The present one, if any.
+        TimePoint frozenUntil {};
+        std::optional<TimePoint> falseSince; ///< Since when it is falsely current.
     };
+    struct Exchange
+    {
+        Process *process = nullptr; ///< That has to reply.
+        std::function<void(const HttpAnswer &)> reply;
+    };
+
+    void startProcess(Node &node, std::uint64_t spread)
+    {
+        node.processes.push_back(std::make_unique<Process>());
+        Process &process = *node.processes.back();
+        node.process = &process;
+        process.startedAt = simulator.now();
+        process.client = std::make_unique<SimulatedStoreClient>(
+            simulator, store, node.entry, [this, &node, &process](std::function<void()> action) {
+                deliver(node, process, std::move(action));
+            });
+        process.sync = std::make_unique<StateSync>(
+            *process.client, dependenciesOf(node, process),
+            node.entry.controlAddress + std::to_string(node.processes.size()), spread);
+        process.sync->start(node.entry);
+        tick(node, process);
+    }
+    void tick(Node &node, Process &process)
+    {
+        deliver(node, process, [this, &node, &process] {
+            process.sync->tick();
+            simulator.schedule(StateSync::TickInterval,
+                               [this, &node, &process] { tick(node, process); });
+        });
+    }
+    void deliver(Node &node, Process &process, std::function<void()> action)
+    {
+        if (!process.isAlive) {
+            return;
+        }
+        if (simulator.now() >= node.frozenUntil) {
+            action();
+            return;
+        }
+        simulator.schedule(node.frozenUntil - simulator.now(),
+                           [this, &node, &process, action] { deliver(node, process, action); });
+    }
 
-    StateSync::Dependencies dependenciesOf(Node &node, std::optional<Duration> maxCopyAge)
+    StateSync::Dependencies dependenciesOf(Node &node, Process &process)
     {
         StateSync::Dependencies dependencies;
         dependencies.self = node.entry;
@@ -299,7 +446,10 @@
         dependencies.bootNow = [this] {
             return simulator.bootNow();
         };
-        dependencies.record = [](const std::string &, const std::string &) {
+        dependencies.record = [this, &node](const std::string &kind, const std::string &detail) {
+            if (trace) {
+                trace(node.entry.name.text(), kind, detail);
+            }
         };
         dependencies.storeWriter = {"nodes/" + node.entry.name.text(),
                                     "leader",
@@ -307,11 +457,13 @@
                                     "crashes/",
                                     dependencies.record,
                                     dependencies.now};
-        dependencies.maxCopyAge = maxCopyAge;
+        dependencies.maxCopyAge = m_maxCopyAge;
         dependencies.itemChanged = [](const std::string &, const StoredItem *) {
         };
-        dependencies.roster = [this]() -> const NodeDirectory & {
-            return roster;
+        // A process that comes back knows no other node before it has a copy of the store.
+        const bool isFirst = node.processes.size() == 1;
+        dependencies.roster = [this, &process, isFirst]() -> const NodeDirectory & {
+            return isFirst || (process.sync && process.sync->isKnown()) ? roster : m_emptyRoster;
         };
         dependencies.seeds = [] {
             return std::vector<std::string> {};
@@ -323,29 +475,43 @@
             return false;
         };
         dependencies.linkBytesPerSecond = 1'000'000;
-        dependencies.startPeerCall = [this, &node](const HttpCall &call, const auto &done) {
-            startPeerCall(node, call, done);
+        dependencies.startPeerCall = [this, &node, &process](const HttpCall &call,
+                                                             const auto &done) {
+            startPeerCall(node, process, call, done);
         };
         dependencies.replyToPeer = [this](ExchangeNumber exchange, const std::string &body) {
             if (const auto it = m_exchanges.find(exchange); it != m_exchanges.end()) {
-                const auto reply = std::move(it->second);
+                const Exchange open = std::move(it->second);
                 m_exchanges.erase(it);
-                reply(body);
+                constexpr int Ok = 200;
+                constexpr int Unavailable = 503;
+                open.reply({HttpAnswer::End::Complete, body.empty() ? Unavailable : Ok, {}, body});
             }
         };
         return dependencies;
     }
-    void startPeerCall(Node &from, const HttpCall &call, const HttpClient::DoneHandler &done)
+    void startPeerCall(Node &from, Process &caller, const HttpCall &call,
+                       const HttpClient::DoneHandler &done)
     {
         ++peerCalls;
         Node &to = *m_nodes.at(call.address);
         const bool isSameDomain = from.entry.domain == to.entry.domain;
-        const Duration latency = isSameDomain ? DomainLatency : CrossLatency;
+        const Duration latency = (isSameDomain ? DomainLatency : CrossLatency) + extraLatency;
         const auto once = std::make_shared<HttpClient::DoneHandler>(done);
-        const auto finish = [once](const HttpAnswer &answer) {
-            if (const auto handler = std::exchange(*once, {})) {
-                handler(answer);
-            }
+        const auto finish = [this, &from, &caller, once](const HttpAnswer &answer) {
+            deliver(from, caller, [once, answer] {
+                if (const auto handler = std::exchange(*once, {})) {
+                    handler(answer);
+                }
+            });
+        };
+        const auto reply = [this, &from, &to, latency, finish](HttpAnswer answer) {
+            answer.body = asBetweenVersions(from, to, answer.body);
+            simulator.schedule(latency, [this, &from, &to, finish, answer] {
+                if (!cutBetween(from, to)) {
+                    finish(answer);
+                }
+            });
         };
         HttpRequest request;
         request.exchange = ExchangeNumber(++m_lastExchange);
@@ -354,33 +520,41 @@
             || oldNodes.contains(to.entry.controlAddress)) {
             request.query = request.query.substr(0, request.query.find("&hold_ms"));
         }
-        m_exchanges[request.exchange] = [this, &from, &to, latency,
-                                         finish](const std::string &body) {
-            constexpr int Ok = 200;
-            constexpr int Unavailable = 503;
-            HttpAnswer answer {
-                HttpAnswer::End::Complete, body.empty() ? Unavailable : Ok, {}, body};
-            simulator.schedule(latency, [this, &from, &to, finish, answer] {
-                if (!cutBetween(from, to)) {
-                    finish(answer);
-                }
-            });
-        };
-        simulator.schedule(latency, [this, &from, &to, request, finish] {
+        simulator.schedule(latency, [this, &from, &to, request, finish, reply] {
             const auto cut = cutBetween(from, to);
-            if (!cut) {
-                to.sync->handlePeerPoll(request);
-            } else if (*cut == Cut::Refused) {
+            if (cut == Cut::Refused || (!cut && !to.process)) {
                 finish({HttpAnswer::End::NotConnected, 0, {}, {}});
+            } else if (!cut) {
+                Process &process = *to.process;
+                m_exchanges[request.exchange] = {&process, reply};
+                deliver(to, process,
+                        [&process, request] { process.sync->handlePeerPoll(request); });
             }
         });
-        simulator.schedule(call.timeout, [this, &to, finish, exchange = request.exchange] {
-            if (m_exchanges.erase(exchange) > 0) {
-                to.sync->cancelPeerPoll(exchange);
+        simulator.schedule(call.timeout, [this, finish, exchange = request.exchange] {
+            if (const auto it = m_exchanges.find(exchange); it != m_exchanges.end()) {
+                it->second.process->sync->cancelPeerPoll(exchange);
+                m_exchanges.erase(it);
             }
             finish({HttpAnswer::End::TimedOut, 0, {}, {}});
         });
     }
+    /** Returns the answer of @p to as it is, or is understood, if one of both has no paths. */
+    std::string asBetweenVersions(const Node &from, const Node &to, const std::string &body) const
+    {
+        auto response = decodeResponse(body);
+        if (!response || !response->path) {
+            return body;
+        }
+        if (pathlessNodes.contains(to.entry.controlAddress)) {
+            response->isCurrent = true; // It says so to its own source, too.
+            response->path.reset();
+        }
+        if (pathlessNodes.contains(from.entry.controlAddress)) {
+            response->path = SourcePath(); // Nothing keeps it from following a better-ranked node.
+        }
+        return encodeResponse(*response);
+    }
     std::optional<Cut> cutBetween(const Node &from, const Node &to) const
     {
         for (const Node *node : {&from, &to}) {
@@ -390,22 +564,38 @@
         }
         return std::nullopt;
     }
-    void measure(const std::string &address, const Node &node)
+    void measure(const std::string &address, Node &node)
     {
+        if (!node.process) {
+            node.falseSince.reset();
+            return;
+        }
+        const StateSync &sync = *node.process->sync;
         const bool isCut = cuts.contains(address);
-        const std::uint64_t asOf = node.sync->asOf();
-        if (asOf < store.revision()) {
+        if (sync.asOf() < store.revision()) {
             Duration &most = isCut ? maxCutDelay : maxDelay;
-            most = std::max(most, Duration(simulator.now() - store.writtenAt[asOf]));
+            const TimePoint since = std::max(store.writtenAt[sync.asOf()], node.process->startedAt);
+            most = std::max(most, Duration(simulator.now() - since));
         }
-        if (const auto age = node.sync->copyAge(simulator.bootNow()); age && !isCut) {
+        if (const auto age = sync.copyAge(simulator.bootNow()); age && !isCut) {
             maxAge = std::max(maxAge, *age);
         }
+        const bool isFrozen = simulator.now() < node.frozenUntil;
+        // While the store answers nobody there are no changes that a node could miss.
+        const bool isOld = oldNodes.contains(address) || pathlessNodes.contains(address);
+        if (!isFalselyCurrent(address) || isFrozen || isOld || !store.isAvailable) {
+            node.falseSince.reset();
+        } else {
+            node.falseSince = node.falseSince.value_or(simulator.now());
+            maxFalseTime = std::max(maxFalseTime, Duration(simulator.now() - *node.falseSince));
+        }
     }
 
     std::map<std::string, std::unique_ptr<Node>> m_nodes;
-    std::map<ExchangeNumber, std::function<void(const std::string &)>> m_exchanges;
+    std::map<ExchangeNumber, Exchange> m_exchanges;
     std::uint64_t m_lastExchange = 0;
+    std::optional<Duration> m_maxCopyAge;
+    const NodeDirectory m_emptyRoster {NodeEntry {}};
 };
 
 } // namespace indigoway
--- a/tests/edge/firstcopyreplaytest.cpp
+++ b/tests/edge/firstcopyreplaytest.cpp
@@ -92,6 +92,7 @@
     Mirror m_mirror;
     StalenessBound m_proof;
     SourceContact m_contact;
+    SourcePath m_path;
     MirrorResponder m_responder;
     UpstreamSelector m_upstreamChoice;
     bool m_isAlive = true;
@@ -180,7 +181,7 @@
                        m_roster.announce(key, *decodeNodeEntry(item->value));
                    }
                })
-    , m_responder(m_mirror, m_proof, m_contact, Fleet::LinkBytesPerSecond, PollDuration)
+    , m_responder(m_mirror, m_proof, m_contact, m_path, Fleet::LinkBytesPerSecond, PollDuration)
     , m_upstreamChoice(m_entry, randomOffset)
 { }
 
--- a/tests/edge/mirrorcodectest.cpp
+++ b/tests/edge/mirrorcodectest.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(newsAreDecodedAsEncoded);
     CPPUNIT_TEST(arbitraryNewsAreDecodedAsEncoded);
     CPPUNIT_TEST(responsesAreDecodedAsEncoded);
+    CPPUNIT_TEST(pathsAreDecodedAsEncoded);
+    CPPUNIT_TEST(responsesCutAnywhereAreRejected);
     CPPUNIT_TEST(newsWithoutAKeyOrAValueAreRejected);
     CPPUNIT_TEST(malformedBytesAreRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -88,6 +90,36 @@
         CPPUNIT_ASSERT(extended->contactAge == response.contactAge);
     }
 
+    /** Guards against a node that does not find itself on the path of its source. */
+    void pathsAreDecodedAsEncoded()
+    {
+        MirrorResponse response;
+        response.isCurrent = true;
+        CPPUNIT_ASSERT(!decodeResponse(encodeResponse(response))->path.has_value());
+        for (const SourcePath &path :
+             {SourcePath(), SourcePath({SourcePath::idOf("10.0.0.1:1"), 7}),
+              SourcePath({1}, false).extendedBy(SourcePath::idOf("10.0.0.2:1"))}) {
+            response.path = path;
+            const auto decoded = decodeResponse(encodeResponse(response));
+            CPPUNIT_ASSERT(decoded && decoded->path == path);
+        }
+        CPPUNIT_ASSERT(response.path->contains(SourcePath::idOf("10.0.0.2:1")));
+        CPPUNIT_ASSERT(!response.path->isComplete());
+    }
+
+    /** Guards against half of an answer of a node that was killed. */
+    void responsesCutAnywhereAreRejected()
+    {
+        MirrorResponse response;
+        response.blocks = {"one"};
+        response.isCurrent = true;
+        response.path = SourcePath({1, 2});
+        const std::string whole = encodeResponse(response);
+        for (std::size_t size = 0; size < whole.size(); ++size) {
+            CPPUNIT_ASSERT(!decodeResponse(whole.substr(0, size)).has_value());
+        }
+    }
+
     /** Guards against a full copy in which an item without a value would remove one. */
     void newsWithoutAKeyOrAValueAreRejected()
     {
