Stop a node only when its answers are written

Cause: an answer left the count of open requests when it was put into the connection's buffer, not when the kernel had it. Change: a node that leaves also waits for connections with unwritten bytes, within its shutdown time, and logs how many it leaves behind (unwritten_answers).

--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -617,11 +617,13 @@
         return;
     }
     const std::size_t busyTunnels = m_relay.tunnels().busyTunnels(now);
-    const bool isDone = m_relay.callers().openRequests() == 0 && busyTunnels == 0;
+    const std::size_t unwritten = m_relay.callers().unwrittenAnswers();
+    const bool isDone = m_relay.callers().openRequests() == 0 && unwritten == 0 && busyTunnels == 0;
     const bool isTimeUp = now > *m_leavingSince + m_settings.shutdownTimeout - ShutdownMargin;
     if ((isDone && now > *m_leavingSince + MinLeaveTime) || isTimeUp) {
         record("stop",
                {{"open_requests", std::to_string(m_dispatcher.open())},
+                {"unwritten_answers", std::to_string(unwritten)},
                 {"busy_tunnels", std::to_string(busyTunnels)}});
         event_base_loopbreak(m_base);
     }
--- a/src/relay/callerlistener.cpp
+++ b/src/relay/callerlistener.cpp
@@ -199,6 +199,13 @@
     closeWhenWritten(*connection);
 }
 
+std::size_t CallerListener::unwrittenAnswers() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_connections, [](const auto &one) {
+        return evbuffer_get_length(bufferevent_get_output(one.second->bev)) > 0;
+    }));
+}
+
 void CallerListener::handleAccept(evconnlistener * /*listener*/, int socket, sockaddr * /*from*/,
                                   int /*length*/, void *self)
 {
--- a/src/relay/callerlistener.h
+++ b/src/relay/callerlistener.h
@@ -64,6 +64,11 @@
     void abortAnswer(RequestNumber request);
     std::size_t connections() const { return m_connections.size(); }
     std::size_t openRequests() const { return m_requests.size(); }
+    /**
+     * Returns the number of connections with bytes that the kernel has not taken yet, of answers
+     * that are complete for the request handler. They are lost if the process ends.
+     */
+    std::size_t unwrittenAnswers() const;
 
 private:
     struct Connection;
--- a/standins/sharedplatform.cpp
+++ b/standins/sharedplatform.cpp
@@ -311,6 +311,9 @@
     if (body.isObject() && body["stream_events"].isInt()) {
         m_streamEvents = body["stream_events"].asInt();
     }
+    if (body.isObject() && body["plain_padding"].isUInt()) {
+        m_plainPadding = body["plain_padding"].asUInt();
+    }
     if (body.isObject() && body["resumable_events"].isInt()) {
         m_resumableEvents = body["resumable_events"].asInt();
     }
@@ -535,7 +538,9 @@
         m_loop.after(PlainWork, [this, &worker, life = worker.lives, request, headers] {
             if (worker.lives == life) {
                 answer(worker, request, Ok,
-                       request.method + " " + request.path + " " + request.body, headers);
+                       request.method + " " + request.path + " " + request.body
+                           + std::string(m_plainPadding, 'x'),
+                       headers);
             }
         });
     }
--- a/standins/sharedplatform.h
+++ b/standins/sharedplatform.h
@@ -170,6 +170,7 @@
     bool m_keepsBackups = false;
     bool m_movesRuns = false;
     int m_decodeEngines;
+    std::size_t m_plainPadding = 0; ///< Bytes added to each plain answer.
     int m_resumableEvents; ///< Events of a stream on the route whose streams may be resumed.
     int m_streamEvents;    ///< Events of a stream.
     int m_killAfter = 0;   ///< The next engine to send this event crashes; 0: none.
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(aStreamToAnOldCallerIsResetWhenTheProcessEnds);
     CPPUNIT_TEST(anUnreadStreamToAnOldCallerIsResetWhenTheProcessEnds);
     CPPUNIT_TEST(closesConnectionsWhileLeaving);
+    CPPUNIT_TEST(countsAnswersThatSlowCallersHaveNotRead);
     CPPUNIT_TEST(reusesAnIdleConnection);
     CPPUNIT_TEST(aResetEndsAnAnswerWithoutLengthAsLost);
     CPPUNIT_TEST(aRegularCloseCompletesAnAnswerWithoutLength);
@@ -245,6 +246,21 @@
         CPPUNIT_ASSERT(answer.ends_with("whole"));
     }
 
+    // A node that leaves would end with the rest of an answer in its memory.
+    void countsAnswersThatSlowCallersHaveNotRead()
+    {
+        RawSocket caller(m_address);
+        caller.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+        runUntil([&] { return !m_requests.empty(); });
+        const std::string body(20'000'000, 'x');
+        m_listener->respond(m_requests.front().first, 200, {}, body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, m_listener->openRequests());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, m_listener->unwrittenAnswers());
+        std::size_t received = 0;
+        runUntil([&] { return (received += caller.receive().size()) > body.size(); });
+        runUntil([&] { return m_listener->unwrittenAnswers() == 0; });
+    }
+
     void reusesAnIdleConnection()
     {
         startCall(1);
