--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -67,15 +67,22 @@
         self.servers = []  # Proxies on this node's way to each backend server, if it has its own.
         self.lives = 0
         self.is_expected_to_end = False
+        self.flags = FLAGS
+        self.kept = {}  # Addresses that the next process has, too, by what they are for.
+
+    def keep_addresses(self, *purposes):
+        """From now on, each process has the same addresses for these purposes as the present one."""
+        started = next(json.loads(line) for line in self.lines if '"kind":"start"' in line)
+        self.kept = {one: started[one] for one in purposes}
 
     async def start(self):
         self.words = [
             f"{self.build}/indigoway-edge",
             f"--node={self.name}",
             f"--domain={self.domain}",
-            *(f"--{one}=127.0.0.1:0" for one in self.listens),
+            *(f"--{one}={self.kept.get(one, '127.0.0.1:0')}" for one in self.listens),
             f"--store={self.store.address}",
-            *FLAGS,
+            *self.flags,
         ]
         self.is_expected_to_end = False
         self.lives += 1
