--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -258,7 +258,8 @@
 {
     m_upstreamChoice.reportSuccess(upstream);
     m_doesParentAnswer = m_upstreamChoice.mayFollow(*upstream.peer, m_dependencies.roster());
-    if (isOnPathOf(response) && !std::exchange(m_isSourceOfParent, true)) {
+    const bool isSourceOfParent = isOnPathOf(response);
+    if (!std::exchange(m_isSourceOfParent, isSourceOfParent) && isSourceOfParent) {
         m_dependencies.record("source_of_parent",
                               "parent=" + *upstream.peer
                                   + " path_nodes=" + std::to_string(response.path->nodes().size()));
@@ -412,6 +413,7 @@
     } else {
         m_upstreamChoice.reportFailure(m_dependencies.now(), upstream);
         m_doesParentAnswer = false;
+        m_isSourceOfParent = false;
         markNotCurrent();
     }
     m_dependencies.record("store_copy_call_failed",
--- a/src/edge/statesync.h
+++ b/src/edge/statesync.h
@@ -190,7 +190,6 @@
     /** Whether the changes of the followed node come over this one, which must find a source. */
     bool m_isSourceOfParent = false;
     bool m_isCurrent = false;     ///< Whether the last call for changes succeeded.
-    TimePoint m_answeredAt {};    ///< When a source that can be followed last answered.
     TimePoint m_failoverUntil {}; ///< End of the time to find another upstream.
     TimePoint m_cautiousUntil {}; ///< Until then, polls are short: the next source may fail, too.
     std::string m_followedPeer;   ///< Node followed at the last success; empty for the store.
