Judge a 401 in the soak by when the state without the key was sent

Traced: a node applied the desired state without the key 2 ms before the harness had its confirmation, and answered a request in between; the harness took the key for good until the confirmation. Change: a key counts as good for every 401 until its withdrawal is sent; runs after the withdrawal are judged from the confirmation, as before. As strict: a 401 before the sending still fails, and a run too late after the confirmation.

--- a/tests/soak/organisations.py
+++ b/tests/soak/organisations.py
@@ -26,7 +26,8 @@
     def __init__(self, clock):
         self.clock = clock
         self.added = {}
-        self.revoked = {}
+        self.revoked = {}  # When the state without the key was confirmed.
+        self.withdrawn = {}  # When it was sent: it may be in force from then on.
         self._last = 0
         for _ in range(KEPT_KEYS):
             self._add()
@@ -50,6 +51,7 @@
         self._add()
         declared = [one if one["name"] == HOT else {**one, "api_keys": [k for k in one["api_keys"] if k != oldest]}
                     for one in self.declared()]
+        self.withdrawn[oldest] = self.clock()
         await platform.declare(declared)
         self.revoked[oldest] = self.clock()
 
@@ -66,7 +68,7 @@
         """Known to all nodes that may serve at all, and not taken away before the answer."""
         if key == HOT_KEY:
             return True
-        return self.added[key] + KEY_AGE_S < started and self.revoked.get(key, float("inf")) > ended
+        return self.added[key] + KEY_AGE_S < started and self.withdrawn.get(key, float("inf")) > ended
 
 
 def broken_promises(outcomes, known, organisations):
