Review: a run goes on at its backup while its first worker, full of channels, still runs it

Seen: after a lost answer /kv-move is reset by a worker that takes no more channels; the router takes the worker for crashed and continues the run, of a route that may not be resumed, at the backup. Both work on it for another 1.6 s. Cause: each error before a connection is open counts as refused, and that as proof that the run is over.

--- a/review/smallplatform.py
+++ b/review/smallplatform.py
@@ -370,6 +370,21 @@
         self.orders = 0
         # The disruption: (caller's id, events) -> the answer is lost after that event and the run goes on.
         self.loses_answer = {}
+        self.full_after = {}  # caller's id -> for how long the worker is full of channels after the loss.
+
+    async def accept_no_more(self, for_s):
+        """As the worker is full, further channels are reset: by the kernel, as nobody listens."""
+        port = int(self.address.rsplit(":", 1)[1])
+        self.server.close()
+        self.record.add(f"{self.name} has a long queue: it keeps its channels and resets new ones")
+
+        async def accept_again():
+            await asyncio.sleep(for_s)
+            self.server = await asyncio.start_server(self.serve, self.address.rsplit(":", 1)[0], port,
+                                                     backlog=512)
+            self.record.add(f"{self.name} takes new channels again")
+
+        self.again = asyncio.create_task(accept_again())
 
     async def start(self, host):
         await super().start(host)
@@ -512,6 +527,8 @@
                 self.record.add(f"{self.name} loses the answer of {run.id} after event {run.made}:"
                                 " the channel is closed, the run goes on")
                 writer, run.writer = run.writer, None
+                if run.id in self.full_after:
+                    await self.accept_no_more(self.full_after[run.id])
                 writer.close()
         if run.writer is not None:
             run.writer.write(b"0\r\n\r\n")
