--- a/review/smallplatform.py
+++ b/review/smallplatform.py
@@ -343,12 +343,14 @@
         self.id = caller
         self.prompt = prompt
         self.total = total  # Events of the whole answer.
+        self.first = made  # Events that were made elsewhere.
         self.made = made
         self.began = time.monotonic()
         self.ended = None
         self.how = None
         self.writer = None
         self.task = None
+        self.lost = False  # Its answer.
 
 
 class Engine(Worker):
@@ -368,9 +370,10 @@
         self.active = {}  # caller's id: Run
         self.runs = []
         self.orders = 0
-        # The disruption: (caller's id, events) -> the answer is lost after that event and the run goes on.
+        # The disruption: caller's id -> the event after which the answer is lost; the run goes on.
         self.loses_answer = {}
-        self.full_after = {}  # caller's id -> for how long the worker is full of channels after the loss.
+        # Called before that, once for each event: for how long the worker is full of channels afterwards.
+        self.before_loss = None
 
     async def accept_no_more(self, for_s):
         """As the worker is full, further channels are reset: by the kernel, as nobody listens."""
@@ -487,6 +490,7 @@
         head.pop("Keep-Alive")
         run.task = asyncio.create_task(self.generate(run, head, read_s, request.header("Indigoway-Kv-Backup")))
         gone = asyncio.create_task(reader.read(1))
+        gone.add_done_callback(lambda one: one.cancelled() or one.exception())
         await asyncio.wait({run.task, gone}, return_when=asyncio.FIRST_COMPLETED)
         if not run.task.done() and run.writer is not None:
             run.task.cancel()  # The channel was closed: it drops the request.
@@ -523,12 +527,14 @@
             self.send(run, f"id: {run.made}\ndata: {run.id} {run.made}/{run.total}\n\n".encode())
             if keeper is not None:
                 keeper.copies[run.id] = (run.prompt, time.monotonic() + 0.5)
+            full_s = self.before_loss(self, run, keeper) if self.before_loss else 0
             if self.loses_answer.get(run.id) == run.made and run.writer is not None:
+                run.lost = True
                 self.record.add(f"{self.name} loses the answer of {run.id} after event {run.made}:"
                                 " the channel is closed, the run goes on")
                 writer, run.writer = run.writer, None
-                if run.id in self.full_after:
-                    await self.accept_no_more(self.full_after[run.id])
+                if full_s:
+                    await self.accept_no_more(full_s)
                 writer.close()
         if run.writer is not None:
             run.writer.write(b"0\r\n\r\n")
