--- a/review/smallplatform.py
+++ b/review/smallplatform.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the cases of this review: the platform's store, plain workers, model workers and callers.
+"""Stand-ins for review/7: the platform's store, model workers and callers.
 
 They follow PROTOCOL.md. Everything listens on loopback addresses, the router runs as a process of its own
 with the settings that deploy/edge.settings renders.
@@ -35,11 +35,8 @@
     def add(self, text):
         self.lines.append(f"{now_ms():7d} ms  {text}")
 
-    def write(self, folder, trouble):
-        # The run without the disruption must not replace the record of the one with it.
-        name = "record.txt" if trouble else "record-0.txt"
-        folder = folder if trouble else tempfile.gettempdir()
-        with open(os.path.join(folder, name), "w", encoding="utf-8") as file:
+    def write(self, folder):
+        with open(os.path.join(folder, "record.txt"), "w", encoding="utf-8") as file:
             file.write("\n".join(self.lines) + "\n")
 
 
@@ -314,36 +311,11 @@
         return None
 
 
-class PlainWorker(Worker):
-    """Answers each request after work_s; notes when it ran which request."""
-
-    def __init__(self, record, store, name, service, zone, capacity=6):
-        super().__init__(record, store, name, service, zone, capacity)
-        self.work_s = lambda request: 0.06
-        self.runs = []
-
-    async def handle(self, request, reader, writer):
-        if request.path == "/health":
-            return json_answer(200, {}, self.headers(request, stamp=False))
-        wrong = self.misdirected(request)
-        if wrong:
-            return wrong
-        caller = request.header("Indigoway-Request-Id")
-        self.record.add(f"{self.name} runs {caller}, patience {request.header('Indigoway-Request-Deadline')} ms")
-        run = {"id": caller, "began": time.monotonic(), "ended": None}
-        self.runs.append(run)
-        await asyncio.sleep(self.work_s(request))
-        run["ended"] = time.monotonic()
-        self.record.add(f"{self.name} answers {caller}")
-        return 200, self.headers(request), f"done {caller}".encode()
-
-
 class Run:
     def __init__(self, caller, prompt, total, made):
         self.id = caller
         self.prompt = prompt
         self.total = total  # Events of the whole answer.
-        self.first = made  # Events that were made elsewhere.
         self.made = made
         self.began = time.monotonic()
         self.ended = None
@@ -372,22 +344,6 @@
         self.orders = 0
         # The disruption: caller's id -> the event after which the answer is lost; the run goes on.
         self.loses_answer = {}
-        # Called before that, once for each event: for how long the worker is full of channels afterwards.
-        self.before_loss = None
-
-    async def accept_no_more(self, for_s):
-        """As the worker is full, further channels are reset: by the kernel, as nobody listens."""
-        port = int(self.address.rsplit(":", 1)[1])
-        self.server.close()
-        self.record.add(f"{self.name} has a long queue: it keeps its channels and resets new ones")
-
-        async def accept_again():
-            await asyncio.sleep(for_s)
-            self.server = await asyncio.start_server(self.serve, self.address.rsplit(":", 1)[0], port,
-                                                     backlog=512)
-            self.record.add(f"{self.name} takes new channels again")
-
-        self.again = asyncio.create_task(accept_again())
 
     async def start(self, host):
         await super().start(host)
@@ -527,14 +483,11 @@
             self.send(run, f"id: {run.made}\ndata: {run.id} {run.made}/{run.total}\n\n".encode())
             if keeper is not None:
                 keeper.copies[run.id] = (run.prompt, time.monotonic() + 0.5)
-            full_s = self.before_loss(self, run, keeper) if self.before_loss else 0
             if self.loses_answer.get(run.id) == run.made and run.writer is not None:
                 run.lost = True
                 self.record.add(f"{self.name} loses the answer of {run.id} after event {run.made}:"
                                 " the channel is closed, the run goes on")
                 writer, run.writer = run.writer, None
-                if full_s:
-                    await self.accept_no_more(full_s)
                 writer.close()
         if run.writer is not None:
             run.writer.write(b"0\r\n\r\n")
@@ -715,10 +668,10 @@
         broken = asyncio.run(limited())
     except Exception as fault:  # pylint: disable=broad-except
         record.add(f"the case could not run: {type(fault).__name__} {fault}")
-        record.write(folder, trouble)
+        record.write(folder)
         print(f"could not run: {type(fault).__name__} {fault}")
         sys.exit(2)
     record.add(f"rule broken: {broken}" if broken else "the rule held")
-    record.write(folder, trouble)
+    record.write(folder)
     print(f"broken: {broken}" if broken else "held")
     sys.exit(1 if broken else 0)
