--- a/review/smallplatform.py
+++ b/review/smallplatform.py
@@ -654,9 +654,9 @@
           "drain_ms": 2000, "config_apply_ms": 2000}
 
 
-def run_case(main, folder):
-    """Runs a case; exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+def run_case(main, folder, trouble):
+    """Runs a case, with the disruption if trouble is set; exits with 1 if the rule was broken, 0 if it held, 2 if
+    the case could not run."""
     record = Record()
     record.add("with the disruption" if trouble else "without the disruption")
 
