Prove the version of a stream by the store when all nodes have died

Cause: the version at which a stream began was kept in the memory of some nodes only. Nothing that outlives all nodes knew it, though the store, the servers and the callers do outlive them.

Change: a node notes in the store that streams may begin at a version, before they do, and under a lease that they no longer do, 15 s after its last server has gone. A version without a note is not used while a noted one can be, so that the notes are complete. A stream that no node knows goes on at the only noted version, by a read that begins after the lookup, never by the node's own copy. While several versions are noted, the notices of streams go to a recorder too, which writes them in batches of 0.2 s; nodes do not copy these items. No event waits for a call; in calm nothing is written but what a change of versions needs.

--- a/src/dispatch/dispatcheffects.h
+++ b/src/dispatch/dispatcheffects.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "origins/originmessages.h"
+#include "origins/storedorigins.h"
 #include "quotas/quotamessages.h"
 #include "ratelimits/ratelimitmessages.h"
 #include "scheduling/schedulermessages.h"
@@ -145,6 +146,17 @@
     origins::OriginMessage message;
 };
 
+/** Records origins of streams in the store. */
+struct RecordStreamOrigins
+{
+    std::vector<origins::StreamRecord> records;
+};
+
+/** Reads what the store knows of the origins of streams; StoredOriginsRead follows once. */
+struct ReadStoredOrigins
+{
+};
+
 /** Stores a crash note for all nodes, including those that start later. */
 struct PublishCrash
 {
@@ -187,10 +199,11 @@
     Duration totalTime {};
 };
 
-using DispatchEffect = std::variant<StartCall, AbandonCall, DeliverAnswer, ForwardStream, EndStream,
-                                    BreakStream, RejectRequest, SendToScheduler, SendToQuotaKeeper,
-                                    SendToRateLimiter, SendToPlainScheduler, SendToNode,
-                                    PublishCrash, SharePartCrashes, LogDecision, RequestEnded>;
+using DispatchEffect =
+    std::variant<StartCall, AbandonCall, DeliverAnswer, ForwardStream, EndStream, BreakStream,
+                 RejectRequest, SendToScheduler, SendToQuotaKeeper, SendToRateLimiter,
+                 SendToPlainScheduler, SendToNode, RecordStreamOrigins, ReadStoredOrigins,
+                 PublishCrash, SharePartCrashes, LogDecision, RequestEnded>;
 using DispatchEffects = std::vector<DispatchEffect>;
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -48,6 +48,7 @@
     , m_partCrashes(m_state)
     , m_crashDetector(m_state, m_partCrashes)
     , m_resumption(m_state)
+    , m_versions(m_state)
     , m_quotas(m_state, startedAt)
 { }
 
@@ -55,6 +56,7 @@
 {
     m_table = std::move(table);
     m_hasNewRoutes = true;
+    m_versions.setRoutes(*m_table);
     m_quotas.setEnabled(
         std::ranges::any_of(m_table->organisations(), [](const Organisation &organisation) {
             return organisation.quota.has_value();
@@ -82,15 +84,23 @@
 
 void Dispatcher::announce(AnnouncedServer server)
 {
+    m_versions.serverAnnounced(server);
     if (const auto earlier = m_state.servers.announce(std::move(server))) {
         forget(*earlier);
         m_state.permits.forget(*earlier);
     }
 }
 
+void Dispatcher::withdraw(const ServerName &name, TimePoint now)
+{
+    m_state.servers.withdraw(name, now);
+    m_versions.serversChanged();
+}
+
 void Dispatcher::remove(const ServerName &name)
 {
     m_state.servers.remove(name);
+    m_versions.serversChanged();
     forget(name);
 }
 
@@ -122,6 +132,7 @@
 {
     DispatchEffects effects;
     Step step(now, entropy, effects);
+    m_versions.review(now);
     std::visit([&](const auto &alternative) { handle(step, alternative); }, event);
     m_partCrashes.tick(step);
     rejectCrashing(step);
@@ -131,6 +142,9 @@
     m_nextTick = earlier(earlier(m_generations.tick(step), m_plain.tick(step)),
                          earlier(m_quotas.nextTick(), m_state.permits.nextTick()));
     m_nextTick = earlier(m_nextTick, earlier(m_resumption.nextTick(), m_partCrashes.nextTick()));
+    if (auto records = m_state.origins.takeStoreRecords(); !records.empty()) {
+        step.add(RecordStreamOrigins {std::move(records)});
+    }
     return effects;
 }
 
@@ -195,6 +209,11 @@
     originsDecided(step, m_resumption.messageArrived(step, event));
 }
 
+void Dispatcher::handle(Step &step, const StoredOriginsRead &event)
+{
+    originsDecided(step, m_resumption.storeRead(step, event));
+}
+
 bool Dispatcher::findRoute(Step &step, OpenRequest &request)
 {
     const ArrivedRequest &arrival = request.arrival;
@@ -335,6 +354,7 @@
     m_quotas.abandon(number);
     m_state.permits.abandon(number);
     m_state.origins.abandon(number);
+    m_state.storeLookups.abandon(number);
     flowOf(request).release(step, request);
 }
 
@@ -464,6 +484,7 @@
     }
     for (const ServerName &name : m_state.servers.purgeWithdrawn(step.now)) {
         forget(name);
+        m_versions.serversChanged();
     }
     m_state.crashes.removeExpired(step.now);
     m_state.crashingParts.removeExpired(step.now);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -7,6 +7,7 @@
 #include "dispatch/plainflow.h"
 #include "dispatch/quotaadmission.h"
 #include "dispatch/streamresumption.h"
+#include "dispatch/streamversions.h"
 
 #include "core/deadlines.h"
 
@@ -36,14 +37,26 @@
      * among them.
      */
     void setNodes(std::uint32_t nodes, TimePoint now);
-    /** Sets the other nodes, which keep the origins of streams for this one. */
-    void setOriginHolders(TimePoint now, const std::vector<origins::Holder> &nodes)
+    /** Sets the nodes that keep the origins of streams for others; nothing if this one does not. */
+    void setOriginHolders(TimePoint now, const std::vector<origins::Holder> &nodes,
+                          const std::optional<origins::Holder> &self = {})
     {
-        m_state.origins.setNodes(now, nodes);
+        m_state.origins.setNodes(now, nodes, self);
     }
+    /** Applies a note of a software version in the store; null if it was removed. */
+    void applyVersionNote(const std::string &key, const std::string *value, std::uint64_t revision)
+    {
+        m_versions.applyNote(key, value, revision);
+    }
+    /** Returns the notes that this node has to write, see VersionNotes::dueWrites(). */
+    std::vector<origins::VersionNotes::Write> dueVersionNotes(TimePoint now, Duration delay)
+    {
+        return m_versions.dueWrites(now, delay);
+    }
+    const origins::VersionNotes &versionNotes() const { return m_state.versionNotes; }
     const origins::StreamOrigins &origins() const { return m_state.origins; }
     void announce(AnnouncedServer server);
-    void withdraw(const ServerName &name, TimePoint now) { m_state.servers.withdraw(name, now); }
+    void withdraw(const ServerName &name, TimePoint now);
     /** Removes a server instance that has ended or must not be used. */
     void remove(const ServerName &name);
     const ServerDirectory &servers() const { return m_state.servers; }
@@ -103,6 +116,7 @@
     void handle(Step &step, const RateLimiterAnswered &event);
     void handle(Step &step, const PlainSchedulerAnswered &event);
     void handle(Step &step, const OriginMessageArrived &event);
+    void handle(Step &step, const StoredOriginsRead &event);
     void handle(Step &step, const PartCrashesArrived &event);
     void handle(Step &step, const TimePassed &event);
     void recordCallResult(Step &step, const OpenCall &call, const OpenRequest &request,
@@ -143,6 +157,7 @@
     PartCrashExchange m_partCrashes;
     CrashDetector m_crashDetector;
     StreamResumption m_resumption;
+    StreamVersions m_versions;
     std::shared_ptr<const RouteTable> m_table;
     QuotaAdmission m_quotas;
     bool m_hasNewRoutes = false; ///< Since the last TimePassed event.
--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -2,6 +2,7 @@
 
 #include "admission/admission.h"
 #include "origins/originmessages.h"
+#include "origins/storedorigins.h"
 #include "quotas/quotamessages.h"
 #include "ratelimits/ratelimitmessages.h"
 #include "scheduling/schedulermessages.h"
@@ -179,6 +180,12 @@
     origins::OriginMessage message;
 };
 
+/** Answers ReadStoredOrigins. */
+struct StoredOriginsRead
+{
+    std::optional<origins::StoredOrigins> found; ///< Nothing if the store did not answer.
+};
+
 /** Carries series of crashes that another node has sent. */
 struct PartCrashesArrived
 {
@@ -193,6 +200,7 @@
 using DispatchEvent =
     std::variant<ArrivedRequest, CallerLeft, StreamStarted, StreamSilent, StreamProgress, CallEnded,
                  SchedulerAnswered, QuotaKeeperAnswered, RateLimiterAnswered,
-                 PlainSchedulerAnswered, OriginMessageArrived, PartCrashesArrived, TimePassed>;
+                 PlainSchedulerAnswered, OriginMessageArrived, StoredOriginsRead,
+                 PartCrashesArrived, TimePassed>;
 
 } // namespace indigoway::dispatch
--- a/src/dispatch/dispatchstate.h
+++ b/src/dispatch/dispatchstate.h
@@ -8,7 +8,9 @@
 #include "dispatch/serverpauses.h"
 #include "dispatch/servertracker.h"
 #include "fleet/serverdirectory.h"
+#include "origins/storelookups.h"
 #include "origins/streamorigins.h"
+#include "origins/versionnotes.h"
 #include "quotas/quotaenforcer.h"
 #include "ratelimits/serverpermits.h"
 
@@ -51,6 +53,8 @@
     ratelimits::ServerPermits permits;
     ServerPauses pauses;
     origins::StreamOrigins origins;
+    origins::StoreLookups storeLookups;
+    origins::VersionNotes versionNotes;
     std::map<ServiceName, NodeRetryBudget> retryBudgets;
 
     /**
--- a/src/dispatch/streamresumption.cpp
+++ b/src/dispatch/streamresumption.cpp
@@ -1,5 +1,6 @@
 #include "streamresumption.h"
 
+#include "core/deadlines.h"
 #include "origins/origincodec.h"
 
 #include <algorithm>
@@ -56,14 +57,14 @@
 
 std::string textOf(const OriginResult &result)
 {
-    std::string text =
-        "asked=" + std::to_string(result.asked) + " took_ms=" + millisecondsText(result.lookupTime);
+    std::string text = "asked=" + std::to_string(result.asked) + " source="
+        + origins::nameOf(result.source) + " took_ms=" + millisecondsText(result.lookupTime);
     if (!result.record) {
         return text + " origin=" + nameOf(result.fault);
     }
     return text + " origin=known service=" + result.record->origin.service.text()
         + " version=" + versionText(result.record->origin.version)
-        + " from=" + (result.learntFrom.isEmpty() ? "own" : result.learntFrom.text())
+        + " from=" + (result.learntFrom.isEmpty() ? "-" : result.learntFrom.text())
         + " age_ms=" + millisecondsText(result.record->age);
 }
 
@@ -92,6 +93,12 @@
 AdmissionStep StreamResumption::decide(Step &step, const OriginResult &result)
 {
     OpenRequest &request = *m_state.requests.find(result.request);
+    const bool isForStore = !result.record && result.source == origins::OriginSource::Nodes
+        && result.fault != OriginFault::Ambiguous;
+    if (isForStore) {
+        lookUpInStore(step, request, result);
+        return AdmissionStep::Pending;
+    }
     request.stage = Stage::Calling;
     step.add(
         LogDecision {"stream_origin", request.arrival.callerId,
@@ -120,6 +127,18 @@
     return AdmissionStep::Passed;
 }
 
+void StreamResumption::lookUpInStore(Step &step, OpenRequest &request, const OriginResult &result)
+{
+    request.stage = Stage::AwaitingOrigin;
+    std::vector<ServiceName> services;
+    for (const ServiceShare &share : request.route->shares) {
+        if (share.weight > 0) {
+            services.push_back(share.service);
+        }
+    }
+    m_state.storeLookups.add(step.now, result, subjectOf(request), std::move(services));
+}
+
 void StreamResumption::reject(Step &step, OpenRequest &request, std::optional<Duration> retryAfter,
                               const std::string &reason)
 {
@@ -148,12 +167,29 @@
     return decideAll(step, results);
 }
 
+AdmissionOutcomes StreamResumption::storeRead(Step &step, const StoredOriginsRead &event)
+{
+    return decideAll(step, m_state.storeLookups.readEnded(step.now, event.found));
+}
+
 AdmissionOutcomes StreamResumption::tick(Step &step)
 {
     origins::StreamOrigins::Messages messages;
-    const auto results = m_state.origins.tick(step.now, messages);
+    auto results = m_state.origins.tick(step.now, messages);
     sendToNodes(step, std::move(messages));
-    return decideAll(step, results);
+    for (OriginResult &result : m_state.storeLookups.takeOverdue(step.now)) {
+        results.push_back(std::move(result));
+    }
+    auto outcomes = decideAll(step, results);
+    if (m_state.storeLookups.takeDueRead(step.now)) {
+        step.add(ReadStoredOrigins {});
+    }
+    return outcomes;
+}
+
+std::optional<TimePoint> StreamResumption::nextTick() const
+{
+    return earlier(m_state.origins.nextTick(), m_state.storeLookups.nextTick());
 }
 
 void recordStreamOrigin(Step &step, DispatchState &state, OpenRequest &request)
@@ -165,6 +201,7 @@
     }
     const Duration longest = std::max(request.arrival.patience.value_or(MaxStreamTime),
                                       Duration(request.deadline - step.now));
+    state.versionNotes.recordPatience(std::min(longest, MaxStreamTime) + KeepMargin);
     origins::StreamOrigins::Messages messages;
     state.origins.begin(step.now,
                         {stream,
--- a/src/dispatch/streamresumption.h
+++ b/src/dispatch/streamresumption.h
@@ -29,11 +29,14 @@
     AdmissionStep begin(Step &step, OpenRequest &request);
     /** Returns the decided lookups; requests that pass are bound to their servers. */
     AdmissionOutcomes messageArrived(Step &step, const OriginMessageArrived &event);
+    AdmissionOutcomes storeRead(Step &step, const StoredOriginsRead &event);
     AdmissionOutcomes tick(Step &step);
-    std::optional<TimePoint> nextTick() const { return m_state.origins.nextTick(); }
+    std::optional<TimePoint> nextTick() const;
 
 private:
     AdmissionStep decide(Step &step, const origins::OriginResult &result);
+    /** Looks the stream up in the store, since no node knows it. */
+    void lookUpInStore(Step &step, OpenRequest &request, const origins::OriginResult &result);
     AdmissionOutcomes decideAll(Step &step, const std::vector<origins::OriginResult> &results);
     void reject(Step &step, OpenRequest &request, std::optional<Duration> retryAfter,
                 const std::string &reason);
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -26,6 +26,12 @@
 constexpr Duration MinLeaveTime = std::chrono::milliseconds(1500);
 /** Part of the age limit of the copy beyond which the store is taken for unreachable. */
 constexpr double MaxFreshAgeShare = 0.75;
+/**
+ * The holder of the order right writes notes of versions at once, those that watch the store after
+ * the first of these times, all other nodes after the second one and up to a second more.
+ */
+constexpr Duration WatcherNoteDelay = std::chrono::milliseconds(400);
+constexpr Duration OtherNoteDelay = std::chrono::milliseconds(1500);
 /** Interval between logs of the calls to the store, each of which is billed to the operator. */
 constexpr Duration StoreCallsLogInterval = std::chrono::seconds(10);
 
@@ -79,6 +85,8 @@
     , m_sync(*m_adapters.store, syncDependencies(*this, client, m_adapters.layout),
              m_settings.node.text() + "/" + std::to_string(m_incarnation.value()),
              std::random_device {}())
+    , m_origins(*m_adapters.store, m_sync.storeCallCounts(),
+                originStoreDependencies(*this, m_adapters.layout))
     , m_scheduling(base, {m_settings.node, m_incarnation}, schedulingDependencies(*this))
     , m_controlServer(
           base, smallRequestLimits(Door::Control),
@@ -93,9 +101,13 @@
           [](evutil_socket_t, short, void *self) { static_cast<EdgeNode *>(self)->tick(); }, this))
     , m_syncTimer(event_new(
           base, -1, EV_PERSIST,
-          [](evutil_socket_t, short, void *self) { static_cast<EdgeNode *>(self)->m_sync.tick(); },
+          [](evutil_socket_t, short, void *self) {
+              static_cast<EdgeNode *>(self)->m_sync.tick();
+              static_cast<EdgeNode *>(self)->startOriginCalls();
+          },
           this))
     , m_random(std::random_device {}())
+    , m_noteDelay(std::chrono::milliseconds(m_random() % 1000))
     , m_suspendedTime(suspendedTime())
 {
     m_guard.setRecorder([this](Door door, ShedReason reason, const std::string &detail) {
@@ -122,6 +134,13 @@
     m_relay.setNodeMessageHandler([this](const dispatch::SendToNode &effect) {
         m_scheduling.send(effect.to, effect.message);
     });
+    m_relay.setOriginHandlers(
+        [this](const dispatch::RecordStreamOrigins &effect) { m_origins.add(effect.records); },
+        [this] {
+            m_origins.read([this](std::optional<origins::StoredOrigins> found) {
+                m_relay.post(dispatch::StoredOriginsRead {std::move(found)});
+            });
+        });
     m_relay.setPlainSchedulerHandler(
         [this](const slots::ToPlainScheduler &message) { m_scheduling.send(message); });
 }
@@ -220,6 +239,7 @@
                                 layout.crashesPrefix,
                                 dependencies.record,
                                 steadyNow};
+    dependencies.ignoredPrefix = layout.batchesPrefix;
     dependencies.maxCopyAge = maxCopyAge(node.m_settings);
     dependencies.itemChanged = [&node](const std::string &key, const StoredItem *item) {
         node.handleStoreChange(key, item);
@@ -253,6 +273,43 @@
     return dependencies;
 }
 
+OriginStore::Dependencies EdgeNode::originStoreDependencies(EdgeNode &node,
+                                                            const StoreLayout &layout)
+{
+    return {layout.originsPrefix,
+            layout.versionsPrefix,
+            layout.batchesPrefix,
+            node.m_settings.node.text() + "/" + std::to_string(node.m_incarnation.value()),
+            [&node](const std::string &kind, const std::string &detail) {
+                node.record(kind, {{"detail", detail}});
+            },
+            steadyNow};
+}
+
+void EdgeNode::startOriginCalls()
+{
+    if (!m_sync.isKnown()) {
+        return;
+    }
+    m_origins.startDueCalls(m_dispatcher.versionNotes().patience());
+    if (m_leavingSince || !m_sync.isCurrent()) {
+        return; // What looks as if it had gone may only be missing in an old copy.
+    }
+    const auto notes = m_dispatcher.dueVersionNotes(steadyNow(), versionNoteDelay());
+    if (!notes.empty()) {
+        m_origins.write(notes);
+    }
+}
+
+Duration EdgeNode::versionNoteDelay() const
+{
+    const StoreWriter &writer = m_sync.storeWriter();
+    if (writer.holdsOrderRight()) {
+        return Duration(0);
+    }
+    return writer.status().isWatcher ? WatcherNoteDelay : OtherNoteDelay + m_noteDelay;
+}
+
 SchedulingEndpoint::Dependencies EdgeNode::schedulingDependencies(EdgeNode &node)
 {
     SchedulingEndpoint::Dependencies dependencies;
@@ -313,9 +370,11 @@
     m_appliedNodeChanges = m_roster.changes();
     std::vector<RelayNode> relays;
     std::vector<origins::Holder> holders;
+    std::optional<origins::Holder> self;
     std::map<NodeName, DatagramAddress> addresses;
     for (const NodeEntry *node : m_roster.members()) {
         if (node->name == m_settings.node) {
+            self = origins::Holder {node->name, node->domain, node->announcedAt};
             continue;
         }
         if (!node->relayAddress.empty()) {
@@ -328,7 +387,7 @@
     }
     m_relay.setRelays(relays, now);
     m_scheduling.setNodeAddresses(std::move(addresses));
-    m_dispatcher.setOriginHolders(now, holders);
+    m_dispatcher.setOriginHolders(now, holders, self);
 }
 
 void EdgeNode::handleStoreChange(const std::string &key, const StoredItem *item)
@@ -341,6 +400,9 @@
         applyServerChange(key, item ? &item->value : nullptr);
     } else if (key.starts_with(m_adapters.layout.nodesPrefix)) {
         applyNodeChange(key, item);
+    } else if (key.starts_with(m_adapters.layout.versionsPrefix)) {
+        m_dispatcher.applyVersionNote(key, item ? &item->value : nullptr,
+                                      item ? item->revision : 0);
     } else if (isPartCrashKey(m_adapters.layout.crashesPrefix, key)) {
         if (item) {
             applyPartCrashes(item->value);
@@ -519,10 +581,11 @@
         m_metricsServer.reply(request.exchange, NotFound, {}, "");
         return;
     }
-    m_metricsServer.reply(request.exchange, Ok, {{"Content-Type", "text/plain; version=0.0.4"}},
-                          nodeMetricsText({m_metrics, m_relay, m_dispatcher, m_scheduling, m_sync,
-                                           m_roster, m_log, m_guard, m_leavingSince.has_value()},
-                                          steadyNow()));
+    m_metricsServer.reply(
+        request.exchange, Ok, {{"Content-Type", "text/plain; version=0.0.4"}},
+        nodeMetricsText({m_metrics, m_relay, m_dispatcher, m_scheduling, m_sync, m_origins,
+                         m_roster, m_log, m_guard, m_leavingSince.has_value()},
+                        steadyNow()));
 }
 
 void EdgeNode::tick()
--- a/src/edge/edgenode.h
+++ b/src/edge/edgenode.h
@@ -3,6 +3,7 @@
 #include "dispatch/dispatcher.h"
 #include "edge/edgemetrics.h"
 #include "edge/edgesettings.h"
+#include "edge/originstore.h"
 #include "edge/schedulingendpoint.h"
 #include "edge/statecodec.h"
 #include "edge/statesync.h"
@@ -84,6 +85,12 @@
     /** Logs a line for each organisation whose declaration differs from the one in @p old. */
     void recordOrganisationChanges(const RoutingState &state, const RouteTable *old);
     void applyServerChange(const std::string &key, const std::string *value);
+    static OriginStore::Dependencies originStoreDependencies(EdgeNode &node,
+                                                             const StoreLayout &layout);
+    /** Starts the calls to the store about the origins of streams that are due. */
+    void startOriginCalls();
+    /** Returns how long this node leaves a missing note of a version to others. */
+    Duration versionNoteDelay() const;
     void applyCrashNote(const CrashNote &note, std::uint64_t revision);
     void applyPartCrashes(const std::string &value);
     void sharePartCrashes(const dispatch::SharePartCrashes &effect);
@@ -122,12 +129,14 @@
     dispatch::Dispatcher m_dispatcher;
     RequestRelay m_relay;
     StateSync m_sync;
+    OriginStore m_origins;
     SchedulingEndpoint m_scheduling;
     HttpServer m_controlServer;
     HttpServer m_metricsServer;
     EventHandle m_timer;
     EventHandle m_syncTimer;
     std::mt19937_64 m_random;
+    Duration m_noteDelay {}; ///< Part of versionNoteDelay() that differs between the nodes.
     std::optional<NodeEntry> m_scheduler; ///< The node that schedules the engines.
     std::optional<TimePoint> m_leavingSince;
     std::uint64_t m_appliedNodeChanges = 0; ///< Changes of the roster that were applied.
--- a/src/edge/nodemetrics.h
+++ b/src/edge/nodemetrics.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/dispatcher.h"
 #include "edge/edgemetrics.h"
+#include "edge/originstore.h"
 #include "edge/schedulingendpoint.h"
 #include "edge/statesync.h"
 #include "edge/structuredlog.h"
@@ -21,6 +22,7 @@
     const dispatch::Dispatcher &dispatcher;
     const SchedulingEndpoint &scheduling;
     const StateSync &sync;
+    const OriginStore &originStore;
     const NodeDirectory &roster;
     const StructuredLog &log;
     const OverloadGuard &guard;
--- a/src/edge/statecodec.h
+++ b/src/edge/statecodec.h
@@ -23,6 +23,9 @@
     std::string ordersLeaderKey; ///< Holder of the right to give orders to engines.
     std::string ordersRecordKey; ///< Written before the first order of all is given.
     std::string crashesPrefix;   ///< Contents that were at crashed servers; see CrashNote.
+    std::string originsPrefix;   ///< Of both kinds of items about the origins of streams.
+    std::string versionsPrefix;  ///< Versions at which streams may have begun; see VersionNote.
+    std::string batchesPrefix; ///< Origins of streams; see OriginBatches. Nodes copy no such item.
 };
 
 /** Decodes the items that operators and backend servers write to the store. */
--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -43,10 +43,12 @@
                      std::uint64_t randomOffset)
     : m_store(store)
     , m_dependencies(std::move(dependencies))
-    , m_mirror({},
-               [this](const std::string &key, const StoredItem *item, std::uint64_t revision) {
-                   handleChange(key, item, revision);
-               })
+    , m_mirror(
+          {},
+          [this](const std::string &key, const StoredItem *item, std::uint64_t revision) {
+              handleChange(key, item, revision);
+          },
+          m_dependencies.ignoredPrefix)
     , m_responder(m_mirror, m_proof, m_contact, m_path, m_dependencies.linkBytesPerSecond,
                   pollDuration())
     , m_upstreamChoice(m_dependencies.self, randomOffset)
--- a/src/edge/statesync.h
+++ b/src/edge/statesync.h
@@ -29,6 +29,7 @@
     {
         NodeEntry self;
         StoreWriter::Dependencies storeWriter;
+        std::string ignoredPrefix; ///< Of items that nodes do not copy.
         /** Age limit that the copy is regularly checked to keep; nothing: it is not checked. */
         std::optional<Duration> maxCopyAge;
         /** Handles the change of an item; the item is null if it was removed. */
@@ -93,6 +94,8 @@
 
     const SearchCounts &searchCounts() const { return m_searchCounts; }
     const StoreCallCounts &storeCallCounts() const { return m_callCounts; }
+    /** Counts the calls to the store that others make for this node. */
+    StoreCallCounts &storeCallCounts() { return m_callCounts; }
 
 private:
     /** Starts a call for changes to the store or a peer, unless one is under way. */
--- a/src/edge/storewriter.h
+++ b/src/edge/storewriter.h
@@ -58,6 +58,8 @@
     /** Stops giving orders until the next renewal, after this process was suspended. */
     void handleSuspension(TimePoint now) { m_leadership.handleSuspension(now); }
 
+    /** Returns the state of this node as of the last startDueCalls(). */
+    const NodeStatus &status() const { return m_status; }
     bool isAnnounced() const { return m_announcer.isAnnounced(); }
     /** Returns whether the store doesn't answer the calls for this node's entry. */
     bool isStoreUnreachable() const { return m_announcer.isStoreUnreachable(); }
--- a/src/fleet/serverdirectory.cpp
+++ b/src/fleet/serverdirectory.cpp
@@ -38,6 +38,8 @@
     entry.hasSaidLeaving = m_saidLeaving.contains(name);
     removeFromIndexes(entry.server);
     m_byService[server.service][name] = &entry;
+    ++m_byVersion[server.service][server.version];
+    entry.isClosed = closedVersions(server.service).contains(server.version);
     m_byDomain[server.service][server.domain][name] = &entry;
     entry.server = std::move(server);
     entry.withdrawnAt.reset();
@@ -125,7 +127,12 @@
     if (service == m_byService.end()) {
         return;
     }
-    service->second.erase(server.name);
+    if (service->second.erase(server.name) > 0) {
+        auto &versions = m_byVersion[server.service];
+        if (--versions[server.version] == 0) {
+            versions.erase(server.version);
+        }
+    }
     m_byDomain[server.service][server.domain].erase(server.name);
 }
 
@@ -231,6 +238,41 @@
     return !isAnyUsable && isLastResort;
 }
 
+std::set<std::string> ServerDirectory::versionsOf(const ServiceName &service) const
+{
+    std::set<std::string> versions;
+    const auto counts = m_byVersion.find(service);
+    if (counts != m_byVersion.end()) {
+        for (const auto &[version, count] : counts->second) {
+            versions.insert(version);
+        }
+    }
+    return versions;
+}
+
+void ServerDirectory::setClosedVersions(const ServiceName &service,
+                                        const std::set<std::string> &versions)
+{
+    if (versions == closedVersions(service)) {
+        return;
+    }
+    m_closedVersions[service] = versions;
+    const auto servers = m_byService.find(service);
+    if (servers == m_byService.end()) {
+        return;
+    }
+    for (const auto &[name, entry] : servers->second) {
+        m_entries.at(name).isClosed = versions.contains(entry->server.version);
+    }
+}
+
+const std::set<std::string> &ServerDirectory::closedVersions(const ServiceName &service) const
+{
+    static const std::set<std::string> None;
+    const auto it = m_closedVersions.find(service);
+    return it == m_closedVersions.end() ? None : it->second;
+}
+
 std::vector<ServerName> ServerDirectory::names() const
 {
     std::vector<ServerName> names;
@@ -242,7 +284,7 @@
 
 ServerAvailability ServerDirectory::availabilityOf(const Entry &entry, TimePoint now)
 {
-    if (entry.server.isDraining || entry.hasSaidLeaving) {
+    if (entry.server.isDraining || entry.hasSaidLeaving || entry.isClosed) {
         return ServerAvailability::Leaving;
     }
     if (!entry.withdrawnAt) {
--- a/src/fleet/serverdirectory.h
+++ b/src/fleet/serverdirectory.h
@@ -73,6 +73,13 @@
     /** Returns whether one of the candidates() has @p version of the software. */
     bool hasVersion(const ServiceName &service, EnginePhase phase, const std::string &version,
                     TimePoint now) const;
+    /** Returns the versions of the servers of @p service, available or not. */
+    std::set<std::string> versionsOf(const ServiceName &service) const;
+    /**
+     * Sets the versions of @p service whose servers must not be used yet; they count as leaving.
+     */
+    void setClosedVersions(const ServiceName &service, const std::set<std::string> &versions);
+    const std::set<std::string> &closedVersions(const ServiceName &service) const;
     /** Returns false to stop the iteration. */
     using Visitor = std::function<bool(const AnnouncedServer &)>;
     /** Visits the usable servers of @p service in @p domain, ordered by name. */
@@ -91,6 +98,7 @@
         AnnouncedServer server;
         std::optional<TimePoint> withdrawnAt;
         bool hasSaidLeaving = false;
+        bool isClosed = false; ///< Of a version that must not be used yet.
     };
 
     std::map<ServerName, Entry>::iterator erase(std::map<ServerName, Entry>::iterator it);
@@ -115,6 +123,9 @@
 
     std::map<ServiceName, Entries> m_byService;
     std::map<ServiceName, std::map<DomainName, Entries>> m_byDomain;
+    /** Number of servers of each version. */
+    std::map<ServiceName, std::map<std::string, std::size_t>> m_byVersion;
+    std::map<ServiceName, std::set<std::string>> m_closedVersions;
 };
 
 } // namespace indigoway
--- a/src/origins/origincodec.cpp
+++ b/src/origins/origincodec.cpp
@@ -26,6 +26,7 @@
     Time,
     Content,               ///< Of a notice.
     IsAmbiguous = Content, ///< Of an answer.
+    IsForStore,            ///< Of a notice; left out if it is false.
 };
 
 Json::Value start(const char *kind, const NodeName &from, const StreamId &stream)
@@ -49,6 +50,9 @@
     Json::Value value = start(Notice, from, notice.stream);
     append(value, notice.origin, notice.keepFor);
     value.append(notice.content.text());
+    if (notice.isForStore) {
+        value.append(true);
+    }
     return value;
 }
 
@@ -112,8 +116,10 @@
     const std::string kind = value[Kind].asString();
     const StreamId stream(value[Stream].asString());
     if (kind == Notice && hasOrigin(value) && value.size() > Content && isName(value[Content])) {
+        const bool isForStore =
+            value.size() > IsForStore && value[IsForStore].isBool() && value[IsForStore].asBool();
         return OriginNotice {stream, originOf(value), timeOf(value),
-                             ContentId(value[Content].asString())};
+                             ContentId(value[Content].asString()), isForStore};
     }
     if (kind == Kept) {
         return OriginKept {stream};
--- a/src/origins/originholders.cpp
+++ b/src/origins/originholders.cpp
@@ -66,4 +66,19 @@
     return holders;
 }
 
+std::vector<Holder> recordersAmong(std::vector<Holder> nodes)
+{
+    constexpr std::size_t NodesPerRecorder = 128;
+    constexpr std::size_t MaxRecorders = 8;
+    const std::size_t wanted = std::min(1 + nodes.size() / NodesPerRecorder, MaxRecorders);
+    std::ranges::sort(nodes, {}, [](const Holder &node) { return hashOf(node.node.text()); });
+    nodes.resize(std::min(nodes.size(), wanted));
+    return nodes;
+}
+
+const Holder &recorderOf(const StreamId &stream, const std::vector<Holder> &recorders)
+{
+    return recorders.at(hashOf(stream.text()) % recorders.size());
+}
+
 } // namespace indigoway::origins
--- a/src/origins/originholders.h
+++ b/src/origins/originholders.h
@@ -42,4 +42,12 @@
     std::size_t m_size = 0;
 };
 
+/**
+ * Returns the nodes that record origins in the store for all others: few, so that many records
+ * share a write.
+ */
+std::vector<Holder> recordersAmong(std::vector<Holder> nodes);
+/** Returns the one of @p recorders that records @p stream; there must be one. */
+const Holder &recorderOf(const StreamId &stream, const std::vector<Holder> &recorders);
+
 } // namespace indigoway::origins
--- a/src/origins/originmessages.h
+++ b/src/origins/originmessages.h
@@ -3,6 +3,7 @@
 #include <indigoway/ids.h>
 #include <indigoway/routing.h>
 
+#include <compare>
 #include <optional>
 #include <string>
 #include <variant>
@@ -21,7 +22,7 @@
 {
     ServiceName service;
     std::string version; ///< Of the server's software.
-    bool operator==(const StreamOrigin &) const = default;
+    auto operator<=>(const StreamOrigin &) const = default;
 };
 
 /**
@@ -38,8 +39,9 @@
 {
     StreamId stream;
     StreamOrigin origin;
-    Duration keepFor {};    ///< Time after which no caller can resume the stream.
-    ContentId content = {}; ///< For callers that resume the stream without naming it.
+    Duration keepFor {};     ///< Time after which no caller can resume the stream.
+    ContentId content = {};  ///< For callers that resume the stream without naming it.
+    bool isForStore = false; ///< The receiver also records the origin in the store.
     bool operator==(const OriginNotice &) const = default;
 };
 
--- a/src/origins/streamorigins.cpp
+++ b/src/origins/streamorigins.cpp
@@ -33,10 +33,17 @@
 
 } // namespace
 
-void StreamOrigins::setNodes(TimePoint now, const std::vector<Holder> &nodes)
+void StreamOrigins::setNodes(TimePoint now, const std::vector<Holder> &nodes,
+                             const std::optional<Holder> &self)
 {
     m_holders.setNodes(nodes);
     m_hasNodes = true;
+    std::vector<Holder> all = nodes;
+    if (self) {
+        all.push_back(*self);
+        m_self = self->node;
+    }
+    m_recorders = recordersAmong(std::move(all));
     for (auto &[stream, notice] : m_notices) {
         notice.unconfirmed.clear();
         for (const Holder &holder : m_holders.holdersOf(stream, notice.copies)) {
@@ -44,6 +51,25 @@
                 notice.unconfirmed.push_back(holder);
             }
         }
+        if (notice.recorder && !contains(notice.confirmed, *notice.recorder)) {
+            notice.recorder.reset(); // It is asked again, or another one is.
+        }
+        requestRecord(stream, notice);
+        if (!notice.unconfirmed.empty()) {
+            notice.interval = FirstRepetition;
+            m_repetitions.set(stream, now);
+        }
+    }
+}
+
+void StreamOrigins::setStoredServices(TimePoint now, std::set<ServiceName> services)
+{
+    if (services == m_storedServices) {
+        return;
+    }
+    m_storedServices = std::move(services);
+    for (auto &[stream, notice] : m_notices) {
+        requestRecord(stream, notice);
         if (!notice.unconfirmed.empty()) {
             notice.interval = FirstRepetition;
             m_repetitions.set(stream, now);
@@ -51,6 +77,32 @@
     }
 }
 
+void StreamOrigins::requestRecord(const StreamId &stream, Notice &notice)
+{
+    if (!m_storedServices.contains(notice.origin.service)) {
+        return;
+    }
+    if (m_recorders.empty()) {
+        m_storeRecords.push_back({stream, notice.origin});
+        return;
+    }
+    const Holder &recorder = recorderOf(stream, m_recorders);
+    if (notice.recorder == recorder) {
+        return;
+    }
+    notice.recorder = recorder;
+    if (recorder.node == m_self) {
+        notice.confirmed.push_back(recorder);
+        m_storeRecords.push_back({stream, notice.origin});
+        return;
+    }
+    // It may have confirmed the notice as a holder, without the request to record it.
+    std::erase(notice.confirmed, recorder);
+    if (!contains(notice.unconfirmed, recorder)) {
+        notice.unconfirmed.push_back(recorder);
+    }
+}
+
 void StreamOrigins::begin(TimePoint now, const OriginNotice &stream, Messages &messages)
 {
     keep(now, stream);
@@ -60,6 +112,7 @@
     notice.until = now + stream.keepFor;
     notice.copies = copiesFor(now);
     notice.unconfirmed = m_holders.holdersOf(stream.stream, notice.copies);
+    requestRecord(stream.stream, notice);
     notice.interval = FirstRepetition;
     for (const Holder &holder : notice.unconfirmed) {
         sendNotice(now, stream.stream, notice, holder, messages);
@@ -97,8 +150,10 @@
                                const Holder &holder, Messages &messages)
 {
     ++m_noticesSent;
+    const bool isForStore = notice.recorder == holder;
     messages.push_back(
-        {holder.node, OriginNotice {stream, notice.origin, notice.until - now, notice.content}});
+        {holder.node,
+         OriginNotice {stream, notice.origin, notice.until - now, notice.content, isForStore}});
 }
 
 std::optional<OriginResult> StreamOrigins::lookUp(TimePoint now, RequestNumber request,
@@ -144,6 +199,9 @@
 {
     if (const auto *notice = std::get_if<OriginNotice>(&message)) {
         keep(now, *notice);
+        if (notice->isForStore) {
+            m_storeRecords.push_back({notice->stream, notice->origin});
+        }
         messages.push_back({from, OriginKept {notice->stream}});
     } else if (const auto *query = std::get_if<OriginQuery>(&message)) {
         messages.push_back(
@@ -286,4 +344,17 @@
     return "";
 }
 
+const char *nameOf(OriginSource source)
+{
+    switch (source) {
+    case OriginSource::Nodes:
+        return "nodes";
+    case OriginSource::StoreRecord:
+        return "store";
+    case OriginSource::OnlyVersion:
+        return "only_version";
+    }
+    return "";
+}
+
 } // namespace indigoway::origins
--- a/src/origins/streamorigins.h
+++ b/src/origins/streamorigins.h
@@ -3,10 +3,13 @@
 #include "core/deadlines.h"
 #include "origins/originholders.h"
 #include "origins/originrecords.h"
+#include "origins/storedorigins.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace indigoway::origins {
@@ -18,12 +21,20 @@
     Unreachable, ///< Some of the nodes that may know it did not answer in time.
 };
 
+/** Who has told an origin. */
+enum class OriginSource {
+    Nodes,       ///< This node or another one.
+    StoreRecord, ///< A record of the stream in the store.
+    OnlyVersion, ///< The store has a note of one version only, see VersionNote.
+};
+
 /** Result of a lookup. */
 struct OriginResult
 {
     RequestNumber request;
     std::optional<OriginRecord> record; ///< Nothing if there is a fault.
     OriginFault fault = OriginFault::Unknown;
+    OriginSource source = OriginSource::Nodes;
     NodeName learntFrom; ///< Node that knew the origin; empty for this one.
     Duration lookupTime {};
     std::size_t asked = 0; ///< Nodes that were asked.
@@ -33,7 +44,8 @@
  * Knows where the streams of all nodes began. The node that forwards the first event of a stream
  * tells a few others before the event leaves, so that the origin outlives the node: callers resume
  * streams just when the node that began them has died. A node that resumes a stream asks the same
- * few nodes. Nothing is stored: origins are needed no longer than the streams last.
+ * few nodes. While streams of a service may have begun at several versions, one node also records
+ * their origins in the store, where they outlive all nodes.
  */
 class StreamOrigins
 {
@@ -45,8 +57,16 @@
     };
     using Messages = std::vector<Outgoing>;
 
-    /** Sets the other nodes. Those that are new, or started again, are told of open streams. */
-    void setNodes(TimePoint now, const std::vector<Holder> &nodes);
+    /**
+     * Sets the other nodes. Those that are new, or started again, are told of open streams.
+     * @param self This node; nothing if it keeps no origins for others.
+     */
+    void setNodes(TimePoint now, const std::vector<Holder> &nodes,
+                  const std::optional<Holder> &self = {});
+    /** Sets the services whose streams are recorded in the store; open ones are, too. */
+    void setStoredServices(TimePoint now, std::set<ServiceName> services);
+    /** Returns and clears the origins that this node has to record in the store. */
+    std::vector<StreamRecord> takeStoreRecords() { return std::exchange(m_storeRecords, {}); }
 
     /**
      * Records that the first event of a stream, or the first one after a resumption, is about to be
@@ -98,6 +118,8 @@
         std::size_t copies = 0;
         std::vector<Holder> unconfirmed;
         std::vector<Holder> confirmed;
+        /** The node that was asked to record it in the store; nothing if it need not be. */
+        std::optional<Holder> recorder;
         Duration interval {}; ///< Until the next repetition.
     };
     struct Lookup
@@ -116,6 +138,8 @@
     /** Adds what @p from knows; another origin than that of earlier answers makes it ambiguous. */
     static void addAnswer(Lookup &lookup, const OriginRecord &record, const NodeName &from);
 
+    /** Asks the node that records @p stream in the store to do so, if its service is recorded. */
+    void requestRecord(const StreamId &stream, Notice &notice);
     /** Returns how many nodes to tell of a stream now, within the message rate. */
     std::size_t copiesFor(TimePoint now);
     void sendNotice(TimePoint now, const StreamId &stream, const Notice &notice,
@@ -127,6 +151,10 @@
     static OriginResult resultOf(RequestNumber request, const Lookup &lookup, TimePoint now);
 
     OriginHolders m_holders;
+    std::vector<Holder> m_recorders; ///< The nodes that write to the store; the same at each node.
+    NodeName m_self;
+    std::set<ServiceName> m_storedServices;
+    std::vector<StreamRecord> m_storeRecords;
     bool m_hasNodes = false; ///< Whether setNodes() was called.
     OriginRecords m_records;
     std::map<StreamId, Notice> m_notices;
@@ -139,5 +167,6 @@
 };
 
 const char *nameOf(OriginFault fault);
+const char *nameOf(OriginSource source);
 
 } // namespace indigoway::origins
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -481,6 +481,20 @@
     }
 }
 
+void RequestRelay::run(const RecordStreamOrigins &effect)
+{
+    if (m_originRecordHandler) {
+        m_originRecordHandler(effect);
+    }
+}
+
+void RequestRelay::run(const ReadStoredOrigins & /*effect*/)
+{
+    if (m_originReadHandler) {
+        m_originReadHandler();
+    }
+}
+
 void RequestRelay::run(const PublishCrash &effect)
 {
     if (m_crashHandler) {
--- a/src/relay/requestrelay.h
+++ b/src/relay/requestrelay.h
@@ -28,6 +28,8 @@
     using RateLimitHandler = std::function<void(const ratelimits::ToRateLimiter &)>;
     using PlainSchedulerHandler = std::function<void(const slots::ToPlainScheduler &)>;
     using NodeMessageHandler = std::function<void(const dispatch::SendToNode &)>;
+    using OriginRecordHandler = std::function<void(const dispatch::RecordStreamOrigins &)>;
+    using OriginReadHandler = std::function<void()>;
     using CrashHandler = std::function<void(const dispatch::PublishCrash &)>;
     using PartCrashHandler = std::function<void(const dispatch::SharePartCrashes &)>;
     using RequestEndedHandler = std::function<void(const dispatch::RequestEnded &)>;
@@ -49,6 +51,11 @@
     {
         m_nodeMessageHandler = std::move(handler);
     }
+    void setOriginHandlers(OriginRecordHandler record, OriginReadHandler read)
+    {
+        m_originRecordHandler = std::move(record);
+        m_originReadHandler = std::move(read);
+    }
     void setCrashHandler(CrashHandler handler) { m_crashHandler = std::move(handler); }
     void setPartCrashHandler(PartCrashHandler handler) { m_partCrashHandler = std::move(handler); }
     /** Returns the maximum age of this node's copy of the desired state; nothing if unknown. */
@@ -134,6 +141,8 @@
     void run(const dispatch::SendToRateLimiter &effect);
     void run(const dispatch::SendToPlainScheduler &effect);
     void run(const dispatch::SendToNode &effect);
+    void run(const dispatch::RecordStreamOrigins &effect);
+    void run(const dispatch::ReadStoredOrigins &effect);
     void run(const dispatch::PublishCrash &effect);
     void run(const dispatch::SharePartCrashes &effect);
     void run(const dispatch::LogDecision &effect);
@@ -172,6 +181,8 @@
     RateLimitHandler m_rateLimitHandler;
     PlainSchedulerHandler m_plainSchedulerHandler;
     NodeMessageHandler m_nodeMessageHandler;
+    OriginRecordHandler m_originRecordHandler;
+    OriginReadHandler m_originReadHandler;
     CrashHandler m_crashHandler;
     PartCrashHandler m_partCrashHandler;
     RequestEndedHandler m_requestEndedHandler;
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -29,8 +29,9 @@
 
 } // namespace
 
-Mirror::Mirror(std::string prefix, ChangeHandler handler)
+Mirror::Mirror(std::string prefix, ChangeHandler handler, std::string ignoredPrefix)
     : m_prefix(std::move(prefix))
+    , m_ignoredPrefix(std::move(ignoredPrefix))
     , m_handler(std::move(handler))
 { }
 
@@ -64,6 +65,9 @@
     }
     ++m_pagesListed;
     for (const StoredItem &item : page.items) {
+        if (isIgnored(item.key)) {
+            continue;
+        }
         m_listedRevisions[item.key] = item.revision;
         if (put(item)) {
             recordStoreChange({item.key, item.revision, item.value, item.created});
@@ -89,7 +93,9 @@
     completeCall();
     m_storeUpdate.after = m_asOf;
     for (const StoredChange &change : changes.changes) {
-        recordStoreChange(change);
+        if (!isIgnored(change.key)) {
+            recordStoreChange(change);
+        }
     }
     applyChanges(changes);
     m_storeUpdate.asOf = m_asOf;
@@ -98,9 +104,17 @@
     }
 }
 
+bool Mirror::isIgnored(const std::string &key) const
+{
+    return !m_ignoredPrefix.empty() && key.starts_with(m_ignoredPrefix);
+}
+
 void Mirror::applyChanges(const StoredChanges &changes)
 {
     for (const StoredChange &change : changes.changes) {
+        if (isIgnored(change.key)) {
+            continue;
+        }
         if (change.value) {
             put(itemOf(change));
         } else {
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -48,7 +48,8 @@
     using ChangeHandler =
         std::function<void(const std::string &key, const StoredItem *item, std::uint64_t revision)>;
 
-    Mirror(std::string prefix, ChangeHandler handler);
+    /** @param ignoredPrefix Of items that are not copied; empty: all under @p prefix are. */
+    Mirror(std::string prefix, ChangeHandler handler, std::string ignoredPrefix = {});
 
     const std::string &prefix() const { return m_prefix; }
     /** Returns true while a call is in flight or the delay after a call lasts. */
@@ -102,6 +103,7 @@
 
 private:
     void applyChanges(const StoredChanges &changes);
+    bool isIgnored(const std::string &key) const;
     /** Returns false if @p item is not newer than the known one. */
     bool put(const StoredItem &item);
     bool remove(const std::string &key, std::uint64_t revision);
@@ -110,6 +112,7 @@
     void completeCall();
 
     std::string m_prefix;
+    std::string m_ignoredPrefix;
     ChangeHandler m_handler;
     std::map<std::string, StoredItem> m_items;
     std::uint64_t m_asOf = 0;
--- a/tests/dispatch/dispatcherharness.h
+++ b/tests/dispatch/dispatcherharness.h
@@ -193,6 +193,11 @@
                 m_keeperMessages.push_back(asked->message);
             } else if (const auto *told = std::get_if<SendToNode>(&effect)) {
                 m_nodeMessages.push_back(*told);
+            } else if (const auto *stored = std::get_if<RecordStreamOrigins>(&effect)) {
+                m_storeRecords.insert(m_storeRecords.end(), stored->records.begin(),
+                                      stored->records.end());
+            } else if (std::holds_alternative<ReadStoredOrigins>(effect)) {
+                ++m_storeReads;
             } else if (const auto *shared = std::get_if<PublishCrash>(&effect)) {
                 m_crashNotes.push_back(*shared);
             } else if (const auto *parts = std::get_if<SharePartCrashes>(&effect)) {
@@ -213,6 +218,43 @@
                 m_outcomes[broken->request] = "cut";
             }
         }
+        if (m_storeReads > 0 && m_answersStoreReads) {
+            answerStoreRead(milliseconds);
+        }
+    }
+
+    /** Sets what the store knows of origins; nothing: it does not answer. */
+    void setStoredOrigins(std::optional<origins::StoredOrigins> found)
+    {
+        m_storedOrigins = std::move(found);
+    }
+    /** Sets whether reads of the store are answered at once, or by answerStoreRead() only. */
+    void setAnswersStoreReads(bool answers) { m_answersStoreReads = answers; }
+    void answerStoreRead(int milliseconds)
+    {
+        CPPUNIT_ASSERT_MESSAGE("a read of the store was expected", m_storeReads > 0);
+        --m_storeReads;
+        reduce(milliseconds, StoredOriginsRead {m_storedOrigins});
+    }
+    std::uint32_t storeReads() const { return m_storeReads; }
+    std::vector<origins::StreamRecord> takeStoreRecords()
+    {
+        return std::exchange(m_storeRecords, {});
+    }
+    /** Writes the note of a version of the service llm into the store. */
+    void noteVersion(const std::string &version, bool isEnding = false)
+    {
+        const origins::VersionNote note {
+            {ServiceName("llm"), version}, origins::VersionNotes::MinPatience, isEnding};
+        const std::string text = origins::encode(note);
+        m_dispatcher.applyVersionNote(origins::versionNoteKey("versions/", note.origin), &text,
+                                      ++m_noteRevision);
+    }
+    void removeNote(const std::string &version)
+    {
+        m_dispatcher.applyVersionNote(
+            origins::versionNoteKey("versions/", {ServiceName("llm"), version}), nullptr,
+            ++m_noteRevision);
     }
 
     /** Advances the time, with a TimePassed event every 10 ms. */
@@ -376,6 +418,11 @@
     std::vector<quotas::ToKeeper> m_keeperMessages;
     std::vector<slots::ToPlainScheduler> m_slotMessages;
     std::vector<SendToNode> m_nodeMessages;
+    std::vector<origins::StreamRecord> m_storeRecords;
+    std::uint32_t m_storeReads = 0; ///< Not answered yet.
+    bool m_answersStoreReads = true;
+    std::optional<origins::StoredOrigins> m_storedOrigins = origins::StoredOrigins();
+    std::uint64_t m_noteRevision = 0;
     std::map<RequestNumber, std::string> m_outcomes;
     std::map<RequestNumber, int> m_statuses;
     std::map<RequestNumber, Duration> m_retryAfter;
