Complete an answer without length by an orderly end only

Cause: the write took the error of the reset (SO_ERROR is told once), so that the next read looked like the regular end. libevent reports both in one deferred callback, and ServerConnections looked for the end alone. Tunnels did the same.

Change: an error that was seen on the connection, or a rest of the request that was not sent, makes its end no orderly one; the answer counts as lost.

--- a/src/relay/serverconnection.cpp
+++ b/src/relay/serverconnection.cpp
@@ -125,6 +125,11 @@
     hasAnswerBegun = true;
 }
 
+bool ServerConnection::hasUnsentBytes() const
+{
+    return evbuffer_get_length(bufferevent_get_output(bev)) > 0;
+}
+
 void ServerConnection::armIdleTimer()
 {
     silentFor = {};
--- a/src/relay/serverconnection.h
+++ b/src/relay/serverconnection.h
@@ -65,6 +65,8 @@
     void armIdleTimer();
     /** Handles that bytes of an answer have come. */
     void noteAnswerBytes();
+    /** Returns whether a part of the request has not been sent yet. */
+    bool hasUnsentBytes() const;
     /** Arms the timer for the silence limit or the rest of the idle timeout, whichever is first. */
     void armSilenceTimer();
 
@@ -89,6 +91,7 @@
     bool isRelayLeaving = false;          ///< The node that opened it is about to end.
     std::optional<TunnelFrame> serverEnd; ///< How the server has ended it, as the relay says.
     bool isPathTest = false;
+    bool hasFailed = false; ///< An error was seen, which need not show again at its end.
     bool isPaused = false;  ///< Its answer is not read until there is room.
     bool isClosing = false;
     /** The message being read is informational or answers an earlier request; it is discarded. */
--- a/src/relay/serverconnections.cpp
+++ b/src/relay/serverconnections.cpp
@@ -457,6 +457,9 @@
     if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) {
         return;
     }
+    // An error that a write has taken does not show at the next read, which looks like an orderly
+    // end; both may be reported at once.
+    connection.hasFailed = connection.hasFailed || (events & BEV_EVENT_ERROR) != 0;
     if (!connection.isConnected) {
         owner.connectFailed(connection,
                             connection.relay.isEmpty() ? ConnectFailure::Refused
@@ -473,7 +476,8 @@
         return;
     }
     if (connection.relay.isEmpty()) {
-        owner.serverEnded(connection, (events & BEV_EVENT_EOF) != 0);
+        // Without the rest of the request it is not known whether more of the answer was to come.
+        owner.serverEnded(connection, !connection.hasFailed && !connection.hasUnsentBytes());
         return;
     }
     // The kernel of the relay closes the connection of a process that ends, as a server does.
--- a/src/relay/tunnellistener.cpp
+++ b/src/relay/tunnellistener.cpp
@@ -301,7 +301,10 @@
     } else if (tunnel.stage == Tunnel::Stage::CheckingOther) {
         owner.otherChecked(tunnel, false);
     } else if (tunnel.stage == Tunnel::Stage::Open) {
-        owner.serverEnded(tunnel, (events & BEV_EVENT_EOF) != 0);
+        // An error that a write has taken does not show at the next read.
+        const bool hasUnsentBytes =
+            evbuffer_get_length(bufferevent_get_output(tunnel.serverSide)) > 0;
+        owner.serverEnded(tunnel, (events & BEV_EVENT_ERROR) == 0 && !hasUnsentBytes);
     }
 }
 
--- a/tests/relay/illanswerstest.cpp
+++ b/tests/relay/illanswerstest.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(endsAnswersWithoutEnd);
     CPPUNIT_TEST(limitsTheTimeOfAnAnswerForTheNode);
     CPPUNIT_TEST(closesAConnectionWithSurplusBytes);
+    CPPUNIT_TEST(aResetDuringTheUploadEndsAnAnswerWithoutLengthAsLost);
+    CPPUNIT_TEST(anEndDuringTheUploadIsNoOrderlyEnd);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -138,6 +140,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {0}, m_servers->idleConnections());
     }
 
+    // Guards against a part of an answer that passes for the whole: a write takes the error of the
+    // reset, and the next read looks like an orderly end.
+    void aResetDuringTheUploadEndsAnAnswerWithoutLengthAsLost()
+    {
+        for (int i = 0; i < 20; ++i) {
+            begin(uploadOf());
+            m_server->send("HTTP/1.1 200 OK\r\n\r\npart");
+            runUntil([&] { return m_calls->body[Call] == "part"; }, "part");
+            m_server->reset();
+            CPPUNIT_ASSERT(ended("reset") == TransferEnd::ConnectionLost);
+        }
+    }
+
+    void anEndDuringTheUploadIsNoOrderlyEnd()
+    {
+        begin(uploadOf());
+        m_server->send("HTTP/1.1 200 OK\r\n\r\npart");
+        runUntil([&] { return m_calls->body[Call] == "part"; }, "part");
+        m_server->endSending();
+        CPPUNIT_ASSERT(ended("end") == TransferEnd::ConnectionLost);
+    }
+
 private:
     const CallNumber Call {1};
 
@@ -152,6 +176,13 @@
         return request;
     }
 
+    ServerRequest uploadOf() const
+    {
+        ServerRequest request = requestOf();
+        request.body = std::string(std::size_t {16} * 1024 * 1024, 'u');
+        return request;
+    }
+
     void begin() { begin(requestOf()); }
     void begin(const ServerRequest &request)
     {
