Answer what a leaving node has taken, and refuse what may outlive it

Cause: plain requests were taken until a fixed 1.5 s before the node's end, whatever the route's timeout and the caller's time are, and the process ended with requests open.

Change: a request that may not be repeated is taken only if its route's timeout and its caller's time end before the node does; one that may, if twice the longest answer of its route of late fits; a stream if the longest one of late, or 6 s, does. Others get 503, not run, at once. What is open 0.6 s before the end of the grace gets its answer then: 504, or 503 if nothing was sent. Streams go on until 0.25 s before it; the process ends as soon as all is written.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -35,9 +35,20 @@
 constexpr int PatiencePerRetryDelay = 4;
 /** Retry delay for callers of a draining node, who retry at other nodes. */
 constexpr Duration DrainRetryDelay = std::chrono::milliseconds(20);
-/** Longest expected stream; streams that could exceed the shutdown time are rejected. */
-constexpr Duration MaxStreamTime = std::chrono::milliseconds(6000);
-constexpr Duration MaxPlainTime = std::chrono::milliseconds(1500);
+/** Expected time of a stream; streams that could exceed the shutdown time are rejected. */
+constexpr Duration UsualStreamTime = std::chrono::milliseconds(6000);
+/** Answers of late tell little of the next one's time. */
+constexpr int AnswerTimeMargin = 2;
+
+/** Returns the longest time that a request may be open. */
+Duration longestTime(const OpenRequest &request)
+{
+    Duration longest = MaxRequestTime;
+    if (request.route->timeout.count() > 0) {
+        longest = std::min(longest, request.route->timeout);
+    }
+    return std::min(longest, request.arrival.patience.value_or(longest));
+}
 
 } // namespace
 
@@ -150,7 +161,9 @@
 
 std::optional<TimePoint> Dispatcher::nextDeadline() const
 {
-    return earlier(m_timeouts.next(), m_nextTick);
+    const bool needsEnd = m_drainingSince && m_state.requests.size() > 0;
+    const auto next = earlier(m_timeouts.next(), m_nextTick);
+    return needsEnd ? earlier(next, m_endsAt) : next;
 }
 
 void Dispatcher::handle(Step &step, const ArrivedRequest &event)
@@ -164,13 +177,7 @@
     if (!isServed) {
         return; // The request has been answered.
     }
-    request.deadline = step.now + MaxRequestTime;
-    if (request.route->timeout.count() > 0) {
-        request.deadline = std::min(request.deadline, step.now + request.route->timeout);
-    }
-    if (event.patience) {
-        request.deadline = std::min(request.deadline, step.now + *event.patience);
-    }
+    request.deadline = step.now + longestTime(request);
     m_timeouts.set(event.request, request.deadline + TimeoutGrace);
     OpenRequest &added = m_state.requests.add(std::move(request));
     if (!StreamResumption::isResumption(added)) {
@@ -273,7 +280,7 @@
                       CrashesServers + (" content=" + content.text()));
         return false;
     }
-    if (exceedsShutdown(step.now, request.route->isStream)) {
+    if (exceedsShutdown(step.now, request)) {
         rejectArrival(step, request.arrival, ServiceUnavailable, DrainRetryDelay, "leaving");
         return false;
     }
@@ -479,9 +486,12 @@
     }
     for (const RequestNumber number : m_timeouts.takeDue(step.now)) {
         if (OpenRequest *request = m_state.requests.find(number)) {
-            timeOut(step, *request);
+            timeOut(step, *request, "time is up");
         }
     }
+    if (m_drainingSince && step.now >= m_endsAt) {
+        answerBeforeEnd(step);
+    }
     for (const ServerName &name : m_state.servers.purgeWithdrawn(step.now)) {
         forget(name);
         m_versions.serversChanged();
@@ -501,24 +511,47 @@
     m_orderToken.reset();
 }
 
-bool Dispatcher::exceedsShutdown(TimePoint now, bool isStream) const
+bool Dispatcher::exceedsShutdown(TimePoint now, const OpenRequest &request) const
 {
-    if (!m_drainingSince) {
+    const Duration longest = longestTime(request) + TimeoutGrace;
+    if (!m_drainingSince || now + longest <= m_endsAt) {
         return false;
     }
-    return now + (isStream ? MaxStreamTime : MaxPlainTime) > m_endsAt;
+    const Route &route = *request.route;
+    if (!route.isStream && route.repetition == Repetition::AtMostOnce) {
+        return true; // Its caller could not send it again if it were cut.
+    }
+    const auto learnt = m_state.requests.answerTimes().longest(route.name, now);
+    Duration expected = learnt ? std::min(*learnt * AnswerTimeMargin, longest) : longest;
+    if (route.isStream) {
+        expected = std::min(longest, std::max(learnt.value_or(Duration(0)), UsualStreamTime));
+    }
+    return now + expected > m_endsAt;
+}
+
+void Dispatcher::answerBeforeEnd(Step &step)
+{
+    std::vector<RequestNumber> numbers;
+    for (const auto &[number, request] : m_state.requests.all()) {
+        if (!request.isForwarding) {
+            numbers.push_back(number);
+        }
+    }
+    for (const RequestNumber number : numbers) {
+        timeOut(step, *m_state.requests.find(number), "the node ends");
+    }
 }
 
-void Dispatcher::timeOut(Step &step, OpenRequest &request)
+void Dispatcher::timeOut(Step &step, OpenRequest &request, const std::string &reason)
 {
     const bool mayHaveExecuted = request.mayHaveExecuted();
     withdraw(step, request);
     if (request.isForwarding) {
-        m_state.requests.abortStream(step, request, "time is up");
+        m_state.requests.abortStream(step, request, reason);
     } else if (mayHaveExecuted) {
-        m_state.requests.failInDoubt(step, request, GatewayTimeout, "time is up");
+        m_state.requests.failInDoubt(step, request, GatewayTimeout, reason);
     } else {
-        m_state.requests.reject(step, request, step.jitter(RoutingRetryDelay), "time is up");
+        m_state.requests.reject(step, request, step.jitter(RoutingRetryDelay), reason);
     }
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -73,7 +73,10 @@
      * rate limiter; nothing if this node decides locally.
      */
     void setScheduler(std::optional<NodeName> name);
-    /** Starts the drain of this node. Requests that cannot complete by @p endsAt are rejected. */
+    /**
+     * Starts the drain of this node. Requests that cannot complete by @p endsAt are rejected; those
+     * that have no answer by then get one.
+     */
     void startDrain(TimePoint now, TimePoint endsAt);
 
     /**
@@ -121,8 +124,11 @@
     void handle(Step &step, const TimePassed &event);
     void recordCallResult(Step &step, const OpenCall &call, const OpenRequest &request,
                           const CallEnded &event);
-    bool exceedsShutdown(TimePoint now, bool isStream) const;
-    void timeOut(Step &step, OpenRequest &request);
+    /** Returns whether the request may still be open when this node ends. */
+    bool exceedsShutdown(TimePoint now, const OpenRequest &request) const;
+    /** Answers all requests whose answer has not begun, since this node is about to end. */
+    void answerBeforeEnd(Step &step);
+    void timeOut(Step &step, OpenRequest &request, const std::string &reason);
     // Each of these steps returns false if it has answered the request.
     bool findRoute(Step &step, OpenRequest &request);
     bool admitCaller(Step &step, OpenRequest &request);
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -73,6 +73,7 @@
         request.firstAnswerAt = step.now;
     }
     step.add(DeliverAnswer {request.arrival.request, call});
+    m_answerTimes.record(request.route->name, step.now - request.arrived, step.now);
     constexpr int FirstFailure = 500;
     const auto outcome =
         status < FirstFailure ? RequestOutcome::Served : RequestOutcome::ServerFailed;
@@ -83,6 +84,7 @@
 void OpenRequests::endStream(Step &step, OpenRequest &request)
 {
     step.add(EndStream {request.arrival.request});
+    m_answerTimes.record(request.route->name, step.now - request.arrived, step.now);
     logEnd(step, request, RequestOutcome::Served, {});
     erase(step, request, RequestOutcome::Served);
 }
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -2,6 +2,7 @@
 
 #include "core/turnrandom.h"
 #include "crashes/crashingparts.h"
+#include "dispatch/answertimes.h"
 #include "dispatch/dispatcheffects.h"
 #include "dispatch/dispatchevents.h"
 #include "routing/routetable.h"
@@ -187,6 +188,7 @@
     OpenRequest *find(RequestNumber number);
     std::map<RequestNumber, OpenRequest> &all() { return m_requests; }
     std::size_t size() const { return m_requests.size(); }
+    const AnswerTimes &answerTimes() const { return m_answerTimes; }
 
     /** Logs which server of which version has sent the first event of a call for @p request. */
     static void recordFirstEvent(Step &step, const OpenRequest &request);
@@ -230,6 +232,7 @@
     void erase(Step &step, const OpenRequest &request, RequestOutcome outcome);
 
     std::map<RequestNumber, OpenRequest> m_requests;
+    AnswerTimes m_answerTimes;
     std::vector<UnusedQuota> m_unusedQuota;
 };
 
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -20,8 +20,10 @@
 constexpr Duration MaxTickDelay = std::chrono::milliseconds(600);
 /** Longer than the error from reading the two clocks one after the other. */
 constexpr Duration MinReportedSuspension = std::chrono::milliseconds(300);
-/** Part of the shutdown timeout that is reserved for the last bytes and the process's exit. */
+/** Part of the shutdown timeout that is reserved for the answers to requests that are open then. */
 constexpr Duration ShutdownMargin = std::chrono::milliseconds(600);
+/** Part of it that is reserved for the process's exit. */
+constexpr Duration ExitMargin = std::chrono::milliseconds(250);
 /** Serves callers who resolved this node's address just before it left. */
 constexpr Duration MinLeaveTime = std::chrono::milliseconds(1500);
 /** Part of the age limit of the copy beyond which the store is taken for unreachable. */
@@ -690,7 +692,7 @@
     const std::size_t busyTunnels = m_relay.tunnels().busyTunnels(now);
     const std::size_t unwritten = m_relay.callers().unwrittenAnswers();
     const bool isDone = m_relay.callers().openRequests() == 0 && unwritten == 0 && busyTunnels == 0;
-    const bool isTimeUp = now > *m_leavingSince + m_settings.shutdownTimeout - ShutdownMargin;
+    const bool isTimeUp = now > *m_leavingSince + m_settings.shutdownTimeout - ExitMargin;
     if ((isDone && now > *m_leavingSince + MinLeaveTime) || isTimeUp) {
         record("stop",
                {{"open_requests", std::to_string(m_dispatcher.open())},
