Bind a stream to the life of the server that sends it

Cause: the version was the one of the entry that the node had when it sent the request, which is as old as the store and the node are slow.

Change: when a newer life of a server is announced with another version, streams that are open there are marked. A connection does not outlive its server's life: one that still brings events 0.3 s after the news is the newer life's. It is bound to that version, and the holders of its origin get a correction. One that brings none goes on nowhere. A newer life does not continue a stream of the older version. A node that stood still reads the news before the old life's last bytes; that is what the time is for. No call is made for any of this.

--- a/src/dispatch/dispatcheffects.h
+++ b/src/dispatch/dispatcheffects.h
@@ -78,6 +78,12 @@
     CallNumber call;
 };
 
+/** Asks for a StreamProgress at the next event that a forwarded stream brings. */
+struct ReportNextEvent
+{
+    CallNumber call;
+};
+
 /** Sends the complete answer of a call to the caller. */
 struct DeliverAnswer
 {
@@ -200,7 +206,7 @@
 };
 
 using DispatchEffect =
-    std::variant<StartCall, AbandonCall, DeliverAnswer, ForwardStream, EndStream, BreakStream,
+    std::variant<StartCall, AbandonCall, ReportNextEvent, DeliverAnswer, ForwardStream, EndStream, BreakStream,
                  RejectRequest, SendToScheduler, SendToQuotaKeeper, SendToRateLimiter,
                  SendToPlainScheduler, SendToNode, RecordStreamOrigins, ReadStoredOrigins,
                  PublishCrash, SharePartCrashes, LogDecision, RequestEnded>;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -61,6 +61,7 @@
     , m_resumption(m_state)
     , m_versions(m_state)
     , m_quotas(m_state, startedAt)
+    , m_lives(m_state)
 { }
 
 void Dispatcher::setRoutes(std::shared_ptr<const RouteTable> table)
@@ -96,6 +97,7 @@
 void Dispatcher::announce(AnnouncedServer server)
 {
     m_versions.serverAnnounced(server);
+    m_lives.serverAnnounced(server);
     if (const auto earlier = m_state.servers.announce(std::move(server))) {
         forget(*earlier);
         m_state.permits.forget(*earlier);
@@ -144,6 +146,7 @@
     DispatchEffects effects;
     Step step(now, entropy, effects);
     m_versions.review(now);
+    m_lives.tick(step);
     std::visit([&](const auto &alternative) { handle(step, alternative); }, event);
     m_partCrashes.tick(step);
     rejectCrashing(step);
@@ -386,6 +389,10 @@
         step.add(AbandonCall {event.call});
         return;
     }
+    if (!m_lives.streamStarted(step, *request)) {
+        rejectAnswer(step, event.call);
+        return;
+    }
     m_partCrashes.writingBegan(step, *request);
     flowOf(*request).streamStarted(step, *request, event);
 }
@@ -406,6 +413,7 @@
     if (request && request->call == event.call) {
         request->forwardedEvents = std::max(request->forwardedEvents, event.events);
         request->run.progressAt = step.now;
+        m_lives.eventCame(step, *request);
     }
 }
 
@@ -448,9 +456,20 @@
         flow.orphanedCallEnded(step, *call, event);
         return;
     }
+    m_lives.callEnded(step, *request, event);
     flowOf(*request).callEnded(step, *request, *call, event);
 }
 
+void Dispatcher::rejectAnswer(Step &step, CallNumber call)
+{
+    step.add(AbandonCall {call});
+    CallEnded ended;
+    ended.call = call;
+    ended.end = CallEnd::Broken;
+    ended.reason = "the server has started again with another version";
+    handle(step, ended);
+}
+
 void Dispatcher::recordCallResult(Step &step, const OpenCall &call, const OpenRequest &request,
                                   const CallEnded &event)
 {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include "dispatch/partcrashexchange.h"
 #include "dispatch/plainflow.h"
 #include "dispatch/quotaadmission.h"
+#include "dispatch/serverlives.h"
 #include "dispatch/streamresumption.h"
 #include "dispatch/streamversions.h"
 
@@ -122,6 +123,8 @@
     void handle(Step &step, const StoredOriginsRead &event);
     void handle(Step &step, const PartCrashesArrived &event);
     void handle(Step &step, const TimePassed &event);
+    /** Ends a call whose answer must not be forwarded. */
+    void rejectAnswer(Step &step, CallNumber call);
     void recordCallResult(Step &step, const OpenCall &call, const OpenRequest &request,
                           const CallEnded &event);
     /** Returns whether the request may still be open when this node ends. */
@@ -166,6 +169,7 @@
     StreamVersions m_versions;
     std::shared_ptr<const RouteTable> m_table;
     QuotaAdmission m_quotas;
+    ServerLives m_lives;
     bool m_hasNewRoutes = false; ///< Since the last TimePassed event.
     Deadlines<RequestNumber> m_timeouts;
     std::optional<TimePoint> m_nextTick;
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -92,6 +92,13 @@
     AnnouncedServer handleSource; ///< Engine that executed the stopped run.
 };
 
+/** A life of a server of which the node has learned since a call to the server began. */
+struct NewerLife
+{
+    std::string version; ///< Of its software.
+    TimePoint knownSince {};
+};
+
 /** A caller's request from arrival to completion. */
 struct OpenRequest
 {
@@ -130,6 +137,8 @@
      * of that version may continue it.
      */
     std::optional<std::string> boundVersion;
+    /** Set while a newer life may answer the current call; nothing continues the stream then. */
+    std::optional<NewerLife> newerLife;
     /** Server whose life was checked before it continues the stream; see needsLifeCheck(). */
     ServerName checkedServer;
 
@@ -173,7 +182,7 @@
     /** Returns whether the software version of @p candidate allows it to serve the request. */
     bool accepts(const AnnouncedServer &candidate) const
     {
-        return !boundVersion || *boundVersion == candidate.version;
+        return !newerLife && (!boundVersion || *boundVersion == candidate.version);
     }
     bool isGeneration() const { return route->isStream && service && service->engine; }
     bool mayHaveExecuted() const { return executions > 0; }
--- a/src/dispatch/streamresumption.cpp
+++ b/src/dispatch/streamresumption.cpp
@@ -192,7 +192,7 @@
     return earlier(m_state.origins.nextTick(), m_state.storeLookups.nextTick());
 }
 
-void recordStreamOrigin(Step &step, DispatchState &state, OpenRequest &request)
+void recordStreamOrigin(Step &step, DispatchState &state, OpenRequest &request, bool isCorrection)
 {
     request.boundVersion = request.serverVersion;
     const StreamId stream = streamIdOf(request);
@@ -207,7 +207,9 @@
                         {stream,
                          {request.service->name, request.serverVersion},
                          std::min(longest, MaxStreamTime) + KeepMargin,
-                         request.arrival.content},
+                         request.arrival.content,
+                         false,
+                         isCorrection},
                         messages);
     sendToNodes(step, std::move(messages));
 }
@@ -245,6 +247,9 @@
 
 bool isServable(const DispatchState &state, const OpenRequest &request, TimePoint now)
 {
+    if (request.newerLife) {
+        return false; // The version that began its stream is not known.
+    }
     if (!request.boundVersion) {
         return true;
     }
--- a/src/dispatch/streamresumption.h
+++ b/src/dispatch/streamresumption.h
@@ -47,8 +47,10 @@
 /**
  * Binds @p request to the software version of the server whose first event is about to be
  * forwarded, and tells other nodes if the stream can be resumed.
+ * @param isCorrection Whether this replaces what was told before.
  */
-void recordStreamOrigin(Step &step, DispatchState &state, OpenRequest &request);
+void recordStreamOrigin(Step &step, DispatchState &state, OpenRequest &request,
+                        bool isCorrection = false);
 /** Ends the messages about the origin of a stream that its caller has completely. */
 void forgetStreamOrigin(DispatchState &state, const OpenRequest &request);
 /**
--- a/src/origins/origincodec.cpp
+++ b/src/origins/origincodec.cpp
@@ -26,7 +26,8 @@
     Time,
     Content,               ///< Of a notice.
     IsAmbiguous = Content, ///< Of an answer.
-    IsForStore,            ///< Of a notice; left out if it is false.
+    IsForStore,            ///< Of a notice; this and the next are left out if both are false.
+    IsCorrection,
 };
 
 Json::Value start(const char *kind, const NodeName &from, const StreamId &stream)
@@ -50,8 +51,9 @@
     Json::Value value = start(Notice, from, notice.stream);
     append(value, notice.origin, notice.keepFor);
     value.append(notice.content.text());
-    if (notice.isForStore) {
-        value.append(true);
+    if (notice.isForStore || notice.isCorrection) {
+        value.append(notice.isForStore);
+        value.append(notice.isCorrection);
     }
     return value;
 }
@@ -76,6 +78,12 @@
     return value;
 }
 
+/** Returns false if there is no such element; nodes of earlier releases send fewer. */
+bool isTrue(const Json::Value &value, Position position)
+{
+    return value.size() > position && value[position].isBool() && value[position].asBool();
+}
+
 bool isName(const Json::Value &value)
 {
     return value.isString() && value.asString().size() <= MaxNameBytes;
@@ -116,10 +124,11 @@
     const std::string kind = value[Kind].asString();
     const StreamId stream(value[Stream].asString());
     if (kind == Notice && hasOrigin(value) && value.size() > Content && isName(value[Content])) {
-        const bool isForStore =
-            value.size() > IsForStore && value[IsForStore].isBool() && value[IsForStore].asBool();
-        return OriginNotice {stream, originOf(value), timeOf(value),
-                             ContentId(value[Content].asString()), isForStore};
+        OriginNotice notice {stream, originOf(value), timeOf(value),
+                             ContentId(value[Content].asString())};
+        notice.isForStore = isTrue(value, IsForStore);
+        notice.isCorrection = isTrue(value, IsCorrection);
+        return notice;
     }
     if (kind == Kept) {
         return OriginKept {stream};
--- a/src/origins/originmessages.h
+++ b/src/origins/originmessages.h
@@ -42,6 +42,8 @@
     Duration keepFor {};     ///< Time after which no caller can resume the stream.
     ContentId content = {};  ///< For callers that resume the stream without naming it.
     bool isForStore = false; ///< The receiver also records the origin in the store.
+    /** Replaces what an earlier notice said, since the server turned out to be another one. */
+    bool isCorrection = false;
     bool operator==(const OriginNotice &) const = default;
 };
 
--- a/src/origins/originrecords.cpp
+++ b/src/origins/originrecords.cpp
@@ -20,6 +20,15 @@
     }
 }
 
+void OriginRecords::correct(const StreamId &stream, const StreamOrigin &origin)
+{
+    const auto it = m_records.find(stream);
+    if (it != m_records.end()) {
+        it->second.origin = origin;
+        it->second.isAmbiguous = false;
+    }
+}
+
 std::optional<OriginRecord> OriginRecords::find(const StreamId &stream, TimePoint now) const
 {
     const auto it = m_records.find(stream);
--- a/src/origins/originrecords.h
+++ b/src/origins/originrecords.h
@@ -19,6 +19,8 @@
 
     /** Adds a record, or keeps the existing one for at least @p keepFor. */
     void add(const StreamId &stream, const StreamOrigin &origin, Duration keepFor, TimePoint now);
+    /** Replaces the origin of a record by @p origin, if there is one. */
+    void correct(const StreamId &stream, const StreamOrigin &origin);
     std::optional<OriginRecord> find(const StreamId &stream, TimePoint now) const;
     void removeExpired(TimePoint now);
     std::size_t size() const { return m_records.size(); }
--- a/src/origins/streamorigins.cpp
+++ b/src/origins/streamorigins.cpp
@@ -109,6 +109,7 @@
     Notice notice;
     notice.origin = stream.origin;
     notice.content = stream.content;
+    notice.isCorrection = stream.isCorrection;
     notice.until = now + stream.keepFor;
     notice.copies = copiesFor(now);
     notice.unconfirmed = m_holders.holdersOf(stream.stream, notice.copies);
@@ -123,6 +124,9 @@
 
 void StreamOrigins::keep(TimePoint now, const OriginNotice &notice)
 {
+    if (notice.isCorrection) {
+        m_records.correct(notice.stream, notice.origin);
+    }
     m_records.add(notice.stream, notice.origin, notice.keepFor, now);
     if (!notice.content.isEmpty()) {
         m_records.add(streamIdOf(notice.content), notice.origin, notice.keepFor, now);
@@ -151,9 +155,9 @@
 {
     ++m_noticesSent;
     const bool isForStore = notice.recorder == holder;
-    messages.push_back(
-        {holder.node,
-         OriginNotice {stream, notice.origin, notice.until - now, notice.content, isForStore}});
+    messages.push_back({holder.node,
+                        OriginNotice {stream, notice.origin, notice.until - now, notice.content,
+                                      isForStore, notice.isCorrection}});
 }
 
 std::optional<OriginResult> StreamOrigins::lookUp(TimePoint now, RequestNumber request,
--- a/src/origins/streamorigins.h
+++ b/src/origins/streamorigins.h
@@ -114,6 +114,7 @@
     {
         StreamOrigin origin;
         ContentId content;
+        bool isCorrection = false;
         TimePoint until {};
         std::size_t copies = 0;
         std::vector<Holder> unconfirmed;
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -417,6 +417,15 @@
     m_servers.abandon(effect.call);
 }
 
+void RequestRelay::run(const ReportNextEvent &effect)
+{
+    const auto it = m_calls.find(effect.call);
+    if (it != m_calls.end()) {
+        it->second.reportedEvents = forwardedEvents(it->second.call.request);
+        it->second.call.progressEvents = 1;
+    }
+}
+
 void RequestRelay::run(const DeliverAnswer &effect)
 {
     const auto answer = m_endedCalls.find(effect.call);
--- a/src/relay/requestrelay.h
+++ b/src/relay/requestrelay.h
@@ -131,6 +131,7 @@
     void callerGone(RequestNumber number);
     void run(const dispatch::StartCall &effect);
     void run(const dispatch::AbandonCall &effect);
+    void run(const dispatch::ReportNextEvent &effect);
     void run(const dispatch::DeliverAnswer &effect);
     void run(const dispatch::ForwardStream &effect);
     void run(const dispatch::EndStream &effect);
