--- a/standins/sharedplatform.cpp
+++ b/standins/sharedplatform.cpp
@@ -31,10 +31,12 @@
 } // namespace
 
 SharedPlatform::SharedPlatform(EventLoop &loop, Addresses announced,
-                               const std::vector<Addresses> &views, int decodeEngines)
+                               const std::vector<Addresses> &views, int decodeEngines,
+                               int prefillEngines)
     : m_loop(loop)
     , m_engineRuns(HandleKept)
     , m_decodeEngines(decodeEngines)
+    , m_prefillEngines(prefillEngines)
     , m_resumableEvents(StreamEvents)
     , m_streamEvents(StreamEvents)
     , m_announced(std::move(announced))
@@ -65,7 +67,9 @@
 {
     addWorker("w-1", "");
     addWorker("w-2", "");
-    addWorker("p-1", "prefill");
+    for (int i = 1; i <= m_prefillEngines; ++i) {
+        addWorker("p-" + std::to_string(i), "prefill");
+    }
     for (int i = 1; i <= m_decodeEngines; ++i) {
         addWorker("d-" + std::to_string(i), "decode");
     }
--- a/standins/sharedplatform.h
+++ b/standins/sharedplatform.h
@@ -37,9 +37,10 @@
      * @param views The servers' addresses as seen by the users of each further address of the
      * service, so that single nodes can be cut off from the servers.
      * @param decodeEngines How many engines generate tokens.
+     * @param prefillEngines How many engines process prompts.
      */
     SharedPlatform(EventLoop &loop, Addresses announced, const std::vector<Addresses> &views = {},
-                   int decodeEngines = 2);
+                   int decodeEngines = 2, int prefillEngines = 1);
 
     /** The service's address; nothing if it cannot be listened on. */
     std::optional<std::string> listenOn(const std::string &address);
@@ -170,6 +171,7 @@
     bool m_keepsBackups = false;
     bool m_movesRuns = false;
     int m_decodeEngines;
+    int m_prefillEngines;
     std::size_t m_plainPadding = 0; ///< Bytes added to each plain answer, but to GET requests.
     std::size_t m_getPadding = 0;   ///< Bytes added to each plain answer to a GET request.
     int m_resumableEvents; ///< Events of a stream on the route whose streams may be resumed.
--- a/standins/sharedplatform_main.cpp
+++ b/standins/sharedplatform_main.cpp
@@ -14,13 +14,14 @@
           "lists as for --announce, separated by semicolons.");
 
 ABSL_FLAG(int, decode_engines, 2, "Engines that generate tokens.");
+ABSL_FLAG(int, prefill_engines, 1, "Engines that process prompts.");
 
 int main(int argc, char **argv)
 {
     using namespace indigoway;
     parseOrExit({"indigoway-sharedplatform: stand-in of the users' platform, with its store and\n"
-                 "backend servers: two plain ones, a prefill engine and decode engines.",
-                 {"listen", "announce", "views", "decode_engines"}},
+                 "backend servers: two plain ones, prefill engines and decode engines.",
+                 {"listen", "announce", "views", "decode_engines", "prefill_engines"}},
                 argc, argv);
     standins::EventLoop loop;
     std::vector<standins::SharedPlatform::Addresses> views;
@@ -30,6 +31,6 @@
     }
     standins::SharedPlatform platform(
         loop, absl::StrSplit(absl::GetFlag(FLAGS_announce), ',', absl::SkipEmpty()), views,
-        absl::GetFlag(FLAGS_decode_engines));
+        absl::GetFlag(FLAGS_decode_engines), absl::GetFlag(FLAGS_prefill_engines));
     return standins::announceAndRun(loop, platform.listenOn(absl::GetFlag(FLAGS_listen)));
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -146,12 +146,13 @@
 class Platform(Process):
     """The stand-in of the platform's store and backend servers, each behind a proxy."""
 
-    def __init__(self, build, log, decode_engines=2, make_proxy=FaultProxy):
+    def __init__(self, build, log, decode_engines=2, make_proxy=FaultProxy, prefill_engines=1):
         """@p make_proxy: makes the proxies on the nodes' own ways to the servers."""
         super().__init__("platform", [], log)
         self.build = build
         self.decode_engines = decode_engines
         self.make_proxy = make_proxy
+        self.prefill_engines = prefill_engines
         self.workers = [FaultProxy() for _ in range(WORKERS)]
         self.address = None
         self.version = 1
@@ -165,6 +166,7 @@
             f"--announce={','.join(announced)}",
             f"--views={';'.join(views)}",
             f"--decode_engines={self.decode_engines}",
+            f"--prefill_engines={self.prefill_engines}",
         ]
         await super().start()
         while len(self.lines) < 1 + WORKERS + len(nodes):
