Test what the proof of a version rests on, and say what it costs

Tests: a removal that names no version, a note that ended while the history was gone, batches that nodes do not copy, one recorder for each 128 nodes, open streams recorded by the next one.

--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -102,20 +102,20 @@
 
 HttpCallNumber HttpClient::start(HttpCall wanted, DoneHandler done, ChunkHandler chunk)
 {
+    const std::string text = requestText(wanted);
     auto call = std::make_unique<Call>();
     call->client = this;
     call->number = HttpCallNumber(++m_lastCall);
-    call->address = wanted.address;
+    call->address = std::move(wanted.address);
     call->isFresh = wanted.isFreshConnection;
     call->done = std::move(done);
     call->chunk = std::move(chunk);
     call->traffic = wanted.traffic;
     call->timer = event_new(m_base, -1, 0, &HttpClient::handleTimeout, call.get());
-    call->connection = connectionTo(wanted.address, wanted.isFreshConnection);
+    call->connection = connectionTo(call->address, wanted.isFreshConnection);
     const HttpCallNumber number = call->number;
     Call &started = *call;
     m_calls.emplace(number, std::move(call));
-    const std::string text = requestText(wanted);
     TrafficCount &count = m_traffic[static_cast<std::size_t>(wanted.traffic)];
     ++count.calls;
     count.bytesSent += text.size();
--- a/tests/dispatch/storedorigintest.cpp
+++ b/tests/dispatch/storedorigintest.cpp
@@ -101,6 +101,7 @@
     CPPUNIT_TEST(newVersionBeginsNoStreamBeforeItsNote);
     CPPUNIT_TEST(newVersionServesWithoutANoteIfNoOtherCan);
     CPPUNIT_TEST(idThatReturnsWithANewVersionWaitsForItsNote);
+    CPPUNIT_TEST(removalThatNamesNoVersionEndsItsNote);
     CPPUNIT_TEST(versionsWithoutAnyNoteServe);
     CPPUNIT_TEST(plainServicesNeedNoNote);
     CPPUNIT_TEST(streamsOfOneVersionAreNotRecorded);
@@ -313,6 +314,25 @@
                        == ServerAvailability::Usable);
     }
 
+    // Guards against a note that never ends: the removal of an entry has its key only.
+    void removalThatNamesNoVersionEndsItsNote()
+    {
+        DispatcherHarness harness;
+        startNode(harness, {"v1", "v2"});
+        Dispatcher &dispatcher = harness.dispatcher();
+        CPPUNIT_ASSERT(dispatcher.dueVersionNotes(DispatcherHarness::at(0), {}).empty());
+        for (const char *name : {"p-v1", "d1-v1", "d2-v1"}) {
+            dispatcher.withdraw(ServerName(name), DispatcherHarness::at(0));
+        }
+        harness.reduce(2'000, TimePassed {});
+        CPPUNIT_ASSERT(dispatcher.dueVersionNotes(DispatcherHarness::at(2'000), {}).empty());
+        const auto due =
+            dispatcher.dueVersionNotes(DispatcherHarness::at(2'000) + VersionNotes::EndDelay, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, due.size());
+        CPPUNIT_ASSERT(due.front().note.isEnding);
+        CPPUNIT_ASSERT_EQUAL(std::string("v1"), due.front().note.origin.version);
+    }
+
     void versionsWithoutAnyNoteServe()
     {
         DispatcherHarness harness;
--- a/tests/origins/originfleet.h
+++ b/tests/origins/originfleet.h
@@ -65,6 +65,37 @@
             m_cut.erase(nameOf(number));
         }
     }
+    /** From now on streams of all nodes are recorded in the store, or no longer. */
+    void storeStreams(bool isStored)
+    {
+        for (auto &[name, origins] : m_nodes) {
+            origins.setStoredServices(
+                m_now, isStored ? std::set {ServiceName("llm")} : std::set<ServiceName> {});
+        }
+    }
+    /** Returns the records that nodes alive have made since the last call, with their makers. */
+    std::multimap<StreamId, NodeName> takeStoreRecords()
+    {
+        std::multimap<StreamId, NodeName> makers;
+        for (auto &[name, origins] : m_nodes) {
+            for (const StreamRecord &record : origins.takeStoreRecords()) {
+                if (!m_dead.contains(name)) {
+                    makers.emplace(record.stream, name);
+                }
+            }
+        }
+        return makers;
+    }
+    /** Removes a node that was killed from what the others know. */
+    void forget(int number)
+    {
+        m_members.erase(nameOf(number));
+        for (auto &[name, origins] : m_nodes) {
+            if (name != nameOf(number)) {
+                tellMembers(name);
+            }
+        }
+    }
     bool isInDomain(int number, int domain) const { return number % m_domains == domain; }
 
     void begin(int number, const std::string &stream, const std::string &version)
@@ -136,7 +167,7 @@
                 others.push_back(member);
             }
         }
-        m_nodes[name].setNodes(m_now, others);
+        m_nodes[name].setNodes(m_now, others, m_members.at(name));
     }
     void send(const NodeName &from, const StreamOrigins::Messages &messages)
     {
--- a/tests/origins/streamoriginstest.cpp
+++ b/tests/origins/streamoriginstest.cpp
@@ -59,6 +59,9 @@
     CPPUNIT_TEST(resumedStreamIsKeptForLonger);
     CPPUNIT_TEST(keepsABoundedNumberOfRecords);
     CPPUNIT_TEST(copiesAreBoundedUnderLoad);
+    CPPUNIT_TEST(fewNodesRecordTheStreamsOfAll);
+    CPPUNIT_TEST(openStreamsAreRecordedByTheNextNode);
+    CPPUNIT_TEST(nothingIsRecordedWhileOneVersionServes);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -264,6 +267,71 @@
         // Three copies of each, beyond those that may be sent at once at the start.
         CPPUNIT_ASSERT(fleet.node(0).noticesSent() <= Streams * 3 + 18);
     }
+
+    // Guards against a write to the store by each of hundreds of nodes.
+    void fewNodesRecordTheStreamsOfAll()
+    {
+        constexpr int Nodes = 985;
+        constexpr int Streams = 300;
+        OriginFleet fleet(Nodes, 5);
+        fleet.begin(0, "warm-up", "v1");
+        fleet.advance(10ms);
+        const auto bytesOf = [&fleet](const std::string &prefix) {
+            const std::uint64_t bytes = fleet.bytes();
+            for (int i = 0; i < Streams; ++i) {
+                fleet.begin((i * 7) % Nodes, prefix + std::to_string(i), "v1");
+            }
+            fleet.advance(20ms);
+            return (fleet.bytes() - bytes) / Streams;
+        };
+        const std::uint64_t before = bytesOf("one-");
+        fleet.storeStreams(true);
+        fleet.advance(20ms);
+        fleet.takeStoreRecords();
+        const std::uint64_t after = bytesOf("several-");
+        std::printf("bytes a stream: %llu, with a record in the store %llu\n",
+                    static_cast<unsigned long long>(before),
+                    static_cast<unsigned long long>(after));
+        const auto makers = fleet.takeStoreRecords();
+        CPPUNIT_ASSERT_EQUAL(std::size_t {Streams}, makers.size());
+        std::set<NodeName> recorders;
+        for (const auto &[stream, maker] : makers) {
+            recorders.insert(maker);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t {8}, recorders.size());
+    }
+
+    // Guards against streams whose record dies with the node that was about to write it.
+    void openStreamsAreRecordedByTheNextNode()
+    {
+        OriginFleet fleet(7, 3);
+        fleet.storeStreams(true);
+        fleet.begin(0, "a", "v1");
+        fleet.begin(1, "b", "v1");
+        fleet.advance(20ms);
+        const auto first = fleet.takeStoreRecords();
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, first.size());
+        for (int node = 2; node < 7; ++node) {
+            if (OriginFleet::nameOf(node) == first.begin()->second) {
+                fleet.kill(node);
+                fleet.forget(node);
+                fleet.advance(100ms);
+                CPPUNIT_ASSERT_EQUAL(std::size_t {2}, fleet.takeStoreRecords().size());
+            }
+        }
+    }
+
+    void nothingIsRecordedWhileOneVersionServes()
+    {
+        OriginFleet fleet(7, 3);
+        fleet.begin(0, "a", "v1");
+        fleet.advance(100ms);
+        CPPUNIT_ASSERT(fleet.takeStoreRecords().empty());
+        // When a second version is noted, the streams that are open are recorded.
+        fleet.storeStreams(true);
+        fleet.advance(100ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, fleet.takeStoreRecords().size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StreamOriginsTest);
--- a/tests/origins/versionnotestest.cpp
+++ b/tests/origins/versionnotestest.cpp
@@ -1,5 +1,7 @@
 #include "origins/versionnotes.h"
 
+#include "store/mirror.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace indigoway;
@@ -58,6 +60,7 @@
     CPPUNIT_TEST(othersWriteWhatTheFirstWriterDoesNot);
     CPPUNIT_TEST(writesAgainWhatWasNotWritten);
     CPPUNIT_TEST(writesUnderTheConditionOfTheKnownRevision);
+    CPPUNIT_TEST(noteThatEndedWhileTheHistoryWasGoneIsForgotten);
     CPPUNIT_TEST(longerPatienceIsNotedInFewSteps);
     CPPUNIT_TEST(unreadableItemIsNoNote);
     CPPUNIT_TEST(readsWhatItEncodes);
@@ -152,6 +155,28 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t {7}, ending.front().revision);
     }
 
+    // Guards against a version that counts as possible for ever since nobody saw its note end.
+    void noteThatEndedWhileTheHistoryWasGoneIsForgotten()
+    {
+        VersionNotes notes;
+        Mirror mirror(
+            {}, [&notes](const std::string &key, const StoredItem *item, std::uint64_t revision) {
+                notes.apply(key, item ? &item->value : nullptr, revision);
+            });
+        const auto itemOf = [](const std::string &version, std::uint64_t revision) {
+            const VersionNote note {{Llm, version}, 16s, false};
+            return StoredItem {versionNoteKey(Prefix, note.origin), encode(note), revision, 1};
+        };
+        mirror.beginStoreCall();
+        mirror.applyPage({{itemOf("v1", 3), itemOf("v2", 4)}, false, 10});
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, notes.versionsOf(Llm).size());
+        mirror.beginStoreCall();
+        mirror.callFailed(at(0ms), StoreError::HistoryGone);
+        mirror.beginStoreCall();
+        mirror.applyPage({{itemOf("v2", 4)}, false, 90});
+        CPPUNIT_ASSERT(notes.versionsOf(Llm) == std::set<std::string> {"v2"});
+    }
+
     // Guards against a note that expires before patient callers resume their streams.
     void longerPatienceIsNotedInFewSteps()
     {
--- a/tests/store/mirrortest.cpp
+++ b/tests/store/mirrortest.cpp
@@ -80,9 +80,33 @@
     CPPUNIT_TEST(rejectsUpdateAfterGap);
     CPPUNIT_TEST(overlappingUpdateIsIdempotent);
     CPPUNIT_TEST(anyOrderEndsAtNewestRevision);
+    CPPUNIT_TEST(copiesNoIgnoredItems);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against thousands of short-lived items at each node.
+    void copiesNoIgnoredItems()
+    {
+        std::size_t changes = 0;
+        Mirror mirror(
+            "p/", [&changes](const std::string &, const StoredItem *, std::uint64_t) { ++changes; },
+            "p/ignored/");
+        mirror.beginStoreCall();
+        mirror.applyPage({{item("p/a", 3), item("p/ignored/b", 4)}, true, 10});
+        // The next page begins after the last item, ignored or not.
+        CPPUNIT_ASSERT_EQUAL(std::string("p/ignored/b"),
+                             std::get<ListCall>(mirror.beginStoreCall()).after);
+        mirror.applyPage({{item("p/z", 5)}, false, 10});
+        mirror.beginStoreCall();
+        mirror.applyWatch(at(0),
+                          {{{"p/ignored/c", 11, "v"}, {"p/ignored/b", 12, std::nullopt}}, 12});
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, changes);
+        const auto update = mirror.takeStoreUpdate();
+        CPPUNIT_ASSERT(update.has_value() && update->changes.empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {12}, update->asOf);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, mirror.snapshot().changes.size());
+    }
+
     void listsAllPagesThenWatches()
     {
         CollectingMirror one;
