--- a/src/dispatch/dispatcheffects.h
+++ b/src/dispatch/dispatcheffects.h
@@ -206,8 +206,8 @@
 };
 
 using DispatchEffect =
-    std::variant<StartCall, AbandonCall, ReportNextEvent, DeliverAnswer, ForwardStream, EndStream, BreakStream,
-                 RejectRequest, SendToScheduler, SendToQuotaKeeper, SendToRateLimiter,
+    std::variant<StartCall, AbandonCall, ReportNextEvent, DeliverAnswer, ForwardStream, EndStream,
+                 BreakStream, RejectRequest, SendToScheduler, SendToQuotaKeeper, SendToRateLimiter,
                  SendToPlainScheduler, SendToNode, RecordStreamOrigins, ReadStoredOrigins,
                  PublishCrash, SharePartCrashes, LogDecision, RequestEnded>;
 using DispatchEffects = std::vector<DispatchEffect>;
--- a/src/dispatch/streamresumption.cpp
+++ b/src/dispatch/streamresumption.cpp
@@ -93,9 +93,9 @@
 AdmissionStep StreamResumption::decide(Step &step, const OriginResult &result)
 {
     OpenRequest &request = *m_state.requests.find(result.request);
-    const bool isForStore = !result.record && result.source == origins::OriginSource::Nodes
+    const bool needsStore = !result.record && result.source == origins::OriginSource::Nodes
         && result.fault != OriginFault::Ambiguous;
-    if (isForStore) {
+    if (needsStore) {
         lookUpInStore(step, request, result);
         return AdmissionStep::Pending;
     }
--- a/tests/http/httpclienttest.cpp
+++ b/tests/http/httpclienttest.cpp
@@ -3,8 +3,6 @@
 #include "http/illanswers.h"
 #include "relay/rawsockets.h"
 
-#include <event2/event.h>
-
 #include <chrono>
 #include <functional>
 #include <optional>
@@ -42,13 +40,13 @@
     void setUp() override
     {
         m_reusesConnections = false;
-        m_base.reset(event_base_new());
-        m_client.emplace(m_base.get());
+        m_loop.emplace();
+        m_client.emplace(m_loop->base());
     }
     void tearDown() override
     {
         m_client.reset();
-        m_base.reset();
+        m_loop.reset();
     }
 
     void takesWhatAllReadersTakeAlike()
@@ -230,18 +228,10 @@
         begin(call, [this](int /*status*/, const std::string &data) { m_chunks += data; });
     }
 
-    void run() { event_base_loop(m_base.get(), EVLOOP_NONBLOCK); }
+    void run() { m_loop->run(); }
     void runUntil(const std::function<bool()> &isDone, const char *name)
     {
-        const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
-        while (std::chrono::steady_clock::now() < limit) {
-            run();
-            if (isDone()) {
-                return;
-            }
-            usleep(100);
-        }
-        CPPUNIT_FAIL(std::string("condition not met in time: ") + name);
+        m_loop->runUntil(isDone, name);
     }
     HttpAnswer ended(const char *name)
     {
@@ -249,11 +239,7 @@
         return *m_answer;
     }
 
-    struct FreeBase
-    {
-        void operator()(event_base *base) const { event_base_free(base); }
-    };
-    std::unique_ptr<event_base, FreeBase> m_base;
+    std::optional<TestLoop> m_loop;
     RawServer m_listener;
     std::optional<HttpClient> m_client;
     bool m_reusesConnections = false;
--- a/tests/relay/illanswerstest.cpp
+++ b/tests/relay/illanswerstest.cpp
@@ -1,8 +1,6 @@
 #include "http/illanswers.h"
 #include "relay/rawsockets.h"
 
-#include <event2/event.h>
-
 #include <chrono>
 #include <functional>
 #include <optional>
@@ -32,11 +30,11 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void setUp() override { m_base.reset(event_base_new()); }
+    void setUp() override { m_loop.emplace(); }
     void tearDown() override
     {
         m_servers.reset();
-        m_base.reset();
+        m_loop.reset();
     }
 
     void takesWhatAllReadersTakeAlike()
@@ -188,25 +186,17 @@
     {
         m_servers.reset();
         m_calls.emplace();
-        m_servers.emplace(m_base.get(), *m_calls);
+        m_servers.emplace(m_loop->base(), *m_calls);
         m_servers->start(request);
         run();
         m_server.emplace(m_listener.acceptConnection());
         runUntil([&] { return !m_server->receive().empty(); }, "request");
     }
 
-    void run() { event_base_loop(m_base.get(), EVLOOP_NONBLOCK); }
+    void run() { m_loop->run(); }
     void runUntil(const std::function<bool()> &isDone, const char *name)
     {
-        const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
-        while (std::chrono::steady_clock::now() < limit) {
-            run();
-            if (isDone()) {
-                return;
-            }
-            usleep(100);
-        }
-        CPPUNIT_FAIL(std::string("condition not met in time: ") + name);
+        m_loop->runUntil(isDone, name);
     }
 
     TransferEnd ended(const char *name)
@@ -215,11 +205,7 @@
         return m_calls->ends[Call];
     }
 
-    struct FreeBase
-    {
-        void operator()(event_base *base) const { event_base_free(base); }
-    };
-    std::unique_ptr<event_base, FreeBase> m_base;
+    std::optional<TestLoop> m_loop;
     RawServer m_listener;
     std::optional<CallRecorder> m_calls;
     std::optional<ServerConnections> m_servers;
--- a/tests/relay/rawsockets.h
+++ b/tests/relay/rawsockets.h
@@ -5,6 +5,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <event2/event.h>
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -12,12 +14,42 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <chrono>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 
 namespace indigoway::tests {
 
+/** Event loop that a test turns until something has happened. */
+class TestLoop
+{
+public:
+    event_base *base() { return m_base.get(); }
+    void run() { event_base_loop(m_base.get(), EVLOOP_NONBLOCK); }
+    /** @param name Of the case, for the failure if @p isDone does not become true. */
+    void runUntil(const std::function<bool()> &isDone, const char *name)
+    {
+        const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (std::chrono::steady_clock::now() < limit) {
+            run();
+            if (isDone()) {
+                return;
+            }
+            usleep(100);
+        }
+        CPPUNIT_FAIL(std::string("condition not met in time: ") + name);
+    }
+
+private:
+    struct FreeBase
+    {
+        void operator()(event_base *base) const { event_base_free(base); }
+    };
+    std::unique_ptr<event_base, FreeBase> m_base {event_base_new()};
+};
+
 /** Socket for sending malformed data and resets. */
 class RawSocket
 {
--- a/tests/soak/herdkill.py
+++ b/tests/soak/herdkill.py
@@ -8,14 +8,11 @@
 can tell the versions: the store, the servers and the callers.
 """
 
-import argparse
 import asyncio
-import pathlib
 import sys
-import tempfile
 import time
 
-from resumption import Play
+from resumption import Play, main
 from streams import Stream
 
 STREAMS = 16
@@ -49,8 +46,9 @@
         await asyncio.gather(*(node.kill() for node in nodes))
         await asyncio.sleep(DOWN_S)
 
-    async def serve_again(self, nodes):
-        for node in nodes:
+    async def start_all(self):
+        await asyncio.gather(*(node.start() for node in self.nodes))
+        for node in self.nodes:
             await self.wait_until_served(node)
 
     async def take_up(self, name, streams, tasks, nodes=None):
@@ -79,8 +77,7 @@
         streams, tasks = await self.begin_at_all(name)
         await asyncio.sleep(RECORDED_S)
         await self.kill(self.nodes)
-        await asyncio.gather(*(node.start() for node in self.nodes))
-        await self.serve_again(self.nodes)
+        await self.start_all()
         await self.take_up(name, streams, tasks)
 
     async def killed_twice(self, name):
@@ -89,15 +86,13 @@
         await asyncio.sleep(RECORDED_S)
         for _ in range(2):
             await self.kill(self.nodes)
-            await asyncio.gather(*(node.start() for node in self.nodes))
-            await self.serve_again(self.nodes)
+            await self.start_all()
             await asyncio.gather(*tasks)
             tasks = [asyncio.create_task(one.attempt(self.nodes[i % len(self.nodes)]))
                      for i, one in enumerate(streams) if not one.is_whole]
             await asyncio.sleep(RECORDED_S)
         await self.kill(self.nodes)
-        await asyncio.gather(*(node.start() for node in self.nodes))
-        await self.serve_again(self.nodes)
+        await self.start_all()
         await self.take_up(name, streams, tasks)
 
     async def one_is_left(self, name):
@@ -107,8 +102,7 @@
         others = [(one, task) for one, task in zip(streams, tasks) if f"-{self.nodes[0].name}-" not in one.name]
         more, more_tasks = await self.begin(f"{name}-more", self.nodes[0], 2)
         await self.nodes[0].kill()
-        await asyncio.gather(*(node.start() for node in self.nodes))
-        await self.serve_again(self.nodes)
+        await self.start_all()
         await self.take_up(name, [*(one for one, _ in others), *more, *streams[:6]],
                            [*(task for _, task in others), *more_tasks, *tasks[:6]])
 
@@ -118,8 +112,7 @@
         streams, tasks = await self.begin_at_all(name)
         await asyncio.sleep(RECORDED_S)
         await self.kill(self.nodes)
-        await asyncio.gather(*(node.start() for node in self.nodes))
-        await self.serve_again(self.nodes)
+        await self.start_all()
         await self.take_up(name, streams, tasks)
         await release
 
@@ -140,7 +133,8 @@
         await asyncio.sleep(STORE_BACK_S)
         for node in self.nodes:
             await node.store.accept_again()
-        await self.serve_again(self.nodes)
+        for node in self.nodes:
+            await self.wait_until_served(node)
         await self.take_up(name, streams, tasks)
 
     async def store_is_slow(self, name):
@@ -149,8 +143,7 @@
             node.store.delay_s = SLOW_STORE_S
         await asyncio.sleep(RECORDED_S + 4 * SLOW_STORE_S)
         await self.kill(self.nodes)
-        await asyncio.gather(*(node.start() for node in self.nodes))
-        await self.serve_again(self.nodes)
+        await self.start_all()
         await self.take_up(name, streams, tasks)
         for node in self.nodes:
             node.store.delay_s = 0.0
@@ -179,24 +172,5 @@
         self.check(begun >= {"v1", "v2"}, f"streams began at {begun} only: the test tests nothing")
 
 
-async def main():
-    parser = argparse.ArgumentParser(description="Streams taken up again after all nodes were killed.")
-    parser.add_argument("--build", default="build", help="folder with the programs")
-    parser.add_argument("--logs", default=tempfile.gettempdir(), help="folder for the log")
-    options = parser.parse_args()
-    path = pathlib.Path(options.logs) / "herdkill.log"
-    with open(path, "w", encoding="utf-8") as log:
-        play = HerdPlay(options.build, log)
-        try:
-            await play.run()
-        finally:
-            for process in [*play.nodes, play.platform]:
-                await process.kill()
-    for problem in play.problems:
-        print(f"    {problem}")
-    print(f"log: {path}")
-    return 1 if play.problems else 0
-
-
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(asyncio.run(main(HerdPlay, "herdkill", "Streams taken up again after all nodes were killed.")))
--- a/tests/soak/resumption.py
+++ b/tests/soak/resumption.py
@@ -169,14 +169,14 @@
         self.check(begun.get("v1") and begun.get("v2"), "only one version began streams: the test tests nothing")
 
 
-async def main():
-    parser = argparse.ArgumentParser(description="Streams taken up again while two versions serve.")
+async def main(play_class, name, description):
+    parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--build", default="build", help="folder with the programs")
     parser.add_argument("--logs", default=tempfile.gettempdir(), help="folder for the log")
     options = parser.parse_args()
-    path = pathlib.Path(options.logs) / "resumption.log"
+    path = pathlib.Path(options.logs) / f"{name}.log"
     with open(path, "w", encoding="utf-8") as log:
-        play = Play(options.build, log)
+        play = play_class(options.build, log)
         try:
             await play.run()
         finally:
@@ -189,4 +189,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(asyncio.run(main(Play, "resumption", "Streams taken up again while two versions serve.")))
