--- a/tests/dispatch/shutdowntest.cpp
+++ b/tests/dispatch/shutdowntest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST_SUITE(ShutdownTest);
     CPPUNIT_TEST(takesWhatItsTimeoutEndsBeforeTheNode);
     CPPUNIT_TEST(refusesWhatMayOutliveTheNode);
+    CPPUNIT_TEST(refusesACommandWhoseTimeoutIsLongerThanTheRest);
     CPPUNIT_TEST(takesARepeatableRequestThatUsuallyEndsInTime);
     CPPUNIT_TEST(refusesStreamsThatUsuallyLastTooLong);
     CPPUNIT_TEST(answersWhatIsOpenBeforeTheEnd);
@@ -59,6 +60,26 @@
         CPPUNIT_ASSERT(!harness.hasCalls());
     }
 
+    // Guards against a command that a server works on for longer than the node lives, though other
+    // requests of its route are answered at once.
+    void refusesACommandWhoseTimeoutIsLongerThanTheRest()
+    {
+        DispatcherHarness harness;
+        startShutdown(harness, Repetition::AtMostOnce);
+        RoutingState state;
+        state.version = 2;
+        Route route = DispatcherHarness::plainRoute(Repetition::AtMostOnce);
+        route.timeout = 2s;
+        state.routes = {route};
+        state.services[ServiceName("web")].name = ServiceName("web");
+        harness.dispatcher().setRoutes(std::make_shared<const RouteTable>(std::move(state)));
+        const RequestNumber early = harness.arrive(End - 2'200, "plain", 0, 4s);
+        harness.end(End - 2'150, harness.nextCall(CallKind::Plain), CallEnd::Complete, 200);
+        CPPUNIT_ASSERT_EQUAL(std::string("delivered"), harness.outcome(early));
+        CPPUNIT_ASSERT_EQUAL(503, harness.status(harness.arrive(End - 1'800, "plain", 0, 4s)));
+        CPPUNIT_ASSERT(!harness.hasCalls());
+    }
+
     void takesARepeatableRequestThatUsuallyEndsInTime()
     {
         DispatcherHarness harness;
