Take no close of a stopped run's stream for the end of its answer

Cause: an engine that stops a run on order closes its stream without its end. Without a length that is the same orderly close as the end of a whole answer. The dispatcher ended the caller's stream at once if the close came before the answer to the stop, or if that answer was lost; the answer was then dropped as one of a request that had ended.

Change: the relay tells whether nothing but the close says that an answer is whole. While a request to stop the run is open, or its answer was lost, such a close is in doubt: the run continues with what the stop returns. Only "no such run", with no other stop open, says that the run had ended by itself. What cannot continue is resumed or cut, never completed.

Evidence: six tests in runcontinuationtest; on the code before, the four of streams that are closed by a stop fail. The other writer of ends, the plain flow, has no stops.

--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -138,6 +138,8 @@
     std::optional<EngineReport> report; ///< Of a Report that was answered.
     std::uint32_t events = 0;           ///< Complete stream events that were forwarded.
     bool isConnectionLost = false;      ///< For Broken: the server closed or reset the connection.
+    /** For Complete: nothing but the orderly close of the connection says that this is all. */
+    bool isEndedByClose = false;
     /** For NotConnected: no process listens at the server's address any more. */
     bool isRefused = false;
     NodeName relay; ///< The node that opened the connection; empty for this one.
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -562,11 +562,12 @@
         if (isSuccess && !request.isForwarding) {
             request.handle.clear();
         }
-        releaseResources(step, request, ClaimOutcome::Served);
         if (request.isForwarding) {
-            forgetStreamOrigin(m_state, request);
-            m_state.requests.endStream(step, request);
+            conclude(step, request,
+                     event.isEndedByClose ? m_runs.streamClosed(step, request, call, event)
+                                          : RunContinuation::Result::Complete);
         } else {
+            releaseResources(step, request, ClaimOutcome::Served);
             m_state.requests.deliver(step, request, event.call, event.status);
         }
         return;
@@ -595,27 +596,37 @@
 void GenerationFlow::stopEnded(Step &step, OpenRequest &request, const OpenCall &call,
                                const CallEnded &event)
 {
-    endIfLost(step, request, m_runs.stopEnded(step, request, call, event));
+    conclude(step, request, m_runs.stopEnded(step, request, call, event));
 }
 
 void GenerationFlow::targetDecided(Step &step, OpenRequest &request,
                                    const scheduling::ClaimGranted *granted)
 {
-    endIfLost(step, request, m_runs.targetDecided(step, request, granted));
+    conclude(step, request, m_runs.targetDecided(step, request, granted));
 }
 
 void GenerationFlow::engineChecked(Step &step, OpenRequest &request, const OpenCall &call,
                                    const CallEnded &event)
 {
-    endIfLost(step, request, m_runs.engineChecked(step, request, call, event));
+    conclude(step, request, m_runs.engineChecked(step, request, call, event));
 }
 
-void GenerationFlow::endIfLost(Step &step, OpenRequest &request, RunContinuation::Result result)
+void GenerationFlow::conclude(Step &step, OpenRequest &request, RunContinuation::Result result)
 {
-    if (result == RunContinuation::Result::Lost) {
+    switch (result) {
+    case RunContinuation::Result::InProgress:
+        return;
+    case RunContinuation::Result::Lost: {
         CallEnded failure;
         failure.reason = request.run.lossReason;
         decodeFailed(step, request, failure);
+        return;
+    }
+    case RunContinuation::Result::Complete:
+        releaseResources(step, request, ClaimOutcome::Served);
+        forgetStreamOrigin(m_state, request);
+        m_state.requests.endStream(step, request);
+        return;
     }
 }
 
--- a/src/dispatch/generationflow.h
+++ b/src/dispatch/generationflow.h
@@ -87,8 +87,8 @@
                      const CallEnded &event);
     void targetDecided(Step &step, OpenRequest &request, const scheduling::ClaimGranted *granted);
     void withdrawClaims(Step &step);
-    /** Resumes or ends the stream of a run that cannot continue. */
-    void endIfLost(Step &step, OpenRequest &request, RunContinuation::Result result);
+    /** Resumes or ends the stream of a run that has ended or cannot continue. */
+    void conclude(Step &step, OpenRequest &request, RunContinuation::Result result);
     void decodeNotExecuted(Step &step, OpenRequest &request, const OpenCall &call,
                            const CallEnded &event);
     void decodeFailed(Step &step, OpenRequest &request, const CallEnded &event);
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -75,6 +75,10 @@
     CallNumber engineCheck;          ///< Connection attempt to an engine that may be lost.
     std::uint32_t eventsAtCheck = 0; ///< Events forwarded when the check began.
     std::uint32_t stopRequests = 0;  ///< Requests to stop the run at its present engine.
+    /** Of those, the ones whose answer has not come: the engine may stop the run at any time. */
+    std::uint32_t openStops = 0;
+    /** Whether the stream was closed in good order, by its own end or by a stop. */
+    bool isClosedInDoubt = false;
     std::uint32_t continuations = 0; ///< How often the run continued elsewhere.
     TimePoint lostAt {};             ///< When the connection to its engine ended.
     /** Engine whose connection has ended, while another one is asked for. */
--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -104,11 +104,30 @@
     return apply(step, request, call.server, recovery.connectionLost(stateOf(request, step.now)));
 }
 
+RunContinuation::Result RunContinuation::streamClosed(Step &step, OpenRequest &request,
+                                                      const OpenCall &call, const CallEnded &event)
+{
+    if (request.run.openStops == 0) {
+        return Result::Complete;
+    }
+    request.run.isClosedInDoubt = true;
+    step.add(LogDecision {"stream_closed_in_doubt", request.arrival.callerId,
+                          "engine=" + call.server.name.text()
+                              + " events=" + std::to_string(request.forwardedEvents)
+                              + " open_stops=" + std::to_string(request.run.openStops)});
+    CallEnded lost = event;
+    lost.reason = "closed by its end or by the request to stop it";
+    return connectionLost(step, request, call, lost);
+}
+
 RunContinuation::Result RunContinuation::stopEnded(Step &step, OpenRequest &request,
                                                    const OpenCall &call, const CallEnded &event)
 {
     request.run.stopCall = {};
     const StopResult result = stopResultOf(event);
+    if (result != StopResult::Unknown) {
+        --request.run.openStops;
+    }
     if (result == StopResult::Unreachable || result == StopResult::Refused) {
         m_state.tracker.recordUnreachable(call.server.name, step.now);
     } else {
@@ -122,6 +141,10 @@
         request.run.handle = event.handle;
         request.run.handleSource = call.server;
     }
+    if (request.run.isClosedInDoubt && result == StopResult::NoSuchRun
+        && request.run.openStops == 0) {
+        return Result::Complete; // The run had ended before it could be stopped.
+    }
     const bool isStreamOpen = !request.call.isNone();
     const bool isOver = result == StopResult::Moved || result == StopResult::NotMoved;
     if (isStreamOpen && !isOver) {
@@ -323,6 +346,7 @@
                               const AnnouncedServer &target)
 {
     ++request.run.stopRequests;
+    ++request.run.openStops;
     request.run.stopTarget = target.name;
     StartCall call;
     call.kind = CallKind::StopRun;
@@ -389,7 +413,9 @@
         m_placement.removeLoad(request.decodeServer, request.tokenDemand);
         m_placement.addLoad(server.name, request.tokenDemand);
         request.decodeServer = server.name;
+        request.run.openStops = 0;
     }
+    request.run.isClosedInDoubt = false;
     m_claims.endTarget(step, request, scheduling::ClaimOutcome::Cancelled);
     ++request.run.continuations;
     request.run.stopRequests = 0;
--- a/src/dispatch/runcontinuation.h
+++ b/src/dispatch/runcontinuation.h
@@ -28,6 +28,7 @@
     enum class Result {
         InProgress, ///< No: the run goes on or its continuation is being prepared.
         Lost,       ///< Yes: the run cannot continue.
+        Complete,   ///< Yes: the stream has come to its end.
     };
 
     RunContinuation(DispatchState &state, EnginePlacement &placement, SchedulerClaims &claims)
@@ -45,6 +46,12 @@
     void streamStarted(Step &step, OpenRequest &request);
     Result connectionLost(Step &step, OpenRequest &request, const OpenCall &call,
                           const CallEnded &event);
+    /**
+     * Handles the end of a stream that nothing but the orderly close of its connection says. An
+     * engine that stops a run closes its stream in the same way.
+     */
+    Result streamClosed(Step &step, OpenRequest &request, const OpenCall &call,
+                        const CallEnded &event);
     Result stopEnded(Step &step, OpenRequest &request, const OpenCall &call,
                      const CallEnded &event);
     /**
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -336,6 +336,7 @@
         ended.end = end == TransferEnd::Complete && isComplete ? CallEnd::Complete
             : end == TransferEnd::PathLost                     ? CallEnd::PathLost
                                                                : CallEnd::Broken;
+        ended.isEndedByClose = open.head.isDelimitedByClose;
         // A stream delimited by close is complete only if it ends at an event boundary.
         ended.isConnectionLost |= end == TransferEnd::Complete && !isComplete;
         return ended;
--- a/tests/dispatch/runcontinuationtest.cpp
+++ b/tests/dispatch/runcontinuationtest.cpp
@@ -63,6 +63,19 @@
     harness.reduce(milliseconds, ended);
 }
 
+/** Ends the stream of @p call, which has no length, by the orderly close of its connection. */
+void closeStream(DispatcherHarness &harness, int milliseconds, const StartCall &call,
+                 std::uint32_t events)
+{
+    CallEnded ended;
+    ended.call = call.call;
+    ended.end = CallEnd::Complete;
+    ended.status = 200;
+    ended.events = events;
+    ended.isEndedByClose = true;
+    harness.reduce(milliseconds, ended);
+}
+
 void answerStop(DispatcherHarness &harness, int milliseconds, const StartCall &call, int status,
                 const std::string &handle = {})
 {
@@ -149,6 +162,12 @@
     CPPUNIT_TEST(movesFourRunsAtATimeLongestFirst);
     CPPUNIT_TEST(refusedMoveLeavesTheRunInPlace);
     CPPUNIT_TEST(runThatEndsDuringItsMoveIsComplete);
+    CPPUNIT_TEST(streamThatItsMoveClosesGoesOn);
+    CPPUNIT_TEST(streamThatIsClosedByALostStopGoesOn);
+    CPPUNIT_TEST(lateStopDoesNotCompleteTheStream);
+    CPPUNIT_TEST(streamClosedInDoubtIsCutIfItCannotGoOn);
+    CPPUNIT_TEST(streamThatEndedBeforeItsStopIsComplete);
+    CPPUNIT_TEST(closeAfterARefusedStopIsComplete);
     CPPUNIT_TEST(leavingEngineThatLosesTheConnectionWaitsForTheTarget);
     CPPUNIT_TEST(targetWithoutRoomKeepsTheRunAtItsEngine);
     CPPUNIT_TEST(disconnectDuringAClaimForATargetEndsIt);
@@ -767,6 +786,102 @@
         CPPUNIT_ASSERT(!harness.hasCalls());
     }
 
+    // Guards against a part of a stream that ends as complete: an engine that stops a run closes
+    // its stream in good order, and a stream without a length has no other end.
+    void streamThatItsMoveClosesGoesOn()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        harness.addServer("d1", EnginePhase::Decode, true);
+        harness.reduce(1'300, TimePassed {});
+        const StartCall stop = grantTarget(harness, 1'305, "d3");
+        closeStream(harness, 1'310, run.decode, 10);
+        CPPUNIT_ASSERT_EQUAL(text("open"), harness.outcome(run.request));
+        answerStop(harness, 1'340, stop, 200, "k9");
+        const StartCall second = harness.nextCall(CallKind::Decode);
+        CPPUNIT_ASSERT(second.server == ServerName("d3"));
+        CPPUNIT_ASSERT(second.isResumption);
+        harness.reduce(1'380, StreamStarted {second.call, 200, {}});
+        closeStream(harness, 3'000, second, 40);
+        CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
+    }
+
+    // Guards against the same if the answer to the stop is lost: a second one tells.
+    void streamThatIsClosedByALostStopGoesOn()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        harness.addServer("d1", EnginePhase::Decode, true);
+        harness.reduce(1'300, TimePassed {});
+        const StartCall stop = grantTarget(harness, 1'305, "d3");
+        closeStream(harness, 1'310, run.decode, 10);
+        harness.end(2'310, stop, CallEnd::Broken);
+        CPPUNIT_ASSERT_EQUAL(text("open"), harness.outcome(run.request));
+        answerStop(harness, 2'340, harness.nextCall(CallKind::StopRun), 200, "k9");
+        CPPUNIT_ASSERT(harness.nextCall(CallKind::Decode).isResumption);
+        CPPUNIT_ASSERT_EQUAL(text("open"), harness.outcome(run.request));
+    }
+
+    // Guards against the same if the engine carries out the stop long after its answer was lost.
+    void lateStopDoesNotCompleteTheStream()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        harness.addServer("d1", EnginePhase::Decode, true);
+        harness.reduce(1'300, TimePassed {});
+        harness.end(2'310, grantTarget(harness, 1'305, "d3"), CallEnd::Broken);
+        closeStream(harness, 2'400, run.decode, 20);
+        CPPUNIT_ASSERT_EQUAL(text("open"), harness.outcome(run.request));
+        answerStop(harness, 2'410, harness.nextCall(CallKind::StopRun), 404);
+        assertContinuesAtBackup(harness.nextCall(CallKind::Decode));
+    }
+
+    // Guards against a caller who gets a part as complete if nothing is known of the run any more.
+    void streamClosedInDoubtIsCutIfItCannotGoOn()
+    {
+        DispatcherHarness harness;
+        useEngines(harness, false, true);
+        const Run run = startRun(harness, "stream", "");
+        harness.addServer("d1", EnginePhase::Decode, true);
+        harness.reduce(1'300, TimePassed {});
+        const StartCall stop = grantTarget(harness, 1'305, "d3");
+        closeStream(harness, 1'310, run.decode, 10);
+        harness.end(2'310, stop, CallEnd::Broken);
+        harness.end(3'310, harness.nextCall(CallKind::StopRun), CallEnd::Broken);
+        CPPUNIT_ASSERT_EQUAL(text("cut"), harness.outcome(run.request));
+    }
+
+    // Guards against a whole stream that is cut or repeated, since it ended beside its move.
+    void streamThatEndedBeforeItsStopIsComplete()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        harness.addServer("d1", EnginePhase::Decode, true);
+        harness.reduce(1'300, TimePassed {});
+        const StartCall stop = grantTarget(harness, 1'305, "d3");
+        closeStream(harness, 1'310, run.decode, 40);
+        answerStop(harness, 1'312, stop, 404);
+        CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
+        CPPUNIT_ASSERT(!harness.hasCalls());
+    }
+
+    // Guards against streams that are cut since they were once asked to stop and were not.
+    void closeAfterARefusedStopIsComplete()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        harness.addServer("d1", EnginePhase::Decode, true);
+        harness.reduce(1'300, TimePassed {});
+        answerStop(harness, 1'320, grantTarget(harness, 1'305, "d3"), 503);
+        closeStream(harness, 1'900, run.decode, 40);
+        CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
+    }
+
     // Guards against a second claim, or a lost run, while the scheduler is being asked for a
     // target.
     void leavingEngineThatLosesTheConnectionWaitsForTheTarget()
