Bear odd entries of the store: long ones, bad addresses, ids and handles

What users saw on other systems: another writer leaves one odd entry among those of the workers, and the machines that read the list end again and again.

What showed here (scratch copy, real processes): entries that are nested deeply, have numbers that are too large or ports out of range are refused and were borne (44 odd values at both services, 8 odd keys). One entry of a store's longest value with many small values, however, took a node from 10 MB to 59 to 71 MB, six of them to 84 MB; nodes have 88 to 512 MB. A desired state with a route that is no object ended the process (Json::LogicError). Ids, addresses and handles with line breaks went into the heads of requests.

Cause: parsed JSON takes up to sixty times its text, and the text was parsed whatever its length; members were read of values that are no objects.

Change: an entry that describes one thing is parsed up to 64 KB only: of servers, nodes, notes of versions and crashes, members of indigowayd.

--- a/src/core/jsontext.h
+++ b/src/core/jsontext.h
@@ -43,6 +43,19 @@
     return value;
 }
 
+/** Of an entry of the store that describes one thing, such as a server; sound ones are short. */
+constexpr std::size_t MaxEntryBytes = std::size_t {64} * 1024;
+
+/**
+ * Parses an entry of the store that another writer may have written. Parsed JSON takes up to sixty
+ * times its text, so that one entry of the longest values of a store would exceed a node's memory.
+ * @return A null value also if @p text is longer than MaxEntryBytes.
+ */
+inline Json::Value parseEntry(const std::string &text)
+{
+    return text.size() <= MaxEntryBytes ? parseJson(text) : Json::Value();
+}
+
 /** Returns an upper bound for the values in the JSON @p text, which need not be valid. */
 inline std::size_t jsonValueCount(std::string_view text)
 {
--- a/src/crashes/partcrashcodec.cpp
+++ b/src/crashes/partcrashcodec.cpp
@@ -108,7 +108,7 @@
 
 std::optional<PartCrashNote> readPartCrashItem(const std::string &text)
 {
-    return readNote(parseJson(text));
+    return readNote(parseEntry(text));
 }
 
 } // namespace indigoway::crashes
--- a/src/fleet/nodedirectory.cpp
+++ b/src/fleet/nodedirectory.cpp
@@ -26,7 +26,7 @@
 
 std::optional<NodeEntry> decodeNodeEntry(std::string_view text)
 {
-    const Json::Value value = parseJson(std::string(text));
+    const Json::Value value = parseEntry(std::string(text));
     NodeEntry entry;
     entry.name = NodeName(stringMember(value, "name"));
     entry.domain = DomainName(stringMember(value, "domain"));
--- a/src/membership/registry.cpp
+++ b/src/membership/registry.cpp
@@ -36,7 +36,7 @@
 
 std::optional<MemberUpdate> parseMember(const std::string &text)
 {
-    const Json::Value value = parseJson(text);
+    const Json::Value value = parseEntry(text);
     MemberUpdate member;
     member.life = {NodeName(stringMember(value, "node")),
                    Incarnation(numberMember(value, "incarnation"))};
--- a/src/origins/versionnotes.cpp
+++ b/src/origins/versionnotes.cpp
@@ -36,7 +36,7 @@
 
 std::optional<VersionNote> readVersionNote(const std::string &text)
 {
-    const Json::Value value = parseJson(text);
+    const Json::Value value = parseEntry(text);
     const bool isValid = value.isArray() && value.size() >= FieldCount && value[Service].isString()
         && value[Version].isString() && value[Patience].isInt64() && value[IsEnding].isBool();
     if (!isValid) {
--- a/src/relay/tunnelprotocol.cpp
+++ b/src/relay/tunnelprotocol.cpp
@@ -1,5 +1,7 @@
 #include "tunnelprotocol.h"
 
+#include "core/visibletext.h"
+
 #include <algorithm>
 #include <array>
 
@@ -27,10 +29,9 @@
 std::optional<std::string> encodeTunnelRequest(const ServerName &server)
 {
     const std::string &name = server.text();
-    const bool isPlain = std::ranges::all_of(name, [](char c) { return c > ' ' && c < '\x7f'; });
     std::string text = std::string(Method) + name + std::string(Version) + "Host: " + name
         + std::string(FramesHeader) + std::string(LineEnd);
-    if (name.empty() || !isPlain || text.size() > MaxTunnelHeadBytes) {
+    if (name.empty() || !isVisible(name) || text.size() > MaxTunnelHeadBytes) {
         return std::nullopt;
     }
     return text;
--- a/tests/platform/platformdialecttest.cpp
+++ b/tests/platform/platformdialecttest.cpp
@@ -86,6 +86,9 @@
     CPPUNIT_TEST(readsThePauseOfARefusal);
     CPPUNIT_TEST(restartedServerGetsANewName);
     CPPUNIT_TEST(rejectsInvalidServerEntries);
+    CPPUNIT_TEST(survivesOddEntries);
+    CPPUNIT_TEST(rejectsIdsAndHandlesWithControlBytes);
+    CPPUNIT_TEST(rejectsRoutingThatIsNone);
     CPPUNIT_TEST(decodesOrRejectsAnyBytes);
     CPPUNIT_TEST(readsTheResumedStream);
     CPPUNIT_TEST(sharedPartsOfThePromptAreRead);
@@ -530,15 +533,23 @@
                 CPPUNIT_ASSERT_MESSAGE(name, isValidTime || !isValid(entry));
             }
         }
-        for (const auto &[name, value] :
-             std::vector<std::pair<const char *, Json::Value>> {{"state", "resting"},
-                                                                {"phase", "both"},
-                                                                {"phase", 3},
-                                                                {"born", "today"},
-                                                                {"born", 1.5},
-                                                                {"capacity", 0},
-                                                                {"address", "nowhere"},
-                                                                {"address", "h:99999"}}) {
+        for (const auto &[name, value] : std::vector<std::pair<const char *, Json::Value>> {
+                 {"state", "resting"},
+                 {"phase", "both"},
+                 {"phase", 3},
+                 {"born", "today"},
+                 {"born", 1.5},
+                 {"capacity", 0},
+                 {"born", 1e300},
+                 {"address", "nowhere"},
+                 {"address", "h:80"},
+                 {"address", "10.1.1.1:0"},
+                 {"address", "10.1.1.1:-1"},
+                 {"address", "10.1.1.1: 80"},
+                 {"address", "10.1.1.1:65536"},
+                 {"address", "10.1.1.1:99999"},
+                 {"address", "1.2.3.999:80"},
+                 {"address", "1.1.1.1\r\nX: y:80"}}) {
             Json::Value entry = validEntry();
             entry[name] = value;
             CPPUNIT_ASSERT_MESSAGE(name, !isValid(entry));
@@ -548,6 +559,97 @@
         }
     }
 
+    // Guards against a process that ends, or stops to follow the list of servers, because of one
+    // entry of another writer: nested deeply, with a number that is too large, or long.
+    void survivesOddEntries()
+    {
+        constexpr std::size_t LongestValue = std::size_t {1024} * 1024;
+        const auto nested = [](std::size_t depth, const std::string &open,
+                               const std::string &close) {
+            std::string text;
+            for (std::size_t i = 0; i < depth; ++i) {
+                text += open;
+            }
+            text += "1";
+            for (std::size_t i = 0; i < depth; ++i) {
+                text += close;
+            }
+            return text;
+        };
+        const auto with = [](const std::string &name, const std::string &value) {
+            Json::Value entry = validEntry();
+            entry[name] = "@";
+            std::string text = jsonText(entry);
+            return text.replace(text.find("\"@\""), 3, value);
+        };
+        std::string wide = "[";
+        while (wide.size() < LongestValue - 4) {
+            wide += "[],";
+        }
+        const std::vector<std::string> invalid {
+            nested(100'000, "[", "]"),
+            nested(100'000, "{\"a\":", "}"),
+            std::string(LongestValue, '['),
+            with("models", nested(100'000, "[", "]")),
+            with("capacity", nested(150, "[", "]")),
+            with("capacity", "1e400"),
+            with("capacity", "-1e400"),
+            with("capacity", "18446744073709551616"),
+            with("capacity", std::string(1000, '9')),
+            with("sequence", "1e300"),
+            with("born", "99999999999999999999"),
+            with("warmup_ms", "1e400"),
+            with("models", wide + "1]"),
+            wide + "1]",
+        };
+        for (const std::string &text : invalid) {
+            CPPUNIT_ASSERT_MESSAGE(
+                text.substr(0, 100),
+                std::holds_alternative<DecodeFault>(m_codec.decodeServer("i-1", text)));
+            CPPUNIT_ASSERT(std::holds_alternative<DecodeFault>(m_codec.decodeRouting(text)));
+        }
+        for (const std::string &text : {with("capacity", "4294967296"), with("warmup_ms", "1e308"),
+                                        with("models", "[null,{\"version\":1e300}]")}) {
+            CPPUNIT_ASSERT_MESSAGE(
+                text, std::holds_alternative<AnnouncedServer>(m_codec.decodeServer("i-1", text)));
+        }
+    }
+
+    // Guards against heads of requests that an id or a handle breaks up.
+    void rejectsIdsAndHandlesWithControlBytes()
+    {
+        const std::string entry = jsonText(validEntry());
+        for (const char *id : {"", "a b", "a\r\nX: y", "\x7f", "\xc3\xa4"}) {
+            CPPUNIT_ASSERT_MESSAGE(
+                id, std::holds_alternative<DecodeFault>(m_codec.decodeServer(id, entry)));
+        }
+        for (const char *body :
+             {R"({"kv_handle":"a b"})", R"({"kv_handle":"a\r\nX: y"})", R"({"kv_handle":7})"}) {
+            CPPUNIT_ASSERT(m_dialect.readEngineAnswer(CallKind::Prefill, body).handle.empty());
+            CPPUNIT_ASSERT(m_dialect.readEngineAnswer(CallKind::StopRun, body).handle.empty());
+        }
+        CPPUNIT_ASSERT(m_dialect.readEngineAnswer(CallKind::Reserve, R"({"hold":"a\nb"})")
+                           .reservation.empty());
+    }
+
+    // Guards against a process that ends because of a desired state that no operator writes.
+    void rejectsRoutingThatIsNone()
+    {
+        for (const char *text :
+             {R"({"routes":[7]})", R"({"routes":[[]]})", R"({"routes":[],"services":[7]})",
+              R"({"routes":[],"services":{"a":[]}})"}) {
+            CPPUNIT_ASSERT_MESSAGE(
+                text, std::holds_alternative<DecodeFault>(m_codec.decodeRouting(text)));
+        }
+        for (const char *text :
+             {R"({"routes":[{"traffic_split":7,"timeout_ms":1e308,"max_attempts":1e30}]})",
+              R"({"routes":[{"traffic_split":[7,null],"name":[]}],"limits":7,"tenants":[7]})",
+              R"({"routes":[],"services":[{"engine":7},{"engine":{"hold_ms":[]}}]})"}) {
+            CPPUNIT_ASSERT_MESSAGE(
+                text, std::holds_alternative<RoutingState>(m_codec.decodeRouting(text)));
+        }
+    }
+
     void decodesOrRejectsAnyBytes()
     {
         const bool hasPassed = rc::check("any bytes are decoded or rejected", [this] {
