Test answers whose server stops in the middle of the head

What users saw on other systems: a worker stops in the middle of its answer's head and closes; clients get a 200 with an empty or short body, framed as whole.

Not so here: an answer without a complete head is never complete, whether the connection ends in good order or not. Nothing but tests changes: five heads (no length, a length, chunks, the old version, behind an interim answer), cut after each byte and closed, at ServerConnections and at HttpClient with a handler of chunks, which is how indigowayd reads streams.

--- a/tests/http/httpclienttest.cpp
+++ b/tests/http/httpclienttest.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST_SUITE(HttpClientTest);
     CPPUNIT_TEST(takesWhatAllReadersTakeAlike);
     CPPUNIT_TEST(takesNoIllAnswer);
+    CPPUNIT_TEST(takesNoAnswerThatEndsInItsHead);
     CPPUNIT_TEST(endsAnswersWithoutEnd);
     CPPUNIT_TEST(anAnswerWithoutLengthIsNotKnownToBeWhole);
     CPPUNIT_TEST(aHandlerOfChunksTakesAnOrderlyEndOnly);
@@ -74,6 +75,19 @@
         }
     }
 
+    // Guards against an empty state that passes for the whole one of a store that stopped before.
+    void takesNoAnswerThatEndsInItsHead()
+    {
+        for (const AnswerCase &one : headsToCut()) {
+            for (std::size_t length = 0; length < one.bytes.size(); ++length) {
+                beginChunks("");
+                m_server->send(one.bytes.substr(0, length));
+                m_server->close();
+                CPPUNIT_ASSERT_MESSAGE(one.name, ended(one.name).end == End::Broken);
+            }
+        }
+    }
+
     void endsAnswersWithoutEnd()
     {
         for (const EndlessCase &one : endlessAnswers()) {
--- a/tests/http/illanswers.h
+++ b/tests/http/illanswers.h
@@ -117,6 +117,18 @@
     };
 }
 
+/** Heads, each of which a server may end anywhere before its empty line. */
+inline std::vector<AnswerCase> headsToCut()
+{
+    return {
+        {"no length", head("Keep-Alive: timeout=9\r\nX: y\r\n")},
+        {"length", head("X: y\r\nContent-Length: 0\r\n")},
+        {"chunks", head("X: y\r\nTransfer-Encoding: chunked\r\n")},
+        {"old version", "HTTP/1.0 200 OK\r\nX: y\r\n\r\n"},
+        {"behind an interim answer", "HTTP/1.1 100 Continue\r\n\r\n" + head("X: y\r\n")},
+    };
+}
+
 /** Answers whose last part is repeated without end. */
 struct EndlessCase
 {
--- a/tests/relay/illanswerstest.cpp
+++ b/tests/relay/illanswerstest.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(takesWhatAllReadersTakeAlike);
     CPPUNIT_TEST(takesNoIllAnswer);
     CPPUNIT_TEST(takesNoIllAnswerInPieces);
+    CPPUNIT_TEST(takesNoAnswerThatEndsInItsHead);
     CPPUNIT_TEST(endsAnswersWithoutEnd);
     CPPUNIT_TEST(limitsTheTimeOfAnAnswerForTheNode);
     CPPUNIT_TEST(closesAConnectionWithSurplusBytes);
@@ -75,6 +76,20 @@
         }
     }
 
+    // Guards against an empty body that passes for the whole one of a server that stopped before.
+    void takesNoAnswerThatEndsInItsHead()
+    {
+        for (const AnswerCase &one : headsToCut()) {
+            for (std::size_t length = 0; length < one.bytes.size(); ++length) {
+                begin();
+                m_server->send(one.bytes.substr(0, length));
+                m_server->close();
+                CPPUNIT_ASSERT_MESSAGE(one.name, ended(one.name) == TransferEnd::ConnectionLost);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, 0, m_calls->status[Call]);
+            }
+        }
+    }
+
     // Guards against a server that takes a node's memory and time with bytes that do not end.
     void endsAnswersWithoutEnd()
     {
