Resume a stream after its first events if its move is turned away

Its run was moved off an engine that leaves, the target was full, and the request began anew from its first event.

Cause: whether a stream had begun was read from the count of forwarded events, which is reported every eight events and at the end of a call. A stopped call is abandoned and a turned-away one reports none, so that the count was still 0.

Change: a stream has begun when its first event was forwarded, which is known at once. The next run then reads the prompt at its engine and resumes behind the last event that the relay forwarded; the claim says so as well.

--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -368,7 +368,7 @@
             m_claims.reportReservation(step, request);
         }
         const bool isPlannedWhole = std::exchange(request.isPlannedWhole, false);
-        if (isPlannedWhole || request.arrival.isContinuation || request.forwardedEvents > 0
+        if (isPlannedWhole || request.arrival.isContinuation || request.isForwarding
             || request.readsWhole) {
             decode(step, request, true);
         } else {
@@ -505,7 +505,8 @@
         call.handle = request.handle;
         call.handleAddress = source ? source->address : std::string();
     }
-    call.isResumption = request.forwardedEvents > 0;
+    // The count of forwarded events may be older than the stream, and 0.
+    call.isResumption = request.isForwarding;
     if (request.route->isResumable) {
         call.idleTimeout = StreamIdleTimeout;
     }
--- a/src/dispatch/schedulerclaims.cpp
+++ b/src/dispatch/schedulerclaims.cpp
@@ -80,7 +80,7 @@
                                  const std::vector<ServerName> &blocked)
 {
     const bool readsWhole =
-        request.arrival.isContinuation || request.forwardedEvents > 0 || request.readsWhole;
+        request.arrival.isContinuation || request.isForwarding || request.readsWhole;
     Claim message;
     message.claim = ClaimId(++m_lastClaim);
     message.service = request.service->name;
--- a/tests/dispatch/runcontinuationtest.cpp
+++ b/tests/dispatch/runcontinuationtest.cpp
@@ -140,6 +140,7 @@
     CPPUNIT_TEST(crashedBackupEndsTheStream);
     CPPUNIT_TEST(backupWithoutACopyEndsTheStream);
     CPPUNIT_TEST(backupWithoutACopyResumesAResumableStream);
+    CPPUNIT_TEST(refusedMoveResumesAfterTheFirstEvents);
     CPPUNIT_TEST(errorInPlaceOfTheContinuationEndsTheStream);
     CPPUNIT_TEST(leavingBackupIsNotUsed);
     CPPUNIT_TEST(silentEngineThatIsReachableKeepsItsRun);
@@ -391,6 +392,28 @@
         CPPUNIT_ASSERT(harness.nextSchedulerMessage<Claim>().urgency == Urgency::Resumed);
     }
 
+    // Guards against a caller who gets the first events twice: how many there were is not reported
+    // when the target of a move turns the run away.
+    void refusedMoveResumesAfterTheFirstEvents()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness, "resumable");
+        harness.addServer("d1", EnginePhase::Decode, true);
+        harness.reduce(1'300, TimePassed {});
+        answerStop(harness, 1'340, grantTarget(harness, 1'305, "d3"), 200, "k9");
+        harness.end(1'350, harness.nextCall(CallKind::Decode), CallEnd::NotExecuted, 503);
+        CPPUNIT_ASSERT_EQUAL(text("open"), harness.outcome(run.request));
+        harness.nextSchedulerMessage<ClaimEnded>();
+        harness.nextSchedulerMessage<ClaimEnded>();
+        const auto claim = harness.nextSchedulerMessage<Claim>();
+        ClaimGranted grant {claim.claim, ServerName("d2"), ServerName("p1"), std::nullopt};
+        harness.reduce(1'360, SchedulerAnswered {grant, Life});
+        harness.nextCall(CallKind::FreeHandle);
+        harness.grant(1'370, harness.nextCall(CallKind::Reserve));
+        CPPUNIT_ASSERT(harness.nextCall(CallKind::Whole).isResumption);
+    }
+
     // An error response must not complete the stream or reach the caller within it.
     void errorInPlaceOfTheContinuationEndsTheStream()
     {
