Stop a run before its stream is resumed, also if no other engine is granted

All engines are full, the scheduler grants none. 0.4 s later the stream is resumed at another engine, and both execute it for 1.1 s.

Cause: a run was stopped only if there was an engine to move it to. Without one its stream was given up, which resumes it wherever the route allows it, whatever is known of the run.

Change: where engines move runs, the request to stop the run names any other engine if none is granted, and the run continues at its own engine from the handle: "to a source that stopped". That engine has the claim and mostly the memory. Streams that may not be resumed go on as well, in place of being cut. If the answer proves nothing, all is as before.

--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -83,8 +83,10 @@
     TimePoint lostAt {};             ///< When the connection to its engine ended.
     /** Engine whose connection has ended, while another one is asked for. */
     std::optional<AnnouncedServer> lostEngine;
-    std::string lossReason;          ///< Why the run leaves its engine, for the log.
-    ServerName stopTarget;           ///< Engine to which stopCall moves the run.
+    std::string lossReason; ///< Why the run leaves its engine, for the log.
+    ServerName stopTarget;  ///< Engine to which stopCall moves the run.
+    /** Nobody has granted stopTarget: the run is only stopped, and goes on at its engine. */
+    bool staysAtEngine = false;
     CallNumber stopCall;             ///< Request to stop the run, in progress.
     scheduling::ClaimId targetClaim; ///< Claim for an engine to move the run to.
     ServerName target;               ///< Granted for targetClaim; empty while it waits.
--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -157,7 +157,9 @@
         m_state.calls.abandon(step, std::exchange(request.call, {}));
     }
     const RunRecovery recovery(*request.service->engine);
-    const RecoveryStep next = recovery.stopEnded(stateOf(request, step.now), result);
+    const bool isForNothing = result == StopResult::Moved && request.run.staysAtEngine;
+    const RecoveryStep next = recovery.stopEnded(stateOf(request, step.now),
+                                                 isForNothing ? StopResult::NotMoved : result);
     return apply(step, request, call.server, next);
 }
 
@@ -290,9 +292,13 @@
         target = m_state.servers.find(request.run.stopTarget);
         target = target && request.accepts(*target) ? target : nullptr;
     }
-    const char *reason = next.kind == Kind::GiveUp
-        ? next.reason
-        : "the other engine is gone, leaving or limits requests";
+    const bool staysAtEngine = next.kind == Kind::StopRun && !target;
+    if (staysAtEngine) {
+        target = anyOtherEngine(request, step.now);
+    }
+    const char *reason = next.kind == Kind::GiveUp ? next.reason
+        : staysAtEngine                            ? "there is no other engine"
+                        : "the other engine is gone, leaving or limits requests";
     if (m_state.remainingRefusal(request, step.now)) {
         reason = CrashesServers;
     } else if (next.kind == Kind::ContinueAtBackup
@@ -310,6 +316,7 @@
         return Result::InProgress;
     } else if (target && next.kind == Kind::StopRun) {
         stopRun(step, request, engine, *target);
+        request.run.staysAtEngine = staysAtEngine;
         return Result::InProgress;
     } else if (backup && next.kind == Kind::ContinueAtBackup) {
         continueAtBackup(step, request, engine);
@@ -348,6 +355,7 @@
     ++request.run.stopRequests;
     ++request.run.openStops;
     request.run.stopTarget = target.name;
+    request.run.staysAtEngine = false;
     StartCall call;
     call.kind = CallKind::StopRun;
     call.runId = request.arrival.callerId;
@@ -466,6 +474,18 @@
     return isOther && isUsable(*target, now) ? target : nullptr;
 }
 
+const AnnouncedServer *RunContinuation::anyOtherEngine(const OpenRequest &request,
+                                                       TimePoint now) const
+{
+    const auto engines =
+        m_state.servers.candidates(request.service->name, EnginePhase::Decode, now);
+    const auto other = std::ranges::find_if(engines, [&](const AnnouncedServer *engine) {
+        return engine->name != request.decodeServer && request.accepts(*engine)
+            && isUsable(*engine, now);
+    });
+    return other == engines.end() ? nullptr : *other;
+}
+
 bool RunContinuation::isUsable(const AnnouncedServer &server, TimePoint now) const
 {
     return !m_state.isBlocked(server.name, now)
--- a/src/dispatch/runcontinuation.h
+++ b/src/dispatch/runcontinuation.h
@@ -95,6 +95,9 @@
     const AnnouncedServer *usableBackup(const OpenRequest &request, TimePoint now) const;
     /** Returns the engine that the scheduler has granted, or null. */
     const AnnouncedServer *usableTarget(const OpenRequest &request, TimePoint now) const;
+    /** Returns an engine to name in a request that is only to stop the run; null if none is left.
+     */
+    const AnnouncedServer *anyOtherEngine(const OpenRequest &request, TimePoint now) const;
     bool isUsable(const AnnouncedServer &server, TimePoint now) const;
     RunState stateOf(const OpenRequest &request, TimePoint now) const;
 
--- a/src/dispatch/runrecovery.cpp
+++ b/src/dispatch/runrecovery.cpp
@@ -111,11 +111,9 @@
         // Without the id of an event, the continuation would be a second run of the request.
         return {Kind::GiveUp, "no event yet"};
     }
-    if (m_traits.movesRuns && (run.hasBackup || run.hasTarget)) {
-        return {Kind::StopRun};
-    }
-    if (m_traits.movesRuns && run.mayRequestTarget) {
-        return {Kind::RequestTarget};
+    if (m_traits.movesRuns) {
+        const bool needsTarget = !run.hasBackup && !run.hasTarget && run.mayRequestTarget;
+        return {needsTarget ? Kind::RequestTarget : Kind::StopRun};
     }
     if (run.hasBackup) {
         return {Kind::AskEngine};
@@ -182,10 +180,8 @@
     if (run.timeLeft.count() <= 0) {
         return {Kind::GiveUp, "no time left"};
     }
-    if (run.hasTarget || run.hasBackup) {
-        return {Kind::StopRun};
-    }
-    return {Kind::GiveUp, "the scheduler grants no other engine"};
+    // Resumed elsewhere without being stopped, it would run at two engines.
+    return {Kind::StopRun};
 }
 
 RecoveryStep RunRecovery::engineAsked(const RunState &run, EngineCheck check,
--- a/src/dispatch/runrecovery.h
+++ b/src/dispatch/runrecovery.h
@@ -55,10 +55,14 @@
 struct RecoveryStep
 {
     enum class Kind {
-        Wait,             ///< Leaves the stream open.
-        AskEngine,        ///< Opens a connection to the engine without stopping the run.
-        RequestTarget,    ///< Asks the scheduler for another engine.
-        StopRun,          ///< Stops the run and moves its KV cache to the target or the backup.
+        Wait,          ///< Leaves the stream open.
+        AskEngine,     ///< Opens a connection to the engine without stopping the run.
+        RequestTarget, ///< Asks the scheduler for another engine.
+        /**
+         * Stops the run and moves its KV cache to the target or the backup. Without these it goes
+         * on at its engine.
+         */
+        StopRun,
         ContinueAtBackup, ///< Continues with the copy at the backup.
         ContinueAtTarget, ///< Continues with the handle where the KV cache was moved to.
         ContinueAtEngine, ///< Continues with the handle at the engine that executed the run.
