Take no refused connection for the end of an engine that holds others

Cause: a refused connection counted as the proof that no process listens at the engine's address. A server that takes no more connections refuses them as well; the run's own stream was open all the while.

Change: a refusal proves that only if none of this node's connections to the server is open: the end of a process closes all. Open ones are then checked by the kernel (keep-alive), in case their end has got lost. Else the engine counts as one that gives no connection: its run stays.

Left: an engine at which this node has no other connection, and whose only one was reset from outside.

--- a/src/relay/serverconnections.cpp
+++ b/src/relay/serverconnections.cpp
@@ -314,7 +314,27 @@
         return;
     }
     m_calls.erase(call);
-    m_observer.callEnded(call, transferEndOf(std::get<PathSearchEnd>(next)), reason);
+    const TransferEnd end = transferEndOf(std::get<PathSearchEnd>(next));
+    if (end == TransferEnd::Refused && checkOpenConnections(pending->request.server)) {
+        m_observer.callEnded(call, TransferEnd::NotConnected, reason + ", others are open");
+        return;
+    }
+    m_observer.callEnded(call, end, reason);
+}
+
+bool ServerConnections::checkOpenConnections(const ServerName &server)
+{
+    bool isAnyOpen = false;
+    for (const auto &[number, connection] : m_connections) {
+        // A paused connection is not read and may have ended.
+        const bool isOpen = connection->server == server && connection->isConnected
+            && !connection->isClosing && !connection->isPaused && !connection->isEnding();
+        if (isOpen) {
+            isAnyOpen = true;
+            detectDeadPeer(bufferevent_getfd(connection->bev));
+        }
+    }
+    return isAnyOpen;
 }
 
 void ServerConnections::closeIdleDirect(const ServerName &server)
--- a/src/relay/serverconnections.h
+++ b/src/relay/serverconnections.h
@@ -22,8 +22,12 @@
 
 enum class TransferEnd {
     NotConnected, ///< Nothing was sent: the server does not answer this node or another one.
-    Refused,      ///< Nothing was sent: no process listens at the server's address.
-    NoPath,       ///< Nothing was sent: this node has no connection, which may be its own fault.
+    /**
+     * Nothing was sent: no process listens at the server's address, and none of the node's
+     * connections to it is open. A server that takes no more connections refuses them as well.
+     */
+    Refused,
+    NoPath, ///< Nothing was sent: this node has no connection, which may be its own fault.
     Complete,
     ConnectionLost, ///< The server ended the connection before the answer was complete.
     /**
@@ -107,6 +111,11 @@
     /** Sends the call's request on its new connection. */
     void established(Connection &connection);
     /** Tries the next route, or ends the call. */
+    /**
+     * Returns whether a connection to @p server is open. The kernel checks those that are, in case
+     * the end of the process has not been heard of.
+     */
+    bool checkOpenConnections(const ServerName &server);
     void connectFailed(Connection &connection, ConnectFailure failure, const std::string &reason);
     /** Tests whether this node can connect to a server that it reaches through others. */
     void testPath(const ServerName &server, const std::string &address);
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(discardsAnAnswerToAnEarlierRequest);
     CPPUNIT_TEST(extraDataAfterAnAnswerClosesTheConnection);
     CPPUNIT_TEST(reportsARefusedConnection);
+    CPPUNIT_TEST(aRefusalBesideAnOpenConnectionIsNoProof);
     CPPUNIT_TEST(aProbeSendsNoData);
     CPPUNIT_TEST(theIdleTimeoutEndsACall);
     CPPUNIT_TEST(aSilentCallIsReportedAndContinues);
@@ -352,6 +353,25 @@
         CPPUNIT_ASSERT(endOf(1) == TransferEnd::Refused);
     }
 
+    // Guards against a server that is taken for dead, and its runs for over, since it takes no more
+    // connections than it has.
+    void aRefusalBesideAnOpenConnectionIsNoProof()
+    {
+        std::optional<RawServer> listening(std::in_place);
+        const std::string address = listening->address();
+        startCall(1, address);
+        RawSocket open(listening->acceptConnection());
+        runUntil([&] { return !open.receive().empty(); });
+        listening.reset();
+        startCall(2, address);
+        CPPUNIT_ASSERT(endOf(2) == TransferEnd::NotConnected);
+        CPPUNIT_ASSERT(!m_calls->ends.contains(CallNumber(1)));
+        open.reset();
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::ConnectionLost);
+        startCall(3, address);
+        CPPUNIT_ASSERT(endOf(3) == TransferEnd::Refused);
+    }
+
     // A probe must not send data, which the server could interpret as a request.
     void aProbeSendsNoData()
     {
