Record the streams of split routes, and say what the store knew

A note tells the only version of a service, but not at which service of the route a stream began.

Change: the services of split resumable routes count as those with several noted versions: their streams are recorded in the store in batches, also those that had begun before the split. Cost as for several versions (CAPACITY), while a resumable route is split; none else.

--- a/src/dispatch/streamresumption.cpp
+++ b/src/dispatch/streamresumption.cpp
@@ -59,6 +59,9 @@
 {
     std::string text = "asked=" + std::to_string(result.asked) + " source="
         + origins::nameOf(result.source) + " took_ms=" + millisecondsText(result.lookupTime);
+    if (result.notedVersions) {
+        text += " noted_versions=" + std::to_string(*result.notedVersions);
+    }
     if (!result.record) {
         return text + " origin=" + nameOf(result.fault);
     }
@@ -105,9 +108,13 @@
                      "resumes=" + request.arrival.resumedId.value_or("-") + " " + textOf(result)});
     if (!result.record) {
         const bool isUnreachable = result.fault == OriginFault::Unreachable;
+        std::string reason = std::string("origin of the stream ") + nameOf(result.fault);
+        if (result.notedVersions) {
+            reason += " noted_versions=" + std::to_string(*result.notedVersions);
+        }
         reject(step, request,
                isUnreachable ? std::optional(step.jitter(UnreachableRetryDelay)) : std::nullopt,
-               std::string("origin of the stream ") + nameOf(result.fault));
+               reason);
         return AdmissionStep::Rejected;
     }
     const origins::StreamOrigin &origin = result.record->origin;
--- a/src/dispatch/streamversions.cpp
+++ b/src/dispatch/streamversions.cpp
@@ -6,14 +6,33 @@
 
 namespace indigoway::dispatch {
 
+namespace {
+
+std::set<ServiceName> targetsOf(const Route &route)
+{
+    std::set<ServiceName> targets;
+    for (const ServiceShare &share : route.shares) {
+        if (share.weight > 0) {
+            targets.insert(share.service);
+        }
+    }
+    return targets;
+}
+
+} // namespace
+
 void StreamVersions::setRoutes(const RouteTable &table)
 {
     std::set<ServiceName> services;
+    m_splitServices.clear();
     for (const Route &route : table.routes()) {
-        for (const ServiceShare &share : route.shares) {
-            if (route.isStream && route.isResumable && share.weight > 0) {
-                services.insert(share.service);
-            }
+        if (!route.isStream || !route.isResumable) {
+            continue;
+        }
+        const std::set<ServiceName> targets = targetsOf(route);
+        services.insert(targets.begin(), targets.end());
+        if (targets.size() > 1) {
+            m_splitServices.insert(targets.begin(), targets.end());
         }
     }
     for (const ServiceName &service : m_services) {
@@ -51,7 +70,7 @@
     }
     m_isChanged = false;
     m_isAnyClosed = false;
-    std::set<ServiceName> stored;
+    std::set<ServiceName> stored = m_splitServices;
     for (const ServiceName &service : m_services) {
         std::set<std::string> noted;
         std::set<std::string> closed;
--- a/src/dispatch/streamversions.h
+++ b/src/dispatch/streamversions.h
@@ -39,6 +39,8 @@
 
     DispatchState &m_state;
     std::set<ServiceName> m_services; ///< Those that resumable routes lead to.
+    /** Of those, the ones of routes that lead to several: no note tells at which a stream began. */
+    std::set<ServiceName> m_splitServices;
     bool m_isChanged = true;
     bool m_isAnyClosed = false;
 };
--- a/src/origins/storedorigins.cpp
+++ b/src/origins/storedorigins.cpp
@@ -87,4 +87,10 @@
     return StreamOrigin {service, *it->second.begin()};
 }
 
+std::size_t StoredOrigins::versionsOf(const ServiceName &service) const
+{
+    const auto it = m_versions.find(service);
+    return it == m_versions.end() ? 0 : it->second.size();
+}
+
 } // namespace indigoway::origins
--- a/src/origins/storedorigins.h
+++ b/src/origins/storedorigins.h
@@ -40,6 +40,8 @@
     std::optional<StreamOrigin> originOf(const StreamId &stream) const;
     /** Returns the only origin that a stream of @p service can have; nothing if there are more. */
     std::optional<StreamOrigin> onlyOriginOf(const ServiceName &service) const;
+    /** Returns how many versions of @p service are noted. */
+    std::size_t versionsOf(const ServiceName &service) const;
     std::size_t records() const { return m_records.size(); }
 
 private:
--- a/src/origins/storelookups.cpp
+++ b/src/origins/storelookups.cpp
@@ -58,6 +58,10 @@
 {
     OriginResult result = lookup.result;
     result.source = OriginSource::StoreRecord;
+    result.notedVersions = 0;
+    for (const ServiceName &service : lookup.services) {
+        *result.notedVersions += found.versionsOf(service);
+    }
     std::optional<StreamOrigin> origin;
     if (!lookup.subject.isContent) {
         origin = found.originOf(lookup.subject.stream);
--- a/src/origins/streamorigins.h
+++ b/src/origins/streamorigins.h
@@ -38,6 +38,8 @@
     NodeName learntFrom; ///< Node that knew the origin; empty for this one.
     Duration lookupTime {};
     std::size_t asked = 0; ///< Nodes that were asked.
+    /** Versions of the route's services that are noted in the store; nothing if it was not read. */
+    std::optional<std::size_t> notedVersions;
 };
 
 /**
--- a/tests/dispatch/storedorigintest.cpp
+++ b/tests/dispatch/storedorigintest.cpp
@@ -70,6 +70,20 @@
     return versions;
 }
 
+/** Lets the resumable route lead to two services. */
+void splitRoute(DispatcherHarness &harness)
+{
+    RoutingState state;
+    state.version = 2;
+    Route route = DispatcherHarness::streamRoute(true);
+    route.shares = {{Llm, 1}, {ServiceName("llm2"), 1}};
+    state.routes = {route};
+    state.services[Llm].name = Llm;
+    state.services[Llm].engine = EngineTraits();
+    state.services[ServiceName("llm2")].name = ServiceName("llm2");
+    harness.dispatcher().setRoutes(std::make_shared<const RouteTable>(std::move(state)));
+}
+
 /** Begins a stream, which goes on; returns its version. */
 std::string beginStream(DispatcherHarness &harness, int milliseconds)
 {
@@ -106,6 +120,7 @@
     CPPUNIT_TEST(plainServicesNeedNoNote);
     CPPUNIT_TEST(streamsOfOneVersionAreNotRecorded);
     CPPUNIT_TEST(streamsOfSeveralVersionsAreRecorded);
+    CPPUNIT_TEST(streamsOfASplitRouteAreRecorded);
     CPPUNIT_TEST(openStreamsAreRecordedWhenASecondVersionIsNoted);
     CPPUNIT_TEST(recordsWhatAnotherNodeAsksFor);
     CPPUNIT_TEST_SUITE_END();
@@ -253,14 +268,7 @@
     {
         DispatcherHarness harness;
         startNode(harness, {"v1"});
-        RoutingState state;
-        state.version = 2;
-        Route route = DispatcherHarness::streamRoute(true);
-        route.shares = {{Llm, 1}, {ServiceName("llm2"), 1}};
-        state.routes = {route};
-        state.services[Llm].name = Llm;
-        state.services[ServiceName("llm2")].name = ServiceName("llm2");
-        harness.dispatcher().setRoutes(std::make_shared<const RouteTable>(std::move(state)));
+        splitRoute(harness);
         const RequestNumber request = harness.resume(0, "resumable", "elsewhere");
         CPPUNIT_ASSERT_EQUAL(503, harness.status(request));
     }
@@ -371,6 +379,26 @@
         CPPUNIT_ASSERT(records.front() == (StreamRecord {StreamId("c1"), {Llm, version}}));
     }
 
+    // Guards against the loss of all streams of a route that leads to several services, and of
+    // those that had begun before it was split.
+    void streamsOfASplitRouteAreRecorded()
+    {
+        DispatcherHarness harness;
+        startNode(harness, {"v1"});
+        beginStream(harness, 0);
+        CPPUNIT_ASSERT(harness.takeStoreRecords().empty());
+        splitRoute(harness);
+        harness.advance(500, 510);
+        const StreamRecord begun {StreamId("c1"), {Llm, "v1"}};
+        CPPUNIT_ASSERT(harness.takeStoreRecords() == std::vector<StreamRecord> {begun});
+        StoredOrigins found = notesOf({"v1"});
+        found.add(std::vector<StreamRecord> {{StreamId("elsewhere"), {Llm, "v1"}}});
+        harness.setStoredOrigins(found);
+        harness.resume(600, "resumable", "elsewhere");
+        CPPUNIT_ASSERT_EQUAL(std::string("v1"),
+                             versionOf(harness.nextCall(CallKind::Reserve).server));
+    }
+
     // Guards against the loss of streams that had begun before the release.
     void openStreamsAreRecordedWhenASecondVersionIsNoted()
     {
