Keep stops of earlier calls apart, and leaving engines free of stopped runs

A run without a granted target went on at its own engine even if that one leaves, where a request may come too late; it is given up as before. A whole stream whose engine was gone before the stop reached it would have been cut; nothing was stopped, so that it is complete.

--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -123,6 +123,10 @@
 RunContinuation::Result RunContinuation::stopEnded(Step &step, OpenRequest &request,
                                                    const OpenCall &call, const CallEnded &event)
 {
+    if (request.run.stopCall != event.call) {
+        orphanedStopEnded(step, call, event); // The run has continued elsewhere meanwhile.
+        return Result::InProgress;
+    }
     request.run.stopCall = {};
     const StopResult result = stopResultOf(event);
     if (result != StopResult::Unknown) {
@@ -141,9 +145,9 @@
         request.run.handle = event.handle;
         request.run.handleSource = call.server;
     }
-    if (request.run.isClosedInDoubt && result == StopResult::NoSuchRun
-        && request.run.openStops == 0) {
-        return Result::Complete; // The run had ended before it could be stopped.
+    const bool hasStoppedNothing = result == StopResult::NoSuchRun || isUnsent(event.end);
+    if (request.run.isClosedInDoubt && hasStoppedNothing && request.run.openStops == 0) {
+        return Result::Complete;
     }
     const bool isStreamOpen = !request.call.isNone();
     const bool isOver = result == StopResult::Moved || result == StopResult::NotMoved;
@@ -292,13 +296,12 @@
         target = m_state.servers.find(request.run.stopTarget);
         target = target && request.accepts(*target) ? target : nullptr;
     }
-    const bool staysAtEngine = next.kind == Kind::StopRun && !target;
+    const bool staysAtEngine = next.kind == Kind::StopRun && !target && isUsable(engine, step.now);
     if (staysAtEngine) {
         target = anyOtherEngine(request, step.now);
     }
-    const char *reason = next.kind == Kind::GiveUp ? next.reason
-        : staysAtEngine                            ? "there is no other engine"
-                        : "the other engine is gone, leaving or limits requests";
+    const char *reason =
+        next.kind == Kind::GiveUp ? next.reason : "no engine to move it to can be used";
     if (m_state.remainingRefusal(request, step.now)) {
         reason = CrashesServers;
     } else if (next.kind == Kind::ContinueAtBackup
@@ -423,6 +426,7 @@
         request.decodeServer = server.name;
         request.run.openStops = 0;
     }
+    request.run.stopCall = {}; // Its answer would concern the call before.
     request.run.isClosedInDoubt = false;
     m_claims.endTarget(step, request, scheduling::ClaimOutcome::Cancelled);
     ++request.run.continuations;
--- a/tests/dispatch/runcontinuationtest.cpp
+++ b/tests/dispatch/runcontinuationtest.cpp
@@ -178,6 +178,9 @@
     CPPUNIT_TEST(streamClosedInDoubtIsCutIfItCannotGoOn);
     CPPUNIT_TEST(streamThatEndedBeforeItsStopIsComplete);
     CPPUNIT_TEST(closeAfterARefusedStopIsComplete);
+    CPPUNIT_TEST(streamThatEndedBeforeItsEngineIsComplete);
+    CPPUNIT_TEST(lateAnswerToAnEarlierStopChangesNothing);
+    CPPUNIT_TEST(runWithoutATargetDoesNotGoOnAtALeavingEngine);
     CPPUNIT_TEST(leavingEngineThatLosesTheConnectionWaitsForTheTarget);
     CPPUNIT_TEST(targetWithoutRoomKeepsTheRunAtItsEngine);
     CPPUNIT_TEST(disconnectDuringAClaimForATargetEndsIt);
@@ -944,6 +947,55 @@
         CPPUNIT_ASSERT(!harness.hasCalls());
     }
 
+    // Guards against a whole stream that is cut, since its leaving engine was gone before the stop.
+    void streamThatEndedBeforeItsEngineIsComplete()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        harness.addServer("d1", EnginePhase::Decode, true);
+        harness.reduce(1'300, TimePassed {});
+        const StartCall stop = grantTarget(harness, 1'305, "d3");
+        closeStream(harness, 1'310, run.decode, 40);
+        harness.refuse(1'312, stop);
+        CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
+    }
+
+    // Guards against a stop of the run at its first engine that is taken for one at the next.
+    void lateAnswerToAnEarlierStopChangesNothing()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        harness.addServer("d1", EnginePhase::Decode, true);
+        harness.reduce(1'300, TimePassed {});
+        const StartCall stop = grantTarget(harness, 1'305, "d3");
+        harness.reduce(1'500, StreamSilent {run.decode.call, 10});
+        endCheck(harness, 1'510, harness.nextCall(CallKind::Probe), EngineCheck::Refused, 10);
+        const StartCall second = harness.nextCall(CallKind::Decode);
+        assertContinuesAtBackup(second);
+        harness.reduce(1'550, StreamStarted {second.call, 200, {}});
+        answerStop(harness, 1'560, stop, 200, "k9");
+        CPPUNIT_ASSERT(harness.nextCall(CallKind::FreeHandle).server == ServerName("d1"));
+        CPPUNIT_ASSERT(!harness.wasAbandoned(second));
+        closeStream(harness, 3'000, second, 40);
+        CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
+    }
+
+    // Guards against a request to an engine that leaves, long after it has said so.
+    void runWithoutATargetDoesNotGoOnAtALeavingEngine()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness, "stream", "");
+        harness.addServer("d1", EnginePhase::Decode, true);
+        harness.reduce(1'300, TimePassed {});
+        breakStream(harness, 1'302, run.decode, 10);
+        refuseTarget(harness, 1'305);
+        CPPUNIT_ASSERT_EQUAL(text("cut"), harness.outcome(run.request));
+        CPPUNIT_ASSERT(!harness.hasCalls());
+    }
+
     // Guards against streams that are cut since they were once asked to stop and were not.
     void closeAfterARefusedStopIsComplete()
     {
