--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -161,9 +161,9 @@
         m_state.calls.abandon(step, std::exchange(request.call, {}));
     }
     const RunRecovery recovery(*request.service->engine);
-    const bool isForNothing = result == StopResult::Moved && request.run.staysAtEngine;
+    const bool isCopyUnwanted = result == StopResult::Moved && request.run.staysAtEngine;
     const RecoveryStep next = recovery.stopEnded(stateOf(request, step.now),
-                                                 isForNothing ? StopResult::NotMoved : result);
+                                                 isCopyUnwanted ? StopResult::NotMoved : result);
     return apply(step, request, call.server, next);
 }
 
--- a/src/relay/serverconnections.h
+++ b/src/relay/serverconnections.h
@@ -111,12 +111,12 @@
     /** Sends the call's request on its new connection. */
     void established(Connection &connection);
     /** Tries the next route, or ends the call. */
+    void connectFailed(Connection &connection, ConnectFailure failure, const std::string &reason);
     /**
-     * Returns whether a connection to @p server is open. The kernel checks those that are, in case
-     * the end of the process has not been heard of.
+     * Returns whether a connection to @p server is open. The kernel checks those that are, since
+     * the end of the process may have got lost.
      */
     bool checkOpenConnections(const ServerName &server);
-    void connectFailed(Connection &connection, ConnectFailure failure, const std::string &reason);
     /** Tests whether this node can connect to a server that it reaches through others. */
     void testPath(const ServerName &server, const std::string &address);
     /** Closes idle connections of this node itself that a cut may have made useless. */
