Apply a page of a listing only to the listing that asked for it

Cause: a node without a source lists the store and asks random peers beside. The page was then taken for the first and only one, and all items that it does not name were removed: nodes and engines. The watch goes on behind them, so that they come back only with their next change.

Evidence: pageAfterASnapshotRemovesNothing fails without the check and passes with it; mirrortest 16 of 16, updatelogtest, versionnotestest and firstcopyreplaytest pass.

--- a/src/edge/statesync.cpp
+++ b/src/edge/statesync.cpp
@@ -167,7 +167,10 @@
                     handleCallFailure(upstream, *fault);
                     return;
                 }
-                m_mirror.applyPage(std::get<StoredPage>(result));
+                if (!m_mirror.applyPage(std::get<StoredPage>(result))) {
+                    startNextMirrorCall(); // The copy may be older than the page: proves nothing.
+                    return;
+                }
                 m_responder.addStoreUpdates(m_mirror);
                 if (!m_mirror.isListing()) {
                     m_proof.revisionRead(m_listingStartedAt, m_mirror.asOf(), m_mirror.asOf());
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -43,6 +43,7 @@
 MirrorCall Mirror::beginStoreCall()
 {
     m_isCallInFlight = true;
+    m_isPageExpected = m_needsListing;
     if (m_needsListing) {
         return ListCall {m_listCursor};
     }
@@ -52,12 +53,17 @@
 std::uint64_t Mirror::beginPeerCall()
 {
     m_isCallInFlight = true;
+    m_isPageExpected = false;
     return m_asOf;
 }
 
-void Mirror::applyPage(const StoredPage &page)
+bool Mirror::applyPage(const StoredPage &page)
 {
     completeCall();
+    if (!std::exchange(m_isPageExpected, false)) {
+        // A later page would be taken for the first one, and all items of the others for removed.
+        return false;
+    }
     if (m_listCursor.empty()) {
         m_listedRevisions.clear();
         m_listingRevision = page.asOf;
@@ -75,7 +81,7 @@
     }
     if (page.hasMore && !page.items.empty()) {
         m_listCursor = page.items.back().key;
-        return;
+        return true;
     }
     m_listCursor.clear();
     m_needsListing = false;
@@ -86,6 +92,7 @@
     removeUnlisted();
     m_asOf = std::max(m_asOf, m_listingRevision);
     m_storeUpdate.asOf = m_asOf;
+    return true;
 }
 
 void Mirror::applyWatch(TimePoint now, const StoredChanges &changes)
@@ -145,6 +152,7 @@
     removeUnlisted();
     m_asOf = update.asOf;
     m_needsListing = false;
+    m_isPageExpected = false;
     m_listCursor.clear();
     // Followers get the same update unchanged, see UpdateLog.
     m_storeUpdate = {};
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -62,7 +62,11 @@
      */
     std::uint64_t beginPeerCall();
 
-    void applyPage(const StoredPage &page);
+    /**
+     * Applies a page of the listing.
+     * @return false, without any effect, if a peer's snapshot has replaced the listing meanwhile
+     */
+    bool applyPage(const StoredPage &page);
     /** Applies the result of a watch. */
     void applyWatch(TimePoint now, const StoredChanges &changes);
     /** Marks a call to a peer as completed. */
@@ -119,6 +123,8 @@
     bool m_isCallInFlight = false;
     std::uint64_t m_generation = 0;
     bool m_needsListing = true;
+    /** Whether the call in flight is a list call whose page continues the listing. */
+    bool m_isPageExpected = false;
     std::string m_listCursor;
     /** Revision of the first page; the watch continues from here. */
     std::uint64_t m_listingRevision = 0;
--- a/tests/store/mirrortest.cpp
+++ b/tests/store/mirrortest.cpp
@@ -67,6 +67,7 @@
 {
     CPPUNIT_TEST_SUITE(MirrorTest);
     CPPUNIT_TEST(listsAllPagesThenWatches);
+    CPPUNIT_TEST(pageAfterASnapshotRemovesNothing);
     CPPUNIT_TEST(watchStartsAtFirstPage);
     CPPUNIT_TEST(listsAgainAfterCompaction);
     CPPUNIT_TEST(neverRevertsToOlderRevision);
@@ -107,6 +108,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {2}, mirror.snapshot().changes.size());
     }
 
+    // Guards against a copy that loses most items for good: a page that answers after a peer's
+    // snapshot was taken for a whole listing.
+    void pageAfterASnapshotRemovesNothing()
+    {
+        CollectingMirror one;
+        one.mirror.beginStoreCall();
+        one.mirror.applyPage({{item("p/a", 3), item("p/b", 4)}, false, 10});
+        one.mirror.refresh();
+        one.mirror.beginStoreCall();
+        CPPUNIT_ASSERT(one.mirror.applyPage({{item("p/a", 3)}, true, 12}));
+        one.mirror.beginStoreCall();
+        CPPUNIT_ASSERT(one.mirror.applyUpdate(
+            snapshotUpdate(14, {{"p/a", 3, "v"}, {"p/b", 4, "v"}, {"p/c", 13, "v"}})));
+        CPPUNIT_ASSERT(!one.mirror.applyPage({{item("p/c", 13)}, false, 14}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {3}, one.items.size());
+        CPPUNIT_ASSERT(!one.mirror.isBusy(at(0)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {14}, watchRevision(one.mirror.beginStoreCall()));
+    }
+
     void listsAllPagesThenWatches()
     {
         CollectingMirror one;
--- a/tests/store/updatelogtest.cpp
+++ b/tests/store/updatelogtest.cpp
@@ -174,6 +174,7 @@
             Mirror watcher({}, [](const std::string &, const StoredItem *, std::uint64_t) {});
             Mirror follower({}, [](const std::string &, const StoredItem *, std::uint64_t) {});
             CountingLog updateLog;
+            watcher.beginStoreCall();
             watcher.applyPage({{{"first", "v", 1, 1}}, false, 1});
             updateLog.log.startAt(1);
             follower.applyUpdate(watcher.snapshot());
