--- a/tests/dispatch/runcontinuationtest.cpp
+++ b/tests/dispatch/runcontinuationtest.cpp
@@ -101,6 +101,13 @@
     harness.reduce(milliseconds, ended);
 }
 
+/** Lets the engine of the run say that it leaves, 1.3 s after the start. */
+void announceLeaving(DispatcherHarness &harness)
+{
+    harness.addServer("d1", EnginePhase::Decode, true);
+    harness.reduce(1'300, TimePassed {});
+}
+
 /** Grants the claim for another engine; returns the request to stop the run that follows. */
 StartCall grantTarget(DispatcherHarness &harness, int milliseconds, const char *target)
 {
@@ -411,8 +418,7 @@
         DispatcherHarness harness;
         useEngines(harness);
         const Run run = startRun(harness, "resumable");
-        harness.addServer("d1", EnginePhase::Decode, true);
-        harness.reduce(1'300, TimePassed {});
+        announceLeaving(harness);
         answerStop(harness, 1'340, grantTarget(harness, 1'305, "d3"), 200, "k9");
         harness.end(1'350, harness.nextCall(CallKind::Decode), CallEnd::NotExecuted, 503);
         CPPUNIT_ASSERT_EQUAL(text("open"), harness.outcome(run.request));
@@ -758,8 +764,7 @@
         useEngines(harness);
         const Run run = startRun(harness);
         harness.reduce(1'150, StreamProgress {run.decode.call, 8});
-        harness.addServer("d1", EnginePhase::Decode, true);
-        harness.reduce(1'300, TimePassed {});
+        announceLeaving(harness);
         const StartCall stop = grantTarget(harness, 1'305, "d3");
         CPPUNIT_ASSERT(stop.server == ServerName("d1"));
         CPPUNIT_ASSERT_EQUAL(text("d3:80"), stop.moveTarget);
@@ -805,8 +810,7 @@
         for (std::uint32_t i = 0; i < 6; ++i) {
             harness.reduce(1'150, StreamProgress {runs[i].decode.call, 10 + 10 * (5 - i)});
         }
-        harness.addServer("d1", EnginePhase::Decode, true);
-        harness.reduce(1'300, TimePassed {});
+        announceLeaving(harness);
         std::vector<StartCall> stops;
         for (int i = 0; i < 4; ++i) {
             stops.push_back(grantTarget(harness, 1'305, "d3"));
@@ -829,8 +833,7 @@
             DispatcherHarness harness;
             useEngines(harness);
             const Run run = startRun(harness);
-            harness.addServer("d1", EnginePhase::Decode, true);
-            harness.reduce(1'300, TimePassed {});
+            announceLeaving(harness);
             if (status == 0) {
                 const auto claim = harness.nextSchedulerMessage<Claim>();
                 harness.reduce(1'310, SchedulerAnswered {ClaimRefused {claim.claim}, Life});
@@ -852,8 +855,7 @@
         DispatcherHarness harness;
         useEngines(harness);
         const Run run = startRun(harness);
-        harness.addServer("d1", EnginePhase::Decode, true);
-        harness.reduce(1'300, TimePassed {});
+        announceLeaving(harness);
         const StartCall stop = grantTarget(harness, 1'305, "d3");
         harness.end(1'310, run.decode, CallEnd::Complete, 200);
         CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
@@ -871,8 +873,7 @@
         DispatcherHarness harness;
         useEngines(harness);
         const Run run = startRun(harness);
-        harness.addServer("d1", EnginePhase::Decode, true);
-        harness.reduce(1'300, TimePassed {});
+        announceLeaving(harness);
         const StartCall stop = grantTarget(harness, 1'305, "d3");
         closeStream(harness, 1'310, run.decode, 10);
         CPPUNIT_ASSERT_EQUAL(text("open"), harness.outcome(run.request));
@@ -891,8 +892,7 @@
         DispatcherHarness harness;
         useEngines(harness);
         const Run run = startRun(harness);
-        harness.addServer("d1", EnginePhase::Decode, true);
-        harness.reduce(1'300, TimePassed {});
+        announceLeaving(harness);
         const StartCall stop = grantTarget(harness, 1'305, "d3");
         closeStream(harness, 1'310, run.decode, 10);
         harness.end(2'310, stop, CallEnd::Broken);
@@ -908,8 +908,7 @@
         DispatcherHarness harness;
         useEngines(harness);
         const Run run = startRun(harness);
-        harness.addServer("d1", EnginePhase::Decode, true);
-        harness.reduce(1'300, TimePassed {});
+        announceLeaving(harness);
         harness.end(2'310, grantTarget(harness, 1'305, "d3"), CallEnd::Broken);
         closeStream(harness, 2'400, run.decode, 20);
         CPPUNIT_ASSERT_EQUAL(text("open"), harness.outcome(run.request));
@@ -923,8 +922,7 @@
         DispatcherHarness harness;
         useEngines(harness, false, true);
         const Run run = startRun(harness, "stream", "");
-        harness.addServer("d1", EnginePhase::Decode, true);
-        harness.reduce(1'300, TimePassed {});
+        announceLeaving(harness);
         const StartCall stop = grantTarget(harness, 1'305, "d3");
         closeStream(harness, 1'310, run.decode, 10);
         harness.end(2'310, stop, CallEnd::Broken);
@@ -938,8 +936,7 @@
         DispatcherHarness harness;
         useEngines(harness);
         const Run run = startRun(harness);
-        harness.addServer("d1", EnginePhase::Decode, true);
-        harness.reduce(1'300, TimePassed {});
+        announceLeaving(harness);
         const StartCall stop = grantTarget(harness, 1'305, "d3");
         closeStream(harness, 1'310, run.decode, 40);
         answerStop(harness, 1'312, stop, 404);
@@ -953,8 +950,7 @@
         DispatcherHarness harness;
         useEngines(harness);
         const Run run = startRun(harness);
-        harness.addServer("d1", EnginePhase::Decode, true);
-        harness.reduce(1'300, TimePassed {});
+        announceLeaving(harness);
         const StartCall stop = grantTarget(harness, 1'305, "d3");
         closeStream(harness, 1'310, run.decode, 40);
         harness.refuse(1'312, stop);
@@ -967,8 +963,7 @@
         DispatcherHarness harness;
         useEngines(harness);
         const Run run = startRun(harness);
-        harness.addServer("d1", EnginePhase::Decode, true);
-        harness.reduce(1'300, TimePassed {});
+        announceLeaving(harness);
         const StartCall stop = grantTarget(harness, 1'305, "d3");
         harness.reduce(1'500, StreamSilent {run.decode.call, 10});
         endCheck(harness, 1'510, harness.nextCall(CallKind::Probe), EngineCheck::Refused, 10);
@@ -988,8 +983,7 @@
         DispatcherHarness harness;
         useEngines(harness);
         const Run run = startRun(harness, "stream", "");
-        harness.addServer("d1", EnginePhase::Decode, true);
-        harness.reduce(1'300, TimePassed {});
+        announceLeaving(harness);
         breakStream(harness, 1'302, run.decode, 10);
         refuseTarget(harness, 1'305);
         CPPUNIT_ASSERT_EQUAL(text("cut"), harness.outcome(run.request));
@@ -1002,8 +996,7 @@
         DispatcherHarness harness;
         useEngines(harness);
         const Run run = startRun(harness);
-        harness.addServer("d1", EnginePhase::Decode, true);
-        harness.reduce(1'300, TimePassed {});
+        announceLeaving(harness);
         answerStop(harness, 1'320, grantTarget(harness, 1'305, "d3"), 503);
         closeStream(harness, 1'900, run.decode, 40);
         CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
@@ -1016,8 +1009,7 @@
         DispatcherHarness harness;
         useEngines(harness, false, true);
         const Run run = startRun(harness, "stream", "");
-        harness.addServer("d1", EnginePhase::Decode, true);
-        harness.reduce(1'300, TimePassed {});
+        announceLeaving(harness);
         breakStream(harness, 1'302, run.decode, 10);
         CPPUNIT_ASSERT_EQUAL(text("open"), harness.outcome(run.request));
         answerStop(harness, 1'340, grantTarget(harness, 1'305, "d3"), 200, "k9");
@@ -1030,8 +1022,7 @@
         DispatcherHarness harness;
         useEngines(harness);
         const Run run = startRun(harness);
-        harness.addServer("d1", EnginePhase::Decode, true);
-        harness.reduce(1'300, TimePassed {});
+        announceLeaving(harness);
         answerStop(harness, 1'340, grantTarget(harness, 1'305, "d3"), 503, "k9");
         CPPUNIT_ASSERT(harness.wasAbandoned(run.decode));
         const StartCall second = harness.nextCall(CallKind::Decode);
@@ -1050,8 +1041,7 @@
         DispatcherHarness harness;
         useEngines(harness);
         const Run run = startRun(harness);
-        harness.addServer("d1", EnginePhase::Decode, true);
-        harness.reduce(1'300, TimePassed {});
+        announceLeaving(harness);
         const auto claim = harness.nextSchedulerMessage<Claim>();
         harness.reduce(1'310, CallerLeft {run.request});
         CPPUNIT_ASSERT(harness.nextSchedulerMessage<ClaimEnded>().claim == run.claim);
