Let no time limit of a path pass while tunneltest gets no processor time

Change: the limits for opening a connection, which depend on each other, stand in one place (PathTimeLimits) with their values as before, and are an argument of ServerConnections and TunnelListener. The fixture sets them to a minute, so that connectedRelay() no longer repeats calls. Two new cases cover the limits themselves: a relay that does not answer, and a server that does not answer the relay. RefusingAddress keeps its port while the test runs. What the other cases check is as before, and stricter in connectedRelay().

--- a/src/relay/serverconnections.cpp
+++ b/src/relay/serverconnections.cpp
@@ -15,15 +15,6 @@
 
 namespace {
 
-/**
- * Detects servers that don't respond to SYN packets: a stopped VM, a network partition, or a full
- * listen queue.
- */
-constexpr Duration ConnectTimeout = std::chrono::milliseconds(250);
-/** Limit if another node is asked afterwards. */
-constexpr Duration ConnectTimeoutBeforeRelay = std::chrono::milliseconds(150);
-/** Covers the other node's own connect timeout. */
-constexpr Duration RelayTimeout = std::chrono::milliseconds(150);
 /** Time without acknowledgement after which a connection to a server is closed. */
 constexpr auto TcpUserTimeout = std::chrono::milliseconds(2500);
 
@@ -47,9 +38,10 @@
 } // namespace
 
 ServerConnections::ServerConnections(event_base *base, ServerCallObserver &observer,
-                                     std::uint64_t seed)
+                                     std::uint64_t seed, const PathTimeLimits &limits)
     : m_base(base)
     , m_observer(observer)
+    , m_limits(limits)
     , m_random(seed)
     , m_closeEvent(event_new(
           base, -1, 0,
@@ -184,14 +176,14 @@
     connection.parser.reset(request.method == "HEAD");
     connection.relay = route.relay.name;
     const bool mayAskOthers = !request.isDirectOnly && !m_paths.relays.isEmpty();
-    Duration limit = mayAskOthers ? ConnectTimeoutBeforeRelay : ConnectTimeout;
+    Duration limit = mayAskOthers ? m_limits.connectBeforeRelay : m_limits.connect;
     if (request.connectTimeout.count() > 0) {
         limit = std::min(limit, request.connectTimeout);
     }
     const std::string address = route.isDirect() ? request.address : route.relay.address;
     const bool isDirect = route.isDirect();
     connection.pending = std::move(pending);
-    openSocket(connection, address, isDirect ? limit : RelayTimeout);
+    openSocket(connection, address, isDirect ? limit : m_limits.relay);
     if (!isDirect && bufferevent_getfd(connection.bev) >= 0) {
         detectDeadPeer(bufferevent_getfd(connection.bev));
     }
@@ -218,7 +210,7 @@
 {
     Connection &connection = addConnection(server);
     connection.isPathTest = true;
-    openSocket(connection, address, ConnectTimeout);
+    openSocket(connection, address, m_limits.connect);
 }
 
 void ServerConnections::socketConnected(Connection &connection)
--- a/src/relay/serverconnections.h
+++ b/src/relay/serverconnections.h
@@ -2,6 +2,7 @@
 
 #include "http/eventbase.h"
 #include "paths/pathsearch.h"
+#include "paths/pathtimelimits.h"
 #include "relay/serverconnection.h"
 #include "relay/serverrequest.h"
 
@@ -70,7 +71,8 @@
 class ServerConnections
 {
 public:
-    ServerConnections(event_base *base, ServerCallObserver &observer, std::uint64_t seed = 1);
+    ServerConnections(event_base *base, ServerCallObserver &observer, std::uint64_t seed = 1,
+                      const PathTimeLimits &limits = {});
     ~ServerConnections();
     ServerConnections(const ServerConnections &) = delete;
     ServerConnections &operator=(const ServerConnections &) = delete;
@@ -136,6 +138,7 @@
 
     event_base *m_base;
     ServerCallObserver &m_observer;
+    PathTimeLimits m_limits;
     PathKnowledge m_paths;
     std::mt19937_64 m_random;
     EventHandle m_closeEvent;
--- a/src/relay/tunnellistener.cpp
+++ b/src/relay/tunnellistener.cpp
@@ -19,9 +19,6 @@
 
 namespace {
 
-/** The other node tries elsewhere after a little more. */
-constexpr timeval ConnectLimit {0, 90'000};
-constexpr timeval CheckLimit {0, 40'000};
 constexpr timeval RequestLimit {1, 0};
 /** Time for the last bytes of an answer to a node that reads slowly. */
 constexpr timeval FlushLimit {5, 0};
@@ -103,11 +100,12 @@
 };
 
 TunnelListener::TunnelListener(event_base *base, OverloadGuard &guard, ServerPaths &paths,
-                               Dependencies dependencies)
+                               Dependencies dependencies, const PathTimeLimits &limits)
     : m_base(base)
     , m_guard(guard)
     , m_paths(paths)
     , m_dependencies(std::move(dependencies))
+    , m_limits(limits)
     , m_acceptTimer(event_new(
           base, -1, 0,
           [](evutil_socket_t, short, void *self) {
@@ -265,7 +263,8 @@
     tunnel.target = target;
     tunnel.startedAt = steadyNow();
     tunnel.stage = Tunnel::Stage::Connecting;
-    event_add(tunnel.timer, &ConnectLimit);
+    const timeval limit = timevalOf(m_limits.connectAtRelay);
+    event_add(tunnel.timer, &limit);
     openServerSide(tunnel, target.address);
 }
 
@@ -354,7 +353,8 @@
     tunnel.serverSide = nullptr;
     tunnel.target = other;
     tunnel.stage = Tunnel::Stage::CheckingOther;
-    event_add(tunnel.timer, &CheckLimit);
+    const timeval limit = timevalOf(m_limits.checkAtRelay);
+    event_add(tunnel.timer, &limit);
     openServerSide(tunnel, other.address);
 }
 
--- a/src/relay/tunnellistener.h
+++ b/src/relay/tunnellistener.h
@@ -2,6 +2,7 @@
 
 #include "http/eventbase.h"
 #include "overload/overloadguard.h"
+#include "paths/pathtimelimits.h"
 #include "paths/serverpaths.h"
 #include "relay/tunnelprotocol.h"
 
@@ -53,7 +54,7 @@
      * @param paths Records which servers this node reaches.
      */
     TunnelListener(event_base *base, OverloadGuard &guard, ServerPaths &paths,
-                   Dependencies dependencies);
+                   Dependencies dependencies, const PathTimeLimits &limits = {});
     ~TunnelListener() override;
 
     /**
@@ -127,6 +128,7 @@
     OverloadGuard &m_guard;
     ServerPaths &m_paths;
     Dependencies m_dependencies;
+    PathTimeLimits m_limits;
     evconnlistener *m_listener = nullptr;
     EventHandle m_acceptTimer; ///< Accepts again after an error.
     bool m_isLeaving = false;
--- a/tests/http/httpclienttest.cpp
+++ b/tests/http/httpclienttest.cpp
@@ -178,12 +178,8 @@
 
     void tellsThatNothingWasSent()
     {
-        std::string closedAddress;
-        {
-            const RawServer closed;
-            closedAddress = closed.address();
-        }
-        for (const std::string &address : {closedAddress, std::string("nonsense")}) {
+        const RefusingAddress refusing;
+        for (const std::string &address : {refusing.address(), std::string("nonsense")}) {
             HttpCall call;
             call.address = address;
             m_answer.reset();
--- a/tests/relay/rawsockets.h
+++ b/tests/relay/rawsockets.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace indigoway::tests {
@@ -119,19 +120,25 @@
     bool m_isReset = false;
 };
 
+/** Binds @p socket to a free port; returns its address. */
+inline std::string boundToFreePort(int socket)
+{
+    sockaddr_in at = *socketAddress("127.0.0.1:0");
+    CPPUNIT_ASSERT_EQUAL(0, bind(socket, reinterpret_cast<sockaddr *>(&at), sizeof at));
+    socklen_t length = sizeof at;
+    getsockname(socket, reinterpret_cast<sockaddr *>(&at), &length);
+    return "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
+}
+
 /** Listening socket for answers written by the test. */
 class RawServer
 {
 public:
     RawServer()
         : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+        , m_address(boundToFreePort(m_socket))
     {
-        sockaddr_in at = *socketAddress("127.0.0.1:0");
-        CPPUNIT_ASSERT_EQUAL(0, bind(m_socket, reinterpret_cast<sockaddr *>(&at), sizeof at));
         CPPUNIT_ASSERT_EQUAL(0, listen(m_socket, 8));
-        socklen_t length = sizeof at;
-        getsockname(m_socket, reinterpret_cast<sockaddr *>(&at), &length);
-        m_address = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
     }
     ~RawServer() { close(m_socket); }
     RawServer(const RawServer &) = delete;
@@ -151,6 +158,48 @@
     std::string m_address;
 };
 
+/** Address that refuses connections; no other process can listen at it meanwhile. */
+class RefusingAddress
+{
+public:
+    RefusingAddress()
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+        , m_address(boundToFreePort(m_socket))
+    { }
+    ~RefusingAddress() { close(m_socket); }
+    RefusingAddress(const RefusingAddress &) = delete;
+    RefusingAddress &operator=(const RefusingAddress &) = delete;
+
+    const std::string &address() const { return m_address; }
+
+private:
+    int m_socket; ///< Bound, but it doesn't listen.
+    std::string m_address;
+};
+
+/** Its kernel answers no SYN packet, as that of a stopped VM. */
+class SilentServer
+{
+public:
+    SilentServer()
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+        , m_address(boundToFreePort(m_socket))
+    {
+        CPPUNIT_ASSERT_EQUAL(0, listen(m_socket, 0));
+        m_waiting.emplace(m_address);
+    }
+    ~SilentServer() { close(m_socket); }
+    SilentServer(const SilentServer &) = delete;
+    SilentServer &operator=(const SilentServer &) = delete;
+
+    const std::string &address() const { return m_address; }
+
+private:
+    int m_socket;
+    std::string m_address;
+    std::optional<RawSocket> m_waiting; ///< Fills the listen queue.
+};
+
 /** Records the events of calls. */
 class CallRecorder : public ServerCallObserver
 {
--- a/tests/relay/relaytest.cpp
+++ b/tests/relay/relaytest.cpp
@@ -344,12 +344,8 @@
 
     void reportsARefusedConnection()
     {
-        std::string closedAddress;
-        {
-            const RawServer closedServer;
-            closedAddress = closedServer.address();
-        }
-        startCall(1, closedAddress);
+        const RefusingAddress refusing;
+        startCall(1, refusing.address());
         CPPUNIT_ASSERT(endOf(1) == TransferEnd::Refused);
     }
 
--- a/tests/relay/tunneltest.cpp
+++ b/tests/relay/tunneltest.cpp
@@ -17,11 +17,11 @@
 
 namespace {
 
-/** A server's address that refuses connections, as a cut node sees it. */
-std::string refusingAddress()
+/** Limits that don't pass while this process gets no processor time. */
+PathTimeLimits patientLimits()
 {
-    const RawServer closed;
-    return closed.address();
+    constexpr Duration Longer = std::chrono::minutes(1);
+    return {Longer, Longer, Longer, Longer, Longer};
 }
 
 } // namespace
@@ -51,6 +51,8 @@
     CPPUNIT_TEST(closesTheServerConnectionOfADeadNode);
     CPPUNIT_TEST(confirmsThatAServerIsDown);
     CPPUNIT_TEST(blamesNoServerIfTheRelayIsCutOffToo);
+    CPPUNIT_TEST(givesUpARelayThatDoesNotAnswer);
+    CPPUNIT_TEST(givesUpAServerThatDoesNotAnswerTheRelay);
     CPPUNIT_TEST(doesNotRelayOnward);
     CPPUNIT_TEST(opensNoConnectionToUnknownServers);
     CPPUNIT_TEST(sendsOrdersFromItsOwnAddressOnly);
@@ -65,11 +67,9 @@
         m_otherAddressAtRelay = m_otherServer.address();
         m_guard.emplace(m_base.get(), MachineResources {});
         m_relayPaths.emplace();
-        startRelay();
+        startRelay(patientLimits());
         m_calls.emplace();
-        m_servers.emplace(m_base.get(), *m_calls);
-        m_servers->paths().relays.setNodes({{NodeName("relay"), m_relayAddress}},
-                                           TimePoint(Duration(1)));
+        startServers(patientLimits());
     }
 
     void tearDown() override
@@ -364,7 +364,7 @@
     // A server that is down must be known as such; the relay shows that it reaches another one.
     void confirmsThatAServerIsDown()
     {
-        m_serverAddressAtRelay = refusingAddress();
+        m_serverAddressAtRelay = m_refusing.address();
         startCall(1);
         CPPUNIT_ASSERT(endOf(1) == TransferEnd::Refused);
         CPPUNIT_ASSERT(!m_servers->paths().servers.isRelayed(ServerName("s")));
@@ -373,12 +373,35 @@
     // Nodes of one cut-off domain would confirm to each other that sound servers are down.
     void blamesNoServerIfTheRelayIsCutOffToo()
     {
-        m_serverAddressAtRelay = refusingAddress();
-        m_otherAddressAtRelay = refusingAddress();
+        m_serverAddressAtRelay = m_refusing.address();
+        m_otherAddressAtRelay = m_refusing.address();
         startCall(1);
         CPPUNIT_ASSERT(endOf(1) == TransferEnd::NoPath);
     }
 
+    // The caller would wait for a node that has stopped.
+    void givesUpARelayThatDoesNotAnswer()
+    {
+        PathTimeLimits limits = patientLimits();
+        limits.relay = std::chrono::milliseconds(50);
+        startServers(limits);
+        startCallThroughPlayedRelay(1);
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::NoPath);
+    }
+
+    // The node that asks would wait longer than for a direct connection.
+    void givesUpAServerThatDoesNotAnswerTheRelay()
+    {
+        const SilentServer silent;
+        m_serverAddressAtRelay = silent.address();
+        PathTimeLimits limits = patientLimits();
+        limits.connectAtRelay = std::chrono::milliseconds(50);
+        startRelay(limits);
+        startServers(patientLimits());
+        startCall(1);
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::NotConnected);
+    }
+
     // Two nodes that are cut off must not send a request around between them.
     void doesNotRelayOnward()
     {
@@ -428,7 +451,7 @@
     }
 
 private:
-    void startRelay()
+    void startRelay(const PathTimeLimits &limits)
     {
         m_relay.emplace(m_base.get(), *m_guard, *m_relayPaths,
                         TunnelListener::Dependencies {
@@ -440,16 +463,25 @@
                             [this](const ServerName &) {
                                 return std::optional(TunnelListener::Target {
                                     ServerName("other"), m_otherAddressAtRelay});
-                            }});
+                            }},
+                        limits);
         m_relayAddress = *m_relay->listenOn("127.0.0.1:0");
     }
 
+    void startServers(const PathTimeLimits &limits)
+    {
+        constexpr std::uint64_t Seed = 1;
+        m_servers.emplace(m_base.get(), *m_calls, Seed, limits);
+        m_servers->paths().relays.setNodes({{NodeName("relay"), m_relayAddress}},
+                                           TimePoint(Duration(1)));
+    }
+
     void startCall(std::uint64_t number, const std::string &body = "x", bool isDirectOnly = false)
     {
         ServerRequest request;
         request.call = CallNumber(number);
         request.server = ServerName("s");
-        request.address = m_refusing;
+        request.address = m_refusing.address();
         request.method = "POST";
         request.target = "/";
         request.headers = {{"X-Name", "value"}};
@@ -472,34 +504,23 @@
 
     static std::string framed(TunnelFrame kind) { return framed("", kind); }
 
-    /**
-     * Starts a call through a relay that the test plays; returns the socket of the relay. Starts it
-     * again if its limits of 150 ms for a path pass while this process gets no processor time.
-     */
+    /** Starts a call through a relay that the test plays; returns the socket of the relay. */
     int connectedRelay(std::uint64_t call, bool isFramed)
     {
         const std::uint64_t relayed = m_servers->relayedCalls();
-        for (;;) {
-            m_calls->ends.erase(CallNumber(call));
-            m_servers->paths().relays.setNodes({{NodeName("played"), m_otherServer.address()}},
-                                               TimePoint(std::chrono::hours(call)));
-            startCall(call);
-            int socket = -1;
-            const auto hasEnded = [&] {
-                return m_calls->ends.contains(CallNumber(call));
-            };
-            runUntil([&] { return (socket = m_otherServer.tryAccept()) >= 0 || hasEnded(); });
-            if (socket < 0) {
-                continue;
-            }
-            const std::string open = encodeTunnelAnswer(TunnelAnswer::Open, isFramed);
-            CPPUNIT_ASSERT(::send(socket, open.data(), open.size(), MSG_NOSIGNAL) > 0);
-            runUntil([&] { return m_servers->relayedCalls() > relayed || hasEnded(); });
-            if (m_servers->relayedCalls() > relayed) {
-                return socket;
-            }
-            ::close(socket);
-        }
+        startCallThroughPlayedRelay(call);
+        const int socket = accepted(m_otherServer);
+        const std::string open = encodeTunnelAnswer(TunnelAnswer::Open, isFramed);
+        CPPUNIT_ASSERT(::send(socket, open.data(), open.size(), MSG_NOSIGNAL) > 0);
+        runUntil([&] { return m_servers->relayedCalls() > relayed; });
+        return socket;
+    }
+
+    void startCallThroughPlayedRelay(std::uint64_t call)
+    {
+        m_servers->paths().relays.setNodes({{NodeName("played"), m_otherServer.address()}},
+                                           TimePoint(std::chrono::hours(call)));
+        startCall(call);
     }
 
     int acceptedFromNodeWithoutFrames(RawSocket &node)
@@ -546,7 +567,7 @@
     EventBase m_base;
     RawServer m_server;
     RawServer m_otherServer;
-    const std::string m_refusing = refusingAddress(); ///< The server, for the cut-off node.
+    const RefusingAddress m_refusing; ///< The server, for the cut-off node.
     std::string m_serverAddressAtRelay;
     std::string m_otherAddressAtRelay;
     std::optional<OverloadGuard> m_guard;
