Ask a server for its life when it begins a stream and its entry may be old

Its engine had come back under its id with other software while the news was on its way or the store was away, and broke before its node learnt of it: the stream was bound to the version of the old entry.

Cause: ServerLives corrects the version of a stream when the news comes; nothing proved it before.

Change: while the node's last contact with the store is older than 2.5 s, or several versions of the service are noted, the node asks the server for its report as soon as a stream has begun there that may go on elsewhere (CallKind::Report beside the stream; no event waits). `born` as announced: the known life has begun it. Another one, or no answer before the stream breaks: its version is unknown, nobody continues it (an origin with no version makes the records ambiguous); the entry of just that life tells the version. Without an answer the next event asks again, every 0.3 s at the most. Such a report may be relayed by another node, as the stream itself; only the one before an order must come from this node. A request whose version is unknown no longer asks the scheduler for another engine.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -450,6 +450,10 @@
         m_generations.engineChecked(step, *request, *call, event);
         return;
     }
+    if (request && call->kind == CallKind::Report && request->call != event.call) {
+        m_lives.reportEnded(step, *request, *call, event);
+        return;
+    }
     if (!request || request->call != event.call) {
         RequestFlow &flow =
             call->kind == CallKind::Plain ? static_cast<RequestFlow &>(m_plain) : m_generations;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -56,6 +56,8 @@
     }
     const origins::VersionNotes &versionNotes() const { return m_state.versionNotes; }
     const origins::StreamOrigins &origins() const { return m_state.origins; }
+    /** Sets the age of the copy of the servers' entries, see ServerLives::setCopyAge(). */
+    void setCopyAge(std::optional<Duration> age) { m_lives.setCopyAge(age); }
     void announce(AnnouncedServer server);
     void withdraw(const ServerName &name, TimePoint now);
     /** Removes a server instance that has ended or must not be used. */
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -105,6 +105,18 @@
     TimePoint knownSince {};
 };
 
+/**
+ * A stream began while the node's copy of the server's entry was old, and the server has not yet
+ * confirmed that it is still in the life that the entry names.
+ */
+struct UnconfirmedLife
+{
+    CallNumber report; ///< Asks the server; none while no such call is open.
+    TimePoint askedAt {};
+    /** The start of the server's life if that is another one, of a version not known; else 0. */
+    std::uint64_t otherStartedAt = 0;
+};
+
 /** A caller's request from arrival to completion. */
 struct OpenRequest
 {
@@ -145,6 +157,8 @@
     std::optional<std::string> boundVersion;
     /** Set while a newer life may answer the current call; nothing continues the stream then. */
     std::optional<NewerLife> newerLife;
+    /** Set while it is not known that the server's announced life has begun the stream. */
+    std::optional<UnconfirmedLife> unconfirmedLife;
     /** Server whose life was checked before it continues the stream; see needsLifeCheck(). */
     ServerName checkedServer;
 
@@ -185,10 +199,12 @@
     bool hasBegunToWrite(TimePoint now) const;
     /** Returns the priority of the organisation if it has one, else that of the route. */
     std::uint32_t priority() const;
+    /** Returns whether it is not known which version has begun the stream: nothing continues it. */
+    bool isVersionUnknown() const { return newerLife || unconfirmedLife; }
     /** Returns whether the software version of @p candidate allows it to serve the request. */
     bool accepts(const AnnouncedServer &candidate) const
     {
-        return !newerLife && (!boundVersion || *boundVersion == candidate.version);
+        return !isVersionUnknown() && (!boundVersion || *boundVersion == candidate.version);
     }
     bool isGeneration() const { return route->isStream && service && service->engine; }
     bool mayHaveExecuted() const { return executions > 0; }
--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -501,7 +501,8 @@
     RunState run = progressOf(request, now);
     run.hasBackup = usableBackup(request, now) != nullptr;
     run.hasTarget = usableTarget(request, now) != nullptr;
-    run.mayRequestTarget = m_claims.isAvailable(now) && request.run.targetClaim.isNone();
+    run.mayRequestTarget = m_claims.isAvailable(now) && request.run.targetClaim.isNone()
+        && !request.isVersionUnknown();
     return run;
 }
 
--- a/src/dispatch/streamresumption.cpp
+++ b/src/dispatch/streamresumption.cpp
@@ -254,8 +254,8 @@
 
 bool isServable(const DispatchState &state, const OpenRequest &request, TimePoint now)
 {
-    if (request.newerLife) {
-        return false; // The version that began its stream is not known.
+    if (request.isVersionUnknown()) {
+        return false;
     }
     if (!request.boundVersion) {
         return true;
--- a/src/edge/edgenode.cpp
+++ b/src/edge/edgenode.cpp
@@ -606,6 +606,7 @@
     if (m_sync.isKnown()) {
         m_dispatcher.setNodes(m_roster.count(now), now);
     }
+    m_dispatcher.setCopyAge(m_sync.contactAge(BootClock::now()));
     m_relay.checkDeadlines();
     m_guard.returnUnusedMemory();
     recordStoreCallCounts(now);
--- a/src/edge/statesync.h
+++ b/src/edge/statesync.h
@@ -81,6 +81,14 @@
     const std::string &source() const { return m_followedPeer; }
     /** Returns the maximum age of the copy at @p now; nothing if it is unknown. */
     std::optional<Duration> copyAge(BootTime now) const { return m_proof.age(now); }
+    /**
+     * Returns the time since the latest contact with the store by way of the present source;
+     * nothing if there is none.
+     */
+    std::optional<Duration> contactAge(BootTime now) const
+    {
+        return m_isCurrent ? m_contact.age(now) : std::nullopt;
+    }
     StoreWriter &storeWriter() { return m_storeWriter; }
     const StoreWriter &storeWriter() const { return m_storeWriter; }
     /** Lists the store anew and renews this node's rights, after this process was suspended. */
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -406,8 +406,10 @@
     request.answerLimit = isControl(effect.kind) ? ControlAnswerLimit : Duration(0);
     request.needsNewConnection = effect.needsNewConnection;
     request.maxIdleConnections = effect.maxIdleConnections;
-    // Engines take orders from the node that holds the right, by its address.
-    request.isDirectOnly = effect.kind == CallKind::Report || effect.kind == CallKind::Order;
+    // Engines take orders from the node that holds the right, by its address. The report before an
+    // order shows that this node reaches the engine; that of a request's server may be relayed.
+    request.isDirectOnly = effect.kind == CallKind::Order
+        || (effect.kind == CallKind::Report && effect.request.isNone());
     m_calls.emplace(effect.call, std::move(open));
     m_servers.start(std::move(request));
 }
--- a/tests/dispatch/serverlivestest.cpp
+++ b/tests/dispatch/serverlivestest.cpp
@@ -83,6 +83,14 @@
     CPPUNIT_TEST(newerLifeOfTheSameVersionChangesNothing);
     CPPUNIT_TEST(streamThatEndsWellIsDelivered);
     CPPUNIT_TEST(correctionReplacesWhatOthersKnow);
+    CPPUNIT_TEST(oldCopyIsNoProofOfALife);
+    CPPUNIT_TEST(confirmedLifeMayBeContinued);
+    CPPUNIT_TEST(unansweredQuestionIsAskedAgain);
+    CPPUNIT_TEST(breakBeforeTheAnswerLeavesTheVersionUnknown);
+    CPPUNIT_TEST(newsOfTheOtherLifeTellsItsVersion);
+    CPPUNIT_TEST(otherLifeOfTheSameVersionIsAsGood);
+    CPPUNIT_TEST(recentCopyAsksNothing);
+    CPPUNIT_TEST(severalVersionsAskForTheLife);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -216,7 +224,143 @@
         CPPUNIT_ASSERT(harness.nextCall(CallKind::Reserve).server == ServerName("b@5"));
     }
 
+    // Guards against streams that go on at the version of an old entry: the store was away as their
+    // server came back with other software, and they broke before the news.
+    void oldCopyIsNoProofOfALife()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const StartCall run = startStreamWithOldCopy(harness);
+        answerReport(harness, 110, harness.nextCall(CallKind::Report), 6);
+        breakRun(harness, 200, run, 3);
+        assertCut(harness);
+    }
+
+    void confirmedLifeMayBeContinued()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const StartCall run = startStreamWithOldCopy(harness);
+        answerReport(harness, 110, harness.nextCall(CallKind::Report), 5);
+        breakRun(harness, 200, run, 3);
+        CPPUNIT_ASSERT(harness.nextCall(CallKind::Reserve).server == ServerName("b@5"));
+    }
+
+    void unansweredQuestionIsAskedAgain()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const StartCall run = startStreamWithOldCopy(harness);
+        CallEnded unanswered;
+        unanswered.call = harness.nextCall(CallKind::Report).call;
+        unanswered.end = CallEnd::Broken;
+        harness.reduce(150, unanswered);
+        harness.reduce(160, StreamProgress {run.call, 2});
+        CPPUNIT_ASSERT(!harness.hasCalls());
+        harness.reduce(410, StreamProgress {run.call, 3});
+        answerReport(harness, 420, harness.nextCall(CallKind::Report), 5);
+        harness.reduce(430, StreamProgress {run.call, 4});
+        CPPUNIT_ASSERT(!harness.hasCalls());
+        breakRun(harness, 500, run, 4);
+        CPPUNIT_ASSERT(harness.nextCall(CallKind::Reserve).server == ServerName("b@5"));
+    }
+
+    void breakBeforeTheAnswerLeavesTheVersionUnknown()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const StartCall run = startStreamWithOldCopy(harness);
+        const StartCall report = harness.nextCall(CallKind::Report);
+        breakRun(harness, 200, run, 3);
+        answerReport(harness, 210, report, 5);
+        assertCut(harness);
+    }
+
+    void newsOfTheOtherLifeTellsItsVersion()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const StartCall run = startStreamWithOldCopy(harness);
+        answerReport(harness, 110, harness.nextCall(CallKind::Report), 6);
+        announce(harness, "a", 6, "v2");
+        harness.reduce(200, TimePassed {});
+        harness.reduce(600, StreamProgress {run.call, 7});
+        breakRun(harness, 700, run, 9);
+        CPPUNIT_ASSERT(harness.nextCall(CallKind::Reserve).server != ServerName("b@5"));
+    }
+
+    void otherLifeOfTheSameVersionIsAsGood()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const StartCall run = startStreamWithOldCopy(harness);
+        answerReport(harness, 110, harness.nextCall(CallKind::Report), 6);
+        announce(harness, "a", 6, "v1");
+        harness.reduce(200, TimePassed {});
+        breakRun(harness, 300, run, 3);
+        const ServerName next = harness.nextCall(CallKind::Reserve).server;
+        CPPUNIT_ASSERT(next == ServerName("b@5") || next == ServerName("a@6"));
+    }
+
+    // The servers would answer a call for each stream.
+    void recentCopyAsksNothing()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        harness.dispatcher().setCopyAge(std::chrono::milliseconds(1'500));
+        const StartCall run = startRun(harness, 0);
+        harness.reduce(100, StreamStarted {run.call, 200, {}});
+        CPPUNIT_ASSERT(!harness.hasCalls());
+    }
+
+    // During a release, servers come back with other software all the time, and the news takes up
+    // to a second on its way.
+    void severalVersionsAskForTheLife()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        harness.noteVersion("v1");
+        harness.noteVersion("v2");
+        const StartCall run = startRun(harness, 0);
+        harness.reduce(100, StreamStarted {run.call, 200, {}});
+        addOthers(harness);
+        answerReport(harness, 110, harness.nextCall(CallKind::Report), 6);
+        breakRun(harness, 200, run, 3);
+        assertCut(harness);
+    }
+
 private:
+    /** A stream at engine "a" that begins while the node gets no changes of the store. */
+    static StartCall startStreamWithOldCopy(DispatcherHarness &harness)
+    {
+        harness.dispatcher().setCopyAge(std::nullopt);
+        const StartCall run = startRun(harness, 0);
+        harness.reduce(100, StreamStarted {run.call, 200, {}});
+        addOthers(harness);
+        return run;
+    }
+
+    static void answerReport(DispatcherHarness &harness, int milliseconds, const StartCall &call,
+                             std::uint64_t startedAt)
+    {
+        CallEnded ended;
+        ended.call = call.call;
+        ended.end = CallEnd::Complete;
+        ended.status = 200;
+        ended.report = EngineReport {false, 0, startedAt};
+        harness.reduce(milliseconds, ended);
+    }
+
+    /** Asserts that the first stream is not continued, here or by its caller. */
+    static void assertCut(DispatcherHarness &harness)
+    {
+        harness.advance(610, 650);
+        CPPUNIT_ASSERT(!harness.hasCalls());
+        CPPUNIT_ASSERT_EQUAL(std::string("cut"), harness.outcome(RequestNumber(1)));
+        harness.resume(700, "resumable", "c1");
+        CPPUNIT_ASSERT_EQUAL(503, harness.status(RequestNumber(2)));
+    }
+
     static constexpr Duration MaxKeep = std::chrono::seconds(9);
 };
 
--- a/tests/soak/resumption.py
+++ b/tests/soak/resumption.py
@@ -125,6 +125,28 @@
         print(f"an engine killed: {whole} of {len(streams)} streams went on", flush=True)
         self.check(whole == len(streams), f"after the death of an engine only {whole} of {len(streams)} went on")
 
+    async def server_changes_unseen(self, name):
+        """
+        An engine starts again with other software while no node hears of it. Streams begin there, and it crashes.
+        Nobody knows which version began them: they must not go on at the version that its old entry names.
+        """
+        for node in self.nodes:
+            node.store.refuse()
+            node.store.reset_all()
+        await self.platform.control({"upgrade": {"worker": "d-2", "version": "v2"}})
+        await asyncio.sleep(0.6)  # The stand-in starts it again after 0.3 s.
+        streams, tasks = await self.begin(name, self.nodes[0])
+        await self.platform.control({"upgrade": {"worker": "d-2", "version": "v1"}})
+        await asyncio.sleep(0.6)
+        for node in self.nodes:
+            await node.store.accept_again()
+        whole = await self.resume(streams, tasks, self.nodes[1:])
+        print(f"{name}: {whole} of {len(streams)} streams are whole", flush=True)
+        self.check(whole < len(streams), f"{name}: no stream was cut: the test tests nothing")
+        for node in self.nodes:
+            await self.wait_until_served(node)
+        await asyncio.sleep(1.0)  # All nodes know the engine's present life.
+
     async def refused(self, name, headers):
         attempt = await self.stream(name).attempt(self.nodes[1], headers)
         self.check(attempt.status == 503 and not attempt.events, f"{name}: {attempt.status} {attempt.events}")
@@ -150,8 +172,10 @@
 
     async def run(self):
         await self.start()
+        await self.server_changes_unseen("unseen-one-version")
         await self.upgrade("d-3", "v2")
         await self.upgrade("d-4", "v2")
+        await self.server_changes_unseen("unseen-two-versions")
         await self.node_is_killed()
         await self.two_nodes_are_killed()
         await self.engine_is_killed()
