Tell other nodes that an abandoned stream's version is unknown

Callers could see (ORDER): a stream goes on at the version of the engine's old entry, in the caller's next attempt.

Cause: when an engine falls silent, RunContinuation abandons the call itself, so that ServerLives::callEnded() does not hear of its end. If a newer life of the engine with another version had been announced meanwhile, the node did not continue the stream, but its recorded origin still named the old version.

Change: streamBroken(), which callEnded() uses, is called where RunContinuation abandons a stream as well.

--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -1,6 +1,7 @@
 #include "runcontinuation.h"
 
 #include "dispatch/generationlimits.h"
+#include "dispatch/serverlives.h"
 
 #include <algorithm>
 
@@ -159,6 +160,7 @@
     if (isStreamOpen) {
         request.run.lostAt = step.now;
         m_state.calls.abandon(step, std::exchange(request.call, {}));
+        streamBroken(step, m_state, request);
     }
     const RunRecovery recovery(*request.service->engine);
     const bool isCopyUnwanted = result == StopResult::Moved && request.run.staysAtEngine;
@@ -259,6 +261,7 @@
     request.run.lossReason = event.reason.empty() ? "path to the engine lost" : event.reason;
     if (isStreamOpen && next.kind != Kind::StopRun) {
         m_state.calls.abandon(step, std::exchange(request.call, {}));
+        streamBroken(step, m_state, request);
         request.run.lostAt = step.now;
         request.run.lossReason = "engine unreachable: " + event.reason;
     }
--- a/tests/dispatch/runcontinuationtest.cpp
+++ b/tests/dispatch/runcontinuationtest.cpp
@@ -162,6 +162,7 @@
     CPPUNIT_TEST(silentEngineThatIsReachableKeepsItsRun);
     CPPUNIT_TEST(silentEngineWithoutAConnectionKeepsItsRun);
     CPPUNIT_TEST(silentEngineThatHasEndedLosesItsRun);
+    CPPUNIT_TEST(abandonedStreamOfANewerLifeGoesOnNowhere);
     CPPUNIT_TEST(streamOnALostPathIsMoved);
     CPPUNIT_TEST(streamWithoutABackupIsMovedOffALostPath);
     CPPUNIT_TEST(eventsDuringACheckKeepTheStream);
@@ -549,6 +550,30 @@
         assertContinuesAtBackup(harness.nextCall(CallKind::Decode));
     }
 
+    // Guards against a caller who takes the stream up again at the version of the engine's old
+    // entry.
+    void abandonedStreamOfANewerLifeGoesOnNowhere()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        AnnouncedServer newer = *harness.dispatcher().servers().find(ServerName("d1"));
+        newer.instance = "d1";
+        harness.dispatcher().announce(newer);
+        const Run run = startRun(harness, "resumable");
+        harness.reduce(1'000, StreamSilent {run.decode.call, 12});
+        const StartCall check = harness.nextCall(CallKind::Probe);
+        newer.name = ServerName("d1 again");
+        newer.version = "v2";
+        harness.dispatcher().announce(newer);
+        harness.reduce(1'001, TimePassed {});
+        endCheck(harness, 1'003, check, EngineCheck::Refused, 12);
+        CPPUNIT_ASSERT(harness.wasAbandoned(run.decode));
+        harness.advance(1'010, 1'050);
+        CPPUNIT_ASSERT_EQUAL(text("cut"), harness.outcome(run.request));
+        const RequestNumber resumed = harness.resume(1'060, "resumable", "c1");
+        CPPUNIT_ASSERT_EQUAL(503, harness.status(resumed));
+    }
+
     // This node is cut off from the engine, which another node reaches: the stream would hang until
     // its caller gives up, while the engine executes the run.
     void streamOnALostPathIsMoved()
