Keep callers of tests away from the port of a node that has ended

Its port was another process's by then: a dead node answers nothing. Change: until a node starts again, its callers' target in the tests is an address that refuses connections and that no other process can get. A dead node was to refuse them all along.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import urllib.request
 
 from faultproxy import FaultProxy
@@ -14,6 +15,15 @@
 LEAVE_LIMIT_S = 9.5  # A node ends within 8 s of SIGTERM.
 
 
+class RefusingAddress:
+    """Refuses connections; no other process can listen at it meanwhile."""
+
+    def __init__(self):
+        self._socket = socket.socket()
+        self._socket.bind(("127.0.0.1", 0))  # It never listens.
+        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
+
+
 class Process:
     """One process; its lines are kept, its exit is expected or a finding."""
 
@@ -67,6 +77,8 @@
         self.domain = "hall-a"
         self.store = FaultProxy()
         self.callers = FaultProxy()
+        # Callers of a node that has ended: its port may belong to another test's process, which would answer.
+        self.ended = RefusingAddress()
         self.servers = []  # Proxies on this node's way to each backend server, if it has its own.
         self.lives = 0
         self.is_expected_to_end = False
@@ -93,6 +105,10 @@
         started = await self.wait_for_line('"kind":"start"')
         self.callers.target = json.loads(started)["callers"]
 
+    async def kill(self):
+        self.callers.target = self.ended.address
+        await super().kill()
+
     async def wait_for_line(self, *words):
         for _ in range(START_LIMIT_S * 50):
             for line in self.lines:
@@ -138,9 +154,11 @@
         self.is_expected_to_end = True
         self.signal(signal.SIGTERM)
         try:
-            return await asyncio.wait_for(self.process.wait(), LEAVE_LIMIT_S)
+            status = await asyncio.wait_for(self.process.wait(), LEAVE_LIMIT_S)
         except asyncio.TimeoutError:
             return None
+        self.callers.target = self.ended.address
+        return status
 
 
 class Platform(Process):
