Bound each wait for a node in process-resumption, not the whole play

Cause: a wait gave up at once when the play was 60 s old. Change: 20 s from the start of a node, as process-herd-kill had it; that play now uses the same function.

--- a/tests/soak/herdkill.py
+++ b/tests/soak/herdkill.py
@@ -13,28 +13,19 @@
 import time
 
 from resumption import Play, main
-from streams import Stream
-
 STREAMS = 16
 EVENTS = 90
 DOWN_S = 0.5  # From the kill to the start of the next processes.
 RECORDED_S = 0.6  # Longer than records wait for their write.
 STORE_BACK_S = 1.5  # From the start of the next processes to the return of the store.
-SERVED_S = 20.0
 TAKEN_UP_S = 5.0
 SLOW_STORE_S = 0.05  # Each way, for each of the small pages of the stand-in.
 
 
 class HerdPlay(Play):
-    async def wait_until_served(self, node):
-        """With streams that are short, however long the play lasts already."""
-        limit = time.monotonic() + SERVED_S
-        while time.monotonic() < limit:
-            probe = Stream(f"probe-{node.name}-{time.monotonic():.2f}", self.clock, self.key, "stream")
-            if (await probe.attempt(node)).is_whole:
-                return
-            await asyncio.sleep(0.1)
-        raise RuntimeError(f"{node.name} never served")
+    async def wait_until_served(self, node, path="stream"):
+        """With streams that are short."""
+        await super().wait_until_served(node, path)
 
     async def begin_at_all(self, name):
         """Streams that have begun at all nodes."""
--- a/tests/soak/resumption.py
+++ b/tests/soak/resumption.py
@@ -24,6 +24,7 @@
 # Streams at an engine of which no node knows that it has started again, and how often they are begun until there are some.
 UNSEEN_STREAMS = 3
 BATCHES = 5
+SERVED_S = 20.0  # From the start of a node.
 # A refusal "at once" needs no more than some messages between nodes.
 AT_ONCE_S = 0.5
 
@@ -63,9 +64,10 @@
             await self.wait_until_served(node)
         await self.platform.control({"resumable_events": EVENTS})
 
-    async def wait_until_served(self, node):
-        while self.clock() < 60:
-            probe = Stream(f"probe-{node.name}-{self.clock():.2f}", self.clock, self.key)
+    async def wait_until_served(self, node, path="resumable"):
+        limit = time.monotonic() + SERVED_S
+        while time.monotonic() < limit:
+            probe = Stream(f"probe-{node.name}-{time.monotonic():.2f}", self.clock, self.key, path)
             if (await probe.attempt(node)).is_whole:
                 return
             await asyncio.sleep(0.1)
