Log what proves the end of a stream, and how often its run was stopped

Neither the log nor the metrics tell such an end from that of a whole stream: request_end says "served" of both, and a close in doubt has a line, but no count.

request_end now names what proved the end of a stream (framing, close, or a close that a later answer confirmed) and how often its run was asked to stop; the gauge indigoway_streams_closed_in_doubt counts closes in doubt. A stream with stream_end=close and stops above 0 is one to look at. No decision changes.

--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -564,9 +564,11 @@
             request.handle.clear();
         }
         if (request.isForwarding) {
+            const bool isClosed = event.isEndedByClose;
             conclude(step, request,
-                     event.isEndedByClose ? m_runs.streamClosed(step, request, call, event)
-                                          : RunContinuation::Result::Complete);
+                     isClosed ? m_runs.streamClosed(step, request, call, event)
+                              : RunContinuation::Result::Complete,
+                     isClosed ? StreamEnd::Close : StreamEnd::Framing);
         } else {
             releaseResources(step, request, ClaimOutcome::Served);
             m_state.requests.deliver(step, request, event.call, event.status);
@@ -597,22 +599,26 @@
 void GenerationFlow::stopEnded(Step &step, OpenRequest &request, const OpenCall &call,
                                const CallEnded &event)
 {
-    conclude(step, request, m_runs.stopEnded(step, request, call, event));
+    conclude(step, request, m_runs.stopEnded(step, request, call, event),
+             StreamEnd::ConfirmedClose);
 }
 
 void GenerationFlow::targetDecided(Step &step, OpenRequest &request,
                                    const scheduling::ClaimGranted *granted)
 {
-    conclude(step, request, m_runs.targetDecided(step, request, granted));
+    conclude(step, request, m_runs.targetDecided(step, request, granted),
+             StreamEnd::ConfirmedClose);
 }
 
 void GenerationFlow::engineChecked(Step &step, OpenRequest &request, const OpenCall &call,
                                    const CallEnded &event)
 {
-    conclude(step, request, m_runs.engineChecked(step, request, call, event));
+    conclude(step, request, m_runs.engineChecked(step, request, call, event),
+             StreamEnd::ConfirmedClose);
 }
 
-void GenerationFlow::conclude(Step &step, OpenRequest &request, RunContinuation::Result result)
+void GenerationFlow::conclude(Step &step, OpenRequest &request, RunContinuation::Result result,
+                              StreamEnd end)
 {
     switch (result) {
     case RunContinuation::Result::InProgress:
@@ -626,7 +632,7 @@
     case RunContinuation::Result::Complete:
         releaseResources(step, request, ClaimOutcome::Served);
         forgetStreamOrigin(m_state, request);
-        m_state.requests.endStream(step, request);
+        m_state.requests.endStream(step, request, end);
         return;
     }
 }
--- a/src/dispatch/generationflow.h
+++ b/src/dispatch/generationflow.h
@@ -88,7 +88,8 @@
     void targetDecided(Step &step, OpenRequest &request, const scheduling::ClaimGranted *granted);
     void withdrawClaims(Step &step);
     /** Resumes or ends the stream of a run that has ended or cannot continue. */
-    void conclude(Step &step, OpenRequest &request, RunContinuation::Result result);
+    /** @param end What proves the end of a stream that is complete. */
+    void conclude(Step &step, OpenRequest &request, RunContinuation::Result result, StreamEnd end);
     void decodeNotExecuted(Step &step, OpenRequest &request, const OpenCall &call,
                            const CallEnded &event);
     void decodeFailed(Step &step, OpenRequest &request, const CallEnded &event);
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -81,11 +81,13 @@
     erase(step, request, outcome);
 }
 
-void OpenRequests::endStream(Step &step, OpenRequest &request)
+void OpenRequests::endStream(Step &step, OpenRequest &request, StreamEnd end)
 {
     step.add(EndStream {request.arrival.request});
     m_answerTimes.record(request.route->name, step.now - request.arrived, step.now);
-    logEnd(step, request, RequestOutcome::Served, {});
+    logEnd(step, request, RequestOutcome::Served,
+           std::string("stream_end=") + nameOf(end)
+               + " stops=" + std::to_string(request.stopsSent));
     erase(step, request, RequestOutcome::Served);
 }
 
@@ -191,6 +193,19 @@
         || kind == CallKind::Whole;
 }
 
+const char *nameOf(StreamEnd end)
+{
+    switch (end) {
+    case StreamEnd::Framing:
+        return "framing";
+    case StreamEnd::Close:
+        return "close";
+    case StreamEnd::ConfirmedClose:
+        return "confirmed_close";
+    }
+    return "";
+}
+
 const char *nameOf(Stage stage)
 {
     switch (stage) {
--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -5,6 +5,7 @@
 #include "dispatch/answertimes.h"
 #include "dispatch/dispatcheffects.h"
 #include "dispatch/dispatchevents.h"
+#include "dispatch/streamend.h"
 #include "routing/routetable.h"
 
 #include <indigoway/announcedserver.h>
@@ -187,7 +188,8 @@
     TimePoint reservedAt {}; ///< Time of the last granted reservation.
     TimePoint prefilledAt {};
     RunRecord run;
-    std::uint32_t refusals = 0; ///< Engines that refused a reservation.
+    std::uint32_t stopsSent = 0; ///< Requests to stop its run, at any engine.
+    std::uint32_t refusals = 0;  ///< Engines that refused a reservation.
 
     scheduling::Urgency urgency() const;
     /** Returns the organisation's id in crash records; none without an organisation. */
@@ -225,8 +227,8 @@
     static void recordFirstEvent(Step &step, const OpenRequest &request);
     /** Sends the server's complete answer to the caller. */
     void deliver(Step &step, OpenRequest &request, CallNumber call, int status);
-    /** Completes the forwarded stream. */
-    void endStream(Step &step, OpenRequest &request);
+    /** Completes the forwarded stream, whose end @p end proves. */
+    void endStream(Step &step, OpenRequest &request, StreamEnd end);
     /** Aborts the forwarded stream. */
     void abortStream(Step &step, OpenRequest &request, const std::string &reason);
     /**
--- a/src/dispatch/plainflow.cpp
+++ b/src/dispatch/plainflow.cpp
@@ -404,7 +404,8 @@
     m_state.tracker.recordAnswer(call.server.name, step.now - call.started, isSuccess, step.now);
     if (request.isForwarding) {
         forgetStreamOrigin(m_state, request);
-        m_state.requests.endStream(step, request);
+        m_state.requests.endStream(step, request,
+                                   event.isEndedByClose ? StreamEnd::Close : StreamEnd::Framing);
         return;
     }
     if (!isSuccess && mayRetry(request) && pickServer(step, request)
--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -112,6 +112,7 @@
         return Result::Complete;
     }
     request.run.isClosedInDoubt = true;
+    ++m_counts.closedInDoubt;
     step.add(LogDecision {"stream_closed_in_doubt", request.arrival.callerId,
                           "engine=" + call.server.name.text()
                               + " events=" + std::to_string(request.forwardedEvents)
@@ -358,6 +359,7 @@
 void RunContinuation::stopRun(Step &step, OpenRequest &request, const AnnouncedServer &engine,
                               const AnnouncedServer &target)
 {
+    ++request.stopsSent;
     ++request.run.stopRequests;
     ++request.run.openStops;
     request.run.stopTarget = target.name;
--- a/src/dispatch/runcontinuation.h
+++ b/src/dispatch/runcontinuation.h
@@ -15,6 +15,7 @@
     std::uint64_t continuedByBackup = 0;
     std::uint64_t continuedByMove = 0;
     std::uint64_t lost = 0;
+    std::uint64_t closedInDoubt = 0; ///< Closes of streams that a stop may have caused.
 };
 
 /**
--- a/src/edge/nodemetrics.cpp
+++ b/src/edge/nodemetrics.cpp
@@ -98,6 +98,7 @@
             {"runs_continued_by_backup", node.dispatcher.runCounts().continuedByBackup},
             {"runs_continued_by_move", node.dispatcher.runCounts().continuedByMove},
             {"runs_lost", node.dispatcher.runCounts().lost},
+            {"streams_closed_in_doubt", node.dispatcher.runCounts().closedInDoubt},
             {"servers_paused", node.dispatcher.pausedServers()},
             {"servers_limited", node.dispatcher.permits().limitedServers()},
             {"leaving", node.isLeaving ? 1U : 0U},
