Let only a proof settle a stop, and hold off the end of streams that it may have closed

Seen with real processes on: an engine stops the run, answers the order 500, 409 or a 503 without a handle, and closes the stream with or after that answer: 6 of 6 streams look whole with 8 to 18 of 60 events.

Cause: any answer that could be read counted as the end of the stop, whatever it said. Of an answer without a handle it was concluded that the run had not been stopped; the close that followed was then taken for the run's own end. The count of open stops was also forgotten when the run went on elsewhere or was resumed. Class: one event, the orderly close, has two causes, one of them our own act; the absence of one cause was assumed, not proved.

Change: a rule for what proves an end. A stop is unsettled from before it is sent until it is known what became of it: not sent, "no such run", "not executed" (new: also read from answers to stops), or a handle. Other answers and lost ones prove nothing. A close at an engine with an unsettled stop completes nothing; nor does one after a 421, since the process that had the run is gone. After an answer without a handle the engine is asked once more. Unsettled stops belong to the request, by engine, so that they outlast continuations and resumptions. One stop is open at a time: a second one made the first answer an orphan, whose handle was freed.

closeAfterARefusedStopIsComplete held that a 503 without a handle proves that the run goes on.

New unit tests: closeAfterAnAnswerWithoutAHandleIsInDoubt, closeByAReplacedEngineIsInDoubt, unsettledStopOutlastsAContinuationAtItsEngine, onlyAStatementSettlesAStop, asksAgainForTheHandleOfARunWhoseStreamIsClosed.

--- a/src/dispatch/openrequests.h
+++ b/src/dispatch/openrequests.h
@@ -6,6 +6,7 @@
 #include "dispatch/dispatcheffects.h"
 #include "dispatch/dispatchevents.h"
 #include "dispatch/streamend.h"
+#include "dispatch/unsettledstops.h"
 #include "routing/routetable.h"
 
 #include <indigoway/announcedserver.h>
@@ -76,10 +77,10 @@
     CallNumber engineCheck;          ///< Connection attempt to an engine that may be lost.
     std::uint32_t eventsAtCheck = 0; ///< Events forwarded when the check began.
     std::uint32_t stopRequests = 0;  ///< Requests to stop the run at its present engine.
-    /** Of those, the ones whose answer has not come: the engine may stop the run at any time. */
-    std::uint32_t openStops = 0;
     /** Whether the stream was closed in good order, by its own end or by a stop. */
     bool isClosedInDoubt = false;
+    /** Another process answers at the engine's address, so that the run's one ends or has ended. */
+    bool isEngineReplaced = false;
     std::uint32_t continuations = 0; ///< How often the run continued elsewhere.
     TimePoint lostAt {};             ///< When the connection to its engine ended.
     /** Engine whose connection has ended, while another one is asked for. */
@@ -189,7 +190,9 @@
     TimePoint prefilledAt {};
     RunRecord run;
     std::uint32_t stopsSent = 0; ///< Requests to stop its run, at any engine.
-    std::uint32_t refusals = 0;  ///< Engines that refused a reservation.
+    /** Outlasts the run: the request may come to the same engine again. */
+    UnsettledStops unsettledStops;
+    std::uint32_t refusals = 0; ///< Engines that refused a reservation.
 
     scheduling::Urgency urgency() const;
     /** Returns the organisation's id in crash records; none without an organisation. */
--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -108,15 +108,16 @@
 RunContinuation::Result RunContinuation::streamClosed(Step &step, OpenRequest &request,
                                                       const OpenCall &call, const CallEnded &event)
 {
-    if (request.run.openStops == 0) {
+    if (!mayHaveBeenCut(request, call.server.name)) {
         return Result::Complete;
     }
     request.run.isClosedInDoubt = true;
     ++m_counts.closedInDoubt;
-    step.add(LogDecision {"stream_closed_in_doubt", request.arrival.callerId,
-                          "engine=" + call.server.name.text()
-                              + " events=" + std::to_string(request.forwardedEvents)
-                              + " open_stops=" + std::to_string(request.run.openStops)});
+    step.add(LogDecision {
+        "stream_closed_in_doubt", request.arrival.callerId,
+        "engine=" + call.server.name.text() + " events=" + std::to_string(request.forwardedEvents)
+            + " unsettled_stops=" + std::to_string(request.unsettledStops.count(call.server.name))
+            + " engine_replaced=" + (request.run.isEngineReplaced ? "yes" : "no")});
     CallEnded lost = event;
     lost.reason = "closed by its end or by the request to stop it";
     return connectionLost(step, request, call, lost);
@@ -125,15 +126,19 @@
 RunContinuation::Result RunContinuation::stopEnded(Step &step, OpenRequest &request,
                                                    const OpenCall &call, const CallEnded &event)
 {
+    const StopResult result = stopResultOf(event);
+    const bool hasStopped = result == StopResult::Moved || result == StopResult::NotMoved;
     if (request.run.stopCall != event.call) {
-        orphanedStopEnded(step, call, event); // The run has continued elsewhere meanwhile.
+        // The run has continued elsewhere meanwhile. If it is back, this has stopped it there.
+        if (!hasStopped) {
+            request.unsettledStops.settle(call.server.name, result);
+        }
+        orphanedStopEnded(step, call, event);
         return Result::InProgress;
     }
     request.run.stopCall = {};
-    const StopResult result = stopResultOf(event);
-    if (result != StopResult::Unknown) {
-        --request.run.openStops;
-    }
+    request.unsettledStops.settle(call.server.name, result);
+    request.run.isEngineReplaced |= result == StopResult::OtherInstance;
     if (result == StopResult::Unreachable || result == StopResult::Refused) {
         m_state.tracker.recordUnreachable(call.server.name, step.now);
     } else {
@@ -147,13 +152,11 @@
         request.run.handle = event.handle;
         request.run.handleSource = call.server;
     }
-    const bool hasStoppedNothing = result == StopResult::NoSuchRun || isUnsent(event.end);
-    if (request.run.isClosedInDoubt && hasStoppedNothing && request.run.openStops == 0) {
+    if (request.run.isClosedInDoubt && !hasStopped && !mayHaveBeenCut(request, call.server.name)) {
         return Result::Complete;
     }
     const bool isStreamOpen = !request.call.isNone();
-    const bool isOver = result == StopResult::Moved || result == StopResult::NotMoved;
-    if (isStreamOpen && !isOver) {
+    if (isStreamOpen && !hasStopped) {
         // Either the engine goes on with the run, or its stream ends and connectionLost() follows.
         m_claims.endTarget(step, request, scheduling::ClaimOutcome::Cancelled);
         return Result::InProgress;
@@ -184,6 +187,9 @@
         m_claims.endTarget(step, request, scheduling::ClaimOutcome::Cancelled);
     }
     const OpenCall *stream = m_state.calls.find(request.call);
+    if (!request.run.stopCall.isNone()) {
+        return Result::InProgress; // Its answer decides how the run goes on.
+    }
     if (stream && target) {
         stopRun(step, request, stream->server, *target);
     }
@@ -321,6 +327,8 @@
         request.run.lostEngine = engine;
         requestTarget(step, request);
         return Result::InProgress;
+    } else if (next.kind == Kind::StopRun && !request.run.stopCall.isNone()) {
+        return Result::InProgress;
     } else if (target && next.kind == Kind::StopRun) {
         stopRun(step, request, engine, *target);
         request.run.staysAtEngine = staysAtEngine;
@@ -361,7 +369,7 @@
 {
     ++request.stopsSent;
     ++request.run.stopRequests;
-    ++request.run.openStops;
+    request.unsettledStops.add(engine.name);
     request.run.stopTarget = target.name;
     request.run.staysAtEngine = false;
     StartCall call;
@@ -429,10 +437,10 @@
         m_placement.removeLoad(request.decodeServer, request.tokenDemand);
         m_placement.addLoad(server.name, request.tokenDemand);
         request.decodeServer = server.name;
-        request.run.openStops = 0;
     }
     request.run.stopCall = {}; // Its answer would concern the call before.
     request.run.isClosedInDoubt = false;
+    request.run.isEngineReplaced = false;
     m_claims.endTarget(step, request, scheduling::ClaimOutcome::Cancelled);
     ++request.run.continuations;
     request.run.stopRequests = 0;
@@ -465,6 +473,11 @@
     m_state.calls.start(step, server, std::move(call));
 }
 
+bool RunContinuation::mayHaveBeenCut(const OpenRequest &request, const ServerName &engine)
+{
+    return request.run.isEngineReplaced || request.unsettledStops.contains(engine);
+}
+
 const AnnouncedServer *RunContinuation::usableBackup(const OpenRequest &request,
                                                      TimePoint now) const
 {
--- a/src/dispatch/runcontinuation.h
+++ b/src/dispatch/runcontinuation.h
@@ -92,6 +92,11 @@
     void startContinuation(Step &step, OpenRequest &request, const AnnouncedServer &server,
                            StartCall call);
     void freeHandle(Step &step, const AnnouncedServer &server, const std::string &handle);
+    /**
+     * Returns whether anything but the run's own end may have closed its stream at @p engine in
+     * good order.
+     */
+    static bool mayHaveBeenCut(const OpenRequest &request, const ServerName &engine);
     /** Returns the engine that keeps the copy, or null if the run cannot continue there. */
     const AnnouncedServer *usableBackup(const OpenRequest &request, TimePoint now) const;
     /** Returns the engine that the scheduler has granted, or null. */
--- a/src/dispatch/runmover.cpp
+++ b/src/dispatch/runmover.cpp
@@ -33,6 +33,7 @@
     RunState run;
     run.continuations = request.run.continuations;
     run.stopRequests = request.run.stopRequests;
+    run.isClosedInDoubt = request.run.isClosedInDoubt;
     // The count of a stream that has begun may not have been reported yet.
     run.events = std::max(request.forwardedEvents, request.isForwarding ? 1U : 0U);
     run.expectedEvents = static_cast<std::uint32_t>(request.memory.outputTokens / tokensPerEvent);
--- a/src/dispatch/runrecovery.cpp
+++ b/src/dispatch/runrecovery.cpp
@@ -42,6 +42,8 @@
     if (isCutShort(event.end)) {
         return StopResult::Unknown;
     }
+    const StopResult withoutHandle =
+        event.end == CallEnd::NotExecuted ? StopResult::NotExecuted : StopResult::NoHandle;
     switch (event.status) {
     case Ok:
         return event.handle.empty() ? StopResult::Unknown : StopResult::Moved;
@@ -50,12 +52,17 @@
     case Misdirected:
         return StopResult::OtherInstance;
     case ServiceUnavailable:
-        return event.handle.empty() ? StopResult::NotStopped : StopResult::NotMoved;
+        return event.handle.empty() ? withoutHandle : StopResult::NotMoved;
     default:
-        return StopResult::NotStopped;
+        return withoutHandle;
     }
 }
 
+bool isSettledBy(StopResult result)
+{
+    return result != StopResult::NoHandle && result != StopResult::Unknown;
+}
+
 const char *nameOf(StopResult result)
 {
     switch (result) {
@@ -67,12 +74,14 @@
         return "other_instance";
     case StopResult::NoSuchRun:
         return "no_such_run";
+    case StopResult::NotExecuted:
+        return "not_executed";
     case StopResult::Moved:
         return "moved";
     case StopResult::NotMoved:
         return "not_moved";
-    case StopResult::NotStopped:
-        return "not_stopped";
+    case StopResult::NoHandle:
+        return "no_handle";
     case StopResult::Unknown:
         return "unknown";
     }
@@ -132,8 +141,13 @@
         return {Kind::ContinueAtTarget};
     case StopResult::NotMoved:
         return {Kind::ContinueAtEngine};
-    case StopResult::NotStopped:
+    case StopResult::NotExecuted:
         return {Kind::GiveUp, "run not stopped"};
+    case StopResult::NoHandle:
+        if (!run.isClosedInDoubt) {
+            return {Kind::GiveUp, "unknown whether the run was stopped"};
+        }
+        break; // An engine that has stopped the run names its handle if it is asked again.
     case StopResult::Unreachable:
     case StopResult::Unknown:
         break;
--- a/src/dispatch/runrecovery.h
+++ b/src/dispatch/runrecovery.h
@@ -19,6 +19,7 @@
     bool hasTarget = false;           ///< The scheduler has granted another engine.
     bool mayRequestTarget = false;    ///< The scheduler responds and was not asked yet.
     std::uint32_t stopRequests = 0;   ///< Requests to stop the run at its present engine.
+    bool isClosedInDoubt = false;     ///< Its stream was closed in good order, maybe by a stop.
     std::uint32_t continuations = 0;  ///< How often the run continued elsewhere.
     std::uint32_t events = 0;         ///< Events forwarded to the caller.
     std::uint32_t expectedEvents = 0; ///< Of the complete answer.
@@ -32,13 +33,19 @@
     Refused,       ///< No process listens at the engine's address.
     OtherInstance, ///< The engine was replaced or has restarted.
     NoSuchRun,
-    Moved,      ///< Stopped; the KV cache is at the target.
-    NotMoved,   ///< Stopped; the KV cache is still at the engine.
-    NotStopped, ///< Another move is in progress, or the answer has no handle.
-    Unknown,    ///< The answer was lost or cannot be read.
+    NotExecuted, ///< The engine states that it did not and will not carry out the request.
+    Moved,       ///< Stopped; the KV cache is at the target.
+    NotMoved,    ///< Stopped; the KV cache is still at the engine.
+    NoHandle,    ///< Any other answer; whether the run was stopped is not known.
+    Unknown,     ///< The answer was lost or cannot be read.
 };
 
 StopResult stopResultOf(const CallEnded &event);
+/**
+ * Returns whether @p result proves what has become of the request to stop the run: it was not sent,
+ * the engine has not carried it out and will not, or has returned the handle of the stopped run.
+ */
+bool isSettledBy(StopResult result);
 const char *nameOf(StopResult result);
 
 /** Result of a connection to an engine whose stream was lost or is silent. */
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -345,21 +345,23 @@
         ended.end = unconnectedEnd(end);
         return ended;
     }
-    if (open.info.isNotExecuted && open.call.kind != CallKind::StopRun) {
+    const bool isStop = open.call.kind == CallKind::StopRun;
+    EngineAnswer engineAnswer;
+    // A run may have stopped although its KV cache was not moved.
+    if (isControl(open.call.kind) && (isSuccess(open.head.status) || isStop)) {
+        engineAnswer = m_dialect.readEngineAnswer(open.call.kind, open.body.text());
+    }
+    const bool hasStopped = isStop && !engineAnswer.handle.empty();
+    if (open.info.isNotExecuted && !hasStopped) {
         ended.end = CallEnd::NotExecuted;
         ended.reason = "turned away with " + std::to_string(open.head.status);
         return ended;
     }
     ended.end = CallEnd::Complete;
-    if (!carriesRequest(open.call.kind) || open.call.kind == CallKind::Prefill) {
-        // A run may have stopped although its KV cache was not moved.
-        if (isSuccess(open.head.status) || open.call.kind == CallKind::StopRun) {
-            const EngineAnswer engineAnswer =
-                m_dialect.readEngineAnswer(open.call.kind, open.body.text());
-            ended.reservation = engineAnswer.reservation;
-            ended.handle = engineAnswer.handle;
-            ended.report = engineAnswer.report;
-        }
+    if (isControl(open.call.kind)) {
+        ended.reservation = engineAnswer.reservation;
+        ended.handle = engineAnswer.handle;
+        ended.report = engineAnswer.report;
         ended.reason = "status " + std::to_string(open.head.status);
         return ended;
     }
--- a/tests/dispatch/runcontinuationtest.cpp
+++ b/tests/dispatch/runcontinuationtest.cpp
@@ -185,7 +185,10 @@
     CPPUNIT_TEST(lateStopDoesNotCompleteTheStream);
     CPPUNIT_TEST(streamClosedInDoubtIsCutIfItCannotGoOn);
     CPPUNIT_TEST(streamThatEndedBeforeItsStopIsComplete);
-    CPPUNIT_TEST(closeAfterARefusedStopIsComplete);
+    CPPUNIT_TEST(closeAfterAStopThatWasNotExecutedIsComplete);
+    CPPUNIT_TEST(closeAfterAnAnswerWithoutAHandleIsInDoubt);
+    CPPUNIT_TEST(closeByAReplacedEngineIsInDoubt);
+    CPPUNIT_TEST(unsettledStopOutlastsAContinuationAtItsEngine);
     CPPUNIT_TEST(streamThatEndedBeforeItsEngineIsComplete);
     CPPUNIT_TEST(lateAnswerToAnEarlierStopChangesNothing);
     CPPUNIT_TEST(runWithoutATargetDoesNotGoOnAtALeavingEngine);
@@ -1016,15 +1019,87 @@
     }
 
     // Guards against streams that are cut since they were once asked to stop and were not.
-    void closeAfterARefusedStopIsComplete()
+    void closeAfterAStopThatWasNotExecutedIsComplete()
+    {
+        for (const int status : {0, 404, 429, 503}) {
+            DispatcherHarness harness;
+            useEngines(harness);
+            const Run run = startRun(harness);
+            announceLeaving(harness);
+            const StartCall stop = grantTarget(harness, 1'305, "d3");
+            if (status == 0) {
+                harness.refuse(1'320, stop);
+            } else if (status == 404) {
+                answerStop(harness, 1'320, stop, status);
+            } else {
+                harness.end(1'320, stop, CallEnd::NotExecuted, status);
+            }
+            closeStream(harness, 1'900, run.decode, 40);
+            CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
+        }
+    }
+
+    // Guards against a part of a stream that ends as complete, since an answer that says nothing of
+    // the run was taken for a proof that its engine had not stopped it.
+    void closeAfterAnAnswerWithoutAHandleIsInDoubt()
+    {
+        for (const int status : {400, 409, 500, 503}) {
+            for (const bool isClosedFirst : {false, true}) {
+                DispatcherHarness harness;
+                useEngines(harness, false, true);
+                const Run run = startRun(harness, "stream", "");
+                announceLeaving(harness);
+                const StartCall stop = grantTarget(harness, 1'305, "d3");
+                if (isClosedFirst) {
+                    closeStream(harness, 1'310, run.decode, 10);
+                }
+                answerStop(harness, 1'320, stop, status);
+                if (!isClosedFirst) {
+                    harness.nextSchedulerMessage<ClaimEnded>();
+                    closeStream(harness, 1'420, run.decode, 10);
+                    answerStop(harness, 1'425, grantTarget(harness, 1'422, "d3"), status);
+                }
+                CPPUNIT_ASSERT_EQUAL(text(isClosedFirst ? "open" : "cut"),
+                                     harness.outcome(run.request));
+                if (isClosedFirst) {
+                    answerStop(harness, 1'330, harness.nextCall(CallKind::StopRun), 503, "k9");
+                    const StartCall second = harness.nextCall(CallKind::Decode);
+                    CPPUNIT_ASSERT_EQUAL(text("k9"), second.handle);
+                    CPPUNIT_ASSERT(second.isResumption);
+                }
+            }
+        }
+    }
+
+    // Guards against the same from an engine whose process has been replaced.
+    void closeByAReplacedEngineIsInDoubt()
     {
         DispatcherHarness harness;
         useEngines(harness);
         const Run run = startRun(harness);
         announceLeaving(harness);
-        answerStop(harness, 1'320, grantTarget(harness, 1'305, "d3"), 503);
-        closeStream(harness, 1'900, run.decode, 40);
-        CPPUNIT_ASSERT_EQUAL(text("streamed"), harness.outcome(run.request));
+        answerStop(harness, 1'320, grantTarget(harness, 1'305, "d3"), 421);
+        closeStream(harness, 1'420, run.decode, 10);
+        CPPUNIT_ASSERT_EQUAL(text("open"), harness.outcome(run.request));
+        answerStop(harness, 1'425, harness.nextCall(CallKind::StopRun), 421);
+        assertContinuesAtBackup(harness.nextCall(CallKind::Decode));
+    }
+
+    // Guards against the same where the run goes on at the engine whose first stop is not settled.
+    void unsettledStopOutlastsAContinuationAtItsEngine()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        announceLeaving(harness);
+        answerStop(harness, 1'320, grantTarget(harness, 1'305, "d3"), 500);
+        closeStream(harness, 1'420, run.decode, 10);
+        answerStop(harness, 1'425, harness.nextCall(CallKind::StopRun), 503, "k9");
+        const StartCall second = harness.nextCall(CallKind::Decode);
+        CPPUNIT_ASSERT(second.server == ServerName("d1"));
+        harness.reduce(1'450, StreamStarted {second.call, 200, {}});
+        closeStream(harness, 1'600, second, 20);
+        CPPUNIT_ASSERT_EQUAL(text("open"), harness.outcome(run.request));
     }
 
     // Guards against a second claim, or a lost run, while the scheduler is being asked for a
--- a/tests/dispatch/runrecoverytest.cpp
+++ b/tests/dispatch/runrecoverytest.cpp
@@ -43,6 +43,8 @@
 {
     CPPUNIT_TEST_SUITE(RunRecoveryTest);
     CPPUNIT_TEST(readsTheAnswerToAStop);
+    CPPUNIT_TEST(onlyAStatementSettlesAStop);
+    CPPUNIT_TEST(asksAgainForTheHandleOfARunWhoseStreamIsClosed);
     CPPUNIT_TEST(stopsARunWhoseConnectionBroke);
     CPPUNIT_TEST(continuesOnlyWhereTheRunIsOver);
     CPPUNIT_TEST(asksAgainAfterALostAnswer);
@@ -71,11 +73,44 @@
         CPPUNIT_ASSERT(stopResultOf(answerOf(200, "h")) == StopResult::Moved);
         CPPUNIT_ASSERT(stopResultOf(answerOf(200, "")) == StopResult::Unknown);
         CPPUNIT_ASSERT(stopResultOf(answerOf(404, "")) == StopResult::NoSuchRun);
-        CPPUNIT_ASSERT(stopResultOf(answerOf(409, "")) == StopResult::NotStopped);
+        CPPUNIT_ASSERT(stopResultOf(answerOf(409, "")) == StopResult::NoHandle);
         CPPUNIT_ASSERT(stopResultOf(answerOf(421, "")) == StopResult::OtherInstance);
         CPPUNIT_ASSERT(stopResultOf(answerOf(503, "h")) == StopResult::NotMoved);
-        CPPUNIT_ASSERT(stopResultOf(answerOf(503, "")) == StopResult::NotStopped);
-        CPPUNIT_ASSERT(stopResultOf(answerOf(500, "")) == StopResult::NotStopped);
+        CPPUNIT_ASSERT(stopResultOf(answerOf(503, "")) == StopResult::NoHandle);
+        CPPUNIT_ASSERT(stopResultOf(answerOf(500, "")) == StopResult::NoHandle);
+        for (const int status : {400, 429, 503}) {
+            CallEnded refusal = answerOf(status, "");
+            refusal.end = CallEnd::NotExecuted;
+            CPPUNIT_ASSERT(stopResultOf(refusal) == StopResult::NotExecuted);
+        }
+    }
+
+    // Guards against an answer that says nothing of the run and is taken for a proof that its
+    // engine has not stopped it.
+    void onlyAStatementSettlesAStop()
+    {
+        for (const StopResult settled :
+             {StopResult::Unreachable, StopResult::Refused, StopResult::OtherInstance,
+              StopResult::NoSuchRun, StopResult::NotExecuted, StopResult::Moved,
+              StopResult::NotMoved}) {
+            CPPUNIT_ASSERT(isSettledBy(settled));
+        }
+        CPPUNIT_ASSERT(!isSettledBy(StopResult::NoHandle));
+        CPPUNIT_ASSERT(!isSettledBy(StopResult::Unknown));
+    }
+
+    // Guards against a stream that is cut though its engine would name the handle of the run.
+    void asksAgainForTheHandleOfARunWhoseStreamIsClosed()
+    {
+        const EngineTraits traits = traitsOf(true, true);
+        RunState run = runWithBackup();
+        run.isClosedInDoubt = true;
+        run.stopRequests = 1;
+        CPPUNIT_ASSERT(RunRecovery(traits).stopEnded(run, StopResult::NoHandle).kind
+                       == Kind::StopRun);
+        run.stopRequests = 2;
+        CPPUNIT_ASSERT(RunRecovery(traits).stopEnded(run, StopResult::NoHandle).kind
+                       == Kind::GiveUp);
     }
 
     // Continuing while the first engine still executes the run would execute it twice.
@@ -111,7 +146,7 @@
         CPPUNIT_ASSERT(recovery.stopEnded(run, StopResult::Moved).kind == Kind::ContinueAtTarget);
         CPPUNIT_ASSERT(recovery.stopEnded(run, StopResult::NotMoved).kind
                        == Kind::ContinueAtEngine);
-        CPPUNIT_ASSERT(recovery.stopEnded(run, StopResult::NotStopped).kind == Kind::GiveUp);
+        CPPUNIT_ASSERT(recovery.stopEnded(run, StopResult::NoHandle).kind == Kind::GiveUp);
     }
 
     // After a lost answer it is unknown whether the run is over; only a second answer can tell.
