Take no close at the end of a server's time for the end of its answer

A server stops work when the time in Indigoway-Request-Deadline is over. It gets whole milliseconds, and the node waits for 120 ms longer, so that the server's close always came before the node's own time limit; without framing it completed the answer.

Change: the dispatcher keeps the time that each call was given. A successful answer that ends by close less than 20 ms before that time or after it is ended as a request whose time is over: cut, or 504. The relay measures how long a call has lasted with the clock that counts the suspension of the VM. Failures are passed on as before: a server's own 504 is preferred.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -23,6 +23,8 @@
  * the return path and timer granularity.
  */
 constexpr Duration TimeoutGrace = std::chrono::milliseconds(120);
+/** Servers are given whole milliseconds, and stop work between two events that they send. */
+constexpr Duration ServerTimeMargin = std::chrono::milliseconds(20);
 /**
  * Retry delay while no routing table is loaded; it arrives within a second of the first answer of
  * the store or a peer.
@@ -461,9 +463,26 @@
         return;
     }
     m_lives.callEnded(step, *request, event);
+    if (mayBeOutOfTime(step.now, *call, event)) {
+        m_state.tracker.callClosed(call->server.name);
+        request->call = {};
+        timeOut(step, *request, "closed by the server when its time was over");
+        return;
+    }
     flowOf(*request).callEnded(step, *request, *call, event);
 }
 
+bool Dispatcher::mayBeOutOfTime(TimePoint now, const OpenCall &call, const CallEnded &event)
+{
+    constexpr int FirstFailure = 400;
+    if (!event.isEndedByClose || event.end != CallEnd::Complete || event.status >= FirstFailure
+        || !carriesRequest(call.kind) || call.kind == CallKind::Prefill) {
+        return false;
+    }
+    const Duration lasted = std::max(event.lasted, Duration(now - call.started));
+    return lasted + ServerTimeMargin >= call.patience;
+}
+
 void Dispatcher::rejectAnswer(Step &step, CallNumber call)
 {
     step.add(AbandonCall {call});
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -134,6 +134,11 @@
     /** Answers all requests whose answer has not begun, since this node is about to end. */
     void answerBeforeEnd(Step &step);
     void timeOut(Step &step, OpenRequest &request, const std::string &reason);
+    /**
+     * Returns whether the server may have closed the connection since the time that it was given is
+     * over, though the answer looks whole.
+     */
+    static bool mayBeOutOfTime(TimePoint now, const OpenCall &call, const CallEnded &event);
     // Each of these steps returns false if it has answered the request.
     bool findRoute(Step &step, OpenRequest &request);
     bool admitCaller(Step &step, OpenRequest &request);
--- a/src/dispatch/servercalls.cpp
+++ b/src/dispatch/servercalls.cpp
@@ -9,7 +9,7 @@
     call.instance = server.instance;
     call.address = server.address;
     m_serverTracker.callStarted(server.name);
-    m_calls.emplace(call.call, OpenCall {call.request, call.kind, server, step.now});
+    m_calls.emplace(call.call, OpenCall {call.request, call.kind, server, step.now, call.patience});
     const CallNumber number = call.call;
     step.add(std::move(call));
     return number;
--- a/src/dispatch/servercalls.h
+++ b/src/dispatch/servercalls.h
@@ -16,6 +16,7 @@
     CallKind kind = CallKind::Plain;
     AnnouncedServer server;
     TimePoint started {};
+    Duration patience {}; ///< Time that the server was given; 0 for calls without a request.
 };
 
 /** Numbers the calls to backend servers and reports them to the tracker. */
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -318,6 +318,7 @@
     ended.isLoadMalformed = open.info.isLoadMalformed;
     ended.advice = open.hasStarted ? std::nullopt : open.info.advice;
     ended.reason = reason;
+    ended.lasted = BootClock::now() - open.started;
     ended.isConnectionLost = end == TransferEnd::ConnectionLost;
     ended.isRefused = end == TransferEnd::Refused;
     ended.relay = open.relay;
@@ -358,6 +359,7 @@
         return ended;
     }
     ended.end = CallEnd::Complete;
+    ended.isEndedByClose = open.head.isDelimitedByClose;
     if (isControl(open.call.kind)) {
         ended.reservation = engineAnswer.reservation;
         ended.handle = engineAnswer.handle;
--- a/src/relay/requestrelay.h
+++ b/src/relay/requestrelay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/boottime.h"
 #include "dispatch/dispatcher.h"
 #include "http/httplistener.h"
 #include "relay/dialect.h"
@@ -113,6 +114,7 @@
     struct OpenCall
     {
         dispatch::StartCall call;
+        BootTime started = BootClock::now();
         std::string callerId;
         MessageHead head;
         AnswerInfo info;
--- a/tests/soak/stoppedstreams.py
+++ b/tests/soak/stoppedstreams.py
@@ -5,9 +5,10 @@
     tests/soak/stoppedstreams.py --build build --only 500/after/forgotten,409/with
     tests/soak/stoppedstreams.py --build build --nodes old/build  nodes of another build
 
-An engine leaves under its streams, so that its node orders it to stop the runs. Checked for each answer to the
-order and each moment of the close: a stream that looks whole is whole. It is whole where the answers are those of
-the users' page, and where it ended by itself and the answer proves that nothing was stopped.
+An engine leaves under its streams, so that its node orders it to stop the runs; or it stops them since the time
+that it was given is over. Checked for each answer to the order and each moment of the close: a stream that looks
+whole is whole. It is whole where the answers are those of the users' page, and where it ended by itself and the
+answer proves that nothing was stopped.
 """
 
 import argparse
@@ -26,6 +27,9 @@
 EVENTS = 60
 STREAMS = [("stream", 1), ("stream", 0), ("stream", 1), ("stream", 0), ("resumable", 1), ("resumable", 0)]
 PATIENCE_S = 14.0
+# Shorter than a stream: engines stop work when the time that they were given is over.
+SHORT_PATIENCE_S = 1.5
+OUT_OF_TIME = "out-of-time"  # In place of an answer to a stop: no run is asked to stop.
 SERVED_S = 20.0
 # Answers that say that nothing was stopped: a stream beside them ends by itself.
 PROOFS = ("404", "refused", "429")
@@ -38,6 +42,7 @@
     def __init__(self, path, minor, number):
         self.path = path
         self.minor = minor  # Of its HTTP version.
+        self.patience_s = PATIENCE_S
         self.id = f"{path}-{minor}-{number}"
         self.status = None
         self.looks_whole = False
@@ -55,7 +60,7 @@
 
 async def ask(node, answer, key):
     lines = [f"POST /{answer.path}/{answer.id} HTTP/1.{answer.minor}", "Host: site.example",
-             f"Indigoway-Request-Id: {answer.id}", f"Indigoway-Request-Deadline: {int(PATIENCE_S * 1000)}",
+             f"Indigoway-Request-Id: {answer.id}", f"Indigoway-Request-Deadline: {int(answer.patience_s * 1000)}",
              f"X-Api-Key: {key}", "Content-Length: 4", "Indigoway-Token-Count: 1000,200", "Indigoway-Model-Id: m",
              "", "body"]
     host, port = node.callers.target.rsplit(":", 1)
@@ -124,6 +129,9 @@
         leaving = self.engines[0]
         leaving.plan = self.plan
         answers = [Answer(path, minor, i) for i, (path, minor) in enumerate(STREAMS)]
+        if self.plan.answer == OUT_OF_TIME:
+            for one in answers:
+                one.patience_s = SHORT_PATIENCE_S
         tasks = [asyncio.create_task(ask(self.nodes[0], one, self.key)) for one in answers]
         limit = time.monotonic() + 5
         while len(leaving.runs) < len(STREAMS) and time.monotonic() < limit:
@@ -131,7 +139,8 @@
         await asyncio.sleep(0.3)
         if self.plan.answer == "refused":
             leaving.refuse()
-        await self.platform.control({"drain": "d-1", "undrain": "d-2"})
+        if self.plan.answer != OUT_OF_TIME:
+            await self.platform.control({"drain": "d-1", "undrain": "d-2"})
         await asyncio.gather(*tasks)
         return self.judge(leaving, answers)
 
@@ -155,8 +164,8 @@
                 problems.append(f"{name}: {one.id} has the events {one.events()}")
             if self.expects_whole() and not one.is_whole():
                 problems.append(f"{name}: {one.id} has {len(one.events())} of {EVENTS} events")
-        if not stopped and self.plan.answer != "refused":
-            problems.append(f"{name}: no run was asked to stop: the test tests nothing")
+        if not (stopped or leaving.out_of_time) and self.plan.answer != "refused":
+            problems.append(f"{name}: no run was stopped or asked to: the test tests nothing")
         whole = sum(one.is_whole() for one in answers)
         false = sum(one.status == 200 and one.looks_whole and not one.is_whole() for one in answers)
         return problems, f"{name}: {whole} of {len(answers)} whole, {false} look whole and are not, " \
@@ -176,7 +185,7 @@
     plans = [Plan(answer, close) for answer in (*handles, *empty, *NO_ANSWERS) for close in moments]
     plans += [Plan(answer, close, keeps=False) for answer in empty for close in moments]
     plans += [Plan(answer, close, times=2) for answer in (*empty, "none", "reset") for close in moments]
-    plans += [Plan(answer, "own") for answer in ("404", "421", "429", "refused", *empty, *NO_ANSWERS)]
+    plans += [Plan(answer, "own") for answer in ("404", "421", "429", "refused", *empty, *NO_ANSWERS, OUT_OF_TIME)]
     return plans
 
 
--- a/tests/soak/stoppingengine.py
+++ b/tests/soak/stoppingengine.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import time
 
 from faultproxy import abort
 
@@ -69,6 +70,7 @@
         self.runs = {}
         self.stops = []  # The id and the answer of each stop that came.
         self.whole = set()  # Ids of runs that have come to their own end.
+        self.out_of_time = set()  # Of those that were stopped as their time was over.
         self._server = None
         self._writers = set()
 
@@ -123,7 +125,7 @@
         elif not self._take_handle(headers):
             self._answer(writer, 503, {}, NOT_RUN)
         else:
-            await self._generate(writer, request_id, int(headers.get("last-event-id", 0)))
+            await self._generate(writer, request_id, headers)
             return False
         await writer.drain()
         return True
@@ -138,16 +140,23 @@
         handle = headers.get("kv-source", "").rsplit("/", 1)[-1]
         return not handle.startswith("run-") or self.handles.pop(handle, None) is not None
 
-    async def _generate(self, writer, request_id, events):
-        run = self.runs[request_id] = Run(writer, events)
+    async def _generate(self, writer, request_id, headers):
+        """Stops work when the time that it was given is over."""
+        run = self.runs[request_id] = Run(writer, int(headers.get("last-event-id", 0)))
+        until = time.monotonic() + int(headers["indigoway-request-deadline"]) / 1000
         lines = ["HTTP/1.1 200 -", "Content-Type: text/event-stream", "Connection: close", STAMP,
                  f"Indigoway-Request-Id: {request_id}"]
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
         while run.is_running and run.events < self.events:
+            if time.monotonic() >= until:
+                self.out_of_time.add(request_id)
+                del self.runs[request_id]
+                writer.close()
+                return
             run.events += 1
             writer.write(f"id: {run.events}\ndata: token{run.events}\n\n".encode())
             await writer.drain()
-            await asyncio.sleep(BETWEEN_EVENTS_S)
+            await asyncio.sleep(min(BETWEEN_EVENTS_S, max(0, until - time.monotonic())))
         if run.is_running:
             self.whole.add(request_id)
             self.runs.pop(request_id, None)
