End a stream whose continuation has nothing left to send

Cause: a stream without an event of its own never counted as complete, framing or not. That guards against an engine that answers a first call with nothing; of a continuation the last chunk is a proof like any other.

Change: the relay reports an empty rest that framing ends, and the flow completes the caller's stream. An empty continuation without framing is still in doubt.

--- a/src/dispatch/dispatchevents.h
+++ b/src/dispatch/dispatchevents.h
@@ -140,6 +140,8 @@
     bool isConnectionLost = false;      ///< For Broken: the server closed or reset the connection.
     /** For Complete: nothing but the orderly close of the connection says that this is all. */
     bool isEndedByClose = false;
+    /** For Complete: framing ended a stream that continues another one, without an event. */
+    bool isEmptyRest = false;
     /** Time since the call was started, by a clock that also counts the suspension of the VM. */
     Duration lasted {};
     /** For NotConnected: no process listens at the server's address any more. */
--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -546,7 +546,8 @@
     case CallEnd::Complete: {
         const bool isSuccess = event.status < FirstServerErrorStatus;
         const bool isRefused = request.run.isContinuing && !isSuccess;
-        if (isRefused || (request.isForwarding && request.streamingCall != event.call)) {
+        const bool isOfStream = request.streamingCall == event.call || event.isEmptyRest;
+        if (isRefused || (request.isForwarding && !isOfStream)) {
             // An error response in place of the remaining events must not end the stream as
             // complete.
             m_state.tracker.recordAnswer(server, step.now - call.started, false, step.now);
@@ -563,6 +564,9 @@
         if (isSuccess && !request.isForwarding) {
             request.handle.clear();
         }
+        if (event.isEmptyRest) {
+            m_runs.streamStarted(step, request);
+        }
         if (request.isForwarding) {
             const bool isClosed = event.isEndedByClose;
             conclude(step, request,
--- a/src/relay/requestrelay.cpp
+++ b/src/relay/requestrelay.cpp
@@ -339,11 +339,15 @@
         const bool isAtBoundary =
             exchange == m_exchanges.end() || exchange->second.eventParser.isAtEventBoundary();
         ended.events = forwardedEvents(open.call.request);
-        const bool isComplete = isAtBoundary && open.hasStarted;
+        // A run that is stopped after its last event has nothing left to send.
+        const bool isEmptyRest =
+            open.call.isResumption && !open.hasStarted && !open.head.isDelimitedByClose;
+        const bool isComplete = isAtBoundary && (open.hasStarted || isEmptyRest);
         ended.end = end == TransferEnd::Complete && isComplete ? CallEnd::Complete
             : end == TransferEnd::PathLost                     ? CallEnd::PathLost
                                                                : CallEnd::Broken;
         ended.isEndedByClose = open.head.isDelimitedByClose;
+        ended.isEmptyRest = isEmptyRest;
         // A stream delimited by close is complete only if it ends at an event boundary.
         ended.isConnectionLost |= end == TransferEnd::Complete && !isComplete;
         return ended;
--- a/tests/dispatch/streamendtest.cpp
+++ b/tests/dispatch/streamendtest.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(streamThatIsClosedBeforeItsTimeIsOverIsWhole);
     CPPUNIT_TEST(streamWithFramingIsWholeWheneverItEnds);
     CPPUNIT_TEST(suspensionCountsAsTimeOfTheServer);
+    CPPUNIT_TEST(continuationWithoutAnEventCompletesTheStream);
     CPPUNIT_TEST(plainAnswerThatIsClosedWhenItsTimeIsOverFails);
     CPPUNIT_TEST(failureWithoutALengthIsDeliveredWheneverItEnds);
     CPPUNIT_TEST_SUITE_END();
@@ -115,6 +116,28 @@
         CPPUNIT_ASSERT_EQUAL(text("cut"), harness.outcome(stream.request));
     }
 
+    // Guards against a whole stream that is cut, since its run was stopped after the last event, so
+    // that the engine that continues it has nothing left to send.
+    void continuationWithoutAnEventCompletesTheStream()
+    {
+        for (const bool isEmptyRest : {false, true}) {
+            DispatcherHarness harness;
+            const Call stream = startStream(harness, "resumable");
+            harness.end(1'000, stream.call, CallEnd::Broken);
+            harness.grant(1'010, harness.nextCall(CallKind::Reserve));
+            const StartCall rest = harness.nextCall(CallKind::Whole);
+            CPPUNIT_ASSERT(rest.isResumption);
+            CallEnded ended;
+            ended.call = rest.call;
+            ended.end = CallEnd::Complete;
+            ended.status = 200;
+            ended.isEmptyRest = isEmptyRest;
+            harness.reduce(1'100, ended);
+            CPPUNIT_ASSERT_EQUAL(text(isEmptyRest ? "streamed" : "cut"),
+                                 harness.outcome(stream.request));
+        }
+    }
+
     // Guards against a part of a plain answer that is delivered as all of it.
     void plainAnswerThatIsClosedWhenItsTimeIsOverFails()
     {
--- a/tests/soak/stoppedstreams.py
+++ b/tests/soak/stoppedstreams.py
@@ -133,6 +133,8 @@
         await self.start()
         leaving = self.engines[0]
         leaving.plan = self.plan
+        # Only framing proves the end of a stream that continues another one without an event.
+        self.engines[1].is_chunked = self.plan.close == "last"
         answers = [Answer(path, minor, i) for i, (path, minor) in enumerate(STREAMS)]
         if self.plan.answer == OUT_OF_TIME:
             for one in answers:
@@ -193,12 +195,13 @@
 
 
 def all_plans():
-    moments = [close for close in CLOSES if close != "own"]
+    moments = [close for close in CLOSES if close not in ("own", "last")]
     handles = [answer for answer in ANSWERS if ANSWERS[answer][1]]
     empty = ["500", "409", "503"]  # Answers that say nothing of the run.
     plans = [Plan(answer, close) for answer in (*handles, *empty, *NO_ANSWERS) for close in moments]
     plans += [Plan(answer, close, keeps=False) for answer in empty for close in moments]
     plans += [Plan(answer, close, times=2) for answer in (*empty, "none", "reset") for close in moments]
+    plans += [Plan("200", "last")]
     plans += [Plan(answer, "own") for answer in ("404", "421", "429", "refused", *empty, *NO_ANSWERS, OUT_OF_TIME, UNREAD)]
     return plans
 
--- a/tests/soak/stoppingengine.py
+++ b/tests/soak/stoppingengine.py
@@ -1,4 +1,4 @@
-"""A stand-in of a decode engine that stops runs on order; its streams have no length and end with their connection."""
+"""A stand-in of a decode engine that stops runs on order; its streams mostly have no length and end with their connection."""
 
 import asyncio
 import itertools
@@ -27,8 +27,9 @@
     "500": (500, False),
 }
 NO_ANSWERS = ("reset", "half", "none", "late")
-# When the stream of a stopped run is closed, beside the answer; "own": the run is not stopped.
-CLOSES = ("before", "with", "after", "late", "own")
+# When the stream of a stopped run is closed, beside the answer; "own": the run is not stopped; "last": before the
+# answer, when the last event has been sent.
+CLOSES = ("before", "with", "after", "late", "own", "last")
 
 
 class Plan:
@@ -67,6 +68,7 @@
         self.handles = handles
         self.events = events  # Of a whole stream.
         self.plan = Plan()
+        self.is_chunked = False
         self.runs = {}
         self.stops = []  # The id and the answer of each stop that came.
         self.whole = set()  # Ids of runs that have come to their own end.
@@ -145,24 +147,29 @@
         run = self.runs[request_id] = Run(writer, int(headers.get("last-event-id", 0)))
         until = time.monotonic() + int(headers["indigoway-request-deadline"]) / 1000
         lines = ["HTTP/1.1 200 -", "Content-Type: text/event-stream", "Connection: close", STAMP,
-                 f"Indigoway-Request-Id: {request_id}"]
+                 f"Indigoway-Request-Id: {request_id}", *(["Transfer-Encoding: chunked"] if self.is_chunked else [])]
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
         while run.is_running and run.events < self.events:
             if time.monotonic() >= until:
                 self._cut(request_id, run)
                 return
-            run.events += 1
-            writer.write(f"id: {run.events}\ndata: token{run.events}\n\n".encode())
+            self._send_event(run)
             await writer.drain()
             await asyncio.sleep(min(BETWEEN_EVENTS_S, max(0, until - time.monotonic())))
         if run.is_running:
             self.whole.add(request_id)
             self.runs.pop(request_id, None)
+            writer.write(b"0\r\n\r\n" if self.is_chunked else b"")
             writer.close()
             return
         while not writer.is_closing():
             await asyncio.sleep(0.01)
 
+    def _send_event(self, run):
+        run.events += 1
+        event = f"id: {run.events}\ndata: token{run.events}\n\n"
+        run.writer.write((f"{len(event):x}\r\n{event}\r\n" if self.is_chunked else event).encode())
+
     def cut_off(self):
         """Closes all streams early."""
         for request_id, run in list(self.runs.items()):
@@ -202,7 +209,9 @@
         if self.runs.get(request_id) is not run:
             return
         run.is_running = False
-        if plan.close in ("before", "late"):
+        while plan.close == "last" and run.events < self.events:
+            self._send_event(run)
+        if plan.close in ("before", "late", "last"):
             run.writer.close()
         if not plan.keeps:
             del self.runs[request_id]
