Take no answer of an engine's newer life for a proof about a run of the older one

The newer life takes the stop and answers "no such run"; the end of the older one has closed the stream. With the news of the newer life at hand the node still took the close for the run's own end.

A close of a stream whose run was asked to stop is in doubt now, too, if a newer life of the engine is known. Of streams that were never stopped nothing changes: one that the newer life itself has begun may bear the older name for a moment.

closeByAnEngineThatStartedAgainUnderItsIdIsInDoubt failed before ("streamed").

--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -108,7 +108,7 @@
 RunContinuation::Result RunContinuation::streamClosed(Step &step, OpenRequest &request,
                                                       const OpenCall &call, const CallEnded &event)
 {
-    if (!mayHaveBeenCut(request, call.server.name)) {
+    if (!mayHaveBeenCut(request, call.server)) {
         return Result::Complete;
     }
     request.run.isClosedInDoubt = true;
@@ -152,7 +152,7 @@
         request.run.handle = event.handle;
         request.run.handleSource = call.server;
     }
-    if (request.run.isClosedInDoubt && !hasStopped && !mayHaveBeenCut(request, call.server.name)) {
+    if (request.run.isClosedInDoubt && !hasStopped && !mayHaveBeenCut(request, call.server)) {
         return Result::Complete;
     }
     const bool isStreamOpen = !request.call.isNone();
@@ -473,9 +473,14 @@
     m_state.calls.start(step, server, std::move(call));
 }
 
-bool RunContinuation::mayHaveBeenCut(const OpenRequest &request, const ServerName &engine)
+bool RunContinuation::mayHaveBeenCut(const OpenRequest &request,
+                                     const AnnouncedServer &engine) const
 {
-    return request.run.isEngineReplaced || request.unsettledStops.contains(engine);
+    // A newer life answers for runs of which it knows nothing.
+    const ServerName latest = m_state.servers.nameOf(engine.instance);
+    const bool isSuperseded = request.stopsSent > 0 && !latest.isEmpty() && latest != engine.name;
+    return request.run.isEngineReplaced || isSuperseded
+        || request.unsettledStops.contains(engine.name);
 }
 
 const AnnouncedServer *RunContinuation::usableBackup(const OpenRequest &request,
--- a/tests/dispatch/runcontinuationtest.cpp
+++ b/tests/dispatch/runcontinuationtest.cpp
@@ -188,6 +188,7 @@
     CPPUNIT_TEST(closeAfterAStopThatWasNotExecutedIsComplete);
     CPPUNIT_TEST(closeAfterAnAnswerWithoutAHandleIsInDoubt);
     CPPUNIT_TEST(closeByAReplacedEngineIsInDoubt);
+    CPPUNIT_TEST(closeByAnEngineThatStartedAgainUnderItsIdIsInDoubt);
     CPPUNIT_TEST(unsettledStopOutlastsAContinuationAtItsEngine);
     CPPUNIT_TEST(streamThatEndedBeforeItsEngineIsComplete);
     CPPUNIT_TEST(lateAnswerToAnEarlierStopChangesNothing);
@@ -1085,6 +1086,30 @@
         assertContinuesAtBackup(harness.nextCall(CallKind::Decode));
     }
 
+    // Guards against the same from an engine that has started again under its id: the newer life
+    // takes the stop, and knows no run of the older one, whose end has closed the stream.
+    void closeByAnEngineThatStartedAgainUnderItsIdIsInDoubt()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        AnnouncedServer engine = *harness.dispatcher().servers().find(ServerName("d1"));
+        engine.instance = "d1";
+        harness.dispatcher().announce(engine);
+        const Run run = startRun(harness);
+        engine.isDraining = true;
+        harness.dispatcher().announce(engine);
+        harness.reduce(1'300, TimePassed {});
+        const StartCall stop = grantTarget(harness, 1'305, "d3");
+        closeStream(harness, 1'310, run.decode, 10);
+        engine.name = ServerName("d1 again");
+        engine.isDraining = false;
+        harness.dispatcher().announce(engine);
+        harness.reduce(1'315, TimePassed {});
+        answerStop(harness, 1'320, stop, 404);
+        CPPUNIT_ASSERT_EQUAL(text("open"), harness.outcome(run.request));
+        assertContinuesAtBackup(harness.nextCall(CallKind::Decode));
+    }
+
     // Guards against the same where the run goes on at the engine whose first stop is not settled.
     void unsettledStopOutlastsAContinuationAtItsEngine()
     {
