Let short pauses prolong the doubt that a long one leaves

Time in which the connection is not read is added now.

shortPausesProlongTheDoubtOfALongOne failed before.

--- a/src/relay/unreadtimes.cpp
+++ b/src/relay/unreadtimes.cpp
@@ -13,7 +13,7 @@
 
 void UnreadTimes::recordTick(BootTime now)
 {
-    if (m_lastTick) {
+    if (m_lastTick && now - *m_lastTick >= MinUnreadTime) {
         recordPause(*m_lastTick, now);
     }
     m_lastTick = now;
@@ -23,6 +23,8 @@
 {
     if (to - from >= MinUnreadTime) {
         m_readAgainAt = to;
+    } else if (m_readAgainAt && from < *m_readAgainAt + DrainTime) {
+        *m_readAgainAt += to - from; // Nothing has arrived meanwhile.
     }
 }
 
--- a/tests/relay/unreadtimestest.cpp
+++ b/tests/relay/unreadtimestest.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(answerThatGoesOnForAWhileIsNotCutOff);
     CPPUNIT_TEST(answerThatBeganLaterIsNotCutOff);
     CPPUNIT_TEST(pauseOfOneConnectionCountsToo);
+    CPPUNIT_TEST(shortPausesProlongTheDoubtOfALongOne);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -81,6 +82,17 @@
         pauses.recordPause(at(2'000), at(4'000));
         CPPUNIT_ASSERT(pauses.mayHaveCutOff(at(0), at(4'100)));
     }
+
+    // Guards against a close that waits behind the rest of an answer, which is read with shorter
+    // pauses: the connection has not been read for a second since the long pause.
+    void shortPausesProlongTheDoubtOfALongOne()
+    {
+        UnreadTimes pauses;
+        pauses.recordPause(at(1'000), at(4'000));
+        pauses.recordPause(at(4'010), at(4'900));
+        pauses.recordPause(at(4'910), at(5'800));
+        CPPUNIT_ASSERT(pauses.mayHaveCutOff(at(0), at(5'810)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UnreadTimesTest);
