Test that one request to stop a run is open at a time

targetThatIsGrantedDuringAStopCausesNoOther and lostPathDuringAStopCausesNoOther pass here; each fails with the condition removed that it is about. No product code is changed.

--- a/tests/dispatch/runcontinuationtest.cpp
+++ b/tests/dispatch/runcontinuationtest.cpp
@@ -190,6 +190,8 @@
     CPPUNIT_TEST(closeByAReplacedEngineIsInDoubt);
     CPPUNIT_TEST(closeByAnEngineThatStartedAgainUnderItsIdIsInDoubt);
     CPPUNIT_TEST(unsettledStopOutlastsAContinuationAtItsEngine);
+    CPPUNIT_TEST(targetThatIsGrantedDuringAStopCausesNoOther);
+    CPPUNIT_TEST(lostPathDuringAStopCausesNoOther);
     CPPUNIT_TEST(streamThatEndedBeforeItsEngineIsComplete);
     CPPUNIT_TEST(lateAnswerToAnEarlierStopChangesNothing);
     CPPUNIT_TEST(runWithoutATargetDoesNotGoOnAtALeavingEngine);
@@ -973,6 +975,47 @@
         CPPUNIT_ASSERT(!harness.hasCalls());
     }
 
+    // Guards against a second request to stop a run while one is open: the answer to the first
+    // would name no open call, and the handle of the run that it has stopped would be freed.
+    void targetThatIsGrantedDuringAStopCausesNoOther()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        harness.reduce(1'200, StreamSilent {run.decode.call, 10});
+        const StartCall check = harness.nextCall(CallKind::Probe);
+        announceLeaving(harness);
+        const auto claim = harness.nextSchedulerMessage<Claim>();
+        endCheck(harness, 1'302, check, EngineCheck::Relayed, 10);
+        const StartCall stop = harness.nextCall(CallKind::StopRun);
+        const ClaimGranted grant {claim.claim, ServerName("d3"), {}, std::nullopt};
+        harness.reduce(1'305, SchedulerAnswered {grant, Life});
+        CPPUNIT_ASSERT(!harness.hasCalls());
+        closeStream(harness, 1'310, run.decode, 10);
+        answerStop(harness, 1'320, stop, 200, "k9");
+        const StartCall second = harness.nextCall(CallKind::Decode);
+        CPPUNIT_ASSERT(second.server == ServerName("d2"));
+        CPPUNIT_ASSERT_EQUAL(text("k9"), second.handle);
+        CPPUNIT_ASSERT(!harness.hasCalls());
+    }
+
+    // Guards against the same if the path to the engine is lost meanwhile.
+    void lostPathDuringAStopCausesNoOther()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        const Run run = startRun(harness);
+        announceLeaving(harness);
+        const StartCall stop = grantTarget(harness, 1'305, "d3");
+        harness.reduce(1'500, StreamSilent {run.decode.call, 10});
+        endCheck(harness, 1'510, harness.nextCall(CallKind::Probe), EngineCheck::Relayed, 10);
+        CPPUNIT_ASSERT(!harness.hasCalls());
+        answerStop(harness, 1'520, stop, 200, "k9");
+        const StartCall second = harness.nextCall(CallKind::Decode);
+        CPPUNIT_ASSERT(second.server == ServerName("d3"));
+        CPPUNIT_ASSERT_EQUAL(text("k9"), second.handle);
+    }
+
     // Guards against a whole stream that is cut, since its leaving engine was gone before the stop.
     void streamThatEndedBeforeItsEngineIsComplete()
     {
