--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -564,15 +564,8 @@
         if (isSuccess && !request.isForwarding) {
             request.handle.clear();
         }
-        if (event.isEmptyRest) {
-            m_runs.streamStarted(step, request);
-        }
         if (request.isForwarding) {
-            const bool isClosed = event.isEndedByClose;
-            conclude(step, request,
-                     isClosed ? m_runs.streamClosed(step, request, call, event)
-                              : RunContinuation::Result::Complete,
-                     isClosed ? StreamEnd::Close : StreamEnd::Framing);
+            streamEnded(step, request, call, event);
         } else {
             releaseResources(step, request, ClaimOutcome::Served);
             m_state.requests.deliver(step, request, event.call, event.status);
@@ -603,26 +596,40 @@
 void GenerationFlow::stopEnded(Step &step, OpenRequest &request, const OpenCall &call,
                                const CallEnded &event)
 {
-    conclude(step, request, m_runs.stopEnded(step, request, call, event),
-             StreamEnd::ConfirmedClose);
+    conclude(step, request, m_runs.stopEnded(step, request, call, event));
 }
 
 void GenerationFlow::targetDecided(Step &step, OpenRequest &request,
                                    const scheduling::ClaimGranted *granted)
 {
-    conclude(step, request, m_runs.targetDecided(step, request, granted),
-             StreamEnd::ConfirmedClose);
+    conclude(step, request, m_runs.targetDecided(step, request, granted));
 }
 
 void GenerationFlow::engineChecked(Step &step, OpenRequest &request, const OpenCall &call,
                                    const CallEnded &event)
 {
-    conclude(step, request, m_runs.engineChecked(step, request, call, event),
-             StreamEnd::ConfirmedClose);
+    conclude(step, request, m_runs.engineChecked(step, request, call, event));
 }
 
-void GenerationFlow::conclude(Step &step, OpenRequest &request, RunContinuation::Result result,
-                              StreamEnd end)
+void GenerationFlow::streamEnded(Step &step, OpenRequest &request, const OpenCall &call,
+                                 const CallEnded &event)
+{
+    if (event.isEmptyRest) {
+        m_runs.streamStarted(step, request);
+    }
+    if (!event.isEndedByClose) {
+        completeStream(step, request, StreamEnd::Framing);
+        return;
+    }
+    const auto result = m_runs.streamClosed(step, request, call, event);
+    if (result == RunContinuation::Result::Complete) {
+        completeStream(step, request, StreamEnd::Close);
+    } else {
+        conclude(step, request, result);
+    }
+}
+
+void GenerationFlow::conclude(Step &step, OpenRequest &request, RunContinuation::Result result)
 {
     switch (result) {
     case RunContinuation::Result::InProgress:
@@ -634,13 +641,18 @@
         return;
     }
     case RunContinuation::Result::Complete:
-        releaseResources(step, request, ClaimOutcome::Served);
-        forgetStreamOrigin(m_state, request);
-        m_state.requests.endStream(step, request, end);
+        completeStream(step, request, StreamEnd::ConfirmedClose);
         return;
     }
 }
 
+void GenerationFlow::completeStream(Step &step, OpenRequest &request, StreamEnd end)
+{
+    releaseResources(step, request, ClaimOutcome::Served);
+    forgetStreamOrigin(m_state, request);
+    m_state.requests.endStream(step, request, end);
+}
+
 void GenerationFlow::decodeNotExecuted(Step &step, OpenRequest &request, const OpenCall &call,
                                        const CallEnded &event)
 {
--- a/src/dispatch/generationflow.h
+++ b/src/dispatch/generationflow.h
@@ -87,9 +87,13 @@
                      const CallEnded &event);
     void targetDecided(Step &step, OpenRequest &request, const scheduling::ClaimGranted *granted);
     void withdrawClaims(Step &step);
+    /** Handles an answer that looks whole and whose events were forwarded. */
+    void streamEnded(Step &step, OpenRequest &request, const OpenCall &call,
+                     const CallEnded &event);
     /** Resumes or ends the stream of a run that has ended or cannot continue. */
-    /** @param end What proves the end of a stream that is complete. */
-    void conclude(Step &step, OpenRequest &request, RunContinuation::Result result, StreamEnd end);
+    void conclude(Step &step, OpenRequest &request, RunContinuation::Result result);
+    /** @param end What proves that the stream is complete. */
+    void completeStream(Step &step, OpenRequest &request, StreamEnd end);
     void decodeNotExecuted(Step &step, OpenRequest &request, const OpenCall &call,
                            const CallEnded &event);
     void decodeFailed(Step &step, OpenRequest &request, const CallEnded &event);
--- a/src/dispatch/openrequests.cpp
+++ b/src/dispatch/openrequests.cpp
@@ -193,19 +193,6 @@
         || kind == CallKind::Whole;
 }
 
-const char *nameOf(StreamEnd end)
-{
-    switch (end) {
-    case StreamEnd::Framing:
-        return "framing";
-    case StreamEnd::Close:
-        return "close";
-    case StreamEnd::ConfirmedClose:
-        return "confirmed_close";
-    }
-    return "";
-}
-
 const char *nameOf(Stage stage)
 {
     switch (stage) {
--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -108,7 +108,7 @@
 RunContinuation::Result RunContinuation::streamClosed(Step &step, OpenRequest &request,
                                                       const OpenCall &call, const CallEnded &event)
 {
-    if (!mayHaveBeenCut(request, call.server)) {
+    if (!isCloseInDoubt(request, call.server)) {
         return Result::Complete;
     }
     request.run.isClosedInDoubt = true;
@@ -133,6 +133,7 @@
         if (!hasStopped) {
             request.unsettledStops.settle(call.server.name, result);
         }
+        m_state.tracker.callClosed(call.server.name);
         orphanedStopEnded(step, call, event);
         return Result::InProgress;
     }
@@ -152,7 +153,7 @@
         request.run.handle = event.handle;
         request.run.handleSource = call.server;
     }
-    if (request.run.isClosedInDoubt && !hasStopped && !mayHaveBeenCut(request, call.server)) {
+    if (request.run.isClosedInDoubt && !hasStopped && !isCloseInDoubt(request, call.server)) {
         return Result::Complete;
     }
     const bool isStreamOpen = !request.call.isNone();
@@ -473,7 +474,7 @@
     m_state.calls.start(step, server, std::move(call));
 }
 
-bool RunContinuation::mayHaveBeenCut(const OpenRequest &request,
+bool RunContinuation::isCloseInDoubt(const OpenRequest &request,
                                      const AnnouncedServer &engine) const
 {
     // A newer life answers for runs of which it knows nothing.
--- a/src/dispatch/runcontinuation.h
+++ b/src/dispatch/runcontinuation.h
@@ -96,7 +96,7 @@
      * Returns whether anything but the run's own end may have closed its stream at @p engine in
      * good order.
      */
-    bool mayHaveBeenCut(const OpenRequest &request, const AnnouncedServer &engine) const;
+    bool isCloseInDoubt(const OpenRequest &request, const AnnouncedServer &engine) const;
     /** Returns the engine that keeps the copy, or null if the run cannot continue there. */
     const AnnouncedServer *usableBackup(const OpenRequest &request, TimePoint now) const;
     /** Returns the engine that the scheduler has granted, or null. */
