Report a close after a pause of the relay as a lost path, and only of the request it concerns

Two faults, both seen with new tests that fail before:

A relay that had not read passed an orderly close on as ServerReset. The node then took the connection to the server for lost: it records a failure of the server and looks for a crash, though nothing is known of the server (directly, the same close is PathLost). reportsACloseAfterAPauseOfTheRelayAsALostPath: ConnectionLost before.

The relay compared its pauses with the time at which it had connected, not with the begin of the request. A pause between two requests on a kept connection failed the second one's whole answer. completesAnAnswerThatBeganAfterAPauseOfTheRelay: ConnectionLost before, Complete now.

Change: in doubt, the relay sends what it has and then the end of the connection without a frame, which nodes of all versions with frames take for PathLost; answers with their own end are whole. It does not close, since unread bytes of the node would make that a reset, which may overtake the answer. The time of the request is that of the first data after the node's Idle frame. Nodes without frames get a reset, as before.

--- a/src/relay/tunnellistener.cpp
+++ b/src/relay/tunnellistener.cpp
@@ -11,9 +11,11 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace indigoway {
 
@@ -67,10 +69,12 @@
     TunnelFrameReader frames; ///< Of the node, if they are used.
     ByteLease lease;
     TimePoint openedAt {};
-    std::uint64_t movedBytes = 0;        ///< Taken by either side.
-    BootTime connectedAt {};             ///< To the server.
+    std::uint64_t movedBytes = 0; ///< Taken by either side.
+    BootTime requestedAt {};      ///< Of the open request; without frames, of the connection.
     std::optional<BootTime> unreadSince; ///< Of the server's bytes, while they are not read.
     UnreadTimes pauses;
+    /** The server may have cut off its answer: a node that knows frames gets no last one. */
+    bool isEndInDoubt = false;
     /** A request may be open on the connection; without frames this is unknown. */
     bool isBusy = true;
 
@@ -324,7 +328,7 @@
     event_add(tunnel.timer, &IdleLimit);
     tunnel.stage = Tunnel::Stage::Open;
     tunnel.lastBytesAt = steadyNow();
-    tunnel.connectedAt = BootClock::now();
+    tunnel.requestedAt = BootClock::now();
     resetOnClose(bufferevent_getfd(tunnel.nodeSide));
     // Otherwise the server could go on with a request whose node has ended.
     resetOnClose(bufferevent_getfd(tunnel.serverSide));
@@ -400,7 +404,9 @@
     evbuffer *input = bufferevent_get_input(tunnel.nodeSide);
     while (const auto part = tunnel.frames.next(input)) {
         if (part->kind == TunnelFrame::Data) {
-            tunnel.isBusy = true;
+            if (!std::exchange(tunnel.isBusy, true)) {
+                tunnel.requestedAt = BootClock::now();
+            }
             evbuffer_remove_buffer(input, bufferevent_get_output(tunnel.serverSide), part->bytes);
         } else if (part->kind == TunnelFrame::Idle) {
             tunnel.isBusy = false;
@@ -487,17 +493,18 @@
 void TunnelListener::serverEnded(Tunnel &tunnel, bool isOrderly)
 {
     const BootTime now = BootClock::now();
-    const bool mayBeCutOff = tunnel.pauses.mayHaveCutOff(tunnel.connectedAt, now)
-        || m_unreadTimes.mayHaveCutOff(tunnel.connectedAt, now);
-    const bool isRegular = isOrderly && !mayBeCutOff;
-    if (!tunnel.isFramed && !isRegular) {
+    tunnel.isEndInDoubt = isOrderly
+        && (tunnel.pauses.mayHaveCutOff(tunnel.requestedAt, now)
+            || m_unreadTimes.mayHaveCutOff(tunnel.requestedAt, now));
+    if (!tunnel.isFramed && (!isOrderly || tunnel.isEndInDoubt)) {
         reset(tunnel);
         return;
     }
     passToNode(tunnel);
-    if (tunnel.isFramed) {
+    // Without a last frame the node takes the path for lost, which says nothing of the server.
+    if (tunnel.isFramed && !tunnel.isEndInDoubt) {
         writeTunnelFrame(bufferevent_get_output(tunnel.nodeSide),
-                         isRegular ? TunnelFrame::ServerClosed : TunnelFrame::ServerReset);
+                         isOrderly ? TunnelFrame::ServerClosed : TunnelFrame::ServerReset);
     }
     closeWhenWritten(tunnel);
 }
@@ -511,9 +518,9 @@
             tunnel.pauses.recordPause(*since, BootClock::now());
         }
         bufferevent_enable(tunnel.serverSide, EV_READ);
-    } else if (tunnel.stage == Tunnel::Stage::Closing && !tunnel.isFramed
+    } else if (tunnel.stage == Tunnel::Stage::Closing
                && evbuffer_get_length(bufferevent_get_output(bev)) == 0) {
-        tunnel.owner->closeRegularly(tunnel);
+        tunnel.owner->lastBytesWritten(tunnel);
     }
 }
 
@@ -556,7 +563,8 @@
 
 void TunnelListener::closeWhenWritten(Tunnel &tunnel)
 {
-    if (!tunnel.isFramed && evbuffer_get_length(bufferevent_get_output(tunnel.nodeSide)) == 0) {
+    const bool isWritten = evbuffer_get_length(bufferevent_get_output(tunnel.nodeSide)) == 0;
+    if (!tunnel.isFramed && isWritten) {
         closeRegularly(tunnel);
         return;
     }
@@ -572,6 +580,20 @@
     // The callback for written bytes must come when nothing is left.
     bufferevent_setwatermark(tunnel.nodeSide, EV_WRITE, 0, 0);
     event_add(tunnel.timer, &FlushLimit);
+    if (isWritten) {
+        lastBytesWritten(tunnel);
+    }
+}
+
+void TunnelListener::lastBytesWritten(Tunnel &tunnel)
+{
+    if (!tunnel.isFramed) {
+        closeRegularly(tunnel);
+    } else if (tunnel.isEndInDoubt) {
+        // Not closed: unread bytes of the node would make it a reset, which may overtake the
+        // answer.
+        shutdown(bufferevent_getfd(tunnel.nodeSide), SHUT_WR);
+    }
 }
 
 void TunnelListener::closeRegularly(Tunnel &tunnel)
--- a/src/relay/tunnellistener.h
+++ b/src/relay/tunnellistener.h
@@ -124,6 +124,8 @@
      */
     void serverEnded(Tunnel &tunnel, bool isOrderly);
     void closeWhenWritten(Tunnel &tunnel);
+    /** Ends the node's connection, unless the node is to close it after the last frame. */
+    void lastBytesWritten(Tunnel &tunnel);
     /** Closes both connections, the node's one with a FIN. */
     void closeRegularly(Tunnel &tunnel);
     /** Closes both connections with a reset, which ends the request at the server. */
--- a/tests/relay/tunneltest.cpp
+++ b/tests/relay/tunneltest.cpp
@@ -36,6 +36,8 @@
     CPPUNIT_TEST(endsTheRequestAtTheServerWhenTheCallerLeaves);
     CPPUNIT_TEST(reportsAResetOfTheServerAsLost);
     CPPUNIT_TEST(completesAnAnswerThatEndsWithItsConnection);
+    CPPUNIT_TEST(reportsACloseAfterAPauseOfTheRelayAsALostPath);
+    CPPUNIT_TEST(completesAnAnswerThatBeganAfterAPauseOfTheRelay);
     CPPUNIT_TEST(reportsALostRelayAsALostPath);
     CPPUNIT_TEST(doesNotCompleteAnAnswerThatTheEndOfTheRelayCuts);
     CPPUNIT_TEST(doesNotCompleteFramesCutAnywhere);
@@ -169,6 +171,41 @@
         CPPUNIT_ASSERT_EQUAL(std::string("all of it"), m_calls->body.at(CallNumber(1)));
     }
 
+    // The server may have cut off an answer that the relay did not read. That says nothing of the
+    // server, which would be blamed for a lost connection; and an answer with a length is whole.
+    void reportsACloseAfterAPauseOfTheRelayAsALostPath()
+    {
+        startCall(1);
+        RawSocket server(accepted(m_server));
+        answer(server, "HTTP/1.1 200 OK\r\n\r\nhalf of it");
+        runUntil([&] { return m_calls->body[CallNumber(1)] == "half of it"; });
+        startCall(2);
+        RawSocket other(accepted(m_server));
+        runUntil([&] { return !other.receive().empty(); });
+        recordPauseOfRelay();
+        server.close();
+        other.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall of it");
+        other.close();
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::PathLost);
+        CPPUNIT_ASSERT(endOf(2) == TransferEnd::Complete);
+    }
+
+    // A pause between two requests on a kept connection would fail the second one's answer.
+    void completesAnAnswerThatBeganAfterAPauseOfTheRelay()
+    {
+        startCall(1);
+        RawSocket server(accepted(m_server));
+        answer(server, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok");
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::Complete);
+        runUntil([&] { return m_relay->busyTunnels(steadyNow()) == 0; });
+        recordPauseOfRelay();
+        startCall(2);
+        answer(server, "HTTP/1.1 200 OK\r\n\r\nall of it");
+        server.close();
+        CPPUNIT_ASSERT(endOf(2) == TransferEnd::Complete);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {1}, m_relay->opened());
+    }
+
     // The request may have been executed, so that it must not count as unsent; and the server must
     // not be blamed.
     void reportsALostRelayAsALostPath()
@@ -523,6 +560,14 @@
         startCall(call);
     }
 
+    /** Records that the relay has stood still until now, for longer than servers wait. */
+    void recordPauseOfRelay()
+    {
+        const BootTime now = BootClock::now();
+        m_relay->recordTick(now - std::chrono::seconds(3));
+        m_relay->recordTick(now);
+    }
+
     int acceptedFromNodeWithoutFrames(RawSocket &node)
     {
         node.send("CONNECT s HTTP/1.1\r\nHost: s\r\n\r\n");
