Take no close through another node for the end of an answer to an unsent request

On direct connections unsent bytes rule it out; through another node only that node's own unsent bytes did, not those still at the node of the request.

Change: ServerClosed counts as orderly only if nothing of the request is unsent. Bytes in the kernels on the way are not seen, as on direct connections.

--- a/src/relay/serverconnections.cpp
+++ b/src/relay/serverconnections.cpp
@@ -373,7 +373,9 @@
     }
     parseAnswer(connection);
     if (connection.serverEnd && !connection.call.isNone() && !connection.isClosing) {
-        serverEnded(connection, connection.serverEnd == TunnelFrame::ServerClosed);
+        serverEnded(connection,
+                    connection.serverEnd == TunnelFrame::ServerClosed
+                        && !connection.hasUnsentBytes());
     }
 }
 
--- a/tests/relay/tunneltest.cpp
+++ b/tests/relay/tunneltest.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(completesAnAnswerThatEndsWithItsConnection);
     CPPUNIT_TEST(reportsACloseAfterAPauseOfTheRelayAsALostPath);
     CPPUNIT_TEST(completesAnAnswerThatBeganAfterAPauseOfTheRelay);
+    CPPUNIT_TEST(doesNotCompleteAnAnswerToAnUnsentRequest);
     CPPUNIT_TEST(reportsALostRelayAsALostPath);
     CPPUNIT_TEST(doesNotCompleteAnAnswerThatTheEndOfTheRelayCuts);
     CPPUNIT_TEST(doesNotCompleteFramesCutAnywhere);
@@ -206,6 +207,16 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t {1}, m_relay->opened());
     }
 
+    // A server that waits in vain for the rest of a request closes its connection, as at the end of
+    // an answer without a length.
+    void doesNotCompleteAnAnswerToAnUnsentRequest()
+    {
+        constexpr std::size_t MoreThanKernelsHold = std::size_t {32} * 1024 * 1024;
+        RawSocket relay(connectedRelay(1, true, std::string(MoreThanKernelsHold, 'x')));
+        relay.send(framed("HTTP/1.1 200 OK\r\n\r\nhalf of it") + framed(TunnelFrame::ServerClosed));
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::ConnectionLost);
+    }
+
     // The request may have been executed, so that it must not count as unsent; and the server must
     // not be blamed.
     void reportsALostRelayAsALostPath()
@@ -542,10 +553,10 @@
     static std::string framed(TunnelFrame kind) { return framed("", kind); }
 
     /** Starts a call through a relay that the test plays; returns the socket of the relay. */
-    int connectedRelay(std::uint64_t call, bool isFramed)
+    int connectedRelay(std::uint64_t call, bool isFramed, const std::string &body = "x")
     {
         const std::uint64_t relayed = m_servers->relayedCalls();
-        startCallThroughPlayedRelay(call);
+        startCallThroughPlayedRelay(call, body);
         const int socket = accepted(m_otherServer);
         const std::string open = encodeTunnelAnswer(TunnelAnswer::Open, isFramed);
         CPPUNIT_ASSERT(::send(socket, open.data(), open.size(), MSG_NOSIGNAL) > 0);
@@ -553,11 +564,11 @@
         return socket;
     }
 
-    void startCallThroughPlayedRelay(std::uint64_t call)
+    void startCallThroughPlayedRelay(std::uint64_t call, const std::string &body = "x")
     {
         m_servers->paths().relays.setNodes({{NodeName("played"), m_otherServer.address()}},
                                            TimePoint(std::chrono::hours(call)));
-        startCall(call);
+        startCall(call, body);
     }
 
     /** Records that the relay has stood still until now, for longer than servers wait. */
