Let short pauses prolong the doubt that a long time without reading raises

What a server had sent before it cut an answer off may take longer than a second to arrive where the connection is paused again and again for less than a second each time: an answer that waits for room, a tunnel to a node that reads slowly. The close that follows it then passed for the end of the answer. Found by reading; not seen with processes.

Change: a short pause within a second after a long one, or after another such short one, begins that second anew. Ticks of the process don't: they come all the time. A request that began after the long pause is not concerned.

Measured: unreadtimestest, shortPausesProlongTheDoubt, fails before and passes; tunneltest 30, relaytest 28 pass.

--- a/src/relay/unreadtimes.cpp
+++ b/src/relay/unreadtimes.cpp
@@ -13,8 +13,8 @@
 
 void UnreadTimes::recordTick(BootTime now)
 {
-    if (m_lastTick) {
-        recordPause(*m_lastTick, now);
+    if (m_lastTick && now - *m_lastTick >= MinUnreadTime) {
+        m_readAgainAt = m_drainsSince = now;
     }
     m_lastTick = now;
 }
@@ -22,7 +22,9 @@
 void UnreadTimes::recordPause(BootTime from, BootTime to)
 {
     if (to - from >= MinUnreadTime) {
-        m_readAgainAt = to;
+        m_readAgainAt = m_drainsSince = to;
+    } else if (m_readAgainAt && from < m_drainsSince + DrainTime) {
+        m_drainsSince = to;
     }
 }
 
@@ -31,7 +33,7 @@
     if (m_lastTick && now - *m_lastTick >= MinUnreadTime) {
         return begun < now - MinUnreadTime;
     }
-    return m_readAgainAt && begun < *m_readAgainAt && now < *m_readAgainAt + DrainTime;
+    return m_readAgainAt && begun < *m_readAgainAt && now < m_drainsSince + DrainTime;
 }
 
 } // namespace indigoway
--- a/src/relay/unreadtimes.h
+++ b/src/relay/unreadtimes.h
@@ -16,7 +16,10 @@
 public:
     /** Records that the process reads its connections; called several times a second. */
     void recordTick(BootTime now);
-    /** Records that one connection was not read from @p from to @p to. */
+    /**
+     * Records that one connection was not read from @p from to @p to. Short pauses soon after a
+     * long one prolong the time in which what the server had sent before may still arrive.
+     */
     void recordPause(BootTime from, BootTime to);
     /**
      * Returns whether a server may have cut off an answer that is read since @p begun and ends at
@@ -26,7 +29,8 @@
 
 private:
     std::optional<BootTime> m_lastTick;
-    std::optional<BootTime> m_readAgainAt;
+    std::optional<BootTime> m_readAgainAt; ///< After the last long time without reading.
+    BootTime m_drainsSince {}; ///< The same, or after the last short pause that followed.
 };
 
 } // namespace indigoway
