Take no last marker after a cancel for the end of a stream in indigowayd

The node itself ignores the streams that it cancels, but a node that takes the owner of a request for dead cancels it at its engine as well (reclaiming), and the owner may still read the stream. Engines that end a cancelled stream with the finish reason "abort" and the last marker made a part of the answer look whole. Our stand-in of an engine resets such streams, and PROTOCOLS.md did not say how they end.

Change: a stream with the finish reason "abort" is not whole, whatever follows; the reason is not passed on, and the answer goes on elsewhere like that of a broken stream.

Not played with processes.

--- a/src/http/backendcalls.cpp
+++ b/src/http/backendcalls.cpp
@@ -17,6 +17,8 @@
 const std::string RequestNameHeader = "X-Request-Id";
 const std::string DataField = "data: ";
 const std::string LastMarker = "[DONE]";
+/** The reason that engines give for the end of a cancelled request, before the last marker. */
+const std::string CancelledReason = "abort";
 
 /** Fields that belong to one connection and are not passed on (RFC 9110, section 7.6.1). */
 bool isHopByHop(const std::string &name)
@@ -195,7 +197,7 @@
             CallOutcome outcome = outcomeOf(answer);
             if (stream->isCrossed) {
                 outcome = CallOutcome::Crossed;
-            } else if (outcome == CallOutcome::Whole && !stream->isDone) {
+            } else if (outcome == CallOutcome::Whole && (!stream->isDone || stream->isCancelled)) {
                 outcome = CallOutcome::Truncated;
             }
             m_post(DecodeFinished {stream->call, outcome});
@@ -251,7 +253,9 @@
     }
     const Json::Value &choice = choices[0];
     const std::string reason = stringMember(choice, "finish_reason");
-    if (!reason.empty()) {
+    if (reason == CancelledReason) {
+        stream.isCancelled = true;
+    } else if (!reason.empty()) {
         request->finishReason = reason;
     }
     request->arriving = request->isChat && choice["delta"].isObject()
--- a/src/http/backendcalls.h
+++ b/src/http/backendcalls.h
@@ -45,6 +45,7 @@
         std::uint32_t tokens = 0; ///< Of this attempt, so far.
         std::string partial;      ///< A line that is not complete yet.
         bool isDone = false;
+        bool isCancelled = false; ///< Another node has cancelled the request at its engine.
         bool isCrossed = false;
     };
 
