--- a/tests/relay/tunneltest.cpp
+++ b/tests/relay/tunneltest.cpp
@@ -36,6 +36,9 @@
     CPPUNIT_TEST(endsTheRequestAtTheServerWhenTheCallerLeaves);
     CPPUNIT_TEST(reportsAResetOfTheServerAsLost);
     CPPUNIT_TEST(completesAnAnswerThatEndsWithItsConnection);
+    CPPUNIT_TEST(reportsACloseAfterAPauseOfTheRelayAsALostPath);
+    CPPUNIT_TEST(completesAnAnswerThatBeganAfterAPauseOfTheRelay);
+    CPPUNIT_TEST(doesNotCompleteAnAnswerToAnUnsentRequest);
     CPPUNIT_TEST(reportsALostRelayAsALostPath);
     CPPUNIT_TEST(doesNotCompleteAnAnswerThatTheEndOfTheRelayCuts);
     CPPUNIT_TEST(doesNotCompleteFramesCutAnywhere);
@@ -169,6 +172,51 @@
         CPPUNIT_ASSERT_EQUAL(std::string("all of it"), m_calls->body.at(CallNumber(1)));
     }
 
+    // The server may have cut off an answer that the relay did not read. That says nothing of the
+    // server, which would be blamed for a lost connection; and an answer with a length is whole.
+    void reportsACloseAfterAPauseOfTheRelayAsALostPath()
+    {
+        startCall(1);
+        RawSocket server(accepted(m_server));
+        answer(server, "HTTP/1.1 200 OK\r\n\r\nhalf of it");
+        runUntil([&] { return m_calls->body[CallNumber(1)] == "half of it"; });
+        startCall(2);
+        RawSocket other(accepted(m_server));
+        runUntil([&] { return !other.receive().empty(); });
+        recordPauseOfRelay();
+        server.close();
+        other.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall of it");
+        other.close();
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::PathLost);
+        CPPUNIT_ASSERT(endOf(2) == TransferEnd::Complete);
+    }
+
+    // A pause between two requests on a kept connection would fail the second one's answer.
+    void completesAnAnswerThatBeganAfterAPauseOfTheRelay()
+    {
+        startCall(1);
+        RawSocket server(accepted(m_server));
+        answer(server, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok");
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::Complete);
+        runUntil([&] { return m_relay->busyTunnels(steadyNow()) == 0; });
+        recordPauseOfRelay();
+        startCall(2);
+        answer(server, "HTTP/1.1 200 OK\r\n\r\nall of it");
+        server.close();
+        CPPUNIT_ASSERT(endOf(2) == TransferEnd::Complete);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {1}, m_relay->opened());
+    }
+
+    // A server that waits in vain for the rest of a request closes its connection, as at the end of
+    // an answer without a length.
+    void doesNotCompleteAnAnswerToAnUnsentRequest()
+    {
+        constexpr std::size_t MoreThanKernelsHold = std::size_t {32} * 1024 * 1024;
+        RawSocket relay(connectedRelay(1, true, std::string(MoreThanKernelsHold, 'x')));
+        relay.send(framed("HTTP/1.1 200 OK\r\n\r\nhalf of it") + framed(TunnelFrame::ServerClosed));
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::ConnectionLost);
+    }
+
     // The request may have been executed, so that it must not count as unsent; and the server must
     // not be blamed.
     void reportsALostRelayAsALostPath()
@@ -505,10 +553,10 @@
     static std::string framed(TunnelFrame kind) { return framed("", kind); }
 
     /** Starts a call through a relay that the test plays; returns the socket of the relay. */
-    int connectedRelay(std::uint64_t call, bool isFramed)
+    int connectedRelay(std::uint64_t call, bool isFramed, const std::string &body = "x")
     {
         const std::uint64_t relayed = m_servers->relayedCalls();
-        startCallThroughPlayedRelay(call);
+        startCallThroughPlayedRelay(call, body);
         const int socket = accepted(m_otherServer);
         const std::string open = encodeTunnelAnswer(TunnelAnswer::Open, isFramed);
         CPPUNIT_ASSERT(::send(socket, open.data(), open.size(), MSG_NOSIGNAL) > 0);
@@ -516,11 +564,19 @@
         return socket;
     }
 
-    void startCallThroughPlayedRelay(std::uint64_t call)
+    void startCallThroughPlayedRelay(std::uint64_t call, const std::string &body = "x")
     {
         m_servers->paths().relays.setNodes({{NodeName("played"), m_otherServer.address()}},
                                            TimePoint(std::chrono::hours(call)));
-        startCall(call);
+        startCall(call, body);
+    }
+
+    /** Records that the relay has stood still until now, for longer than servers wait. */
+    void recordPauseOfRelay()
+    {
+        const BootTime now = BootClock::now();
+        m_relay->recordTick(now - std::chrono::seconds(3));
+        m_relay->recordTick(now);
     }
 
     int acceptedFromNodeWithoutFrames(RawSocket &node)
