Renew a waiting claim's list of engines that its node must not use

The list was made once. The claim was repeated with it, and the scheduling node ignored repetitions of claims that wait. An engine that may be asked again 17 ms later was therefore never granted, and the claim was refused after 0.8 s although the engine had room.

Change: each repetition names the engines that must not be used at that time, also for targets of moves; those that have failed the request stay excluded. The scheduling node takes the list of a repetition for a claim that waits, and nothing else of it: place and longest wait are those of the first. A claim that waits is repeated when the first of its blocked engines may be used again, 25 ms after the last message at the earliest, else after 150 ms as before; a claim without an answer after 80 ms as before, so that the limit for a silent scheduler is the same. The messages are unchanged.

Evidence: nine new cases in schedulerclaimstest (5), generationflowtest, engineschedulertest (2) and runcontinuationtest. With the former repetition in schedulerclaims.cpp and without the line in enginescheduler.cpp all nine fail; after the change all 17, 15, 19 and 60 cases of the four tests pass. With the renewed list but without the early repetition five of them fail; without its lower bound, pausesThatEndTogetherCauseOneRepetition.

--- a/src/dispatch/generationflow.cpp
+++ b/src/dispatch/generationflow.cpp
@@ -225,8 +225,7 @@
         OpenRequest &request = *m_state.requests.find(number);
         if (request.claim.isNone()
             && !WaitingGenerations::blockedUntil(m_state, request, step.now)) {
-            m_claims.claim(step, request, m_state.settings.domain, maxQueueTime(request),
-                           m_state.unusableServers(request.service->name, step.now));
+            m_claims.claim(step, request, m_state.settings.domain, maxQueueTime(request));
         }
     }
 }
--- a/src/dispatch/generationflow.h
+++ b/src/dispatch/generationflow.h
@@ -24,6 +24,7 @@
         : m_state(state)
         , m_placement(state.tracker)
         , m_phases(state)
+        , m_claims(state)
         , m_runs(state, m_placement, m_claims)
     { }
 
--- a/src/dispatch/runcontinuation.cpp
+++ b/src/dispatch/runcontinuation.cpp
@@ -360,8 +360,7 @@
 void RunContinuation::requestTarget(Step &step, OpenRequest &request)
 {
     const Duration wait = std::min(MaxTargetWait, Duration(request.deadline - step.now));
-    m_claims.claimTarget(step, request, m_state.settings.domain, wait,
-                         m_state.unusableServers(request.service->name, step.now));
+    m_claims.claimTarget(step, request, m_state.settings.domain, wait);
 }
 
 void RunContinuation::stopRun(Step &step, OpenRequest &request, const AnnouncedServer &engine,
--- a/src/dispatch/schedulerclaims.cpp
+++ b/src/dispatch/schedulerclaims.cpp
@@ -14,6 +14,11 @@
 constexpr Duration UnansweredRepeatInterval = std::chrono::milliseconds(80);
 /** Interval for queued claims, whose grant may have been lost. */
 constexpr Duration QueuedRepeatInterval = std::chrono::milliseconds(150);
+/**
+ * A queued claim is repeated when a blocked engine becomes usable, but no sooner than this after
+ * the last message. Bounds the datagrams if many engines become usable one after another.
+ */
+constexpr Duration MinRepeatInterval = std::chrono::milliseconds(25);
 /**
  * Consecutive losses that rule out random datagram loss: a bad link loses one datagram in twenty.
  */
@@ -32,28 +37,56 @@
 }
 
 void SchedulerClaims::claim(Step &step, OpenRequest &request, const DomainName &domain,
-                            Duration maxWait, const std::vector<ServerName> &blocked)
+                            Duration maxWait)
 {
-    Claim message = makeClaim(step, request, domain, maxWait, blocked);
+    Claim message = makeClaim(step, request, domain, maxWait);
     request.claim = message.claim;
-    m_pending[request.claim] = {request.arrival.request, message, step.now, 1};
-    send(step, std::move(message));
+    add(step, request, std::move(message),
+        {request.triedServers.begin(), request.triedServers.end()});
 }
 
 void SchedulerClaims::claimTarget(Step &step, OpenRequest &request, const DomainName &domain,
-                                  Duration maxWait, const std::vector<ServerName> &blocked)
+                                  Duration maxWait)
 {
-    Claim message = makeClaim(step, request, domain, maxWait, blocked);
+    Claim message = makeClaim(step, request, domain, maxWait);
     const std::uint64_t made =
         std::uint64_t {request.forwardedEvents} * request.service->engine->tokensPerEvent;
     message.promptTokens = 0;
     message.memory.contextTokens += made;
     message.memory.outputTokens -= std::min(message.memory.outputTokens, made);
     message.urgency = Urgency::Resumed;
-    message.excludedServers.insert(message.excludedServers.begin(), request.decodeServer);
     request.run.targetClaim = message.claim;
-    m_pending[message.claim] = {request.arrival.request, message, step.now, 1};
-    send(step, std::move(message));
+    std::vector<ServerName> failedServers {request.decodeServer};
+    failedServers.insert(failedServers.end(), request.triedServers.begin(),
+                         request.triedServers.end());
+    add(step, request, std::move(message), std::move(failedServers));
+}
+
+void SchedulerClaims::add(Step &step, const OpenRequest &request, Claim message,
+                          std::vector<ServerName> failedServers)
+{
+    PendingClaim &pending = m_pending[message.claim];
+    pending = {request.arrival.request,
+               std::move(message),
+               std::move(failedServers),
+               step.now,
+               1,
+               std::nullopt};
+    sendClaim(step, pending);
+}
+
+void SchedulerClaims::sendClaim(Step &step, PendingClaim &pending) const
+{
+    Claim &message = pending.message;
+    message.excludedServers = pending.failedServers;
+    pending.usableAt.reset();
+    for (const ServerName &server : m_state.unusableServers(message.service, step.now)) {
+        if (message.excludedServers.size() < MaxExcludedServers) {
+            message.excludedServers.push_back(server);
+        }
+        pending.usableAt = earlier(pending.usableAt, m_state.blockedUntil(server, step.now));
+    }
+    send(step, message);
 }
 
 void SchedulerClaims::endTarget(Step &step, OpenRequest &request, ClaimOutcome result)
@@ -76,8 +109,7 @@
 }
 
 Claim SchedulerClaims::makeClaim(const Step &step, const OpenRequest &request,
-                                 const DomainName &domain, Duration maxWait,
-                                 const std::vector<ServerName> &blocked)
+                                 const DomainName &domain, Duration maxWait)
 {
     const bool readsWhole =
         request.arrival.isContinuation || request.isForwarding || request.readsWhole;
@@ -97,12 +129,6 @@
         message.organisation = request.organisation->name;
     }
     message.wantsBackup = request.service->engine && request.service->engine->keepsBackups;
-    message.excludedServers.assign(request.triedServers.begin(), request.triedServers.end());
-    for (const ServerName &server : blocked) {
-        if (message.excludedServers.size() < MaxExcludedServers) {
-            message.excludedServers.push_back(server);
-        }
-    }
     return message;
 }
 
@@ -208,7 +234,7 @@
         return withdrawAll(step, requests);
     }
     for (auto &[number, pending] : m_pending) {
-        if (step.now < pending.sentAt + repeatInterval(pending)) {
+        if (step.now < repeatTime(pending)) {
             continue;
         }
         if (pending.unanswered >= MaxUnanswered) {
@@ -223,7 +249,7 @@
         pending.message.timeToTarget -= step.now - pending.sentAt;
         pending.message.maxDuration -= step.now - pending.sentAt;
         pending.sentAt = step.now;
-        send(step, pending.message);
+        sendClaim(step, pending);
     }
     return {};
 }
@@ -232,14 +258,20 @@
 {
     std::optional<TimePoint> next;
     for (const auto &[number, pending] : m_pending) {
-        next = earlier(next, pending.sentAt + repeatInterval(pending));
+        next = earlier(next, repeatTime(pending));
     }
     return next;
 }
 
-Duration SchedulerClaims::repeatInterval(const PendingClaim &pending)
+TimePoint SchedulerClaims::repeatTime(const PendingClaim &pending)
 {
-    return pending.unanswered > 0 ? UnansweredRepeatInterval : QueuedRepeatInterval;
+    if (pending.unanswered > 0) {
+        return pending.sentAt + UnansweredRepeatInterval;
+    }
+    const TimePoint regular = pending.sentAt + QueuedRepeatInterval;
+    return pending.usableAt
+        ? std::min(regular, std::max(*pending.usableAt, pending.sentAt + MinRepeatInterval))
+        : regular;
 }
 
 std::vector<RequestNumber> SchedulerClaims::withdrawAll(Step &step, OpenRequests &requests)
--- a/src/scheduling/claimqueue.h
+++ b/src/scheduling/claimqueue.h
@@ -39,6 +39,11 @@
         m_claims.emplace(key, std::move(waiting));
     }
     void remove(const ClaimKey &key) { m_claims.erase(key); }
+    /** Replaces the engines that the waiting claim @p key must not get. */
+    void setExcludedServers(const ClaimKey &key, const std::vector<ServerName> &servers)
+    {
+        m_claims.at(key).claim.excludedServers = servers;
+    }
     void removeOtherIncarnations(const NodeLife &owner);
     /** Removes and returns the claims that have waited longer than they may, with their wait. */
     std::vector<std::pair<ClaimKey, Duration>> takeOverdue(TimePoint now);
--- a/src/scheduling/enginescheduler.cpp
+++ b/src/scheduling/enginescheduler.cpp
@@ -160,6 +160,7 @@
         return;
     }
     if (m_queue.contains(key)) {
+        m_queue.setExcludedServers(key, claim.excludedServers);
         return;
     }
     if (claim.version
--- a/src/scheduling/schedulermessages.h
+++ b/src/scheduling/schedulermessages.h
@@ -26,8 +26,8 @@
 };
 
 /**
- * Requests memory on a decode engine and a prefill engine. Sending a claim again has no further
- * effect.
+ * Requests memory on a decode engine and a prefill engine. Sending a claim again replaces its
+ * excluded engines while it waits, and has no further effect.
  */
 struct Claim
 {
@@ -44,8 +44,9 @@
     /** Time left until the target for the first event; negative if it has passed. */
     Duration timeToTarget {};
     Duration maxDuration {}; ///< Time after which the request has ended in any case.
-    std::vector<ServerName> excludedServers; ///< Engines that have already failed this request.
-    OrganisationName organisation;           ///< Empty if the caller belongs to none.
+    /** Engines that have already failed this request, or that its node must not use now. */
+    std::vector<ServerName> excludedServers;
+    OrganisationName organisation; ///< Empty if the caller belongs to none.
     /** Whether the service keeps backups of runs, so that a grant may name a backup. */
     bool wantsBackup = false;
     bool operator==(const Claim &) const = default;
--- a/tests/dispatch/generationflowtest.cpp
+++ b/tests/dispatch/generationflowtest.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(lateReservationIsReleased);
     CPPUNIT_TEST(prefillsOnDecodeEngineWithoutPrefillEngines);
     CPPUNIT_TEST(doesNotUseADrainingEngine);
+    CPPUNIT_TEST(waitingClaimGetsAnEngineWhoseLimitAllowsRequestsAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -304,6 +305,46 @@
         harness.nextCall(CallKind::FreeHandle);
         CPPUNIT_ASSERT(harness.nextCall(CallKind::Reserve).server != reserve.server);
     }
+
+    // The only decode engine with room has a rate limit of 0, under which it may be asked from time
+    // to time. Guards against a claim that names it as unusable until the scheduler refuses it.
+    void waitingClaimGetsAnEngineWhoseLimitAllowsRequestsAgain()
+    {
+        const Incarnation life(1);
+        DispatcherHarness harness;
+        useEngines(harness);
+        harness.dispatcher().setScheduler(NodeName("scheduler"));
+        const auto grantOf = [](const scheduling::Claim &claim) {
+            return scheduling::ClaimGranted {claim.claim, ServerName("d1"), ServerName("p1"),
+                                             std::nullopt};
+        };
+        harness.arrive(0, "stream", Prompt);
+        harness.reduce(
+            1,
+            SchedulerAnswered {grantOf(harness.nextSchedulerMessage<scheduling::Claim>()), life});
+        harness.end(2, harness.nextCall(CallKind::Reserve), CallEnd::NotExecuted, 503,
+                    ServerAdvice {.requestsPerSecond = 0});
+        harness.nextSchedulerMessage<scheduling::ClaimEnded>();
+        harness.reduce(
+            3,
+            SchedulerAnswered {grantOf(harness.nextSchedulerMessage<scheduling::Claim>()), life});
+        harness.reduce(4,
+                       RateLimiterAnswered {ratelimits::PermitAnswer {
+                           ratelimits::PermitId(1), false, std::chrono::milliseconds(17), false}});
+        harness.nextSchedulerMessage<scheduling::ClaimEnded>();
+        const auto claim = harness.nextSchedulerMessage<scheduling::Claim>();
+        CPPUNIT_ASSERT(claim.excludedServers == std::vector<ServerName> {ServerName("d1")});
+        harness.reduce(5, SchedulerAnswered {scheduling::ClaimQueued {claim.claim}, life});
+        harness.advance(10, 40);
+        const auto repeated = harness.nextSchedulerMessage<scheduling::Claim>();
+        CPPUNIT_ASSERT(repeated.claim == claim.claim);
+        CPPUNIT_ASSERT(repeated.excludedServers.empty());
+        harness.reduce(42, SchedulerAnswered {grantOf(repeated), life});
+        harness.reduce(43,
+                       RateLimiterAnswered {ratelimits::PermitAnswer {ratelimits::PermitId(2), true,
+                                                                      Duration(0), false}});
+        CPPUNIT_ASSERT(harness.nextCall(CallKind::Reserve).server == ServerName("d1"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GenerationFlowTest);
--- a/tests/dispatch/runcontinuationtest.cpp
+++ b/tests/dispatch/runcontinuationtest.cpp
@@ -179,6 +179,7 @@
     CPPUNIT_TEST(leavingEngineKeepsARunThatEndsInTime);
     CPPUNIT_TEST(movesFourRunsAtATimeLongestFirst);
     CPPUNIT_TEST(refusedMoveLeavesTheRunInPlace);
+    CPPUNIT_TEST(waitingMoveGetsAnEngineWhosePauseHasEnded);
     CPPUNIT_TEST(runThatEndsDuringItsMoveIsComplete);
     CPPUNIT_TEST(streamThatItsMoveClosesGoesOn);
     CPPUNIT_TEST(streamThatIsClosedByALostStopGoesOn);
@@ -854,6 +855,34 @@
         CPPUNIT_ASSERT_EQUAL(text("c2"), grantTarget(harness, 1'545, "d3").runId);
     }
 
+    // Guards against a run that stays at an engine that leaves, because its claim for a target goes
+    // on naming an engine as unusable.
+    void waitingMoveGetsAnEngineWhosePauseHasEnded()
+    {
+        DispatcherHarness harness;
+        useEngines(harness);
+        startRun(harness, "stream", "");
+        // Another request makes d3 ask for a pause until 1,350 ms.
+        harness.arrive(1'180, "stream", Prompt);
+        const ClaimGranted grant {harness.nextSchedulerMessage<Claim>().claim, ServerName("d3"),
+                                  ServerName("p1"), std::nullopt};
+        harness.reduce(1'185, SchedulerAnswered {grant, Life});
+        harness.end(1'190, harness.nextCall(CallKind::Reserve), CallEnd::NotExecuted, 503,
+                    ServerAdvice {.pause = std::chrono::milliseconds(160)});
+        harness.nextSchedulerMessage<ClaimEnded>();
+        const auto other = harness.nextSchedulerMessage<Claim>();
+        harness.reduce(1'195, SchedulerAnswered {ClaimRefused {other.claim}, Life});
+        announceLeaving(harness);
+        const auto claim = harness.nextSchedulerMessage<Claim>();
+        CPPUNIT_ASSERT((claim.excludedServers
+                        == std::vector<ServerName> {ServerName("d1"), ServerName("d3")}));
+        harness.reduce(1'305, SchedulerAnswered {ClaimQueued {claim.claim}, Life});
+        harness.advance(1'310, 1'360);
+        const auto repeated = harness.nextSchedulerMessage<Claim>();
+        CPPUNIT_ASSERT(repeated.claim == claim.claim);
+        CPPUNIT_ASSERT(repeated.excludedServers == std::vector<ServerName> {ServerName("d1")});
+    }
+
     // A run must go on at its leaving engine if there is no other engine, or it cannot be stopped.
     void refusedMoveLeavesTheRunInPlace()
     {
--- a/tests/dispatch/schedulerclaimstest.cpp
+++ b/tests/dispatch/schedulerclaimstest.cpp
@@ -27,6 +27,29 @@
     return {claim.claim, ServerName(decode), ServerName(prefill), std::nullopt};
 }
 
+using Servers = std::vector<ServerName>;
+
+/**
+ * Sends a request whose reservation at @p engine is refused 3 ms later with a pause.
+ * @return The claim that follows.
+ */
+Claim claimAfterPause(DispatcherHarness &harness, int milliseconds, const char *engine,
+                      int pauseMilliseconds)
+{
+    harness.arrive(milliseconds, "stream", Prompt);
+    const auto first = harness.nextSchedulerMessage<Claim>();
+    harness.reduce(milliseconds + 2, SchedulerAnswered {grantOf(first, engine, "p1"), Life});
+    harness.end(milliseconds + 3, harness.nextCall(CallKind::Reserve), CallEnd::NotExecuted, 503,
+                ServerAdvice {.pause = std::chrono::milliseconds(pauseMilliseconds)});
+    harness.nextSchedulerMessage<ClaimEnded>();
+    return harness.nextSchedulerMessage<Claim>();
+}
+
+void queue(DispatcherHarness &harness, int milliseconds, const Claim &claim)
+{
+    harness.reduce(milliseconds, SchedulerAnswered {ClaimQueued {claim.claim}, Life});
+}
+
 } // namespace
 
 class SchedulerClaimsTest : public CppUnit::TestFixture
@@ -36,6 +59,11 @@
     CPPUNIT_TEST(usesTheGrantedEngines);
     CPPUNIT_TEST(prefillsOnDecodeEngineIfGranted);
     CPPUNIT_TEST(repeatsAnUnansweredClaim);
+    CPPUNIT_TEST(unansweredClaimLeavesOutAPauseThatHasEnded);
+    CPPUNIT_TEST(queuedClaimNamesAPauseThatHasBegun);
+    CPPUNIT_TEST(queuedClaimIsRepeatedWhenAPauseEnds);
+    CPPUNIT_TEST(pausesThatEndTogetherCauseOneRepetition);
+    CPPUNIT_TEST(repeatedClaimKeepsTheEnginesThatFailed);
     CPPUNIT_TEST(choosesEnginesWithoutTheScheduler);
     CPPUNIT_TEST(refusedClaimRejectsTheRequest);
     CPPUNIT_TEST(reportsReservationsToANewScheduler);
@@ -120,6 +148,96 @@
         CPPUNIT_ASSERT(second.timeToTarget < first.timeToTarget);
     }
 
+    // Guards against a claim that keeps naming an engine as unusable after its pause.
+    void unansweredClaimLeavesOutAPauseThatHasEnded()
+    {
+        DispatcherHarness harness;
+        useScheduler(harness);
+        const Claim claim = claimAfterPause(harness, 0, "d1", 50);
+        CPPUNIT_ASSERT(claim.excludedServers == Servers {ServerName("d1")});
+        harness.advance(10, 90);
+        const auto repeated = harness.nextSchedulerMessage<Claim>();
+        CPPUNIT_ASSERT(repeated.claim == claim.claim);
+        CPPUNIT_ASSERT(repeated.excludedServers.empty());
+    }
+
+    // Guards against the grant of an engine that has asked for a pause while the claim waits.
+    void queuedClaimNamesAPauseThatHasBegun()
+    {
+        DispatcherHarness harness;
+        useScheduler(harness);
+        harness.arrive(0, "stream", Prompt);
+        const auto waiting = harness.nextSchedulerMessage<Claim>();
+        CPPUNIT_ASSERT(waiting.excludedServers.empty());
+        queue(harness, 2, waiting);
+        queue(harness, 20, claimAfterPause(harness, 10, "d2", 3'000));
+        harness.advance(30, 160);
+        const auto repeated = harness.nextSchedulerMessage<Claim>();
+        CPPUNIT_ASSERT(repeated.claim == waiting.claim);
+        CPPUNIT_ASSERT(repeated.excludedServers == Servers {ServerName("d2")});
+    }
+
+    // Guards against a claim that waits for the next interval, or for its refusal, although an
+    // engine can be used.
+    void queuedClaimIsRepeatedWhenAPauseEnds()
+    {
+        DispatcherHarness harness;
+        useScheduler(harness);
+        const Claim claim = claimAfterPause(harness, 0, "d1", 100);
+        queue(harness, 5, claim);
+        harness.advance(10, 100);
+        CPPUNIT_ASSERT(!harness.hasSchedulerMessage());
+        CPPUNIT_ASSERT(harness.dispatcher().nextDeadline() <= DispatcherHarness::at(103));
+        harness.reduce(103, TimePassed {});
+        const auto repeated = harness.nextSchedulerMessage<Claim>();
+        CPPUNIT_ASSERT(repeated.claim == claim.claim);
+        CPPUNIT_ASSERT(repeated.excludedServers.empty());
+    }
+
+    // Guards against a datagram for each of many engines that become usable within milliseconds.
+    void pausesThatEndTogetherCauseOneRepetition()
+    {
+        DispatcherHarness harness;
+        useScheduler(harness);
+        harness.addServer("d3", EnginePhase::Decode);
+        queue(harness, 5, claimAfterPause(harness, 0, "d1", 105));
+        const Claim claim = claimAfterPause(harness, 10, "d2", 100);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, claim.excludedServers.size());
+        queue(harness, 15, claim);
+        // The pauses end at 108 and 113 ms. Each of the two claims is repeated at the first end.
+        for (int time = 100; time <= 113; ++time) {
+            harness.reduce(time, TimePassed {});
+        }
+        for (int i = 0; i < 2; ++i) {
+            queue(harness, 114, harness.nextSchedulerMessage<Claim>());
+        }
+        for (int time = 115; time < 139; ++time) {
+            harness.reduce(time, TimePassed {});
+        }
+        CPPUNIT_ASSERT(!harness.hasSchedulerMessage());
+        harness.reduce(139, TimePassed {});
+        CPPUNIT_ASSERT(harness.nextSchedulerMessage<Claim>().excludedServers.empty());
+    }
+
+    // Guards against the repeated grant of an engine that has failed the request, or whose pause
+    // goes on.
+    void repeatedClaimKeepsTheEnginesThatFailed()
+    {
+        DispatcherHarness harness;
+        useScheduler(harness);
+        harness.addServer("d3", EnginePhase::Decode);
+        const Claim second = claimAfterPause(harness, 0, "d1", 100);
+        harness.reduce(5, SchedulerAnswered {grantOf(second, "d2", "p1"), Life});
+        harness.end(6, harness.nextCall(CallKind::Reserve), CallEnd::NoPath);
+        harness.nextSchedulerMessage<ClaimEnded>();
+        const auto third = harness.nextSchedulerMessage<Claim>();
+        CPPUNIT_ASSERT((third.excludedServers == Servers {ServerName("d2"), ServerName("d1")}));
+        queue(harness, 8, third);
+        harness.advance(10, 110);
+        CPPUNIT_ASSERT(harness.nextSchedulerMessage<Claim>().excludedServers
+                       == Servers {ServerName("d2")});
+    }
+
     // The scheduler does not answer. After about 300 ms the node must reserve engines itself.
     void choosesEnginesWithoutTheScheduler()
     {
--- a/tests/scheduling/engineschedulertest.cpp
+++ b/tests/scheduling/engineschedulertest.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(ordersByPriorityWithinUrgency);
     CPPUNIT_TEST(reservesEngineForLargeClaim);
     CPPUNIT_TEST(repeatsGrantForResentClaim);
+    CPPUNIT_TEST(grantsAnEngineThatARepeatedClaimNoLongerExcludes);
+    CPPUNIT_TEST(doesNotGrantAnEngineThatARepeatedClaimExcludes);
     CPPUNIT_TEST(decodeEnginePrefillsWithoutPrefillEngines);
     CPPUNIT_TEST(prefillsLocallyIfPrefillEnginesAreLate);
     CPPUNIT_TEST(noLocalPrefillIfMemoryIsShort);
@@ -91,6 +93,43 @@
         CPPUNIT_ASSERT_EQUAL(text("queued"), harness.answer(NodeA, 3));
     }
 
+    // Guards against refusing a claim whose node may use an idle engine again.
+    void grantsAnEngineThatARepeatedClaimNoLongerExcludes()
+    {
+        SchedulerHarness harness;
+        harness.addEngine("d", EnginePhase::Decode);
+        harness.addEngine("p", EnginePhase::Prefill);
+        Claim claim = SchedulerHarness::claimOf(1);
+        claim.excludedServers = {ServerName("d")};
+        harness.send(0, NodeA, claim);
+        harness.tick(100);
+        CPPUNIT_ASSERT_EQUAL(text("queued"), harness.answer(NodeA, 1));
+        claim.excludedServers.clear();
+        harness.send(150, NodeA, claim);
+        CPPUNIT_ASSERT_EQUAL(text("d/p"), harness.answer(NodeA, 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, harness.state(150).waiting);
+    }
+
+    // Guards against granting an engine that the node must not use since the claim waits.
+    void doesNotGrantAnEngineThatARepeatedClaimExcludes()
+    {
+        SchedulerHarness harness;
+        harness.addEngine("d", EnginePhase::Decode);
+        harness.addEngine("p", EnginePhase::Prefill);
+        harness.send(0, NodeA, SchedulerHarness::claimOf(1, 30'000));
+        Claim claim = SchedulerHarness::withLongWait(SchedulerHarness::claimOf(1, 30'000));
+        harness.send(0, NodeB, claim);
+        claim.excludedServers = {ServerName("d")};
+        harness.send(150, NodeB, claim);
+        harness.send(300, NodeA, PrefillEnded {ClaimId(1), true});
+        harness.send(400, NodeA, ClaimEnded {ClaimId(1), ClaimOutcome::Served});
+        harness.tick(500);
+        CPPUNIT_ASSERT_EQUAL(text("queued"), harness.answer(NodeB, 1));
+        // The wait counts from the first claim, not from its repetition.
+        harness.tick(9'100);
+        CPPUNIT_ASSERT_EQUAL(text("refused"), harness.answer(NodeB, 1));
+    }
+
     // Guards against late refusals in a burst of twice the capacity.
     void refusesClaimThatWouldMissTarget()
     {
