--- a/tests/relay/unreadtimestest.cpp
+++ b/tests/relay/unreadtimestest.cpp
@@ -93,20 +93,22 @@
         pauses.recordPause(at(4'010), at(4'900));
         pauses.recordPause(at(4'910), at(5'800));
         CPPUNIT_ASSERT(pauses.mayHaveCutOff(at(0), at(5'810)));
-        // What was sent before the cut arrives late where there is little room: the close that
-        // follows it would pass for the end of the answer. A later answer is not concerned.
-        void shortPausesProlongTheDoubt()
-        {
-            UnreadTimes pauses;
-            pauses.recordPause(at(0), at(3'000));
-            pauses.recordPause(at(3'100), at(3'900));
-            pauses.recordPause(at(4'100), at(4'800));
-            CPPUNIT_ASSERT(pauses.mayHaveCutOff(at(-100), at(5'700)));
-            CPPUNIT_ASSERT(!pauses.mayHaveCutOff(at(3'050), at(4'850)));
-            CPPUNIT_ASSERT(!pauses.mayHaveCutOff(at(-100), at(5'900)));
-            pauses.recordPause(at(6'000), at(6'500));
-            CPPUNIT_ASSERT(!pauses.mayHaveCutOff(at(-100), at(6'600)));
-        }
-    };
+    }
+
+    // What was sent before the cut arrives late where there is little room: the close that
+    // follows it would pass for the end of the answer. A later answer is not concerned.
+    void shortPausesProlongTheDoubt()
+    {
+        UnreadTimes pauses;
+        pauses.recordPause(at(0), at(3'000));
+        pauses.recordPause(at(3'100), at(3'900));
+        pauses.recordPause(at(4'100), at(4'800));
+        CPPUNIT_ASSERT(pauses.mayHaveCutOff(at(-100), at(5'700)));
+        CPPUNIT_ASSERT(!pauses.mayHaveCutOff(at(3'050), at(4'850)));
+        CPPUNIT_ASSERT(!pauses.mayHaveCutOff(at(-100), at(5'900)));
+        pauses.recordPause(at(6'000), at(6'500));
+        CPPUNIT_ASSERT(!pauses.mayHaveCutOff(at(-100), at(6'600)));
+    }
+};
 
-    CPPUNIT_TEST_SUITE_REGISTRATION(UnreadTimesTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(UnreadTimesTest);
