--- a/tests/soak/stoppedstreams.py
+++ b/tests/soak/stoppedstreams.py
@@ -19,15 +19,9 @@
 import tempfile
 import time
 
-from callers import read_head
-from fleet import Node, Platform
-import organisations as organisation
-from relayend import read_body
-from stoppingengine import ANSWERS, CLOSES, NO_ANSWERS, Plan, StoppingEngine
-
-EVENTS = 60
-STREAMS = [("stream", 1), ("stream", 0), ("stream", 1), ("stream", 0), ("resumable", 1), ("resumable", 0)]
-PATIENCE_S = 14.0
+from stoppedplay import EVENTS, STREAMS, Answer, Play, ask
+from stoppingengine import ANSWERS, CLOSES, NO_ANSWERS, Plan
+
 # Shorter than a stream: engines stop work when the time that they were given is over.
 SHORT_PATIENCE_S = 1.5
 # In place of an answer to a stop: no run is asked to stop.
@@ -35,100 +29,11 @@
 # The same: the node stands still, and its engine cuts off the streams that it does not read.
 UNREAD = "unread"
 STANDS_STILL_S = 2.5
-SERVED_S = 20.0
 # Answers that say that nothing was stopped: a stream beside them ends by itself.
 PROOFS = ("404", "refused", "429")
-FIRST_DECODE = 3  # Of the stand-in's servers: two plain ones and a prefill engine come first.
-
-
-class Answer:
-    """What one caller got of a stream."""
-
-    def __init__(self, path, minor, number):
-        self.path = path
-        self.minor = minor  # Of its HTTP version.
-        self.patience_s = PATIENCE_S
-        self.id = f"{path}-{minor}-{number}"
-        self.status = None
-        self.looks_whole = False
-        self.body = b""
-
-    def events(self):
-        return [int(line[4:]) for line in self.body.split(b"\n") if line.startswith(b"id: ")]
-
-    def is_in_order(self):
-        return self.events() == list(range(1, len(self.events()) + 1))
-
-    def is_whole(self):
-        return self.looks_whole and self.status == 200 and len(self.events()) == EVENTS
-
-
-async def ask(node, answer, key):
-    lines = [f"POST /{answer.path}/{answer.id} HTTP/1.{answer.minor}", "Host: site.example",
-             f"Indigoway-Request-Id: {answer.id}", f"Indigoway-Request-Deadline: {int(answer.patience_s * 1000)}",
-             f"X-Api-Key: {key}", "Content-Length: 4", "Indigoway-Token-Count: 1000,200", "Indigoway-Model-Id: m",
-             "", "body"]
-    host, port = node.callers.target.rsplit(":", 1)
-    reader, writer = await asyncio.open_connection(host, int(port))
-    try:
-        writer.write("\r\n".join(lines).encode())
-        answer.status, headers = await asyncio.wait_for(read_head(reader), PATIENCE_S)
-        await asyncio.wait_for(read_body(reader, headers, answer), PATIENCE_S)
-        answer.looks_whole = True
-    except (OSError, EOFError, ValueError, asyncio.TimeoutError):
-        pass
-    finally:
-        writer.transport.abort()
-    return answer
-
-
-class Play:
-    def __init__(self, options, plan, log):
-        self.options = options
-        self.plan = plan
-        self.log = log
-        self.begun = time.monotonic()
-        self.platform = Platform(options.build, log)
-        self.nodes = [Node("n1", options.nodes or options.build, log)]
-        handles = {}
-        self.engines = [StoppingEngine(name, handles, EVENTS) for name in ("d-1", "d-2")]
-
-    async def start(self):
-        self.platform.workers[FIRST_DECODE:] = self.engines
-        await self.platform.start()
-        organisations = organisation.Organisations(lambda: time.monotonic() - self.begun)
-        for node in self.nodes:
-            node.store.target = self.platform.address
-            await node.store.listen()
-            await node.start()
-        await self.platform.control({"engine": {"backups": False, "moves": True}})
-        await self.platform.declare(organisations.declared())
-        await self.platform.control({"drain": "d-2"})
-        self.key = organisations.good_keys()[-1]
-        for node in self.nodes:
-            await self.wait_until_served(node)
-
-    async def wait_until_served(self, node):
-        limit = time.monotonic() + SERVED_S
-        number = 0
-        while time.monotonic() < limit:
-            number += 1
-            self.engines[0].events = self.engines[1].events = 1
-            probe = await ask(node, Answer("stream", 1, f"probe-{number}"), self.key)
-            if probe.status == 200 and probe.looks_whole and not self.is_known_leaving(node, "d-2"):
-                await asyncio.sleep(0.1)
-                continue
-            if probe.status == 200 and probe.looks_whole:
-                for engine in self.engines:
-                    engine.events = EVENTS
-                return
-            await asyncio.sleep(0.1)
-        raise RuntimeError(f"{node.name} never served")
-
-    def is_known_leaving(self, node, engine):
-        known = [line for line in node.lines if '"kind":"server"' in line and f'"{engine}@' in line]
-        return bool(known) and '"draining":"yes"' in known[-1]
 
+
+class StopPlay(Play):
     async def run(self):
         await self.start()
         leaving = self.engines[0]
@@ -185,12 +90,6 @@
         return problems, f"{name}: {whole} of {len(answers)} whole, {false} look whole and are not, " \
             f"{len(stopped)} were asked to stop"
 
-    async def end(self):
-        for engine in self.engines:
-            engine.close()
-        for process in [*self.nodes, self.platform]:
-            await process.kill()
-
 
 def all_plans():
     moments = [close for close in CLOSES if close != "own"]
@@ -218,7 +117,7 @@
         async with limit:
             path = pathlib.Path(options.logs) / f"stoppedstreams-{number}.log"
             with open(path, "w", encoding="utf-8") as log:
-                play = Play(options, plan, log)
+                play = StopPlay(options, plan, log)
                 try:
                     problems, summary = await play.run()
                 finally:
--- a/tests/soak/stoppingengine.py
+++ b/tests/soak/stoppingengine.py
@@ -74,6 +74,16 @@
         self._server = None
         self._writers = set()
 
+    async def at_stop(self, moment):
+        """Called with "before", "while" and "after" the stream's close and the answer; for scenes."""
+
+    async def before_events(self, run):
+        """Called when the head of a stream has been sent; for scenes."""
+
+    def last_words(self, run):
+        """Returns what a stopped run still writes before its stream is closed; for scenes."""
+        return b""
+
     async def listen(self):
         self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
         host, port = self._server.sockets[0].getsockname()
@@ -137,7 +147,7 @@
 
     def _take_handle(self, headers):
         """A prefill's result is always there; that of a stopped run can be used once."""
-        handle = headers.get("kv-source", "").rsplit("/", 1)[-1]
+        handle = headers.get("indigoway-kv-source", "").rsplit("/", 1)[-1]
         return not handle.startswith("run-") or self.handles.pop(handle, None) is not None
 
     async def _generate(self, writer, request_id, headers):
@@ -147,6 +157,7 @@
         lines = ["HTTP/1.1 200 -", "Content-Type: text/event-stream", "Connection: close", STAMP,
                  f"Indigoway-Request-Id: {request_id}"]
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        await self.before_events(run)
         while run.is_running and run.events < self.events:
             if time.monotonic() >= until:
                 self._cut(request_id, run)
@@ -185,23 +196,29 @@
         plan = self.plan if run.stops <= self.plan.times else Plan()
         self.stops.append((order["id"], plan.answer))
         loop = asyncio.get_running_loop()
+        await self.at_stop("before")
         if plan.close == "late":
             loop.call_later(LATE_S if plan.answer in NO_ANSWERS else 5 * APART_S, self._stop_run, order["id"], run, plan)
         elif plan.close != "own":
             self._stop_run(order["id"], run, plan)
         if plan.close == "before":
+            await self.at_stop("while")
             await asyncio.sleep(APART_S)
         keeps = await self._answer_stop(writer, plan, order["id"], run)
         if plan.close == "with":
+            await self.at_stop("while")
             run.writer.close()
         elif plan.close == "after":
             loop.call_later(APART_S, run.writer.close)
+        await self.at_stop("after")
         return keeps
 
     def _stop_run(self, request_id, run, plan):
         if self.runs.get(request_id) is not run:
             return
         run.is_running = False
+        if not run.writer.is_closing():
+            run.writer.write(self.last_words(run))
         if plan.close in ("before", "late"):
             run.writer.close()
         if not plan.keeps:
