Compare each byte of a stopped stream with the whole one in both programs

Cause: stoppedstreams.py compared the numbers of events only; bytes beside them, as of an event that was cut and repeated, passed. stoppedscenes.py compared the bytes, but not the events' order.

Change: both programs check both.

--- a/tests/soak/stoppedscenes.py
+++ b/tests/soak/stoppedscenes.py
@@ -84,6 +84,8 @@
                   f"stops={[answer for id_, answer in engine.stops if id_ == one.id]}\n")
         if one.status == 200 and one.looks_whole and not one.is_whole():
             problems.append(f"{scene.name}: {one.id} looks whole with {len(one.events())} of {EVENTS} events")
+        if not one.is_in_order():
+            problems.append(f"{scene.name}: {one.id} has the events {one.events()}")
         if one.status == 200 and not one.is_part_of_whole():
             problems.append(f"{scene.name}: {one.id} has other bytes: {one.body[-200:]!r}")
     nothing = scene.tested_nothing()
--- a/tests/soak/stoppedstreams.py
+++ b/tests/soak/stoppedstreams.py
@@ -81,6 +81,8 @@
                 problems.append(f"{name}: {one.id} looks whole with {len(one.events())} of {EVENTS} events")
             if not one.is_in_order():
                 problems.append(f"{name}: {one.id} has the events {one.events()}")
+            if one.status == 200 and not one.is_part_of_whole():
+                problems.append(f"{name}: {one.id} has other bytes: {one.body[-200:]!r}")
             if self.expects_whole() and not one.is_whole():
                 problems.append(f"{name}: {one.id} has {len(one.events())} of {EVENTS} events")
         if not (stopped or leaving.cut) and self.plan.answer != "refused":
