Let servers' time run out in the property of stopped streams

Cause: the second of the node's own acts that end a stream in good order, the time that it hands on, was not part of the model.

Change: half of the plays give 3 s; an engine whose time is over closes its stream in good order.

--- a/tests/dispatch/stoppedstreamtest.cpp
+++ b/tests/dispatch/stoppedstreamtest.cpp
@@ -388,6 +388,7 @@
 {
     StartCall call;
     std::string engine;
+    int sentAt = 0;
     bool isOpen = true; ///< The dispatcher waits for its end.
     bool isStarted = false;
     bool isRunning = true;                 ///< At the engine, even if the connection is lost.
@@ -422,7 +423,8 @@
         , m_keepsBackups(keepsBackups)
     {
         useEngines(m_harness, keepsBackups);
-        m_request = m_harness.arrive(0, route, Prompt);
+        m_request = m_harness.arrive(0, route, Prompt,
+                                     std::chrono::milliseconds(pick<int>({14'000, 3'000})));
         m_time = 100;
         collect();
         grant(m_claims.front(), "d1");
@@ -432,7 +434,6 @@
 
     void run()
     {
-        // Ends before the time that the servers were given is over, which completes nothing.
         while (m_next < m_choices.size() && m_time < MaxTime && isOpen()) {
             m_time += pick<int>({0, 1, 10});
             act();
@@ -531,6 +532,7 @@
             note("  run sent to " + engine + ", handle " + call.handle);
             m_handles.erase(call.handle);
             m_sessions.push_back({call, engine});
+            m_sessions.back().sentAt = m_time;
             // The call is for the new process.
             m_replaced.erase(engine);
             m_crashed.erase(engine);
@@ -629,6 +631,13 @@
             actions.push_back([this, &session] { refuseRun(session); });
         } else if (isCurrent && session.isRunning) {
             actions.push_back([this, &session] { endByItself(session); });
+            if (isTimeOver(session)) {
+                add(actions, 4, [this, &session] {
+                    note("time of " + session.engine + " is over");
+                    session.isRunning = false;
+                    session.closing = endOf(session, CallEnd::Complete, true);
+                });
+            }
             actions.push_back([this, &session] {
                 session.events += 8;
                 note("events " + std::to_string(session.events));
@@ -643,6 +652,14 @@
         }
     }
 
+    /** Returns whether the server may stop work now since its time is over. */
+    bool isTimeOver(const Session &session) const
+    {
+        // The clocks of the server and the node, as the dispatcher allows for.
+        constexpr auto Margin = std::chrono::milliseconds(20);
+        return std::chrono::milliseconds(m_time - session.sentAt) + Margin >= session.call.patience;
+    }
+
     CallEnded endOf(const Session &session, CallEnd end, bool isByClose) const
     {
         CallEnded ended;
@@ -676,7 +693,8 @@
         session.isOpen = false;
         const bool wasStopped = !m_stops.empty();
         const bool isWhole = session.hasItsEnd && session.isStarted && isCurrent
-            && ended.end == CallEnd::Complete && (!ended.isEndedByClose || !wasStopped);
+            && ended.end == CallEnd::Complete
+            && (!ended.isEndedByClose || (!wasStopped && !isTimeOver(session)));
         reduce(ended);
         check(!isWhole || m_harness.outcome(m_request) == "streamed",
               "a whole stream is not complete");
