Play moves of runs under streams without a length in the soak

Cause: no soak moved runs while streams had no length.

Engines leave and come back (Faults.move), and crash now and then (Faults.crash).

With it, a stream is not reported as "cut, and no fault there" if its run was stopped and the node got no prompt answer with the handle: this is the new fault, and it excuses only the id that it struck. What looks whole must be whole in each case.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -22,6 +22,7 @@
         self.log = log
         self.touched = []  # (node or None for all, from, to)
         self.problems = []
+        self.unanswered_stops = set()  # Ids of stopped runs whose node got no prompt answer with the handle.
         self._busy = set()  # Nodes whose process is being ended or started.
         self._kinds = [
             self.kill, self.kill, self.leave, self.pause, self.pause, self.herd_kill,
@@ -64,6 +65,30 @@
                 await self.platform.control({"upgrade": {"worker": worker, "version": version}})
                 record[2] = self.clock() + UPGRADE_S
 
+    async def move(self, random, engines, until):
+        """Decode engines leave and come back, one or two at a time, so that runs are moved. That excuses nothing."""
+        while self.clock() < until:
+            leaving = random.sample(engines, random.choice([1, 1, 2]))
+            self.log.write(f"drain {self.clock():.2f} {leaving}\n")
+            for engine in leaving:
+                await self.platform.control({"drain": engine})
+            await asyncio.sleep(random.uniform(0.3, 1.2))
+            for engine in leaving:
+                await self.platform.control({"undrain": engine})
+            await asyncio.sleep(random.uniform(0.1, 0.6))
+
+    async def crash(self, random, engines, until):
+        """Decode engines crash under their streams, one at a time, and start again."""
+        while self.clock() < until:
+            await asyncio.sleep(random.uniform(1.5, 4.0))
+            engine = random.choice(engines)
+            record = [None, self.clock(), float("inf")]
+            self.touched.append(record)
+            self.log.write(f"crash {self.clock():.2f} {engine}\n")
+            await self.platform.control({"upgrade": {"worker": engine, "version": "v1"}})
+            await asyncio.sleep(UPGRADE_S)
+            record[2] = self.clock()
+
     async def _strike(self, fault):
         node = self.random.choice(self.nodes)
         start = self.clock()
