--- a/tests/soak/movingproxy.py
+++ b/tests/soak/movingproxy.py
@@ -89,7 +89,14 @@
         reader, writer = caller[0], server[1]
         try:
             while True:
-                head = await reader.readuntil(b"\r\n\r\n")
+                try:
+                    head = await reader.readuntil(b"\r\n\r\n")
+                except asyncio.IncompleteReadError as error:
+                    await self._delayed("to_server")
+                    if error.partial:
+                        raise
+                    writer.write_eof()
+                    return
                 method, path, headers = parse_request(head)
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
                 if headers.get("transfer-encoding") == "chunked":
@@ -110,13 +117,7 @@
                 asked.put_nowait((headers.get("indigoway-request-id"), stop))
                 writer.write(head + body)
                 await writer.drain()
-        except EOFError as error:
-            await self._delayed("to_server")
-            if getattr(error, "partial", b"") or not writer.can_write_eof():
-                abort(writer)
-            else:
-                writer.write_eof()
-        except (OSError, RuntimeError, ValueError):
+        except (OSError, RuntimeError, ValueError, EOFError):
             abort(writer)
 
     def _order(self, request_id):
