Keep streams whole that end while their node stands still

Cause: the rule for times without reading took each close after such a time for one that not reading may have caused. A server notices only when its bytes no longer fit: until then the kernel of the node takes them.

Change: AnswerReading counts the bytes of each connection since the process last stood still; under 4 KB, less than any window, the close is the end. Pauses for want of room stay in doubt whatever waits. It also holds what stood twice, in ServerConnection and in tunnels. A close after more bytes is PathLost as before.

--- a/src/relay/serverconnection.cpp
+++ b/src/relay/serverconnection.cpp
@@ -38,7 +38,7 @@
 void ServerConnection::assign(const ServerRequest &request)
 {
     call = request.call;
-    callStarted = BootClock::now();
+    reading.begin(BootClock::now());
     idleTimeout = request.idleTimeout;
     silenceLimit = request.silenceLimit;
     answerLimit = request.answerLimit;
@@ -100,11 +100,11 @@
     }
     isPaused = isWanted;
     if (isWanted) {
-        m_pausedAt = BootClock::now();
+        reading.pause(BootClock::now());
         bufferevent_disable(bev, EV_READ);
         event_del(timer);
     } else {
-        m_pauses.recordPause(m_pausedAt, BootClock::now());
+        reading.resume(BootClock::now());
         bufferevent_enable(bev, EV_READ);
         armIdleTimer();
     }
@@ -128,11 +128,6 @@
     hasAnswerBegun = true;
 }
 
-bool ServerConnection::mayBeCutOff(const UnreadTimes &process, BootTime now) const
-{
-    return m_pauses.mayHaveCutOff(callStarted, now) || process.mayHaveCutOff(callStarted, now);
-}
-
 bool ServerConnection::hasUnsentBytes() const
 {
     return evbuffer_get_length(bufferevent_get_output(bev)) > 0;
--- a/src/relay/serverconnection.h
+++ b/src/relay/serverconnection.h
@@ -2,9 +2,9 @@
 
 #include "http/messageparser.h"
 #include "paths/pathsearch.h"
+#include "relay/answerreading.h"
 #include "relay/serverrequest.h"
 #include "relay/tunnelframes.h"
-#include "relay/unreadtimes.h"
 
 #include <indigoway/ids.h>
 
@@ -66,8 +66,6 @@
     void armIdleTimer();
     /** Handles that bytes of an answer have come. */
     void noteAnswerBytes();
-    /** Returns whether the server may have cut off the answer, since it was not read. */
-    bool mayBeCutOff(const UnreadTimes &process, BootTime now) const;
     /** Returns whether a part of the request has not been sent yet. */
     bool hasUnsentBytes() const;
     /** Arms the timer for the silence limit or the rest of the idle timeout, whichever is first. */
@@ -80,7 +78,7 @@
     event *timer = nullptr;
     MessageParser parser;
     CallNumber call; ///< None while the connection is idle.
-    BootTime callStarted {};
+    AnswerReading reading;
     Duration idleTimeout {};
     Duration answerLimit {}; ///< Of the rest of the answer, once it has begun; 0 for none.
     bool hasAnswerBegun = false;
@@ -106,8 +104,6 @@
     bool isConnectOnly = false;
 
 private:
-    BootTime m_pausedAt {};
-    UnreadTimes m_pauses; ///< Of this connection alone.
     TunnelFrameReader m_frames;
     evbuffer *m_serverBytes = nullptr; ///< Null without frames.
 };
--- a/src/relay/serverconnections.cpp
+++ b/src/relay/serverconnections.cpp
@@ -382,8 +382,9 @@
 void ServerConnections::parseAnswer(Connection &connection)
 {
     evbuffer *input = connection.input();
-    if (evbuffer_get_length(input) > 0) {
+    if (const std::size_t size = evbuffer_get_length(input); size > 0) {
         connection.noteAnswerBytes();
+        connection.reading.received(m_unreadTimes, size, BootClock::now());
     }
     while (!connection.call.isNone() && !connection.isClosing && evbuffer_get_length(input) > 0) {
         const std::size_t size = evbuffer_get_length(input);
@@ -504,7 +505,7 @@
     if (isRegular && connection.parser.isHeadComplete() && !connection.isDiscarded) {
         connection.parser.feedEof();
         if (connection.parser.isComplete() && connection.parser.head().isDelimitedByClose
-            && connection.mayBeCutOff(m_unreadTimes, BootClock::now())) {
+            && connection.reading.mayBeCutOff(m_unreadTimes, BootClock::now())) {
             finish(connection, TransferEnd::PathLost, "closed after it had not been read", false);
             return;
         }
--- a/src/relay/tunnellistener.cpp
+++ b/src/relay/tunnellistener.cpp
@@ -2,6 +2,7 @@
 
 #include "http/sockets.h"
 #include "http/timers.h"
+#include "relay/answerreading.h"
 #include "relay/tunnelframes.h"
 
 #include <event2/buffer.h>
@@ -70,9 +71,7 @@
     ByteLease lease;
     TimePoint openedAt {};
     std::uint64_t movedBytes = 0; ///< Taken by either side.
-    BootTime requestedAt {};      ///< Of the open request; without frames, of the connection.
-    std::optional<BootTime> unreadSince; ///< Of the server's bytes, while they are not read.
-    UnreadTimes pauses;
+    AnswerReading reading;        ///< Of the server's answers; without frames, since it opened.
     /** The server may have cut off its answer: a node that knows frames gets no last one. */
     bool isEndInDoubt = false;
     /** A request may be open on the connection; without frames this is unknown. */
@@ -328,7 +327,7 @@
     event_add(tunnel.timer, &IdleLimit);
     tunnel.stage = Tunnel::Stage::Open;
     tunnel.lastBytesAt = steadyNow();
-    tunnel.requestedAt = BootClock::now();
+    tunnel.reading.begin(BootClock::now());
     resetOnClose(bufferevent_getfd(tunnel.nodeSide));
     // Otherwise the server could go on with a request whose node has ended.
     resetOnClose(bufferevent_getfd(tunnel.serverSide));
@@ -405,7 +404,7 @@
     while (const auto part = tunnel.frames.next(input)) {
         if (part->kind == TunnelFrame::Data) {
             if (!std::exchange(tunnel.isBusy, true)) {
-                tunnel.requestedAt = BootClock::now();
+                tunnel.reading.begin(BootClock::now());
             }
             evbuffer_remove_buffer(input, bufferevent_get_output(tunnel.serverSide), part->bytes);
         } else if (part->kind == TunnelFrame::Idle) {
@@ -421,6 +420,7 @@
         return;
     }
     noteBytes(tunnel, evbuffer_get_length(input));
+    tunnel.reading.received(m_unreadTimes, evbuffer_get_length(input), BootClock::now());
     if (tunnel.isFramed) {
         moveTunnelData(bufferevent_get_output(tunnel.nodeSide), input);
     } else {
@@ -442,8 +442,8 @@
     if (evbuffer_get_length(bufferevent_get_output(to))
         > (isCalm ? MaxUnsentBytes : LowUnsentBytes)) {
         bufferevent_disable(from, EV_READ);
-        if (from == tunnel.serverSide && !tunnel.unreadSince) {
-            tunnel.unreadSince = BootClock::now();
+        if (from == tunnel.serverSide) {
+            tunnel.reading.pause(BootClock::now());
         }
     }
     tunnel.lease.hold(tunnel.heldBytes());
@@ -492,15 +492,12 @@
 
 void TunnelListener::serverEnded(Tunnel &tunnel, bool isOrderly)
 {
-    const BootTime now = BootClock::now();
-    tunnel.isEndInDoubt = isOrderly
-        && (tunnel.pauses.mayHaveCutOff(tunnel.requestedAt, now)
-            || m_unreadTimes.mayHaveCutOff(tunnel.requestedAt, now));
+    passToNode(tunnel);
+    tunnel.isEndInDoubt = isOrderly && tunnel.reading.mayBeCutOff(m_unreadTimes, BootClock::now());
     if (!tunnel.isFramed && (!isOrderly || tunnel.isEndInDoubt)) {
         reset(tunnel);
         return;
     }
-    passToNode(tunnel);
     // Without a last frame the node takes the path for lost, which says nothing of the server.
     if (tunnel.isFramed && !tunnel.isEndInDoubt) {
         writeTunnelFrame(bufferevent_get_output(tunnel.nodeSide),
@@ -514,9 +511,7 @@
     auto &tunnel = *static_cast<Tunnel *>(context);
     if (tunnel.stage == Tunnel::Stage::Open) {
         tunnel.lease.hold(tunnel.heldBytes());
-        if (const auto since = std::exchange(tunnel.unreadSince, std::nullopt)) {
-            tunnel.pauses.recordPause(*since, BootClock::now());
-        }
+        tunnel.reading.resume(BootClock::now());
         bufferevent_enable(tunnel.serverSide, EV_READ);
     } else if (tunnel.stage == Tunnel::Stage::Closing
                && evbuffer_get_length(bufferevent_get_output(bev)) == 0) {
--- a/src/relay/unreadtimes.cpp
+++ b/src/relay/unreadtimes.cpp
@@ -14,11 +14,17 @@
 void UnreadTimes::recordTick(BootTime now)
 {
     if (m_lastTick && now - *m_lastTick >= MinUnreadTime) {
+        m_unreadSince = m_lastTick;
         m_readAgainAt = m_drainsSince = now;
     }
     m_lastTick = now;
 }
 
+std::optional<BootTime> UnreadTimes::unreadSince(BootTime now) const
+{
+    return m_lastTick && now - *m_lastTick >= MinUnreadTime ? m_lastTick : m_unreadSince;
+}
+
 void UnreadTimes::recordPause(BootTime from, BootTime to)
 {
     if (to - from >= MinUnreadTime) {
--- a/src/relay/unreadtimes.h
+++ b/src/relay/unreadtimes.h
@@ -27,8 +27,12 @@
      */
     bool mayHaveCutOff(BootTime begun, BootTime now) const;
 
+    /** Returns the begin of the present or last long time without reading of the process. */
+    std::optional<BootTime> unreadSince(BootTime now) const;
+
 private:
     std::optional<BootTime> m_lastTick;
+    std::optional<BootTime> m_unreadSince;
     std::optional<BootTime> m_readAgainAt; ///< After the last long time without reading.
     BootTime m_drainsSince {}; ///< The same, or after the last short pause that followed.
 };
--- a/tests/relay/tunneltest.cpp
+++ b/tests/relay/tunneltest.cpp
@@ -17,6 +17,8 @@
 
 namespace {
 
+constexpr std::size_t MoreThanTheSmallestWindow = 8192;
+
 /** Limits that don't pass while this process gets no processor time. */
 PathTimeLimits patientLimits()
 {
@@ -38,6 +40,7 @@
     CPPUNIT_TEST(completesAnAnswerThatEndsWithItsConnection);
     CPPUNIT_TEST(reportsACloseAfterAPauseOfTheRelayAsALostPath);
     CPPUNIT_TEST(completesAnAnswerThatBeganAfterAPauseOfTheRelay);
+    CPPUNIT_TEST(completesAnAnswerOfWhichLittleWasUnread);
     CPPUNIT_TEST(doesNotCompleteAnAnswerToAnUnsentRequest);
     CPPUNIT_TEST(reportsALostRelayAsALostPath);
     CPPUNIT_TEST(doesNotCompleteAnAnswerThatTheEndOfTheRelayCuts);
@@ -184,6 +187,7 @@
         RawSocket other(accepted(m_server));
         runUntil([&] { return !other.receive().empty(); });
         recordPauseOfRelay();
+        server.send(std::string(MoreThanTheSmallestWindow, 'x'));
         server.close();
         other.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall of it");
         other.close();
@@ -191,6 +195,20 @@
         CPPUNIT_ASSERT(endOf(2) == TransferEnd::Complete);
     }
 
+    // A server whose bytes all fit into the window is not kept from writing, so that its close
+    // after a pause of the relay is the end of its answer.
+    void completesAnAnswerOfWhichLittleWasUnread()
+    {
+        startCall(1);
+        RawSocket server(accepted(m_server));
+        answer(server, "HTTP/1.1 200 OK\r\n\r\nhalf of it");
+        runUntil([&] { return m_calls->body[CallNumber(1)] == "half of it"; });
+        recordPauseOfRelay();
+        server.send(", and the rest");
+        server.close();
+        CPPUNIT_ASSERT(endOf(1) == TransferEnd::Complete);
+    }
+
     // A pause between two requests on a kept connection would fail the second one's answer.
     void completesAnAnswerThatBeganAfterAPauseOfTheRelay()
     {
--- a/tests/soak/stoppedplay.py
+++ b/tests/soak/stoppedplay.py
@@ -24,6 +24,7 @@
         self.path = path
         self.minor = minor  # Of its HTTP version.
         self.patience_s = PATIENCE_S
+        self.padding = ""  # Of each event.
         self.id = f"{path}-{minor}-{number}"
         self.status = None
         self.looks_whole = False
@@ -37,7 +38,8 @@
 
     def is_part_of_whole(self):
         """Whether each byte is that of the whole stream."""
-        return "".join(f"id: {i}\ndata: token{i}\n\n" for i in range(1, EVENTS + 1)).encode().startswith(self.body)
+        whole = "".join(f"id: {i}\ndata: token{i}{self.padding}\n\n" for i in range(1, EVENTS + 1))
+        return whole.encode().startswith(self.body)
 
     def is_whole(self):
         return self.looks_whole and self.status == 200 and len(self.events()) == EVENTS
--- a/tests/soak/stoppedstreams.py
+++ b/tests/soak/stoppedstreams.py
@@ -28,9 +28,12 @@
 OUT_OF_TIME = "out-of-time"
 # The same: the node stands still, and its engine cuts off the streams that it does not read.
 UNREAD = "unread"
-STANDS_STILL_S = 2.5
+UNREAD_PADDING = "x" * 500  # So that the events of that time do not fit into the smallest window.
+# The same, and the streams end by themselves meanwhile.
+STILL = "still"
+STANDS_STILL_S = {UNREAD: 2.5, STILL: 3.5}
 # Answers that say that nothing was stopped: a stream beside them ends by itself.
-PROOFS = ("404", "refused", "429")
+PROOFS = ("404", "refused", "429", STILL)
 
 
 class StopPlay(Play):
@@ -41,8 +44,11 @@
         # Only framing proves the end of a stream that continues another one without an event.
         self.engines[1].is_chunked = self.plan.close == "last"
         answers = [Answer(path, minor, i) for i, (path, minor) in enumerate(STREAMS)]
-        if self.plan.answer == OUT_OF_TIME:
-            for one in answers:
+        if self.plan.answer == UNREAD:
+            leaving.padding = UNREAD_PADDING
+        for one in answers:
+            one.padding = leaving.padding
+            if self.plan.answer == OUT_OF_TIME:
                 one.patience_s = SHORT_PATIENCE_S
         tasks = [asyncio.create_task(ask(self.nodes[0], one, self.key)) for one in answers]
         limit = time.monotonic() + 5
@@ -51,7 +57,7 @@
         await asyncio.sleep(0.3)
         if self.plan.answer == "refused":
             leaving.refuse()
-        if self.plan.answer == UNREAD:
+        if self.plan.answer in STANDS_STILL_S:
             await self.stand_still(leaving)
         elif self.plan.answer != OUT_OF_TIME:
             await self.platform.control({"drain": "d-1", "undrain": "d-2"})
@@ -60,9 +66,10 @@
 
     async def stand_still(self, engine):
         self.nodes[0].signal(signal.SIGSTOP)
-        await asyncio.sleep(STANDS_STILL_S / 2)
-        engine.cut_off()
-        await asyncio.sleep(STANDS_STILL_S / 2)
+        await asyncio.sleep(STANDS_STILL_S[self.plan.answer] / 2)
+        if self.plan.answer == UNREAD:
+            engine.cut_off()
+        await asyncio.sleep(STANDS_STILL_S[self.plan.answer] / 2)
         self.nodes[0].signal(signal.SIGCONT)
 
     def expects_whole(self):
@@ -87,7 +94,7 @@
                 problems.append(f"{name}: {one.id} has other bytes: {one.body[-200:]!r}")
             if self.expects_whole() and not one.is_whole():
                 problems.append(f"{name}: {one.id} has {len(one.events())} of {EVENTS} events")
-        if not (stopped or leaving.cut) and self.plan.answer != "refused":
+        if not (stopped or leaving.cut) and self.plan.answer not in ("refused", STILL):
             problems.append(f"{name}: no run was stopped or asked to: the test tests nothing")
         whole = sum(one.is_whole() for one in answers)
         false = sum(one.status == 200 and one.looks_whole and not one.is_whole() for one in answers)
@@ -103,7 +110,7 @@
     plans += [Plan(answer, close, keeps=False) for answer in empty for close in moments]
     plans += [Plan(answer, close, times=2) for answer in (*empty, "none", "reset") for close in moments]
     plans += [Plan("200", "last")]
-    plans += [Plan(answer, "own") for answer in ("404", "421", "429", "refused", *empty, *NO_ANSWERS, OUT_OF_TIME, UNREAD)]
+    plans += [Plan(answer, "own") for answer in ("404", "421", "429", "refused", *empty, *NO_ANSWERS, OUT_OF_TIME, UNREAD, STILL)]
     return plans
 
 
--- a/tests/soak/stoppingengine.py
+++ b/tests/soak/stoppingengine.py
@@ -69,6 +69,7 @@
         self.events = events  # Of a whole stream.
         self.plan = Plan()
         self.is_chunked = False
+        self.padding = ""  # Of each event.
         self.runs = {}
         self.stops = []  # The id and the answer of each stop that came.
         self.whole = set()  # Ids of runs that have come to their own end.
@@ -178,7 +179,7 @@
 
     def _send_event(self, run):
         run.events += 1
-        event = f"id: {run.events}\ndata: token{run.events}\n\n"
+        event = f"id: {run.events}\ndata: token{run.events}{self.padding}\n\n"
         run.writer.write((f"{len(event):x}\r\n{event}\r\n" if self.is_chunked else event).encode())
 
     def cut_off(self):
