--- a/tests/soak/stoppedplay.py
+++ b/tests/soak/stoppedplay.py
@@ -14,6 +14,7 @@
 STREAMS = [("stream", 1), ("stream", 0), ("stream", 1), ("stream", 0), ("resumable", 1), ("resumable", 0)]
 PATIENCE_S = 14.0
 SERVED_S = 20.0
+LOOK_EVERY_S = 0.05
 FIRST_DECODE = 3  # Of the stand-in's servers: two plain ones and a prefill engine come first.
 
 
@@ -81,10 +82,19 @@
         self.platform = Platform(options.build, log)
         self.nodes = [Node(name, options.nodes or options.build, log) for name in self.node_names]
         self.numbers = itertools.count(1)  # Of probes.
+        self.stood_still_s = 0.0  # Longest time in which this process, the engines', did nothing.
+        self._watch = None
         handles = {}
         self.engines = [self.engine_class(name, handles, EVENTS) for name in ("d-1", "d-2")]
 
+    async def _watch_itself(self):
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(LOOK_EVERY_S)
+            self.stood_still_s = max(self.stood_still_s, time.monotonic() - before - LOOK_EVERY_S)
+
     async def start(self):
+        self._watch = asyncio.create_task(self._watch_itself())
         self.platform.workers[FIRST_DECODE:] = self.engines
         await self.platform.start(self.nodes if self.have_own_ways else ())
         organisations = organisation.Organisations(lambda: time.monotonic() - self.begun)
@@ -124,6 +134,8 @@
         return bool(known) and '"draining":"yes"' in known[-1]
 
     async def end(self):
+        if self._watch:
+            self._watch.cancel()
         for engine in self.engines:
             engine.close()
         for process in [*self.nodes, self.platform]:
