--- a/tests/soak/relayend.py
+++ b/tests/soak/relayend.py
@@ -68,6 +68,21 @@
             answer.body += data
 
 
+async def exchange(node, lines, answer, patience_s):
+    """Sends the request of these lines; sets the status and the body of @p answer. Returns whether it looks complete."""
+    host, port = node.callers.target.rsplit(":", 1)
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write("\r\n".join(lines).encode())
+        answer.status, headers = await asyncio.wait_for(read_head(reader), patience_s)
+        await asyncio.wait_for(read_body(reader, headers, answer), patience_s)
+        return True
+    except (OSError, EOFError, ValueError, asyncio.TimeoutError):
+        return False
+    finally:
+        writer.transport.abort()
+
+
 async def ask(node, name, key, is_old):
     """One request; @p is_old: with HTTP/1.0, whose streams end with the connection."""
     answer = Answer(name)
@@ -76,17 +91,7 @@
     lines = [f"POST /{path}/{name} HTTP/1.{0 if is_old else 1}", "Host: site.example",
              f"Indigoway-Request-Id: {name}", f"Indigoway-Request-Deadline: {int(PATIENCE_S * 1000)}",
              f"X-Api-Key: {key}", "Content-Length: 4", *tokens, "", "body"]
-    host, port = node.callers.target.rsplit(":", 1)
-    reader, writer = await asyncio.open_connection(host, int(port))
-    try:
-        writer.write("\r\n".join(lines).encode())
-        answer.status, headers = await asyncio.wait_for(read_head(reader), PATIENCE_S)
-        await asyncio.wait_for(read_body(reader, headers, answer), PATIENCE_S)
-        answer.is_complete = True
-    except (OSError, EOFError, ValueError, asyncio.TimeoutError):
-        pass
-    finally:
-        writer.transport.abort()
+    answer.is_complete = await exchange(node, lines, answer, PATIENCE_S)
     return answer
 
 
--- a/tests/soak/stoppedplay.py
+++ b/tests/soak/stoppedplay.py
@@ -4,10 +4,9 @@
 import itertools
 import time
 
-from callers import read_head
 from fleet import Node, Platform
 import organisations as organisation
-from relayend import read_body
+from relayend import exchange
 from stoppingengine import StoppingEngine
 
 EVENTS = 60
@@ -51,17 +50,7 @@
              f"Indigoway-Request-Id: {answer.id}", f"Indigoway-Request-Deadline: {int(answer.patience_s * 1000)}",
              f"X-Api-Key: {key}", "Content-Length: 4", "Indigoway-Token-Count: 1000,200", "Indigoway-Model-Id: m",
              "", "body"]
-    host, port = node.callers.target.rsplit(":", 1)
-    reader, writer = await asyncio.open_connection(host, int(port))
-    try:
-        writer.write("\r\n".join(lines).encode())
-        answer.status, headers = await asyncio.wait_for(read_head(reader), PATIENCE_S)
-        await asyncio.wait_for(read_body(reader, headers, answer), PATIENCE_S)
-        answer.looks_whole = True
-    except (OSError, EOFError, ValueError, asyncio.TimeoutError):
-        pass
-    finally:
-        writer.transport.abort()
+    answer.looks_whole = await exchange(node, lines, answer, PATIENCE_S)
     return answer
 
 
